--- /dev/null
+++ b/crates/api/src/errors.rs
@@ -0,0 +1,169 @@
+//! Error answers in the shape of the OpenAI API, with what is known of the execution.
+
+use axum::Json;
+use axum::extract::rejection::BytesRejection;
+use axum::http::{HeaderValue, StatusCode, Uri};
+use axum::response::{IntoResponse, Response};
+use harrierward_batch::BatchError;
+use harrierward_gateway::{Execution, GatewayError, SpecError};
+use harrierward_platform::{PlatformError, PlatformErrorKind};
+use serde::Serialize;
+
+/// Header that says what is known of the execution.
+pub(crate) const EXECUTION_HEADER: &str = "harrierward-execution";
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+struct ErrorDetail {
+    message: String,
+    #[serde(rename = "type")]
+    kind: &'static str,
+    param: Option<String>,
+    code: &'static str,
+}
+
+/// The body of an error answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(crate) struct ErrorBody {
+    error: ErrorDetail,
+    execution: Execution,
+}
+
+/// An error answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct ApiError {
+    status: StatusCode,
+    body: ErrorBody,
+    retry_after: Option<std::time::Duration>,
+}
+
+fn kind_of(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED => "authentication_error",
+        StatusCode::FORBIDDEN => "permission_error",
+        StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+        status if status.is_client_error() => "invalid_request_error",
+        _ => "server_error",
+    }
+}
+
+impl ApiError {
+    /// An error of a request that certainly did not run.
+    pub fn new(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        let detail = ErrorDetail {
+            message: message.into(),
+            kind: kind_of(status),
+            param: None,
+            code,
+        };
+        Self {
+            status,
+            body: ErrorBody {
+                error: detail,
+                execution: Execution::NotRun,
+            },
+            retry_after: None,
+        }
+    }
+
+    /// A field is wrong.
+    pub fn bad_field(field: impl Into<String>, detail: impl std::fmt::Display) -> Self {
+        let field = field.into();
+        let message = format!("{field}: {detail}");
+        let mut error = Self::new(StatusCode::BAD_REQUEST, "invalid_request", message);
+        error.body.error.param = Some(field);
+        error
+    }
+
+    /// The body, for an error within a stream.
+    pub fn body(&self) -> &ErrorBody {
+        &self.body
+    }
+
+    fn with_execution(mut self, execution: Execution) -> Self {
+        self.body.execution = execution;
+        self
+    }
+
+    fn after(mut self, retry_after: Option<std::time::Duration>) -> Self {
+        self.retry_after = retry_after;
+        self
+    }
+}
+
+impl IntoResponse for ApiError {
+    fn into_response(self) -> Response {
+        let execution = HeaderValue::from_static(self.body.execution.name());
+        let mut response = (self.status, Json(self.body)).into_response();
+        response.headers_mut().insert(EXECUTION_HEADER, execution);
+        if let Some(wait) = self.retry_after {
+            let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
+            response
+                .headers_mut()
+                .insert("retry-after", HeaderValue::from(seconds));
+        }
+        response
+    }
+}
+
+impl From<GatewayError> for ApiError {
+    fn from(error: GatewayError) -> Self {
+        let status = StatusCode::from_u16(error.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let message = format!("{} ({} at {})", error.message, error.step, error.peer);
+        Self::new(status, error.code, message)
+            .with_execution(error.execution)
+            .after(error.retry_after)
+    }
+}
+
+impl From<SpecError> for ApiError {
+    fn from(error: SpecError) -> Self {
+        Self::bad_field(error.field, error.detail)
+    }
+}
+
+impl From<PlatformError> for ApiError {
+    fn from(error: PlatformError) -> Self {
+        let retry_after = match error.kind {
+            PlatformErrorKind::RateLimited { retry_after } => retry_after,
+            _ => std::time::Duration::from_secs(1),
+        };
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Self::new(status, "store_unavailable", error.to_string()).after(Some(retry_after))
+    }
+}
+
+impl From<BatchError> for ApiError {
+    fn from(error: BatchError) -> Self {
+        let message = error.to_string();
+        match error {
+            BatchError::BadLine(problem) => {
+                Self::bad_field(format!("file line {}", problem.line), problem.detail)
+            }
+            BatchError::BadField { field, detail } => Self::bad_field(field, detail),
+            BatchError::NotFound { .. } => Self::new(StatusCode::NOT_FOUND, "not_found", message),
+            BatchError::KeyReused => {
+                Self::new(StatusCode::UNPROCESSABLE_ENTITY, "key_reused", message)
+            }
+            BatchError::Ended { .. } => Self::new(StatusCode::CONFLICT, "ended", message),
+            BatchError::Store(error) => error.into(),
+            BatchError::Unsettled(error) => Self::from(error).with_execution(Execution::Unknown),
+        }
+    }
+}
+
+impl From<BytesRejection> for ApiError {
+    fn from(rejection: BytesRejection) -> Self {
+        let code = if rejection.status() == StatusCode::PAYLOAD_TOO_LARGE {
+            "body_too_large"
+        } else {
+            "bad_body"
+        };
+        Self::new(rejection.status(), code, format!("body: {rejection}"))
+    }
+}
+
+/// Answer for paths that do not exist.
+pub(crate) async fn no_such_route(uri: Uri) -> ApiError {
+    let message = format!("no such path: {}", uri.path());
+    ApiError::new(StatusCode::NOT_FOUND, "no_such_path", message)
+}
--- /dev/null
+++ b/crates/batch/src/core/mod.rs
@@ -0,0 +1,15 @@
+//! The shard owner as a pure state machine: jobs, chunks, grants and commits, without clock or I/O.
+//!
+//! Invariants: an item's result counts once, by the chunk row's done set; an at-most-once item is granted only
+//! after its intent is committed under the present epoch, and never granted again unless it was handed back
+//! unrun by the holder of its present attempt; a cancelled job grants nothing.
+
+mod chunk;
+mod commit;
+mod job;
+mod owner;
+
+pub use chunk::FinishedItem;
+pub use commit::{ChunkCommit, CommitKind, CommitOutcome, JobEnding};
+pub use job::{JobLoad, StoredChunk};
+pub use owner::{ChunkRef, InputLine, OwnerCore, OwnerSettings};
--- /dev/null
+++ b/crates/batch/src/lib.rs
@@ -0,0 +1,21 @@
+//! Batch jobs: files, acceptance, shards of jobs under fenced ownership, grants, commits and results.
+//!
+//! Why chunks: a job may hold 190,000 items, and the table is rate-limited. A chunk of up to 200 items costs one
+//! row, its results one object, and a commit moves both in one transaction.
+
+pub mod core;
+mod errors;
+mod files;
+mod item_set;
+mod jobs;
+mod keys;
+mod owner;
+mod results;
+
+pub use errors::{BatchError, LineProblem};
+pub use files::{FileService, FileUpload, LineCheck, UploadRequest};
+pub use item_set::ItemSet;
+pub use jobs::{CreateJob, JobService, JobView, batch_id_at, shard_of};
+pub use keys::{CHUNK_ITEMS, MOST_ITEMS, ownership_key, replica_key, shard_key};
+pub use owner::{OwnerDriver, OwnerDriverSettings, OwnerEvents};
+pub use results::ResultReader;
--- /dev/null
+++ b/crates/batch/src/owner.rs
@@ -0,0 +1,469 @@
+//! Drives [`OwnerCore`] against the stores: loads jobs and input lines, commits chunks, ends jobs.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use harrierward_platform::{
+    Backoff, ObjectStore, PlatformError, RequestClass, Table, TransactionOutcome,
+};
+use harrierward_wire::{
+    ChunkRow, JobNotice, JobRow, JobState, OpenJobRow, PullReply, PullRequest, ResultsReply,
+    ResultsRequest, decode,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::core::{
+    ChunkCommit, ChunkRef, CommitOutcome, InputLine, JobEnding, JobLoad, OwnerCore, OwnerSettings,
+    StoredChunk,
+};
+use crate::keys::{chunk_prefix, job_key, open_prefix, part_name, shard_key};
+
+const PREFIX: &str = "shards:";
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+const LONGEST_WAIT: Duration = Duration::from_secs(10);
+const SCAN_PAGE: usize = 200;
+
+/// Field of an input line that marks it as at most once.
+const EXECUTION_FIELD: &str = "execution";
+const AT_MOST_ONCE: &str = "at-most-once";
+
+/// Bounds of the driver.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnerDriverSettings {
+    /// Bounds of the core.
+    pub core: OwnerSettings,
+    /// How often timers are looked at.
+    pub tick: Duration,
+    /// How often owned shards are searched for jobs whose notice was lost.
+    pub discover_every: Duration,
+    /// Store calls in flight at once.
+    pub concurrency: usize,
+    /// Seed of the back-off's jitter.
+    pub seed: u64,
+}
+
+impl Default for OwnerDriverSettings {
+    fn default() -> Self {
+        Self {
+            core: OwnerSettings::default(),
+            tick: Duration::from_millis(50),
+            discover_every: Duration::from_secs(10),
+            concurrency: 16,
+            seed: 0,
+        }
+    }
+}
+
+/// What the driver tells the rest of the daemon.
+pub trait OwnerEvents: Send + Sync {
+    /// The shard turned out to belong to another member.
+    fn shard_lost(&self, shard: u32);
+    /// Milliseconds since 1970.
+    fn now_ms(&self) -> u64;
+}
+
+/// The shard owner of one daemon; cheap to clone.
+#[derive(Clone)]
+pub struct OwnerDriver {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    core: Mutex<OwnerCore>,
+    table: Arc<dyn Table>,
+    objects: Arc<dyn ObjectStore>,
+    events: Arc<dyn OwnerEvents>,
+    settings: OwnerDriverSettings,
+    started: Instant,
+    wake: Notify,
+    permits: Arc<Semaphore>,
+}
+
+impl OwnerDriver {
+    /// Starts a driver on the current tokio runtime.
+    pub fn start(
+        member: &str,
+        table: Arc<dyn Table>,
+        objects: Arc<dyn ObjectStore>,
+        events: Arc<dyn OwnerEvents>,
+        settings: OwnerDriverSettings,
+    ) -> Self {
+        let shared = Arc::new(Shared {
+            core: Mutex::new(OwnerCore::new(member, settings.core)),
+            table,
+            objects,
+            events,
+            settings,
+            started: Instant::now(),
+            wake: Notify::new(),
+            permits: Arc::new(Semaphore::new(settings.concurrency)),
+        });
+        tokio::spawn(run_ticks(shared.clone()));
+        tokio::spawn(run_discovery(shared.clone()));
+        Self { shared }
+    }
+
+    /// Takes a shard whose ownership row was just written by this member, and loads its jobs.
+    pub fn take_shard(&self, shard: u32, epoch: u64, revision: u64) {
+        self.shared.lock().take_shard(shard, epoch, revision);
+        let shared = self.shared.clone();
+        tokio::spawn(async move { shared.discover_until_done(shard).await });
+    }
+
+    /// Forgets a shard.
+    pub fn drop_shard(&self, shard: u32) {
+        self.shared.lock().drop_shard(shard);
+    }
+
+    /// Shards held.
+    pub fn shards(&self) -> Vec<u32> {
+        self.shared.lock().shards()
+    }
+
+    /// Answers a pull.
+    pub fn pull(&self, request: &PullRequest) -> PullReply {
+        let now = self.shared.now();
+        let reply = self.shared.lock().pull(request, now);
+        self.shared.wake.notify_one();
+        reply
+    }
+
+    /// Takes results.
+    pub fn results(&self, request: &ResultsRequest) -> ResultsReply {
+        let now = self.shared.now();
+        let reply = self.shared.lock().results(request, now);
+        self.shared.wake.notify_one();
+        reply
+    }
+
+    /// Loads a job that was just accepted.
+    pub async fn job_accepted(&self, notice: &JobNotice) {
+        let owned = self.shared.lock().owns(notice.shard);
+        if owned {
+            self.shared.load_job(&notice.tenant, &notice.job_id).await;
+        }
+    }
+
+    /// Stops a job whose cancel is committed; the members that hold items of it.
+    pub fn cancel_job(&self, job_id: &str) -> Vec<String> {
+        let holders = self.shared.lock().cancel_job(job_id);
+        self.shared.wake.notify_one();
+        holders
+    }
+
+    /// Items ready to be granted, by service.
+    pub fn backlog(&self) -> BTreeMap<String, u32> {
+        self.shared.lock().backlog()
+    }
+
+    /// Items ready to be granted, by service and tenant.
+    pub fn backlog_by_tenant(&self) -> BTreeMap<String, BTreeMap<String, u32>> {
+        self.shared.lock().backlog_by_tenant()
+    }
+
+    /// Commits what is finished of a shard that is about to be handed back, within `limit`.
+    pub async fn flush_shard(&self, shard: u32, limit: Duration) {
+        self.shared.lock().close_shard(shard);
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline && !self.shared.lock().is_flushed(shard) {
+            self.shared.wake.notify_one();
+            sleep(self.shared.settings.tick).await;
+        }
+    }
+
+    /// Number of open jobs held.
+    pub fn job_count(&self) -> usize {
+        self.shared.lock().job_count()
+    }
+
+    /// Bytes of results not yet committed.
+    pub fn buffered_bytes(&self) -> usize {
+        self.shared.lock().buffered_bytes()
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, OwnerCore> {
+        self.core
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    async fn discover_until_done(&self, shard: u32) {
+        let mut random = StdRng::seed_from_u64(self.settings.seed ^ u64::from(shard));
+        let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        while self.lock().owns(shard) {
+            match self.discover(shard).await {
+                Ok(()) => return,
+                Err(error) => {
+                    log::debug!("{PREFIX} cannot list jobs of shard {shard}: {error}");
+                    sleep(backoff.wait(&mut random)).await;
+                }
+            }
+        }
+    }
+
+    async fn discover(&self, shard: u32) -> Result<(), PlatformError> {
+        let prefix = open_prefix(shard);
+        let mut after = String::new();
+        loop {
+            let rows = self
+                .table
+                .scan(RequestClass::Listing, &prefix, &after, SCAN_PAGE)
+                .await?;
+            for row in &rows {
+                let job_id = row.key.trim_start_matches(&prefix);
+                let open: OpenJobRow = decode(&row.value).unwrap_or_default();
+                self.try_load_job(&open.tenant, job_id).await?;
+            }
+            match rows.last() {
+                Some(last) if rows.len() == SCAN_PAGE => after = last.key.clone(),
+                _ => return Ok(()),
+            }
+        }
+    }
+
+    async fn load_job(&self, tenant: &str, job_id: &str) {
+        if let Err(error) = self.try_load_job(tenant, job_id).await {
+            log::debug!("{PREFIX} cannot load job {job_id} yet: {error}");
+        }
+    }
+
+    /// Reads the job row and, if the job is not held yet, its chunk rows.
+    async fn try_load_job(&self, tenant: &str, job_id: &str) -> Result<(), PlatformError> {
+        let keys = [job_key(tenant, job_id)];
+        let rows = self.table.get(RequestClass::Commit, &keys).await?;
+        let Some(stored) = rows.into_iter().flatten().next() else {
+            return Ok(());
+        };
+        let Some(row) = decode::<JobRow>(&stored.value) else {
+            return Ok(());
+        };
+        if row.ended_at_ms > 0 {
+            return Ok(());
+        }
+        let chunks = if self.lock().has_job(job_id) {
+            Vec::new()
+        } else {
+            self.read_chunks(job_id).await?
+        };
+        self.lock().load_job(JobLoad {
+            row,
+            revision: stored.revision,
+            chunks,
+        });
+        self.wake.notify_one();
+        Ok(())
+    }
+
+    async fn read_chunks(&self, job_id: &str) -> Result<Vec<StoredChunk>, PlatformError> {
+        let prefix = chunk_prefix(job_id);
+        let mut chunks = Vec::new();
+        let mut after = String::new();
+        loop {
+            let rows = self
+                .table
+                .scan(RequestClass::Commit, &prefix, &after, SCAN_PAGE)
+                .await?;
+            for row in &rows {
+                let number = row.key.trim_start_matches(&prefix).parse();
+                let decoded = decode::<ChunkRow>(&row.value);
+                if let (Ok(number), Some(decoded)) = (number, decoded) {
+                    chunks.push(StoredChunk {
+                        number,
+                        row: decoded,
+                        revision: row.revision,
+                    });
+                }
+            }
+            match rows.last() {
+                Some(last) if rows.len() == SCAN_PAGE => after = last.key.clone(),
+                _ => return Ok(chunks),
+            }
+        }
+    }
+
+    async fn load_body(&self, wanted: ChunkRef) {
+        let name = part_name(&wanted.object_prefix, wanted.chunk);
+        let body = self.objects.get(RequestClass::Commit, &name).await;
+        let text = body.map(|body| String::from_utf8_lossy(&body).into_owned());
+        match text {
+            Ok(text) => {
+                let lines = text.lines().map(input_line).collect();
+                let now = self.now();
+                self.lock().body_loaded(&wanted, lines, now);
+            }
+            Err(error) => {
+                log::debug!("{PREFIX} cannot read input {name} yet: {error}");
+                sleep(FIRST_WAIT).await;
+                self.lock().body_failed(&wanted);
+            }
+        }
+        self.wake.notify_one();
+    }
+
+    /// Stores the result object and commits the chunk row; keeps at it until the outcome is known.
+    async fn commit(&self, commit: ChunkCommit) {
+        let mut random = StdRng::seed_from_u64(self.settings.seed ^ u64::from(commit.chunk));
+        let mut backoff = Backoff::new(FIRST_WAIT, LONGEST_WAIT);
+        let outcome = loop {
+            match self.try_commit(&commit).await {
+                Ok(outcome) => break outcome,
+                Err(error) => {
+                    log::debug!("{PREFIX} commit of {} not done yet: {error}", commit.job_id);
+                    sleep(backoff.wait(&mut random)).await;
+                }
+            }
+            if !self.lock().owns(commit.shard) {
+                return;
+            }
+        };
+        self.lock().commit_finished(&commit, outcome);
+        self.report_lost(commit.shard, outcome);
+        self.wake.notify_one();
+    }
+
+    async fn try_commit(&self, commit: &ChunkCommit) -> Result<CommitOutcome, PlatformError> {
+        if let Some(name) = &commit.object {
+            let body = commit.object_body().into();
+            self.objects.put(RequestClass::Commit, name, body).await?;
+        }
+        let row_key = commit.row_key();
+        let transaction = commit.transaction();
+        match self.table.transact(RequestClass::Commit, transaction).await {
+            Ok(TransactionOutcome::Committed { revision }) => {
+                Ok(CommitOutcome::Committed { revision })
+            }
+            Ok(TransactionOutcome::Conflict { key, .. }) if key == shard_key(commit.shard) => {
+                Ok(CommitOutcome::ShardLost)
+            }
+            // Perhaps an earlier try of this very commit took effect and its answer was lost.
+            Ok(TransactionOutcome::Conflict { current, .. }) => {
+                let own = current.filter(|row| {
+                    row.key == row_key
+                        && decode::<ChunkRow>(&row.value).as_ref() == Some(&commit.row)
+                });
+                Ok(match own {
+                    Some(row) => CommitOutcome::Committed {
+                        revision: row.revision,
+                    },
+                    None => CommitOutcome::Stale,
+                })
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn end_job(&self, mut ending: JobEnding) {
+        let now_ms = self.events.now_ms();
+        ending.row.ended_at_ms = now_ms;
+        let outcome = self.try_end(&ending).await.unwrap_or_else(|error| {
+            log::debug!(
+                "{PREFIX} ending of {} not done yet: {error}",
+                ending.row.job_id
+            );
+            CommitOutcome::NotDone
+        });
+        if matches!(outcome, CommitOutcome::Committed { .. }) {
+            let state = JobState::try_from(ending.row.state).unwrap_or(JobState::Completed);
+            log::info!(job = ending.row.job_id.as_str(); "{PREFIX} job ended as {state:?}");
+        }
+        if outcome == CommitOutcome::NotDone {
+            sleep(FIRST_WAIT * 4).await;
+        }
+        self.lock().ending_finished(&ending, outcome);
+        self.report_lost(ending.shard, outcome);
+    }
+
+    /// A lost answer leaves the outcome "not done": the next try finds the job row changed and forgets the job,
+    /// which is right, because only this owner ends jobs of its shard.
+    async fn try_end(&self, ending: &JobEnding) -> Result<CommitOutcome, PlatformError> {
+        let transaction = ending.transaction();
+        let outcome = self
+            .table
+            .transact(RequestClass::Commit, transaction)
+            .await?;
+        Ok(match outcome {
+            TransactionOutcome::Committed { revision } => CommitOutcome::Committed { revision },
+            TransactionOutcome::Conflict { key, .. } if key == shard_key(ending.shard) => {
+                CommitOutcome::ShardLost
+            }
+            TransactionOutcome::Conflict { .. } => CommitOutcome::Stale,
+        })
+    }
+
+    fn report_lost(&self, shard: u32, outcome: CommitOutcome) {
+        if outcome == CommitOutcome::ShardLost {
+            log::info!("{PREFIX} shard {shard} belongs to another member now");
+            self.events.shard_lost(shard);
+        }
+    }
+}
+
+fn input_line(text: &str) -> InputLine {
+    let at_most_once = serde_json::from_str::<serde_json::Value>(text)
+        .ok()
+        .and_then(|line| {
+            line.get(EXECUTION_FIELD)?
+                .as_str()
+                .map(|mark| mark == AT_MOST_ONCE)
+        })
+        .unwrap_or(false);
+    InputLine {
+        text: text.to_owned(),
+        at_most_once,
+    }
+}
+
+async fn run_ticks(shared: Arc<Shared>) {
+    loop {
+        let _ = timeout(shared.settings.tick, shared.wake.notified()).await;
+        let now = shared.now();
+        let (wanted, commits, endings) = {
+            let mut core = shared.lock();
+            core.expire(now);
+            let wanted = core.take_wanted();
+            (wanted, core.plan_commits(now), core.plan_endings())
+        };
+        for wanted in wanted {
+            let shared = shared.clone();
+            tokio::spawn(async move {
+                let _permit = shared.permits.clone().acquire_owned().await;
+                shared.load_body(wanted).await;
+            });
+        }
+        for commit in commits {
+            let shared = shared.clone();
+            tokio::spawn(async move {
+                let _permit = shared.permits.clone().acquire_owned().await;
+                shared.commit(commit).await;
+            });
+        }
+        for ending in endings {
+            let shared = shared.clone();
+            tokio::spawn(async move { shared.end_job(ending).await });
+        }
+    }
+}
+
+/// Finds jobs whose notice was lost, and cancels that were committed by a daemon that then died.
+async fn run_discovery(shared: Arc<Shared>) {
+    loop {
+        sleep(shared.settings.discover_every).await;
+        let shards = shared.lock().shards();
+        for shard in shards {
+            if let Err(error) = shared.discover(shard).await {
+                log::debug!("{PREFIX} cannot list jobs of shard {shard}: {error}");
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/claims/src/verdict.rs
@@ -0,0 +1,82 @@
+//! What a claim row means to somebody who wants to run the same request.
+
+use harrierward_platform::{PlatformError, Row};
+use harrierward_wire::{ClaimRow, ClaimState, decode};
+use sha2::{Digest, Sha256};
+
+/// Identity of a marked request: the tenant and the key it sent.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClaimKey {
+    /// Tenant of the caller.
+    pub tenant: String,
+    /// The caller's `Idempotency-Key`.
+    pub key: String,
+}
+
+impl ClaimKey {
+    /// Key of the claim's row. The caller's key is hashed, so that no character of it matters.
+    pub fn row_key(&self) -> String {
+        let digest = Sha256::digest(self.key.as_bytes());
+        let hex: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+        format!("claim/{}/{hex}", self.tenant)
+    }
+}
+
+/// Digest of a request body, by which a resend is told from another request.
+pub fn request_digest(path: &str, body: &[u8]) -> Vec<u8> {
+    let mut hasher = Sha256::new();
+    hasher.update(path.as_bytes());
+    hasher.update([0]);
+    hasher.update(body);
+    hasher.finalize().to_vec()
+}
+
+/// A claim held by this attempt: the request may be dispatched, once.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Claim {
+    /// Whose request.
+    pub key: ClaimKey,
+    /// The row as committed.
+    pub row: ClaimRow,
+    /// Revision of the row.
+    pub revision: u64,
+}
+
+/// Answer to an attempt to claim.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict {
+    /// The claim is this attempt's: dispatch.
+    Granted(Claim),
+    /// The request has run; this is its stored answer.
+    Answered(Vec<u8>),
+    /// Another attempt holds the claim: the request may be running, or may have run.
+    Unknown,
+    /// The key was used with another body.
+    Mismatch,
+}
+
+/// The claim could not be made, so the request was certainly not dispatched by this attempt.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+#[error("claim not made: {0}")]
+pub struct ClaimRefused(pub PlatformError);
+
+/// Judges the row that stands where `wanted` should go.
+pub fn judge(key: &ClaimKey, wanted: &ClaimRow, current: &Row) -> Verdict {
+    let Some(present) = decode::<ClaimRow>(&current.value) else {
+        return Verdict::Unknown;
+    };
+    if present.digest != wanted.digest {
+        return Verdict::Mismatch;
+    }
+    if present.state == ClaimState::Done as i32 {
+        return Verdict::Answered(present.answer);
+    }
+    if present.attempt == wanted.attempt {
+        return Verdict::Granted(Claim {
+            key: key.clone(),
+            row: present,
+            revision: current.revision,
+        });
+    }
+    Verdict::Unknown
+}
--- /dev/null
+++ b/crates/emulator/src/server.rs
@@ -0,0 +1,293 @@
+//! The stand-ins over HTTP, for daemons that run as separate processes.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use axum::body::{Body, Bytes};
+use axum::extract::{DefaultBodyLimit, Path, State};
+use axum::http::{HeaderValue, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post, put};
+use axum::{Json, Router};
+use futures::StreamExt;
+use harrierward_platform::http::messages::{
+    CancelMessage, EngineRefusal, GetMessage, OutcomeMessage, RowMessage, ScanMessage,
+    TransactionMessage,
+};
+use harrierward_platform::{
+    Engine, EngineError, EngineOrder, GenerateRequest, MachineList, ObjectStore, PlatformError,
+    PlatformErrorKind, ReplicaId, RequestClass, Table, WeightStore,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{EngineHandle, MemoryPlatform, StoreFaults};
+
+/// Largest body taken by the object store and the table, bytes.
+const BODY_LIMIT: usize = 64 << 20;
+
+/// Class under which the platform counts calls that arrive over HTTP; classes are the caller's matter.
+const SERVED_CLASS: RequestClass = RequestClass::Urgent;
+
+struct PlatformReply(PlatformError);
+
+impl IntoResponse for PlatformReply {
+    fn into_response(self) -> Response {
+        let status = match self.0.kind {
+            PlatformErrorKind::NotDone => StatusCode::SERVICE_UNAVAILABLE,
+            PlatformErrorKind::Unknown => StatusCode::GATEWAY_TIMEOUT,
+            PlatformErrorKind::RateLimited { .. } => StatusCode::TOO_MANY_REQUESTS,
+            PlatformErrorKind::NotFound => StatusCode::NOT_FOUND,
+            PlatformErrorKind::Malformed => StatusCode::BAD_REQUEST,
+        };
+        let mut response = (status, self.0.detail).into_response();
+        if let PlatformErrorKind::RateLimited { retry_after } = self.0.kind {
+            let seconds = format!("{:.3}", retry_after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                response.headers_mut().insert("retry-after", value);
+            }
+        }
+        response
+    }
+}
+
+impl From<PlatformError> for PlatformReply {
+    fn from(error: PlatformError) -> Self {
+        Self(error)
+    }
+}
+
+/// Routes of the platform stand-in.
+pub fn platform_router(platform: MemoryPlatform) -> Router {
+    Router::new()
+        .route("/table/transact", post(transact))
+        .route("/table/get", post(get_rows))
+        .route("/table/scan", post(scan_rows))
+        .route(
+            "/objects/{*name}",
+            put(put_object).get(get_object).delete(delete_object),
+        )
+        .route("/machines", get(list_machines))
+        .route("/machines/{replica}/leave", post(leave_machine))
+        .route("/weights/{model}", post(reserve_weights))
+        .route("/faults", put(set_faults).get(get_faults))
+        .layer(DefaultBodyLimit::max(BODY_LIMIT))
+        .with_state(Arc::new(platform))
+}
+
+type SharedPlatform = State<Arc<MemoryPlatform>>;
+
+async fn transact(
+    State(platform): SharedPlatform,
+    Json(message): Json<TransactionMessage>,
+) -> Result<Response, PlatformReply> {
+    let Some(transaction) = message.into_transaction() else {
+        return Ok((StatusCode::BAD_REQUEST, "value is not base64").into_response());
+    };
+    let outcome = platform.transact(SERVED_CLASS, transaction).await?;
+    Ok(Json(OutcomeMessage::from(&outcome)).into_response())
+}
+
+async fn get_rows(
+    State(platform): SharedPlatform,
+    Json(message): Json<GetMessage>,
+) -> Result<Json<Vec<Option<RowMessage>>>, PlatformReply> {
+    let rows = Table::get(platform.as_ref(), SERVED_CLASS, &message.keys).await?;
+    let rows = rows.iter().map(|row| row.as_ref().map(RowMessage::from));
+    Ok(Json(rows.collect()))
+}
+
+async fn scan_rows(
+    State(platform): SharedPlatform,
+    Json(message): Json<ScanMessage>,
+) -> Result<Json<Vec<RowMessage>>, PlatformReply> {
+    let rows = platform
+        .scan(SERVED_CLASS, &message.prefix, &message.after, message.limit)
+        .await?;
+    Ok(Json(rows.iter().map(RowMessage::from).collect()))
+}
+
+async fn put_object(
+    State(platform): SharedPlatform,
+    Path(name): Path<String>,
+    body: Bytes,
+) -> Result<(), PlatformReply> {
+    Ok(platform.put(SERVED_CLASS, &name, body).await?)
+}
+
+async fn get_object(
+    State(platform): SharedPlatform,
+    Path(name): Path<String>,
+) -> Result<Bytes, PlatformReply> {
+    Ok(ObjectStore::get(platform.as_ref(), SERVED_CLASS, &name).await?)
+}
+
+async fn delete_object(
+    State(platform): SharedPlatform,
+    Path(name): Path<String>,
+) -> Result<(), PlatformReply> {
+    Ok(platform.delete(SERVED_CLASS, &name).await?)
+}
+
+async fn list_machines(State(platform): SharedPlatform) -> Result<Response, PlatformReply> {
+    Ok(Json(platform.list().await?).into_response())
+}
+
+async fn leave_machine(State(platform): SharedPlatform, Path(replica): Path<String>) {
+    platform.mark_leaving(&ReplicaId(replica));
+}
+
+async fn reserve_weights(
+    State(platform): SharedPlatform,
+    Path(model): Path<String>,
+) -> Result<Response, PlatformReply> {
+    Ok(Json(platform.reserve(&model).await?).into_response())
+}
+
+async fn set_faults(State(platform): SharedPlatform, Json(faults): Json<StoreFaults>) {
+    platform.faults().set(faults);
+}
+
+async fn get_faults(State(platform): SharedPlatform) -> Json<StoreFaults> {
+    Json(platform.faults().get())
+}
+
+/// Faults of an engine that can be set over HTTP.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EngineFaultsMessage {
+    /// Refuse new calls.
+    pub down: bool,
+    /// Run no steps.
+    pub frozen: bool,
+    /// Break all streams and lose what runs, once.
+    pub crash: bool,
+    /// Events to send to another reader as well.
+    pub cross_events: u32,
+    /// Events to send twice.
+    pub repeat_events: u32,
+    /// Streams to cut.
+    pub cut_streams: u32,
+    /// Take no new work.
+    pub leave: bool,
+}
+
+/// Routes of one engine stand-in.
+pub fn engine_router(engine: EngineHandle) -> Router {
+    Router::new()
+        .route("/engine/generate", post(generate))
+        .route("/engine/cancel", post(cancel))
+        .route("/engine/load", post(load))
+        .route("/engine/cache-events", post(cache_events))
+        .route("/engine/order", post(order))
+        .route("/engine/export", post(export_prefix))
+        .route("/engine/import", post(import_prefix))
+        .route("/faults", put(set_engine_faults))
+        .layer(DefaultBodyLimit::max(BODY_LIMIT))
+        .with_state(engine)
+}
+
+struct EngineReply(EngineError);
+
+impl IntoResponse for EngineReply {
+    fn into_response(self) -> Response {
+        let seen_epoch = match &self.0 {
+            EngineError::Unknown { .. } => {
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                return (status, self.0.to_string()).into_response();
+            }
+            EngineError::NotRun { .. } => None,
+            EngineError::Fenced { seen, .. } => Some(*seen),
+        };
+        let refusal = EngineRefusal {
+            detail: self.0.to_string(),
+            seen_epoch,
+        };
+        (StatusCode::CONFLICT, Json(refusal)).into_response()
+    }
+}
+
+impl From<EngineError> for EngineReply {
+    fn from(error: EngineError) -> Self {
+        Self(error)
+    }
+}
+
+async fn generate(
+    State(engine): State<EngineHandle>,
+    Json(request): Json<GenerateRequest>,
+) -> Result<Response, EngineReply> {
+    let events = engine.generate(request).await?;
+    let lines = events.map(|event| {
+        let event = event.map_err(std::io::Error::other)?;
+        let mut line = serde_json::to_vec(&event).map_err(std::io::Error::other)?;
+        line.push(b'\n');
+        Ok::<Bytes, std::io::Error>(Bytes::from(line))
+    });
+    Ok(Response::new(Body::from_stream(lines)))
+}
+
+async fn cancel(
+    State(engine): State<EngineHandle>,
+    Json(message): Json<CancelMessage>,
+) -> Result<Response, EngineReply> {
+    engine.cancel(&message.request_id).await?;
+    Ok(Json(()).into_response())
+}
+
+async fn load(State(engine): State<EngineHandle>) -> Result<Response, EngineReply> {
+    Ok(Json(engine.load().await?).into_response())
+}
+
+async fn cache_events(
+    State(engine): State<EngineHandle>,
+    Json(after): Json<u64>,
+) -> Result<Response, EngineReply> {
+    Ok(Json(engine.cache_events(after).await?).into_response())
+}
+
+async fn order(
+    State(engine): State<EngineHandle>,
+    Json(order): Json<EngineOrder>,
+) -> Result<Response, EngineReply> {
+    engine.order(order).await?;
+    Ok(Json(()).into_response())
+}
+
+async fn export_prefix(
+    State(engine): State<EngineHandle>,
+    Json(block): Json<u64>,
+) -> Result<Response, EngineReply> {
+    Ok(Json(engine.export_prefix(block).await?).into_response())
+}
+
+async fn import_prefix(
+    State(engine): State<EngineHandle>,
+    Json(blocks): Json<Vec<u64>>,
+) -> Result<Response, EngineReply> {
+    engine.import_prefix(blocks).await?;
+    Ok(Json(()).into_response())
+}
+
+async fn set_engine_faults(
+    State(engine): State<EngineHandle>,
+    Json(message): Json<EngineFaultsMessage>,
+) {
+    let faults = engine.faults();
+    faults.down.store(message.down, Ordering::Relaxed);
+    faults.frozen.store(message.frozen, Ordering::Relaxed);
+    faults
+        .cross_events
+        .store(message.cross_events, Ordering::Relaxed);
+    faults
+        .repeat_events
+        .store(message.repeat_events, Ordering::Relaxed);
+    faults
+        .cut_streams
+        .store(message.cut_streams, Ordering::Relaxed);
+    if message.crash {
+        engine.crash();
+    }
+    if message.leave {
+        engine.leave();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,619 @@
+//! The request path from call to answer stream.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use harrierward_claims::{Claim, Claims, Verdict};
+use harrierward_config::ConfigSnapshot;
+use harrierward_platform::{
+    EngineError, EventStream, GenerateRequest, Priority, ReplicaId, prefix_blocks,
+};
+use harrierward_routing::{PrefixIndex, RouteRequest, Strategy};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::admission::{Admission, AdmissionSettings};
+use crate::answer::{AnswerState, AnswerStream, StoredAnswer, run_marked};
+use crate::call::{Call, MarkedCall};
+use crate::directory::{Replica, ReplicaDirectory};
+use crate::errors::{Execution, GatewayError};
+use crate::limits::{LimitDecision, TenantLimits};
+use crate::metrics::GatewayMetrics;
+use crate::retry::RetryBudget;
+
+const PREFIX: &str = "gateway:";
+
+/// Bounds of the request path.
+#[derive(Debug, Clone, Copy)]
+pub struct GatewaySettings {
+    /// Bounds of admission.
+    pub admission: AdmissionSettings,
+    /// Online requests that one gateway sends to a replica at most.
+    pub requests_a_replica: u32,
+    /// Wait for an engine to take a request.
+    pub connect_timeout: Duration,
+    /// Wait for the next event of a stream before it counts as cut.
+    pub stall_timeout: Duration,
+    /// How long a replica that refused or broke is left alone.
+    pub penalty: Duration,
+    /// How often the prefix index is renewed.
+    pub index_every: Duration,
+    /// How long a prefix is believed cached without news.
+    pub prefix_lifetime: Duration,
+    /// How a replica is chosen.
+    pub strategy: Strategy,
+    /// Seed of the choices.
+    pub seed: u64,
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        Self {
+            admission: AdmissionSettings::default(),
+            requests_a_replica: 96,
+            connect_timeout: Duration::from_secs(2),
+            stall_timeout: Duration::from_secs(10),
+            penalty: Duration::from_secs(2),
+            index_every: Duration::from_millis(50),
+            prefix_lifetime: Duration::from_secs(120),
+            strategy: Strategy::ExpectedWait,
+            seed: 0,
+        }
+    }
+}
+
+/// What a gateway works with.
+pub struct GatewayParts {
+    /// Id of the member, which makes request ids unique.
+    pub member: String,
+    /// The configuration in force.
+    pub config: Arc<ArcSwap<ConfigSnapshot>>,
+    /// The replicas.
+    pub directory: Arc<ReplicaDirectory>,
+    /// The claim service.
+    pub claims: Claims,
+    /// Metrics.
+    pub metrics: GatewayMetrics,
+    /// Milliseconds since 1970.
+    pub now_ms: fn() -> u64,
+}
+
+/// A prompt was sent: its prefix will be cached there.
+struct PrefixNews {
+    replica: u32,
+    blocks: Arc<Vec<u64>>,
+}
+
+struct Inner {
+    parts: GatewayParts,
+    settings: GatewaySettings,
+    limits: TenantLimits,
+    admissions: ArcSwap<HashMap<String, Admission>>,
+    index: ArcSwap<PrefixIndex>,
+    news: mpsc::UnboundedSender<PrefixNews>,
+    retries: RetryBudget,
+    counter: AtomicU64,
+    started: Instant,
+}
+
+/// The gateway of one daemon; cheap to clone.
+#[derive(Clone)]
+pub struct Gateway {
+    inner: Arc<Inner>,
+}
+
+/// A request at an engine. Dropping it cancels the request there and takes it out of the load estimates.
+pub(crate) struct Attempt {
+    pub request_id: String,
+    pub events: EventStream,
+    replica: Arc<Replica>,
+    uncached_tokens: u32,
+    prefilled: bool,
+    ended: bool,
+}
+
+impl Attempt {
+    fn new(
+        request_id: String,
+        events: EventStream,
+        replica: Arc<Replica>,
+        uncached_tokens: u32,
+    ) -> Self {
+        Self {
+            request_id,
+            events,
+            replica,
+            uncached_tokens,
+            prefilled: false,
+            ended: false,
+        }
+    }
+
+    pub fn replica_id(&self) -> ReplicaId {
+        self.replica.machine.replica.clone()
+    }
+
+    pub fn replica_name(&self) -> String {
+        self.replica.machine.replica.0.clone()
+    }
+
+    pub fn note_prefilled(&mut self) {
+        if !self.prefilled {
+            self.prefilled = true;
+            self.replica.load.prefilled(self.uncached_tokens);
+            self.replica.online.prefilled(self.uncached_tokens);
+        }
+    }
+
+    pub fn note_ended(&mut self) {
+        self.note_prefilled();
+        if !self.ended {
+            self.ended = true;
+            self.replica.load.ended();
+            self.replica.online.ended();
+        }
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.note_ended();
+    }
+}
+
+impl Gateway {
+    /// Starts a gateway on the current tokio runtime.
+    pub fn start(parts: GatewayParts, settings: GatewaySettings) -> Self {
+        let (news, receiver) = mpsc::unbounded_channel();
+        let lifetime = u64::try_from(settings.prefix_lifetime.as_micros()).unwrap_or(u64::MAX);
+        let inner = Arc::new(Inner {
+            parts,
+            settings,
+            limits: TenantLimits::default(),
+            admissions: ArcSwap::from_pointee(HashMap::new()),
+            index: ArcSwap::from_pointee(PrefixIndex::new(lifetime)),
+            news,
+            retries: RetryBudget::default(),
+            counter: AtomicU64::new(0),
+            started: Instant::now(),
+        });
+        tokio::spawn(run_index(Arc::downgrade(&inner), receiver));
+        Self { inner }
+    }
+
+    /// Takes over a new configuration: limits change at once.
+    pub fn configure(&self, config: &ConfigSnapshot) {
+        self.inner.limits.configure(config);
+    }
+
+    /// Takes over a new directory: services' capacities follow their replicas.
+    pub fn replicas_changed(&self) {
+        let directory = self.inner.parts.directory.load();
+        let old = self.inner.admissions.load();
+        let mut admissions = HashMap::new();
+        for (service, entry) in &directory.services {
+            let replicas = u32::try_from(entry.replicas.len()).unwrap_or(u32::MAX);
+            let capacity = replicas.saturating_mul(self.inner.settings.requests_a_replica);
+            let admission = match old.get(service) {
+                Some(kept) => {
+                    kept.set_capacity(capacity);
+                    kept.clone()
+                }
+                None => Admission::new(capacity, self.inner.settings.admission),
+            };
+            admissions.insert(service.clone(), admission);
+        }
+        self.inner.admissions.store(Arc::new(admissions));
+    }
+
+    pub(crate) fn settings(&self) -> &GatewaySettings {
+        &self.inner.settings
+    }
+
+    pub(crate) fn metrics(&self) -> &GatewayMetrics {
+        &self.inner.parts.metrics
+    }
+
+    pub(crate) fn take_retry(&self) -> bool {
+        let taken = self.inner.retries.take();
+        if taken {
+            self.metrics().retries.inc();
+        }
+        taken
+    }
+
+    pub(crate) fn note_success(&self) {
+        self.inner.retries.earn();
+        self.count_outcome("ok");
+    }
+
+    pub(crate) fn count_outcome(&self, outcome: &str) {
+        self.metrics().requests.with_label_values(&[outcome]).inc();
+    }
+
+    fn now_micros(&self) -> u64 {
+        u64::try_from(self.inner.started.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
+    fn next_id(&self) -> u64 {
+        self.inner.counter.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Requests running and waiting at this gateway, over all services.
+    pub fn load(&self) -> (u32, usize) {
+        let admissions = self.inner.admissions.load();
+        admissions
+            .values()
+            .fold((0, 0), |(running, waiting), admission| {
+                let (more_running, more_waiting) = admission.load();
+                (running + more_running, waiting + more_waiting)
+            })
+    }
+
+    /// Starts a call. An error here means that no part of an answer was delivered.
+    pub async fn call(&self, call: Call) -> Result<AnswerStream, GatewayError> {
+        let result = if call.marked.is_some() {
+            self.call_to_the_end(call).await
+        } else {
+            self.try_call(call).await
+        };
+        if let Err(error) = &result {
+            self.count_outcome(error.code);
+        }
+        result
+    }
+
+    /// A marked call goes on although its caller goes away, so that no claim is left behind undispatched.
+    async fn call_to_the_end(&self, call: Call) -> Result<AnswerStream, GatewayError> {
+        let gateway = self.clone();
+        let task = tokio::spawn(async move { gateway.try_call(call).await });
+        task.await.unwrap_or_else(|error| {
+            let message = error.to_string();
+            Err(GatewayError::unknown(
+                "gateway.call",
+                500,
+                "internal",
+                message,
+            ))
+        })
+    }
+
+    async fn try_call(&self, call: Call) -> Result<AnswerStream, GatewayError> {
+        let service = self.service_of(&call)?;
+        let in_progress = match self.enter_limits(&call)? {
+            LimitDecision::Pass(in_progress) => in_progress,
+            LimitDecision::Refused { retry_after, limit } => {
+                let message = format!("limit {limit} of this tenant is met");
+                let error = GatewayError::not_run("gateway.limits", 429, "rate_limited", message);
+                return Err(error.after(retry_after));
+            }
+        };
+        let admission = self.inner.admissions.load().get(&service).cloned();
+        let admission = admission.ok_or_else(no_replica)?;
+        let permit = admission
+            .enter(&call.tenant, call.deadline)
+            .await
+            .map_err(|retry_after| {
+                let message = "the service is at its capacity";
+                GatewayError::not_run("gateway.admission", 503, "overloaded", message)
+                    .after(retry_after)
+            })?;
+        let started = Instant::now();
+        let claim = match &call.marked {
+            None => None,
+            Some(marked) => match self.claim(marked).await? {
+                Claimed::Granted(claim) => Some(claim),
+                Claimed::Answered(answer) => return Ok(AnswerStream::replay(answer)),
+            },
+        };
+        let attempt = self.connect(&call, Vec::new(), 0).await;
+        let attempt = match (attempt, &claim) {
+            (Ok(attempt), _) => attempt,
+            (Err(error), Some(claim)) => {
+                self.release_if_not_run(&error, claim);
+                return Err(error);
+            }
+            (Err(error), None) => return Err(error),
+        };
+        let state = AnswerState {
+            gateway: self.clone(),
+            call,
+            attempt,
+            delivered: 0,
+            resumes: 0,
+            started,
+            ended: false,
+            _permit: permit,
+            _in_progress: in_progress,
+        };
+        Ok(match claim {
+            None => AnswerStream::new(state.into_stream()),
+            Some(claim) => run_marked(state, self.inner.parts.claims.clone(), claim),
+        })
+    }
+
+    fn service_of(&self, call: &Call) -> Result<String, GatewayError> {
+        let config = self.inner.parts.config.load();
+        let endpoint = &call.spec.endpoint;
+        let found = config
+            .endpoint(endpoint)
+            .filter(|_| config.may_call(&call.tenant, endpoint));
+        match found {
+            Some((_, spec)) => Ok(spec.service.clone()),
+            None => {
+                let message = format!("model: no model named {endpoint}");
+                let step = "gateway.endpoint";
+                Err(GatewayError::not_run(step, 404, "model_not_found", message))
+            }
+        }
+    }
+
+    fn model_of(&self, call: &Call) -> Result<(String, String), GatewayError> {
+        let service = self.service_of(call)?;
+        let config = self.inner.parts.config.load();
+        let model = config
+            .service(&service)
+            .map(|(_, spec)| spec.model.clone())
+            .ok_or_else(no_replica)?;
+        Ok((service, model))
+    }
+
+    fn enter_limits(&self, call: &Call) -> Result<LimitDecision, GatewayError> {
+        let now = self.now_micros();
+        let endpoint = &call.spec.endpoint;
+        let decision = self.inner.limits.enter(&call.tenant, endpoint, now);
+        // The limits may lag the configuration by a moment.
+        decision.ok_or_else(|| {
+            let message = "the endpoint is being set up";
+            GatewayError::not_run("gateway.limits", 503, "not_ready", message)
+                .after(Duration::from_millis(500))
+        })
+    }
+
+    async fn claim(&self, marked: &MarkedCall) -> Result<Claimed, GatewayError> {
+        const STEP: &str = "gateway.claim";
+        let parts = &self.inner.parts;
+        let attempt = format!("{}-claim-{}", parts.member, self.next_id());
+        let now_ms = (parts.now_ms)();
+        let verdict = parts
+            .claims
+            .begin(marked.key.clone(), marked.digest.clone(), attempt, now_ms)
+            .await
+            .map_err(|refused| {
+                let message = format!("the request cannot be claimed now: {refused}");
+                GatewayError::not_run(STEP, 503, "claim_refused", message)
+                    .at("table")
+                    .after(Duration::from_secs(1))
+            })?;
+        match verdict {
+            Verdict::Granted(claim) => Ok(Claimed::Granted(claim)),
+            Verdict::Answered(bytes) => match serde_json::from_slice::<StoredAnswer>(&bytes) {
+                Ok(answer) => Ok(Claimed::Answered(answer)),
+                Err(_) => {
+                    let message = "the request ran; its answer was too large to keep";
+                    let error = GatewayError::unknown(STEP, 409, "answer_not_kept", message);
+                    Err(GatewayError {
+                        execution: Execution::Ran,
+                        ..error
+                    })
+                }
+            },
+            Verdict::Unknown => {
+                let message = "the request is running, or may have run; it is not run again";
+                let error = GatewayError::unknown(STEP, 409, "in_progress_or_unknown", message);
+                Err(error.after(Duration::from_secs(1)))
+            }
+            Verdict::Mismatch => {
+                let message = "Idempotency-Key: was used with another body";
+                let step = STEP;
+                Err(GatewayError::not_run(step, 422, "key_reused", message))
+            }
+        }
+    }
+
+    fn release_if_not_run(&self, error: &GatewayError, claim: &Claim) {
+        if error.execution != Execution::NotRun {
+            return;
+        }
+        let claims = self.inner.parts.claims.clone();
+        let claim = claim.clone();
+        tokio::spawn(async move { claims.release(&claim).await });
+    }
+
+    /// Sends the request to a replica, or to others after it while it certainly has not run, or may run again.
+    pub(crate) async fn connect(
+        &self,
+        call: &Call,
+        mut excluded: Vec<ReplicaId>,
+        resume_from: u32,
+    ) -> Result<Attempt, GatewayError> {
+        const STEP: &str = "gateway.connect";
+        let (service, model) = self.model_of(call)?;
+        let blocks = Arc::new(prefix_blocks(&model, &call.spec.prompt));
+        let mut may_have_run = false;
+        loop {
+            let Some((replica, uncached)) = self.route(&service, call, &blocks, &excluded) else {
+                let mut error = no_replica();
+                if may_have_run {
+                    error.execution = Execution::Unknown;
+                }
+                return Err(error);
+            };
+            let error = match self
+                .send(call, &model, &replica, uncached, resume_from)
+                .await
+            {
+                Ok(attempt) => {
+                    let news = PrefixNews {
+                        replica: replica.number,
+                        blocks: blocks.clone(),
+                    };
+                    let _ = self.inner.news.send(news);
+                    return Ok(attempt);
+                }
+                Err(error) => error,
+            };
+            let not_run = matches!(
+                error,
+                EngineError::NotRun { .. } | EngineError::Fenced { .. }
+            );
+            may_have_run |= !not_run;
+            self.penalize(&replica);
+            log::debug!("{PREFIX} {error}");
+            let name = replica.machine.replica.0.clone();
+            let execution = if may_have_run {
+                Execution::Unknown
+            } else {
+                Execution::NotRun
+            };
+            let failed = |code: &'static str, message: String| GatewayError {
+                execution,
+                ..GatewayError::not_run(STEP, 503, code, message)
+                    .at(name.clone())
+                    .after(Duration::from_secs(1))
+            };
+            let may_retry = not_run || call.marked.is_none();
+            if !may_retry {
+                return Err(failed("engine_failed", error.to_string()));
+            }
+            if Instant::now() >= call.deadline {
+                return Err(failed("deadline", error.to_string()));
+            }
+            if !self.take_retry() {
+                return Err(failed("retry_budget", error.to_string()));
+            }
+            excluded.push(replica.machine.replica.clone());
+        }
+    }
+
+    fn route(
+        &self,
+        service: &str,
+        call: &Call,
+        blocks: &[u64],
+        excluded: &[ReplicaId],
+    ) -> Option<(Arc<Replica>, u32)> {
+        let directory = self.inner.parts.directory.load();
+        let entry = directory.services.get(service)?;
+        let excluded: Vec<usize> = excluded
+            .iter()
+            .filter_map(|id| {
+                let same = |replica: &Arc<Replica>| replica.machine.replica == *id;
+                entry.replicas.iter().position(same)
+            })
+            .collect();
+        let tokens = call.spec.prompt.len() / CHARACTERS_A_TOKEN + 1;
+        let request = RouteRequest {
+            blocks,
+            prompt_tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+        };
+        let seed = self.inner.settings.seed ^ self.next_id();
+        let mut random = SmallRng::seed_from_u64(seed);
+        let index = self.inner.index.load();
+        let choice = entry.table.choose(
+            self.inner.settings.strategy,
+            &request,
+            &index,
+            &excluded,
+            self.now_micros(),
+            &mut random,
+        )?;
+        let replica = entry.replicas[choice.position].clone();
+        Some((replica, choice.uncached_tokens))
+    }
+
+    async fn send(
+        &self,
+        call: &Call,
+        model: &str,
+        replica: &Arc<Replica>,
+        uncached: u32,
+        resume_from: u32,
+    ) -> Result<Attempt, EngineError> {
+        let request_id = format!("{}-{:x}", self.inner.parts.member, self.next_id());
+        let request = GenerateRequest {
+            request_id: request_id.clone(),
+            model: model.to_owned(),
+            prompt: call.spec.prompt.clone(),
+            maximum_tokens: call.spec.maximum_tokens,
+            priority: Priority::Online,
+            resume_from,
+            epoch: None,
+        };
+        // Counted before sending, so that others see it, and taken back by the attempt's drop.
+        replica.load.sent(uncached);
+        replica.online.sent(uncached);
+        let pending = futures::stream::pending();
+        let mut attempt = Attempt::new(request_id, Box::pin(pending), replica.clone(), uncached);
+        let limit = self.inner.settings.connect_timeout;
+        let events = timeout(limit, replica.engine.generate(request)).await;
+        attempt.events = events.unwrap_or_else(|_| {
+            Err(EngineError::Unknown {
+                step: "engine.generate",
+                peer: replica.machine.address.clone(),
+                detail: "no answer in time".to_owned(),
+            })
+        })?;
+        Ok(attempt)
+    }
+
+    /// Leaves a replica alone for a while.
+    fn penalize(&self, replica: &Arc<Replica>) {
+        replica.load.set_unavailable(true);
+        let load = replica.load.clone();
+        let penalty = self.inner.settings.penalty;
+        tokio::spawn(async move {
+            sleep(penalty).await;
+            load.set_unavailable(false);
+        });
+    }
+}
+
+/// Characters that one token of a prompt covers, for estimates.
+const CHARACTERS_A_TOKEN: usize = 4;
+
+enum Claimed {
+    Granted(Claim),
+    Answered(StoredAnswer),
+}
+
+fn no_replica() -> GatewayError {
+    let message = "no replica can take the request now";
+    GatewayError::not_run("gateway.route", 503, "no_replica", message).after(Duration::from_secs(1))
+}
+
+/// Merges news of sent prompts into the index, off the request path.
+async fn run_index(inner: std::sync::Weak<Inner>, mut news: mpsc::UnboundedReceiver<PrefixNews>) {
+    const EXPIRE_ROUNDS: u64 = 100;
+    let mut round: u64 = 0;
+    loop {
+        let Some(gateway) = inner.upgrade().map(|inner| Gateway { inner }) else {
+            return;
+        };
+        let now = gateway.now_micros();
+        let mut index = PrefixIndex::clone(&gateway.inner.index.load());
+        let mut changed = false;
+        while let Ok(sent) = news.try_recv() {
+            for block in sent.blocks.iter() {
+                index.stored(*block, sent.replica, now);
+            }
+            changed = true;
+        }
+        round += 1;
+        if round.is_multiple_of(EXPIRE_ROUNDS) {
+            index.expire(now);
+            changed = true;
+        }
+        if changed {
+            gateway.inner.index.store(Arc::new(index));
+        }
+        let pause = gateway.inner.settings.index_every;
+        drop(gateway);
+        sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,28 @@
+//! The path of an online request: limits, admission, claim, routing, retries, and a checked answer stream.
+//!
+//! Why one crate: each step decides what may truthfully be said of the request's execution, so the steps share
+//! one error type that carries it.
+
+mod admission;
+mod answer;
+mod call;
+mod directory;
+mod errors;
+mod gateway;
+mod limits;
+mod metrics;
+mod openai;
+mod retry;
+
+pub use admission::{Admission, AdmissionPermit, AdmissionSettings, FairQueue};
+pub use answer::{AnswerEvent, AnswerStream, StoredAnswer, Usage};
+pub use call::{Call, MarkedCall};
+pub use directory::{
+    Directory, DirectoryEntry, EngineConnector, OnlineCounts, Replica, ReplicaDirectory, ZoneRank,
+};
+pub use errors::{Execution, GatewayError};
+pub use gateway::{Gateway, GatewayParts, GatewaySettings};
+pub use limits::{LimitDecision, TenantLimits};
+pub use metrics::GatewayMetrics;
+pub use openai::{ChatMessage, EndpointKind, GenerationSpec, SpecError, parse_request};
+pub use retry::RetryBudget;
--- /dev/null
+++ b/crates/harrierward/src/client.rs
@@ -0,0 +1,68 @@
+//! HTTP towards a daemon, for the commands that act as a caller or an operator.
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr, bail};
+use harrierward_platform::http::HttpCaller;
+use http::{Method, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::Value;
+
+/// A client of one daemon.
+pub struct Client {
+    caller: HttpCaller,
+    server: String,
+    authorization: String,
+}
+
+impl Client {
+    /// A client of the daemon at `server` (`IP:PORT`) with an API key.
+    pub fn new(server: &str, key: &str) -> Self {
+        Self {
+            caller: HttpCaller::new(),
+            server: server.to_owned(),
+            authorization: format!("Bearer {key}"),
+        }
+    }
+
+    /// Sends a request and returns the answer's JSON; an error answer becomes an error.
+    pub async fn json(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<Value> {
+        let response = self.open(method, path, headers, body).await?;
+        let body = response.into_body().collect().await;
+        let body = body.wrap_err("the answer broke off")?.to_bytes();
+        serde_json::from_slice(&body).wrap_err("the answer is not JSON")
+    }
+
+    /// Sends a request and returns the answer with its body still streaming.
+    pub async fn open(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<Response<Incoming>> {
+        let mut all = vec![("authorization", self.authorization.as_str())];
+        all.extend_from_slice(headers);
+        let response = self
+            .caller
+            .open(method, &self.server, path, &all, body)
+            .await
+            .wrap_err_with(|| format!("{}{path}", self.server))?;
+        let status = response.status();
+        if status.is_success() {
+            return Ok(response);
+        }
+        let body = response.into_body().collect().await?.to_bytes();
+        let words = serde_json::from_slice::<Value>(&body)
+            .ok()
+            .and_then(|value| Some(value.get("error")?.get("message")?.as_str()?.to_owned()))
+            .unwrap_or_else(|| String::from_utf8_lossy(&body).into_owned());
+        bail!("{status}: {words}")
+    }
+}
--- /dev/null
+++ b/crates/harrierward/src/logging.rs
@@ -0,0 +1,36 @@
+//! Logs go to the console: plain lines or JSON lines.
+
+use eyre::Result;
+use log::LevelFilter;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::pattern::PatternEncoder;
+
+/// Pattern of plain lines: time (UTC), level, message.
+const PLAIN_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l:<5} {m}{n}";
+
+const APPENDER: &str = "console";
+
+/// Form of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Text.
+    Plain,
+    /// One JSON object a line, with fields.
+    Json,
+}
+
+/// Starts logging to standard error.
+pub fn start(format: LogFormat, level: LevelFilter) -> Result<()> {
+    let builder = ConsoleAppender::builder().target(Target::Stderr);
+    let appender = match format {
+        LogFormat::Plain => builder.encoder(Box::new(PatternEncoder::new(PLAIN_PATTERN))),
+        LogFormat::Json => builder.encoder(Box::new(JsonEncoder::new())),
+    };
+    let appender = Appender::builder().build(APPENDER, Box::new(appender.build()));
+    let root = Root::builder().appender(APPENDER).build(level);
+    let config = Config::builder().appender(appender).build(root)?;
+    log4rs::init_config(config)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/membership/src/core.rs
@@ -0,0 +1,542 @@
+//! The membership protocol as a pure state machine.
+//!
+//! Invariants: only a member itself raises its incarnation; a record never goes back to a lower one; a member is
+//! declared dead only after a suspicion that it had time to refute.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use harrierward_wire::{Datagram, DatagramKind, MemberRecord, MemberState, ServiceBacklog};
+use rand::Rng;
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use crate::settings::MembershipSettings;
+use crate::view::{Member, MembershipView};
+
+/// A datagram to send.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Action {
+    /// UDP address.
+    pub address: String,
+    /// Datagram.
+    pub datagram: Datagram,
+}
+
+/// What a daemon says of its configuration in each datagram.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ConfigWord {
+    /// Revision held.
+    pub revision: u64,
+    /// Age of the proof that it is the newest.
+    pub proof_age: Option<Duration>,
+}
+
+/// A peer's word on its configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReceivedWord {
+    /// Member that said it.
+    pub from: String,
+    /// What it said.
+    pub word: ConfigWord,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    record: MemberRecord,
+    state_since: Duration,
+    passes_left: usize,
+}
+
+#[derive(Debug, Clone)]
+struct Probe {
+    number: u64,
+    target: String,
+    sent_at: Duration,
+    indirect_sent: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Relay {
+    asker: String,
+    asker_probe: u64,
+    sent_at: Duration,
+}
+
+/// State of one daemon's membership.
+#[derive(Debug, Clone)]
+pub struct MembershipCore {
+    settings: MembershipSettings,
+    own: MemberRecord,
+    known: BTreeMap<String, Known>,
+    probes: Vec<Probe>,
+    relays: BTreeMap<u64, Relay>,
+    order: Vec<String>,
+    next_number: u64,
+    next_probe_at: Duration,
+    config: ConfigWord,
+    changed: bool,
+}
+
+fn state_of(record: &MemberRecord) -> MemberState {
+    MemberState::try_from(record.state).unwrap_or(MemberState::Dead)
+}
+
+/// True if `new` replaces `old`: a higher incarnation, or the same with a graver state.
+fn supersedes(new: &MemberRecord, old: &MemberRecord) -> bool {
+    (new.incarnation, new.state) > (old.incarnation, old.state)
+}
+
+impl MembershipCore {
+    /// A daemon that knows only itself. `own.incarnation` must be higher than in any earlier life of the id.
+    pub fn new(settings: MembershipSettings, own: MemberRecord) -> Self {
+        let mut core = Self {
+            settings,
+            own: own.clone(),
+            known: BTreeMap::new(),
+            probes: Vec::new(),
+            relays: BTreeMap::new(),
+            order: Vec::new(),
+            next_number: 1,
+            next_probe_at: Duration::ZERO,
+            config: ConfigWord::default(),
+            changed: true,
+        };
+        core.note_own();
+        core
+    }
+
+    fn note_own(&mut self) {
+        let passes_left = self.passes();
+        let known = Known {
+            record: self.own.clone(),
+            state_since: Duration::ZERO,
+            passes_left,
+        };
+        self.known.insert(self.own.id.clone(), known);
+        self.changed = true;
+    }
+
+    fn passes(&self) -> usize {
+        let size = self.known.len() + 2;
+        self.settings.spread_factor * (size.ilog2() as usize + 1)
+    }
+
+    /// Own member id.
+    pub fn id(&self) -> &str {
+        &self.own.id
+    }
+
+    /// Datagrams that ask seeds for their view.
+    pub fn join(&mut self, seeds: &[String]) -> Vec<Action> {
+        let addresses = seeds.iter().filter(|seed| **seed != self.own.udp_address);
+        let addresses: Vec<String> = addresses.cloned().collect();
+        addresses
+            .into_iter()
+            .map(|address| {
+                let datagram = self.datagram(DatagramKind::Join, 0, String::new());
+                Action { address, datagram }
+            })
+            .collect()
+    }
+
+    /// Datagrams that tell `count` random members the present configuration word at once.
+    pub fn spread_config(&mut self, count: usize, random: &mut impl Rng) -> Vec<Action> {
+        let others: Vec<String> = self
+            .known
+            .values()
+            .filter(|known| {
+                known.record.id != self.own.id && state_of(&known.record) != MemberState::Dead
+            })
+            .map(|known| known.record.udp_address.clone())
+            .collect();
+        let chosen: Vec<String> = others.choose_multiple(random, count).cloned().collect();
+        chosen
+            .into_iter()
+            .map(|address| {
+                let datagram = self.datagram(DatagramKind::Ping, 0, String::new());
+                Action { address, datagram }
+            })
+            .collect()
+    }
+
+    /// Sets what later datagrams say of the configuration.
+    pub fn set_config(&mut self, config: ConfigWord) {
+        self.config = config;
+    }
+
+    /// Spreads the batch work left at own shards, if it changed.
+    pub fn set_backlog(&mut self, backlog: Vec<ServiceBacklog>) {
+        if self.own.backlog != backlog {
+            self.own.backlog = backlog;
+            self.raise_incarnation();
+        }
+    }
+
+    /// Spreads that this member leaves.
+    pub fn leave(&mut self) {
+        self.own.state = MemberState::Leaving as i32;
+        self.raise_incarnation();
+    }
+
+    fn raise_incarnation(&mut self) {
+        self.own.incarnation += 1;
+        self.note_own();
+    }
+
+    /// True once after each change of the view.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Members alive, suspected or leaving.
+    pub fn view(&self) -> MembershipView {
+        let members = self
+            .known
+            .values()
+            .filter(|known| state_of(&known.record) != MemberState::Dead)
+            .map(|known| Member {
+                id: known.record.id.clone(),
+                peer_address: known.record.peer_address.clone(),
+                zone: known.record.zone.clone(),
+                region: known.record.region.clone(),
+                leaving: state_of(&known.record) == MemberState::Leaving,
+                backlog: known.record.backlog.clone(),
+            })
+            .collect();
+        MembershipView { members }
+    }
+
+    /// State in which a member is held; `None` if unknown.
+    pub fn state(&self, id: &str) -> Option<MemberState> {
+        self.known.get(id).map(|known| state_of(&known.record))
+    }
+
+    /// UDP address of a member; `None` if unknown.
+    pub fn udp_address(&self, id: &str) -> Option<String> {
+        self.address(id)
+    }
+
+    /// Number of members known, dead ones included.
+    pub fn known_count(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Time passes: sends probes, asks others, suspects and declares dead.
+    pub fn tick(&mut self, now: Duration, random: &mut impl Rng) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.check_probes(now, random, &mut actions);
+        self.check_suspicions(now);
+        let direct = self.settings.probe_timeout * 2;
+        self.relays
+            .retain(|_, relay| now.saturating_sub(relay.sent_at) < direct);
+        if now >= self.next_probe_at {
+            self.next_probe_at = now + self.settings.probe_every;
+            self.probe_next(now, random, &mut actions);
+        }
+        actions
+    }
+
+    fn probe_next(&mut self, now: Duration, random: &mut impl Rng, actions: &mut Vec<Action>) {
+        let Some(target) = self.next_target(random) else {
+            return;
+        };
+        let Some(address) = self.address(&target) else {
+            return;
+        };
+        let number = self.next_number;
+        self.next_number += 1;
+        let datagram = self.datagram(DatagramKind::Ping, number, String::new());
+        actions.push(Action { address, datagram });
+        self.probes.push(Probe {
+            number,
+            target,
+            sent_at: now,
+            indirect_sent: false,
+        });
+    }
+
+    /// Walks all probed members in random order, so that each is probed within a bounded time. Members of other
+    /// regions are probed more rarely.
+    fn next_target(&mut self, random: &mut impl Rng) -> Option<String> {
+        loop {
+            if self.order.is_empty() {
+                self.order = self.round(random);
+                if self.order.is_empty() {
+                    return None;
+                }
+            }
+            let id = self.order.pop()?;
+            let probed = self.known.get(&id).is_some_and(|known| {
+                matches!(
+                    state_of(&known.record),
+                    MemberState::Alive | MemberState::Suspect | MemberState::Leaving
+                )
+            });
+            if probed {
+                return Some(id);
+            }
+        }
+    }
+
+    fn round(&self, random: &mut impl Rng) -> Vec<String> {
+        let mut order: Vec<String> = Vec::new();
+        for known in self.known.values() {
+            let record = &known.record;
+            if record.id == self.own.id || state_of(record) == MemberState::Dead {
+                continue;
+            }
+            let near = record.region == self.own.region;
+            if near || random.random_range(0..self.settings.far_probe_one_in) == 0 {
+                order.push(record.id.clone());
+            }
+        }
+        order.shuffle(random);
+        order
+    }
+
+    fn check_probes(&mut self, now: Duration, random: &mut impl Rng, actions: &mut Vec<Action>) {
+        let settings = self.settings;
+        let mut to_ask = Vec::new();
+        let mut failed = Vec::new();
+        self.probes.retain_mut(|probe| {
+            let waited = now.saturating_sub(probe.sent_at);
+            if waited >= settings.probe_timeout {
+                failed.push(probe.target.clone());
+                return false;
+            }
+            if waited >= settings.direct_timeout && !probe.indirect_sent {
+                probe.indirect_sent = true;
+                to_ask.push((probe.number, probe.target.clone()));
+            }
+            true
+        });
+        for (number, target) in to_ask {
+            let helpers = self.helpers(&target, random);
+            for address in helpers {
+                let datagram = self.datagram(DatagramKind::PingRequest, number, target.clone());
+                actions.push(Action { address, datagram });
+            }
+        }
+        for target in failed {
+            self.suspect(&target, now);
+        }
+    }
+
+    fn helpers(&self, target: &str, random: &mut impl Rng) -> Vec<String> {
+        let candidates: Vec<&Known> = self
+            .known
+            .values()
+            .filter(|known| {
+                let record = &known.record;
+                record.id != target
+                    && record.id != self.own.id
+                    && state_of(record) == MemberState::Alive
+            })
+            .collect();
+        candidates
+            .choose_multiple(random, self.settings.indirect_probes)
+            .map(|known| known.record.udp_address.clone())
+            .collect()
+    }
+
+    fn suspect(&mut self, target: &str, now: Duration) {
+        let Some(known) = self.known.get(target) else {
+            return;
+        };
+        let next = match state_of(&known.record) {
+            MemberState::Alive => MemberState::Suspect,
+            // A member that leaves and no longer answers has gone.
+            MemberState::Leaving => MemberState::Dead,
+            MemberState::Suspect | MemberState::Dead => return,
+        };
+        let mut record = known.record.clone();
+        record.state = next as i32;
+        self.take_record(record, now);
+    }
+
+    fn check_suspicions(&mut self, now: Duration) {
+        let over: Vec<MemberRecord> = self
+            .known
+            .values()
+            .filter(|known| {
+                state_of(&known.record) == MemberState::Suspect
+                    && now.saturating_sub(known.state_since) >= self.settings.suspicion
+            })
+            .map(|known| known.record.clone())
+            .collect();
+        for mut record in over {
+            record.state = MemberState::Dead as i32;
+            self.take_record(record, now);
+        }
+        let forget_dead = self.settings.forget_dead;
+        self.known.retain(|_, known| {
+            state_of(&known.record) != MemberState::Dead
+                || now.saturating_sub(known.state_since) < forget_dead
+        });
+    }
+
+    /// Takes a datagram; the answers to send and the sender's word on its configuration.
+    pub fn receive(&mut self, datagram: &Datagram, now: Duration) -> (Vec<Action>, ReceivedWord) {
+        for record in &datagram.records {
+            self.take_record(record.clone(), now);
+        }
+        let word = ReceivedWord {
+            from: datagram.from.clone(),
+            word: ConfigWord {
+                revision: datagram.config_revision,
+                proof_age: datagram
+                    .config_age_ms
+                    .checked_sub(1)
+                    .map(Duration::from_millis),
+            },
+        };
+        let actions = match DatagramKind::try_from(datagram.kind) {
+            Ok(DatagramKind::Ping) => self.answer(datagram),
+            Ok(DatagramKind::Ack) => self.take_ack(datagram),
+            Ok(DatagramKind::PingRequest) => self.relay(datagram, now),
+            Ok(DatagramKind::Join) => self.welcome(datagram),
+            Err(_) => Vec::new(),
+        };
+        (actions, word)
+    }
+
+    fn answer(&mut self, ping: &Datagram) -> Vec<Action> {
+        let Some(address) = self.address(&ping.from) else {
+            return Vec::new();
+        };
+        let datagram = self.datagram(DatagramKind::Ack, ping.probe, String::new());
+        vec![Action { address, datagram }]
+    }
+
+    fn take_ack(&mut self, ack: &Datagram) -> Vec<Action> {
+        if let Some(relay) = self.relays.remove(&ack.probe) {
+            let Some(address) = self.address(&relay.asker) else {
+                return Vec::new();
+            };
+            let datagram = self.datagram(DatagramKind::Ack, relay.asker_probe, String::new());
+            return vec![Action { address, datagram }];
+        }
+        self.probes.retain(|probe| probe.number != ack.probe);
+        Vec::new()
+    }
+
+    fn relay(&mut self, request: &Datagram, now: Duration) -> Vec<Action> {
+        let Some(address) = self.address(&request.target) else {
+            return Vec::new();
+        };
+        let number = self.next_number;
+        self.next_number += 1;
+        let relay = Relay {
+            asker: request.from.clone(),
+            asker_probe: request.probe,
+            sent_at: now,
+        };
+        self.relays.insert(number, relay);
+        let datagram = self.datagram(DatagramKind::Ping, number, String::new());
+        vec![Action { address, datagram }]
+    }
+
+    /// Sends the whole view, in as many datagrams as it takes.
+    fn welcome(&mut self, join: &Datagram) -> Vec<Action> {
+        let Some(address) = self.address(&join.from) else {
+            return Vec::new();
+        };
+        let records: Vec<MemberRecord> = self
+            .known
+            .values()
+            .filter(|known| state_of(&known.record) != MemberState::Dead)
+            .map(|known| known.record.clone())
+            .collect();
+        records
+            .chunks(self.settings.records_per_datagram.max(1))
+            .map(|part| {
+                let mut datagram = self.bare_datagram(DatagramKind::Ack, 0, String::new());
+                datagram.records = part.to_vec();
+                Action {
+                    address: address.clone(),
+                    datagram,
+                }
+            })
+            .collect()
+    }
+
+    fn address(&self, id: &str) -> Option<String> {
+        self.known
+            .get(id)
+            .map(|known| known.record.udp_address.clone())
+    }
+
+    fn take_record(&mut self, record: MemberRecord, now: Duration) {
+        if record.id == self.own.id {
+            self.refute(&record);
+            return;
+        }
+        let passes_left = self.passes();
+        match self.known.get_mut(&record.id) {
+            Some(known) if !supersedes(&record, &known.record) => {}
+            Some(known) => {
+                if known.record.state != record.state {
+                    known.state_since = now;
+                }
+                known.record = record;
+                known.passes_left = passes_left;
+                self.changed = true;
+            }
+            None if state_of(&record) == MemberState::Dead => {}
+            None => {
+                let known = Known {
+                    state_since: now,
+                    passes_left,
+                    record,
+                };
+                self.known.insert(known.record.id.clone(), known);
+                self.changed = true;
+            }
+        }
+    }
+
+    /// Somebody holds this member for worse than it is, or for something from an earlier life.
+    fn refute(&mut self, record: &MemberRecord) {
+        if supersedes(record, &self.own) {
+            self.own.incarnation = record.incarnation;
+            self.raise_incarnation();
+        }
+    }
+
+    fn bare_datagram(&self, kind: DatagramKind, probe: u64, target: String) -> Datagram {
+        let age_ms = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX - 1);
+        Datagram {
+            kind: kind as i32,
+            from: self.own.id.clone(),
+            probe,
+            target,
+            records: Vec::new(),
+            config_revision: self.config.revision,
+            config_age_ms: self.config.proof_age.map_or(0, |age| age_ms(age) + 1),
+        }
+    }
+
+    /// A datagram with the records that have been passed on least.
+    fn datagram(&mut self, kind: DatagramKind, probe: u64, target: String) -> Datagram {
+        let mut datagram = self.bare_datagram(kind, probe, target);
+        let mut fresh: Vec<&mut Known> = self
+            .known
+            .values_mut()
+            .filter(|known| known.passes_left > 0)
+            .collect();
+        fresh.sort_by_key(|known| std::cmp::Reverse(known.passes_left));
+        for known in fresh.into_iter().take(self.settings.records_per_datagram) {
+            known.passes_left -= 1;
+            datagram.records.push(known.record.clone());
+        }
+        // A stranger must learn whom to answer.
+        let own_included = datagram
+            .records
+            .iter()
+            .any(|record| record.id == self.own.id);
+        if matches!(kind, DatagramKind::Join | DatagramKind::Ping) && !own_included {
+            datagram.records.push(self.own.clone());
+        }
+        datagram
+    }
+}
--- /dev/null
+++ b/crates/node/src/batch_item.rs
@@ -0,0 +1,194 @@
+//! Runs one batch item at an engine and makes its result line.
+
+use futures::StreamExt;
+use harrierward_gateway::{EndpointKind, GenerationSpec, parse_request};
+use harrierward_platform::{
+    EngineError, EngineEvent, EventStream, FinishReason, GenerateRequest, Priority,
+};
+use serde_json::{Value, json};
+use tokio::time::timeout;
+
+use crate::runner::ItemTask;
+
+/// How an item's run ended.
+#[derive(Debug)]
+pub(crate) enum ItemOutcome {
+    /// It has its result line.
+    Done {
+        /// The line.
+        line: String,
+        /// It failed for good.
+        failed: bool,
+    },
+    /// It must be run again elsewhere, or is doubtful if it must run at most once.
+    HandBack {
+        /// An engine may have run a part of it.
+        may_have_run: bool,
+    },
+    /// The engine obeys a newer owner. Not run.
+    Fenced,
+    /// It was told to stop.
+    Stopped,
+}
+
+/// Wait for an item's next event.
+const STALL_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(20);
+
+struct ItemRequest {
+    custom_id: Value,
+    spec: GenerationSpec,
+}
+
+fn read_item(line: &str) -> Result<ItemRequest, String> {
+    let value: Value = serde_json::from_str(line).map_err(|error| error.to_string())?;
+    let kind = value
+        .get("url")
+        .and_then(Value::as_str)
+        .and_then(EndpointKind::from_path)
+        .ok_or("url: cannot be run as a batch")?;
+    let body = value.get("body").unwrap_or(&Value::Null);
+    let spec = parse_request(kind, body).map_err(|error| error.to_string())?;
+    let custom_id = value.get("custom_id").cloned().unwrap_or_default();
+    Ok(ItemRequest { custom_id, spec })
+}
+
+/// Runs an item to its end, or until it is told to stop.
+pub(crate) async fn run_item(task: &ItemTask) -> ItemOutcome {
+    let item = match read_item(&task.grant.line) {
+        Ok(item) => item,
+        Err(detail) => {
+            return ItemOutcome::Done {
+                line: error_line(&Value::Null, "invalid_request", &detail),
+                failed: true,
+            };
+        }
+    };
+    let request = GenerateRequest {
+        request_id: task.request_id.clone(),
+        model: task.model.clone(),
+        prompt: item.spec.prompt.clone(),
+        maximum_tokens: item.spec.maximum_tokens,
+        priority: Priority::Batch,
+        resume_from: 0,
+        epoch: Some(task.epoch),
+    };
+    let opening = timeout(STALL_TIMEOUT, task.replica.engine.generate(request));
+    let opened = tokio::select! {
+        biased;
+        () = task.stop.notified() => return ItemOutcome::Stopped,
+        opened = opening => opened,
+    };
+    match opened {
+        Ok(Ok(events)) => read_answer(task, &item, events).await,
+        Ok(Err(EngineError::NotRun { .. })) => ItemOutcome::HandBack {
+            may_have_run: false,
+        },
+        Ok(Err(EngineError::Fenced { .. })) => ItemOutcome::Fenced,
+        Ok(Err(EngineError::Unknown { .. })) | Err(_) => {
+            ItemOutcome::HandBack { may_have_run: true }
+        }
+    }
+}
+
+async fn read_answer(task: &ItemTask, item: &ItemRequest, mut events: EventStream) -> ItemOutcome {
+    let mut text = String::new();
+    let mut next_sequence = 0;
+    loop {
+        let event = tokio::select! {
+            biased;
+            () = task.stop.notified() => return ItemOutcome::Stopped,
+            event = timeout(STALL_TIMEOUT, events.next()) => event,
+        };
+        let Ok(Some(Ok(event))) = event else {
+            return ItemOutcome::HandBack { may_have_run: true };
+        };
+        if event.request_id != task.request_id || event.sequence < next_sequence {
+            continue;
+        }
+        if event.sequence > next_sequence {
+            return ItemOutcome::HandBack { may_have_run: true };
+        }
+        match event.finish {
+            None => {
+                text.push_str(&event.text);
+                next_sequence += 1;
+                task.progress.add_token();
+            }
+            Some(FinishReason::Cancelled) => {
+                return ItemOutcome::HandBack { may_have_run: true };
+            }
+            Some(reason) => {
+                return ItemOutcome::Done {
+                    line: result_line(task, item, &text, reason, &event),
+                    failed: false,
+                };
+            }
+        }
+    }
+}
+
+/// Name of a finish reason in the callers' API.
+fn reason_name(reason: FinishReason) -> &'static str {
+    match reason {
+        FinishReason::Stop => "stop",
+        FinishReason::Length => "length",
+        FinishReason::Cancelled => "cancelled",
+    }
+}
+
+fn result_line(
+    task: &ItemTask,
+    item: &ItemRequest,
+    text: &str,
+    reason: FinishReason,
+    last: &EngineEvent,
+) -> String {
+    let prompt_tokens = last.prompt_tokens.unwrap_or_default();
+    let finish_reason = reason_name(reason);
+    let choice = match item.spec.kind {
+        EndpointKind::Chat => json!({
+            "index": 0,
+            "message": {"role": "assistant", "content": text},
+            "finish_reason": finish_reason,
+        }),
+        EndpointKind::Completion => json!({
+            "index": 0,
+            "text": text,
+            "finish_reason": finish_reason,
+        }),
+    };
+    let object = match item.spec.kind {
+        EndpointKind::Chat => "chat.completion",
+        EndpointKind::Completion => "text_completion",
+    };
+    json!({
+        "id": format!("batch_req_{}", task.grant.attempt),
+        "custom_id": item.custom_id,
+        "response": {
+            "status_code": 200,
+            "request_id": task.request_id,
+            "body": {
+                "id": task.request_id,
+                "object": object,
+                "model": item.spec.endpoint,
+                "choices": [choice],
+                "usage": {
+                    "prompt_tokens": prompt_tokens,
+                    "completion_tokens": last.sequence,
+                    "total_tokens": prompt_tokens + last.sequence,
+                },
+            },
+        },
+        "error": null,
+    })
+    .to_string()
+}
+
+fn error_line(custom_id: &Value, code: &str, message: &str) -> String {
+    json!({
+        "custom_id": custom_id,
+        "response": null,
+        "error": {"code": code, "message": message, "execution": "not_run"},
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/node/src/membership_task.rs
@@ -0,0 +1,138 @@
+//! Drives the membership protocol over datagrams and keeps the view that other parts read.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use harrierward_membership::{Action, ConfigWord};
+use harrierward_wire::{Datagram, NodeDatagram, ServiceBacklog, decode, encode, node_datagram};
+use tokio::time::sleep;
+
+use crate::node::{Shared, lock};
+use crate::{config_task, directory_task};
+
+const PREFIX: &str = "members:";
+const TICK: Duration = Duration::from_millis(100);
+
+/// How often seeds are asked while nobody else is known.
+const JOIN_EVERY: Duration = Duration::from_secs(1);
+
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut last_join = None;
+    loop {
+        let now = shared.now();
+        let alone = shared.view.load().members.len() <= 1;
+        let due = last_join.is_none_or(|joined: Duration| now - joined >= JOIN_EVERY);
+        if alone && due {
+            last_join = Some(now);
+            let seeds = shared.identity.seeds.clone();
+            let actions = lock(&shared.membership).join(&seeds);
+            send_all(&shared, actions).await;
+        }
+        let actions = step(&shared, now);
+        send_all(&shared, actions).await;
+        sleep(TICK).await;
+    }
+}
+
+fn step(shared: &Arc<Shared>, now: Duration) -> Vec<Action> {
+    let backlog = advertised_backlog(shared);
+    let config = config_word(shared, now);
+    let mut membership = lock(&shared.membership);
+    membership.set_config(config);
+    membership.set_backlog(backlog);
+    let actions = shared.with_random(|random| membership.tick(now, random));
+    if membership.take_changed() {
+        shared.view.store(Arc::new(membership.view()));
+        log::debug!(
+            "{PREFIX} {} members in view",
+            shared.view.load().members.len()
+        );
+    }
+    actions
+}
+
+fn config_word(shared: &Arc<Shared>, now: Duration) -> ConfigWord {
+    let replica = lock(&shared.config_replica);
+    ConfigWord {
+        revision: replica.revision(),
+        proof_age: replica.proof_age(now),
+    }
+}
+
+/// Backlogs in steps of a power of two, so that small changes are not news for the whole fleet.
+fn advertised_backlog(shared: &Arc<Shared>) -> Vec<ServiceBacklog> {
+    let backlog = shared.owner.backlog();
+    backlog
+        .into_iter()
+        .map(|(service, items)| ServiceBacklog {
+            service,
+            items: items.next_power_of_two(),
+        })
+        .collect()
+}
+
+/// Members told at once of a new configuration revision; they tell as many others in turn.
+const CONFIG_FAN_OUT: usize = 4;
+
+/// Tells some members of a configuration revision that was just adopted.
+pub(crate) fn spread_config(shared: &Arc<Shared>) {
+    let config = config_word(shared, shared.now());
+    let actions = {
+        let mut membership = lock(&shared.membership);
+        membership.set_config(config);
+        shared.with_random(|random| membership.spread_config(CONFIG_FAN_OUT, random))
+    };
+    let shared = shared.clone();
+    tokio::spawn(async move { send_all(&shared, actions).await });
+}
+
+async fn send_all(shared: &Arc<Shared>, actions: Vec<Action>) {
+    for action in actions {
+        let datagram = NodeDatagram {
+            kind: Some(node_datagram::Kind::Membership(action.datagram)),
+        };
+        let bytes = encode(&datagram);
+        shared.network.send(&action.address, bytes).await;
+    }
+}
+
+/// Tells the news to as many members as one tick's probe would reach in a while; used when leaving.
+pub(crate) async fn spread_now(shared: &Arc<Shared>) {
+    const ROUNDS: u32 = 3;
+    for _ in 0..ROUNDS {
+        let actions = step(shared, shared.now());
+        send_all(shared, actions).await;
+        sleep(TICK).await;
+    }
+}
+
+pub(crate) async fn receive(shared: &Arc<Shared>, bytes: &[u8]) {
+    let Some(kind) = decode::<NodeDatagram>(bytes).and_then(|datagram| datagram.kind) else {
+        return;
+    };
+    match kind {
+        node_datagram::Kind::Membership(datagram) => receive_membership(shared, &datagram).await,
+        node_datagram::Kind::OnlineNotice(notice) => {
+            shared.online.take(&notice, shared.now());
+            shared.runner_wake.notify_one();
+            directory_task::answer_notice(shared, &notice).await;
+        }
+        node_datagram::Kind::ReplicaReports(reports) => {
+            directory_task::take_reports(shared, &reports);
+        }
+    }
+}
+
+async fn receive_membership(shared: &Arc<Shared>, datagram: &Datagram) {
+    let now = shared.now();
+    let (actions, word) = {
+        let mut membership = lock(&shared.membership);
+        let received = membership.receive(datagram, now);
+        if membership.take_changed() {
+            shared.view.store(Arc::new(membership.view()));
+        }
+        received
+    };
+    config_task::heard(shared, &word, now);
+    send_all(shared, actions).await;
+}
--- /dev/null
+++ b/crates/node/src/network.rs
@@ -0,0 +1,39 @@
+//! What a daemon needs of the network towards its peers.
+
+use async_trait::async_trait;
+use harrierward_wire::{PeerReply, PeerRequest};
+
+/// A failed call to a peer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PeerError {
+    /// The peer cannot have received the request.
+    #[error("{step} at {peer}: not sent: {detail}")]
+    NotSent {
+        /// What was being done.
+        step: &'static str,
+        /// Peer's address.
+        peer: String,
+        /// Cause in words.
+        detail: String,
+    },
+    /// The peer may have acted on the request.
+    #[error("{step} at {peer}: answer lost: {detail}")]
+    Lost {
+        /// What was being done.
+        step: &'static str,
+        /// Peer's address.
+        peer: String,
+        /// Cause in words.
+        detail: String,
+    },
+}
+
+/// Calls and datagrams between daemons.
+#[async_trait]
+pub trait PeerNetwork: Send + Sync {
+    /// Sends a request to the peer at `address` and waits for its answer.
+    async fn call(&self, address: &str, request: PeerRequest) -> Result<PeerReply, PeerError>;
+
+    /// Sends a datagram; it may be lost.
+    async fn send(&self, address: &str, datagram: Vec<u8>);
+}
--- /dev/null
+++ b/crates/node/src/peer_service.rs
@@ -0,0 +1,105 @@
+//! Answers peers, and tells them of accepted and cancelled jobs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use harrierward_batch::shard_key;
+use harrierward_wire::{
+    CancelNotice, CancelReply, JobNotice, PeerReply, PeerRequest, PullReply, peer_reply,
+    peer_request,
+};
+use tokio::time::timeout;
+
+use crate::node::{Shared, lock};
+
+/// Wait for a peer to take note of a cancel.
+const NOTICE_TIMEOUT: Duration = Duration::from_millis(700);
+
+pub(crate) async fn serve(shared: &Arc<Shared>, request: PeerRequest) -> PeerReply {
+    let kind = match request.kind {
+        Some(peer_request::Kind::Pull(pull)) => {
+            let reply = if shared.is_draining() {
+                PullReply::default()
+            } else {
+                shared.owner.pull(&pull)
+            };
+            peer_reply::Kind::Pull(reply)
+        }
+        Some(peer_request::Kind::Results(results)) => {
+            peer_reply::Kind::Results(shared.owner.results(&results))
+        }
+        Some(peer_request::Kind::JobNotice(notice)) => {
+            shared.owner.job_accepted(&notice).await;
+            peer_reply::Kind::Noted(true)
+        }
+        Some(peer_request::Kind::Cancel(cancel)) => {
+            let stopped = cancel.job.map_or(0, |job| cancel_here(shared, &job));
+            peer_reply::Kind::Cancel(CancelReply { stopped })
+        }
+        Some(peer_request::Kind::ConfigDelta(request)) => {
+            peer_reply::Kind::ConfigDelta(lock(&shared.config_replica).delta(request.after))
+        }
+        Some(peer_request::Kind::ConfigRevision(_)) => {
+            peer_reply::Kind::ConfigRevision(shared.config.load().revision())
+        }
+        None => peer_reply::Kind::Noted(false),
+    };
+    PeerReply { kind: Some(kind) }
+}
+
+fn cancel_here(shared: &Arc<Shared>, job: &JobNotice) -> u32 {
+    shared.owner.cancel_job(&job.job_id);
+    let now = shared.now();
+    let stopped = lock(&shared.runner).cancel_job(&job.job_id, now);
+    u32::try_from(stopped).unwrap_or(u32::MAX)
+}
+
+/// Tells the shard's owner of a new job. If the notice is lost, the owner finds the job in the table later.
+pub(crate) async fn announce_job(shared: &Arc<Shared>, tenant: &str, job_id: &str, shard: u32) {
+    let notice = JobNotice {
+        tenant: tenant.to_owned(),
+        job_id: job_id.to_owned(),
+        shard,
+    };
+    let Some(owner) = shared.owner_of(&shard_key(shard)) else {
+        return;
+    };
+    if owner == shared.identity.member {
+        shared.owner.job_accepted(&notice).await;
+        return;
+    }
+    let Some(address) = shared.peer_address(&owner) else {
+        return;
+    };
+    let request = PeerRequest {
+        kind: Some(peer_request::Kind::JobNotice(notice)),
+    };
+    let _ = timeout(NOTICE_TIMEOUT, shared.network.call(&address, request)).await;
+}
+
+/// Tells every member in view of a cancel: any of them may run items of the job, whoever granted them.
+pub(crate) async fn announce_cancel(shared: &Arc<Shared>, tenant: &str, job_id: &str, shard: u32) {
+    let job = JobNotice {
+        tenant: tenant.to_owned(),
+        job_id: job_id.to_owned(),
+        shard,
+    };
+    cancel_here(shared, &job);
+    let view = shared.view.load_full();
+    let peers = view
+        .members
+        .iter()
+        .filter(|member| member.id != shared.identity.member);
+    let notices = peers.map(|member| {
+        let request = PeerRequest {
+            kind: Some(peer_request::Kind::Cancel(CancelNotice {
+                job: Some(job.clone()),
+            })),
+        };
+        timeout(
+            NOTICE_TIMEOUT,
+            shared.network.call(&member.peer_address, request),
+        )
+    });
+    futures::future::join_all(notices).await;
+}
--- /dev/null
+++ b/crates/platform/src/guarded.rs
@@ -0,0 +1,165 @@
+//! Guards around the store clients: a time limit on each call and the shared rate budget.
+//!
+//! Why here and not in each caller: every part of the daemon shares one budget, so that after an outage
+//! the parts together stay under the store's rate.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    ObjectStore, PlatformError, PlatformErrorKind, RateBudget, RequestClass, Row, Table,
+    Transaction, TransactionOutcome,
+};
+
+/// Bounds on calls to a store.
+#[derive(Debug, Clone, Copy)]
+pub struct StoreLimits {
+    /// Longest wait for an answer; past it the call's effect is unknown.
+    pub call_timeout: Duration,
+    /// Longest wait for the rate budget before the call is refused as not done.
+    pub budget_wait: Duration,
+}
+
+impl Default for StoreLimits {
+    fn default() -> Self {
+        Self {
+            call_timeout: Duration::from_millis(700),
+            budget_wait: Duration::from_millis(250),
+        }
+    }
+}
+
+async fn take_budget(
+    budget: &RateBudget,
+    class: RequestClass,
+    limits: StoreLimits,
+    step: &'static str,
+) -> Result<(), PlatformError> {
+    let Err(wait) = budget.try_take(class) else {
+        return Ok(());
+    };
+    let refused = |retry_after| {
+        let kind = PlatformErrorKind::RateLimited { retry_after };
+        PlatformError::new(step, "own rate budget", kind, "budget is used up")
+    };
+    if wait > limits.budget_wait {
+        return Err(refused(wait));
+    }
+    sleep(wait).await;
+    budget.try_take(class).map_err(refused)
+}
+
+async fn bounded<T>(
+    call: impl Future<Output = Result<T, PlatformError>>,
+    limits: StoreLimits,
+    step: &'static str,
+) -> Result<T, PlatformError> {
+    timeout(limits.call_timeout, call)
+        .await
+        .unwrap_or_else(|_| {
+            let kind = PlatformErrorKind::Unknown;
+            Err(PlatformError::new(step, "store", kind, "no answer in time"))
+        })
+}
+
+/// A table client under a time limit and a rate budget.
+pub struct GuardedTable {
+    inner: Arc<dyn Table>,
+    budget: Arc<RateBudget>,
+    limits: StoreLimits,
+}
+
+impl GuardedTable {
+    /// Guards `inner`.
+    pub fn new(inner: Arc<dyn Table>, budget: Arc<RateBudget>, limits: StoreLimits) -> Self {
+        Self {
+            inner,
+            budget,
+            limits,
+        }
+    }
+}
+
+#[async_trait]
+impl Table for GuardedTable {
+    async fn transact(
+        &self,
+        class: RequestClass,
+        transaction: Transaction,
+    ) -> Result<TransactionOutcome, PlatformError> {
+        take_budget(&self.budget, class, self.limits, "table.transact").await?;
+        let call = self.inner.transact(class, transaction);
+        bounded(call, self.limits, "table.transact").await
+    }
+
+    async fn get(
+        &self,
+        class: RequestClass,
+        keys: &[String],
+    ) -> Result<Vec<Option<Row>>, PlatformError> {
+        take_budget(&self.budget, class, self.limits, "table.get").await?;
+        bounded(self.inner.get(class, keys), self.limits, "table.get").await
+    }
+
+    async fn scan(
+        &self,
+        class: RequestClass,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<Row>, PlatformError> {
+        take_budget(&self.budget, class, self.limits, "table.scan").await?;
+        let call = self.inner.scan(class, prefix, after, limit);
+        bounded(call, self.limits, "table.scan").await
+    }
+}
+
+/// An object store client under a time limit and a rate budget.
+pub struct GuardedObjects {
+    inner: Arc<dyn ObjectStore>,
+    budget: Arc<RateBudget>,
+    limits: StoreLimits,
+}
+
+impl GuardedObjects {
+    /// Guards `inner`.
+    pub fn new(inner: Arc<dyn ObjectStore>, budget: Arc<RateBudget>, limits: StoreLimits) -> Self {
+        Self {
+            inner,
+            budget,
+            limits,
+        }
+    }
+}
+
+#[async_trait]
+impl ObjectStore for GuardedObjects {
+    async fn put(&self, class: RequestClass, name: &str, body: Bytes) -> Result<(), PlatformError> {
+        take_budget(&self.budget, class, self.limits, "objects.put").await?;
+        bounded(
+            self.inner.put(class, name, body),
+            self.limits,
+            "objects.put",
+        )
+        .await
+    }
+
+    async fn get(&self, class: RequestClass, name: &str) -> Result<Bytes, PlatformError> {
+        take_budget(&self.budget, class, self.limits, "objects.get").await?;
+        bounded(self.inner.get(class, name), self.limits, "objects.get").await
+    }
+
+    async fn delete(&self, class: RequestClass, name: &str) -> Result<(), PlatformError> {
+        take_budget(&self.budget, class, self.limits, "objects.delete").await?;
+        bounded(
+            self.inner.delete(class, name),
+            self.limits,
+            "objects.delete",
+        )
+        .await
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/caller.rs
@@ -0,0 +1,162 @@
+//! A small HTTP caller over hyper-util's pooled client, which keeps apart "certainly not sent" and "unknown".
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+use crate::{PlatformError, PlatformErrorKind};
+
+/// Longest wait for a TCP connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A failed HTTP call.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// No connection was made: the request cannot have been received.
+    #[error("cannot connect: {0}")]
+    NotSent(String),
+    /// The request may have been received.
+    #[error("answer lost: {0}")]
+    Lost(String),
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct HttpReply {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Body of the answer.
+    pub body: Bytes,
+    /// Wait asked for by `retry-after`, if any.
+    pub retry_after: Option<Duration>,
+}
+
+/// A pooled HTTP/1.1 client, cheap to clone.
+#[derive(Debug, Clone)]
+pub struct HttpCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpCaller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HttpCaller {
+    /// Builds a client with its own connection pool.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_timer(TokioTimer::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and returns its answer with the body still streaming.
+    pub async fn open(
+        &self,
+        method: Method,
+        peer: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<http::Response<Incoming>, CallError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{peer}{path}"));
+        let has_type = headers
+            .iter()
+            .any(|(name, _)| *name == CONTENT_TYPE.as_str());
+        if !has_type {
+            request = request.header(CONTENT_TYPE, "application/json");
+        }
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
+            .body(Full::new(body))
+            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                CallError::NotSent(error.to_string())
+            } else {
+                CallError::Lost(error.to_string())
+            }
+        })
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn call(
+        &self,
+        method: Method,
+        peer: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<HttpReply, CallError> {
+        let response = self.open(method, peer, path, headers, body).await?;
+        let status = response.status();
+        let retry_after = response
+            .headers()
+            .get("retry-after")
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.parse::<f64>().ok())
+            .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(|error| CallError::Lost(error.to_string()))?
+            .to_bytes();
+        Ok(HttpReply {
+            status,
+            body,
+            retry_after,
+        })
+    }
+
+    /// Calls the platform and maps failures to [`PlatformError`].
+    pub async fn call_platform(
+        &self,
+        step: &'static str,
+        method: Method,
+        peer: &str,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, PlatformError> {
+        let reply = self
+            .call(method, peer, path, &[], body)
+            .await
+            .map_err(|error| {
+                let kind = match error {
+                    CallError::NotSent(_) => PlatformErrorKind::NotDone,
+                    CallError::Lost(_) => PlatformErrorKind::Unknown,
+                };
+                PlatformError::new(step, peer, kind, error.to_string())
+            })?;
+        let kind = match reply.status {
+            status if status.is_success() => return Ok(reply.body),
+            StatusCode::TOO_MANY_REQUESTS => PlatformErrorKind::RateLimited {
+                retry_after: reply.retry_after.unwrap_or(Duration::from_millis(100)),
+            },
+            StatusCode::NOT_FOUND => PlatformErrorKind::NotFound,
+            StatusCode::SERVICE_UNAVAILABLE => PlatformErrorKind::NotDone,
+            _ => PlatformErrorKind::Unknown,
+        };
+        let detail = String::from_utf8_lossy(&reply.body).into_owned();
+        Err(PlatformError::new(step, peer, kind, detail))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/mod.rs
@@ -0,0 +1,16 @@
+//! One HTTP client behind each platform trait, and the messages that stand-ins share with them.
+
+mod caller;
+mod engine;
+mod machines;
+pub mod messages;
+mod objects;
+mod table;
+mod weights;
+
+pub use caller::{CallError, HttpCaller, HttpReply};
+pub use engine::HttpEngine;
+pub use machines::HttpMachineList;
+pub use objects::HttpObjectStore;
+pub use table::HttpTable;
+pub use weights::HttpWeightStore;
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,29 @@
+//! The platform as Harrierward sees it: a transactional table, an object store, a machine list,
+//! a weight store and model engines.
+//!
+//! Why narrow traits: the platform's real protocols are not known yet. Each trait states only what
+//! the promises need, and one HTTP client stands behind each, so another client can replace one.
+
+mod backoff;
+mod budget;
+mod engine;
+mod errors;
+mod guarded;
+pub mod http;
+mod machines;
+mod objects;
+mod table;
+mod weights;
+
+pub use backoff::{Backoff, full_jitter};
+pub use budget::{RateBudget, RequestClass};
+pub use engine::{
+    CacheEvent, CacheEventPage, Engine, EngineError, EngineEvent, EngineLoad, EngineOrder,
+    EventStream, FinishReason, GenerateRequest, OrderKind, Priority, ReplicaId, prefix_blocks,
+};
+pub use errors::{PlatformError, PlatformErrorKind};
+pub use guarded::{GuardedObjects, GuardedTable, StoreLimits};
+pub use machines::{Machine, MachineList, MachineState};
+pub use objects::ObjectStore;
+pub use table::{Condition, Row, Table, Transaction, TransactionOutcome, Write};
+pub use weights::{WeightStore, WeightTransfer};
--- /dev/null
+++ b/crates/routing/src/load.rs
@@ -0,0 +1,124 @@
+//! What a gateway believes of a replica's load: the last report, aged, plus its own requests in flight.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+
+/// Prices of work at an engine, used to turn load into an expected wait.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CostModel {
+    /// Fixed time of a step, microseconds.
+    pub step_base_micros: f64,
+    /// Additional time of a step for each running sequence, microseconds.
+    pub step_sequence_micros: f64,
+    /// Time to prefill a token, microseconds.
+    pub prefill_token_micros: f64,
+    /// Distance to another zone, microseconds a rank.
+    pub zone_rank_micros: f64,
+}
+
+impl Default for CostModel {
+    fn default() -> Self {
+        Self {
+            step_base_micros: 12_000.0,
+            step_sequence_micros: 60.0,
+            prefill_token_micros: 40.0,
+            zone_rank_micros: 2_000.0,
+        }
+    }
+}
+
+/// A load report as the router uses it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct LoadReport {
+    /// Online sequences running.
+    pub running_online: u32,
+    /// Batch sequences running.
+    pub running_batch: u32,
+    /// Prompt tokens of online sequences not yet prefilled.
+    pub waiting_prompt_tokens: u32,
+    /// Online sequences waiting.
+    pub waiting_online: u32,
+}
+
+/// Load of one replica, shared between the request path (which only adds and subtracts) and the task that takes
+/// reports.
+#[derive(Debug, Default)]
+pub struct ReplicaLoad {
+    in_flight: AtomicU32,
+    prefill_tokens: AtomicU64,
+    in_flight_at_report: AtomicU32,
+    reported_at_micros: AtomicU64,
+    running_online: AtomicU32,
+    running_batch: AtomicU32,
+    waiting_prompt_tokens: AtomicU32,
+    waiting_online: AtomicU32,
+    unavailable: AtomicBool,
+}
+
+impl ReplicaLoad {
+    /// A request of `uncached_tokens` was sent.
+    pub fn sent(&self, uncached_tokens: u32) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.prefill_tokens
+            .fetch_add(u64::from(uncached_tokens), Ordering::Relaxed);
+    }
+
+    /// The first token came (or never will): its prefill no longer waits.
+    pub fn prefilled(&self, uncached_tokens: u32) {
+        self.prefill_tokens
+            .fetch_sub(u64::from(uncached_tokens), Ordering::Relaxed);
+    }
+
+    /// The request ended.
+    pub fn ended(&self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Requests of this gateway in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Takes a report that describes the replica at `as_of_micros`.
+    pub fn report(&self, report: LoadReport, as_of_micros: u64) {
+        let set = |field: &AtomicU32, value| field.store(value, Ordering::Relaxed);
+        set(&self.running_online, report.running_online);
+        set(&self.running_batch, report.running_batch);
+        set(&self.waiting_prompt_tokens, report.waiting_prompt_tokens);
+        set(&self.waiting_online, report.waiting_online);
+        set(&self.in_flight_at_report, self.in_flight());
+        self.reported_at_micros
+            .store(as_of_micros, Ordering::Relaxed);
+    }
+
+    /// Takes the replica out of, or back into, the choice.
+    pub fn set_unavailable(&self, unavailable: bool) {
+        self.unavailable.store(unavailable, Ordering::Relaxed);
+    }
+
+    /// True while the replica gets nothing new.
+    pub fn is_unavailable(&self) -> bool {
+        self.unavailable.load(Ordering::Relaxed)
+    }
+
+    /// Online sequences believed to run: the report corrected by what this gateway did since.
+    fn online_now(&self) -> f64 {
+        let reported = f64::from(self.running_online.load(Ordering::Relaxed))
+            + f64::from(self.waiting_online.load(Ordering::Relaxed));
+        let own = f64::from(self.in_flight());
+        let own_then = f64::from(self.in_flight_at_report.load(Ordering::Relaxed));
+        (reported + own - own_then).max(own)
+    }
+
+    /// Expected time until a new request's first token, microseconds.
+    pub fn expected_wait(&self, uncached_tokens: f64, now_micros: u64, cost: &CostModel) -> f64 {
+        let sequences = self.online_now() + f64::from(self.running_batch.load(Ordering::Relaxed));
+        let step = cost.step_base_micros + sequences * cost.step_sequence_micros;
+        let age = now_micros.saturating_sub(self.reported_at_micros.load(Ordering::Relaxed));
+        let reported_wait = f64::from(self.waiting_prompt_tokens.load(Ordering::Relaxed))
+            * cost.prefill_token_micros;
+        let reported_left = (reported_wait - age as f64).max(0.0);
+        let own_tokens = self.prefill_tokens.load(Ordering::Relaxed) as f64;
+        let own_wait = own_tokens * cost.prefill_token_micros;
+        reported_left.max(own_wait) + step * 1.5 + uncached_tokens * cost.prefill_token_micros
+    }
+}
--- /dev/null
+++ b/crates/wire/src/claim.rs
@@ -0,0 +1,31 @@
+//! Rows of at-most-once claims.
+
+/// States of a claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum ClaimState {
+    /// The request may be running, or may have run.
+    Open = 0,
+    /// The request ran and its answer is stored.
+    Done = 1,
+}
+
+/// A claim to run a marked request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ClaimRow {
+    /// Digest of the request body.
+    #[prost(bytes = "vec", tag = "1")]
+    pub digest: Vec<u8>,
+    /// Attempt that holds the claim.
+    #[prost(string, tag = "2")]
+    pub attempt: String,
+    /// State.
+    #[prost(enumeration = "ClaimState", tag = "3")]
+    pub state: i32,
+    /// Stored answer, once done.
+    #[prost(bytes = "vec", tag = "4")]
+    pub answer: Vec<u8>,
+    /// When the claim was made, milliseconds since 1970.
+    #[prost(uint64, tag = "5")]
+    pub created_at_ms: u64,
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,35 @@
+//! Messages between Harrierward's own processes and the rows it keeps in the platform's table.
+//!
+//! The structs carry prost's derive, so the build needs no generator. Field numbers must never be reused.
+
+mod batch;
+mod claim;
+mod configuration;
+mod membership;
+mod peer;
+
+pub use batch::{
+    ChunkRow, FileRow, JobKeyRow, JobRow, JobState, OpenJobRow, OwnershipRow, ProgressRow,
+    ResultObject, ShardCountRow,
+};
+pub use claim::{ClaimRow, ClaimState};
+pub use configuration::{ConfigChange, ConfigHead, ConfigLogEntry, ConfigObjectRow};
+pub use membership::{
+    Datagram, DatagramKind, MemberRecord, MemberState, NodeDatagram, OnlineCount, OnlineNotice,
+    ReplicaReport, ReplicaReports, ServiceBacklog, node_datagram,
+};
+pub use peer::{
+    CancelNotice, CancelReply, ConfigDeltaReply, ConfigDeltaRequest, Grant, HandBack, ItemResult,
+    JobNotice, PeerReply, PeerRequest, PullReply, PullRequest, ResultsReply, ResultsRequest,
+    RunningItem, peer_reply, peer_request,
+};
+
+/// Reads a message; `None` if the bytes are not one.
+pub fn decode<M: prost::Message + Default>(bytes: &[u8]) -> Option<M> {
+    M::decode(bytes).ok()
+}
+
+/// Bytes of a message.
+pub fn encode<M: prost::Message>(message: &M) -> Vec<u8> {
+    message.encode_to_vec()
+}
--- /dev/null
+++ b/crates/wire/src/membership.rs
@@ -0,0 +1,182 @@
+//! Datagrams of the membership protocol.
+
+/// States of a member as others see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum MemberState {
+    /// Answers probes.
+    Alive = 0,
+    /// Did not answer lately.
+    Suspect = 1,
+    /// Said that it leaves: gets no new work.
+    Leaving = 2,
+    /// Taken for dead, or gone.
+    Dead = 3,
+}
+
+/// Kinds of datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum DatagramKind {
+    /// Asks the receiver to answer.
+    Ping = 0,
+    /// Answers a ping.
+    Ack = 1,
+    /// Asks the receiver to ping `target` and pass its answer on.
+    PingRequest = 2,
+    /// Asks for the receiver's whole view, for a member that has just started.
+    Join = 3,
+}
+
+/// Batch work that a member's shards have left for a service.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ServiceBacklog {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Items ready to be granted, in steps of a power of two.
+    #[prost(uint32, tag = "2")]
+    pub items: u32,
+}
+
+/// What is known of a member. A higher (incarnation, version) replaces a lower one.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct MemberRecord {
+    /// Member id, unique for each start of a daemon.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// UDP address.
+    #[prost(string, tag = "2")]
+    pub udp_address: String,
+    /// HTTP address for peers.
+    #[prost(string, tag = "3")]
+    pub peer_address: String,
+    /// Zone.
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    /// Region.
+    #[prost(string, tag = "5")]
+    pub region: String,
+    /// Raised only by the member itself, to refute a suspicion or spread news of itself.
+    #[prost(uint64, tag = "6")]
+    pub incarnation: u64,
+    /// State.
+    #[prost(enumeration = "MemberState", tag = "7")]
+    pub state: i32,
+    /// Batch work left at its shards.
+    #[prost(message, repeated, tag = "8")]
+    pub backlog: Vec<ServiceBacklog>,
+}
+
+/// One datagram.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Datagram {
+    /// Kind.
+    #[prost(enumeration = "DatagramKind", tag = "1")]
+    pub kind: i32,
+    /// Sender's member id.
+    #[prost(string, tag = "2")]
+    pub from: String,
+    /// Number of the probe that this belongs to.
+    #[prost(uint64, tag = "3")]
+    pub probe: u64,
+    /// Member to probe, in a ping request.
+    #[prost(string, tag = "4")]
+    pub target: String,
+    /// Records passed on.
+    #[prost(message, repeated, tag = "5")]
+    pub records: Vec<MemberRecord>,
+    /// Sender's configuration revision.
+    #[prost(uint64, tag = "6")]
+    pub config_revision: u64,
+    /// Age of the sender's proof that this revision is the newest, milliseconds plus one; 0 if it has none.
+    #[prost(uint64, tag = "7")]
+    pub config_age_ms: u64,
+}
+
+/// Online requests of one gateway at one replica, for the replica's owner.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct OnlineCount {
+    /// Replica.
+    #[prost(string, tag = "1")]
+    pub replica: String,
+    /// Requests in flight.
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    /// Prompt tokens of them not yet prefilled.
+    #[prost(uint32, tag = "3")]
+    pub prefill_tokens: u32,
+}
+
+/// A gateway tells a replica owner of its online requests; the owner answers with [`ReplicaReports`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct OnlineNotice {
+    /// Sender's member id.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Sender's UDP address.
+    #[prost(string, tag = "2")]
+    pub reply_to: String,
+    /// Counts by replica.
+    #[prost(message, repeated, tag = "3")]
+    pub counts: Vec<OnlineCount>,
+}
+
+/// Load of one replica as its owner knows it.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ReplicaReport {
+    /// Replica.
+    #[prost(string, tag = "1")]
+    pub replica: String,
+    /// Online sequences running.
+    #[prost(uint32, tag = "2")]
+    pub running_online: u32,
+    /// Batch sequences running.
+    #[prost(uint32, tag = "3")]
+    pub running_batch: u32,
+    /// Online sequences waiting.
+    #[prost(uint32, tag = "4")]
+    pub waiting_online: u32,
+    /// Prompt tokens of online sequences not yet prefilled.
+    #[prost(uint32, tag = "5")]
+    pub waiting_prompt_tokens: u32,
+    /// Age of the numbers, milliseconds.
+    #[prost(uint32, tag = "6")]
+    pub age_ms: u32,
+    /// The replica must get no new work.
+    #[prost(bool, tag = "7")]
+    pub unavailable: bool,
+}
+
+/// Reports of a replica owner.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReplicaReports {
+    /// The reports.
+    #[prost(message, repeated, tag = "1")]
+    pub reports: Vec<ReplicaReport>,
+}
+
+/// Any datagram between daemons.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct NodeDatagram {
+    /// What it carries.
+    #[prost(oneof = "node_datagram::Kind", tags = "1, 2, 3")]
+    pub kind: Option<node_datagram::Kind>,
+}
+
+/// Kinds of datagram between daemons.
+pub mod node_datagram {
+    /// What a datagram carries.
+    #[derive(Clone, PartialEq, prost::Oneof)]
+    pub enum Kind {
+        /// Membership protocol.
+        #[prost(message, tag = "1")]
+        Membership(super::Datagram),
+        /// Online requests at replicas.
+        #[prost(message, tag = "2")]
+        OnlineNotice(super::OnlineNotice),
+        /// Loads of replicas.
+        #[prost(message, tag = "3")]
+        ReplicaReports(super::ReplicaReports),
+    }
+}
