Start-up of the trial node: announce only once it is ready

Cause: the first end-to-end test found that a caller right after the start got 503, and that a closed standard output stopped the process. Change: wait for configuration and replicas, and print in one write.

--- a/crates/harrierward/src/standalone.rs
+++ b/crates/harrierward/src/standalone.rs
@@ -1,6 +1,8 @@
 //! `harrierward standalone`: one node, an in-memory platform and emulated engines in one process.
 
+use std::io::Write;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use eyre::{Context, Result};
@@ -14,6 +16,7 @@
 use log::LevelFilter;
 use prometheus::Registry;
 use tokio::net::TcpListener;
+use tokio::time::sleep;
 
 use crate::command_line::Outcome;
 use crate::logging::{self, LogFormat};
@@ -24,6 +27,9 @@
 const REPLICAS_A_SERVICE: usize = 3;
 const SHARDS: u32 = 8;
 
+/// Pause between looks whether the node is ready.
+const READY_PAUSE: Duration = Duration::from_millis(10);
+
 /// A tenant of the trial fleet with its service.
 struct Trial {
     tenant: &'static str,
@@ -209,15 +215,24 @@
         settings,
     })?;
     let address = api.local_addr()?;
-    println!("harrierward standalone on http://{address}; stop with Ctrl-C");
+    while !node.is_ready() || node.status().owned_replicas == 0 {
+        sleep(READY_PAUSE).await;
+    }
+    announce(&address.to_string());
+    serve_until_stopped(node.clone(), api, harrierward_api::router(node)).await
+}
+
+/// Prints where the node listens and the keys. Nobody may be reading, which is no reason to stop.
+fn announce(address: &str) {
+    let mut text = format!("harrierward standalone on http://{address}; stop with Ctrl-C\n");
     for trial in &TRIALS {
-        println!(
-            "tenant {}: model {}, caller key {}, operator key {}",
+        text.push_str(&format!(
+            "tenant {}: model {}, caller key {}, operator key {}\n",
             trial.tenant,
             trial.service,
             caller_key(trial.tenant),
             operator_key(trial.tenant)
-        );
+        ));
     }
-    serve_until_stopped(node.clone(), api, harrierward_api::router(node)).await
+    let _ = std::io::stdout().write_all(text.as_bytes());
 }
--- a/crates/harrierward/tests/whole_path.rs
+++ b/crates/harrierward/tests/whole_path.rs
@@ -10,6 +10,13 @@
     address: String,
 }
 
+impl Drop for Standalone {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
 impl Standalone {
     fn start() -> Self {
         let mut process = Command::new(PROGRAM)
@@ -21,6 +28,7 @@
                 "error",
             ])
             .stdout(Stdio::piped())
+            .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
         let output = process.stdout.take().expect("its output is piped");
