--- a/crates/batch/src/core/owner.rs
+++ b/crates/batch/src/core/owner.rs
@@ -1,6 +1,6 @@
 //! All shards that one member owns.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use harrierward_wire::{
@@ -44,6 +44,9 @@
     }
 }
 
+/// Cancels remembered for jobs that are not loaded yet.
+const MOST_CANCELS_REMEMBERED: usize = 1024;
+
 /// Names a chunk whose input lines are wanted.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ChunkRef {
@@ -72,6 +75,7 @@
     served: BTreeMap<String, u64>,
     wanted: Vec<ChunkRef>,
     closing: BTreeSet<u32>,
+    cancelled: VecDeque<String>,
     next_attempt: u64,
     buffered: usize,
 }
@@ -87,6 +91,7 @@
             served: BTreeMap::new(),
             wanted: Vec::new(),
             closing: BTreeSet::new(),
+            cancelled: VecDeque::new(),
             next_attempt: 0,
             buffered: 0,
         }
@@ -140,6 +145,13 @@
         self.jobs.contains_key(job_id)
     }
 
+    /// Tenants of the jobs held.
+    pub fn job_tenants(&self) -> BTreeMap<String, String> {
+        let jobs = self.jobs.iter();
+        jobs.map(|(id, job)| (id.clone(), job.row.tenant.clone()))
+            .collect()
+    }
+
     /// Number of open jobs.
     pub fn job_count(&self) -> usize {
         self.jobs.len()
@@ -165,7 +177,9 @@
         }
         self.join_round(&load.row.tenant);
         let job_id = load.row.job_id.clone();
-        self.jobs.insert(job_id, JobWork::new(load));
+        let mut job = JobWork::new(load);
+        job.cancelled |= self.cancelled.contains(&job_id);
+        self.jobs.insert(job_id, job);
     }
 
     /// Lets a tenant that comes back start level with the others, not with a lead for its idle time.
@@ -182,6 +196,11 @@
 
     /// Stops granting a job whose cancel is committed; the members that hold items of it.
     pub fn cancel_job(&mut self, job_id: &str) -> Vec<String> {
+        // The notice may come before the job is loaded from a row read earlier.
+        if self.cancelled.len() >= MOST_CANCELS_REMEMBERED {
+            self.cancelled.pop_front();
+        }
+        self.cancelled.push_back(job_id.to_owned());
         let Some(job) = self.jobs.get_mut(job_id) else {
             return Vec::new();
         };
--- a/crates/batch/src/keys.rs
+++ b/crates/batch/src/keys.rs
@@ -10,7 +10,8 @@
     format!("job/{tenant}/")
 }
 
-pub(crate) fn job_key(tenant: &str, job_id: &str) -> String {
+/// Key of a job's row.
+pub fn job_key(tenant: &str, job_id: &str) -> String {
     format!("job/{tenant}/{job_id}")
 }
 
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -16,6 +16,8 @@
 pub use files::{FileService, FileUpload, LineCheck, UploadRequest};
 pub use item_set::ItemSet;
 pub use jobs::{CreateJob, JobService, JobView, batch_id_at, shard_of};
-pub use keys::{CHUNK_ITEMS, MOST_ITEMS, ownership_key, replica_key, shard_key};
+pub use keys::{
+    CHUNK_ITEMS, MOST_ITEMS, job_key as job_row_key, ownership_key, replica_key, shard_key,
+};
 pub use owner::{OwnerDriver, OwnerDriverSettings, OwnerEvents};
 pub use results::ResultReader;
--- a/crates/batch/src/owner.rs
+++ b/crates/batch/src/owner.rs
@@ -160,6 +160,11 @@
         self.shared.lock().backlog()
     }
 
+    /// Tenants of the jobs held.
+    pub fn job_tenants(&self) -> BTreeMap<String, String> {
+        self.shared.lock().job_tenants()
+    }
+
     /// Items ready to be granted, by service and tenant.
     pub fn backlog_by_tenant(&self) -> BTreeMap<String, BTreeMap<String, u32>> {
         self.shared.lock().backlog_by_tenant()
--- /dev/null
+++ b/crates/bench/src/faults/clients.rs
@@ -0,0 +1,487 @@
+//! Clients of the simulated fleet: online requests, marked requests that are resent, jobs, operators.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use futures::StreamExt;
+use harrierward_batch::{BatchError, CreateJob, UploadRequest, batch_id_at};
+use harrierward_claims::{ClaimKey, request_digest};
+use harrierward_config::{
+    ApplyRequest, ConfigError, ConfigObject, LimitsSpec, RequestedChange, Spec,
+};
+use harrierward_gateway::{
+    AnswerEvent, Call, EndpointKind, Execution, GatewayError, GenerationSpec, MarkedCall,
+};
+use harrierward_wire::ConfigDeltaReply;
+use rand::Rng;
+use serde_json::json;
+use tokio::time::{Instant, sleep};
+
+use super::history::{ConfigAccepted, ConfigSeen, JobRecord, OnlineCall, OnlineOutcome};
+use super::world::{Daemon, TENANTS, World};
+
+/// Characters of a prompt that clients of a tenant share.
+const SHARED_PROMPT: &str =
+    "You help people in a hurry. Answer briefly and say only what is asked for. ";
+
+/// Resends of a marked request at most.
+const MOST_RESENDS: usize = 6;
+
+/// Items of a job at most.
+const MOST_ITEMS: usize = 260;
+
+fn spec(model: &str, prompt: &str, maximum_tokens: u32) -> GenerationSpec {
+    GenerationSpec {
+        kind: EndpointKind::Completion,
+        endpoint: model.to_owned(),
+        prompt: prompt.to_owned(),
+        maximum_tokens,
+        stream: true,
+        include_usage: false,
+    }
+}
+
+fn any_tenant(world: &World) -> (&'static str, &'static str) {
+    let index = world.random(|random| random.random_range(0..TENANTS.len()));
+    TENANTS[index]
+}
+
+/// Sends one request to one daemon and reads what the client would see.
+async fn call_once(daemon: &Daemon, call: Call) -> OnlineOutcome {
+    let mut partial = String::new();
+    let exchange = async {
+        daemon.gate.pass().await;
+        if daemon.node.is_draining() {
+            let error = GatewayError::not_run("api", 503, "leaving", "leaving");
+            return refused(error, String::new());
+        }
+        let answer = daemon.node.gateway().call(call).await;
+        daemon.gate.pass().await;
+        let mut answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => return refused(error, String::new()),
+        };
+        while let Some(event) = answer.next().await {
+            daemon.gate.pass().await;
+            match event {
+                Ok(AnswerEvent::Text(text)) => partial.push_str(&text),
+                Ok(AnswerEvent::Finished { .. }) => {
+                    return OnlineOutcome::Answered {
+                        text: std::mem::take(&mut partial),
+                    };
+                }
+                Err(error) => return refused(error, std::mem::take(&mut partial)),
+            }
+        }
+        OnlineOutcome::Lost {
+            partial: std::mem::take(&mut partial),
+        }
+    };
+    let outcome = tokio::select! {
+        biased;
+        () = daemon.gate.closed() => None,
+        outcome = exchange => Some(outcome),
+    };
+    outcome.unwrap_or(OnlineOutcome::Lost { partial })
+}
+
+fn refused(error: GatewayError, partial: String) -> OnlineOutcome {
+    OnlineOutcome::Refused {
+        execution: error.execution,
+        code: error.code,
+        partial,
+    }
+}
+
+/// Sends unmarked requests, one after the other, until `until`.
+pub async fn run_online(world: World, client: usize, until: Duration) {
+    let mut number = 0;
+    while world.now() < until {
+        let pause = world.random(|random| random.random_range(20..400));
+        sleep(Duration::from_millis(pause)).await;
+        number += 1;
+        let (tenant, model) = any_tenant(&world);
+        let prompt = format!("{SHARED_PROMPT}online {client}-{number}");
+        let maximum_tokens = world.random(|random| random.random_range(1..60));
+        let Ok(daemon) = world.any_daemon() else {
+            continue;
+        };
+        let call = Call {
+            tenant: tenant.to_owned(),
+            spec: spec(model, &prompt, maximum_tokens),
+            marked: None,
+            deadline: Instant::now() + Duration::from_secs(20),
+        };
+        let outcome = call_once(&daemon, call).await;
+        record(&world, &prompt, model, maximum_tokens, false, outcome);
+    }
+}
+
+fn record(
+    world: &World,
+    prompt: &str,
+    model: &str,
+    maximum_tokens: u32,
+    marked: bool,
+    outcome: OnlineOutcome,
+) {
+    world.recorder.lock().online.push(OnlineCall {
+        prompt: prompt.to_owned(),
+        maximum_tokens,
+        model: model.to_owned(),
+        marked,
+        ended: world.now(),
+        outcome,
+    });
+}
+
+/// Sends marked requests and resends them, to any daemon, until one is settled; sometimes twice at once.
+pub async fn run_marked(world: World, client: usize, until: Duration) {
+    let mut number = 0;
+    while world.now() < until {
+        let pause = world.random(|random| random.random_range(50..800));
+        sleep(Duration::from_millis(pause)).await;
+        number += 1;
+        let (tenant, model) = any_tenant(&world);
+        let prompt = format!("{SHARED_PROMPT}booking {client}-{number}");
+        let maximum_tokens = world.random(|random| random.random_range(1..40));
+        let request = MarkedRequest {
+            tenant,
+            model,
+            prompt,
+            maximum_tokens,
+        };
+        if world.random(|random| random.random_bool(0.3)) {
+            tokio::join!(send_marked(&world, &request), send_marked(&world, &request));
+        } else {
+            send_marked(&world, &request).await;
+        }
+    }
+}
+
+struct MarkedRequest {
+    tenant: &'static str,
+    model: &'static str,
+    prompt: String,
+    maximum_tokens: u32,
+}
+
+async fn send_marked(world: &World, request: &MarkedRequest) {
+    for _ in 0..MOST_RESENDS {
+        let Ok(daemon) = world.any_daemon() else {
+            return;
+        };
+        let marked = MarkedCall {
+            key: ClaimKey {
+                tenant: request.tenant.to_owned(),
+                key: request.prompt.clone(),
+            },
+            digest: request_digest("/v1/completions", request.prompt.as_bytes()),
+        };
+        let call = Call {
+            tenant: request.tenant.to_owned(),
+            spec: spec(request.model, &request.prompt, request.maximum_tokens),
+            marked: (!world.broken.no_claims).then_some(marked),
+            deadline: Instant::now() + Duration::from_secs(20),
+        };
+        let outcome = call_once(&daemon, call).await;
+        let settled = matches!(outcome, OnlineOutcome::Answered { .. });
+        let model = request.model;
+        record(
+            world,
+            &request.prompt,
+            model,
+            request.maximum_tokens,
+            true,
+            outcome,
+        );
+        if settled && world.random(|random| random.random_bool(0.8)) {
+            return;
+        }
+        let pause = world.random(|random| random.random_range(10..1500));
+        sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+/// One line of a job's input.
+fn input_line(model: &str, id: &str, prompt: &str, maximum_tokens: u32, once: bool) -> String {
+    let mut line = json!({
+        "custom_id": id,
+        "method": "POST",
+        "url": "/v1/completions",
+        "body": {"model": model, "prompt": prompt, "max_tokens": maximum_tokens},
+    });
+    if once {
+        line["execution"] = json!("at-most-once");
+    }
+    format!("{line}\n")
+}
+
+/// Creates jobs, resends them until acknowledged, and cancels some.
+pub async fn run_jobs(world: World, client: usize, until: Duration) {
+    let mut number = 0;
+    while world.now() < until {
+        number += 1;
+        let key = format!("job-{client}-{number}");
+        submit_job(&world, &key).await;
+        let cancels = world.random(|random| random.random_bool(0.25));
+        if cancels {
+            let pause = world.random(|random| random.random_range(100..6000));
+            sleep(Duration::from_millis(pause)).await;
+            cancel_job(&world, &key).await;
+        }
+        let pause = world.random(|random| random.random_range(1000..9000));
+        sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+async fn submit_job(world: &World, key: &str) {
+    // A quarter of the jobs is a borrower's: its tenant does not own the service.
+    let (owner, model) = any_tenant(world);
+    let borrowed = world.random(|random| random.random_bool(0.25));
+    let other = TENANTS.iter().find(|(other, _)| *other != owner);
+    let tenant = match other {
+        Some((other, _)) if borrowed => *other,
+        _ => owner,
+    };
+    let items = world.random(|random| random.random_range(1..MOST_ITEMS));
+    let maximum_tokens = world.random(|random| random.random_range(1..30));
+    let mut job = JobRecord {
+        tenant: tenant.to_owned(),
+        model: model.to_owned(),
+        prompts: BTreeMap::new(),
+        at_most_once: Vec::new(),
+        maximum_tokens,
+        acknowledged: Vec::new(),
+        cancel_acknowledged: None,
+    };
+    let mut input = String::new();
+    for number in 0..items {
+        let id = format!("item-{number}");
+        let prompt = format!("{SHARED_PROMPT}{key} {id}");
+        let once = number % 7 == 3;
+        input.push_str(&input_line(model, &id, &prompt, maximum_tokens, once));
+        if once {
+            job.at_most_once.push(id.clone());
+        }
+        job.prompts.insert(id, prompt);
+    }
+    world.recorder.lock().jobs.insert(key.to_owned(), job);
+    let resent_anyway = world.random(|random| random.random_bool(0.3));
+    let mut acknowledged = 0;
+    for _ in 0..60 {
+        let Ok(daemon) = world.any_daemon() else {
+            return;
+        };
+        let submission = submit_to(world, &daemon, tenant, model, key, &input);
+        let job_id = tokio::select! {
+            biased;
+            () = daemon.gate.closed() => None,
+            submitted = submission => submitted.ok(),
+        };
+        if let Some(job_id) = job_id {
+            let mut history = world.recorder.lock();
+            if let Some(job) = history.jobs.get_mut(key) {
+                job.acknowledged.push(job_id);
+            }
+            acknowledged += 1;
+        }
+        if acknowledged > usize::from(resent_anyway) {
+            return;
+        }
+        let pause = world.random(|random| random.random_range(100..2000));
+        sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+async fn submit_to(
+    world: &World,
+    daemon: &Daemon,
+    tenant: &str,
+    model: &str,
+    key: &str,
+    input: &str,
+) -> Result<String, BatchError> {
+    daemon.gate.pass().await;
+    let now_ms = u64::try_from(world.now().as_millis()).unwrap_or_default();
+    let random: u64 = world.random(Rng::random);
+    let mut upload = daemon.node.files().upload(UploadRequest {
+        tenant: tenant.to_owned(),
+        file_id: format!("file-{random:016x}"),
+        client_key: Some(key.to_owned()),
+        now_ms,
+    });
+    if let Err(error) = upload.write(input.as_bytes()).await {
+        upload.abandon().await;
+        return Err(error);
+    }
+    let file = upload.finish().await?;
+    let create = CreateJob {
+        tenant: tenant.to_owned(),
+        job_id: batch_id_at(now_ms, random),
+        client_key: Some(key.to_owned()),
+        url: "/v1/completions".to_owned(),
+        service: model.to_owned(),
+        file,
+        completion_window: "24h".to_owned(),
+        window_ms: 24 * 3600 * 1000,
+        metadata: "null".to_owned(),
+        now_ms,
+    };
+    let job = daemon.node.jobs().create(create).await?;
+    let row = &job.row;
+    daemon
+        .node
+        .job_accepted(&row.tenant, &row.job_id, row.shard)
+        .await;
+    daemon.gate.pass().await;
+    Ok(row.job_id.clone())
+}
+
+async fn cancel_job(world: &World, key: &str) {
+    let job = world.recorder.lock().jobs.get(key).cloned();
+    let Some(job) = job else { return };
+    let Some(job_id) = job.acknowledged.first() else {
+        return;
+    };
+    for _ in 0..20 {
+        let Ok(daemon) = world.any_daemon() else {
+            return;
+        };
+        let now_ms = u64::try_from(world.now().as_millis())
+            .unwrap_or_default()
+            .max(1);
+        let exchange = async {
+            daemon.gate.pass().await;
+            let view = daemon
+                .node
+                .jobs()
+                .cancel(&job.tenant, job_id, now_ms)
+                .await?;
+            let row = &view.row;
+            if !world.broken.no_cancel_notice {
+                daemon
+                    .node
+                    .job_cancelled(&row.tenant, &row.job_id, row.shard)
+                    .await;
+            }
+            daemon.gate.pass().await;
+            Ok::<(), BatchError>(())
+        };
+        let outcome = tokio::select! {
+            biased;
+            () = daemon.gate.closed() => None,
+            outcome = exchange => Some(outcome),
+        };
+        match outcome {
+            Some(Ok(())) => {
+                let at = world.now();
+                if let Some(job) = world.recorder.lock().jobs.get_mut(key) {
+                    job.cancel_acknowledged.get_or_insert(at);
+                }
+                return;
+            }
+            Some(Err(BatchError::Ended { .. })) => return,
+            _ => sleep(Duration::from_millis(500)).await,
+        }
+    }
+}
+
+/// Operators of both tenants change limits, racing each other.
+pub async fn run_operator(world: World, operator: usize, until: Duration) {
+    let (tenant, service) = TENANTS[operator % TENANTS.len()];
+    let mut number = 0;
+    while world.now() < until {
+        let pause = world.random(|random| random.random_range(300..3000));
+        sleep(Duration::from_millis(pause)).await;
+        number += 1;
+        let Ok(daemon) = world.any_daemon() else {
+            continue;
+        };
+        let object = ConfigObject {
+            name: format!("{tenant}-limits"),
+            owner: tenant.to_owned(),
+            revision: 0,
+            spec: Spec::Limits(LimitsSpec {
+                endpoint: service.to_owned(),
+                tenant: tenant.to_owned(),
+                requests_per_second: 5000.0 + f64::from(number),
+                burst: 5000,
+                concurrent_requests: 10_000,
+            }),
+        };
+        let request = ApplyRequest {
+            operation: format!("operation-{operator}-{number}"),
+            operator: Some(tenant.to_owned()),
+            at_ms: 1,
+            changes: vec![RequestedChange {
+                id: object.id(),
+                object: Some(object),
+                based_on: None,
+            }],
+        };
+        apply(&world, &daemon, &request).await;
+    }
+}
+
+async fn apply(world: &World, daemon: &Daemon, request: &ApplyRequest) {
+    let exchange = async {
+        daemon.gate.pass().await;
+        let applied = daemon
+            .node
+            .config_store()
+            .apply(request, &|_| Ok(()))
+            .await?;
+        if let Some(entry) = applied.entry {
+            daemon.node.adopt_config(&ConfigDeltaReply {
+                entries: vec![entry],
+                revision: applied.revision,
+                ..ConfigDeltaReply::default()
+            });
+        }
+        daemon.gate.pass().await;
+        Ok::<u64, ConfigError>(applied.revision)
+    };
+    let outcome = tokio::select! {
+        biased;
+        () = daemon.gate.closed() => None,
+        outcome = exchange => Some(outcome),
+    };
+    if let Some(Ok(revision)) = outcome {
+        let at = world.now();
+        let accepted = ConfigAccepted { revision, at };
+        world.recorder.lock().accepted.push(accepted);
+    }
+}
+
+/// Looks again and again which revision each daemon has in force.
+pub async fn watch_config(world: World, until: Duration) {
+    const PAUSE: Duration = Duration::from_millis(200);
+    while world.now() < until {
+        for daemon in world.live() {
+            if daemon.gate.state() != super::gate::GateState::Open {
+                continue;
+            }
+            let status = daemon.node.status();
+            let seen = ConfigSeen {
+                member: daemon.member.clone(),
+                revision: status.config_revision,
+                fresh: status.config_fresh,
+                at: world.now(),
+            };
+            world.recorder.lock().seen.push(seen);
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// True if the error code says that a claim was refused; such a request was never dispatched.
+pub fn never_dispatched(outcome: &OnlineOutcome) -> bool {
+    matches!(
+        outcome,
+        OnlineOutcome::Refused {
+            execution: Execution::NotRun,
+            ..
+        }
+    )
+}
--- /dev/null
+++ b/crates/bench/src/faults/gated_platform.rs
@@ -0,0 +1,187 @@
+//! The platform and the engines as one simulated daemon reaches them: through its gate.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::StreamExt;
+use harrierward_emulator::{EngineHandle, MemoryPlatform};
+use harrierward_gateway::EngineConnector;
+use harrierward_platform::{
+    CacheEventPage, Engine, EngineError, EngineLoad, EngineOrder, EventStream, GenerateRequest,
+    Machine, MachineList, ObjectStore, PlatformError, RequestClass, Row, Table, Transaction,
+    TransactionOutcome, WeightStore, WeightTransfer, Write,
+};
+
+use super::gate::Gate;
+use super::world::BrokenGuards;
+
+/// The stores through a gate.
+pub struct GatedPlatform {
+    pub gate: Gate,
+    pub platform: MemoryPlatform,
+    pub broken: BrokenGuards,
+}
+
+/// Rows whose conditions fence earlier owners.
+const FENCED_PREFIXES: [&str; 2] = ["owner/shard/", "chunk/"];
+
+fn without_fences(mut transaction: Transaction) -> Transaction {
+    transaction.conditions.retain(|condition| {
+        let key = condition.key();
+        let taking = transaction.writes.iter().any(|write| match write {
+            Write::Put { key: written, .. } => {
+                written == key && key.starts_with(FENCED_PREFIXES[0])
+            }
+            Write::Delete { .. } => false,
+        });
+        taking || !FENCED_PREFIXES.iter().any(|prefix| key.starts_with(prefix))
+    });
+    transaction
+}
+
+#[async_trait]
+impl Table for GatedPlatform {
+    async fn transact(
+        &self,
+        class: RequestClass,
+        transaction: Transaction,
+    ) -> Result<TransactionOutcome, PlatformError> {
+        let transaction = if self.broken.no_fencing {
+            without_fences(transaction)
+        } else {
+            transaction
+        };
+        let call = self.platform.transact(class, transaction);
+        self.gate.around(call).await
+    }
+
+    async fn get(
+        &self,
+        class: RequestClass,
+        keys: &[String],
+    ) -> Result<Vec<Option<Row>>, PlatformError> {
+        let call = Table::get(&self.platform, class, keys);
+        self.gate.around(call).await
+    }
+
+    async fn scan(
+        &self,
+        class: RequestClass,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<Row>, PlatformError> {
+        let call = self.platform.scan(class, prefix, after, limit);
+        self.gate.around(call).await
+    }
+}
+
+#[async_trait]
+impl ObjectStore for GatedPlatform {
+    async fn put(&self, class: RequestClass, name: &str, body: Bytes) -> Result<(), PlatformError> {
+        self.gate.around(self.platform.put(class, name, body)).await
+    }
+
+    async fn get(&self, class: RequestClass, name: &str) -> Result<Bytes, PlatformError> {
+        let call = ObjectStore::get(&self.platform, class, name);
+        self.gate.around(call).await
+    }
+
+    async fn delete(&self, class: RequestClass, name: &str) -> Result<(), PlatformError> {
+        self.gate.around(self.platform.delete(class, name)).await
+    }
+}
+
+#[async_trait]
+impl MachineList for GatedPlatform {
+    async fn list(&self) -> Result<Vec<Machine>, PlatformError> {
+        self.gate.around(self.platform.list()).await
+    }
+}
+
+#[async_trait]
+impl WeightStore for GatedPlatform {
+    async fn reserve(&self, model: &str) -> Result<WeightTransfer, PlatformError> {
+        self.gate.around(self.platform.reserve(model)).await
+    }
+}
+
+/// An engine through a gate.
+struct GatedEngine {
+    gate: Gate,
+    engine: EngineHandle,
+    broken: BrokenGuards,
+}
+
+/// Makes every event look as if it were the reader's own and next.
+fn disguise(stream: EventStream, request: &GenerateRequest) -> EventStream {
+    let request_id = request.request_id.clone();
+    let mut next = request.resume_from;
+    let disguised = stream.map(move |event| {
+        let mut event = event?;
+        event.request_id = request_id.clone();
+        event.sequence = next;
+        next += 1;
+        Ok(event)
+    });
+    Box::pin(disguised)
+}
+
+#[async_trait]
+impl Engine for GatedEngine {
+    async fn generate(&self, request: GenerateRequest) -> Result<EventStream, EngineError> {
+        self.gate.pass().await;
+        let stream = self.engine.generate(request.clone()).await?;
+        let stream = if self.broken.no_event_check {
+            disguise(stream, &request)
+        } else {
+            stream
+        };
+        let stream = self.gate.guard(stream);
+        self.gate.pass().await;
+        Ok(stream)
+    }
+
+    async fn cancel(&self, request_id: &str) -> Result<(), EngineError> {
+        self.gate.around(self.engine.cancel(request_id)).await
+    }
+
+    async fn load(&self) -> Result<EngineLoad, EngineError> {
+        self.gate.around(self.engine.load()).await
+    }
+
+    async fn cache_events(&self, after: u64) -> Result<CacheEventPage, EngineError> {
+        self.gate.around(self.engine.cache_events(after)).await
+    }
+
+    async fn order(&self, order: EngineOrder) -> Result<(), EngineError> {
+        self.gate.around(self.engine.order(order)).await
+    }
+
+    async fn export_prefix(&self, block: u64) -> Result<Option<Vec<u64>>, EngineError> {
+        self.gate.around(self.engine.export_prefix(block)).await
+    }
+
+    async fn import_prefix(&self, blocks: Vec<u64>) -> Result<(), EngineError> {
+        self.gate.around(self.engine.import_prefix(blocks)).await
+    }
+}
+
+/// Finds engines by address.
+pub struct GatedConnector {
+    pub gate: Gate,
+    pub engines: Arc<BTreeMap<String, EngineHandle>>,
+    pub broken: BrokenGuards,
+}
+
+impl EngineConnector for GatedConnector {
+    fn connect(&self, machine: &Machine) -> Arc<dyn Engine> {
+        Arc::new(GatedEngine {
+            gate: self.gate.clone(),
+            engine: self.engines[&machine.address].clone(),
+            broken: self.broken,
+        })
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,3 @@
-//! stub
+//! Measuring and proving: fault simulation, experiments, hollow fleet and load.
+
+pub mod faults;
--- a/crates/emulator/src/engine_handle.rs
+++ b/crates/emulator/src/engine_handle.rs
@@ -1,6 +1,6 @@
 //! Drives one [`EngineCore`] on tokio's clock and offers it as an [`Engine`], with faults on request.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -48,6 +48,15 @@
     pub outcome: ExecutionOutcome,
 }
 
+/// A request that came although the engine had said that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RefusedLeaving {
+    /// Attempt's request id.
+    pub request_id: String,
+    /// When, by the engine's clock.
+    pub at: Duration,
+}
+
 /// Faults that an engine commits on request.
 #[derive(Debug, Default)]
 pub struct EngineFaults {
@@ -67,8 +76,9 @@
 
 struct Inner {
     core: EngineCore,
-    senders: HashMap<String, EventSender>,
+    senders: BTreeMap<String, EventSender>,
     executions: Vec<Execution>,
+    refused_leaving: Vec<RefusedLeaving>,
     indexes: HashMap<String, usize>,
 }
 
@@ -101,8 +111,9 @@
         let seed = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
         let inner = Inner {
             core: EngineCore::new(parameters, models, seed),
-            senders: HashMap::new(),
+            senders: BTreeMap::new(),
             executions: Vec::new(),
+            refused_leaving: Vec::new(),
             indexes: HashMap::new(),
         };
         let shared = Arc::new(Shared {
@@ -137,6 +148,11 @@
         self.shared.lock().executions.clone()
     }
 
+    /// Requests that came although the engine had said that it leaves.
+    pub fn refused_leaving(&self) -> Vec<RefusedLeaving> {
+        self.shared.lock().refused_leaving.clone()
+    }
+
     /// The engine's load without lag, for measurement only.
     pub fn current_load(&self) -> EngineLoad {
         self.shared.lock().core.current_load()
@@ -322,10 +338,13 @@
         let (sender, receiver) = mpsc::unbounded_channel();
         {
             let mut inner = self.shared.lock();
-            inner
-                .core
-                .submit(request)
-                .map_err(|refusal| self.refusal(STEP, sent, refusal))?;
+            if let Err(refusal) = inner.core.submit(request) {
+                if refusal == SubmitRefusal::Leaving {
+                    let at = self.shared.started.elapsed();
+                    inner.refused_leaving.push(RefusedLeaving { request_id, at });
+                }
+                return Err(self.refusal(STEP, sent, refusal));
+            }
             inner.senders.insert(request_id.clone(), sender);
             if self.shared.keeps_log {
                 let index = inner.executions.len();
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,6 +1,6 @@
 //! The replicas that a daemon knows, read by the request path as a snapshot.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
@@ -94,7 +94,7 @@
 #[derive(Default)]
 pub struct Directory {
     /// Replicas that may get new work, by service.
-    pub services: HashMap<String, DirectoryEntry>,
+    pub services: BTreeMap<String, DirectoryEntry>,
     /// All listed replicas, leaving ones included.
     pub replicas: BTreeMap<ReplicaId, Arc<Replica>>,
 }
@@ -170,7 +170,7 @@
     fn services(
         &self,
         replicas: &BTreeMap<ReplicaId, Arc<Replica>>,
-    ) -> HashMap<String, DirectoryEntry> {
+    ) -> BTreeMap<String, DirectoryEntry> {
         let mut by_service: BTreeMap<&str, Vec<&Arc<Replica>>> = BTreeMap::new();
         for replica in replicas.values() {
             if replica.machine.state == MachineState::Live {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -81,6 +81,8 @@
     pub metrics: GatewayMetrics,
     /// Milliseconds since 1970.
     pub now_ms: fn() -> u64,
+    /// Start of the daemon, from which replica loads are dated.
+    pub started: Instant,
 }
 
 /// A prompt was sent: its prefix will be cached there.
@@ -98,7 +100,6 @@
     news: mpsc::UnboundedSender<PrefixNews>,
     retries: RetryBudget,
     counter: AtomicU64,
-    started: Instant,
 }
 
 /// The gateway of one daemon; cheap to clone.
@@ -180,7 +181,6 @@
             news,
             retries: RetryBudget::default(),
             counter: AtomicU64::new(0),
-            started: Instant::now(),
         });
         tokio::spawn(run_index(Arc::downgrade(&inner), receiver));
         Self { inner }
@@ -236,8 +236,13 @@
         self.metrics().requests.with_label_values(&[outcome]).inc();
     }
 
+    /// Time since the daemon's start.
+    fn now(&self) -> Duration {
+        self.inner.parts.started.elapsed()
+    }
+
     fn now_micros(&self) -> u64 {
-        u64::try_from(self.inner.started.elapsed().as_micros()).unwrap_or(u64::MAX)
+        as_micros(self.now())
     }
 
     fn next_id(&self) -> u64 {
@@ -564,16 +569,16 @@
 
     /// Leaves a replica alone for a while.
     fn penalize(&self, replica: &Arc<Replica>) {
-        replica.load.set_unavailable(true);
-        let load = replica.load.clone();
         let penalty = self.inner.settings.penalty;
-        tokio::spawn(async move {
-            sleep(penalty).await;
-            load.set_unavailable(false);
-        });
+        let until = self.now() + penalty;
+        replica.load.penalize(as_micros(until));
     }
 }
 
+fn as_micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Characters that one token of a prompt covers, for estimates.
 const CHARACTERS_A_TOKEN: usize = 4;
 
--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -38,6 +38,11 @@
     pub from: String,
     /// What it said.
     pub word: ConfigWord,
+    /// When this member sent the probe that the datagram answers; the word is no older than its age counted
+    /// from there. `None` for a datagram that answers nothing: it may have waited anywhere, for any time.
+    pub answers_probe_of: Option<Duration>,
+    /// Jobs that the peer knows to be cancelled.
+    pub cancelled_jobs: Vec<String>,
 }
 
 #[derive(Debug, Clone)]
@@ -45,6 +50,8 @@
     record: MemberRecord,
     state_since: Duration,
     passes_left: usize,
+    /// Said that it leaves before it was gone.
+    left: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -74,6 +81,7 @@
     next_number: u64,
     next_probe_at: Duration,
     config: ConfigWord,
+    cancelled_jobs: Vec<String>,
     changed: bool,
 }
 
@@ -99,6 +107,7 @@
             next_number: 1,
             next_probe_at: Duration::ZERO,
             config: ConfigWord::default(),
+            cancelled_jobs: Vec::new(),
             changed: true,
         };
         core.note_own();
@@ -111,6 +120,7 @@
             record: self.own.clone(),
             state_since: Duration::ZERO,
             passes_left,
+            left: false,
         };
         self.known.insert(self.own.id.clone(), known);
         self.changed = true;
@@ -164,6 +174,29 @@
         self.config = config;
     }
 
+    /// Sets the jobs that later datagrams name as cancelled.
+    pub fn set_cancelled_jobs(&mut self, jobs: Vec<String>) {
+        self.cancelled_jobs = jobs;
+    }
+
+    /// A probe of one member, outside the usual turn.
+    pub fn probe_member(&mut self, id: &str, now: Duration) -> Option<Action> {
+        let address = self.address(id)?;
+        Some(self.probe(id.to_owned(), address, now))
+    }
+
+    /// Members that are suspected or dead, and all members known.
+    pub fn troubled(&self) -> (usize, usize) {
+        let is_troubled = |known: &&Known| {
+            matches!(
+                state_of(&known.record),
+                MemberState::Suspect | MemberState::Dead
+            ) && !known.left
+        };
+        let troubled = self.known.values().filter(is_troubled).count();
+        (troubled, self.known.len())
+    }
+
     /// Spreads the batch work left at own shards, if it changed.
     pub fn set_backlog(&mut self, backlog: Vec<ServiceBacklog>) {
         if self.own.backlog != backlog {
@@ -243,16 +276,20 @@
         let Some(address) = self.address(&target) else {
             return;
         };
+        actions.push(self.probe(target, address, now));
+    }
+
+    fn probe(&mut self, target: String, address: String, now: Duration) -> Action {
         let number = self.next_number;
         self.next_number += 1;
-        let datagram = self.datagram(DatagramKind::Ping, number, String::new());
-        actions.push(Action { address, datagram });
         self.probes.push(Probe {
             number,
             target,
             sent_at: now,
             indirect_sent: false,
         });
+        let datagram = self.datagram(DatagramKind::Ping, number, String::new());
+        Action { address, datagram }
     }
 
     /// Walks all probed members in random order, so that each is probed within a bounded time. Members of other
@@ -380,8 +417,15 @@
         for record in &datagram.records {
             self.take_record(record.clone(), now);
         }
+        let is_ack = datagram.kind == DatagramKind::Ack as i32;
+        let answered = self
+            .probes
+            .iter()
+            .find(|probe| probe.number == datagram.probe);
         let word = ReceivedWord {
             from: datagram.from.clone(),
+            answers_probe_of: answered.filter(|_| is_ack).map(|probe| probe.sent_at),
+            cancelled_jobs: datagram.cancelled_jobs.clone(),
             word: ConfigWord {
                 revision: datagram.config_revision,
                 proof_age: datagram
@@ -478,6 +522,7 @@
                 if known.record.state != record.state {
                     known.state_since = now;
                 }
+                known.left |= state_of(&known.record) == MemberState::Leaving;
                 known.record = record;
                 known.passes_left = passes_left;
                 self.changed = true;
@@ -487,6 +532,7 @@
                 let known = Known {
                     state_since: now,
                     passes_left,
+                    left: false,
                     record,
                 };
                 self.known.insert(known.record.id.clone(), known);
@@ -513,6 +559,7 @@
             records: Vec::new(),
             config_revision: self.config.revision,
             config_age_ms: self.config.proof_age.map_or(0, |age| age_ms(age) + 1),
+            cancelled_jobs: self.cancelled_jobs.clone(),
         }
     }
 
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -36,7 +36,7 @@
             records_per_datagram: 6,
             spread_factor: 3,
             far_probe_one_in: 8,
-            forget_dead: Duration::from_secs(60),
+            forget_dead: Duration::from_secs(600),
         }
     }
 }
--- a/crates/node/src/config_task.rs
+++ b/crates/node/src/config_task.rs
@@ -10,6 +10,7 @@
 use harrierward_wire::{
     ConfigDeltaReply, ConfigDeltaRequest, PeerRequest, peer_reply, peer_request,
 };
+use rand::seq::IndexedRandom;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
@@ -22,13 +23,20 @@
 /// Members of a zone that ask the table regularly.
 const POLLERS_A_ZONE: usize = 2;
 
+/// Age of the proof after which a poller is asked, and how often at most.
+const ASK_POLLER_AFTER: Duration = Duration::from_millis(1500);
+const ASK_POLLER_EVERY: Duration = Duration::from_secs(1);
+
 /// Wait for a peer's answer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A peer's word came with a heartbeat.
 pub(crate) fn heard(shared: &Arc<Shared>, received: &ReceivedWord, now: Duration) {
     let word = received.word;
-    let observation = lock(&shared.config_replica).observe(now, word.revision, word.proof_age);
+    // The age counts from the sending of the probe: the answer may have waited since, but not longer.
+    let age = received.answers_probe_of.zip(word.proof_age);
+    let age = age.map(|(sent_at, age)| now.saturating_sub(sent_at) + age);
+    let observation = lock(&shared.config_replica).observe(now, word.revision, age);
     if observation == Observation::Behind {
         let _ = shared.config_pulls.send(received.from.clone());
     }
@@ -80,6 +88,7 @@
 
 /// Asks the table now and then: few members of each zone regularly, all others only without newer proof.
 pub(crate) async fn run_polls(shared: Arc<Shared>) {
+    let mut asked_at = Duration::ZERO;
     loop {
         let now = shared.now();
         let chosen = is_poller(&shared);
@@ -93,12 +102,34 @@
         };
         if due {
             poll(&shared, now).await;
+        } else if !chosen {
+            ask_poller(&shared, now, &mut asked_at).await;
         }
         sleep(TICK).await;
     }
 }
 
+/// Asks one of the zone's pollers, so that the table need not be asked.
+async fn ask_poller(shared: &Arc<Shared>, now: Duration, asked_at: &mut Duration) {
+    let age = lock(&shared.config_replica).proof_age(now);
+    let young = age.is_some_and(|age| age < ASK_POLLER_AFTER);
+    if young || now.saturating_sub(*asked_at) < ASK_POLLER_EVERY {
+        return;
+    }
+    *asked_at = now;
+    let pollers = pollers(shared);
+    let chosen = shared.with_random(|random| pollers.choose(random).cloned());
+    if let Some(poller) = chosen {
+        membership_task::probe_poller(shared, &poller).await;
+    }
+}
+
 fn is_poller(shared: &Arc<Shared>) -> bool {
+    pollers(shared).contains(&shared.identity.member)
+}
+
+/// The members of the zone that ask the table regularly.
+fn pollers(shared: &Arc<Shared>) -> Vec<String> {
     let view = shared.view.load();
     let zone = &shared.identity.zone;
     let peers = view
@@ -110,7 +141,8 @@
     rank_by_rendezvous(&key, peers)
         .into_iter()
         .take(POLLERS_A_ZONE)
-        .any(|id| id == shared.identity.member)
+        .map(str::to_owned)
+        .collect()
 }
 
 /// The proof counts from before the question, so that it never flatters.
--- a/crates/node/src/directory_task.rs
+++ b/crates/node/src/directory_task.rs
@@ -26,8 +26,8 @@
 /// Wait for an engine's load.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Failed load reads in a row after which a replica gets no new work.
-const FAILURES_TO_LEAVE: u32 = 2;
+/// A replica of which nothing was heard for this long is asked directly, microseconds.
+const UNHEARD_MICROS: u64 = 1_300_000;
 
 /// Reads the machine list.
 pub(crate) async fn run_list(shared: Arc<Shared>) {
@@ -43,46 +43,43 @@
     }
 }
 
-fn owned_replicas(shared: &Arc<Shared>) -> Vec<Arc<Replica>> {
+/// Replicas whose load this daemon reads itself: those it owns, and those of which it has heard nothing lately.
+fn replicas_to_read(shared: &Arc<Shared>) -> Vec<Arc<Replica>> {
     let owned = lock(&shared.ownership).replicas();
     let directory = shared.directory.load();
-    owned
-        .iter()
-        .filter_map(|id| directory.replicas.get(id).cloned())
-        .collect()
+    let now_micros = shared.now_micros();
+    let owned = owned.iter().filter_map(|id| directory.replicas.get(id));
+    let unheard = directory
+        .services
+        .values()
+        .flat_map(|entry| &entry.replicas)
+        .filter(|replica| replica.load.confirmation_age(now_micros) > UNHEARD_MICROS);
+    let mut replicas: Vec<Arc<Replica>> = owned.chain(unheard).cloned().collect();
+    replicas.sort_by_key(|replica| replica.number);
+    replicas.dedup_by_key(|replica| replica.number);
+    replicas
 }
 
-/// Reads the load of owned replicas; a replica that leaves or does not answer is taken out of the choice.
+/// Reads loads; a replica that leaves or does not answer is taken out of the choice.
 pub(crate) async fn run_loads(shared: Arc<Shared>) {
-    let mut failures: BTreeMap<String, u32> = BTreeMap::new();
     loop {
-        let replicas = owned_replicas(&shared);
+        let replicas = replicas_to_read(&shared);
+        let asked_at = shared.now();
         let reads = replicas.iter().map(|replica| async {
             let load = timeout(LOAD_TIMEOUT, replica.engine.load()).await;
             (replica.clone(), load.ok().and_then(Result::ok))
         });
         for (replica, load) in futures::future::join_all(reads).await {
-            let name = replica.machine.replica.0.clone();
-            match load {
-                Some(load) => {
-                    failures.remove(&name);
-                    take_load(&shared, &replica, load);
-                }
-                None => {
-                    let count = failures.entry(name.clone()).or_default();
-                    *count += 1;
-                    if *count >= FAILURES_TO_LEAVE {
-                        replica.load.set_unavailable(true);
-                        lock(&shared.runner).set_unavailable(&name, true);
-                    }
-                }
+            // Without an answer nothing is confirmed, and the last word soon grows too old to act on.
+            if let Some(load) = load {
+                take_load(&shared, &replica, load, asked_at);
             }
         }
         sleep(shared.settings.load_every).await;
     }
 }
 
-fn take_load(shared: &Arc<Shared>, replica: &Arc<Replica>, load: EngineLoad) {
+fn take_load(shared: &Arc<Shared>, replica: &Arc<Replica>, load: EngineLoad, as_of: Duration) {
     let unavailable = load.leaving || replica.machine.state == MachineState::Leaving;
     let report = LoadReport {
         running_online: load.running_online,
@@ -90,12 +87,11 @@
         waiting_prompt_tokens: load.waiting_prompt_tokens,
         waiting_online: load.waiting_online,
     };
-    let now_micros = u64::try_from(shared.now().as_micros()).unwrap_or(u64::MAX);
-    replica.load.report(report, now_micros);
-    replica.load.set_unavailable(unavailable);
-    let mut runner = lock(&shared.runner);
-    runner.set_unavailable(&replica.machine.replica.0, unavailable);
-    runner.set_report(&replica.machine.replica.0, load, shared.now());
+    let as_of_micros = u64::try_from(as_of.as_micros()).unwrap_or(u64::MAX);
+    replica.load.report(report, as_of_micros);
+    replica.load.confirm(unavailable, as_of_micros);
+    let name = &replica.machine.replica.0;
+    lock(&shared.runner).set_report(name, load, unavailable, as_of);
 }
 
 /// Tells owners of the online requests that this gateway has at their replicas.
@@ -140,6 +136,7 @@
         from: shared.identity.member.clone(),
         reply_to: shared.identity.udp_address.clone(),
         counts,
+        sent_at_ms: u64::try_from(shared.now().as_millis()).unwrap_or(u64::MAX),
     };
     if owner == shared.identity.member {
         shared.online.take(&notice, shared.now());
@@ -171,6 +168,7 @@
     let datagram = NodeDatagram {
         kind: Some(node_datagram::Kind::ReplicaReports(ReplicaReports {
             reports,
+            echo_ms: notice.sent_at_ms,
         })),
     };
     let bytes = encode(&datagram);
@@ -180,7 +178,7 @@
 /// Takes an owner's reports into the load estimates.
 pub(crate) fn take_reports(shared: &Arc<Shared>, reports: &ReplicaReports) {
     let directory = shared.directory.load();
-    let now_micros = u64::try_from(shared.now().as_micros()).unwrap_or(u64::MAX);
+    let asked_micros = reports.echo_ms * 1000;
     for report in &reports.reports {
         let id = harrierward_platform::ReplicaId(report.replica.clone());
         let Some(replica) = directory.replicas.get(&id) else {
@@ -193,9 +191,9 @@
             waiting_prompt_tokens: report.waiting_prompt_tokens,
             waiting_online: report.waiting_online,
         };
-        replica
-            .load
-            .report(load, now_micros.saturating_sub(age_micros));
-        replica.load.set_unavailable(report.unavailable);
+        // The answer may have waited since it was asked for, but not longer.
+        let as_of_micros = asked_micros.saturating_sub(age_micros);
+        replica.load.report(load, as_of_micros);
+        replica.load.confirm(report.unavailable, as_of_micros);
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,7 +3,9 @@
 //! Why apart: the program gives it sockets, and the fault simulation gives the very same code a network that
 //! loses, delays and cuts, on virtual time.
 
+mod assurance;
 mod batch_item;
+mod cancel_task;
 mod capacity_task;
 mod clock;
 mod config_task;
--- a/crates/node/src/membership_task.rs
+++ b/crates/node/src/membership_task.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use crate::node::{Shared, lock};
-use crate::{config_task, directory_task};
+use crate::{cancel_task, config_task, directory_task};
 
 const PREFIX: &str = "members:";
 const TICK: Duration = Duration::from_millis(100);
@@ -37,8 +37,10 @@
 fn step(shared: &Arc<Shared>, now: Duration) -> Vec<Action> {
     let backlog = advertised_backlog(shared);
     let config = config_word(shared, now);
+    let cancelled = lock(&shared.cancel_news).names(now);
     let mut membership = lock(&shared.membership);
     membership.set_config(config);
+    membership.set_cancelled_jobs(cancelled);
     membership.set_backlog(backlog);
     let actions = shared.with_random(|random| membership.tick(now, random));
     if membership.take_changed() {
@@ -86,6 +88,12 @@
     tokio::spawn(async move { send_all(&shared, actions).await });
 }
 
+/// Asks a member that reads the table regularly for its word on the configuration.
+pub(crate) async fn probe_poller(shared: &Arc<Shared>, poller: &str) {
+    let action = lock(&shared.membership).probe_member(poller, shared.now());
+    send_all(shared, action.into_iter().collect()).await;
+}
+
 async fn send_all(shared: &Arc<Shared>, actions: Vec<Action>) {
     for action in actions {
         let datagram = NodeDatagram {
@@ -125,14 +133,21 @@
 
 async fn receive_membership(shared: &Arc<Shared>, datagram: &Datagram) {
     let now = shared.now();
+    // The word must be of now, not of the last tick: this daemon may have been paused in between.
+    let config = config_word(shared, now);
     let (actions, word) = {
         let mut membership = lock(&shared.membership);
+        membership.set_config(config);
         let received = membership.receive(datagram, now);
         if membership.take_changed() {
             shared.view.store(Arc::new(membership.view()));
         }
         received
     };
+    if let Some(sent_at) = word.answers_probe_of {
+        lock(&shared.assurance).peer_answered(sent_at);
+    }
+    cancel_task::heard(shared, &word.cancelled_jobs);
     config_task::heard(shared, &word, now);
     send_all(shared, actions).await;
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -27,6 +27,8 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep};
 
+use crate::assurance::Assurance;
+use crate::cancel_task::CancelNews;
 use crate::clock::now_ms;
 use crate::network::PeerNetwork;
 use crate::online_view::OnlineView;
@@ -34,7 +36,8 @@
 use crate::runner::Runner;
 use crate::settings::NodeSettings;
 use crate::{
-    capacity_task, config_task, directory_task, membership_task, ownership, peer_service, runner,
+    cancel_task, capacity_task, config_task, directory_task, membership_task, ownership,
+    peer_service, runner,
 };
 
 const PREFIX: &str = "node:";
@@ -142,6 +145,8 @@
     pub plan: ArcSwap<CapacityPlan>,
     pub runner: Mutex<Runner>,
     pub runner_wake: Notify,
+    pub cancel_news: Mutex<CancelNews>,
+    pub assurance: Mutex<Assurance>,
     pub draining: AtomicBool,
     counter: AtomicU64,
     random: Mutex<StdRng>,
@@ -207,6 +212,7 @@
 impl Node {
     /// Starts a daemon on the current tokio runtime. It is ready once [`Node::is_ready`] says so.
     pub fn start(parts: NodeParts) -> Result<Self, StartError> {
+        let started = Instant::now();
         let settings = parts.settings;
         let identity = parts.identity;
         let budget = Arc::new(RateBudget::new(settings.store_rate, settings.store_rate));
@@ -234,6 +240,7 @@
             claims,
             metrics: GatewayMetrics::new(&parts.registry)?,
             now_ms,
+            started,
         };
         let gateway = Gateway::start(gateway_parts, settings.gateway);
         let (lost, lost_shards) = mpsc::unbounded_channel();
@@ -270,10 +277,12 @@
             plan: ArcSwap::from_pointee(CapacityPlan::default()),
             runner: Mutex::new(Runner::new(settings.slots)),
             runner_wake: Notify::new(),
+            cancel_news: Mutex::default(),
+            assurance: Mutex::default(),
             draining: AtomicBool::new(false),
             counter: AtomicU64::new(1),
             random: Mutex::new(StdRng::seed_from_u64(settings.seed)),
-            started: Instant::now(),
+            started,
             machines: parts.machines,
             network: parts.network,
             registry: parts.registry,
@@ -293,6 +302,7 @@
         tokio::spawn(directory_task::run_loads(shared.clone()));
         tokio::spawn(directory_task::run_notices(shared.clone()));
         tokio::spawn(ownership::run(shared.clone(), lost_shards));
+        tokio::spawn(cancel_task::run_confirm(shared.clone()));
         tokio::spawn(capacity_task::run(shared.clone()));
         tokio::spawn(runner::run_slots(shared.clone()));
         tokio::spawn(runner::run_results(shared.clone()));
@@ -392,9 +402,15 @@
         peer_service::announce_job(&self.shared, tenant, job_id, shard).await;
     }
 
-    /// A job's cancel was committed here: everybody who may run items of it is told.
+    /// A job's cancel was committed here: everybody who may run items of it is told. Returns once none of them can
+    /// start another.
     pub async fn job_cancelled(&self, tenant: &str, job_id: &str, shard: u32) {
-        peer_service::announce_cancel(&self.shared, tenant, job_id, shard).await;
+        let job = harrierward_wire::JobNotice {
+            tenant: tenant.to_owned(),
+            job_id: job_id.to_owned(),
+            shard,
+        };
+        cancel_task::announce(&self.shared, &job).await;
     }
 
     /// Answers a request of a peer.
@@ -482,6 +498,11 @@
 }
 
 impl Shared {
+    /// Time since start, microseconds, as replica loads are dated.
+    pub fn now_micros(&self) -> u64 {
+        u64::try_from(self.now().as_micros()).unwrap_or(u64::MAX)
+    }
+
     /// Time since start, by the monotonic clock.
     pub fn now(&self) -> Duration {
         self.started.elapsed()
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -1,24 +1,24 @@
-//! Answers peers, and tells them of accepted and cancelled jobs.
+//! Answers peers, and tells them of accepted jobs.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use harrierward_batch::shard_key;
-use harrierward_wire::{
-    CancelNotice, CancelReply, JobNotice, PeerReply, PeerRequest, PullReply, peer_reply,
-    peer_request,
-};
+use harrierward_wire::{JobNotice, PeerReply, PeerRequest, PullReply, peer_reply, peer_request};
 use tokio::time::timeout;
 
+use crate::cancel_task;
 use crate::node::{Shared, lock};
 
-/// Wait for a peer to take note of a cancel.
+/// Wait for a peer to take note of a job.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(700);
 
 pub(crate) async fn serve(shared: &Arc<Shared>, request: PeerRequest) -> PeerReply {
     let kind = match request.kind {
         Some(peer_request::Kind::Pull(pull)) => {
-            let reply = if shared.is_draining() {
+            // An owner that may have missed a cancel grants nothing.
+            let assured = lock(&shared.assurance).holds(shared.now());
+            let reply = if shared.is_draining() || !assured {
                 PullReply::default()
             } else {
                 shared.owner.pull(&pull)
@@ -33,8 +33,7 @@
             peer_reply::Kind::Noted(true)
         }
         Some(peer_request::Kind::Cancel(cancel)) => {
-            let stopped = cancel.job.map_or(0, |job| cancel_here(shared, &job));
-            peer_reply::Kind::Cancel(CancelReply { stopped })
+            peer_reply::Kind::Cancel(cancel_task::serve(shared, cancel).await)
         }
         Some(peer_request::Kind::ConfigDelta(request)) => {
             peer_reply::Kind::ConfigDelta(lock(&shared.config_replica).delta(request.after))
@@ -47,13 +46,6 @@
     PeerReply { kind: Some(kind) }
 }
 
-fn cancel_here(shared: &Arc<Shared>, job: &JobNotice) -> u32 {
-    shared.owner.cancel_job(&job.job_id);
-    let now = shared.now();
-    let stopped = lock(&shared.runner).cancel_job(&job.job_id, now);
-    u32::try_from(stopped).unwrap_or(u32::MAX)
-}
-
 /// Tells the shard's owner of a new job. If the notice is lost, the owner finds the job in the table later.
 pub(crate) async fn announce_job(shared: &Arc<Shared>, tenant: &str, job_id: &str, shard: u32) {
     let notice = JobNotice {
@@ -76,30 +68,3 @@
     };
     let _ = timeout(NOTICE_TIMEOUT, shared.network.call(&address, request)).await;
 }
-
-/// Tells every member in view of a cancel: any of them may run items of the job, whoever granted them.
-pub(crate) async fn announce_cancel(shared: &Arc<Shared>, tenant: &str, job_id: &str, shard: u32) {
-    let job = JobNotice {
-        tenant: tenant.to_owned(),
-        job_id: job_id.to_owned(),
-        shard,
-    };
-    cancel_here(shared, &job);
-    let view = shared.view.load_full();
-    let peers = view
-        .members
-        .iter()
-        .filter(|member| member.id != shared.identity.member);
-    let notices = peers.map(|member| {
-        let request = PeerRequest {
-            kind: Some(peer_request::Kind::Cancel(CancelNotice {
-                job: Some(job.clone()),
-            })),
-        };
-        timeout(
-            NOTICE_TIMEOUT,
-            shared.network.call(&member.peer_address, request),
-        )
-    });
-    futures::future::join_all(notices).await;
-}
--- a/crates/node/src/runner.rs
+++ b/crates/node/src/runner.rs
@@ -11,6 +11,7 @@
 use harrierward_capacity::{RunningBatchItem, SlotBudget, SlotSettings, select_victims};
 use harrierward_gateway::Replica;
 use harrierward_platform::EngineLoad;
+use harrierward_routing::CONFIRMATION_LIFETIME_MICROS;
 use harrierward_wire::{
     Grant, HandBack, ItemResult, PeerRequest, PullReply, PullRequest, ReplicaReport,
     ResultsRequest, RunningItem, peer_reply, peer_request,
@@ -99,13 +100,20 @@
     stopping: Option<StopReason>,
 }
 
+/// The last word of a replica.
+#[derive(Debug, Clone, Copy)]
+struct ReplicaWord {
+    load: EngineLoad,
+    unavailable: bool,
+    as_of: Duration,
+}
+
 struct ReplicaWork {
     replica: Arc<Replica>,
     epoch: u64,
     budget: SlotBudget,
-    unavailable: bool,
     removed: bool,
-    report: Option<(EngineLoad, Duration)>,
+    report: Option<ReplicaWord>,
     running: BTreeMap<String, RunningTask>,
 }
 
@@ -168,7 +176,6 @@
             replica,
             epoch,
             budget: SlotBudget::new(self.slots),
-            unavailable: false,
             removed: false,
             report: None,
             running: BTreeMap::new(),
@@ -191,23 +198,23 @@
         }
     }
 
-    pub fn set_unavailable(&mut self, name: &str, unavailable: bool) {
-        if let Some(work) = self.replicas.get_mut(name) {
-            work.unavailable = unavailable;
-        }
-    }
-
-    pub fn set_report(&mut self, name: &str, load: EngineLoad, now: Duration) {
+    /// Takes a replica's load, true at `as_of`.
+    pub fn set_report(&mut self, name: &str, load: EngineLoad, unavailable: bool, as_of: Duration) {
         if let Some(work) = self.replicas.get_mut(name) {
-            work.report = Some((load, now));
+            work.report = Some(ReplicaWord {
+                load,
+                unavailable,
+                as_of,
+            });
         }
     }
 
     /// Report of a replica for a gateway.
     pub fn report(&self, name: &str, now: Duration) -> Option<ReplicaReport> {
         let work = self.replicas.get(name)?;
-        let (load, read_at) = work.report?;
-        let age = now.saturating_sub(read_at).as_millis().min(1000);
+        let word = work.report?;
+        let load = word.load;
+        let age = now.saturating_sub(word.as_of).as_millis();
         Some(ReplicaReport {
             replica: name.to_owned(),
             running_online: load.running_online,
@@ -215,7 +222,7 @@
             waiting_online: load.waiting_online,
             waiting_prompt_tokens: load.waiting_prompt_tokens,
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-            unavailable: work.unavailable,
+            unavailable: word.unavailable,
         })
     }
 
@@ -269,6 +276,18 @@
         }
     }
 
+    /// Tenants of the jobs of which items are held.
+    pub fn job_tenants(&self) -> BTreeMap<String, String> {
+        let queued = self.queues.values().flatten().map(|queued| &queued.grant);
+        let works = self.replicas.values();
+        let running =
+            works.flat_map(|work| work.running.values().map(|running| &running.task.grant));
+        queued
+            .chain(running)
+            .map(|grant| (grant.job_id.clone(), grant.tenant.clone()))
+            .collect()
+    }
+
     /// Items held, by shard.
     fn held(&self) -> BTreeMap<u32, Vec<RunningItem>> {
         let mut held: BTreeMap<u32, Vec<RunningItem>> = BTreeMap::new();
@@ -326,6 +345,19 @@
     }
 }
 
+/// A replica whose availability was not confirmed for this long gets nothing new.
+const CONFIRMATION_LIFETIME: Duration = Duration::from_micros(CONFIRMATION_LIFETIME_MICROS);
+
+impl ReplicaWork {
+    /// True if new items may be started on the replica.
+    fn is_usable(&self, now: Duration) -> bool {
+        let confirmed = self.report.is_some_and(|word| {
+            !word.unavailable && now.saturating_sub(word.as_of) <= CONFIRMATION_LIFETIME
+        });
+        confirmed && !self.removed
+    }
+}
+
 impl RunningTask {
     fn stop(&mut self, reason: StopReason) {
         if self.stopping.is_none() || reason == StopReason::Forget {
@@ -350,7 +382,8 @@
     loop {
         let _ = timeout(shared.settings.batch_tick, shared.runner_wake.notified()).await;
         yield_slots(&shared);
-        if shared.is_draining() {
+        let assured = lock(&shared.assurance).holds(shared.now());
+        if shared.is_draining() || !assured {
             continue;
         }
         for task in start_items(&shared) {
@@ -487,7 +520,7 @@
     now: Duration,
 ) -> Option<QueuedGrant> {
     let work = runner.replicas.get_mut(name)?;
-    if work.unavailable || work.removed || work.running.len() >= limit {
+    if !work.is_usable(now) || work.running.len() >= limit {
         return None;
     }
     let queue = runner.queues.get_mut(service)?;
@@ -534,7 +567,7 @@
             let service = work.replica.machine.service.clone();
             let limit = work.budget.limit(now) as usize;
             let free = limit.saturating_sub(work.running.len());
-            if !work.unavailable && !work.removed {
+            if work.is_usable(now) {
                 *room.entry(service).or_default() += free;
             }
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,7 +10,7 @@
 mod subset;
 mod table;
 
-pub use load::{CostModel, LoadReport, ReplicaLoad};
+pub use load::{CONFIRMATION_LIFETIME_MICROS, CostModel, LoadReport, ReplicaLoad};
 pub use prefix_index::{PrefixIndex, PrefixOverlap};
 pub use strategy::Strategy;
 pub use subset::{SubsetMember, rank_by_rendezvous, stable_subset};
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -52,8 +52,13 @@
     waiting_prompt_tokens: AtomicU32,
     waiting_online: AtomicU32,
     unavailable: AtomicBool,
+    penalty_until_micros: AtomicU64,
+    confirmed_at_micros: AtomicU64,
 }
 
+/// A replica whose availability was not confirmed for this long gets nothing new: it may have left meanwhile.
+pub const CONFIRMATION_LIFETIME_MICROS: u64 = 2_500_000;
+
 impl ReplicaLoad {
     /// A request of `uncached_tokens` was sent.
     pub fn sent(&self, uncached_tokens: u32) {
@@ -90,14 +95,33 @@
             .store(as_of_micros, Ordering::Relaxed);
     }
 
-    /// Takes the replica out of, or back into, the choice.
-    pub fn set_unavailable(&self, unavailable: bool) {
-        self.unavailable.store(unavailable, Ordering::Relaxed);
+    /// Takes word of the replica, true at `as_of_micros`: it leaves or fails, or it may get new work.
+    /// Older word than what is known is ignored.
+    pub fn confirm(&self, unavailable: bool, as_of_micros: u64) {
+        let newest = self
+            .confirmed_at_micros
+            .fetch_max(as_of_micros, Ordering::Relaxed);
+        if as_of_micros >= newest {
+            self.unavailable.store(unavailable, Ordering::Relaxed);
+        }
+    }
+
+    /// The replica itself refused or broke: nothing new until `until_micros`.
+    pub fn penalize(&self, until_micros: u64) {
+        self.penalty_until_micros
+            .fetch_max(until_micros, Ordering::Relaxed);
+    }
+
+    /// Age of the newest word of the replica, microseconds.
+    pub fn confirmation_age(&self, now_micros: u64) -> u64 {
+        now_micros.saturating_sub(self.confirmed_at_micros.load(Ordering::Relaxed))
     }
 
-    /// True while the replica gets nothing new.
-    pub fn is_unavailable(&self) -> bool {
-        self.unavailable.load(Ordering::Relaxed)
+    /// True while the replica may get new work.
+    pub fn is_usable(&self, now_micros: u64) -> bool {
+        !self.unavailable.load(Ordering::Relaxed)
+            && self.penalty_until_micros.load(Ordering::Relaxed) <= now_micros
+            && self.confirmation_age(now_micros) <= CONFIRMATION_LIFETIME_MICROS
     }
 
     /// Online sequences believed to run: the report corrected by what this gateway did since.
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -86,8 +86,8 @@
             Strategy::ExpectedWait => {
                 return self.least_wait(request, index, excluded, now_micros, random);
             }
-            Strategy::RoundRobin => self.next_in_turn(excluded)?,
-            Strategy::LeastOutstanding => self.least_outstanding(excluded, random)?,
+            Strategy::RoundRobin => self.next_in_turn(excluded, now_micros)?,
+            Strategy::LeastOutstanding => self.least_outstanding(excluded, now_micros, random)?,
         };
         let load = &self.entries[position].load;
         let uncached = f64::from(request.prompt_tokens);
@@ -98,24 +98,29 @@
         })
     }
 
-    fn usable(&self, position: usize, excluded: &[usize]) -> bool {
+    fn usable(&self, position: usize, excluded: &[usize], now_micros: u64) -> bool {
         let entry = &self.entries[position];
-        !excluded.contains(&position) && !entry.load.is_unavailable()
+        !excluded.contains(&position) && entry.load.is_usable(now_micros)
     }
 
-    fn next_in_turn(&self, excluded: &[usize]) -> Option<usize> {
+    fn next_in_turn(&self, excluded: &[usize], now_micros: u64) -> Option<usize> {
         let count = self.entries.len();
         (0..count)
             .map(|_| self.turn.fetch_add(1, Ordering::Relaxed) % count)
-            .find(|position| self.usable(*position, excluded))
+            .find(|position| self.usable(*position, excluded, now_micros))
     }
 
-    fn least_outstanding(&self, excluded: &[usize], random: &mut impl Rng) -> Option<usize> {
+    fn least_outstanding(
+        &self,
+        excluded: &[usize],
+        now_micros: u64,
+        random: &mut impl Rng,
+    ) -> Option<usize> {
         let count = self.entries.len();
         let start = random.random_range(0..count.max(1));
         (0..count)
             .map(|offset| (start + offset) % count)
-            .filter(|position| self.usable(*position, excluded))
+            .filter(|position| self.usable(*position, excluded, now_micros))
             .min_by_key(|position| self.entries[*position].load.in_flight())
     }
 
@@ -148,7 +153,8 @@
         let mut looked_at = 0;
         for overlap in &overlaps {
             let position = self.position(overlap.replica);
-            let Some(position) = position.filter(|position| self.usable(*position, excluded))
+            let Some(position) =
+                position.filter(|position| self.usable(*position, excluded, now_micros))
             else {
                 continue;
             };
@@ -159,7 +165,7 @@
             }
         }
         for _ in 0..RANDOM_CANDIDATES {
-            let Some(position) = self.random_usable(excluded, random) else {
+            let Some(position) = self.random_usable(excluded, now_micros, random) else {
                 break;
             };
             let number = self.entries[position].number;
@@ -176,7 +182,12 @@
     }
 
     /// A usable replica, from a random start.
-    fn random_usable(&self, excluded: &[usize], random: &mut impl Rng) -> Option<usize> {
+    fn random_usable(
+        &self,
+        excluded: &[usize],
+        now_micros: u64,
+        random: &mut impl Rng,
+    ) -> Option<usize> {
         let count = self.entries.len();
         if count == 0 {
             return None;
@@ -184,6 +195,6 @@
         let start = random.random_range(0..count);
         (0..count)
             .map(|offset| (start + offset) % count)
-            .find(|position| self.usable(*position, excluded))
+            .find(|position| self.usable(*position, excluded, now_micros))
     }
 }
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -92,6 +92,9 @@
     /// Age of the sender's proof that this revision is the newest, milliseconds plus one; 0 if it has none.
     #[prost(uint64, tag = "7")]
     pub config_age_ms: u64,
+    /// Jobs cancelled lately: nothing of them may be started.
+    #[prost(string, repeated, tag = "8")]
+    pub cancelled_jobs: Vec<String>,
 }
 
 /// Online requests of one gateway at one replica, for the replica's owner.
@@ -120,6 +123,9 @@
     /// Counts by replica.
     #[prost(message, repeated, tag = "3")]
     pub counts: Vec<OnlineCount>,
+    /// Sender's clock, milliseconds; comes back with the reports, so that their age is known.
+    #[prost(uint64, tag = "4")]
+    pub sent_at_ms: u64,
 }
 
 /// Load of one replica as its owner knows it.
@@ -154,6 +160,9 @@
     /// The reports.
     #[prost(message, repeated, tag = "1")]
     pub reports: Vec<ReplicaReport>,
+    /// `sent_at_ms` of the notice that is answered.
+    #[prost(uint64, tag = "2")]
+    pub echo_ms: u64,
 }
 
 /// Any datagram between daemons.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -158,6 +158,9 @@
     /// The job.
     #[prost(message, optional, tag = "1")]
     pub job: Option<JobNotice>,
+    /// Address of a member that the receiver must tell in turn; its answer is passed back.
+    #[prost(string, tag = "2")]
+    pub relay_to: String,
 }
 
 /// Answer to a cancel notice.
@@ -166,6 +169,9 @@
     /// Running items that were stopped.
     #[prost(uint32, tag = "1")]
     pub stopped: u32,
+    /// The member that was to be told has taken note.
+    #[prost(bool, tag = "2")]
+    pub noted: bool,
 }
 
 /// Asks for configuration changes above a revision.
