Faults found by simulation, mended: split fleets, lost inputs, twice-run items, stale counts

Ruled out: fences (the conditions hold; turning them off is caught). The simulation itself is now repeatable: a watch channel's random wake order was replaced.

--- a/crates/batch/src/core/chunk.rs
+++ b/crates/batch/src/core/chunk.rs
@@ -41,14 +41,6 @@
     Loaded(Vec<InputItem>),
 }
 
-/// What is being written for the chunk.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum InFlight {
-    Nothing,
-    Intents,
-    Results,
-}
-
 /// A chunk with items left to run or to commit.
 #[derive(Debug, Clone)]
 pub(super) struct ActiveChunk {
@@ -76,7 +68,8 @@
     pub doubtful: BTreeMap<u32, Duration>,
     pub finished: Vec<FinishedItem>,
     pub finished_since: Option<Duration>,
-    pub in_flight: InFlight,
+    /// Id of the commit in flight. The outcome of any other commit, of an earlier ownership, must not be taken.
+    pub in_flight: Option<u64>,
     pub commits: u32,
 }
 
@@ -99,7 +92,7 @@
             doubtful: BTreeMap::new(),
             finished: Vec::new(),
             finished_since: None,
-            in_flight: InFlight::Nothing,
+            in_flight: None,
             commits: 0,
         }
     }
@@ -207,7 +200,7 @@
         self.results = row.results.clone();
         self.completed = row.completed;
         self.failed = row.failed;
-        self.in_flight = InFlight::Nothing;
+        self.in_flight = None;
         let done = self.done;
         self.finished.retain(|item| !done.contains(item.item));
         if self.finished.is_empty() {
@@ -319,7 +312,6 @@
 
     /// Moves the next items into the intents in flight.
     pub fn start_intents(&mut self, most: usize) -> ItemSet {
-        self.in_flight = InFlight::Intents;
         for _ in 0..most {
             let Some(number) = self.wants_intent.pop_front() else {
                 break;
@@ -338,7 +330,7 @@
 
     /// The write certainly did not happen.
     pub fn commit_failed(&mut self) {
-        self.in_flight = InFlight::Nothing;
+        self.in_flight = None;
         let items: Vec<u32> = self.intents_in_flight.iter().collect();
         for number in items.into_iter().rev() {
             self.wants_intent.push_front(number);
--- a/crates/batch/src/core/commit.rs
+++ b/crates/batch/src/core/commit.rs
@@ -18,6 +18,8 @@
 /// A chunk row to write, conditional on the shard's ownership row and the chunk row being unchanged.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ChunkCommit {
+    /// Id, by which the chunk knows its commit again.
+    pub id: u64,
     /// Why.
     pub kind: CommitKind,
     /// Shard.
--- a/crates/batch/src/core/job.rs
+++ b/crates/batch/src/core/job.rs
@@ -23,8 +23,8 @@
     pub row: JobRow,
     /// The job row's revision.
     pub revision: u64,
-    /// Chunk rows that exist.
-    pub chunks: Vec<StoredChunk>,
+    /// Chunk rows that exist; `None` if they were not read, because the job was held already.
+    pub chunks: Option<Vec<StoredChunk>>,
 }
 
 #[derive(Debug, Clone)]
@@ -43,15 +43,18 @@
     pub revision: u64,
     pub chunks: Vec<ChunkState>,
     pub cancelled: bool,
+    /// The ending is being written.
     pub ending: bool,
+    /// An ending was written or may have been: its counts stand, so nothing more is committed.
+    pub closed: bool,
 }
 
 impl JobWork {
-    pub fn new(load: JobLoad) -> Self {
-        let count = load.row.items.div_ceil(CHUNK_ITEMS) as usize;
+    pub fn new(row: JobRow, revision: u64, stored_chunks: Vec<StoredChunk>) -> Self {
+        let count = row.items.div_ceil(CHUNK_ITEMS) as usize;
         let mut chunks = vec![ChunkState::Untouched; count];
-        for stored in load.chunks {
-            let size = chunk_size(load.row.items, stored.number);
+        for stored in stored_chunks {
+            let size = chunk_size(row.items, stored.number);
             let Some(slot) = chunks.get_mut(stored.number as usize) else {
                 continue;
             };
@@ -65,13 +68,14 @@
                 ChunkState::Active(Box::new(chunk))
             };
         }
-        let cancelled = load.row.state != JobState::InProgress as i32;
+        let cancelled = row.state != JobState::InProgress as i32;
         Self {
-            row: load.row,
-            revision: load.revision,
+            row,
+            revision,
             chunks,
             cancelled,
             ending: false,
+            closed: false,
         }
     }
 
--- a/crates/batch/src/core/owner.rs
+++ b/crates/batch/src/core/owner.rs
@@ -8,7 +8,7 @@
     RunningItem,
 };
 
-use super::chunk::{ActiveChunk, Body, FinishedItem, GrantState, InFlight, InputItem};
+use super::chunk::{ActiveChunk, Body, FinishedItem, GrantState, InputItem};
 use super::commit::{ChunkCommit, CommitKind, CommitOutcome, JobEnding};
 use super::job::{ChunkState, JobLoad, JobWork, chunk_size};
 use crate::item_set::ItemSet;
@@ -76,6 +76,9 @@
     wanted: Vec<ChunkRef>,
     closing: BTreeSet<u32>,
     cancelled: VecDeque<String>,
+    /// Commits whose outcome is not known yet, by job. A job is neither read again nor ended while there are any,
+    /// because what was read could be older than what they wrote.
+    outstanding: BTreeMap<String, u32>,
     next_attempt: u64,
     buffered: usize,
 }
@@ -92,6 +95,7 @@
             wanted: Vec::new(),
             closing: BTreeSet::new(),
             cancelled: VecDeque::new(),
+            outstanding: BTreeMap::new(),
             next_attempt: 0,
             buffered: 0,
         }
@@ -175,9 +179,15 @@
             }
             return;
         }
+        if self.outstanding.contains_key(&load.row.job_id) {
+            return;
+        }
+        let Some(chunks) = load.chunks else {
+            return;
+        };
         self.join_round(&load.row.tenant);
         let job_id = load.row.job_id.clone();
-        let mut job = JobWork::new(load);
+        let mut job = JobWork::new(load.row, load.revision, chunks);
         job.cancelled |= self.cancelled.contains(&job_id);
         self.jobs.insert(job_id, job);
     }
@@ -246,7 +256,7 @@
     pub fn is_flushed(&self, shard: u32) -> bool {
         let jobs = self.jobs.values().filter(|job| job.row.shard == shard);
         jobs.flat_map(JobWork::actives)
-            .all(|(_, chunk)| chunk.finished.is_empty() && chunk.in_flight == InFlight::Nothing)
+            .all(|(_, chunk)| chunk.finished.is_empty() && chunk.in_flight.is_none())
     }
 
     fn backlog_of(&self, service: &str) -> u32 {
@@ -425,6 +435,9 @@
         let Some(job) = self.jobs.get_mut(&result.job_id) else {
             return;
         };
+        if job.closed {
+            return;
+        }
         let number = result.item % CHUNK_ITEMS;
         let Some(chunk) = job.touch(result.item / CHUNK_ITEMS) else {
             return;
@@ -457,9 +470,12 @@
         if !current {
             return;
         }
-        let at_most_once = chunk.item(number).is_some_and(|item| item.at_most_once);
         chunk.grants.remove(&number);
-        match (at_most_once, may_have_run) {
+        // Before the input lines are here nobody knows whether the item may run again; loading them decides.
+        let Some(input) = chunk.item(number) else {
+            return;
+        };
+        match (input.at_most_once, may_have_run) {
             (false, _) => chunk.ready.push_front(number),
             (true, false) => chunk.intent_ready.push_front(number),
             (true, true) => {
@@ -511,21 +527,22 @@
         let cancelled = job.cancelled;
         let shard_number = job.row.shard;
         for (number, chunk) in job.actives_mut() {
-            if chunk.in_flight != InFlight::Nothing {
+            if chunk.in_flight.is_some() {
                 continue;
             }
             let commit = if chunk.results_due(now, hurry, &settings) {
                 self.next_attempt += 1;
+                chunk.in_flight = Some(self.next_attempt);
                 let object = format!(
                     "result/{job_id}/{number:06}-{}-{}-{}",
                     shard.epoch, self.member, self.next_attempt
                 );
-                chunk.in_flight = InFlight::Results;
                 let items = chunk.finished.clone();
                 let row = chunk.row_with(shard.epoch, &items, Some(&object), ItemSet::default());
                 counts.completed += row.completed - chunk.completed;
                 counts.failed += row.failed - chunk.failed;
                 ChunkCommit {
+                    id: self.next_attempt,
                     kind: CommitKind::Results,
                     shard: shard_number,
                     shard_revision: shard.revision,
@@ -538,8 +555,11 @@
                     items,
                 }
             } else if !cancelled && chunk.wants_intents(&settings) {
+                self.next_attempt += 1;
+                chunk.in_flight = Some(self.next_attempt);
                 let intents = chunk.start_intents(settings.intents_ahead);
                 ChunkCommit {
+                    id: self.next_attempt,
                     kind: CommitKind::Intents,
                     shard: shard_number,
                     shard_revision: shard.revision,
@@ -554,6 +574,7 @@
             } else {
                 continue;
             };
+            *self.outstanding.entry(job_id.to_owned()).or_default() += 1;
             commits.push(commit);
             if let Some(last) = commits.last_mut() {
                 last.progress = ProgressRow {
@@ -564,18 +585,42 @@
         }
     }
 
-    /// Takes what became of a chunk commit.
-    pub fn commit_finished(&mut self, commit: &ChunkCommit, outcome: CommitOutcome) {
-        if outcome == CommitOutcome::ShardLost {
-            self.drop_shard(commit.shard);
+    /// Forgets a shard that a write of the present ownership found lost; true if it was held until now.
+    fn lose_shard(&mut self, shard: u32, shard_revision: u64) -> bool {
+        let current = self.shards.get(&shard);
+        let lost = current.is_some_and(|state| state.revision == shard_revision);
+        if lost {
+            self.drop_shard(shard);
+        }
+        lost
+    }
+
+    /// The outcome of a commit is known, or no longer matters because the shard is not held any more.
+    fn settle_outstanding(&mut self, job_id: &str) {
+        let Some(count) = self.outstanding.get_mut(job_id) else {
             return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.outstanding.remove(job_id);
+        }
+    }
+
+    /// Takes what became of a chunk commit; true if the shard turned out to be lost.
+    pub fn commit_finished(&mut self, commit: &ChunkCommit, outcome: CommitOutcome) -> bool {
+        self.settle_outstanding(&commit.job_id);
+        if outcome == CommitOutcome::ShardLost {
+            return self.lose_shard(commit.shard, commit.shard_revision);
         }
         let Some(job) = self.jobs.get_mut(&commit.job_id) else {
-            return;
+            return false;
         };
         let Some(chunk) = job.active_mut(commit.chunk) else {
-            return;
+            return false;
         };
+        if chunk.in_flight != Some(commit.id) {
+            return false;
+        }
         match outcome {
             CommitOutcome::Committed { revision } => {
                 chunk.apply_row(&commit.row, revision);
@@ -599,6 +644,7 @@
             CommitOutcome::Stale => self.forget_job(&commit.job_id),
             CommitOutcome::ShardLost => {}
         }
+        false
     }
 
     /// Jobs that can end now: complete, or cancelled with nothing left to commit.
@@ -608,10 +654,12 @@
             let Some(shard) = self.shards.get(&job.row.shard) else {
                 continue;
             };
-            if job.ending || !can_end(job) {
+            let outstanding = self.outstanding.contains_key(&job.row.job_id);
+            if job.ending || outstanding || !can_end(job) {
                 continue;
             }
             job.ending = true;
+            job.closed = true;
             let counts = job.committed();
             let mut row = job.row.clone();
             row.completed = counts.completed;
@@ -632,19 +680,26 @@
         endings
     }
 
-    /// Takes what became of a job's ending.
-    pub fn ending_finished(&mut self, ending: &JobEnding, outcome: CommitOutcome) {
+    /// Takes what became of a job's ending; true if the shard turned out to be lost.
+    pub fn ending_finished(&mut self, ending: &JobEnding, outcome: CommitOutcome) -> bool {
+        if outcome == CommitOutcome::ShardLost {
+            return self.lose_shard(ending.shard, ending.shard_revision);
+        }
+        let current = self.shards.get(&ending.shard);
+        if current.is_none_or(|state| state.revision != ending.shard_revision) {
+            return false;
+        }
         match outcome {
             CommitOutcome::Committed { .. } | CommitOutcome::Stale => {
                 self.forget_job(&ending.row.job_id);
             }
-            CommitOutcome::ShardLost => self.drop_shard(ending.shard),
-            CommitOutcome::NotDone => {
+            CommitOutcome::NotDone | CommitOutcome::ShardLost => {
                 if let Some(job) = self.jobs.get_mut(&ending.row.job_id) {
                     job.ending = false;
                 }
             }
         }
+        false
     }
 }
 
@@ -664,7 +719,7 @@
     job.cancelled
         && job
             .actives()
-            .all(|(_, chunk)| chunk.in_flight == InFlight::Nothing && chunk.finished.is_empty())
+            .all(|(_, chunk)| chunk.in_flight.is_none() && chunk.finished.is_empty())
 }
 
 /// Asks for the next chunks of a job that has few loaded items left.
--- a/crates/batch/src/files.rs
+++ b/crates/batch/src/files.rs
@@ -252,8 +252,10 @@
     /// Ends the upload: the file exists once this returns.
     pub async fn finish(mut self) -> Result<FileRow, BatchError> {
         let finished = self.try_finish().await;
-        if finished.is_err() {
-            self.abandon().await;
+        match &finished {
+            // The file may exist, and a resend would be given it: its parts must stay.
+            Ok(_) | Err(BatchError::Unsettled(_)) => {}
+            Err(_) => self.abandon().await,
         }
         finished
     }
--- a/crates/batch/src/owner.rs
+++ b/crates/batch/src/owner.rs
@@ -256,9 +256,9 @@
             return Ok(());
         }
         let chunks = if self.lock().has_job(job_id) {
-            Vec::new()
+            None
         } else {
-            self.read_chunks(job_id).await?
+            Some(self.read_chunks(job_id).await?)
         };
         self.lock().load_job(JobLoad {
             row,
@@ -328,11 +328,11 @@
                 }
             }
             if !self.lock().owns(commit.shard) {
-                return;
+                break CommitOutcome::ShardLost;
             }
         };
-        self.lock().commit_finished(&commit, outcome);
-        self.report_lost(commit.shard, outcome);
+        let lost = self.lock().commit_finished(&commit, outcome);
+        self.report_lost(commit.shard, lost);
         self.wake.notify_one();
     }
 
@@ -384,8 +384,8 @@
         if outcome == CommitOutcome::NotDone {
             sleep(FIRST_WAIT * 4).await;
         }
-        self.lock().ending_finished(&ending, outcome);
-        self.report_lost(ending.shard, outcome);
+        let lost = self.lock().ending_finished(&ending, outcome);
+        self.report_lost(ending.shard, lost);
     }
 
     /// A lost answer leaves the outcome "not done": the next try finds the job row changed and forgets the job,
@@ -405,8 +405,8 @@
         })
     }
 
-    fn report_lost(&self, shard: u32, outcome: CommitOutcome) {
-        if outcome == CommitOutcome::ShardLost {
+    fn report_lost(&self, shard: u32, lost: bool) {
+        if lost {
             log::info!("{PREFIX} shard {shard} belongs to another member now");
             self.events.shard_lost(shard);
         }
--- a/crates/bench/src/faults/checker.rs
+++ b/crates/bench/src/faults/checker.rs
@@ -162,7 +162,7 @@
     for id in &job.at_most_once {
         let runs = executions.get(&job.prompts[id]).map_or(0, Vec::len);
         if runs > 1 {
-            let detail = format!("{key} {id}: {runs} runs");
+            let detail = format!("{key} {id}: {:?}", executions[&job.prompts[id]]);
             checked.report("at-most-once runs at most once", detail);
         }
     }
@@ -278,7 +278,10 @@
         };
         let refused = engine.refused_leaving().into_iter();
         for late in refused.filter(|refused| refused.at > *left + LEAVE_BOUND) {
-            let detail = format!("{name} left at {left:?}: {} at {:?}", late.request_id, late.at);
+            let detail = format!(
+                "{name} left at {left:?}: {} at {:?}",
+                late.request_id, late.at
+            );
             checked.report("a leaving back end gets no new work", detail);
         }
     }
--- a/crates/bench/src/faults/clients.rs
+++ b/crates/bench/src/faults/clients.rs
@@ -130,7 +130,6 @@
         maximum_tokens,
         model: model.to_owned(),
         marked,
-        ended: world.now(),
         outcome,
     });
 }
--- a/crates/bench/src/faults/gate.rs
+++ b/crates/bench/src/faults/gate.rs
@@ -9,7 +9,7 @@
 
 use futures::{Stream, StreamExt};
 use harrierward_platform::{EngineError, EngineEvent, EventStream};
-use tokio::sync::watch;
+use tokio::sync::Notify;
 
 /// What passes the gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,10 +24,17 @@
 
 type SharedStream = Arc<Mutex<Option<EventStream>>>;
 
+#[derive(Debug)]
+struct Border {
+    state: Mutex<GateState>,
+    /// Wakes those who wait, in the order they came, so that a run can be repeated.
+    changed: Notify,
+}
+
 /// The gate of one daemon; cheap to clone.
 #[derive(Clone)]
 pub struct Gate {
-    state: watch::Sender<GateState>,
+    border: Arc<Border>,
     streams: Arc<Mutex<Vec<SharedStream>>>,
 }
 
@@ -40,36 +47,39 @@
 impl Gate {
     /// An open gate.
     pub fn new() -> Self {
+        let border = Border {
+            state: Mutex::new(GateState::Open),
+            changed: Notify::new(),
+        };
         Self {
-            state: watch::channel(GateState::Open).0,
+            border: Arc::new(border),
             streams: Arc::default(),
         }
     }
 
     /// The present state.
     pub fn state(&self) -> GateState {
-        *self.state.borrow()
+        *lock(&self.border.state)
+    }
+
+    async fn wait_for(&self, wanted: GateState) {
+        loop {
+            let changed = self.border.changed.notified();
+            if self.state() == wanted {
+                return;
+            }
+            changed.await;
+        }
     }
 
     /// Waits until the gate is open; for ever if it is closed.
     pub async fn pass(&self) {
-        let mut state = self.state.subscribe();
-        let open = state
-            .wait_for(|state| *state == GateState::Open)
-            .await
-            .is_ok();
-        if !open {
-            std::future::pending::<()>().await;
-        }
+        self.wait_for(GateState::Open).await;
     }
 
     /// Waits until the gate is closed.
     pub async fn closed(&self) {
-        let mut state = self.state.subscribe();
-        let closed = state.wait_for(|state| *state == GateState::Closed);
-        if closed.await.is_err() {
-            std::future::pending::<()>().await;
-        }
+        self.wait_for(GateState::Closed).await;
     }
 
     /// Passes, runs `call` and passes again: a pause may fall before the call or before its answer is seen.
@@ -82,11 +92,13 @@
 
     /// Pauses or opens the gate, unless it is closed.
     pub fn set(&self, next: GateState) {
-        self.state.send_modify(|state| {
+        {
+            let mut state = lock(&self.border.state);
             if *state != GateState::Closed {
                 *state = next;
             }
-        });
+        }
+        self.border.changed.notify_waiters();
         if next == GateState::Closed {
             // Connections of a lost machine break: engines see their readers go.
             for stream in lock(&self.streams).drain(..) {
--- a/crates/bench/src/faults/gated_platform.rs
+++ b/crates/bench/src/faults/gated_platform.rs
@@ -14,6 +14,8 @@
     TransactionOutcome, WeightStore, WeightTransfer, Write,
 };
 
+use harrierward_wire::{JobRow, JobState, decode, encode};
+
 use super::gate::Gate;
 use super::world::BrokenGuards;
 
@@ -27,6 +29,18 @@
 /// Rows whose conditions fence earlier owners.
 const FENCED_PREFIXES: [&str; 2] = ["owner/shard/", "chunk/"];
 
+/// The row of a job as it was before its cancel.
+fn hide_cancel(mut row: Row) -> Row {
+    if row.key.starts_with("job/")
+        && let Some(mut job) = decode::<JobRow>(&row.value)
+        && job.state == JobState::Cancelling as i32
+    {
+        job.state = JobState::InProgress as i32;
+        row.value = encode(&job).into();
+    }
+    row
+}
+
 fn without_fences(mut transaction: Transaction) -> Transaction {
     transaction.conditions.retain(|condition| {
         let key = condition.key();
@@ -63,7 +77,11 @@
         keys: &[String],
     ) -> Result<Vec<Option<Row>>, PlatformError> {
         let call = Table::get(&self.platform, class, keys);
-        self.gate.around(call).await
+        let rows = self.gate.around(call).await?;
+        if self.broken.no_cancel_notice && class == RequestClass::Urgent {
+            return Ok(rows.into_iter().map(|row| row.map(hide_cancel)).collect());
+        }
+        Ok(rows)
     }
 
     async fn scan(
--- a/crates/bench/src/faults/history.rs
+++ b/crates/bench/src/faults/history.rs
@@ -41,8 +41,6 @@
     pub model: String,
     /// Must run at most once.
     pub marked: bool,
-    /// When the outcome was seen.
-    pub ended: Duration,
     /// Outcome.
     pub outcome: OnlineOutcome,
 }
--- a/crates/bench/src/faults/world.rs
+++ b/crates/bench/src/faults/world.rs
@@ -28,6 +28,9 @@
 /// Engines of each service.
 const ENGINES_A_SERVICE: usize = 3;
 
+/// Sequences that an engine runs at once.
+const ENGINE_SEQUENCES: usize = 12;
+
 /// Daemons.
 pub const DAEMONS: usize = 3;
 
@@ -56,7 +59,7 @@
     pub no_claims: bool,
     /// Events look as if they were the reader's own and in sequence, so that checking them is in vain.
     pub no_event_check: bool,
-    /// Cancels are committed but told to nobody.
+    /// Cancels are committed, but told to nobody and not found by those who ask.
     pub no_cancel_notice: bool,
 }
 
@@ -98,7 +101,11 @@
             for number in 0..ENGINES_A_SERVICE {
                 let name = format!("{service}-{number}");
                 let models = vec![service.to_owned()];
-                let parameters = EngineParameters::default();
+                // Small engines, so that jobs last long enough for faults to meet them.
+                let parameters = EngineParameters {
+                    maximum_running: ENGINE_SEQUENCES,
+                    ..EngineParameters::default()
+                };
                 let engine = EngineHandle::start(&name, parameters, models, 1.0, true);
                 platform.seed_machine(Machine {
                     replica: ReplicaId(name.clone()),
@@ -251,6 +258,7 @@
             seed: number,
             ..NodeSettings::default()
         };
+        settings.slots.maximum_running = ENGINE_SEQUENCES as u32;
         settings.gateway.seed = number;
         settings.gateway.stall_timeout = Duration::from_secs(4);
         settings.owner.core.commit_after = Duration::from_secs(1);
--- a/crates/emulator/src/engine_handle.rs
+++ b/crates/emulator/src/engine_handle.rs
@@ -341,7 +341,9 @@
             if let Err(refusal) = inner.core.submit(request) {
                 if refusal == SubmitRefusal::Leaving {
                     let at = self.shared.started.elapsed();
-                    inner.refused_leaving.push(RefusedLeaving { request_id, at });
+                    inner
+                        .refused_leaving
+                        .push(RefusedLeaving { request_id, at });
                 }
                 return Err(self.refusal(STEP, sent, refusal));
             }
--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -94,6 +94,13 @@
     (new.incarnation, new.state) > (old.incarnation, old.state)
 }
 
+impl Known {
+    /// True unless the member left for good.
+    fn may_answer(&self) -> bool {
+        state_of(&self.record) != MemberState::Dead || !self.left
+    }
+}
+
 impl MembershipCore {
     /// A daemon that knows only itself. `own.incarnation` must be higher than in any earlier life of the id.
     pub fn new(settings: MembershipSettings, own: MemberRecord) -> Self {
@@ -244,6 +251,17 @@
         self.known.get(id).map(|known| state_of(&known.record))
     }
 
+    /// What this member says of itself.
+    pub fn own_record(&self) -> MemberRecord {
+        self.own.clone()
+    }
+
+    /// How long a member has been in its state; `None` if unknown.
+    pub fn state_age(&self, id: &str, now: Duration) -> Option<Duration> {
+        let known = self.known.get(id)?;
+        Some(now.saturating_sub(known.state_since))
+    }
+
     /// UDP address of a member; `None` if unknown.
     pub fn udp_address(&self, id: &str) -> Option<String> {
         self.address(id)
@@ -282,16 +300,32 @@
     fn probe(&mut self, target: String, address: String, now: Duration) -> Action {
         let number = self.next_number;
         self.next_number += 1;
+        let target_id = target.clone();
         self.probes.push(Probe {
             number,
             target,
             sent_at: now,
             indirect_sent: false,
         });
-        let datagram = self.datagram(DatagramKind::Ping, number, String::new());
+        let mut datagram = self.datagram(DatagramKind::Ping, number, String::new());
+        self.tell_of_trouble(&target_id, &mut datagram);
         Action { address, datagram }
     }
 
+    /// Tells a member that it is held for suspect or dead, so that it can refute it.
+    fn tell_of_trouble(&self, id: &str, datagram: &mut Datagram) {
+        let Some(known) = self.known.get(id) else {
+            return;
+        };
+        let troubled = matches!(
+            state_of(&known.record),
+            MemberState::Suspect | MemberState::Dead
+        );
+        if troubled && !datagram.records.contains(&known.record) {
+            datagram.records.push(known.record.clone());
+        }
+    }
+
     /// Walks all probed members in random order, so that each is probed within a bounded time. Members of other
     /// regions are probed more rarely.
     fn next_target(&mut self, random: &mut impl Rng) -> Option<String> {
@@ -303,13 +337,7 @@
                 }
             }
             let id = self.order.pop()?;
-            let probed = self.known.get(&id).is_some_and(|known| {
-                matches!(
-                    state_of(&known.record),
-                    MemberState::Alive | MemberState::Suspect | MemberState::Leaving
-                )
-            });
-            if probed {
+            if self.known.get(&id).is_some_and(Known::may_answer) {
                 return Some(id);
             }
         }
@@ -319,11 +347,13 @@
         let mut order: Vec<String> = Vec::new();
         for known in self.known.values() {
             let record = &known.record;
-            if record.id == self.own.id || state_of(record) == MemberState::Dead {
+            if record.id == self.own.id || !known.may_answer() {
                 continue;
             }
+            // Dead members are probed too, more rarely: a cut may have mended since.
             let near = record.region == self.own.region;
-            if near || random.random_range(0..self.settings.far_probe_one_in) == 0 {
+            let often = near && state_of(record) != MemberState::Dead;
+            if often || random.random_range(0..self.settings.rare_probe_one_in) == 0 {
                 order.push(record.id.clone());
             }
         }
@@ -448,7 +478,8 @@
         let Some(address) = self.address(&ping.from) else {
             return Vec::new();
         };
-        let datagram = self.datagram(DatagramKind::Ack, ping.probe, String::new());
+        let mut datagram = self.datagram(DatagramKind::Ack, ping.probe, String::new());
+        self.tell_of_trouble(&ping.from, &mut datagram);
         vec![Action { address, datagram }]
     }
 
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -19,8 +19,8 @@
     pub records_per_datagram: usize,
     /// Each record is passed on this many times, times the logarithm of the fleet's size.
     pub spread_factor: usize,
-    /// One probe in so many goes to another region.
-    pub far_probe_one_in: u64,
+    /// Members of other regions, and dead ones, are in one round of probes out of so many.
+    pub rare_probe_one_in: u64,
     /// How long a dead member is remembered.
     pub forget_dead: Duration,
 }
@@ -35,7 +35,7 @@
             indirect_probes: 3,
             records_per_datagram: 6,
             spread_factor: 3,
-            far_probe_one_in: 8,
+            rare_probe_one_in: 8,
             forget_dead: Duration::from_secs(600),
         }
     }
--- a/crates/node/src/config_task.rs
+++ b/crates/node/src/config_task.rs
@@ -124,7 +124,8 @@
     }
 }
 
-fn is_poller(shared: &Arc<Shared>) -> bool {
+/// True for the few members of a zone that read the table on behalf of the others.
+pub(crate) fn is_poller(shared: &Arc<Shared>) -> bool {
     pollers(shared).contains(&shared.identity.member)
 }
 
--- a/crates/node/src/directory_task.rs
+++ b/crates/node/src/directory_task.rs
@@ -26,6 +26,9 @@
 /// Wait for an engine's load.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Pause while no replica is known.
+const FIRST_LOOK: Duration = Duration::from_millis(20);
+
 /// A replica of which nothing was heard for this long is asked directly, microseconds.
 const UNHEARD_MICROS: u64 = 1_300_000;
 
@@ -75,7 +78,12 @@
                 take_load(&shared, &replica, load, asked_at);
             }
         }
-        sleep(shared.settings.load_every).await;
+        let pause = if replicas.is_empty() {
+            FIRST_LOOK
+        } else {
+            shared.settings.load_every
+        };
+        sleep(pause).await;
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod online_view;
 mod ownership;
 mod peer_service;
+mod roster_task;
 mod runner;
 mod settings;
 mod transport;
--- a/crates/node/src/membership_task.rs
+++ b/crates/node/src/membership_task.rs
@@ -25,8 +25,7 @@
         if alone && due {
             last_join = Some(now);
             let seeds = shared.identity.seeds.clone();
-            let actions = lock(&shared.membership).join(&seeds);
-            send_all(&shared, actions).await;
+            join(&shared, &seeds).await;
         }
         let actions = step(&shared, now);
         send_all(&shared, actions).await;
@@ -34,6 +33,12 @@
     }
 }
 
+/// Asks members at the addresses for their view.
+pub(crate) async fn join(shared: &Arc<Shared>, addresses: &[String]) {
+    let actions = lock(&shared.membership).join(addresses);
+    send_all(shared, actions).await;
+}
+
 fn step(shared: &Arc<Shared>, now: Duration) -> Vec<Action> {
     let backlog = advertised_backlog(shared);
     let config = config_word(shared, now);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -37,7 +37,7 @@
 use crate::settings::NodeSettings;
 use crate::{
     cancel_task, capacity_task, config_task, directory_task, membership_task, ownership,
-    peer_service, runner,
+    peer_service, roster_task, runner,
 };
 
 const PREFIX: &str = "node:";
@@ -302,6 +302,7 @@
         tokio::spawn(directory_task::run_loads(shared.clone()));
         tokio::spawn(directory_task::run_notices(shared.clone()));
         tokio::spawn(ownership::run(shared.clone(), lost_shards));
+        tokio::spawn(roster_task::run(shared.clone()));
         tokio::spawn(cancel_task::run_confirm(shared.clone()));
         tokio::spawn(capacity_task::run(shared.clone()));
         tokio::spawn(runner::run_slots(shared.clone()));
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -54,8 +54,17 @@
 pub(crate) struct Ownership {
     held: BTreeMap<Asset, Held>,
     wanted_since: BTreeMap<Asset, Duration>,
+    /// How often an asset was lost to another member; each time this member waits longer before it takes it
+    /// back from a live owner, so that two members with different views do not take it in turns.
+    losses: BTreeMap<Asset, u32>,
 }
 
+/// Doublings of the patience at most.
+const MOST_DOUBLINGS: u32 = 5;
+
+/// How often held ownership rows are read, to find what was lost without noticing.
+const VERIFY_EVERY: Duration = Duration::from_secs(15);
+
 impl Ownership {
     /// Replicas owned.
     pub fn replicas(&self) -> Vec<ReplicaId> {
@@ -71,14 +80,20 @@
 
 /// Compares what is owned with what should be, again and again.
 pub(crate) async fn run(shared: Arc<Shared>, mut lost_shards: mpsc::UnboundedReceiver<u32>) {
+    let mut verified_at = Duration::ZERO;
     loop {
         while let Ok(shard) = lost_shards.try_recv() {
-            forget(&shared, &Asset::Shard(shard));
+            lose(&shared, &Asset::Shard(shard));
         }
         if shared.is_draining() {
             return;
         }
         step(&shared).await;
+        let now = shared.now();
+        if now.saturating_sub(verified_at) >= VERIFY_EVERY {
+            verified_at = now;
+            verify(&shared).await;
+        }
         sleep(shared.settings.ownership_every).await;
     }
 }
@@ -157,7 +172,9 @@
     }
     let ownership = lock(&shared.ownership);
     let since = ownership.wanted_since.get(asset).copied().unwrap_or(now);
-    now.saturating_sub(since) >= shared.settings.ownership_patience
+    let losses = ownership.losses.get(asset).copied().unwrap_or_default();
+    let patience = shared.settings.ownership_patience * 2u32.pow(losses.min(MOST_DOUBLINGS));
+    now.saturating_sub(since) >= patience
 }
 
 async fn take(shared: &Arc<Shared>, asset: &Asset, row: Option<Row>) {
@@ -225,9 +242,39 @@
     }
 }
 
+/// Another member has taken the asset over.
+fn lose(shared: &Arc<Shared>, asset: &Asset) {
+    forget(shared, asset);
+    let now = shared.now();
+    let mut ownership = lock(&shared.ownership);
+    *ownership.losses.entry(asset.clone()).or_default() += 1;
+    ownership.wanted_since.insert(asset.clone(), now);
+}
+
 /// The engine refused this member's epoch: another owns the replica.
 pub(crate) fn replica_lost(shared: &Arc<Shared>, replica: &ReplicaId) {
-    forget(shared, &Asset::Replica(replica.clone()));
+    lose(shared, &Asset::Replica(replica.clone()));
+}
+
+/// Compares what this member believes to hold with the table. An owner that has nothing to commit would
+/// otherwise never notice that it was taken over.
+async fn verify(shared: &Arc<Shared>) {
+    let held: Vec<(Asset, Held)> = {
+        let ownership = lock(&shared.ownership);
+        let held = ownership.held.iter();
+        held.map(|(asset, held)| (asset.clone(), *held)).collect()
+    };
+    for group in held.chunks(ROWS_A_CALL) {
+        let keys: Vec<String> = group.iter().map(|(asset, _)| asset.key()).collect();
+        let Ok(rows) = shared.table.get(RequestClass::Listing, &keys).await else {
+            return;
+        };
+        for ((asset, held), row) in group.iter().zip(rows) {
+            if row.is_none_or(|row| row.revision != held.revision) {
+                lose(shared, asset);
+            }
+        }
+    }
 }
 
 /// Hands an asset back, so that the next owner need not wait.
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -112,9 +112,12 @@
             .fetch_max(until_micros, Ordering::Relaxed);
     }
 
-    /// Age of the newest word of the replica, microseconds.
+    /// Age of the newest word of the replica, microseconds; without any, the greatest there is.
     pub fn confirmation_age(&self, now_micros: u64) -> u64 {
-        now_micros.saturating_sub(self.confirmed_at_micros.load(Ordering::Relaxed))
+        match self.confirmed_at_micros.load(Ordering::Relaxed) {
+            0 => u64::MAX,
+            confirmed_at => now_micros.saturating_sub(confirmed_at),
+        }
     }
 
     /// True while the replica may get new work.
