Experiments: online and batch on virtual time over the daemon's own cores

Cause: neither of the users' two measures could be taken. Change: a discrete-event run of routing, slot budget and engine model in nine to thirteen arms over the same arrivals, for both deployments, with JSON and one page.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! Measuring and proving: fault simulation, experiments, hollow fleet and load.
 
+pub mod experiment;
 pub mod faults;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,15 +5,17 @@
 
 use eyre::{Result, eyre};
 use getopts::{Matches, Options};
+use harrierward_bench::experiment::run_experiment;
 use harrierward_bench::faults::{BrokenGuards, run_seed};
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let result = match arguments.split_first() {
         Some((command, rest)) if command == "faults" => faults(rest),
+        Some((command, rest)) if command == "run" => run(rest),
         _ => {
             eprintln!(
-                "Usage: harrierward-bench COMMAND [OPTIONS]\n\nCommands:\n  faults   fault simulation on virtual time"
+                "Usage: harrierward-bench COMMAND [OPTIONS]\n\nCommands:\n  faults   fault simulation on virtual time\n  run      experiment from a file"
             );
             return ExitCode::from(2);
         }
@@ -111,3 +113,34 @@
     }
     Ok(broken)
 }
+
+fn run(arguments: &[String]) -> Result<()> {
+    let mut options = Options::new();
+    options.optopt("o", "out", "folder for report.json and report.html", "DIR");
+    let matches = options.parse(arguments)?;
+    let [file] = matches.free.as_slice() else {
+        return Err(eyre!("run EXPERIMENT.toml --out DIR"));
+    };
+    let output = matches
+        .opt_str("out")
+        .unwrap_or_else(|| "report".to_owned());
+    let reports = run_experiment(file.as_ref(), output.as_ref())?;
+    for report in &reports {
+        println!(
+            "{:<36} first token p50 {:>6.1} p99 {:>7.1} p99.9 {:>7.1} ms, between p95 {:>5.1} ms, harm {:.3}/{:.3}, {:>6.1} items/s, {:.3} of idle, wasted {:.4}, yield {:>4.0} ms, cache {:.3}",
+            report.name,
+            report.first_token_ms.p50,
+            report.first_token_ms.p99,
+            report.first_token_ms.p999,
+            report.between_tokens_ms.p95,
+            report.harm_p99,
+            report.harm_p999,
+            report.batch_items_per_second,
+            report.share_of_idle,
+            report.wasted_share,
+            report.longest_yield_ms,
+            report.cache_hit_rate
+        );
+    }
+    Ok(())
+}
