Slots: pace batch prefills in every step, also while no online request is known

Cause: a batch prefill of up to 2,048 tokens held up a step by 80 ms whenever the owner knew of no online request, which it learns only 50 ms late; and bursts of 12 ms stood in every tail. Ruled out: decode steps (the step target moves the median, not p99.9). Change: a credit of 4 ms a step always; 0.6 of the time while idle.

--- a/crates/capacity/src/slots.rs
+++ b/crates/capacity/src/slots.rs
@@ -25,7 +25,9 @@
     pub step_target_micros: f64,
     /// Share of time that batch prefills may take while online requests run.
     pub prefill_share: f64,
-    /// Longest pause that one batch prefill may cause while online requests run, microseconds.
+    /// Share of time that batch prefills may take while no online request runs.
+    pub idle_prefill_share: f64,
+    /// Longest pause that batch prefills may cause in one step, microseconds.
     pub prefill_burst_micros: f64,
     /// Online prefill work in flight, in microseconds, above which batch falls to zero.
     pub burst_micros: f64,
@@ -45,7 +47,8 @@
             online_reserve: 4,
             step_target_micros: 17_000.0,
             prefill_share: 0.25,
-            prefill_burst_micros: 12_000.0,
+            idle_prefill_share: 0.6,
+            prefill_burst_micros: 4_000.0,
             burst_micros: 400_000.0,
             calm: Duration::from_millis(60),
             growth_per_second: 2_000.0,
@@ -130,9 +133,6 @@
             return false;
         }
         self.credit(now);
-        if self.online.running == 0 {
-            return true;
-        }
         let cost = f64::from(uncached_tokens) * self.settings.prefill_token_micros;
         if self.online.prefill_tokens > 0 || self.prefill_credit_micros <= 0.0 {
             return false;
@@ -144,7 +144,12 @@
     fn credit(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.credited_at);
         self.credited_at = now;
-        let earned = elapsed.as_secs_f64() * 1e6 * self.settings.prefill_share;
+        let share = if self.online.running == 0 {
+            self.settings.idle_prefill_share
+        } else {
+            self.settings.prefill_share
+        };
+        let earned = elapsed.as_secs_f64() * 1e6 * share;
         let credit = self.prefill_credit_micros + earned;
         self.prefill_credit_micros = credit.min(self.settings.prefill_burst_micros);
     }
