Hollow fleet: control traffic, processor time and memory of many daemons in one process

Cause: CAPACITY.md needs measured slopes. Change: the real membership and configuration cores of N daemons over modelled zones, with losses, a zone loss, a region cut and a rolling replacement; and the shard owner's core on jobs of any size.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod experiment;
 pub mod faults;
+pub mod fleet;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! `harrierward-bench`: experiments, faults, fleet and load, from the command line.
 
+use std::alloc::System;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -7,15 +8,30 @@
 use getopts::{Matches, Options};
 use harrierward_bench::experiment::run_experiment;
 use harrierward_bench::faults::{BrokenGuards, run_seed};
+use harrierward_bench::fleet::{FleetSettings, measure, measure_job};
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+
+/// Counts allocations, so that state is measured and not guessed.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// Bytes allocated now.
+fn allocated() -> usize {
+    let stats = ALLOCATOR.stats();
+    stats
+        .bytes_allocated
+        .saturating_sub(stats.bytes_deallocated)
+}
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let result = match arguments.split_first() {
         Some((command, rest)) if command == "faults" => faults(rest),
         Some((command, rest)) if command == "run" => run(rest),
+        Some((command, rest)) if command == "fleet" => fleet(rest),
         _ => {
             eprintln!(
-                "Usage: harrierward-bench COMMAND [OPTIONS]\n\nCommands:\n  faults   fault simulation on virtual time\n  run      experiment from a file"
+                "Usage: harrierward-bench COMMAND [OPTIONS]\n\nCommands:\n  faults   fault simulation on virtual time\n  run      experiment from a file\n  fleet    hollow fleet: control traffic, processor time and memory by size"
             );
             return ExitCode::from(2);
         }
@@ -144,3 +160,53 @@
     }
     Ok(())
 }
+
+fn fleet(arguments: &[String]) -> Result<()> {
+    let mut options = Options::new();
+    options.optopt(
+        "",
+        "daemons",
+        "sizes, separated by commas (default 40,130,260,520)",
+        "LIST",
+    );
+    options.optopt(
+        "",
+        "jobs",
+        "items of jobs (default 2000,20000,190000)",
+        "LIST",
+    );
+    options.optopt("", "loss", "share of datagrams lost (default 0.001)", "P");
+    options.optopt("", "seed", "seed (default 1)", "S");
+    let matches = options.parse(arguments)?;
+    let loss = number(&matches, "loss", 0.001)?;
+    let seed = number(&matches, "seed", 1)?;
+    for daemons in list(&matches, "daemons", "40,130,260,520")? {
+        let settings = FleetSettings {
+            daemons,
+            loss,
+            seed,
+        };
+        println!(
+            "{}",
+            serde_json::to_string(&measure(&settings, &allocated))?
+        );
+    }
+    for items in list(&matches, "jobs", "2000,20000,190000")? {
+        let items = u32::try_from(items)?;
+        println!(
+            "{}",
+            serde_json::to_string(&measure_job(items, &allocated))?
+        );
+    }
+    Ok(())
+}
+
+fn list(matches: &Matches, name: &str, default: &str) -> Result<Vec<usize>> {
+    let text = matches.opt_str(name).unwrap_or_else(|| default.to_owned());
+    text.split(',')
+        .map(|part| {
+            let value = part.trim().parse();
+            value.map_err(|_| eyre!("--{name}: {part} is not a number"))
+        })
+        .collect()
+}
