Listeners: send small parts at once

Cause: the first load run gave 2,909 short requests/s through the gateway and 2,911 to the engine directly, 44 ms each: Nagle's algorithm against delayed acknowledgements. Change: accepted connections turn it off, in all programs.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod experiment;
 pub mod faults;
 pub mod fleet;
+pub mod speed;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -29,9 +29,10 @@
         Some((command, rest)) if command == "faults" => faults(rest),
         Some((command, rest)) if command == "run" => run(rest),
         Some((command, rest)) if command == "fleet" => fleet(rest),
+        Some((command, _)) if command == "speed" => speed(),
         _ => {
             eprintln!(
-                "Usage: harrierward-bench COMMAND [OPTIONS]\n\nCommands:\n  faults   fault simulation on virtual time\n  run      experiment from a file\n  fleet    hollow fleet: control traffic, processor time and memory by size"
+                "Usage: harrierward-bench COMMAND [OPTIONS]\n\nCommands:\n  faults   fault simulation on virtual time\n  run      experiment from a file\n  fleet    hollow fleet: control traffic, processor time and memory by size\n  speed    load over real loopback, against the engine called directly"
             );
             return ExitCode::from(2);
         }
@@ -210,3 +211,10 @@
         })
         .collect()
 }
+
+fn speed() -> Result<()> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    let report = runtime.block_on(harrierward_bench::speed::run())?;
+    println!("{}", serde_json::to_string_pretty(&report)?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/speed/setup.rs
@@ -0,0 +1,124 @@
+//! A daemon over real loopback before the fast engine stand-in.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use eyre::{Result, eyre};
+use harrierward_config::{ApplyFile, ApplyRequest, ConfigStore, KeyDigest};
+use harrierward_emulator::{MemoryPlatform, PlatformParameters};
+use harrierward_gateway::EngineConnector;
+use harrierward_node::{Node, NodeIdentity, NodeParts, NodeSettings, PeerError, PeerNetwork};
+use harrierward_platform::http::{HttpCaller, HttpEngine, without_delay};
+use harrierward_platform::{Engine, Machine, MachineState, ReplicaId};
+use harrierward_wire::{PeerReply, PeerRequest};
+use prometheus::Registry;
+use tokio::net::TcpListener;
+use tokio::time::{Duration, sleep};
+
+use super::{Target, serve_engine};
+
+/// Model of the load runs.
+pub const MODEL: &str = "speed";
+const KEY: &str = "speed-key";
+
+struct NoPeers;
+
+#[async_trait]
+impl PeerNetwork for NoPeers {
+    async fn call(&self, address: &str, _request: PeerRequest) -> Result<PeerReply, PeerError> {
+        Err(PeerError::NotSent {
+            step: "peer.call",
+            peer: address.to_owned(),
+            detail: "this node is alone".to_owned(),
+        })
+    }
+
+    async fn send(&self, _address: &str, _datagram: Vec<u8>) {}
+}
+
+struct Connector {
+    caller: HttpCaller,
+}
+
+impl EngineConnector for Connector {
+    fn connect(&self, machine: &Machine) -> Arc<dyn Engine> {
+        Arc::new(HttpEngine::new(self.caller.clone(), &machine.address))
+    }
+}
+
+async fn write_objects(platform: &MemoryPlatform) -> Result<()> {
+    let digest = KeyDigest::of(KEY).0;
+    let text = format!(
+        "[[tenant]]\nname = 't'\nowner = 't'\nspec = {{ caller_keys = ['{digest}'] }}\n\
+         [[service]]\nname = '{MODEL}'\nowner = 't'\nspec = {{ model = '{MODEL}' }}\n\
+         [[endpoint]]\nname = '{MODEL}'\nowner = 't'\nspec = {{ service = '{MODEL}' }}\n\
+         [[limits]]\nname = 'l'\nowner = 't'\n\
+         spec = {{ endpoint = '{MODEL}', tenant = 't', requests_per_second = 1000000.0, burst = 1000000, concurrent_requests = 100000 }}\n"
+    );
+    let file = ApplyFile::parse(&text).map_err(|error| eyre!(error))?;
+    let request = ApplyRequest {
+        operation: "first".to_owned(),
+        operator: None,
+        at_ms: 0,
+        changes: file.changes().map_err(|error| eyre!(error))?,
+    };
+    let store = ConfigStore::new(Arc::new(platform.clone()));
+    store.apply(&request, &|_| Ok(())).await?;
+    Ok(())
+}
+
+/// Starts engine and daemon; the two targets.
+pub async fn start() -> Result<(Target, Target)> {
+    let engine_address = serve_engine(MODEL).await?;
+    let platform = MemoryPlatform::new(PlatformParameters::default());
+    platform.seed_machine(Machine {
+        replica: ReplicaId("speed-0".to_owned()),
+        service: MODEL.to_owned(),
+        zone: "zone".to_owned(),
+        address: engine_address.clone(),
+        state: MachineState::Live,
+    });
+    write_objects(&platform).await?;
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?.to_string();
+    let shared = Arc::new(platform);
+    let mut settings = NodeSettings {
+        shards: 1,
+        ..NodeSettings::default()
+    };
+    settings.gateway.requests_a_replica = 100_000;
+    let node = Node::start(NodeParts {
+        identity: NodeIdentity {
+            member: "speed".to_owned(),
+            udp_address: "127.0.0.1:0".to_owned(),
+            peer_address: address.clone(),
+            zone: "zone".to_owned(),
+            region: "region".to_owned(),
+            region_zones: vec!["zone".to_owned()],
+            seeds: Vec::new(),
+        },
+        table: shared.clone(),
+        objects: shared.clone(),
+        machines: shared.clone(),
+        weights: shared,
+        connector: Arc::new(Connector {
+            caller: HttpCaller::new(),
+        }),
+        network: Arc::new(NoPeers),
+        registry: Registry::new(),
+        settings,
+    })?;
+    while !node.is_ready() || node.status().owned_replicas == 0 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    sleep(Duration::from_secs(1)).await;
+    let routes = harrierward_api::router(node);
+    tokio::spawn(async move { axum::serve(without_delay(listener), routes).await });
+    let engine = HttpEngine::new(HttpCaller::new(), &engine_address);
+    let gateway = Target::Gateway {
+        address,
+        authorization: format!("Bearer {KEY}"),
+        caller: HttpCaller::new(),
+    };
+    Ok((Target::Engine(Arc::new(engine)), gateway))
+}
--- a/crates/harrierward/src/serve.rs
+++ b/crates/harrierward/src/serve.rs
@@ -14,6 +14,7 @@
 };
 use harrierward_platform::http::{
     HttpCaller, HttpEngine, HttpMachineList, HttpObjectStore, HttpTable, HttpWeightStore,
+    without_delay,
 };
 use harrierward_platform::{Engine, Machine, Table};
 use prometheus::Registry;
@@ -144,7 +145,7 @@
     })?;
     tokio::spawn(serve_datagrams(node.clone(), udp));
     let peer_routes = peer_router(node.clone());
-    tokio::spawn(async move { axum::serve(peers, peer_routes).await });
+    tokio::spawn(async move { axum::serve(without_delay(peers), peer_routes).await });
     log::info!("{PREFIX} listening on {}", settings.api_listen);
     serve_until_stopped(node.clone(), api, harrierward_api::router(node)).await
 }
@@ -219,7 +220,7 @@
         let _ = stopped.wait_for(|stopped| *stopped).await;
     };
     let server = tokio::spawn(async move {
-        axum::serve(api, routes)
+        axum::serve(without_delay(api), routes)
             .with_graceful_shutdown(shutdown)
             .await
     });
--- a/crates/platform/src/http/mod.rs
+++ b/crates/platform/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod engine;
+mod listen;
 mod machines;
 pub mod messages;
 mod objects;
@@ -10,6 +11,7 @@
 
 pub use caller::{CallError, HttpCaller, HttpReply};
 pub use engine::HttpEngine;
+pub use listen::without_delay;
 pub use machines::HttpMachineList;
 pub use objects::HttpObjectStore;
 pub use table::HttpTable;
