Load run: what the gateway adds, measured beside 2,000 streams in flight

Cause: closed loops on a zero-time engine measured only the processor. Change: probes of a fast engine, directly and through the gateway, while 2,000 streams of a slow one are in flight.

--- a/crates/bench/src/speed/mod.rs
+++ b/crates/bench/src/speed/mod.rs
@@ -23,26 +23,32 @@
 /// Figures of a load run.
 #[derive(Debug, Clone, Serialize)]
 pub struct SpeedReport {
-    /// Streams in flight.
+    /// Streams in flight through the gateway while the times below were taken.
     pub streams: usize,
-    /// First event of a stream called directly, microseconds: p50 and p99.
+    /// First event of a short stream from an engine called directly, microseconds: p50 and p99.
     pub direct_micros: [u64; 2],
-    /// First event through the gateway, microseconds: p50 and p99.
+    /// First event of a short stream through the gateway, microseconds: p50 and p99.
     pub gateway_micros: [u64; 2],
-    /// Short requests a second through the gateway.
+    /// What the gateway adds, microseconds: p50 and p99.
+    pub added_micros: [i64; 2],
+    /// Short requests a second through the gateway, without the streams.
     pub short_requests_per_second: f64,
-    /// Short requests a second to the engine directly.
+    /// Short requests a second to the engine directly, without the streams.
     pub short_direct_per_second: f64,
 }
 
-/// An engine stand-in whose steps take almost no time, served over HTTP.
-pub async fn serve_engine(model: &str) -> Result<String> {
+/// An engine stand-in served over HTTP; its steps take `step`, or almost no time.
+pub async fn serve_engine(model: &str, step: Duration) -> Result<String> {
+    let time_scale = if step.is_zero() { 0.0 } else { 1.0 };
     let parameters = EngineParameters {
+        step_base_micros: u64::try_from(step.as_micros())?,
+        step_sequence_micros: 0,
+        prefill_token_nanos: 0,
         maximum_running: 100_000,
         prefill_budget: u32::MAX,
         ..EngineParameters::default()
     };
-    let engine = EngineHandle::start("speed", parameters, vec![model.to_owned()], 0.0, false);
+    let engine = EngineHandle::start(model, parameters, vec![model.to_owned()], time_scale, false);
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?.to_string();
     tokio::spawn(async move { axum::serve(without_delay(listener), engine_router(engine)).await });
@@ -168,22 +174,39 @@
 }
 
 /// Measures both targets in turn.
-pub async fn measure(engine: Target, gateway: Target, model: &str) -> Result<SpeedReport> {
+pub async fn measure(engine: Target, gateway: Target) -> Result<SpeedReport> {
     const STREAMS: usize = 2000;
-    const STREAMED: u64 = 12_000;
-    const STREAM_TOKENS: u32 = 20;
+    const PROBES: u64 = 8000;
+    const PROBE_CLIENTS: usize = 4;
     const SHORT: u64 = 40_000;
     const SHORT_CLIENTS: usize = 128;
-    load(&gateway, model, 64, 2000, 1, false).await?;
-    load(&engine, model, 64, 2000, 1, false).await?;
-    let (_, direct) = load(&engine, model, STREAMS, STREAMED, STREAM_TOKENS, true).await?;
-    let (_, through) = load(&gateway, model, STREAMS, STREAMED, STREAM_TOKENS, true).await?;
-    let (short_direct, _) = load(&engine, model, SHORT_CLIENTS, SHORT, 1, false).await?;
-    let (short, _) = load(&gateway, model, SHORT_CLIENTS, SHORT, 1, false).await?;
+    let fast = setup::FAST_MODEL;
+    load(&gateway, fast, 64, 2000, 1, false).await?;
+    load(&engine, fast, 64, 2000, 1, false).await?;
+    let (short_direct, _) = load(&engine, fast, SHORT_CLIENTS, SHORT, 1, false).await?;
+    let (short, _) = load(&gateway, fast, SHORT_CLIENTS, SHORT, 1, false).await?;
+    let background = {
+        let gateway = gateway.clone();
+        // More requests than can end while the probes run; the rest is dropped with the task.
+        tokio::spawn(async move {
+            load(&gateway, setup::SLOW_MODEL, STREAMS, u64::MAX, 120, true).await
+        })
+    };
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let (_, direct) = load(&engine, fast, PROBE_CLIENTS, PROBES, 2, true).await?;
+    let (_, through) = load(&gateway, fast, PROBE_CLIENTS, PROBES, 2, true).await?;
+    ensure!(
+        !background.is_finished(),
+        "the streams in the background ended"
+    );
+    background.abort();
+    let (direct, through) = (quantiles(&direct), quantiles(&through));
+    let added = |index: usize| through[index] as i64 - direct[index] as i64;
     Ok(SpeedReport {
         streams: STREAMS,
-        direct_micros: quantiles(&direct),
-        gateway_micros: quantiles(&through),
+        direct_micros: direct,
+        gateway_micros: through,
+        added_micros: [added(0), added(1)],
         short_requests_per_second: short,
         short_direct_per_second: short_direct,
     })
@@ -192,5 +215,5 @@
 /// Starts everything in this process and measures.
 pub async fn run() -> Result<SpeedReport> {
     let (engine, gateway) = setup::start().await?;
-    measure(engine, gateway, setup::MODEL).await
+    measure(engine, gateway).await
 }
--- a/crates/bench/src/speed/setup.rs
+++ b/crates/bench/src/speed/setup.rs
@@ -17,8 +17,14 @@
 
 use super::{Target, serve_engine};
 
-/// Model of the load runs.
-pub const MODEL: &str = "speed";
+/// Model whose engine takes almost no time.
+pub const FAST_MODEL: &str = "fast";
+
+/// Model whose engine takes its time, for streams in the background.
+pub const SLOW_MODEL: &str = "slow";
+
+/// Step of the slow engine.
+const SLOW_STEP: Duration = Duration::from_millis(100);
 const KEY: &str = "speed-key";
 
 struct NoPeers;
@@ -48,13 +54,16 @@
 
 async fn write_objects(platform: &MemoryPlatform) -> Result<()> {
     let digest = KeyDigest::of(KEY).0;
-    let text = format!(
-        "[[tenant]]\nname = 't'\nowner = 't'\nspec = {{ caller_keys = ['{digest}'] }}\n\
-         [[service]]\nname = '{MODEL}'\nowner = 't'\nspec = {{ model = '{MODEL}' }}\n\
-         [[endpoint]]\nname = '{MODEL}'\nowner = 't'\nspec = {{ service = '{MODEL}' }}\n\
-         [[limits]]\nname = 'l'\nowner = 't'\n\
-         spec = {{ endpoint = '{MODEL}', tenant = 't', requests_per_second = 1000000.0, burst = 1000000, concurrent_requests = 100000 }}\n"
-    );
+    let mut text =
+        format!("[[tenant]]\nname = 't'\nowner = 't'\nspec = {{ caller_keys = ['{digest}'] }}\n");
+    for model in [FAST_MODEL, SLOW_MODEL] {
+        text.push_str(&format!(
+        "[[service]]\nname = '{model}'\nowner = 't'\nspec = {{ model = '{model}' }}\n\
+         [[endpoint]]\nname = '{model}'\nowner = 't'\nspec = {{ service = '{model}' }}\n\
+         [[limits]]\nname = 'limits-{model}'\nowner = 't'\n\
+         spec = {{ endpoint = '{model}', tenant = 't', requests_per_second = 1000000.0, burst = 1000000, concurrent_requests = 100000 }}\n"
+        ));
+    }
     let file = ApplyFile::parse(&text).map_err(|error| eyre!(error))?;
     let request = ApplyRequest {
         operation: "first".to_owned(),
@@ -69,15 +78,18 @@
 
 /// Starts engine and daemon; the two targets.
 pub async fn start() -> Result<(Target, Target)> {
-    let engine_address = serve_engine(MODEL).await?;
+    let engine_address = serve_engine(FAST_MODEL, Duration::ZERO).await?;
+    let slow_address = serve_engine(SLOW_MODEL, SLOW_STEP).await?;
     let platform = MemoryPlatform::new(PlatformParameters::default());
-    platform.seed_machine(Machine {
-        replica: ReplicaId("speed-0".to_owned()),
-        service: MODEL.to_owned(),
-        zone: "zone".to_owned(),
-        address: engine_address.clone(),
-        state: MachineState::Live,
-    });
+    for (model, address) in [(FAST_MODEL, &engine_address), (SLOW_MODEL, &slow_address)] {
+        platform.seed_machine(Machine {
+            replica: ReplicaId(model.to_owned()),
+            service: model.to_owned(),
+            zone: "zone".to_owned(),
+            address: address.clone(),
+            state: MachineState::Live,
+        });
+    }
     write_objects(&platform).await?;
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?.to_string();
