--- a/crates/bench/src/fleet/simulation.rs
+++ b/crates/bench/src/fleet/simulation.rs
@@ -28,6 +28,12 @@
 /// Time of a table call, microseconds.
 const TABLE_MICROS: u64 = 4_000;
 
+/// Time between looks whether a scenario has ended.
+const LOOK_MICROS: u64 = 500_000;
+
+/// Time between looks whether a change is in force.
+const CHANGE_LOOK_MICROS: u64 = 20_000;
+
 /// Longest time that a scenario is waited for, seconds.
 const LONGEST_WAIT: f64 = 240.0;
 
@@ -188,8 +194,12 @@
         self.run_until_true(seconds, |_| false);
     }
 
-    /// Lets time pass until `done`, which is looked at ten times a second; the seconds that passed.
+    /// Lets time pass until `done`, which is looked at twice a second; the seconds that passed.
     fn run_until_true(&mut self, most: f64, done: impl Fn(&Self) -> bool) -> f64 {
+        self.run_looking(most, LOOK_MICROS, done)
+    }
+
+    fn run_looking(&mut self, most: f64, look_micros: u64, done: impl Fn(&Self) -> bool) -> f64 {
         let start = self.now;
         let end = start + (most * 1e6) as u64;
         let mut look_at = start;
@@ -199,7 +209,7 @@
                 if done(self) {
                     return (self.now - start) as f64 / 1e6;
                 }
-                look_at = micros + TICK_MICROS;
+                look_at = micros + look_micros;
             }
             if micros > end {
                 break;
@@ -480,7 +490,7 @@
                 ..ConfigDeltaReply::default()
             };
             self.adopt(number, &delta);
-            times.push(self.run_until_true(LONGEST_WAIT, Self::everywhere));
+            times.push(self.run_looking(LONGEST_WAIT, CHANGE_LOOK_MICROS, Self::everywhere));
             self.run_for(3.0);
         }
         times.sort_by(f64::total_cmp);
--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -82,6 +82,8 @@
     next_probe_at: Duration,
     config: ConfigWord,
     cancelled_jobs: Vec<String>,
+    /// Dead members to be probed soon, because another one turned out to live: a cut has mended.
+    revivals: Vec<String>,
     changed: bool,
 }
 
@@ -115,6 +117,7 @@
             next_probe_at: Duration::ZERO,
             config: ConfigWord::default(),
             cancelled_jobs: Vec::new(),
+            revivals: Vec::new(),
             changed: true,
         };
         core.note_own();
@@ -294,6 +297,7 @@
         let direct = self.settings.probe_timeout * 2;
         self.relays
             .retain(|_, relay| now.saturating_sub(relay.sent_at) < direct);
+        self.probe_revivals(now, random, &mut actions);
         if now >= self.next_probe_at {
             self.next_probe_at = now + self.settings.probe_every;
             self.probe_next(now, random, &mut actions);
@@ -301,6 +305,34 @@
         actions
     }
 
+    /// After a cut has mended, tells the members beyond it quickly that they are held for dead.
+    fn probe_revivals(&mut self, now: Duration, random: &mut impl Rng, actions: &mut Vec<Action>) {
+        for _ in 0..self.settings.revivals_a_tick {
+            if self.revivals.is_empty() {
+                return;
+            }
+            // In random order, or all members would probe the same one at the same time.
+            let index = random.random_range(0..self.revivals.len());
+            let target = self.revivals.swap_remove(index);
+            let is_dead = self.state(&target) == Some(MemberState::Dead);
+            if let Some(address) = self.address(&target).filter(|_| is_dead) {
+                actions.push(self.probe(target, address, now));
+            }
+        }
+    }
+
+    /// Queues all dead members that may answer, unless they are queued already.
+    fn queue_revivals(&mut self) {
+        if !self.revivals.is_empty() {
+            return;
+        }
+        let dead = self
+            .known
+            .values()
+            .filter(|known| state_of(&known.record) == MemberState::Dead && known.may_answer());
+        self.revivals = dead.map(|known| known.record.id.clone()).collect();
+    }
+
     fn probe_next(&mut self, now: Duration, random: &mut impl Rng, actions: &mut Vec<Action>) {
         let Some(target) = self.next_target(random) else {
             return;
@@ -561,9 +593,12 @@
             return;
         }
         let passes_left = self.passes();
+        let lives = state_of(&record) != MemberState::Dead;
+        let mut revived = false;
         match self.known.get_mut(&record.id) {
             Some(known) if !supersedes(&record, &known.record) => {}
             Some(known) => {
+                revived = lives && state_of(&known.record) == MemberState::Dead;
                 if known.record.state != record.state {
                     known.state_since = now;
                 }
@@ -584,6 +619,9 @@
                 self.changed = true;
             }
         }
+        if revived {
+            self.queue_revivals();
+        }
     }
 
     /// Somebody holds this member for worse than it is, or for something from an earlier life.
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -21,6 +21,8 @@
     pub spread_factor: usize,
     /// Members of other regions, and dead ones, are in one round of probes out of so many.
     pub rare_probe_one_in: u64,
+    /// Dead members probed in a tick after another one turned out to live.
+    pub revivals_a_tick: usize,
     /// How long a dead member is remembered.
     pub forget_dead: Duration,
 }
@@ -36,6 +38,7 @@
             records_per_datagram: 6,
             spread_factor: 3,
             rare_probe_one_in: 8,
+            revivals_a_tick: 1,
             forget_dead: Duration::from_secs(600),
         }
     }
