Uploads and downloads at the store's rate

Cause: a 190,000-item file failed with 503: its 950 parts met the daemon's own budget of 200 calls/s, and so did the reading of results; a call that lost the race for a freed place was refused after one wait. Change: calls wait for the budget up to their bound; uploads and downloads wait for the rate up to 30 s a call.

--- a/crates/batch/src/files.rs
+++ b/crates/batch/src/files.rs
@@ -16,6 +16,7 @@
 
 use crate::errors::{BatchError, LineProblem};
 use crate::keys::{CHUNK_ITEMS, MOST_ITEMS, client_key, file_key, file_prefix, part_name};
+use crate::patience::at_the_rate;
 
 /// Longest line, bytes.
 const LONGEST_LINE: usize = 1 << 20;
@@ -134,7 +135,8 @@
     /// One part of a file's content.
     pub async fn part(&self, file: &FileRow, part: u32) -> Result<Bytes, BatchError> {
         let name = part_name(&file.object_prefix, part);
-        Ok(self.objects.get(RequestClass::Commit, &name).await?)
+        let read = at_the_rate(|| self.objects.get(RequestClass::Commit, &name));
+        Ok(read.await?)
     }
 }
 
@@ -344,7 +346,7 @@
 ) -> Result<(), PlatformError> {
     let mut result = Ok(());
     for _ in 0..SETTLE_TRIES {
-        result = objects.put(RequestClass::Commit, name, body.clone()).await;
+        result = at_the_rate(|| objects.put(RequestClass::Commit, name, body.clone())).await;
         match &result {
             Err(error) if error.may_have_happened() => {}
             _ => return result,
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -10,6 +10,7 @@
 mod jobs;
 mod keys;
 mod owner;
+mod patience;
 mod results;
 
 pub use errors::{BatchError, LineProblem};
--- a/crates/batch/src/results.rs
+++ b/crates/batch/src/results.rs
@@ -9,6 +9,7 @@
 
 use crate::errors::BatchError;
 use crate::keys::chunk_prefix;
+use crate::patience::at_the_rate;
 
 /// Chunk rows read at once.
 const PAGE: usize = 50;
@@ -44,14 +45,16 @@
         let Some(name) = self.names.pop_front() else {
             return Ok(None);
         };
-        Ok(Some(self.objects.get(RequestClass::Commit, &name).await?))
+        let read = at_the_rate(|| self.objects.get(RequestClass::Commit, &name));
+        Ok(Some(read.await?))
     }
 
     async fn read_page(&mut self) -> Result<(), BatchError> {
-        let rows = self
-            .table
-            .scan(RequestClass::Commit, &self.prefix, &self.after, PAGE)
-            .await?;
+        let scan = || {
+            let (prefix, after) = (&self.prefix, &self.after);
+            self.table.scan(RequestClass::Commit, prefix, after, PAGE)
+        };
+        let rows = at_the_rate(scan).await?;
         self.ended = rows.len() < PAGE;
         for row in rows {
             let chunk: ChunkRow = decode(&row.value).unwrap_or_default();
--- a/crates/platform/src/guarded.rs
+++ b/crates/platform/src/guarded.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     ObjectStore, PlatformError, PlatformErrorKind, RateBudget, RequestClass, Row, Table,
@@ -39,18 +39,18 @@
     limits: StoreLimits,
     step: &'static str,
 ) -> Result<(), PlatformError> {
-    let Err(wait) = budget.try_take(class) else {
-        return Ok(());
-    };
-    let refused = |retry_after| {
-        let kind = PlatformErrorKind::RateLimited { retry_after };
-        PlatformError::new(step, "own rate budget", kind, "budget is used up")
-    };
-    if wait > limits.budget_wait {
-        return Err(refused(wait));
+    let deadline = Instant::now() + limits.budget_wait;
+    loop {
+        let Err(wait) = budget.try_take(class) else {
+            return Ok(());
+        };
+        if Instant::now() + wait > deadline {
+            let kind = PlatformErrorKind::RateLimited { retry_after: wait };
+            let detail = "budget is used up";
+            return Err(PlatformError::new(step, "own rate budget", kind, detail));
+        }
+        sleep(wait).await;
     }
-    sleep(wait).await;
-    budget.try_take(class).map_err(refused)
 }
 
 async fn bounded<T>(
