--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -46,6 +46,26 @@
     pub region_peak_bytes: f64,
     /// Most bytes a second that any daemon sent during a rolling replacement.
     pub rolling_peak_bytes: f64,
+    /// Time to find the owners of all 2,456 shards and replicas of the target, milliseconds.
+    pub ownership_millis: f64,
+}
+
+/// Shards and replicas of the target.
+const TARGET_ASSETS: usize = 256 + 2200;
+
+fn measure_ownership(daemons: usize) -> f64 {
+    let ids: Vec<String> = (0..daemons)
+        .map(|number| format!("10.0.0.1:7000-{number:012x}"))
+        .collect();
+    let started = std::time::Instant::now();
+    let mut own = 0;
+    for asset in 0..TARGET_ASSETS {
+        let ids = ids.iter().map(String::as_str);
+        let owner = harrierward_routing::rendezvous_owner(&format!("owner/{asset}"), ids);
+        own += owner.map_or(0, str::len);
+    }
+    std::hint::black_box(own);
+    started.elapsed().as_secs_f64() * 1e3
 }
 
 /// Runs all scenarios at one size.
@@ -87,5 +107,6 @@
         region_heal_seconds,
         region_peak_bytes,
         rolling_peak_bytes: fleet.peak_bytes(),
+        ownership_millis: measure_ownership(settings.daemons),
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -525,9 +525,7 @@
     pub fn owner_of(&self, key: &str) -> Option<String> {
         let view = self.view.load();
         let ids = view.staying().map(|member| member.id.as_str());
-        harrierward_routing::rank_by_rendezvous(key, ids)
-            .first()
-            .map(|id| (*id).to_owned())
+        harrierward_routing::rendezvous_owner(key, ids).map(str::to_owned)
     }
 
     /// HTTP address of a member; `None` if it is not in view.
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -16,6 +16,7 @@
 use harrierward_wire::{OwnershipRow, decode, encode};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::node::{Shared, lock};
 
@@ -81,6 +82,7 @@
 /// Compares what is owned with what should be, again and again.
 pub(crate) async fn run(shared: Arc<Shared>, mut lost_shards: mpsc::UnboundedReceiver<u32>) {
     let mut verified_at = Duration::ZERO;
+    let mut wanted = Wanted::default();
     loop {
         while let Ok(shard) = lost_shards.try_recv() {
             lose(&shared, &Asset::Shard(shard));
@@ -88,7 +90,8 @@
         if shared.is_draining() {
             return;
         }
-        step(&shared).await;
+        wanted.renew(&shared);
+        step(&shared, &wanted.assets).await;
         let now = shared.now();
         if now.saturating_sub(verified_at) >= VERIFY_EVERY {
             verified_at = now;
@@ -98,6 +101,38 @@
     }
 }
 
+/// The assets that this member should own. Ranking all members for each asset is the dearest thing that a daemon
+/// does for control, so it is done only when members or replicas come or go.
+#[derive(Default)]
+struct Wanted {
+    fingerprint: Option<u64>,
+    assets: Vec<Asset>,
+}
+
+impl Wanted {
+    fn renew(&mut self, shared: &Arc<Shared>) {
+        let fingerprint = Some(fingerprint(shared));
+        if self.fingerprint != fingerprint {
+            self.fingerprint = fingerprint;
+            self.assets = wanted_assets(shared);
+        }
+    }
+}
+
+/// Changes when the members that may own, or the replicas to be owned, change.
+fn fingerprint(shared: &Arc<Shared>) -> u64 {
+    let mut hasher = Xxh3::new();
+    for member in shared.view.load().staying() {
+        hasher.update(member.id.as_bytes());
+    }
+    for replica in shared.directory.load().replicas.values() {
+        let live = replica.machine.state == MachineState::Live;
+        hasher.update(replica.machine.replica.0.as_bytes());
+        hasher.update(&[u8::from(live)]);
+    }
+    hasher.digest()
+}
+
 fn wanted_assets(shared: &Arc<Shared>) -> Vec<Asset> {
     let member = &shared.identity.member;
     let is_own = |asset: &Asset| shared.owner_of(&asset.key()).as_ref() == Some(member);
@@ -111,15 +146,14 @@
     shards.chain(replicas).filter(is_own).collect()
 }
 
-async fn step(shared: &Arc<Shared>) {
-    let wanted = wanted_assets(shared);
+async fn step(shared: &Arc<Shared>, wanted: &[Asset]) {
     let now = shared.now();
     let (to_take, to_release) = {
         let mut ownership = lock(&shared.ownership);
         ownership
             .wanted_since
             .retain(|asset, _| wanted.contains(asset));
-        for asset in &wanted {
+        for asset in wanted {
             ownership.wanted_since.entry(asset.clone()).or_insert(now);
         }
         let to_take: Vec<Asset> = wanted
--- a/crates/routing/src/subset.rs
+++ b/crates/routing/src/subset.rs
@@ -24,6 +24,13 @@
     ranked.into_iter().map(|(_, id)| id).collect()
 }
 
+/// The id with the greatest weight for `key`: the first of [`rank_by_rendezvous`], without ranking the others.
+pub fn rendezvous_owner<'a>(key: &str, ids: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    ids.into_iter()
+        .max_by_key(|id| (xxh3_64_with_seed(id.as_bytes(), seed), *id))
+}
+
 /// Indexes of the `size` members that the gateway `key` works with, the nearest zones first.
 pub fn stable_subset(key: &str, members: &[SubsetMember<'_>], size: usize) -> Vec<usize> {
     let mut ranked: Vec<usize> = (0..members.len()).collect();
