--- a/crates/batch/src/core/mod.rs
+++ b/crates/batch/src/core/mod.rs
@@ -6,6 +6,8 @@
 
 mod chunk;
 mod commit;
+mod endings;
+mod grants;
 mod job;
 mod owner;
 
--- a/crates/bench/src/speed/setup.rs
+++ b/crates/bench/src/speed/setup.rs
@@ -2,15 +2,13 @@
 
 use std::sync::Arc;
 
-use async_trait::async_trait;
 use eyre::{Result, eyre};
 use harrierward_config::{ApplyFile, ApplyRequest, ConfigStore, KeyDigest};
 use harrierward_emulator::{MemoryPlatform, PlatformParameters};
 use harrierward_gateway::EngineConnector;
-use harrierward_node::{Node, NodeIdentity, NodeParts, NodeSettings, PeerError, PeerNetwork};
+use harrierward_node::{NoPeers, Node, NodeIdentity, NodeParts, NodeSettings};
 use harrierward_platform::http::{HttpCaller, HttpEngine, without_delay};
 use harrierward_platform::{Engine, Machine, MachineState, ReplicaId};
-use harrierward_wire::{PeerReply, PeerRequest};
 use prometheus::Registry;
 use tokio::net::TcpListener;
 use tokio::time::{Duration, sleep};
@@ -27,21 +25,6 @@
 const SLOW_STEP: Duration = Duration::from_millis(100);
 const KEY: &str = "speed-key";
 
-struct NoPeers;
-
-#[async_trait]
-impl PeerNetwork for NoPeers {
-    async fn call(&self, address: &str, _request: PeerRequest) -> Result<PeerReply, PeerError> {
-        Err(PeerError::NotSent {
-            step: "peer.call",
-            peer: address.to_owned(),
-            detail: "this node is alone".to_owned(),
-        })
-    }
-
-    async fn send(&self, _address: &str, _datagram: Vec<u8>) {}
-}
-
 struct Connector {
     caller: HttpCaller,
 }
--- a/crates/harrierward/src/standalone.rs
+++ b/crates/harrierward/src/standalone.rs
@@ -4,15 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
 use eyre::{Context, Result};
 use getopts::{Matches, Options};
 use harrierward_config::KeyDigest;
 use harrierward_emulator::{EngineHandle, EngineParameters, MemoryPlatform, PlatformParameters};
 use harrierward_gateway::EngineConnector;
-use harrierward_node::{Node, NodeIdentity, NodeParts, NodeSettings, PeerError, PeerNetwork};
+use harrierward_node::{NoPeers, Node, NodeIdentity, NodeParts, NodeSettings};
 use harrierward_platform::{Engine, Machine, MachineState, ReplicaId};
-use harrierward_wire::{PeerReply, PeerRequest};
 use log::LevelFilter;
 use prometheus::Registry;
 use tokio::net::TcpListener;
@@ -117,22 +115,6 @@
     text
 }
 
-/// There are no peers.
-struct NoPeers;
-
-#[async_trait]
-impl PeerNetwork for NoPeers {
-    async fn call(&self, address: &str, _request: PeerRequest) -> Result<PeerReply, PeerError> {
-        Err(PeerError::NotSent {
-            step: "peer.call",
-            peer: address.to_owned(),
-            detail: "this node is alone".to_owned(),
-        })
-    }
-
-    async fn send(&self, _address: &str, _datagram: Vec<u8>) {}
-}
-
 /// Emulated engines, found by address.
 struct EmulatedEngines {
     engines: Vec<(String, EngineHandle)>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,7 +21,7 @@
 mod settings;
 mod transport;
 
-pub use network::{PeerError, PeerNetwork};
+pub use network::{NoPeers, PeerError, PeerNetwork};
 pub use node::{Node, NodeIdentity, NodeParts, NodeStatus, StartError};
 pub use settings::NodeSettings;
 pub use transport::{SocketNetwork, peer_router, serve_datagrams};
--- a/crates/node/src/network.rs
+++ b/crates/node/src/network.rs
@@ -37,3 +37,20 @@
     /// Sends a datagram; it may be lost.
     async fn send(&self, address: &str, datagram: Vec<u8>);
 }
+
+/// A network for a daemon that is alone.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NoPeers;
+
+#[async_trait]
+impl PeerNetwork for NoPeers {
+    async fn call(&self, address: &str, _request: PeerRequest) -> Result<PeerReply, PeerError> {
+        Err(PeerError::NotSent {
+            step: "peer.call",
+            peer: address.to_owned(),
+            detail: "this daemon is alone".to_owned(),
+        })
+    }
+
+    async fn send(&self, _address: &str, _datagram: Vec<u8>) {}
+}
