--- a/crates/batch/src/core/owner.rs
+++ b/crates/batch/src/core/owner.rs
@@ -262,6 +262,8 @@
     }
 }
 
+/// One input line of a chunk.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InputLine {
     /// The line.
     pub text: String,
