--- a/crates/bench/src/faults/clients.rs
+++ b/crates/bench/src/faults/clients.rs
@@ -484,3 +484,29 @@
         }
     )
 }
+
+/// Sends one request during an outage: true for a marked one that was refused as not run, and for an unmarked one that
+/// was answered whole.
+pub async fn probe(world: &World, number: usize, marked: bool) -> eyre::Result<bool> {
+    const MAXIMUM_TOKENS: u32 = 12;
+    let (tenant, model) = TENANTS[number % TENANTS.len()];
+    let prompt = format!("{SHARED_PROMPT}outage {number} {marked}");
+    let key = ClaimKey {
+        tenant: tenant.to_owned(),
+        key: prompt.clone(),
+    };
+    let digest = request_digest("/v1/completions", prompt.as_bytes());
+    let call = Call {
+        tenant: tenant.to_owned(),
+        spec: spec(model, &prompt, MAXIMUM_TOKENS),
+        marked: marked.then_some(MarkedCall { key, digest }),
+        deadline: Instant::now() + Duration::from_secs(20),
+    };
+    let daemon = world.any_daemon()?;
+    let outcome = call_once(&daemon, call).await;
+    Ok(if marked {
+        never_dispatched(&outcome)
+    } else {
+        matches!(outcome, OnlineOutcome::Answered { .. })
+    })
+}
--- a/crates/bench/src/faults/mod.rs
+++ b/crates/bench/src/faults/mod.rs
@@ -104,3 +104,59 @@
         faults,
     })
 }
+
+/// What clients met while the store was down.
+#[derive(Debug, Clone)]
+pub struct OutageReport {
+    /// Longest time until a marked request got its answer.
+    pub longest_refusal: Duration,
+    /// Marked requests that were refused as not run.
+    pub marked_refused: usize,
+    /// Marked requests sent.
+    pub marked: usize,
+    /// Unmarked requests that were answered whole.
+    pub unmarked_answered: usize,
+    /// Unmarked requests sent.
+    pub unmarked: usize,
+}
+
+/// Takes the store down for `length` of virtual time and sends marked and unmarked requests meanwhile.
+pub fn run_store_outage(seed: u64, length: Duration) -> Result<OutageReport> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()?;
+    runtime.block_on(async {
+        let world = World::start(seed, BrokenGuards::default()).await?;
+        sleep(QUIET_START).await;
+        world
+            .platform
+            .faults()
+            .set(harrierward_emulator::StoreFaults {
+                down: true,
+                ..harrierward_emulator::StoreFaults::default()
+            });
+        let until = world.now() + length;
+        let mut report = OutageReport {
+            longest_refusal: Duration::ZERO,
+            marked_refused: 0,
+            marked: 0,
+            unmarked_answered: 0,
+            unmarked: 0,
+        };
+        while world.now() < until {
+            let started = world.now();
+            report.marked += 1;
+            if clients::probe(&world, report.marked, true).await? {
+                report.marked_refused += 1;
+            }
+            report.longest_refusal = report.longest_refusal.max(world.now() - started);
+            report.unmarked += 1;
+            if clients::probe(&world, report.unmarked, false).await? {
+                report.unmarked_answered += 1;
+            }
+            sleep(Duration::from_millis(300)).await;
+        }
+        Ok(report)
+    })
+}
--- a/crates/bench/tests/faults.rs
+++ b/crates/bench/tests/faults.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use harrierward_bench::faults::{BrokenGuards, SeedReport, run_seed};
+use harrierward_bench::faults::{BrokenGuards, SeedReport, run_seed, run_store_outage};
 
 const LENGTH: Duration = Duration::from_secs(30);
 const THREADS: usize = 8;
@@ -121,3 +121,16 @@
     };
     is_caught(broken, "a cancelled job stops");
 }
+
+#[test]
+fn a_store_outage_of_minutes_refuses_marked_requests_quickly_and_touches_no_others() {
+    let length = Duration::from_secs(180);
+    let report = run_store_outage(1, length).expect("the simulation runs");
+    assert!(report.marked > 100, "{report:?}");
+    assert_eq!(report.marked_refused, report.marked, "{report:?}");
+    assert_eq!(report.unmarked_answered, report.unmarked, "{report:?}");
+    assert!(
+        report.longest_refusal <= Duration::from_secs(1),
+        "{report:?}"
+    );
+}
