Fault simulation: engines that leave without a word are caught

Cause: the check on leaving had not been shown to fail. Change: a guard that hides the engines' word.

--- a/crates/bench/src/faults/gated_platform.rs
+++ b/crates/bench/src/faults/gated_platform.rs
@@ -167,7 +167,9 @@
     }
 
     async fn load(&self) -> Result<EngineLoad, EngineError> {
-        self.gate.around(self.engine.load()).await
+        let mut load = self.gate.around(self.engine.load()).await?;
+        load.leaving &= !self.broken.no_leaving_word;
+        Ok(load)
     }
 
     async fn cache_events(&self, after: u64) -> Result<CacheEventPage, EngineError> {
--- a/crates/bench/src/faults/world.rs
+++ b/crates/bench/src/faults/world.rs
@@ -61,6 +61,8 @@
     pub no_event_check: bool,
     /// Cancels are committed, but told to nobody and not found by those who ask.
     pub no_cancel_notice: bool,
+    /// Engines do not say that they leave.
+    pub no_leaving_word: bool,
 }
 
 /// The fleet; cheap to clone.
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -69,7 +69,7 @@
     options.optopt(
         "",
         "break",
-        "guard to turn off: fencing, claims, event-check, cancel-notice",
+        "guard to turn off: fencing, claims, event-check, cancel-notice, leaving-word",
         "GUARD",
     );
     let matches = options.parse(arguments)?;
@@ -126,6 +126,7 @@
         Some("claims") => broken.no_claims = true,
         Some("event-check") => broken.no_event_check = true,
         Some("cancel-notice") => broken.no_cancel_notice = true,
+        Some("leaving-word") => broken.no_leaving_word = true,
         Some(other) => return Err(eyre!("--break: no such guard: {other}")),
     }
     Ok(broken)
--- a/crates/bench/tests/faults.rs
+++ b/crates/bench/tests/faults.rs
@@ -122,6 +122,15 @@
     is_caught(broken, "a cancelled job stops");
 }
 
+#[test]
+fn engines_that_leave_without_a_word_are_caught() {
+    let broken = BrokenGuards {
+        no_leaving_word: true,
+        ..BrokenGuards::default()
+    };
+    is_caught(broken, "a leaving back end gets no new work");
+}
+
 #[test]
 fn a_store_outage_of_minutes_refuses_marked_requests_quickly_and_touches_no_others() {
     let length = Duration::from_secs(180);
