--- a/crates/api/src/admin.rs
+++ b/crates/api/src/admin.rs
@@ -10,14 +10,13 @@
 use axum::http::{HeaderMap, StatusCode};
 use harrierward_capacity::check_program;
 use harrierward_config::{ApplyFile, ApplyRequest, ConfigError, ConfigObject, render_objects};
-use harrierward_node::{Node, NodeStatus};
+use harrierward_node::{Node, NodeStatus, now_ms};
 use harrierward_wire::ConfigDeltaReply;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 use crate::auth::Operator;
-use crate::batches::now_ms;
 use crate::errors::ApiError;
 
 /// Header that names an operation, so that sending it again changes nothing more.
--- a/crates/api/src/batches.rs
+++ b/crates/api/src/batches.rs
@@ -1,7 +1,5 @@
 //! `/v1/batches`: create, get, list, cancel.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use axum::Json;
 use axum::body::Bytes;
 use axum::extract::rejection::BytesRejection;
@@ -9,7 +7,7 @@
 use axum::http::{HeaderMap, StatusCode};
 use harrierward_batch::{CreateJob, JobView, batch_id_at};
 use harrierward_gateway::EndpointKind;
-use harrierward_node::Node;
+use harrierward_node::{Node, now_ms};
 use harrierward_wire::{FileRow, JobState};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -29,12 +27,6 @@
     file_id.strip_prefix(OUTPUT_PREFIX)
 }
 
-/// Milliseconds since 1970.
-pub(crate) fn now_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    u64::try_from(elapsed.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
-}
-
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct CreateBody {
--- a/crates/api/src/files.rs
+++ b/crates/api/src/files.rs
@@ -8,13 +8,13 @@
 use axum::response::Response;
 use futures::stream;
 use harrierward_batch::{FileUpload, ResultReader, UploadRequest};
-use harrierward_node::Node;
+use harrierward_node::{Node, now_ms};
 use harrierward_wire::FileRow;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
 use crate::auth::{Caller, check_taking_work, idempotency_key};
-use crate::batches::{job_of_output, now_ms};
+use crate::batches::job_of_output;
 use crate::errors::ApiError;
 
 /// The only purpose that files are taken for.
--- a/crates/api/src/generate.rs
+++ b/crates/api/src/generate.rs
@@ -204,17 +204,9 @@
     }
 }
 
-fn reason_name(reason: FinishReason) -> &'static str {
-    match reason {
-        FinishReason::Stop => "stop",
-        FinishReason::Length => "length",
-        FinishReason::Cancelled => "cancelled",
-    }
-}
-
 async fn whole(head: AnswerHead, answer: AnswerStream) -> Result<Response, ApiError> {
     let answer = answer.collect_answer().await?;
-    let finish_reason = Some(reason_name(answer.reason));
+    let finish_reason = Some(answer.reason.name());
     let (object, choice) = match head.kind {
         EndpointKind::Chat => (
             "chat.completion",
@@ -289,7 +281,7 @@
         let choice = Choice {
             delta: (self.head.kind == EndpointKind::Chat).then_some(empty),
             text: (self.head.kind == EndpointKind::Completion).then_some(""),
-            finish_reason: Some(reason_name(reason)),
+            finish_reason: Some(reason.name()),
             ..Choice::default()
         };
         let mut frames = frame(&self.head.part(self.object(), vec![choice]));
--- a/crates/node/src/batch_item.rs
+++ b/crates/node/src/batch_item.rs
@@ -127,15 +127,6 @@
     }
 }
 
-/// Name of a finish reason in the callers' API.
-fn reason_name(reason: FinishReason) -> &'static str {
-    match reason {
-        FinishReason::Stop => "stop",
-        FinishReason::Length => "length",
-        FinishReason::Cancelled => "cancelled",
-    }
-}
-
 fn result_line(
     task: &ItemTask,
     item: &ItemRequest,
@@ -144,7 +135,7 @@
     last: &EngineEvent,
 ) -> String {
     let prompt_tokens = last.prompt_tokens.unwrap_or_default();
-    let finish_reason = reason_name(reason);
+    let finish_reason = reason.name();
     let choice = match item.spec.kind {
         EndpointKind::Chat => json!({
             "index": 0,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod settings;
 mod transport;
 
+pub use clock::now_ms;
 pub use network::{NoPeers, PeerError, PeerNetwork};
 pub use node::{Node, NodeIdentity, NodeParts, NodeStatus, StartError};
 pub use settings::NodeSettings;
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -65,6 +65,17 @@
     Cancelled,
 }
 
+impl FinishReason {
+    /// Name in the callers' API.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Stop => "stop",
+            Self::Length => "length",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// One event of a generation stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineEvent {
