Review: spreading constants once, dead look-up and dead field removed

Cause: the hollow fleet repeated four of the daemon's numbers for spreading configuration, so that its figures could drift from the daemon's; it timed a look-up whose result nobody used; a reply field was never set; delays between daemons and the virtual-time runtime were written several times.

--- a/crates/batch/src/core/grants.rs
+++ b/crates/batch/src/core/grants.rs
@@ -170,10 +170,7 @@
         }
         refused_shards.sort_unstable();
         refused_shards.dedup();
-        ResultsReply {
-            refused_shards,
-            full: false,
-        }
+        ResultsReply { refused_shards }
     }
 
     fn take_result(&mut self, result: &ItemResult, now: Duration) {
--- a/crates/bench/src/faults/mod.rs
+++ b/crates/bench/src/faults/mod.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use eyre::Result;
+use tokio::runtime::Runtime;
 use tokio::time::sleep;
 
 pub use checker::{Checked, Violation};
@@ -43,13 +44,17 @@
     pub faults: BTreeMap<&'static str, u64>,
 }
 
-/// Runs one seed: `length` of faults, then healing, then the check. The same seed gives the same report.
-pub fn run_seed(seed: u64, length: Duration, broken: BrokenGuards) -> Result<SeedReport> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
+/// A runtime of one thread whose clock jumps to the next timer whenever nothing else is to be done.
+fn virtual_time() -> std::io::Result<Runtime> {
+    tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
-        .build()?;
-    runtime.block_on(simulate(seed, length, broken))
+        .build()
+}
+
+/// Runs one seed: `length` of faults, then healing, then the check. The same seed gives the same report.
+pub fn run_seed(seed: u64, length: Duration, broken: BrokenGuards) -> Result<SeedReport> {
+    virtual_time()?.block_on(simulate(seed, length, broken))
 }
 
 async fn simulate(seed: u64, length: Duration, broken: BrokenGuards) -> Result<SeedReport> {
@@ -122,11 +127,7 @@
 
 /// Takes the store down for `length` of virtual time and sends marked and unmarked requests meanwhile.
 pub fn run_store_outage(seed: u64, length: Duration) -> Result<OutageReport> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()?;
-    runtime.block_on(async {
+    virtual_time()?.block_on(async {
         let world = World::start(seed, BrokenGuards::default()).await?;
         sleep(QUIET_START).await;
         world
--- a/crates/bench/src/fleet/simulation.rs
+++ b/crates/bench/src/fleet/simulation.rs
@@ -4,7 +4,10 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::{Duration, Instant};
 
-use harrierward_config::{ConfigReplica, FreshnessBounds, Observation};
+use harrierward_config::{
+    ASK_POLLER_AFTER, ASK_POLLER_EVERY, CONFIG_FAN_OUT, ConfigReplica, FreshnessBounds,
+    Observation, POLLERS_A_ZONE,
+};
 use harrierward_membership::{Action, ConfigWord, MembershipCore, MembershipSettings};
 use harrierward_routing::rank_by_rendezvous;
 use harrierward_wire::{
@@ -17,10 +20,6 @@
 use super::links::Placement;
 
 const TICK_MICROS: u64 = 100_000;
-const POLLERS_A_ZONE: usize = 2;
-const ASK_POLLER_AFTER: Duration = Duration::from_millis(1500);
-const ASK_POLLER_EVERY: Duration = Duration::from_secs(1);
-const CONFIG_FAN_OUT: usize = 4;
 
 /// Overhead of UDP and IP headers, bytes, counted with each datagram.
 const HEADER_BYTES: usize = 28;
@@ -341,6 +340,11 @@
         cut(from) == cut(to)
     }
 
+    fn delay_micros(&self, from: usize, to: usize) -> u64 {
+        let placement = self.daemons[from].placement;
+        placement.delay_micros(self.daemons[to].placement)
+    }
+
     fn count(&mut self, from: usize, bytes: usize) {
         let bytes = bytes as u64;
         self.traffic.bytes += bytes;
@@ -363,9 +367,7 @@
             if lost || !self.reachable(from, to) {
                 continue;
             }
-            let delay = self.daemons[from]
-                .placement
-                .delay_micros(self.daemons[to].placement);
+            let delay = self.delay_micros(from, to);
             self.at(self.now + delay, Event::Datagram(to, bytes));
         }
     }
@@ -385,13 +387,9 @@
             let age = word.answers_probe_of.zip(word.word.proof_age);
             let age = age.map(|(sent_at, age)| now.saturating_sub(sent_at) + age);
             let observation = daemon.config.observe(now, word.word.revision, age);
-            let from = fleet
-                .addresses
-                .get(&address_of(&datagram, &word.from))
-                .copied();
-            Some((actions, observation, from, datagram.from))
+            Some((actions, observation, datagram.from))
         });
-        let Some((actions, observation, _, from)) = received else {
+        let Some((actions, observation, from)) = received else {
             return;
         };
         self.send_all(to, actions);
@@ -410,9 +408,7 @@
         if !self.reachable(from, to) {
             return;
         }
-        let delay = self.daemons[from]
-            .placement
-            .delay_micros(self.daemons[to].placement);
+        let delay = self.delay_micros(from, to);
         self.daemons[from].pulling_until = self.now + delay * 2 + TICK_MICROS;
         self.count(from, HEADER_BYTES * 2);
         let after = self.daemons[from].config.revision();
@@ -425,9 +421,7 @@
         }
         let bytes = self.timed(|fleet| encode(&fleet.daemons[to].config.delta(after)));
         self.count(to, bytes.len() + HEADER_BYTES * 2);
-        let delay = self.daemons[from]
-            .placement
-            .delay_micros(self.daemons[to].placement);
+        let delay = self.delay_micros(from, to);
         self.at(self.now + delay, Event::Delta(from, bytes));
     }
 
@@ -599,13 +593,6 @@
     }
 }
 
-fn address_of(datagram: &Datagram, id: &str) -> String {
-    let sender = datagram.records.iter().find(|record| record.id == id);
-    sender
-        .map(|record| record.udp_address.clone())
-        .unwrap_or_default()
-}
-
 /// Members of the daemon's zone that ask the table regularly.
 fn pollers(daemon: &Daemon, addresses: &BTreeMap<String, usize>) -> Vec<usize> {
     let zone = format!("zone-{}", daemon.placement.zone);
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,6 +9,7 @@
 mod objects;
 mod replica;
 mod snapshot;
+mod spread;
 mod store;
 
 pub use apply_file::{ApplyFile, render_objects};
@@ -20,4 +21,5 @@
 };
 pub use replica::{Adoption, ConfigReplica, FreshnessBounds, Observation};
 pub use snapshot::{ConfigSnapshot, Principal, Role};
+pub use spread::{ASK_POLLER_AFTER, ASK_POLLER_EVERY, CONFIG_FAN_OUT, POLLERS_A_ZONE};
 pub use store::{Applied, ApplyRequest, ConfigStore, RequestedChange};
--- a/crates/node/src/config_task.rs
+++ b/crates/node/src/config_task.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use harrierward_config::{Adoption, Observation};
+use harrierward_config::{
+    ASK_POLLER_AFTER, ASK_POLLER_EVERY, Adoption, Observation, POLLERS_A_ZONE,
+};
 use harrierward_membership::ReceivedWord;
 use harrierward_routing::rank_by_rendezvous;
 use harrierward_wire::{
@@ -20,13 +22,6 @@
 const PREFIX: &str = "config:";
 const TICK: Duration = Duration::from_millis(100);
 
-/// Members of a zone that ask the table regularly.
-const POLLERS_A_ZONE: usize = 2;
-
-/// Age of the proof after which a poller is asked, and how often at most.
-const ASK_POLLER_AFTER: Duration = Duration::from_millis(1500);
-const ASK_POLLER_EVERY: Duration = Duration::from_secs(1);
-
 /// Wait for a peer's answer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/crates/node/src/membership_task.rs
+++ b/crates/node/src/membership_task.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use harrierward_config::CONFIG_FAN_OUT;
 use harrierward_membership::{Action, ConfigWord};
 use harrierward_wire::{Datagram, NodeDatagram, ServiceBacklog, decode, encode, node_datagram};
 use tokio::time::sleep;
@@ -78,9 +79,6 @@
         .collect()
 }
 
-/// Members told at once of a new configuration revision; they tell as many others in turn.
-const CONFIG_FAN_OUT: usize = 4;
-
 /// Tells some members of a configuration revision that was just adopted.
 pub(crate) fn spread_config(shared: &Arc<Shared>) {
     let config = config_word(shared, shared.now());
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -133,9 +133,6 @@
     /// Shards that are not the receiver's.
     #[prost(uint32, repeated, tag = "1")]
     pub refused_shards: Vec<u32>,
-    /// The receiver's buffer is full: send again later.
-    #[prost(bool, tag = "2")]
-    pub full: bool,
 }
 
 /// A job was accepted, or something of it changed.
