Traits of outside systems move from crates/platform to crates/external

Cause: the users' platform gets an adapter folder of that name; one word must not mean two things. Change: the crate is renamed, nothing else.

--- a/crates/api/src/errors.rs
+++ b/crates/api/src/errors.rs
@@ -5,8 +5,8 @@
 use axum::http::{HeaderValue, StatusCode, Uri};
 use axum::response::{IntoResponse, Response};
 use harrierward_batch::BatchError;
+use harrierward_external::{PlatformError, PlatformErrorKind};
 use harrierward_gateway::{Execution, GatewayError, SpecError};
-use harrierward_platform::{PlatformError, PlatformErrorKind};
 use serde::Serialize;
 
 /// Header that says what is known of the execution.
--- a/crates/api/src/generate.rs
+++ b/crates/api/src/generate.rs
@@ -10,12 +10,12 @@
 use axum::response::{IntoResponse, Response};
 use futures::{StreamExt, stream};
 use harrierward_claims::{ClaimKey, request_digest};
+use harrierward_external::FinishReason;
 use harrierward_gateway::{
     AnswerEvent, AnswerStream, Call, EndpointKind, Execution, GenerationSpec, MarkedCall, Usage,
     parse_request,
 };
 use harrierward_node::Node;
-use harrierward_platform::FinishReason;
 use serde::Serialize;
 use tokio::time::Instant;
 
--- a/crates/batch/src/core/commit.rs
+++ b/crates/batch/src/core/commit.rs
@@ -1,6 +1,6 @@
 //! What the owner wants written, and what became of it.
 
-use harrierward_platform::{Condition, Transaction};
+use harrierward_external::{Condition, Transaction};
 use harrierward_wire::{ChunkRow, JobRow, ProgressRow, encode};
 
 use super::chunk::FinishedItem;
--- a/crates/batch/src/errors.rs
+++ b/crates/batch/src/errors.rs
@@ -1,6 +1,6 @@
 //! Errors of the batch services.
 
-use harrierward_platform::PlatformError;
+use harrierward_external::PlatformError;
 
 /// What is wrong with a line of an uploaded file.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/crates/batch/src/files.rs
+++ b/crates/batch/src/files.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use harrierward_platform::{
+use harrierward_external::{
     Condition, ObjectStore, PlatformError, RequestClass, Row, Table, Transaction,
     TransactionOutcome,
 };
--- a/crates/batch/src/jobs.rs
+++ b/crates/batch/src/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use harrierward_platform::{Condition, RequestClass, Row, Table, Transaction, TransactionOutcome};
+use harrierward_external::{Condition, RequestClass, Row, Table, Transaction, TransactionOutcome};
 use harrierward_wire::{
     FileRow, JobKeyRow, JobRow, JobState, OpenJobRow, ProgressRow, decode, encode,
 };
--- a/crates/batch/src/owner.rs
+++ b/crates/batch/src/owner.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use harrierward_platform::{
+use harrierward_external::{
     Backoff, ObjectStore, PlatformError, RequestClass, Table, TransactionOutcome,
 };
 use harrierward_wire::{
--- a/crates/batch/src/patience.rs
+++ b/crates/batch/src/patience.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use harrierward_platform::{PlatformError, PlatformErrorKind};
+use harrierward_external::{PlatformError, PlatformErrorKind};
 use tokio::time::{Instant, sleep};
 
 /// Longest wait for the rate in one call.
--- a/crates/batch/src/results.rs
+++ b/crates/batch/src/results.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use harrierward_platform::{ObjectStore, RequestClass, Table};
+use harrierward_external::{ObjectStore, RequestClass, Table};
 use harrierward_wire::{ChunkRow, decode};
 
 use crate::errors::BatchError;
--- a/crates/bench/src/experiment/simulation.rs
+++ b/crates/bench/src/experiment/simulation.rs
@@ -7,7 +7,7 @@
 
 use harrierward_capacity::{RunningBatchItem, SlotBudget, SlotSettings, select_victims};
 use harrierward_emulator::{EngineCore, EngineParameters, prompt_tokens};
-use harrierward_platform::{GenerateRequest, Priority, prefix_blocks};
+use harrierward_external::{GenerateRequest, Priority, prefix_blocks};
 use harrierward_routing::{
     CostModel, LoadReport, PrefixIndex, ReplicaEntry, ReplicaLoad, RouteRequest, RoutingTable,
 };
--- a/crates/bench/src/faults/gate.rs
+++ b/crates/bench/src/faults/gate.rs
@@ -8,7 +8,7 @@
 use std::task::{Context, Poll};
 
 use futures::{Stream, StreamExt};
-use harrierward_platform::{EngineError, EngineEvent, EventStream};
+use harrierward_external::{EngineError, EngineEvent, EventStream};
 use tokio::sync::Notify;
 
 /// What passes the gate.
--- a/crates/bench/src/faults/gated_platform.rs
+++ b/crates/bench/src/faults/gated_platform.rs
@@ -7,12 +7,12 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use harrierward_emulator::{EngineHandle, MemoryPlatform};
-use harrierward_gateway::EngineConnector;
-use harrierward_platform::{
+use harrierward_external::{
     CacheEventPage, Engine, EngineError, EngineLoad, EngineOrder, EventStream, GenerateRequest,
     Machine, MachineList, ObjectStore, PlatformError, RequestClass, Row, Table, Transaction,
     TransactionOutcome, WeightStore, WeightTransfer, Write,
 };
+use harrierward_gateway::EngineConnector;
 
 use harrierward_wire::{JobRow, JobState, decode, encode};
 
--- a/crates/bench/src/faults/world.rs
+++ b/crates/bench/src/faults/world.rs
@@ -10,8 +10,8 @@
     ServiceSpec, Spec, TenantSpec,
 };
 use harrierward_emulator::{EngineHandle, EngineParameters, MemoryPlatform, PlatformParameters};
+use harrierward_external::{Machine, MachineState, ReplicaId};
 use harrierward_node::{Node, NodeIdentity, NodeParts, NodeSettings};
-use harrierward_platform::{Machine, MachineState, ReplicaId};
 use prometheus::Registry;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/bench/tests/loopback.rs
+++ b/crates/bench/tests/loopback.rs
@@ -9,15 +9,15 @@
 use harrierward_emulator::{
     EngineHandle, EngineParameters, MemoryPlatform, PlatformParameters, expected_answer,
 };
+use harrierward_external::http::{
+    HttpCaller, HttpEngine, HttpMachineList, HttpObjectStore, HttpTable, HttpWeightStore,
+    without_delay,
+};
+use harrierward_external::{Engine, Machine, MachineState, ReplicaId};
 use harrierward_gateway::EngineConnector;
 use harrierward_node::{
     Node, NodeIdentity, NodeParts, NodeSettings, SocketNetwork, peer_router, serve_datagrams,
 };
-use harrierward_platform::http::{
-    HttpCaller, HttpEngine, HttpMachineList, HttpObjectStore, HttpTable, HttpWeightStore,
-    without_delay,
-};
-use harrierward_platform::{Engine, Machine, MachineState, ReplicaId};
 use http::Method;
 use prometheus::Registry;
 use serde_json::{Value, json};
--- a/crates/claims/src/group.rs
+++ b/crates/claims/src/group.rs
@@ -3,7 +3,7 @@
 //! Invariant: a claim is granted only on a committed transaction that holds it, or on reading back a row that
 //! carries its own attempt id.
 
-use harrierward_platform::{Condition, Transaction, TransactionOutcome};
+use harrierward_external::{Condition, Transaction, TransactionOutcome};
 use harrierward_wire::{ClaimRow, encode};
 
 use crate::verdict::{Claim, ClaimKey, Verdict, judge};
--- a/crates/claims/src/service.rs
+++ b/crates/claims/src/service.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use harrierward_platform::{
+use harrierward_external::{
     Backoff, Condition, PlatformError, PlatformErrorKind, RequestClass, Row, Table, Transaction,
 };
 use harrierward_wire::{ClaimRow, ClaimState, decode, encode};
--- a/crates/claims/src/verdict.rs
+++ b/crates/claims/src/verdict.rs
@@ -1,6 +1,6 @@
 //! What a claim row means to somebody who wants to run the same request.
 
-use harrierward_platform::{PlatformError, Row};
+use harrierward_external::{PlatformError, Row};
 use harrierward_wire::{ClaimRow, ClaimState, decode};
 use sha2::{Digest, Sha256};
 
--- a/crates/claims/tests/group.rs
+++ b/crates/claims/tests/group.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use harrierward_claims::{ClaimGroup, ClaimKey, PendingClaim, Verdict};
-use harrierward_platform::{Condition, Row, Transaction, TransactionOutcome, Write};
+use harrierward_external::{Condition, Row, Transaction, TransactionOutcome, Write};
 use harrierward_wire::{ClaimRow, ClaimState, decode};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
--- a/crates/config/src/errors.rs
+++ b/crates/config/src/errors.rs
@@ -1,6 +1,6 @@
 //! Errors of checking and applying configuration.
 
-use harrierward_platform::PlatformError;
+use harrierward_external::PlatformError;
 
 use crate::ObjectId;
 
--- a/crates/config/src/store.rs
+++ b/crates/config/src/store.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use harrierward_platform::{
+use harrierward_external::{
     Condition, PlatformError, PlatformErrorKind, RequestClass, Row, Table, Transaction,
     TransactionOutcome,
 };
--- a/crates/emulator/src/engine_core.rs
+++ b/crates/emulator/src/engine_core.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use harrierward_platform::{
+use harrierward_external::{
     CacheEvent, EngineEvent, EngineLoad, FinishReason, GenerateRequest, Priority, prefix_blocks,
 };
 use rand::SeedableRng;
--- a/crates/emulator/src/engine_handle.rs
+++ b/crates/emulator/src/engine_handle.rs
@@ -9,7 +9,7 @@
 
 use async_trait::async_trait;
 use futures::Stream;
-use harrierward_platform::{
+use harrierward_external::{
     CacheEventPage, Engine, EngineError, EngineEvent, EngineLoad, EngineOrder, EventStream,
     GenerateRequest, OrderKind, Priority,
 };
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -7,8 +7,8 @@
 use getopts::Options;
 use harrierward_emulator::server::{engine_router, platform_router};
 use harrierward_emulator::{EngineHandle, EngineParameters, MemoryPlatform, PlatformParameters};
-use harrierward_platform::http::without_delay;
-use harrierward_platform::{Machine, MachineState, ReplicaId};
+use harrierward_external::http::without_delay;
+use harrierward_external::{Machine, MachineState, ReplicaId};
 use tokio::net::TcpListener;
 
 const DEFAULT_ADDRESS: &str = "127.0.0.1:9000";
--- a/crates/emulator/src/memory_platform.rs
+++ b/crates/emulator/src/memory_platform.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use harrierward_platform::{
+use harrierward_external::{
     Condition, Machine, MachineList, MachineState, ObjectStore, PlatformError, PlatformErrorKind,
     RateBudget, ReplicaId, RequestClass, Row, Table, Transaction, TransactionOutcome, WeightStore,
     WeightTransfer, Write,
--- a/crates/emulator/src/prefix_cache.rs
+++ b/crates/emulator/src/prefix_cache.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::num::NonZeroUsize;
 
-use harrierward_platform::CacheEvent;
+use harrierward_external::CacheEvent;
 use lru::LruCache;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -10,11 +10,11 @@
 use axum::routing::{get, post, put};
 use axum::{Json, Router};
 use futures::StreamExt;
-use harrierward_platform::http::messages::{
+use harrierward_external::http::messages::{
     CancelMessage, EngineRefusal, GetMessage, OutcomeMessage, RowMessage, ScanMessage,
     TransactionMessage,
 };
-use harrierward_platform::{
+use harrierward_external::{
     Engine, EngineError, EngineOrder, GenerateRequest, MachineList, ObjectStore, PlatformError,
     PlatformErrorKind, ReplicaId, RequestClass, Table, WeightStore,
 };
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -5,7 +5,7 @@
 use futures::stream::BoxStream;
 use futures::{Stream, StreamExt, stream};
 use harrierward_claims::{Claim, Claims};
-use harrierward_platform::{EngineEvent, FinishReason};
+use harrierward_external::{EngineEvent, FinishReason};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use arc_swap::ArcSwap;
-use harrierward_platform::{Engine, Machine, MachineState, ReplicaId};
+use harrierward_external::{Engine, Machine, MachineState, ReplicaId};
 use harrierward_routing::{
     CostModel, ReplicaEntry, ReplicaLoad, RoutingTable, SubsetMember, stable_subset,
 };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use harrierward_claims::{Claim, Claims, Verdict};
 use harrierward_config::ConfigSnapshot;
-use harrierward_platform::{
+use harrierward_external::{
     EngineError, EventStream, GenerateRequest, Priority, ReplicaId, prefix_blocks,
 };
 use harrierward_routing::{PrefixIndex, RouteRequest, Strategy};
--- a/crates/harrierward/src/client.rs
+++ b/crates/harrierward/src/client.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use eyre::{Result, WrapErr, bail};
-use harrierward_platform::http::HttpCaller;
+use harrierward_external::http::HttpCaller;
 use http::{Method, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
--- a/crates/harrierward/src/serve.rs
+++ b/crates/harrierward/src/serve.rs
@@ -8,15 +8,15 @@
 use getopts::{Matches, Options};
 use harrierward_capacity::check_program;
 use harrierward_config::{ApplyFile, ApplyRequest, ConfigStore};
+use harrierward_external::http::{
+    HttpCaller, HttpEngine, HttpMachineList, HttpObjectStore, HttpTable, HttpWeightStore,
+    without_delay,
+};
+use harrierward_external::{Engine, Machine, Table};
 use harrierward_gateway::EngineConnector;
 use harrierward_node::{
     Node, NodeIdentity, NodeParts, SocketNetwork, peer_router, serve_datagrams,
 };
-use harrierward_platform::http::{
-    HttpCaller, HttpEngine, HttpMachineList, HttpObjectStore, HttpTable, HttpWeightStore,
-    without_delay,
-};
-use harrierward_platform::{Engine, Machine, Table};
 use prometheus::Registry;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
--- a/crates/node/src/batch_item.rs
+++ b/crates/node/src/batch_item.rs
@@ -1,10 +1,10 @@
 //! Runs one batch item at an engine and makes its result line.
 
 use futures::StreamExt;
-use harrierward_gateway::{EndpointKind, GenerationSpec, parse_request};
-use harrierward_platform::{
+use harrierward_external::{
     EngineError, EngineEvent, EventStream, FinishReason, GenerateRequest, Priority,
 };
+use harrierward_gateway::{EndpointKind, GenerationSpec, parse_request};
 use serde_json::{Value, json};
 use tokio::time::timeout;
 
--- a/crates/node/src/cancel_task.rs
+++ b/crates/node/src/cancel_task.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use harrierward_batch::job_row_key;
-use harrierward_platform::RequestClass;
+use harrierward_external::RequestClass;
 use harrierward_wire::{
     CancelNotice, CancelReply, JobNotice, JobRow, JobState, PeerRequest, decode, peer_reply,
     peer_request,
--- a/crates/node/src/directory_task.rs
+++ b/crates/node/src/directory_task.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use harrierward_external::{EngineLoad, MachineState};
 use harrierward_gateway::Replica;
-use harrierward_platform::{EngineLoad, MachineState};
 use harrierward_routing::LoadReport;
 use harrierward_wire::{
     NodeDatagram, OnlineCount, OnlineNotice, ReplicaReport, ReplicaReports, encode, node_datagram,
@@ -188,7 +188,7 @@
     let directory = shared.directory.load();
     let asked_micros = reports.echo_ms * 1000;
     for report in &reports.reports {
-        let id = harrierward_platform::ReplicaId(report.replica.clone());
+        let id = harrierward_external::ReplicaId(report.replica.clone());
         let Some(replica) = directory.replicas.get(&id) else {
             continue;
         };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,15 +10,15 @@
 use harrierward_capacity::CapacityPlan;
 use harrierward_claims::Claims;
 use harrierward_config::{ConfigReplica, ConfigSnapshot, ConfigStore};
+use harrierward_external::{
+    Condition, GuardedObjects, GuardedTable, MachineList, ObjectStore, PlatformError, RateBudget,
+    RequestClass, Table, Transaction, WeightStore,
+};
 use harrierward_gateway::{
     EndpointKind, EngineConnector, Gateway, GatewayMetrics, GatewayParts, ReplicaDirectory,
     ZoneRank, parse_request,
 };
 use harrierward_membership::{MembershipCore, MembershipView};
-use harrierward_platform::{
-    Condition, GuardedObjects, GuardedTable, MachineList, ObjectStore, PlatformError, RateBudget,
-    RequestClass, Table, Transaction, WeightStore,
-};
 use harrierward_routing::CostModel;
 use harrierward_wire::{MemberRecord, MemberState, ShardCountRow, decode, encode};
 use prometheus::Registry;
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -8,11 +8,11 @@
 use std::time::Duration;
 
 use harrierward_batch::{replica_key, shard_key};
-use harrierward_gateway::Replica;
-use harrierward_platform::{
+use harrierward_external::{
     Condition, EngineOrder, MachineState, OrderKind, ReplicaId, RequestClass, Row, Transaction,
     TransactionOutcome,
 };
+use harrierward_gateway::Replica;
 use harrierward_wire::{OwnershipRow, decode, encode};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
--- a/crates/node/src/roster_task.rs
+++ b/crates/node/src/roster_task.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use harrierward_platform::{PlatformError, RequestClass, Transaction};
+use harrierward_external::{PlatformError, RequestClass, Transaction};
 use harrierward_wire::{MemberRecord, MemberState, decode, encode};
 use tokio::time::sleep;
 
--- a/crates/node/src/runner/mod.rs
+++ b/crates/node/src/runner/mod.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 use harrierward_capacity::{RunningBatchItem, SlotBudget, SlotSettings};
+use harrierward_external::EngineLoad;
 use harrierward_gateway::Replica;
-use harrierward_platform::EngineLoad;
 use harrierward_routing::CONFIRMATION_LIFETIME_MICROS;
 use harrierward_wire::{Grant, HandBack, ItemResult, ReplicaReport, RunningItem};
 use tokio::sync::Notify;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,9 +6,9 @@
 use harrierward_capacity::SlotSettings;
 use harrierward_claims::ClaimSettings;
 use harrierward_config::FreshnessBounds;
+use harrierward_external::StoreLimits;
 use harrierward_gateway::GatewaySettings;
 use harrierward_membership::MembershipSettings;
-use harrierward_platform::StoreLimits;
 
 /// Settings of one daemon, all with defaults that work.
 #[derive(Debug, Clone, Copy)]
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -9,7 +9,7 @@
 use axum::extract::{DefaultBodyLimit, State};
 use axum::http::StatusCode;
 use axum::routing::post;
-use harrierward_platform::http::{CallError, HttpCaller};
+use harrierward_external::http::{CallError, HttpCaller};
 use harrierward_wire::{PeerReply, PeerRequest, decode, encode};
 use http::Method;
 use tokio::net::UdpSocket;
