--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,11 @@
+//! The decision log: one structured line for each decision that touches a request or changes what a process
+//! believes.
+//!
+//! Why its own crate: on-call engineers have only logs and metrics, so the records are typed, stand in one place,
+//! and are written off the request path through a bounded queue that drops (and counts) rather than waits.
+
+mod queue;
+mod record;
+
+pub use queue::{DECISION_TARGET, DecisionLog, LogBounds};
+pub use record::{Importance, Record};
--- /dev/null
+++ b/crates/decisions/src/record.rs
@@ -0,0 +1,221 @@
+//! The records.
+
+use serde::Serialize;
+
+/// How long a record is kept when lines must be dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Importance {
+    /// Dropped first: the ordinary course of a request.
+    Ordinary,
+    /// A change of what the process believes.
+    Change,
+    /// A request or item that did not go as it should.
+    Failure,
+}
+
+/// One decision. Times and ages are in milliseconds.
+#[derive(Debug, Clone, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Record<'a> {
+    /// The process started.
+    Started {
+        /// Member id of this life of the process.
+        member: &'a str,
+        /// Zone.
+        zone: &'a str,
+    },
+    /// The process began to stop.
+    Stopping {
+        /// Requests in progress.
+        in_progress: usize,
+    },
+    /// The process ends.
+    Stopped {
+        /// Requests cut off.
+        cut_off: usize,
+    },
+    /// Settings were read again.
+    Reloaded {
+        /// What came of it.
+        outcome: &'a str,
+    },
+    /// A configuration came into force.
+    ConfigurationInForce {
+        /// Version.
+        version: u64,
+        /// Where it came from.
+        source: &'a str,
+        /// Routes in it.
+        routes: usize,
+    },
+    /// A replica came, changed its state or went.
+    ReplicaChanged {
+        /// Replica.
+        replica: &'a str,
+        /// New state.
+        state: &'a str,
+        /// Revision of the row that says so.
+        revision: u64,
+    },
+    /// A replica is avoided for a while.
+    ReplicaSuspected {
+        /// Replica.
+        replica: &'a str,
+        /// Cause.
+        cause: &'a str,
+    },
+    /// A dependency was lost.
+    DependencyLost {
+        /// Name.
+        dependency: &'a str,
+        /// Cause.
+        cause: &'a str,
+    },
+    /// A dependency is back.
+    DependencyRegained {
+        /// Name.
+        dependency: &'a str,
+        /// How long it was away.
+        away_ms: u64,
+    },
+    /// The members that this process believes alive changed.
+    MembersChanged {
+        /// Members alive.
+        alive: usize,
+    },
+    /// A request was sent to a replica.
+    Sent {
+        /// Request.
+        request: &'a str,
+        /// Route.
+        route: &'a str,
+        /// Replica.
+        replica: &'a str,
+        /// Estimated load of the replica, requests.
+        load: u32,
+        /// Age of the replica's last report.
+        report_age_ms: u64,
+        /// Prompt tokens believed to be in the replica's memory.
+        cached_tokens: u32,
+        /// Number of the attempt, from 1.
+        attempt: u32,
+        /// Last event that the caller has.
+        resume_after: Option<u64>,
+    },
+    /// An attempt at a replica failed.
+    AttemptFailed {
+        /// Request.
+        request: &'a str,
+        /// Replica.
+        replica: &'a str,
+        /// Cause.
+        cause: &'a str,
+        /// The replica certainly did not run it.
+        not_run: bool,
+        /// Time since the request arrived.
+        after_ms: u64,
+    },
+    /// A request ended.
+    Ended {
+        /// Request.
+        request: &'a str,
+        /// Status of the answer.
+        status: u16,
+        /// Outcome in a word.
+        outcome: &'a str,
+        /// Attempts made.
+        attempts: u32,
+        /// Time since the request arrived.
+        after_ms: u64,
+    },
+    /// A request was refused or given up.
+    Refused {
+        /// Request.
+        request: &'a str,
+        /// Status of the answer.
+        status: u16,
+        /// Cause.
+        cause: &'a str,
+        /// Configuration version that decided it.
+        version: u64,
+        /// Time since the request arrived.
+        after_ms: u64,
+    },
+    /// A batch job was accepted, refused or left in doubt.
+    JobSubmitted {
+        /// Job.
+        job: &'a str,
+        /// Outcome.
+        outcome: &'a str,
+        /// Items.
+        items: usize,
+        /// Tokens waiting on the route as this daemon knew them.
+        waiting_tokens: u64,
+        /// Revision of the commit, 0 if there is none.
+        revision: u64,
+    },
+    /// This daemon became or ceased to be the owner of a job.
+    JobOwnership {
+        /// Job.
+        job: &'a str,
+        /// What happened.
+        outcome: &'a str,
+        /// Epoch of the ownership.
+        epoch: u64,
+    },
+    /// Results were listed, or the commit failed.
+    ResultsListed {
+        /// Job.
+        job: &'a str,
+        /// First position.
+        position: u32,
+        /// Results.
+        count: usize,
+        /// Outcome.
+        outcome: &'a str,
+    },
+    /// A job was ended by its client.
+    JobEnded {
+        /// Job.
+        job: &'a str,
+        /// Outcome.
+        outcome: &'a str,
+    },
+    /// A run of an item failed or was given back.
+    ItemRun {
+        /// Job.
+        job: &'a str,
+        /// Item.
+        item: &'a str,
+        /// Replica.
+        replica: &'a str,
+        /// Outcome.
+        outcome: &'a str,
+        /// Events received so far.
+        events: u64,
+    },
+    /// Lines were dropped.
+    LinesDropped {
+        /// Lines dropped since the last such record.
+        lines: u64,
+    },
+}
+
+impl Record<'_> {
+    /// How long the record is kept under load.
+    pub fn importance(&self) -> Importance {
+        match self {
+            Self::Sent { .. } | Self::Ended { .. } => Importance::Ordinary,
+            Self::ResultsListed { outcome, .. } if *outcome == "committed" => Importance::Ordinary,
+            Self::ItemRun { outcome, .. } if *outcome == "finished" => Importance::Ordinary,
+            Self::JobSubmitted { outcome, .. } if *outcome == "accepted" => Importance::Ordinary,
+            Self::AttemptFailed { .. }
+            | Self::Refused { .. }
+            | Self::ItemRun { .. }
+            | Self::JobSubmitted { .. }
+            | Self::ResultsListed { .. }
+            | Self::JobEnded { .. } => Importance::Failure,
+            _ => Importance::Change,
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/daemon.rs
@@ -0,0 +1,187 @@
+//! One daemon: its parts wired together, its start and its planned stop.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use harrierward_decisions::{DecisionLog, Record};
+use harrierward_external::{Table, WatchedTable};
+use harrierward_serving::{
+    Forwarder, ForwarderParts, ForwarderSettings, ReplicaClient, ReplicaSet, SelectionCosts,
+};
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+
+use crate::discovery::{Discovery, DiscoverySource};
+use crate::server::{HttpService, ServerControl, ServerStage, serve};
+use crate::settings::EdgeSettings;
+use crate::watch::{Watch, WatchSettings};
+
+/// Time in which the platform takes a daemon that is not ready out of service.
+const TAKEN_OUT_AFTER: Duration = Duration::from_millis(3_000);
+
+/// Part of the grace that is kept for the end itself.
+const END_RESERVE: Duration = Duration::from_millis(900);
+
+/// How often a stopping daemon looks whether its requests are done.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// Time for idle connections to be closed in order.
+const CLOSE_TIME: Duration = Duration::from_millis(150);
+
+/// What a daemon is made of.
+pub struct DaemonParts {
+    /// Settings.
+    pub settings: EdgeSettings,
+    /// Translation of the store's rows.
+    pub source: Arc<dyn DiscoverySource>,
+    /// The store's rows.
+    pub table: Arc<dyn Table>,
+    /// The store's feeds.
+    pub watched: Arc<dyn WatchedTable>,
+    /// The replicas' protocol.
+    pub replicas: Arc<dyn ReplicaClient>,
+    /// Decision log.
+    pub log: DecisionLog,
+}
+
+/// What a service needs of its daemon.
+pub struct EdgeService {
+    /// The request path.
+    pub forwarder: Forwarder,
+    /// The servers' state.
+    pub control: Arc<ServerControl>,
+    stopping: AtomicBool,
+    discovery: Arc<Discovery>,
+}
+
+impl EdgeService {
+    /// True if the daemon wants new connections.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed) && self.discovery.is_complete()
+    }
+}
+
+/// A running daemon.
+pub struct Daemon {
+    settings: EdgeSettings,
+    service: Arc<EdgeService>,
+    log: DecisionLog,
+}
+
+impl Daemon {
+    /// Wires the parts and starts the watches on the current runtime.
+    pub fn start(parts: DaemonParts) -> Self {
+        let DaemonParts {
+            settings,
+            source,
+            table: _table,
+            watched,
+            replicas: client,
+            log,
+        } = parts;
+        log.record(&Record::Started {
+            member: &settings.member,
+            zone: &settings.zone,
+        });
+        let routes = Arc::new(ArcSwapOption::empty());
+        let replicas = Arc::new(ReplicaSet::default());
+        let control = Arc::new(ServerControl::default());
+        let forwarder = Forwarder::new(ForwarderParts {
+            routes: routes.clone(),
+            replicas: replicas.clone(),
+            client,
+            log: log.clone(),
+            settings: ForwarderSettings {
+                zone: settings.zone.clone(),
+                costs: SelectionCosts::default(),
+            },
+        });
+        let discovery = Arc::new(Discovery::new(
+            source.clone(),
+            routes,
+            replicas,
+            control.clone(),
+            log.clone(),
+        ));
+        start_watches(&discovery, source.as_ref(), &watched, &log);
+        let service = Arc::new(EdgeService {
+            forwarder,
+            control,
+            stopping: AtomicBool::new(false),
+            discovery,
+        });
+        Self {
+            settings,
+            service,
+            log,
+        }
+    }
+
+    /// What the callers' service needs.
+    pub fn service(&self) -> Arc<EdgeService> {
+        self.service.clone()
+    }
+
+    /// Serves callers and the question whether the daemon is ready.
+    pub async fn listen<C: HttpService, R: HttpService>(
+        &self,
+        callers: Arc<C>,
+        readiness: Arc<R>,
+    ) -> std::io::Result<()> {
+        let caller_listener = TcpListener::bind(&self.settings.caller_address).await?;
+        let ready_listener = TcpListener::bind(&self.settings.ready_address).await?;
+        let control = self.service.control.clone();
+        tokio::spawn(serve(caller_listener, control, callers));
+        let ready_control = Arc::new(ServerControl::default());
+        tokio::spawn(serve(ready_listener, ready_control, readiness));
+        Ok(())
+    }
+
+    /// Stops in order: not ready at once, then what was read is answered, then the end.
+    pub async fn stop(&self) {
+        let asked_at = Instant::now();
+        let control = &self.service.control;
+        self.service.stopping.store(true, Ordering::Relaxed);
+        control.set_stage(ServerStage::Draining);
+        self.log.record(&Record::Stopping {
+            in_progress: control.in_progress(),
+        });
+        let last = self.settings.grace.saturating_sub(END_RESERVE);
+        loop {
+            let waited = asked_at.elapsed();
+            let done = waited >= TAKEN_OUT_AFTER && control.in_progress() == 0;
+            if done || waited >= last {
+                break;
+            }
+            sleep(STOP_CHECK).await;
+        }
+        control.set_stage(ServerStage::Closing);
+        sleep(CLOSE_TIME).await;
+        self.log.record(&Record::Stopped {
+            cut_off: control.in_progress(),
+        });
+        self.log.flush();
+    }
+}
+
+fn start_watches(
+    discovery: &Arc<Discovery>,
+    source: &dyn DiscoverySource,
+    table: &Arc<dyn WatchedTable>,
+    log: &DecisionLog,
+) {
+    let watch = |space| Watch {
+        table: table.clone(),
+        space,
+        settings: WatchSettings::default(),
+        log: log.clone(),
+    };
+    let configuration = watch(source.configuration_space());
+    let taker = discovery.clone();
+    tokio::spawn(configuration.run(move |update| taker.take_configuration(&update, "store")));
+    let replicas = watch(source.replica_space());
+    let taker = discovery.clone();
+    tokio::spawn(replicas.run(move |update| taker.take_replicas(&update)));
+}
--- /dev/null
+++ b/crates/edge/src/discovery.rs
@@ -0,0 +1,175 @@
+//! Configuration and replicas as this daemon knows them, from the store's rows.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use harrierward_decisions::{DecisionLog, Record};
+use harrierward_external::Row;
+use harrierward_serving::{
+    ReplicaRecord, ReplicaSet, RouteTable, ServingConfiguration, SharedRoutes,
+};
+
+use crate::server::ServerControl;
+use crate::watch::SpaceUpdate;
+
+/// Translates the store's rows.
+pub trait DiscoverySource: Send + Sync {
+    /// Space that holds the configuration.
+    fn configuration_space(&self) -> &'static str;
+
+    /// Space that holds the replicas' records.
+    fn replica_space(&self) -> &'static str;
+
+    /// The configuration of a row, if it holds one.
+    fn configuration_of(&self, row: &Row) -> Option<ServingConfiguration>;
+
+    /// The replica of a row, if it holds one.
+    fn replica_of(&self, row: &Row) -> Option<ReplicaRecord>;
+}
+
+/// What the daemon believes; updates only move forward.
+pub struct Discovery {
+    source: Arc<dyn DiscoverySource>,
+    routes: SharedRoutes,
+    replicas: Arc<ReplicaSet>,
+    control: Arc<ServerControl>,
+    log: DecisionLog,
+    rows: Mutex<KnownRows>,
+}
+
+#[derive(Default)]
+struct KnownRows {
+    configuration: Option<Row>,
+    replicas: HashMap<String, (Row, ReplicaRecord)>,
+    replicas_read: bool,
+}
+
+impl Discovery {
+    /// Knows nothing yet.
+    pub fn new(
+        source: Arc<dyn DiscoverySource>,
+        routes: SharedRoutes,
+        replicas: Arc<ReplicaSet>,
+        control: Arc<ServerControl>,
+        log: DecisionLog,
+    ) -> Self {
+        Self {
+            source,
+            routes,
+            replicas,
+            control,
+            log,
+            rows: Mutex::default(),
+        }
+    }
+
+    fn rows(&self) -> std::sync::MutexGuard<'_, KnownRows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// True once a configuration and the replicas are known.
+    pub fn is_complete(&self) -> bool {
+        self.routes.load().is_some() && self.rows().replicas_read
+    }
+
+    /// Rows for a daemon that cannot read the store.
+    pub fn known_rows(&self) -> (Option<Row>, Vec<Row>) {
+        let rows = self.rows();
+        let replicas = rows.replicas.values().map(|(row, _)| row.clone()).collect();
+        (rows.configuration.clone(), replicas)
+    }
+
+    /// Takes an update of the configuration's space.
+    pub fn take_configuration(&self, update: &SpaceUpdate, origin: &str) {
+        for row in &update.written {
+            self.adopt(row, origin);
+        }
+    }
+
+    fn adopt(&self, row: &Row, origin: &str) {
+        let Some(configuration) = self.source.configuration_of(row) else {
+            return;
+        };
+        let mut rows = self.rows();
+        let current = self.routes.load_full();
+        let newer = current
+            .as_ref()
+            .is_none_or(|table| configuration.version > table.configuration.version);
+        if !newer {
+            return;
+        }
+        self.log.record(&Record::ConfigurationInForce {
+            version: configuration.version,
+            source: origin,
+            routes: configuration.routes.len(),
+        });
+        self.control.set_limits(configuration.limits);
+        let table = RouteTable::build(configuration, current.as_deref());
+        self.routes.store(Some(Arc::new(table)));
+        rows.configuration = Some(row.clone());
+    }
+
+    /// Takes an update of the replicas' space from the store.
+    pub fn take_replicas(&self, update: &SpaceUpdate) {
+        let mut rows = self.rows();
+        rows.replicas_read = true;
+        for key in &update.removed {
+            if let Some((row, record)) = rows.replicas.remove(key) {
+                self.log_replica(&record, "gone", row.revision);
+            }
+        }
+        for row in &update.written {
+            self.note_replica(&mut rows, row);
+        }
+        self.publish(&rows);
+    }
+
+    /// Takes replicas from a peer: only those that the store has not told of.
+    pub fn take_replicas_of_peer(&self, peer_rows: &[Row]) {
+        let mut rows = self.rows();
+        if rows.replicas_read {
+            return;
+        }
+        for row in peer_rows {
+            self.note_replica(&mut rows, row);
+        }
+        rows.replicas_read = true;
+        self.publish(&rows);
+    }
+
+    fn note_replica(&self, rows: &mut KnownRows, row: &Row) {
+        let Some(record) = self.source.replica_of(row) else {
+            return;
+        };
+        let known = rows.replicas.get(&row.key);
+        let same = known.is_some_and(|(_, known)| *known == record);
+        if !same {
+            let state = if record.draining { "draining" } else { "ready" };
+            self.log_replica(&record, state, row.revision);
+        }
+        rows.replicas.insert(row.key.clone(), (row.clone(), record));
+    }
+
+    fn publish(&self, rows: &KnownRows) {
+        let routes = self.routes.load_full();
+        let memory_tokens = |service: &str| {
+            let configuration = routes.as_ref().map(|table| &table.configuration);
+            let service = configuration.and_then(|known| known.service(service));
+            service.map_or(0, |service| service.memory_tokens)
+        };
+        let records = rows
+            .replicas
+            .values()
+            .map(|(_, record)| record.clone())
+            .collect();
+        self.replicas.replace(records, memory_tokens);
+    }
+
+    fn log_replica(&self, record: &ReplicaRecord, state: &str, revision: u64) {
+        self.log.record(&Record::ReplicaChanged {
+            replica: &record.id,
+            state,
+            revision,
+        });
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,18 @@
+//! One serving daemon without machines for control and without disk: its server towards callers, its connections
+//! to back ends, its copies of what the store says, and its peers.
+
+mod daemon;
+mod discovery;
+mod pool;
+mod server;
+mod settings;
+mod watch;
+
+pub use daemon::{Daemon, DaemonParts, EdgeService};
+pub use discovery::{Discovery, DiscoverySource};
+pub use pool::{
+    ConnectionPool, PoolError, PoolSettings, PooledBody, PooledResponse, RequestBody, has_token,
+};
+pub use server::{HttpService, ResponseBody, ServerControl, ServerStage, serve};
+pub use settings::EdgeSettings;
+pub use watch::{SpaceCopy, SpaceUpdate, Watch, WatchSettings};
--- /dev/null
+++ b/crates/edge/src/pool.rs
@@ -0,0 +1,340 @@
+//! Connections to back ends: one request at a time on each, kept only after a whole and orderly exchange.
+//!
+//! Why not a pooled client of a library: a connection that carried a broken, early or foreign answer must never
+//! be used again, and one that is given up must be closed at once, so that the back end stops.
+
+use std::collections::HashMap;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::Stream;
+use http::{HeaderMap, Request, response};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+
+/// Bounds of the pool.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolSettings {
+    /// Longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// How long unacknowledged bytes may wait before the connection counts as dead.
+    pub unacknowledged_timeout: Duration,
+    /// How long an idle connection is kept where the back end does not say.
+    pub idle: Duration,
+    /// How much sooner than the back end a connection is given up.
+    pub idle_margin: Duration,
+    /// Idle connections kept to one address.
+    pub idle_per_address: usize,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(300),
+            unacknowledged_timeout: Duration::from_secs(3),
+            idle: Duration::from_millis(1_500),
+            idle_margin: Duration::from_millis(700),
+            idle_per_address: 32,
+        }
+    }
+}
+
+/// A failed exchange.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PoolError {
+    /// No connection: nothing was sent.
+    #[error("cannot connect: {0}")]
+    NotSent(String),
+    /// The request may have been read.
+    #[error("answer lost: {0}")]
+    Lost(String),
+}
+
+/// The request's body; tells when all of it was handed to the connection.
+pub struct RequestBody {
+    data: Option<Bytes>,
+    taken: Arc<AtomicBool>,
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        self.taken.store(true, Ordering::Relaxed);
+        Poll::Ready(self.data.take().map(|data| Ok(Frame::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.data.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.data.as_ref().map_or(0, |data| data.len() as u64))
+    }
+}
+
+/// Ends the connection's task, and so closes the connection, when dropped.
+#[derive(Debug)]
+struct Driver(AbortHandle);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+struct Connection {
+    sender: http1::SendRequest<RequestBody>,
+    _driver: Driver,
+}
+
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// Connections to back ends; cheap to clone.
+#[derive(Clone)]
+pub struct ConnectionPool {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    settings: PoolSettings,
+    idle: Mutex<HashMap<String, Vec<Idle>>>,
+}
+
+/// An answer whose body is still to come.
+pub struct PooledResponse {
+    /// Status and headers.
+    pub head: response::Parts,
+    /// The body.
+    pub body: PooledBody,
+}
+
+/// Body of an answer. After its clean end the connection goes back to the pool; dropped before, it is closed.
+pub struct PooledBody {
+    body: Incoming,
+    lease: Option<Lease>,
+}
+
+struct Lease {
+    pool: ConnectionPool,
+    address: String,
+    connection: Connection,
+    keep_for: Option<Duration>,
+}
+
+impl PooledBody {
+    /// The connection is not used again.
+    pub fn discard_connection(&mut self) {
+        if let Some(lease) = &mut self.lease {
+            lease.keep_for = None;
+        }
+    }
+}
+
+impl Stream for PooledBody {
+    type Item = Result<Bytes, PoolError>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        loop {
+            if self.lease.is_none() {
+                return Poll::Ready(None);
+            }
+            let frame = match Pin::new(&mut self.body).poll_frame(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(frame) => frame,
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Poll::Ready(Some(Ok(data)));
+                    }
+                }
+                Some(Err(error)) => {
+                    self.lease = None;
+                    return Poll::Ready(Some(Err(PoolError::Lost(error.to_string()))));
+                }
+                None => {
+                    if let Some(lease) = self.lease.take() {
+                        lease.give_back();
+                    }
+                    return Poll::Ready(None);
+                }
+            }
+        }
+    }
+}
+
+impl Lease {
+    fn give_back(self) {
+        let Some(keep_for) = self.keep_for else {
+            return;
+        };
+        let idle = Idle {
+            connection: self.connection,
+            until: Instant::now() + keep_for,
+        };
+        self.pool.put(self.address, idle);
+    }
+}
+
+impl ConnectionPool {
+    /// An empty pool.
+    pub fn new(settings: PoolSettings) -> Self {
+        let inner = Inner {
+            settings,
+            idle: Mutex::new(HashMap::new()),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Vec<Idle>>> {
+        self.inner
+            .idle
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn put(&self, address: String, idle: Idle) {
+        let mut all = self.lock();
+        let list = all.entry(address).or_default();
+        let now = Instant::now();
+        list.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
+        if list.len() < self.inner.settings.idle_per_address {
+            list.push(idle);
+        }
+    }
+
+    /// The connection used last, so that the others may rest and be closed.
+    fn take(&self, address: &str) -> Option<Connection> {
+        let mut all = self.lock();
+        let list = all.get_mut(address)?;
+        let now = Instant::now();
+        while let Some(idle) = list.pop() {
+            let connection = idle.connection;
+            if idle.until > now && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Closes idle connections to an address.
+    pub fn forget(&self, address: &str) {
+        self.lock().remove(address);
+    }
+
+    async fn connect(&self, address: &str) -> Result<Connection, PoolError> {
+        let settings = &self.inner.settings;
+        let connecting = TcpStream::connect(address.to_owned());
+        let stream = match timeout(settings.connect_timeout, connecting).await {
+            Err(_) => return Err(PoolError::NotSent("no connection in time".to_owned())),
+            Ok(Err(error)) => return Err(PoolError::NotSent(error.to_string())),
+            Ok(Ok(stream)) => stream,
+        };
+        let not_sent = |error: std::io::Error| PoolError::NotSent(error.to_string());
+        stream.set_nodelay(true).map_err(not_sent)?;
+        // Not every system has this option; the exchange's own time limits hold anyway.
+        let _ = socket2::SockRef::from(&stream)
+            .set_tcp_user_timeout(Some(settings.unacknowledged_timeout));
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| PoolError::NotSent(error.to_string()))?;
+        let task = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Connection {
+            sender,
+            _driver: Driver(task.abort_handle()),
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer. Dropping the future closes the connection.
+    pub async fn send(
+        &self,
+        address: &str,
+        request: Request<Bytes>,
+        fresh: bool,
+    ) -> Result<PooledResponse, PoolError> {
+        let kept = if fresh { None } else { self.take(address) };
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => self.connect(address).await?,
+        };
+        let (head, body) = request.into_parts();
+        let taken = Arc::new(AtomicBool::new(body.is_empty()));
+        let body = RequestBody {
+            data: Some(body).filter(|body| !body.is_empty()),
+            taken: taken.clone(),
+        };
+        let request = Request::from_parts(head, body);
+        let answer = connection.sender.send_request(request).await;
+        let (head, body) = answer
+            .map_err(|error| PoolError::Lost(error.to_string()))?
+            .into_parts();
+        // An answer that came before the whole body was sent leaves the connection in doubt.
+        let orderly = taken.load(Ordering::Relaxed);
+        let keep_for = self.keep_for(&head.headers).filter(|_| orderly);
+        let lease = Lease {
+            pool: self.clone(),
+            address: address.to_owned(),
+            connection,
+            keep_for,
+        };
+        let body = PooledBody {
+            body,
+            lease: Some(lease),
+        };
+        Ok(PooledResponse { head, body })
+    }
+
+    fn keep_for(&self, headers: &HeaderMap) -> Option<Duration> {
+        let settings = &self.inner.settings;
+        if has_token(headers, "connection", "close") {
+            return None;
+        }
+        let told = headers
+            .get("keep-alive")
+            .and_then(|value| value.to_str().ok())
+            .and_then(keep_alive_timeout);
+        let Some(told) = told else {
+            return Some(settings.idle);
+        };
+        told.checked_sub(settings.idle_margin)
+            .filter(|left| !left.is_zero())
+    }
+}
+
+/// True if a list header holds the token.
+pub fn has_token(headers: &HeaderMap, name: &str, token: &str) -> bool {
+    headers
+        .get_all(name)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|word| word.trim().eq_ignore_ascii_case(token))
+}
+
+fn keep_alive_timeout(value: &str) -> Option<Duration> {
+    let seconds = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/edge/src/settings.rs
@@ -0,0 +1,42 @@
+//! Settings of one daemon.
+
+use std::time::Duration;
+
+/// Settings; addresses are `IP:PORT`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EdgeSettings {
+    /// Name of the daemon.
+    pub member: String,
+    /// Zone.
+    pub zone: String,
+    /// Region.
+    pub region: String,
+    /// Address for callers.
+    pub caller_address: String,
+    /// Address on which the daemon says whether it is ready.
+    pub ready_address: String,
+    /// Address for the daemons' control calls; may be empty.
+    pub control_address: String,
+    /// UDP and TCP address for peers.
+    pub peer_address: String,
+    /// Peers' addresses of some other daemons.
+    pub seeds: Vec<String>,
+    /// Address of the store.
+    pub store_address: String,
+    /// Writes a second that the store takes from all daemons together.
+    pub store_writes_a_second: f64,
+    /// Reads a second that the store takes from all daemons together.
+    pub store_reads_a_second: f64,
+    /// Largest row, bytes.
+    pub row_bytes: usize,
+    /// Time from the request to stop to the end by force.
+    pub grace: Duration,
+    /// How long a job stays readable after it was sent.
+    pub keep_jobs: Duration,
+    /// Time after a job's end within which nothing of it may start any more.
+    pub cancel_within: Duration,
+    /// Share by which the waiting tokens may exceed their limit.
+    pub quota_excess: f64,
+    /// `PORT/PATH` of the metrics; may be empty.
+    pub metrics: String,
+}
--- /dev/null
+++ b/crates/edge/src/watch.rs
@@ -0,0 +1,215 @@
+//! Keeps a copy of a table space up to date: a whole read, then changes, and a whole read again after lost history.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use harrierward_decisions::{DecisionLog, Record};
+use harrierward_external::{
+    Backoff, ChangePage, PlatformErrorKind, Row, SpaceSnapshot, WatchedTable,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::{Instant, sleep};
+
+/// Bounds of a watch.
+#[derive(Debug, Clone, Copy)]
+pub struct WatchSettings {
+    /// How long the store may hold a question.
+    pub wait: Duration,
+    /// First pause after a failure.
+    pub first_pause: Duration,
+    /// Longest pause after failures.
+    pub longest_pause: Duration,
+}
+
+impl Default for WatchSettings {
+    fn default() -> Self {
+        Self {
+            wait: Duration::from_millis(1_000),
+            first_pause: Duration::from_millis(60),
+            longest_pause: Duration::from_millis(500),
+        }
+    }
+}
+
+/// What changed in the copy.
+#[derive(Debug, Clone, Default)]
+pub struct SpaceUpdate {
+    /// Rows written, with their revisions.
+    pub written: Vec<Row>,
+    /// Keys removed.
+    pub removed: Vec<String>,
+    /// When the question was sent whose answer this is: the copy is no older.
+    pub as_of: Option<Instant>,
+    /// The store's steady clock, milliseconds.
+    pub store_time_ms: u64,
+}
+
+/// The copy: pure, so that it can be tested without a store.
+#[derive(Debug, Default)]
+pub struct SpaceCopy {
+    revisions: HashMap<String, u64>,
+    revision: u64,
+}
+
+impl SpaceCopy {
+    /// Revision to ask after.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes a whole read. A read older than what is known changes nothing.
+    pub fn take_snapshot(&mut self, snapshot: SpaceSnapshot) -> Option<SpaceUpdate> {
+        if snapshot.revision < self.revision {
+            return None;
+        }
+        let mut update = SpaceUpdate {
+            store_time_ms: snapshot.store_time_ms,
+            ..SpaceUpdate::default()
+        };
+        let mut revisions = HashMap::new();
+        for row in snapshot.rows {
+            let known = self.revisions.get(&row.key).copied().unwrap_or_default();
+            revisions.insert(row.key.clone(), row.revision.max(known));
+            if row.revision > known {
+                update.written.push(row);
+            }
+        }
+        let gone = self
+            .revisions
+            .keys()
+            .filter(|key| !revisions.contains_key(*key));
+        update.removed = gone.cloned().collect();
+        self.revisions = revisions;
+        self.revision = snapshot.revision;
+        Some(update)
+    }
+
+    /// Takes changes that follow the present revision.
+    pub fn take_changes(&mut self, page: ChangePage) -> SpaceUpdate {
+        let mut update = SpaceUpdate {
+            store_time_ms: page.store_time_ms,
+            ..SpaceUpdate::default()
+        };
+        for change in page.changes {
+            let known = self.revisions.get(&change.key).copied().unwrap_or_default();
+            if change.revision <= known {
+                continue;
+            }
+            match change.value {
+                Some(value) => {
+                    self.revisions.insert(change.key.clone(), change.revision);
+                    update.written.push(row(change.key, value, change.revision));
+                }
+                None => {
+                    self.revisions.remove(&change.key);
+                    update.removed.push(change.key);
+                }
+            }
+        }
+        self.revision = self.revision.max(page.revision);
+        update
+    }
+}
+
+fn row(key: String, value: Bytes, revision: u64) -> Row {
+    Row {
+        key,
+        value,
+        revision,
+    }
+}
+
+/// One watch.
+pub struct Watch {
+    /// The store.
+    pub table: Arc<dyn WatchedTable>,
+    /// Space to watch.
+    pub space: &'static str,
+    /// Bounds.
+    pub settings: WatchSettings,
+    /// Log of lost and regained contact.
+    pub log: DecisionLog,
+}
+
+impl Watch {
+    /// Runs for as long as the process does and gives each update to `take`.
+    pub async fn run(self, mut take: impl FnMut(SpaceUpdate)) {
+        let mut random = SmallRng::from_os_rng();
+        let mut backoff = Backoff::new(self.settings.first_pause, self.settings.longest_pause);
+        let mut copy = SpaceCopy::default();
+        let mut read_whole = true;
+        let mut lost_at: Option<Instant> = None;
+        loop {
+            let asked_at = Instant::now();
+            let result = if read_whole {
+                self.read(&mut copy).await
+            } else {
+                self.ask(&mut copy).await
+            };
+            match result {
+                Ok(Some(mut update)) => {
+                    read_whole = false;
+                    backoff.reset();
+                    if let Some(since) = lost_at.take() {
+                        self.log_regained(since);
+                    }
+                    update.as_of = Some(asked_at);
+                    take(update);
+                }
+                Ok(None) => sleep(backoff.wait(&mut random)).await,
+                Err(WatchFailure::HistoryLost) => {
+                    read_whole = true;
+                    sleep(backoff.wait(&mut random)).await;
+                }
+                Err(WatchFailure::NoContact(cause)) => {
+                    if lost_at.is_none() {
+                        lost_at = Some(asked_at);
+                        self.log_lost(&cause);
+                    }
+                    sleep(backoff.wait(&mut random)).await;
+                }
+            }
+        }
+    }
+
+    async fn read(&self, copy: &mut SpaceCopy) -> Result<Option<SpaceUpdate>, WatchFailure> {
+        let snapshot = self.table.read_space(self.space).await;
+        let snapshot = snapshot.map_err(|error| WatchFailure::NoContact(error.to_string()))?;
+        Ok(copy.take_snapshot(snapshot))
+    }
+
+    async fn ask(&self, copy: &mut SpaceCopy) -> Result<Option<SpaceUpdate>, WatchFailure> {
+        let page = self
+            .table
+            .wait_changes(self.space, copy.revision(), self.settings.wait)
+            .await
+            .map_err(|error| match error.kind {
+                PlatformErrorKind::HistoryLost => WatchFailure::HistoryLost,
+                _ => WatchFailure::NoContact(error.to_string()),
+            })?;
+        Ok(Some(copy.take_changes(page)))
+    }
+
+    fn log_lost(&self, cause: &str) {
+        self.log.record(&Record::DependencyLost {
+            dependency: self.space,
+            cause,
+        });
+    }
+
+    fn log_regained(&self, since: Instant) {
+        let away = since.elapsed().as_millis();
+        self.log.record(&Record::DependencyRegained {
+            dependency: self.space,
+            away_ms: u64::try_from(away).unwrap_or(u64::MAX),
+        });
+    }
+}
+
+enum WatchFailure {
+    HistoryLost,
+    NoContact(String),
+}
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -37,6 +37,7 @@
             PlatformErrorKind::Unknown => StatusCode::GATEWAY_TIMEOUT,
             PlatformErrorKind::RateLimited { .. } => StatusCode::TOO_MANY_REQUESTS,
             PlatformErrorKind::NotFound => StatusCode::NOT_FOUND,
+            PlatformErrorKind::HistoryLost => StatusCode::GONE,
             PlatformErrorKind::Malformed => StatusCode::BAD_REQUEST,
         };
         let mut response = (status, self.0.detail).into_response();
--- a/crates/external/src/errors.rs
+++ b/crates/external/src/errors.rs
@@ -16,6 +16,8 @@
     },
     /// The thing asked for does not exist.
     NotFound,
+    /// The store no longer knows the changes that were asked for; the space must be read whole.
+    HistoryLost,
     /// The platform answered something this client cannot read.
     Malformed,
 }
--- a/crates/external/src/lib.rs
+++ b/crates/external/src/lib.rs
@@ -1,4 +1,4 @@
-//! The platform as Harrierward sees it: a transactional table, an object store, a machine list,
+//! The outside systems as Harrierward sees them: a transactional table, an object store, a machine list,
 //! a weight store and model engines.
 //!
 //! Why narrow traits: the platform's real protocols are not known yet. Each trait states only what
@@ -13,6 +13,7 @@
 mod machines;
 mod objects;
 mod table;
+mod watch;
 mod weights;
 
 pub use backoff::{Backoff, full_jitter};
@@ -26,4 +27,5 @@
 pub use machines::{Machine, MachineList, MachineState};
 pub use objects::ObjectStore;
 pub use table::{Condition, Row, Table, Transaction, TransactionOutcome, Write};
+pub use watch::{ChangePage, RowChange, SpaceSnapshot, WatchedTable};
 pub use weights::{WeightStore, WeightTransfer};
--- /dev/null
+++ b/crates/external/src/watch.rs
@@ -0,0 +1,60 @@
+//! Watching a space of the table: a whole read, then the changes after it.
+//!
+//! A space is the first segment of the row keys (`space/partition/key`). A watcher reads the space whole once,
+//! then asks for the changes after the revision it has seen.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+
+use crate::{PlatformError, Row};
+
+/// All rows of a space as of one revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SpaceSnapshot {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// Revision of the table that the read reflects at least.
+    pub revision: u64,
+    /// The store's steady clock, milliseconds.
+    pub store_time_ms: u64,
+}
+
+/// One change of a row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RowChange {
+    /// Row key.
+    pub key: String,
+    /// Revision of the change.
+    pub revision: u64,
+    /// New content; `None` if the row was removed.
+    pub value: Option<Bytes>,
+}
+
+/// Changes of a space, in order.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ChangePage {
+    /// The changes.
+    pub changes: Vec<RowChange>,
+    /// Revision to go on from.
+    pub revision: u64,
+    /// The store's steady clock, milliseconds.
+    pub store_time_ms: u64,
+}
+
+/// Client of a table whose spaces can be watched.
+#[async_trait]
+pub trait WatchedTable: Send + Sync {
+    /// Reads a whole space.
+    async fn read_space(&self, space: &str) -> Result<SpaceSnapshot, PlatformError>;
+
+    /// Waits up to `wait` for changes after `revision`; an empty page if there are none.
+    /// Fails with [`crate::PlatformErrorKind::HistoryLost`] if the store no longer knows the changes.
+    async fn wait_changes(
+        &self,
+        space: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<ChangePage, PlatformError>;
+}
--- /dev/null
+++ b/crates/inline-jobs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Inline batch jobs.
--- /dev/null
+++ b/crates/serving/src/attempt.rs
@@ -0,0 +1,255 @@
+//! One attempt at one replica: choose, send, and tell what the answer means.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use harrierward_decisions::Record;
+use rand::Rng;
+use tokio::time::{Instant, timeout};
+
+use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
+use crate::forwarder::Forwarder;
+use crate::replica::{InProgress, Replica, WorkClass};
+use crate::selection::{Candidate, choose, preference_weight};
+
+/// How long a replica that broke, refused to connect or was silent is avoided.
+const SUSPICION: Duration = Duration::from_millis(1_000);
+
+/// Where an attempt may go.
+#[derive(Debug, Clone, Copy)]
+pub struct AttemptTarget<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Class of the work.
+    pub class: WorkClass,
+    /// Replicas not to be used again.
+    pub excluded: &'a [String],
+    /// Slots that must stay free at the replica; `None` if the work may wait there.
+    pub free_slots: Option<u32>,
+}
+
+/// Bounds of one attempt.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AttemptTimes {
+    /// Time left to the replica.
+    pub time_left: Option<Duration>,
+    /// Silence after which a replica that is silent to everybody is given up.
+    pub dark: Duration,
+    /// Silence after which any replica is given up.
+    pub longest: Duration,
+}
+
+/// Why an attempt gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// No replica takes the work.
+    NoReplica,
+    /// The replica certainly did not run it.
+    NotRun {
+        /// Cause in words.
+        cause: String,
+        /// It was full.
+        full: bool,
+    },
+    /// It may have run.
+    MayHaveRun {
+        /// Cause in words.
+        cause: String,
+    },
+}
+
+/// An answer that has begun.
+pub(crate) struct Attempt {
+    pub answer: ReplicaAnswer,
+    pub in_progress: InProgress,
+}
+
+/// Waits for `future`; gives up after `dark` if the replica is silent to everybody, else after `longest`.
+pub(crate) async fn wait_for_progress<T>(
+    future: impl Future<Output = T>,
+    replica: &Replica,
+    dark: Duration,
+    longest: Duration,
+) -> Option<T> {
+    let mut future = std::pin::pin!(future);
+    let first = dark.min(longest);
+    if let Ok(done) = timeout(first, &mut future).await {
+        return Some(done);
+    }
+    if replica.silent_for() >= first {
+        return None;
+    }
+    timeout(longest - first, future).await.ok()
+}
+
+impl Forwarder {
+    /// Chooses a replica for the request.
+    pub fn choose_replica(
+        &self,
+        request: &ServingRequest,
+        target: AttemptTarget<'_>,
+    ) -> Option<Arc<Replica>> {
+        let replicas: Vec<Arc<Replica>> = self
+            .replicas()
+            .view()
+            .usable(target.service)
+            .into_iter()
+            .filter(|replica| !target.excluded.contains(&replica.record.id))
+            .filter(|replica| has_room(replica, target.free_slots))
+            .collect();
+        let preferred = self.preferred(request, &replicas);
+        let shared_tokens = request.prompt.shared_tokens();
+        let candidates: Vec<Candidate> = replicas
+            .iter()
+            .enumerate()
+            .map(|(position, replica)| Candidate {
+                load: replica.load(),
+                slots: replica.slots(),
+                uncached_shared_tokens: shared_tokens
+                    .saturating_sub(replica.cached_tokens(&request.prompt)),
+                preferred: preferred == Some(position),
+                own_zone: replica.record.zone == self.settings().zone,
+                suspected: replica.is_suspected(),
+            })
+            .collect();
+        let mut random = rand::rng();
+        let costs = &self.settings().costs;
+        let position = choose(costs, &candidates, || random.random::<f64>())?;
+        Some(replicas[position].clone())
+    }
+
+    /// The replica that daemons of this zone prefer for the prompt's last shared part.
+    fn preferred(&self, request: &ServingRequest, replicas: &[Arc<Replica>]) -> Option<usize> {
+        let part = request.prompt.shared().last()?.id;
+        let zone = &self.settings().zone;
+        let any_near = replicas.iter().any(|replica| replica.record.zone == *zone);
+        replicas
+            .iter()
+            .enumerate()
+            .filter(|(_, replica)| !any_near || replica.record.zone == *zone)
+            .max_by_key(|(_, replica)| preference_weight(part, &replica.record.id))
+            .map(|(position, _)| position)
+    }
+
+    pub(crate) async fn attempt(
+        &self,
+        request: &ServingRequest,
+        target: AttemptTarget<'_>,
+        times: AttemptTimes,
+        resume_after: Option<u64>,
+        fresh_connection: bool,
+        number: u32,
+    ) -> (Option<String>, Result<Attempt, AttemptFailure>) {
+        let Some(replica) = self.choose_replica(request, target) else {
+            return (None, Err(AttemptFailure::NoReplica));
+        };
+        self.log().record(&Record::Sent {
+            request: &request.id,
+            route: &request.target,
+            replica: &replica.record.id,
+            load: replica.load(),
+            report_age_ms: replica.report_age_ms(),
+            cached_tokens: replica.cached_tokens(&request.prompt),
+            attempt: number,
+            resume_after,
+        });
+        let in_progress = replica.enter(target.class);
+        replica.note_prompt(&request.prompt);
+        let started = Instant::now();
+        let sending = self.client().send(ReplicaRequest {
+            request,
+            address: &replica.record.address,
+            replica: &replica.record.id,
+            time_left: times.time_left,
+            resume_after,
+            fresh_connection,
+        });
+        let answer = wait_for_progress(sending, &replica, times.dark, times.longest).await;
+        let result = self.judge(request, &replica, answer);
+        if let Err(failure) = &result {
+            self.log_failure(request, &replica, failure, started.elapsed());
+        }
+        let result = result.map(|answer| Attempt {
+            answer,
+            in_progress,
+        });
+        (Some(replica.record.id.clone()), result)
+    }
+
+    fn judge(
+        &self,
+        request: &ServingRequest,
+        replica: &Arc<Replica>,
+        answer: Option<Result<ReplicaAnswer, ExchangeError>>,
+    ) -> Result<ReplicaAnswer, AttemptFailure> {
+        let answer = match answer {
+            None => {
+                replica.suspect(SUSPICION);
+                let cause = "no answer in time".to_owned();
+                return Err(AttemptFailure::MayHaveRun { cause });
+            }
+            Some(Err(error)) => {
+                replica.suspect(SUSPICION);
+                let cause = error.to_string();
+                return Err(if error.is_not_run() {
+                    AttemptFailure::NotRun { cause, full: false }
+                } else {
+                    AttemptFailure::MayHaveRun { cause }
+                });
+            }
+            Some(Ok(answer)) => answer,
+        };
+        replica.note_progress();
+        if let Some(word) = answer.load {
+            replica.note_load(word);
+        }
+        if answer.other_replica {
+            replica.set_draining();
+            let cause = "another replica has the address".to_owned();
+            return Err(AttemptFailure::NotRun { cause, full: false });
+        }
+        if answer.answers.as_deref().is_some_and(|id| id != request.id) {
+            let cause = "the answer belongs to another request".to_owned();
+            return Err(AttemptFailure::MayHaveRun { cause });
+        }
+        if answer.not_run {
+            replica.note_full();
+            let cause = format!("refused with status {}", answer.status);
+            return Err(AttemptFailure::NotRun { cause, full: true });
+        }
+        if answer.answers.is_none() {
+            let cause = format!("an answer without id, status {}", answer.status);
+            return Err(AttemptFailure::MayHaveRun { cause });
+        }
+        Ok(answer)
+    }
+
+    fn log_failure(
+        &self,
+        request: &ServingRequest,
+        replica: &Replica,
+        failure: &AttemptFailure,
+        after: Duration,
+    ) {
+        let (cause, not_run) = match failure {
+            AttemptFailure::NoReplica => ("no replica", true),
+            AttemptFailure::NotRun { cause, .. } => (cause.as_str(), true),
+            AttemptFailure::MayHaveRun { cause } => (cause.as_str(), false),
+        };
+        self.log().record(&Record::AttemptFailed {
+            request: &request.id,
+            replica: &replica.record.id,
+            cause,
+            not_run,
+            after_ms: u64::try_from(after.as_millis()).unwrap_or(u64::MAX),
+        });
+    }
+}
+
+fn has_room(replica: &Replica, free_slots: Option<u32>) -> bool {
+    let Some(free) = free_slots else {
+        return true;
+    };
+    !replica.is_suspected() && replica.load() + free < replica.slots()
+}
--- /dev/null
+++ b/crates/serving/src/exchange.rs
@@ -0,0 +1,135 @@
+//! What the request path needs of a replica's protocol.
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::Stream;
+use http::{HeaderMap, Method};
+
+use crate::prompt::Prompt;
+
+/// A caller's request, its body opaque.
+#[derive(Debug, Clone)]
+pub struct ServingRequest {
+    /// Id of this caller attempt.
+    pub id: String,
+    /// Host named by the caller.
+    pub host: String,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// Headers that travel along unread.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// Last event that the caller has.
+    pub resume_after: Option<u64>,
+    /// The prompt.
+    pub prompt: Prompt,
+}
+
+/// A request to one replica.
+#[derive(Debug, Clone)]
+pub struct ReplicaRequest<'a> {
+    /// The request.
+    pub request: &'a ServingRequest,
+    /// Address of the replica.
+    pub address: &'a str,
+    /// Incarnation that must answer; any other refuses.
+    pub replica: &'a str,
+    /// Time left to the replica.
+    pub time_left: Option<Duration>,
+    /// Last event that is already there.
+    pub resume_after: Option<u64>,
+    /// Use a connection that carried nothing before.
+    pub fresh_connection: bool,
+}
+
+/// Load as a replica tells it with an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadWord {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests it works on at once.
+    pub slots: u32,
+}
+
+/// Why an answer's body did not come whole.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("replica.body at {peer}: {detail}")]
+pub struct BodyError {
+    /// Replica's address.
+    pub peer: String,
+    /// Cause in words.
+    pub detail: String,
+}
+
+/// Bytes of an answer. Ends without an error only if the answer is whole; dropping it closes the connection.
+pub type AnswerBody = Pin<Box<dyn Stream<Item = Result<Bytes, BodyError>> + Send>>;
+
+/// A replica's answer.
+pub struct ReplicaAnswer {
+    /// Status.
+    pub status: u16,
+    /// Request that it answers, as the replica says.
+    pub answers: Option<String>,
+    /// The replica says that it did not run the request.
+    pub not_run: bool,
+    /// Another replica has the address.
+    pub other_replica: bool,
+    /// Load of the replica.
+    pub load: Option<LoadWord>,
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: AnswerBody,
+}
+
+/// Why no answer came.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ExchangeError {
+    /// No byte of the request can have reached the replica.
+    #[error("{step} at {peer}: not sent: {detail}")]
+    NotSent {
+        /// What was being done.
+        step: &'static str,
+        /// Replica's address.
+        peer: String,
+        /// Cause in words.
+        detail: String,
+    },
+    /// The request may have run.
+    #[error("{step} at {peer}: perhaps run: {detail}")]
+    Lost {
+        /// What was being done.
+        step: &'static str,
+        /// Replica's address.
+        peer: String,
+        /// Cause in words.
+        detail: String,
+    },
+}
+
+impl ExchangeError {
+    /// True if the request certainly did not run.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::NotSent { .. })
+    }
+}
+
+/// Client of the replicas.
+#[async_trait]
+pub trait ReplicaClient: Send + Sync {
+    /// Sends a request and waits for the head of its answer. Dropping the future closes the connection.
+    async fn send(&self, request: ReplicaRequest<'_>) -> Result<ReplicaAnswer, ExchangeError>;
+
+    /// Closes idle connections to an address that is no longer used.
+    fn forget(&self, address: &str);
+}
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,34 @@
+//! Serving opaque generation requests: routes, replicas, the choice among them, and the path of a request from
+//! caller to replica and back.
+//!
+//! Why beside `gateway`: the gateway renders prompts itself and speaks in tokens; here bodies and answers are
+//! opaque and only typed metadata decides. Nothing here opens a socket.
+
+mod attempt;
+mod configuration;
+mod events;
+mod exchange;
+mod forwarder;
+mod prompt;
+mod relay;
+mod replica;
+mod reply;
+mod routes;
+mod selection;
+
+pub use attempt::{AttemptFailure, AttemptTarget};
+pub use configuration::{
+    BatchBounds, CallerLimits, Route, RouteKind, Service, ServingConfiguration, WeightedService,
+};
+pub use events::{EventSplitter, StreamEvent};
+pub use exchange::{
+    AnswerBody, BodyError, ExchangeError, LoadWord, ReplicaAnswer, ReplicaClient, ReplicaRequest,
+    ServingRequest,
+};
+pub use forwarder::{Forwarder, ForwarderParts, ForwarderSettings, SharedRoutes};
+pub use prompt::{Prompt, PromptMemory, PromptPart};
+pub use relay::Cut;
+pub use replica::{InProgress, Replica, ReplicaRecord, ReplicaSet, ReplicaView, WorkClass};
+pub use reply::{CallerAnswer, CallerBody, Refusal, RefusalCause, Reply};
+pub use routes::{RouteEntry, RouteTable};
+pub use selection::{Candidate, SelectionCosts, choose, cost, preference_weight};
--- /dev/null
+++ b/crates/serving/src/relay.rs
@@ -0,0 +1,294 @@
+//! An answer's body on its way to the caller: whole events of streams that may be resumed, raw bytes of others.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{Stream, StreamExt, stream};
+use harrierward_decisions::Record;
+use tokio::time::Instant;
+
+use crate::attempt::{Attempt, AttemptFailure, wait_for_progress};
+use crate::configuration::Route;
+use crate::events::EventSplitter;
+use crate::exchange::{AnswerBody, ServingRequest};
+use crate::forwarder::{Forwarder, RequestClock};
+use crate::replica::InProgress;
+
+/// The answer could not be brought to its end; the caller's connection must be broken off.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("answer cut: {cause}")]
+pub struct Cut {
+    /// Cause in words.
+    pub cause: String,
+}
+
+/// Share of the allowed pause between events after which a replica silent to everybody is given up, in percent.
+const DARK_GAP_PERCENT: u32 = 60;
+
+/// Pauses allowed after which any replica is given up.
+const LONGEST_GAP_FACTOR: u32 = 3;
+
+/// Allowed pause between events where the route tells none.
+const DEFAULT_GAP: Duration = Duration::from_millis(500);
+
+/// One answer in progress.
+pub(crate) struct Relay {
+    pub forwarder: Forwarder,
+    pub request: Arc<ServingRequest>,
+    pub route: Arc<Route>,
+    pub service: String,
+    pub clock: RequestClock,
+    pub status: u16,
+    pub tried: Vec<String>,
+    pub sends: u32,
+    body: Option<AnswerBody>,
+    in_progress: Option<InProgress>,
+    splitter: EventSplitter,
+    ready: VecDeque<Bytes>,
+    delivered: Option<u64>,
+    ended: bool,
+}
+
+enum Step {
+    Bytes(Bytes),
+    End,
+    Broken(String),
+}
+
+impl Relay {
+    pub fn new(
+        forwarder: Forwarder,
+        request: Arc<ServingRequest>,
+        route: Arc<Route>,
+        service: String,
+        clock: RequestClock,
+        attempt: Attempt,
+        tried: Vec<String>,
+        sends: u32,
+    ) -> Self {
+        let delivered = request.resume_after;
+        Self {
+            forwarder,
+            request,
+            route,
+            service,
+            clock,
+            status: attempt.answer.status,
+            tried,
+            sends,
+            body: Some(attempt.answer.body),
+            in_progress: Some(attempt.in_progress),
+            splitter: EventSplitter::default(),
+            ready: VecDeque::new(),
+            delivered,
+            ended: false,
+        }
+    }
+
+    /// The body as a stream for the caller.
+    pub fn into_stream(self) -> impl Stream<Item = Result<Bytes, Cut>> + Send {
+        stream::unfold(self, |mut relay| async move {
+            let item = relay.next().await?;
+            Some((item, relay))
+        })
+    }
+
+    fn splits_events(&self) -> bool {
+        self.route.is_resumable() && self.status < 300
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
+        loop {
+            if let Some(bytes) = self.ready.pop_front() {
+                return Some(Ok(bytes));
+            }
+            if self.ended {
+                return None;
+            }
+            match self.step().await {
+                Step::Bytes(bytes) if self.splits_events() => self.split(&bytes),
+                Step::Bytes(bytes) => return Some(Ok(bytes)),
+                Step::End if self.splits_events() && self.splitter.left_over() > 0 => {
+                    let cause = "the stream ended within an event".to_owned();
+                    if let Err(cut) = self.go_on(cause).await {
+                        return Some(Err(cut));
+                    }
+                }
+                Step::End => {
+                    self.finish("whole");
+                    return None;
+                }
+                Step::Broken(cause) => {
+                    if let Err(cut) = self.go_on(cause).await {
+                        return Some(Err(cut));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let left = self.clock.hold_left();
+        if left.is_zero() {
+            return Step::Broken("the route's time is over".to_owned());
+        }
+        let gap = self.route.gap_objective.unwrap_or(DEFAULT_GAP);
+        let movable = self.can_move();
+        let (dark, longest) = if movable {
+            let dark = gap * DARK_GAP_PERCENT / 100;
+            (dark, gap * LONGEST_GAP_FACTOR)
+        } else {
+            (left, left)
+        };
+        let (Some(body), Some(in_progress)) = (&mut self.body, &self.in_progress) else {
+            return Step::Broken("no replica".to_owned());
+        };
+        let replica = in_progress.replica();
+        let next = wait_for_progress(body.next(), replica, dark.min(left), longest.min(left)).await;
+        match next {
+            None if self.clock.hold_left().is_zero() => {
+                Step::Broken("the route's time is over".to_owned())
+            }
+            None => {
+                replica.suspect(gap * LONGEST_GAP_FACTOR);
+                Step::Broken("no event in time".to_owned())
+            }
+            Some(None) => Step::End,
+            Some(Some(Ok(bytes))) => {
+                replica.note_progress();
+                Step::Bytes(bytes)
+            }
+            Some(Some(Err(error))) => Step::Broken(error.to_string()),
+        }
+    }
+
+    fn split(&mut self, bytes: &[u8]) {
+        self.splitter.push(bytes);
+        while let Some(event) = self.splitter.next_event() {
+            let known = match (event.id, self.delivered) {
+                (Some(id), Some(last)) => id <= last,
+                _ => false,
+            };
+            if known {
+                continue;
+            }
+            self.delivered = event.id.or(self.delivered);
+            self.ready.push_back(event.raw);
+        }
+    }
+
+    fn can_move(&self) -> bool {
+        self.splits_events() && self.sends < self.route.attempts
+    }
+
+    /// Goes on at another replica after the last event delivered, if that is allowed.
+    async fn go_on(&mut self, cause: String) -> Result<(), Cut> {
+        // The connection is closed before another replica starts.
+        self.body = None;
+        self.in_progress = None;
+        self.splitter = EventSplitter::default();
+        if !self.can_move() || self.clock.hold_left().is_zero() {
+            return Err(self.cut(cause));
+        }
+        self.log_break(&cause);
+        let mut first_cause = Some(cause);
+        while self.can_move() && !self.clock.hold_left().is_zero() {
+            self.sends += 1;
+            let (replica, result) = self.try_again().await;
+            self.tried.extend(replica);
+            match result {
+                Ok(attempt) if attempt.answer.status < 300 => {
+                    self.body = Some(attempt.answer.body);
+                    self.in_progress = Some(attempt.in_progress);
+                    return Ok(());
+                }
+                Ok(attempt) => {
+                    let status = attempt.answer.status;
+                    first_cause = Some(format!("resumed with status {status}"));
+                }
+                Err(AttemptFailure::NotRun { cause, .. }) => {
+                    self.sends -= 1;
+                    first_cause = Some(cause);
+                    if self.tried.len() > MOST_REFUSALS {
+                        break;
+                    }
+                }
+                Err(AttemptFailure::MayHaveRun { cause }) => first_cause = Some(cause),
+                Err(AttemptFailure::NoReplica) => {
+                    first_cause = Some("no replica".to_owned());
+                    break;
+                }
+            }
+        }
+        Err(self.cut(first_cause.unwrap_or_default()))
+    }
+
+    async fn try_again(&mut self) -> (Option<String>, Result<Attempt, AttemptFailure>) {
+        let times = self.clock.attempt_times(&self.route, self.sends);
+        let target = crate::attempt::AttemptTarget {
+            service: &self.service,
+            class: crate::replica::WorkClass::Online,
+            excluded: &self.tried,
+            free_slots: None,
+        };
+        self.forwarder
+            .attempt(
+                &self.request,
+                target,
+                times,
+                self.delivered,
+                true,
+                self.sends,
+            )
+            .await
+    }
+
+    fn log_break(&self, cause: &str) {
+        let replica = self.tried.last().map_or("", String::as_str);
+        self.forwarder.log().record(&Record::AttemptFailed {
+            request: &self.request.id,
+            replica,
+            cause,
+            not_run: false,
+            after_ms: self.clock.elapsed_ms(),
+        });
+    }
+
+    fn cut(&mut self, cause: String) -> Cut {
+        self.finish("cut");
+        self.forwarder.log().record(&Record::AttemptFailed {
+            request: &self.request.id,
+            replica: self.tried.last().map_or("", String::as_str),
+            cause: &cause,
+            not_run: false,
+            after_ms: self.clock.elapsed_ms(),
+        });
+        Cut { cause }
+    }
+
+    fn finish(&mut self, outcome: &'static str) {
+        self.ended = true;
+        self.body = None;
+        self.in_progress = None;
+        self.forwarder.log().record(&Record::Ended {
+            request: &self.request.id,
+            status: self.status,
+            outcome,
+            attempts: self.sends,
+            after_ms: self.clock.elapsed_ms(),
+        });
+    }
+}
+
+/// Most replicas that are tried for one request, refusals included.
+const MOST_REFUSALS: usize = 5;
+
+impl RequestClock {
+    /// Milliseconds since the request arrived.
+    pub fn elapsed_ms(&self) -> u64 {
+        let elapsed = Instant::now().saturating_duration_since(self.arrived);
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/serving/src/replica.rs
@@ -0,0 +1,397 @@
+//! The replicas that discovery names, and what this daemon knows of each one's load and memory.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use tokio::time::Instant;
+
+use crate::exchange::LoadWord;
+use crate::prompt::{Prompt, PromptMemory};
+
+/// How long a replica's own load word is trusted beside the daemons' counts.
+const LOAD_WORD_LIFETIME: Duration = Duration::from_millis(400);
+
+/// How long a replica whose record vanished is still used if its service has no other: records also vanish while
+/// the store is down.
+const VANISHED_LIFETIME: Duration = Duration::from_millis(1_700);
+
+/// Share of a replica's memory that shared prompt parts are believed to keep.
+const MEMORY_SHARE_PERCENT: u64 = 70;
+
+/// What a replica says of itself in discovery.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicaRecord {
+    /// Incarnation: each start of a replica has a new one.
+    pub id: String,
+    /// Service.
+    pub service: String,
+    /// Address.
+    pub address: String,
+    /// Zone.
+    pub zone: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Says that it leaves: gets no new work.
+    pub draining: bool,
+}
+
+/// Class of a request in the load counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkClass {
+    /// A caller waits.
+    Online,
+    /// An item of a batch job.
+    Batch,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LoadReport {
+    word: LoadWord,
+    at: Instant,
+    own_then: u32,
+}
+
+/// One replica.
+#[derive(Debug)]
+pub struct Replica {
+    /// Its record.
+    pub record: ReplicaRecord,
+    draining: AtomicBool,
+    own_online: AtomicU32,
+    own_batch: AtomicU32,
+    peers_online: AtomicU32,
+    peers_batch: AtomicU32,
+    started: Instant,
+    suspected_until_ms: AtomicU64,
+    progress_at_ms: AtomicU64,
+    report: Mutex<Option<LoadReport>>,
+    memory: Mutex<PromptMemory>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Replica {
+    fn new(record: ReplicaRecord, memory_tokens: u64) -> Self {
+        let draining = record.draining;
+        let kept_tokens = memory_tokens * MEMORY_SHARE_PERCENT / 100;
+        Self {
+            record,
+            draining: AtomicBool::new(draining),
+            own_online: AtomicU32::new(0),
+            own_batch: AtomicU32::new(0),
+            peers_online: AtomicU32::new(0),
+            peers_batch: AtomicU32::new(0),
+            started: Instant::now(),
+            suspected_until_ms: AtomicU64::new(0),
+            progress_at_ms: AtomicU64::new(0),
+            report: Mutex::new(None),
+            memory: Mutex::new(PromptMemory::new(kept_tokens)),
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        millis(self.started.elapsed())
+    }
+
+    /// Requests that the replica works on at once.
+    pub fn slots(&self) -> u32 {
+        self.record.slots.max(1)
+    }
+
+    /// True if it gets no new work.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Takes it out of service at once.
+    pub fn set_draining(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Requests of this daemon in progress there, of one class.
+    pub fn own(&self, class: WorkClass) -> u32 {
+        match class {
+            WorkClass::Online => self.own_online.load(Ordering::Relaxed),
+            WorkClass::Batch => self.own_batch.load(Ordering::Relaxed),
+        }
+    }
+
+    fn own_total(&self) -> u32 {
+        self.own(WorkClass::Online) + self.own(WorkClass::Batch)
+    }
+
+    /// Takes the other daemons' counts.
+    pub fn set_peers(&self, online: u32, batch: u32) {
+        self.peers_online.store(online, Ordering::Relaxed);
+        self.peers_batch.store(batch, Ordering::Relaxed);
+    }
+
+    /// Online requests there, of all daemons.
+    pub fn online(&self) -> u32 {
+        self.own(WorkClass::Online) + self.peers_online.load(Ordering::Relaxed)
+    }
+
+    /// Batch items there, of all daemons.
+    pub fn batch(&self) -> u32 {
+        self.own(WorkClass::Batch) + self.peers_batch.load(Ordering::Relaxed)
+    }
+
+    /// Estimated requests running and waiting there.
+    pub fn load(&self) -> u32 {
+        let counted = self.online() + self.batch();
+        let Some(report) = *lock(&self.report) else {
+            return counted;
+        };
+        if report.at.elapsed() > LOAD_WORD_LIFETIME {
+            return counted;
+        }
+        let since = self.own_total().saturating_sub(report.own_then);
+        counted.max(report.word.running + report.word.waiting + since)
+    }
+
+    /// Age of the last load word, milliseconds; `u64::MAX` if there is none.
+    pub fn report_age_ms(&self) -> u64 {
+        lock(&self.report).map_or(u64::MAX, |report| millis(report.at.elapsed()))
+    }
+
+    /// Takes the replica's word on its load.
+    pub fn note_load(&self, word: LoadWord) {
+        let report = LoadReport {
+            word,
+            at: Instant::now(),
+            own_then: self.own_total(),
+        };
+        *lock(&self.report) = Some(report);
+    }
+
+    /// The replica refused a request because it is full.
+    pub fn note_full(&self) {
+        let word = LoadWord {
+            running: self.slots(),
+            waiting: self.slots(),
+            slots: self.slots(),
+        };
+        self.note_load(word);
+    }
+
+    /// Bytes came from the replica.
+    pub fn note_progress(&self) {
+        self.progress_at_ms.store(self.now_ms(), Ordering::Relaxed);
+    }
+
+    /// Time since bytes last came from the replica.
+    pub fn silent_for(&self) -> Duration {
+        let at = self.progress_at_ms.load(Ordering::Relaxed);
+        Duration::from_millis(self.now_ms().saturating_sub(at))
+    }
+
+    /// Avoids the replica for a while.
+    pub fn suspect(&self, lasting: Duration) {
+        let until = self.now_ms() + millis(lasting);
+        self.suspected_until_ms.fetch_max(until, Ordering::Relaxed);
+    }
+
+    /// True while the replica is avoided.
+    pub fn is_suspected(&self) -> bool {
+        self.now_ms() < self.suspected_until_ms.load(Ordering::Relaxed)
+    }
+
+    /// Tokens at the beginning of the prompt that the replica probably keeps.
+    pub fn cached_tokens(&self, prompt: &Prompt) -> u32 {
+        lock(&self.memory).cached_tokens(prompt)
+    }
+
+    /// The prompt was read by the replica.
+    pub fn note_prompt(&self, prompt: &Prompt) {
+        lock(&self.memory).note(prompt);
+    }
+
+    /// Counts a request for as long as the guard lives.
+    pub fn enter(self: &Arc<Self>, class: WorkClass) -> InProgress {
+        self.count(class).fetch_add(1, Ordering::Relaxed);
+        InProgress {
+            replica: self.clone(),
+            class,
+        }
+    }
+
+    fn count(&self, class: WorkClass) -> &AtomicU32 {
+        match class {
+            WorkClass::Online => &self.own_online,
+            WorkClass::Batch => &self.own_batch,
+        }
+    }
+}
+
+/// A request in progress at a replica.
+#[derive(Debug)]
+pub struct InProgress {
+    replica: Arc<Replica>,
+    class: WorkClass,
+}
+
+impl InProgress {
+    /// The replica.
+    pub fn replica(&self) -> &Arc<Replica> {
+        &self.replica
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.replica
+            .count(self.class)
+            .fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Vanished {
+    replica: Arc<Replica>,
+    at: Instant,
+}
+
+/// All replicas at one moment.
+#[derive(Debug, Default, Clone)]
+pub struct ReplicaView {
+    by_id: HashMap<String, Arc<Replica>>,
+    by_service: HashMap<String, Vec<Arc<Replica>>>,
+    vanished: HashMap<String, Vec<Vanished>>,
+}
+
+impl ReplicaView {
+    /// Replicas of a service that take new work, ready ones first; those that vanished only if there are no others.
+    pub fn usable(&self, service: &str) -> Vec<Arc<Replica>> {
+        let listed = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let ready: Vec<Arc<Replica>> = listed
+            .iter()
+            .filter(|replica| !replica.is_draining())
+            .cloned()
+            .collect();
+        if !ready.is_empty() {
+            return ready;
+        }
+        let vanished = self.vanished.get(service).map_or(&[][..], Vec::as_slice);
+        vanished
+            .iter()
+            .filter(|gone| gone.at.elapsed() < VANISHED_LIFETIME && !gone.replica.is_draining())
+            .map(|gone| gone.replica.clone())
+            .collect()
+    }
+
+    /// All listed replicas.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Replica>> {
+        self.by_id.values()
+    }
+
+    /// A replica by id.
+    pub fn get(&self, id: &str) -> Option<&Arc<Replica>> {
+        self.by_id.get(id)
+    }
+
+    /// Number of replicas listed.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// True if no replica is listed.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+}
+
+/// The replicas, read without locks.
+#[derive(Debug, Default)]
+pub struct ReplicaSet {
+    view: ArcSwap<ReplicaView>,
+}
+
+impl ReplicaSet {
+    /// The replicas now.
+    pub fn view(&self) -> Arc<ReplicaView> {
+        self.view.load_full()
+    }
+
+    /// Takes a whole new list; counts and memory of replicas that stay are kept.
+    pub fn replace(&self, records: Vec<ReplicaRecord>, memory_tokens: impl Fn(&str) -> u64) {
+        let old = self.view();
+        let mut by_id = HashMap::new();
+        let mut by_service: HashMap<String, Vec<Arc<Replica>>> = HashMap::new();
+        for record in records {
+            let replica = keep_or_create(&old, record, &memory_tokens);
+            let service = by_service
+                .entry(replica.record.service.clone())
+                .or_default();
+            service.push(replica.clone());
+            by_id.insert(replica.record.id.clone(), replica);
+        }
+        for list in by_service.values_mut() {
+            list.sort_by(|left, right| left.record.id.cmp(&right.record.id));
+        }
+        let vanished = still_vanished(&old, &by_id);
+        self.view.store(Arc::new(ReplicaView {
+            by_id,
+            by_service,
+            vanished,
+        }));
+    }
+}
+
+fn keep_or_create(
+    old: &ReplicaView,
+    record: ReplicaRecord,
+    memory_tokens: &impl Fn(&str) -> u64,
+) -> Arc<Replica> {
+    let kept = old.by_id.get(&record.id).cloned().or_else(|| {
+        let gone = old.vanished.get(&record.service)?;
+        let same = gone
+            .iter()
+            .find(|gone| gone.replica.record.id == record.id)?;
+        Some(same.replica.clone())
+    });
+    match kept {
+        Some(replica) if replica.record.address == record.address => {
+            if record.draining {
+                replica.set_draining();
+            }
+            replica
+        }
+        _ => {
+            let tokens = memory_tokens(&record.service);
+            Arc::new(Replica::new(record, tokens))
+        }
+    }
+}
+
+fn still_vanished(
+    old: &ReplicaView,
+    by_id: &HashMap<String, Arc<Replica>>,
+) -> HashMap<String, Vec<Vanished>> {
+    let now = Instant::now();
+    let just_gone = old.by_id.values().map(|replica| Vanished {
+        replica: replica.clone(),
+        at: now,
+    });
+    let earlier = old.vanished.values().flatten().cloned();
+    let mut vanished: HashMap<String, Vec<Vanished>> = HashMap::new();
+    for gone in earlier.chain(just_gone) {
+        let listed = by_id.contains_key(&gone.replica.record.id);
+        if listed || gone.at.elapsed() >= VANISHED_LIFETIME {
+            continue;
+        }
+        let service = gone.replica.record.service.clone();
+        vanished.entry(service).or_default().push(gone);
+    }
+    vanished
+}
--- /dev/null
+++ b/crates/serving/src/reply.rs
@@ -0,0 +1,96 @@
+//! What a caller gets: a replica's answer, or a refusal that says whether the request has run.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream::BoxStream;
+use http::HeaderMap;
+
+use crate::relay::Cut;
+
+/// Bytes for the caller. An error means that the connection must be broken off, so that the answer does not
+/// look complete.
+pub type CallerBody = BoxStream<'static, Result<Bytes, Cut>>;
+
+/// A replica's answer on its way to the caller.
+pub struct CallerAnswer {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: CallerBody,
+}
+
+/// Why a request is refused or given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RefusalCause {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// No route matches.
+    NoRoute,
+    /// The service has no replica that takes work.
+    NoReplica,
+    /// All replicas tried are full.
+    Full,
+    /// The time ran out before any replica took it.
+    NoTimeLeft,
+    /// The time ran out while it may have run.
+    TimedOut,
+    /// A replica broke off, and the request must not run again.
+    Broken,
+    /// The daemon is stopping.
+    Stopping,
+}
+
+impl RefusalCause {
+    /// True if the request has not run and never will.
+    pub fn is_not_run(self) -> bool {
+        !matches!(self, Self::TimedOut | Self::Broken)
+    }
+
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::NoReplica => "no_replica",
+            Self::Full => "full",
+            Self::NoTimeLeft => "no_time_left",
+            Self::TimedOut => "timed_out",
+            Self::Broken => "broken",
+            Self::Stopping => "stopping",
+        }
+    }
+
+    /// HTTP status: 503 promises that the request has not run.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::NoRoute => 404,
+            Self::NoConfiguration
+            | Self::NoReplica
+            | Self::Full
+            | Self::NoTimeLeft
+            | Self::Stopping => 503,
+            Self::TimedOut => 504,
+            Self::Broken => 502,
+        }
+    }
+}
+
+/// A final answer without a replica's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Cause.
+    pub cause: RefusalCause,
+    /// When to come back, if the request has not run.
+    pub retry_after: Option<Duration>,
+}
+
+/// What became of a request.
+pub enum Reply {
+    /// A replica's answer.
+    Answer(CallerAnswer),
+    /// A refusal.
+    Refusal(Refusal),
+}
--- /dev/null
+++ b/crates/serving/src/selection.rs
@@ -0,0 +1,104 @@
+//! Choosing a replica: pure, by expected time to the first token.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Prices of the choice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SelectionCosts {
+    /// Prompt tokens read in a millisecond.
+    pub prefill_tokens_per_ms: f64,
+    /// Cost of a replica whose slots are all but taken, milliseconds; grows with the square of the load before.
+    pub full_ms: f64,
+    /// Cost of each request that waits for a slot, milliseconds, times the slots.
+    pub waiting_ms: f64,
+    /// Cost of a replica in another zone, milliseconds.
+    pub other_zone_ms: f64,
+    /// Cost of a replica that was lately silent, milliseconds.
+    pub suspected_ms: f64,
+    /// Share of uncached shared tokens that counts at the replica which all daemons prefer for the prompt.
+    pub preferred_share: f64,
+    /// Largest random addition, so that daemons with the same view do not all choose the same, milliseconds.
+    pub jitter_ms: f64,
+}
+
+impl Default for SelectionCosts {
+    fn default() -> Self {
+        Self {
+            prefill_tokens_per_ms: 50.0,
+            full_ms: 40.0,
+            waiting_ms: 400.0,
+            other_zone_ms: 6.0,
+            suspected_ms: 2_000.0,
+            preferred_share: 0.3,
+            jitter_ms: 1.5,
+        }
+    }
+}
+
+/// One replica as the choice sees it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// Requests running and waiting.
+    pub load: u32,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Shared prompt tokens that it does not keep.
+    pub uncached_shared_tokens: u32,
+    /// All daemons prefer it for prompts that begin like this one.
+    pub preferred: bool,
+    /// In the daemon's own zone.
+    pub own_zone: bool,
+    /// Was silent or broke lately.
+    pub suspected: bool,
+}
+
+/// Expected cost of a candidate, milliseconds.
+pub fn cost(costs: &SelectionCosts, candidate: &Candidate) -> f64 {
+    let share = if candidate.preferred {
+        costs.preferred_share
+    } else {
+        1.0
+    };
+    let tokens = f64::from(candidate.uncached_shared_tokens) * share;
+    let prefill = tokens / costs.prefill_tokens_per_ms;
+    let zone = if candidate.own_zone {
+        0.0
+    } else {
+        costs.other_zone_ms
+    };
+    let suspected = if candidate.suspected {
+        costs.suspected_ms
+    } else {
+        0.0
+    };
+    prefill + zone + suspected + congestion(costs, candidate)
+}
+
+fn congestion(costs: &SelectionCosts, candidate: &Candidate) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    let load = f64::from(candidate.load);
+    let fill = (load / slots).min(1.0);
+    let waiting = (load + 1.0 - slots).max(0.0);
+    costs.full_ms * fill * fill + costs.waiting_ms * waiting / slots
+}
+
+/// Position of the cheapest candidate; `jitter` gives numbers from 0 to 1.
+pub fn choose(
+    costs: &SelectionCosts,
+    candidates: &[Candidate],
+    mut jitter: impl FnMut() -> f64,
+) -> Option<usize> {
+    let mut best: Option<(usize, f64)> = None;
+    for (position, candidate) in candidates.iter().enumerate() {
+        let price = cost(costs, candidate) + jitter() * costs.jitter_ms;
+        if best.is_none_or(|(_, least)| price < least) {
+            best = Some((position, price));
+        }
+    }
+    best.map(|(position, _)| position)
+}
+
+/// Weight of a replica for a prompt part; the greatest weight is the preferred replica (rendezvous hashing).
+pub fn preference_weight(part: u64, replica: &str) -> u64 {
+    xxh3_64_with_seed(replica.as_bytes(), part)
+}
