--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -6,17 +6,19 @@
 
 use arc_swap::ArcSwapOption;
 use harrierward_decisions::{DecisionLog, Record};
-use harrierward_external::{Table, WatchedTable};
+use harrierward_external::{ObjectStore, Table, WatchedTable};
+use harrierward_inline_jobs::{HEADS, InlineJobs, JobParts, JobSettings};
 use harrierward_serving::{
     Forwarder, ForwarderParts, ForwarderSettings, ReplicaClient, ReplicaSet, SelectionCosts,
 };
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{Instant, sleep};
 
 use crate::discovery::{Discovery, DiscoverySource};
+use crate::members::{Members, new_life};
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
-use crate::watch::{Watch, WatchSettings};
+use crate::watch::{SpaceUpdate, Watch, WatchSettings};
 
 /// Time in which the platform takes a daemon that is not ready out of service.
 const TAKEN_OUT_AFTER: Duration = Duration::from_millis(3_000);
@@ -24,6 +26,9 @@
 /// Part of the grace that is kept for the end itself.
 const END_RESERVE: Duration = Duration::from_millis(900);
 
+/// Slots that batch items leave free at a replica.
+const FREE_SLOTS: u32 = 4;
+
 /// How often a stopping daemon looks whether its requests are done.
 const STOP_CHECK: Duration = Duration::from_millis(50);
 
@@ -38,6 +43,8 @@
     pub source: Arc<dyn DiscoverySource>,
     /// The store's rows.
     pub table: Arc<dyn Table>,
+    /// The store's objects.
+    pub objects: Arc<dyn ObjectStore>,
     /// The store's feeds.
     pub watched: Arc<dyn WatchedTable>,
     /// The replicas' protocol.
@@ -50,6 +57,8 @@
 pub struct EdgeService {
     /// The request path.
     pub forwarder: Forwarder,
+    /// Batch jobs.
+    pub jobs: InlineJobs,
     /// The servers' state.
     pub control: Arc<ServerControl>,
     stopping: AtomicBool,
@@ -67,6 +76,7 @@
 pub struct Daemon {
     settings: EdgeSettings,
     service: Arc<EdgeService>,
+    members: Arc<Members>,
     log: DecisionLog,
 }
 
@@ -76,13 +86,15 @@
         let DaemonParts {
             settings,
             source,
-            table: _table,
+            table,
+            objects,
             watched,
             replicas: client,
             log,
         } = parts;
+        let life = new_life(&settings.member);
         log.record(&Record::Started {
-            member: &settings.member,
+            member: &life,
             zone: &settings.zone,
         });
         let routes = Arc::new(ArcSwapOption::empty());
@@ -101,13 +113,29 @@
         let discovery = Arc::new(Discovery::new(
             source.clone(),
             routes,
-            replicas,
+            replicas.clone(),
             control.clone(),
             log.clone(),
         ));
-        start_watches(&discovery, source.as_ref(), &watched, &log);
+        let members = Arc::new(Members::new(life.clone(), &settings, replicas, log.clone()));
+        let jobs = InlineJobs::new(JobParts {
+            life,
+            table,
+            objects,
+            forwarder: forwarder.clone(),
+            peers: members.clone(),
+            log: log.clone(),
+            settings: JobSettings {
+                keep: settings.keep_jobs,
+                cancel_within: settings.cancel_within,
+                free_slots: FREE_SLOTS,
+            },
+        });
+        start_watches(&discovery, source.as_ref(), &watched, &jobs, &log);
+        tokio::spawn(jobs.clone().run());
         let service = Arc::new(EdgeService {
             forwarder,
+            jobs,
             control,
             stopping: AtomicBool::new(false),
             discovery,
@@ -115,6 +143,7 @@
         Self {
             settings,
             service,
+            members,
             log,
         }
     }
@@ -132,6 +161,8 @@
     ) -> std::io::Result<()> {
         let caller_listener = TcpListener::bind(&self.settings.caller_address).await?;
         let ready_listener = TcpListener::bind(&self.settings.ready_address).await?;
+        let socket = UdpSocket::bind(&self.settings.peer_address).await?;
+        tokio::spawn(self.members.clone().run(Arc::new(socket)));
         let control = self.service.control.clone();
         tokio::spawn(serve(caller_listener, control, callers));
         let ready_control = Arc::new(ServerControl::default());
@@ -149,6 +180,8 @@
             in_progress: control.in_progress(),
         });
         let last = self.settings.grace.saturating_sub(END_RESERVE);
+        self.service.jobs.hand_over_all(asked_at + last).await;
+        self.members.leave();
         loop {
             let waited = asked_at.elapsed();
             let done = waited >= TAKEN_OUT_AFTER && control.in_progress() == 0;
@@ -170,6 +203,7 @@
     discovery: &Arc<Discovery>,
     source: &dyn DiscoverySource,
     table: &Arc<dyn WatchedTable>,
+    jobs: &InlineJobs,
     log: &DecisionLog,
 ) {
     let watch = |space| Watch {
@@ -184,4 +218,23 @@
     let replicas = watch(source.replica_space());
     let taker = discovery.clone();
     tokio::spawn(replicas.run(move |update| taker.take_replicas(&update)));
+    let heads = watch(HEADS);
+    let jobs = jobs.clone();
+    tokio::spawn(heads.run(move |update| take_heads(&jobs, &update)));
+}
+
+fn take_heads(jobs: &InlineJobs, update: &SpaceUpdate) {
+    for row in &update.written {
+        if let Some(newer) = jobs.view().take_row(&row.value, row.revision) {
+            jobs.head_changed(&newer);
+        }
+    }
+    for key in &update.removed {
+        if let Some(job_id) = key.rsplit('/').next() {
+            jobs.head_removed(job_id);
+        }
+    }
+    if let Some(moment) = update.as_of {
+        jobs.view().prove(moment, update.store_time_ms);
+    }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod daemon;
 mod discovery;
+mod members;
 mod pool;
 mod server;
 mod settings;
@@ -10,6 +11,7 @@
 
 pub use daemon::{Daemon, DaemonParts, EdgeService};
 pub use discovery::{Discovery, DiscoverySource};
+pub use members::Members;
 pub use pool::{
     ConnectionPool, PoolError, PoolSettings, PooledBody, PooledResponse, RequestBody, has_token,
 };
--- /dev/null
+++ b/crates/edge/src/members.rs
@@ -0,0 +1,314 @@
+//! The other daemons: who lives, and what each has in progress at the replicas.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use harrierward_decisions::{DecisionLog, Record};
+use harrierward_inline_jobs::Peers;
+use harrierward_membership::{Action, MembershipCore, MembershipSettings};
+use harrierward_serving::{ReplicaSet, WorkClass};
+use harrierward_wire::{
+    LoadNotice, MemberRecord, MemberState, NodeDatagram, ReplicaCount, decode, encode,
+    node_datagram,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, sleep};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::settings::EdgeSettings;
+
+/// How often the membership protocol is driven.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Ticks between two load notices.
+const NOTICE_TICKS: u64 = 2;
+
+/// How long a peer's counts are believed.
+const NOTICE_LIFETIME: Duration = Duration::from_millis(1_500);
+
+/// How often seeds are asked while nobody else is known.
+const JOIN_EVERY: Duration = Duration::from_millis(400);
+
+/// Time after which a daemon that found nobody takes itself for the only one.
+const ALONE_AFTER: Duration = Duration::from_millis(2_500);
+
+/// Time after the first sight of others in which the rest become known.
+const SETTLE: Duration = Duration::from_millis(1_200);
+
+/// Largest datagram received, bytes.
+const DATAGRAM_LIMIT: usize = 65_536;
+
+/// Bounds for a fleet whose members replace each other within seconds.
+fn membership_settings() -> MembershipSettings {
+    MembershipSettings {
+        probe_every: Duration::from_millis(300),
+        direct_timeout: Duration::from_millis(150),
+        probe_timeout: Duration::from_millis(400),
+        suspicion: Duration::from_millis(700),
+        forget_dead: Duration::from_secs(60),
+        ..MembershipSettings::default()
+    }
+}
+
+struct PeerLoad {
+    notice: LoadNotice,
+    at: Instant,
+}
+
+struct State {
+    core: MembershipCore,
+    loads: HashMap<String, PeerLoad>,
+    notices: u64,
+    others_since: Option<Instant>,
+}
+
+/// This daemon's view of its peers.
+pub struct Members {
+    life: String,
+    seeds: Vec<String>,
+    started: Instant,
+    replicas: Arc<ReplicaSet>,
+    log: DecisionLog,
+    state: Mutex<State>,
+}
+
+/// A name for this life of the daemon.
+pub fn new_life(member: &str) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = now.map_or(0, |time| time.as_millis());
+    format!("{member}@{millis:x}-{:04x}", rand::random::<u16>())
+}
+
+fn replica_hash(id: &str) -> u32 {
+    let bytes = xxh3_64(id.as_bytes()).to_le_bytes();
+    u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
+}
+
+impl Members {
+    /// Knows only itself.
+    pub fn new(
+        life: String,
+        settings: &EdgeSettings,
+        replicas: Arc<ReplicaSet>,
+        log: DecisionLog,
+    ) -> Self {
+        let own = MemberRecord {
+            id: life.clone(),
+            udp_address: settings.peer_address.clone(),
+            peer_address: settings.control_address.clone(),
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            incarnation: 1,
+            state: MemberState::Alive as i32,
+            backlog: Vec::new(),
+        };
+        let state = State {
+            core: MembershipCore::new(membership_settings(), own),
+            loads: HashMap::new(),
+            notices: 0,
+            others_since: None,
+        };
+        Self {
+            life,
+            seeds: settings.seeds.clone(),
+            started: Instant::now(),
+            replicas,
+            log,
+            state: Mutex::new(state),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Addresses at which the other living daemons answer control calls.
+    pub fn control_addresses(&self) -> Vec<String> {
+        let view = self.lock().core.view();
+        let others = view.members.into_iter().filter(|one| one.id != self.life);
+        others.map(|one| one.peer_address).collect()
+    }
+
+    /// Says that this daemon leaves.
+    pub fn leave(&self) {
+        self.lock().core.leave();
+    }
+
+    /// Drives the protocol over `socket` for as long as the process runs.
+    pub async fn run(self: Arc<Self>, socket: Arc<UdpSocket>) {
+        let receiving = self.clone().receive_all(socket.clone());
+        tokio::join!(self.tick_all(socket), receiving);
+    }
+
+    async fn tick_all(self: Arc<Self>, socket: Arc<UdpSocket>) {
+        let mut random = SmallRng::from_os_rng();
+        let mut joined_at: Option<Instant> = None;
+        let mut tick: u64 = 0;
+        loop {
+            let mut datagrams = Vec::new();
+            {
+                let mut state = self.lock();
+                let alone = state.core.view().members.len() <= 1;
+                let due = joined_at.is_none_or(|at| at.elapsed() >= JOIN_EVERY);
+                if alone && due {
+                    joined_at = Some(Instant::now());
+                    datagrams.extend(wrap(state.core.join(&self.seeds)));
+                }
+                let actions = state.core.tick(self.started.elapsed(), &mut random);
+                datagrams.extend(wrap(actions));
+                self.note_changes(&mut state);
+                if tick.is_multiple_of(NOTICE_TICKS) {
+                    datagrams.extend(self.notices(&mut state));
+                }
+            }
+            tick += 1;
+            send_all(&socket, datagrams).await;
+            sleep(TICK).await;
+        }
+    }
+
+    async fn receive_all(self: Arc<Self>, socket: Arc<UdpSocket>) {
+        let mut buffer = vec![0; DATAGRAM_LIMIT];
+        loop {
+            let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+                // A peer that has gone shows up as a refused connection on some systems.
+                sleep(TICK).await;
+                continue;
+            };
+            let datagrams = self.receive(&buffer[..length]);
+            send_all(&socket, datagrams).await;
+        }
+    }
+
+    fn receive(&self, bytes: &[u8]) -> Vec<(String, Vec<u8>)> {
+        let kind = decode::<NodeDatagram>(bytes).and_then(|datagram| datagram.kind);
+        let mut state = self.lock();
+        match kind {
+            Some(node_datagram::Kind::Membership(datagram)) => {
+                let (actions, _) = state.core.receive(&datagram, self.started.elapsed());
+                self.note_changes(&mut state);
+                wrap(actions)
+            }
+            Some(node_datagram::Kind::LoadNotice(notice)) => {
+                self.take_notice(&mut state, notice);
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn note_changes(&self, state: &mut State) {
+        if !state.core.take_changed() {
+            return;
+        }
+        let alive = state.core.view().members.len();
+        if alive > 1 && state.others_since.is_none() {
+            state.others_since = Some(Instant::now());
+        }
+        self.log.record(&Record::MembersChanged { alive });
+    }
+
+    /// Own counts, for every other member.
+    fn notices(&self, state: &mut State) -> Vec<(String, Vec<u8>)> {
+        self.expire_loads(state);
+        state.notices += 1;
+        let view = self.replicas.view();
+        let counts = view.all().filter_map(|replica| {
+            let count = ReplicaCount {
+                replica: replica_hash(&replica.record.id),
+                online: replica.own(WorkClass::Online),
+                batch: replica.own(WorkClass::Batch),
+            };
+            (count.online + count.batch > 0).then_some(count)
+        });
+        let notice = LoadNotice {
+            from: self.life.clone(),
+            number: state.notices,
+            counts: counts.collect(),
+        };
+        let datagram = NodeDatagram {
+            kind: Some(node_datagram::Kind::LoadNotice(notice)),
+        };
+        let bytes = encode(&datagram);
+        let members = state.core.view().members;
+        let others = members.iter().filter(|member| member.id != self.life);
+        others
+            .filter_map(|member| state.core.udp_address(&member.id))
+            .map(|address| (address, bytes.clone()))
+            .collect()
+    }
+
+    fn take_notice(&self, state: &mut State, notice: LoadNotice) {
+        let known = state.loads.get(&notice.from);
+        if known.is_some_and(|known| known.notice.number >= notice.number) {
+            return;
+        }
+        let load = PeerLoad {
+            at: Instant::now(),
+            notice,
+        };
+        state.loads.insert(load.notice.from.clone(), load);
+        self.publish_loads(state);
+    }
+
+    fn expire_loads(&self, state: &mut State) {
+        let before = state.loads.len();
+        state
+            .loads
+            .retain(|_, load| load.at.elapsed() < NOTICE_LIFETIME);
+        if state.loads.len() != before {
+            self.publish_loads(state);
+        }
+    }
+
+    fn publish_loads(&self, state: &State) {
+        let mut sums: HashMap<u32, (u32, u32)> = HashMap::new();
+        for count in state.loads.values().flat_map(|load| &load.notice.counts) {
+            let sum = sums.entry(count.replica).or_default();
+            sum.0 += count.online;
+            sum.1 += count.batch;
+        }
+        for replica in self.replicas.view().all() {
+            let hash = replica_hash(&replica.record.id);
+            let (online, batch) = sums.get(&hash).copied().unwrap_or_default();
+            replica.set_peers(online, batch);
+        }
+    }
+}
+
+impl Peers for Members {
+    fn owners(&self) -> Option<Vec<String>> {
+        let state = self.lock();
+        let settled = match state.others_since {
+            Some(since) => since.elapsed() >= SETTLE,
+            None => self.started.elapsed() >= ALONE_AFTER,
+        };
+        if !settled {
+            return None;
+        }
+        let view = state.core.view();
+        Some(view.staying().map(|member| member.id.clone()).collect())
+    }
+}
+
+fn wrap(actions: Vec<Action>) -> Vec<(String, Vec<u8>)> {
+    let encoded = actions.into_iter().map(|action| {
+        let datagram = NodeDatagram {
+            kind: Some(node_datagram::Kind::Membership(action.datagram)),
+        };
+        (action.address, encode(&datagram))
+    });
+    encoded.collect()
+}
+
+async fn send_all(socket: &UdpSocket, datagrams: Vec<(String, Vec<u8>)>) {
+    for (address, bytes) in datagrams {
+        if let Ok(address) = address.parse::<SocketAddr>() {
+            let _ = socket.send_to(&bytes, address).await;
+        }
+    }
+}
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -335,4 +335,3 @@
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
-
--- /dev/null
+++ b/crates/inline-jobs/src/adoption.rs
@@ -0,0 +1,160 @@
+//! Jobs change hands: those of daemons that died or stopped are adopted, and old ones removed.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use harrierward_serving::preference_weight;
+use harrierward_wire::ItemProgressRow;
+use tokio::time::{Instant, sleep};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::service::InlineJobs;
+use crate::store::WriteOutcome;
+use crate::view::KnownHead;
+
+/// How often jobs without owner are looked for.
+const CHECK_EVERY: Duration = Duration::from_millis(100);
+
+/// How long an owner must be missing before its job is adopted.
+const MISSING_FOR: Duration = Duration::from_millis(300);
+
+/// How much longer each further daemon in the job's order waits.
+const RANK_DELAY: Duration = Duration::from_millis(400);
+
+/// How long an adoption is tried.
+const ADOPT_HOLD: Duration = Duration::from_millis(1_500);
+
+/// Most progress rows handed over in one transaction.
+const MOST_PROGRESS: usize = 80;
+
+/// How often old jobs are looked for.
+const REMOVE_EVERY: Duration = Duration::from_secs(20);
+
+/// How much longer than promised a job is kept.
+const KEEP_LONGER: Duration = Duration::from_secs(60);
+
+impl InlineJobs {
+    pub(crate) async fn run_adoption(self) {
+        let mut missing_since: HashMap<String, Instant> = HashMap::new();
+        loop {
+            sleep(CHECK_EVERY).await;
+            let Some(owners) = self.inner.peers.owners() else {
+                continue;
+            };
+            if !self.may_start_runs() {
+                continue;
+            }
+            let orphans: Vec<KnownHead> = self
+                .inner
+                .view
+                .open_jobs()
+                .into_iter()
+                .filter(|known| !owners.contains(&known.head.owner))
+                .collect();
+            missing_since.retain(|job, _| orphans.iter().any(|known| known.head.job_id == *job));
+            for known in orphans {
+                let job_id = known.head.job_id.clone();
+                let since = *missing_since.entry(job_id).or_insert_with(Instant::now);
+                if since.elapsed() >= self.adoption_delay(&known, &owners) {
+                    missing_since.remove(&known.head.job_id);
+                    let jobs = self.clone();
+                    tokio::spawn(async move { jobs.adopt_job(known).await });
+                }
+            }
+        }
+    }
+
+    /// Daemons adopt a job in an order of its own, so that they do not all try at once.
+    fn adoption_delay(&self, known: &KnownHead, owners: &[String]) -> Duration {
+        let job = xxh3_64(known.head.job_id.as_bytes());
+        let own = preference_weight(job, &self.inner.life);
+        let before = owners
+            .iter()
+            .filter(|owner| preference_weight(job, owner) > own)
+            .count();
+        let first = if known.head.owner.is_empty() {
+            Duration::ZERO
+        } else {
+            MISSING_FOR
+        };
+        first + RANK_DELAY * u32::try_from(before).unwrap_or(u32::MAX)
+    }
+
+    async fn adopt_job(&self, known: KnownHead) {
+        let mut head = known.head.clone();
+        head.owner = self.inner.life.clone();
+        head.epoch += 1;
+        let until = Instant::now() + ADOPT_HOLD;
+        let written = self
+            .inner
+            .store
+            .replace_head(known.revision, &head, until)
+            .await;
+        match written {
+            WriteOutcome::Committed { revision } => {
+                self.log_ownership(&head, "adopted");
+                let adopted = KnownHead { head, revision };
+                // The watch may have been faster and have begun the loading.
+                if self.inner.view.take(adopted.clone()).is_some() {
+                    self.head_changed(&adopted);
+                }
+            }
+            WriteOutcome::Conflict {
+                current: Some(current),
+            } => {
+                if let Some(newer) = self.inner.view.take(current) {
+                    self.head_changed(&newer);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives one job up, with the progress of its items.
+    pub(crate) async fn hand_over(
+        &self,
+        mut known: KnownHead,
+        mut progress: Vec<(u32, ItemProgressRow)>,
+        until: Instant,
+    ) {
+        progress.truncate(MOST_PROGRESS);
+        while known.is_open() && self.owns(&known.head) && Instant::now() < until {
+            let mut head = known.head.clone();
+            head.owner = String::new();
+            let written = self
+                .inner
+                .store
+                .hand_over(known.revision, &head, &progress, until)
+                .await;
+            match written {
+                WriteOutcome::Committed { .. } => {
+                    self.log_ownership(&head, "handed over");
+                    return;
+                }
+                WriteOutcome::Conflict {
+                    current: Some(current),
+                } => known = current,
+                _ => return,
+            }
+        }
+    }
+
+    /// Removes jobs whose time is over; each daemon those that are its own by their order.
+    pub(crate) async fn run_removal(self) {
+        loop {
+            sleep(REMOVE_EVERY).await;
+            let Some(owners) = self.inner.peers.owners() else {
+                continue;
+            };
+            let keep = self.inner.settings.keep + KEEP_LONGER;
+            let keep_ms = u64::try_from(keep.as_millis()).unwrap_or(u64::MAX);
+            let before = self.inner.view.store_now_ms().saturating_sub(keep_ms);
+            for known in self.inner.view.closed_before(before) {
+                if self.adoption_delay(&known, &owners) < MISSING_FOR + RANK_DELAY {
+                    // What is not removed now is found again at the next round.
+                    let _ = self.inner.store.remove(&known).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/inline-jobs/src/book.rs
@@ -0,0 +1,274 @@
+//! The jobs that this daemon runs, and the state of each item: pure apart from the tasks' handles.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use harrierward_serving::ServingRequest;
+use harrierward_wire::ItemProgressRow;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::store::ListedResult;
+use crate::view::KnownHead;
+
+/// What has come of an item so far; shared with the task that runs it.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct ItemProgress {
+    /// Last event received.
+    pub last_event: Option<u64>,
+    /// Data of the events so far.
+    pub texts: Vec<String>,
+}
+
+/// Progress shared between book and task.
+pub type SharedProgress = Arc<Mutex<ItemProgress>>;
+
+/// Where an item stands.
+#[derive(Debug)]
+pub enum ItemPhase {
+    /// Waits for a slot.
+    Waiting {
+        /// Not to be started earlier.
+        not_before: Instant,
+    },
+    /// Runs at a replica.
+    Running {
+        /// Replica.
+        replica: String,
+        /// Ends the run.
+        task: AbortHandle,
+        /// When it began.
+        since: Instant,
+    },
+    /// Its result waits to be listed.
+    Done {
+        /// The item failed for good.
+        failed: bool,
+    },
+    /// Its result is listed.
+    Listed,
+}
+
+/// One item.
+#[derive(Debug)]
+pub struct Item {
+    /// The request that runs it.
+    pub request: Arc<ServingRequest>,
+    /// What has come so far.
+    pub progress: SharedProgress,
+    /// Failed attempts.
+    pub failures: u32,
+    /// Where it stands.
+    pub phase: ItemPhase,
+}
+
+/// One job that this daemon runs.
+#[derive(Debug)]
+pub struct OwnedJob {
+    /// Its head.
+    pub known: KnownHead,
+    /// Its items.
+    pub items: Vec<Item>,
+    /// A task lists results of the job.
+    pub listing: bool,
+}
+
+impl OwnedJob {
+    /// A job whose items were read; `progress` is what an earlier owner left.
+    pub fn new(
+        known: KnownHead,
+        requests: Vec<ServingRequest>,
+        progress: Vec<(u32, ItemProgressRow)>,
+    ) -> Self {
+        let now = Instant::now();
+        let mut items: Vec<Item> = requests
+            .into_iter()
+            .map(|request| Item {
+                request: Arc::new(request),
+                progress: SharedProgress::default(),
+                failures: 0,
+                phase: ItemPhase::Waiting { not_before: now },
+            })
+            .collect();
+        for (number, row) in progress {
+            if let Some(item) = items.get_mut(number as usize) {
+                item.failures = row.failures;
+                item.progress = Arc::new(Mutex::new(ItemProgress {
+                    last_event: Some(row.last_event).filter(|_| !row.texts.is_empty()),
+                    texts: row.texts,
+                }));
+            }
+        }
+        let mut job = Self {
+            known,
+            items,
+            listing: false,
+        };
+        job.mark_listed();
+        job
+    }
+
+    /// Items that the head lists need nothing more.
+    pub fn mark_listed(&mut self) {
+        for number in &self.known.head.listed {
+            if let Some(item) = self.items.get_mut(*number as usize) {
+                end_run(&item.phase);
+                item.phase = ItemPhase::Listed;
+                item.progress = SharedProgress::default();
+            }
+        }
+    }
+
+    /// Ends all runs; items go back to waiting.
+    pub fn stop_runs(&mut self) {
+        for item in &mut self.items {
+            if matches!(item.phase, ItemPhase::Running { .. }) {
+                end_run(&item.phase);
+                item.phase = ItemPhase::Waiting {
+                    not_before: Instant::now(),
+                };
+            }
+        }
+    }
+
+    /// Progress of unfinished items, for another owner.
+    pub fn progress_rows(&self) -> Vec<(u32, ItemProgressRow)> {
+        let unfinished = (0..).zip(&self.items).filter(|(_, item)| {
+            matches!(
+                item.phase,
+                ItemPhase::Waiting { .. } | ItemPhase::Running { .. } | ItemPhase::Done { .. }
+            )
+        });
+        unfinished
+            .filter_map(|(number, item)| {
+                let progress = lock(&item.progress);
+                let row = ItemProgressRow {
+                    last_event: progress.last_event?,
+                    texts: progress.texts.clone(),
+                    failures: item.failures,
+                };
+                Some((number, row))
+            })
+            .collect()
+    }
+
+    /// Results that wait to be listed, within the bounds of one transaction.
+    pub fn results_to_list(&self, most: usize, bytes: usize) -> Vec<ListedResult> {
+        let mut results = Vec::new();
+        let mut size = 0;
+        for (number, item) in (0..).zip(&self.items) {
+            let ItemPhase::Done { failed } = item.phase else {
+                continue;
+            };
+            let text = if failed {
+                String::new()
+            } else {
+                lock(&item.progress).texts.join("\n")
+            };
+            size += text.len();
+            if !results.is_empty() && (size > bytes || results.len() >= most) {
+                break;
+            }
+            results.push(ListedResult {
+                item: number,
+                failed,
+                text,
+            });
+        }
+        results
+    }
+}
+
+fn end_run(phase: &ItemPhase) {
+    if let ItemPhase::Running { task, .. } = phase {
+        task.abort();
+    }
+}
+
+/// Locks shared progress.
+pub fn lock(progress: &SharedProgress) -> std::sync::MutexGuard<'_, ItemProgress> {
+    progress.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// An item that may be started.
+#[derive(Debug, Clone)]
+pub struct StartableItem {
+    /// Job.
+    pub job: String,
+    /// Number of the item.
+    pub number: u32,
+    /// Route.
+    pub route: String,
+    /// The request that runs it.
+    pub request: Arc<ServingRequest>,
+    /// What has come so far.
+    pub progress: SharedProgress,
+}
+
+/// All jobs of this daemon.
+#[derive(Debug, Default)]
+pub struct JobBook {
+    /// The jobs by id.
+    pub jobs: BTreeMap<String, OwnedJob>,
+}
+
+impl JobBook {
+    /// Items that wait and may be started now: those of the oldest jobs first.
+    pub fn startable(&self) -> Vec<StartableItem> {
+        let now = Instant::now();
+        let mut jobs: Vec<&OwnedJob> = self.jobs.values().collect();
+        jobs.sort_by_key(|job| job.known.head.accepted_ms);
+        let mut startable = Vec::new();
+        for job in jobs {
+            for (number, item) in (0..).zip(&job.items) {
+                let ready =
+                    matches!(item.phase, ItemPhase::Waiting { not_before } if not_before <= now);
+                if ready {
+                    startable.push(StartableItem {
+                        job: job.known.head.job_id.clone(),
+                        number,
+                        route: job.known.head.route.clone(),
+                        request: item.request.clone(),
+                        progress: item.progress.clone(),
+                    });
+                }
+            }
+        }
+        startable
+    }
+
+    /// An item.
+    pub fn item(&mut self, job: &str, number: u32) -> Option<&mut Item> {
+        self.jobs.get_mut(job)?.items.get_mut(number as usize)
+    }
+
+    /// Ends the `count` youngest runs at a replica; their items wait for `pause`. Returns how many were ended.
+    pub fn yield_runs(&mut self, replica: &str, count: usize, pause: Duration) -> usize {
+        let mut runs: Vec<(&mut ItemPhase, Instant)> = self
+            .jobs
+            .values_mut()
+            .flat_map(|job| &mut job.items)
+            .filter_map(|item| {
+                let ItemPhase::Running {
+                    replica: at, since, ..
+                } = &item.phase
+                else {
+                    return None;
+                };
+                let since = *since;
+                (at == replica).then_some((&mut item.phase, since))
+            })
+            .collect();
+        runs.sort_by_key(|(_, since)| std::cmp::Reverse(*since));
+        let mut ended = 0;
+        for (phase, _) in runs.into_iter().take(count) {
+            end_run(phase);
+            *phase = ItemPhase::Waiting {
+                not_before: Instant::now() + pause,
+            };
+            ended += 1;
+        }
+        ended
+    }
+}
--- /dev/null
+++ b/crates/inline-jobs/src/item_run.rs
@@ -0,0 +1,113 @@
+//! One run of an item at a replica, from its last event on.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+use harrierward_serving::{
+    AttemptFailure, AttemptTimes, EventSplitter, Forwarder, InProgress, Sending, ServingRequest,
+    StreamEvent, wait_for_progress,
+};
+
+use crate::book::{SharedProgress, lock};
+
+/// Silence after which a replica that is silent to everybody is given up.
+const DARK: Duration = Duration::from_millis(500);
+
+/// Silence after which any replica is given up.
+const LONGEST_SILENCE: Duration = Duration::from_millis(3_000);
+
+/// How a run ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RunOutcome {
+    /// The whole output is there.
+    Finished,
+    /// The replica failed the item.
+    Failed,
+    /// The item can never be done.
+    Impossible,
+    /// The replica did not take it.
+    NotRun(String),
+    /// The stream broke; the item goes on after its last event.
+    Broken(String),
+}
+
+/// Statuses of a replica's answer to an item.
+const FAILED: u16 = 500;
+const IMPOSSIBLE: u16 = 422;
+
+/// Runs an item at the replica of `in_progress`.
+pub async fn run(
+    forwarder: &Forwarder,
+    request: &ServingRequest,
+    progress: &SharedProgress,
+    in_progress: InProgress,
+) -> RunOutcome {
+    let resume_after = lock(progress).last_event;
+    let times = AttemptTimes {
+        time_left: None,
+        dark: DARK,
+        longest: LONGEST_SILENCE,
+    };
+    let sending = Sending {
+        resume_after,
+        fresh_connection: false,
+        number: 1,
+    };
+    let attempt = forwarder
+        .attempt_at(request, in_progress, times, sending)
+        .await;
+    let attempt = match attempt {
+        Ok(attempt) => attempt,
+        Err(AttemptFailure::NoReplica) => return RunOutcome::NotRun("no replica".to_owned()),
+        Err(AttemptFailure::NotRun { cause, .. }) => return RunOutcome::NotRun(cause),
+        Err(AttemptFailure::MayHaveRun { cause }) => return RunOutcome::Broken(cause),
+    };
+    match attempt.answer.status {
+        200..=299 => {}
+        FAILED => return RunOutcome::Failed,
+        IMPOSSIBLE => return RunOutcome::Impossible,
+        status => return RunOutcome::Broken(format!("status {status}")),
+    }
+    let replica = attempt.in_progress.replica().clone();
+    let mut body = attempt.answer.body;
+    let mut splitter = EventSplitter::default();
+    loop {
+        let next = wait_for_progress(body.next(), &replica, DARK, LONGEST_SILENCE).await;
+        let bytes = match next {
+            None => {
+                replica.suspect(DARK);
+                return RunOutcome::Broken("no event in time".to_owned());
+            }
+            Some(None) if splitter.left_over() > 0 => {
+                return RunOutcome::Broken("the stream ended within an event".to_owned());
+            }
+            Some(None) => return RunOutcome::Finished,
+            Some(Some(Err(error))) => return RunOutcome::Broken(error.to_string()),
+            Some(Some(Ok(bytes))) => bytes,
+        };
+        replica.note_progress();
+        splitter.push(&bytes);
+        while let Some(event) = splitter.next_event() {
+            if let Err(cause) = take_event(progress, &event) {
+                return RunOutcome::Broken(cause.to_owned());
+            }
+        }
+    }
+}
+
+/// Adds an event to the item's output; events must follow each other without gaps.
+fn take_event(progress: &SharedProgress, event: &StreamEvent) -> Result<(), &'static str> {
+    let Some(id) = event.id else {
+        return Ok(());
+    };
+    let mut progress = lock(progress);
+    if progress.last_event.is_some_and(|last| id <= last) {
+        return Ok(());
+    }
+    if progress.last_event.is_some_and(|last| id > last + 1) {
+        return Err("an event is missing");
+    }
+    progress.last_event = Some(id);
+    progress.texts.push(event.data());
+    Ok(())
+}
--- /dev/null
+++ b/crates/inline-jobs/src/keys.rs
@@ -0,0 +1,80 @@
+//! Keys of a job's rows. All rows of a job lie in one partition, so that one transaction can change them.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Space of the jobs' heads, which every daemon watches.
+pub const HEADS: &str = "jobheads";
+
+/// Space of the items as accepted.
+const ITEMS: &str = "jobitems";
+
+/// Space of the results.
+const RESULTS: &str = "jobresults";
+
+/// Space of unfinished items' progress.
+const PROGRESS: &str = "jobprogress";
+
+/// Partitions over which jobs are spread.
+const PARTITIONS: u64 = 8;
+
+/// Longest job id, bytes; keys hold at most 200.
+const LONGEST_ID: usize = 120;
+
+/// True if the id can be part of a key.
+pub fn is_usable_id(id: &str) -> bool {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    !id.is_empty() && id.len() <= LONGEST_ID && id.bytes().all(plain)
+}
+
+fn partition(job_id: &str) -> u64 {
+    xxh3_64(job_id.as_bytes()) % PARTITIONS
+}
+
+fn key(space: &str, job_id: &str) -> String {
+    format!("{space}/p{}/{job_id}", partition(job_id))
+}
+
+/// Key of a job's head.
+pub fn head(job_id: &str) -> String {
+    key(HEADS, job_id)
+}
+
+/// Key of a row of items.
+pub fn items(job_id: &str, number: u32) -> String {
+    format!("{}.{number:04}", key(ITEMS, job_id))
+}
+
+/// Beginning of the keys of all rows of items.
+pub fn items_prefix(job_id: &str) -> String {
+    format!("{}.", key(ITEMS, job_id))
+}
+
+/// Key of a piece of a result.
+pub fn result(job_id: &str, position: u32, piece: u32) -> String {
+    format!("{}.{position:05}.{piece:03}", key(RESULTS, job_id))
+}
+
+/// Beginning of the keys of all results.
+pub fn results_prefix(job_id: &str) -> String {
+    format!("{}.", key(RESULTS, job_id))
+}
+
+/// Position of a result's piece, from its key.
+pub fn position_of_result(key: &str) -> Option<u32> {
+    key.rsplit('.').nth(1)?.parse().ok()
+}
+
+/// Key of an item's progress.
+pub fn progress(job_id: &str, item: u32) -> String {
+    format!("{}.{item:05}", key(PROGRESS, job_id))
+}
+
+/// Beginning of the keys of all progress rows.
+pub fn progress_prefix(job_id: &str) -> String {
+    format!("{}.", key(PROGRESS, job_id))
+}
+
+/// Item of a progress row, from its key.
+pub fn item_of_progress(key: &str) -> Option<u32> {
+    key.rsplit('.').next()?.parse().ok()
+}
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -1,1 +1,27 @@
-//! Inline batch jobs.
+//! Batch jobs whose items are kept in the store's table: accepted in one transaction, run by the daemon that
+//! accepted them or adopted them, listed under the revision of the job's head, readable at any daemon.
+//!
+//! Why beside `batch`: jobs of a few items need no chunk objects, shard owners or pulls. The head of each job is
+//! the only row that changes; every change of it is conditional, so an owner that was frozen or cut off can list
+//! nothing after another took over.
+
+mod adoption;
+mod book;
+mod item_run;
+mod keys;
+mod listing;
+mod lookup;
+mod model;
+mod runner;
+mod service;
+mod store;
+mod submit;
+mod view;
+
+pub use keys::HEADS;
+pub use model::{
+    EndOutcome, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem, SubmittedJob,
+};
+pub use service::{InlineJobs, JobParts, JobSettings, Peers};
+pub use store::{JobStore, ListedResult, ReadResult, WriteOutcome};
+pub use view::{JobView, KnownHead};
--- /dev/null
+++ b/crates/inline-jobs/src/listing.rs
@@ -0,0 +1,116 @@
+//! Listing results: the position of each is fixed by a conditional write that also marks its item.
+
+use std::time::Duration;
+
+use harrierward_decisions::Record;
+use harrierward_wire::JobHeadRow;
+use tokio::time::{Instant, sleep};
+
+use crate::book::ItemPhase;
+use crate::service::InlineJobs;
+use crate::store::{ListedResult, WriteOutcome};
+use crate::view::KnownHead;
+
+/// Most results listed at once, and their text in bytes; within one transaction's bounds.
+const MOST_RESULTS: usize = 40;
+const MOST_BYTES: usize = 400_000;
+
+/// Time after which a write that gets no answer is looked at anew.
+const WRITE_HOLD: Duration = Duration::from_millis(3_000);
+
+/// Pause after a failed write.
+const PAUSE: Duration = Duration::from_millis(100);
+
+impl InlineJobs {
+    /// Starts a listing task for each job with finished items and none.
+    pub(crate) fn start_listings(&self) {
+        let mut book = self.book();
+        for (job_id, job) in &mut book.jobs {
+            let finished = job
+                .items
+                .iter()
+                .any(|item| matches!(item.phase, ItemPhase::Done { .. }));
+            if !finished || job.listing {
+                continue;
+            }
+            job.listing = true;
+            let jobs = self.clone();
+            let job_id = job_id.clone();
+            tokio::spawn(async move { jobs.list_finished(&job_id).await });
+        }
+    }
+
+    async fn list_finished(&self, job_id: &str) {
+        while let Some((known, results)) = self.next_listing(job_id) {
+            if !self.list(&known, &results).await {
+                sleep(PAUSE).await;
+            }
+        }
+    }
+
+    /// What is to be listed; `None` ends the task.
+    fn next_listing(&self, job_id: &str) -> Option<(KnownHead, Vec<ListedResult>)> {
+        let mut book = self.book();
+        let job = book.jobs.get_mut(job_id)?;
+        let results = job.results_to_list(MOST_RESULTS, MOST_BYTES);
+        if results.is_empty() || self.is_stopping() {
+            job.listing = false;
+            return None;
+        }
+        Some((job.known.clone(), results))
+    }
+
+    /// Lists results; true if that is settled.
+    async fn list(&self, known: &KnownHead, results: &[ListedResult]) -> bool {
+        let mut head = known.head.clone();
+        let position = u32::try_from(head.listed.len()).unwrap_or(u32::MAX);
+        head.listed.extend(results.iter().map(|result| result.item));
+        let until = Instant::now() + WRITE_HOLD;
+        let written = self
+            .inner
+            .store
+            .list(known.revision, &head, position, results, until)
+            .await;
+        let (outcome, settled) = match written {
+            WriteOutcome::Committed { revision } => {
+                self.adopt(KnownHead { head, revision });
+                ("committed", true)
+            }
+            WriteOutcome::Conflict {
+                current: Some(current),
+            } => {
+                let outcome = conflict_name(&current.head, &head);
+                self.adopt(current);
+                (outcome, true)
+            }
+            WriteOutcome::Conflict { current: None } => {
+                self.head_removed(&head.job_id);
+                ("job removed", true)
+            }
+            WriteOutcome::NotDone => ("not done", false),
+            WriteOutcome::InDoubt => ("in doubt", false),
+        };
+        self.inner.log.record(&Record::ResultsListed {
+            job: &known.head.job_id,
+            position,
+            count: results.len(),
+            outcome,
+        });
+        settled
+    }
+
+    fn adopt(&self, known: KnownHead) {
+        // The watch may have been faster; the book must hear of it in any case.
+        self.inner.view.take(known.clone());
+        self.head_changed(&known);
+    }
+}
+
+/// A conflict with a head that already lists the results is a write whose answer was lost.
+fn conflict_name(current: &JobHeadRow, wanted: &JobHeadRow) -> &'static str {
+    if current.listed == wanted.listed {
+        "committed before"
+    } else {
+        "conflict"
+    }
+}
--- /dev/null
+++ b/crates/inline-jobs/src/lookup.rs
@@ -0,0 +1,189 @@
+//! Reading results and items, and ending jobs, at any daemon.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use harrierward_decisions::Record;
+use tokio::time::{Instant, timeout};
+
+use crate::model::{EndOutcome, JobResult, Lookup, ResultPage};
+use crate::service::InlineJobs;
+use crate::store::WriteOutcome;
+use crate::view::KnownHead;
+
+/// Age up to which this daemon's copy of a head is as good as the store's.
+const FRESH: Duration = Duration::from_millis(1_300);
+
+/// Text of one page of results, bytes; a page has 1 MB at most.
+const PAGE_BYTES: usize = 700_000;
+
+/// Longest time for which an end is tried.
+const END_HOLD: Duration = Duration::from_millis(3_000);
+
+impl InlineJobs {
+    /// The head, from this daemon's copy if that is fresh, else from the store.
+    async fn find(&self, job_id: &str) -> Lookup<KnownHead> {
+        let fresh = self.inner.view.proof_age().is_some_and(|age| age < FRESH);
+        if let Some(known) = self.inner.view.get(job_id).filter(|_| fresh) {
+            return Lookup::Found(known);
+        }
+        match self.inner.store.read_head(job_id).await {
+            Ok(Some(known)) => {
+                if let Some(newer) = self.inner.view.take(known.clone()) {
+                    self.head_changed(&newer);
+                }
+                // A stale read must not take back what this daemon already knows.
+                Lookup::Found(self.inner.view.get(job_id).unwrap_or(known))
+            }
+            Ok(None) => match self.inner.view.get(job_id) {
+                Some(known) => Lookup::Found(known),
+                None => Lookup::Missing,
+            },
+            Err(_) => Lookup::Unsure,
+        }
+    }
+
+    /// Results from position `after` on; waits up to `wait` for one.
+    pub async fn results(&self, job_id: &str, after: u32, wait: Duration) -> Lookup<ResultPage> {
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.inner.view.changed();
+            let known = match self.find(job_id).await {
+                Lookup::Found(known) => known,
+                Lookup::Missing => return Lookup::Missing,
+                Lookup::Unsure => return Lookup::Unsure,
+            };
+            let listed = known.head.listed.len();
+            if listed > after as usize {
+                return self.page(&known, after).await;
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            let complete = listed >= known.head.items.len() || known.head.ended;
+            if complete || left.is_zero() {
+                return Lookup::Found(ResultPage {
+                    total: known.head.items.len(),
+                    next: after,
+                    results: Vec::new(),
+                });
+            }
+            let _ = timeout(left, changed).await;
+        }
+    }
+
+    async fn page(&self, known: &KnownHead, after: u32) -> Lookup<ResultPage> {
+        let head = &known.head;
+        let read = self
+            .inner
+            .store
+            .read_results(&head.job_id, after, PAGE_BYTES)
+            .await;
+        let Ok(read) = read else {
+            return Lookup::Unsure;
+        };
+        // Rows may be newer than the head, or a stale read older; only what both tell is given out.
+        let items = head.listed.iter().skip(after as usize);
+        let results: Vec<JobResult> = items
+            .zip(read)
+            .filter_map(|(number, result)| {
+                let item = head.items.get(*number as usize)?;
+                Some(JobResult {
+                    item: item.id.clone(),
+                    failed: result.failed,
+                    text: result.text,
+                })
+            })
+            .collect();
+        if results.is_empty() {
+            return Lookup::Unsure;
+        }
+        Lookup::Found(ResultPage {
+            total: head.items.len(),
+            next: after + u32::try_from(results.len()).unwrap_or_default(),
+            results,
+        })
+    }
+
+    /// The body of an item of a job that has not ended.
+    pub async fn item_body(&self, job_id: &str, item_id: &str) -> Lookup<Bytes> {
+        let known = match self.find(job_id).await {
+            Lookup::Found(known) => known,
+            Lookup::Missing => return Lookup::Missing,
+            Lookup::Unsure => return Lookup::Unsure,
+        };
+        if known.head.ended {
+            return Lookup::Missing;
+        }
+        if let Some(job) = self.book().jobs.get(job_id) {
+            let item = job.items.iter().find(|item| item.request.id == item_id);
+            if let Some(item) = item {
+                return Lookup::Found(item.request.body.clone());
+            }
+        }
+        let Ok(items) = self.inner.store.read_items(&known.head).await else {
+            return Lookup::Unsure;
+        };
+        let found = items.items.into_iter().find(|item| item.id == item_id);
+        found.map_or(Lookup::Missing, |item| {
+            Lookup::Found(Bytes::from(item.body))
+        })
+    }
+
+    /// Ends a job: nothing of it starts any more.
+    pub async fn end(&self, job_id: &str) -> EndOutcome {
+        let outcome = self.try_end(job_id).await;
+        let name = match outcome {
+            EndOutcome::Ended => "ended",
+            EndOutcome::Missing => "missing",
+            EndOutcome::NotDone => "not_done",
+            EndOutcome::InDoubt => "in_doubt",
+        };
+        self.inner.log.record(&Record::JobEnded {
+            job: job_id,
+            outcome: name,
+        });
+        outcome
+    }
+
+    async fn try_end(&self, job_id: &str) -> EndOutcome {
+        let until = Instant::now() + END_HOLD;
+        let mut known = match self.find(job_id).await {
+            Lookup::Found(known) => known,
+            Lookup::Missing => return EndOutcome::Missing,
+            Lookup::Unsure => return EndOutcome::NotDone,
+        };
+        loop {
+            if known.head.ended {
+                return EndOutcome::Ended;
+            }
+            let mut head = known.head.clone();
+            head.ended = true;
+            let written = self
+                .inner
+                .store
+                .replace_head(known.revision, &head, until)
+                .await;
+            match written {
+                WriteOutcome::Committed { revision } => {
+                    if let Some(newer) = self.inner.view.take(KnownHead { head, revision }) {
+                        self.head_changed(&newer);
+                    }
+                    return EndOutcome::Ended;
+                }
+                WriteOutcome::Conflict {
+                    current: Some(current),
+                } => {
+                    if let Some(newer) = self.inner.view.take(current.clone()) {
+                        self.head_changed(&newer);
+                    }
+                    known = current;
+                }
+                WriteOutcome::Conflict { current: None } => return EndOutcome::Missing,
+                WriteOutcome::NotDone => return EndOutcome::NotDone,
+                WriteOutcome::InDoubt => return EndOutcome::InDoubt,
+            }
+            if Instant::now() >= until {
+                return EndOutcome::NotDone;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/inline-jobs/src/runner.rs
@@ -0,0 +1,180 @@
+//! Starting items where online leaves room, taking their ends, and giving slots back when online needs them.
+
+use std::time::Duration;
+
+use harrierward_decisions::Record;
+use harrierward_serving::{AttemptTarget, InProgress, WorkClass};
+use tokio::time::{Instant, sleep};
+
+use crate::book::{ItemPhase, StartableItem};
+use crate::item_run::{self, RunOutcome};
+use crate::service::InlineJobs;
+
+/// How often the runner looks for room when nothing wakes it.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Pause before an item that was not taken, or whose stream broke, is started again.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+
+/// Pause before an item that a replica failed is started again.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+
+/// Pause before an item that yielded is started again.
+const YIELD_PAUSE: Duration = Duration::from_millis(150);
+
+impl InlineJobs {
+    pub(crate) async fn run_items(self) {
+        loop {
+            self.yield_to_online();
+            if self.may_start_runs() {
+                self.start_items();
+            }
+            self.start_listings();
+            tokio::select! {
+                () = self.inner.wake.notified() => {}
+                () = sleep(TICK) => {}
+            }
+        }
+    }
+
+    fn start_items(&self) {
+        let startable = self.book().startable();
+        let Some(routes) = self.inner.forwarder.routes() else {
+            return;
+        };
+        for item in startable {
+            let Some(route) = routes.configuration.route(&item.route) else {
+                continue;
+            };
+            let entry = routes.find(&route.host, &route.prefix);
+            let Some(service) = entry.and_then(|entry| entry.next_service()) else {
+                continue;
+            };
+            if !self.start_item(&item, service) {
+                return;
+            }
+        }
+    }
+
+    /// Starts an item; false if no replica has room.
+    fn start_item(&self, item: &StartableItem, service: &str) -> bool {
+        let target = AttemptTarget {
+            service,
+            class: WorkClass::Batch,
+            excluded: &[],
+            free_slots: Some(self.inner.settings.free_slots),
+        };
+        let forwarder = &self.inner.forwarder;
+        let Some(replica) = forwarder.choose_replica(&item.request, target) else {
+            return false;
+        };
+        let in_progress = replica.enter(WorkClass::Batch);
+        let replica_id = replica.record.id.clone();
+        let jobs = self.clone();
+        let started = item.clone();
+        // The task cannot end before its phase is set: the runtime runs it only after this function has returned
+        // the lock, and `finish` takes the lock.
+        let mut book = self.book();
+        let Some(entry) = book.item(&item.job, item.number) else {
+            return true;
+        };
+        let task = tokio::spawn(async move { jobs.run_item(started, in_progress).await });
+        entry.phase = ItemPhase::Running {
+            replica: replica_id,
+            task: task.abort_handle(),
+            since: Instant::now(),
+        };
+        true
+    }
+
+    async fn run_item(&self, item: StartableItem, in_progress: InProgress) {
+        let replica = in_progress.replica().record.id.clone();
+        let outcome = item_run::run(
+            &self.inner.forwarder,
+            &item.request,
+            &item.progress,
+            in_progress,
+        )
+        .await;
+        self.finish(&item, &replica, &outcome);
+        self.inner.wake.notify_one();
+    }
+
+    fn finish(&self, item: &StartableItem, replica: &str, outcome: &RunOutcome) {
+        self.log_run(item, replica, outcome);
+        let attempts = self.attempts_of(&item.route);
+        let mut book = self.book();
+        let Some(entry) = book.item(&item.job, item.number) else {
+            return;
+        };
+        let wait = |pause| ItemPhase::Waiting {
+            not_before: Instant::now() + pause,
+        };
+        entry.phase = match outcome {
+            RunOutcome::Finished => ItemPhase::Done { failed: false },
+            RunOutcome::Impossible => ItemPhase::Done { failed: true },
+            RunOutcome::Failed => {
+                entry.failures += 1;
+                if entry.failures >= attempts {
+                    ItemPhase::Done { failed: true }
+                } else {
+                    wait(FAILURE_PAUSE)
+                }
+            }
+            RunOutcome::NotRun(_) | RunOutcome::Broken(_) => wait(RETRY_PAUSE),
+        };
+    }
+
+    fn attempts_of(&self, route: &str) -> u32 {
+        let routes = self.inner.forwarder.routes();
+        routes
+            .as_ref()
+            .and_then(|routes| routes.configuration.route(route))
+            .map_or(u32::MAX, |route| route.attempts)
+    }
+
+    fn log_run(&self, item: &StartableItem, replica: &str, outcome: &RunOutcome) {
+        let outcome = match outcome {
+            RunOutcome::Finished => "finished",
+            RunOutcome::Failed => "failed",
+            RunOutcome::Impossible => "impossible",
+            RunOutcome::NotRun(cause) | RunOutcome::Broken(cause) => cause.as_str(),
+        };
+        let events = crate::book::lock(&item.progress).last_event;
+        self.inner.log.record(&Record::ItemRun {
+            job: &item.job,
+            item: &item.request.id,
+            replica,
+            outcome,
+            events: events.unwrap_or_default(),
+        });
+    }
+
+    /// Ends runs at replicas where requests wait for slots that batch work holds.
+    fn yield_to_online(&self) {
+        let view = self.inner.forwarder.replicas().view();
+        for replica in view.all() {
+            let own = replica.own(WorkClass::Batch);
+            let load = replica.load();
+            let slots = replica.slots();
+            if own == 0 || load <= slots {
+                continue;
+            }
+            let excess = load - slots;
+            let batch = replica.batch().max(1);
+            // Each daemon gives back its share, rounded up.
+            let share = (excess * own).div_ceil(batch).min(own);
+            let id = &replica.record.id;
+            let ended = self.book().yield_runs(id, share as usize, YIELD_PAUSE);
+            if ended > 0 {
+                self.inner.log.record(&Record::ItemRun {
+                    job: "",
+                    item: "",
+                    replica: id,
+                    outcome: "yielded to online",
+                    events: ended as u64,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/inline-jobs/src/service.rs
@@ -0,0 +1,239 @@
+//! The jobs of one daemon: shared state, and what happens when a head changes.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use harrierward_decisions::{DecisionLog, Record};
+use harrierward_external::{ObjectStore, Table};
+use harrierward_serving::Forwarder;
+use harrierward_wire::JobHeadRow;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::book::{JobBook, OwnedJob};
+use crate::store::JobStore;
+use crate::view::{JobView, KnownHead};
+
+/// Other daemons, as far as the jobs need them.
+pub trait Peers: Send + Sync {
+    /// Lives of the daemons that may own jobs, this one among them; `None` while this daemon has not yet heard of
+    /// the others.
+    fn owners(&self) -> Option<Vec<String>>;
+}
+
+/// Bounds of the jobs.
+#[derive(Debug, Clone, Copy)]
+pub struct JobSettings {
+    /// How long a job stays readable after it was accepted.
+    pub keep: Duration,
+    /// Time after an acknowledged end within which nothing of the job may start any more.
+    pub cancel_within: Duration,
+    /// Slots that items leave free at a replica.
+    pub free_slots: u32,
+}
+
+/// What the jobs work with.
+pub struct JobParts {
+    /// This life of the daemon.
+    pub life: String,
+    /// The store's rows.
+    pub table: Arc<dyn Table>,
+    /// The store's objects.
+    pub objects: Arc<dyn ObjectStore>,
+    /// The path to replicas.
+    pub forwarder: Forwarder,
+    /// Other daemons.
+    pub peers: Arc<dyn Peers>,
+    /// Decision log.
+    pub log: DecisionLog,
+    /// Settings.
+    pub settings: JobSettings,
+}
+
+pub(crate) struct Inner {
+    pub life: String,
+    pub store: JobStore,
+    pub view: JobView,
+    pub book: Mutex<JobBook>,
+    pub forwarder: Forwarder,
+    pub peers: Arc<dyn Peers>,
+    pub log: DecisionLog,
+    pub settings: JobSettings,
+    pub wake: Notify,
+    pub stopping: AtomicBool,
+}
+
+/// The inline jobs of one daemon; cheap to clone.
+#[derive(Clone)]
+pub struct InlineJobs {
+    pub(crate) inner: Arc<Inner>,
+}
+
+/// Part of the cancel bound that is kept for what is under way.
+const CANCEL_RESERVE: Duration = Duration::from_millis(700);
+
+impl InlineJobs {
+    /// Jobs over these parts. Nothing runs until [`InlineJobs::run`] is driven.
+    pub fn new(parts: JobParts) -> Self {
+        let inner = Inner {
+            life: parts.life,
+            store: JobStore::new(parts.table, parts.objects),
+            view: JobView::default(),
+            book: Mutex::default(),
+            forwarder: parts.forwarder,
+            peers: parts.peers,
+            log: parts.log,
+            settings: parts.settings,
+            wake: Notify::new(),
+            stopping: AtomicBool::new(false),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// The heads as this daemon knows them.
+    pub fn view(&self) -> &JobView {
+        &self.inner.view
+    }
+
+    pub(crate) fn book(&self) -> MutexGuard<'_, JobBook> {
+        self.inner
+            .book
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.inner.stopping.load(Ordering::Relaxed)
+    }
+
+    /// True if no end of a job can have been acknowledged so long ago that its items must not start any more.
+    pub(crate) fn may_start_runs(&self) -> bool {
+        let bound = self.inner.settings.cancel_within;
+        let bound = bound.saturating_sub(CANCEL_RESERVE);
+        let age = self.inner.view.proof_age();
+        !self.is_stopping() && age.is_some_and(|age| age < bound)
+    }
+
+    pub(crate) fn owns(&self, head: &JobHeadRow) -> bool {
+        head.owner == self.inner.life
+    }
+
+    /// A head changed in the store.
+    pub fn head_changed(&self, known: &KnownHead) {
+        let job_id = &known.head.job_id;
+        let mut book = self.book();
+        let Some(job) = book.jobs.get_mut(job_id) else {
+            drop(book);
+            if self.owns(&known.head) && known.is_open() && !self.is_stopping() {
+                self.load(known.clone());
+            }
+            return;
+        };
+        if job.known.revision >= known.revision {
+            return;
+        }
+        let lost = !self.owns(&known.head) || known.head.epoch != job.known.head.epoch;
+        if known.is_open() && !lost {
+            job.known = known.clone();
+            job.mark_listed();
+            return;
+        }
+        job.stop_runs();
+        book.jobs.remove(job_id);
+        drop(book);
+        let outcome = if lost { "lost" } else { "closed" };
+        self.log_ownership(&known.head, outcome);
+    }
+
+    /// A job's row is gone.
+    pub fn head_removed(&self, job_id: &str) {
+        self.inner.view.forget(job_id);
+        if let Some(mut job) = self.book().jobs.remove(job_id) {
+            job.stop_runs();
+        }
+    }
+
+    pub(crate) fn log_ownership(&self, head: &JobHeadRow, outcome: &str) {
+        self.inner.log.record(&Record::JobOwnership {
+            job: &head.job_id,
+            outcome,
+            epoch: head.epoch,
+        });
+    }
+
+    /// Enters a job whose items are known.
+    pub(crate) fn enter(&self, job: OwnedJob) {
+        let job_id = job.known.head.job_id.clone();
+        let newest = self.inner.view.get(&job_id);
+        let mut book = self.book();
+        book.jobs.entry(job_id).or_insert(job);
+        drop(book);
+        // The head may have changed while the items were read.
+        if let Some(newest) = newest {
+            self.head_changed(&newest);
+        }
+        self.inner.wake.notify_one();
+    }
+
+    /// Reads a job's items, and enters it.
+    pub(crate) fn load(&self, known: KnownHead) {
+        let jobs = self.clone();
+        tokio::spawn(async move { jobs.read_and_enter(known).await });
+    }
+
+    async fn read_and_enter(&self, known: KnownHead) {
+        let store = &self.inner.store;
+        loop {
+            let current = self.inner.view.get(&known.head.job_id);
+            let current = current.unwrap_or_else(|| known.clone());
+            if !self.owns(&current.head) || !current.is_open() || self.is_stopping() {
+                return;
+            }
+            let items = store.read_items(&current.head).await;
+            let progress = store.read_progress(&current.head.job_id).await;
+            if let (Ok(items), Ok(progress)) = (items, progress) {
+                let host = current.head.host.clone();
+                let requests = items
+                    .items
+                    .into_iter()
+                    .map(|row| crate::model::item_request(row, &host))
+                    .collect();
+                self.enter(OwnedJob::new(current, requests, progress));
+                return;
+            }
+            tokio::time::sleep(LOAD_PAUSE).await;
+        }
+    }
+
+    /// Drives the jobs for as long as the process runs.
+    pub async fn run(self) {
+        tokio::join!(
+            self.clone().run_items(),
+            self.clone().run_adoption(),
+            self.clone().run_removal()
+        );
+    }
+
+    /// Gives all jobs up for others; ends at `until` at the latest.
+    pub async fn hand_over_all(&self, until: Instant) {
+        self.inner.stopping.store(true, Ordering::Relaxed);
+        let mut given = Vec::new();
+        {
+            let mut book = self.book();
+            for job in book.jobs.values_mut() {
+                job.stop_runs();
+                given.push((job.known.clone(), job.progress_rows()));
+            }
+        }
+        let handing = given
+            .into_iter()
+            .map(|(known, progress)| self.hand_over(known, progress, until));
+        futures::future::join_all(handing).await;
+    }
+}
+
+/// Pause before a job's items are read again.
+const LOAD_PAUSE: Duration = Duration::from_millis(150);
--- /dev/null
+++ b/crates/inline-jobs/src/store.rs
@@ -0,0 +1,388 @@
+//! Transactions on jobs' rows, and what is done when their answers are lost.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use harrierward_external::{
+    Backoff, Condition, ObjectStore, PlatformError, PlatformErrorKind, RequestClass, Row, Table,
+    Transaction, TransactionOutcome,
+};
+use harrierward_wire::{ItemProgressRow, JobHeadRow, JobItemsRow, ResultPieceRow, decode, encode};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::{Instant, sleep};
+
+use crate::keys;
+use crate::view::KnownHead;
+
+/// Largest content of a row, bytes; base64 makes it a third longer.
+const ROW_BYTES: usize = 45_000;
+
+/// Largest content of a transaction that is kept in rows, bytes.
+const TRANSACTION_BYTES: usize = 600_000;
+
+/// Pauses between tries of one transaction.
+const FIRST_PAUSE: Duration = Duration::from_millis(15);
+const LONGEST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Most rows read at once.
+const READ_ROWS: usize = 500;
+
+/// How a conditional write of a head ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WriteOutcome {
+    /// It was done at this revision.
+    Committed {
+        /// Revision of the rows.
+        revision: u64,
+    },
+    /// The head is another one; nothing was done by the last try.
+    Conflict {
+        /// The head as it stands; `None` if there is none.
+        current: Option<KnownHead>,
+    },
+    /// Nothing was done, and nothing will be.
+    NotDone,
+    /// It may have been done, or may yet be.
+    InDoubt,
+}
+
+/// The rows of jobs.
+#[derive(Clone)]
+pub struct JobStore {
+    table: Arc<dyn Table>,
+    objects: Arc<dyn ObjectStore>,
+}
+
+/// A result to be listed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedResult {
+    /// Item, by its number in the job.
+    pub item: u32,
+    /// The item failed for good.
+    pub failed: bool,
+    /// Text.
+    pub text: String,
+}
+
+/// A result as read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReadResult {
+    /// The item failed for good.
+    pub failed: bool,
+    /// Text.
+    pub text: String,
+}
+
+fn known(row: &Row) -> Option<KnownHead> {
+    Some(KnownHead {
+        head: decode(&row.value)?,
+        revision: row.revision,
+    })
+}
+
+/// Splits a text at character boundaries.
+fn pieces_of(text: &str) -> Vec<&str> {
+    let mut rest = text;
+    let mut pieces = Vec::new();
+    while rest.len() > ROW_BYTES {
+        let mut end = ROW_BYTES;
+        while !rest.is_char_boundary(end) {
+            end -= 1;
+        }
+        let (piece, left) = rest.split_at(end);
+        pieces.push(piece);
+        rest = left;
+    }
+    pieces.push(rest);
+    pieces
+}
+
+impl JobStore {
+    /// Jobs in this table; items too large for rows in the object store.
+    pub fn new(table: Arc<dyn Table>, objects: Arc<dyn ObjectStore>) -> Self {
+        Self { table, objects }
+    }
+
+    /// Sends a transaction until its outcome is known or `until` has come. Repeating is harmless: the condition on
+    /// the head lets it happen once.
+    async fn settle(
+        &self,
+        class: RequestClass,
+        transaction: Transaction,
+        until: Instant,
+    ) -> WriteOutcome {
+        let mut random = SmallRng::from_os_rng();
+        let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
+        let mut in_doubt = false;
+        loop {
+            match self.table.transact(class, transaction.clone()).await {
+                Ok(TransactionOutcome::Committed { revision }) => {
+                    return WriteOutcome::Committed { revision };
+                }
+                Ok(TransactionOutcome::Conflict { current, .. }) => {
+                    let current = current.as_ref().and_then(known);
+                    return WriteOutcome::Conflict { current };
+                }
+                Err(error) => in_doubt |= error.may_have_happened(),
+            }
+            let pause = FIRST_PAUSE + backoff.wait(&mut random);
+            if Instant::now() + pause >= until {
+                return if in_doubt {
+                    WriteOutcome::InDoubt
+                } else {
+                    WriteOutcome::NotDone
+                };
+            }
+            sleep(pause).await;
+        }
+    }
+
+    /// Keeps a new job: its head and all items in one transaction, unless there is a job of the id.
+    pub async fn create(
+        &self,
+        mut head: JobHeadRow,
+        items: &JobItemsRow,
+        until: Instant,
+    ) -> WriteOutcome {
+        let content = Bytes::from(encode(items));
+        let head_key = keys::head(&head.job_id);
+        let mut transaction = Transaction::default().require(Condition::Absent {
+            key: head_key.clone(),
+        });
+        if content.len() > TRANSACTION_BYTES {
+            head.item_object = format!("jobitems-{}-{}", head.job_id, head.owner);
+            let put = self
+                .objects
+                .put(RequestClass::Commit, &head.item_object, content);
+            if put.await.is_err() {
+                return WriteOutcome::NotDone;
+            }
+        } else {
+            let mut number = 0;
+            let mut rest = content;
+            while !rest.is_empty() {
+                let piece = rest.split_to(rest.len().min(ROW_BYTES));
+                transaction = transaction.put(keys::items(&head.job_id, number), piece);
+                number += 1;
+            }
+            head.item_rows = number;
+        }
+        transaction = transaction.put(head_key, encode(&head));
+        self.settle(RequestClass::Urgent, transaction, until).await
+    }
+
+    /// Replaces a head under its revision.
+    pub async fn replace_head(
+        &self,
+        revision: u64,
+        head: &JobHeadRow,
+        until: Instant,
+    ) -> WriteOutcome {
+        let transaction = head_change(revision, head);
+        self.settle(RequestClass::Urgent, transaction, until).await
+    }
+
+    /// Replaces a head and lists results from `position` on, in one transaction.
+    pub async fn list(
+        &self,
+        revision: u64,
+        head: &JobHeadRow,
+        position: u32,
+        results: &[ListedResult],
+        until: Instant,
+    ) -> WriteOutcome {
+        let mut transaction = head_change(revision, head);
+        for (offset, result) in results.iter().enumerate() {
+            let position = position + u32::try_from(offset).unwrap_or_default();
+            let pieces = pieces_of(&result.text);
+            let count = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
+            for (number, text) in (0..).zip(pieces) {
+                let row = ResultPieceRow {
+                    failed: result.failed,
+                    pieces: count,
+                    text: text.to_owned(),
+                };
+                let key = keys::result(&head.job_id, position, number);
+                transaction = transaction.put(key, encode(&row));
+            }
+        }
+        self.settle(RequestClass::Commit, transaction, until).await
+    }
+
+    /// Gives a job up for others, with the progress of its unfinished items.
+    pub async fn hand_over(
+        &self,
+        revision: u64,
+        head: &JobHeadRow,
+        progress: &[(u32, ItemProgressRow)],
+        until: Instant,
+    ) -> WriteOutcome {
+        let mut transaction = head_change(revision, head);
+        let mut bytes = 0;
+        for (item, row) in progress {
+            let content = encode(row);
+            bytes += content.len();
+            if content.len() > ROW_BYTES || bytes > TRANSACTION_BYTES {
+                continue;
+            }
+            transaction = transaction.put(keys::progress(&head.job_id, *item), content);
+        }
+        self.settle(RequestClass::Urgent, transaction, until).await
+    }
+
+    /// A job's head as the store has it.
+    pub async fn read_head(&self, job_id: &str) -> Result<Option<KnownHead>, PlatformError> {
+        let keys = [keys::head(job_id)];
+        let rows = self.table.get(RequestClass::Commit, &keys).await?;
+        Ok(rows.into_iter().flatten().find_map(|row| known(&row)))
+    }
+
+    /// All rows whose keys begin with `prefix` and are above `after`.
+    async fn read_all(&self, prefix: &str) -> Result<Vec<Row>, PlatformError> {
+        let mut rows: Vec<Row> = Vec::new();
+        loop {
+            let after = rows.last().map_or(String::new(), |row| row.key.clone());
+            let page = self
+                .table
+                .scan(RequestClass::Commit, prefix, &after, READ_ROWS)
+                .await?;
+            let last = page.is_empty();
+            rows.extend(page);
+            if last || rows.len() % READ_ROWS != 0 {
+                return Ok(rows);
+            }
+        }
+    }
+
+    /// A job's items.
+    pub async fn read_items(&self, head: &JobHeadRow) -> Result<JobItemsRow, PlatformError> {
+        const STEP: &str = "jobs.read_items";
+        let content = if head.item_object.is_empty() {
+            let rows = self.read_all(&keys::items_prefix(&head.job_id)).await?;
+            if rows.len() < head.item_rows as usize {
+                let kind = PlatformErrorKind::Unknown;
+                return Err(PlatformError::new(STEP, "store", kind, "rows are missing"));
+            }
+            rows.iter()
+                .flat_map(|row| row.value.iter().copied())
+                .collect()
+        } else {
+            self.objects
+                .get(RequestClass::Commit, &head.item_object)
+                .await?
+        };
+        decode(&content).ok_or_else(|| {
+            let kind = PlatformErrorKind::Malformed;
+            PlatformError::new(STEP, "store", kind, "the items cannot be read")
+        })
+    }
+
+    /// Progress of a job's unfinished items.
+    pub async fn read_progress(
+        &self,
+        job_id: &str,
+    ) -> Result<Vec<(u32, ItemProgressRow)>, PlatformError> {
+        let rows = self.read_all(&keys::progress_prefix(job_id)).await?;
+        let read = |row: &Row| Some((keys::item_of_progress(&row.key)?, decode(&row.value)?));
+        Ok(rows.iter().filter_map(read).collect())
+    }
+
+    /// Results from `position` on, in order without gaps; about `bytes` of text at most, but one at least.
+    pub async fn read_results(
+        &self,
+        job_id: &str,
+        position: u32,
+        bytes: usize,
+    ) -> Result<Vec<ReadResult>, PlatformError> {
+        let prefix = keys::results_prefix(job_id);
+        let mut after = format!("{prefix}{position:05}");
+        let mut results: Vec<ReadResult> = Vec::new();
+        let mut pieces: Vec<ResultPieceRow> = Vec::new();
+        let mut read_bytes = 0;
+        loop {
+            let page = self
+                .table
+                .scan(RequestClass::Commit, &prefix, &after, READ_ROWS)
+                .await?;
+            let last_page = page.len() < READ_ROWS;
+            for row in page {
+                let wanted = position + u32::try_from(results.len()).unwrap_or_default();
+                let piece: Option<ResultPieceRow> = decode(&row.value);
+                let at = keys::position_of_result(&row.key);
+                let (Some(piece), true) = (piece, at == Some(wanted)) else {
+                    return Ok(results);
+                };
+                after = row.key;
+                read_bytes += piece.text.len();
+                pieces.push(piece);
+                if pieces.len() < pieces[0].pieces as usize {
+                    continue;
+                }
+                let whole: String = pieces.iter().map(|piece| piece.text.as_str()).collect();
+                results.push(ReadResult {
+                    failed: pieces[0].failed,
+                    text: whole,
+                });
+                pieces.clear();
+                if read_bytes >= bytes {
+                    return Ok(results);
+                }
+            }
+            if last_page {
+                return Ok(results);
+            }
+        }
+    }
+
+    /// Removes all rows of a job whose time is over.
+    pub async fn remove(&self, known: &KnownHead) -> Result<(), PlatformError> {
+        let job_id = &known.head.job_id;
+        for prefix in [
+            keys::items_prefix(job_id),
+            keys::results_prefix(job_id),
+            keys::progress_prefix(job_id),
+        ] {
+            for rows in self.read_all(&prefix).await?.chunks(DELETE_ROWS) {
+                let transaction = rows
+                    .iter()
+                    .fold(Transaction::default(), |transaction, row| {
+                        transaction.delete(row.key.clone())
+                    });
+                self.table
+                    .transact(RequestClass::Listing, transaction)
+                    .await?;
+            }
+        }
+        if !known.head.item_object.is_empty() {
+            self.objects
+                .delete(RequestClass::Listing, &known.head.item_object)
+                .await?;
+        }
+        let key = keys::head(job_id);
+        let transaction = Transaction::default()
+            .require(Condition::AtRevision {
+                key: key.clone(),
+                revision: known.revision,
+            })
+            .delete(key);
+        self.table
+            .transact(RequestClass::Listing, transaction)
+            .await?;
+        Ok(())
+    }
+}
+
+/// Most rows removed at once.
+const DELETE_ROWS: usize = 80;
+
+fn head_change(revision: u64, head: &JobHeadRow) -> Transaction {
+    let key = keys::head(&head.job_id);
+    Transaction::default()
+        .require(Condition::AtRevision {
+            key: key.clone(),
+            revision,
+        })
+        .put(key, encode(head))
+}
--- /dev/null
+++ b/crates/inline-jobs/src/submit.rs
@@ -0,0 +1,206 @@
+//! Accepting jobs: one conditional transaction before the answer.
+
+use std::time::Duration;
+
+use harrierward_decisions::Record;
+use harrierward_serving::Route;
+use harrierward_wire::{ItemHeadRow, JobHeadRow, JobItemsRow};
+use tokio::time::Instant;
+
+use crate::book::OwnedJob;
+use crate::keys;
+use crate::model::{SubmitOutcome, SubmittedJob, item_request, item_row};
+use crate::service::InlineJobs;
+use crate::store::WriteOutcome;
+use crate::view::KnownHead;
+
+/// Most items of a job.
+const MOST_ITEMS: usize = 200;
+
+/// Longest time for which a submission is held.
+const LONGEST_HOLD: Duration = Duration::from_millis(2_500);
+
+/// Part of the caller's patience for which a submission may be held, in percent.
+const PATIENCE_PERCENT: u32 = 70;
+
+/// When a job that does not fit may come back.
+const FULL_RETRY: Duration = Duration::from_millis(1_000);
+
+/// When a job that could not be kept may come back.
+const STORE_RETRY: Duration = Duration::from_millis(300);
+
+impl InlineJobs {
+    /// Takes a job, once.
+    pub async fn submit(&self, job: SubmittedJob) -> SubmitOutcome {
+        let arrived = Instant::now();
+        let Some(routes) = self.inner.forwarder.routes() else {
+            return SubmitOutcome::NoConfiguration;
+        };
+        let entry = routes.find(&job.host, &job.path);
+        let Some(route) = entry.map(|entry| entry.route.clone()) else {
+            return SubmitOutcome::NoRoute;
+        };
+        if let Err(cause) = check(&job) {
+            return SubmitOutcome::Malformed(cause);
+        }
+        let outcome = self.keep(&job, &route, arrived).await;
+        self.log_submission(&job, &route, outcome);
+        outcome
+    }
+
+    async fn keep(&self, job: &SubmittedJob, route: &Route, arrived: Instant) -> SubmitOutcome {
+        let view = &self.inner.view;
+        if view.get(&job.id).is_some() {
+            return SubmitOutcome::Accepted;
+        }
+        if !self.fits(job, route) {
+            return self.refuse_unless_kept(&job.id).await;
+        }
+        let head = self.head_of(job, route);
+        let rows = JobItemsRow {
+            items: job.items.iter().map(item_row).collect(),
+        };
+        let hold = job.patience.map_or(LONGEST_HOLD, |patience| {
+            (patience * PATIENCE_PERCENT / 100).min(LONGEST_HOLD)
+        });
+        let written = self
+            .inner
+            .store
+            .create(head.clone(), &rows, arrived + hold)
+            .await;
+        match written {
+            WriteOutcome::Committed { revision } => {
+                self.begin(head, rows, revision);
+                SubmitOutcome::Accepted
+            }
+            WriteOutcome::Conflict {
+                current: Some(current),
+            } => {
+                if let Some(newer) = view.take(current) {
+                    self.head_changed(&newer);
+                }
+                SubmitOutcome::Accepted
+            }
+            WriteOutcome::Conflict { current: None } | WriteOutcome::InDoubt => {
+                SubmitOutcome::InDoubt
+            }
+            WriteOutcome::NotDone => SubmitOutcome::NotKept {
+                retry_after: STORE_RETRY,
+            },
+        }
+    }
+
+    fn head_of(&self, job: &SubmittedJob, route: &Route) -> JobHeadRow {
+        let items = job
+            .items
+            .iter()
+            .map(|item| ItemHeadRow {
+                id: item.id.clone(),
+                tokens: item.tokens,
+            })
+            .collect();
+        let owner = if self.is_stopping() {
+            String::new()
+        } else {
+            self.inner.life.clone()
+        };
+        JobHeadRow {
+            job_id: job.id.clone(),
+            route: route.name.clone(),
+            host: route.host.clone(),
+            items,
+            listed: Vec::new(),
+            owner,
+            epoch: 1,
+            ended: false,
+            accepted_ms: self.inner.view.store_now_ms(),
+            item_rows: 0,
+            item_object: String::new(),
+        }
+    }
+
+    /// The job is kept: enter it, unless it is for others.
+    fn begin(&self, head: JobHeadRow, rows: JobItemsRow, revision: u64) {
+        let host = head.host.clone();
+        let owned = self.owns(&head);
+        let known = KnownHead { head, revision };
+        // The watch may have brought the head already, and with it the loading of the items.
+        let entered = self.book().jobs.contains_key(&known.head.job_id);
+        self.inner.view.take(known.clone());
+        if !owned || entered {
+            return;
+        }
+        let requests = rows
+            .items
+            .into_iter()
+            .map(|row| item_request(row, &host))
+            .collect();
+        self.enter(OwnedJob::new(known, requests, Vec::new()));
+    }
+
+    fn fits(&self, job: &SubmittedJob, route: &Route) -> bool {
+        let limit = route.batch().map_or(0, |bounds| bounds.waiting_tokens);
+        let waiting = self.inner.view.waiting_tokens(&route.name);
+        limit == 0 || waiting + tokens_of(job) <= limit
+    }
+
+    /// A job that does not fit may have been taken already by another daemon.
+    async fn refuse_unless_kept(&self, job_id: &str) -> SubmitOutcome {
+        match self.inner.store.read_head(job_id).await {
+            Ok(Some(known)) => {
+                if let Some(newer) = self.inner.view.take(known) {
+                    self.head_changed(&newer);
+                }
+                SubmitOutcome::Accepted
+            }
+            Ok(None) => SubmitOutcome::DoesNotFit {
+                retry_after: FULL_RETRY,
+            },
+            Err(_) => SubmitOutcome::NotKept {
+                retry_after: STORE_RETRY,
+            },
+        }
+    }
+
+    fn log_submission(&self, job: &SubmittedJob, route: &Route, outcome: SubmitOutcome) {
+        let name = match outcome {
+            SubmitOutcome::Accepted => "accepted",
+            SubmitOutcome::DoesNotFit { .. } => "does_not_fit",
+            SubmitOutcome::NotKept { .. } => "not_kept",
+            SubmitOutcome::InDoubt => "in_doubt",
+            SubmitOutcome::Malformed(cause) => cause,
+            SubmitOutcome::NoRoute => "no_route",
+            SubmitOutcome::NoConfiguration => "no_configuration",
+        };
+        let known = self.inner.view.get(&job.id);
+        self.inner.log.record(&Record::JobSubmitted {
+            job: &job.id,
+            outcome: name,
+            items: job.items.len(),
+            waiting_tokens: self.inner.view.waiting_tokens(&route.name),
+            revision: known.map_or(0, |known| known.revision),
+        });
+    }
+}
+
+fn tokens_of(job: &SubmittedJob) -> u64 {
+    job.items.iter().map(|item| item.tokens).sum()
+}
+
+fn check(job: &SubmittedJob) -> Result<(), &'static str> {
+    if !keys::is_usable_id(&job.id) {
+        return Err("the job's id must be 1 to 120 letters, digits, '-', '_' or '.'");
+    }
+    if job.items.is_empty() {
+        return Err("a job needs an item");
+    }
+    if job.items.len() > MOST_ITEMS {
+        return Err("a job has 200 items at most");
+    }
+    let mut ids: Vec<&str> = job.items.iter().map(|item| item.id.as_str()).collect();
+    ids.sort_unstable();
+    if ids.windows(2).any(|pair| pair[0] == pair[1]) {
+        return Err("two items have the same id");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/inline-jobs/src/view.rs
@@ -0,0 +1,166 @@
+//! The jobs' heads as this daemon knows them, from the watch and from its own commits.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use harrierward_wire::{JobHeadRow, decode};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// A head and the revision at which it was read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct KnownHead {
+    /// The head.
+    pub head: JobHeadRow,
+    /// Revision of its row.
+    pub revision: u64,
+}
+
+impl KnownHead {
+    /// True if items are left to be listed.
+    pub fn is_open(&self) -> bool {
+        !self.head.ended && self.head.listed.len() < self.head.items.len()
+    }
+
+    /// Tokens of the items that are not listed.
+    pub fn waiting_tokens(&self) -> u64 {
+        if self.head.ended {
+            return 0;
+        }
+        let all: u64 = self.head.items.iter().map(|item| item.tokens).sum();
+        let listed: u64 = self
+            .head
+            .listed
+            .iter()
+            .filter_map(|number| self.head.items.get(*number as usize))
+            .map(|item| item.tokens)
+            .sum();
+        all.saturating_sub(listed)
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    heads: HashMap<String, KnownHead>,
+    /// Last moment of which the copy is known to be true.
+    proven_at: Option<Instant>,
+    /// The store's clock, milliseconds, and when it said so.
+    store_time: Option<StoreTime>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct StoreTime {
+    milliseconds: u64,
+    at: Instant,
+}
+
+/// The heads. Entries only move to higher revisions.
+#[derive(Debug, Default)]
+pub struct JobView {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+impl JobView {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes everybody who waits for a change.
+    fn wake(&self) {
+        self.changed.notify_waiters();
+    }
+
+    /// Completes at the next change.
+    pub fn changed(&self) -> tokio::sync::futures::Notified<'_> {
+        self.changed.notified()
+    }
+
+    /// The copy was true at `moment`.
+    pub fn prove(&self, moment: Instant, store_time_ms: u64) {
+        let mut state = self.lock();
+        let newer = state.proven_at.is_none_or(|known| known < moment);
+        if newer {
+            state.proven_at = Some(moment);
+        }
+        if store_time_ms > 0 {
+            state.store_time = Some(StoreTime {
+                milliseconds: store_time_ms,
+                at: Instant::now(),
+            });
+        }
+    }
+
+    /// Time since the copy was known to be true; `None` if it never was.
+    pub fn proof_age(&self) -> Option<Duration> {
+        self.lock().proven_at.map(|moment| moment.elapsed())
+    }
+
+    /// The store's clock now, milliseconds; 0 if it is not known.
+    pub fn store_now_ms(&self) -> u64 {
+        self.lock().store_time.map_or(0, |time| {
+            let since = u64::try_from(time.at.elapsed().as_millis()).unwrap_or(u64::MAX);
+            time.milliseconds.saturating_add(since)
+        })
+    }
+
+    /// Takes a head's row. Returns the head if it is newer than what was known.
+    pub fn take_row(&self, value: &Bytes, revision: u64) -> Option<KnownHead> {
+        let head: JobHeadRow = decode(value)?;
+        self.take(KnownHead { head, revision })
+    }
+
+    /// Takes a head. Returns it if it is newer than what was known.
+    pub fn take(&self, known: KnownHead) -> Option<KnownHead> {
+        let mut state = self.lock();
+        let old = state.heads.get(&known.head.job_id);
+        if old.is_some_and(|old| old.revision >= known.revision) {
+            return None;
+        }
+        let job_id = known.head.job_id.clone();
+        state.heads.insert(job_id, known.clone());
+        drop(state);
+        self.wake();
+        Some(known)
+    }
+
+    /// Forgets a job whose row is gone.
+    pub fn forget(&self, job_id: &str) {
+        self.lock().heads.remove(job_id);
+        self.wake();
+    }
+
+    /// A job's head.
+    pub fn get(&self, job_id: &str) -> Option<KnownHead> {
+        self.lock().heads.get(job_id).cloned()
+    }
+
+    /// All jobs with items left.
+    pub fn open_jobs(&self) -> Vec<KnownHead> {
+        let state = self.lock();
+        let open = state.heads.values().filter(|known| known.is_open());
+        open.cloned().collect()
+    }
+
+    /// Jobs accepted before `before_ms` on the store's clock that have no items left.
+    pub fn closed_before(&self, before_ms: u64) -> Vec<KnownHead> {
+        let state = self.lock();
+        let old = state
+            .heads
+            .values()
+            .filter(|known| !known.is_open() && known.head.accepted_ms < before_ms);
+        old.cloned().collect()
+    }
+
+    /// Tokens of all items of a route that are not listed.
+    pub fn waiting_tokens(&self, route: &str) -> u64 {
+        let state = self.lock();
+        let heads = state.heads.values();
+        heads
+            .filter(|known| known.head.route == route)
+            .map(KnownHead::waiting_tokens)
+            .sum()
+    }
+}
--- a/crates/node/src/membership_task.rs
+++ b/crates/node/src/membership_task.rs
@@ -131,6 +131,8 @@
         node_datagram::Kind::ReplicaReports(reports) => {
             directory_task::take_reports(shared, &reports);
         }
+        // Only edge daemons count this way.
+        node_datagram::Kind::LoadNotice(_) => {}
     }
 }
 
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -31,7 +31,7 @@
 
 /// Bounds of one attempt.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct AttemptTimes {
+pub struct AttemptTimes {
     /// Time left to the replica.
     pub time_left: Option<Duration>,
     /// Silence after which a replica that is silent to everybody is given up.
@@ -40,6 +40,17 @@
     pub longest: Duration,
 }
 
+/// How an attempt is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sending {
+    /// Last event that is already there.
+    pub resume_after: Option<u64>,
+    /// Use a connection that carried nothing before.
+    pub fresh_connection: bool,
+    /// Number of the attempt, from 1.
+    pub number: u32,
+}
+
 /// Why an attempt gave no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AttemptFailure {
@@ -60,13 +71,15 @@
 }
 
 /// An answer that has begun.
-pub(crate) struct Attempt {
+pub struct Attempt {
+    /// The answer.
     pub answer: ReplicaAnswer,
+    /// Keeps the request counted.
     pub in_progress: InProgress,
 }
 
 /// Waits for `future`; gives up after `dark` if the replica is silent to everybody, else after `longest`.
-pub(crate) async fn wait_for_progress<T>(
+pub async fn wait_for_progress<T>(
     future: impl Future<Output = T>,
     replica: &Replica,
     dark: Duration,
@@ -132,18 +145,31 @@
             .map(|(position, _)| position)
     }
 
+    /// Sends the request to a replica chosen for it. Returns the replica's id, and what came of it.
     pub(crate) async fn attempt(
         &self,
         request: &ServingRequest,
         target: AttemptTarget<'_>,
         times: AttemptTimes,
-        resume_after: Option<u64>,
-        fresh_connection: bool,
-        number: u32,
+        sending: Sending,
     ) -> (Option<String>, Result<Attempt, AttemptFailure>) {
         let Some(replica) = self.choose_replica(request, target) else {
             return (None, Err(AttemptFailure::NoReplica));
         };
+        let in_progress = replica.enter(target.class);
+        let result = self.attempt_at(request, in_progress, times, sending).await;
+        (Some(replica.record.id.clone()), result)
+    }
+
+    /// Sends the request to a replica already chosen, and tells what came of it.
+    pub async fn attempt_at(
+        &self,
+        request: &ServingRequest,
+        in_progress: InProgress,
+        times: AttemptTimes,
+        sending: Sending,
+    ) -> Result<Attempt, AttemptFailure> {
+        let replica = in_progress.replica().clone();
         self.log().record(&Record::Sent {
             request: &request.id,
             route: &request.target,
@@ -151,30 +177,28 @@
             load: replica.load(),
             report_age_ms: replica.report_age_ms(),
             cached_tokens: replica.cached_tokens(&request.prompt),
-            attempt: number,
-            resume_after,
+            attempt: sending.number,
+            resume_after: sending.resume_after,
         });
-        let in_progress = replica.enter(target.class);
         replica.note_prompt(&request.prompt);
         let started = Instant::now();
-        let sending = self.client().send(ReplicaRequest {
+        let exchange = self.client().send(ReplicaRequest {
             request,
             address: &replica.record.address,
             replica: &replica.record.id,
             time_left: times.time_left,
-            resume_after,
-            fresh_connection,
+            resume_after: sending.resume_after,
+            fresh_connection: sending.fresh_connection,
         });
-        let answer = wait_for_progress(sending, &replica, times.dark, times.longest).await;
+        let answer = wait_for_progress(exchange, &replica, times.dark, times.longest).await;
         let result = self.judge(request, &replica, answer);
         if let Err(failure) = &result {
             self.log_failure(request, &replica, failure, started.elapsed());
         }
-        let result = result.map(|answer| Attempt {
+        result.map(|answer| Attempt {
             answer,
             in_progress,
-        });
-        (Some(replica.record.id.clone()), result)
+        })
     }
 
     fn judge(
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -8,7 +8,7 @@
 use harrierward_decisions::{DecisionLog, Record};
 use tokio::time::Instant;
 
-use crate::attempt::{Attempt, AttemptFailure, AttemptTarget, AttemptTimes};
+use crate::attempt::{Attempt, AttemptFailure, AttemptTarget, AttemptTimes, Sending};
 use crate::configuration::Route;
 use crate::exchange::{ReplicaClient, ServingRequest};
 use crate::relay::Relay;
@@ -212,10 +212,12 @@
             let times = clock.attempt_times(&route, sends);
             // A connection that was used before may carry a late answer, or be closing: an attempt that cannot
             // be repeated takes a new one.
-            let fresh = !route.may_repeat();
-            let (replica, result) = self
-                .attempt(request, target, times, request.resume_after, fresh, sends)
-                .await;
+            let sending = Sending {
+                resume_after: request.resume_after,
+                fresh_connection: !route.may_repeat(),
+                number: sends,
+            };
+            let (replica, result) = self.attempt(request, target, times, sending).await;
             tried.extend(replica);
             match result {
                 Ok(attempt) if self.shall_repeat(&attempt, &route, sends) => {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,7 +16,9 @@
 mod routes;
 mod selection;
 
-pub use attempt::{AttemptFailure, AttemptTarget};
+pub use attempt::{
+    Attempt, AttemptFailure, AttemptTarget, AttemptTimes, Sending, wait_for_progress,
+};
 pub use configuration::{
     BatchBounds, CallerLimits, Route, RouteKind, Service, ServingConfiguration, WeightedService,
 };
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -9,12 +9,12 @@
 use harrierward_decisions::Record;
 use tokio::time::Instant;
 
-use crate::attempt::{Attempt, AttemptFailure, wait_for_progress};
+use crate::attempt::{Attempt, AttemptFailure, AttemptTarget, Sending, wait_for_progress};
 use crate::configuration::Route;
 use crate::events::EventSplitter;
 use crate::exchange::{AnswerBody, ServingRequest};
 use crate::forwarder::{Forwarder, RequestClock};
-use crate::replica::InProgress;
+use crate::replica::{InProgress, WorkClass};
 
 /// The answer could not be brought to its end; the caller's connection must be broken off.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -227,21 +227,19 @@
 
     async fn try_again(&mut self) -> (Option<String>, Result<Attempt, AttemptFailure>) {
         let times = self.clock.attempt_times(&self.route, self.sends);
-        let target = crate::attempt::AttemptTarget {
+        let target = AttemptTarget {
             service: &self.service,
-            class: crate::replica::WorkClass::Online,
+            class: WorkClass::Online,
             excluded: &self.tried,
             free_slots: None,
         };
+        let sending = Sending {
+            resume_after: self.delivered,
+            fresh_connection: true,
+            number: self.sends,
+        };
         self.forwarder
-            .attempt(
-                &self.request,
-                target,
-                times,
-                self.delivered,
-                true,
-                self.sends,
-            )
+            .attempt(&self.request, target, times, sending)
             .await
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 mod batch;
 mod claim;
 mod configuration;
+mod inline_job;
 mod membership;
 mod peer;
 
@@ -14,9 +15,13 @@
 };
 pub use claim::{ClaimRow, ClaimState};
 pub use configuration::{ConfigChange, ConfigHead, ConfigLogEntry, ConfigObjectRow};
+pub use inline_job::{
+    HeaderRow, ItemBodyRow, ItemHeadRow, ItemProgressRow, JobHeadRow, JobItemsRow, PromptPartRow,
+    ResultPieceRow,
+};
 pub use membership::{
-    Datagram, DatagramKind, MemberRecord, MemberState, NodeDatagram, OnlineCount, OnlineNotice,
-    ReplicaReport, ReplicaReports, ServiceBacklog, node_datagram,
+    Datagram, DatagramKind, LoadNotice, MemberRecord, MemberState, NodeDatagram, OnlineCount,
+    OnlineNotice, ReplicaCount, ReplicaReport, ReplicaReports, ServiceBacklog, node_datagram,
 };
 pub use peer::{
     CancelNotice, CancelReply, ConfigDeltaReply, ConfigDeltaRequest, Grant, HandBack, ItemResult,
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -165,11 +165,39 @@
     pub echo_ms: u64,
 }
 
+/// Requests of one daemon at one replica.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ReplicaCount {
+    /// Hash of the replica's id.
+    #[prost(fixed32, tag = "1")]
+    pub replica: u32,
+    /// Online requests in progress.
+    #[prost(uint32, tag = "2")]
+    pub online: u32,
+    /// Batch items in progress.
+    #[prost(uint32, tag = "3")]
+    pub batch: u32,
+}
+
+/// A daemon tells its peers what it has in progress; replicas not named have nothing.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LoadNotice {
+    /// Sender's member id.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Rises with each notice of the sender.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Counts by replica.
+    #[prost(message, repeated, tag = "3")]
+    pub counts: Vec<ReplicaCount>,
+}
+
 /// Any datagram between daemons.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct NodeDatagram {
     /// What it carries.
-    #[prost(oneof = "node_datagram::Kind", tags = "1, 2, 3")]
+    #[prost(oneof = "node_datagram::Kind", tags = "1, 2, 3, 4")]
     pub kind: Option<node_datagram::Kind>,
 }
 
@@ -187,5 +215,8 @@
         /// Loads of replicas.
         #[prost(message, tag = "3")]
         ReplicaReports(super::ReplicaReports),
+        /// Requests in progress of an edge daemon.
+        #[prost(message, tag = "4")]
+        LoadNotice(super::LoadNotice),
     }
 }
