Membership: an earlier life at an address is dead to all

Ruled out: missed changes of the watch (no change by reading partitions by name). Change: a ping names its target, nobody answers for another id, and a daemon that meets a record of its own address under another id declares that one dead and passes it on.

--- a/crates/membership/src/core.rs
+++ b/crates/membership/src/core.rs
@@ -353,7 +353,7 @@
             sent_at: now,
             indirect_sent: false,
         });
-        let mut datagram = self.datagram(DatagramKind::Ping, number, String::new());
+        let mut datagram = self.datagram(DatagramKind::Ping, number, target_id.clone());
         self.tell_of_trouble(&target_id, &mut datagram);
         Action { address, datagram }
     }
@@ -521,6 +521,10 @@
     }
 
     fn answer(&mut self, ping: &Datagram) -> Vec<Action> {
+        // The ping is for an earlier life at this address, which must be seen to be gone.
+        if !ping.target.is_empty() && ping.target != self.own.id {
+            return Vec::new();
+        }
         let Some(address) = self.address(&ping.from) else {
             return Vec::new();
         };
@@ -553,7 +557,7 @@
             sent_at: now,
         };
         self.relays.insert(number, relay);
-        let datagram = self.datagram(DatagramKind::Ping, number, String::new());
+        let datagram = self.datagram(DatagramKind::Ping, number, request.target.clone());
         vec![Action { address, datagram }]
     }
 
@@ -587,11 +591,17 @@
             .map(|known| known.record.udp_address.clone())
     }
 
-    fn take_record(&mut self, record: MemberRecord, now: Duration) {
+    fn take_record(&mut self, mut record: MemberRecord, now: Duration) {
         if record.id == self.own.id {
             self.refute(&record);
             return;
         }
+        if record.udp_address == self.own.udp_address && !self.knows_dead(&record.id) {
+            // An earlier life at this member's address: nobody else can tell, since this member answers there.
+            record.state = MemberState::Dead as i32;
+            self.insert_dead_predecessor(record, now);
+            return;
+        }
         let passes_left = self.passes();
         let lives = state_of(&record) != MemberState::Dead;
         let mut revived = false;
@@ -624,6 +634,23 @@
         }
     }
 
+    fn knows_dead(&self, id: &str) -> bool {
+        let known = self.known.get(id);
+        known.is_some_and(|known| state_of(&known.record) == MemberState::Dead)
+    }
+
+    /// Keeps the record of an earlier life as dead, and passes that on.
+    fn insert_dead_predecessor(&mut self, record: MemberRecord, now: Duration) {
+        let known = Known {
+            state_since: now,
+            passes_left: self.passes(),
+            left: true,
+            record,
+        };
+        self.known.insert(known.record.id.clone(), known);
+        self.changed = true;
+    }
+
     /// Somebody holds this member for worse than it is, or for something from an earlier life.
     fn refute(&mut self, record: &MemberRecord) {
         if supersedes(record, &self.own) {
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -80,7 +80,7 @@
     /// Number of the probe that this belongs to.
     #[prost(uint64, tag = "3")]
     pub probe: u64,
-    /// Member to probe, in a ping request.
+    /// Member to probe, in a ping or a ping request; empty if whoever has the address may answer.
     #[prost(string, tag = "4")]
     pub target: String,
     /// Records passed on.
