Watches name their partitions, and read whole again at times

Cause: a list of partitions may be older than the rows, and a feed may miss what changed before its history was lost; a row missed once would be missed for ever. Change: the caller names the partitions; a whole read every 10 s, and 4 s after lost history.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwapOption;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{ObjectStore, Table, WatchedTable};
-use harrierward_inline_jobs::{HEADS, InlineJobs, JobParts, JobSettings};
+use harrierward_inline_jobs::{HEADS, InlineJobs, JobParts, JobSettings, partitions};
 use harrierward_serving::{
     Forwarder, ForwarderParts, ForwarderSettings, ReplicaClient, ReplicaSet, SelectionCosts,
 };
@@ -206,23 +206,29 @@
     jobs: &InlineJobs,
     log: &DecisionLog,
 ) {
-    let watch = |space| Watch {
+    let watch = |space, partitions| Watch {
         table: table.clone(),
         space,
+        partitions,
         settings: WatchSettings::default(),
         log: log.clone(),
     };
-    let configuration = watch(source.configuration_space());
+    let configuration = watch(source.configuration_space(), one_partition());
     let taker = discovery.clone();
     tokio::spawn(configuration.run(move |update| taker.take_configuration(&update, "store")));
-    let replicas = watch(source.replica_space());
+    let replicas = watch(source.replica_space(), one_partition());
     let taker = discovery.clone();
     tokio::spawn(replicas.run(move |update| taker.take_replicas(&update)));
-    let heads = watch(HEADS);
+    let heads = watch(HEADS, partitions());
     let jobs = jobs.clone();
     tokio::spawn(heads.run(move |update| take_heads(&jobs, &update)));
 }
 
+/// The partition without a name, in which spaces that are not ours keep their rows.
+fn one_partition() -> Vec<String> {
+    vec![String::new()]
+}
+
 fn take_heads(jobs: &InlineJobs, update: &SpaceUpdate) {
     for row in &update.written {
         if let Some(newer) = jobs.view().take_row(&row.value, row.revision) {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -22,6 +22,10 @@
     pub first_pause: Duration,
     /// Longest pause after failures.
     pub longest_pause: Duration,
+    /// Time between whole reads: changes may be missing from what the store tells.
+    pub whole_read_every: Duration,
+    /// Time after the history was lost within which whole reads may be stale, and one more is made at its end.
+    pub stale_for: Duration,
 }
 
 impl Default for WatchSettings {
@@ -30,6 +34,8 @@
             wait: Duration::from_millis(1_000),
             first_pause: Duration::from_millis(60),
             longest_pause: Duration::from_millis(500),
+            whole_read_every: Duration::from_secs(10),
+            stale_for: Duration::from_secs(4),
         }
     }
 }
@@ -128,6 +134,8 @@
     pub table: Arc<dyn WatchedTable>,
     /// Space to watch.
     pub space: &'static str,
+    /// Its partitions.
+    pub partitions: Vec<String>,
     /// Bounds.
     pub settings: WatchSettings,
     /// Log of lost and regained contact.
@@ -141,17 +149,21 @@
         let mut backoff = Backoff::new(self.settings.first_pause, self.settings.longest_pause);
         let mut copy = SpaceCopy::default();
         let mut read_whole = true;
+        let mut whole_read_due = Instant::now();
         let mut lost_at: Option<Instant> = None;
         loop {
             let asked_at = Instant::now();
-            let result = if read_whole {
+            let result = if read_whole || asked_at >= whole_read_due {
+                whole_read_due = asked_at + self.settings.whole_read_every;
                 self.read(&mut copy).await
             } else {
                 self.ask(&mut copy).await
             };
             match result {
                 Ok(Some(mut update)) => {
-                    read_whole = false;
+                    if std::mem::take(&mut read_whole) {
+                        whole_read_due = asked_at + self.settings.stale_for;
+                    }
                     backoff.reset();
                     if let Some(since) = lost_at.take() {
                         self.log_regained(since);
@@ -159,7 +171,10 @@
                     update.as_of = Some(asked_at);
                     take(update);
                 }
-                Ok(None) => sleep(backoff.wait(&mut random)).await,
+                Ok(None) => {
+                    // A stale read tells nothing, but its revision may be one that the history still holds.
+                    sleep(backoff.wait(&mut random)).await;
+                }
                 Err(WatchFailure::HistoryLost) => {
                     read_whole = true;
                     sleep(backoff.wait(&mut random)).await;
@@ -176,7 +191,7 @@
     }
 
     async fn read(&self, copy: &mut SpaceCopy) -> Result<Option<SpaceUpdate>, WatchFailure> {
-        let snapshot = self.table.read_space(self.space).await;
+        let snapshot = self.table.read_space(self.space, &self.partitions).await;
         let snapshot = snapshot.map_err(|error| WatchFailure::NoContact(error.to_string()))?;
         Ok(copy.take_snapshot(snapshot))
     }
--- a/crates/external/src/watch.rs
+++ b/crates/external/src/watch.rs
@@ -46,8 +46,13 @@
 /// Client of a table whose spaces can be watched.
 #[async_trait]
 pub trait WatchedTable: Send + Sync {
-    /// Reads a whole space.
-    async fn read_space(&self, space: &str) -> Result<SpaceSnapshot, PlatformError>;
+    /// Reads the whole of a space's partitions. They are named by the caller, because a list of them may be older
+    /// than the rows.
+    async fn read_space(
+        &self,
+        space: &str,
+        partitions: &[String],
+    ) -> Result<SpaceSnapshot, PlatformError>;
 
     /// Waits up to `wait` for changes after `revision`; an empty page if there are none.
     /// Fails with [`crate::PlatformErrorKind::HistoryLost`] if the store no longer knows the changes.
--- a/crates/inline-jobs/src/keys.rs
+++ b/crates/inline-jobs/src/keys.rs
@@ -30,8 +30,18 @@
     xxh3_64(job_id.as_bytes()) % PARTITIONS
 }
 
+fn partition_name(number: u64) -> String {
+    format!("p{number}")
+}
+
+/// Names of all partitions.
+pub fn partitions() -> Vec<String> {
+    (0..PARTITIONS).map(partition_name).collect()
+}
+
 fn key(space: &str, job_id: &str) -> String {
-    format!("{space}/p{}/{job_id}", partition(job_id))
+    let partition = partition_name(partition(job_id));
+    format!("{space}/{partition}/{job_id}")
 }
 
 /// Key of a job's head.
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -18,7 +18,7 @@
 mod submit;
 mod view;
 
-pub use keys::HEADS;
+pub use keys::{HEADS, partitions};
 pub use model::{
     EndOutcome, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem, SubmittedJob,
 };
