A stopping daemon closes its listener before its end

Ruled out: idle connections. Change: after 2.6 s, when a daemon that is not ready has been taken out, the listener is closed and idle connections with it; the process ends once what was read is answered. The test hangs without the change.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -12,7 +12,7 @@
     Forwarder, ForwarderParts, ForwarderSettings, ReplicaClient, ReplicaSet, SelectionCosts,
 };
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::discovery::{Discovery, DiscoverySource};
 use crate::members::{Members, new_life};
@@ -21,7 +21,7 @@
 use crate::watch::{SpaceUpdate, Watch, WatchSettings};
 
 /// Time in which the platform takes a daemon that is not ready out of service.
-const TAKEN_OUT_AFTER: Duration = Duration::from_millis(3_000);
+const TAKEN_OUT_AFTER: Duration = Duration::from_millis(2_600);
 
 /// Part of the grace that is kept for the end itself.
 const END_RESERVE: Duration = Duration::from_millis(900);
@@ -182,15 +182,12 @@
         let last = self.settings.grace.saturating_sub(END_RESERVE);
         self.service.jobs.hand_over_all(asked_at + last).await;
         self.members.leave();
-        loop {
-            let waited = asked_at.elapsed();
-            let done = waited >= TAKEN_OUT_AFTER && control.in_progress() == 0;
-            if done || waited >= last {
-                break;
-            }
+        sleep_until(asked_at + TAKEN_OUT_AFTER).await;
+        // If most daemons of a zone stop at once, callers still come; from now on they are not let in.
+        control.set_stage(ServerStage::Closing);
+        while control.in_progress() > 0 && asked_at.elapsed() < last {
             sleep(STOP_CHECK).await;
         }
-        control.set_stage(ServerStage::Closing);
         sleep(CLOSE_TIME).await;
         self.log.record(&Record::Stopped {
             cut_off: control.in_progress(),
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -45,7 +45,7 @@
     Serving,
     /// Serves, and closes each connection after its next answer.
     Draining,
-    /// Closes idle connections.
+    /// Takes no new connections and closes idle ones.
     Closing,
 }
 
@@ -88,14 +88,19 @@
     }
 }
 
-/// Accepts connections for as long as the process runs.
+/// Accepts connections until the stage [`ServerStage::Closing`]; then the listener is closed.
 pub async fn serve<S: HttpService>(
     listener: TcpListener,
     control: Arc<ServerControl>,
     service: Arc<S>,
 ) {
+    let mut stage = control.stage.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stage.wait_for(|stage| *stage == ServerStage::Closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let connection = serve_connection(stream, control.clone(), service.clone());
                 tokio::spawn(connection);
--- /dev/null
+++ b/crates/edge/tests/server.rs
@@ -0,0 +1,106 @@
+//! A planned stop of the server: what was read is answered whole, and nobody is let in at its end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use harrierward_edge::{HttpService, ResponseBody, ServerControl, ServerStage, serve};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: example\r\n\r\n";
+
+/// Answers when it is told to.
+struct Gate {
+    opened: Notify,
+}
+
+#[async_trait]
+impl HttpService for Gate {
+    async fn call(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
+        self.opened.notified().await;
+        let body = Full::new(Bytes::from_static(b"whole"));
+        Response::new(body.map_err(|never| match never {}).boxed_unsync())
+    }
+}
+
+struct Fixture {
+    address: std::net::SocketAddr,
+    control: Arc<ServerControl>,
+    gate: Arc<Gate>,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let control = Arc::new(ServerControl::default());
+        let gate = Arc::new(Gate {
+            opened: Notify::new(),
+        });
+        tokio::spawn(serve(listener, control.clone(), gate.clone()));
+        Self {
+            address,
+            control,
+            gate,
+        }
+    }
+
+    async fn send(&self) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).await.expect("connect");
+        stream.write_all(REQUEST).await.expect("write");
+        stream
+    }
+
+    async fn until_in_progress(&self, count: usize) {
+        while self.control.in_progress() != count {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+async fn read_to_end(mut stream: TcpStream) -> String {
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.expect("read");
+    text
+}
+
+#[tokio::test]
+async fn a_draining_server_answers_whole_and_closes_each_connection() {
+    let fixture = Fixture::start().await;
+    let stream = fixture.send().await;
+    fixture.until_in_progress(1).await;
+    fixture.control.set_stage(ServerStage::Draining);
+    fixture.gate.opened.notify_one();
+    let answer = read_to_end(stream).await;
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert!(answer.ends_with("whole"), "{answer}");
+}
+
+#[tokio::test]
+async fn a_closing_server_lets_nobody_in_and_still_answers_what_it_read() {
+    let fixture = Fixture::start().await;
+    let stream = fixture.send().await;
+    fixture.until_in_progress(1).await;
+    fixture.control.set_stage(ServerStage::Closing);
+    while TcpStream::connect(fixture.address).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    fixture.gate.opened.notify_one();
+    let answer = read_to_end(stream).await;
+    assert!(answer.ends_with("whole"), "{answer}");
+}
+
+#[tokio::test]
+async fn a_request_whose_caller_left_is_dropped() {
+    let fixture = Fixture::start().await;
+    let stream = fixture.send().await;
+    fixture.until_in_progress(1).await;
+    drop(stream);
+    fixture.until_in_progress(0).await;
+}
