--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -156,8 +156,9 @@
         if report.at.elapsed() > LOAD_WORD_LIFETIME {
             return counted;
         }
-        let since = self.own_total().saturating_sub(report.own_then);
-        counted.max(report.word.running + report.word.waiting + since)
+        let told = report.word.running + report.word.waiting;
+        let now = (told + self.own_total()).saturating_sub(report.own_then);
+        counted.max(now)
     }
 
     /// Age of the last load word, milliseconds; `u64::MAX` if there is none.
