Long prompts are kept apart from short ones

Change: prompts of three times the mean go to a fixed quarter of the replicas, the same for all daemons, and short ones avoid it.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -27,7 +27,7 @@
 const END_RESERVE: Duration = Duration::from_millis(900);
 
 /// Slots that batch items leave free at a replica.
-const FREE_SLOTS: u32 = 4;
+const FREE_SLOTS: u32 = 8;
 
 /// How often a stopping daemon looks whether its requests are done.
 const STOP_CHECK: Duration = Duration::from_millis(50);
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -157,7 +157,7 @@
             let own = replica.own(WorkClass::Batch);
             let load = replica.load();
             let slots = replica.slots();
-            if own == 0 || load <= slots {
+            if own == 0 || load <= slots * 4 {
                 continue;
             }
             let excess = load - slots;
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -10,8 +10,9 @@
 
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
 use crate::forwarder::Forwarder;
+use crate::profile::PromptLength;
 use crate::replica::{InProgress, Replica, WorkClass};
-use crate::selection::{Candidate, choose, preference_weight};
+use crate::selection::{Candidate, Separation, choose, preference_weight};
 
 /// How long a replica that broke, refused to connect or was silent is avoided.
 const SUSPICION: Duration = Duration::from_millis(1_000);
@@ -103,15 +104,19 @@
         request: &ServingRequest,
         target: AttemptTarget<'_>,
     ) -> Option<Arc<Replica>> {
-        let replicas: Vec<Arc<Replica>> = self
-            .replicas()
-            .view()
+        let view = self.replicas().view();
+        let replicas: Vec<Arc<Replica>> = view
             .usable(target.service)
             .into_iter()
             .filter(|replica| !target.excluded.contains(&replica.record.id))
             .filter(|replica| has_room(replica, target.free_slots))
             .collect();
-        let preferred = self.preferred(request, &replicas);
+        let length = self.length_of(request, target);
+        let homes: Vec<bool> = replicas
+            .iter()
+            .map(|replica| view.is_long_prompt_home(&replica.record.id))
+            .collect();
+        let preferred = self.preferred(request, &replicas, &homes, length);
         let shared_tokens = request.prompt.shared_tokens();
         let candidates: Vec<Candidate> = replicas
             .iter()
@@ -123,6 +128,7 @@
                     .saturating_sub(replica.cached_tokens(&request.prompt)),
                 preferred: preferred == Some(position),
                 own_zone: replica.record.zone == self.settings().zone,
+                separation: separation(length, homes[position]),
                 suspected: replica.is_suspected(),
             })
             .collect();
@@ -132,17 +138,35 @@
         Some(replicas[position].clone())
     }
 
-    /// The replica that daemons of this zone prefer for the prompt's last shared part.
-    fn preferred(&self, request: &ServingRequest, replicas: &[Arc<Replica>]) -> Option<usize> {
+    fn length_of(&self, request: &ServingRequest, target: AttemptTarget<'_>) -> PromptLength {
+        match target.class {
+            WorkClass::Online => self
+                .profiles()
+                .observe(target.service, request.prompt.tokens),
+            WorkClass::Batch => PromptLength::Alike,
+        }
+    }
+
+    /// The replica that daemons prefer for the prompt's last shared part: a long prompt's among the homes, another's
+    /// within the zone.
+    fn preferred(
+        &self,
+        request: &ServingRequest,
+        replicas: &[Arc<Replica>],
+        homes: &[bool],
+        length: PromptLength,
+    ) -> Option<usize> {
         let part = request.prompt.shared().last()?.id;
         let zone = &self.settings().zone;
-        let any_near = replicas.iter().any(|replica| replica.record.zone == *zone);
-        replicas
-            .iter()
-            .enumerate()
-            .filter(|(_, replica)| !any_near || replica.record.zone == *zone)
-            .max_by_key(|(_, replica)| preference_weight(part, &replica.record.id))
-            .map(|(position, _)| position)
+        let is_candidate = |position: usize| match length {
+            PromptLength::Long => homes[position],
+            PromptLength::Short => !homes[position] && replicas[position].record.zone == *zone,
+            PromptLength::Alike => replicas[position].record.zone == *zone,
+        };
+        let any = (0..replicas.len()).any(is_candidate);
+        (0..replicas.len())
+            .filter(|position| !any || is_candidate(*position))
+            .max_by_key(|position| preference_weight(part, &replicas[*position].record.id))
     }
 
     /// Sends the request to a replica chosen for it. Returns the replica's id, and what came of it.
@@ -271,6 +295,14 @@
     }
 }
 
+fn separation(length: PromptLength, home: bool) -> Separation {
+    match (length, home) {
+        (PromptLength::Long, false) => Separation::LongAway,
+        (PromptLength::Short, true) => Separation::ShortBesideLong,
+        _ => Separation::Fits,
+    }
+}
+
 fn has_room(replica: &Replica, free_slots: Option<u32>) -> bool {
     let Some(free) = free_slots else {
         return true;
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -11,6 +11,7 @@
 use crate::attempt::{Attempt, AttemptFailure, AttemptTarget, AttemptTimes, Sending};
 use crate::configuration::Route;
 use crate::exchange::{ReplicaClient, ServingRequest};
+use crate::profile::PromptProfiles;
 use crate::relay::Relay;
 use crate::replica::{ReplicaSet, WorkClass};
 use crate::reply::{CallerAnswer, Refusal, RefusalCause, Reply};
@@ -62,6 +63,7 @@
 #[derive(Clone)]
 pub struct Forwarder {
     parts: Arc<ForwarderParts>,
+    profiles: Arc<PromptProfiles>,
 }
 
 /// How long a request may still take.
@@ -115,6 +117,7 @@
     pub fn new(parts: ForwarderParts) -> Self {
         Self {
             parts: Arc::new(parts),
+            profiles: Arc::default(),
         }
     }
 
@@ -136,6 +139,10 @@
         &self.parts.log
     }
 
+    pub(crate) fn profiles(&self) -> &PromptProfiles {
+        &self.profiles
+    }
+
     pub(crate) fn settings(&self) -> &ForwarderSettings {
         &self.parts.settings
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,6 +9,7 @@
 mod events;
 mod exchange;
 mod forwarder;
+mod profile;
 mod prompt;
 mod relay;
 mod replica;
@@ -28,9 +29,10 @@
     ServingRequest,
 };
 pub use forwarder::{Forwarder, ForwarderParts, ForwarderSettings, SharedRoutes};
+pub use profile::{PromptLength, PromptProfiles};
 pub use prompt::{Prompt, PromptMemory, PromptPart};
 pub use relay::Cut;
 pub use replica::{InProgress, Replica, ReplicaRecord, ReplicaSet, ReplicaView, WorkClass};
 pub use reply::{CallerAnswer, CallerBody, Refusal, RefusalCause, Reply};
 pub use routes::{RouteEntry, RouteTable};
-pub use selection::{Candidate, SelectionCosts, choose, cost, preference_weight};
+pub use selection::{Candidate, SelectionCosts, Separation, choose, cost, preference_weight};
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -1,6 +1,6 @@
 //! The replicas that discovery names, and what this daemon knows of each one's load and memory.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -10,6 +10,7 @@
 
 use crate::exchange::LoadWord;
 use crate::prompt::{Prompt, PromptMemory};
+use crate::selection::preference_weight;
 
 /// How long a replica's own load word is trusted beside the daemons' counts.
 const LOAD_WORD_LIFETIME: Duration = Duration::from_millis(400);
@@ -268,6 +269,7 @@
 pub struct ReplicaView {
     by_id: HashMap<String, Arc<Replica>>,
     by_service: HashMap<String, Vec<Arc<Replica>>>,
+    long_prompt_homes: HashSet<String>,
     vanished: HashMap<String, Vec<Vanished>>,
 }
 
@@ -291,6 +293,11 @@
             .collect()
     }
 
+    /// True if the replica is among those for long prompts.
+    pub fn is_long_prompt_home(&self, id: &str) -> bool {
+        self.long_prompt_homes.contains(id)
+    }
+
     /// All listed replicas.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Replica>> {
         self.by_id.values()
@@ -341,14 +348,34 @@
             list.sort_by(|left, right| left.record.id.cmp(&right.record.id));
         }
         let vanished = still_vanished(&old, &by_id);
+        let long_prompt_homes = by_service.values().flat_map(|list| homes(list)).collect();
         self.view.store(Arc::new(ReplicaView {
             by_id,
             by_service,
+            long_prompt_homes,
             vanished,
         }));
     }
 }
 
+/// Share of a service's replicas that take the long prompts, in percent.
+const HOME_PERCENT: usize = 25;
+
+/// Fewest replicas that take the long prompts.
+const FEWEST_HOMES: usize = 2;
+
+/// Replicas for long prompts: the first in an order that all daemons share. A service with too few replicas has none.
+fn homes(list: &[Arc<Replica>]) -> Vec<String> {
+    let mut ready: Vec<&Arc<Replica>> = list.iter().filter(|one| !one.is_draining()).collect();
+    let count = (ready.len() * HOME_PERCENT / 100).max(FEWEST_HOMES);
+    if ready.len() < count * 2 {
+        return Vec::new();
+    }
+    ready.sort_by_key(|replica| preference_weight(0, &replica.record.id));
+    let first = ready.into_iter().take(count);
+    first.map(|replica| replica.record.id.clone()).collect()
+}
+
 fn keep_or_create(
     old: &ReplicaView,
     record: ReplicaRecord,
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -17,6 +17,10 @@
     pub suspected_ms: f64,
     /// Share of uncached shared tokens that counts at the replica which all daemons prefer for the prompt.
     pub preferred_share: f64,
+    /// Cost of a replica that is not among those for long prompts, for a long prompt, milliseconds.
+    pub long_away_ms: f64,
+    /// Cost of a replica for long prompts, for a short one, milliseconds.
+    pub short_beside_long_ms: f64,
     /// Largest random addition, so that daemons with the same view do not all choose the same, milliseconds.
     pub jitter_ms: f64,
 }
@@ -30,11 +34,24 @@
             other_zone_ms: 6.0,
             suspected_ms: 2_000.0,
             preferred_share: 0.3,
+            long_away_ms: 60.0,
+            short_beside_long_ms: 30.0,
             jitter_ms: 1.5,
         }
     }
 }
 
+/// A replica's place in the separation of long prompts from short ones, for one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Separation {
+    /// As good as any.
+    Fits,
+    /// A long prompt would leave the replicas for long prompts.
+    LongAway,
+    /// A short prompt would wait behind long ones.
+    ShortBesideLong,
+}
+
 /// One replica as the choice sees it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -48,6 +65,8 @@
     pub preferred: bool,
     /// In the daemon's own zone.
     pub own_zone: bool,
+    /// Where it stands to the separation of long prompts from short ones.
+    pub separation: Separation,
     /// Was silent or broke lately.
     pub suspected: bool,
 }
@@ -71,7 +90,12 @@
     } else {
         0.0
     };
-    prefill + zone + suspected + congestion(costs, candidate)
+    let separation = match candidate.separation {
+        Separation::Fits => 0.0,
+        Separation::LongAway => costs.long_away_ms,
+        Separation::ShortBesideLong => costs.short_beside_long_ms,
+    };
+    prefill + zone + suspected + separation + congestion(costs, candidate)
 }
 
 fn congestion(costs: &SelectionCosts, candidate: &Candidate) -> f64 {
