Items leave free what online took at its last peak, start apart, and yield late

Change: free slots follow the decaying peak of online requests a replica, weighted by the job's urgency; one start each 100 ms while there is time; yields only a third above the slots, rounded by chance.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -26,9 +26,6 @@
 /// Part of the grace that is kept for the end itself.
 const END_RESERVE: Duration = Duration::from_millis(900);
 
-/// Slots that batch items leave free at a replica.
-const FREE_SLOTS: u32 = 8;
-
 /// How often a stopping daemon looks whether its requests are done.
 const STOP_CHECK: Duration = Duration::from_millis(50);
 
@@ -128,7 +125,6 @@
             settings: JobSettings {
                 keep: settings.keep_jobs,
                 cancel_within: settings.cancel_within,
-                free_slots: FREE_SLOTS,
             },
         });
         start_watches(&discovery, source.as_ref(), &watched, &jobs, &log);
--- a/crates/inline-jobs/src/book.rs
+++ b/crates/inline-jobs/src/book.rs
@@ -9,6 +9,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::pacing::OnlinePeaks;
 use crate::store::ListedResult;
 use crate::view::KnownHead;
 
@@ -200,6 +201,8 @@
     pub number: u32,
     /// Route.
     pub route: String,
+    /// When its job was accepted, on the store's clock, milliseconds.
+    pub accepted_ms: u64,
     /// The request that runs it.
     pub request: Arc<ServingRequest>,
     /// What has come so far.
@@ -209,6 +212,12 @@
 /// All jobs of this daemon.
 #[derive(Debug, Default)]
 pub struct JobBook {
+    /// When an item was last started.
+    pub last_start: Option<Instant>,
+    /// Online's last peaks.
+    pub peaks: OnlinePeaks,
+    /// When runs were last ended at a replica for online.
+    pub yielded_at: BTreeMap<String, Instant>,
     /// The jobs by id.
     pub jobs: BTreeMap<String, OwnedJob>,
 }
@@ -229,6 +238,7 @@
                         job: job.known.head.job_id.clone(),
                         number,
                         route: job.known.head.route.clone(),
+                        accepted_ms: job.known.head.accepted_ms,
                         request: item.request.clone(),
                         progress: item.progress.clone(),
                     });
--- /dev/null
+++ b/crates/inline-jobs/src/pacing.rs
@@ -0,0 +1,111 @@
+//! How fast items are started, and how many slots they leave free: as gently as their jobs' targets allow.
+//!
+//! Why: online requests come in bursts that last too short to give slots back in time, and an item's prompt holds
+//! up the tokens of all requests beside it while it is read. Most jobs have far more time than they need, so their
+//! items leave free what online took at its last peak, and their starts are spread, until the target comes near.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// How much of a job's time has passed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// There is time enough.
+    Relaxed,
+    /// Part of the time is gone.
+    Pressing,
+    /// The target is near, or past.
+    Late,
+}
+
+/// Shares of the target after which a job presses and is late, in percent.
+const PRESSING_PERCENT: u128 = 40;
+const LATE_PERCENT: u128 = 65;
+
+/// What a start of an item must respect.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    /// Share of online's last peak that is left free.
+    pub peak_share: f64,
+    /// Least time between two starts of this daemon.
+    pub interval: Duration,
+}
+
+/// Urgency of a job of this age.
+pub fn urgency(age: Duration, target: Duration) -> Urgency {
+    let passed = age.as_millis() * 100;
+    let target = target.as_millis();
+    if passed >= target.saturating_mul(LATE_PERCENT) {
+        Urgency::Late
+    } else if passed >= target.saturating_mul(PRESSING_PERCENT) {
+        Urgency::Pressing
+    } else {
+        Urgency::Relaxed
+    }
+}
+
+impl Urgency {
+    /// The pace of items this urgent.
+    pub fn pace(self) -> Pace {
+        match self {
+            Self::Relaxed => Pace {
+                peak_share: 0.8,
+                interval: Duration::from_millis(100),
+            },
+            Self::Pressing => Pace {
+                peak_share: 0.6,
+                interval: Duration::from_millis(40),
+            },
+            Self::Late => Pace {
+                peak_share: 0.4,
+                interval: Duration::ZERO,
+            },
+        }
+    }
+}
+
+/// Time in which a peak loses half of its weight.
+const PEAK_HALF_LIFE: Duration = Duration::from_secs(12);
+
+/// Slots left free beside online's peak.
+const SPARE_SLOTS: f64 = 1.0;
+
+#[derive(Debug, Clone, Copy)]
+struct Peak {
+    online: f64,
+    at: Instant,
+}
+
+/// The last peaks of online requests a replica, by service.
+#[derive(Debug, Default)]
+pub struct OnlinePeaks {
+    peaks: HashMap<String, Peak>,
+}
+
+impl OnlinePeaks {
+    /// Takes the mean of online requests in progress at a replica of the service.
+    pub fn observe(&mut self, service: &str, online: f64, now: Instant) {
+        let held = self.at(service, now);
+        let peak = Peak {
+            online: online.max(held),
+            at: now,
+        };
+        self.peaks.insert(service.to_owned(), peak);
+    }
+
+    fn at(&self, service: &str, now: Instant) -> f64 {
+        self.peaks.get(service).map_or(0.0, |peak| {
+            let age = now.saturating_duration_since(peak.at).as_secs_f64();
+            peak.online * 0.5_f64.powf(age / PEAK_HALF_LIFE.as_secs_f64())
+        })
+    }
+
+    /// Slots that an item of this pace leaves free at a replica of the service.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn free_slots(&self, service: &str, pace: Pace, now: Instant) -> u32 {
+        let peak = self.at(service, now) * pace.peak_share;
+        (peak + SPARE_SLOTS).ceil().min(f64::from(u32::MAX)) as u32
+    }
+}
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -1,13 +1,15 @@
 //! Starting items where online leaves room, taking their ends, and giving slots back when online needs them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::{AttemptTarget, InProgress, WorkClass};
+use harrierward_serving::{AttemptTarget, InProgress, Route, WorkClass};
 use tokio::time::{Instant, sleep};
 
 use crate::book::{ItemPhase, StartableItem};
 use crate::item_run::{self, RunOutcome};
+use crate::pacing::{Pace, Urgency, urgency};
 use crate::service::InlineJobs;
 
 /// How often the runner looks for room when nothing wakes it.
@@ -20,11 +22,15 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
 /// Pause before an item that yielded is started again.
-const YIELD_PAUSE: Duration = Duration::from_millis(150);
+const YIELD_PAUSE: Duration = Duration::from_millis(300);
+
+/// Least time between two yields at one replica: the other daemons' counts must have come.
+const YIELD_EVERY: Duration = Duration::from_millis(250);
 
 impl InlineJobs {
     pub(crate) async fn run_items(self) {
         loop {
+            self.observe_online();
             self.yield_to_online();
             if self.may_start_runs() {
                 self.start_items();
@@ -46,23 +52,40 @@
             let Some(route) = routes.configuration.route(&item.route) else {
                 continue;
             };
+            let pace = self.urgency_of(&item, route).pace();
+            if !self.interval_over(pace.interval) {
+                return;
+            }
             let entry = routes.find(&route.host, &route.prefix);
             let Some(service) = entry.and_then(|entry| entry.next_service()) else {
                 continue;
             };
-            if !self.start_item(&item, service) {
+            if !self.start_item(&item, service, pace) {
                 return;
             }
         }
     }
 
+    fn urgency_of(&self, item: &StartableItem, route: &Route) -> Urgency {
+        let now = self.inner.view.store_now_ms();
+        let age = Duration::from_millis(now.saturating_sub(item.accepted_ms));
+        let target = route.batch().map_or(Duration::MAX, |bounds| bounds.target);
+        urgency(age, target)
+    }
+
+    fn interval_over(&self, interval: Duration) -> bool {
+        let last = self.book().last_start;
+        last.is_none_or(|last| last.elapsed() >= interval)
+    }
+
     /// Starts an item; false if no replica has room.
-    fn start_item(&self, item: &StartableItem, service: &str) -> bool {
+    fn start_item(&self, item: &StartableItem, service: &str, pace: Pace) -> bool {
+        let free_slots = self.book().peaks.free_slots(service, pace, Instant::now());
         let target = AttemptTarget {
             service,
             class: WorkClass::Batch,
             excluded: &[],
-            free_slots: Some(self.inner.settings.free_slots),
+            free_slots: Some(free_slots),
         };
         let forwarder = &self.inner.forwarder;
         let Some(replica) = forwarder.choose_replica(&item.request, target) else {
@@ -75,6 +98,7 @@
         // The task cannot end before its phase is set: the runtime runs it only after this function has returned
         // the lock, and `finish` takes the lock.
         let mut book = self.book();
+        book.last_start = Some(Instant::now());
         let Some(entry) = book.item(&item.job, item.number) else {
             return true;
         };
@@ -150,22 +174,39 @@
         });
     }
 
+    /// Notes how many online requests a replica has on the mean.
+    fn observe_online(&self) {
+        let view = self.inner.forwarder.replicas().view();
+        let mut sums: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
+        for replica in view.all().filter(|replica| !replica.is_draining()) {
+            let sum = sums.entry(&replica.record.service).or_default();
+            sum.0 += replica.online();
+            sum.1 += 1;
+        }
+        let now = Instant::now();
+        let mut book = self.book();
+        for (service, (online, replicas)) in sums {
+            let mean = f64::from(online) / f64::from(replicas);
+            book.peaks.observe(service, mean, now);
+        }
+    }
+
     /// Ends runs at replicas where requests wait for slots that batch work holds.
     fn yield_to_online(&self) {
         let view = self.inner.forwarder.replicas().view();
         for replica in view.all() {
             let own = replica.own(WorkClass::Batch);
-            let load = replica.load();
+            let counted = replica.online() + replica.batch();
             let slots = replica.slots();
-            if own == 0 || load <= slots * 4 {
+            if own == 0 || counted <= slots + slots / 3 || !self.may_yield_at(&replica.record.id) {
                 continue;
             }
-            let excess = load - slots;
-            let batch = replica.batch().max(1);
-            // Each daemon gives back its share, rounded up.
-            let share = (excess * own).div_ceil(batch).min(own);
+            // Each daemon gives back its share; the rest follows if it is still needed.
+            let excess = counted - slots;
+            let share = f64::from(excess * own) / f64::from(replica.batch().max(1));
             let id = &replica.record.id;
-            let ended = self.book().yield_runs(id, share as usize, YIELD_PAUSE);
+            let count = round_by_chance(share);
+            let ended = self.book().yield_runs(id, count, YIELD_PAUSE);
             if ended > 0 {
                 self.inner.log.record(&Record::ItemRun {
                     job: "",
@@ -177,4 +218,22 @@
             }
         }
     }
+
+    /// True if the last yield at the replica has shown its effect; then this one counts.
+    fn may_yield_at(&self, replica: &str) -> bool {
+        let mut book = self.book();
+        let last = book.yielded_at.get(replica);
+        let due = last.is_none_or(|last| last.elapsed() >= YIELD_EVERY);
+        if due {
+            book.yielded_at.insert(replica.to_owned(), Instant::now());
+        }
+        due
+    }
+}
+
+/// Rounds so that the daemons' shares add up on the mean.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn round_by_chance(share: f64) -> usize {
+    let up = rand::random::<f64>() < share.fract();
+    share.floor() as usize + usize::from(up)
 }
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -29,8 +29,6 @@
     pub keep: Duration,
     /// Time after an acknowledged end within which nothing of the job may start any more.
     pub cancel_within: Duration,
-    /// Slots that items leave free at a replica.
-    pub free_slots: u32,
 }
 
 /// What the jobs work with.
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -307,5 +307,8 @@
     let Some(free) = free_slots else {
         return true;
     };
-    !replica.is_suspected() && replica.load() + free < replica.slots()
+    // Items keep to their share also where online has little in progress just now.
+    let free = free.max(replica.online() + 1);
+    !replica.is_suspected()
+        && replica.load().saturating_sub(replica.online()) + free < replica.slots()
 }
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -359,7 +359,7 @@
 }
 
 /// Share of a service's replicas that take the long prompts, in percent.
-const HOME_PERCENT: usize = 25;
+const HOME_PERCENT: usize = 33;
 
 /// Fewest replicas that take the long prompts.
 const FEWEST_HOMES: usize = 2;
