Items that can no longer be in time go last

Change: an item's remaining time is estimated from the mean run and its events; one that cannot meet its target goes after all others and at the gentlest pace.

--- a/crates/inline-jobs/src/book.rs
+++ b/crates/inline-jobs/src/book.rs
@@ -9,7 +9,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::pacing::OnlinePeaks;
+use crate::pacing::{OnlinePeaks, RunLength};
 use crate::store::ListedResult;
 use crate::view::KnownHead;
 
@@ -203,6 +203,8 @@
     pub route: String,
     /// When its job was accepted, on the store's clock, milliseconds.
     pub accepted_ms: u64,
+    /// Nothing has come of it yet.
+    pub began_anew: bool,
     /// The request that runs it.
     pub request: Arc<ServingRequest>,
     /// What has come so far.
@@ -216,6 +218,8 @@
     pub last_start: Option<Instant>,
     /// Online's last peaks.
     pub peaks: OnlinePeaks,
+    /// What items take.
+    pub run_length: RunLength,
     /// When runs were last ended at a replica for online.
     pub yielded_at: BTreeMap<String, Instant>,
     /// The jobs by id.
@@ -239,6 +243,7 @@
                         number,
                         route: job.known.head.route.clone(),
                         accepted_ms: job.known.head.accepted_ms,
+                        began_anew: lock(&item.progress).last_event.is_none(),
                         request: item.request.clone(),
                         progress: item.progress.clone(),
                     });
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -23,7 +23,7 @@
 pub use model::{
     EndOutcome, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem, SubmittedJob,
 };
-pub use pacing::{OnlinePeaks, Pace, Urgency, urgency};
+pub use pacing::{OnlinePeaks, Pace, RunLength, Urgency, urgency};
 pub use service::{InlineJobs, JobParts, JobSettings, Peers};
 pub use store::{JobStore, ListedResult, ReadResult, WriteOutcome};
 pub use view::{JobView, KnownHead};
--- a/crates/inline-jobs/src/pacing.rs
+++ b/crates/inline-jobs/src/pacing.rs
@@ -9,17 +9,62 @@
 
 use tokio::time::Instant;
 
-/// How much of a job's time has passed.
+/// How much of a job's time has passed, in the order in which items are started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Urgency {
     /// There is time enough.
     Relaxed,
     /// Part of the time is gone.
     Pressing,
-    /// The target is near, or past.
+    /// The target is near, and can still be met.
     Late,
+    /// The target cannot be met any more: others go first, so that not all of them are late.
+    Missed,
 }
 
+/// What items have taken so far, to tell whether one can still be done in time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RunLength {
+    seconds: f64,
+    events: f64,
+}
+
+/// Weight of a new run in the means.
+const RUN_WEIGHT: f64 = 0.1;
+
+/// Means before any run has ended.
+const FIRST_SECONDS: f64 = 5.0;
+const FIRST_EVENTS: f64 = 200.0;
+
+impl Default for RunLength {
+    fn default() -> Self {
+        Self {
+            seconds: FIRST_SECONDS,
+            events: FIRST_EVENTS,
+        }
+    }
+}
+
+impl RunLength {
+    /// Takes a whole run into account.
+    pub fn observe(&mut self, took: Duration, events: usize) {
+        self.seconds += (took.as_secs_f64() - self.seconds) * RUN_WEIGHT;
+        #[allow(clippy::cast_precision_loss)]
+        let events = events as f64;
+        self.events += (events - self.events) * RUN_WEIGHT;
+    }
+
+    /// Expected time that an item with so many events still takes.
+    pub fn remaining(&self, events: usize) -> Duration {
+        #[allow(clippy::cast_precision_loss)]
+        let left = 1.0 - events as f64 / self.events.max(1.0);
+        Duration::from_secs_f64(self.seconds * left.clamp(LEAST_LEFT, 1.0))
+    }
+}
+
+/// Least part of a run that is expected to be left.
+const LEAST_LEFT: f64 = 0.1;
+
 /// Shares of the target after which a job presses and is late, in percent.
 const PRESSING_PERCENT: u128 = 40;
 const LATE_PERCENT: u128 = 65;
@@ -33,8 +78,11 @@
     pub interval: Duration,
 }
 
-/// Urgency of a job of this age.
-pub fn urgency(age: Duration, target: Duration) -> Urgency {
+/// Urgency of an item whose job has this age, and that still takes `remaining`.
+pub fn urgency(age: Duration, remaining: Duration, target: Duration) -> Urgency {
+    if age.saturating_add(remaining) > target {
+        return Urgency::Missed;
+    }
     let passed = age.as_millis() * 100;
     let target = target.as_millis();
     if passed >= target.saturating_mul(LATE_PERCENT) {
@@ -50,7 +98,7 @@
     /// The pace of items this urgent.
     pub fn pace(self) -> Pace {
         match self {
-            Self::Relaxed => Pace {
+            Self::Relaxed | Self::Missed => Pace {
                 peak_share: 0.8,
                 interval: Duration::from_millis(100),
             },
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::{AttemptTarget, InProgress, Route, WorkClass};
+use harrierward_serving::{AttemptTarget, InProgress, Route, RouteTable, WorkClass};
 use tokio::time::{Instant, sleep};
 
 use crate::book::{ItemPhase, StartableItem};
 use crate::item_run::{self, RunOutcome};
-use crate::pacing::{Pace, Urgency, urgency};
+use crate::pacing::{Pace, RunLength, Urgency, urgency};
 use crate::service::InlineJobs;
 
 /// How often the runner looks for room when nothing wakes it.
@@ -44,18 +44,17 @@
     }
 
     fn start_items(&self) {
-        let startable = self.book().startable();
         let Some(routes) = self.inner.forwarder.routes() else {
             return;
         };
-        for item in startable {
-            let Some(route) = routes.configuration.route(&item.route) else {
-                continue;
-            };
-            let pace = self.urgency_of(&item, route).pace();
+        for (item, urgency) in self.startable(&routes) {
+            let pace = urgency.pace();
             if !self.interval_over(pace.interval) {
                 return;
             }
+            let Some(route) = routes.configuration.route(&item.route) else {
+                continue;
+            };
             let entry = routes.find(&route.host, &route.prefix);
             let Some(service) = entry.and_then(|entry| entry.next_service()) else {
                 continue;
@@ -66,11 +65,30 @@
         }
     }
 
-    fn urgency_of(&self, item: &StartableItem, route: &Route) -> Urgency {
+    /// Items that may be started now, those that can no longer be in time last, else the oldest first.
+    fn startable(&self, routes: &RouteTable) -> Vec<(StartableItem, Urgency)> {
+        let (items, run_length) = {
+            let book = self.book();
+            (book.startable(), book.run_length)
+        };
+        let mut startable: Vec<(StartableItem, Urgency)> = items
+            .into_iter()
+            .filter_map(|item| {
+                let route = routes.configuration.route(&item.route)?;
+                let urgency = self.urgency_of(&item, route, run_length);
+                Some((item, urgency))
+            })
+            .collect();
+        startable.sort_by_key(|(_, urgency)| *urgency == Urgency::Missed);
+        startable
+    }
+
+    fn urgency_of(&self, item: &StartableItem, route: &Route, run_length: RunLength) -> Urgency {
         let now = self.inner.view.store_now_ms();
         let age = Duration::from_millis(now.saturating_sub(item.accepted_ms));
         let target = route.batch().map_or(Duration::MAX, |bounds| bounds.target);
-        urgency(age, target)
+        let events = crate::book::lock(&item.progress).texts.len();
+        urgency(age, run_length.remaining(events), target)
     }
 
     fn interval_over(&self, interval: Duration) -> bool {
@@ -113,6 +131,7 @@
 
     async fn run_item(&self, item: StartableItem, in_progress: InProgress) {
         let replica = in_progress.replica().record.id.clone();
+        let started = Instant::now();
         let outcome = item_run::run(
             &self.inner.forwarder,
             &item.request,
@@ -120,14 +139,18 @@
             in_progress,
         )
         .await;
-        self.finish(&item, &replica, &outcome);
+        self.finish(&item, &replica, &outcome, started);
         self.inner.wake.notify_one();
     }
 
-    fn finish(&self, item: &StartableItem, replica: &str, outcome: &RunOutcome) {
+    fn finish(&self, item: &StartableItem, replica: &str, outcome: &RunOutcome, started: Instant) {
         self.log_run(item, replica, outcome);
         let attempts = self.attempts_of(&item.route);
         let mut book = self.book();
+        if *outcome == RunOutcome::Finished && item.began_anew {
+            let events = crate::book::lock(&item.progress).texts.len();
+            book.run_length.observe(started.elapsed(), events);
+        }
         let Some(entry) = book.item(&item.job, item.number) else {
             return;
         };
