A replica that stays silent is avoided for longer each time

Change: suspicion doubles from 0.5 s to 4 s while nothing comes, and a connection that does not come up within 150 ms (1 ms is usual) is given up.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -38,7 +38,7 @@
 impl Default for PoolSettings {
     fn default() -> Self {
         Self {
-            connect_timeout: Duration::from_millis(300),
+            connect_timeout: Duration::from_millis(150),
             unacknowledged_timeout: Duration::from_secs(3),
             idle: Duration::from_millis(1_500),
             idle_margin: Duration::from_millis(700),
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -75,7 +75,7 @@
         let next = wait_for_progress(body.next(), &replica, DARK, LONGEST_SILENCE).await;
         let bytes = match next {
             None => {
-                replica.suspect(DARK);
+                replica.suspect();
                 return RunOutcome::Broken("no event in time".to_owned());
             }
             Some(None) if splitter.left_over() > 0 => {
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -14,9 +14,6 @@
 use crate::replica::{InProgress, Replica, WorkClass};
 use crate::selection::{Candidate, Separation, choose, preference_weight};
 
-/// How long a replica that broke, refused to connect or was silent is avoided.
-const SUSPICION: Duration = Duration::from_millis(1_000);
-
 /// Where an attempt may go.
 #[derive(Debug, Clone, Copy)]
 pub struct AttemptTarget<'a> {
@@ -233,12 +230,12 @@
     ) -> Result<ReplicaAnswer, AttemptFailure> {
         let answer = match answer {
             None => {
-                replica.suspect(SUSPICION);
+                replica.suspect();
                 let cause = "no answer in time".to_owned();
                 return Err(AttemptFailure::MayHaveRun { cause });
             }
             Some(Err(error)) => {
-                replica.suspect(SUSPICION);
+                replica.suspect();
                 let cause = error.to_string();
                 return Err(if error.is_not_run() {
                     AttemptFailure::NotRun { cause, full: false }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -152,7 +152,7 @@
                 Step::Broken("the route's time is over".to_owned())
             }
             None => {
-                replica.suspect(gap * LONGEST_GAP_FACTOR);
+                replica.suspect();
                 Step::Broken("no event in time".to_owned())
             }
             Some(None) => Step::End,
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -19,6 +19,10 @@
 /// the store is down.
 const VANISHED_LIFETIME: Duration = Duration::from_millis(1_700);
 
+/// How long a replica that broke, refused to connect or was silent is avoided, and how often that doubles at most.
+const FIRST_SUSPICION: Duration = Duration::from_millis(500);
+const MOST_DOUBLINGS: u32 = 3;
+
 /// Share of a replica's memory that shared prompt parts are believed to keep.
 const MEMORY_SHARE_PERCENT: u64 = 70;
 
@@ -67,6 +71,7 @@
     peers_batch: AtomicU32,
     started: Instant,
     suspected_until_ms: AtomicU64,
+    failures_in_a_row: AtomicU32,
     progress_at_ms: AtomicU64,
     report: Mutex<Option<LoadReport>>,
     memory: Mutex<PromptMemory>,
@@ -95,6 +100,7 @@
             peers_batch: AtomicU32::new(0),
             started: Instant::now(),
             suspected_until_ms: AtomicU64::new(0),
+            failures_in_a_row: AtomicU32::new(0),
             progress_at_ms: AtomicU64::new(0),
             report: Mutex::new(None),
             memory: Mutex::new(PromptMemory::new(kept_tokens)),
@@ -189,6 +195,7 @@
 
     /// Bytes came from the replica.
     pub fn note_progress(&self) {
+        self.failures_in_a_row.store(0, Ordering::Relaxed);
         self.progress_at_ms.store(self.now_ms(), Ordering::Relaxed);
     }
 
@@ -198,8 +205,10 @@
         Duration::from_millis(self.now_ms().saturating_sub(at))
     }
 
-    /// Avoids the replica for a while.
-    pub fn suspect(&self, lasting: Duration) {
+    /// Avoids the replica for a while: longer each time that nothing comes from it in between.
+    pub fn suspect(&self) {
+        let failures = self.failures_in_a_row.fetch_add(1, Ordering::Relaxed);
+        let lasting = FIRST_SUSPICION * 2_u32.pow(failures.min(MOST_DOUBLINGS));
         let until = self.now_ms() + millis(lasting);
         self.suspected_until_ms.fetch_max(until, Ordering::Relaxed);
     }
