--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -22,7 +22,7 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
 /// Pause before an item that yielded is started again.
-const YIELD_PAUSE: Duration = Duration::from_millis(300);
+const YIELD_PAUSE: Duration = Duration::from_millis(800);
 
 /// Least time between two yields at one replica: the other daemons' counts must have come.
 const YIELD_EVERY: Duration = Duration::from_millis(250);
@@ -221,7 +221,7 @@
             let own = replica.own(WorkClass::Batch);
             let counted = replica.online() + replica.batch();
             let slots = replica.slots();
-            if own == 0 || counted <= slots + slots / 3 || !self.may_yield_at(&replica.record.id) {
+            if own == 0 || counted <= slots + slots / 2 || !self.may_yield_at(&replica.record.id) {
                 continue;
             }
             // Each daemon gives back its share; the rest follows if it is still needed.
