--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -29,6 +29,9 @@
 /// Most rows read at once.
 const READ_ROWS: usize = 500;
 
+/// Most rows of results read at once; most results are a row of about 15 kB.
+const RESULT_ROWS: usize = 40;
+
 /// How a conditional write of a head ended.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WriteOutcome {
@@ -248,9 +251,9 @@
                 .table
                 .scan(RequestClass::Commit, prefix, &after, READ_ROWS)
                 .await?;
-            let last = page.is_empty();
+            let last = page.len() < READ_ROWS;
             rows.extend(page);
-            if last || rows.len() % READ_ROWS != 0 {
+            if last {
                 return Ok(rows);
             }
         }
@@ -304,9 +307,9 @@
         loop {
             let page = self
                 .table
-                .scan(RequestClass::Commit, &prefix, &after, READ_ROWS)
+                .scan(RequestClass::Commit, &prefix, &after, RESULT_ROWS)
                 .await?;
-            let last_page = page.len() < READ_ROWS;
+            let last_page = page.len() < RESULT_ROWS;
             for row in page {
                 let wanted = position + u32::try_from(results.len()).unwrap_or_default();
                 let piece: Option<ResultPieceRow> = decode(&row.value);
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -66,6 +66,22 @@
     profiles: Arc<PromptProfiles>,
 }
 
+/// A request on its way.
+pub(crate) struct RequestState {
+    /// The request.
+    pub request: Arc<ServingRequest>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that its turn fell to.
+    pub service: String,
+    /// Its time.
+    pub clock: RequestClock,
+    /// Replicas that were tried.
+    pub tried: Vec<String>,
+    /// Replicas to which it was sent and that may have run it.
+    pub sends: u32,
+}
+
 /// How long a request may still take.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RequestClock {
@@ -193,79 +209,75 @@
         entry: &RouteEntry,
         arrived: Instant,
     ) -> Result<CallerAnswer, RefusalCause> {
-        let route = Arc::new(entry.route.clone());
-        let clock = RequestClock::new(arrived, request, &route);
         let service = entry.next_service().ok_or(RefusalCause::NoReplica)?;
-        let service = service.to_owned();
-        let mut tried = Vec::new();
-        let mut sends = 0;
+        let mut state = RequestState {
+            request: request.clone(),
+            route: Arc::new(entry.route.clone()),
+            service: service.to_owned(),
+            clock: RequestClock::new(arrived, request, &entry.route),
+            tried: Vec::new(),
+            sends: 0,
+        };
         let mut refusals = 0;
         let mut may_have_run = false;
         loop {
-            if clock.hold_left().is_zero() {
-                return Err(if may_have_run {
-                    RefusalCause::TimedOut
-                } else {
-                    RefusalCause::NoTimeLeft
-                });
+            if state.clock.hold_left().is_zero() {
+                return Err(given_up(may_have_run, RefusalCause::NoTimeLeft, &state));
             }
-            sends += 1;
-            let target = AttemptTarget {
-                service: &service,
-                class: WorkClass::Online,
-                excluded: &tried,
-                free_slots: None,
-            };
-            let times = clock.attempt_times(&route, sends);
-            // A connection that was used before may carry a late answer, or be closing: an attempt that cannot
-            // be repeated takes a new one.
-            let sending = Sending {
-                resume_after: request.resume_after,
-                fresh_connection: !route.may_repeat(),
-                number: sends,
-            };
-            let (replica, result) = self.attempt(request, target, times, sending).await;
-            tried.extend(replica);
+            state.sends += 1;
+            let (replica, result) = self.first_attempt(&state).await;
+            state.tried.extend(replica);
             match result {
-                Ok(attempt) if self.shall_repeat(&attempt, &route, sends) => {
-                    may_have_run = true;
-                }
-                Ok(attempt) => {
-                    return answer(self, request, route, service, clock, attempt, tried, sends);
-                }
-                Err(AttemptFailure::NoReplica) if tried.is_empty() => {
+                Ok(attempt) if self.shall_repeat(&attempt, &state) => may_have_run = true,
+                Ok(attempt) => return answer(self, state, attempt),
+                Err(AttemptFailure::NoReplica) if state.tried.is_empty() => {
                     return Err(RefusalCause::NoReplica);
                 }
-                Err(AttemptFailure::NoReplica) if may_have_run => return Err(RefusalCause::Broken),
-                Err(AttemptFailure::NoReplica) => return Err(RefusalCause::Full),
+                Err(AttemptFailure::NoReplica) => {
+                    return Err(given_up(may_have_run, RefusalCause::Full, &state));
+                }
                 Err(AttemptFailure::NotRun { .. }) => {
-                    sends -= 1;
+                    state.sends -= 1;
                     refusals += 1;
                     if refusals > MOST_REFUSALS {
-                        return Err(if may_have_run {
-                            RefusalCause::Broken
-                        } else {
-                            RefusalCause::Full
-                        });
+                        return Err(given_up(may_have_run, RefusalCause::Full, &state));
                     }
                 }
                 Err(AttemptFailure::MayHaveRun { .. }) => {
                     may_have_run = true;
-                    if !route.may_repeat() || sends >= route.attempts {
-                        return Err(if clock.hold_left().is_zero() {
-                            RefusalCause::TimedOut
-                        } else {
-                            RefusalCause::Broken
-                        });
+                    if !state.route.may_repeat() || state.sends >= state.route.attempts {
+                        return Err(given_up(true, RefusalCause::Broken, &state));
                     }
                 }
             }
         }
     }
 
+    async fn first_attempt(
+        &self,
+        state: &RequestState,
+    ) -> (Option<String>, Result<Attempt, AttemptFailure>) {
+        let target = AttemptTarget {
+            service: &state.service,
+            class: WorkClass::Online,
+            excluded: &state.tried,
+            free_slots: None,
+        };
+        let times = state.clock.attempt_times(&state.route, state.sends);
+        // A connection that was used before may carry a late answer, or be closing: an attempt that cannot be
+        // repeated takes a new one.
+        let sending = Sending {
+            resume_after: state.request.resume_after,
+            fresh_connection: !state.route.may_repeat(),
+            number: state.sends,
+        };
+        self.attempt(&state.request, target, times, sending).await
+    }
+
     /// True for a failure of the replica that another one may make good.
-    fn shall_repeat(&self, attempt: &Attempt, route: &Route, sends: u32) -> bool {
-        attempt.answer.status >= 500 && route.may_repeat() && sends < route.attempts
+    fn shall_repeat(&self, attempt: &Attempt, state: &RequestState) -> bool {
+        let route = &state.route;
+        attempt.answer.status >= 500 && route.may_repeat() && state.sends < route.attempts
     }
 }
 
@@ -274,16 +286,21 @@
     matches!(status, 408 | 421 | 429 | 503)
 }
 
-#[allow(clippy::too_many_arguments)]
+/// Why a request is given up: `cause` only if it certainly has not run.
+fn given_up(may_have_run: bool, cause: RefusalCause, state: &RequestState) -> RefusalCause {
+    if !may_have_run {
+        cause
+    } else if state.clock.hold_left().is_zero() {
+        RefusalCause::TimedOut
+    } else {
+        RefusalCause::Broken
+    }
+}
+
 fn answer(
     forwarder: &Forwarder,
-    request: &Arc<ServingRequest>,
-    route: Arc<Route>,
-    service: String,
-    clock: RequestClock,
+    state: RequestState,
     attempt: Attempt,
-    tried: Vec<String>,
-    sends: u32,
 ) -> Result<CallerAnswer, RefusalCause> {
     let status = attempt.answer.status;
     if promises_not_run(status) {
@@ -291,16 +308,7 @@
         return Err(RefusalCause::Broken);
     }
     let headers = attempt.answer.headers.clone();
-    let relay = Relay::new(
-        forwarder.clone(),
-        request.clone(),
-        route,
-        service,
-        clock,
-        attempt,
-        tried,
-        sends,
-    );
+    let relay = Relay::new(forwarder.clone(), state, attempt);
     Ok(CallerAnswer {
         status,
         headers,
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -1,7 +1,6 @@
 //! An answer's body on its way to the caller: whole events of streams that may be resumed, raw bytes of others.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,10 +9,9 @@
 use tokio::time::Instant;
 
 use crate::attempt::{Attempt, AttemptFailure, AttemptTarget, Sending, wait_for_progress};
-use crate::configuration::Route;
 use crate::events::EventSplitter;
-use crate::exchange::{AnswerBody, ServingRequest};
-use crate::forwarder::{Forwarder, RequestClock};
+use crate::exchange::AnswerBody;
+use crate::forwarder::{Forwarder, RequestClock, RequestState};
 use crate::replica::{InProgress, WorkClass};
 
 /// The answer could not be brought to its end; the caller's connection must be broken off.
@@ -35,14 +33,9 @@
 
 /// One answer in progress.
 pub(crate) struct Relay {
-    pub forwarder: Forwarder,
-    pub request: Arc<ServingRequest>,
-    pub route: Arc<Route>,
-    pub service: String,
-    pub clock: RequestClock,
-    pub status: u16,
-    pub tried: Vec<String>,
-    pub sends: u32,
+    forwarder: Forwarder,
+    state: RequestState,
+    status: u16,
     body: Option<AnswerBody>,
     in_progress: Option<InProgress>,
     splitter: EventSplitter,
@@ -58,26 +51,12 @@
 }
 
 impl Relay {
-    pub fn new(
-        forwarder: Forwarder,
-        request: Arc<ServingRequest>,
-        route: Arc<Route>,
-        service: String,
-        clock: RequestClock,
-        attempt: Attempt,
-        tried: Vec<String>,
-        sends: u32,
-    ) -> Self {
-        let delivered = request.resume_after;
+    pub fn new(forwarder: Forwarder, state: RequestState, attempt: Attempt) -> Self {
+        let delivered = state.request.resume_after;
         Self {
             forwarder,
-            request,
-            route,
-            service,
-            clock,
+            state,
             status: attempt.answer.status,
-            tried,
-            sends,
             body: Some(attempt.answer.body),
             in_progress: Some(attempt.in_progress),
             splitter: EventSplitter::default(),
@@ -96,7 +75,7 @@
     }
 
     fn splits_events(&self) -> bool {
-        self.route.is_resumable() && self.status < 300
+        self.state.route.is_resumable() && self.status < 300
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
@@ -130,11 +109,11 @@
     }
 
     async fn step(&mut self) -> Step {
-        let left = self.clock.hold_left();
+        let left = self.state.clock.hold_left();
         if left.is_zero() {
             return Step::Broken("the route's time is over".to_owned());
         }
-        let gap = self.route.gap_objective.unwrap_or(DEFAULT_GAP);
+        let gap = self.state.route.gap_objective.unwrap_or(DEFAULT_GAP);
         let movable = self.can_move();
         let (dark, longest) = if movable {
             let dark = gap * DARK_GAP_PERCENT / 100;
@@ -148,7 +127,7 @@
         let replica = in_progress.replica();
         let next = wait_for_progress(body.next(), replica, dark.min(left), longest.min(left)).await;
         match next {
-            None if self.clock.hold_left().is_zero() => {
+            None if self.state.clock.hold_left().is_zero() => {
                 Step::Broken("the route's time is over".to_owned())
             }
             None => {
@@ -180,7 +159,7 @@
     }
 
     fn can_move(&self) -> bool {
-        self.splits_events() && self.sends < self.route.attempts
+        self.splits_events() && self.state.sends < self.state.route.attempts
     }
 
     /// Goes on at another replica after the last event delivered, if that is allowed.
@@ -189,15 +168,15 @@
         self.body = None;
         self.in_progress = None;
         self.splitter = EventSplitter::default();
-        if !self.can_move() || self.clock.hold_left().is_zero() {
+        if !self.can_move() || self.state.clock.hold_left().is_zero() {
             return Err(self.cut(cause));
         }
         self.log_break(&cause);
         let mut first_cause = Some(cause);
-        while self.can_move() && !self.clock.hold_left().is_zero() {
-            self.sends += 1;
+        while self.can_move() && !self.state.clock.hold_left().is_zero() {
+            self.state.sends += 1;
             let (replica, result) = self.try_again().await;
-            self.tried.extend(replica);
+            self.state.tried.extend(replica);
             match result {
                 Ok(attempt) if attempt.answer.status < 300 => {
                     self.body = Some(attempt.answer.body);
@@ -209,9 +188,9 @@
                     first_cause = Some(format!("resumed with status {status}"));
                 }
                 Err(AttemptFailure::NotRun { cause, .. }) => {
-                    self.sends -= 1;
+                    self.state.sends -= 1;
                     first_cause = Some(cause);
-                    if self.tried.len() > MOST_REFUSALS {
+                    if self.state.tried.len() > MOST_REFUSALS {
                         break;
                     }
                 }
@@ -226,42 +205,45 @@
     }
 
     async fn try_again(&mut self) -> (Option<String>, Result<Attempt, AttemptFailure>) {
-        let times = self.clock.attempt_times(&self.route, self.sends);
+        let times = self
+            .state
+            .clock
+            .attempt_times(&self.state.route, self.state.sends);
         let target = AttemptTarget {
-            service: &self.service,
+            service: &self.state.service,
             class: WorkClass::Online,
-            excluded: &self.tried,
+            excluded: &self.state.tried,
             free_slots: None,
         };
         let sending = Sending {
             resume_after: self.delivered,
             fresh_connection: true,
-            number: self.sends,
+            number: self.state.sends,
         };
         self.forwarder
-            .attempt(&self.request, target, times, sending)
+            .attempt(&self.state.request, target, times, sending)
             .await
     }
 
     fn log_break(&self, cause: &str) {
-        let replica = self.tried.last().map_or("", String::as_str);
+        let replica = self.state.tried.last().map_or("", String::as_str);
         self.forwarder.log().record(&Record::AttemptFailed {
-            request: &self.request.id,
+            request: &self.state.request.id,
             replica,
             cause,
             not_run: false,
-            after_ms: self.clock.elapsed_ms(),
+            after_ms: self.state.clock.elapsed_ms(),
         });
     }
 
     fn cut(&mut self, cause: String) -> Cut {
         self.finish("cut");
         self.forwarder.log().record(&Record::AttemptFailed {
-            request: &self.request.id,
-            replica: self.tried.last().map_or("", String::as_str),
+            request: &self.state.request.id,
+            replica: self.state.tried.last().map_or("", String::as_str),
             cause: &cause,
             not_run: false,
-            after_ms: self.clock.elapsed_ms(),
+            after_ms: self.state.clock.elapsed_ms(),
         });
         Cut { cause }
     }
@@ -271,11 +253,11 @@
         self.body = None;
         self.in_progress = None;
         self.forwarder.log().record(&Record::Ended {
-            request: &self.request.id,
+            request: &self.state.request.id,
             status: self.status,
             outcome,
-            attempts: self.sends,
-            after_ms: self.clock.elapsed_ms(),
+            attempts: self.state.sends,
+            after_ms: self.state.clock.elapsed_ms(),
         });
     }
 }
