A daemon that starts while the store is down learns from its peers

Change: each daemon answers peers on its control address with the rows it serves by; one that has none after 0.6 s asks. The store's first word replaces a peer's replicas, and configuration only moves forward.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -16,6 +16,8 @@
 
 use crate::discovery::{Discovery, DiscoverySource};
 use crate::members::{Members, new_life};
+use crate::peer_rows::{PeerRows, learn};
+use crate::pool::ConnectionPool;
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
 use crate::watch::{SpaceUpdate, Watch, WatchSettings};
@@ -46,6 +48,8 @@
     pub watched: Arc<dyn WatchedTable>,
     /// The replicas' protocol.
     pub replicas: Arc<dyn ReplicaClient>,
+    /// Connections to peers.
+    pub pool: ConnectionPool,
     /// Decision log.
     pub log: DecisionLog,
 }
@@ -87,6 +91,7 @@
             objects,
             watched,
             replicas: client,
+            pool,
             log,
         } = parts;
         let life = new_life(&settings.member);
@@ -129,6 +134,7 @@
         });
         start_watches(&discovery, source.as_ref(), &watched, &jobs, &log);
         tokio::spawn(jobs.clone().run());
+        tokio::spawn(learn(discovery.clone(), members.clone(), pool));
         let service = Arc::new(EdgeService {
             forwarder,
             jobs,
@@ -161,8 +167,13 @@
         tokio::spawn(self.members.clone().run(Arc::new(socket)));
         let control = self.service.control.clone();
         tokio::spawn(serve(caller_listener, control, callers));
-        let ready_control = Arc::new(ServerControl::default());
-        tokio::spawn(serve(ready_listener, ready_control, readiness));
+        let inner_control = Arc::new(ServerControl::default());
+        tokio::spawn(serve(ready_listener, inner_control.clone(), readiness));
+        if !self.settings.control_address.is_empty() {
+            let listener = TcpListener::bind(&self.settings.control_address).await?;
+            let peer_rows = PeerRows::new(self.service.discovery.clone());
+            tokio::spawn(serve(listener, inner_control, Arc::new(peer_rows)));
+        }
         Ok(())
     }
 
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -42,6 +42,8 @@
     configuration: Option<Row>,
     replicas: HashMap<String, (Row, ReplicaRecord)>,
     replicas_read: bool,
+    /// The replicas are a peer's word; the store's first word replaces them all.
+    replicas_of_peer: bool,
 }
 
 impl Discovery {
@@ -113,6 +115,9 @@
     pub fn take_replicas(&self, update: &SpaceUpdate) {
         let mut rows = self.rows();
         rows.replicas_read = true;
+        if std::mem::take(&mut rows.replicas_of_peer) {
+            rows.replicas.clear();
+        }
         for key in &update.removed {
             if let Some((row, record)) = rows.replicas.remove(key) {
                 self.log_replica(&record, "gone", row.revision);
@@ -134,6 +139,7 @@
             self.note_replica(&mut rows, row);
         }
         rows.replicas_read = true;
+        rows.replicas_of_peer = true;
         self.publish(&rows);
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 mod daemon;
 mod discovery;
 mod members;
+mod peer_rows;
 mod pool;
 mod server;
 mod settings;
--- /dev/null
+++ b/crates/edge/src/peer_rows.rs
@@ -0,0 +1,112 @@
+//! A daemon that starts while the store cannot be read learns configuration and replicas from its peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::StreamExt;
+use harrierward_external::Row;
+use harrierward_wire::{KnownRow, KnownRows, decode, encode};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::{sleep, timeout};
+
+use crate::discovery::Discovery;
+use crate::members::Members;
+use crate::pool::ConnectionPool;
+use crate::server::{HttpService, ResponseBody};
+use crate::watch::SpaceUpdate;
+
+/// Path of the question.
+const PATH: &str = "/internal/known-rows";
+
+/// Time for the store to answer before peers are asked.
+const STORE_FIRST: Duration = Duration::from_millis(600);
+
+/// Pause between rounds of questions.
+const ROUND_PAUSE: Duration = Duration::from_millis(300);
+
+/// Longest wait for one peer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Answers peers.
+pub struct PeerRows {
+    discovery: Arc<Discovery>,
+}
+
+impl PeerRows {
+    /// Tells what this daemon knows.
+    pub fn new(discovery: Arc<Discovery>) -> Self {
+        Self { discovery }
+    }
+}
+
+fn to_message(row: &Row) -> KnownRow {
+    KnownRow {
+        key: row.key.clone(),
+        value: row.value.to_vec(),
+        revision: row.revision,
+    }
+}
+
+fn to_row(row: KnownRow) -> Row {
+    Row {
+        key: row.key,
+        value: Bytes::from(row.value),
+        revision: row.revision,
+    }
+}
+
+#[async_trait]
+impl HttpService for PeerRows {
+    async fn call(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
+        let (configuration, replicas) = self.discovery.known_rows();
+        let rows = KnownRows {
+            configuration: configuration.as_ref().map(to_message),
+            replicas: replicas.iter().map(to_message).collect(),
+        };
+        let body = Full::new(Bytes::from(encode(&rows)));
+        Response::new(body.map_err(|never| match never {}).boxed_unsync())
+    }
+}
+
+async fn ask(pool: &ConnectionPool, address: &str) -> Option<KnownRows> {
+    let request = Request::builder()
+        .uri(PATH)
+        .header("host", address)
+        .body(Bytes::new())
+        .ok()?;
+    let mut response = pool.send(address, request, true).await.ok()?;
+    let mut bytes = Vec::new();
+    while let Some(part) = response.body.next().await {
+        bytes.extend_from_slice(&part.ok()?);
+    }
+    decode(&bytes)
+}
+
+/// Asks peers until this daemon can serve.
+pub async fn learn(discovery: Arc<Discovery>, members: Arc<Members>, pool: ConnectionPool) {
+    sleep(STORE_FIRST).await;
+    while !discovery.is_complete() {
+        for address in members.control_addresses() {
+            let answer = timeout(PEER_TIMEOUT, ask(&pool, &address)).await;
+            let Ok(Some(rows)) = answer else {
+                continue;
+            };
+            let Some(configuration) = rows.configuration else {
+                continue;
+            };
+            let update = SpaceUpdate {
+                written: vec![to_row(configuration)],
+                ..SpaceUpdate::default()
+            };
+            discovery.take_configuration(&update, "peer");
+            let replicas: Vec<Row> = rows.replicas.into_iter().map(to_row).collect();
+            discovery.take_replicas_of_peer(&replicas);
+            return;
+        }
+        sleep(ROUND_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/edge/tests/discovery.rs
@@ -0,0 +1,173 @@
+//! What a daemon believes only moves forward, whoever tells it.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use harrierward_decisions::{DecisionLog, LogBounds};
+use harrierward_edge::{Discovery, DiscoverySource, ServerControl, SpaceCopy, SpaceUpdate};
+use harrierward_external::{ChangePage, Row, RowChange, SpaceSnapshot};
+use harrierward_serving::{ReplicaRecord, ReplicaSet, ServingConfiguration, SharedRoutes};
+
+/// Rows whose content is a number: the version, or the address of the replica named by the key.
+struct PlainSource;
+
+impl DiscoverySource for PlainSource {
+    fn configuration_space(&self) -> &'static str {
+        "configuration"
+    }
+
+    fn replica_space(&self) -> &'static str {
+        "replicas"
+    }
+
+    fn configuration_of(&self, row: &Row) -> Option<ServingConfiguration> {
+        let version = std::str::from_utf8(&row.value).ok()?.parse().ok()?;
+        Some(ServingConfiguration {
+            version,
+            ..ServingConfiguration::default()
+        })
+    }
+
+    fn replica_of(&self, row: &Row) -> Option<ReplicaRecord> {
+        Some(ReplicaRecord {
+            id: row.key.clone(),
+            service: "service".to_owned(),
+            address: String::from_utf8(row.value.to_vec()).ok()?,
+            zone: "zone".to_owned(),
+            slots: 4,
+            draining: false,
+        })
+    }
+}
+
+fn row(key: &str, value: &str, revision: u64) -> Row {
+    Row {
+        key: key.to_owned(),
+        value: Bytes::copy_from_slice(value.as_bytes()),
+        revision,
+    }
+}
+
+fn written(rows: Vec<Row>) -> SpaceUpdate {
+    SpaceUpdate {
+        written: rows,
+        ..SpaceUpdate::default()
+    }
+}
+
+struct Fixture {
+    discovery: Discovery,
+    routes: SharedRoutes,
+    replicas: Arc<ReplicaSet>,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let routes: SharedRoutes = Arc::new(ArcSwapOption::empty());
+        let replicas = Arc::new(ReplicaSet::default());
+        let discovery = Discovery::new(
+            Arc::new(PlainSource),
+            routes.clone(),
+            replicas.clone(),
+            Arc::new(ServerControl::default()),
+            DecisionLog::new(LogBounds::default()),
+        );
+        Self {
+            discovery,
+            routes,
+            replicas,
+        }
+    }
+
+    fn version(&self) -> Option<u64> {
+        let table = self.routes.load_full()?;
+        Some(table.configuration.version)
+    }
+
+    fn replica_ids(&self) -> Vec<String> {
+        let view = self.replicas.view();
+        let mut ids: Vec<String> = view.all().map(|one| one.record.id.clone()).collect();
+        ids.sort();
+        ids
+    }
+}
+
+#[tokio::test]
+async fn a_configuration_never_goes_back() {
+    let fixture = Fixture::new();
+    let take = |version: &str, revision| {
+        let update = written(vec![row("op", version, revision)]);
+        fixture.discovery.take_configuration(&update, "test");
+    };
+    take("7", 10);
+    // A late read of an older row, under whatever revision.
+    take("5", 11);
+    assert_eq!(fixture.version(), Some(7));
+    take("9", 12);
+    assert_eq!(fixture.version(), Some(9));
+}
+
+#[tokio::test]
+async fn the_stores_first_word_replaces_a_peers_replicas() {
+    let fixture = Fixture::new();
+    let configuration = written(vec![row("op", "1", 1)]);
+    fixture.discovery.take_configuration(&configuration, "peer");
+    let of_peer = [row("gone", "1:1", 3), row("stays", "1:2", 4)];
+    fixture.discovery.take_replicas_of_peer(&of_peer);
+    assert!(fixture.discovery.is_complete());
+    assert_eq!(fixture.replica_ids(), ["gone", "stays"]);
+
+    let of_store = written(vec![row("stays", "1:2", 4), row("new", "1:3", 9)]);
+    fixture.discovery.take_replicas(&of_store);
+    assert_eq!(fixture.replica_ids(), ["new", "stays"]);
+
+    // A peer's word that comes later changes nothing.
+    fixture.discovery.take_replicas_of_peer(&of_peer);
+    assert_eq!(fixture.replica_ids(), ["new", "stays"]);
+}
+
+fn snapshot(revision: u64, rows: Vec<Row>) -> SpaceSnapshot {
+    SpaceSnapshot {
+        rows,
+        revision,
+        store_time_ms: 1,
+    }
+}
+
+#[test]
+fn a_stale_whole_read_takes_nothing_back() {
+    let mut copy = SpaceCopy::default();
+    let first = snapshot(10, vec![row("a", "1", 8), row("b", "1", 9)]);
+    assert!(copy.take_snapshot(first).is_some());
+    let changes = ChangePage {
+        changes: vec![RowChange {
+            key: "a".to_owned(),
+            revision: 12,
+            value: None,
+        }],
+        revision: 12,
+        store_time_ms: 2,
+    };
+    assert_eq!(copy.take_changes(changes).removed, ["a"]);
+    let stale = snapshot(11, vec![row("a", "1", 8), row("b", "1", 9)]);
+    assert!(copy.take_snapshot(stale).is_none());
+    assert_eq!(copy.revision(), 12);
+}
+
+#[test]
+fn a_whole_read_brings_what_the_changes_left_out() {
+    let mut copy = SpaceCopy::default();
+    copy.take_snapshot(snapshot(10, vec![row("a", "1", 8), row("b", "1", 9)]));
+    // The store told nothing of revision 11 and went on.
+    copy.take_changes(ChangePage {
+        changes: Vec::new(),
+        revision: 14,
+        store_time_ms: 2,
+    });
+    let whole = snapshot(15, vec![row("a", "1", 8), row("c", "1", 11)]);
+    let update = copy.take_snapshot(whole).expect("the read is newer");
+    assert_eq!(update.removed, ["b"]);
+    let keys: Vec<&str> = update.written.iter().map(|row| row.key.as_str()).collect();
+    assert_eq!(keys, ["c"]);
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod claim;
 mod configuration;
 mod inline_job;
+mod known_rows;
 mod membership;
 mod peer;
 
@@ -19,6 +20,7 @@
     HeaderRow, ItemBodyRow, ItemHeadRow, ItemProgressRow, JobHeadRow, JobItemsRow, PromptPartRow,
     ResultPieceRow,
 };
+pub use known_rows::{KnownRow, KnownRows};
 pub use membership::{
     Datagram, DatagramKind, LoadNotice, MemberRecord, MemberState, NodeDatagram, OnlineCount,
     OnlineNotice, ReplicaCount, ReplicaReport, ReplicaReports, ServiceBacklog, node_datagram,
