--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,8 +4,10 @@
 //! Why its own crate: on-call engineers have only logs and metrics, so the records are typed, stand in one place,
 //! and are written off the request path through a bounded queue that drops (and counts) rather than waits.
 
+mod metrics;
 mod queue;
 mod record;
 
+pub use metrics::DecisionMetrics;
 pub use queue::{DECISION_TARGET, DecisionLog, LogBounds};
 pub use record::{Importance, Record};
--- /dev/null
+++ b/crates/decisions/src/metrics.rs
@@ -0,0 +1,162 @@
+//! Figures of the decisions: counted all, also where their lines are sampled or dropped.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+use crate::record::Record;
+
+/// Bounds of the latency buckets, seconds.
+const SECONDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
+/// Counters and histograms of one process.
+#[derive(Debug, Clone)]
+pub struct DecisionMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    request_seconds: Histogram,
+    attempts_failed: IntCounterVec,
+    jobs_submitted: IntCounterVec,
+    results_listed: IntCounterVec,
+    item_runs: IntCounterVec,
+    ownerships: IntCounterVec,
+    dependencies_lost: IntCounterVec,
+    configuration_version: IntGauge,
+    members_alive: IntGauge,
+    lines_dropped: IntGauge,
+}
+
+/// Outcomes of runs that are counted by name; all others are causes in words.
+const RUN_OUTCOMES: [&str; 4] = ["finished", "failed", "impossible", "yielded to online"];
+
+impl DecisionMetrics {
+    /// Registers the metrics in a registry of their own.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, label: &str| {
+            let vector = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(vector.clone()))?;
+            Ok::<_, prometheus::Error>(vector)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let seconds = HistogramOpts::new(
+            "harrierward_request_seconds",
+            "Time from a request's arrival to the end of its answer",
+        );
+        let request_seconds = Histogram::with_opts(seconds.buckets(SECONDS.to_vec()))?;
+        registry.register(Box::new(request_seconds.clone()))?;
+        Ok(Self {
+            requests: counter(
+                "harrierward_requests_total",
+                "Requests by outcome: whole, cut, or the cause of a refusal",
+                "outcome",
+            )?,
+            request_seconds,
+            attempts_failed: counter(
+                "harrierward_attempts_failed_total",
+                "Attempts at replicas that failed, by whether they may have run",
+                "not_run",
+            )?,
+            jobs_submitted: counter(
+                "harrierward_jobs_submitted_total",
+                "Batch jobs submitted, by outcome",
+                "outcome",
+            )?,
+            results_listed: counter(
+                "harrierward_results_listed_total",
+                "Writes that list results, by outcome",
+                "outcome",
+            )?,
+            item_runs: counter(
+                "harrierward_item_runs_total",
+                "Runs of items of batch jobs, by outcome",
+                "outcome",
+            )?,
+            ownerships: counter(
+                "harrierward_job_ownership_changes_total",
+                "Changes of the owner of a job at this daemon, by kind",
+                "outcome",
+            )?,
+            dependencies_lost: counter(
+                "harrierward_dependencies_lost_total",
+                "Times that contact to a dependency was lost",
+                "dependency",
+            )?,
+            configuration_version: gauge(
+                "harrierward_configuration_version",
+                "Version of the configuration in force",
+            )?,
+            members_alive: gauge(
+                "harrierward_members_alive",
+                "Daemons that this one holds alive, itself included",
+            )?,
+            lines_dropped: gauge(
+                "harrierward_log_lines_dropped",
+                "Log lines dropped since the start",
+            )?,
+            registry,
+        })
+    }
+
+    /// Counts a decision.
+    pub fn observe(&self, record: &Record<'_>) {
+        match record {
+            Record::Ended {
+                outcome, after_ms, ..
+            } => {
+                self.requests.with_label_values(&[*outcome]).inc();
+                let seconds = std::time::Duration::from_millis(*after_ms).as_secs_f64();
+                self.request_seconds.observe(seconds);
+            }
+            Record::Refused { cause, .. } => self.requests.with_label_values(&[*cause]).inc(),
+            Record::AttemptFailed { not_run, .. } => {
+                let label = if *not_run { "true" } else { "false" };
+                self.attempts_failed.with_label_values(&[label]).inc();
+            }
+            Record::JobSubmitted { outcome, .. } => {
+                self.jobs_submitted.with_label_values(&[*outcome]).inc();
+            }
+            Record::ResultsListed { outcome, .. } => {
+                self.results_listed.with_label_values(&[*outcome]).inc();
+            }
+            Record::ItemRun { outcome, .. } => {
+                let known = RUN_OUTCOMES.iter().find(|known| *known == outcome);
+                let label = known.copied().unwrap_or("broken");
+                self.item_runs.with_label_values(&[label]).inc();
+            }
+            Record::JobOwnership { outcome, .. } => {
+                self.ownerships.with_label_values(&[*outcome]).inc();
+            }
+            Record::DependencyLost { dependency, .. } => {
+                self.dependencies_lost
+                    .with_label_values(&[*dependency])
+                    .inc();
+            }
+            Record::ConfigurationInForce { version, .. } => {
+                let version = i64::try_from(*version).unwrap_or(i64::MAX);
+                self.configuration_version.set(version);
+            }
+            Record::MembersChanged { alive } => {
+                let alive = i64::try_from(*alive).unwrap_or(i64::MAX);
+                self.members_alive.set(alive);
+            }
+            Record::LinesDropped { lines } => {
+                let lines = i64::try_from(*lines).unwrap_or(i64::MAX);
+                self.lines_dropped.add(lines);
+            }
+            _ => {}
+        }
+    }
+
+    /// All figures in Prometheus' text form.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // A figure that cannot be encoded must not hide the others.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
+use crate::metrics::DecisionMetrics;
 use crate::record::{Importance, Record};
 
 /// Bounds of the log.
@@ -55,6 +56,7 @@
 #[derive(Debug)]
 struct Inner {
     bounds: LogBounds,
+    metrics: Option<DecisionMetrics>,
     queue: Mutex<Queue>,
     dropped: AtomicU64,
     filled: Notify,
@@ -76,6 +78,8 @@
         };
         let inner = Inner {
             bounds,
+            // Registration fails only if two figures have one name, which a test rules out.
+            metrics: DecisionMetrics::new().ok(),
             queue: Mutex::new(queue),
             dropped: AtomicU64::new(0),
             filled: Notify::new(),
@@ -87,6 +91,9 @@
 
     /// Records a decision, or drops it and counts that.
     pub fn record(&self, record: &Record<'_>) {
+        if let Some(metrics) = &self.inner.metrics {
+            metrics.observe(record);
+        }
         let mut queue = self
             .inner
             .queue
@@ -104,6 +111,29 @@
         }
     }
 
+    /// Lines that wait to be written.
+    pub fn held_lines(&self) -> usize {
+        let queue = self
+            .inner
+            .queue
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        queue.bytes.iter().filter(|byte| **byte == b'\n').count()
+    }
+
+    /// Lines dropped since the last write.
+    pub fn dropped_lines(&self) -> u64 {
+        self.inner.dropped.load(Ordering::Relaxed)
+    }
+
+    /// The figures of all decisions so far, in Prometheus' text form.
+    pub fn metrics_text(&self) -> Vec<u8> {
+        self.inner
+            .metrics
+            .as_ref()
+            .map_or_else(Vec::new, DecisionMetrics::text)
+    }
+
     fn admits(&self, queue: &mut Queue, importance: Importance) -> bool {
         let bounds = &self.inner.bounds;
         let limit = match importance {
@@ -143,7 +173,11 @@
                 .lock()
                 .unwrap_or_else(|poisoned| poisoned.into_inner());
             if dropped > 0 {
-                append(&mut queue.bytes, &Record::LinesDropped { lines: dropped });
+                let record = Record::LinesDropped { lines: dropped };
+                if let Some(metrics) = &self.inner.metrics {
+                    metrics.observe(&record);
+                }
+                append(&mut queue.bytes, &record);
             }
             std::mem::take(&mut queue.bytes)
         };
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::discovery::{Discovery, DiscoverySource};
+use crate::figures::Figures;
 use crate::members::{Members, new_life};
 use crate::peer_rows::{PeerRows, learn};
 use crate::pool::ConnectionPool;
@@ -169,6 +170,11 @@
         tokio::spawn(serve(caller_listener, control, callers));
         let inner_control = Arc::new(ServerControl::default());
         tokio::spawn(serve(ready_listener, inner_control.clone(), readiness));
+        if !self.settings.metrics_address.is_empty() {
+            let listener = TcpListener::bind(&self.settings.metrics_address).await?;
+            let figures = Arc::new(Figures::new(self.log.clone()));
+            tokio::spawn(serve(listener, inner_control.clone(), figures));
+        }
         if !self.settings.control_address.is_empty() {
             let listener = TcpListener::bind(&self.settings.control_address).await?;
             let peer_rows = PeerRows::new(self.service.discovery.clone());
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod daemon;
 mod discovery;
+mod figures;
 mod members;
 mod peer_rows;
 mod pool;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -37,6 +37,6 @@
     pub cancel_within: Duration,
     /// Share by which the waiting tokens may exceed their limit.
     pub quota_excess: f64,
-    /// `PORT/PATH` of the metrics; may be empty.
-    pub metrics: String,
+    /// Address of the metrics; may be empty.
+    pub metrics_address: String,
 }
--- a/crates/harrierward/src/command_line.rs
+++ b/crates/harrierward/src/command_line.rs
@@ -4,7 +4,7 @@
 
 use getopts::{Matches, Options};
 
-use crate::{commands, serve, standalone};
+use crate::{commands, explain, serve, standalone};
 
 /// Done.
 const EXIT_DONE: u8 = 0;
@@ -45,7 +45,7 @@
     run: fn(&Matches) -> Outcome,
 }
 
-const COMMANDS: [Command; 14] = [
+const COMMANDS: [Command; 15] = [
     Command {
         words: &["serve"],
         arguments: "",
@@ -63,10 +63,17 @@
     Command {
         words: &["settings", "check"],
         arguments: "FILE",
-        about: "Checks a settings file and lists everything that is wrong with it.",
-        options: commands::no_options,
+        about: "Checks a settings file, of the daemon or of the users' platform (--platform).",
+        options: commands::check_options,
         run: commands::settings_check,
     },
+    Command {
+        words: &["explain"],
+        arguments: "ID [FILE...]",
+        about: "Tells the story of a request, job, item or replica from decision logs (or standard input).",
+        options: commands::no_options,
+        run: explain::run,
+    },
     Command {
         words: &["config", "get"],
         arguments: "",
@@ -234,7 +241,9 @@
         return ExitCode::from(EXIT_DONE);
     }
     let wanted = usize::from(!command.arguments.is_empty());
-    if matches.free.len() != wanted {
+    let open_ended = command.arguments.ends_with("...]");
+    let too_few = matches.free.len() < wanted;
+    if too_few || (matches.free.len() > wanted && !open_ended) {
         let given = matches.free.len();
         eprintln!(
             "harrierward {name}: takes {wanted} argument(s), {given} given\n{}",
--- a/crates/harrierward/src/commands.rs
+++ b/crates/harrierward/src/commands.rs
@@ -105,9 +105,18 @@
     }
 }
 
+pub fn check_options(options: &mut Options) {
+    options.optflag("", "platform", "the file is one of the users' platform");
+}
+
 pub fn settings_check(matches: &Matches) -> Outcome {
     let path = &matches.free[0];
     let content = std::fs::read_to_string(path).wrap_err_with(|| format!("cannot read {path}"))?;
+    if matches.opt_present("platform") {
+        harrierward_platform::settings::parse(&content).wrap_err_with(|| path.clone())?;
+        println!("{path}: good");
+        return Ok(());
+    }
     match settings::read(&content, &[]) {
         Ok(_) => {
             println!("{path}: good");
--- a/crates/harrierward/src/main.rs
+++ b/crates/harrierward/src/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod command_line;
 mod commands;
+mod explain;
 mod logging;
 mod serve;
 mod settings;
