A daemon cut off from the store gives its jobs and new work to others

Change: the age of the proof of the jobs' heads goes with the load notices; an owner whose proof is older than 3.2 s is replaced; a daemon that alone is cut off is not ready; a job is refused at once, as not kept, while the store is out of reach.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -65,12 +65,14 @@
     pub control: Arc<ServerControl>,
     stopping: AtomicBool,
     discovery: Arc<Discovery>,
+    members: Arc<Members>,
 }
 
 impl EdgeService {
     /// True if the daemon wants new connections.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.load(Ordering::Relaxed) && self.discovery.is_complete()
+        let stopping = self.stopping.load(Ordering::Relaxed);
+        !stopping && self.discovery.is_complete() && !self.members.is_cut_off_alone()
     }
 }
 
@@ -133,6 +135,8 @@
                 cancel_within: settings.cancel_within,
             },
         });
+        let proof = jobs.clone();
+        members.set_proof_age(Box::new(move || proof.view().proof_age()));
         start_watches(&discovery, source.as_ref(), &watched, &jobs, &log);
         tokio::spawn(jobs.clone().run());
         tokio::spawn(learn(discovery.clone(), members.clone(), pool));
@@ -142,6 +146,7 @@
             control,
             stopping: AtomicBool::new(false),
             discovery,
+            members: members.clone(),
         });
         Self {
             settings,
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -39,6 +39,12 @@
 /// Time after the first sight of others in which the rest become known.
 const SETTLE: Duration = Duration::from_millis(1_200);
 
+/// Age of a peer's proof from which on it counts as cut off from the store.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(3_200);
+
+/// Age of the own proof from which on this daemon asks whether it alone is cut off.
+const ALONE_CUT_OFF_AFTER: Duration = Duration::from_millis(2_200);
+
 /// Largest datagram received, bytes.
 const DATAGRAM_LIMIT: usize = 65_536;
 
@@ -73,9 +79,13 @@
     started: Instant,
     replicas: Arc<ReplicaSet>,
     log: DecisionLog,
+    proof_age: Mutex<Option<ProofAge>>,
     state: Mutex<State>,
 }
 
+/// Tells the age of the proof that this daemon's copy of the jobs' heads is true.
+pub type ProofAge = Box<dyn Fn() -> Option<Duration> + Send + Sync>;
+
 /// A name for this life of the daemon.
 pub fn new_life(member: &str) -> String {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -118,6 +128,7 @@
             started: Instant::now(),
             replicas,
             log,
+            proof_age: Mutex::new(None),
             state: Mutex::new(state),
         }
     }
@@ -133,6 +144,23 @@
         others.map(|one| one.peer_address).collect()
     }
 
+    /// True if this daemon cannot reach the store, but most others can: it is better if new work goes to them.
+    pub fn is_cut_off_alone(&self) -> bool {
+        let own = Duration::from_millis(u64::from(self.own_proof_age_ms()));
+        if own < ALONE_CUT_OFF_AFTER {
+            return false;
+        }
+        let state = self.lock();
+        let ages = state.loads.values().map(|load| load.notice.proof_age_ms);
+        let (mut reaching, mut all) = (0, 0);
+        for age_ms in ages {
+            all += 1;
+            let age = Duration::from_millis(u64::from(age_ms));
+            reaching += usize::from(age_ms > 0 && age < ALONE_CUT_OFF_AFTER);
+        }
+        reaching * 2 > all
+    }
+
     /// Says that this daemon leaves.
     pub fn leave(&self) {
         self.lock().core.leave();
@@ -229,6 +257,7 @@
             from: self.life.clone(),
             number: state.notices,
             counts: counts.collect(),
+            proof_age_ms: self.own_proof_age_ms(),
         };
         let datagram = NodeDatagram {
             kind: Some(node_datagram::Kind::LoadNotice(notice)),
@@ -242,6 +271,25 @@
             .collect()
     }
 
+    fn own_proof_age_ms(&self) -> u32 {
+        let age = self
+            .proof_age
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let age = age.as_ref().and_then(|age| age());
+        age.map_or(0, |age| {
+            u32::try_from(age.as_millis()).map_or(u32::MAX, |millis| millis.saturating_add(1))
+        })
+    }
+
+    /// Where this daemon learns how old its proof of the jobs' heads is.
+    pub fn set_proof_age(&self, age: ProofAge) {
+        *self
+            .proof_age
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Some(age);
+    }
+
     fn take_notice(&self, state: &mut State, notice: LoadNotice) {
         let known = state.loads.get(&notice.from);
         if known.is_some_and(|known| known.notice.number >= notice.number) {
@@ -291,10 +339,19 @@
             return None;
         }
         let view = state.core.view();
-        Some(view.staying().map(|member| member.id.clone()).collect())
+        let staying = view.staying().map(|member| member.id.clone());
+        Some(staying.filter(|id| !is_cut_off(&state, id)).collect())
     }
 }
 
+/// True if a peer says that it has not reached the store for long; its jobs go on elsewhere. A peer that has not
+/// said anything yet, or has just started, is not cut off.
+fn is_cut_off(state: &State, id: &str) -> bool {
+    let load = state.loads.get(id);
+    let age_ms = load.map_or(0, |load| load.notice.proof_age_ms);
+    Duration::from_millis(u64::from(age_ms)) > CUT_OFF_AFTER
+}
+
 fn wrap(actions: Vec<Action>) -> Vec<(String, Vec<u8>)> {
     let encoded = actions.into_iter().map(|action| {
         let datagram = NodeDatagram {
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -23,6 +23,9 @@
 /// Part of the caller's patience for which a submission may be held, in percent.
 const PATIENCE_PERCENT: u32 = 70;
 
+/// Age of the last proof of contact from which on the store counts as out of reach.
+const STORE_AWAY_AFTER: Duration = Duration::from_millis(2_800);
+
 /// When a job that does not fit may come back.
 const FULL_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -53,6 +56,12 @@
         if view.get(&job.id).is_some() {
             return SubmitOutcome::Accepted;
         }
+        if view.proof_age().is_none_or(|age| age > STORE_AWAY_AFTER) {
+            // Nothing was sent: another daemon may still reach the store.
+            return SubmitOutcome::NotKept {
+                retry_after: STORE_RETRY,
+            };
+        }
         if !self.fits(job, route) {
             return self.refuse_unless_kept(&job.id).await;
         }
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -191,6 +191,9 @@
     /// Counts by replica.
     #[prost(message, repeated, tag = "3")]
     pub counts: Vec<ReplicaCount>,
+    /// Age of the sender's proof that its copy of the jobs' heads is true, milliseconds plus one; 0 if it has none.
+    #[prost(uint32, tag = "4")]
+    pub proof_age_ms: u32,
 }
 
 /// Any datagram between daemons.
