--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -56,7 +56,7 @@
         if view.get(&job.id).is_some() {
             return SubmitOutcome::Accepted;
         }
-        if view.proof_age().is_none_or(|age| age > STORE_AWAY_AFTER) {
+        if view.proof_age().is_some_and(|age| age > STORE_AWAY_AFTER) {
             // Nothing was sent: another daemon may still reach the store.
             return SubmitOutcome::NotKept {
                 retry_after: STORE_RETRY,
