--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -16,7 +16,7 @@
 
 use crate::discovery::{Discovery, DiscoverySource};
 use crate::figures::Figures;
-use crate::members::{Members, new_life};
+use crate::members::{JobWord, Members, new_life};
 use crate::peer_rows::{PeerRows, learn};
 use crate::pool::ConnectionPool;
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
@@ -135,8 +135,11 @@
                 cancel_within: settings.cancel_within,
             },
         });
-        let proof = jobs.clone();
-        members.set_proof_age(Box::new(move || proof.view().proof_age()));
+        let told = jobs.clone();
+        members.set_job_word(Box::new(move || JobWord {
+            proof_age: told.view().proof_age(),
+            pending_tokens: told.pending_tokens(),
+        }));
         start_watches(&discovery, source.as_ref(), &watched, &jobs, &log);
         tokio::spawn(jobs.clone().run());
         tokio::spawn(learn(discovery.clone(), members.clone(), pool));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use daemon::{Daemon, DaemonParts, EdgeService};
 pub use discovery::{Discovery, DiscoverySource};
-pub use members::Members;
+pub use members::{JobWord, JobWordSource, Members};
 pub use pool::{
     ConnectionPool, PoolError, PoolSettings, PooledBody, PooledResponse, RequestBody, has_token,
 };
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -79,12 +79,21 @@
     started: Instant,
     replicas: Arc<ReplicaSet>,
     log: DecisionLog,
-    proof_age: Mutex<Option<ProofAge>>,
+    job_word: Mutex<Option<JobWordSource>>,
     state: Mutex<State>,
 }
 
-/// Tells the age of the proof that this daemon's copy of the jobs' heads is true.
-pub type ProofAge = Box<dyn Fn() -> Option<Duration> + Send + Sync>;
+/// What a daemon tells its peers of its jobs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct JobWord {
+    /// Age of the proof that its copy of the jobs' heads is true.
+    pub proof_age: Option<Duration>,
+    /// Tokens of jobs that it is just trying to keep.
+    pub pending_tokens: u64,
+}
+
+/// Gives a daemon's own word.
+pub type JobWordSource = Box<dyn Fn() -> JobWord + Send + Sync>;
 
 /// A name for this life of the daemon.
 pub fn new_life(member: &str) -> String {
@@ -128,7 +137,7 @@
             started: Instant::now(),
             replicas,
             log,
-            proof_age: Mutex::new(None),
+            job_word: Mutex::new(None),
             state: Mutex::new(state),
         }
     }
@@ -258,6 +267,7 @@
             number: state.notices,
             counts: counts.collect(),
             proof_age_ms: self.own_proof_age_ms(),
+            pending_tokens: self.own_word().pending_tokens,
         };
         let datagram = NodeDatagram {
             kind: Some(node_datagram::Kind::LoadNotice(notice)),
@@ -271,23 +281,20 @@
             .collect()
     }
 
+    fn own_word(&self) -> JobWord {
+        let source = self.job_word.lock().unwrap_or_else(PoisonError::into_inner);
+        source.as_ref().map_or_else(JobWord::default, |word| word())
+    }
+
     fn own_proof_age_ms(&self) -> u32 {
-        let age = self
-            .proof_age
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let age = age.as_ref().and_then(|age| age());
-        age.map_or(0, |age| {
+        self.own_word().proof_age.map_or(0, |age| {
             u32::try_from(age.as_millis()).map_or(u32::MAX, |millis| millis.saturating_add(1))
         })
     }
 
-    /// Where this daemon learns how old its proof of the jobs' heads is.
-    pub fn set_proof_age(&self, age: ProofAge) {
-        *self
-            .proof_age
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = Some(age);
+    /// Where this daemon learns what to tell its peers of its jobs.
+    pub fn set_job_word(&self, word: JobWordSource) {
+        *self.job_word.lock().unwrap_or_else(PoisonError::into_inner) = Some(word);
     }
 
     fn take_notice(&self, state: &mut State, notice: LoadNotice) {
@@ -342,6 +349,12 @@
         let staying = view.staying().map(|member| member.id.clone());
         Some(staying.filter(|id| !is_cut_off(&state, id)).collect())
     }
+
+    fn pending_tokens(&self) -> u64 {
+        let state = self.lock();
+        let loads = state.loads.values();
+        loads.map(|load| load.notice.pending_tokens).sum()
+    }
 }
 
 /// True if a peer says that it has not reached the store for long; its jobs go on elsewhere. A peer that has not
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -1,6 +1,6 @@
 //! The jobs of one daemon: shared state, and what happens when a head changes.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -20,6 +20,9 @@
     /// Lives of the daemons that may own jobs, this one among them; `None` while this daemon has not yet heard of
     /// the others.
     fn owners(&self) -> Option<Vec<String>>;
+
+    /// Tokens of jobs that other daemons are just trying to keep.
+    fn pending_tokens(&self) -> u64;
 }
 
 /// Bounds of the jobs.
@@ -60,6 +63,7 @@
     pub settings: JobSettings,
     pub wake: Notify,
     pub stopping: AtomicBool,
+    pub pending_tokens: AtomicU64,
 }
 
 /// The inline jobs of one daemon; cheap to clone.
@@ -85,6 +89,7 @@
             settings: parts.settings,
             wake: Notify::new(),
             stopping: AtomicBool::new(false),
+            pending_tokens: AtomicU64::new(0),
         };
         Self {
             inner: Arc::new(inner),
@@ -96,6 +101,11 @@
         &self.inner.view
     }
 
+    /// Tokens of jobs that this daemon is just trying to keep.
+    pub fn pending_tokens(&self) -> u64 {
+        self.inner.pending_tokens.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn book(&self) -> MutexGuard<'_, JobBook> {
         self.inner
             .book
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -1,5 +1,6 @@
 //! Accepting jobs: one conditional transaction before the answer.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use harrierward_decisions::Record;
@@ -65,6 +66,7 @@
         if !self.fits(job, route) {
             return self.refuse_unless_kept(&job.id).await;
         }
+        let _pending = PendingTokens::hold(self, tokens_of(job));
         let head = self.head_of(job, route);
         let rows = JobItemsRow {
             items: job.items.iter().map(item_row).collect(),
@@ -149,8 +151,10 @@
 
     fn fits(&self, job: &SubmittedJob, route: &Route) -> bool {
         let limit = route.batch().map_or(0, |bounds| bounds.waiting_tokens);
-        let waiting = self.inner.view.waiting_tokens(&route.name);
-        limit == 0 || waiting + tokens_of(job) <= limit
+        let listed = self.inner.view.waiting_tokens(&route.name);
+        // Jobs on their way to the store count too, or daemons that decide at the same time would exceed the limit.
+        let pending = self.pending_tokens() + self.inner.peers.pending_tokens();
+        limit == 0 || listed + pending + tokens_of(job) <= limit
     }
 
     /// A job that does not fit may have been taken already by another daemon.
@@ -192,6 +196,30 @@
     }
 }
 
+/// Counts a job's tokens as pending for as long as it lives.
+struct PendingTokens {
+    jobs: InlineJobs,
+    tokens: u64,
+}
+
+impl PendingTokens {
+    fn hold(jobs: &InlineJobs, tokens: u64) -> Self {
+        let pending = &jobs.inner.pending_tokens;
+        pending.fetch_add(tokens, Ordering::Relaxed);
+        Self {
+            jobs: jobs.clone(),
+            tokens,
+        }
+    }
+}
+
+impl Drop for PendingTokens {
+    fn drop(&mut self) {
+        let pending = &self.jobs.inner.pending_tokens;
+        pending.fetch_sub(self.tokens, Ordering::Relaxed);
+    }
+}
+
 fn tokens_of(job: &SubmittedJob) -> u64 {
     job.items.iter().map(|item| item.tokens).sum()
 }
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -194,6 +194,9 @@
     /// Age of the sender's proof that its copy of the jobs' heads is true, milliseconds plus one; 0 if it has none.
     #[prost(uint32, tag = "4")]
     pub proof_age_ms: u32,
+    /// Tokens of jobs that the sender is just trying to keep: no head tells of them yet.
+    #[prost(uint64, tag = "5")]
+    pub pending_tokens: u64,
 }
 
 /// Any datagram between daemons.
