Silence of a replica is looked at while waiting, and yields name their items

Change: the wait looks three times in the time after which a replica counts as dark; each yielded item has its line.

--- a/crates/inline-jobs/src/book.rs
+++ b/crates/inline-jobs/src/book.rs
@@ -258,32 +258,46 @@
         self.jobs.get_mut(job)?.items.get_mut(number as usize)
     }
 
-    /// Ends the `count` youngest runs at a replica; their items wait for `pause`. Returns how many were ended.
-    pub fn yield_runs(&mut self, replica: &str, count: usize, pause: Duration) -> usize {
-        let mut runs: Vec<(&mut ItemPhase, Instant)> = self
-            .jobs
-            .values_mut()
-            .flat_map(|job| &mut job.items)
-            .filter_map(|item| {
+    /// Ends the `count` youngest runs at a replica; their items wait for `pause`. Returns the items.
+    pub fn yield_runs(&mut self, replica: &str, count: usize, pause: Duration) -> Vec<YieldedItem> {
+        let mut runs: Vec<(YieldedItem, &mut ItemPhase, Instant)> = Vec::new();
+        for job in self.jobs.values_mut() {
+            for item in &mut job.items {
                 let ItemPhase::Running {
                     replica: at, since, ..
                 } = &item.phase
                 else {
-                    return None;
+                    continue;
                 };
-                let since = *since;
-                (at == replica).then_some((&mut item.phase, since))
-            })
-            .collect();
-        runs.sort_by_key(|(_, since)| std::cmp::Reverse(*since));
-        let mut ended = 0;
-        for (phase, _) in runs.into_iter().take(count) {
-            end_run(phase);
-            *phase = ItemPhase::Waiting {
-                not_before: Instant::now() + pause,
-            };
-            ended += 1;
+                if at == replica {
+                    let since = *since;
+                    let yielded = YieldedItem {
+                        job: job.known.head.job_id.clone(),
+                        item: item.request.id.clone(),
+                        events: lock(&item.progress).last_event.unwrap_or_default(),
+                    };
+                    runs.push((yielded, &mut item.phase, since));
+                }
+            }
         }
-        ended
+        runs.sort_by_key(|(_, _, since)| std::cmp::Reverse(*since));
+        let not_before = Instant::now() + pause;
+        let ended = runs.into_iter().take(count).map(|(item, phase, _)| {
+            end_run(phase);
+            *phase = ItemPhase::Waiting { not_before };
+            item
+        });
+        ended.collect()
     }
 }
+
+/// An item whose run was ended for online.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct YieldedItem {
+    /// Job.
+    pub job: String,
+    /// Item id.
+    pub item: String,
+    /// Events received so far.
+    pub events: u64,
+}
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -230,13 +230,13 @@
             let id = &replica.record.id;
             let count = round_by_chance(share);
             let ended = self.book().yield_runs(id, count, YIELD_PAUSE);
-            if ended > 0 {
+            for yielded in ended {
                 self.inner.log.record(&Record::ItemRun {
-                    job: "",
-                    item: "",
+                    job: &yielded.job,
+                    item: &yielded.item,
                     replica: id,
                     outcome: "yielded to online",
-                    events: ended as u64,
+                    events: yielded.events,
                 });
             }
         }
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -76,7 +76,7 @@
     pub in_progress: InProgress,
 }
 
-/// Waits for `future`; gives up after `dark` if the replica is silent to everybody, else after `longest`.
+/// Waits for `future`; gives up once the replica has been silent to everybody for `dark`, and after `longest` anyway.
 pub async fn wait_for_progress<T>(
     future: impl Future<Output = T>,
     replica: &Replica,
@@ -84,16 +84,24 @@
     longest: Duration,
 ) -> Option<T> {
     let mut future = std::pin::pin!(future);
-    let first = dark.min(longest);
-    if let Ok(done) = timeout(first, &mut future).await {
-        return Some(done);
-    }
-    if replica.silent_for() >= first {
-        return None;
+    let began = Instant::now();
+    // The replica may fall silent while this waits, so its silence is looked at more than once.
+    let mut look = dark.min(longest);
+    loop {
+        if let Ok(done) = timeout(look, &mut future).await {
+            return Some(done);
+        }
+        let waited = began.elapsed();
+        if waited >= longest || (waited >= dark && replica.silent_for() >= dark) {
+            return None;
+        }
+        look = (dark / LOOKS_A_SILENCE).min(longest - waited);
     }
-    timeout(longest - first, future).await.ok()
 }
 
+/// Looks at a replica's silence in the time after which it counts as dark.
+const LOOKS_A_SILENCE: u32 = 3;
+
 impl Forwarder {
     /// Chooses a replica for the request.
     pub fn choose_replica(
