Progress of running items is saved; load notices have a bounded fan-out

Change: each owner saves the progress of running items every 1.5 s, under no condition; a notice goes to 24 members at most, and counts are scaled to the fleet.

--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -15,6 +15,7 @@
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64;
@@ -27,6 +28,9 @@
 /// Ticks between two load notices.
 const NOTICE_TICKS: u64 = 2;
 
+/// Members told by one notice; in a larger fleet others are told by the next.
+const NOTICE_FAN_OUT: usize = 24;
+
 /// How long a peer's counts are believed.
 const NOTICE_LIFETIME: Duration = Duration::from_millis(1_500);
 
@@ -275,7 +279,8 @@
         let bytes = encode(&datagram);
         let members = state.core.view().members;
         let others = members.iter().filter(|member| member.id != self.life);
-        others
+        let told = others.choose_multiple(&mut rand::rng(), NOTICE_FAN_OUT);
+        told.into_iter()
             .filter_map(|member| state.core.udp_address(&member.id))
             .map(|address| (address, bytes.clone()))
             .collect()
@@ -320,7 +325,14 @@
         }
     }
 
+    /// Counts of peers that were not heard of lately are taken to be like the others'.
     fn publish_loads(&self, state: &State) {
+        let others = state.core.view().members.len().saturating_sub(1);
+        let heard = state.loads.len().max(1);
+        let scale = |count: u32| {
+            let scaled = u64::from(count) * others.max(heard) as u64 / heard as u64;
+            u32::try_from(scaled).unwrap_or(u32::MAX)
+        };
         let mut sums: HashMap<u32, (u32, u32)> = HashMap::new();
         for count in state.loads.values().flat_map(|load| &load.notice.counts) {
             let sum = sums.entry(count.replica).or_default();
@@ -330,7 +342,7 @@
         for replica in self.replicas.view().all() {
             let hash = replica_hash(&replica.record.id);
             let (online, batch) = sums.get(&hash).copied().unwrap_or_default();
-            replica.set_peers(online, batch);
+            replica.set_peers(scale(online), scale(batch));
         }
     }
 }
--- a/crates/inline-jobs/src/book.rs
+++ b/crates/inline-jobs/src/book.rs
@@ -60,6 +60,8 @@
     pub progress: SharedProgress,
     /// Failed attempts.
     pub failures: u32,
+    /// Events of it that are saved.
+    pub saved_events: usize,
     /// Where it stands.
     pub phase: ItemPhase,
 }
@@ -73,6 +75,8 @@
     pub items: Vec<Item>,
     /// A task lists results of the job.
     pub listing: bool,
+    /// When progress of its items was last saved.
+    pub checkpoint_at: Instant,
 }
 
 impl OwnedJob {
@@ -89,12 +93,14 @@
                 request: Arc::new(request),
                 progress: SharedProgress::default(),
                 failures: 0,
+                saved_events: 0,
                 phase: ItemPhase::Waiting { not_before: now },
             })
             .collect();
         for (number, row) in progress {
             if let Some(item) = items.get_mut(number as usize) {
                 item.failures = row.failures;
+                item.saved_events = row.texts.len();
                 item.progress = Arc::new(Mutex::new(ItemProgress {
                     last_event: Some(row.last_event).filter(|_| !row.texts.is_empty()),
                     texts: row.texts,
@@ -105,6 +111,7 @@
             known,
             items,
             listing: false,
+            checkpoint_at: now,
         };
         job.mark_listed();
         job
--- /dev/null
+++ b/crates/inline-jobs/src/checkpoint.rs
@@ -0,0 +1,72 @@
+//! Progress of running items is saved now and then, so that a job whose owner dies goes on where it was.
+//!
+//! The rows are hints: an older one only means that more is run again. So they are written without condition.
+
+use std::time::Duration;
+
+use harrierward_wire::ItemProgressRow;
+use tokio::time::Instant;
+
+use crate::book::{ItemPhase, OwnedJob, lock};
+use crate::service::InlineJobs;
+
+/// Least time between two checkpoints of a job.
+const CHECKPOINT_EVERY: Duration = Duration::from_millis(1_500);
+
+/// Events that an item must have gained since its last checkpoint.
+const LEAST_EVENTS: usize = 30;
+
+/// Most items in one checkpoint.
+const MOST_ITEMS: usize = 40;
+
+/// Age of the last proof of contact from which on no checkpoints are tried.
+const STORE_AWAY_AFTER: Duration = Duration::from_millis(1_500);
+
+impl InlineJobs {
+    /// Starts a write for each job whose items have gained enough.
+    pub(crate) fn start_checkpoints(&self) {
+        let age = self.inner.view.proof_age();
+        if age.is_none_or(|age| age > STORE_AWAY_AFTER) || self.is_stopping() {
+            return;
+        }
+        let mut book = self.book();
+        for job in book.jobs.values_mut() {
+            if job.checkpoint_at.elapsed() < CHECKPOINT_EVERY {
+                continue;
+            }
+            let rows = rows_to_save(job);
+            if rows.is_empty() {
+                continue;
+            }
+            job.checkpoint_at = Instant::now();
+            let store = self.inner.store.clone();
+            let job_id = job.known.head.job_id.clone();
+            tokio::spawn(async move {
+                // What is not saved now is saved with the next checkpoint.
+                let _ = store.save_progress(&job_id, &rows).await;
+            });
+        }
+    }
+}
+
+fn rows_to_save(job: &mut OwnedJob) -> Vec<(u32, ItemProgressRow)> {
+    let mut rows = Vec::new();
+    for (number, item) in (0..).zip(&mut job.items) {
+        if !matches!(item.phase, ItemPhase::Running { .. }) || rows.len() >= MOST_ITEMS {
+            continue;
+        }
+        let progress = lock(&item.progress);
+        let (events, last) = (progress.texts.len(), progress.last_event);
+        let Some(last_event) = last.filter(|_| events >= item.saved_events + LEAST_EVENTS) else {
+            continue;
+        };
+        item.saved_events = events;
+        let row = ItemProgressRow {
+            last_event,
+            texts: progress.texts.clone(),
+            failures: item.failures,
+        };
+        rows.push((number, row));
+    }
+    rows
+}
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod adoption;
 mod book;
+mod checkpoint;
 mod item_run;
 mod keys;
 mod listing;
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -36,6 +36,7 @@
                 self.start_items();
             }
             self.start_listings();
+            self.start_checkpoints();
             tokio::select! {
                 () = self.inner.wake.notified() => {}
                 () = sleep(TICK) => {}
--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -222,19 +222,24 @@
         progress: &[(u32, ItemProgressRow)],
         until: Instant,
     ) -> WriteOutcome {
-        let mut transaction = head_change(revision, head);
-        let mut bytes = 0;
-        for (item, row) in progress {
-            let content = encode(row);
-            bytes += content.len();
-            if content.len() > ROW_BYTES || bytes > TRANSACTION_BYTES {
-                continue;
-            }
-            transaction = transaction.put(keys::progress(&head.job_id, *item), content);
-        }
+        let transaction = head_change(revision, head);
+        let transaction = add_progress(transaction, &head.job_id, progress);
         self.settle(RequestClass::Urgent, transaction, until).await
     }
 
+    /// Saves the progress of items, once and under no condition.
+    pub async fn save_progress(
+        &self,
+        job_id: &str,
+        progress: &[(u32, ItemProgressRow)],
+    ) -> Result<(), PlatformError> {
+        let transaction = add_progress(Transaction::default(), job_id, progress);
+        self.table
+            .transact(RequestClass::Listing, transaction)
+            .await?;
+        Ok(())
+    }
+
     /// A job's head as the store has it.
     pub async fn read_head(&self, job_id: &str) -> Result<Option<KnownHead>, PlatformError> {
         let keys = [keys::head(job_id)];
@@ -380,6 +385,24 @@
 /// Most rows removed at once.
 const DELETE_ROWS: usize = 80;
 
+/// Adds rows of progress within the bounds of one transaction.
+fn add_progress(
+    mut transaction: Transaction,
+    job_id: &str,
+    progress: &[(u32, ItemProgressRow)],
+) -> Transaction {
+    let mut bytes = 0;
+    for (item, row) in progress {
+        let content = encode(row);
+        bytes += content.len();
+        if content.len() > ROW_BYTES || bytes > TRANSACTION_BYTES {
+            continue;
+        }
+        transaction = transaction.put(keys::progress(job_id, *item), content);
+    }
+    transaction
+}
+
 fn head_change(revision: u64, head: &JobHeadRow) -> Transaction {
     let key = keys::head(&head.job_id);
     Transaction::default()
