Very many replicas: a sample of 48 is weighed, and loads are published once a tick

Change: above 48 replicas a request weighs two places that its prompt part leads to and others at random; above 24 peers sums are made on the tick.

--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -202,6 +202,9 @@
                 let actions = state.core.tick(self.started.elapsed(), &mut random);
                 datagrams.extend(wrap(actions));
                 self.note_changes(&mut state);
+                if state.loads.len() > NOTICE_FAN_OUT {
+                    self.publish_loads(&state);
+                }
                 if tick.is_multiple_of(NOTICE_TICKS) {
                     datagrams.extend(self.notices(&mut state));
                 }
@@ -312,7 +315,10 @@
             notice,
         };
         state.loads.insert(load.notice.from.clone(), load);
-        self.publish_loads(state);
+        // In a large fleet notices come too often for that; the tick publishes them.
+        if state.loads.len() <= NOTICE_FAN_OUT {
+            self.publish_loads(state);
+        }
     }
 
     fn expire_loads(&self, state: &mut State) {
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -6,6 +6,7 @@
 
 use harrierward_decisions::Record;
 use rand::Rng;
+use rand::seq::index;
 use tokio::time::{Instant, timeout};
 
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
@@ -116,6 +117,7 @@
             .filter(|replica| !target.excluded.contains(&replica.record.id))
             .filter(|replica| has_room(replica, target.free_slots))
             .collect();
+        let replicas = narrow(replicas, request);
         let length = self.length_of(request, target);
         let homes: Vec<bool> = replicas
             .iter()
@@ -300,6 +302,36 @@
     }
 }
 
+/// Replicas that are looked at for one request.
+const MOST_CANDIDATES: usize = 48;
+
+/// Places in the list that a prompt's last shared part leads to, so that the part is found again.
+const PLACES_OF_PART: usize = 2;
+
+/// Of very many replicas: those that the prompt's part leads to, and others at random.
+fn narrow(replicas: Vec<Arc<Replica>>, request: &ServingRequest) -> Vec<Arc<Replica>> {
+    if replicas.len() <= MOST_CANDIDATES {
+        return replicas;
+    }
+    let part = request.prompt.shared().last().map(|part| part.id);
+    let count = replicas.len() as u64;
+    let places: Vec<usize> = (0..PLACES_OF_PART as u64)
+        .filter_map(|number| {
+            let weight = preference_weight(part?, &number.to_string());
+            usize::try_from(weight % count).ok()
+        })
+        .collect();
+    let mut random = rand::rng();
+    let sampled = index::sample(&mut random, replicas.len(), MOST_CANDIDATES - places.len());
+    let mut chosen: Vec<usize> = sampled.into_iter().chain(places).collect();
+    chosen.sort_unstable();
+    chosen.dedup();
+    chosen
+        .into_iter()
+        .map(|position| replicas[position].clone())
+        .collect()
+}
+
 fn separation(length: PromptLength, home: bool) -> Separation {
     match (length, home) {
         (PromptLength::Long, false) => Separation::LongAway,
