--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -1,5 +1,12 @@
 //! The request path from call to answer stream.
 
+mod attempt;
+mod dispatch;
+mod prefix_news;
+
+pub(crate) use attempt::Attempt;
+use prefix_news::run_index;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -8,19 +15,14 @@
 use arc_swap::ArcSwap;
 use harrierward_claims::{Claim, Claims, Verdict};
 use harrierward_config::ConfigSnapshot;
-use harrierward_external::{
-    EngineError, EventStream, GenerateRequest, Priority, ReplicaId, prefix_blocks,
-};
-use harrierward_routing::{PrefixIndex, RouteRequest, Strategy};
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
+use harrierward_routing::{PrefixIndex, Strategy};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::Instant;
 
 use crate::admission::{Admission, AdmissionSettings};
 use crate::answer::{AnswerState, AnswerStream, StoredAnswer, run_marked};
 use crate::call::{Call, MarkedCall};
-use crate::directory::{Replica, ReplicaDirectory};
+use crate::directory::ReplicaDirectory;
 use crate::errors::{Execution, GatewayError};
 use crate::limits::{LimitDecision, TenantLimits};
 use crate::metrics::GatewayMetrics;
@@ -108,65 +110,6 @@
     inner: Arc<Inner>,
 }
 
-/// A request at an engine. Dropping it cancels the request there and takes it out of the load estimates.
-pub(crate) struct Attempt {
-    pub request_id: String,
-    pub events: EventStream,
-    replica: Arc<Replica>,
-    uncached_tokens: u32,
-    prefilled: bool,
-    ended: bool,
-}
-
-impl Attempt {
-    fn new(
-        request_id: String,
-        events: EventStream,
-        replica: Arc<Replica>,
-        uncached_tokens: u32,
-    ) -> Self {
-        Self {
-            request_id,
-            events,
-            replica,
-            uncached_tokens,
-            prefilled: false,
-            ended: false,
-        }
-    }
-
-    pub fn replica_id(&self) -> ReplicaId {
-        self.replica.machine.replica.clone()
-    }
-
-    pub fn replica_name(&self) -> String {
-        self.replica.machine.replica.0.clone()
-    }
-
-    pub fn note_prefilled(&mut self) {
-        if !self.prefilled {
-            self.prefilled = true;
-            self.replica.load.prefilled(self.uncached_tokens);
-            self.replica.online.prefilled(self.uncached_tokens);
-        }
-    }
-
-    pub fn note_ended(&mut self) {
-        self.note_prefilled();
-        if !self.ended {
-            self.ended = true;
-            self.replica.load.ended();
-            self.replica.online.ended();
-        }
-    }
-}
-
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        self.note_ended();
-    }
-}
-
 impl Gateway {
     /// Starts a gateway on the current tokio runtime.
     pub fn start(parts: GatewayParts, settings: GatewaySettings) -> Self {
@@ -429,150 +372,6 @@
         let claim = claim.clone();
         tokio::spawn(async move { claims.release(&claim).await });
     }
-
-    /// Sends the request to a replica, or to others after it while it certainly has not run, or may run again.
-    pub(crate) async fn connect(
-        &self,
-        call: &Call,
-        mut excluded: Vec<ReplicaId>,
-        resume_from: u32,
-    ) -> Result<Attempt, GatewayError> {
-        const STEP: &str = "gateway.connect";
-        let (service, model) = self.model_of(call)?;
-        let blocks = Arc::new(prefix_blocks(&model, &call.spec.prompt));
-        let mut may_have_run = false;
-        loop {
-            let Some((replica, uncached)) = self.route(&service, call, &blocks, &excluded) else {
-                let mut error = no_replica();
-                if may_have_run {
-                    error.execution = Execution::Unknown;
-                }
-                return Err(error);
-            };
-            let error = match self
-                .send(call, &model, &replica, uncached, resume_from)
-                .await
-            {
-                Ok(attempt) => {
-                    let news = PrefixNews {
-                        replica: replica.number,
-                        blocks: blocks.clone(),
-                    };
-                    let _ = self.inner.news.send(news);
-                    return Ok(attempt);
-                }
-                Err(error) => error,
-            };
-            let not_run = matches!(
-                error,
-                EngineError::NotRun { .. } | EngineError::Fenced { .. }
-            );
-            may_have_run |= !not_run;
-            self.penalize(&replica);
-            log::debug!("{PREFIX} {error}");
-            let name = replica.machine.replica.0.clone();
-            let execution = if may_have_run {
-                Execution::Unknown
-            } else {
-                Execution::NotRun
-            };
-            let failed = |code: &'static str, message: String| GatewayError {
-                execution,
-                ..GatewayError::not_run(STEP, 503, code, message)
-                    .at(name.clone())
-                    .after(Duration::from_secs(1))
-            };
-            let may_retry = not_run || call.marked.is_none();
-            if !may_retry {
-                return Err(failed("engine_failed", error.to_string()));
-            }
-            if Instant::now() >= call.deadline {
-                return Err(failed("deadline", error.to_string()));
-            }
-            if !self.take_retry() {
-                return Err(failed("retry_budget", error.to_string()));
-            }
-            excluded.push(replica.machine.replica.clone());
-        }
-    }
-
-    fn route(
-        &self,
-        service: &str,
-        call: &Call,
-        blocks: &[u64],
-        excluded: &[ReplicaId],
-    ) -> Option<(Arc<Replica>, u32)> {
-        let directory = self.inner.parts.directory.load();
-        let entry = directory.services.get(service)?;
-        let excluded: Vec<usize> = excluded
-            .iter()
-            .filter_map(|id| {
-                let same = |replica: &Arc<Replica>| replica.machine.replica == *id;
-                entry.replicas.iter().position(same)
-            })
-            .collect();
-        let tokens = call.spec.prompt.len() / CHARACTERS_A_TOKEN + 1;
-        let request = RouteRequest {
-            blocks,
-            prompt_tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
-        };
-        let seed = self.inner.settings.seed ^ self.next_id();
-        let mut random = SmallRng::seed_from_u64(seed);
-        let index = self.inner.index.load();
-        let choice = entry.table.choose(
-            self.inner.settings.strategy,
-            &request,
-            &index,
-            &excluded,
-            self.now_micros(),
-            &mut random,
-        )?;
-        let replica = entry.replicas[choice.position].clone();
-        Some((replica, choice.uncached_tokens))
-    }
-
-    async fn send(
-        &self,
-        call: &Call,
-        model: &str,
-        replica: &Arc<Replica>,
-        uncached: u32,
-        resume_from: u32,
-    ) -> Result<Attempt, EngineError> {
-        let request_id = format!("{}-{:x}", self.inner.parts.member, self.next_id());
-        let request = GenerateRequest {
-            request_id: request_id.clone(),
-            model: model.to_owned(),
-            prompt: call.spec.prompt.clone(),
-            maximum_tokens: call.spec.maximum_tokens,
-            priority: Priority::Online,
-            resume_from,
-            epoch: None,
-        };
-        // Counted before sending, so that others see it, and taken back by the attempt's drop.
-        replica.load.sent(uncached);
-        replica.online.sent(uncached);
-        let pending = futures::stream::pending();
-        let mut attempt = Attempt::new(request_id, Box::pin(pending), replica.clone(), uncached);
-        let limit = self.inner.settings.connect_timeout;
-        let events = timeout(limit, replica.engine.generate(request)).await;
-        attempt.events = events.unwrap_or_else(|_| {
-            Err(EngineError::Unknown {
-                step: "engine.generate",
-                peer: replica.machine.address.clone(),
-                detail: "no answer in time".to_owned(),
-            })
-        })?;
-        Ok(attempt)
-    }
-
-    /// Leaves a replica alone for a while.
-    fn penalize(&self, replica: &Arc<Replica>) {
-        let penalty = self.inner.settings.penalty;
-        let until = self.now() + penalty;
-        replica.load.penalize(as_micros(until));
-    }
 }
 
 fn as_micros(time: Duration) -> u64 {
@@ -591,34 +390,3 @@
     let message = "no replica can take the request now";
     GatewayError::not_run("gateway.route", 503, "no_replica", message).after(Duration::from_secs(1))
 }
-
-/// Merges news of sent prompts into the index, off the request path.
-async fn run_index(inner: std::sync::Weak<Inner>, mut news: mpsc::UnboundedReceiver<PrefixNews>) {
-    const EXPIRE_ROUNDS: u64 = 100;
-    let mut round: u64 = 0;
-    loop {
-        let Some(gateway) = inner.upgrade().map(|inner| Gateway { inner }) else {
-            return;
-        };
-        let now = gateway.now_micros();
-        let mut index = PrefixIndex::clone(&gateway.inner.index.load());
-        let mut changed = false;
-        while let Ok(sent) = news.try_recv() {
-            for block in sent.blocks.iter() {
-                index.stored(*block, sent.replica, now);
-            }
-            changed = true;
-        }
-        round += 1;
-        if round.is_multiple_of(EXPIRE_ROUNDS) {
-            index.expire(now);
-            changed = true;
-        }
-        if changed {
-            gateway.inner.index.store(Arc::new(index));
-        }
-        let pause = gateway.inner.settings.index_every;
-        drop(gateway);
-        sleep(pause).await;
-    }
-}
