--- a/crates/inline-jobs/src/book.rs
+++ b/crates/inline-jobs/src/book.rs
@@ -227,6 +227,8 @@
     pub peaks: OnlinePeaks,
     /// What items take.
     pub run_length: RunLength,
+    /// Routes of jobs that the configuration does not hold, and since when this is known.
+    pub routes_missing: BTreeMap<String, Instant>,
     /// When runs were last ended at a replica for online.
     pub yielded_at: BTreeMap<String, Instant>,
     /// The jobs by id.
@@ -260,6 +262,42 @@
         startable
     }
 
+    /// Notes which jobs' routes the configuration does not hold; items of one that has been missing for `patience`
+    /// fail for good, since nothing may run them any more.
+    pub fn fail_items_without_route(
+        &mut self,
+        is_known: impl Fn(&str) -> bool,
+        now: Instant,
+        patience: Duration,
+    ) {
+        let routes = self.jobs.values().map(|job| job.known.head.route.as_str());
+        let missing: Vec<String> = routes
+            .filter(|route| !is_known(route))
+            .map(str::to_owned)
+            .collect();
+        self.routes_missing
+            .retain(|route, _| missing.contains(route));
+        for route in missing {
+            self.routes_missing.entry(route).or_insert(now);
+        }
+        let routes_missing = &self.routes_missing;
+        for job in self.jobs.values_mut() {
+            let since = routes_missing.get(&job.known.head.route);
+            if since.is_none_or(|since| now.saturating_duration_since(*since) < patience) {
+                continue;
+            }
+            for item in &mut job.items {
+                if matches!(
+                    item.phase,
+                    ItemPhase::Waiting { .. } | ItemPhase::Running { .. }
+                ) {
+                    end_run(&item.phase);
+                    item.phase = ItemPhase::Done { failed: true };
+                }
+            }
+        }
+    }
+
     /// An item.
     pub fn item(&mut self, job: &str, number: u32) -> Option<&mut Item> {
         self.jobs.get_mut(job)?.items.get_mut(number as usize)
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -18,6 +18,9 @@
 /// Pause before an item that was not taken, or whose stream broke, is started again.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 
+/// How long a route must be missing before its items fail: it may be a moment between two configurations.
+const ROUTE_PATIENCE: Duration = Duration::from_millis(3_000);
+
 /// Pause before an item that a replica failed is started again.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -48,6 +51,11 @@
         let Some(routes) = self.inner.forwarder.routes() else {
             return;
         };
+        self.book().fail_items_without_route(
+            |route| routes.configuration.route(route).is_some(),
+            Instant::now(),
+            ROUTE_PATIENCE,
+        );
         for (item, urgency) in self.startable(&routes) {
             let pace = urgency.pace();
             if !self.interval_over(pace.interval) {
