A daemon that has not read the heads yet takes no jobs

Change: a submission waits up to 0.8 s for the first read; without it the job is refused as not kept.

--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -6,7 +6,7 @@
 use harrierward_decisions::Record;
 use harrierward_serving::Route;
 use harrierward_wire::{ItemHeadRow, JobHeadRow, JobItemsRow};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::book::OwnedJob;
 use crate::keys;
@@ -27,6 +27,10 @@
 /// Age of the last proof of contact from which on the store counts as out of reach.
 const STORE_AWAY_AFTER: Duration = Duration::from_millis(2_800);
 
+/// Longest wait for the first read of the heads, and the pause between looks.
+const FIRST_READ_WAIT: Duration = Duration::from_millis(800);
+const FIRST_READ_LOOK: Duration = Duration::from_millis(10);
+
 /// When a job that does not fit may come back.
 const FULL_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -57,7 +61,7 @@
         if view.get(&job.id).is_some() {
             return SubmitOutcome::Accepted;
         }
-        if view.proof_age().is_some_and(|age| age > STORE_AWAY_AFTER) {
+        if !self.knows_heads(arrived).await {
             // Nothing was sent: another daemon may still reach the store.
             return SubmitOutcome::NotKept {
                 retry_after: STORE_RETRY,
@@ -101,6 +105,16 @@
         }
     }
 
+    /// True if the copy of the heads is true enough to tell what waits. A daemon that has just started waits a
+    /// moment for its first read.
+    async fn knows_heads(&self, arrived: Instant) -> bool {
+        let view = &self.inner.view;
+        while view.proof_age().is_none() && arrived.elapsed() < FIRST_READ_WAIT {
+            sleep(FIRST_READ_LOOK).await;
+        }
+        view.proof_age().is_some_and(|age| age <= STORE_AWAY_AFTER)
+    }
+
     fn head_of(&self, job: &SubmittedJob, route: &Route) -> JobHeadRow {
         let items = job
             .items
