--- a/crates/inline-jobs/src/adoption.rs
+++ b/crates/inline-jobs/src/adoption.rs
@@ -93,18 +93,13 @@
         match written {
             WriteOutcome::Committed { revision } => {
                 self.log_ownership(&head, "adopted");
-                let adopted = KnownHead { head, revision };
                 // The watch may have been faster and have begun the loading.
-                if self.inner.view.take(adopted.clone()).is_some() {
-                    self.head_changed(&adopted);
-                }
+                self.learn(KnownHead { head, revision });
             }
             WriteOutcome::Conflict {
                 current: Some(current),
             } => {
-                if let Some(newer) = self.inner.view.take(current) {
-                    self.head_changed(&newer);
-                }
+                self.learn(current);
             }
             _ => {}
         }
--- a/crates/inline-jobs/src/lookup.rs
+++ b/crates/inline-jobs/src/lookup.rs
@@ -29,9 +29,7 @@
         }
         match self.inner.store.read_head(job_id).await {
             Ok(Some(known)) => {
-                if let Some(newer) = self.inner.view.take(known.clone()) {
-                    self.head_changed(&newer);
-                }
+                self.learn(known.clone());
                 // A stale read must not take back what this daemon already knows.
                 Lookup::Found(self.inner.view.get(job_id).unwrap_or(known))
             }
@@ -164,17 +162,13 @@
                 .await;
             match written {
                 WriteOutcome::Committed { revision } => {
-                    if let Some(newer) = self.inner.view.take(KnownHead { head, revision }) {
-                        self.head_changed(&newer);
-                    }
+                    self.learn(KnownHead { head, revision });
                     return EndOutcome::Ended;
                 }
                 WriteOutcome::Conflict {
                     current: Some(current),
                 } => {
-                    if let Some(newer) = self.inner.view.take(current.clone()) {
-                        self.head_changed(&newer);
-                    }
+                    self.learn(current.clone());
                     known = current;
                 }
                 WriteOutcome::Conflict { current: None } => return EndOutcome::Missing,
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -129,6 +129,13 @@
         head.owner == self.inner.life
     }
 
+    /// Takes a head that was read or written; nothing happens if a newer one is known.
+    pub fn learn(&self, known: KnownHead) {
+        if let Some(newer) = self.inner.view.take(known) {
+            self.head_changed(&newer);
+        }
+    }
+
     /// A head changed in the store.
     pub fn head_changed(&self, known: &KnownHead) {
         let job_id = &known.head.job_id;
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -91,9 +91,7 @@
             WriteOutcome::Conflict {
                 current: Some(current),
             } => {
-                if let Some(newer) = view.take(current) {
-                    self.head_changed(&newer);
-                }
+                self.learn(current);
                 SubmitOutcome::Accepted
             }
             WriteOutcome::Conflict { current: None } | WriteOutcome::InDoubt => {
@@ -175,9 +173,7 @@
     async fn refuse_unless_kept(&self, job_id: &str) -> SubmitOutcome {
         match self.inner.store.read_head(job_id).await {
             Ok(Some(known)) => {
-                if let Some(newer) = self.inner.view.take(known) {
-                    self.head_changed(&newer);
-                }
+                self.learn(known);
                 SubmitOutcome::Accepted
             }
             Ok(None) => SubmitOutcome::DoesNotFit {
