--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -21,7 +21,7 @@
 use crate::pool::ConnectionPool;
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
-use crate::watch::{SpaceUpdate, Watch, WatchSettings};
+use crate::watch::{SpaceUpdate, Watch, WatchPace, WatchSettings, gathering_interval, unpaced};
 
 /// Time in which the platform takes a daemon that is not ready out of service.
 const TAKEN_OUT_AFTER: Duration = Duration::from_millis(2_600);
@@ -138,9 +138,13 @@
         let told = jobs.clone();
         members.set_job_word(Box::new(move || JobWord {
             proof_age: told.view().proof_age(),
-            pending_tokens: told.pending_tokens(),
+            pending: told.pending_jobs(),
         }));
-        start_watches(&discovery, source.as_ref(), &watched, &jobs, &log);
+        let fleet = members.clone();
+        let reads_a_second = settings.store_reads_a_second;
+        let pace: WatchPace =
+            Arc::new(move || gathering_interval(fleet.fleet_size(), reads_a_second));
+        start_watches(&discovery, source.as_ref(), &watched, &jobs, &pace, &log);
         tokio::spawn(jobs.clone().run());
         tokio::spawn(learn(discovery.clone(), members.clone(), pool));
         let service = Arc::new(EdgeService {
@@ -222,22 +226,24 @@
     source: &dyn DiscoverySource,
     table: &Arc<dyn WatchedTable>,
     jobs: &InlineJobs,
+    pace: &WatchPace,
     log: &DecisionLog,
 ) {
-    let watch = |space, partitions| Watch {
+    let watch = |space, partitions, pace| Watch {
         table: table.clone(),
         space,
         partitions,
         settings: WatchSettings::default(),
+        pace,
         log: log.clone(),
     };
-    let configuration = watch(source.configuration_space(), one_partition());
+    let configuration = watch(source.configuration_space(), one_partition(), unpaced());
     let taker = discovery.clone();
     tokio::spawn(configuration.run(move |update| taker.take_configuration(&update, "store")));
-    let replicas = watch(source.replica_space(), one_partition());
+    let replicas = watch(source.replica_space(), one_partition(), pace.clone());
     let taker = discovery.clone();
     tokio::spawn(replicas.run(move |update| taker.take_replicas(&update)));
-    let heads = watch(HEADS, partitions());
+    let heads = watch(HEADS, partitions(), pace.clone());
     let jobs = jobs.clone();
     tokio::spawn(heads.run(move |update| take_heads(&jobs, &update)));
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,4 +19,6 @@
 };
 pub use server::{HttpService, ResponseBody, ServerControl, ServerStage, serve};
 pub use settings::EdgeSettings;
-pub use watch::{SpaceCopy, SpaceUpdate, Watch, WatchSettings};
+pub use watch::{
+    SpaceCopy, SpaceUpdate, Watch, WatchPace, WatchSettings, gathering_interval, unpaced,
+};
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -10,7 +10,7 @@
 use harrierward_membership::{Action, MembershipCore, MembershipSettings};
 use harrierward_serving::{ReplicaSet, WorkClass};
 use harrierward_wire::{
-    LoadNotice, MemberRecord, MemberState, NodeDatagram, ReplicaCount, decode, encode,
+    LoadNotice, MemberRecord, MemberState, NodeDatagram, PendingJob, ReplicaCount, decode, encode,
     node_datagram,
 };
 use rand::SeedableRng;
@@ -88,12 +88,12 @@
 }
 
 /// What a daemon tells its peers of its jobs.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct JobWord {
     /// Age of the proof that its copy of the jobs' heads is true.
     pub proof_age: Option<Duration>,
-    /// Tokens of jobs that it is just trying to keep.
-    pub pending_tokens: u64,
+    /// Jobs that it is just trying to keep, or has just kept.
+    pub pending: Vec<PendingJob>,
 }
 
 /// Gives a daemon's own word.
@@ -157,6 +157,11 @@
         others.map(|one| one.peer_address).collect()
     }
 
+    /// Living daemons, this one among them.
+    pub fn fleet_size(&self) -> usize {
+        self.lock().core.view().members.len()
+    }
+
     /// True if this daemon cannot reach the store, but most others can: it is better if new work goes to them.
     pub fn is_cut_off_alone(&self) -> bool {
         let own = Duration::from_millis(u64::from(self.own_proof_age_ms()));
@@ -274,7 +279,7 @@
             number: state.notices,
             counts: counts.collect(),
             proof_age_ms: self.own_proof_age_ms(),
-            pending_tokens: self.own_word().pending_tokens,
+            pending: self.own_word().pending,
         };
         let datagram = NodeDatagram {
             kind: Some(node_datagram::Kind::LoadNotice(notice)),
@@ -368,10 +373,10 @@
         Some(staying.filter(|id| !is_cut_off(&state, id)).collect())
     }
 
-    fn pending_tokens(&self) -> u64 {
+    fn pending_jobs(&self) -> Vec<PendingJob> {
         let state = self.lock();
         let loads = state.loads.values();
-        loads.map(|load| load.notice.pending_tokens).sum()
+        loads.flat_map(|load| load.notice.pending.clone()).collect()
     }
 }
 
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -40,6 +40,32 @@
     }
 }
 
+/// Least time between two answers that bring changes, asked anew each time: it grows with the fleet.
+pub type WatchPace = Arc<dyn Fn() -> Duration + Send + Sync>;
+
+/// A pace for changes that must be known at once, and come seldom.
+pub fn unpaced() -> WatchPace {
+    Arc::new(|| Duration::ZERO)
+}
+
+/// Share of the store's reads that one space's changes may take, of all daemons together.
+const READ_SHARE: f64 = 0.04;
+
+/// Longest time for which changes are gathered.
+const LONGEST_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Least time between two answers of one watch, so that all `daemons` together, which each change wakes, stay
+/// within their share of the store's reads a second.
+pub fn gathering_interval(daemons: usize, reads_a_second: f64) -> Duration {
+    let allowed = reads_a_second * READ_SHARE;
+    if allowed <= 0.0 {
+        return Duration::ZERO;
+    }
+    #[allow(clippy::cast_precision_loss)]
+    let seconds = daemons as f64 / allowed;
+    Duration::from_secs_f64(seconds.min(LONGEST_INTERVAL.as_secs_f64()))
+}
+
 /// What changed in the copy.
 #[derive(Debug, Clone, Default)]
 pub struct SpaceUpdate {
@@ -128,6 +154,12 @@
     }
 }
 
+impl SpaceUpdate {
+    fn is_empty(&self) -> bool {
+        self.written.is_empty() && self.removed.is_empty()
+    }
+}
+
 /// One watch.
 pub struct Watch {
     /// The store.
@@ -138,6 +170,8 @@
     pub partitions: Vec<String>,
     /// Bounds.
     pub settings: WatchSettings,
+    /// How long changes are gathered.
+    pub pace: WatchPace,
     /// Log of lost and regained contact.
     pub log: DecisionLog,
 }
@@ -151,13 +185,14 @@
         let mut read_whole = true;
         let mut whole_read_due = Instant::now();
         let mut lost_at: Option<Instant> = None;
+        let mut interval = Duration::ZERO;
         loop {
             let asked_at = Instant::now();
             let result = if read_whole || asked_at >= whole_read_due {
                 whole_read_due = asked_at + self.settings.whole_read_every;
                 self.read(&mut copy).await
             } else {
-                self.ask(&mut copy).await
+                self.ask(&mut copy, interval).await
             };
             match result {
                 Ok(Some(mut update)) => {
@@ -169,7 +204,14 @@
                         self.log_regained(since);
                     }
                     update.as_of = Some(asked_at);
+                    let gather = !update.is_empty();
                     take(update);
+                    interval = if gather {
+                        (self.pace)()
+                    } else {
+                        Duration::ZERO
+                    };
+                    sleep(interval).await;
                 }
                 Ok(None) => {
                     // A stale read tells nothing, but its revision may be one that the history still holds.
@@ -196,10 +238,17 @@
         Ok(copy.take_snapshot(snapshot))
     }
 
-    async fn ask(&self, copy: &mut SpaceCopy) -> Result<Option<SpaceUpdate>, WatchFailure> {
+    /// Asks for changes; a question that comes `later` than it could is held for less, so that the copy's age stays
+    /// within the same bound.
+    async fn ask(
+        &self,
+        copy: &mut SpaceCopy,
+        later: Duration,
+    ) -> Result<Option<SpaceUpdate>, WatchFailure> {
+        let wait = self.settings.wait.saturating_sub(later);
         let page = self
             .table
-            .wait_changes(self.space, copy.revision(), self.settings.wait)
+            .wait_changes(self.space, copy.revision(), wait)
             .await
             .map_err(|error| match error.kind {
                 PlatformErrorKind::HistoryLost => WatchFailure::HistoryLost,
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -14,6 +14,7 @@
 mod lookup;
 mod model;
 mod pacing;
+mod pending;
 mod runner;
 mod service;
 mod store;
@@ -25,6 +26,7 @@
     EndOutcome, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem, SubmittedJob,
 };
 pub use pacing::{OnlinePeaks, Pace, RunLength, Urgency, urgency};
+pub use pending::{PendingGuard, PendingJobs};
 pub use service::{InlineJobs, JobParts, JobSettings, Peers};
 pub use store::{JobStore, ListedResult, ReadResult, WriteOutcome};
 pub use view::{JobView, KnownHead};
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -1,17 +1,18 @@
 //! The jobs of one daemon: shared state, and what happens when a head changes.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{ObjectStore, Table};
 use harrierward_serving::Forwarder;
-use harrierward_wire::JobHeadRow;
+use harrierward_wire::{JobHeadRow, PendingJob};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::book::{JobBook, OwnedJob};
+use crate::pending::PendingJobs;
 use crate::store::JobStore;
 use crate::view::{JobView, KnownHead};
 
@@ -21,8 +22,8 @@
     /// the others.
     fn owners(&self) -> Option<Vec<String>>;
 
-    /// Tokens of jobs that other daemons are just trying to keep.
-    fn pending_tokens(&self) -> u64;
+    /// Jobs that other daemons are just trying to keep, or have just kept.
+    fn pending_jobs(&self) -> Vec<PendingJob>;
 }
 
 /// Bounds of the jobs.
@@ -63,7 +64,7 @@
     pub settings: JobSettings,
     pub wake: Notify,
     pub stopping: AtomicBool,
-    pub pending_tokens: AtomicU64,
+    pub pending: PendingJobs,
 }
 
 /// The inline jobs of one daemon; cheap to clone.
@@ -89,7 +90,7 @@
             settings: parts.settings,
             wake: Notify::new(),
             stopping: AtomicBool::new(false),
-            pending_tokens: AtomicU64::new(0),
+            pending: PendingJobs::default(),
         };
         Self {
             inner: Arc::new(inner),
@@ -101,9 +102,9 @@
         &self.inner.view
     }
 
-    /// Tokens of jobs that this daemon is just trying to keep.
-    pub fn pending_tokens(&self) -> u64 {
-        self.inner.pending_tokens.load(Ordering::Relaxed)
+    /// Jobs that this daemon is just trying to keep, or has just kept.
+    pub fn pending_jobs(&self) -> Vec<PendingJob> {
+        self.inner.pending.all(Instant::now())
     }
 
     pub(crate) fn book(&self) -> MutexGuard<'_, JobBook> {
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -1,6 +1,5 @@
 //! Accepting jobs: one conditional transaction before the answer.
 
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use harrierward_decisions::Record;
@@ -31,6 +30,9 @@
 const FIRST_READ_WAIT: Duration = Duration::from_millis(800);
 const FIRST_READ_LOOK: Duration = Duration::from_millis(10);
 
+/// How long a job that was kept is still told to others, who may learn of its head later.
+const TELL_FOR: Duration = Duration::from_millis(1_500);
+
 /// When a job that does not fit may come back.
 const FULL_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -70,7 +72,7 @@
         if !self.fits(job, route) {
             return self.refuse_unless_kept(&job.id).await;
         }
-        let _pending = PendingTokens::hold(self, tokens_of(job));
+        let pending = self.inner.pending.hold(&job.id, tokens_of(job));
         let head = self.head_of(job, route);
         let rows = JobItemsRow {
             items: job.items.iter().map(item_row).collect(),
@@ -85,6 +87,7 @@
             .await;
         match written {
             WriteOutcome::Committed { revision } => {
+                pending.keep_for(TELL_FOR);
                 self.begin(head, rows, revision);
                 SubmitOutcome::Accepted
             }
@@ -95,6 +98,7 @@
                 SubmitOutcome::Accepted
             }
             WriteOutcome::Conflict { current: None } | WriteOutcome::InDoubt => {
+                pending.keep_for(TELL_FOR);
                 SubmitOutcome::InDoubt
             }
             WriteOutcome::NotDone => SubmitOutcome::NotKept {
@@ -163,10 +167,15 @@
 
     fn fits(&self, job: &SubmittedJob, route: &Route) -> bool {
         let limit = route.batch().map_or(0, |bounds| bounds.waiting_tokens);
-        let listed = self.inner.view.waiting_tokens(&route.name);
+        let view = &self.inner.view;
         // Jobs on their way to the store count too, or daemons that decide at the same time would exceed the limit.
-        let pending = self.pending_tokens() + self.inner.peers.pending_tokens();
-        limit == 0 || listed + pending + tokens_of(job) <= limit
+        let told = self.pending_jobs().into_iter();
+        let pending: u64 = told
+            .chain(self.inner.peers.pending_jobs())
+            .filter(|pending| pending.job != job.id && view.get(&pending.job).is_none())
+            .map(|pending| pending.tokens)
+            .sum();
+        limit == 0 || view.waiting_tokens(&route.name) + pending + tokens_of(job) <= limit
     }
 
     /// A job that does not fit may have been taken already by another daemon.
@@ -206,30 +215,6 @@
     }
 }
 
-/// Counts a job's tokens as pending for as long as it lives.
-struct PendingTokens {
-    jobs: InlineJobs,
-    tokens: u64,
-}
-
-impl PendingTokens {
-    fn hold(jobs: &InlineJobs, tokens: u64) -> Self {
-        let pending = &jobs.inner.pending_tokens;
-        pending.fetch_add(tokens, Ordering::Relaxed);
-        Self {
-            jobs: jobs.clone(),
-            tokens,
-        }
-    }
-}
-
-impl Drop for PendingTokens {
-    fn drop(&mut self) {
-        let pending = &self.jobs.inner.pending_tokens;
-        pending.fetch_sub(self.tokens, Ordering::Relaxed);
-    }
-}
-
 fn tokens_of(job: &SubmittedJob) -> u64 {
     job.items.iter().map(|item| item.tokens).sum()
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,7 +23,8 @@
 pub use known_rows::{KnownRow, KnownRows};
 pub use membership::{
     Datagram, DatagramKind, LoadNotice, MemberRecord, MemberState, NodeDatagram, OnlineCount,
-    OnlineNotice, ReplicaCount, ReplicaReport, ReplicaReports, ServiceBacklog, node_datagram,
+    OnlineNotice, PendingJob, ReplicaCount, ReplicaReport, ReplicaReports, ServiceBacklog,
+    node_datagram,
 };
 pub use peer::{
     CancelNotice, CancelReply, ConfigDeltaReply, ConfigDeltaRequest, Grant, HandBack, ItemResult,
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -194,9 +194,20 @@
     /// Age of the sender's proof that its copy of the jobs' heads is true, milliseconds plus one; 0 if it has none.
     #[prost(uint32, tag = "4")]
     pub proof_age_ms: u32,
-    /// Tokens of jobs that the sender is just trying to keep: no head tells of them yet.
-    #[prost(uint64, tag = "5")]
-    pub pending_tokens: u64,
+    /// Jobs that the sender is just trying to keep, or has just kept: others may not know their heads yet.
+    #[prost(message, repeated, tag = "6")]
+    pub pending: Vec<PendingJob>,
+}
+
+/// A job whose head the receiver may not know yet.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PendingJob {
+    /// Id of the job.
+    #[prost(string, tag = "1")]
+    pub job: String,
+    /// Tokens of its items.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
 }
 
 /// Any datagram between daemons.
