--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 mod discovery;
 mod figures;
 mod members;
+mod peer_loads;
 mod peer_rows;
 mod pool;
 mod server;
@@ -14,6 +15,7 @@
 pub use daemon::{Daemon, DaemonParts, EdgeService};
 pub use discovery::{Discovery, DiscoverySource};
 pub use members::{JobWord, JobWordSource, Members};
+pub use peer_loads::{PeerLoads, PeerSum};
 pub use pool::{
     ConnectionPool, PoolError, PoolSettings, PooledBody, PooledResponse, RequestBody, has_token,
 };
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -1,6 +1,5 @@
 //! The other daemons: who lives, and what each has in progress at the replicas.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -20,6 +19,7 @@
 use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::peer_loads::PeerLoads;
 use crate::settings::EdgeSettings;
 
 /// How often the membership protocol is driven.
@@ -31,9 +31,6 @@
 /// Members told by one notice; in a larger fleet others are told by the next.
 const NOTICE_FAN_OUT: usize = 24;
 
-/// How long a peer's counts are believed.
-const NOTICE_LIFETIME: Duration = Duration::from_millis(1_500);
-
 /// How often seeds are asked while nobody else is known.
 const JOIN_EVERY: Duration = Duration::from_millis(400);
 
@@ -64,14 +61,9 @@
     }
 }
 
-struct PeerLoad {
-    notice: LoadNotice,
-    at: Instant,
-}
-
 struct State {
     core: MembershipCore,
-    loads: HashMap<String, PeerLoad>,
+    loads: PeerLoads,
     notices: u64,
     others_since: Option<Instant>,
 }
@@ -131,7 +123,7 @@
         };
         let state = State {
             core: MembershipCore::new(membership_settings(), own),
-            loads: HashMap::new(),
+            loads: PeerLoads::default(),
             notices: 0,
             others_since: None,
         };
@@ -169,9 +161,8 @@
             return false;
         }
         let state = self.lock();
-        let ages = state.loads.values().map(|load| load.notice.proof_age_ms);
         let (mut reaching, mut all) = (0, 0);
-        for age_ms in ages {
+        for age_ms in state.loads.proof_ages_ms() {
             all += 1;
             let age = Duration::from_millis(u64::from(age_ms));
             reaching += usize::from(age_ms > 0 && age < ALONE_CUT_OFF_AFTER);
@@ -207,7 +198,7 @@
                 let actions = state.core.tick(self.started.elapsed(), &mut random);
                 datagrams.extend(wrap(actions));
                 self.note_changes(&mut state);
-                if state.loads.len() > NOTICE_FAN_OUT {
+                if state.loads.heard() > NOTICE_FAN_OUT {
                     self.publish_loads(&state);
                 }
                 if tick.is_multiple_of(NOTICE_TICKS) {
@@ -263,7 +254,9 @@
 
     /// Own counts, for every other member.
     fn notices(&self, state: &mut State) -> Vec<(String, Vec<u8>)> {
-        self.expire_loads(state);
+        if state.loads.expire(Instant::now()) {
+            self.publish_loads(state);
+        }
         state.notices += 1;
         let view = self.replicas.view();
         let counts = view.all().filter_map(|replica| {
@@ -311,49 +304,21 @@
     }
 
     fn take_notice(&self, state: &mut State, notice: LoadNotice) {
-        let known = state.loads.get(&notice.from);
-        if known.is_some_and(|known| known.notice.number >= notice.number) {
-            return;
-        }
-        let load = PeerLoad {
-            at: Instant::now(),
-            notice,
-        };
-        state.loads.insert(load.notice.from.clone(), load);
+        let is_new = state.loads.take(notice, Instant::now());
         // In a large fleet notices come too often for that; the tick publishes them.
-        if state.loads.len() <= NOTICE_FAN_OUT {
+        if is_new && state.loads.heard() <= NOTICE_FAN_OUT {
             self.publish_loads(state);
         }
     }
 
-    fn expire_loads(&self, state: &mut State) {
-        let before = state.loads.len();
-        state
-            .loads
-            .retain(|_, load| load.at.elapsed() < NOTICE_LIFETIME);
-        if state.loads.len() != before {
-            self.publish_loads(state);
-        }
-    }
-
-    /// Counts of peers that were not heard of lately are taken to be like the others'.
     fn publish_loads(&self, state: &State) {
-        let others = state.core.view().members.len().saturating_sub(1);
-        let heard = state.loads.len().max(1);
-        let scale = |count: u32| {
-            let scaled = u64::from(count) * others.max(heard) as u64 / heard as u64;
-            u32::try_from(scaled).unwrap_or(u32::MAX)
-        };
-        let mut sums: HashMap<u32, (u32, u32)> = HashMap::new();
-        for count in state.loads.values().flat_map(|load| &load.notice.counts) {
-            let sum = sums.entry(count.replica).or_default();
-            sum.0 += count.online;
-            sum.1 += count.batch;
-        }
-        for replica in self.replicas.view().all() {
+        let peers = state.core.view().members.len().saturating_sub(1);
+        let view = self.replicas.view();
+        let sums = state.loads.sums(peers);
+        for replica in view.all() {
             let hash = replica_hash(&replica.record.id);
-            let (online, batch) = sums.get(&hash).copied().unwrap_or_default();
-            replica.set_peers(scale(online), scale(batch));
+            let sum = sums.get(&hash).copied().unwrap_or_default();
+            replica.set_peers(sum.online, sum.batch);
         }
     }
 }
@@ -374,17 +339,14 @@
     }
 
     fn pending_jobs(&self) -> Vec<PendingJob> {
-        let state = self.lock();
-        let loads = state.loads.values();
-        loads.flat_map(|load| load.notice.pending.clone()).collect()
+        self.lock().loads.pending_jobs()
     }
 }
 
 /// True if a peer says that it has not reached the store for long; its jobs go on elsewhere. A peer that has not
 /// said anything yet, or has just started, is not cut off.
 fn is_cut_off(state: &State, id: &str) -> bool {
-    let load = state.loads.get(id);
-    let age_ms = load.map_or(0, |load| load.notice.proof_age_ms);
+    let age_ms = state.loads.proof_age_ms(id);
     Duration::from_millis(u64::from(age_ms)) > CUT_OFF_AFTER
 }
 
--- /dev/null
+++ b/crates/edge/src/peer_loads.rs
@@ -0,0 +1,95 @@
+//! What peers last said of their requests at the replicas, and what follows for each replica: pure.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use harrierward_wire::{LoadNotice, PendingJob};
+use tokio::time::Instant;
+
+/// How long a peer's word is believed.
+const NOTICE_LIFETIME: Duration = Duration::from_millis(1_500);
+
+struct PeerLoad {
+    notice: LoadNotice,
+    at: Instant,
+}
+
+/// All peers together at one replica.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PeerSum {
+    /// Online requests in progress.
+    pub online: u32,
+    /// Batch items in progress.
+    pub batch: u32,
+}
+
+/// The peers' last words.
+#[derive(Default)]
+pub struct PeerLoads {
+    loads: HashMap<String, PeerLoad>,
+}
+
+impl PeerLoads {
+    /// Peers heard of lately.
+    pub fn heard(&self) -> usize {
+        self.loads.len()
+    }
+
+    /// Takes a notice; false if a newer one of its sender is known.
+    pub fn take(&mut self, notice: LoadNotice, now: Instant) -> bool {
+        let known = self.loads.get(&notice.from);
+        if known.is_some_and(|known| known.notice.number >= notice.number) {
+            return false;
+        }
+        let from = notice.from.clone();
+        self.loads.insert(from, PeerLoad { notice, at: now });
+        true
+    }
+
+    /// Forgets what is too old; true if anything was.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let before = self.loads.len();
+        self.loads
+            .retain(|_, load| now.saturating_duration_since(load.at) < NOTICE_LIFETIME);
+        self.loads.len() != before
+    }
+
+    /// Age of a peer's proof that it reaches the store, milliseconds plus one; 0 if it has none.
+    pub fn proof_age_ms(&self, peer: &str) -> u32 {
+        self.loads
+            .get(peer)
+            .map_or(0, |load| load.notice.proof_age_ms)
+    }
+
+    /// The ages of all peers' proofs.
+    pub fn proof_ages_ms(&self) -> impl Iterator<Item = u32> {
+        self.loads.values().map(|load| load.notice.proof_age_ms)
+    }
+
+    /// Jobs whose heads may not be known yet.
+    pub fn pending_jobs(&self) -> Vec<PendingJob> {
+        let loads = self.loads.values();
+        loads.flat_map(|load| load.notice.pending.clone()).collect()
+    }
+
+    /// Sums by the hash of the replica's id; of `peers` daemons, those not heard of lately are taken to be like the
+    /// others.
+    pub fn sums(&self, peers: usize) -> HashMap<u32, PeerSum> {
+        let mut sums: HashMap<u32, PeerSum> = HashMap::new();
+        for count in self.loads.values().flat_map(|load| &load.notice.counts) {
+            let sum = sums.entry(count.replica).or_default();
+            sum.online += count.online;
+            sum.batch += count.batch;
+        }
+        let heard = self.loads.len().max(1);
+        let scale = |count: u32| {
+            let scaled = u64::from(count) * peers.max(heard) as u64 / heard as u64;
+            u32::try_from(scaled).unwrap_or(u32::MAX)
+        };
+        for sum in sums.values_mut() {
+            sum.online = scale(sum.online);
+            sum.batch = scale(sum.batch);
+        }
+        sums
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,6 +16,7 @@
 mod reply;
 mod routes;
 mod selection;
+mod suspicion;
 
 pub use attempt::{
     Attempt, AttemptFailure, AttemptTarget, AttemptTimes, Sending, wait_for_progress,
@@ -36,3 +37,4 @@
 pub use reply::{CallerAnswer, CallerBody, Refusal, RefusalCause, Reply};
 pub use routes::{RouteEntry, RouteTable};
 pub use selection::{Candidate, SelectionCosts, Separation, choose, cost, preference_weight};
+pub use suspicion::Suspicion;
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -1,7 +1,7 @@
 //! The replicas that discovery names, and what this daemon knows of each one's load and memory.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use crate::exchange::LoadWord;
 use crate::prompt::{Prompt, PromptMemory};
 use crate::selection::preference_weight;
+use crate::suspicion::Suspicion;
 
 /// How long a replica's own load word is trusted beside the daemons' counts.
 const LOAD_WORD_LIFETIME: Duration = Duration::from_millis(400);
@@ -19,10 +20,6 @@
 /// the store is down.
 const VANISHED_LIFETIME: Duration = Duration::from_millis(1_700);
 
-/// How long a replica that broke, refused to connect or was silent is avoided, and how often that doubles at most.
-const FIRST_SUSPICION: Duration = Duration::from_millis(500);
-const MOST_DOUBLINGS: u32 = 3;
-
 /// Share of a replica's memory that shared prompt parts are believed to keep.
 const MEMORY_SHARE_PERCENT: u64 = 70;
 
@@ -70,9 +67,7 @@
     peers_online: AtomicU32,
     peers_batch: AtomicU32,
     started: Instant,
-    suspected_until_ms: AtomicU64,
-    failures_in_a_row: AtomicU32,
-    progress_at_ms: AtomicU64,
+    suspicion: Suspicion,
     report: Mutex<Option<LoadReport>>,
     memory: Mutex<PromptMemory>,
 }
@@ -99,9 +94,7 @@
             peers_online: AtomicU32::new(0),
             peers_batch: AtomicU32::new(0),
             started: Instant::now(),
-            suspected_until_ms: AtomicU64::new(0),
-            failures_in_a_row: AtomicU32::new(0),
-            progress_at_ms: AtomicU64::new(0),
+            suspicion: Suspicion::default(),
             report: Mutex::new(None),
             memory: Mutex::new(PromptMemory::new(kept_tokens)),
         }
@@ -195,27 +188,22 @@
 
     /// Bytes came from the replica.
     pub fn note_progress(&self) {
-        self.failures_in_a_row.store(0, Ordering::Relaxed);
-        self.progress_at_ms.store(self.now_ms(), Ordering::Relaxed);
+        self.suspicion.note_progress(self.now_ms());
     }
 
     /// Time since bytes last came from the replica.
     pub fn silent_for(&self) -> Duration {
-        let at = self.progress_at_ms.load(Ordering::Relaxed);
-        Duration::from_millis(self.now_ms().saturating_sub(at))
+        Duration::from_millis(self.suspicion.silent_for_ms(self.now_ms()))
     }
 
     /// Avoids the replica for a while: longer each time that nothing comes from it in between.
     pub fn suspect(&self) {
-        let failures = self.failures_in_a_row.fetch_add(1, Ordering::Relaxed);
-        let lasting = FIRST_SUSPICION * 2_u32.pow(failures.min(MOST_DOUBLINGS));
-        let until = self.now_ms() + millis(lasting);
-        self.suspected_until_ms.fetch_max(until, Ordering::Relaxed);
+        self.suspicion.fail(self.now_ms());
     }
 
     /// True while the replica is avoided.
     pub fn is_suspected(&self) -> bool {
-        self.now_ms() < self.suspected_until_ms.load(Ordering::Relaxed)
+        self.suspicion.is_active(self.now_ms())
     }
 
     /// Tokens at the beginning of the prompt that the replica probably keeps.
--- /dev/null
+++ b/crates/serving/tests/suspicion.rs
@@ -0,0 +1,16 @@
+//! A replica that fails is avoided, longer each time, until something comes from it again.
+
+use harrierward_serving::Suspicion;
+
+#[test]
+fn failures_in_a_row_last_longer_and_progress_ends_the_row() {
+    let replica = Suspicion::default();
+    replica.fail(1_000);
+    assert!(replica.is_active(1_499) && !replica.is_active(1_500));
+    replica.fail(2_000);
+    assert!(replica.is_active(2_999) && !replica.is_active(3_000));
+    replica.note_progress(3_100);
+    replica.fail(4_000);
+    assert!(!replica.is_active(4_500));
+    assert_eq!(replica.silent_for_ms(4_500), 1_400);
+}
