--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -1,32 +1,16 @@
-//! One attempt at one replica: choose, send, and tell what the answer means.
+//! One attempt at one replica: send, and tell what the answer means.
 
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use rand::Rng;
-use rand::seq::index;
 use tokio::time::{Instant, timeout};
 
+use crate::choice::AttemptTarget;
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
 use crate::forwarder::Forwarder;
-use crate::profile::PromptLength;
-use crate::replica::{InProgress, Replica, WorkClass};
-use crate::selection::{Candidate, Separation, choose, preference_weight};
-
-/// Where an attempt may go.
-#[derive(Debug, Clone, Copy)]
-pub struct AttemptTarget<'a> {
-    /// Service.
-    pub service: &'a str,
-    /// Class of the work.
-    pub class: WorkClass,
-    /// Replicas not to be used again.
-    pub excluded: &'a [String],
-    /// Slots that must stay free at the replica; `None` if the work may wait there.
-    pub free_slots: Option<u32>,
-}
+use crate::replica::{InProgress, Replica};
 
 /// Bounds of one attempt.
 #[derive(Debug, Clone, Copy)]
@@ -104,78 +88,6 @@
 const LOOKS_A_SILENCE: u32 = 3;
 
 impl Forwarder {
-    /// Chooses a replica for the request.
-    pub fn choose_replica(
-        &self,
-        request: &ServingRequest,
-        target: AttemptTarget<'_>,
-    ) -> Option<Arc<Replica>> {
-        let view = self.replicas().view();
-        let replicas: Vec<Arc<Replica>> = view
-            .usable(target.service)
-            .into_iter()
-            .filter(|replica| !target.excluded.contains(&replica.record.id))
-            .filter(|replica| has_room(replica, target.free_slots))
-            .collect();
-        let replicas = narrow(replicas, request);
-        let length = self.length_of(request, target);
-        let homes: Vec<bool> = replicas
-            .iter()
-            .map(|replica| view.is_long_prompt_home(&replica.record.id))
-            .collect();
-        let preferred = self.preferred(request, &replicas, &homes, length);
-        let shared_tokens = request.prompt.shared_tokens();
-        let candidates: Vec<Candidate> = replicas
-            .iter()
-            .enumerate()
-            .map(|(position, replica)| Candidate {
-                load: replica.load(),
-                slots: replica.slots(),
-                uncached_shared_tokens: shared_tokens
-                    .saturating_sub(replica.cached_tokens(&request.prompt)),
-                preferred: preferred == Some(position),
-                own_zone: replica.record.zone == self.settings().zone,
-                separation: separation(length, homes[position]),
-                suspected: replica.is_suspected(),
-            })
-            .collect();
-        let mut random = rand::rng();
-        let costs = &self.settings().costs;
-        let position = choose(costs, &candidates, || random.random::<f64>())?;
-        Some(replicas[position].clone())
-    }
-
-    fn length_of(&self, request: &ServingRequest, target: AttemptTarget<'_>) -> PromptLength {
-        match target.class {
-            WorkClass::Online => self
-                .profiles()
-                .observe(target.service, request.prompt.tokens),
-            WorkClass::Batch => PromptLength::Alike,
-        }
-    }
-
-    /// The replica that daemons prefer for the prompt's last shared part: a long prompt's among the homes, another's
-    /// within the zone.
-    fn preferred(
-        &self,
-        request: &ServingRequest,
-        replicas: &[Arc<Replica>],
-        homes: &[bool],
-        length: PromptLength,
-    ) -> Option<usize> {
-        let part = request.prompt.shared().last()?.id;
-        let zone = &self.settings().zone;
-        let is_candidate = |position: usize| match length {
-            PromptLength::Long => homes[position],
-            PromptLength::Short => !homes[position] && replicas[position].record.zone == *zone,
-            PromptLength::Alike => replicas[position].record.zone == *zone,
-        };
-        let any = (0..replicas.len()).any(is_candidate);
-        (0..replicas.len())
-            .filter(|position| !any || is_candidate(*position))
-            .max_by_key(|position| preference_weight(part, &replicas[*position].record.id))
-    }
-
     /// Sends the request to a replica chosen for it. Returns the replica's id, and what came of it.
     pub(crate) async fn attempt(
         &self,
@@ -301,51 +213,3 @@
         });
     }
 }
-
-/// Replicas that are looked at for one request.
-const MOST_CANDIDATES: usize = 48;
-
-/// Places in the list that a prompt's last shared part leads to, so that the part is found again.
-const PLACES_OF_PART: usize = 2;
-
-/// Of very many replicas: those that the prompt's part leads to, and others at random.
-fn narrow(replicas: Vec<Arc<Replica>>, request: &ServingRequest) -> Vec<Arc<Replica>> {
-    if replicas.len() <= MOST_CANDIDATES {
-        return replicas;
-    }
-    let part = request.prompt.shared().last().map(|part| part.id);
-    let count = replicas.len() as u64;
-    let places: Vec<usize> = (0..PLACES_OF_PART as u64)
-        .filter_map(|number| {
-            let weight = preference_weight(part?, &number.to_string());
-            usize::try_from(weight % count).ok()
-        })
-        .collect();
-    let mut random = rand::rng();
-    let sampled = index::sample(&mut random, replicas.len(), MOST_CANDIDATES - places.len());
-    let mut chosen: Vec<usize> = sampled.into_iter().chain(places).collect();
-    chosen.sort_unstable();
-    chosen.dedup();
-    chosen
-        .into_iter()
-        .map(|position| replicas[position].clone())
-        .collect()
-}
-
-fn separation(length: PromptLength, home: bool) -> Separation {
-    match (length, home) {
-        (PromptLength::Long, false) => Separation::LongAway,
-        (PromptLength::Short, true) => Separation::ShortBesideLong,
-        _ => Separation::Fits,
-    }
-}
-
-fn has_room(replica: &Replica, free_slots: Option<u32>) -> bool {
-    let Some(free) = free_slots else {
-        return true;
-    };
-    // Items keep to their share also where online has little in progress just now.
-    let free = free.max(replica.online() + 1);
-    !replica.is_suspected()
-        && replica.load().saturating_sub(replica.online()) + free < replica.slots()
-}
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -8,7 +8,8 @@
 use harrierward_decisions::{DecisionLog, Record};
 use tokio::time::Instant;
 
-use crate::attempt::{Attempt, AttemptFailure, AttemptTarget, AttemptTimes, Sending};
+use crate::attempt::{Attempt, AttemptFailure, AttemptTimes, Sending};
+use crate::choice::AttemptTarget;
 use crate::configuration::Route;
 use crate::exchange::{ReplicaClient, ServingRequest};
 use crate::profile::PromptProfiles;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,6 +5,7 @@
 //! opaque and only typed metadata decides. Nothing here opens a socket.
 
 mod attempt;
+mod choice;
 mod configuration;
 mod events;
 mod exchange;
@@ -18,9 +19,8 @@
 mod selection;
 mod suspicion;
 
-pub use attempt::{
-    Attempt, AttemptFailure, AttemptTarget, AttemptTimes, Sending, wait_for_progress,
-};
+pub use attempt::{Attempt, AttemptFailure, AttemptTimes, Sending, wait_for_progress};
+pub use choice::AttemptTarget;
 pub use configuration::{
     BatchBounds, CallerLimits, Route, RouteKind, Service, ServingConfiguration, WeightedService,
 };
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -8,7 +8,8 @@
 use harrierward_decisions::Record;
 use tokio::time::Instant;
 
-use crate::attempt::{Attempt, AttemptFailure, AttemptTarget, Sending, wait_for_progress};
+use crate::attempt::{Attempt, AttemptFailure, Sending, wait_for_progress};
+use crate::choice::AttemptTarget;
 use crate::events::EventSplitter;
 use crate::exchange::AnswerBody;
 use crate::forwarder::{Forwarder, RequestClock, RequestState};
