Memory of a prompt is copied from the replica that keeps it, where the request goes elsewhere

Ruled out: pins and holds (they set memory aside that bursts need); backups of running items (priced by the token as it grows, the prompt is what costs). Change: a choice names a source beside the replica: the preferred one from 1,000 missing shared tokens on, for an item the replica at which it ran. Sources that are suspected or leave are not named. The decision log names it.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -97,6 +97,8 @@
         report_age_ms: u64,
         /// Prompt tokens believed to be in the replica's memory.
         cached_tokens: u32,
+        /// Replica from which the prompt's memory is copied.
+        copy_from: Option<&'a str>,
         /// Number of the attempt, from 1.
         attempt: u32,
         /// Last event that the caller has.
--- a/crates/inline-jobs/src/book.rs
+++ b/crates/inline-jobs/src/book.rs
@@ -62,6 +62,8 @@
     pub failures: u32,
     /// Events of it that are saved.
     pub saved_events: usize,
+    /// Replica at which it last ran: that one may still keep its prompt.
+    pub ran_at: Option<String>,
     /// Where it stands.
     pub phase: ItemPhase,
 }
@@ -94,6 +96,7 @@
                 progress: SharedProgress::default(),
                 failures: 0,
                 saved_events: 0,
+                ran_at: None,
                 phase: ItemPhase::Waiting { not_before: now },
             })
             .collect();
@@ -212,6 +215,8 @@
     pub accepted_ms: u64,
     /// Nothing has come of it yet.
     pub began_anew: bool,
+    /// Replica at which it last ran.
+    pub ran_at: Option<String>,
     /// The request that runs it.
     pub request: Arc<ServingRequest>,
     /// What has come so far.
@@ -253,6 +258,7 @@
                         route: job.known.head.route.clone(),
                         accepted_ms: job.known.head.accepted_ms,
                         began_anew: lock(&item.progress).last_event.is_none(),
+                        ran_at: item.ran_at.clone(),
                         request: item.request.clone(),
                         progress: item.progress.clone(),
                     });
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -4,7 +4,7 @@
 
 use futures::StreamExt;
 use harrierward_serving::{
-    AttemptFailure, AttemptTimes, EventSplitter, Forwarder, InProgress, Sending, ServingRequest,
+    AttemptFailure, AttemptTimes, EventSplitter, Forwarder, Placement, Sending, ServingRequest,
     StreamEvent, wait_for_progress,
 };
 
@@ -35,12 +35,12 @@
 const FAILED: u16 = 500;
 const IMPOSSIBLE: u16 = 422;
 
-/// Runs an item at the replica of `in_progress`.
+/// Runs an item where it is placed.
 pub async fn run(
     forwarder: &Forwarder,
     request: &ServingRequest,
     progress: &SharedProgress,
-    in_progress: InProgress,
+    placement: Placement,
 ) -> RunOutcome {
     let resume_after = lock(progress).last_event;
     let times = AttemptTimes {
@@ -54,7 +54,7 @@
         number: 1,
     };
     let attempt = forwarder
-        .attempt_at(request, in_progress, times, sending)
+        .attempt_at(request, placement, times, sending)
         .await;
     let attempt = match attempt {
         Ok(attempt) => attempt,
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::{AttemptTarget, InProgress, Route, RouteTable, WorkClass};
+use harrierward_serving::{AttemptTarget, Placement, Route, RouteTable, WorkClass};
 use tokio::time::{Instant, sleep};
 
 use crate::book::{ItemPhase, StartableItem};
@@ -115,11 +115,14 @@
             free_slots: Some(free_slots),
         };
         let forwarder = &self.inner.forwarder;
-        let Some(replica) = forwarder.choose_replica(&item.request, target) else {
+        let Some(mut choice) = forwarder.choose_replica(&item.request, target) else {
             return false;
         };
-        let in_progress = replica.enter(WorkClass::Batch);
-        let replica_id = replica.record.id.clone();
+        if let Some(earlier) = &item.ran_at {
+            choice.copy_from_earlier(&forwarder.replicas().view(), earlier);
+        }
+        let replica_id = choice.replica.record.id.clone();
+        let placement = choice.enter(WorkClass::Batch);
         let jobs = self.clone();
         let started = item.clone();
         // The task cannot end before its phase is set: the runtime runs it only after this function has returned
@@ -129,7 +132,8 @@
         let Some(entry) = book.item(&item.job, item.number) else {
             return true;
         };
-        let task = tokio::spawn(async move { jobs.run_item(started, in_progress).await });
+        let task = tokio::spawn(async move { jobs.run_item(started, placement).await });
+        entry.ran_at = Some(replica_id.clone());
         entry.phase = ItemPhase::Running {
             replica: replica_id,
             task: task.abort_handle(),
@@ -138,14 +142,14 @@
         true
     }
 
-    async fn run_item(&self, item: StartableItem, in_progress: InProgress) {
-        let replica = in_progress.replica().record.id.clone();
+    async fn run_item(&self, item: StartableItem, placement: Placement) {
+        let replica = placement.in_progress.replica().record.id.clone();
         let started = Instant::now();
         let outcome = item_run::run(
             &self.inner.forwarder,
             &item.request,
             &item.progress,
-            in_progress,
+            placement,
         )
         .await;
         self.finish(&item, &replica, &outcome, started);
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -7,7 +7,7 @@
 use harrierward_decisions::Record;
 use tokio::time::{Instant, timeout};
 
-use crate::choice::AttemptTarget;
+use crate::choice::{AttemptTarget, Placement};
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
 use crate::forwarder::Forwarder;
 use crate::replica::{InProgress, Replica};
@@ -96,23 +96,29 @@
         times: AttemptTimes,
         sending: Sending,
     ) -> (Option<String>, Result<Attempt, AttemptFailure>) {
-        let Some(replica) = self.choose_replica(request, target) else {
+        let Some(choice) = self.choose_replica(request, target) else {
             return (None, Err(AttemptFailure::NoReplica));
         };
-        let in_progress = replica.enter(target.class);
-        let result = self.attempt_at(request, in_progress, times, sending).await;
-        (Some(replica.record.id.clone()), result)
+        let replica_id = choice.replica.record.id.clone();
+        let placement = choice.enter(target.class);
+        let result = self.attempt_at(request, placement, times, sending).await;
+        (Some(replica_id), result)
     }
 
     /// Sends the request to a replica already chosen, and tells what came of it.
     pub async fn attempt_at(
         &self,
         request: &ServingRequest,
-        in_progress: InProgress,
+        placement: Placement,
         times: AttemptTimes,
         sending: Sending,
     ) -> Result<Attempt, AttemptFailure> {
+        let Placement {
+            in_progress,
+            copy_from,
+        } = placement;
         let replica = in_progress.replica().clone();
+        let copy_from = copy_from.as_ref().map(|source| &source.record);
         self.log().record(&Record::Sent {
             request: &request.id,
             route: &request.target,
@@ -120,6 +126,7 @@
             load: replica.load(),
             report_age_ms: replica.report_age_ms(),
             cached_tokens: replica.cached_tokens(&request.prompt),
+            copy_from: copy_from.map(|source| source.id.as_str()),
             attempt: sending.number,
             resume_after: sending.resume_after,
         });
@@ -132,6 +139,7 @@
             time_left: times.time_left,
             resume_after: sending.resume_after,
             fresh_connection: sending.fresh_connection,
+            copy_from: copy_from.map(|source| source.address.as_str()),
         });
         let answer = wait_for_progress(exchange, &replica, times.dark, times.longest).await;
         let result = self.judge(request, &replica, answer);
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -9,7 +9,7 @@
 use crate::exchange::ServingRequest;
 use crate::forwarder::Forwarder;
 use crate::profile::PromptLength;
-use crate::replica::{Replica, ReplicaView, WorkClass};
+use crate::replica::{InProgress, Replica, ReplicaView, WorkClass};
 use crate::selection::{Candidate, Separation, choose, preference_weight};
 
 /// Where an attempt may go.
@@ -25,6 +25,45 @@
     pub free_slots: Option<u32>,
 }
 
+/// The replica for an attempt.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The replica.
+    pub replica: Arc<Replica>,
+    /// Another one that probably keeps more of the prompt: its memory of it is copied instead of being made anew.
+    pub copy_from: Option<Arc<Replica>>,
+}
+
+impl Choice {
+    /// The work ran at `earlier` before, which may still keep all of its prompt.
+    pub fn copy_from_earlier(&mut self, view: &ReplicaView, earlier: &str) {
+        let source = view.get(earlier);
+        if let Some(source) = source.filter(|source| can_copy(source, &self.replica)) {
+            self.copy_from = Some(source.clone());
+        }
+    }
+
+    /// Counts the request at the replica.
+    pub fn enter(self, class: WorkClass) -> Placement {
+        Placement {
+            in_progress: self.replica.enter(class),
+            copy_from: self.copy_from,
+        }
+    }
+}
+
+/// A request that is counted at its replica.
+#[derive(Debug)]
+pub struct Placement {
+    /// Keeps the request counted.
+    pub in_progress: InProgress,
+    /// Replica from which the prompt's memory is copied.
+    pub copy_from: Option<Arc<Replica>>,
+}
+
+/// Fewest shared tokens for which a copy is made: below, reading them anew takes no longer.
+const LEAST_COPIED_TOKENS: u32 = 1_000;
+
 /// Replicas that are looked at for one request, beside the preferred one.
 const MOST_CANDIDATES: usize = 48;
 
@@ -34,7 +73,7 @@
         &self,
         request: &ServingRequest,
         target: AttemptTarget<'_>,
-    ) -> Option<Arc<Replica>> {
+    ) -> Option<Choice> {
         let view = self.replicas().view();
         let usable: Vec<Arc<Replica>> = view
             .usable(target.service)
@@ -64,7 +103,14 @@
         let mut random = rand::rng();
         let costs = &self.settings().costs;
         let position = choose(costs, &candidates, || random.random::<f64>())?;
-        Some(replicas[position].clone())
+        let missing = candidates[position].uncached_shared_tokens;
+        let copy_from = preferred.filter(|source| {
+            missing >= LEAST_COPIED_TOKENS && can_copy(source, &replicas[position])
+        });
+        Some(Choice {
+            replica: replicas[position].clone(),
+            copy_from,
+        })
     }
 
     fn length_of(&self, request: &ServingRequest, target: AttemptTarget<'_>) -> PromptLength {
@@ -123,6 +169,11 @@
     }
 }
 
+/// True if another replica may be asked for its memory; one that is silent would hold the request up.
+fn can_copy(source: &Arc<Replica>, replica: &Arc<Replica>) -> bool {
+    !Arc::ptr_eq(source, replica) && !source.is_suspected() && !source.is_draining()
+}
+
 fn has_room(replica: &Replica, free_slots: Option<u32>) -> bool {
     let Some(free) = free_slots else {
         return true;
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -48,6 +48,8 @@
     pub resume_after: Option<u64>,
     /// Use a connection that carried nothing before.
     pub fresh_connection: bool,
+    /// Address of a replica from which it shall copy what that one keeps of the prompt.
+    pub copy_from: Option<&'a str>,
 }
 
 /// Load as a replica tells it with an answer.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,7 +20,7 @@
 mod suspicion;
 
 pub use attempt::{Attempt, AttemptFailure, AttemptTimes, Sending, wait_for_progress};
-pub use choice::AttemptTarget;
+pub use choice::{AttemptTarget, Choice, Placement};
 pub use configuration::{
     BatchBounds, CallerLimits, Route, RouteKind, Service, ServingConfiguration, WeightedService,
 };
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -98,8 +98,8 @@
         let mut chosen: HashMap<String, usize> = HashMap::new();
         // Each daemon sees one request of the part, and nothing of the others'.
         for _ in 0..10 {
-            let replica = forwarder().choose_replica(&request(part), TARGET);
-            let id = replica.expect("a replica").record.id.clone();
+            let choice = forwarder().choose_replica(&request(part), TARGET);
+            let id = choice.expect("a replica").replica.record.id.clone();
             *chosen.entry(id).or_default() += 1;
         }
         let most = chosen.values().max().copied().unwrap_or_default();
