Split routes: each daemon's turns begin at another place

Cause: every daemon's turn counter of a route began at 0, so the first request at each daemon went to the first part. Ruled out: the sequence itself (any run of it is even). Change: the counter begins at a random place. Test: serving/tests/routes.rs, fails before.

--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -25,6 +25,12 @@
     }
 }
 
+/// Where a route's turns begin: at another place on each daemon, or the first requests of a large fleet's daemons
+/// would all fall to the same service.
+fn first_turn() -> Arc<AtomicU64> {
+    Arc::new(AtomicU64::new(rand::random()))
+}
+
 /// The service on which a point of the weights' line falls; the line is scaled to the whole range of `u64`.
 fn pick_by_weight(services: &[WeightedService], point: u64) -> Option<&str> {
     let total: u64 = services
@@ -60,7 +66,7 @@
         let mut hosts: HashMap<String, Vec<Arc<RouteEntry>>> = HashMap::new();
         for route in &configuration.routes {
             let kept = previous.and_then(|table| table.entry(&route.host, &route.name));
-            let turn = kept.map_or_else(Arc::default, |entry| entry.turn.clone());
+            let turn = kept.map_or_else(first_turn, |entry| entry.turn.clone());
             let entry = RouteEntry {
                 route: route.clone(),
                 turn,
--- /dev/null
+++ b/crates/serving/tests/routes.rs
@@ -0,0 +1,48 @@
+//! The shares of a split route, over all daemons together.
+
+use harrierward_serving::{Route, RouteKind, RouteTable, ServingConfiguration, WeightedService};
+use std::time::Duration;
+
+fn part(service: &str, weight: u32) -> WeightedService {
+    WeightedService {
+        service: service.to_owned(),
+        weight,
+    }
+}
+
+fn table(first: u32, second: u32) -> RouteTable {
+    let route = Route {
+        name: "ask".to_owned(),
+        host: "example".to_owned(),
+        prefix: "/ask/".to_owned(),
+        kind: RouteKind::Stream { resumable: true },
+        services: vec![part("first", first), part("second", second)],
+        attempts: 2,
+        timeout: Duration::from_secs(4),
+        objective: Duration::from_millis(200),
+        gap_objective: None,
+        priority: 0,
+    };
+    let configuration = ServingConfiguration {
+        version: 1,
+        routes: vec![route],
+        ..ServingConfiguration::default()
+    };
+    RouteTable::build(configuration, None)
+}
+
+#[test]
+fn daemons_that_see_few_requests_each_keep_to_the_weights_together() {
+    const DAEMONS: u32 = 2_000;
+    const REQUESTS: u32 = 3;
+    let mut first = 0_u32;
+    for _ in 0..DAEMONS {
+        let table = table(1, 9);
+        let entry = table.find("example", "/ask/x").expect("the route");
+        for _ in 0..REQUESTS {
+            first += u32::from(entry.next_service() == Some("first"));
+        }
+    }
+    let share = f64::from(first) / f64::from(DAEMONS * REQUESTS);
+    assert!((share - 0.1).abs() < 0.04, "{share}");
+}
