What nothing calls is removed: forget, beside, take_left_over, two settings

No behaviour changes: the settings' fields were read and never used; unknown fields of the file are passed over as before.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -235,11 +235,6 @@
         None
     }
 
-    /// Closes idle connections to an address.
-    pub fn forget(&self, address: &str) {
-        self.lock().remove(address);
-    }
-
     async fn connect(&self, address: &str) -> Result<Connection, PoolError> {
         let settings = &self.inner.settings;
         let connecting = TcpStream::connect(address.to_owned());
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -23,12 +23,8 @@
     pub seeds: Vec<String>,
     /// Address of the store.
     pub store_address: String,
-    /// Writes a second that the store takes from all daemons together.
-    pub store_writes_a_second: f64,
     /// Reads a second that the store takes from all daemons together.
     pub store_reads_a_second: f64,
-    /// Largest row, bytes.
-    pub row_bytes: usize,
     /// Time from the request to stop to the end by force.
     pub grace: Duration,
     /// How long a job stays readable after it was sent.
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -56,12 +56,6 @@
         self.buffer.len()
     }
 
-    /// Takes the bytes left over.
-    pub fn take_left_over(&mut self) -> Bytes {
-        self.scanned = 0;
-        self.buffer.split().freeze()
-    }
-
     /// End of the first blank line, which closes an event.
     fn find_end(&mut self) -> Option<usize> {
         let bytes = &self.buffer[..];
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -139,7 +139,4 @@
 pub trait ReplicaClient: Send + Sync {
     /// Sends a request and waits for the head of its answer. Dropping the future closes the connection.
     async fn send(&self, request: ReplicaRequest<'_>) -> Result<ReplicaAnswer, ExchangeError>;
-
-    /// Closes idle connections to an address that is no longer used.
-    fn forget(&self, address: &str);
 }
--- a/crates/serving/src/profile.rs
+++ b/crates/serving/src/profile.rs
@@ -65,13 +65,6 @@
         }
         profile.length_of_short()
     }
-
-    /// Class of work that is not long and not taken into account, such as batch items.
-    pub fn beside(&self, service: &str) -> PromptLength {
-        let profiles = self.profiles.lock().unwrap_or_else(PoisonError::into_inner);
-        let profile = profiles.get(service);
-        profile.map_or(PromptLength::Alike, Profile::length_of_short)
-    }
 }
 
 impl Profile {
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -33,8 +33,6 @@
             detail: "no client".to_owned(),
         })
     }
-
-    fn forget(&self, _address: &str) {}
 }
 
 /// Counts the slots asked for.
