Quota kept under a fence in the store: jobs that are accepted at the same moment cannot exceed it

Cause: each daemon compared a job with what it had heard: its copy of the heads, and jobs on their way as peers told by datagram (until 1.5 s after the write). A peer that was not heard, or a write that was done seconds later, was missing. Ruled out: longer or more frequent notices (a smaller window, not none); the count as one row in each job's transaction (all jobs of a route wait for each other: a heap of 50 takes 50 rounds of some 8 ms, and 1,275 calls); shares of the quota for each daemon (a job that fits is refused where the share is elsewhere). Change: a fence row for each route with a quota lies in every partition of the heads and names the keeper. A job is kept only under the fence's revision (one more condition in the same transaction); the keeper counts heads and what it granted. Who does not reach the keeper writes the fence anew, reads the heads whole as of that revision, and is the keeper: what was granted before can come to nothing only, or is in that read. A grant unseen for 8 s makes the keeper write its own fence anew. Notices no longer carry pending jobs (module, tests and field removed: the fence replaces them).

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -184,6 +184,15 @@
         /// Revision of the commit, 0 if there is none.
         revision: u64,
     },
+    /// This daemon became the keeper of a route's quota.
+    QuotaKept {
+        /// Route.
+        route: &'a str,
+        /// Revision of its fence.
+        fence: u64,
+        /// Tokens that wait on the route, as read after the fence was written.
+        waiting_tokens: u64,
+    },
     /// This daemon became or ceased to be the owner of a job.
     JobOwnership {
         /// Job.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwapOption;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{ObjectStore, Table, WatchedTable};
-use harrierward_inline_jobs::{HEADS, InlineJobs, JobParts, JobSettings, partitions};
+use harrierward_inline_jobs::{HEADS, InlineJobs, JobParts, JobSettings, is_fence, partitions};
 use harrierward_serving::{
     Forwarder, ForwarderParts, ForwarderSettings, Replica, ReplicaClient, ReplicaSet,
     SelectionCosts,
@@ -17,7 +17,7 @@
 
 use crate::discovery::{Discovery, DiscoverySource};
 use crate::figures::Figures;
-use crate::members::{JobWord, Members, new_life};
+use crate::members::{Members, new_life};
 use crate::peer_rows::{PeerRows, learn};
 use crate::pool::ConnectionPool;
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
@@ -144,6 +144,7 @@
             life,
             table,
             objects,
+            watched: watched.clone(),
             forwarder: forwarder.clone(),
             peers: members.clone(),
             log: log.clone(),
@@ -152,11 +153,7 @@
                 cancel_within: settings.cancel_within,
             },
         });
-        let told = jobs.clone();
-        members.set_job_word(Box::new(move || JobWord {
-            proof_age: told.view().proof_age(),
-            pending: told.pending_jobs(),
-        }));
+        members.set_jobs(jobs.clone());
         slots.set_yielding(Box::new(Yielding {
             jobs: jobs.clone(),
             members: members.clone(),
@@ -296,7 +293,9 @@
 
 fn take_heads(jobs: &InlineJobs, update: &SpaceUpdate) {
     for row in &update.written {
-        if let Some(newer) = jobs.view().take_row(&row.value, row.revision) {
+        if is_fence(&row.key) {
+            jobs.view().take_fence_row(&row.value, row.revision);
+        } else if let Some(newer) = jobs.view().take_row(&row.value, row.revision) {
             jobs.head_changed(&newer);
         }
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,6 +1,7 @@
 //! One serving daemon without machines for control and without disk: its server towards callers, its connections
 //! to back ends, its copies of what the store says, and its peers.
 
+mod calls;
 mod daemon;
 mod discovery;
 mod figures;
@@ -15,7 +16,7 @@
 
 pub use daemon::{Daemon, DaemonParts, EdgeService};
 pub use discovery::{Discovery, DiscoverySource};
-pub use members::{JobWord, JobWordSource, Members};
+pub use members::Members;
 pub use peer_loads::{PeerLoads, PeerSum};
 pub use pool::{
     ConnectionPool, PoolError, PoolSettings, PooledBody, PooledResponse, RequestBody, has_token,
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -1,16 +1,18 @@
 //! The other daemons: who lives, and what each has in progress at the replicas.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use async_trait::async_trait;
 use harrierward_decisions::{DecisionLog, Record};
-use harrierward_inline_jobs::Peers;
+use harrierward_inline_jobs::{InlineJobs, Peers, QuotaRequest};
 use harrierward_membership::{Action, MembershipCore, MembershipSettings};
 use harrierward_serving::{Replica, ReplicaSet, WorkClass};
 use harrierward_wire::{
-    LoadNotice, MemberRecord, MemberState, NodeDatagram, PendingJob, ReplicaCount, YieldRequest,
-    decode, encode, node_datagram,
+    LoadNotice, MemberRecord, MemberState, NodeDatagram, QuotaAnswer, QuotaAsk, QuotaOutcome,
+    ReplicaCount, YieldRequest, decode, encode, node_datagram,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -18,6 +20,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep};
 
+use crate::calls::{CallPatience, DatagramCalls};
 use crate::peer_loads::PeerLoads;
 use crate::settings::EdgeSettings;
 use crate::slots::{KeeperCandidate, SlotService};
@@ -46,6 +49,12 @@
 /// Age of the own proof from which on this daemon asks whether it alone is cut off.
 const ALONE_CUT_OFF_AFTER: Duration = Duration::from_millis(2_200);
 
+/// Bounds of a question for a job's tokens.
+const QUOTA_PATIENCE: CallPatience = CallPatience {
+    again: Duration::from_millis(40),
+    give_up: Duration::from_millis(100),
+};
+
 /// Largest datagram received, bytes.
 const DATAGRAM_LIMIT: usize = 65_536;
 
@@ -75,24 +84,14 @@
     started: Instant,
     replicas: Arc<ReplicaSet>,
     log: DecisionLog,
-    job_word: Mutex<Option<JobWordSource>>,
+    jobs: OnceLock<InlineJobs>,
+    quota_calls: DatagramCalls<QuotaAnswer>,
+    next_quota_call: AtomicU32,
     slots: Arc<SlotService>,
     socket: OnceLock<Arc<UdpSocket>>,
     state: Mutex<State>,
 }
 
-/// What a daemon tells its peers of its jobs.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct JobWord {
-    /// Age of the proof that its copy of the jobs' heads is true.
-    pub proof_age: Option<Duration>,
-    /// Jobs that it is just trying to keep, or has just kept.
-    pub pending: Vec<PendingJob>,
-}
-
-/// Gives a daemon's own word.
-pub type JobWordSource = Box<dyn Fn() -> JobWord + Send + Sync>;
-
 /// A name for this life of the daemon.
 pub fn new_life(member: &str) -> String {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -131,7 +130,9 @@
             started: Instant::now(),
             replicas,
             log,
-            job_word: Mutex::new(None),
+            jobs: OnceLock::new(),
+            quota_calls: DatagramCalls::default(),
+            next_quota_call: AtomicU32::new(1),
             slots,
             socket: OnceLock::new(),
             state: Mutex::new(state),
@@ -181,9 +182,9 @@
         let address = {
             let mut state = self.lock();
             let peer = state.loads.take_batch_slot(hash, &mut rand::rng());
-            peer.and_then(|peer| state.core.udp_address(&peer))
+            peer.and_then(|peer| udp_address(&state.core, &peer))
         };
-        let (Some(address), Some(socket)) = (address, self.socket.get()) else {
+        let Some(address) = address else {
             return;
         };
         replica.note_peer_yield();
@@ -192,12 +193,7 @@
             slots: 1,
             place: 0,
         };
-        let datagram = NodeDatagram {
-            kind: Some(node_datagram::Kind::YieldRequest(request)),
-        };
-        if let Ok(address) = address.parse::<SocketAddr>() {
-            let _ = socket.try_send_to(&encode(&datagram), address);
-        }
+        self.send_to(node_datagram::Kind::YieldRequest(request), address);
     }
 
     /// Drives the protocol over `socket` for as long as the process runs.
@@ -262,6 +258,15 @@
                 self.note_changes(&mut state);
                 wrap(actions)
             }
+            Some(node_datagram::Kind::QuotaAsk(ask)) => {
+                drop(state);
+                self.take_quota_ask(&ask, from);
+                Vec::new()
+            }
+            Some(node_datagram::Kind::QuotaAnswer(answer)) => {
+                self.quota_calls.take(answer.number, answer);
+                Vec::new()
+            }
             Some(node_datagram::Kind::LoadNotice(notice)) => {
                 self.take_notice(&mut state, notice);
                 Vec::new()
@@ -307,7 +312,6 @@
             number: state.notices,
             counts: counts.collect(),
             proof_age_ms: self.own_proof_age_ms(),
-            pending: self.own_word().pending,
         };
         let datagram = NodeDatagram {
             kind: Some(node_datagram::Kind::LoadNotice(notice)),
@@ -322,20 +326,66 @@
             .collect()
     }
 
-    fn own_word(&self) -> JobWord {
-        let source = self.job_word.lock().unwrap_or_else(PoisonError::into_inner);
-        source.as_ref().map_or_else(JobWord::default, |word| word())
-    }
-
     fn own_proof_age_ms(&self) -> u32 {
-        self.own_word().proof_age.map_or(0, |age| {
+        let age = self.jobs.get().and_then(|jobs| jobs.view().proof_age());
+        age.map_or(0, |age| {
             u32::try_from(age.as_millis()).map_or(u32::MAX, |millis| millis.saturating_add(1))
         })
     }
 
-    /// Where this daemon learns what to tell its peers of its jobs.
-    pub fn set_job_word(&self, word: JobWordSource) {
-        *self.job_word.lock().unwrap_or_else(PoisonError::into_inner) = Some(word);
+    /// The jobs of this daemon, of which its peers are told, and whose quotas they ask for.
+    pub fn set_jobs(&self, jobs: InlineJobs) {
+        // Set once, at the start.
+        let _ = self.jobs.set(jobs);
+    }
+
+    /// A peer wants tokens for a job, or gives them back.
+    fn take_quota_ask(&self, ask: &QuotaAsk, from: SocketAddr) {
+        let Some(jobs) = self.jobs.get() else {
+            return;
+        };
+        let request = QuotaRequest {
+            route: &ask.route,
+            job: &ask.job,
+            tokens: ask.tokens,
+        };
+        if ask.returned {
+            jobs.give_back_quota(request);
+            return;
+        }
+        let (outcome, fence) = jobs.answer_quota(request);
+        let answer = QuotaAnswer {
+            number: ask.number,
+            outcome: outcome as i32,
+            fence,
+        };
+        self.send_to(node_datagram::Kind::QuotaAnswer(answer), from);
+    }
+
+    /// Where a living member takes datagrams.
+    fn address_of(&self, member: &str) -> Option<SocketAddr> {
+        let state = self.lock();
+        let view = state.core.view();
+        view.member(member)?;
+        udp_address(&state.core, member)
+    }
+
+    fn send_to(&self, kind: node_datagram::Kind, address: SocketAddr) {
+        let datagram = NodeDatagram { kind: Some(kind) };
+        if let Some(socket) = self.socket.get() {
+            // A datagram that is lost is sent again, or its sender gives up.
+            let _ = socket.try_send_to(&encode(&datagram), address);
+        }
+    }
+
+    fn quota_ask(&self, request: QuotaRequest<'_>) -> QuotaAsk {
+        QuotaAsk {
+            number: self.next_quota_call.fetch_add(1, Ordering::Relaxed),
+            route: request.route.to_owned(),
+            job: request.job.to_owned(),
+            tokens: request.tokens,
+            returned: false,
+        }
     }
 
     fn take_notice(&self, state: &mut State, notice: LoadNotice) {
@@ -361,6 +411,7 @@
     }
 }
 
+#[async_trait]
 impl Peers for Members {
     fn owners(&self) -> Option<Vec<String>> {
         let state = self.lock();
@@ -376,8 +427,29 @@
         Some(staying.filter(|id| !is_cut_off(&state, id)).collect())
     }
 
-    fn pending_jobs(&self) -> Vec<PendingJob> {
-        self.lock().loads.pending_jobs()
+    async fn ask_quota(
+        &self,
+        keeper: &str,
+        request: QuotaRequest<'_>,
+    ) -> Option<(QuotaOutcome, u64)> {
+        let address = self.address_of(keeper)?;
+        let ask = self.quota_ask(request);
+        let send = || self.send_to(node_datagram::Kind::QuotaAsk(ask.clone()), address);
+        let answer = self
+            .quota_calls
+            .ask(ask.number, QUOTA_PATIENCE, send)
+            .await?;
+        Some((answer.outcome(), answer.fence))
+    }
+
+    fn return_quota(&self, keeper: &str, request: QuotaRequest<'_>) {
+        if let Some(address) = self.address_of(keeper) {
+            let ask = QuotaAsk {
+                returned: true,
+                ..self.quota_ask(request)
+            };
+            self.send_to(node_datagram::Kind::QuotaAsk(ask), address);
+        }
     }
 }
 
--- a/crates/edge/src/peer_loads.rs
+++ b/crates/edge/src/peer_loads.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use harrierward_wire::{LoadNotice, PendingJob, ReplicaCount};
+use harrierward_wire::{LoadNotice, ReplicaCount};
 use rand::Rng;
 use rand::distr::Distribution;
 use rand::distr::weighted::WeightedIndex;
@@ -85,12 +85,6 @@
         Some((*peer).clone())
     }
 
-    /// Jobs whose heads may not be known yet.
-    pub fn pending_jobs(&self) -> Vec<PendingJob> {
-        let loads = self.loads.values();
-        loads.flat_map(|load| load.notice.pending.clone()).collect()
-    }
-
     /// Sums by the hash of the replica's id; of `peers` daemons, those not heard of lately are taken to be like the
     /// others.
     pub fn sums(&self, peers: usize) -> HashMap<u32, PeerSum> {
--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -15,8 +15,9 @@
     ItemPlaceAsk, PromptPartRow, SlotAsk, SlotGrant, SlotWord, node_datagram::Kind,
 };
 use rand::Rng;
-use tokio::sync::oneshot;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
+
+use crate::calls::CallPatience;
 
 use super::{Keeper, KeeperCandidate, LONGEST_SLACK, SlotService, usage_of};
 
@@ -47,7 +48,6 @@
     fn drop(&mut self) {
         let mut state = self.service.lock();
         state.held.stop_waiting(self.place);
-        state.waiting.remove(&self.place);
         drop(state);
         if !self.answered {
             // The keeper may have given the place out.
@@ -100,7 +100,6 @@
             return PlaceAnswer::NoKeeper;
         };
         let now_ms = self.now_ms();
-        let (sender, mut receiver) = oneshot::channel();
         let place = {
             let mut state = self.lock();
             let silent = state.silent.get(&keeper.id);
@@ -109,7 +108,6 @@
             }
             let place = state.held.next_number();
             state.held.wait_for(place);
-            state.waiting.insert(place, sender);
             place
         };
         let mut awaiting = Awaiting {
@@ -119,16 +117,14 @@
             answered: false,
         };
         let ask = self.describe_ask(query, service, group, place);
-        let patience = query.objective / GIVE_UP_PART;
-        let patience = patience.clamp(LEAST_PATIENCE, MOST_PATIENCE);
-        let first = patience * GIVE_UP_PART / ASK_AGAIN_PART;
-        self.send(Kind::SlotAsk(ask.clone()), address);
-        let mut answer = timeout(first, &mut receiver).await;
-        if answer.is_err() {
-            self.send(Kind::SlotAsk(ask), address);
-            answer = timeout(patience - first, &mut receiver).await;
-        }
-        let Ok(Ok(grant)) = answer else {
+        let give_up = query.objective / GIVE_UP_PART;
+        let give_up = give_up.clamp(LEAST_PATIENCE, MOST_PATIENCE);
+        let patience = CallPatience {
+            again: give_up * GIVE_UP_PART / ASK_AGAIN_PART,
+            give_up,
+        };
+        let send = || self.send(Kind::SlotAsk(ask.clone()), address);
+        let Some(grant) = self.calls.ask(place, patience, send).await else {
             drop(awaiting);
             self.note_silent(&keeper.id);
             return PlaceAnswer::NoKeeper;
@@ -234,14 +230,6 @@
         }
     }
 
-    pub(super) fn take_answer(&self, grant: SlotGrant) {
-        let waiting = self.lock().waiting.remove(&grant.place);
-        if let Some(waiting) = waiting {
-            // An asker that has gone has told the keeper already.
-            let _ = waiting.send(grant);
-        }
-    }
-
     fn tell_released(&self, place: u32, keeper: SocketAddr) {
         let word = SlotWord {
             holder: self.holder,
--- a/crates/edge/src/slots/keeping.rs
+++ b/crates/edge/src/slots/keeping.rs
@@ -313,7 +313,7 @@
     pub fn receive(&self, kind: Kind, from: SocketAddr) -> Option<Kind> {
         match kind {
             Kind::SlotAsk(ask) => self.take_ask(&ask, from),
-            Kind::SlotGrant(grant) => self.take_answer(grant),
+            Kind::SlotGrant(grant) => self.calls.take(grant.place, grant),
             Kind::SlotWord(word) => self.take_word(&word, from),
             Kind::YieldRequest(request) => self.take_yield(&request),
             other => return Some(other),
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -18,10 +18,11 @@
 use harrierward_slots::{HeldPlaces, PlaceUse, SlotLedger, group_count, group_of, keeper_of};
 use harrierward_wire::{NodeDatagram, SlotGrant, encode, node_datagram};
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::calls::DatagramCalls;
+
 /// A living member that stays, as far as the places concern it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeeperCandidate {
@@ -54,7 +55,6 @@
 struct State {
     ledger: SlotLedger,
     held: HeldPlaces,
-    waiting: HashMap<u32, oneshot::Sender<SlotGrant>>,
     peaks: OnlinePeaks,
     silent: HashMap<String, Suspicion>,
     free_permille: HashMap<(u32, u32), u32>,
@@ -76,6 +76,7 @@
     yielding: OnceLock<Box<dyn YieldItems>>,
     socket: OnceLock<Arc<UdpSocket>>,
     log: DecisionLog,
+    calls: DatagramCalls<SlotGrant>,
     state: Mutex<State>,
 }
 
@@ -103,10 +104,10 @@
             yielding: OnceLock::new(),
             socket: OnceLock::new(),
             log,
+            calls: DatagramCalls::default(),
             state: Mutex::new(State {
                 ledger: SlotLedger::default(),
                 held: HeldPlaces::default(),
-                waiting: HashMap::new(),
                 peaks: OnlinePeaks::default(),
                 silent: HashMap::new(),
                 free_permille: HashMap::new(),
--- a/crates/inline-jobs/src/keys.rs
+++ b/crates/inline-jobs/src/keys.rs
@@ -49,6 +49,33 @@
     key(HEADS, job_id)
 }
 
+/// Beginning of the names of the quotas' fences among the heads; no job's id can begin so.
+const FENCE_MARK: &str = "~quota.";
+
+/// Name of a route's fence.
+fn fence_name(route: &str) -> String {
+    format!("{FENCE_MARK}{:016x}", xxh3_64(route.as_bytes()))
+}
+
+/// Key of a route's fence in the partition of a job.
+pub fn fence(route: &str, job_id: &str) -> String {
+    let partition = partition_name(partition(job_id));
+    format!("{HEADS}/{partition}/{}", fence_name(route))
+}
+
+/// Keys of a route's fence in all partitions.
+pub fn fences(route: &str) -> Vec<String> {
+    let name = fence_name(route);
+    let key = |partition| format!("{HEADS}/{partition}/{name}");
+    partitions().into_iter().map(key).collect()
+}
+
+/// True if the row is a fence, and not a head.
+pub fn is_fence(key: &str) -> bool {
+    let name = key.rsplit('/').next();
+    name.is_some_and(|name| name.starts_with(FENCE_MARK))
+}
+
 /// Key of a row of items.
 pub fn items(job_id: &str, number: u32) -> String {
     format!("{}.{number:04}", key(ITEMS, job_id))
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -14,19 +14,20 @@
 mod lookup;
 mod model;
 mod pacing;
-mod pending;
+mod quota;
+mod quota_book;
 mod runner;
 mod service;
 mod store;
 mod submit;
 mod view;
 
-pub use keys::{HEADS, partitions};
+pub use keys::{HEADS, is_fence, partitions};
 pub use model::{
     EndOutcome, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem, SubmittedJob,
 };
 pub use pacing::{OnlinePeaks, Pace, RunLength, Urgency, slack, urgency};
-pub use pending::{PendingGuard, PendingJobs};
+pub use quota_book::{QuotaBook, QuotaDecision, QuotaRequest, RouteCount};
 pub use service::{InlineJobs, JobParts, JobSettings, Peers};
-pub use store::{JobStore, ListedResult, ReadResult, WriteOutcome};
+pub use store::{FenceOutcome, JobStore, KnownFence, ListedResult, ReadResult, WriteOutcome};
 pub use view::{JobView, KnownHead};
--- a/crates/inline-jobs/src/listing.rs
+++ b/crates/inline-jobs/src/listing.rs
@@ -87,7 +87,8 @@
                 self.head_removed(&head.job_id);
                 ("job removed", true)
             }
-            WriteOutcome::NotDone => ("not done", false),
+            // Only new jobs are written under a fence.
+            WriteOutcome::NotDone | WriteOutcome::Fenced { .. } => ("not done", false),
             WriteOutcome::InDoubt => ("in doubt", false),
         };
         self.inner.log.record(&Record::ResultsListed {
--- a/crates/inline-jobs/src/lookup.rs
+++ b/crates/inline-jobs/src/lookup.rs
@@ -172,7 +172,8 @@
                     known = current;
                 }
                 WriteOutcome::Conflict { current: None } => return EndOutcome::Missing,
-                WriteOutcome::NotDone => return EndOutcome::NotDone,
+                // Only new jobs are written under a fence.
+                WriteOutcome::NotDone | WriteOutcome::Fenced { .. } => return EndOutcome::NotDone,
                 WriteOutcome::InDoubt => return EndOutcome::InDoubt,
             }
             if Instant::now() >= until {
--- /dev/null
+++ b/crates/inline-jobs/src/quota_book.rs
@@ -0,0 +1,126 @@
+//! The quotas that this daemon keeps: which jobs were granted their tokens and are not seen in the store yet. Pure.
+//!
+//! Why exact: a job is kept only under the revision of its route's fence, so every job that can still be kept under
+//! it was granted here. The count is that of the heads, read whole after the fence was written, and of these grants.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// How long a grant may stay unseen. Then the fence is written anew, so that it can come to nothing for certain.
+const GRANT_LIFETIME: Duration = Duration::from_secs(8);
+
+#[derive(Debug, Clone, Copy)]
+struct Grant {
+    tokens: u64,
+    at: Instant,
+}
+
+#[derive(Debug)]
+struct KeptQuota {
+    fence: u64,
+    grants: HashMap<String, Grant>,
+}
+
+/// A job that wants its tokens.
+#[derive(Debug, Clone, Copy)]
+pub struct QuotaRequest<'a> {
+    /// Route.
+    pub route: &'a str,
+    /// Job.
+    pub job: &'a str,
+    /// Tokens of its items.
+    pub tokens: u64,
+}
+
+/// What the heads tell of a route.
+#[derive(Clone, Copy)]
+pub struct RouteCount<'a> {
+    /// Tokens that may wait.
+    pub limit: u64,
+    /// Tokens that wait, of all heads known.
+    pub waiting: u64,
+    /// True if a job's head is known.
+    pub is_known: &'a dyn Fn(&str) -> bool,
+}
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaDecision {
+    /// The job may be kept under this fence.
+    Granted {
+        /// Revision of the fence.
+        fence: u64,
+    },
+    /// The job does not fit.
+    Full,
+    /// The fence must be written, or written anew, before anything can be told.
+    NotKept,
+}
+
+/// All quotas that this daemon keeps.
+#[derive(Debug, Default)]
+pub struct QuotaBook {
+    routes: HashMap<String, KeptQuota>,
+}
+
+impl QuotaBook {
+    /// The fence was written at this revision, and all heads up to it are known: what was granted before can no
+    /// longer be kept.
+    pub fn begin(&mut self, route: &str, fence: u64) {
+        let kept = KeptQuota {
+            fence,
+            grants: HashMap::new(),
+        };
+        self.routes.insert(route.to_owned(), kept);
+    }
+
+    /// Another daemon wrote the fence.
+    pub fn end(&mut self, route: &str) {
+        self.routes.remove(route);
+    }
+
+    /// Revision of the fence that is kept.
+    pub fn fence(&self, route: &str) -> Option<u64> {
+        self.routes.get(route).map(|kept| kept.fence)
+    }
+
+    /// Decides a request; a granted one counts until its head is known.
+    pub fn decide(
+        &mut self,
+        request: QuotaRequest<'_>,
+        count: RouteCount<'_>,
+        now: Instant,
+    ) -> QuotaDecision {
+        let Some(kept) = self.routes.get_mut(request.route) else {
+            return QuotaDecision::NotKept;
+        };
+        kept.grants.retain(|job, _| !(count.is_known)(job));
+        let overdue = |grant: &Grant| now.saturating_duration_since(grant.at) >= GRANT_LIFETIME;
+        if kept.grants.values().any(overdue) {
+            return QuotaDecision::NotKept;
+        }
+        let fence = kept.fence;
+        if (count.is_known)(request.job) || kept.grants.contains_key(request.job) {
+            return QuotaDecision::Granted { fence };
+        }
+        let granted: u64 = kept.grants.values().map(|grant| grant.tokens).sum();
+        if count.waiting + granted + request.tokens > count.limit {
+            return QuotaDecision::Full;
+        }
+        let grant = Grant {
+            tokens: request.tokens,
+            at: now,
+        };
+        kept.grants.insert(request.job.to_owned(), grant);
+        QuotaDecision::Granted { fence }
+    }
+
+    /// A job will certainly not be kept under the present fence.
+    pub fn give_back(&mut self, route: &str, job: &str) {
+        if let Some(kept) = self.routes.get_mut(route) {
+            kept.grants.remove(job);
+        }
+    }
+}
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -4,26 +4,36 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use async_trait::async_trait;
 use harrierward_decisions::{DecisionLog, Record};
-use harrierward_external::{ObjectStore, Table};
+use harrierward_external::{ObjectStore, Table, WatchedTable};
 use harrierward_serving::Forwarder;
-use harrierward_wire::{JobHeadRow, PendingJob};
+use harrierward_wire::{JobHeadRow, QuotaOutcome};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::book::{JobBook, OwnedJob};
-use crate::pending::PendingJobs;
+use crate::quota_book::{QuotaBook, QuotaRequest};
 use crate::store::JobStore;
 use crate::view::{JobView, KnownHead};
 
 /// Other daemons, as far as the jobs need them.
+#[async_trait]
 pub trait Peers: Send + Sync {
     /// Lives of the daemons that may own jobs, this one among them; `None` while this daemon has not yet heard of
     /// the others.
     fn owners(&self) -> Option<Vec<String>>;
 
-    /// Jobs that other daemons are just trying to keep, or have just kept.
-    fn pending_jobs(&self) -> Vec<PendingJob>;
+    /// Asks another daemon, the keeper of a route's quota, for a job's tokens: what became of it, and the fence of a
+    /// grant. `None` if it does not answer.
+    async fn ask_quota(
+        &self,
+        keeper: &str,
+        request: QuotaRequest<'_>,
+    ) -> Option<(QuotaOutcome, u64)>;
+
+    /// Tells the keeper that a job will certainly not be kept. Does not wait.
+    fn return_quota(&self, keeper: &str, request: QuotaRequest<'_>);
 }
 
 /// Bounds of the jobs.
@@ -43,6 +53,8 @@
     pub table: Arc<dyn Table>,
     /// The store's objects.
     pub objects: Arc<dyn ObjectStore>,
+    /// The store's rows, watched.
+    pub watched: Arc<dyn WatchedTable>,
     /// The path to replicas.
     pub forwarder: Forwarder,
     /// Other daemons.
@@ -64,7 +76,9 @@
     pub settings: JobSettings,
     pub wake: Notify,
     pub stopping: AtomicBool,
-    pub pending: PendingJobs,
+    pub quotas: Mutex<QuotaBook>,
+    /// Held while a fence is written.
+    pub fencing: tokio::sync::Mutex<()>,
 }
 
 /// The inline jobs of one daemon; cheap to clone.
@@ -81,7 +95,7 @@
     pub fn new(parts: JobParts) -> Self {
         let inner = Inner {
             life: parts.life,
-            store: JobStore::new(parts.table, parts.objects),
+            store: JobStore::new(parts.table, parts.objects, parts.watched),
             view: JobView::default(),
             book: Mutex::default(),
             forwarder: parts.forwarder,
@@ -90,7 +104,8 @@
             settings: parts.settings,
             wake: Notify::new(),
             stopping: AtomicBool::new(false),
-            pending: PendingJobs::default(),
+            quotas: Mutex::default(),
+            fencing: tokio::sync::Mutex::default(),
         };
         Self {
             inner: Arc::new(inner),
@@ -102,9 +117,11 @@
         &self.inner.view
     }
 
-    /// Jobs that this daemon is just trying to keep, or has just kept.
-    pub fn pending_jobs(&self) -> Vec<PendingJob> {
-        self.inner.pending.all(Instant::now())
+    pub(crate) fn quotas(&self) -> MutexGuard<'_, QuotaBook> {
+        self.inner
+            .quotas
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn book(&self) -> MutexGuard<'_, JobBook> {
--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -6,9 +6,11 @@
 use bytes::Bytes;
 use harrierward_external::{
     Backoff, Condition, ObjectStore, PlatformError, PlatformErrorKind, RequestClass, Row, Table,
-    Transaction, TransactionOutcome,
+    Transaction, TransactionOutcome, WatchedTable,
+};
+use harrierward_wire::{
+    ItemProgressRow, JobHeadRow, JobItemsRow, QuotaFenceRow, ResultPieceRow, decode, encode,
 };
-use harrierward_wire::{ItemProgressRow, JobHeadRow, JobItemsRow, ResultPieceRow, decode, encode};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::{Instant, sleep};
@@ -45,17 +47,46 @@
         /// The head as it stands; `None` if there is none.
         current: Option<KnownHead>,
     },
+    /// The quota's fence is another one; nothing was done, and nothing will be.
+    Fenced {
+        /// The fence as it stands.
+        current: Option<KnownFence>,
+    },
     /// Nothing was done, and nothing will be.
     NotDone,
     /// It may have been done, or may yet be.
     InDoubt,
 }
 
+/// The fence of a route's quota, and the revision of its row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownFence {
+    /// Life of the daemon that keeps the quota.
+    pub keeper: String,
+    /// Revision.
+    pub revision: u64,
+}
+
+/// How the write of a fence ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FenceOutcome {
+    /// It was written at this revision.
+    Written {
+        /// Revision of its rows.
+        revision: u64,
+    },
+    /// Another daemon's stands there.
+    Other(KnownFence),
+    /// It is not known whether it was written.
+    NotDone,
+}
+
 /// The rows of jobs.
 #[derive(Clone)]
 pub struct JobStore {
     table: Arc<dyn Table>,
     objects: Arc<dyn ObjectStore>,
+    watched: Arc<dyn WatchedTable>,
 }
 
 /// A result to be listed.
@@ -85,6 +116,14 @@
     })
 }
 
+fn known_fence(row: &Row) -> Option<KnownFence> {
+    let fence: QuotaFenceRow = decode(&row.value)?;
+    Some(KnownFence {
+        keeper: fence.keeper,
+        revision: row.revision,
+    })
+}
+
 /// Splits a text at character boundaries.
 fn pieces_of(text: &str) -> Vec<&str> {
     let mut rest = text;
@@ -104,8 +143,16 @@
 
 impl JobStore {
     /// Jobs in this table; items too large for rows in the object store.
-    pub fn new(table: Arc<dyn Table>, objects: Arc<dyn ObjectStore>) -> Self {
-        Self { table, objects }
+    pub fn new(
+        table: Arc<dyn Table>,
+        objects: Arc<dyn ObjectStore>,
+        watched: Arc<dyn WatchedTable>,
+    ) -> Self {
+        Self {
+            table,
+            objects,
+            watched,
+        }
     }
 
     /// Sends a transaction until its outcome is known or `until` has come. Repeating is harmless: the condition on
@@ -124,6 +171,10 @@
                 Ok(TransactionOutcome::Committed { revision }) => {
                     return WriteOutcome::Committed { revision };
                 }
+                Ok(TransactionOutcome::Conflict { key, current }) if keys::is_fence(&key) => {
+                    let current = current.as_ref().and_then(known_fence);
+                    return WriteOutcome::Fenced { current };
+                }
                 Ok(TransactionOutcome::Conflict { current, .. }) => {
                     let current = current.as_ref().and_then(known);
                     return WriteOutcome::Conflict { current };
@@ -142,18 +193,25 @@
         }
     }
 
-    /// Keeps a new job: its head and all items in one transaction, unless there is a job of the id.
+    /// Keeps a new job: its head and all items in one transaction, unless there is a job of the id, and only under
+    /// this revision of its route's fence, if the route has one.
     pub async fn create(
         &self,
         mut head: JobHeadRow,
         items: &JobItemsRow,
+        fence: Option<u64>,
         until: Instant,
     ) -> WriteOutcome {
         let content = Bytes::from(encode(items));
         let head_key = keys::head(&head.job_id);
+        // The head comes first: where both conditions fail, the job is kept already.
         let mut transaction = Transaction::default().require(Condition::Absent {
             key: head_key.clone(),
         });
+        if let Some(revision) = fence {
+            let key = keys::fence(&head.route, &head.job_id);
+            transaction = transaction.require(Condition::AtRevision { key, revision });
+        }
         if content.len() > TRANSACTION_BYTES {
             head.item_object = format!("jobitems-{}-{}", head.job_id, head.owner);
             let put = self
@@ -176,6 +234,56 @@
         self.settle(RequestClass::Urgent, transaction, until).await
     }
 
+    /// Writes a route's fence in all partitions under its present revision.
+    pub async fn write_fence(
+        &self,
+        present: Option<u64>,
+        row: &QuotaFenceRow,
+        until: Instant,
+    ) -> FenceOutcome {
+        let mut transaction = Transaction::default();
+        for key in keys::fences(&row.route) {
+            let condition = match present {
+                None => Condition::Absent { key: key.clone() },
+                Some(revision) => Condition::AtRevision {
+                    key: key.clone(),
+                    revision,
+                },
+            };
+            transaction = transaction.require(condition).put(key, encode(row));
+        }
+        match self.settle(RequestClass::Urgent, transaction, until).await {
+            WriteOutcome::Committed { revision } => FenceOutcome::Written { revision },
+            // Own writes whose answers were lost are met again this way.
+            WriteOutcome::Fenced {
+                current: Some(current),
+            } if current.keeper == row.keeper => FenceOutcome::Written {
+                revision: current.revision,
+            },
+            WriteOutcome::Fenced {
+                current: Some(current),
+            } => FenceOutcome::Other(current),
+            _ => FenceOutcome::NotDone,
+        }
+    }
+
+    /// All heads, as of `revision` at least; `None` if they could not be read before `until`.
+    pub async fn read_heads(&self, revision: u64, until: Instant) -> Option<Vec<KnownHead>> {
+        let partitions = keys::partitions();
+        while Instant::now() < until {
+            let read = self.watched.read_space(keys::HEADS, &partitions).await;
+            // A read may be older than what was written before it.
+            if let Ok(snapshot) = read.as_ref()
+                && snapshot.revision >= revision
+            {
+                let heads = snapshot.rows.iter().filter(|row| !keys::is_fence(&row.key));
+                return Some(heads.filter_map(known).collect());
+            }
+            sleep(LONGEST_PAUSE / 2).await;
+        }
+        None
+    }
+
     /// Replaces a head under its revision.
     pub async fn replace_head(
         &self,
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -10,6 +10,8 @@
 use crate::book::OwnedJob;
 use crate::keys;
 use crate::model::{SubmitOutcome, SubmittedJob, item_request, item_row};
+use crate::quota::Reservation;
+use crate::quota_book::QuotaRequest;
 use crate::service::InlineJobs;
 use crate::store::WriteOutcome;
 use crate::view::KnownHead;
@@ -30,9 +32,6 @@
 const FIRST_READ_WAIT: Duration = Duration::from_millis(800);
 const FIRST_READ_LOOK: Duration = Duration::from_millis(10);
 
-/// How long a job that was kept is still told to others, who may learn of its head later.
-const TELL_FOR: Duration = Duration::from_millis(1_500);
-
 /// When a job that does not fit may come back.
 const FULL_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -69,41 +68,54 @@
                 retry_after: STORE_RETRY,
             };
         }
-        if !self.fits(job, route) {
-            return self.refuse_unless_kept(&job.id).await;
-        }
-        let pending = self.inner.pending.hold(&job.id, tokens_of(job));
-        let head = self.head_of(job, route);
+        let until = arrived + hold_of(job);
+        let request = QuotaRequest {
+            route: &route.name,
+            job: &job.id,
+            tokens: tokens_of(job),
+        };
         let rows = JobItemsRow {
             items: job.items.iter().map(item_row).collect(),
         };
-        let hold = job.patience.map_or(LONGEST_HOLD, |patience| {
-            (patience * PATIENCE_PERCENT / 100).min(LONGEST_HOLD)
-        });
-        let written = self
-            .inner
-            .store
-            .create(head.clone(), &rows, arrived + hold)
-            .await;
-        match written {
-            WriteOutcome::Committed { revision } => {
-                pending.keep_for(TELL_FOR);
-                self.begin(head, rows, revision);
-                SubmitOutcome::Accepted
-            }
-            WriteOutcome::Conflict {
-                current: Some(current),
-            } => {
-                self.learn(current);
-                SubmitOutcome::Accepted
-            }
-            WriteOutcome::Conflict { current: None } | WriteOutcome::InDoubt => {
-                pending.keep_for(TELL_FOR);
-                SubmitOutcome::InDoubt
+        loop {
+            let fence = match self.reserve(request, route, until).await {
+                Reservation::Granted { fence } => fence,
+                Reservation::Full => return self.refuse_unless_kept(&job.id).await,
+                Reservation::Unreachable => {
+                    return SubmitOutcome::NotKept {
+                        retry_after: STORE_RETRY,
+                    };
+                }
+            };
+            let head = self.head_of(job, route);
+            let store = &self.inner.store;
+            match store.create(head.clone(), &rows, fence, until).await {
+                WriteOutcome::Committed { revision } => {
+                    self.begin(head, rows, revision);
+                    return SubmitOutcome::Accepted;
+                }
+                WriteOutcome::Conflict {
+                    current: Some(current),
+                } => {
+                    self.learn(current);
+                    return SubmitOutcome::Accepted;
+                }
+                // What was granted comes to nothing; a new keeper is asked.
+                WriteOutcome::Fenced { current } => {
+                    if let Some(current) = current {
+                        self.inner.view.take_fence(&route.name, current);
+                    }
+                }
+                WriteOutcome::Conflict { current: None } | WriteOutcome::InDoubt => {
+                    return SubmitOutcome::InDoubt;
+                }
+                WriteOutcome::NotDone => {
+                    self.return_quota(request);
+                    return SubmitOutcome::NotKept {
+                        retry_after: STORE_RETRY,
+                    };
+                }
             }
-            WriteOutcome::NotDone => SubmitOutcome::NotKept {
-                retry_after: STORE_RETRY,
-            },
         }
     }
 
@@ -165,19 +177,6 @@
         self.enter(OwnedJob::new(known, requests, Vec::new()));
     }
 
-    fn fits(&self, job: &SubmittedJob, route: &Route) -> bool {
-        let limit = route.batch().map_or(0, |bounds| bounds.waiting_tokens);
-        let view = &self.inner.view;
-        // Jobs on their way to the store count too, or daemons that decide at the same time would exceed the limit.
-        let told = self.pending_jobs().into_iter();
-        let pending: u64 = told
-            .chain(self.inner.peers.pending_jobs())
-            .filter(|pending| pending.job != job.id && view.get(&pending.job).is_none())
-            .map(|pending| pending.tokens)
-            .sum();
-        limit == 0 || view.waiting_tokens(&route.name) + pending + tokens_of(job) <= limit
-    }
-
     /// A job that does not fit may have been taken already by another daemon.
     async fn refuse_unless_kept(&self, job_id: &str) -> SubmitOutcome {
         match self.inner.store.read_head(job_id).await {
@@ -215,6 +214,13 @@
     }
 }
 
+/// How long a submission may be held.
+fn hold_of(job: &SubmittedJob) -> Duration {
+    job.patience.map_or(LONGEST_HOLD, |patience| {
+        (patience * PATIENCE_PERCENT / 100).min(LONGEST_HOLD)
+    })
+}
+
 fn tokens_of(job: &SubmittedJob) -> u64 {
     job.items.iter().map(|item| item.tokens).sum()
 }
--- a/crates/inline-jobs/src/view.rs
+++ b/crates/inline-jobs/src/view.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use harrierward_wire::{JobHeadRow, decode};
+use harrierward_wire::{JobHeadRow, QuotaFenceRow, decode};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::store::KnownFence;
+
 /// A head and the revision at which it was read.
 #[derive(Debug, Clone, PartialEq)]
 pub struct KnownHead {
@@ -44,12 +46,21 @@
 #[derive(Debug, Default)]
 struct State {
     heads: HashMap<String, KnownHead>,
+    /// The fences of the routes' quotas.
+    fences: HashMap<String, SeenFence>,
     /// Last moment of which the copy is known to be true.
     proven_at: Option<Instant>,
     /// The store's clock, milliseconds, and when it said so.
     store_time: Option<StoreTime>,
 }
 
+#[derive(Debug, Clone)]
+struct SeenFence {
+    fence: KnownFence,
+    /// When it was first seen; `None` for one that was there before this daemon was.
+    seen_at: Option<Instant>,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct StoreTime {
     milliseconds: u64,
@@ -112,6 +123,41 @@
         self.take(KnownHead { head, revision })
     }
 
+    /// Takes a row of a fence.
+    pub fn take_fence_row(&self, value: &Bytes, revision: u64) {
+        if let Some(row) = decode::<QuotaFenceRow>(value) {
+            let fence = KnownFence {
+                keeper: row.keeper,
+                revision,
+            };
+            self.take_fence(&row.route, fence);
+        }
+    }
+
+    /// Takes a route's fence, unless a newer one is known.
+    pub fn take_fence(&self, route: &str, fence: KnownFence) {
+        let mut state = self.lock();
+        let known = state.fences.get(route);
+        if known.is_none_or(|known| known.fence.revision < fence.revision) {
+            let seen_at = state.proven_at.map(|_| Instant::now());
+            let seen = SeenFence { fence, seen_at };
+            state.fences.insert(route.to_owned(), seen);
+        }
+    }
+
+    /// A route's fence.
+    pub fn fence(&self, route: &str) -> Option<KnownFence> {
+        let state = self.lock();
+        state.fences.get(route).map(|seen| seen.fence.clone())
+    }
+
+    /// Time since a route's fence was first seen; `None` if it was there before this daemon was.
+    pub fn fence_age(&self, route: &str) -> Option<Duration> {
+        let state = self.lock();
+        let seen_at = state.fences.get(route)?.seen_at?;
+        Some(seen_at.elapsed())
+    }
+
     /// Takes a head. Returns it if it is newer than what was known.
     pub fn take(&self, known: KnownHead) -> Option<KnownHead> {
         let mut state = self.lock();
--- /dev/null
+++ b/crates/inline-jobs/tests/quota_book.rs
@@ -0,0 +1,158 @@
+//! Keepers that follow each other, writes that are done late or never, and views that lag: the quota holds.
+
+use std::collections::{BTreeMap, HashSet};
+use std::time::Duration;
+
+use harrierward_inline_jobs::{QuotaBook, QuotaDecision, QuotaRequest, RouteCount};
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+const ROUTE: &str = "lots";
+const LIMIT: u64 = 100;
+const DAEMONS: usize = 3;
+
+#[derive(Debug, Clone)]
+enum Event {
+    /// A daemon makes itself the keeper and reads all heads.
+    Fence { daemon: usize },
+    /// A job asks a daemon that may or may not know that it keeps the quota no longer.
+    Ask { daemon: usize, job: u8, tokens: u64 },
+    /// The store does the oldest or newest write that is under way, if its condition still holds.
+    Write { newest: bool },
+    /// A job is over: its tokens wait no longer.
+    Finish { job: u8 },
+    /// A daemon hears what the store has.
+    Hear { daemon: usize },
+    /// Time passes.
+    Pass { millis: u64 },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let daemon = 0..DAEMONS;
+    let job = 0..12_u8;
+    prop_oneof![
+        1 => daemon.clone().prop_map(|daemon| Event::Fence { daemon }),
+        6 => (daemon.clone(), job.clone(), 10..60_u64)
+            .prop_map(|(daemon, job, tokens)| Event::Ask { daemon, job, tokens }),
+        4 => any::<bool>().prop_map(|newest| Event::Write { newest }),
+        2 => job.prop_map(|job| Event::Finish { job }),
+        3 => daemon.prop_map(|daemon| Event::Hear { daemon }),
+        1 => (0..9_000_u64).prop_map(|millis| Event::Pass { millis }),
+    ]
+}
+
+/// What the store holds, or a daemon has heard of it: tokens by job, 0 for one that is over.
+type Heads = BTreeMap<u8, u64>;
+
+struct Write {
+    job: u8,
+    tokens: u64,
+    fence: u64,
+}
+
+fn name(job: u8) -> String {
+    format!("job-{job}")
+}
+
+fn decide(
+    book: &mut QuotaBook,
+    heads: &Heads,
+    job: u8,
+    tokens: u64,
+    now: Instant,
+) -> QuotaDecision {
+    let known: HashSet<String> = heads.keys().map(|job| name(*job)).collect();
+    let count = RouteCount {
+        limit: LIMIT,
+        waiting: heads.values().sum(),
+        is_known: &|job| known.contains(job),
+    };
+    let request = QuotaRequest {
+        route: ROUTE,
+        job: &name(job),
+        tokens,
+    };
+    book.decide(request, count, now)
+}
+
+proptest! {
+    #[test]
+    fn the_quota_holds_whoever_grants_and_whenever_writes_are_done(
+        events in proptest::collection::vec(event(), 0..120)
+    ) {
+        let mut now = Instant::now();
+        let mut fence = 0;
+        let mut store = Heads::new();
+        let mut sizes: BTreeMap<u8, u64> = BTreeMap::new();
+        let mut under_way: Vec<Write> = Vec::new();
+        let mut books: Vec<QuotaBook> = (0..DAEMONS).map(|_| QuotaBook::default()).collect();
+        let mut heard: Vec<Heads> = vec![Heads::new(); DAEMONS];
+        for event in events {
+            match event {
+                Event::Fence { daemon } => {
+                    fence += 1;
+                    heard[daemon].clone_from(&store);
+                    books[daemon].begin(ROUTE, fence);
+                }
+                Event::Ask { daemon, job, tokens } => {
+                    let tokens = *sizes.entry(job).or_insert(tokens);
+                    let decision = decide(&mut books[daemon], &heard[daemon], job, tokens, now);
+                    if let QuotaDecision::Granted { fence } = decision {
+                        under_way.push(Write { job, tokens, fence });
+                    }
+                }
+                Event::Write { newest } => {
+                    let write = if newest {
+                        under_way.pop()
+                    } else {
+                        (!under_way.is_empty()).then(|| under_way.remove(0))
+                    };
+                    if let Some(write) = write.filter(|write| write.fence == fence) {
+                        store.entry(write.job).or_insert(write.tokens);
+                    }
+                }
+                Event::Finish { job } => {
+                    if let Some(tokens) = store.get_mut(&job) {
+                        *tokens = 0;
+                    }
+                }
+                Event::Hear { daemon } => heard[daemon].clone_from(&store),
+                Event::Pass { millis } => now += Duration::from_millis(millis),
+            }
+            let waiting: u64 = store.values().sum();
+            prop_assert!(waiting <= LIMIT, "{waiting} wait");
+        }
+    }
+}
+
+#[test]
+fn a_grant_that_stays_unseen_asks_for_a_new_fence_and_a_returned_one_is_free_at_once() {
+    let start = Instant::now();
+    let mut book = QuotaBook::default();
+    let none = Heads::new();
+    assert_eq!(
+        decide(&mut book, &none, 1, 60, start),
+        QuotaDecision::NotKept
+    );
+    book.begin(ROUTE, 5);
+    let granted = QuotaDecision::Granted { fence: 5 };
+    assert_eq!(decide(&mut book, &none, 1, 60, start), granted);
+    assert_eq!(
+        decide(&mut book, &none, 1, 60, start),
+        granted,
+        "asked again"
+    );
+    assert_eq!(decide(&mut book, &none, 2, 60, start), QuotaDecision::Full);
+    book.give_back(ROUTE, &name(1));
+    assert_eq!(decide(&mut book, &none, 2, 60, start), granted);
+    let later = start + Duration::from_secs(8);
+    assert_eq!(
+        decide(&mut book, &none, 3, 10, later),
+        QuotaDecision::NotKept
+    );
+    book.begin(ROUTE, 6);
+    assert_eq!(
+        decide(&mut book, &none, 3, 60, later),
+        QuotaDecision::Granted { fence: 6 }
+    );
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod known_rows;
 mod membership;
 mod peer;
+mod quota;
 mod slots;
 
 pub use batch::{
@@ -24,14 +25,15 @@
 pub use known_rows::{KnownRow, KnownRows};
 pub use membership::{
     Datagram, DatagramKind, LoadNotice, MemberRecord, MemberState, NodeDatagram, OnlineCount,
-    OnlineNotice, PendingJob, ReplicaCount, ReplicaReport, ReplicaReports, ServiceBacklog,
-    YieldRequest, node_datagram,
+    OnlineNotice, ReplicaCount, ReplicaReport, ReplicaReports, ServiceBacklog, YieldRequest,
+    node_datagram,
 };
 pub use peer::{
     CancelNotice, CancelReply, ConfigDeltaReply, ConfigDeltaRequest, Grant, HandBack, ItemResult,
     JobNotice, PeerReply, PeerRequest, PullReply, PullRequest, ResultsReply, ResultsRequest,
     RunningItem, peer_reply, peer_request,
 };
+pub use quota::{QuotaAnswer, QuotaAsk, QuotaFenceRow, QuotaOutcome};
 pub use slots::{HeldPlace, ItemPlaceAsk, SlotAsk, SlotGrant, SlotWord, WholeWord};
 
 /// Reads a message; `None` if the bytes are not one.
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -194,20 +194,6 @@
     /// Age of the sender's proof that its copy of the jobs' heads is true, milliseconds plus one; 0 if it has none.
     #[prost(uint32, tag = "4")]
     pub proof_age_ms: u32,
-    /// Jobs that the sender is just trying to keep, or has just kept: others may not know their heads yet.
-    #[prost(message, repeated, tag = "6")]
-    pub pending: Vec<PendingJob>,
-}
-
-/// A job whose head the receiver may not know yet.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct PendingJob {
-    /// Id of the job.
-    #[prost(string, tag = "1")]
-    pub job: String,
-    /// Tokens of its items.
-    #[prost(uint64, tag = "2")]
-    pub tokens: u64,
 }
 
 /// An online request found no free slot at a replica: the receiver's batch items there shall give some back.
@@ -228,7 +214,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct NodeDatagram {
     /// What it carries.
-    #[prost(oneof = "node_datagram::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "node_datagram::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: Option<node_datagram::Kind>,
 }
 
@@ -261,5 +247,11 @@
         /// Places held and given back.
         #[prost(message, tag = "8")]
         SlotWord(crate::SlotWord),
+        /// A job wants its tokens of a quota.
+        #[prost(message, tag = "9")]
+        QuotaAsk(crate::QuotaAsk),
+        /// What became of that.
+        #[prost(message, tag = "10")]
+        QuotaAnswer(crate::QuotaAnswer),
     }
 }
