Items fill what is free but for the root of online's requests; the shares of the last peak go

Hypothesis: since a keeper ends an item in the same step in which it gives its slot to an online request, slots left free for the last peak (0.3, 0.2, 0.1 of it beside one a replica: half of the slots in a trough) serve nobody. Change: of a keeper's group, items leave as many slots free as online's number varies by (its root); a daemon that chooses by itself does the same over all replicas. OnlinePeaks, Pace, the share in the question for a place, free_slots: removed.

--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -183,9 +183,7 @@
             id: part.id,
             tokens: part.tokens,
         });
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let item = query.item.map(|item| ItemPlaceAsk {
-            peak_permille: (item.peak_share * 1_000.0) as u32,
             slack_ms: millis(item.slack),
         });
         SlotAsk {
@@ -303,11 +301,6 @@
             }
         }
     }
-
-    fn free_slots(&self, service: &str, peak_share: f64) -> u32 {
-        let now = Instant::now();
-        self.lock().peaks.free_slots(service, peak_share, now)
-    }
 }
 
 fn millis(time: Duration) -> u32 {
--- a/crates/edge/src/slots/keeping.rs
+++ b/crates/edge/src/slots/keeping.rs
@@ -1,14 +1,14 @@
 //! The groups that this daemon keeps: giving out places, taking the holders' words, ending items.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChoiceQuery, ChosenBy, PlaceAnswer, PlaceQuery, Places, Prompt, PromptLength,
-    PromptPart, Replica, WorkClass, choose_replica, short_hash,
+    Choice, ChoiceQuery, ChosenBy, PlaceAnswer, PlaceQuery, Prompt, PromptLength, PromptPart,
+    Replica, WorkClass, choose_replica, short_hash,
 };
 use harrierward_slots::{PlaceUse, group_count, group_of};
 use harrierward_wire::{SlotAsk, SlotGrant, SlotWord, YieldRequest, node_datagram::Kind};
@@ -26,7 +26,7 @@
     is_suspected: &'a dyn Fn(&Replica) -> bool,
     prompt: &'a Prompt,
     length: PromptLength,
-    peak_share: Option<f64>,
+    is_item: bool,
 }
 
 impl SlotService {
@@ -35,16 +35,13 @@
         let view = self.replicas.view();
         let usable = view.usable(service).into_iter();
         let usable = usable.filter(|replica| group_of(replica.hash, groups) == group);
-        let free_slots = asker
-            .peak_share
-            .map(|share| self.free_slots(service, share));
         let query = ChoiceQuery {
             is_own_zone: &|replica| replica.zone_hash == asker.zone_hash,
             prompt: asker.prompt,
             length: asker.length,
             is_excluded: asker.is_excluded,
             is_suspected: asker.is_suspected,
-            free_slots,
+            is_item: asker.is_item,
             most_candidates: usize::MAX,
         };
         let choice = choose_replica(&view, usable.collect(), &self.costs, &query);
@@ -62,7 +59,7 @@
             is_suspected: &|replica| replica.is_suspected(),
             prompt: query.prompt,
             length: query.length,
-            peak_share: query.item.map(|item| item.peak_share),
+            is_item: query.item.is_some(),
         };
         let Some(choice) = self.choose(query.service, group, groups, &asker) else {
             return match query.item {
@@ -169,10 +166,7 @@
             is_suspected: &|replica| ask.suspected.contains(&replica.hash),
             prompt: &prompt,
             length: length_of(ask),
-            peak_share: ask
-                .item
-                .as_ref()
-                .map(|item| f64::from(item.peak_permille) / 1_000.0),
+            is_item: ask.item.is_some(),
         };
         let Some(choice) = self.choose(service, ask.group, groups, &asker) else {
             return none;
@@ -241,10 +235,8 @@
         }
     }
 
-    /// Driven by the membership's tick: forgets silent holders, tells keepers what is held, and notes how many
-    /// online requests there are.
+    /// Driven by the membership's tick: forgets silent holders, and tells keepers what is held.
     pub fn tick(&self) {
-        self.observe_online();
         let now = Instant::now();
         let due = {
             let mut state = self.lock();
@@ -292,23 +284,6 @@
         }
     }
 
-    /// Notes how many online requests a replica of each service has on the mean.
-    fn observe_online(&self) {
-        let view = self.replicas.view();
-        let mut sums: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
-        for replica in view.all().filter(|replica| !replica.is_draining()) {
-            let sum = sums.entry(&replica.record.service).or_default();
-            sum.0 += replica.online();
-            sum.1 += 1;
-        }
-        let now = Instant::now();
-        let mut state = self.lock();
-        for (service, (online, replicas)) in sums {
-            let mean = f64::from(online) / f64::from(replicas);
-            state.peaks.observe(service, mean, now);
-        }
-    }
-
     /// Takes a datagram that concerns places; gives back any other.
     pub fn receive(&self, kind: Kind, from: SocketAddr) -> Option<Kind> {
         match kind {
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -13,7 +13,6 @@
 
 use arc_swap::ArcSwap;
 use harrierward_decisions::DecisionLog;
-use harrierward_inline_jobs::OnlinePeaks;
 use harrierward_serving::{Replica, ReplicaSet, SelectionCosts, Suspicion, WorkClass, short_hash};
 use harrierward_slots::{HeldPlaces, PlaceUse, SlotLedger, group_count, group_of, keeper_of};
 use harrierward_wire::{NodeDatagram, SlotGrant, encode, node_datagram};
@@ -55,7 +54,6 @@
 struct State {
     ledger: SlotLedger,
     held: HeldPlaces,
-    peaks: OnlinePeaks,
     silent: HashMap<String, Suspicion>,
     free_permille: HashMap<(u32, u32), u32>,
     told: HashMap<SocketAddr, usize>,
@@ -108,7 +106,6 @@
             state: Mutex::new(State {
                 ledger: SlotLedger::default(),
                 held: HeldPlaces::default(),
-                peaks: OnlinePeaks::default(),
                 silent: HashMap::new(),
                 free_permille: HashMap::new(),
                 told: HashMap::new(),
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -26,7 +26,7 @@
 pub use model::{
     EndOutcome, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem, SubmittedJob,
 };
-pub use pacing::{OnlinePeaks, Pace, RunLength, Urgency, slack, urgency};
+pub use pacing::{RunLength, Urgency, slack, urgency};
 pub use quota_book::{QuotaBook, QuotaDecision, QuotaRequest, RouteCount};
 pub use service::{InlineJobs, JobParts, JobSettings, Peers};
 pub use store::{FenceOutcome, JobStore, KnownFence, ListedResult, ReadResult, WriteOutcome};
--- a/crates/inline-jobs/src/pacing.rs
+++ b/crates/inline-jobs/src/pacing.rs
@@ -1,15 +1,11 @@
-//! How fast items are started, and how many slots they leave free: as gently as their jobs' targets allow.
+//! How urgent items are, and how fast they are started: as gently as their jobs' targets allow.
 //!
 //! Why: an online request that finds no slot takes one that an item holds (`serving::Places`), and an item that gave
-//! its slot up goes on elsewhere for the price of reading its prompt again. So items fill what is free between bursts;
-//! a part of what online took at its last peak stays free, and starts are spread, because the asking takes a moment
-//! and an item's prompt holds up the tokens of all requests beside it while it is read.
+//! its slot up goes on elsewhere for the price of reading its prompt again. So items fill what is free; starts are
+//! spread, because an item's prompt holds up the tokens of all requests beside it while it is read.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
-use tokio::time::Instant;
-
 /// How much of a job's time has passed, in the order in which items are started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Urgency {
@@ -70,15 +66,6 @@
 const PRESSING_PERCENT: u128 = 40;
 const LATE_PERCENT: u128 = 65;
 
-/// What a start of an item must respect.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Pace {
-    /// Share of online's last peak that is left free.
-    pub peak_share: f64,
-    /// Least time between two starts of this daemon.
-    pub interval: Duration,
-}
-
 /// Urgency of an item whose job has this age, and that still takes `remaining`.
 pub fn urgency(age: Duration, remaining: Duration, target: Duration) -> Urgency {
     if age.saturating_add(remaining) > target {
@@ -101,65 +88,12 @@
 }
 
 impl Urgency {
-    /// The pace of items this urgent.
-    pub fn pace(self) -> Pace {
+    /// Least time between two starts of items this urgent at one daemon.
+    pub fn start_interval(self) -> Duration {
         match self {
-            Self::Relaxed | Self::Missed => Pace {
-                peak_share: 0.3,
-                interval: Duration::from_millis(100),
-            },
-            Self::Pressing => Pace {
-                peak_share: 0.2,
-                interval: Duration::from_millis(40),
-            },
-            Self::Late => Pace {
-                peak_share: 0.1,
-                interval: Duration::ZERO,
-            },
+            Self::Relaxed | Self::Missed => Duration::from_millis(100),
+            Self::Pressing => Duration::from_millis(40),
+            Self::Late => Duration::ZERO,
         }
     }
 }
-
-/// Time in which a peak loses half of its weight.
-const PEAK_HALF_LIFE: Duration = Duration::from_secs(12);
-
-/// Slots left free beside online's peak.
-const SPARE_SLOTS: f64 = 1.0;
-
-#[derive(Debug, Clone, Copy)]
-struct Peak {
-    online: f64,
-    at: Instant,
-}
-
-/// The last peaks of online requests a replica, by service.
-#[derive(Debug, Default)]
-pub struct OnlinePeaks {
-    peaks: HashMap<String, Peak>,
-}
-
-impl OnlinePeaks {
-    /// Takes the mean of online requests in progress at a replica of the service.
-    pub fn observe(&mut self, service: &str, online: f64, now: Instant) {
-        let held = self.at(service, now);
-        let peak = Peak {
-            online: online.max(held),
-            at: now,
-        };
-        self.peaks.insert(service.to_owned(), peak);
-    }
-
-    fn at(&self, service: &str, now: Instant) -> f64 {
-        self.peaks.get(service).map_or(0.0, |peak| {
-            let age = now.saturating_duration_since(peak.at).as_secs_f64();
-            peak.online * 0.5_f64.powf(age / PEAK_HALF_LIFE.as_secs_f64())
-        })
-    }
-
-    /// Slots that an item which leaves this share of the peak free must not take at a replica of the service.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub fn free_slots(&self, service: &str, peak_share: f64, now: Instant) -> u32 {
-        let peak = self.at(service, now) * peak_share;
-        (peak + SPARE_SLOTS).ceil().min(f64::from(u32::MAX)) as u32
-    }
-}
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -64,14 +64,10 @@
             ROUTE_PATIENCE,
         );
         for (item, urgency, slack) in self.startable(&routes) {
-            let pace = urgency.pace();
-            if !self.interval_over(pace.interval) {
+            if !self.interval_over(urgency.start_interval()) {
                 return;
             }
-            let room = ItemRoom {
-                peak_share: pace.peak_share,
-                slack,
-            };
+            let room = ItemRoom { slack };
             let Some(route) = routes.configuration.route(&item.route) else {
                 continue;
             };
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -88,8 +88,8 @@
     pub is_excluded: &'a dyn Fn(&Replica) -> bool,
     /// Replicas to be avoided.
     pub is_suspected: &'a dyn Fn(&Replica) -> bool,
-    /// Slots that must stay free at the replica; `None` if the work may wait there.
-    pub free_slots: Option<u32>,
+    /// The work is a batch item: it takes only what online leaves, and never waits at a replica.
+    pub is_item: bool,
     /// Most replicas that are looked at beside the preferred one: few, where their loads are old, so that daemons
     /// that know the same do not all choose the same.
     pub most_candidates: usize,
@@ -105,8 +105,12 @@
     let usable: Vec<Arc<Replica>> = replicas
         .into_iter()
         .filter(|replica| !(query.is_excluded)(replica))
-        .filter(|replica| has_room(replica, query))
         .collect();
+    let usable = if query.is_item {
+        room_for_items(usable, query)
+    } else {
+        usable
+    };
     let preferred = preferred(&usable, view, query);
     let replicas = narrow(usable, preferred.as_ref(), query.most_candidates);
     let shared_tokens = query.prompt.shared_tokens();
@@ -202,12 +206,26 @@
     !Arc::ptr_eq(source, replica) && !source.is_suspected() && !source.is_draining()
 }
 
-fn has_room(replica: &Replica, query: &ChoiceQuery<'_>) -> bool {
-    let Some(free) = query.free_slots else {
-        return true;
-    };
-    // Items keep to their share also where online has little in progress just now.
-    let free = free.max(replica.online() + 1);
-    !(query.is_suspected)(replica)
-        && replica.load().saturating_sub(replica.online()) + free < replica.slots()
+/// Standard deviations of online's requests in progress for which items leave slots free. Arrivals that do not depend
+/// on each other make the deviation the root of their number.
+const RESERVE_DEVIATIONS: f64 = 1.0;
+
+/// Slots that items leave free at replicas with so many online requests together: an item that takes the last slots
+/// is ended by one of the next requests, and its prompt is read again for nothing.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub fn reserved_slots(online: u32) -> u32 {
+    (f64::from(online).sqrt() * RESERVE_DEVIATIONS).round() as u32
+}
+
+/// The replicas that an item may go to; none where all that is free is kept for online.
+fn room_for_items(replicas: Vec<Arc<Replica>>, query: &ChoiceQuery<'_>) -> Vec<Arc<Replica>> {
+    let free_slots = |replica: &Arc<Replica>| replica.slots().saturating_sub(replica.load());
+    let free: u32 = replicas.iter().map(free_slots).sum();
+    let online = replicas.iter().map(|replica| replica.online()).sum();
+    if free <= reserved_slots(online) {
+        return Vec::new();
+    }
+    let has_room =
+        |replica: &Arc<Replica>| free_slots(replica) > 0 && !(query.is_suspected)(replica);
+    replicas.into_iter().filter(has_room).collect()
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,7 +22,7 @@
 mod suspicion;
 
 pub use attempt::{Attempt, AttemptFailure, AttemptTimes, Sending, wait_for_progress};
-pub use choice::{Choice, ChoiceQuery, ChosenBy, Placement, choose_replica};
+pub use choice::{Choice, ChoiceQuery, ChosenBy, Placement, choose_replica, reserved_slots};
 pub use configuration::{
     BatchBounds, CallerLimits, Route, RouteKind, Service, ServingConfiguration, WeightedService,
 };
--- a/crates/serving/src/places.rs
+++ b/crates/serving/src/places.rs
@@ -13,8 +13,6 @@
 /// What a batch item adds to a question for a place.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ItemRoom {
-    /// Share of online's last peak that must stay free.
-    pub peak_share: f64,
     /// Time until the item must run again if it is ended at once.
     pub slack: Duration,
 }
@@ -76,9 +74,6 @@
 
     /// One batch item at the replica is to give its slot back: of this daemon, or of a peer. Does not wait.
     fn free_slot(&self, replica: &Arc<Replica>);
-
-    /// Slots that items which leave this share of online's last peak free must not take at a replica of the service.
-    fn free_slots(&self, service: &str, peak_share: f64) -> u32;
 }
 
 /// A place that is held for as long as this lives.
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -50,9 +50,6 @@
         let view = self.replicas().view();
         let places = self.places();
         let zone = &self.settings().zone;
-        let free_slots = query
-            .item
-            .map(|item| places.free_slots(query.service, item.peak_share));
         let choice = choose_replica(
             &view,
             view.usable(query.service),
@@ -63,7 +60,7 @@
                 length: query.length,
                 is_excluded: &|replica| query.excluded.contains(&replica.record.id),
                 is_suspected: &|replica| replica.is_suspected(),
-                free_slots,
+                is_item: query.item.is_some(),
                 most_candidates: OWN_CANDIDATES,
             },
         )?;
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -40,11 +40,8 @@
 /// What a batch item adds to its question.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct ItemPlaceAsk {
-    /// Share of online's last peak that must stay free, in thousandths.
-    #[prost(uint32, tag = "1")]
-    pub peak_permille: u32,
     /// Time until the item must run again if it is ended now, milliseconds.
-    #[prost(uint32, tag = "2")]
+    #[prost(uint32, tag = "1")]
     pub slack_ms: u32,
 }
 
