The hollow fleet and the cluster experiments go, with what only they used

Gone besides: the baseline strategies of routing (round robin, fewest outstanding), eight functions that only these called (found by counting uses), experiments/. What stays: fault simulation, load over real sockets, specs. Behaviour: none of the daemons' sources of the users' platform changes; the gateway's choice is the same code without the switch.

--- a/crates/batch/src/files.rs
+++ b/crates/batch/src/files.rs
@@ -160,11 +160,6 @@
 }
 
 impl FileUpload {
-    /// Sets the purpose; must come before the content.
-    pub fn set_purpose(&mut self, purpose: &str) {
-        self.purpose = purpose.to_owned();
-    }
-
     /// Sets the file's name.
     pub fn set_filename(&mut self, filename: &str) {
         self.filename = filename.to_owned();
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,4 @@
-//! Measuring and proving: fault simulation, experiments, hollow fleet and load.
+//! Measuring and proving: fault simulation, and load over real sockets.
 
-pub mod experiment;
 pub mod faults;
-pub mod fleet;
 pub mod speed;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,38 +1,20 @@
-//! `harrierward-bench`: experiments, faults, fleet and load, from the command line.
+//! `harrierward-bench`: faults and load, from the command line.
 
-use std::alloc::System;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use eyre::{Result, eyre};
 use getopts::{Matches, Options};
-use harrierward_bench::experiment::run_experiment;
 use harrierward_bench::faults::{BrokenGuards, run_seed};
-use harrierward_bench::fleet::{FleetSettings, measure, measure_job};
-use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
-
-/// Counts allocations, so that state is measured and not guessed.
-#[global_allocator]
-static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
-
-/// Bytes allocated now.
-fn allocated() -> usize {
-    let stats = ALLOCATOR.stats();
-    stats
-        .bytes_allocated
-        .saturating_sub(stats.bytes_deallocated)
-}
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let result = match arguments.split_first() {
         Some((command, rest)) if command == "faults" => faults(rest),
-        Some((command, rest)) if command == "run" => run(rest),
-        Some((command, rest)) if command == "fleet" => fleet(rest),
         Some((command, _)) if command == "speed" => speed(),
         _ => {
             eprintln!(
-                "Usage: harrierward-bench COMMAND [OPTIONS]\n\nCommands:\n  faults   fault simulation on virtual time\n  run      experiment from a file\n  fleet    hollow fleet: control traffic, processor time and memory by size\n  speed    load over real loopback, against the engine called directly"
+                "Usage: harrierward-bench COMMAND [OPTIONS]\n\nCommands:\n  faults   fault simulation on virtual time\n  speed    load over real loopback, against the engine called directly"
             );
             return ExitCode::from(2);
         }
@@ -132,87 +114,6 @@
     Ok(broken)
 }
 
-fn run(arguments: &[String]) -> Result<()> {
-    let mut options = Options::new();
-    options.optopt("o", "out", "folder for report.json and report.html", "DIR");
-    let matches = options.parse(arguments)?;
-    let [file] = matches.free.as_slice() else {
-        return Err(eyre!("run EXPERIMENT.toml --out DIR"));
-    };
-    let output = matches
-        .opt_str("out")
-        .unwrap_or_else(|| "report".to_owned());
-    let reports = run_experiment(file.as_ref(), output.as_ref())?;
-    for report in &reports {
-        println!(
-            "{:<36} first token p50 {:>6.1} p99 {:>7.1} p99.9 {:>7.1} ms, between p95 {:>5.1} ms, harm {:.3}/{:.3}, {:>6.1} items/s, {:.3} of idle, wasted {:.4}, yield {:>4.0} ms, cache {:.3}",
-            report.name,
-            report.first_token_ms.p50,
-            report.first_token_ms.p99,
-            report.first_token_ms.p999,
-            report.between_tokens_ms.p95,
-            report.harm_p99,
-            report.harm_p999,
-            report.batch_items_per_second,
-            report.share_of_idle,
-            report.wasted_share,
-            report.longest_yield_ms,
-            report.cache_hit_rate
-        );
-    }
-    Ok(())
-}
-
-fn fleet(arguments: &[String]) -> Result<()> {
-    let mut options = Options::new();
-    options.optopt(
-        "",
-        "daemons",
-        "sizes, separated by commas (default 40,130,260,520)",
-        "LIST",
-    );
-    options.optopt(
-        "",
-        "jobs",
-        "items of jobs (default 2000,20000,190000)",
-        "LIST",
-    );
-    options.optopt("", "loss", "share of datagrams lost (default 0.001)", "P");
-    options.optopt("", "seed", "seed (default 1)", "S");
-    let matches = options.parse(arguments)?;
-    let loss = number(&matches, "loss", 0.001)?;
-    let seed = number(&matches, "seed", 1)?;
-    for daemons in list(&matches, "daemons", "40,130,260,520")? {
-        let settings = FleetSettings {
-            daemons,
-            loss,
-            seed,
-        };
-        println!(
-            "{}",
-            serde_json::to_string(&measure(&settings, &allocated))?
-        );
-    }
-    for items in list(&matches, "jobs", "2000,20000,190000")? {
-        let items = u32::try_from(items)?;
-        println!(
-            "{}",
-            serde_json::to_string(&measure_job(items, &allocated))?
-        );
-    }
-    Ok(())
-}
-
-fn list(matches: &Matches, name: &str, default: &str) -> Result<Vec<usize>> {
-    let text = matches.opt_str(name).unwrap_or_else(|| default.to_owned());
-    text.split(',')
-        .map(|part| {
-            let value = part.trim().parse();
-            value.map_err(|_| eyre!("--{name}: {part} is not a number"))
-        })
-        .collect()
-}
-
 fn speed() -> Result<()> {
     let runtime = tokio::runtime::Runtime::new()?;
     let report = runtime.block_on(harrierward_bench::speed::run())?;
--- a/crates/config/src/spread.rs
+++ b/crates/config/src/spread.rs
@@ -1,4 +1,4 @@
-//! How a revision and the proof of its freshness spread; the daemon and the hollow fleet use the same numbers.
+//! How a revision and the proof of its freshness spread.
 
 use std::time::Duration;
 
--- a/crates/emulator/src/engine_core.rs
+++ b/crates/emulator/src/engine_core.rs
@@ -207,13 +207,6 @@
         None
     }
 
-    /// True if a step would do something.
-    pub fn has_work(&self) -> bool {
-        !self.running.is_empty()
-            || !self.waiting_online.is_empty()
-            || !self.waiting_batch.is_empty()
-    }
-
     /// Admits waiting sequences and plans the next step; `None` if idle.
     pub fn begin_step(&mut self) -> Option<StepPlan> {
         self.admit();
@@ -407,20 +400,6 @@
         &self.models
     }
 
-    /// Sequences of a class that run, with their tokens left.
-    pub fn running_of(&self, priority: Priority) -> Vec<(String, u32)> {
-        self.running
-            .iter()
-            .filter(|sequence| sequence.request.priority == priority)
-            .map(|sequence| (sequence.request.request_id.clone(), sequence.tokens_left()))
-            .collect()
-    }
-
-    /// Prompt tokens seen and, of these, found in the cache.
-    pub fn cache_use(&self) -> (u64, u64) {
-        (self.prompt_tokens_seen, self.prompt_tokens_cached)
-    }
-
     /// Loses everything that runs or waits, as a crash does; the ids lost.
     pub fn crash(&mut self) -> Vec<String> {
         let running = self.running.drain(..);
--- a/crates/emulator/src/memory_platform.rs
+++ b/crates/emulator/src/memory_platform.rs
@@ -148,12 +148,6 @@
         }
     }
 
-    /// Row writes and calls so far.
-    pub fn table_use(&self) -> (u64, u64) {
-        let state = self.lock();
-        (state.writes, state.calls)
-    }
-
     /// A row without delay or fault, for checkers.
     pub fn peek(&self, key: &str) -> Option<Row> {
         self.lock().rows.get(key).cloned()
--- a/crates/gateway/src/gateway/dispatch.rs
+++ b/crates/gateway/src/gateway/dispatch.rs
@@ -105,14 +105,10 @@
         let seed = self.inner.settings.seed ^ self.next_id();
         let mut random = SmallRng::seed_from_u64(seed);
         let index = self.inner.index.load();
-        let choice = entry.table.choose(
-            self.inner.settings.strategy,
-            &request,
-            &index,
-            &excluded,
-            self.now_micros(),
-            &mut random,
-        )?;
+        let choice =
+            entry
+                .table
+                .choose(&request, &index, &excluded, self.now_micros(), &mut random)?;
         let replica = entry.replicas[choice.position].clone();
         Some((replica, choice.uncached_tokens))
     }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -15,7 +15,7 @@
 use arc_swap::ArcSwap;
 use harrierward_claims::{Claim, Claims, Verdict};
 use harrierward_config::ConfigSnapshot;
-use harrierward_routing::{PrefixIndex, Strategy};
+use harrierward_routing::PrefixIndex;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -47,8 +47,6 @@
     pub index_every: Duration,
     /// How long a prefix is believed cached without news.
     pub prefix_lifetime: Duration,
-    /// How a replica is chosen.
-    pub strategy: Strategy,
     /// Seed of the choices.
     pub seed: u64,
 }
@@ -63,7 +61,6 @@
             penalty: Duration::from_secs(2),
             index_every: Duration::from_millis(50),
             prefix_lifetime: Duration::from_secs(120),
-            strategy: Strategy::ExpectedWait,
             seed: 0,
         }
     }
--- a/crates/membership/src/core/mod.rs
+++ b/crates/membership/src/core/mod.rs
@@ -149,20 +149,6 @@
         &self.own.id
     }
 
-    /// Takes a list of members that is no news to anybody, as from the platform at the start of a whole fleet.
-    pub fn preload(&mut self, records: &[MemberRecord]) {
-        for record in records.iter().filter(|record| record.id != self.own.id) {
-            let known = Known {
-                record: record.clone(),
-                state_since: Duration::ZERO,
-                passes_left: 0,
-                left: false,
-            };
-            self.known.insert(record.id.clone(), known);
-        }
-        self.changed = true;
-    }
-
     /// Datagrams that ask seeds for their view.
     pub fn join(&mut self, seeds: &[String]) -> Vec<Action> {
         let addresses = seeds.iter().filter(|seed| **seed != self.own.udp_address);
@@ -287,11 +273,6 @@
         self.address(id)
     }
 
-    /// Number of members known, dead ones included.
-    pub fn known_count(&self) -> usize {
-        self.known.len()
-    }
-
     fn address(&self, id: &str) -> Option<String> {
         self.known
             .get(id)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,12 +6,10 @@
 
 mod load;
 mod prefix_index;
-mod strategy;
 mod subset;
 mod table;
 
 pub use load::{CONFIRMATION_LIFETIME_MICROS, CostModel, LoadReport, ReplicaLoad};
 pub use prefix_index::{PrefixIndex, PrefixOverlap};
-pub use strategy::Strategy;
 pub use subset::{SubsetMember, rank_by_rendezvous, rendezvous_owner, stable_subset};
 pub use table::{Choice, ReplicaEntry, RouteRequest, RoutingTable};
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -83,12 +83,6 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Prompt tokens of this gateway's requests that are not yet prefilled.
-    pub fn waiting_prefill(&self) -> u32 {
-        let tokens = self.prefill_tokens.load(Ordering::Relaxed);
-        u32::try_from(tokens).unwrap_or(u32::MAX)
-    }
-
     /// Takes a report that describes the replica at `as_of_micros`.
     pub fn report(&self, report: LoadReport, as_of_micros: u64) {
         let set = |field: &AtomicU32, value| field.store(value, Ordering::Relaxed);
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,13 +1,11 @@
 //! An immutable table of the replicas of one service, and the choice among them.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 use rand::Rng;
 
 use crate::load::{CostModel, ReplicaLoad};
 use crate::prefix_index::PrefixIndex;
-use crate::strategy::Strategy;
 
 /// Prompt tokens that a prefix block covers.
 const TOKENS_A_BLOCK: u32 = 16;
@@ -54,17 +52,12 @@
 pub struct RoutingTable {
     entries: Vec<ReplicaEntry>,
     cost: CostModel,
-    turn: AtomicUsize,
 }
 
 impl RoutingTable {
     /// A table of `entries`.
     pub fn new(entries: Vec<ReplicaEntry>, cost: CostModel) -> Self {
-        Self {
-            entries,
-            cost,
-            turn: AtomicUsize::new(0),
-        }
+        Self { entries, cost }
     }
 
     /// The replicas.
@@ -74,57 +67,6 @@
 
     /// Chooses a replica that is available and not among `excluded` (positions); `None` if there is none.
     pub fn choose(
-        &self,
-        strategy: Strategy,
-        request: &RouteRequest<'_>,
-        index: &PrefixIndex,
-        excluded: &[usize],
-        now_micros: u64,
-        random: &mut impl Rng,
-    ) -> Option<Choice> {
-        let position = match strategy {
-            Strategy::ExpectedWait => {
-                return self.least_wait(request, index, excluded, now_micros, random);
-            }
-            Strategy::RoundRobin => self.next_in_turn(excluded, now_micros)?,
-            Strategy::LeastOutstanding => self.least_outstanding(excluded, now_micros, random)?,
-        };
-        let load = &self.entries[position].load;
-        let uncached = f64::from(request.prompt_tokens);
-        Some(Choice {
-            position,
-            uncached_tokens: request.prompt_tokens,
-            expected_wait_micros: load.expected_wait(uncached, now_micros, &self.cost),
-        })
-    }
-
-    fn usable(&self, position: usize, excluded: &[usize], now_micros: u64) -> bool {
-        let entry = &self.entries[position];
-        !excluded.contains(&position) && entry.load.is_usable(now_micros)
-    }
-
-    fn next_in_turn(&self, excluded: &[usize], now_micros: u64) -> Option<usize> {
-        let count = self.entries.len();
-        (0..count)
-            .map(|_| self.turn.fetch_add(1, Ordering::Relaxed) % count)
-            .find(|position| self.usable(*position, excluded, now_micros))
-    }
-
-    fn least_outstanding(
-        &self,
-        excluded: &[usize],
-        now_micros: u64,
-        random: &mut impl Rng,
-    ) -> Option<usize> {
-        let count = self.entries.len();
-        let start = random.random_range(0..count.max(1));
-        (0..count)
-            .map(|offset| (start + offset) % count)
-            .filter(|position| self.usable(*position, excluded, now_micros))
-            .min_by_key(|position| self.entries[*position].load.in_flight())
-    }
-
-    fn least_wait(
         &self,
         request: &RouteRequest<'_>,
         index: &PrefixIndex,
@@ -175,6 +117,11 @@
         best
     }
 
+    fn usable(&self, position: usize, excluded: &[usize], now_micros: u64) -> bool {
+        let entry = &self.entries[position];
+        !excluded.contains(&position) && entry.load.is_usable(now_micros)
+    }
+
     fn position(&self, number: u32) -> Option<usize> {
         self.entries
             .binary_search_by_key(&number, |entry| entry.number)
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -4,7 +4,7 @@
 
 use harrierward_routing::{
     CONFIRMATION_LIFETIME_MICROS, CostModel, PrefixIndex, ReplicaEntry, ReplicaLoad, RouteRequest,
-    RoutingTable, Strategy, rank_by_rendezvous, rendezvous_owner,
+    RoutingTable, rank_by_rendezvous, rendezvous_owner,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -32,14 +32,7 @@
     };
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     table
-        .choose(
-            Strategy::ExpectedWait,
-            &request,
-            index,
-            &[],
-            NOW,
-            &mut random,
-        )
+        .choose(&request, index, &[], NOW, &mut random)
         .map(|choice| choice.position)
 }
 
