Membership: views are compared by digest and what differs is exchanged; suspicion grows with the fleet

Cause: gossip passes six records with a datagram, some 40 records a second and member. Ruled out: more records a datagram and 2.5 s of suspicion (issue's trial): converges, but bytes between zones 0.148 -> 0.289 GB. A list in the platform's store: a start would need the store, which may be down when all come back. Change: each datagram carries a digest and the size of its sender's view. Who lacks many members (1 in 100 of the peer's), or agreed with nobody for 2 s, sends digests of buckets of its view; the peer answers with the differing buckets whole, and gets back what it lacks itself. A seed answers a join with a few members in turn instead of its whole view. A record that others already know is passed on less; one that came by a sync is not passed on. Suspicion lasts 0.7 s x log10(members), at least 0.7 s. The daemon reads a cached view, refreshed once a tick; one members_changed line a tick with joined, gone and a digest.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Figures of the decisions: counted all, also where their lines are sampled or dropped.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::record::Record;
@@ -26,6 +27,7 @@
     dependencies_lost: IntCounterVec,
     configuration_version: IntGauge,
     members_alive: IntGauge,
+    view_sync_records: IntCounter,
     lines_dropped: IntGauge,
 }
 
@@ -114,6 +116,7 @@
                 "harrierward_members_alive",
                 "Daemons that this one holds alive, itself included",
             )?,
+            view_sync_records: view_sync_records(&registry)?,
             lines_dropped: gauge(
                 "harrierward_log_lines_dropped",
                 "Log lines dropped since the start",
@@ -174,10 +177,13 @@
                 let version = i64::try_from(*version).unwrap_or(i64::MAX);
                 self.configuration_version.set(version);
             }
-            Record::MembersChanged { alive } => {
+            Record::MembersChanged { alive, .. } => {
                 let alive = i64::try_from(*alive).unwrap_or(i64::MAX);
                 self.members_alive.set(alive);
             }
+            Record::ViewSynced { records, .. } => {
+                self.view_sync_records.inc_by(*records as u64);
+            }
             Record::LinesDropped { lines } => {
                 let lines = i64::try_from(*lines).unwrap_or(i64::MAX);
                 self.lines_dropped.add(lines);
@@ -194,3 +200,12 @@
         text
     }
 }
+
+fn view_sync_records(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
+    let counter = IntCounter::new(
+        "harrierward_view_sync_records_total",
+        "Records of members that peers sent because this daemon's view differed from theirs",
+    )?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -82,6 +82,21 @@
     MembersChanged {
         /// Members alive.
         alive: usize,
+        /// Members that were not there before.
+        joined: usize,
+        /// Members that are not there any more.
+        gone: usize,
+        /// Digest of the view: daemons that print the same one believe in the same members.
+        view: u64,
+    },
+    /// A peer sent whole buckets of its view, since this daemon's differed.
+    ViewSynced {
+        /// Peer.
+        peer: &'a str,
+        /// Records that it sent.
+        records: usize,
+        /// Members in the peer's view.
+        peer_members: u32,
     },
     /// A request was sent to a replica.
     Sent {
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -8,11 +8,11 @@
 use async_trait::async_trait;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_inline_jobs::{InlineJobs, Peers, QuotaRequest};
-use harrierward_membership::{Action, MembershipCore, MembershipSettings};
+use harrierward_membership::{Action, MembershipCore, MembershipSettings, MembershipView};
 use harrierward_serving::{Replica, ReplicaSet, WorkClass};
 use harrierward_wire::{
-    LoadNotice, MemberRecord, MemberState, NodeDatagram, QuotaAnswer, QuotaAsk, QuotaOutcome,
-    ReplicaCount, YieldRequest, decode, encode, node_datagram,
+    Datagram, DatagramKind, LoadNotice, MemberRecord, MemberState, NodeDatagram, QuotaAnswer,
+    QuotaAsk, QuotaOutcome, ReplicaCount, YieldRequest, decode, encode, node_datagram,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -58,20 +58,10 @@
 /// Largest datagram received, bytes.
 const DATAGRAM_LIMIT: usize = 65_536;
 
-/// Bounds for a fleet whose members replace each other within seconds.
-fn membership_settings() -> MembershipSettings {
-    MembershipSettings {
-        probe_every: Duration::from_millis(300),
-        direct_timeout: Duration::from_millis(150),
-        probe_timeout: Duration::from_millis(400),
-        suspicion: Duration::from_millis(700),
-        forget_dead: Duration::from_secs(60),
-        ..MembershipSettings::default()
-    }
-}
-
 struct State {
     core: MembershipCore,
+    /// The core's view at the last tick: what the rest of the daemon goes by.
+    view: Arc<MembershipView>,
     loads: PeerLoads,
     notices: u64,
     others_since: Option<Instant>,
@@ -118,8 +108,10 @@
             state: MemberState::Alive as i32,
             backlog: Vec::new(),
         };
+        let core = MembershipCore::new(MembershipSettings::quick(), own);
         let state = State {
-            core: MembershipCore::new(membership_settings(), own),
+            view: Arc::new(core.view()),
+            core,
             loads: PeerLoads::default(),
             notices: 0,
             others_since: None,
@@ -145,14 +137,18 @@
 
     /// Addresses at which the other living daemons answer control calls.
     pub fn control_addresses(&self) -> Vec<String> {
-        let view = self.lock().core.view();
-        let others = view.members.into_iter().filter(|one| one.id != self.life);
-        others.map(|one| one.peer_address).collect()
+        let view = self.view();
+        let others = view.members.iter().filter(|one| one.id != self.life);
+        others.map(|one| one.peer_address.clone()).collect()
     }
 
     /// Living daemons, this one among them.
     pub fn fleet_size(&self) -> usize {
-        self.lock().core.view().members.len()
+        self.view().members.len()
+    }
+
+    fn view(&self) -> Arc<MembershipView> {
+        self.lock().view.clone()
     }
 
     /// True if this daemon cannot reach the store, but most others can: it is better if new work goes to them.
@@ -212,7 +208,7 @@
             let mut datagrams = Vec::new();
             {
                 let mut state = self.lock();
-                let alone = state.core.view().members.len() <= 1;
+                let alone = state.view.members.len() <= 1;
                 let due = joined_at.is_none_or(|at| at.elapsed() >= JOIN_EVERY);
                 if alone && due {
                     joined_at = Some(Instant::now());
@@ -254,8 +250,8 @@
         let mut state = self.lock();
         match kind {
             Some(node_datagram::Kind::Membership(datagram)) => {
+                self.log_sync(&datagram);
                 let (actions, _) = state.core.receive(&datagram, self.started.elapsed());
-                self.note_changes(&mut state);
                 wrap(actions)
             }
             Some(node_datagram::Kind::QuotaAsk(ask)) => {
@@ -275,16 +271,36 @@
         }
     }
 
+    fn log_sync(&self, datagram: &Datagram) {
+        if datagram.kind == DatagramKind::SyncReply as i32 {
+            self.log.record(&Record::ViewSynced {
+                peer: &datagram.from,
+                records: datagram.records.len(),
+                peer_members: datagram.view_size,
+            });
+        }
+    }
+
+    /// Brings the view up to date: once a tick, since a start of the whole fleet brings hundreds of members within
+    /// a second, and each change has a cost of all members.
     fn note_changes(&self, state: &mut State) {
         if !state.core.take_changed() {
             return;
         }
-        let alive = state.core.view().members.len();
-        if alive > 1 && state.others_since.is_none() {
+        let view = Arc::new(state.core.view());
+        let before = std::mem::replace(&mut state.view, view.clone());
+        if view.members.len() > 1 && state.others_since.is_none() {
             state.others_since = Some(Instant::now());
         }
-        self.log.record(&Record::MembersChanged { alive });
-        let view = state.core.view();
+        let (joined, gone) = view.changes_since(&before);
+        if joined + gone > 0 {
+            self.log.record(&Record::MembersChanged {
+                alive: view.members.len(),
+                joined,
+                gone,
+                view: view.digest(),
+            });
+        }
         let staying = view.staying().map(|member| KeeperCandidate {
             id: member.id.clone(),
             address: udp_address(&state.core, &member.id),
@@ -317,8 +333,8 @@
             kind: Some(node_datagram::Kind::LoadNotice(notice)),
         };
         let bytes = encode(&datagram);
-        let members = state.core.view().members;
-        let others = members.iter().filter(|member| member.id != self.life);
+        let view = state.view.clone();
+        let others = view.members.iter().filter(|member| member.id != self.life);
         let told = others.choose_multiple(&mut rand::rng(), NOTICE_FAN_OUT);
         told.into_iter()
             .filter_map(|member| state.core.udp_address(&member.id))
@@ -365,8 +381,7 @@
     /// Where a living member takes datagrams.
     fn address_of(&self, member: &str) -> Option<SocketAddr> {
         let state = self.lock();
-        let view = state.core.view();
-        view.member(member)?;
+        state.view.member(member)?;
         udp_address(&state.core, member)
     }
 
@@ -397,7 +412,7 @@
     }
 
     fn publish_loads(&self, state: &State) {
-        let peers = state.core.view().members.len().saturating_sub(1);
+        let peers = state.view.members.len().saturating_sub(1);
         let view = self.replicas.view();
         let sums = state.loads.sums(peers);
         for replica in view.all() {
@@ -422,8 +437,7 @@
         if !settled {
             return None;
         }
-        let view = state.core.view();
-        let staying = view.staying().map(|member| member.id.clone());
+        let staying = state.view.staying().map(|member| member.id.clone());
         Some(staying.filter(|id| !is_cut_off(&state, id)).collect())
     }
 
--- a/crates/membership/src/core/mod.rs
+++ b/crates/membership/src/core/mod.rs
@@ -3,8 +3,10 @@
 //! Invariants: only a member itself raises its incarnation; a record never goes back to a lower one; a member is
 //! declared dead only after a suspicion that it had time to refute.
 
+mod digest;
 mod probes;
 mod receive;
+mod sync;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,6 +18,8 @@
 use crate::settings::MembershipSettings;
 use crate::view::{Member, MembershipView};
 
+use sync::SyncState;
+
 /// A datagram to send.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Action {
@@ -51,12 +55,23 @@
 #[derive(Debug, Clone)]
 struct Known {
     record: MemberRecord,
+    /// Hash of the id and the incarnation, for digests of views.
+    version_hash: u64,
     state_since: Duration,
     passes_left: usize,
     /// Said that it leaves before it was gone.
     left: bool,
 }
 
+/// How a record came to be known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// As news: it is passed on.
+    Gossip,
+    /// From a sync: others find it by syncs of their own.
+    Sync,
+}
+
 #[derive(Debug, Clone)]
 struct Probe {
     number: u64,
@@ -87,6 +102,7 @@
     cancelled_jobs: Vec<String>,
     /// Dead members to be probed soon, because another one turned out to live: a cut has mended.
     revivals: Vec<String>,
+    sync: SyncState,
     changed: bool,
 }
 
@@ -100,6 +116,31 @@
 }
 
 impl Known {
+    fn new(record: MemberRecord, now: Duration, passes_left: usize) -> Self {
+        Self {
+            version_hash: digest::version_hash(&record),
+            state_since: now,
+            passes_left,
+            left: false,
+            record,
+        }
+    }
+
+    fn replace(&mut self, record: MemberRecord, now: Duration, passes_left: usize) {
+        if self.record.state != record.state {
+            self.state_since = now;
+        }
+        self.left |= state_of(&self.record) == MemberState::Leaving;
+        self.version_hash = digest::version_hash(&record);
+        self.record = record;
+        self.passes_left = passes_left;
+    }
+
+    /// True unless the member is taken for dead.
+    fn is_present(&self) -> bool {
+        state_of(&self.record) != MemberState::Dead
+    }
+
     /// True unless the member left for good.
     fn may_answer(&self) -> bool {
         state_of(&self.record) != MemberState::Dead || !self.left
@@ -121,6 +162,7 @@
             config: ConfigWord::default(),
             cancelled_jobs: Vec::new(),
             revivals: Vec::new(),
+            sync: SyncState::default(),
             changed: true,
         };
         core.note_own();
@@ -128,13 +170,7 @@
     }
 
     fn note_own(&mut self) {
-        let passes_left = self.passes();
-        let known = Known {
-            record: self.own.clone(),
-            state_since: Duration::ZERO,
-            passes_left,
-            left: false,
-        };
+        let known = Known::new(self.own.clone(), Duration::ZERO, self.passes());
         self.known.insert(self.own.id.clone(), known);
         self.changed = true;
     }
@@ -149,7 +185,7 @@
         &self.own.id
     }
 
-    /// Datagrams that ask seeds for their view.
+    /// Datagrams by which seeds learn of this member, and answer with some others.
     pub fn join(&mut self, seeds: &[String]) -> Vec<Action> {
         let addresses = seeds.iter().filter(|seed| **seed != self.own.udp_address);
         let addresses: Vec<String> = addresses.cloned().collect();
@@ -279,7 +315,7 @@
             .map(|known| known.record.udp_address.clone())
     }
 
-    fn take_record(&mut self, mut record: MemberRecord, now: Duration) {
+    fn take_record(&mut self, mut record: MemberRecord, source: Source, now: Duration) {
         if record.id == self.own.id {
             self.refute(&record);
             return;
@@ -290,29 +326,27 @@
             self.insert_dead_predecessor(record, now);
             return;
         }
-        let passes_left = self.passes();
+        let passes_left = match source {
+            Source::Gossip => self.passes(),
+            Source::Sync => 0,
+        };
         let lives = state_of(&record) != MemberState::Dead;
         let mut revived = false;
         match self.known.get_mut(&record.id) {
-            Some(known) if !supersedes(&record, &known.record) => {}
-            Some(known) => {
-                revived = lives && state_of(&known.record) == MemberState::Dead;
-                if known.record.state != record.state {
-                    known.state_since = now;
+            Some(known) if !supersedes(&record, &known.record) => {
+                // Others know it already: passing it on is worth less.
+                if record == known.record {
+                    known.passes_left = known.passes_left.saturating_sub(1);
                 }
-                known.left |= state_of(&known.record) == MemberState::Leaving;
-                known.record = record;
-                known.passes_left = passes_left;
+            }
+            Some(known) => {
+                revived = lives && !known.is_present();
+                known.replace(record, now, passes_left);
                 self.changed = true;
             }
-            None if state_of(&record) == MemberState::Dead => {}
+            None if !lives => {}
             None => {
-                let known = Known {
-                    state_since: now,
-                    passes_left,
-                    left: false,
-                    record,
-                };
+                let known = Known::new(record, now, passes_left);
                 self.known.insert(known.record.id.clone(), known);
                 self.changed = true;
             }
@@ -329,12 +363,8 @@
 
     /// Keeps the record of an earlier life as dead, and passes that on.
     fn insert_dead_predecessor(&mut self, record: MemberRecord, now: Duration) {
-        let known = Known {
-            state_since: now,
-            passes_left: self.passes(),
-            left: true,
-            record,
-        };
+        let mut known = Known::new(record, now, self.passes());
+        known.left = true;
         self.known.insert(known.record.id.clone(), known);
         self.changed = true;
     }
@@ -358,6 +388,9 @@
             config_revision: self.config.revision,
             config_age_ms: self.config.proof_age.map_or(0, |age| age_ms(age) + 1),
             cancelled_jobs: self.cancelled_jobs.clone(),
+            view_digest: self.view_digest(),
+            view_size: self.view_size(),
+            ..Datagram::default()
         }
     }
 
--- a/crates/membership/src/core/probes.rs
+++ b/crates/membership/src/core/probes.rs
@@ -6,12 +6,13 @@
 use rand::Rng;
 use rand::seq::{IndexedRandom, SliceRandom};
 
-use super::{Action, Known, MembershipCore, Probe, state_of};
+use super::{Action, Known, MembershipCore, Probe, Source, state_of};
 
 impl MembershipCore {
     /// Time passes: sends probes, asks others, suspects and declares dead.
     pub fn tick(&mut self, now: Duration, random: &mut impl Rng) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.sync.note_tick();
         self.check_probes(now, random, &mut actions);
         self.check_suspicions(now);
         let direct = self.settings.probe_timeout * 2;
@@ -184,22 +185,31 @@
         };
         let mut record = known.record.clone();
         record.state = next as i32;
-        self.take_record(record, now);
+        self.take_record(record, Source::Gossip, now);
+    }
+
+    /// Time that a suspected member has to refute: spreading the suspicion, and its refutation, takes longer in a
+    /// larger fleet.
+    #[allow(clippy::cast_precision_loss)]
+    fn suspicion(&self) -> Duration {
+        let factor = (self.known.len() as f64).log10().max(1.0);
+        self.settings.suspicion.mul_f64(factor)
     }
 
     fn check_suspicions(&mut self, now: Duration) {
+        let suspicion = self.suspicion();
         let over: Vec<MemberRecord> = self
             .known
             .values()
             .filter(|known| {
                 state_of(&known.record) == MemberState::Suspect
-                    && now.saturating_sub(known.state_since) >= self.settings.suspicion
+                    && now.saturating_sub(known.state_since) >= suspicion
             })
             .map(|known| known.record.clone())
             .collect();
         for mut record in over {
             record.state = MemberState::Dead as i32;
-            self.take_record(record, now);
+            self.take_record(record, Source::Gossip, now);
         }
         let forget_dead = self.settings.forget_dead;
         self.known.retain(|_, known| {
--- a/crates/membership/src/core/receive.rs
+++ b/crates/membership/src/core/receive.rs
@@ -2,15 +2,27 @@
 
 use std::time::Duration;
 
-use harrierward_wire::{Datagram, DatagramKind, MemberRecord, MemberState};
+use harrierward_wire::{Datagram, DatagramKind};
 
-use super::{Action, ConfigWord, MembershipCore, ReceivedWord, Relay, state_of};
+use super::{Action, ConfigWord, MembershipCore, ReceivedWord, Relay, Source};
 
 impl MembershipCore {
     /// Takes a datagram; the answers to send and the sender's word on its configuration.
     pub fn receive(&mut self, datagram: &Datagram, now: Duration) -> (Vec<Action>, ReceivedWord) {
-        for record in &datagram.records {
-            self.take_record(record.clone(), now);
+        let kind = DatagramKind::try_from(datagram.kind);
+        let mut actions = Vec::new();
+        if matches!(kind, Ok(DatagramKind::SyncReply)) {
+            actions = self.return_missing(datagram);
+        }
+        match kind {
+            Ok(DatagramKind::SyncReply | DatagramKind::SyncReturn) => {
+                self.take_synced(&datagram.records, now);
+            }
+            _ => {
+                for record in &datagram.records {
+                    self.take_record(record.clone(), Source::Gossip, now);
+                }
+            }
         }
         let is_ack = datagram.kind == DatagramKind::Ack as i32;
         let answered = self
@@ -29,13 +41,15 @@
                     .map(Duration::from_millis),
             },
         };
-        let actions = match DatagramKind::try_from(datagram.kind) {
+        actions.extend(match kind {
             Ok(DatagramKind::Ping) => self.answer(datagram),
             Ok(DatagramKind::Ack) => self.take_ack(datagram),
             Ok(DatagramKind::PingRequest) => self.relay(datagram, now),
             Ok(DatagramKind::Join) => self.welcome(datagram),
-            Err(_) => Vec::new(),
-        };
+            Ok(DatagramKind::SyncRequest) => self.reply_sync(datagram),
+            Ok(DatagramKind::SyncReply | DatagramKind::SyncReturn) | Err(_) => Vec::new(),
+        });
+        actions.extend(self.consider_sync(datagram, now));
         (actions, word)
     }
 
@@ -80,27 +94,16 @@
         vec![Action { address, datagram }]
     }
 
-    /// Sends the whole view, in as many datagrams as it takes.
+    /// Sends some members, others to each one that joins: whoever starts finds the rest by a sync with any of them,
+    /// so that seeds need not send their whole view to all daemons of a fleet that starts.
     fn welcome(&mut self, join: &Datagram) -> Vec<Action> {
         let Some(address) = self.address(&join.from) else {
             return Vec::new();
         };
-        let records: Vec<MemberRecord> = self
-            .known
-            .values()
-            .filter(|known| state_of(&known.record) != MemberState::Dead)
-            .map(|known| known.record.clone())
-            .collect();
-        records
-            .chunks(self.settings.records_per_datagram.max(1))
-            .map(|part| {
-                let mut datagram = self.bare_datagram(DatagramKind::Ack, 0, String::new());
-                datagram.records = part.to_vec();
-                Action {
-                    address: address.clone(),
-                    datagram,
-                }
-            })
-            .collect()
+        let most = self.settings.records_per_sync_datagram;
+        let records = self.next_present(most);
+        let mut datagram = self.bare_datagram(DatagramKind::SyncReturn, 0, String::new());
+        datagram.records = records;
+        vec![Action { address, datagram }]
     }
 }
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -11,12 +11,16 @@
     pub direct_timeout: Duration,
     /// Wait for any answer before the member is suspected.
     pub probe_timeout: Duration,
-    /// Time that a suspected member has to refute.
+    /// Time that a suspected member has to refute, in a fleet of ten or fewer. It grows with the decimal logarithm
+    /// of the fleet, as the time does in which a suspicion and its refutation spread.
     pub suspicion: Duration,
     /// Members asked to probe indirectly.
     pub indirect_probes: usize,
-    /// Records in one datagram.
+    /// Records passed on with one datagram that has another purpose.
     pub records_per_datagram: usize,
+    /// Records in one datagram of a sync or a welcome: with about 100 bytes a record it stays below 1,400 bytes, a
+    /// usual link's datagram.
+    pub records_per_sync_datagram: usize,
     /// Each record is passed on this many times, times the logarithm of the fleet's size.
     pub spread_factor: usize,
     /// Members of other regions, and dead ones, are in one round of probes out of so many.
@@ -25,6 +29,13 @@
     pub revivals_a_tick: usize,
     /// How long a dead member is remembered.
     pub forget_dead: Duration,
+    /// Least time between two sync requests of a member that lacks many members.
+    pub sync_catch_up_every: Duration,
+    /// How long no peer's view was the same before a member that lacks few asks for a sync; news should have spread
+    /// by then.
+    pub sync_after_disagreement: Duration,
+    /// Sync requests answered between two ticks; who gets no answer asks another member.
+    pub sync_replies_a_tick: usize,
 }
 
 impl Default for MembershipSettings {
@@ -36,10 +47,30 @@
             suspicion: Duration::from_secs(3),
             indirect_probes: 3,
             records_per_datagram: 6,
+            records_per_sync_datagram: 12,
             spread_factor: 3,
             rare_probe_one_in: 8,
             revivals_a_tick: 1,
             forget_dead: Duration::from_secs(600),
+            sync_catch_up_every: Duration::from_millis(500),
+            sync_after_disagreement: Duration::from_secs(8),
+            sync_replies_a_tick: 4,
+        }
+    }
+}
+
+impl MembershipSettings {
+    /// Bounds for a fleet whose members replace each other within seconds.
+    pub fn quick() -> Self {
+        Self {
+            probe_every: Duration::from_millis(300),
+            direct_timeout: Duration::from_millis(150),
+            probe_timeout: Duration::from_millis(400),
+            suspicion: Duration::from_millis(700),
+            forget_dead: Duration::from_secs(60),
+            sync_catch_up_every: Duration::from_millis(200),
+            sync_after_disagreement: Duration::from_secs(2),
+            ..Self::default()
         }
     }
 }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,6 +1,7 @@
 //! The view that the rest of a daemon reads.
 
 use harrierward_wire::ServiceBacklog;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A member as others see it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,6 +36,24 @@
             .map(|index| &self.members[index])
     }
 
+    /// How many members this view has that `before` had not, and how many it has lost.
+    pub fn changes_since(&self, before: &Self) -> (usize, usize) {
+        let missing_in = |one: &Self, other: &Self| {
+            let missing = one.members.iter();
+            missing
+                .filter(|member| other.member(&member.id).is_none())
+                .count()
+        };
+        (missing_in(self, before), missing_in(before, self))
+    }
+
+    /// The same for all views that hold the same members.
+    pub fn digest(&self) -> u64 {
+        let hashes = self.members.iter();
+        let hashes = hashes.map(|member| xxh3_64(member.id.as_bytes()));
+        hashes.fold(0, |digest, hash| digest ^ hash)
+    }
+
     /// Ids of members that may own something: not those that leave.
     pub fn staying(&self) -> impl Iterator<Item = &Member> {
         self.members.iter().filter(|member| !member.leaving)
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -24,8 +24,14 @@
     Ack = 1,
     /// Asks the receiver to ping `target` and pass its answer on.
     PingRequest = 2,
-    /// Asks for the receiver's whole view, for a member that has just started.
+    /// Sent to seeds by a member that has just started and knows nobody.
     Join = 3,
+    /// Asks for the records of all buckets in which the receiver's view differs from the sender's.
+    SyncRequest = 4,
+    /// Whole buckets of the sender's view, in answer to a sync request.
+    SyncReply = 5,
+    /// Records that the receiver's sync reply showed to be missing there.
+    SyncReturn = 6,
 }
 
 /// Batch work that a member's shards have left for a service.
@@ -95,6 +101,21 @@
     /// Jobs cancelled lately: nothing of them may be started.
     #[prost(string, repeated, tag = "8")]
     pub cancelled_jobs: Vec<String>,
+    /// Digest of the sender's view: two views with the same one hold the same members.
+    #[prost(fixed64, tag = "9")]
+    pub view_digest: u64,
+    /// Members in the sender's view; 0 if it does not say.
+    #[prost(uint32, tag = "10")]
+    pub view_size: u32,
+    /// In a sync request: digests of the buckets of the sender's view, two bytes each, little-endian.
+    #[prost(bytes = "vec", tag = "11")]
+    pub bucket_digests: Vec<u8>,
+    /// In a sync reply: number of buckets into which both views are divided.
+    #[prost(uint32, tag = "12")]
+    pub bucket_count: u32,
+    /// In a sync reply: buckets whose records are all in this datagram.
+    #[prost(uint32, repeated, tag = "13")]
+    pub whole_buckets: Vec<u32>,
 }
 
 /// Online requests of one gateway at one replica, for the replica's owner.
