Overdue requests yield to those that can be in time; silence of a full group is not given up on

A daemon of 295 hears a given replica once in a minute, so "silent to everybody" is "silent to me": a queue looks like a fault. Ruled out: replicas busy with dead callers (free 962 of 1,000 when the first daemons are back); prompts' copies (none online). Change: where less than 150 of 1,000 slots of the group are free, silence is borne as long as the longest wait. A request whose caller's patience is shorter than the route's longest observed one by more than the objective is overdue: it waits up to a third of its time while others leave no more slots free than their number varies by (its coordinator says no, as to an item).

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -98,6 +98,13 @@
         /// Members in the peer's view.
         peer_members: u32,
     },
+    /// A request whose objective had passed when it came was placed, after those that could still be in time.
+    OverduePlaced {
+        /// Request.
+        request: &'a str,
+        /// How long it waited for slots that others left.
+        waited_ms: u64,
+    },
     /// A request was sent to a replica.
     Sent {
         /// Request.
--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -7,8 +7,8 @@
 use async_trait::async_trait;
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChosenBy, ItemRoom, PlaceAnswer, PlaceQuery, Places, PromptLength, Replica, WorkClass,
-    preference_weight, short_hash,
+    Choice, ChosenBy, ItemRoom, PlaceAnswer, PlaceQuery, Places, PromptLength, ROOMY_PERMILLE,
+    Replica, WorkClass, preference_weight, short_hash,
 };
 use harrierward_slots::{group_count, group_of};
 use harrierward_wire::{
@@ -29,10 +29,6 @@
 const LEAST_PATIENCE: Duration = Duration::from_millis(15);
 const MOST_PATIENCE: Duration = Duration::from_millis(60);
 
-/// Part of a group's slots that must be free to online requests for it to be asked for its prompt's sake, in
-/// thousandths.
-const ROOMY_PERMILLE: u32 = 150;
-
 /// A group's free slots where its keeper has not told them.
 const UNTOLD_PERMILLE: u32 = 500;
 
@@ -142,9 +138,11 @@
         grant: &SlotGrant,
         keeper: SocketAddr,
     ) -> PlaceAnswer {
-        let none = match query.item {
-            Some(_) if !grant.not_keeper => PlaceAnswer::NoRoom,
-            _ => PlaceAnswer::NoKeeper,
+        let may_wait = query.item.is_some() || query.overdue;
+        let none = if may_wait && !grant.not_keeper {
+            PlaceAnswer::NoRoom
+        } else {
+            PlaceAnswer::NoKeeper
         };
         if grant.replica == 0 {
             return none;
@@ -201,6 +199,7 @@
             excluded: query.excluded.iter().map(|id| short_hash(id)).collect(),
             suspected: suspected.map(|replica| replica.hash).collect(),
             item,
+            overdue: query.overdue,
         }
     }
 
--- a/crates/edge/src/slots/keeping.rs
+++ b/crates/edge/src/slots/keeping.rs
@@ -27,6 +27,7 @@
     prompt: &'a Prompt,
     length: PromptLength,
     is_item: bool,
+    is_overdue: bool,
 }
 
 impl SlotService {
@@ -42,6 +43,7 @@
             is_excluded: asker.is_excluded,
             is_suspected: asker.is_suspected,
             is_item: asker.is_item,
+            is_overdue: asker.is_overdue,
             most_candidates: usize::MAX,
         };
         let choice = choose_replica(&view, usable.collect(), &self.costs, &query);
@@ -60,11 +62,13 @@
             prompt: query.prompt,
             length: query.length,
             is_item: query.item.is_some(),
+            is_overdue: query.overdue,
         };
         let Some(choice) = self.choose(query.service, group, groups, &asker) else {
-            return match query.item {
-                Some(_) => PlaceAnswer::NoRoom,
-                None => PlaceAnswer::NoKeeper,
+            return if query.item.is_some() || query.overdue {
+                PlaceAnswer::NoRoom
+            } else {
+                PlaceAnswer::NoKeeper
             };
         };
         let usage = usage_of(query.item, Instant::now());
@@ -167,6 +171,7 @@
             prompt: &prompt,
             length: length_of(ask),
             is_item: ask.item.is_some(),
+            is_overdue: ask.overdue,
         };
         let Some(choice) = self.choose(service, ask.group, groups, &asker) else {
             return none;
--- a/crates/edge/tests/slots.rs
+++ b/crates/edge/tests/slots.rs
@@ -120,6 +120,7 @@
         excluded: &[],
         objective: OBJECTIVE,
         item,
+        overdue: false,
     }
 }
 
@@ -222,3 +223,30 @@
     let next = began.elapsed();
     assert!(next < OBJECTIVE / 10, "{next:?}");
 }
+
+/// A request whose objective has passed leaves the last slots to those that can still be in time, and gets one as
+/// soon as there are enough. Those of items count as free.
+#[tokio::test]
+async fn an_overdue_request_waits_while_others_take_all_slots() {
+    let daemons = fleet(&NAMES, &[]).await;
+    let prompt = Prompt::default();
+    let overdue = PlaceQuery {
+        overdue: true,
+        ..query(&prompt, None)
+    };
+    let mut places = Vec::new();
+    for number in 0..REPLICAS * SLOTS as usize {
+        places.push(enter(&daemons[number % 4], None).await.expect("a slot"));
+    }
+    for daemon in &daemons {
+        let answer = daemon.slots.ask(overdue).await;
+        assert!(matches!(answer, PlaceAnswer::NoRoom), "{answer:?}");
+        assert!(enter(daemon, None).await.is_some(), "one that is in time");
+    }
+    places.truncate(REPLICAS);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for daemon in &daemons {
+        let answer = daemon.slots.ask(overdue).await;
+        assert!(matches!(answer, PlaceAnswer::Given { .. }), "{answer:?}");
+    }
+}
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -7,7 +7,7 @@
 use harrierward_decisions::Record;
 use tokio::time::{Instant, timeout};
 
-use crate::choice::Placement;
+use crate::choice::{Placement, ROOMY_PERMILLE};
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
 use crate::forwarder::{Forwarder, RequestState};
 use crate::replica::{InProgress, Replica};
@@ -87,23 +87,33 @@
 /// Looks at a replica's silence in the time after which it counts as dark.
 const LOOKS_A_SILENCE: u32 = 3;
 
+/// Part of the time that it may still be held for which an overdue request waits for slots that others leave.
+const OVERDUE_HOLD_PART: u32 = 3;
+
 impl Forwarder {
     /// Sends the request to a replica chosen for it. Returns the replica's id, and what came of it.
     pub(crate) async fn attempt(
         &self,
         state: &RequestState,
-        times: AttemptTimes,
+        times: impl FnOnce() -> AttemptTimes,
         sending: Sending,
     ) -> (Option<String>, Result<Attempt, AttemptFailure>) {
         let request = &state.request;
         let objective = state.route.objective;
-        let placement = self
-            .place(request, &state.service, &state.tried, objective, None)
-            .await;
+        let placement = if state.overdue && state.tried.is_empty() {
+            let longest = state.clock.hold_left() / OVERDUE_HOLD_PART;
+            self.place_overdue(request, &state.service, objective, longest)
+                .await
+        } else {
+            self.place(request, &state.service, &state.tried, objective, None)
+                .await
+        };
         let Some(placement) = placement else {
             return (None, Err(AttemptFailure::NoReplica));
         };
         let replica_id = placement.in_progress.replica().record.id.clone();
+        // Placing may have taken time.
+        let times = times();
         let result = self.attempt_at(request, placement, times, sending).await;
         (Some(replica_id), result)
     }
@@ -148,7 +158,13 @@
             fresh_connection: sending.fresh_connection,
             copy_from: copy_from.map(|source| source.address.as_str()),
         });
-        let answer = wait_for_progress(exchange, &replica, times.dark, times.longest).await;
+        // Where all slots are taken a request waits for one, and sending it once more adds to the queue.
+        let dark = if choice.free_permille < ROOMY_PERMILLE {
+            times.longest
+        } else {
+            times.dark
+        };
+        let answer = wait_for_progress(exchange, &replica, dark, times.longest).await;
         let result = self.judge(request, &replica, answer);
         if let Err(failure) = &result {
             self.log_failure(request, &replica, failure, started.elapsed());
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -73,6 +73,11 @@
     pub choice: Choice,
 }
 
+/// Part of the slots looked at that must be free to online requests for their replicas to count as roomy, in
+/// thousandths. Below it a replica's silence is more likely a queue than a fault (issue 21: 15 % free or less where
+/// all attempts were given up for silence), and a group is not asked for its prompt's sake.
+pub const ROOMY_PERMILLE: u32 = 150;
+
 /// Fewest shared tokens for which a copy is made: below, reading them anew takes no longer.
 const LEAST_COPIED_TOKENS: u32 = 1_000;
 
@@ -90,6 +95,8 @@
     pub is_suspected: &'a dyn Fn(&Replica) -> bool,
     /// The work is a batch item: it takes only what online leaves, and never waits at a replica.
     pub is_item: bool,
+    /// The work is an online request whose objective has passed: it leaves the last slots to others.
+    pub is_overdue: bool,
     /// Most replicas that are looked at beside the preferred one: few, where their loads are old, so that daemons
     /// that know the same do not all choose the same.
     pub most_candidates: usize,
@@ -108,6 +115,8 @@
         .collect();
     let usable = if query.is_item {
         room_for_items(usable, query)
+    } else if query.is_overdue && !has_room_for_overdue(&usable) {
+        Vec::new()
     } else {
         usable
     };
@@ -217,6 +226,14 @@
     (f64::from(online).sqrt() * RESERVE_DEVIATIONS).round() as u32
 }
 
+/// True if online requests leave more slots than their number varies by. Those of items count as free.
+fn has_room_for_overdue(replicas: &[Arc<Replica>]) -> bool {
+    let free = |replica: &Arc<Replica>| replica.slots().saturating_sub(replica.online());
+    let free: u32 = replicas.iter().map(free).sum();
+    let online = replicas.iter().map(|replica| replica.online()).sum();
+    free > reserved_slots(online)
+}
+
 /// The replicas that an item may go to; none where all that is free is kept for online.
 fn room_for_items(replicas: Vec<Arc<Replica>>, query: &ChoiceQuery<'_>) -> Vec<Arc<Replica>> {
     let free_slots = |replica: &Arc<Replica>| replica.slots().saturating_sub(replica.load());
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -83,6 +83,8 @@
     pub tried: Vec<String>,
     /// Replicas to which it was sent and that may have run it.
     pub sends: u32,
+    /// Its objective had passed before it came.
+    pub overdue: bool,
 }
 
 /// How long a request may still take.
@@ -224,6 +226,7 @@
             clock: RequestClock::new(arrived, request, &entry.route),
             tried: Vec::new(),
             sends: 0,
+            overdue: entry.is_overdue(request.patience),
         };
         let mut refusals = 0;
         let mut may_have_run = false;
@@ -264,7 +267,6 @@
         &self,
         state: &RequestState,
     ) -> (Option<String>, Result<Attempt, AttemptFailure>) {
-        let times = state.clock.attempt_times(&state.route, state.sends);
         // A connection that was used before may carry a late answer, or be closing: an attempt that cannot be
         // repeated takes a new one.
         let sending = Sending {
@@ -272,6 +274,7 @@
             fresh_connection: !state.route.may_repeat(),
             number: state.sends,
         };
+        let times = || state.clock.attempt_times(&state.route, state.sends);
         self.attempt(state, times, sending).await
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,7 +22,9 @@
 mod suspicion;
 
 pub use attempt::{Attempt, AttemptFailure, AttemptTimes, Sending, wait_for_progress};
-pub use choice::{Choice, ChoiceQuery, ChosenBy, Placement, choose_replica, reserved_slots};
+pub use choice::{
+    Choice, ChoiceQuery, ChosenBy, Placement, ROOMY_PERMILLE, choose_replica, reserved_slots,
+};
 pub use configuration::{
     BatchBounds, CallerLimits, Route, RouteKind, Service, ServingConfiguration, WeightedService,
 };
--- a/crates/serving/src/places.rs
+++ b/crates/serving/src/places.rs
@@ -32,6 +32,8 @@
     pub objective: Duration,
     /// Set for a batch item.
     pub item: Option<ItemRoom>,
+    /// An online request whose objective has passed: it waits while those that can still be in time take all slots.
+    pub overdue: bool,
 }
 
 impl PlaceQuery<'_> {
@@ -54,7 +56,7 @@
         /// Number of the place.
         place: u32,
     },
-    /// The keeper has no room for the item now.
+    /// The keeper has no room now for an item or an overdue request.
     NoRoom,
     /// No keeper answers: the daemon chooses by what it knows itself.
     NoKeeper,
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use harrierward_decisions::Record;
+use tokio::time::{Instant, sleep};
+
 use crate::choice::{ChoiceQuery, Placement, choose_replica};
 use crate::exchange::ServingRequest;
 use crate::forwarder::Forwarder;
@@ -14,6 +17,10 @@
 /// the others' requests is old, and daemons with the same view must not all choose the same.
 const OWN_CANDIDATES: usize = 5;
 
+/// Part of the objective after which an overdue request asks again, and the longest such pause.
+const OVERDUE_PAUSE_PART: u32 = 3;
+const LONGEST_OVERDUE_PAUSE: Duration = Duration::from_millis(150);
+
 impl Forwarder {
     /// A place for a request, online or, if `item` is set, batch.
     pub async fn place(
@@ -35,7 +42,63 @@
             excluded,
             objective,
             item,
+            overdue: false,
+        };
+        self.ask_or_choose(query).await
+    }
+
+    /// A place for an online request whose objective has passed: it waits up to `longest` while those that can still
+    /// be in time take all slots. It loses nothing by that, and they would wait behind it at the replicas.
+    pub(crate) async fn place_overdue(
+        &self,
+        request: &ServingRequest,
+        service: &str,
+        objective: Duration,
+        longest: Duration,
+    ) -> Option<Placement> {
+        let until = Instant::now() + longest;
+        let pause = (objective / OVERDUE_PAUSE_PART).min(LONGEST_OVERDUE_PAUSE);
+        let mut query = PlaceQuery {
+            service,
+            prompt: &request.prompt,
+            length: self.profiles().observe(service, request.prompt.tokens),
+            excluded: &[],
+            objective,
+            item: None,
+            overdue: true,
         };
+        let began = Instant::now();
+        loop {
+            if self.replicas().view().usable(service).is_empty() {
+                break;
+            }
+            match self.places().ask(query).await {
+                PlaceAnswer::NoRoom if Instant::now() < until => {
+                    // Not all at the same moment.
+                    sleep(pause.mul_f64(rand::random_range(0.75..1.25))).await;
+                }
+                PlaceAnswer::Given { choice, place } => {
+                    self.log_overdue(request, began);
+                    let held = HeldPlace::new(self.places().clone(), place);
+                    return Some(choice.enter(query.class(), held));
+                }
+                PlaceAnswer::NoRoom | PlaceAnswer::NoKeeper => break,
+            }
+        }
+        self.log_overdue(request, began);
+        query.overdue = false;
+        self.ask_or_choose(query).await
+    }
+
+    fn log_overdue(&self, request: &ServingRequest, began: Instant) {
+        let waited = began.elapsed().as_millis();
+        self.log().record(&Record::OverduePlaced {
+            request: &request.id,
+            waited_ms: u64::try_from(waited).unwrap_or(u64::MAX),
+        });
+    }
+
+    async fn ask_or_choose(&self, query: PlaceQuery<'_>) -> Option<Placement> {
         match self.places().ask(query).await {
             PlaceAnswer::Given { choice, place } => {
                 let held = HeldPlace::new(self.places().clone(), place);
@@ -61,6 +124,7 @@
                 is_excluded: &|replica| query.excluded.contains(&replica.record.id),
                 is_suspected: &|replica| replica.is_suspected(),
                 is_item: query.item.is_some(),
+                is_overdue: false,
                 most_candidates: OWN_CANDIDATES,
             },
         )?;
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -209,16 +209,14 @@
     }
 
     async fn try_again(&mut self) -> (Option<String>, Result<Attempt, AttemptFailure>) {
-        let times = self
-            .state
-            .clock
-            .attempt_times(&self.state.route, self.state.sends);
+        let state = &self.state;
+        let times = || state.clock.attempt_times(&state.route, state.sends);
         let sending = Sending {
             resume_after: self.delivered,
             fresh_connection: true,
-            number: self.state.sends,
+            number: state.sends,
         };
-        self.forwarder.attempt(&self.state, times, sending).await
+        self.forwarder.attempt(state, times, sending).await
     }
 
     fn log_break(&self, cause: &str) {
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -3,21 +3,37 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use crate::configuration::{Route, ServingConfiguration, WeightedService};
 
 /// The odd multiplier of a golden-ratio sequence: any run of consecutive turns is spread evenly over the weights.
 const GOLDEN_RATIO: u64 = 0x9E37_79B9_7F4A_7C15;
 
-/// One route and its turn counter.
+/// One route, its turn counter, and what was observed of its callers.
 #[derive(Debug)]
 pub struct RouteEntry {
     /// The route.
     pub route: Route,
     turn: Arc<AtomicU64>,
+    longest_patience_ms: Arc<AtomicU64>,
 }
 
 impl RouteEntry {
+    /// Takes a request's patience into account. True if its objective has probably passed already: callers of the
+    /// route wait longer at their first attempt, by more than the objective, so this is one of their later ones.
+    pub fn is_overdue(&self, patience: Option<Duration>) -> bool {
+        let Some(patience) = patience else {
+            return false;
+        };
+        let patience_ms = u64::try_from(patience.as_millis()).unwrap_or(u64::MAX);
+        let longest_ms = self
+            .longest_patience_ms
+            .fetch_max(patience_ms, Ordering::Relaxed);
+        let used = Duration::from_millis(longest_ms.saturating_sub(patience_ms));
+        used > self.route.objective
+    }
+
     /// The service that the next request of the route goes to.
     pub fn next_service(&self) -> Option<&str> {
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
@@ -67,9 +83,11 @@
         for route in &configuration.routes {
             let kept = previous.and_then(|table| table.entry(&route.host, &route.name));
             let turn = kept.map_or_else(first_turn, |entry| entry.turn.clone());
+            let longest_patience_ms = kept.map(|entry| entry.longest_patience_ms.clone());
             let entry = RouteEntry {
                 route: route.clone(),
                 turn,
+                longest_patience_ms: longest_patience_ms.unwrap_or_default(),
             };
             let host = route.host.to_ascii_lowercase();
             hosts.entry(host).or_default().push(Arc::new(entry));
--- a/crates/serving/tests/routes.rs
+++ b/crates/serving/tests/routes.rs
@@ -46,3 +46,23 @@
     let share = f64::from(first) / f64::from(DAEMONS * REQUESTS);
     assert!((share - 0.1).abs() < 0.04, "{share}");
 }
+
+/// What a route's callers wait at their first attempt is observed; one that comes with much less has been refused or
+/// cut off before.
+#[test]
+fn a_caller_with_less_patience_than_the_route_s_others_is_overdue() {
+    let table = table(1, 0);
+    let entry = table.find("example", "/ask/1").expect("a route");
+    let seconds = |seconds: f64| Some(Duration::from_secs_f64(seconds));
+    assert!(!entry.is_overdue(seconds(3.0)), "nothing is known yet");
+    assert!(!entry.is_overdue(seconds(5.0)));
+    assert!(!entry.is_overdue(seconds(4.9)), "within the objective");
+    assert!(entry.is_overdue(seconds(4.7)), "beyond 200 ms");
+    assert!(!entry.is_overdue(None));
+    let next = RouteTable::build(table.configuration.clone(), Some(&table));
+    let entry = next.find("example", "/ask/1").expect("a route");
+    assert!(
+        entry.is_overdue(seconds(4.7)),
+        "kept over a new configuration"
+    );
+}
--- /dev/null
+++ b/crates/serving/tests/silence.rs
@@ -0,0 +1,161 @@
+//! How long a request waits for a replica that says nothing: a fault is left soon, a queue is not.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::StreamExt;
+use harrierward_decisions::{DecisionLog, LogBounds};
+use harrierward_serving::{
+    Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom,
+    PlaceAnswer, PlaceQuery, Places, Prompt, Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord,
+    ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts,
+    ServingConfiguration, ServingRequest, WeightedService,
+};
+use http::{HeaderMap, Method};
+use tokio::time::{Instant, sleep};
+
+const OBJECTIVE: Duration = Duration::from_millis(300);
+
+/// Longer than a silent replica is borne where others have room, shorter than any is.
+const QUEUED_FOR: Duration = Duration::from_millis(600);
+
+/// Answers after a while, as a replica with a queue does.
+#[derive(Default)]
+struct QueueingClient {
+    sends: AtomicUsize,
+}
+
+#[async_trait]
+impl ReplicaClient for QueueingClient {
+    async fn send(&self, request: ReplicaRequest<'_>) -> Result<ReplicaAnswer, ExchangeError> {
+        self.sends.fetch_add(1, Ordering::Relaxed);
+        sleep(QUEUED_FOR).await;
+        Ok(ReplicaAnswer {
+            status: 200,
+            answers: Some(request.request.id.clone()),
+            not_run: false,
+            other_replica: false,
+            load: None,
+            headers: HeaderMap::new(),
+            body: futures::stream::empty().boxed(),
+        })
+    }
+}
+
+/// A coordinator that says how much of its group is free.
+struct Group {
+    replicas: Arc<ReplicaSet>,
+    free_permille: u32,
+}
+
+#[async_trait]
+impl Places for Group {
+    async fn ask(&self, query: PlaceQuery<'_>) -> PlaceAnswer {
+        let view = self.replicas.view();
+        let mut all = view.all();
+        let replica = all.find(|replica| !query.excluded.contains(&replica.record.id));
+        let Some(replica) = replica else {
+            return PlaceAnswer::NoKeeper;
+        };
+        PlaceAnswer::Given {
+            choice: Choice {
+                replica: replica.clone(),
+                by: ChosenBy::Keeper,
+                load: 1,
+                free_permille: self.free_permille,
+                copy_from: None,
+            },
+            place: 1,
+        }
+    }
+
+    fn take(&self, _replica: &Arc<Replica>, _item: Option<ItemRoom>) -> u32 {
+        1
+    }
+
+    fn release(&self, _place: u32) {}
+
+    fn free_slot(&self, _replica: &Arc<Replica>) {}
+}
+
+fn routes() -> RouteTable {
+    let route = Route {
+        name: "ask".to_owned(),
+        host: "example".to_owned(),
+        prefix: "/ask/".to_owned(),
+        kind: RouteKind::Stream { resumable: true },
+        services: vec![WeightedService {
+            service: "model".to_owned(),
+            weight: 1,
+        }],
+        attempts: 2,
+        timeout: Duration::from_secs(5),
+        objective: OBJECTIVE,
+        gap_objective: None,
+        priority: 0,
+    };
+    let configuration = ServingConfiguration {
+        version: 1,
+        routes: vec![route],
+        ..ServingConfiguration::default()
+    };
+    RouteTable::build(configuration, None)
+}
+
+/// Sends of one request, in a group of which so much is free.
+async fn sends_where_free(free_permille: u32) -> usize {
+    let replicas = ReplicaSet::default();
+    let records = (0..2).map(|number| ReplicaRecord {
+        id: format!("replica-{number}"),
+        service: "model".to_owned(),
+        address: format!("10.0.0.{number}:80"),
+        zone: "zone-a".to_owned(),
+        slots: 8,
+        draining: false,
+    });
+    replicas.replace(records.collect(), |_| 100_000);
+    let replicas = Arc::new(replicas);
+    let client = Arc::new(QueueingClient::default());
+    let forwarder = Forwarder::new(ForwarderParts {
+        routes: Arc::new(ArcSwapOption::from_pointee(routes())),
+        replicas: replicas.clone(),
+        client: client.clone(),
+        places: Arc::new(Group {
+            replicas,
+            free_permille,
+        }),
+        log: DecisionLog::new(LogBounds::default()),
+        settings: ForwarderSettings {
+            zone: "zone-a".to_owned(),
+            costs: SelectionCosts::default(),
+        },
+    });
+    let request = ServingRequest {
+        id: "r".to_owned(),
+        host: "example".to_owned(),
+        method: Method::POST,
+        target: "/ask/x".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        patience: Some(Duration::from_secs(5)),
+        resume_after: None,
+        prompt: Prompt::default(),
+    };
+    let reply = forwarder.forward(request, Instant::now()).await;
+    assert!(matches!(reply, Reply::Answer(_)), "an answer");
+    client.sends.load(Ordering::Relaxed)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_replica_is_left_where_others_have_room() {
+    assert_eq!(sends_where_free(900).await, 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_waits_in_the_queue_where_all_slots_are_taken() {
+    assert_eq!(sends_where_free(0).await, 1);
+}
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -35,6 +35,9 @@
     /// Set for a batch item.
     #[prost(message, optional, tag = "10")]
     pub item: Option<ItemPlaceAsk>,
+    /// Set for an online request whose objective has passed.
+    #[prost(bool, tag = "11")]
+    pub overdue: bool,
 }
 
 /// What a batch item adds to its question.
