A planned stop ends within its grace also while the store is silent

Ruled out: callers' requests (bounded by the same moment, looked at every 50 ms). Change: the hand-over as a whole ends at that moment; what was not handed over is adopted, and the log says so.

--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -10,9 +10,10 @@
 use harrierward_serving::Forwarder;
 use harrierward_wire::{JobHeadRow, QuotaOutcome};
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::book::{JobBook, OwnedJob};
+use crate::keys::HEADS;
 use crate::quota_book::{QuotaBook, QuotaRequest};
 use crate::store::JobStore;
 use crate::view::{JobView, KnownHead};
@@ -264,7 +265,15 @@
         let handing = given
             .into_iter()
             .map(|(known, progress)| self.hand_over(known, progress, until));
-        futures::future::join_all(handing).await;
+        // A write that the store does not answer lasts longer than `until`; what it was to hand over is adopted once
+        // this daemon is gone.
+        let handed = timeout_at(until, futures::future::join_all(handing)).await;
+        if handed.is_err() {
+            self.inner.log.record(&Record::DependencyLost {
+                dependency: HEADS,
+                cause: "no answer while jobs were handed over",
+            });
+        }
     }
 }
 
