--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -23,6 +23,8 @@
         member: &'a str,
         /// Zone.
         zone: &'a str,
+        /// Mechanisms of the policy that are switched off; empty in service.
+        without: &'a str,
     },
     /// The process began to stop.
     Stopping {
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -9,7 +9,7 @@
 use harrierward_external::{ObjectStore, Table, WatchedTable};
 use harrierward_inline_jobs::{HEADS, InlineJobs, JobParts, JobSettings, is_fence, partitions};
 use harrierward_serving::{
-    Forwarder, ForwarderParts, ForwarderSettings, Replica, ReplicaClient, ReplicaSet,
+    Forwarder, ForwarderParts, ForwarderSettings, Mechanism, Replica, ReplicaClient, ReplicaSet,
     SelectionCosts,
 };
 use tokio::net::{TcpListener, UdpSocket};
@@ -23,7 +23,9 @@
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
 use crate::slots::{SlotService, YieldItems};
-use crate::watch::{SpaceUpdate, Watch, WatchPace, WatchSettings, gathering_interval, unpaced};
+use crate::watch::{
+    SpaceUpdate, Watch, WatchPace, WatchSettings, gathering_interval, unpaced, whole_read_interval,
+};
 
 /// Time in which the platform takes a daemon that is not ready out of service.
 const TAKEN_OUT_AFTER: Duration = Duration::from_millis(2_600);
@@ -103,6 +105,7 @@
         log.record(&Record::Started {
             member: &life,
             zone: &settings.zone,
+            without: &settings.policy.to_string(),
         });
         let routes = Arc::new(ArcSwapOption::empty());
         let replicas = Arc::new(ReplicaSet::default());
@@ -111,7 +114,7 @@
             life.clone(),
             &settings.zone,
             replicas.clone(),
-            SelectionCosts::default(),
+            SelectionCosts::under(settings.policy),
             log.clone(),
         ));
         let members = Members::new(
@@ -130,7 +133,7 @@
             log: log.clone(),
             settings: ForwarderSettings {
                 zone: settings.zone.clone(),
-                costs: SelectionCosts::default(),
+                costs: SelectionCosts::under(settings.policy),
             },
         });
         let discovery = Arc::new(Discovery::new(
@@ -160,9 +163,12 @@
         }));
         let fleet = members.clone();
         let reads_a_second = settings.store_reads_a_second;
-        let pace: WatchPace =
-            Arc::new(move || gathering_interval(fleet.fleet_size(), reads_a_second));
-        start_watches(&discovery, source.as_ref(), &watched, &jobs, &pace, &log);
+        let paces = Paces {
+            is_gathering: settings.policy.has(Mechanism::GatheredChanges),
+            fleet_size: Arc::new(move || fleet.fleet_size()),
+            reads_a_second,
+        };
+        start_watches(&discovery, source.as_ref(), &watched, &jobs, &paces, &log);
         tokio::spawn(jobs.clone().run());
         tokio::spawn(learn(discovery.clone(), members.clone(), pool));
         let service = Arc::new(EdgeService {
@@ -259,29 +265,71 @@
     }
 }
 
+/// How long the store may hold a question for changes of a space that seldom changes. A connection on which the
+/// answer is lost says nothing until this is over, and a daemon must be up to date again within the users' bound on
+/// contact (3 s on the smallest sites) after such trouble.
+const QUIET_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Paces of watches, which follow the fleet's size.
+struct Paces {
+    is_gathering: bool,
+    fleet_size: Arc<dyn Fn() -> usize + Send + Sync>,
+    reads_a_second: f64,
+}
+
+impl Paces {
+    fn gathering(&self) -> WatchPace {
+        if !self.is_gathering {
+            return unpaced();
+        }
+        let (fleet_size, reads) = (self.fleet_size.clone(), self.reads_a_second);
+        Arc::new(move || gathering_interval(fleet_size(), reads))
+    }
+
+    fn whole_reads(&self, calls: usize) -> WatchPace {
+        let (fleet_size, reads) = (self.fleet_size.clone(), self.reads_a_second);
+        Arc::new(move || whole_read_interval(fleet_size(), calls, reads))
+    }
+}
+
 fn start_watches(
     discovery: &Arc<Discovery>,
     source: &dyn DiscoverySource,
     table: &Arc<dyn WatchedTable>,
     jobs: &InlineJobs,
-    pace: &WatchPace,
+    paces: &Paces,
     log: &DecisionLog,
 ) {
-    let watch = |space, partitions, pace| Watch {
+    let watch = |space, partitions: Vec<String>, pace, wait| Watch {
         table: table.clone(),
         space,
-        partitions,
-        settings: WatchSettings::default(),
+        settings: WatchSettings {
+            wait,
+            ..WatchSettings::default()
+        },
         pace,
+        whole_read_pace: paces.whole_reads(partitions.len()),
+        partitions,
         log: log.clone(),
     };
-    let configuration = watch(source.configuration_space(), one_partition(), unpaced());
+    let configuration = watch(
+        source.configuration_space(),
+        one_partition(),
+        unpaced(),
+        QUIET_WAIT,
+    );
     let taker = discovery.clone();
     tokio::spawn(configuration.run(move |update| taker.take_configuration(&update, "store")));
-    let replicas = watch(source.replica_space(), one_partition(), pace.clone());
+    let replicas = watch(
+        source.replica_space(),
+        one_partition(),
+        paces.gathering(),
+        QUIET_WAIT,
+    );
     let taker = discovery.clone();
     tokio::spawn(replicas.run(move |update| taker.take_replicas(&update)));
-    let heads = watch(HEADS, partitions(), pace.clone());
+    let wait = WatchSettings::default().wait;
+    let heads = watch(HEADS, partitions(), paces.gathering(), wait);
     let jobs = jobs.clone();
     tokio::spawn(heads.run(move |update| take_heads(&jobs, &update)));
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,4 +26,5 @@
 pub use slots::{KeeperCandidate, SlotService, YieldItems};
 pub use watch::{
     SpaceCopy, SpaceUpdate, Watch, WatchPace, WatchSettings, gathering_interval, unpaced,
+    whole_read_interval,
 };
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -9,7 +9,7 @@
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_inline_jobs::{InlineJobs, Peers, QuotaRequest};
 use harrierward_membership::{Action, MembershipCore, MembershipSettings, MembershipView};
-use harrierward_serving::{Replica, ReplicaSet, WorkClass};
+use harrierward_serving::{Mechanism, Policy, Replica, ReplicaSet, WorkClass, short_hash};
 use harrierward_wire::{
     Datagram, DatagramKind, LoadNotice, MemberRecord, MemberState, NodeDatagram, QuotaAnswer,
     QuotaAsk, QuotaOutcome, ReplicaCount, YieldRequest, decode, encode, node_datagram,
@@ -31,8 +31,10 @@
 /// Ticks between two load notices.
 const NOTICE_TICKS: u64 = 2;
 
-/// Members told by one notice; in a larger fleet others are told by the next.
-const NOTICE_FAN_OUT: usize = 24;
+/// Members that one notice goes to. Coordinators count exactly; a notice only serves a daemon that finds no
+/// coordinator and the question whether it alone is cut off, for which a sample does (measured on further-grown:
+/// 24 -> 3 halves the bytes between zones and moves nothing else).
+const NOTICE_FAN_OUT: usize = 3;
 
 /// How often seeds are asked while nobody else is known.
 const JOIN_EVERY: Duration = Duration::from_millis(400);
@@ -43,7 +45,8 @@
 /// Time after the first sight of others in which the rest become known.
 const SETTLE: Duration = Duration::from_millis(1_200);
 
-/// Age of a peer's proof from which on it counts as cut off from the store.
+/// Age of the own proof from which on this daemon, if it alone is cut off from the store, says so to all: its jobs go
+/// on elsewhere.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(3_200);
 
 /// Age of the own proof from which on this daemon asks whether it alone is cut off.
@@ -70,6 +73,7 @@
 /// This daemon's view of its peers.
 pub struct Members {
     life: String,
+    policy: Policy,
     seeds: Vec<String>,
     started: Instant,
     replicas: Arc<ReplicaSet>,
@@ -107,8 +111,14 @@
             incarnation: 1,
             state: MemberState::Alive as i32,
             backlog: Vec::new(),
+            detached: false,
         };
-        let core = MembershipCore::new(MembershipSettings::quick(), own);
+        let mut bounds = MembershipSettings::quick();
+        if !settings.policy.has(Mechanism::ViewSync) {
+            bounds.sync_catch_up_every = Duration::MAX;
+            bounds.sync_after_disagreement = Duration::MAX;
+        }
+        let core = MembershipCore::new(bounds, own);
         let state = State {
             view: Arc::new(core.view()),
             core,
@@ -118,6 +128,7 @@
         };
         Self {
             life,
+            policy: settings.policy,
             seeds: settings.seeds.clone(),
             started: Instant::now(),
             replicas,
@@ -153,11 +164,14 @@
 
     /// True if this daemon cannot reach the store, but most others can: it is better if new work goes to them.
     pub fn is_cut_off_alone(&self) -> bool {
+        self.is_alone_without_proof_for(&self.lock(), ALONE_CUT_OFF_AFTER)
+    }
+
+    fn is_alone_without_proof_for(&self, state: &State, least: Duration) -> bool {
         let own = Duration::from_millis(u64::from(self.own_proof_age_ms()));
-        if own < ALONE_CUT_OFF_AFTER {
+        if own < least {
             return false;
         }
-        let state = self.lock();
         let (mut reaching, mut all) = (0, 0);
         for age_ms in state.loads.proof_ages_ms() {
             all += 1;
@@ -214,6 +228,8 @@
                     joined_at = Some(Instant::now());
                     datagrams.extend(wrap(state.core.join(&self.seeds)));
                 }
+                let detached = self.is_alone_without_proof_for(&state, CUT_OFF_AFTER);
+                state.core.set_detached(detached);
                 let actions = state.core.tick(self.started.elapsed(), &mut random);
                 datagrams.extend(wrap(actions));
                 self.note_changes(&mut state);
@@ -304,12 +320,16 @@
         let staying = view.staying().map(|member| KeeperCandidate {
             id: member.id.clone(),
             address: udp_address(&state.core, &member.id),
+            zone_hash: short_hash(&member.zone),
         });
         self.slots.set_members(staying.collect());
     }
 
-    /// Own counts, for every other member.
+    /// Own counts, for some other members.
     fn notices(&self, state: &mut State) -> Vec<(String, Vec<u8>)> {
+        if !self.policy.has(Mechanism::LoadNotices) {
+            return Vec::new();
+        }
         if state.loads.expire(Instant::now()) {
             self.publish_loads(state);
         }
@@ -437,8 +457,8 @@
         if !settled {
             return None;
         }
-        let staying = state.view.staying().map(|member| member.id.clone());
-        Some(staying.filter(|id| !is_cut_off(&state, id)).collect())
+        let attached = state.view.staying().filter(|member| !member.detached);
+        Some(attached.map(|member| member.id.clone()).collect())
     }
 
     async fn ask_quota(
@@ -467,13 +487,6 @@
     }
 }
 
-/// True if a peer says that it has not reached the store for long; its jobs go on elsewhere. A peer that has not
-/// said anything yet, or has just started, is not cut off.
-fn is_cut_off(state: &State, id: &str) -> bool {
-    let age_ms = state.loads.proof_age_ms(id);
-    Duration::from_millis(u64::from(age_ms)) > CUT_OFF_AFTER
-}
-
 fn udp_address(core: &MembershipCore, id: &str) -> Option<SocketAddr> {
     core.udp_address(id)?.parse().ok()
 }
--- a/crates/edge/src/peer_loads.rs
+++ b/crates/edge/src/peer_loads.rs
@@ -57,13 +57,6 @@
         self.loads.len() != before
     }
 
-    /// Age of a peer's proof that it reaches the store, milliseconds plus one; 0 if it has none.
-    pub fn proof_age_ms(&self, peer: &str) -> u32 {
-        self.loads
-            .get(peer)
-            .map_or(0, |load| load.notice.proof_age_ms)
-    }
-
     /// The ages of all peers' proofs.
     pub fn proof_ages_ms(&self) -> impl Iterator<Item = u32> {
         self.loads.values().map(|load| load.notice.proof_age_ms)
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use harrierward_serving::Policy;
+
 /// Settings; addresses are `IP:PORT`.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EdgeSettings {
@@ -35,4 +37,6 @@
     pub quota_excess: f64,
     /// Address of the metrics; may be empty.
     pub metrics_address: String,
+    /// Mechanisms of the policy in use.
+    pub policy: Policy,
 }
--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -7,19 +7,18 @@
 use async_trait::async_trait;
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChosenBy, ItemRoom, PlaceAnswer, PlaceQuery, Places, PromptLength, ROOMY_PERMILLE,
-    Replica, WorkClass, preference_weight, short_hash,
+    Choice, ChosenBy, ItemRoom, Mechanism, PlaceAnswer, PlaceQuery, Places, PromptLength,
+    ROOMY_PERMILLE, Replica, WorkClass, preference_weight, short_hash,
 };
-use harrierward_slots::{group_count, group_of};
+use harrierward_slots::{GroupId, GroupLayout};
 use harrierward_wire::{
     ItemPlaceAsk, PromptPartRow, SlotAsk, SlotGrant, SlotWord, node_datagram::Kind,
 };
-use rand::Rng;
 use tokio::time::Instant;
 
 use crate::calls::CallPatience;
 
-use super::{Keeper, KeeperCandidate, LONGEST_SLACK, SlotService, usage_of};
+use super::{Keeper, KeeperCandidate, LONGEST_SLACK, SlotService, layout, usage_of};
 
 /// Parts of a request's objective after which a keeper is asked again, and given up.
 const ASK_AGAIN_PART: u32 = 25;
@@ -29,6 +28,9 @@
 const LEAST_PATIENCE: Duration = Duration::from_millis(15);
 const MOST_PATIENCE: Duration = Duration::from_millis(60);
 
+/// How long a group that had no room for an item is passed over for items.
+const NO_ROOM_LASTS: Duration = Duration::from_millis(300);
+
 /// A group's free slots where its keeper has not told them.
 const UNTOLD_PERMILLE: u32 = 500;
 
@@ -53,31 +55,29 @@
 }
 
 impl SlotService {
-    /// The group to ask: that of the replica which all daemons prefer for the prompt, unless another has far more
-    /// room.
-    fn group_to_ask(&self, query: &PlaceQuery<'_>, service: u32, groups: u32) -> u32 {
-        if groups <= 1 {
-            return 0;
+    /// The group to ask: that of the replica which all daemons prefer for the prompt, in the own zone if groups lie
+    /// in zones, unless another has far more room. Long prompts go to their homes, wherever these are.
+    fn group_to_ask(
+        &self,
+        query: &PlaceQuery<'_>,
+        service: u32,
+        layout: &GroupLayout<'_>,
+    ) -> GroupId {
+        if layout.is_single() {
+            return layout.at(0);
         }
-        let view = self.replicas.view();
-        let usable = view.listed(query.service).iter();
-        let usable = usable.filter(|replica| {
-            !replica.is_draining() && !query.excluded.contains(&replica.record.id)
-        });
-        let part = query.prompt.shared().last().map(|part| part.id);
-        let weight = |replica: &&Arc<Replica>| {
-            part.map_or_else(rand::random, |part| {
-                preference_weight(part, &replica.record.id)
-            })
-        };
-        let preferred = usable.max_by_key(weight);
-        let preferred = preferred.map_or(0, |replica| group_of(replica.hash, groups));
+        let preferred = self.preferred_group(query, layout);
+        let other = layout.at(rand::random());
         let state = self.lock();
-        let free = |group: u32| {
+        if query.item.is_some() {
+            let full = state.no_room_at.get(&(service, preferred));
+            let is_full = full.is_some_and(|at| at.elapsed() < NO_ROOM_LASTS);
+            return if is_full { other } else { preferred };
+        }
+        let free = |group: GroupId| {
             let told = state.free_permille.get(&(service, group));
             told.copied().unwrap_or(UNTOLD_PERMILLE)
         };
-        let other = rand::rng().random_range(0..groups);
         if free(preferred) >= ROOMY_PERMILLE || free(preferred) >= free(other) {
             preferred
         } else {
@@ -85,23 +85,42 @@
         }
     }
 
+    fn preferred_group(&self, query: &PlaceQuery<'_>, layout: &GroupLayout<'_>) -> GroupId {
+        let view = self.replicas.view();
+        let usable = view.listed(query.service).iter().filter(|replica| {
+            !replica.is_draining() && !query.excluded.contains(&replica.record.id)
+        });
+        let stays_near = layout.is_by_zone() && query.length != PromptLength::Long;
+        let is_near = |replica: &Arc<Replica>| replica.zone_hash == self.zone_hash;
+        let part = query.prompt.shared().last().map(|part| part.id);
+        let weight = |replica: &&Arc<Replica>| {
+            let preference = part.map_or_else(rand::random, |part| {
+                preference_weight(part, &replica.record.id)
+            });
+            (stays_near && is_near(replica), preference)
+        };
+        let preferred = usable.max_by_key(weight);
+        preferred.map_or_else(
+            || layout.at(0),
+            |replica| layout.group_of(replica.hash, replica.zone_hash),
+        )
+    }
+
     async fn ask_peer(
         &self,
         query: &PlaceQuery<'_>,
         service: u32,
-        group: u32,
+        group: GroupId,
         keeper: &KeeperCandidate,
     ) -> PlaceAnswer {
         let Some(address) = keeper.address else {
             return PlaceAnswer::NoKeeper;
         };
-        let now_ms = self.now_ms();
+        if self.is_silent(&keeper.id) {
+            return PlaceAnswer::NoKeeper;
+        }
         let place = {
             let mut state = self.lock();
-            let silent = state.silent.get(&keeper.id);
-            if silent.is_some_and(|silent| silent.is_active(now_ms)) {
-                return PlaceAnswer::NoKeeper;
-            }
             let place = state.held.next_number();
             state.held.wait_for(place);
             place
@@ -171,7 +190,7 @@
         &self,
         query: &PlaceQuery<'_>,
         service: u32,
-        group: u32,
+        group: GroupId,
         place: u32,
     ) -> SlotAsk {
         let view = self.replicas.view();
@@ -188,7 +207,8 @@
             holder: self.holder,
             place,
             service,
-            group,
+            group: group.number,
+            group_zone: group.zone,
             zone: self.zone_hash,
             parts: parts.collect(),
             length: match query.length {
@@ -203,6 +223,13 @@
         }
     }
 
+    fn is_silent(&self, keeper: &str) -> bool {
+        let now_ms = self.now_ms();
+        let state = self.lock();
+        let silent = state.silent.get(keeper);
+        silent.is_some_and(|silent| silent.is_active(now_ms))
+    }
+
     fn note_silent(&self, keeper: &str) {
         let now_ms = self.now_ms();
         let mut state = self.lock();
@@ -215,7 +242,7 @@
         });
     }
 
-    fn note_heard(&self, keeper: &str, service: u32, group: u32, grant: &SlotGrant) {
+    fn note_heard(&self, keeper: &str, service: u32, group: GroupId, grant: &SlotGrant) {
         let now_ms = self.now_ms();
         let mut state = self.lock();
         if let Some(suspicion) = state.silent.get(keeper) {
@@ -251,16 +278,25 @@
 #[async_trait]
 impl Places for SlotService {
     async fn ask(&self, query: PlaceQuery<'_>) -> PlaceAnswer {
+        if !self.costs.policy.has(Mechanism::Coordinators) {
+            return PlaceAnswer::NoKeeper;
+        }
         let service = short_hash(query.service);
-        let view = self.replicas.view();
-        let groups = group_count(view.listed(query.service).len());
-        drop(view);
-        let group = self.group_to_ask(&query, service, groups);
-        match self.keeper(service, group) {
+        let group = {
+            let view = self.replicas.view();
+            let layout = layout(&view, query.service, self.costs.policy);
+            self.group_to_ask(&query, service, &layout)
+        };
+        let answer = match self.keeper(service, group) {
             Keeper::Nobody => PlaceAnswer::NoKeeper,
-            Keeper::Own => self.place_own(&query, group, groups),
+            Keeper::Own => self.place_own(&query, group),
             Keeper::Peer(peer) => self.ask_peer(&query, service, group, &peer).await,
+        };
+        if query.item.is_some() && matches!(answer, PlaceAnswer::NoRoom) {
+            let mut state = self.lock();
+            state.no_room_at.insert((service, group), Instant::now());
         }
+        answer
     }
 
     fn take(&self, replica: &Arc<Replica>, item: Option<ItemRoom>) -> u32 {
@@ -289,6 +325,18 @@
         }
     }
 
+    fn is_coordinated(&self, replica: &Replica) -> bool {
+        if !self.costs.policy.has(Mechanism::Coordinators) {
+            return false;
+        }
+        let service = short_hash(&replica.record.service);
+        match self.keeper(service, self.group(replica)) {
+            Keeper::Own => true,
+            Keeper::Peer(peer) => peer.address.is_some() && !self.is_silent(&peer.id),
+            Keeper::Nobody => false,
+        }
+    }
+
     fn free_slot(&self, replica: &Arc<Replica>) {
         if self.keeps(replica) {
             self.end_an_item(replica);
--- a/crates/edge/src/slots/keeping.rs
+++ b/crates/edge/src/slots/keeping.rs
@@ -7,14 +7,14 @@
 
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChoiceQuery, ChosenBy, PlaceAnswer, PlaceQuery, Prompt, PromptLength, PromptPart,
-    Replica, WorkClass, choose_replica, short_hash,
+    Choice, ChoiceQuery, ChosenBy, Mechanism, PlaceAnswer, PlaceQuery, Prompt, PromptLength,
+    PromptPart, Replica, WorkClass, choose_replica, short_hash,
 };
-use harrierward_slots::{PlaceUse, group_count, group_of};
+use harrierward_slots::{GroupId, PlaceUse};
 use harrierward_wire::{SlotAsk, SlotGrant, SlotWord, YieldRequest, node_datagram::Kind};
 use tokio::time::Instant;
 
-use super::{Keeper, SlotService, class_of, usage_of};
+use super::{Keeper, SlotService, class_of, layout, usage_of};
 
 /// Ticks of the membership between two whole words to a keeper.
 const WORD_TICKS: u64 = 4;
@@ -32,10 +32,12 @@
 
 impl SlotService {
     /// Chooses a replica of an own group by exact counts.
-    fn choose(&self, service: &str, group: u32, groups: u32, asker: &Asker<'_>) -> Option<Choice> {
+    fn choose(&self, service: &str, group: GroupId, asker: &Asker<'_>) -> Option<Choice> {
         let view = self.replicas.view();
-        let usable = view.usable(service).into_iter();
-        let usable = usable.filter(|replica| group_of(replica.hash, groups) == group);
+        let layout = layout(&view, service, self.costs.policy);
+        let is_in_group =
+            |replica: &Arc<Replica>| layout.group_of(replica.hash, replica.zone_hash) == group;
+        let usable = view.usable(service).into_iter().filter(is_in_group);
         let query = ChoiceQuery {
             is_own_zone: &|replica| replica.zone_hash == asker.zone_hash,
             prompt: asker.prompt,
@@ -54,7 +56,7 @@
     }
 
     /// A place for a request of this daemon's own, in a group that it keeps.
-    pub(super) fn place_own(&self, query: &PlaceQuery<'_>, group: u32, groups: u32) -> PlaceAnswer {
+    pub(super) fn place_own(&self, query: &PlaceQuery<'_>, group: GroupId) -> PlaceAnswer {
         let asker = Asker {
             zone_hash: self.zone_hash,
             is_excluded: &|replica| query.excluded.contains(&replica.record.id),
@@ -64,7 +66,7 @@
             is_item: query.item.is_some(),
             is_overdue: query.overdue,
         };
-        let Some(choice) = self.choose(query.service, group, groups, &asker) else {
+        let Some(choice) = self.choose(query.service, group, &asker) else {
             return if query.item.is_some() || query.overdue {
                 PlaceAnswer::NoRoom
             } else {
@@ -85,7 +87,8 @@
     /// An online request was given a place where all are taken: an item ends for it.
     fn make_room(&self, choice: &Choice, usage: PlaceUse) {
         let replica = &choice.replica;
-        let online = class_of(usage) == WorkClass::Online;
+        let may_preempt = self.costs.policy.has(Mechanism::Preemption);
+        let online = may_preempt && class_of(usage) == WorkClass::Online;
         if online && choice.load >= replica.slots() && replica.batch() > 0 {
             self.end_an_item(replica);
         }
@@ -150,14 +153,18 @@
             return SlotGrant { replica, ..none };
         }
         let view = self.replicas.view();
-        let Some((service, listed)) = view.service_by_hash(ask.service) else {
+        let Some((service, _)) = view.service_by_hash(ask.service) else {
             return SlotGrant {
                 not_keeper: true,
                 ..none
             };
         };
-        let groups = group_count(listed.len());
-        if ask.group >= groups || self.keeper(ask.service, ask.group) != Keeper::Own {
+        let group = GroupId {
+            zone: ask.group_zone,
+            number: ask.group,
+        };
+        let layout = layout(&view, service, self.costs.policy);
+        if !layout.contains(group) || self.keeper(ask.service, group) != Keeper::Own {
             return SlotGrant {
                 not_keeper: true,
                 ..none
@@ -173,7 +180,7 @@
             is_item: ask.item.is_some(),
             is_overdue: ask.overdue,
         };
-        let Some(choice) = self.choose(service, ask.group, groups, &asker) else {
+        let Some(choice) = self.choose(service, group, &asker) else {
             return none;
         };
         let now = Instant::now();
@@ -260,8 +267,8 @@
         let mut kept_by: HashMap<SocketAddr, Vec<u32>> = HashMap::new();
         for replica in view.all() {
             let service = short_hash(&replica.record.service);
-            let groups = group_count(view.listed(&replica.record.service).len());
-            let group = group_of(replica.hash, groups);
+            let layout = layout(&view, &replica.record.service, self.costs.policy);
+            let group = layout.group_of(replica.hash, replica.zone_hash);
             if let Keeper::Peer(peer) = self.keeper(service, group)
                 && let Some(address) = peer.address
             {
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -13,8 +13,11 @@
 
 use arc_swap::ArcSwap;
 use harrierward_decisions::DecisionLog;
-use harrierward_serving::{Replica, ReplicaSet, SelectionCosts, Suspicion, WorkClass, short_hash};
-use harrierward_slots::{HeldPlaces, PlaceUse, SlotLedger, group_count, group_of, keeper_of};
+use harrierward_serving::{
+    Mechanism, Policy, Replica, ReplicaSet, ReplicaView, SelectionCosts, Suspicion, WorkClass,
+    short_hash,
+};
+use harrierward_slots::{GroupId, GroupLayout, HeldPlaces, PlaceUse, SlotLedger, keeper_of};
 use harrierward_wire::{NodeDatagram, SlotGrant, encode, node_datagram};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -29,6 +32,8 @@
     pub id: String,
     /// Its address for datagrams; `None` if it cannot be read.
     pub address: Option<SocketAddr>,
+    /// Hash of its zone.
+    pub zone_hash: u32,
 }
 
 /// Ends this daemon's own batch items.
@@ -55,11 +60,13 @@
     ledger: SlotLedger,
     held: HeldPlaces,
     silent: HashMap<String, Suspicion>,
-    free_permille: HashMap<(u32, u32), u32>,
+    free_permille: HashMap<(u32, GroupId), u32>,
+    /// When a group last had no room for an item.
+    no_room_at: HashMap<(u32, GroupId), Instant>,
     told: HashMap<SocketAddr, usize>,
     ticks: u64,
     /// Keepers by service and group, as they follow from the members.
-    keepers: HashMap<(u32, u32), Keeper>,
+    keepers: HashMap<(u32, GroupId), Keeper>,
 }
 
 /// The places of one daemon.
@@ -90,6 +97,7 @@
         let own = KeeperCandidate {
             id: life.clone(),
             address: None,
+            zone_hash: short_hash(zone),
         };
         Self {
             holder: xxh3_64(life.as_bytes()),
@@ -108,6 +116,7 @@
                 held: HeldPlaces::default(),
                 silent: HashMap::new(),
                 free_permille: HashMap::new(),
+                no_room_at: HashMap::new(),
                 told: HashMap::new(),
                 ticks: 0,
                 keepers: HashMap::new(),
@@ -140,7 +149,7 @@
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
-    fn keeper(&self, service: u32, group: u32) -> Keeper {
+    fn keeper(&self, service: u32, group: GroupId) -> Keeper {
         let mut state = self.lock();
         let known = state.keepers.entry((service, group));
         known
@@ -148,9 +157,15 @@
             .clone()
     }
 
-    fn find_keeper(&self, service: u32, group: u32) -> Keeper {
+    /// A zone's group is coordinated from within the zone, if anybody is there.
+    fn find_keeper(&self, service: u32, group: GroupId) -> Keeper {
         let members = self.members.load();
-        let ids = members.iter().map(|member| member.id.as_str());
+        let is_near = |member: &&KeeperCandidate| member.zone_hash == group.zone;
+        let is_anyone_near = members.iter().any(|member| is_near(&member));
+        let candidates = members
+            .iter()
+            .filter(|member| !is_anyone_near || is_near(member));
+        let ids = candidates.map(|member| member.id.as_str());
         let Some(keeper) = keeper_of(service, group, ids) else {
             return Keeper::Nobody;
         };
@@ -162,10 +177,10 @@
     }
 
     /// The group of a replica within its service.
-    fn group(&self, replica: &Replica) -> u32 {
+    fn group(&self, replica: &Replica) -> GroupId {
         let view = self.replicas.view();
-        let groups = group_count(view.listed(&replica.record.service).len());
-        group_of(replica.hash, groups)
+        let layout = layout(&view, &replica.record.service, self.costs.policy);
+        layout.group_of(replica.hash, replica.zone_hash)
     }
 
     /// True if this daemon keeps the replica's places: the other daemons' requests there are then known exactly.
@@ -183,6 +198,16 @@
     }
 }
 
+/// How a service's replicas are divided into groups.
+fn layout<'a>(view: &'a ReplicaView, service: &str, policy: Policy) -> GroupLayout<'a> {
+    let zones = if policy.has(Mechanism::ZoneGroups) {
+        view.zones(service)
+    } else {
+        &[]
+    };
+    GroupLayout::new(view.listed(service).len(), zones)
+}
+
 fn usage_of(item: Option<harrierward_serving::ItemRoom>, now: Instant) -> PlaceUse {
     item.map_or(PlaceUse::Online, |item| PlaceUse::Batch {
         due: now + item.slack,
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -22,7 +22,7 @@
     pub first_pause: Duration,
     /// Longest pause after failures.
     pub longest_pause: Duration,
-    /// Time between whole reads: changes may be missing from what the store tells.
+    /// Least time between whole reads: changes may be missing from what the store tells. It grows with the fleet.
     pub whole_read_every: Duration,
     /// Time after the history was lost within which whole reads may be stale, and one more is made at its end.
     pub stale_for: Duration,
@@ -49,10 +49,26 @@
 }
 
 /// Share of the store's reads that one space's changes may take, of all daemons together.
-const READ_SHARE: f64 = 0.04;
+const READ_SHARE: f64 = 0.02;
 
-/// Longest time for which changes are gathered.
-const LONGEST_INTERVAL: Duration = Duration::from_millis(400);
+/// Longest time for which changes are gathered: results are read about twice a second and are due in many seconds,
+/// and an end must be known to all within seconds.
+const LONGEST_INTERVAL: Duration = Duration::from_millis(800);
+
+/// Share of the store's reads that the whole reads of one space may take.
+const WHOLE_READ_SHARE: f64 = 0.01;
+
+/// Time between two whole reads of a space that take `calls` calls each, so that all `daemons` together stay within
+/// their share of the store's reads a second.
+pub fn whole_read_interval(daemons: usize, calls: usize, reads_a_second: f64) -> Duration {
+    let allowed = reads_a_second * WHOLE_READ_SHARE;
+    if allowed <= 0.0 {
+        return Duration::ZERO;
+    }
+    #[allow(clippy::cast_precision_loss)]
+    let seconds = (daemons * calls) as f64 / allowed;
+    Duration::from_secs_f64(seconds)
+}
 
 /// Least time between two answers of one watch, so that all `daemons` together, which each change wakes, stay
 /// within their share of the store's reads a second.
@@ -172,6 +188,8 @@
     pub settings: WatchSettings,
     /// How long changes are gathered.
     pub pace: WatchPace,
+    /// Time between whole reads, if longer than the settings' least.
+    pub whole_read_pace: WatchPace,
     /// Log of lost and regained contact.
     pub log: DecisionLog,
 }
@@ -189,7 +207,8 @@
         loop {
             let asked_at = Instant::now();
             let result = if read_whole || asked_at >= whole_read_due {
-                whole_read_due = asked_at + self.settings.whole_read_every;
+                let every = self.settings.whole_read_every;
+                whole_read_due = asked_at + every.max((self.whole_read_pace)());
                 self.read(&mut copy).await
             } else {
                 self.ask(&mut copy, interval).await
--- a/crates/inline-jobs/src/checkpoint.rs
+++ b/crates/inline-jobs/src/checkpoint.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use harrierward_serving::Mechanism;
 use harrierward_wire::ItemProgressRow;
 use tokio::time::Instant;
 
@@ -29,6 +30,9 @@
         if age.is_none_or(|age| age > STORE_AWAY_AFTER) || self.is_stopping() {
             return;
         }
+        if !self.inner.forwarder.policy().has(Mechanism::SavedProgress) {
+            return;
+        }
         let mut book = self.book();
         for job in book.jobs.values_mut() {
             if job.checkpoint_at.elapsed() < CHECKPOINT_EVERY {
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::{ItemRoom, Placement, Route, RouteTable, WorkClass};
+use harrierward_serving::{ItemRoom, Mechanism, Placement, Route, RouteTable, WorkClass};
 use tokio::time::{Instant, sleep};
 
 use crate::book::{ItemPhase, RunPlace, StartableItem, YieldedItem};
@@ -64,7 +64,8 @@
             ROUTE_PATIENCE,
         );
         for (item, urgency, slack) in self.startable(&routes) {
-            if !self.interval_over(urgency.start_interval()) {
+            let is_paced = self.inner.forwarder.policy().has(Mechanism::Pacing);
+            if is_paced && !self.interval_over(urgency.start_interval()) {
                 return;
             }
             let room = ItemRoom { slack };
@@ -171,7 +172,8 @@
         };
         if let Some(earlier) = &item.ran_at {
             let view = forwarder.replicas().view();
-            placement.choice.copy_from_earlier(&view, earlier);
+            let policy = self.inner.forwarder.policy();
+            placement.choice.copy_from_earlier(&view, earlier, policy);
         }
         let at = RunPlace {
             replica: placement.choice.replica.record.id.clone(),
@@ -268,14 +270,18 @@
         });
     }
 
-    /// Ends runs at replicas where requests wait for slots that batch work holds.
+    /// Ends runs at replicas where requests wait for slots that batch work holds, as far as no coordinator does.
     fn yield_to_online(&self) {
         let view = self.inner.forwarder.replicas().view();
+        let places = self.inner.forwarder.places();
         for replica in view.all() {
             let own = replica.own(WorkClass::Batch);
             let counted = replica.online() + replica.batch();
             let slots = replica.slots();
-            if own == 0 || counted <= slots + slots / 2 || !self.may_yield_at(&replica.record.id) {
+            if own == 0 || counted <= slots + slots / 2 || places.is_coordinated(replica) {
+                continue;
+            }
+            if !self.may_yield_at(&replica.record.id) {
                 continue;
             }
             // Each daemon gives back its share; the rest follows if it is still needed.
--- a/crates/membership/src/core/mod.rs
+++ b/crates/membership/src/core/mod.rs
@@ -254,6 +254,14 @@
         }
     }
 
+    /// Spreads whether this member is cut off from the store while others are not.
+    pub fn set_detached(&mut self, detached: bool) {
+        if self.own.detached != detached {
+            self.own.detached = detached;
+            self.raise_incarnation();
+        }
+    }
+
     /// Spreads that this member leaves.
     pub fn leave(&mut self) {
         self.own.state = MemberState::Leaving as i32;
@@ -282,6 +290,7 @@
                 zone: known.record.zone.clone(),
                 region: known.record.region.clone(),
                 leaving: state_of(&known.record) == MemberState::Leaving,
+                detached: known.record.detached,
                 backlog: known.record.backlog.clone(),
             })
             .collect();
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -16,6 +16,8 @@
     pub region: String,
     /// Said that it leaves.
     pub leaving: bool,
+    /// Said that it cannot reach the store while others can.
+    pub detached: bool,
     /// Batch work left at its shards.
     pub backlog: Vec<ServiceBacklog>,
 }
--- a/crates/membership/tests/restart.rs
+++ b/crates/membership/tests/restart.rs
@@ -22,6 +22,7 @@
         incarnation: 1,
         state: MemberState::Alive as i32,
         backlog: Vec::new(),
+        detached: false,
     }
 }
 
--- a/crates/membership/tests/start_together.rs
+++ b/crates/membership/tests/start_together.rs
@@ -52,6 +52,7 @@
         incarnation: 1,
         state: MemberState::Alive as i32,
         backlog: Vec::new(),
+        detached: false,
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -260,6 +260,7 @@
             incarnation: 1,
             state: MemberState::Alive as i32,
             backlog: Vec::new(),
+            detached: false,
         };
         let membership = MembershipCore::new(settings.membership, own_record);
         let view = ArcSwap::from_pointee(membership.view());
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::choice::{Placement, ROOMY_PERMILLE};
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
 use crate::forwarder::{Forwarder, RequestState};
+use crate::policy::Mechanism;
 use crate::replica::{InProgress, Replica};
 
 /// Bounds of one attempt.
@@ -159,7 +160,8 @@
             copy_from: copy_from.map(|source| source.address.as_str()),
         });
         // Where all slots are taken a request waits for one, and sending it once more adds to the queue.
-        let dark = if choice.free_permille < ROOMY_PERMILLE {
+        let is_queue = choice.free_permille < ROOMY_PERMILLE;
+        let dark = if is_queue && self.policy().has(Mechanism::QueuePatience) {
             times.longest
         } else {
             times.dark
@@ -175,6 +177,12 @@
         })
     }
 
+    fn suspect(&self, replica: &Replica) {
+        if self.policy().has(Mechanism::Suspicion) {
+            replica.suspect();
+        }
+    }
+
     fn judge(
         &self,
         request: &ServingRequest,
@@ -183,12 +191,12 @@
     ) -> Result<ReplicaAnswer, AttemptFailure> {
         let answer = match answer {
             None => {
-                replica.suspect();
+                self.suspect(replica);
                 let cause = "no answer in time".to_owned();
                 return Err(AttemptFailure::MayHaveRun { cause });
             }
             Some(Err(error)) => {
-                replica.suspect();
+                self.suspect(replica);
                 let cause = error.to_string();
                 return Err(if error.is_not_run() {
                     AttemptFailure::NotRun { cause, full: false }
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -7,6 +7,7 @@
 use rand::seq::index;
 
 use crate::places::HeldPlace;
+use crate::policy::{Mechanism, Policy};
 use crate::profile::PromptLength;
 use crate::prompt::Prompt;
 use crate::replica::{InProgress, Replica, ReplicaView, WorkClass};
@@ -48,8 +49,9 @@
 
 impl Choice {
     /// The work ran at `earlier` before, which may still keep all of its prompt.
-    pub fn copy_from_earlier(&mut self, view: &ReplicaView, earlier: &str) {
+    pub fn copy_from_earlier(&mut self, view: &ReplicaView, earlier: &str, policy: Policy) {
         let source = view.get(earlier);
+        let source = source.filter(|_| policy.has(Mechanism::PromptCopies));
         if let Some(source) = source.filter(|source| can_copy(source, &self.replica)) {
             self.copy_from = Some(source.clone());
         }
@@ -114,7 +116,7 @@
         .filter(|replica| !(query.is_excluded)(replica))
         .collect();
     let usable = if query.is_item {
-        room_for_items(usable, query)
+        room_for_items(usable, costs.policy, query)
     } else if query.is_overdue && !has_room_for_overdue(&usable) {
         Vec::new()
     } else {
@@ -127,7 +129,7 @@
         .iter()
         .map(|replica| Candidate {
             load: replica.load(),
-            preemptible: replica.batch(),
+            preemptible: preemptible(replica, costs.policy),
             slots: replica.slots(),
             uncached_shared_tokens: shared_tokens
                 .saturating_sub(replica.cached_tokens(query.prompt)),
@@ -143,7 +145,8 @@
     let position = choose(costs, &candidates, || random.random::<f64>())?;
     let missing = candidates[position].uncached_shared_tokens;
     let copy_from = preferred
-        .filter(|source| missing >= LEAST_COPIED_TOKENS && can_copy(source, &replicas[position]));
+        .filter(|source| missing >= LEAST_COPIED_TOKENS && can_copy(source, &replicas[position]))
+        .filter(|_| costs.policy.has(Mechanism::PromptCopies));
     Some(Choice {
         replica: replicas[position].clone(),
         by: ChosenBy::Sender,
@@ -202,6 +205,15 @@
     preferred.into_iter().chain(others).cloned().collect()
 }
 
+/// Requests at the replica that end as soon as an online request needs their slots.
+fn preemptible(replica: &Replica, policy: Policy) -> u32 {
+    if policy.has(Mechanism::Preemption) {
+        replica.batch()
+    } else {
+        0
+    }
+}
+
 fn separation(length: PromptLength, home: bool) -> Separation {
     match (length, home) {
         (PromptLength::Long, false) => Separation::LongAway,
@@ -235,11 +247,20 @@
 }
 
 /// The replicas that an item may go to; none where all that is free is kept for online.
-fn room_for_items(replicas: Vec<Arc<Replica>>, query: &ChoiceQuery<'_>) -> Vec<Arc<Replica>> {
+fn room_for_items(
+    replicas: Vec<Arc<Replica>>,
+    policy: Policy,
+    query: &ChoiceQuery<'_>,
+) -> Vec<Arc<Replica>> {
     let free_slots = |replica: &Arc<Replica>| replica.slots().saturating_sub(replica.load());
     let free: u32 = replicas.iter().map(free_slots).sum();
     let online = replicas.iter().map(|replica| replica.online()).sum();
-    if free <= reserved_slots(online) {
+    let reserved = if policy.has(Mechanism::ItemReserve) {
+        reserved_slots(online)
+    } else {
+        0
+    };
+    if free <= reserved {
         return Vec::new();
     }
     let has_room =
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -12,6 +12,7 @@
 use crate::configuration::Route;
 use crate::exchange::{ReplicaClient, ServingRequest};
 use crate::places::Places;
+use crate::policy::{Mechanism, Policy};
 use crate::profile::PromptProfiles;
 use crate::relay::Relay;
 use crate::replica::ReplicaSet;
@@ -156,7 +157,8 @@
         self.parts.client.as_ref()
     }
 
-    pub(crate) fn places(&self) -> &Arc<dyn Places> {
+    /// Who grants slots.
+    pub fn places(&self) -> &Arc<dyn Places> {
         &self.parts.places
     }
 
@@ -172,6 +174,11 @@
         &self.parts.settings
     }
 
+    /// Mechanisms in use.
+    pub fn policy(&self) -> Policy {
+        self.parts.settings.costs.policy
+    }
+
     /// Serves a request. Dropping the future, or the answer's body, closes the replica's connection.
     pub async fn forward(&self, request: ServingRequest, arrived: Instant) -> Reply {
         let Some(routes) = self.routes() else {
@@ -226,7 +233,8 @@
             clock: RequestClock::new(arrived, request, &entry.route),
             tried: Vec::new(),
             sends: 0,
-            overdue: entry.is_overdue(request.patience),
+            overdue: entry.is_overdue(request.patience)
+                && self.policy().has(Mechanism::OverdueLast),
         };
         let mut refusals = 0;
         let mut may_have_run = false;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 mod forwarder;
 mod places;
 mod placing;
+mod policy;
 mod profile;
 mod prompt;
 mod relay;
@@ -35,6 +36,7 @@
 };
 pub use forwarder::{Forwarder, ForwarderParts, ForwarderSettings, SharedRoutes};
 pub use places::{HeldPlace, ItemRoom, PlaceAnswer, PlaceQuery, Places};
+pub use policy::{Mechanism, Policy, UnknownMechanism};
 pub use profile::{PromptLength, PromptProfiles};
 pub use prompt::{Prompt, PromptMemory, PromptPart};
 pub use relay::Cut;
--- a/crates/serving/src/places.rs
+++ b/crates/serving/src/places.rs
@@ -74,6 +74,10 @@
     /// The place is free again. Does not wait.
     fn release(&self, place: u32);
 
+    /// True if a coordinator that answers grants the replica's slots: it ends items where online requests need them,
+    /// and this daemon need not go by its own estimate of what the others have there.
+    fn is_coordinated(&self, replica: &Replica) -> bool;
+
     /// One batch item at the replica is to give its slot back: of this daemon, or of a peer. Does not wait.
     fn free_slot(&self, replica: &Arc<Replica>);
 }
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -10,6 +10,7 @@
 use crate::exchange::ServingRequest;
 use crate::forwarder::Forwarder;
 use crate::places::{HeldPlace, ItemRoom, PlaceAnswer, PlaceQuery};
+use crate::policy::Mechanism;
 use crate::profile::PromptLength;
 use crate::replica::WorkClass;
 
@@ -32,7 +33,7 @@
         item: Option<ItemRoom>,
     ) -> Option<Placement> {
         let length = match item {
-            None => self.profiles().observe(service, request.prompt.tokens),
+            None => self.length_of(service, request),
             Some(_) => PromptLength::Alike,
         };
         let query = PlaceQuery {
@@ -61,7 +62,7 @@
         let mut query = PlaceQuery {
             service,
             prompt: &request.prompt,
-            length: self.profiles().observe(service, request.prompt.tokens),
+            length: self.length_of(service, request),
             excluded: &[],
             objective,
             item: None,
@@ -90,6 +91,14 @@
         self.ask_or_choose(query).await
     }
 
+    fn length_of(&self, service: &str, request: &ServingRequest) -> PromptLength {
+        if self.policy().has(Mechanism::LongPromptsApart) {
+            self.profiles().observe(service, request.prompt.tokens)
+        } else {
+            PromptLength::Alike
+        }
+    }
+
     fn log_overdue(&self, request: &ServingRequest, began: Instant) {
         let waited = began.elapsed().as_millis();
         self.log().record(&Record::OverduePlaced {
@@ -125,14 +134,19 @@
                 is_suspected: &|replica| replica.is_suspected(),
                 is_item: query.item.is_some(),
                 is_overdue: false,
-                most_candidates: OWN_CANDIDATES,
+                most_candidates: if self.policy().has(Mechanism::Sampling) {
+                    OWN_CANDIDATES
+                } else {
+                    usize::MAX
+                },
             },
         )?;
         let number = places.take(&choice.replica, query.item);
         let held = HeldPlace::new(Arc::clone(places), number);
         let replica = choice.replica.clone();
         let placement = choice.enter(query.class(), held);
-        if query.class() == WorkClass::Online && replica.is_crowded_by_batch() {
+        let may_preempt = self.policy().has(Mechanism::Preemption);
+        if may_preempt && query.class() == WorkClass::Online && replica.is_crowded_by_batch() {
             places.free_slot(&replica);
         }
         Some(placement)
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -316,6 +316,8 @@
     by_id: HashMap<String, Arc<Replica>>,
     by_hash: HashMap<u32, Arc<Replica>>,
     by_service: HashMap<String, Vec<Arc<Replica>>>,
+    /// Hashes of the zones that each service's replicas are in, in order, each once.
+    zones: HashMap<String, Vec<u32>>,
     long_prompt_homes: HashSet<String>,
     vanished: HashMap<String, Vec<Vanished>>,
 }
@@ -352,6 +354,11 @@
         self.by_service.get(service).map_or(&[][..], Vec::as_slice)
     }
 
+    /// Hashes of the zones in which the service has replicas, each once.
+    pub fn zones(&self, service: &str) -> &[u32] {
+        self.zones.get(service).map_or(&[][..], Vec::as_slice)
+    }
+
     /// Names of the services that have replicas.
     pub fn services(&self) -> impl Iterator<Item = &str> {
         self.by_service.keys().map(String::as_str)
@@ -422,9 +429,12 @@
             .map(|replica| (replica.hash, replica.clone()));
         let by_hash = by_hash.collect();
         let long_prompt_homes = by_service.values().flat_map(|list| homes(list)).collect();
+        let zones = by_service.iter();
+        let zones = zones.map(|(service, list)| (service.clone(), zones_of(list)));
         self.view.store(Arc::new(ReplicaView {
             by_id,
             by_hash,
+            zones: zones.collect(),
             by_service,
             long_prompt_homes,
             vanished,
@@ -432,6 +442,13 @@
     }
 }
 
+fn zones_of(list: &[Arc<Replica>]) -> Vec<u32> {
+    let mut zones: Vec<u32> = list.iter().map(|replica| replica.zone_hash).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    zones
+}
+
 /// Share of a service's replicas that take the long prompts, in percent.
 const HOME_PERCENT: usize = 33;
 
--- a/crates/serving/src/routes.rs
+++ b/crates/serving/src/routes.rs
@@ -16,7 +16,35 @@
     /// The route.
     pub route: Route,
     turn: Arc<AtomicU64>,
-    longest_patience_ms: Arc<AtomicU64>,
+    patience: Arc<ObservedPatience>,
+}
+
+/// How long a route's callers wait at the most, as far as was observed.
+#[derive(Debug, Default)]
+struct ObservedPatience {
+    longest_ms: AtomicU64,
+    callers: AtomicU64,
+}
+
+/// Callers of a route that must have come before the longest of their waits is taken for the usual one. Until then
+/// the route's timeout is: right after a daemon has started, most callers have been refused or cut off before.
+const CALLERS_TO_KNOW_PATIENCE: u64 = 16;
+
+impl ObservedPatience {
+    /// Takes one caller's patience into account. Returns the longest of all before.
+    fn observe(&self, patience_ms: u64, timeout: Duration) -> u64 {
+        let longest_ms = self.longest_ms.fetch_max(patience_ms, Ordering::Relaxed);
+        let callers = self.callers.fetch_add(1, Ordering::Relaxed);
+        if callers < CALLERS_TO_KNOW_PATIENCE {
+            longest_ms.max(millis(timeout))
+        } else {
+            longest_ms
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 impl RouteEntry {
@@ -26,10 +54,8 @@
         let Some(patience) = patience else {
             return false;
         };
-        let patience_ms = u64::try_from(patience.as_millis()).unwrap_or(u64::MAX);
-        let longest_ms = self
-            .longest_patience_ms
-            .fetch_max(patience_ms, Ordering::Relaxed);
+        let patience_ms = millis(patience);
+        let longest_ms = self.patience.observe(patience_ms, self.route.timeout);
         let used = Duration::from_millis(longest_ms.saturating_sub(patience_ms));
         used > self.route.objective
     }
@@ -83,11 +109,11 @@
         for route in &configuration.routes {
             let kept = previous.and_then(|table| table.entry(&route.host, &route.name));
             let turn = kept.map_or_else(first_turn, |entry| entry.turn.clone());
-            let longest_patience_ms = kept.map(|entry| entry.longest_patience_ms.clone());
+            let patience = kept.map(|entry| entry.patience.clone());
             let entry = RouteEntry {
                 route: route.clone(),
                 turn,
-                longest_patience_ms: longest_patience_ms.unwrap_or_default(),
+                patience: patience.unwrap_or_default(),
             };
             let host = route.host.to_ascii_lowercase();
             hosts.entry(host).or_default().push(Arc::new(entry));
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -2,6 +2,8 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::policy::{Mechanism, Policy};
+
 /// Prices of the choice.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SelectionCosts {
@@ -23,6 +25,28 @@
     pub short_beside_long_ms: f64,
     /// Largest random addition, so that daemons with the same view do not all choose the same, milliseconds.
     pub jitter_ms: f64,
+    /// Mechanisms in use.
+    pub policy: Policy,
+}
+
+impl SelectionCosts {
+    /// The prices under a policy.
+    pub fn under(policy: Policy) -> Self {
+        let mut costs = Self {
+            policy,
+            ..Self::default()
+        };
+        if !policy.has(Mechanism::PreferredReplica) {
+            costs.preferred_share = 1.0;
+        }
+        if !policy.has(Mechanism::OwnZoneFirst) {
+            costs.other_zone_ms = 0.0;
+        }
+        if !policy.has(Mechanism::Jitter) {
+            costs.jitter_ms = 0.0;
+        }
+        costs
+    }
 }
 
 impl Default for SelectionCosts {
@@ -37,6 +61,7 @@
             long_away_ms: 60.0,
             short_beside_long_ms: 30.0,
             jitter_ms: 1.5,
+            policy: Policy::default(),
         }
     }
 }
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -56,6 +56,10 @@
         self.held.fetch_sub(1, Ordering::Relaxed);
     }
 
+    fn is_coordinated(&self, _replica: &Replica) -> bool {
+        false
+    }
+
     fn free_slot(&self, _replica: &Arc<Replica>) {
         self.asked.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -79,6 +79,10 @@
 
     fn release(&self, _place: u32) {}
 
+    fn is_coordinated(&self, _replica: &Replica) -> bool {
+        false
+    }
+
     fn free_slot(&self, _replica: &Arc<Replica>) {}
 }
 
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -9,6 +9,6 @@
 mod held;
 mod ledger;
 
-pub use groups::{group_count, group_of, keeper_of};
+pub use groups::{GroupId, GroupLayout, keeper_of};
 pub use held::HeldPlaces;
 pub use ledger::{EndedPlace, PlaceCounts, PlaceUse, SlotLedger};
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -72,6 +72,9 @@
     /// Batch work left at its shards.
     #[prost(message, repeated, tag = "8")]
     pub backlog: Vec<ServiceBacklog>,
+    /// The member cannot reach the store while most others can: what it owns there goes on elsewhere.
+    #[prost(bool, tag = "9")]
+    pub detached: bool,
 }
 
 /// One datagram.
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -38,6 +38,9 @@
     /// Set for an online request whose objective has passed.
     #[prost(bool, tag = "11")]
     pub overdue: bool,
+    /// Hash of the zone that the group lies in; 0 for a group over all zones.
+    #[prost(fixed32, tag = "12")]
+    pub group_zone: u32,
 }
 
 /// What a batch item adds to its question.
