--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -70,12 +70,12 @@
             )?,
             places: counter(
                 "harrierward_places_total",
-                "Places at replicas, by who chose the replica",
+                "SlotLeases at replicas, by who chose the replica",
                 "chosen_by",
             )?,
             items_ended: counter(
                 "harrierward_item_ends_ordered_total",
-                "Batch items that this daemon, as the keeper of a replica, ended for online requests",
+                "Batch items that this daemon, as the coordinator of a replica, ended for online requests",
                 "of_peer",
             )?,
             attempts_failed: counter(
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -124,7 +124,7 @@
         route: &'a str,
         /// Replica.
         replica: &'a str,
-        /// Who chose it: the keeper of its places, or this daemon by what it knows itself.
+        /// Who chose it: the coordinator of its places, or this daemon by what it knows itself.
         chosen_by: &'a str,
         /// Requests at the replica, as the chooser counted them.
         load: u32,
@@ -147,7 +147,7 @@
         /// Last event that the caller has.
         resume_after: Option<u64>,
     },
-    /// The keeper of a replica's places ends an item there for an online request.
+    /// The coordinator of a replica's places ends an item there for an online request.
     ItemEndOrdered {
         /// Replica.
         replica: &'a str,
@@ -217,7 +217,7 @@
         /// Revision of the commit, 0 if there is none.
         revision: u64,
     },
-    /// This daemon became the keeper of a route's quota.
+    /// This daemon became the coordinator of a route's quota.
     QuotaKept {
         /// Route.
         route: &'a str,
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -253,8 +253,8 @@
 }
 
 impl YieldItems for Yielding {
-    fn yield_place(&self, place: u32) {
-        self.jobs.yield_place(place);
+    fn yield_lease(&self, place: u32) {
+        self.jobs.yield_lease(place);
     }
 
     fn yield_at(&self, replica: &str, count: u32) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,7 +23,7 @@
 };
 pub use server::{HttpService, ResponseBody, ServerControl, ServerStage, serve};
 pub use settings::EdgeSettings;
-pub use slots::{KeeperCandidate, SlotService, YieldItems};
+pub use slots::{CoordinatorCandidate, SlotService, YieldItems};
 pub use watch::{
     SpaceCopy, SpaceUpdate, Watch, WatchPace, WatchSettings, gathering_interval, unpaced,
     whole_read_interval,
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -23,7 +23,7 @@
 use crate::calls::{CallPatience, DatagramCalls};
 use crate::peer_loads::PeerLoads;
 use crate::settings::EdgeSettings;
-use crate::slots::{KeeperCandidate, SlotService};
+use crate::slots::{CoordinatorCandidate, SlotService};
 
 /// How often the membership protocol is driven.
 const TICK: Duration = Duration::from_millis(100);
@@ -201,7 +201,7 @@
         let request = YieldRequest {
             replica: hash,
             slots: 1,
-            place: 0,
+            lease: 0,
         };
         self.send_to(node_datagram::Kind::YieldRequest(request), address);
     }
@@ -317,7 +317,7 @@
                 view: view.digest(),
             });
         }
-        let staying = view.staying().map(|member| KeeperCandidate {
+        let staying = view.staying().map(|member| CoordinatorCandidate {
             id: member.id.clone(),
             address: udp_address(&state.core, &member.id),
             zone_hash: short_hash(&member.zone),
@@ -436,7 +436,7 @@
         let view = self.replicas.view();
         let sums = state.loads.sums(peers);
         for replica in view.all() {
-            if self.slots.keeps(replica) {
+            if self.slots.coordinates(replica) {
                 continue;
             }
             let hash = replica.hash;
@@ -463,10 +463,10 @@
 
     async fn ask_quota(
         &self,
-        keeper: &str,
+        coordinator: &str,
         request: QuotaRequest<'_>,
     ) -> Option<(QuotaOutcome, u64)> {
-        let address = self.address_of(keeper)?;
+        let address = self.address_of(coordinator)?;
         let ask = self.quota_ask(request);
         let send = || self.send_to(node_datagram::Kind::QuotaAsk(ask.clone()), address);
         let answer = self
@@ -476,8 +476,8 @@
         Some((answer.outcome(), answer.fence))
     }
 
-    fn return_quota(&self, keeper: &str, request: QuotaRequest<'_>) {
-        if let Some(address) = self.address_of(keeper) {
+    fn return_quota(&self, coordinator: &str, request: QuotaRequest<'_>) {
+        if let Some(address) = self.address_of(coordinator) {
             let ask = QuotaAsk {
                 returned: true,
                 ..self.quota_ask(request)
--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -1,4 +1,4 @@
-//! The daemon's own requests: asking keepers, holding places, giving them back.
+//! The daemon's own requests: asking coordinators, holding leases, giving them back.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,24 +7,24 @@
 use async_trait::async_trait;
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChosenBy, ItemRoom, Mechanism, PlaceAnswer, PlaceQuery, Places, PromptLength,
-    ROOMY_PERMILLE, Replica, WorkClass, preference_weight, short_hash,
+    Choice, ChosenBy, ItemRoom, Mechanism, PromptLength, ROOMY_PERMILLE, Replica, SlotAnswer,
+    SlotLeases, SlotQuery, WorkClass, preference_weight, short_hash,
 };
 use harrierward_slots::{GroupId, GroupLayout};
 use harrierward_wire::{
-    ItemPlaceAsk, PromptPartRow, SlotAsk, SlotGrant, SlotWord, node_datagram::Kind,
+    ItemSlotAsk, PromptPartRow, SlotAsk, SlotGrant, SlotReport, node_datagram::Kind,
 };
 use tokio::time::Instant;
 
 use crate::calls::CallPatience;
 
-use super::{Keeper, KeeperCandidate, LONGEST_SLACK, SlotService, layout, usage_of};
+use super::{Coordinator, CoordinatorCandidate, LONGEST_SLACK, SlotService, layout, usage_of};
 
-/// Parts of a request's objective after which a keeper is asked again, and given up.
+/// Parts of a request's objective after which a coordinator is asked again, and given up.
 const ASK_AGAIN_PART: u32 = 25;
 const GIVE_UP_PART: u32 = 10;
 
-/// Bounds of the patience with a keeper.
+/// Bounds of the patience with a coordinator.
 const LEAST_PATIENCE: Duration = Duration::from_millis(15);
 const MOST_PATIENCE: Duration = Duration::from_millis(60);
 
@@ -34,25 +34,25 @@
 /// How long a group that had no room for an item is passed over for items.
 const NO_ROOM_LASTS: Duration = Duration::from_millis(300);
 
-/// A group's free slots where its keeper has not told them.
-const UNTOLD_PERMILLE: u32 = 500;
+/// A group's free slots where its coordinator has not reported them.
+const UNREPORTED_PERMILLE: u32 = 500;
 
 /// A question that is under way; ends it where the asker goes away.
 struct Awaiting<'a> {
     service: &'a SlotService,
-    place: u32,
-    keeper: SocketAddr,
+    lease: u32,
+    coordinator: SocketAddr,
     answered: bool,
 }
 
 impl Drop for Awaiting<'_> {
     fn drop(&mut self) {
         let mut state = self.service.lock();
-        state.held.stop_waiting(self.place);
+        state.held.stop_waiting(self.lease);
         drop(state);
         if !self.answered {
-            // The keeper may have given the place out.
-            self.service.tell_released(self.place, self.keeper);
+            // The coordinator may have given the lease out.
+            self.service.report_released(self.lease, self.coordinator);
         }
     }
 }
@@ -62,7 +62,7 @@
     /// in zones, unless another has far more room. Long prompts go to their homes, wherever these are.
     fn group_to_ask(
         &self,
-        query: &PlaceQuery<'_>,
+        query: &SlotQuery<'_>,
         service: u32,
         layout: &GroupLayout<'_>,
     ) -> GroupId {
@@ -78,8 +78,8 @@
             return if is_full { other } else { preferred };
         }
         let free = |group: GroupId| {
-            let told = state.free_permille.get(&(service, group));
-            told.copied().unwrap_or(UNTOLD_PERMILLE)
+            let reported = state.free_permille.get(&(service, group));
+            reported.copied().unwrap_or(UNREPORTED_PERMILLE)
         };
         if free(preferred) >= ROOMY_PERMILLE || free(preferred) >= free(other) {
             preferred
@@ -88,7 +88,7 @@
         }
     }
 
-    fn preferred_group(&self, query: &PlaceQuery<'_>, layout: &GroupLayout<'_>) -> GroupId {
+    fn preferred_group(&self, query: &SlotQuery<'_>, layout: &GroupLayout<'_>) -> GroupId {
         let view = self.replicas.view();
         let usable = view.listed(query.service).iter().filter(|replica| {
             !replica.is_draining() && !query.excluded.contains(&replica.record.id)
@@ -111,30 +111,30 @@
 
     async fn ask_peer(
         &self,
-        query: &PlaceQuery<'_>,
+        query: &SlotQuery<'_>,
         service: u32,
         group: GroupId,
-        keeper: &KeeperCandidate,
-    ) -> PlaceAnswer {
-        let Some(address) = keeper.address else {
-            return PlaceAnswer::NoKeeper;
+        coordinator: &CoordinatorCandidate,
+    ) -> SlotAnswer {
+        let Some(address) = coordinator.address else {
+            return SlotAnswer::NoCoordinator;
         };
-        if self.is_silent(&keeper.id) {
-            return PlaceAnswer::NoKeeper;
+        if self.is_silent(&coordinator.id) {
+            return SlotAnswer::NoCoordinator;
         }
-        let place = {
+        let lease = {
             let mut state = self.lock();
-            let place = state.held.next_number();
-            state.held.wait_for(place);
-            place
+            let lease = state.held.next_number();
+            state.held.wait_for(lease);
+            lease
         };
         let mut awaiting = Awaiting {
             service: self,
-            place,
-            keeper: address,
+            lease,
+            coordinator: address,
             answered: false,
         };
-        let ask = self.describe_ask(query, service, group, place);
+        let ask = self.describe_ask(query, service, group, lease);
         let give_up = query.objective / GIVE_UP_PART;
         let give_up = give_up.clamp(LEAST_PATIENCE, MOST_PATIENCE);
         let patience = CallPatience {
@@ -142,29 +142,29 @@
             give_up,
         };
         let send = || self.send(Kind::SlotAsk(ask.clone()), address);
-        let Some(grant) = self.calls.ask(place, patience, send).await else {
+        let Some(grant) = self.calls.ask(lease, patience, send).await else {
             drop(awaiting);
-            self.note_silent(&keeper.id);
-            return PlaceAnswer::NoKeeper;
+            self.note_silent(&coordinator.id);
+            return SlotAnswer::NoCoordinator;
         };
         awaiting.answered = true;
         drop(awaiting);
-        self.note_heard(&keeper.id, service, group, &grant);
-        self.take_grant(query, place, &grant, address)
+        self.note_heard(&coordinator.id, service, group, &grant);
+        self.take_grant(query, lease, &grant, address)
     }
 
     fn take_grant(
         &self,
-        query: &PlaceQuery<'_>,
-        place: u32,
+        query: &SlotQuery<'_>,
+        lease: u32,
         grant: &SlotGrant,
-        keeper: SocketAddr,
-    ) -> PlaceAnswer {
+        coordinator: SocketAddr,
+    ) -> SlotAnswer {
         let may_wait = query.item.is_some() || query.overdue;
-        let none = if may_wait && !grant.not_keeper {
-            PlaceAnswer::NoRoom
+        let none = if may_wait && !grant.not_coordinator {
+            SlotAnswer::NoRoom
         } else {
-            PlaceAnswer::NoKeeper
+            SlotAnswer::NoCoordinator
         };
         if grant.replica == 0 {
             return none;
@@ -172,29 +172,29 @@
         let view = self.replicas.view();
         let replica = view.by_hash(grant.replica);
         let Some(replica) = replica.filter(|replica| !replica.is_draining()) else {
-            self.tell_released(place, keeper);
+            self.report_released(lease, coordinator);
             return none;
         };
         let usage = usage_of(query.item, Instant::now());
-        self.lock().held.take(place, replica.hash, usage);
-        PlaceAnswer::Given {
+        self.lock().held.take(lease, replica.hash, usage);
+        SlotAnswer::Given {
             choice: Choice {
                 replica: replica.clone(),
-                by: ChosenBy::Keeper,
+                by: ChosenBy::Coordinator,
                 load: grant.load,
                 free_permille: grant.free_permille,
                 copy_from: view.by_hash(grant.copy_from).cloned(),
             },
-            place,
+            lease,
         }
     }
 
     fn describe_ask(
         &self,
-        query: &PlaceQuery<'_>,
+        query: &SlotQuery<'_>,
         service: u32,
         group: GroupId,
-        place: u32,
+        lease: u32,
     ) -> SlotAsk {
         let view = self.replicas.view();
         let listed = view.listed(query.service).iter();
@@ -208,12 +208,12 @@
             id: part.id,
             tokens: part.tokens,
         });
-        let item = query.item.map(|item| ItemPlaceAsk {
+        let item = query.item.map(|item| ItemSlotAsk {
             slack_ms: millis(item.slack),
         });
         SlotAsk {
             holder: self.holder,
-            place,
+            lease,
             service,
             group: group.number,
             group_zone: group.zone,
@@ -232,63 +232,63 @@
         }
     }
 
-    fn is_silent(&self, keeper: &str) -> bool {
+    fn is_silent(&self, coordinator: &str) -> bool {
         let now_ms = self.now_ms();
         let state = self.lock();
-        let silent = state.silent.get(keeper);
+        let silent = state.silent.get(coordinator);
         silent.is_some_and(|silent| silent.is_active(now_ms))
     }
 
-    fn note_silent(&self, keeper: &str) {
+    fn note_silent(&self, coordinator: &str) {
         let now_ms = self.now_ms();
         let mut state = self.lock();
-        let suspicion = state.silent.entry(keeper.to_owned()).or_default();
+        let suspicion = state.silent.entry(coordinator.to_owned()).or_default();
         suspicion.fail(now_ms);
         drop(state);
         self.log.record(&Record::DependencyLost {
-            dependency: "slot keeper",
-            cause: keeper,
+            dependency: "slot coordinator",
+            cause: coordinator,
         });
     }
 
-    fn note_heard(&self, keeper: &str, service: u32, group: GroupId, grant: &SlotGrant) {
+    fn note_heard(&self, coordinator: &str, service: u32, group: GroupId, grant: &SlotGrant) {
         let now_ms = self.now_ms();
         let mut state = self.lock();
-        if let Some(suspicion) = state.silent.get(keeper) {
+        if let Some(suspicion) = state.silent.get(coordinator) {
             suspicion.note_progress(now_ms);
         }
-        if !grant.not_keeper {
+        if !grant.not_coordinator {
             let free = grant.free_permille;
             state.free_permille.insert((service, group), free);
         }
     }
 
-    fn tell_released(&self, place: u32, keeper: SocketAddr) {
-        let word = SlotWord {
+    fn report_released(&self, lease: u32, coordinator: SocketAddr) {
+        let report = SlotReport {
             holder: self.holder,
-            released: vec![place],
-            ..SlotWord::default()
+            released: vec![lease],
+            ..SlotReport::default()
         };
-        self.send(Kind::SlotWord(word), keeper);
+        self.send(Kind::SlotReport(report), coordinator);
     }
 
-    /// The peer that keeps a replica's places.
-    fn peer_keeping(&self, replica: u32) -> Option<SocketAddr> {
+    /// The peer that keeps a replica's leases.
+    fn peer_coordinating(&self, replica: u32) -> Option<SocketAddr> {
         let view = self.replicas.view();
         let replica = view.by_hash(replica)?;
         let service = short_hash(&replica.record.service);
-        match self.keeper(service, self.group(replica)) {
-            Keeper::Peer(peer) => peer.address,
-            Keeper::Own | Keeper::Nobody => None,
+        match self.coordinator(service, self.group(replica)) {
+            Coordinator::Peer(peer) => peer.address,
+            Coordinator::Own | Coordinator::Nobody => None,
         }
     }
 }
 
 #[async_trait]
-impl Places for SlotService {
-    async fn ask(&self, query: PlaceQuery<'_>) -> PlaceAnswer {
+impl SlotLeases for SlotService {
+    async fn ask(&self, query: SlotQuery<'_>) -> SlotAnswer {
         if !self.costs.policy.has(Mechanism::Coordinators) {
-            return PlaceAnswer::NoKeeper;
+            return SlotAnswer::NoCoordinator;
         }
         let service = short_hash(query.service);
         let group = {
@@ -296,12 +296,12 @@
             let layout = layout(&view, query.service, self.costs.policy);
             self.group_to_ask(&query, service, &layout)
         };
-        let answer = match self.keeper(service, group) {
-            Keeper::Nobody => PlaceAnswer::NoKeeper,
-            Keeper::Own => self.place_own(&query, group),
-            Keeper::Peer(peer) => self.ask_peer(&query, service, group, &peer).await,
+        let answer = match self.coordinator(service, group) {
+            Coordinator::Nobody => SlotAnswer::NoCoordinator,
+            Coordinator::Own => self.place_own(&query, group),
+            Coordinator::Peer(peer) => self.ask_peer(&query, service, group, &peer).await,
         };
-        if query.item.is_some() && matches!(answer, PlaceAnswer::NoRoom) {
+        if query.item.is_some() && matches!(answer, SlotAnswer::NoRoom) {
             let mut state = self.lock();
             state.no_room_at.insert((service, group), Instant::now());
         }
@@ -310,27 +310,27 @@
 
     fn take(&self, replica: &Arc<Replica>, item: Option<ItemRoom>) -> u32 {
         let now = Instant::now();
-        let keeper = self.peer_keeping(replica.hash);
+        let coordinator = self.peer_coordinating(replica.hash);
         let mut state = self.lock();
-        let place = state.held.next_number();
-        state.held.take(place, replica.hash, usage_of(item, now));
-        let held = state.held.describe(place, now);
+        let lease = state.held.next_number();
+        state.held.take(lease, replica.hash, usage_of(item, now));
+        let held = state.held.describe(lease, now);
         drop(state);
-        if let Some(keeper) = keeper {
-            let word = SlotWord {
+        if let Some(coordinator) = coordinator {
+            let report = SlotReport {
                 holder: self.holder,
                 held: held.into_iter().collect(),
-                ..SlotWord::default()
+                ..SlotReport::default()
             };
-            self.send(Kind::SlotWord(word), keeper);
+            self.send(Kind::SlotReport(report), coordinator);
         }
-        place
+        lease
     }
 
-    fn release(&self, place: u32) {
-        let replica = self.lock().held.release(place);
-        if let Some(keeper) = replica.and_then(|replica| self.peer_keeping(replica)) {
-            self.tell_released(place, keeper);
+    fn release(&self, lease: u32) {
+        let replica = self.lock().held.release(lease);
+        if let Some(coordinator) = replica.and_then(|replica| self.peer_coordinating(replica)) {
+            self.report_released(lease, coordinator);
         }
     }
 
@@ -339,15 +339,15 @@
             return false;
         }
         let service = short_hash(&replica.record.service);
-        match self.keeper(service, self.group(replica)) {
-            Keeper::Own => true,
-            Keeper::Peer(peer) => peer.address.is_some() && !self.is_silent(&peer.id),
-            Keeper::Nobody => false,
+        match self.coordinator(service, self.group(replica)) {
+            Coordinator::Own => true,
+            Coordinator::Peer(peer) => peer.address.is_some() && !self.is_silent(&peer.id),
+            Coordinator::Nobody => false,
         }
     }
 
     fn free_slot(&self, replica: &Arc<Replica>) {
-        if self.keeps(replica) {
+        if self.coordinates(replica) {
             self.end_an_item(replica);
         } else if let Some(items) = self.yielding.get() {
             if replica.own(WorkClass::Batch) > 0 {
--- a/crates/edge/src/slots/keeping.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -1,4 +1,4 @@
-//! The groups that this daemon keeps: giving out places, taking the holders' words, ending items.
+//! The groups that this daemon keeps: granting leases, taking the holders' reports, ending items.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -7,19 +7,19 @@
 
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChoiceQuery, ChosenBy, Mechanism, PlaceAnswer, PlaceQuery, Prompt, PromptLength,
-    PromptPart, Replica, WorkClass, choose_replica, short_hash,
+    Choice, ChoiceQuery, ChosenBy, Mechanism, Prompt, PromptLength, PromptPart, Replica,
+    SlotAnswer, SlotQuery, WorkClass, choose_replica, short_hash,
 };
-use harrierward_slots::{GroupId, PlaceUse};
-use harrierward_wire::{SlotAsk, SlotGrant, SlotWord, YieldRequest, node_datagram::Kind};
+use harrierward_slots::{GroupId, SlotUse};
+use harrierward_wire::{SlotAsk, SlotGrant, SlotReport, YieldRequest, node_datagram::Kind};
 use tokio::time::Instant;
 
-use super::{Keeper, SlotService, class_of, layout, usage_of};
+use super::{Coordinator, SlotService, class_of, layout, usage_of};
 
-/// Ticks of the membership between two whole words to a keeper.
-const WORD_TICKS: u64 = 4;
+/// Ticks of the membership between two whole reports to a coordinator.
+const REPORT_TICKS: u64 = 4;
 
-/// Who asks for a place of an own group.
+/// Who asks for a lease of an own group.
 struct Asker<'a> {
     zone_hash: u32,
     is_excluded: &'a dyn Fn(&Replica) -> bool,
@@ -52,13 +52,13 @@
         };
         let choice = choose_replica(&view, usable.collect(), &self.costs, &query);
         choice.map(|choice| Choice {
-            by: ChosenBy::Keeper,
+            by: ChosenBy::Coordinator,
             ..choice
         })
     }
 
-    /// A place for a request of this daemon's own, in a group that it keeps.
-    pub(super) fn place_own(&self, query: &PlaceQuery<'_>, group: GroupId) -> PlaceAnswer {
+    /// A lease for a request of this daemon's own, in a group that it keeps.
+    pub(super) fn place_own(&self, query: &SlotQuery<'_>, group: GroupId) -> SlotAnswer {
         let asker = Asker {
             zone_hash: self.zone_hash,
             is_excluded: &|replica| query.excluded.contains(&replica.record.id),
@@ -71,24 +71,24 @@
         };
         let Some(choice) = self.choose(query.service, group, &asker) else {
             return if query.item.is_some() || query.overdue {
-                PlaceAnswer::NoRoom
+                SlotAnswer::NoRoom
             } else {
-                PlaceAnswer::NoKeeper
+                SlotAnswer::NoCoordinator
             };
         };
         let usage = usage_of(query.item, Instant::now());
-        let place = {
+        let lease = {
             let mut state = self.lock();
-            let place = state.held.next_number();
-            state.held.take(place, choice.replica.hash, usage);
-            place
+            let lease = state.held.next_number();
+            state.held.take(lease, choice.replica.hash, usage);
+            lease
         };
         self.make_room(&choice, usage);
-        PlaceAnswer::Given { choice, place }
+        SlotAnswer::Given { choice, lease }
     }
 
-    /// An online request was given a place where all are taken: an item ends for it.
-    fn make_room(&self, choice: &Choice, usage: PlaceUse) {
+    /// An online request was given a lease where all are taken: an item ends for it.
+    fn make_room(&self, choice: &Choice, usage: SlotUse) {
         let replica = &choice.replica;
         let may_preempt = self.costs.policy.has(Mechanism::Preemption);
         let online = may_preempt && class_of(usage) == WorkClass::Online;
@@ -97,7 +97,7 @@
         }
     }
 
-    /// The item at the replica with most time left gives its place back.
+    /// The item at the replica with most time left gives its lease back.
     pub(super) fn end_an_item(&self, replica: &Arc<Replica>) {
         let now = Instant::now();
         let (own, peers) = {
@@ -114,16 +114,16 @@
         if let Some(slack) = slack.or(peers.map(|ended| ended.slack)) {
             self.log_end(replica, slack, own.is_none());
         }
-        if let (Some((place, _)), Some(items)) = (own, self.yielding.get()) {
-            self.lock().held.release(place);
-            items.yield_place(place);
+        if let (Some((lease, _)), Some(items)) = (own, self.yielding.get()) {
+            self.lock().held.release(lease);
+            items.yield_lease(lease);
         } else if let Some(ended) = peers {
             self.lock().ledger.note_ending(ended, now);
             self.publish();
             let request = YieldRequest {
                 replica: replica.hash,
                 slots: 1,
-                place: ended.place,
+                lease: ended.lease,
             };
             self.send(Kind::YieldRequest(request), ended.holder);
         }
@@ -140,7 +140,7 @@
         });
     }
 
-    /// Answers a peer that asks for a place.
+    /// Answers a peer that asks for a lease.
     pub(super) fn take_ask(&self, ask: &SlotAsk, from: SocketAddr) {
         let grant = self.answer(ask, from);
         self.send(Kind::SlotGrant(grant), from);
@@ -148,17 +148,17 @@
 
     fn answer(&self, ask: &SlotAsk, from: SocketAddr) -> SlotGrant {
         let none = SlotGrant {
-            place: ask.place,
+            lease: ask.lease,
             ..SlotGrant::default()
         };
-        let given = self.lock().ledger.replica_of(ask.holder, ask.place);
+        let given = self.lock().ledger.replica_of(ask.holder, ask.lease);
         if let Some(replica) = given {
             return SlotGrant { replica, ..none };
         }
         let view = self.replicas.view();
         let Some((service, _)) = view.service_by_hash(ask.service) else {
             return SlotGrant {
-                not_keeper: true,
+                not_coordinator: true,
                 ..none
             };
         };
@@ -167,9 +167,9 @@
             number: ask.group,
         };
         let layout = layout(&view, service, self.costs.policy);
-        if !layout.contains(group) || self.keeper(ask.service, group) != Keeper::Own {
+        if !layout.contains(group) || self.coordinator(ask.service, group) != Coordinator::Own {
             return SlotGrant {
-                not_keeper: true,
+                not_coordinator: true,
                 ..none
             };
         }
@@ -189,15 +189,15 @@
         };
         let now = Instant::now();
         let usage = match &ask.item {
-            None => PlaceUse::Online,
-            Some(item) => PlaceUse::Batch {
+            None => SlotUse::Online,
+            Some(item) => SlotUse::Batch {
                 due: now + Duration::from_millis(u64::from(item.slack_ms)),
             },
         };
         let replica = choice.replica.hash;
         self.lock()
             .ledger
-            .grant(ask.holder, from, ask.place, replica, usage, now);
+            .grant(ask.holder, from, ask.lease, replica, usage, now);
         self.publish();
         self.make_room(&choice, usage);
         choice.replica.note_prompt(&prompt);
@@ -210,13 +210,13 @@
         }
     }
 
-    /// A keeper, or a daemon that found none, wants items of this daemon to end.
+    /// A coordinator, or a daemon that found none, wants items of this daemon to end.
     fn take_yield(&self, request: &YieldRequest) {
         let Some(items) = self.yielding.get() else {
             return;
         };
-        if request.place > 0 {
-            items.yield_place(request.place);
+        if request.lease > 0 {
+            items.yield_lease(request.lease);
             return;
         }
         let view = self.replicas.view();
@@ -225,9 +225,9 @@
         }
     }
 
-    /// Takes what a holder says of its places.
-    pub(super) fn take_word(&self, word: &SlotWord, from: SocketAddr) {
-        self.lock().ledger.take_word(word, from, Instant::now());
+    /// Takes what a holder says of its leases.
+    pub(super) fn take_report(&self, report: &SlotReport, from: SocketAddr) {
+        self.lock().ledger.take_report(report, from, Instant::now());
         self.publish();
     }
 
@@ -245,67 +245,70 @@
         drop(state);
         let view = self.replicas.view();
         for (hash, counts) in counts {
-            if let Some(replica) = view.by_hash(hash).filter(|replica| self.keeps(replica)) {
+            if let Some(replica) = view
+                .by_hash(hash)
+                .filter(|replica| self.coordinates(replica))
+            {
                 replica.set_peers(counts.online, counts.batch);
             }
         }
     }
 
-    /// Driven by the membership's tick: forgets silent holders, and tells keepers what is held.
+    /// Driven by the membership's tick: forgets silent holders, and tells coordinators what is held.
     pub fn tick(&self) {
         let now = Instant::now();
         let due = {
             let mut state = self.lock();
             state.ledger.expire(now);
             state.ticks += 1;
-            state.ticks.is_multiple_of(WORD_TICKS)
+            state.ticks.is_multiple_of(REPORT_TICKS)
         };
         self.publish();
         if due {
-            self.tell_keepers(now);
+            self.report_to_coordinators(now);
         }
     }
 
-    fn tell_keepers(&self, now: Instant) {
+    fn report_to_coordinators(&self, now: Instant) {
         let view = self.replicas.view();
         let mut kept_by: HashMap<SocketAddr, Vec<u32>> = HashMap::new();
         for replica in view.all() {
             let service = short_hash(&replica.record.service);
             let layout = layout(&view, &replica.record.service, self.costs.policy);
             let group = layout.group_of(replica.hash, replica.zone_hash);
-            if let Keeper::Peer(peer) = self.keeper(service, group)
+            if let Coordinator::Peer(peer) = self.coordinator(service, group)
                 && let Some(address) = peer.address
             {
                 kept_by.entry(address).or_default().push(replica.hash);
             }
         }
-        let mut words = Vec::new();
+        let mut reports = Vec::new();
         {
             let mut state = self.lock();
             for (address, replicas) in &kept_by {
-                let word = state
+                let report = state
                     .held
-                    .whole_word(self.holder, now, |replica| replicas.contains(&replica));
-                let before = state.told.insert(*address, word.held.len());
-                if !word.held.is_empty() || before.is_some_and(|count| count > 0) {
-                    words.push((*address, word));
+                    .whole_report(self.holder, now, |replica| replicas.contains(&replica));
+                let before = state.reported.insert(*address, report.held.len());
+                if !report.held.is_empty() || before.is_some_and(|count| count > 0) {
+                    reports.push((*address, report));
                 }
             }
             state
-                .told
+                .reported
                 .retain(|address, _| kept_by.contains_key(address));
         }
-        for (address, word) in words {
-            self.send(Kind::SlotWord(word), address);
+        for (address, report) in reports {
+            self.send(Kind::SlotReport(report), address);
         }
     }
 
-    /// Takes a datagram that concerns places; gives back any other.
+    /// Takes a datagram that concerns leases; gives back any other.
     pub fn receive(&self, kind: Kind, from: SocketAddr) -> Option<Kind> {
         match kind {
             Kind::SlotAsk(ask) => self.take_ask(&ask, from),
-            Kind::SlotGrant(grant) => self.calls.take(grant.place, grant),
-            Kind::SlotWord(word) => self.take_word(&word, from),
+            Kind::SlotGrant(grant) => self.calls.take(grant.lease, grant),
+            Kind::SlotReport(report) => self.take_report(&report, from),
             Kind::YieldRequest(request) => self.take_yield(&request),
             other => return Some(other),
         }
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -1,10 +1,10 @@
-//! Places at replicas: this daemon asks the keepers of the replicas for them, and keeps those of its own groups.
+//! SlotLeases at replicas: this daemon asks the coordinators of the replicas for them, and keeps those of its own groups.
 //!
-//! Why by datagram, and with a short patience: a place is a hint that spares a request a wait. A keeper that is slow,
+//! Why by datagram, and with a short patience: a lease is a hint that spares a request a wait. A coordinator that is slow,
 //! cut off or gone costs a request a part of its objective once; then the daemon chooses by itself for a while.
 
 mod asking;
-mod keeping;
+mod granting;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,7 +17,7 @@
     Mechanism, Policy, Replica, ReplicaSet, ReplicaView, SelectionCosts, Suspicion, WorkClass,
     short_hash,
 };
-use harrierward_slots::{GroupId, GroupLayout, HeldPlaces, PlaceUse, SlotLedger, keeper_of};
+use harrierward_slots::{GroupId, GroupLayout, HeldSlots, SlotLedger, SlotUse, coordinator_of};
 use harrierward_wire::{NodeDatagram, SlotGrant, encode, node_datagram};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -26,9 +26,9 @@
 use crate::calls::DatagramCalls;
 use crate::pool::ConnectionPool;
 
-/// A living member that stays, as far as the places concern it.
+/// A living member that stays, as far as the leases concern it.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct KeeperCandidate {
+pub struct CoordinatorCandidate {
     /// Member id.
     pub id: String,
     /// Its address for datagrams; `None` if it cannot be read.
@@ -39,38 +39,38 @@
 
 /// Ends this daemon's own batch items.
 pub trait YieldItems: Send + Sync {
-    /// The item that holds the place ends.
-    fn yield_place(&self, place: u32);
+    /// The item that holds the lease ends.
+    fn yield_lease(&self, lease: u32);
 
     /// So many items at the replica end.
     fn yield_at(&self, replica: &str, count: u32);
 
-    /// A peer's item at a replica shall end; for a replica whose keeper is silent.
+    /// A peer's item at a replica shall end; for a replica whose coordinator is silent.
     fn ask_peer(&self, replica: &Arc<Replica>);
 }
 
 /// Who keeps a group.
 #[derive(Debug, Clone, PartialEq, Eq)]
-enum Keeper {
+enum Coordinator {
     Nobody,
     Own,
-    Peer(KeeperCandidate),
+    Peer(CoordinatorCandidate),
 }
 
 struct State {
     ledger: SlotLedger,
-    held: HeldPlaces,
+    held: HeldSlots,
     silent: HashMap<String, Suspicion>,
     free_permille: HashMap<(u32, GroupId), u32>,
     /// When a group last had no room for an item.
     no_room_at: HashMap<(u32, GroupId), Instant>,
-    told: HashMap<SocketAddr, usize>,
+    reported: HashMap<SocketAddr, usize>,
     ticks: u64,
-    /// Keepers by service and group, as they follow from the members.
-    keepers: HashMap<(u32, GroupId), Keeper>,
+    /// Coordinators by service and group, as they follow from the members.
+    coordinators: HashMap<(u32, GroupId), Coordinator>,
 }
 
-/// The places of one daemon.
+/// The leases of one daemon.
 pub struct SlotService {
     life: String,
     holder: u64,
@@ -78,7 +78,7 @@
     started: Instant,
     replicas: Arc<ReplicaSet>,
     costs: SelectionCosts,
-    members: ArcSwap<Vec<KeeperCandidate>>,
+    members: ArcSwap<Vec<CoordinatorCandidate>>,
     yielding: OnceLock<Box<dyn YieldItems>>,
     connections: OnceLock<ConnectionPool>,
     socket: OnceLock<Arc<UdpSocket>>,
@@ -96,7 +96,7 @@
         costs: SelectionCosts,
         log: DecisionLog,
     ) -> Self {
-        let own = KeeperCandidate {
+        let own = CoordinatorCandidate {
             id: life.clone(),
             address: None,
             zone_hash: short_hash(zone),
@@ -116,13 +116,13 @@
             calls: DatagramCalls::default(),
             state: Mutex::new(State {
                 ledger: SlotLedger::default(),
-                held: HeldPlaces::default(),
+                held: HeldSlots::default(),
                 silent: HashMap::new(),
                 free_permille: HashMap::new(),
                 no_room_at: HashMap::new(),
-                told: HashMap::new(),
+                reported: HashMap::new(),
                 ticks: 0,
-                keepers: HashMap::new(),
+                coordinators: HashMap::new(),
             }),
         }
     }
@@ -149,10 +149,10 @@
         let _ = self.socket.set(socket);
     }
 
-    /// The members that may keep places, this one among them unless it leaves.
-    pub fn set_members(&self, members: Vec<KeeperCandidate>) {
+    /// The members that may keep leases, this one among them unless it leaves.
+    pub fn set_members(&self, members: Vec<CoordinatorCandidate>) {
         self.members.store(Arc::new(members));
-        self.lock().keepers.clear();
+        self.lock().coordinators.clear();
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -163,31 +163,33 @@
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
-    fn keeper(&self, service: u32, group: GroupId) -> Keeper {
+    fn coordinator(&self, service: u32, group: GroupId) -> Coordinator {
         let mut state = self.lock();
-        let known = state.keepers.entry((service, group));
+        let known = state.coordinators.entry((service, group));
         known
-            .or_insert_with(|| self.find_keeper(service, group))
+            .or_insert_with(|| self.find_coordinator(service, group))
             .clone()
     }
 
     /// A zone's group is coordinated from within the zone, if anybody is there.
-    fn find_keeper(&self, service: u32, group: GroupId) -> Keeper {
+    fn find_coordinator(&self, service: u32, group: GroupId) -> Coordinator {
         let members = self.members.load();
-        let is_near = |member: &&KeeperCandidate| member.zone_hash == group.zone;
+        let is_near = |member: &&CoordinatorCandidate| member.zone_hash == group.zone;
         let is_anyone_near = members.iter().any(|member| is_near(&member));
         let candidates = members
             .iter()
             .filter(|member| !is_anyone_near || is_near(member));
         let ids = candidates.map(|member| member.id.as_str());
-        let Some(keeper) = keeper_of(service, group, ids) else {
-            return Keeper::Nobody;
+        let Some(coordinator) = coordinator_of(service, group, ids) else {
+            return Coordinator::Nobody;
         };
-        if keeper == self.life {
-            return Keeper::Own;
+        if coordinator == self.life {
+            return Coordinator::Own;
         }
-        let member = members.iter().find(|member| member.id == keeper);
-        member.map_or(Keeper::Nobody, |member| Keeper::Peer(member.clone()))
+        let member = members.iter().find(|member| member.id == coordinator);
+        member.map_or(Coordinator::Nobody, |member| {
+            Coordinator::Peer(member.clone())
+        })
     }
 
     /// The group of a replica within its service.
@@ -197,16 +199,16 @@
         layout.group_of(replica.hash, replica.zone_hash)
     }
 
-    /// True if this daemon keeps the replica's places: the other daemons' requests there are then known exactly.
-    pub fn keeps(&self, replica: &Replica) -> bool {
+    /// True if this daemon keeps the replica's leases: the other daemons' requests there are then known exactly.
+    pub fn coordinates(&self, replica: &Replica) -> bool {
         let service = short_hash(&replica.record.service);
-        self.keeper(service, self.group(replica)) == Keeper::Own
+        self.coordinator(service, self.group(replica)) == Coordinator::Own
     }
 
     fn send(&self, kind: node_datagram::Kind, address: SocketAddr) {
         let datagram = NodeDatagram { kind: Some(kind) };
         if let Some(socket) = self.socket.get() {
-            // A datagram that is lost is made good by the next whole word, or by the asker's patience.
+            // A datagram that is lost is made good by the next whole report, or by the asker's patience.
             let _ = socket.try_send_to(&encode(&datagram), address);
         }
     }
@@ -222,16 +224,16 @@
     GroupLayout::new(view.listed(service).len(), zones)
 }
 
-fn usage_of(item: Option<harrierward_serving::ItemRoom>, now: Instant) -> PlaceUse {
-    item.map_or(PlaceUse::Online, |item| PlaceUse::Batch {
+fn usage_of(item: Option<harrierward_serving::ItemRoom>, now: Instant) -> SlotUse {
+    item.map_or(SlotUse::Online, |item| SlotUse::Batch {
         due: now + item.slack,
     })
 }
 
-fn class_of(usage: PlaceUse) -> WorkClass {
+fn class_of(usage: SlotUse) -> WorkClass {
     match usage {
-        PlaceUse::Online => WorkClass::Online,
-        PlaceUse::Batch { .. } => WorkClass::Batch,
+        SlotUse::Online => WorkClass::Online,
+        SlotUse::Batch { .. } => WorkClass::Batch,
     }
 }
 
--- a/crates/edge/tests/slots.rs
+++ b/crates/edge/tests/slots.rs
@@ -1,14 +1,14 @@
-//! Daemons that ask a keeper for places, over loopback.
+//! Daemons that ask a coordinator for places, over loopback.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use harrierward_decisions::{DecisionLog, LogBounds};
-use harrierward_edge::{KeeperCandidate, SlotService, YieldItems};
+use harrierward_edge::{CoordinatorCandidate, SlotService, YieldItems};
 use harrierward_serving::{
-    HeldPlace, InProgress, ItemRoom, PlaceAnswer, PlaceQuery, Places, Prompt, PromptLength,
-    Replica, ReplicaRecord, ReplicaSet, SelectionCosts, WorkClass, short_hash,
+    InProgress, ItemRoom, Prompt, PromptLength, Replica, ReplicaRecord, ReplicaSet, SelectionCosts,
+    SlotAnswer, SlotLease, SlotLeases, SlotQuery, WorkClass, short_hash,
 };
 use harrierward_wire::{NodeDatagram, decode};
 use tokio::net::UdpSocket;
@@ -23,7 +23,7 @@
 struct Ended(Arc<Mutex<Vec<u32>>>);
 
 impl YieldItems for Ended {
-    fn yield_place(&self, place: u32) {
+    fn yield_lease(&self, place: u32) {
         self.0.lock().expect("a lock").push(place);
     }
 
@@ -58,7 +58,7 @@
     (Arc::new(socket), address)
 }
 
-fn start(name: &str, socket: &Arc<UdpSocket>, members: &[KeeperCandidate]) -> Daemon {
+fn start(name: &str, socket: &Arc<UdpSocket>, members: &[CoordinatorCandidate]) -> Daemon {
     let replicas = replica_set();
     let slots = Arc::new(SlotService::new(
         name.to_owned(),
@@ -85,7 +85,7 @@
     for name in names {
         let (socket, address) = socket().await;
         sockets.push(socket);
-        members.push(KeeperCandidate {
+        members.push(CoordinatorCandidate {
             id: (*name).to_owned(),
             address: Some(address),
             zone_hash: short_hash("zone-a"),
@@ -113,8 +113,8 @@
     }
 }
 
-fn query<'a>(prompt: &'a Prompt, item: Option<ItemRoom>) -> PlaceQuery<'a> {
-    PlaceQuery {
+fn query<'a>(prompt: &'a Prompt, item: Option<ItemRoom>) -> SlotQuery<'a> {
+    SlotQuery {
         service: SERVICE,
         prompt,
         length: PromptLength::Alike,
@@ -133,21 +133,21 @@
 async fn enter(daemon: &Daemon, item: Option<ItemRoom>) -> Option<InProgress> {
     let prompt = Prompt::default();
     let answer = daemon.slots.ask(query(&prompt, item)).await;
-    let PlaceAnswer::Given { choice, place } = answer else {
+    let SlotAnswer::Given { choice, lease } = answer else {
         return None;
     };
     let class = query(&prompt, item).class();
-    let held = HeldPlace::new(daemon.slots.clone(), place);
+    let held = SlotLease::new(daemon.slots.clone(), lease);
     Some(choice.enter(class, held).in_progress)
 }
 
 /// The daemon that keeps the only group.
-fn keeper(daemons: &[Daemon]) -> &Daemon {
+fn coordinator(daemons: &[Daemon]) -> &Daemon {
     let keeps = |daemon: &&Daemon| {
         let view = daemon.replicas.view();
-        view.all().all(|replica| daemon.slots.keeps(replica))
+        view.all().all(|replica| daemon.slots.coordinates(replica))
     };
-    daemons.iter().find(keeps).expect("a keeper")
+    daemons.iter().find(keeps).expect("a coordinator")
 }
 
 const NAMES: [&str; 4] = ["a", "b", "c", "d"];
@@ -170,7 +170,7 @@
     );
     drop(places);
     tokio::time::sleep(Duration::from_millis(100)).await;
-    let view = keeper(&daemons).replicas.view();
+    let view = coordinator(&daemons).replicas.view();
     assert_eq!(view.all().map(|replica| replica.load()).sum::<u32>(), 0);
 }
 
@@ -207,11 +207,11 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_silent_keeper_costs_a_request_a_tenth_of_its_objective_and_the_next_ones_nothing() {
+async fn a_silent_coordinator_costs_a_request_a_tenth_of_its_objective_and_the_next_ones_nothing() {
     let daemons = fleet(&NAMES, &NAMES).await;
     let asker = daemons
         .iter()
-        .find(|daemon| !std::ptr::eq(*daemon, keeper(&daemons)))
+        .find(|daemon| !std::ptr::eq(*daemon, coordinator(&daemons)))
         .expect("another daemon");
     let began = Instant::now();
     assert!(enter(asker, None).await.is_none());
@@ -231,7 +231,7 @@
 async fn an_overdue_request_waits_while_others_take_all_slots() {
     let daemons = fleet(&NAMES, &[]).await;
     let prompt = Prompt::default();
-    let overdue = PlaceQuery {
+    let overdue = SlotQuery {
         overdue: true,
         ..query(&prompt, None)
     };
@@ -241,14 +241,14 @@
     }
     for daemon in &daemons {
         let answer = daemon.slots.ask(overdue).await;
-        assert!(matches!(answer, PlaceAnswer::NoRoom), "{answer:?}");
+        assert!(matches!(answer, SlotAnswer::NoRoom), "{answer:?}");
         assert!(enter(daemon, None).await.is_some(), "one that is in time");
     }
     places.truncate(REPLICAS);
     tokio::time::sleep(Duration::from_millis(100)).await;
     for daemon in &daemons {
         let answer = daemon.slots.ask(overdue).await;
-        assert!(matches!(answer, PlaceAnswer::Given { .. }), "{answer:?}");
+        assert!(matches!(answer, SlotAnswer::Given { .. }), "{answer:?}");
     }
 }
 
--- a/crates/inline-jobs/src/book.rs
+++ b/crates/inline-jobs/src/book.rs
@@ -329,7 +329,7 @@
     }
 
     /// Ends the run that holds a place; its item waits for `pause`. Returns the item.
-    pub fn yield_place(&mut self, place: u32, pause: Duration) -> Option<YieldedItem> {
+    pub fn yield_lease(&mut self, place: u32, pause: Duration) -> Option<YieldedItem> {
         let run = self.runs_where(|at| at.place == place).pop()?;
         Some(run.yield_for(pause))
     }
--- a/crates/inline-jobs/src/pacing.rs
+++ b/crates/inline-jobs/src/pacing.rs
@@ -1,6 +1,6 @@
 //! How urgent items are, and how fast they are started: as gently as their jobs' targets allow.
 //!
-//! Why: an online request that finds no slot takes one that an item holds (`serving::Places`), and an item that gave
+//! Why: an online request that finds no slot takes one that an item holds (`serving::SlotLeases`), and an item that gave
 //! its slot up goes on elsewhere for the price of reading its prompt again. So items fill what is free; starts are
 //! spread, because an item's prompt holds up the tokens of all requests beside it while it is read.
 
--- a/crates/inline-jobs/src/quota.rs
+++ b/crates/inline-jobs/src/quota.rs
@@ -1,9 +1,9 @@
-//! A job's tokens: asked of the keeper of the route's quota, whom the store names, or of this daemon after it has
-//! made itself the keeper.
+//! A job's tokens: asked of the coordinator of the route's quota, whom the store names, or of this daemon after it has
+//! made itself the coordinator.
 //!
 //! Why not estimates by datagram: daemons that do not hear of each other, or of a write that is done seconds later,
 //! would exceed the quota together. Why not a count in the store: all jobs of a route would wait for each other there.
-//! Here the store is asked once for each change of the keeper, and each job's own transaction carries one more
+//! Here the store is asked once for each change of the coordinator, and each job's own transaction carries one more
 //! condition.
 
 use std::time::Duration;
@@ -18,16 +18,16 @@
 use crate::service::InlineJobs;
 use crate::store::{FenceOutcome, KnownFence};
 
-/// Age of the last proof of contact from which on a keeper cannot tell what waits.
+/// Age of the last proof of contact from which on a coordinator cannot tell what waits.
 const PROOF_TOO_OLD: Duration = Duration::from_millis(2_000);
 
-/// How long a keeper that reads what waits is waited for.
+/// How long a coordinator that reads what waits is waited for.
 const READING_PATIENCE: Duration = Duration::from_millis(800);
 
-/// How long a new keeper that cannot be asked is left to keep jobs of its own.
+/// How long a new coordinator that cannot be asked is left to keep jobs of its own.
 const LEAST_TENURE: Duration = Duration::from_millis(600);
 
-/// Pauses before the keeper is asked again, milliseconds.
+/// Pauses before the coordinator is asked again, milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 10..35;
 
 /// What became of a job's tokens.
@@ -40,7 +40,7 @@
     },
     /// The job does not fit.
     Full,
-    /// The keeper could not be asked, and the fence could not be written.
+    /// The coordinator could not be asked, and the fence could not be written.
     Unreachable,
 }
 
@@ -59,27 +59,32 @@
         while Instant::now() < until {
             let fence = self.inner.view.fence(request.route);
             let outcome = match &fence {
-                None => QuotaOutcome::NotKeeper,
-                Some(known) if known.keeper == self.inner.life => {
+                None => QuotaOutcome::NotCoordinator,
+                Some(known) if known.coordinator == self.inner.life => {
                     let answer = self.answer_quota(request);
                     if let (QuotaOutcome::Granted, fence) = answer {
                         return Reservation::Granted { fence: Some(fence) };
                     }
                     answer.0
                 }
-                Some(known) => match self.inner.peers.ask_quota(&known.keeper, request).await {
+                Some(known) => match self
+                    .inner
+                    .peers
+                    .ask_quota(&known.coordinator, request)
+                    .await
+                {
                     Some((QuotaOutcome::Granted, fence)) => {
                         return Reservation::Granted { fence: Some(fence) };
                     }
                     Some((outcome, _)) => outcome,
-                    None => QuotaOutcome::NotKeeper,
+                    None => QuotaOutcome::NotCoordinator,
                 },
             };
             match outcome {
                 QuotaOutcome::Full => return Reservation::Full,
                 QuotaOutcome::Wait if began.elapsed() < READING_PATIENCE => {}
                 _ if self.is_new(request.route, fence.as_ref()) => {}
-                _ => self.keep_quota(request.route, fence, until).await,
+                _ => self.coordinate_quota(request.route, fence, until).await,
             }
             let pause = rand::rng().random_range(PAUSE_MS);
             sleep(Duration::from_millis(pause)).await;
@@ -90,12 +95,12 @@
     /// True if another daemon wrote the fence just now: daemons that do not hear of each other would else take the
     /// quota from each other before any of them has kept a job.
     fn is_new(&self, route: &str, fence: Option<&KnownFence>) -> bool {
-        let of_other = fence.is_some_and(|fence| fence.keeper != self.inner.life);
+        let of_other = fence.is_some_and(|fence| fence.coordinator != self.inner.life);
         let age = self.inner.view.fence_age(route);
         of_other && age.is_some_and(|age| age < LEAST_TENURE)
     }
 
-    /// Decides a job's tokens as the keeper, for this daemon or a peer. Returns the fence of a grant, else 0.
+    /// Decides a job's tokens as the coordinator, for this daemon or a peer. Returns the fence of a grant, else 0.
     pub fn answer_quota(&self, request: QuotaRequest<'_>) -> (QuotaOutcome, u64) {
         let view = &self.inner.view;
         let routes = self.inner.forwarder.routes();
@@ -103,12 +108,12 @@
             .as_ref()
             .and_then(|routes| routes.configuration.route(request.route));
         let own = view.fence(request.route);
-        let Some(own) = own.filter(|fence| fence.keeper == self.inner.life) else {
-            return (QuotaOutcome::NotKeeper, 0);
+        let Some(own) = own.filter(|fence| fence.coordinator == self.inner.life) else {
+            return (QuotaOutcome::NotCoordinator, 0);
         };
         let fresh = view.proof_age().is_some_and(|age| age < PROOF_TOO_OLD);
         let Some(route) = route.filter(|_| fresh && !self.is_stopping()) else {
-            return (QuotaOutcome::NotKeeper, 0);
+            return (QuotaOutcome::NotCoordinator, 0);
         };
         let mut book = self.quotas();
         if book.fence(request.route) != Some(own.revision) {
@@ -122,7 +127,7 @@
         match book.decide(request, count, Instant::now()) {
             QuotaDecision::Granted { fence } => (QuotaOutcome::Granted, fence),
             QuotaDecision::Full => (QuotaOutcome::Full, 0),
-            QuotaDecision::NotKept => (QuotaOutcome::NotKeeper, 0),
+            QuotaDecision::NotKept => (QuotaOutcome::NotCoordinator, 0),
         }
     }
 
@@ -133,15 +138,15 @@
 
     pub(crate) fn return_quota(&self, request: QuotaRequest<'_>) {
         match self.inner.view.fence(request.route) {
-            Some(fence) if fence.keeper != self.inner.life => {
-                self.inner.peers.return_quota(&fence.keeper, request);
+            Some(fence) if fence.coordinator != self.inner.life => {
+                self.inner.peers.return_quota(&fence.coordinator, request);
             }
             _ => self.give_back_quota(request),
         }
     }
 
-    /// Makes this daemon the keeper of a route's quota, unless another one is faster.
-    async fn keep_quota(&self, route: &str, known: Option<KnownFence>, until: Instant) {
+    /// Makes this daemon the coordinator of a route's quota, unless another one is faster.
+    async fn coordinate_quota(&self, route: &str, known: Option<KnownFence>, until: Instant) {
         let _one_at_a_time = self.inner.fencing.lock().await;
         let newest = self.inner.view.fence(route);
         if newest.as_ref().map(|fence| fence.revision) != known.as_ref().map(|fence| fence.revision)
@@ -150,7 +155,7 @@
         }
         let row = QuotaFenceRow {
             route: route.to_owned(),
-            keeper: self.inner.life.clone(),
+            coordinator: self.inner.life.clone(),
         };
         let written = self
             .inner
@@ -159,7 +164,7 @@
             .await;
         let fence = match written {
             FenceOutcome::Written { revision } => KnownFence {
-                keeper: row.keeper,
+                coordinator: row.coordinator,
                 revision,
             },
             FenceOutcome::Other(other) => {
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -297,8 +297,8 @@
     }
 
     /// The item that holds a place shall end at once.
-    pub fn yield_place(&self, place: u32) {
-        let ended = self.book().yield_place(place, YIELD_PAUSE);
+    pub fn yield_lease(&self, place: u32) {
+        let ended = self.book().yield_lease(place, YIELD_PAUSE);
         self.log_yielded(ended);
     }
 
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -25,16 +25,16 @@
     /// the others.
     fn owners(&self) -> Option<Vec<String>>;
 
-    /// Asks another daemon, the keeper of a route's quota, for a job's tokens: what became of it, and the fence of a
+    /// Asks another daemon, the coordinator of a route's quota, for a job's tokens: what became of it, and the fence of a
     /// grant. `None` if it does not answer.
     async fn ask_quota(
         &self,
-        keeper: &str,
+        coordinator: &str,
         request: QuotaRequest<'_>,
     ) -> Option<(QuotaOutcome, u64)>;
 
-    /// Tells the keeper that a job will certainly not be kept. Does not wait.
-    fn return_quota(&self, keeper: &str, request: QuotaRequest<'_>);
+    /// Tells the coordinator that a job will certainly not be kept. Does not wait.
+    fn return_quota(&self, coordinator: &str, request: QuotaRequest<'_>);
 }
 
 /// Bounds of the jobs.
--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -62,7 +62,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KnownFence {
     /// Life of the daemon that keeps the quota.
-    pub keeper: String,
+    pub coordinator: String,
     /// Revision.
     pub revision: u64,
 }
@@ -119,7 +119,7 @@
 fn known_fence(row: &Row) -> Option<KnownFence> {
     let fence: QuotaFenceRow = decode(&row.value)?;
     Some(KnownFence {
-        keeper: fence.keeper,
+        coordinator: fence.coordinator,
         revision: row.revision,
     })
 }
@@ -257,7 +257,7 @@
             // Own writes whose answers were lost are met again this way.
             WriteOutcome::Fenced {
                 current: Some(current),
-            } if current.keeper == row.keeper => FenceOutcome::Written {
+            } if current.coordinator == row.coordinator => FenceOutcome::Written {
                 revision: current.revision,
             },
             WriteOutcome::Fenced {
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -100,7 +100,7 @@
                     self.learn(current);
                     return SubmitOutcome::Accepted;
                 }
-                // What was granted comes to nothing; a new keeper is asked.
+                // What was granted comes to nothing; a new coordinator is asked.
                 WriteOutcome::Fenced { current } => {
                     if let Some(current) = current {
                         self.inner.view.take_fence(&route.name, current);
--- a/crates/inline-jobs/src/view.rs
+++ b/crates/inline-jobs/src/view.rs
@@ -127,7 +127,7 @@
     pub fn take_fence_row(&self, value: &Bytes, revision: u64) {
         if let Some(row) = decode::<QuotaFenceRow>(value) {
             let fence = KnownFence {
-                keeper: row.keeper,
+                coordinator: row.coordinator,
                 revision,
             };
             self.take_fence(&row.route, fence);
--- a/crates/inline-jobs/tests/quota_book.rs
+++ b/crates/inline-jobs/tests/quota_book.rs
@@ -1,4 +1,4 @@
-//! Keepers that follow each other, writes that are done late or never, and views that lag: the quota holds.
+//! Coordinators that follow each other, writes that are done late or never, and views that lag: the quota holds.
 
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
@@ -13,7 +13,7 @@
 
 #[derive(Debug, Clone)]
 enum Event {
-    /// A daemon makes itself the keeper and reads all heads.
+    /// A daemon makes itself the coordinator and reads all heads.
     Fence { daemon: usize },
     /// A job asks a daemon that may or may not know that it keeps the quota no longer.
     Ask { daemon: usize, job: u8, tokens: u64 },
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use rand::seq::index;
 
-use crate::places::HeldPlace;
+use crate::leases::SlotLease;
 use crate::policy::{Mechanism, Policy};
 use crate::profile::PromptLength;
 use crate::prompt::Prompt;
@@ -16,8 +16,8 @@
 /// Who chose a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChosenBy {
-    /// The keeper of the replica's places.
-    Keeper,
+    /// The coordinator of the replica's places.
+    Coordinator,
     /// The daemon that sends the request.
     Sender,
 }
@@ -26,7 +26,7 @@
     /// Name in the log.
     pub fn name(self) -> &'static str {
         match self {
-            Self::Keeper => "keeper",
+            Self::Coordinator => "coordinator",
             Self::Sender => "sender",
         }
     }
@@ -58,7 +58,7 @@
     }
 
     /// Counts the request at the replica, in a place that is held.
-    pub fn enter(self, class: WorkClass, place: HeldPlace) -> Placement {
+    pub fn enter(self, class: WorkClass, place: SlotLease) -> Placement {
         Placement {
             in_progress: self.replica.enter(class, Some(place)),
             choice: self,
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -54,7 +54,7 @@
 
 /// Load as a replica tells it with an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct LoadWord {
+pub struct ReplicaLoad {
     /// Requests running.
     pub running: u32,
     /// Requests waiting.
@@ -87,7 +87,7 @@
     /// Another replica has the address.
     pub other_replica: bool,
     /// Load of the replica.
-    pub load: Option<LoadWord>,
+    pub load: Option<ReplicaLoad>,
     /// Headers for the caller.
     pub headers: HeaderMap,
     /// The body.
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -11,7 +11,7 @@
 use crate::attempt::{Attempt, AttemptFailure, AttemptTimes, Sending};
 use crate::configuration::Route;
 use crate::exchange::{ReplicaClient, ServingRequest};
-use crate::places::Places;
+use crate::leases::SlotLeases;
 use crate::policy::{Mechanism, Policy};
 use crate::profile::PromptProfiles;
 use crate::relay::Relay;
@@ -55,8 +55,8 @@
     pub replicas: Arc<ReplicaSet>,
     /// Their protocol.
     pub client: Arc<dyn ReplicaClient>,
-    /// Places at the replicas.
-    pub places: Arc<dyn Places>,
+    /// SlotLeases at the replicas.
+    pub places: Arc<dyn SlotLeases>,
     /// The decision log.
     pub log: DecisionLog,
     /// Settings.
@@ -158,7 +158,7 @@
     }
 
     /// Who grants slots.
-    pub fn places(&self) -> &Arc<dyn Places> {
+    pub fn places(&self) -> &Arc<dyn SlotLeases> {
         &self.parts.places
     }
 
--- a/crates/serving/src/places.rs
+++ b/crates/serving/src/leases.rs
@@ -1,4 +1,4 @@
-//! Who gives requests their places at replicas, as the request path sees it.
+//! Who gives requests their leases at replicas, as the request path sees it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,16 +10,16 @@
 use crate::prompt::Prompt;
 use crate::replica::{Replica, WorkClass};
 
-/// What a batch item adds to a question for a place.
+/// What a batch item adds to a question for a lease.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ItemRoom {
     /// Time until the item must run again if it is ended at once.
     pub slack: Duration,
 }
 
-/// A question for a place.
+/// A question for a lease.
 #[derive(Debug, Clone, Copy)]
-pub struct PlaceQuery<'a> {
+pub struct SlotQuery<'a> {
     /// Service.
     pub service: &'a str,
     /// The prompt.
@@ -28,7 +28,7 @@
     pub length: PromptLength,
     /// Replicas not to be used again.
     pub excluded: &'a [String],
-    /// Objective of the request, from which the patience with a keeper follows.
+    /// Objective of the request, from which the patience with a coordinator follows.
     pub objective: Duration,
     /// Set for a batch item.
     pub item: Option<ItemRoom>,
@@ -36,7 +36,7 @@
     pub overdue: bool,
 }
 
-impl PlaceQuery<'_> {
+impl SlotQuery<'_> {
     /// Class of the work.
     pub fn class(&self) -> WorkClass {
         match self.item {
@@ -46,33 +46,33 @@
     }
 }
 
-/// What became of a question for a place.
+/// What became of a question for a lease.
 #[derive(Debug)]
-pub enum PlaceAnswer {
-    /// The keeper gave this place out.
+pub enum SlotAnswer {
+    /// The coordinator gave this lease out.
     Given {
         /// The replica.
         choice: Choice,
-        /// Number of the place.
-        place: u32,
+        /// Number of the lease.
+        lease: u32,
     },
-    /// The keeper has no room now for an item or an overdue request.
+    /// The coordinator has no room now for an item or an overdue request.
     NoRoom,
-    /// No keeper answers: the daemon chooses by what it knows itself.
-    NoKeeper,
+    /// No coordinator answers: the daemon chooses by what it knows itself.
+    NoCoordinator,
 }
 
-/// Gives out places at replicas, and takes them back.
+/// Gives out leases at replicas, and takes them back.
 #[async_trait]
-pub trait Places: Send + Sync {
-    /// Asks the keeper of the replicas for a place.
-    async fn ask(&self, query: PlaceQuery<'_>) -> PlaceAnswer;
+pub trait SlotLeases: Send + Sync {
+    /// Asks the coordinator of the replicas for a lease.
+    async fn ask(&self, query: SlotQuery<'_>) -> SlotAnswer;
 
-    /// A place that this daemon chose itself. Returns its number.
+    /// A lease that this daemon chose itself. Returns its number.
     fn take(&self, replica: &Arc<Replica>, item: Option<ItemRoom>) -> u32;
 
-    /// The place is free again. Does not wait.
-    fn release(&self, place: u32);
+    /// The lease is free again. Does not wait.
+    fn release(&self, lease: u32);
 
     /// True if a coordinator that answers grants the replica's slots: it ends items where online requests need them,
     /// and this daemon need not go by its own estimate of what the others have there.
@@ -82,16 +82,16 @@
     fn free_slot(&self, replica: &Arc<Replica>);
 }
 
-/// A place that is held for as long as this lives.
-pub struct HeldPlace {
-    places: Arc<dyn Places>,
+/// A lease that is held for as long as this lives.
+pub struct SlotLease {
+    leases: Arc<dyn SlotLeases>,
     number: u32,
 }
 
-impl HeldPlace {
-    /// Holds a place that was given out or taken.
-    pub fn new(places: Arc<dyn Places>, number: u32) -> Self {
-        Self { places, number }
+impl SlotLease {
+    /// Holds a lease that was given out or taken.
+    pub fn new(leases: Arc<dyn SlotLeases>, number: u32) -> Self {
+        Self { leases, number }
     }
 
     /// Its number.
@@ -100,16 +100,16 @@
     }
 }
 
-impl Drop for HeldPlace {
+impl Drop for SlotLease {
     fn drop(&mut self) {
-        self.places.release(self.number);
+        self.leases.release(self.number);
     }
 }
 
-impl std::fmt::Debug for HeldPlace {
+impl std::fmt::Debug for SlotLease {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         formatter
-            .debug_tuple("HeldPlace")
+            .debug_tuple("SlotLease")
             .field(&self.number)
             .finish()
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,7 +10,7 @@
 mod events;
 mod exchange;
 mod forwarder;
-mod places;
+mod leases;
 mod placing;
 mod policy;
 mod profile;
@@ -31,11 +31,11 @@
 };
 pub use events::{EventSplitter, StreamEvent};
 pub use exchange::{
-    AnswerBody, BodyError, ExchangeError, LoadWord, ReplicaAnswer, ReplicaClient, ReplicaRequest,
-    ServingRequest,
+    AnswerBody, BodyError, ExchangeError, ReplicaAnswer, ReplicaClient, ReplicaLoad,
+    ReplicaRequest, ServingRequest,
 };
 pub use forwarder::{Forwarder, ForwarderParts, ForwarderSettings, SharedRoutes};
-pub use places::{HeldPlace, ItemRoom, PlaceAnswer, PlaceQuery, Places};
+pub use leases::{ItemRoom, SlotAnswer, SlotLease, SlotLeases, SlotQuery};
 pub use policy::{Mechanism, Policy, UnknownMechanism};
 pub use profile::{PromptLength, PromptProfiles};
 pub use prompt::{Prompt, PromptMemory, PromptPart};
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -1,4 +1,4 @@
-//! A request's place: the keeper's word, or this daemon's own choice where no keeper answers.
+//! A request's place: the coordinator's word, or this daemon's own choice where no coordinator answers.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use crate::choice::{ChoiceQuery, Placement, choose_replica};
 use crate::exchange::ServingRequest;
 use crate::forwarder::Forwarder;
-use crate::places::{HeldPlace, ItemRoom, PlaceAnswer, PlaceQuery};
+use crate::leases::{ItemRoom, SlotAnswer, SlotLease, SlotQuery};
 use crate::policy::Mechanism;
 use crate::profile::PromptLength;
 use crate::replica::WorkClass;
@@ -36,7 +36,7 @@
             None => self.length_of(service, request),
             Some(_) => PromptLength::Alike,
         };
-        let query = PlaceQuery {
+        let query = SlotQuery {
             service,
             prompt: &request.prompt,
             length,
@@ -59,7 +59,7 @@
     ) -> Option<Placement> {
         let until = Instant::now() + longest;
         let pause = (objective / OVERDUE_PAUSE_PART).min(LONGEST_OVERDUE_PAUSE);
-        let mut query = PlaceQuery {
+        let mut query = SlotQuery {
             service,
             prompt: &request.prompt,
             length: self.length_of(service, request),
@@ -74,16 +74,16 @@
                 break;
             }
             match self.places().ask(query).await {
-                PlaceAnswer::NoRoom if Instant::now() < until => {
+                SlotAnswer::NoRoom if Instant::now() < until => {
                     // Not all at the same moment.
                     sleep(pause.mul_f64(rand::random_range(0.75..1.25))).await;
                 }
-                PlaceAnswer::Given { choice, place } => {
+                SlotAnswer::Given { choice, lease } => {
                     self.log_overdue(request, began);
-                    let held = HeldPlace::new(self.places().clone(), place);
+                    let held = SlotLease::new(self.places().clone(), lease);
                     return Some(choice.enter(query.class(), held));
                 }
-                PlaceAnswer::NoRoom | PlaceAnswer::NoKeeper => break,
+                SlotAnswer::NoRoom | SlotAnswer::NoCoordinator => break,
             }
         }
         self.log_overdue(request, began);
@@ -107,18 +107,18 @@
         });
     }
 
-    async fn ask_or_choose(&self, query: PlaceQuery<'_>) -> Option<Placement> {
+    async fn ask_or_choose(&self, query: SlotQuery<'_>) -> Option<Placement> {
         match self.places().ask(query).await {
-            PlaceAnswer::Given { choice, place } => {
-                let held = HeldPlace::new(self.places().clone(), place);
+            SlotAnswer::Given { choice, lease } => {
+                let held = SlotLease::new(self.places().clone(), lease);
                 Some(choice.enter(query.class(), held))
             }
-            PlaceAnswer::NoRoom => None,
-            PlaceAnswer::NoKeeper => self.choose_alone(query),
+            SlotAnswer::NoRoom => None,
+            SlotAnswer::NoCoordinator => self.choose_alone(query),
         }
     }
 
-    fn choose_alone(&self, query: PlaceQuery<'_>) -> Option<Placement> {
+    fn choose_alone(&self, query: SlotQuery<'_>) -> Option<Placement> {
         let view = self.replicas().view();
         let places = self.places();
         let zone = &self.settings().zone;
@@ -143,7 +143,7 @@
             },
         )?;
         let number = places.take(&choice.replica, query.item);
-        let held = HeldPlace::new(Arc::clone(places), number);
+        let held = SlotLease::new(Arc::clone(places), number);
         let replica = choice.replica.clone();
         let placement = choice.enter(query.class(), held);
         let may_preempt = self.policy().has(Mechanism::Preemption);
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -9,14 +9,14 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::exchange::LoadWord;
-use crate::places::HeldPlace;
+use crate::exchange::ReplicaLoad;
+use crate::leases::SlotLease;
 use crate::prompt::{Prompt, PromptMemory};
 use crate::selection::preference_weight;
 use crate::suspicion::Suspicion;
 
 /// How long a replica's own load word is trusted beside the daemons' counts.
-const LOAD_WORD_LIFETIME: Duration = Duration::from_millis(400);
+const REPLICA_LOAD_LIFETIME: Duration = Duration::from_millis(400);
 
 /// How long a replica whose record vanished is still used if its service has no other: records also vanish while
 /// the store is down.
@@ -53,7 +53,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct LoadReport {
-    word: LoadWord,
+    word: ReplicaLoad,
     at: Instant,
     own_then: u32,
 }
@@ -179,7 +179,7 @@
         let Some(report) = *lock(&self.report) else {
             return counted;
         };
-        if report.at.elapsed() > LOAD_WORD_LIFETIME {
+        if report.at.elapsed() > REPLICA_LOAD_LIFETIME {
             return counted;
         }
         let told = report.word.running + report.word.waiting;
@@ -204,7 +204,7 @@
     }
 
     /// Takes the replica's word on its load.
-    pub fn note_load(&self, word: LoadWord) {
+    pub fn note_load(&self, word: ReplicaLoad) {
         let report = LoadReport {
             word,
             at: Instant::now(),
@@ -215,7 +215,7 @@
 
     /// The replica refused a request because it is full.
     pub fn note_full(&self) {
-        let word = LoadWord {
+        let word = ReplicaLoad {
             running: self.slots(),
             waiting: self.slots(),
             slots: self.slots(),
@@ -254,7 +254,7 @@
     }
 
     /// Counts a request for as long as the guard lives, and keeps its place.
-    pub fn enter(self: &Arc<Self>, class: WorkClass, place: Option<HeldPlace>) -> InProgress {
+    pub fn enter(self: &Arc<Self>, class: WorkClass, place: Option<SlotLease>) -> InProgress {
         self.count(class).fetch_add(1, Ordering::Relaxed);
         InProgress {
             replica: self.clone(),
@@ -276,7 +276,7 @@
 pub struct InProgress {
     replica: Arc<Replica>,
     class: WorkClass,
-    place: Option<HeldPlace>,
+    place: Option<SlotLease>,
 }
 
 impl InProgress {
@@ -292,7 +292,7 @@
 
     /// Number of its place.
     pub fn place(&self) -> Option<u32> {
-        self.place.as_ref().map(HeldPlace::number)
+        self.place.as_ref().map(SlotLease::number)
     }
 }
 
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -10,9 +10,10 @@
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
-    Candidate, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, PlaceAnswer,
-    PlaceQuery, Places, Prompt, PromptPart, Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord,
-    ReplicaRequest, ReplicaSet, SelectionCosts, Separation, ServingRequest, cost, reserved_slots,
+    Candidate, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, Prompt,
+    PromptPart, Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet,
+    SelectionCosts, Separation, ServingRequest, SlotAnswer, SlotLeases, SlotQuery, cost,
+    reserved_slots,
 };
 use http::{HeaderMap, Method};
 
@@ -34,17 +35,17 @@
     }
 }
 
-/// Keepers that do not answer; counts the slots asked for and the places held.
+/// Coordinators that do not answer; counts the slots asked for and the places held.
 #[derive(Default)]
-struct NoKeepers {
+struct NoCoordinators {
     asked: AtomicUsize,
     held: AtomicUsize,
 }
 
 #[async_trait]
-impl Places for NoKeepers {
-    async fn ask(&self, _query: PlaceQuery<'_>) -> PlaceAnswer {
-        PlaceAnswer::NoKeeper
+impl SlotLeases for NoCoordinators {
+    async fn ask(&self, _query: SlotQuery<'_>) -> SlotAnswer {
+        SlotAnswer::NoCoordinator
     }
 
     fn take(&self, _replica: &Arc<Replica>, _item: Option<ItemRoom>) -> u32 {
@@ -69,7 +70,7 @@
     forwarder_over(Arc::default())
 }
 
-fn forwarder_over(places: Arc<NoKeepers>) -> Forwarder {
+fn forwarder_over(places: Arc<NoCoordinators>) -> Forwarder {
     let replicas = ReplicaSet::default();
     let records = (0..REPLICAS).map(|number| ReplicaRecord {
         id: format!("replica-{number}"),
@@ -143,7 +144,7 @@
 
 /// Slots that are asked for when a request goes to a replica with so many others of peers.
 async fn slots_asked_for(item: Option<ItemRoom>, online: u32, batch: u32) -> usize {
-    let places = Arc::new(NoKeepers::default());
+    let places = Arc::new(NoCoordinators::default());
     let forwarder = forwarder_over(places.clone());
     for replica in forwarder.replicas().view().all() {
         replica.set_peers(online, batch);
@@ -160,7 +161,8 @@
 }
 
 #[tokio::test]
-async fn without_a_keeper_an_online_request_asks_for_a_slot_where_batch_items_hold_the_last_ones() {
+async fn without_a_coordinator_an_online_request_asks_for_a_slot_where_batch_items_hold_the_last_ones()
+ {
     let item = ItemRoom {
         slack: Duration::from_secs(1),
     };
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -11,9 +11,9 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom,
-    PlaceAnswer, PlaceQuery, Places, Prompt, Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord,
-    ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts,
-    ServingConfiguration, ServingRequest, WeightedService,
+    Prompt, Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet,
+    Reply, Route, RouteKind, RouteTable, SelectionCosts, ServingConfiguration, ServingRequest,
+    SlotAnswer, SlotLeases, SlotQuery, WeightedService,
 };
 use http::{HeaderMap, Method};
 use tokio::time::{Instant, sleep};
@@ -53,23 +53,23 @@
 }
 
 #[async_trait]
-impl Places for Group {
-    async fn ask(&self, query: PlaceQuery<'_>) -> PlaceAnswer {
+impl SlotLeases for Group {
+    async fn ask(&self, query: SlotQuery<'_>) -> SlotAnswer {
         let view = self.replicas.view();
         let mut all = view.all();
         let replica = all.find(|replica| !query.excluded.contains(&replica.record.id));
         let Some(replica) = replica else {
-            return PlaceAnswer::NoKeeper;
+            return SlotAnswer::NoCoordinator;
         };
-        PlaceAnswer::Given {
+        SlotAnswer::Given {
             choice: Choice {
                 replica: replica.clone(),
-                by: ChosenBy::Keeper,
+                by: ChosenBy::Coordinator,
                 load: 1,
                 free_permille: self.free_permille,
                 copy_from: None,
             },
-            place: 1,
+            lease: 1,
         }
     }
 
--- a/crates/slots/src/groups.rs
+++ b/crates/slots/src/groups.rs
@@ -96,13 +96,13 @@
 
 /// The member that coordinates a group: all daemons that know the same members name the same one (rendezvous
 /// hashing).
-pub fn keeper_of<'a>(
+pub fn coordinator_of<'a>(
     service: u32,
     group: GroupId,
     members: impl IntoIterator<Item = &'a str>,
 ) -> Option<&'a str> {
-    let place = u64::from(group.zone) << u32::BITS | u64::from(group.number);
-    let seed = (u64::from(service) << u32::BITS) ^ place;
+    let lease = u64::from(group.zone) << u32::BITS | u64::from(group.number);
+    let seed = (u64::from(service) << u32::BITS) ^ lease;
     members
         .into_iter()
         .max_by_key(|member| xxh3_64_with_seed(member.as_bytes(), seed))
--- a/crates/slots/src/ledger.rs
+++ b/crates/slots/src/ledger.rs
@@ -1,21 +1,21 @@
-//! The places of all other daemons at the replicas that this one keeps.
+//! The leases of all other daemons at the replicas that this one keeps.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use harrierward_wire::{HeldPlace, SlotWord};
+use harrierward_wire::{HeldSlot, SlotReport};
 use tokio::time::Instant;
 
-/// How long a holder's places are believed after its last word.
+/// How long a holder's leases are believed after its last report.
 const HOLDER_LIFETIME: Duration = Duration::from_millis(2_500);
 
-/// How long an item that was told to end may go on before its place counts again: the order may have been lost.
+/// How long an item that was ordered to end may go on before its lease counts again: the order may have been lost.
 const END_PATIENCE: Duration = Duration::from_millis(400);
 
-/// What a place is used for.
+/// What a lease is used for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PlaceUse {
+pub enum SlotUse {
     /// A caller waits.
     Online,
     /// A batch item, which must run again at `due` if it is ended now.
@@ -25,7 +25,7 @@
     },
 }
 
-impl PlaceUse {
+impl SlotUse {
     /// For an item: how long it may rest if it is ended now.
     pub fn slack(&self, now: Instant) -> Option<Duration> {
         match self {
@@ -34,7 +34,7 @@
         }
     }
 
-    fn of(held: &HeldPlace, now: Instant) -> Self {
+    fn of(held: &HeldSlot, now: Instant) -> Self {
         if held.batch {
             let due = now + Duration::from_millis(u64::from(held.slack_ms));
             Self::Batch { due }
@@ -44,30 +44,30 @@
     }
 }
 
-/// Places at one replica.
+/// SlotLeases at one replica.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct PlaceCounts {
+pub struct SlotCounts {
     /// Online requests.
     pub online: u32,
-    /// Batch items that were not told to end.
+    /// Batch items that were not ordered to end.
     pub batch: u32,
 }
 
 /// An item that shall end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EndedPlace {
+pub struct EndingLease {
     /// Where its holder is.
     pub holder: SocketAddr,
     /// Its number there.
-    pub place: u32,
+    pub lease: u32,
     /// How long it may rest.
     pub slack: Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Place {
+struct Lease {
     replica: u32,
-    usage: PlaceUse,
+    usage: SlotUse,
     ending_since: Option<Instant>,
 }
 
@@ -76,26 +76,26 @@
     address: SocketAddr,
     last_whole: u64,
     heard_at: Instant,
-    places: HashMap<u32, Place>,
+    leases: HashMap<u32, Lease>,
 }
 
-/// The places of all other daemons.
+/// The leases of all other daemons.
 #[derive(Debug, Default)]
 pub struct SlotLedger {
     holders: HashMap<u64, Holder>,
-    counts: HashMap<u32, PlaceCounts>,
+    counts: HashMap<u32, SlotCounts>,
     changed: HashSet<u32>,
 }
 
 impl SlotLedger {
-    /// Replica of a place that was given out before.
-    pub fn replica_of(&self, holder: u64, place: u32) -> Option<u32> {
-        let place = self.holders.get(&holder)?.places.get(&place)?;
-        Some(place.replica)
+    /// Replica of a lease that was given out before.
+    pub fn replica_of(&self, holder: u64, lease: u32) -> Option<u32> {
+        let lease = self.holders.get(&holder)?.leases.get(&lease)?;
+        Some(lease.replica)
     }
 
-    /// Places at a replica.
-    pub fn counts(&self, replica: u32) -> PlaceCounts {
+    /// SlotLeases at a replica.
+    pub fn counts(&self, replica: u32) -> SlotCounts {
         self.counts.get(&replica).copied().unwrap_or_default()
     }
 
@@ -104,45 +104,45 @@
         self.changed.drain().collect()
     }
 
-    /// Gives out a place.
+    /// Gives out a lease.
     pub fn grant(
         &mut self,
         holder: u64,
         address: SocketAddr,
         number: u32,
         replica: u32,
-        usage: PlaceUse,
+        usage: SlotUse,
         now: Instant,
     ) {
         self.hear(holder, address, now);
         self.set(holder, number, replica, usage);
     }
 
-    /// Takes a holder's word.
-    pub fn take_word(&mut self, word: &SlotWord, address: SocketAddr, now: Instant) {
-        let holder = word.holder;
+    /// Takes a holder's report.
+    pub fn take_report(&mut self, report: &SlotReport, address: SocketAddr, now: Instant) {
+        let holder = report.holder;
         let known = self.hear(holder, address, now);
-        if let Some(whole) = &word.whole {
+        if let Some(whole) = &report.whole {
             if whole.number <= known.last_whole {
                 return;
             }
             known.last_whole = whole.number;
-            let named: HashSet<u32> = word.held.iter().map(|held| held.place).collect();
-            let over = known.places.keys().copied().filter(|place| {
-                *place < whole.next_place
-                    && !named.contains(place)
-                    && !whole.awaited.contains(place)
+            let named: HashSet<u32> = report.held.iter().map(|held| held.lease).collect();
+            let over = known.leases.keys().copied().filter(|lease| {
+                *lease < whole.next_lease
+                    && !named.contains(lease)
+                    && !whole.awaited.contains(lease)
             });
             let over: Vec<u32> = over.collect();
-            for place in over {
-                self.remove(holder, place);
+            for lease in over {
+                self.remove(holder, lease);
             }
         }
-        for held in &word.held {
+        for held in &report.held {
             self.take_held(holder, held, now);
         }
-        for place in &word.released {
-            self.remove(holder, *place);
+        for lease in &report.released {
+            self.remove(holder, *lease);
         }
     }
 
@@ -156,42 +156,42 @@
             let Some(gone) = self.holders.remove(&holder) else {
                 continue;
             };
-            for place in gone.places.values() {
-                self.count(place, false);
+            for lease in gone.leases.values() {
+                self.count(lease, false);
             }
         }
     }
 
     /// The item at the replica that can best be ended: the one with most time left.
-    pub fn most_slack(&self, replica: u32, now: Instant) -> Option<EndedPlace> {
+    pub fn most_slack(&self, replica: u32, now: Instant) -> Option<EndingLease> {
         let all = self.holders.values().flat_map(|holder| {
-            let places = holder.places.iter();
-            places.map(move |(number, place)| (holder.address, *number, place))
+            let leases = holder.leases.iter();
+            leases.map(move |(number, lease)| (holder.address, *number, lease))
         });
-        let items = all.filter_map(|(holder, number, place)| {
-            let slack = place.usage.slack(now)?;
-            let fits = place.replica == replica && place.ending_since.is_none();
-            fits.then_some(EndedPlace {
+        let items = all.filter_map(|(holder, number, lease)| {
+            let slack = lease.usage.slack(now)?;
+            let fits = lease.replica == replica && lease.ending_since.is_none();
+            fits.then_some(EndingLease {
                 holder,
-                place: number,
+                lease: number,
                 slack,
             })
         });
         items.max_by_key(|item| item.slack)
     }
 
-    /// The item was told to end: its place is free from now on.
-    pub fn note_ending(&mut self, ended: EndedPlace, now: Instant) {
-        let place = self
+    /// The item was ordered to end: its lease is free from now on.
+    pub fn note_ending(&mut self, ended: EndingLease, now: Instant) {
+        let lease = self
             .holders
             .values_mut()
             .filter(|holder| holder.address == ended.holder)
-            .find_map(|holder| holder.places.get_mut(&ended.place));
-        let Some(place) = place.filter(|place| place.ending_since.is_none()) else {
+            .find_map(|holder| holder.leases.get_mut(&ended.lease));
+        let Some(lease) = lease.filter(|lease| lease.ending_since.is_none()) else {
             return;
         };
-        let counted = *place;
-        place.ending_since = Some(now);
+        let counted = *lease;
+        lease.ending_since = Some(now);
         self.count(&counted, false);
     }
 
@@ -200,66 +200,66 @@
             address,
             last_whole: 0,
             heard_at: now,
-            places: HashMap::new(),
+            leases: HashMap::new(),
         });
         known.heard_at = now;
         known
     }
 
-    fn take_held(&mut self, holder: u64, held: &HeldPlace, now: Instant) {
-        let places = self.holders.get_mut(&holder).map(|known| &mut known.places);
-        let known = places.and_then(|places| places.get_mut(&held.place));
+    fn take_held(&mut self, holder: u64, held: &HeldSlot, now: Instant) {
+        let leases = self.holders.get_mut(&holder).map(|known| &mut known.leases);
+        let known = leases.and_then(|leases| leases.get_mut(&held.lease));
         match known {
-            Some(place) if place.replica == held.replica => {
-                let due = place.ending_since;
+            Some(lease) if lease.replica == held.replica => {
+                let due = lease.ending_since;
                 if due.is_some_and(|since| now.saturating_duration_since(since) >= END_PATIENCE) {
-                    place.ending_since = None;
-                    let counted = *place;
+                    lease.ending_since = None;
+                    let counted = *lease;
                     self.count(&counted, true);
                 }
             }
-            _ => self.set(holder, held.place, held.replica, PlaceUse::of(held, now)),
+            _ => self.set(holder, held.lease, held.replica, SlotUse::of(held, now)),
         }
     }
 
-    fn set(&mut self, holder: u64, number: u32, replica: u32, usage: PlaceUse) {
+    fn set(&mut self, holder: u64, number: u32, replica: u32, usage: SlotUse) {
         self.remove(holder, number);
-        let place = Place {
+        let lease = Lease {
             replica,
             usage,
             ending_since: None,
         };
         if let Some(known) = self.holders.get_mut(&holder) {
-            known.places.insert(number, place);
-            self.count(&place, true);
+            known.leases.insert(number, lease);
+            self.count(&lease, true);
         }
     }
 
     fn remove(&mut self, holder: u64, number: u32) {
-        let places = self.holders.get_mut(&holder).map(|known| &mut known.places);
-        if let Some(place) = places.and_then(|places| places.remove(&number)) {
-            self.count(&place, false);
+        let leases = self.holders.get_mut(&holder).map(|known| &mut known.leases);
+        if let Some(lease) = leases.and_then(|leases| leases.remove(&number)) {
+            self.count(&lease, false);
         }
     }
 
-    /// Counts a place in or out; one whose item was told to end is out already.
-    fn count(&mut self, place: &Place, enters: bool) {
-        if place.ending_since.is_some() {
+    /// Counts a lease in or out; one whose item was ordered to end is out already.
+    fn count(&mut self, lease: &Lease, enters: bool) {
+        if lease.ending_since.is_some() {
             return;
         }
-        let counts = self.counts.entry(place.replica).or_default();
-        let count = match place.usage {
-            PlaceUse::Online => &mut counts.online,
-            PlaceUse::Batch { .. } => &mut counts.batch,
+        let counts = self.counts.entry(lease.replica).or_default();
+        let count = match lease.usage {
+            SlotUse::Online => &mut counts.online,
+            SlotUse::Batch { .. } => &mut counts.batch,
         };
         *count = if enters {
             *count + 1
         } else {
             count.saturating_sub(1)
         };
-        if *counts == PlaceCounts::default() {
-            self.counts.remove(&place.replica);
+        if *counts == SlotCounts::default() {
+            self.counts.remove(&lease.replica);
         }
-        self.changed.insert(place.replica);
+        self.changed.insert(lease.replica);
     }
 }
--- a/crates/slots/tests/ledger.rs
+++ b/crates/slots/tests/ledger.rs
@@ -1,13 +1,13 @@
-//! What a keeper knows of the places at its replicas.
+//! What a coordinator knows of the leases at its replicas.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use harrierward_slots::{
-    GroupId, GroupLayout, HeldPlaces, PlaceCounts, PlaceUse, SlotLedger, keeper_of,
+    GroupId, GroupLayout, HeldSlots, SlotCounts, SlotLedger, SlotUse, coordinator_of,
 };
-use harrierward_wire::SlotWord;
+use harrierward_wire::SlotReport;
 use proptest::prelude::*;
 use tokio::time::Instant;
 
@@ -23,52 +23,52 @@
     Duration::from_millis(value)
 }
 
-fn item(now: Instant, slack_ms: u64) -> PlaceUse {
-    PlaceUse::Batch {
+fn item(now: Instant, slack_ms: u64) -> SlotUse {
+    SlotUse::Batch {
         due: now + millis(slack_ms),
     }
 }
 
-fn counts(online: u32, batch: u32) -> PlaceCounts {
-    PlaceCounts { online, batch }
+fn counts(online: u32, batch: u32) -> SlotCounts {
+    SlotCounts { online, batch }
 }
 
 #[test]
 fn a_place_counts_until_it_is_given_back_and_once_however_often_it_is_told() {
     let now = Instant::now();
     let mut ledger = SlotLedger::default();
-    ledger.grant(HOLDER, address(1), 1, REPLICA, PlaceUse::Online, now);
+    ledger.grant(HOLDER, address(1), 1, REPLICA, SlotUse::Online, now);
     ledger.grant(HOLDER, address(1), 2, REPLICA, item(now, 100), now);
     assert_eq!(ledger.replica_of(HOLDER, 1), Some(REPLICA));
-    let mut held = HeldPlaces::default();
+    let mut held = HeldSlots::default();
     for _ in 0..2 {
-        let place = held.next_number();
-        held.take(place, REPLICA, PlaceUse::Online);
+        let lease = held.next_number();
+        held.take(lease, REPLICA, SlotUse::Online);
     }
     assert_eq!(ledger.counts(REPLICA), counts(1, 1));
-    let released = SlotWord {
+    let released = SlotReport {
         holder: HOLDER,
         released: vec![1],
-        ..SlotWord::default()
+        ..SlotReport::default()
     };
-    ledger.take_word(&released, address(1), now);
-    ledger.take_word(&released, address(1), now);
+    ledger.take_report(&released, address(1), now);
+    ledger.take_report(&released, address(1), now);
     assert_eq!(ledger.counts(REPLICA), counts(0, 1));
 }
 
 #[test]
-fn a_keeper_that_has_just_begun_learns_all_places_from_one_word() {
+fn a_coordinator_that_has_just_begun_learns_all_places_from_one_word() {
     let now = Instant::now();
-    let mut held = HeldPlaces::default();
-    for usage in [PlaceUse::Online, item(now, 500)] {
-        let place = held.next_number();
-        held.take(place, REPLICA, usage);
+    let mut held = HeldSlots::default();
+    for usage in [SlotUse::Online, item(now, 500)] {
+        let lease = held.next_number();
+        held.take(lease, REPLICA, usage);
     }
     let elsewhere = held.next_number();
-    held.take(elsewhere, OTHER_REPLICA, PlaceUse::Online);
-    let word = held.whole_word(HOLDER, now, |replica| replica == REPLICA);
+    held.take(elsewhere, OTHER_REPLICA, SlotUse::Online);
+    let report = held.whole_report(HOLDER, now, |replica| replica == REPLICA);
     let mut ledger = SlotLedger::default();
-    ledger.take_word(&word, address(1), now);
+    ledger.take_report(&report, address(1), now);
     assert_eq!(ledger.counts(REPLICA), counts(1, 1));
     assert_eq!(ledger.counts(OTHER_REPLICA), counts(0, 0));
 }
@@ -76,20 +76,20 @@
 #[test]
 fn a_place_whose_answer_is_still_under_way_stays_and_one_that_was_given_up_goes() {
     let now = Instant::now();
-    let mut held = HeldPlaces::default();
+    let mut held = HeldSlots::default();
     let awaited = held.next_number();
     held.wait_for(awaited);
     let given_up = held.next_number();
     held.wait_for(given_up);
     held.stop_waiting(given_up);
     let mut ledger = SlotLedger::default();
-    for place in [awaited, given_up] {
-        ledger.grant(HOLDER, address(1), place, REPLICA, PlaceUse::Online, now);
+    for lease in [awaited, given_up] {
+        ledger.grant(HOLDER, address(1), lease, REPLICA, SlotUse::Online, now);
     }
-    let word = held.whole_word(HOLDER, now, |_| true);
+    let report = held.whole_report(HOLDER, now, |_| true);
     let later = held.next_number();
-    ledger.grant(HOLDER, address(1), later, REPLICA, PlaceUse::Online, now);
-    ledger.take_word(&word, address(1), now);
+    ledger.grant(HOLDER, address(1), later, REPLICA, SlotUse::Online, now);
+    ledger.take_report(&report, address(1), now);
     assert_eq!(ledger.replica_of(HOLDER, awaited), Some(REPLICA));
     assert_eq!(ledger.replica_of(HOLDER, given_up), None);
     assert_eq!(ledger.replica_of(HOLDER, later), Some(REPLICA));
@@ -104,21 +104,21 @@
     ledger.grant(8, address(2), 1, REPLICA, item(now, 900), now);
     ledger.grant(9, address(3), 1, OTHER_REPLICA, item(now, 5_000), now);
     let ended = ledger.most_slack(REPLICA, now).expect("an item");
-    assert_eq!((ended.holder, ended.place), (address(2), 1));
+    assert_eq!((ended.holder, ended.lease), (address(2), 1));
     ledger.note_ending(ended, now);
     ledger.note_ending(ended, now);
     assert_eq!(ledger.counts(REPLICA), counts(0, 1));
     let next = ledger.most_slack(REPLICA, now).expect("the other one");
     assert_eq!(next.holder, address(1));
 
-    let mut held = HeldPlaces::default();
-    let place = held.next_number();
-    held.take(place, REPLICA, item(now, 900));
-    let early = held.whole_word(8, now, |_| true);
-    ledger.take_word(&early, address(2), now + millis(100));
+    let mut held = HeldSlots::default();
+    let lease = held.next_number();
+    held.take(lease, REPLICA, item(now, 900));
+    let early = held.whole_report(8, now, |_| true);
+    ledger.take_report(&early, address(2), now + millis(100));
     assert_eq!(ledger.counts(REPLICA), counts(0, 1), "it is just ending");
-    let late = held.whole_word(8, now, |_| true);
-    ledger.take_word(&late, address(2), now + millis(600));
+    let late = held.whole_report(8, now, |_| true);
+    ledger.take_report(&late, address(2), now + millis(600));
     assert_eq!(ledger.counts(REPLICA), counts(0, 2), "the order was lost");
 }
 
@@ -126,7 +126,7 @@
 fn a_holder_that_falls_silent_is_forgotten() {
     let now = Instant::now();
     let mut ledger = SlotLedger::default();
-    ledger.grant(HOLDER, address(1), 1, REPLICA, PlaceUse::Online, now);
+    ledger.grant(HOLDER, address(1), 1, REPLICA, SlotUse::Online, now);
     ledger.take_changed();
     ledger.expire(now + millis(2_000));
     assert_eq!(ledger.counts(REPLICA), counts(1, 0));
@@ -136,19 +136,22 @@
 }
 
 #[test]
-fn all_daemons_name_the_same_keeper() {
+fn all_daemons_name_the_same_coordinator() {
     let members: Vec<String> = (0..71).map(|number| format!("front-{number}")).collect();
     let mut reversed: Vec<&str> = members.iter().map(String::as_str).collect();
     reversed.reverse();
-    let keepers: HashSet<&str> = (0..8)
+    let coordinators: HashSet<&str> = (0..8)
         .map(|number| {
             let group = GroupId { zone: 0, number };
-            let keeper = keeper_of(5, group, members.iter().map(String::as_str));
-            assert_eq!(keeper, keeper_of(5, group, reversed.iter().copied()));
-            keeper.expect("a keeper")
+            let coordinator = coordinator_of(5, group, members.iter().map(String::as_str));
+            assert_eq!(
+                coordinator,
+                coordinator_of(5, group, reversed.iter().copied())
+            );
+            coordinator.expect("a coordinator")
         })
         .collect();
-    assert!(keepers.len() >= 5, "{keepers:?}");
+    assert!(coordinators.len() >= 5, "{coordinators:?}");
 }
 
 /// Groups of a layout, and how many replicas each one has; replicas are spread evenly over the zones.
@@ -197,14 +200,14 @@
 /// What a holder does, and what becomes of the datagram that tells of it.
 #[derive(Debug, Clone)]
 enum Event {
-    /// Asks, and is given a place; the answer may be lost, and then the place is given up without a word.
+    /// Asks, and is given a lease; the answer may be lost, and then the lease is given up without a report.
     Ask { replica: u32, answered: bool },
-    /// Chooses by itself; the word of it may be lost.
-    Take { replica: u32, told: bool },
-    /// Gives a place back; the word of it may be lost.
-    Release { pick: usize, told: bool },
-    /// A whole word, lost or not.
-    Whole { told: bool },
+    /// Chooses by itself; the report of it may be lost.
+    Take { replica: u32, reported: bool },
+    /// Gives a lease back; the report of it may be lost.
+    Release { pick: usize, reported: bool },
+    /// A whole report, lost or not.
+    Whole { reported: bool },
 }
 
 fn events() -> impl Strategy<Value = Vec<Event>> {
@@ -212,71 +215,72 @@
     let event = prop_oneof![
         (replica.clone(), any::<bool>())
             .prop_map(|(replica, answered)| Event::Ask { replica, answered }),
-        (replica, any::<bool>()).prop_map(|(replica, told)| Event::Take { replica, told }),
-        (any::<usize>(), any::<bool>()).prop_map(|(pick, told)| Event::Release { pick, told }),
-        any::<bool>().prop_map(|told| Event::Whole { told }),
+        (replica, any::<bool>()).prop_map(|(replica, reported)| Event::Take { replica, reported }),
+        (any::<usize>(), any::<bool>())
+            .prop_map(|(pick, reported)| Event::Release { pick, reported }),
+        any::<bool>().prop_map(|reported| Event::Whole { reported }),
     ];
     proptest::collection::vec(event, 0..60)
 }
 
 proptest! {
     #[test]
-    fn after_a_whole_word_the_counts_are_those_of_the_holder_whatever_was_lost(events in events()) {
+    fn after_a_whole_report_the_counts_are_those_of_the_holder_whatever_was_lost(events in events()) {
         let now = Instant::now();
-        let mut held = HeldPlaces::default();
+        let mut held = HeldSlots::default();
         let mut truth: BTreeMap<u32, u32> = BTreeMap::new();
         let mut ledger = SlotLedger::default();
         for event in events {
             match event {
                 Event::Ask { replica, answered } => {
-                    let place = held.next_number();
-                    held.wait_for(place);
-                    ledger.grant(HOLDER, address(1), place, replica, PlaceUse::Online, now);
-                    held.stop_waiting(place);
+                    let lease = held.next_number();
+                    held.wait_for(lease);
+                    ledger.grant(HOLDER, address(1), lease, replica, SlotUse::Online, now);
+                    held.stop_waiting(lease);
                     if answered {
-                        held.take(place, replica, PlaceUse::Online);
-                        truth.insert(place, replica);
+                        held.take(lease, replica, SlotUse::Online);
+                        truth.insert(lease, replica);
                     }
                 }
-                Event::Take { replica, told } => {
-                    let place = held.next_number();
-                    held.take(place, replica, PlaceUse::Online);
-                    truth.insert(place, replica);
-                    let word = SlotWord {
+                Event::Take { replica, reported } => {
+                    let lease = held.next_number();
+                    held.take(lease, replica, SlotUse::Online);
+                    truth.insert(lease, replica);
+                    let report = SlotReport {
                         holder: HOLDER,
-                        held: held.describe(place, now).into_iter().collect(),
-                        ..SlotWord::default()
+                        held: held.describe(lease, now).into_iter().collect(),
+                        ..SlotReport::default()
                     };
-                    if told {
-                        ledger.take_word(&word, address(1), now);
+                    if reported {
+                        ledger.take_report(&report, address(1), now);
                     }
                 }
-                Event::Release { pick, told } => {
-                    let places: Vec<u32> = truth.keys().copied().collect();
-                    let Some(place) = places.get(pick % places.len().max(1)).copied() else {
+                Event::Release { pick, reported } => {
+                    let leases: Vec<u32> = truth.keys().copied().collect();
+                    let Some(lease) = leases.get(pick % leases.len().max(1)).copied() else {
                         continue;
                     };
-                    truth.remove(&place);
-                    held.release(place);
-                    let word = SlotWord {
+                    truth.remove(&lease);
+                    held.release(lease);
+                    let report = SlotReport {
                         holder: HOLDER,
-                        released: vec![place],
-                        ..SlotWord::default()
+                        released: vec![lease],
+                        ..SlotReport::default()
                     };
-                    if told {
-                        ledger.take_word(&word, address(1), now);
+                    if reported {
+                        ledger.take_report(&report, address(1), now);
                     }
                 }
-                Event::Whole { told } => {
-                    let word = held.whole_word(HOLDER, now, |_| true);
-                    if told {
-                        ledger.take_word(&word, address(1), now);
+                Event::Whole { reported } => {
+                    let report = held.whole_report(HOLDER, now, |_| true);
+                    if reported {
+                        ledger.take_report(&report, address(1), now);
                     }
                 }
             }
         }
-        let word = held.whole_word(HOLDER, now, |_| true);
-        ledger.take_word(&word, address(1), now);
+        let report = held.whole_report(HOLDER, now, |_| true);
+        ledger.take_report(&report, address(1), now);
         let mut wanted: HashMap<u32, u32> = HashMap::new();
         for replica in truth.values() {
             *wanted.entry(*replica).or_default() += 1;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -34,7 +34,7 @@
     RunningItem, peer_reply, peer_request,
 };
 pub use quota::{QuotaAnswer, QuotaAsk, QuotaFenceRow, QuotaOutcome};
-pub use slots::{HeldPlace, ItemPlaceAsk, SlotAsk, SlotGrant, SlotWord, WholeWord};
+pub use slots::{HeldSlot, ItemSlotAsk, SlotAsk, SlotGrant, SlotReport, WholeReport};
 
 /// Reads a message; `None` if the bytes are not one.
 pub fn decode<M: prost::Message + Default>(bytes: &[u8]) -> Option<M> {
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -229,9 +229,9 @@
     /// Slots wanted.
     #[prost(uint32, tag = "2")]
     pub slots: u32,
-    /// Number, at the receiver, of the place whose item shall end; 0 for any item at the replica.
+    /// Number, at the receiver, of the lease whose item shall end; 0 for any item at the replica.
     #[prost(uint32, tag = "3")]
-    pub place: u32,
+    pub lease: u32,
 }
 
 /// Any datagram between daemons.
@@ -268,9 +268,9 @@
         /// It may go there.
         #[prost(message, tag = "7")]
         SlotGrant(crate::SlotGrant),
-        /// Places held and given back.
+        /// Slots held and given back.
         #[prost(message, tag = "8")]
-        SlotWord(crate::SlotWord),
+        SlotReport(crate::SlotReport),
         /// A job wants its tokens of a quota.
         #[prost(message, tag = "9")]
         QuotaAsk(crate::QuotaAsk),
--- a/crates/wire/src/quota.rs
+++ b/crates/wire/src/quota.rs
@@ -1,7 +1,7 @@
-//! The keeper of a route's quota: its fence in the store, and the datagrams by which jobs get their share.
+//! The coordinator of a route's quota: its fence in the store, and the datagrams by which jobs get their share.
 
 /// Who keeps the quota of a route. It lies in each partition of the jobs' heads; a job is kept only under the
-/// revision of this row, so that what an earlier keeper granted comes to nothing.
+/// revision of this row, so that what an earlier coordinator granted comes to nothing.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct QuotaFenceRow {
     /// Route.
@@ -9,7 +9,7 @@
     pub route: String,
     /// Life of the daemon that keeps the quota.
     #[prost(string, tag = "2")]
-    pub keeper: String,
+    pub coordinator: String,
 }
 
 /// A job wants its tokens.
@@ -32,7 +32,7 @@
     pub returned: bool,
 }
 
-/// A keeper's answer.
+/// A coordinator's answer.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct QuotaAnswer {
     /// Number of the question at the asker.
@@ -51,11 +51,11 @@
 #[repr(i32)]
 pub enum QuotaOutcome {
     /// The receiver does not keep the quota, or cannot tell what waits.
-    NotKeeper = 0,
+    NotCoordinator = 0,
     /// The tokens are the job's.
     Granted = 1,
     /// The job does not fit.
     Full = 2,
-    /// The receiver has just become the keeper and reads what waits.
+    /// The receiver has just become the coordinator and reads what waits.
     Wait = 3,
 }
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -1,16 +1,16 @@
-//! Datagrams by which daemons ask a replica's slot keeper for a place, and tell it what they hold.
+//! Datagrams by which daemons ask a replica's slot coordinator for a lease, and tell it what they hold.
 
 use crate::PromptPartRow;
 
-/// Where a request may go: a question to the keeper of a group of replicas.
+/// Where a request may go: a question to the coordinator of a group of replicas.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct SlotAsk {
     /// Hash of the asker's life.
     #[prost(fixed64, tag = "1")]
     pub holder: u64,
-    /// Number of the place at the asker; the same question asked again has the same number.
+    /// Number of the lease at the asker; the same question asked again has the same number.
     #[prost(uint32, tag = "2")]
-    pub place: u32,
+    pub lease: u32,
     /// Hash of the service's name.
     #[prost(fixed32, tag = "3")]
     pub service: u32,
@@ -34,7 +34,7 @@
     pub suspected: Vec<u32>,
     /// Set for a batch item.
     #[prost(message, optional, tag = "10")]
-    pub item: Option<ItemPlaceAsk>,
+    pub item: Option<ItemSlotAsk>,
     /// Set for an online request whose objective has passed.
     #[prost(bool, tag = "11")]
     pub overdue: bool,
@@ -48,25 +48,25 @@
 
 /// What a batch item adds to its question.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct ItemPlaceAsk {
+pub struct ItemSlotAsk {
     /// Time until the item must run again if it is ended now, milliseconds.
     #[prost(uint32, tag = "1")]
     pub slack_ms: u32,
 }
 
-/// A keeper's answer.
+/// A coordinator's answer.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct SlotGrant {
-    /// Number of the place at the asker.
+    /// Number of the lease at the asker.
     #[prost(uint32, tag = "1")]
-    pub place: u32,
+    pub lease: u32,
     /// Hash of the replica's id; 0 if there is none for the request.
     #[prost(fixed32, tag = "2")]
     pub replica: u32,
     /// Hash of the id of a replica from which the prompt's memory is copied; 0 if none.
     #[prost(fixed32, tag = "3")]
     pub copy_from: u32,
-    /// Requests at the replica before this one, as the keeper counts them.
+    /// Requests at the replica before this one, as the coordinator counts them.
     #[prost(uint32, tag = "4")]
     pub load: u32,
     /// Slots of the group that online requests may still take, in thousandths of all its slots.
@@ -74,15 +74,15 @@
     pub free_permille: u32,
     /// The receiver keeps no such group, or does not know its replicas yet.
     #[prost(bool, tag = "6")]
-    pub not_keeper: bool,
+    pub not_coordinator: bool,
 }
 
-/// A place held at a replica.
+/// A lease held at a replica.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct HeldPlace {
-    /// Number of the place at its holder.
+pub struct HeldSlot {
+    /// Number of the lease at its holder.
     #[prost(uint32, tag = "1")]
-    pub place: u32,
+    pub lease: u32,
     /// Hash of the replica's id.
     #[prost(fixed32, tag = "2")]
     pub replica: u32,
@@ -94,33 +94,33 @@
     pub slack_ms: u32,
 }
 
-/// What a daemon tells a keeper of its places.
+/// What a daemon tells a coordinator of its leases.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct SlotWord {
+pub struct SlotReport {
     /// Hash of the holder's life.
     #[prost(fixed64, tag = "1")]
     pub holder: u64,
-    /// Places that were taken or, in a whole word, all places held with this keeper.
+    /// SlotLeases that were taken or, in a whole report, all leases held with this coordinator.
     #[prost(message, repeated, tag = "2")]
-    pub held: Vec<HeldPlace>,
-    /// Places given back.
+    pub held: Vec<HeldSlot>,
+    /// SlotLeases given back.
     #[prost(uint32, repeated, tag = "3")]
     pub released: Vec<u32>,
-    /// Set in a word that names all places.
+    /// Set in a report that names all leases.
     #[prost(message, optional, tag = "4")]
-    pub whole: Option<WholeWord>,
+    pub whole: Option<WholeReport>,
 }
 
-/// What a word that names all places adds.
+/// What a report that names all leases adds.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct WholeWord {
-    /// Rises with each whole word of the holder.
+pub struct WholeReport {
+    /// Rises with each whole report of the holder.
     #[prost(uint64, tag = "1")]
     pub number: u64,
-    /// Numbers of places from this one on were not given out yet.
+    /// Numbers of leases from this one on were not given out yet.
     #[prost(uint32, tag = "2")]
-    pub next_place: u32,
-    /// Places asked for whose answer has not come.
+    pub next_lease: u32,
+    /// SlotLeases asked for whose answer has not come.
     #[prost(uint32, repeated, tag = "3")]
     pub awaited: Vec<u32>,
 }
