--- a/crates/membership/tests/restart.rs
+++ b/crates/membership/tests/restart.rs
@@ -106,3 +106,28 @@
         );
     }
 }
+
+/// A member that says it cannot reach the store is detached to all within a few probes, and no more once it can.
+#[test]
+fn a_detached_member_is_known_as_such_to_all_until_it_is_attached_again() {
+    let mut fleet = Fleet::new(vec![
+        member("a@1", "10.0.0.1:1"),
+        member("b@1", "10.0.0.2:1"),
+        member("c@1", "10.0.0.3:1"),
+    ]);
+    fleet.join(1, "10.0.0.1:1");
+    fleet.join(2, "10.0.0.1:1");
+    fleet.run(Duration::from_secs(3));
+    let is_detached = |fleet: &Fleet, index: usize| {
+        let view = fleet.members[index].view();
+        view.member("c@1").is_some_and(|member| member.detached)
+    };
+    for detached in [true, false] {
+        fleet.members[2].set_detached(detached);
+        fleet.run(Duration::from_secs(4));
+        for index in 0..3 {
+            assert_eq!(is_detached(&fleet, index), detached, "member {index}");
+            assert!(lives_at(&fleet, index, "c@1"));
+        }
+    }
+}
