Questions for slots look at their own group only; what is known of a replica takes memory as it is used

Per question a daemon looked at every replica of the service for suspicions, for the preferred one and for the group, a coordinator copied the list of all of them, ten times a second all of them got peers' loads, and every 25 ms the runner added up the counts of all. Each replica's memory of prompts took the room for 4,096 parts at once (8 kB touched). Change: replicas by group, indexed once for each view (edge/slots/index.rs); reports follow from the leases held; peers' loads are set where they changed; the runner looks at own items first; the memory of prompts grows with its use. No decision changes. Tests: those of edge, slots, serving, inline-jobs and platform pass; clippy clean.

--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -1,5 +1,6 @@
 //! The other daemons: who lives, and what each has in progress at the replicas.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -66,6 +67,8 @@
     /// The core's view at the last tick: what the rest of the daemon goes by.
     view: Arc<MembershipView>,
     loads: PeerLoads,
+    /// Replicas at which peers had something when their loads were last published.
+    published: HashSet<u32>,
     notices: u64,
     others_since: Option<Instant>,
 }
@@ -123,6 +126,7 @@
             view: Arc::new(core.view()),
             core,
             loads: PeerLoads::default(),
+            published: HashSet::new(),
             notices: 0,
             others_since: None,
         };
@@ -234,7 +238,7 @@
                 datagrams.extend(wrap(actions));
                 self.note_changes(&mut state);
                 if state.loads.heard() > NOTICE_FAN_OUT {
-                    self.publish_loads(&state);
+                    self.publish_loads(&mut state);
                 }
                 if tick.is_multiple_of(NOTICE_TICKS) {
                     datagrams.extend(self.notices(&mut state));
@@ -431,18 +435,22 @@
         }
     }
 
-    fn publish_loads(&self, state: &State) {
+    fn publish_loads(&self, state: &mut State) {
         let peers = state.view.members.len().saturating_sub(1);
         let view = self.replicas.view();
         let sums = state.loads.sums(peers);
-        for replica in view.all() {
-            if self.slots.coordinates(replica) {
+        // Of very many replicas peers have something at a few.
+        let before = std::mem::take(&mut state.published);
+        for hash in before.iter().chain(sums.keys()) {
+            let Some(replica) = view.by_hash(*hash) else {
                 continue;
+            };
+            if !self.slots.coordinates(replica) {
+                let sum = sums.get(hash).copied().unwrap_or_default();
+                replica.set_peers(sum.online, sum.batch);
             }
-            let hash = replica.hash;
-            let sum = sums.get(&hash).copied().unwrap_or_default();
-            replica.set_peers(sum.online, sum.batch);
         }
+        state.published = sums.into_keys().collect();
     }
 }
 
--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -88,21 +88,19 @@
         }
     }
 
+    /// The group of the replica that all daemons prefer for the prompt: of the own zone, if groups lie in zones.
     fn preferred_group(&self, query: &SlotQuery<'_>, layout: &GroupLayout<'_>) -> GroupId {
-        let view = self.replicas.view();
-        let usable = view.listed(query.service).iter().filter(|replica| {
-            !replica.is_draining() && !query.excluded.contains(&replica.record.id)
-        });
-        let stays_near = layout.is_by_zone() && query.length != PromptLength::Long;
-        let is_near = |replica: &Arc<Replica>| replica.zone_hash == self.zone_hash;
-        let part = query.prompt.shared().last().map(|part| part.id);
-        let weight = |replica: &&Arc<Replica>| {
-            let preference = part.map_or_else(rand::random, |part| {
-                preference_weight(part, &replica.record.id)
-            });
-            (stays_near && is_near(replica), preference)
+        let index = self.index();
+        let service = short_hash(query.service);
+        let preferred = if query.length == PromptLength::Long {
+            None
+        } else {
+            let near = layout.in_zone(self.zone_hash);
+            let near = near.flat_map(|group| index.listed(service, group));
+            preferred_of(near, query)
         };
-        let preferred = usable.max_by_key(weight);
+        let preferred =
+            preferred.or_else(|| preferred_of(index.view.listed(query.service).iter(), query));
         preferred.map_or_else(
             || layout.at(0),
             |replica| layout.group_of(replica.hash, replica.zone_hash),
@@ -196,14 +194,11 @@
         group: GroupId,
         lease: u32,
     ) -> SlotAsk {
-        let view = self.replicas.view();
-        let listed = view.listed(query.service).iter();
+        let index = self.index();
+        let listed = index.listed(service, group).iter();
         let suspected = listed.clone().filter(|replica| replica.is_suspected());
-        let layout = layout(&view, query.service, self.costs.policy);
-        let in_group = listed.clone().filter(|replica| {
-            layout.group_of(replica.hash, replica.zone_hash) == group && self.is_connected(replica)
-        });
-        let connected = in_group.map(|replica| replica.hash).take(MOST_CONNECTED);
+        let connected = listed.filter(|replica| self.is_connected(replica));
+        let connected = connected.map(|replica| replica.hash).take(MOST_CONNECTED);
         let parts = query.prompt.parts.iter().map(|part| PromptPartRow {
             id: part.id,
             tokens: part.tokens,
@@ -273,7 +268,7 @@
     }
 
     /// The peer that keeps a replica's leases.
-    fn peer_coordinating(&self, replica: u32) -> Option<SocketAddr> {
+    pub(super) fn peer_coordinating(&self, replica: u32) -> Option<SocketAddr> {
         let view = self.replicas.view();
         let replica = view.by_hash(replica)?;
         let service = short_hash(&replica.record.service);
@@ -363,3 +358,19 @@
     let time = time.min(LONGEST_SLACK);
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
+
+/// Of replicas that take new work and were not tried, the one that all daemons prefer for the prompt; a random one for
+/// a prompt that shares nothing.
+fn preferred_of<'a>(
+    replicas: impl Iterator<Item = &'a Arc<Replica>>,
+    query: &SlotQuery<'_>,
+) -> Option<&'a Arc<Replica>> {
+    let part = query.prompt.shared().last().map(|part| part.id);
+    let usable = replicas
+        .filter(|replica| !replica.is_draining() && !query.excluded.contains(&replica.record.id));
+    usable.max_by_key(|replica| {
+        part.map_or_else(rand::random, |part| {
+            preference_weight(part, &replica.record.id)
+        })
+    })
+}
--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -1,6 +1,6 @@
 //! The groups that this daemon keeps: granting leases, taking the holders' reports, ending items.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +14,7 @@
 use harrierward_wire::{SlotAsk, SlotGrant, SlotReport, YieldRequest, node_datagram::Kind};
 use tokio::time::Instant;
 
+use super::index::GroupIndex;
 use super::{Coordinator, SlotService, class_of, layout, usage_of};
 
 /// Ticks of the membership between two whole reports to a coordinator.
@@ -34,11 +35,9 @@
 impl SlotService {
     /// Chooses a replica of an own group by exact counts.
     fn choose(&self, service: &str, group: GroupId, asker: &Asker<'_>) -> Option<Choice> {
-        let view = self.replicas.view();
-        let layout = layout(&view, service, self.costs.policy);
-        let is_in_group =
-            |replica: &Arc<Replica>| layout.group_of(replica.hash, replica.zone_hash) == group;
-        let usable = view.usable(service).into_iter().filter(is_in_group);
+        let index = self.index();
+        let view = &index.view;
+        let usable = self.usable(&index, service, group);
         let query = ChoiceQuery {
             is_own_zone: &|replica| replica.zone_hash == asker.zone_hash,
             prompt: asker.prompt,
@@ -50,13 +49,30 @@
             is_overdue: asker.is_overdue,
             most_candidates: usize::MAX,
         };
-        let choice = choose_replica(&view, usable.collect(), &self.costs, &query);
+        let choice = choose_replica(view, usable, &self.costs, &query);
         choice.map(|choice| Choice {
             by: ChosenBy::Coordinator,
             ..choice
         })
     }
 
+    /// The replicas of a group that take new work; those that vanished only if the service has no others.
+    fn usable(&self, index: &GroupIndex, service: &str, group: GroupId) -> Vec<Arc<Replica>> {
+        let listed = index.listed(short_hash(service), group).iter();
+        let ready: Vec<Arc<Replica>> = listed
+            .filter(|replica| !replica.is_draining())
+            .cloned()
+            .collect();
+        if !ready.is_empty() {
+            return ready;
+        }
+        let layout = layout(&index.view, service, self.costs.policy);
+        let others = index.view.usable(service).into_iter();
+        others
+            .filter(|replica| layout.group_of(replica.hash, replica.zone_hash) == group)
+            .collect()
+    }
+
     /// A lease for a request of this daemon's own, in a group that it keeps.
     pub(super) fn place_own(&self, query: &SlotQuery<'_>, group: GroupId) -> SlotAnswer {
         let asker = Asker {
@@ -269,34 +285,29 @@
         }
     }
 
+    /// Reports all leases held to their coordinators, and that there are none any more to those who had some.
     fn report_to_coordinators(&self, now: Instant) {
-        let view = self.replicas.view();
-        let mut kept_by: HashMap<SocketAddr, Vec<u32>> = HashMap::new();
-        for replica in view.all() {
-            let service = short_hash(&replica.record.service);
-            let layout = layout(&view, &replica.record.service, self.costs.policy);
-            let group = layout.group_of(replica.hash, replica.zone_hash);
-            if let Coordinator::Peer(peer) = self.coordinator(service, group)
-                && let Some(address) = peer.address
-            {
-                kept_by.entry(address).or_default().push(replica.hash);
+        let held = self.lock().held.replicas();
+        let mut held_with: HashMap<SocketAddr, HashSet<u32>> = HashMap::new();
+        for replica in held {
+            if let Some(address) = self.peer_coordinating(replica) {
+                held_with.entry(address).or_default().insert(replica);
             }
         }
         let mut reports = Vec::new();
         {
             let mut state = self.lock();
-            for (address, replicas) in &kept_by {
-                let report = state
-                    .held
-                    .whole_report(self.holder, now, |replica| replicas.contains(&replica));
-                let before = state.reported.insert(*address, report.held.len());
-                if !report.held.is_empty() || before.is_some_and(|count| count > 0) {
-                    reports.push((*address, report));
+            for address in std::mem::take(&mut state.reported) {
+                held_with.entry(address).or_default();
+            }
+            for (address, replicas) in held_with {
+                let holds = |replica| replicas.contains(&replica);
+                let report = state.held.whole_report(self.holder, now, holds);
+                if !report.held.is_empty() {
+                    state.reported.insert(address);
                 }
+                reports.push((address, report));
             }
-            state
-                .reported
-                .retain(|address, _| kept_by.contains_key(address));
         }
         for (address, report) in reports {
             self.send(Kind::SlotReport(report), address);
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -5,13 +5,14 @@
 
 mod asking;
 mod granting;
+mod index;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use harrierward_decisions::DecisionLog;
 use harrierward_serving::{
     Mechanism, Policy, Replica, ReplicaSet, ReplicaView, SelectionCosts, Suspicion, WorkClass,
@@ -26,6 +27,8 @@
 use crate::calls::DatagramCalls;
 use crate::pool::ConnectionPool;
 
+use index::GroupIndex;
+
 /// A living member that stays, as far as the leases concern it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CoordinatorCandidate {
@@ -64,7 +67,8 @@
     free_permille: HashMap<(u32, GroupId), u32>,
     /// When a group last had no room for an item.
     no_room_at: HashMap<(u32, GroupId), Instant>,
-    reported: HashMap<SocketAddr, usize>,
+    /// Coordinators that the last round of reports told of leases.
+    reported: HashSet<SocketAddr>,
     ticks: u64,
     /// Coordinators by service and group, as they follow from the members.
     coordinators: HashMap<(u32, GroupId), Coordinator>,
@@ -81,6 +85,7 @@
     members: ArcSwap<Vec<CoordinatorCandidate>>,
     yielding: OnceLock<Box<dyn YieldItems>>,
     connections: OnceLock<ConnectionPool>,
+    index: ArcSwapOption<GroupIndex>,
     socket: OnceLock<Arc<UdpSocket>>,
     log: DecisionLog,
     calls: DatagramCalls<SlotGrant>,
@@ -111,6 +116,7 @@
             members: ArcSwap::from_pointee(vec![own]),
             yielding: OnceLock::new(),
             connections: OnceLock::new(),
+            index: ArcSwapOption::empty(),
             socket: OnceLock::new(),
             log,
             calls: DatagramCalls::default(),
@@ -120,7 +126,7 @@
                 silent: HashMap::new(),
                 free_permille: HashMap::new(),
                 no_room_at: HashMap::new(),
-                reported: HashMap::new(),
+                reported: HashSet::new(),
                 ticks: 0,
                 coordinators: HashMap::new(),
             }),
@@ -192,6 +198,19 @@
         })
     }
 
+    /// The replicas by group, as they are listed now.
+    fn index(&self) -> Arc<GroupIndex> {
+        let view = self.replicas.view();
+        if let Some(known) = self.index.load_full()
+            && Arc::ptr_eq(&known.view, &view)
+        {
+            return known;
+        }
+        let index = Arc::new(GroupIndex::new(view, self.costs.policy));
+        self.index.store(Some(index.clone()));
+        index
+    }
+
     /// The group of a replica within its service.
     fn group(&self, replica: &Replica) -> GroupId {
         let view = self.replicas.view();
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -276,9 +276,12 @@
         let places = self.inner.forwarder.places();
         for replica in view.all() {
             let own = replica.own(WorkClass::Batch);
+            if own == 0 {
+                continue;
+            }
             let counted = replica.online() + replica.batch();
             let slots = replica.slots();
-            if own == 0 || counted <= slots + slots / 2 || places.is_coordinated(replica) {
+            if counted <= slots + slots / 2 || places.is_coordinated(replica) {
                 continue;
             }
             if !self.may_yield_at(&replica.record.id) {
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -70,7 +70,7 @@
         };
         let began = Instant::now();
         loop {
-            if self.replicas().view().usable(service).is_empty() {
+            if !self.replicas().view().has_usable(service) {
                 break;
             }
             match self.places().ask(query).await {
--- a/crates/serving/src/prompt.rs
+++ b/crates/serving/src/prompt.rs
@@ -1,7 +1,5 @@
 //! A prompt's parts, and an estimate of which replicas keep them in memory.
 
-use std::num::NonZeroUsize;
-
 /// One part of a prompt. Requests that begin with the same parts share a replica's memory of them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PromptPart {
@@ -49,9 +47,9 @@
 impl PromptMemory {
     /// A memory that holds at most `capacity_tokens`.
     pub fn new(capacity_tokens: u64) -> Self {
-        let most = NonZeroUsize::new(REMEMBERED_PARTS).unwrap_or(NonZeroUsize::MIN);
         Self {
-            parts: lru::LruCache::new(most),
+            // Not `new`, which takes the room for all parts at once, for each of thousands of replicas.
+            parts: lru::LruCache::unbounded(),
             capacity_tokens,
             tokens: 0,
         }
@@ -75,7 +73,7 @@
             }
             self.tokens += u64::from(part.tokens);
         }
-        while self.tokens > self.capacity_tokens {
+        while self.tokens > self.capacity_tokens || self.parts.len() > REMEMBERED_PARTS {
             let Some((_, dropped)) = self.parts.pop_lru() else {
                 break;
             };
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -342,6 +342,13 @@
             .collect()
     }
 
+    /// True if any replica of the service takes new work.
+    pub fn has_usable(&self, service: &str) -> bool {
+        let ready = self.listed(service).iter();
+        let is_ready = |replica: &Arc<Replica>| !replica.is_draining();
+        ready.clone().any(is_ready) || !self.usable(service).is_empty()
+    }
+
     /// The name of a service and its listed replicas, from the hash of the name.
     pub fn service_by_hash(&self, hash: u32) -> Option<(&str, &[Arc<Replica>])> {
         let named = self.by_service.iter();
--- a/crates/slots/src/groups.rs
+++ b/crates/slots/src/groups.rs
@@ -76,6 +76,16 @@
         zone_fits && group.number < self.numbers
     }
 
+    /// The groups that lie in a zone; none if groups do not lie in zones.
+    pub fn in_zone(&self, zone: u32) -> impl Iterator<Item = GroupId> + use<> {
+        let numbers = if self.zones.contains(&zone) {
+            self.numbers
+        } else {
+            0
+        };
+        (0..numbers).map(move |number| GroupId { zone, number })
+    }
+
     /// The group at a position of an endless turn through all groups.
     pub fn at(&self, position: u32) -> GroupId {
         let number = position % self.numbers.max(1);
--- a/crates/slots/src/held.rs
+++ b/crates/slots/src/held.rs
@@ -60,6 +60,11 @@
         items.max_by_key(|(_, slack)| *slack)
     }
 
+    /// Replicas at which leases are held, each once.
+    pub fn replicas(&self) -> HashSet<u32> {
+        self.leases.values().map(|held| held.replica).collect()
+    }
+
     /// One lease as it is reported to coordinators.
     pub fn describe(&self, lease: u32, now: Instant) -> Option<HeldSlot> {
         self.leases
