--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -1,5 +1,8 @@
 //! Figures of the decisions: counted all, also where their lines are sampled or dropped.
 
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, PoisonError};
+
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -29,8 +32,17 @@
     members_alive: IntGauge,
     view_sync_records: IntCounter,
     lines_dropped: IntGauge,
+    rate_refusals: IntCounterVec,
+    tenant_refusals: IntCounterVec,
+    tenants: Arc<Mutex<BTreeSet<String>>>,
 }
 
+/// Most tenants that are counted by name; the others share one label, so that figures stay bounded.
+const MOST_TENANTS: usize = 256;
+
+/// Label of the tenants beyond those.
+const OTHER_TENANTS: &str = "(other)";
+
 /// Outcomes of runs that are counted by name; all others are causes in words.
 const RUN_OUTCOMES: [&str; 4] = ["finished", "failed", "impossible", "yielded to online"];
 
@@ -121,10 +133,34 @@
                 "harrierward_log_lines_dropped",
                 "Log lines dropped since the start",
             )?,
+            rate_refusals: counter(
+                "harrierward_rate_refusals_total",
+                "Requests that their tenant's rate did not admit, by what the coordinator said",
+                "outcome",
+            )?,
+            tenant_refusals: counter(
+                "harrierward_tenant_refusals_total",
+                "Requests refused for their tenant's rate, by tenant",
+                "tenant",
+            )?,
+            tenants: Arc::default(),
             registry,
         })
     }
 
+    /// The label of a tenant; tenants that come after very many others have none of their own.
+    fn tenant_label<'a>(&self, tenant: &'a str) -> &'a str {
+        let mut tenants = self.tenants.lock().unwrap_or_else(PoisonError::into_inner);
+        if tenants.contains(tenant) {
+            return tenant;
+        }
+        if tenants.len() >= MOST_TENANTS {
+            return OTHER_TENANTS;
+        }
+        tenants.insert(tenant.to_owned());
+        tenant
+    }
+
     /// Counts a decision.
     pub fn observe(&self, record: &Record<'_>) {
         match record {
@@ -143,6 +179,13 @@
                 self.request_seconds.observe(seconds);
             }
             Record::Refused { cause, .. } => self.requests.with_label_values(&[*cause]).inc(),
+            Record::RateRefused {
+                outcome, tenant, ..
+            } => {
+                self.rate_refusals.with_label_values(&[*outcome]).inc();
+                let label = self.tenant_label(tenant);
+                self.tenant_refusals.with_label_values(&[label]).inc();
+            }
             Record::AttemptFailed { not_run, .. } => {
                 let label = if *not_run { "true" } else { "false" };
                 self.attempts_failed.with_label_values(&[label]).inc();
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -199,11 +199,51 @@
         status: u16,
         /// Cause.
         cause: &'a str,
-        /// Configuration version that decided it.
+        /// Tenant, if its key was known.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        tenant: Option<&'a str>,
+        /// Configuration version in force.
         version: u64,
+        /// Time since that was known to be the newest; absent if it never was.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        configuration_age_ms: Option<u64>,
+        /// When the caller was told to come back.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        retry_after_ms: Option<u64>,
         /// Time since the request arrived.
         after_ms: u64,
     },
+    /// A tenant's request was not counted: the tenant is at the limit of its rate, or its coordinator could not be
+    /// asked.
+    RateRefused {
+        /// Request.
+        request: &'a str,
+        /// Tenant.
+        tenant: &'a str,
+        /// Who counts the tenant's requests, as this daemon believes.
+        coordinator: &'a str,
+        /// What became of the question.
+        outcome: &'a str,
+        /// Part of the limit that this daemon would give out as the coordinator, in thousandths: below 1,000 while
+        /// members are missing.
+        share_permille: u32,
+        /// Time for which the coordinator was waited for.
+        asked_ms: u64,
+    },
+    /// This daemon began or ceased to coordinate tenants' rates.
+    RatesCoordinated {
+        /// Tenants whose count it dropped, since another member coordinates them now.
+        dropped: usize,
+        /// Part of each limit that it gives out, in thousandths.
+        share_permille: u32,
+    },
+    /// A configuration was not taken over; what is in force stays so.
+    ConfigurationRejected {
+        /// Revision of the row.
+        revision: u64,
+        /// Field and value.
+        cause: &'a str,
+    },
     /// A batch job was accepted, refused or left in doubt.
     JobSubmitted {
         /// Job.
@@ -212,7 +252,9 @@
         outcome: &'a str,
         /// Items.
         items: usize,
-        /// Tokens waiting on the route as this daemon knew them.
+        /// Tenant; empty without tenants.
+        tenant: &'a str,
+        /// Tokens of the tenant waiting on the route as this daemon knew them.
         waiting_tokens: u64,
         /// Revision of the commit, 0 if there is none.
         revision: u64,
@@ -223,8 +265,8 @@
         route: &'a str,
         /// Revision of its fence.
         fence: u64,
-        /// Tokens that wait on the route, as read after the fence was written.
-        waiting_tokens: u64,
+        /// Jobs with items left, as read after the fence was written.
+        jobs: usize,
     },
     /// This daemon became or ceased to be the owner of a job.
     JobOwnership {
@@ -285,6 +327,7 @@
             Self::JobSubmitted { outcome, .. } if *outcome == "accepted" => Importance::Ordinary,
             Self::AttemptFailed { .. }
             | Self::Refused { .. }
+            | Self::RateRefused { .. }
             | Self::ItemRun { .. }
             | Self::JobSubmitted { .. }
             | Self::ResultsListed { .. }
--- a/crates/decisions/tests/log.rs
+++ b/crates/decisions/tests/log.rs
@@ -15,6 +15,9 @@
 
 fn refused(request: &str) -> Record<'_> {
     Record::Refused {
+        tenant: None,
+        configuration_age_ms: None,
+        retry_after_ms: None,
         request,
         status: 503,
         cause: "full",
@@ -66,3 +69,25 @@
     log.record(&refused("c"));
     assert_eq!(log.held_lines(), before + 1);
 }
+
+/// Figures stay bounded however many tenants there are.
+#[test]
+fn tenants_beyond_a_bound_are_counted_together() {
+    let log = DecisionLog::new(LogBounds::default());
+    for number in 0..400 {
+        log.record(&Record::RateRefused {
+            request: "r",
+            tenant: &format!("tenant-{number}"),
+            coordinator: "node",
+            outcome: "at the limit",
+            share_permille: 1_000,
+            asked_ms: 1,
+        });
+    }
+    let text = String::from_utf8(log.metrics_text()).expect("text");
+    let lines = text
+        .lines()
+        .filter(|line| line.starts_with("harrierward_tenant_refusals_total{"));
+    assert_eq!(lines.count(), 257);
+    assert!(text.contains("harrierward_tenant_refusals_total{tenant=\"(other)\"} 144"));
+}
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -9,8 +9,8 @@
 use harrierward_external::{ObjectStore, Table, WatchedTable};
 use harrierward_inline_jobs::{HEADS, InlineJobs, JobParts, JobSettings, is_fence, partitions};
 use harrierward_serving::{
-    Forwarder, ForwarderParts, ForwarderSettings, Mechanism, Replica, ReplicaClient, ReplicaSet,
-    SelectionCosts,
+    ConfigurationProof, Forwarder, ForwarderParts, ForwarderSettings, KeyTrust, Mechanism, Replica,
+    ReplicaClient, ReplicaSet, SelectionCosts,
 };
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -20,6 +20,7 @@
 use crate::members::{Members, new_life};
 use crate::peer_rows::{PeerRows, learn};
 use crate::pool::ConnectionPool;
+use crate::rates::RateService;
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
 use crate::slots::{SlotService, YieldItems};
@@ -73,6 +74,11 @@
 }
 
 impl EdgeService {
+    /// Living daemons that this one knows, itself among them.
+    pub fn fleet_size(&self) -> usize {
+        self.members.fleet_size()
+    }
+
     /// True if the daemon wants new connections.
     pub fn is_ready(&self) -> bool {
         let stopping = self.stopping.load(Ordering::Relaxed);
@@ -118,11 +124,21 @@
             log.clone(),
         ));
         slots.set_connections(pool.clone());
+        let is_other = |seed: &String| *seed != settings.peer_address;
+        let rates = Arc::new(RateService::new(
+            life.clone(),
+            settings.seeds.iter().any(is_other),
+            settings.rate_bounds,
+            routes.clone(),
+            log.clone(),
+        ));
+        let proof = Arc::new(ConfigurationProof::default());
         let members = Members::new(
             life.clone(),
             &settings,
             replicas.clone(),
             slots.clone(),
+            rates.clone(),
             log.clone(),
         );
         let members = Arc::new(members);
@@ -131,10 +147,13 @@
             replicas: replicas.clone(),
             client,
             places: slots.clone(),
+            rates,
+            proof: proof.clone(),
             log: log.clone(),
             settings: ForwarderSettings {
                 zone: settings.zone.clone(),
                 costs: SelectionCosts::under(settings.policy),
+                key_trust: settings.key_trust,
             },
         });
         let discovery = Arc::new(Discovery::new(
@@ -142,6 +161,7 @@
             routes,
             replicas,
             control.clone(),
+            proof,
             log.clone(),
         ));
         let jobs = InlineJobs::new(JobParts {
@@ -168,6 +188,7 @@
             is_gathering: settings.policy.has(Mechanism::GatheredChanges),
             fleet_size: Arc::new(move || fleet.fleet_size()),
             reads_a_second,
+            configuration_wait: configuration_wait(settings.key_trust),
         };
         start_watches(&discovery, source.as_ref(), &watched, &jobs, &paces, &log);
         tokio::spawn(jobs.clone().run());
@@ -271,11 +292,23 @@
 /// contact (3 s on the smallest sites) after such trouble.
 const QUIET_WAIT: Duration = Duration::from_millis(2_000);
 
+/// Proofs of contact within the time for which keys are served without one.
+const PROOFS_IN_TRUST: u32 = 4;
+
 /// Paces of watches, which follow the fleet's size.
 struct Paces {
     is_gathering: bool,
     fleet_size: Arc<dyn Fn() -> usize + Send + Sync>,
     reads_a_second: f64,
+    configuration_wait: Duration,
+}
+
+/// A daemon that may serve keys only for a while without contact must prove its contact several times in that while.
+fn configuration_wait(trust: KeyTrust) -> Duration {
+    match trust {
+        KeyTrust::Unbounded => QUIET_WAIT,
+        KeyTrust::For(bound) => QUIET_WAIT.min(bound / PROOFS_IN_TRUST),
+    }
 }
 
 impl Paces {
@@ -317,7 +350,7 @@
         source.configuration_space(),
         one_partition(),
         unpaced(),
-        QUIET_WAIT,
+        paces.configuration_wait,
     );
     let taker = discovery.clone();
     tokio::spawn(configuration.run(move |update| taker.take_configuration(&update, "store")));
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -6,7 +6,7 @@
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::Row;
 use harrierward_serving::{
-    ReplicaRecord, ReplicaSet, RouteTable, ServingConfiguration, SharedRoutes,
+    ConfigurationProof, ReplicaRecord, ReplicaSet, RouteTable, ServingConfiguration, SharedRoutes,
 };
 
 use crate::server::ServerControl;
@@ -21,7 +21,10 @@
     fn replica_space(&self) -> &'static str;
 
     /// The configuration of a row, if it holds one.
-    fn configuration_of(&self, row: &Row) -> Option<ServingConfiguration>;
+    ///
+    /// # Errors
+    /// The row holds a configuration that cannot be taken over: the field and its value. Keys are not named.
+    fn configuration_of(&self, row: &Row) -> Result<Option<ServingConfiguration>, String>;
 
     /// The replica of a row, if it holds one.
     fn replica_of(&self, row: &Row) -> Option<ReplicaRecord>;
@@ -33,6 +36,7 @@
     routes: SharedRoutes,
     replicas: Arc<ReplicaSet>,
     control: Arc<ServerControl>,
+    proof: Arc<ConfigurationProof>,
     log: DecisionLog,
     rows: Mutex<KnownRows>,
 }
@@ -53,6 +57,7 @@
         routes: SharedRoutes,
         replicas: Arc<ReplicaSet>,
         control: Arc<ServerControl>,
+        proof: Arc<ConfigurationProof>,
         log: DecisionLog,
     ) -> Self {
         Self {
@@ -60,6 +65,7 @@
             routes,
             replicas,
             control,
+            proof,
             log,
             rows: Mutex::default(),
         }
@@ -86,11 +92,22 @@
         for row in &update.written {
             self.adopt(row, origin);
         }
+        if let Some(moment) = update.as_of {
+            self.proof.prove(moment);
+        }
     }
 
     fn adopt(&self, row: &Row, origin: &str) {
-        let Some(configuration) = self.source.configuration_of(row) else {
-            return;
+        let configuration = match self.source.configuration_of(row) {
+            Ok(Some(configuration)) => configuration,
+            Ok(None) => return,
+            Err(cause) => {
+                self.log.record(&Record::ConfigurationRejected {
+                    revision: row.revision,
+                    cause: &cause,
+                });
+                return;
+            }
         };
         let mut rows = self.rows();
         let current = self.routes.load_full();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod peer_loads;
 mod peer_rows;
 mod pool;
+mod rates;
 mod server;
 mod settings;
 mod slots;
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -23,6 +23,7 @@
 
 use crate::calls::{CallPatience, DatagramCalls};
 use crate::peer_loads::PeerLoads;
+use crate::rates::RateService;
 use crate::settings::EdgeSettings;
 use crate::slots::{CoordinatorCandidate, SlotService};
 
@@ -85,6 +86,7 @@
     quota_calls: DatagramCalls<QuotaAnswer>,
     next_quota_call: AtomicU32,
     slots: Arc<SlotService>,
+    rates: Arc<RateService>,
     socket: OnceLock<Arc<UdpSocket>>,
     state: Mutex<State>,
 }
@@ -103,6 +105,7 @@
         settings: &EdgeSettings,
         replicas: Arc<ReplicaSet>,
         slots: Arc<SlotService>,
+        rates: Arc<RateService>,
         log: DecisionLog,
     ) -> Self {
         let own = MemberRecord {
@@ -141,6 +144,7 @@
             quota_calls: DatagramCalls::default(),
             next_quota_call: AtomicU32::new(1),
             slots,
+            rates,
             socket: OnceLock::new(),
             state: Mutex::new(state),
         }
@@ -214,6 +218,7 @@
     pub async fn run(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let _ = self.socket.set(socket.clone());
         self.slots.set_socket(socket.clone());
+        self.rates.set_socket(socket.clone());
         let receiving = self.clone().receive_all(socket.clone());
         tokio::join!(self.tick_all(socket), receiving);
     }
@@ -267,6 +272,7 @@
     fn receive(&self, bytes: &[u8], from: SocketAddr) -> Vec<(String, Vec<u8>)> {
         let kind = decode::<NodeDatagram>(bytes).and_then(|datagram| datagram.kind);
         let kind = kind.and_then(|kind| self.slots.receive(kind, from));
+        let kind = kind.and_then(|kind| self.rates.receive(kind, from));
         let mut state = self.lock();
         match kind {
             Some(node_datagram::Kind::Membership(datagram)) => {
@@ -326,7 +332,9 @@
             address: udp_address(&state.core, &member.id),
             zone_hash: short_hash(&member.zone),
         });
-        self.slots.set_members(staying.collect());
+        let staying: Vec<CoordinatorCandidate> = staying.collect();
+        self.rates.set_members(staying.clone());
+        self.slots.set_members(staying);
     }
 
     /// Own counts, for some other members.
@@ -386,6 +394,7 @@
         };
         let request = QuotaRequest {
             route: &ask.route,
+            tenant: &ask.tenant,
             job: &ask.job,
             tokens: ask.tokens,
         };
@@ -421,6 +430,7 @@
         QuotaAsk {
             number: self.next_quota_call.fetch_add(1, Ordering::Relaxed),
             route: request.route.to_owned(),
+            tenant: request.tenant.to_owned(),
             job: request.job.to_owned(),
             tokens: request.tokens,
             returned: false,
--- /dev/null
+++ b/crates/edge/src/rates.rs
@@ -0,0 +1,408 @@
+//! Rates of tenants over all daemons: this daemon asks a tenant's coordinator for tokens, and gives out those of the
+//! tenants that it coordinates itself.
+//!
+//! Why asked, and not estimated: a limit holds for the whole fleet, also for daemons that are cut off. A daemon admits
+//! only requests for which a coordinator gave it a token; with nobody to ask, it refuses and the caller goes elsewhere.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use async_trait::async_trait;
+use harrierward_decisions::{DecisionLog, Record};
+use harrierward_serving::{RateAnswer, RateLimits, SharedRoutes};
+use harrierward_tenants::{
+    FleetMemory, RateBounds, RateDecision, RateLedger, SeenFleet, Tenant, TokenStock,
+};
+use harrierward_wire::{NodeDatagram, RateAsk, RateGrant, RateOutcome, encode, node_datagram};
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::calls::{CallPatience, DatagramCalls};
+use crate::slots::CoordinatorCandidate;
+
+/// Bounds of a question for tokens. A round trip within a region takes about a millisecond; the whole wait stays under
+/// a quarter of the shortest objective known (200 ms).
+const PATIENCE: CallPatience = CallPatience {
+    again: Duration::from_millis(18),
+    give_up: Duration::from_millis(45),
+};
+
+/// How long a coordinator that did not answer is passed over.
+const SILENT_FOR: Duration = Duration::from_millis(1_000);
+
+/// Stocks kept before those are dropped that hold nothing; bounds the memory of a daemon whose tenants change.
+const MOST_STOCKS: usize = 1_024;
+
+struct State {
+    ledger: RateLedger,
+    stocks: HashMap<Arc<str>, TokenStock>,
+    fleet: FleetMemory,
+    silent_until: HashMap<String, Instant>,
+}
+
+/// The rates of one daemon.
+pub struct RateService {
+    life: String,
+    bounds: RateBounds,
+    routes: SharedRoutes,
+    members: ArcSwap<Vec<CoordinatorCandidate>>,
+    socket: OnceLock<Arc<UdpSocket>>,
+    calls: DatagramCalls<RateGrant>,
+    next_call: AtomicU32,
+    log: DecisionLog,
+    state: Mutex<State>,
+}
+
+/// What a coordinator said.
+enum Asked {
+    Granted,
+    Empty(Duration),
+    /// It is another one, perhaps at this address.
+    Other(Option<SocketAddr>),
+    Silent,
+}
+
+impl RateService {
+    /// Knows only itself.
+    ///
+    /// One that `expects_others` admits nothing by itself until it has found them, or has looked for long.
+    pub fn new(
+        life: String,
+        expects_others: bool,
+        bounds: RateBounds,
+        routes: SharedRoutes,
+        log: DecisionLog,
+    ) -> Self {
+        let own = CoordinatorCandidate {
+            id: life.clone(),
+            address: None,
+            zone_hash: 0,
+        };
+        Self {
+            life,
+            bounds,
+            routes,
+            members: ArcSwap::from_pointee(vec![own]),
+            socket: OnceLock::new(),
+            calls: DatagramCalls::default(),
+            next_call: AtomicU32::new(1),
+            log,
+            state: Mutex::new(State {
+                ledger: RateLedger::default(),
+                stocks: HashMap::new(),
+                fleet: FleetMemory::new(expects_others, Instant::now()),
+                silent_until: HashMap::new(),
+            }),
+        }
+    }
+
+    /// What datagrams go out by.
+    pub fn set_socket(&self, socket: Arc<UdpSocket>) {
+        // Set once, at the start.
+        let _ = self.socket.set(socket);
+    }
+
+    /// The members that may coordinate tenants, this one among them unless it leaves.
+    pub fn set_members(&self, members: Vec<CoordinatorCandidate>) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        state.fleet.see(members.len(), now);
+        let share = state.fleet.share(members.len(), now);
+        let dropped = state
+            .ledger
+            .retain(|tenant| self.is_first(tenant, &members));
+        self.members.store(Arc::new(members));
+        drop(state);
+        if dropped > 0 {
+            self.log.record(&Record::RatesCoordinated {
+                dropped,
+                share_permille: permille(share),
+            });
+        }
+    }
+
+    /// True if this daemon coordinates the tenant among these members.
+    fn is_first(&self, tenant: &str, members: &[CoordinatorCandidate]) -> bool {
+        let [first, _] = first_two(tenant, members);
+        first.is_some_and(|member| member.id == self.life)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives out tokens of a tenant that this daemon coordinates; `None` if it cannot tell its part of the limit yet.
+    fn give_out(&self, tenant: &Tenant, wanted: u32) -> Option<RateDecision> {
+        let members = self.members.load().len();
+        let now = Instant::now();
+        let mut state = self.lock();
+        let share = state.fleet.share(members, now);
+        if share == 0.0 {
+            return None;
+        }
+        let limit = tenant.rate;
+        let decision = state
+            .ledger
+            .take(&tenant.name, limit, &self.bounds, share, wanted, now);
+        Some(decision)
+    }
+
+    /// Answers a peer's question, or takes the answer to an own one. Returns datagrams of other kinds.
+    pub fn receive(
+        &self,
+        kind: node_datagram::Kind,
+        from: SocketAddr,
+    ) -> Option<node_datagram::Kind> {
+        match kind {
+            node_datagram::Kind::RateAsk(ask) => {
+                let grant = self.answer(&ask);
+                self.send(node_datagram::Kind::RateGrant(grant), from);
+                None
+            }
+            node_datagram::Kind::RateGrant(grant) => {
+                self.calls.take(grant.number, grant);
+                None
+            }
+            other => Some(other),
+        }
+    }
+
+    fn answer(&self, ask: &RateAsk) -> RateGrant {
+        self.take_fleet(ask);
+        let members = self.members.load();
+        let is_first = self.is_first(&ask.tenant, &members);
+        let tenant = self.tenant(&ask.tenant);
+        let decision = tenant
+            .filter(|_| is_first)
+            .and_then(|tenant| self.give_out(&tenant, ask.wanted.max(1)));
+        let Some(decision) = decision else {
+            let [first, _] = first_two(&ask.tenant, &members);
+            let other = first.filter(|member| member.id != self.life);
+            let address = other.and_then(|member| member.address);
+            return RateGrant {
+                number: ask.number,
+                outcome: RateOutcome::NotCoordinator as i32,
+                coordinator: address.map_or_else(String::new, |address| address.to_string()),
+                ..RateGrant::default()
+            };
+        };
+        match decision {
+            RateDecision::Granted { tokens } => RateGrant {
+                number: ask.number,
+                outcome: RateOutcome::Granted as i32,
+                tokens,
+                ..RateGrant::default()
+            },
+            RateDecision::Empty { retry_after } => RateGrant {
+                number: ask.number,
+                outcome: RateOutcome::Empty as i32,
+                retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
+                ..RateGrant::default()
+            },
+        }
+    }
+
+    /// A tenant as the configuration in force has it.
+    fn tenant(&self, name: &str) -> Option<Arc<Tenant>> {
+        let routes = self.routes.load();
+        let directory = routes.as_ref()?.configuration.tenants.as_ref()?;
+        directory.tenant(name).cloned()
+    }
+
+    fn send(&self, kind: node_datagram::Kind, address: SocketAddr) {
+        let datagram = NodeDatagram { kind: Some(kind) };
+        if let Some(socket) = self.socket.get() {
+            // A question that is lost is sent once more; then the asker goes on without an answer.
+            let _ = socket.try_send_to(&encode(&datagram), address);
+        }
+    }
+
+    /// Takes a token from the stock, or says when the caller may come back without asking again.
+    fn take_from_stock(&self, tenant: &Tenant, now: Instant) -> Result<(), Option<Duration>> {
+        let mut state = self.lock();
+        if state.stocks.len() >= MOST_STOCKS {
+            state.stocks.retain(|_, stock| !stock.is_idle(now));
+        }
+        let stock = state.stocks.entry(tenant.name.clone()).or_default();
+        stock.note_request(now);
+        if stock.take(now) {
+            return Ok(());
+        }
+        Err(stock.refusal(now))
+    }
+
+    fn question(&self, tenant: &Tenant, now: Instant) -> RateAsk {
+        let mut state = self.lock();
+        let stock = state.stocks.get(&tenant.name);
+        let wanted = stock.map_or(1, TokenStock::wanted);
+        let fleet = state.fleet.largest(now);
+        let ago = fleet.map_or(Duration::ZERO, |seen| {
+            now.saturating_duration_since(seen.at)
+        });
+        let members = fleet.map_or(0, |seen| seen.members);
+        RateAsk {
+            number: self.next_call.fetch_add(1, Ordering::Relaxed),
+            tenant: tenant.name.to_string(),
+            wanted,
+            fleet_members: u32::try_from(members).unwrap_or(u32::MAX),
+            fleet_seen_ms_ago: u32::try_from(ago.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Takes what an asker saw of the fleet: a coordinator that has just started knows nothing of members that were
+    /// cut off before.
+    fn take_fleet(&self, ask: &RateAsk) {
+        let ago = Duration::from_millis(u64::from(ask.fleet_seen_ms_ago));
+        let members = usize::try_from(ask.fleet_members).unwrap_or_default();
+        if let Some(at) = Instant::now().checked_sub(ago) {
+            self.lock().fleet.take(SeenFleet { members, at });
+        }
+    }
+
+    /// Asks a coordinator at an address; keeps what it gives out beyond the one token for this request.
+    async fn ask(&self, tenant: &Tenant, address: SocketAddr) -> Asked {
+        let asked_at = Instant::now();
+        let ask = self.question(tenant, asked_at);
+        let send = || self.send(node_datagram::Kind::RateAsk(ask.clone()), address);
+        let Some(grant) = self.calls.ask(ask.number, PATIENCE, send).await else {
+            return Asked::Silent;
+        };
+        let mut state = self.lock();
+        let stock = state.stocks.entry(tenant.name.clone()).or_default();
+        match grant.outcome() {
+            RateOutcome::Granted => {
+                stock.keep(grant.tokens.saturating_sub(1), asked_at);
+                Asked::Granted
+            }
+            RateOutcome::Empty => {
+                let retry_after = Duration::from_millis(u64::from(grant.retry_after_ms));
+                stock.note_refusal(retry_after, Instant::now());
+                Asked::Empty(retry_after)
+            }
+            RateOutcome::NotCoordinator => Asked::Other(grant.coordinator.parse().ok()),
+        }
+    }
+
+    /// Asks the coordinator; where it is silent, the member that follows it, and where it names another, that one.
+    async fn ask_coordinators(&self, tenant: &Tenant) -> (String, Asked) {
+        let members = self.members.load_full();
+        let [Some(first), second] = first_two(&tenant.name, &members) else {
+            return (String::new(), Asked::Silent);
+        };
+        if first.id == self.life {
+            return (first.id.clone(), self.give_out_to_self(tenant));
+        }
+        let chosen = second
+            .filter(|_| self.is_silent(&first.id))
+            .unwrap_or(first);
+        // The second gives out tokens only once it does not see the first any more. That is so for this daemon too.
+        let Some(address) = chosen.address.filter(|_| chosen.id != self.life) else {
+            return (chosen.id.clone(), Asked::Silent);
+        };
+        let asked = match self.ask(tenant, address).await {
+            Asked::Other(Some(other)) => self.ask(tenant, other).await,
+            asked => asked,
+        };
+        if matches!(asked, Asked::Silent) {
+            let until = Instant::now() + SILENT_FOR;
+            self.lock().silent_until.insert(chosen.id.clone(), until);
+        }
+        (chosen.id.clone(), asked)
+    }
+
+    fn is_silent(&self, member: &str) -> bool {
+        let state = self.lock();
+        let until = state.silent_until.get(member);
+        until.is_some_and(|until| Instant::now() < *until)
+    }
+
+    fn give_out_to_self(&self, tenant: &Tenant) -> Asked {
+        match self.give_out(tenant, 1) {
+            Some(RateDecision::Granted { .. }) => Asked::Granted,
+            Some(RateDecision::Empty { retry_after }) => Asked::Empty(retry_after),
+            None => Asked::Silent,
+        }
+    }
+
+    fn log_refusal(
+        &self,
+        tenant: &Tenant,
+        request: &str,
+        coordinator: &str,
+        outcome: &str,
+        asked_at: Instant,
+    ) {
+        let members = self.members.load().len();
+        let share = self.lock().fleet.share(members, Instant::now());
+        let asked_for = asked_at.elapsed().as_millis();
+        self.log.record(&Record::RateRefused {
+            request,
+            tenant: &tenant.name,
+            coordinator,
+            outcome,
+            share_permille: permille(share),
+            asked_ms: u64::try_from(asked_for).unwrap_or(u64::MAX),
+        });
+    }
+}
+
+#[async_trait]
+impl RateLimits for RateService {
+    async fn admit(&self, tenant: &Tenant, request: &str) -> RateAnswer {
+        let now = Instant::now();
+        match self.take_from_stock(tenant, now) {
+            Ok(()) => return RateAnswer::Within,
+            Err(Some(retry_after)) => {
+                self.log_refusal(tenant, request, "", "refused before", now);
+                return RateAnswer::Over { retry_after };
+            }
+            Err(None) => {}
+        }
+        let (coordinator, asked) = self.ask_coordinators(tenant).await;
+        match asked {
+            Asked::Granted => RateAnswer::Within,
+            Asked::Empty(retry_after) => {
+                self.log_refusal(tenant, request, &coordinator, "at the limit", now);
+                RateAnswer::Over { retry_after }
+            }
+            Asked::Other(_) => {
+                self.log_refusal(tenant, request, &coordinator, "not the coordinator", now);
+                RateAnswer::Unknown
+            }
+            Asked::Silent => {
+                self.log_refusal(tenant, request, &coordinator, "no answer", now);
+                RateAnswer::Unknown
+            }
+        }
+    }
+}
+
+/// The two members that come first in a tenant's order: its coordinator, and who follows it. All daemons that know the
+/// same members name the same ones (rendezvous hashing).
+fn first_two<'a>(
+    tenant: &str,
+    members: &'a [CoordinatorCandidate],
+) -> [Option<&'a CoordinatorCandidate>; 2] {
+    let seed = xxh3_64_with_seed(tenant.as_bytes(), 0);
+    let mut first: Option<(u64, &CoordinatorCandidate)> = None;
+    let mut second: Option<(u64, &CoordinatorCandidate)> = None;
+    for member in members {
+        let weight = xxh3_64_with_seed(member.id.as_bytes(), seed);
+        if first.is_none_or(|(most, _)| weight > most) {
+            second = first.replace((weight, member));
+        } else if second.is_none_or(|(most, _)| weight > most) {
+            second = Some((weight, member));
+        }
+    }
+    [first, second].map(|found| found.map(|(_, member)| member))
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn permille(share: f64) -> u32 {
+    (share * 1_000.0).round() as u32
+}
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use harrierward_serving::Policy;
+use harrierward_serving::{KeyTrust, Policy};
+use harrierward_tenants::RateBounds;
 
 /// Settings; addresses are `IP:PORT`.
 #[derive(Debug, Clone, PartialEq)]
@@ -35,6 +36,10 @@
     pub cancel_within: Duration,
     /// Share by which the waiting tokens may exceed their limit.
     pub quota_excess: f64,
+    /// How long keys are served by a daemon that does not learn of new configurations.
+    pub key_trust: KeyTrust,
+    /// What the fleet may exceed tenants' rates by.
+    pub rate_bounds: RateBounds,
     /// Address of the metrics; may be empty.
     pub metrics_address: String,
     /// Mechanisms of the policy in use.
--- a/crates/edge/tests/discovery.rs
+++ b/crates/edge/tests/discovery.rs
@@ -21,12 +21,13 @@
         "replicas"
     }
 
-    fn configuration_of(&self, row: &Row) -> Option<ServingConfiguration> {
-        let version = std::str::from_utf8(&row.value).ok()?.parse().ok()?;
-        Some(ServingConfiguration {
+    fn configuration_of(&self, row: &Row) -> Result<Option<ServingConfiguration>, String> {
+        let text = String::from_utf8_lossy(&row.value);
+        let version = text.parse().map_err(|_| format!("version: {text:?}"))?;
+        Ok(Some(ServingConfiguration {
             version,
             ..ServingConfiguration::default()
-        })
+        }))
     }
 
     fn replica_of(&self, row: &Row) -> Option<ReplicaRecord> {
@@ -71,6 +72,7 @@
             routes.clone(),
             replicas.clone(),
             Arc::new(ServerControl::default()),
+            Arc::default(),
             DecisionLog::new(LogBounds::default()),
         );
         Self {
--- a/crates/harrierward/src/explain.rs
+++ b/crates/harrierward/src/explain.rs
@@ -66,9 +66,14 @@
 }
 
 fn names(entry: &Entry, id: &str) -> bool {
-    SUBJECTS
-        .iter()
-        .any(|field| entry.record.get(*field).and_then(Value::as_str) == Some(id))
+    SUBJECTS.iter().any(|field| is_about(entry, field, id))
+}
+
+/// True if a field names the id. Jobs are kept under the id that their caller gave, a dot and a hash of its tenant.
+fn is_about(entry: &Entry, field: &str, id: &str) -> bool {
+    let value = entry.record.get(field).and_then(Value::as_str);
+    let rest = value.and_then(|value| value.strip_prefix(id));
+    rest.is_some_and(|rest| rest.is_empty() || (field == "job" && rest.starts_with('.')))
 }
 
 /// Lines about `id`, in order of time; those of a job bring its items' lines.
@@ -76,7 +81,7 @@
     let entries: Vec<Entry> = text.lines().filter_map(parse).collect();
     let items: BTreeSet<String> = entries
         .iter()
-        .filter(|entry| entry.record.get("job").and_then(Value::as_str) == Some(id))
+        .filter(|entry| is_about(entry, "job", id))
         .filter_map(|entry| entry.record.get("item")?.as_str())
         .map(str::to_owned)
         .collect();
@@ -98,6 +103,7 @@
         "attempt_failed" => "the attempt failed",
         "ended" => "the answer ended",
         "refused" => "refused or given up",
+        "rate_refused" => "the tenant's rate did not allow it, or nobody who counts it answered",
         "job_submitted" => "the job was submitted",
         "job_ownership" => "the job's owner changed",
         "results_listed" => "results were listed",
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -24,7 +24,8 @@
 
 pub use keys::{HEADS, is_fence, partitions};
 pub use model::{
-    EndOutcome, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem, SubmittedJob,
+    EndOutcome, JobCaller, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem,
+    SubmittedJob,
 };
 pub use pacing::{RunLength, Urgency, slack, urgency};
 pub use quota_book::{QuotaBook, QuotaDecision, QuotaRequest, RouteCount};
--- a/crates/inline-jobs/src/lookup.rs
+++ b/crates/inline-jobs/src/lookup.rs
@@ -4,9 +4,11 @@
 
 use bytes::Bytes;
 use harrierward_decisions::Record;
+use harrierward_serving::{RefusalCause, tenant_of};
+use harrierward_tenants::ApiKey;
 use tokio::time::{Instant, timeout};
 
-use crate::model::{EndOutcome, JobResult, Lookup, ResultPage};
+use crate::model::{EndOutcome, JobCaller, JobResult, Lookup, ResultPage, kept_id};
 use crate::service::InlineJobs;
 use crate::store::WriteOutcome;
 use crate::view::KnownHead;
@@ -41,12 +43,46 @@
         }
     }
 
+    /// Who asks with this key.
+    pub fn caller(&self, key: Option<&ApiKey>) -> JobCaller {
+        let forwarder = &self.inner.forwarder;
+        let Some(routes) = forwarder.routes() else {
+            return JobCaller::Refused(RefusalCause::NoConfiguration);
+        };
+        match tenant_of(&routes, key, forwarder.proof(), forwarder.key_trust()) {
+            Ok(None) => JobCaller::Anyone,
+            Ok(Some(tenant)) => JobCaller::Tenant(tenant.name.clone()),
+            Err(cause) => JobCaller::Refused(cause),
+        }
+    }
+
+    /// The head of a job that the caller may know of. Jobs of nobody, accepted while there were no tenants or on a
+    /// route that asks for no key, are for all.
+    async fn find_for(&self, caller: &JobCaller, id: &str) -> Lookup<KnownHead> {
+        if let JobCaller::Tenant(tenant) = caller {
+            let found = self.find(&kept_id(Some(tenant), id)).await;
+            if found != Lookup::Missing {
+                return found;
+            }
+        }
+        match self.find(id).await {
+            Lookup::Found(known) if !known.head.tenant.is_empty() => Lookup::Missing,
+            found => found,
+        }
+    }
+
     /// Results from position `after` on; waits up to `wait` for one.
-    pub async fn results(&self, job_id: &str, after: u32, wait: Duration) -> Lookup<ResultPage> {
+    pub async fn results(
+        &self,
+        caller: &JobCaller,
+        id: &str,
+        after: u32,
+        wait: Duration,
+    ) -> Lookup<ResultPage> {
         let until = Instant::now() + wait;
         loop {
             let changed = self.inner.view.changed();
-            let known = match self.find(job_id).await {
+            let known = match self.find_for(caller, id).await {
                 Lookup::Found(known) => known,
                 Lookup::Missing => return Lookup::Missing,
                 Lookup::Unsure => return Lookup::Unsure,
@@ -102,8 +138,8 @@
     }
 
     /// The body of an item of a job that has not ended.
-    pub async fn item_body(&self, job_id: &str, item_id: &str) -> Lookup<Bytes> {
-        let known = match self.find(job_id).await {
+    pub async fn item_body(&self, caller: &JobCaller, id: &str, item_id: &str) -> Lookup<Bytes> {
+        let known = match self.find_for(caller, id).await {
             Lookup::Found(known) => known,
             Lookup::Missing => return Lookup::Missing,
             Lookup::Unsure => return Lookup::Unsure,
@@ -111,7 +147,7 @@
         if known.head.ended {
             return Lookup::Missing;
         }
-        if let Some(job) = self.book().jobs.get(job_id) {
+        if let Some(job) = self.book().jobs.get(&known.head.job_id) {
             let item = job.items.iter().find(|item| item.request.id == item_id);
             if let Some(item) = item {
                 return Lookup::Found(item.request.body.clone());
@@ -127,8 +163,8 @@
     }
 
     /// Ends a job: nothing of it starts any more.
-    pub async fn end(&self, job_id: &str) -> EndOutcome {
-        let outcome = self.try_end(job_id).await;
+    pub async fn end(&self, caller: &JobCaller, id: &str) -> EndOutcome {
+        let outcome = self.try_end(caller, id).await;
         let name = match outcome {
             EndOutcome::Ended => "ended",
             EndOutcome::Missing => "missing",
@@ -136,15 +172,15 @@
             EndOutcome::InDoubt => "in_doubt",
         };
         self.inner.log.record(&Record::JobEnded {
-            job: job_id,
+            job: id,
             outcome: name,
         });
         outcome
     }
 
-    async fn try_end(&self, job_id: &str) -> EndOutcome {
+    async fn try_end(&self, caller: &JobCaller, id: &str) -> EndOutcome {
         let until = Instant::now() + END_HOLD;
-        let mut known = match self.find(job_id).await {
+        let mut known = match self.find_for(caller, id).await {
             Lookup::Found(known) => known,
             Lookup::Missing => return EndOutcome::Missing,
             Lookup::Unsure => return EndOutcome::NotDone,
--- a/crates/inline-jobs/src/model.rs
+++ b/crates/inline-jobs/src/model.rs
@@ -1,11 +1,14 @@
 //! Jobs as callers submit and read them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use harrierward_serving::{Prompt, PromptPart, ServingRequest};
-use harrierward_wire::{HeaderRow, ItemBodyRow, PromptPartRow};
+use harrierward_serving::{Prompt, PromptPart, RefusalCause, ServingRequest};
+use harrierward_tenants::ApiKey;
+use harrierward_wire::{HeaderRow, ItemBodyRow, JobHeadRow, PromptPartRow};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// One item of a job.
 #[derive(Debug, Clone, PartialEq)]
@@ -37,6 +40,28 @@
     pub items: Vec<SubmittedItem>,
     /// How long the caller waits.
     pub patience: Option<Duration>,
+    /// The caller's key, if it sent one.
+    pub key: Option<ApiKey>,
+}
+
+/// Who asks about a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum JobCaller {
+    /// Anybody: the configuration knows no tenants.
+    Anyone,
+    /// A tenant: it knows its own jobs, and those of nobody.
+    Tenant(Arc<str>),
+    /// A caller whose key is not good: it knows the jobs of nobody.
+    Refused(RefusalCause),
+}
+
+/// The id under which a job is kept. Tenants choose ids without knowing of each other, and must not learn of each
+/// other's jobs by them, so each tenant's ids are its own.
+pub fn kept_id(tenant: Option<&str>, id: &str) -> String {
+    tenant.map_or_else(
+        || id.to_owned(),
+        |tenant| format!("{id}.{:016x}", xxh3_64(tenant.as_bytes())),
+    )
 }
 
 /// What became of a submission.
@@ -62,6 +87,8 @@
     NoRoute,
     /// No configuration is known yet.
     NoConfiguration,
+    /// The caller must not submit it.
+    Denied(RefusalCause),
 }
 
 /// A listed result.
@@ -140,8 +167,8 @@
     }
 }
 
-/// The request that runs an item.
-pub fn item_request(row: ItemBodyRow, host: &str) -> ServingRequest {
+/// The request that runs an item of the job with this head.
+pub fn item_request(row: ItemBodyRow, head: &JobHeadRow) -> ServingRequest {
     let mut headers = HeaderMap::new();
     for header in row.headers {
         let name = HeaderName::from_bytes(header.name.as_bytes());
@@ -160,7 +187,7 @@
         .collect();
     ServingRequest {
         id: row.id,
-        host: host.to_owned(),
+        host: head.host.clone(),
         method: Method::POST,
         target: row.target,
         headers,
@@ -172,5 +199,7 @@
             tokens: row.prompt_tokens,
             output_tokens: row.output_tokens,
         },
+        key: None,
+        tenant: (!head.tenant.is_empty()).then(|| Arc::from(head.tenant.as_str())),
     }
 }
--- a/crates/inline-jobs/src/quota.rs
+++ b/crates/inline-jobs/src/quota.rs
@@ -121,7 +121,7 @@
         }
         let count = RouteCount {
             limit: limit_of(route),
-            waiting: view.waiting_tokens(request.route),
+            waiting: view.waiting_tokens(request.route, request.tenant),
             is_known: &|job| view.get(job).is_some(),
         };
         match book.decide(request, count, Instant::now()) {
@@ -185,7 +185,7 @@
         self.inner.log.record(&Record::QuotaKept {
             route,
             fence: fence.revision,
-            waiting_tokens: self.inner.view.waiting_tokens(route),
+            jobs: self.inner.view.open_jobs().len(),
         });
     }
 }
--- a/crates/inline-jobs/src/quota_book.rs
+++ b/crates/inline-jobs/src/quota_book.rs
@@ -1,4 +1,5 @@
-//! The quotas that this daemon keeps: which jobs were granted their tokens and are not seen in the store yet. Pure.
+//! The quotas that this daemon keeps: which jobs were granted their tokens and are not seen in the store yet. Pure. Each
+//! tenant has the route's whole limit for itself; one fence serves all tenants of a route.
 //!
 //! Why exact: a job is kept only under the revision of its route's fence, so every job that can still be kept under
 //! it was granted here. The count is that of the heads, read whole after the fence was written, and of these grants.
@@ -7,6 +8,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// How long a grant may stay unseen. Then the fence is written anew, so that it can come to nothing for certain.
 const GRANT_LIFETIME: Duration = Duration::from_secs(8);
@@ -15,6 +17,7 @@
 struct Grant {
     tokens: u64,
     at: Instant,
+    tenant: u64,
 }
 
 #[derive(Debug)]
@@ -28,6 +31,8 @@
 pub struct QuotaRequest<'a> {
     /// Route.
     pub route: &'a str,
+    /// Tenant whose tokens they are; empty without tenants.
+    pub tenant: &'a str,
     /// Job.
     pub job: &'a str,
     /// Tokens of its items.
@@ -37,9 +42,9 @@
 /// What the heads tell of a route.
 #[derive(Clone, Copy)]
 pub struct RouteCount<'a> {
-    /// Tokens that may wait.
+    /// Tokens that may wait, of each tenant.
     pub limit: u64,
-    /// Tokens that wait, of all heads known.
+    /// Tokens of the tenant that wait, of all heads known.
     pub waiting: u64,
     /// True if a job's head is known.
     pub is_known: &'a dyn Fn(&str) -> bool,
@@ -105,13 +110,16 @@
         if (count.is_known)(request.job) || kept.grants.contains_key(request.job) {
             return QuotaDecision::Granted { fence };
         }
-        let granted: u64 = kept.grants.values().map(|grant| grant.tokens).sum();
+        let tenant = xxh3_64(request.tenant.as_bytes());
+        let of_tenant = kept.grants.values().filter(|grant| grant.tenant == tenant);
+        let granted: u64 = of_tenant.map(|grant| grant.tokens).sum();
         if count.waiting + granted + request.tokens > count.limit {
             return QuotaDecision::Full;
         }
         let grant = Grant {
             tokens: request.tokens,
             at: now,
+            tenant,
         };
         kept.grants.insert(request.job.to_owned(), grant);
         QuotaDecision::Granted { fence }
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -229,11 +229,10 @@
             let items = store.read_items(&current.head).await;
             let progress = store.read_progress(&current.head.job_id).await;
             if let (Ok(items), Ok(progress)) = (items, progress) {
-                let host = current.head.host.clone();
                 let requests = items
                     .items
                     .into_iter()
-                    .map(|row| crate::model::item_request(row, &host))
+                    .map(|row| crate::model::item_request(row, &current.head))
                     .collect();
                 self.enter(OwnedJob::new(current, requests, progress));
                 return;
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::Route;
+use harrierward_serving::{Route, caller_of};
 use harrierward_wire::{ItemHeadRow, JobHeadRow, JobItemsRow};
 use tokio::time::{Instant, sleep};
 
 use crate::book::OwnedJob;
 use crate::keys;
-use crate::model::{SubmitOutcome, SubmittedJob, item_request, item_row};
+use crate::model::{SubmitOutcome, SubmittedJob, item_request, item_row, kept_id};
 use crate::quota::Reservation;
 use crate::quota_book::QuotaRequest;
 use crate::service::InlineJobs;
@@ -40,7 +40,7 @@
 
 impl InlineJobs {
     /// Takes a job, once.
-    pub async fn submit(&self, job: SubmittedJob) -> SubmitOutcome {
+    pub async fn submit(&self, mut job: SubmittedJob) -> SubmitOutcome {
         let arrived = Instant::now();
         let Some(routes) = self.inner.forwarder.routes() else {
             return SubmitOutcome::NoConfiguration;
@@ -49,15 +49,32 @@
         let Some(route) = entry.map(|entry| entry.route.clone()) else {
             return SubmitOutcome::NoRoute;
         };
+        let forwarder = &self.inner.forwarder;
+        let (proof, trust) = (forwarder.proof(), forwarder.key_trust());
+        let tenant = match caller_of(&routes, &route, job.key.as_ref(), proof, trust) {
+            Ok(tenant) => tenant.map(|tenant| tenant.name.clone()),
+            Err(cause) => {
+                self.log_submission(&job, &route, "", SubmitOutcome::Denied(cause));
+                return SubmitOutcome::Denied(cause);
+            }
+        };
         if let Err(cause) = check(&job) {
             return SubmitOutcome::Malformed(cause);
         }
-        let outcome = self.keep(&job, &route, arrived).await;
-        self.log_submission(&job, &route, outcome);
+        job.id = kept_id(tenant.as_deref(), &job.id);
+        let tenant = tenant.as_deref().unwrap_or_default();
+        let outcome = self.keep(&job, &route, tenant, arrived).await;
+        self.log_submission(&job, &route, tenant, outcome);
         outcome
     }
 
-    async fn keep(&self, job: &SubmittedJob, route: &Route, arrived: Instant) -> SubmitOutcome {
+    async fn keep(
+        &self,
+        job: &SubmittedJob,
+        route: &Route,
+        tenant: &str,
+        arrived: Instant,
+    ) -> SubmitOutcome {
         let view = &self.inner.view;
         if view.get(&job.id).is_some() {
             return SubmitOutcome::Accepted;
@@ -71,6 +88,7 @@
         let until = arrived + hold_of(job);
         let request = QuotaRequest {
             route: &route.name,
+            tenant,
             job: &job.id,
             tokens: tokens_of(job),
         };
@@ -87,7 +105,7 @@
                     };
                 }
             };
-            let head = self.head_of(job, route);
+            let head = self.head_of(job, route, tenant);
             let store = &self.inner.store;
             match store.create(head.clone(), &rows, fence, until).await {
                 WriteOutcome::Committed { revision } => {
@@ -129,7 +147,7 @@
         view.proof_age().is_some_and(|age| age <= STORE_AWAY_AFTER)
     }
 
-    fn head_of(&self, job: &SubmittedJob, route: &Route) -> JobHeadRow {
+    fn head_of(&self, job: &SubmittedJob, route: &Route, tenant: &str) -> JobHeadRow {
         let items = job
             .items
             .iter()
@@ -155,12 +173,12 @@
             accepted_ms: self.inner.view.store_now_ms(),
             item_rows: 0,
             item_object: String::new(),
+            tenant: tenant.to_owned(),
         }
     }
 
     /// The job is kept: enter it, unless it is for others.
     fn begin(&self, head: JobHeadRow, rows: JobItemsRow, revision: u64) {
-        let host = head.host.clone();
         let owned = self.owns(&head);
         let known = KnownHead { head, revision };
         // The watch may have brought the head already, and with it the loading of the items.
@@ -172,7 +190,7 @@
         let requests = rows
             .items
             .into_iter()
-            .map(|row| item_request(row, &host))
+            .map(|row| item_request(row, &known.head))
             .collect();
         self.enter(OwnedJob::new(known, requests, Vec::new()));
     }
@@ -193,7 +211,13 @@
         }
     }
 
-    fn log_submission(&self, job: &SubmittedJob, route: &Route, outcome: SubmitOutcome) {
+    fn log_submission(
+        &self,
+        job: &SubmittedJob,
+        route: &Route,
+        tenant: &str,
+        outcome: SubmitOutcome,
+    ) {
         let name = match outcome {
             SubmitOutcome::Accepted => "accepted",
             SubmitOutcome::DoesNotFit { .. } => "does_not_fit",
@@ -202,13 +226,15 @@
             SubmitOutcome::Malformed(cause) => cause,
             SubmitOutcome::NoRoute => "no_route",
             SubmitOutcome::NoConfiguration => "no_configuration",
+            SubmitOutcome::Denied(cause) => cause.name(),
         };
         let known = self.inner.view.get(&job.id);
         self.inner.log.record(&Record::JobSubmitted {
             job: &job.id,
             outcome: name,
             items: job.items.len(),
-            waiting_tokens: self.inner.view.waiting_tokens(&route.name),
+            tenant,
+            waiting_tokens: self.inner.view.waiting_tokens(&route.name, tenant),
             revision: known.map_or(0, |known| known.revision),
         });
     }
--- a/crates/inline-jobs/src/view.rs
+++ b/crates/inline-jobs/src/view.rs
@@ -200,12 +200,12 @@
         old.cloned().collect()
     }
 
-    /// Tokens of all items of a route that are not listed.
-    pub fn waiting_tokens(&self, route: &str) -> u64 {
+    /// Tokens of all items of a tenant's jobs on a route that are not listed.
+    pub fn waiting_tokens(&self, route: &str, tenant: &str) -> u64 {
         let state = self.lock();
         let heads = state.heads.values();
         heads
-            .filter(|known| known.head.route == route)
+            .filter(|known| known.head.route == route && known.head.tenant == tenant)
             .map(KnownHead::waiting_tokens)
             .sum()
     }
--- a/crates/inline-jobs/tests/quota_book.rs
+++ b/crates/inline-jobs/tests/quota_book.rs
@@ -69,6 +69,7 @@
     };
     let request = QuotaRequest {
         route: ROUTE,
+        tenant: "",
         job: &name(job),
         tokens,
     };
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use harrierward_tenants::TenantDirectory;
+
 /// What may be repeated of a route's requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -61,6 +63,8 @@
     pub gap_objective: Option<Duration>,
     /// Rank; 0 is the highest.
     pub priority: u32,
+    /// Requests need no key.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -134,6 +138,8 @@
     pub services: Vec<Service>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Tenants and their keys; `None` if callers need no keys.
+    pub tenants: Option<TenantDirectory>,
 }
 
 impl ServingConfiguration {
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -1,11 +1,13 @@
 //! What the request path needs of a replica's protocol.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::Stream;
+use harrierward_tenants::ApiKey;
 use http::{HeaderMap, Method};
 
 use crate::prompt::Prompt;
@@ -31,6 +33,10 @@
     pub resume_after: Option<u64>,
     /// The prompt.
     pub prompt: Prompt,
+    /// The caller's key, if it sent one; it goes no further than this daemon.
+    pub key: Option<ApiKey>,
+    /// The tenant for which the replica runs it: found by the key, or that of an item's job.
+    pub tenant: Option<Arc<str>>,
 }
 
 /// A request to one replica.
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -8,6 +8,7 @@
 use harrierward_decisions::{DecisionLog, Record};
 use tokio::time::Instant;
 
+use crate::admission::{ConfigurationProof, KeyTrust, RateAnswer, RateLimits, caller_of};
 use crate::attempt::{Attempt, AttemptFailure, AttemptTimes, Sending};
 use crate::configuration::Route;
 use crate::exchange::{ReplicaClient, ServingRequest};
@@ -45,6 +46,8 @@
     pub zone: String,
     /// Prices of the choice of a replica.
     pub costs: SelectionCosts,
+    /// How long keys are served without contact.
+    pub key_trust: KeyTrust,
 }
 
 /// What a forwarder works with.
@@ -57,6 +60,10 @@
     pub client: Arc<dyn ReplicaClient>,
     /// SlotLeases at the replicas.
     pub places: Arc<dyn SlotLeases>,
+    /// Rates of tenants.
+    pub rates: Arc<dyn RateLimits>,
+    /// Age of the routes.
+    pub proof: Arc<ConfigurationProof>,
     /// The decision log.
     pub log: DecisionLog,
     /// Settings.
@@ -179,44 +186,78 @@
         self.parts.settings.costs.policy
     }
 
+    /// Age of the routes.
+    pub fn proof(&self) -> &ConfigurationProof {
+        &self.parts.proof
+    }
+
+    /// How long keys are served without contact.
+    pub fn key_trust(&self) -> KeyTrust {
+        self.parts.settings.key_trust
+    }
+
     /// Serves a request. Dropping the future, or the answer's body, closes the replica's connection.
-    pub async fn forward(&self, request: ServingRequest, arrived: Instant) -> Reply {
-        let Some(routes) = self.routes() else {
-            return self.refuse(&request, RefusalCause::NoConfiguration, 0, arrived);
+    pub async fn forward(&self, mut request: ServingRequest, arrived: Instant) -> Reply {
+        let entry = match self.admit(&mut request).await {
+            Ok(entry) => entry,
+            Err(refusal) => return self.refuse(&request, refusal, arrived),
         };
-        let version = routes.configuration.version;
+        let request = Arc::new(request);
+        match self.serve(&request, &entry, arrived).await {
+            Ok(answer) => Reply::Answer(answer),
+            Err(cause) => self.refuse(&request, refusal_of(cause), arrived),
+        }
+    }
+
+    /// The route of a request that its caller may make now; the request is then its tenant's.
+    async fn admit(&self, request: &mut ServingRequest) -> Result<Arc<RouteEntry>, Refusal> {
+        let routes = self
+            .routes()
+            .ok_or_else(|| refusal_of(RefusalCause::NoConfiguration))?;
+        let proof = self.proof();
         let Some(entry) = routes.find(&request.host, path_of(&request.target)) else {
-            return self.refuse(&request, RefusalCause::NoRoute, version, arrived);
+            return Err(refusal_of(if proof.is_stale() {
+                RefusalCause::StaleConfiguration
+            } else {
+                RefusalCause::NoRoute
+            }));
         };
+        let key = request.key.as_ref();
+        let tenant = caller_of(&routes, &entry.route, key, proof, self.key_trust());
+        let tenant = tenant.map_err(refusal_of)?;
         let entry = entry.clone();
         drop(routes);
-        let request = Arc::new(request);
-        match self.serve(&request, &entry, arrived).await {
-            Ok(answer) => Reply::Answer(answer),
-            Err(cause) => self.refuse(&request, cause, version, arrived),
+        let Some(tenant) = tenant else {
+            return Ok(entry);
+        };
+        request.tenant = Some(tenant.name.clone());
+        if tenant.rate.is_unlimited() {
+            return Ok(entry);
+        }
+        match self.parts.rates.admit(&tenant, &request.id).await {
+            RateAnswer::Within => Ok(entry),
+            RateAnswer::Over { retry_after } => Err(Refusal {
+                cause: RefusalCause::RateLimited,
+                retry_after: Some(retry_after),
+            }),
+            RateAnswer::Unknown => Err(refusal_of(RefusalCause::RateUnknown)),
         }
     }
 
-    fn refuse(
-        &self,
-        request: &ServingRequest,
-        cause: RefusalCause,
-        version: u64,
-        arrived: Instant,
-    ) -> Reply {
-        let after = arrived.elapsed().as_millis();
+    fn refuse(&self, request: &ServingRequest, refusal: Refusal, arrived: Instant) -> Reply {
+        let routes = self.routes();
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         self.log().record(&Record::Refused {
             request: &request.id,
-            status: cause.status(),
-            cause: cause.name(),
-            version,
-            after_ms: u64::try_from(after).unwrap_or(u64::MAX),
+            status: refusal.cause.status(),
+            cause: refusal.cause.name(),
+            tenant: request.tenant.as_deref(),
+            version: routes.map_or(0, |routes| routes.configuration.version),
+            configuration_age_ms: self.proof().age().map(millis),
+            retry_after_ms: refusal.retry_after.map(millis),
+            after_ms: millis(arrived.elapsed()),
         });
-        let comes_back = cause.is_not_run() && cause != RefusalCause::NoRoute;
-        Reply::Refusal(Refusal {
-            cause,
-            retry_after: comes_back.then_some(RETRY_AFTER),
-        })
+        Reply::Refusal(refusal)
     }
 
     async fn serve(
@@ -293,6 +334,14 @@
     }
 }
 
+/// A refusal that leaves it to the cause whether the caller may come back.
+fn refusal_of(cause: RefusalCause) -> Refusal {
+    Refusal {
+        cause,
+        retry_after: cause.is_passing().then_some(RETRY_AFTER),
+    }
+}
+
 /// Statuses that promise the caller that its request has not run.
 fn promises_not_run(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,6 +4,7 @@
 //! Why beside `gateway`: the gateway renders prompts itself and speaks in tokens; here bodies and answers are
 //! opaque and only typed metadata decides. Nothing here opens a socket.
 
+mod admission;
 mod attempt;
 mod choice;
 mod configuration;
@@ -22,6 +23,7 @@
 mod selection;
 mod suspicion;
 
+pub use admission::{ConfigurationProof, KeyTrust, RateAnswer, RateLimits, caller_of, tenant_of};
 pub use attempt::{Attempt, AttemptFailure, AttemptTimes, Sending, wait_for_progress};
 pub use choice::{
     Choice, ChoiceQuery, ChosenBy, Placement, ROOMY_PERMILLE, choose_replica, reserved_slots,
--- a/crates/serving/src/reply.rs
+++ b/crates/serving/src/reply.rs
@@ -29,6 +29,16 @@
     NoConfiguration,
     /// No route matches.
     NoRoute,
+    /// The route asks for a key, and there is none.
+    NoKey,
+    /// No tenant has the key.
+    UnknownKey,
+    /// Too long out of contact to tell whether the route or the key exists.
+    StaleConfiguration,
+    /// The tenant is at the limit of its rate.
+    RateLimited,
+    /// Nobody who counts the tenant's requests can be asked.
+    RateUnknown,
     /// The service has no replica that takes work.
     NoReplica,
     /// All replicas tried are full.
@@ -49,11 +59,21 @@
         !matches!(self, Self::TimedOut | Self::Broken)
     }
 
+    /// True if the same request may be served later.
+    pub fn is_passing(self) -> bool {
+        self.is_not_run() && !matches!(self, Self::NoRoute | Self::NoKey | Self::UnknownKey)
+    }
+
     /// Name for logs.
     pub fn name(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no_configuration",
             Self::NoRoute => "no_route",
+            Self::NoKey => "no_key",
+            Self::UnknownKey => "unknown_key",
+            Self::StaleConfiguration => "stale_configuration",
+            Self::RateLimited => "rate_limited",
+            Self::RateUnknown => "rate_unknown",
             Self::NoReplica => "no_replica",
             Self::Full => "full",
             Self::NoTimeLeft => "no_time_left",
@@ -67,7 +87,11 @@
     pub fn status(self) -> u16 {
         match self {
             Self::NoRoute => 404,
+            Self::NoKey | Self::UnknownKey => 401,
+            Self::RateLimited => 429,
             Self::NoConfiguration
+            | Self::StaleConfiguration
+            | Self::RateUnknown
             | Self::NoReplica
             | Self::Full
             | Self::NoTimeLeft
--- /dev/null
+++ b/crates/serving/tests/admission.rs
@@ -0,0 +1,146 @@
+//! Who may call: by the route, the key, and how long ago the daemon knew its configuration to be the newest.
+
+use std::time::Duration;
+
+use harrierward_serving::{
+    ConfigurationProof, KeyTrust, RefusalCause, Route, RouteKind, RouteTable, ServingConfiguration,
+    WeightedService, caller_of,
+};
+use harrierward_tenants::{ApiKey, RateLimit, TenantDirectory, TenantSpec};
+use proptest::prelude::*;
+use tokio::time::{Instant, advance};
+
+const TRUST: Duration = Duration::from_secs(5);
+
+fn table(has_tenants: bool) -> RouteTable {
+    let specs = [TenantSpec {
+        name: "ada".to_owned(),
+        keys: vec![ApiKey::new("good")],
+        priority: Some(1),
+        rate: RateLimit::UNLIMITED,
+    }];
+    let configuration = ServingConfiguration {
+        version: 1,
+        tenants: has_tenants.then(|| TenantDirectory::new(&specs).expect("a directory")),
+        ..ServingConfiguration::default()
+    };
+    RouteTable::build(configuration, None)
+}
+
+fn route(is_public: bool) -> Route {
+    Route {
+        name: "ask".to_owned(),
+        host: "example".to_owned(),
+        prefix: "/ask/".to_owned(),
+        kind: RouteKind::Safe,
+        services: vec![WeightedService {
+            service: "model".to_owned(),
+            weight: 1,
+        }],
+        attempts: 2,
+        timeout: Duration::from_secs(4),
+        objective: Duration::from_millis(200),
+        gap_objective: None,
+        priority: 0,
+        is_public,
+    }
+}
+
+/// What becomes of a call: the tenant's name, or why it is refused.
+fn judge(
+    has_tenants: bool,
+    is_public: bool,
+    key: Option<&str>,
+    proof: &ConfigurationProof,
+    trust: KeyTrust,
+) -> Result<Option<String>, RefusalCause> {
+    let key = key.map(ApiKey::new);
+    let caller = caller_of(
+        &table(has_tenants),
+        &route(is_public),
+        key.as_ref(),
+        proof,
+        trust,
+    )?;
+    Ok(caller.map(|tenant| tenant.name.to_string()))
+}
+
+async fn proof_of_age(age: Duration) -> ConfigurationProof {
+    let proof = ConfigurationProof::default();
+    proof.prove(Instant::now());
+    advance(age).await;
+    proof
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_that_is_not_known_is_refused_unless_the_route_is_public() {
+    let proof = proof_of_age(Duration::from_millis(100)).await;
+    let judge = |is_public, key| judge(true, is_public, key, &proof, KeyTrust::Unbounded);
+    let ada = Ok(Some("ada".to_owned()));
+    assert_eq!(judge(false, Some("good")), ada);
+    assert_eq!(judge(false, Some("bad")), Err(RefusalCause::UnknownKey));
+    assert_eq!(judge(false, Some("")), Err(RefusalCause::UnknownKey));
+    assert_eq!(judge(false, None), Err(RefusalCause::NoKey));
+    assert_eq!(judge(true, None), Ok(None));
+    assert_eq!(judge(true, Some("bad")), Ok(None));
+    assert_eq!(RefusalCause::UnknownKey.status(), 401);
+    assert!(!RefusalCause::UnknownKey.is_passing());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_daemon_out_of_contact_does_not_say_that_a_key_is_unknown() {
+    let proof = proof_of_age(Duration::from_secs(6)).await;
+    let judge = |key, trust| judge(true, false, Some(key), &proof, trust);
+    let stale = Err(RefusalCause::StaleConfiguration);
+    assert_eq!(judge("bad", KeyTrust::Unbounded), stale);
+    assert_eq!(
+        judge("good", KeyTrust::Unbounded),
+        Ok(Some("ada".to_owned()))
+    );
+    assert_eq!(judge("good", KeyTrust::For(TRUST)), stale);
+    assert_eq!(RefusalCause::StaleConfiguration.status(), 503);
+    assert!(RefusalCause::StaleConfiguration.is_passing());
+}
+
+proptest! {
+    /// Whatever the age: a key that is not known never passes a route that asks for one, a key that is known is never
+    /// called unknown, and under a bound on trust nothing is served beyond it.
+    #[test]
+    fn no_age_lets_an_unknown_key_pass(
+        age_ms in 0..20_000_u64,
+        is_bounded: bool,
+        key in prop_oneof![Just(None), Just(Some("good")), Just(Some("bad")), Just(Some("Good"))],
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        let age = Duration::from_millis(age_ms);
+        let trust = if is_bounded { KeyTrust::For(TRUST) } else { KeyTrust::Unbounded };
+        let verdict = runtime.block_on(async {
+            let proof = proof_of_age(age).await;
+            judge(true, false, key, &proof, trust)
+        });
+        match (key, verdict) {
+            (Some("good"), Ok(tenant)) => {
+                prop_assert_eq!(tenant.as_deref(), Some("ada"));
+                prop_assert!(!is_bounded || age <= TRUST + Duration::from_millis(1));
+            }
+            (Some("good"), Err(cause)) => {
+                prop_assert_eq!(cause, RefusalCause::StaleConfiguration);
+                prop_assert!(is_bounded && age > TRUST);
+            }
+            (_, verdict) => prop_assert!(verdict.is_err()),
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_tenants_no_key_is_asked_for() {
+    let proof = ConfigurationProof::default();
+    assert_eq!(
+        judge(false, false, None, &proof, KeyTrust::For(TRUST)),
+        Ok(None)
+    );
+}
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -10,11 +10,12 @@
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
-    Candidate, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, Prompt,
-    PromptPart, Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet,
-    SelectionCosts, Separation, ServingRequest, SlotAnswer, SlotLeases, SlotQuery, cost,
-    reserved_slots,
+    Candidate, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, KeyTrust,
+    Prompt, PromptPart, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient,
+    ReplicaRecord, ReplicaRequest, ReplicaSet, SelectionCosts, Separation, ServingRequest,
+    SlotAnswer, SlotLeases, SlotQuery, cost, reserved_slots,
 };
+use harrierward_tenants::Tenant;
 use http::{HeaderMap, Method};
 
 /// Replicas of the service, more than are looked at for one request.
@@ -24,6 +25,15 @@
 
 struct NoClient;
 
+struct NoLimits;
+
+#[async_trait]
+impl RateLimits for NoLimits {
+    async fn admit(&self, _tenant: &Tenant, _request: &str) -> RateAnswer {
+        RateAnswer::Within
+    }
+}
+
 #[async_trait]
 impl ReplicaClient for NoClient {
     async fn send(&self, request: ReplicaRequest<'_>) -> Result<ReplicaAnswer, ExchangeError> {
@@ -86,10 +96,13 @@
         replicas: Arc::new(replicas),
         client: Arc::new(NoClient),
         places,
+        rates: Arc::new(NoLimits),
+        proof: Arc::default(),
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
             zone: ZONE.to_owned(),
             costs: SelectionCosts::default(),
+            key_trust: KeyTrust::Unbounded,
         },
     })
 }
@@ -119,6 +132,8 @@
             tokens: 6_500,
             output_tokens: 100,
         },
+        key: None,
+        tenant: None,
     }
 }
 
--- a/crates/serving/tests/routes.rs
+++ b/crates/serving/tests/routes.rs
@@ -22,6 +22,7 @@
         objective: Duration::from_millis(200),
         gap_objective: None,
         priority: 0,
+        is_public: false,
     };
     let configuration = ServingConfiguration {
         version: 1,
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -11,10 +11,11 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom,
-    Prompt, Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet,
-    Reply, Route, RouteKind, RouteTable, SelectionCosts, ServingConfiguration, ServingRequest,
-    SlotAnswer, SlotLeases, SlotQuery, WeightedService,
+    KeyTrust, Prompt, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord,
+    ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts,
+    ServingConfiguration, ServingRequest, SlotAnswer, SlotLeases, SlotQuery, WeightedService,
 };
+use harrierward_tenants::Tenant;
 use http::{HeaderMap, Method};
 use tokio::time::{Instant, sleep};
 
@@ -29,6 +30,15 @@
     sends: AtomicUsize,
 }
 
+struct NoLimits;
+
+#[async_trait]
+impl RateLimits for NoLimits {
+    async fn admit(&self, _tenant: &Tenant, _request: &str) -> RateAnswer {
+        RateAnswer::Within
+    }
+}
+
 #[async_trait]
 impl ReplicaClient for QueueingClient {
     async fn send(&self, request: ReplicaRequest<'_>) -> Result<ReplicaAnswer, ExchangeError> {
@@ -101,6 +111,7 @@
         objective: OBJECTIVE,
         gap_objective: None,
         priority: 0,
+        is_public: false,
     };
     let configuration = ServingConfiguration {
         version: 1,
@@ -132,10 +143,13 @@
             replicas,
             free_permille,
         }),
+        rates: Arc::new(NoLimits),
+        proof: Arc::default(),
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
             zone: "zone-a".to_owned(),
             costs: SelectionCosts::default(),
+            key_trust: KeyTrust::Unbounded,
         },
     });
     let request = ServingRequest {
@@ -148,6 +162,8 @@
         patience: Some(Duration::from_secs(5)),
         resume_after: None,
         prompt: Prompt::default(),
+        key: None,
+        tenant: None,
     };
     let reply = forwarder.forward(request, Instant::now()).await;
     assert!(matches!(reply, Reply::Answer(_)), "an answer");
--- a/crates/wire/src/inline_job.rs
+++ b/crates/wire/src/inline_job.rs
@@ -103,6 +103,9 @@
     /// Object that holds the items, if they are too large for rows.
     #[prost(string, tag = "11")]
     pub item_object: String,
+    /// Tenant that submitted it; empty if the configuration knew no tenants, or its route asks for no key.
+    #[prost(string, tag = "12")]
+    pub tenant: String,
 }
 
 /// A piece of a result.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod peer;
 mod quota;
+mod rates;
 mod slots;
 
 pub use batch::{
@@ -34,6 +35,7 @@
     RunningItem, peer_reply, peer_request,
 };
 pub use quota::{QuotaAnswer, QuotaAsk, QuotaFenceRow, QuotaOutcome};
+pub use rates::{RateAsk, RateGrant, RateOutcome};
 pub use slots::{HeldSlot, ItemSlotAsk, SlotAsk, SlotGrant, SlotReport, WholeReport};
 
 /// Reads a message; `None` if the bytes are not one.
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -238,7 +238,10 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct NodeDatagram {
     /// What it carries.
-    #[prost(oneof = "node_datagram::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(
+        oneof = "node_datagram::Kind",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12"
+    )]
     pub kind: Option<node_datagram::Kind>,
 }
 
@@ -277,5 +280,11 @@
         /// What became of that.
         #[prost(message, tag = "10")]
         QuotaAnswer(crate::QuotaAnswer),
+        /// A daemon wants tokens of a tenant's rate.
+        #[prost(message, tag = "11")]
+        RateAsk(crate::RateAsk),
+        /// What became of that.
+        #[prost(message, tag = "12")]
+        RateGrant(crate::RateGrant),
     }
 }
--- a/crates/wire/src/quota.rs
+++ b/crates/wire/src/quota.rs
@@ -30,6 +30,9 @@
     /// The job will certainly not be kept: its tokens go back, and nothing is answered.
     #[prost(bool, tag = "5")]
     pub returned: bool,
+    /// Tenant whose tokens they are; empty without tenants.
+    #[prost(string, tag = "6")]
+    pub tenant: String,
 }
 
 /// A coordinator's answer.
