A coordinator that has just started is told of the fleet before it gives out tokens; model of rates

A member that is asked in place of a silent coordinator named that one again, and each request waited 45 ms for it. Ruled out: reading the fleet's size from the store (a row that every daemon would have to keep). Change: answers carry what their sender remembers of the fleet, and a coordinator asks the next member before its first token; a coordinator known to be silent is not asked again through another member.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 pub use pool::{
     ConnectionPool, PoolError, PoolSettings, PooledBody, PooledResponse, RequestBody, has_token,
 };
+pub use rates::RateService;
 pub use server::{HttpService, ResponseBody, ServerControl, ServerStage, serve};
 pub use settings::EdgeSettings;
 pub use slots::{CoordinatorCandidate, SlotService, YieldItems};
--- a/crates/edge/src/rates.rs
+++ b/crates/edge/src/rates.rs
@@ -43,6 +43,8 @@
     stocks: HashMap<Arc<str>, TokenStock>,
     fleet: FleetMemory,
     silent_until: HashMap<String, Instant>,
+    /// Another member has told how large the fleet was, or could not be asked.
+    is_told: bool,
 }
 
 /// The rates of one daemon.
@@ -97,6 +99,7 @@
                 stocks: HashMap::new(),
                 fleet: FleetMemory::new(expects_others, Instant::now()),
                 silent_until: HashMap::new(),
+                is_told: false,
             }),
         }
     }
@@ -132,6 +135,17 @@
         first.is_some_and(|member| member.id == self.life)
     }
 
+    /// Part of each limit that this daemon gives out as a coordinator, 0 to 1.
+    pub fn share(&self) -> f64 {
+        let members = self.members.load().len();
+        self.lock().fleet.share(members, Instant::now())
+    }
+
+    /// True if this daemon coordinates the tenant.
+    pub fn coordinates(&self, tenant: &str) -> bool {
+        self.is_first(tenant, &self.members.load())
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -173,7 +187,15 @@
     }
 
     fn answer(&self, ask: &RateAsk) -> RateGrant {
-        self.take_fleet(ask);
+        self.take_fleet(ask.fleet_members, ask.fleet_seen_ms_ago);
+        let mut grant = self.decide(ask);
+        let now = Instant::now();
+        let largest = self.lock().fleet.largest(now);
+        (grant.fleet_members, grant.fleet_seen_ms_ago) = describe(largest, now);
+        grant
+    }
+
+    fn decide(&self, ask: &RateAsk) -> RateGrant {
         let members = self.members.load();
         let is_first = self.is_first(&ask.tenant, &members);
         let tenant = self.tenant(&ask.tenant);
@@ -240,30 +262,40 @@
         let mut state = self.lock();
         let stock = state.stocks.get(&tenant.name);
         let wanted = stock.map_or(1, TokenStock::wanted);
-        let fleet = state.fleet.largest(now);
-        let ago = fleet.map_or(Duration::ZERO, |seen| {
-            now.saturating_duration_since(seen.at)
-        });
-        let members = fleet.map_or(0, |seen| seen.members);
+        let (fleet_members, fleet_seen_ms_ago) = describe(state.fleet.largest(now), now);
         RateAsk {
             number: self.next_call.fetch_add(1, Ordering::Relaxed),
             tenant: tenant.name.to_string(),
             wanted,
-            fleet_members: u32::try_from(members).unwrap_or(u32::MAX),
-            fleet_seen_ms_ago: u32::try_from(ago.as_millis()).unwrap_or(u32::MAX),
+            fleet_members,
+            fleet_seen_ms_ago,
         }
     }
 
-    /// Takes what an asker saw of the fleet: a coordinator that has just started knows nothing of members that were
-    /// cut off before.
-    fn take_fleet(&self, ask: &RateAsk) {
-        let ago = Duration::from_millis(u64::from(ask.fleet_seen_ms_ago));
-        let members = usize::try_from(ask.fleet_members).unwrap_or_default();
+    /// Takes what another member saw of the fleet: a coordinator that has just started knows nothing of members that
+    /// were cut off before.
+    fn take_fleet(&self, members: u32, seen_ms_ago: u32) {
+        let ago = Duration::from_millis(u64::from(seen_ms_ago));
+        let members = usize::try_from(members).unwrap_or_default();
         if let Some(at) = Instant::now().checked_sub(ago) {
-            self.lock().fleet.take(SeenFleet { members, at });
+            let mut state = self.lock();
+            state.fleet.take(SeenFleet { members, at });
+            state.is_told = true;
         }
     }
 
+    /// Lets another member tell how large the fleet was, before this one gives out tokens for the first time.
+    async fn be_told(&self, tenant: &Tenant, other: Option<&CoordinatorCandidate>) {
+        if self.lock().is_told {
+            return;
+        }
+        if let Some(address) = other.and_then(|other| other.address) {
+            // It does not coordinate the tenant, so it answers with what it knows of the fleet and nothing else.
+            let _ = self.ask(tenant, address).await;
+        }
+        self.lock().is_told = true;
+    }
+
     /// Asks a coordinator at an address; keeps what it gives out beyond the one token for this request.
     async fn ask(&self, tenant: &Tenant, address: SocketAddr) -> Asked {
         let asked_at = Instant::now();
@@ -272,6 +304,7 @@
         let Some(grant) = self.calls.ask(ask.number, PATIENCE, send).await else {
             return Asked::Silent;
         };
+        self.take_fleet(grant.fleet_members, grant.fleet_seen_ms_ago);
         let mut state = self.lock();
         let stock = state.stocks.entry(tenant.name.clone()).or_default();
         match grant.outcome() {
@@ -295,6 +328,7 @@
             return (String::new(), Asked::Silent);
         };
         if first.id == self.life {
+            self.be_told(tenant, second).await;
             return (first.id.clone(), self.give_out_to_self(tenant));
         }
         let chosen = second
@@ -304,8 +338,11 @@
         let Some(address) = chosen.address.filter(|_| chosen.id != self.life) else {
             return (chosen.id.clone(), Asked::Silent);
         };
+        // Where the second still takes the first for the coordinator, which is silent here, nobody counts.
         let asked = match self.ask(tenant, address).await {
-            Asked::Other(Some(other)) => self.ask(tenant, other).await,
+            Asked::Other(Some(other)) if first.address != Some(other) => {
+                self.ask(tenant, other).await
+            }
             asked => asked,
         };
         if matches!(asked, Asked::Silent) {
@@ -337,15 +374,13 @@
         outcome: &str,
         asked_at: Instant,
     ) {
-        let members = self.members.load().len();
-        let share = self.lock().fleet.share(members, Instant::now());
         let asked_for = asked_at.elapsed().as_millis();
         self.log.record(&Record::RateRefused {
             request,
             tenant: &tenant.name,
             coordinator,
             outcome,
-            share_permille: permille(share),
+            share_permille: permille(self.share()),
             asked_ms: u64::try_from(asked_for).unwrap_or(u64::MAX),
         });
     }
@@ -402,6 +437,18 @@
     [first, second].map(|found| found.map(|(_, member)| member))
 }
 
+/// Members of a fleet and the time since it had them, in milliseconds, as datagrams carry them.
+fn describe(fleet: Option<SeenFleet>, now: Instant) -> (u32, u32) {
+    let Some(seen) = fleet else {
+        return (0, 0);
+    };
+    let ago = now.saturating_duration_since(seen.at).as_millis();
+    (
+        u32::try_from(seen.members).unwrap_or(u32::MAX),
+        u32::try_from(ago).unwrap_or(u32::MAX),
+    )
+}
+
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn permille(share: f64) -> u32 {
     (share * 1_000.0).round() as u32
--- /dev/null
+++ b/crates/edge/tests/rates.rs
@@ -0,0 +1,182 @@
+//! Daemons that ask a tenant's coordinator for tokens, over loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use harrierward_decisions::{DecisionLog, LogBounds};
+use harrierward_edge::{CoordinatorCandidate, RateService};
+use harrierward_serving::{RateAnswer, RateLimits, RouteTable, ServingConfiguration};
+use harrierward_tenants::{RateBounds, RateLimit, Tenant, TenantDirectory, TenantSpec};
+use harrierward_wire::{NodeDatagram, decode};
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+const RATE: f64 = 4.0;
+
+const BOUNDS: RateBounds = RateBounds {
+    window: Duration::from_secs(5),
+    excess: 0.1,
+    slack: 20.0,
+};
+
+fn routes() -> RouteTable {
+    let specs: Vec<TenantSpec> = (0..40)
+        .map(|number| TenantSpec {
+            name: format!("tenant-{number}"),
+            keys: Vec::new(),
+            priority: None,
+            rate: RateLimit::new(RATE, RATE).expect("a limit"),
+        })
+        .collect();
+    let configuration = ServingConfiguration {
+        version: 1,
+        tenants: Some(TenantDirectory::new(&specs).expect("a directory")),
+        ..ServingConfiguration::default()
+    };
+    RouteTable::build(configuration, None)
+}
+
+fn tenants() -> Vec<Arc<Tenant>> {
+    let routes = routes();
+    let directory = routes.configuration.tenants.as_ref().expect("tenants");
+    (0..40)
+        .filter_map(|number| directory.tenant(&format!("tenant-{number}")).cloned())
+        .collect()
+}
+
+struct Daemon {
+    rates: Arc<RateService>,
+    candidate: CoordinatorCandidate,
+}
+
+/// A daemon that answers, unless it is deaf.
+async fn start(name: &str, is_deaf: bool) -> Daemon {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let address = socket.local_addr().expect("an address");
+    let socket = Arc::new(socket);
+    let rates = Arc::new(RateService::new(
+        name.to_owned(),
+        true,
+        BOUNDS,
+        Arc::new(ArcSwapOption::from_pointee(routes())),
+        DecisionLog::new(LogBounds::default()),
+    ));
+    rates.set_socket(socket.clone());
+    if !is_deaf {
+        let receiver = rates.clone();
+        tokio::spawn(async move { receive(&receiver, &socket).await });
+    }
+    Daemon {
+        rates,
+        candidate: candidate(name, Some(address)),
+    }
+}
+
+fn candidate(name: &str, address: Option<SocketAddr>) -> CoordinatorCandidate {
+    CoordinatorCandidate {
+        id: name.to_owned(),
+        address,
+        zone_hash: 0,
+    }
+}
+
+async fn receive(rates: &RateService, socket: &UdpSocket) {
+    let mut buffer = vec![0; 2_000];
+    while let Ok((length, from)) = socket.recv_from(&mut buffer).await {
+        let datagram = decode::<NodeDatagram>(&buffer[..length]);
+        if let Some(kind) = datagram.and_then(|datagram| datagram.kind) {
+            assert!(rates.receive(kind, from).is_none(), "not about rates");
+        }
+    }
+}
+
+async fn fleet(deaf: &[&str]) -> Vec<Daemon> {
+    let mut daemons = Vec::new();
+    for name in NAMES {
+        daemons.push(start(name, deaf.contains(&name)).await);
+    }
+    let members: Vec<_> = daemons.iter().map(|one| one.candidate.clone()).collect();
+    for daemon in &daemons {
+        daemon.rates.set_members(members.clone());
+    }
+    daemons
+}
+
+/// Requests of a tenant that are admitted, of 30 at each daemon at once.
+async fn admitted(daemons: &[Daemon], tenant: &Tenant) -> usize {
+    let mut admitted = 0;
+    for _ in 0..30 {
+        for daemon in daemons {
+            let answer = daemon.rates.admit(tenant, "r").await;
+            admitted += usize::from(answer == RateAnswer::Within);
+        }
+    }
+    admitted
+}
+
+#[tokio::test]
+async fn daemons_that_know_each_other_admit_one_limit_together() {
+    let daemons = fleet(&[]).await;
+    let began = Instant::now();
+    for tenant in tenants().iter().take(9) {
+        let admitted = admitted(&daemons, tenant).await;
+        assert!(began.elapsed() < Duration::from_secs(4));
+        // (4/s x 5 s + 4) x 1.1 + 20
+        assert!((4..=46).contains(&admitted), "{admitted}");
+    }
+}
+
+/// A daemon asks who follows a silent coordinator, and is told at once that nobody can tell: nothing is admitted that
+/// nobody counts.
+#[tokio::test]
+async fn a_silent_coordinator_costs_little_and_admits_nothing() {
+    let daemons = fleet(&["b"]).await;
+    for tenant in tenants() {
+        let began = Instant::now();
+        let answer = daemons[0].rates.admit(&tenant, "r").await;
+        assert!(began.elapsed() < Duration::from_millis(150), "{began:?}");
+        assert!(matches!(answer, RateAnswer::Within | RateAnswer::Unknown));
+    }
+    let mut unknown = 0;
+    let began = Instant::now();
+    for tenant in tenants() {
+        let answer = daemons[0].rates.admit(&tenant, "r").await;
+        unknown += usize::from(answer == RateAnswer::Unknown);
+    }
+    assert!(unknown > 0, "some tenants are the silent one's");
+    assert!(began.elapsed() < Duration::from_millis(200), "asked again");
+}
+
+/// A daemon that has just started, and sees two members of which another one knew three, gives out their part only: it
+/// is told of the third before its first token.
+#[tokio::test]
+async fn a_coordinator_that_has_just_started_is_told_of_members_that_were_cut_off() {
+    let daemons = fleet(&[]).await;
+    let new = start("d", false).await;
+    let members = vec![daemons[0].candidate.clone(), new.candidate.clone()];
+    daemons[0].rates.set_members(members.clone());
+    new.rates.set_members(members);
+    assert!((new.rates.share() - 1.0).abs() < 1e-9, "it knows of two");
+    for tenant in tenants() {
+        new.rates.admit(&tenant, "r").await;
+        if (new.rates.share() - 2.0 / 3.0).abs() < 1e-9 {
+            return;
+        }
+        assert!(!new.rates.coordinates(&tenant.name), "it gave out untold");
+    }
+    panic!("it was not told");
+}
+
+/// One that has started behind a cut admits nothing by itself.
+#[tokio::test]
+async fn a_daemon_that_expects_others_and_finds_nobody_admits_nothing() {
+    let alone = start("a", false).await;
+    alone.rates.set_members(vec![alone.candidate.clone()]);
+    for tenant in tenants() {
+        let answer = alone.rates.admit(&tenant, "r").await;
+        assert_eq!(answer, RateAnswer::Unknown);
+    }
+}
--- a/crates/wire/src/rates.rs
+++ b/crates/wire/src/rates.rs
@@ -38,6 +38,12 @@
     /// Address for datagrams of the coordinator, if the receiver is not the one and knows it.
     #[prost(string, tag = "5")]
     pub coordinator: String,
+    /// Most members that the receiver lately saw or was told of.
+    #[prost(uint32, tag = "6")]
+    pub fleet_members: u32,
+    /// Time since the fleet had them, milliseconds.
+    #[prost(uint32, tag = "7")]
+    pub fleet_seen_ms_ago: u32,
 }
 
 /// What became of a question for tokens.
