Newcomers that would be late are told when to come back, and go first when they do

Cause: this deployment is over its capacity for seconds in each peak. Change: a coordinator knows how many requests must end at the best replica before a newcomer and how long they hold their slots. Beyond the objective it tells the caller to come back: at the moment at which a slot is expected beyond those already promised, within what the caller heeds. Who comes then is not taken for overdue.

--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -107,6 +107,27 @@
         )
     }
 
+    async fn ask_group(&self, query: &SlotQuery<'_>, service: u32, group: GroupId) -> SlotAnswer {
+        match self.coordinator(service, group) {
+            Coordinator::Nobody => SlotAnswer::NoCoordinator,
+            Coordinator::Own => self.place_own(query, group),
+            Coordinator::Peer(peer) => self.ask_peer(query, service, group, &peer).await,
+        }
+    }
+
+    /// Another group that is not full as far as its coordinator told: a caller is not sent away while it is.
+    fn roomier_group(&self, query: &SlotQuery<'_>, service: u32, full: GroupId) -> Option<GroupId> {
+        let view = self.replicas.view();
+        let layout = layout(&view, query.service, self.costs.policy);
+        let state = self.lock();
+        let reported = state.free_permille.iter();
+        reported
+            .filter(|((of, group), _)| *of == service && *group != full && layout.contains(*group))
+            .filter(|(_, free)| **free > 0)
+            .max_by_key(|(_, free)| **free)
+            .map(|((_, group), _)| *group)
+    }
+
     async fn ask_peer(
         &self,
         query: &SlotQuery<'_>,
@@ -164,6 +185,11 @@
         } else {
             SlotAnswer::NoCoordinator
         };
+        if grant.come_back_ms > 0 {
+            return SlotAnswer::ComeBack {
+                after: Duration::from_millis(u64::from(grant.come_back_ms)),
+            };
+        }
         if grant.replica == 0 {
             return none;
         }
@@ -223,6 +249,8 @@
             suspected: suspected.map(|replica| replica.hash).collect(),
             item,
             overdue: query.overdue,
+            objective_ms: millis(query.objective),
+            may_return_ms: query.may_return.map_or(0, millis),
             connected: connected.collect(),
         }
     }
@@ -291,11 +319,12 @@
             let layout = layout(&view, query.service, self.costs.policy);
             self.group_to_ask(&query, service, &layout)
         };
-        let answer = match self.coordinator(service, group) {
-            Coordinator::Nobody => SlotAnswer::NoCoordinator,
-            Coordinator::Own => self.place_own(&query, group),
-            Coordinator::Peer(peer) => self.ask_peer(&query, service, group, &peer).await,
-        };
+        let mut answer = self.ask_group(&query, service, group).await;
+        if matches!(answer, SlotAnswer::ComeBack { .. })
+            && let Some(roomier) = self.roomier_group(&query, service, group)
+        {
+            answer = self.ask_group(&query, service, roomier).await;
+        }
         if query.item.is_some() && matches!(answer, SlotAnswer::NoRoom) {
             let mut state = self.lock();
             state.no_room_at.insert((service, group), Instant::now());
@@ -354,7 +383,7 @@
     }
 }
 
-fn millis(time: Duration) -> u32 {
+pub(super) fn millis(time: Duration) -> u32 {
     let time = time.min(LONGEST_SLACK);
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -10,12 +10,13 @@
     Choice, ChoiceQuery, ChosenBy, Mechanism, Prompt, PromptLength, PromptPart, Replica,
     SlotAnswer, SlotQuery, WorkClass, choose_replica, short_hash,
 };
-use harrierward_slots::{GroupId, SlotUse};
+use harrierward_slots::{GroupAdmission, GroupId, Newcomer, SlotUse};
 use harrierward_wire::{SlotAsk, SlotGrant, SlotReport, YieldRequest, node_datagram::Kind};
 use tokio::time::Instant;
 
+use super::asking::millis;
 use super::index::GroupIndex;
-use super::{Coordinator, SlotService, class_of, layout, usage_of};
+use super::{Coordinator, SlotService, State, class_of, layout, usage_of};
 
 /// Ticks of the membership between two whole reports to a coordinator.
 const REPORT_TICKS: u64 = 4;
@@ -83,7 +84,7 @@
             prompt: query.prompt,
             length: query.length,
             is_item: query.item.is_some(),
-            is_overdue: query.overdue,
+            is_overdue: query.overdue && !self.claim_return(query.service, group),
         };
         let Some(choice) = self.choose(query.service, group, &asker) else {
             return if query.item.is_some() || query.overdue {
@@ -92,6 +93,17 @@
                 SlotAnswer::NoCoordinator
             };
         };
+        if query.item.is_none()
+            && let Some(after) = self.come_back_after(
+                query.service,
+                group,
+                &choice,
+                query.objective,
+                query.may_return,
+            )
+        {
+            return SlotAnswer::ComeBack { after };
+        }
         let usage = usage_of(query.item, Instant::now());
         let lease = {
             let mut state = self.lock();
@@ -103,6 +115,65 @@
         SlotAnswer::Given { choice, lease }
     }
 
+    /// When the caller of an online request is to come back that would be late at the replica chosen for it; `None` if
+    /// it is let in.
+    fn come_back_after(
+        &self,
+        service: &str,
+        group: GroupId,
+        choice: &Choice,
+        objective: Duration,
+        may_return: Option<Duration>,
+    ) -> Option<Duration> {
+        let now = Instant::now();
+        let service = short_hash(service);
+        let replica = &choice.replica;
+        let position = (replica.online() + 1).saturating_sub(replica.slots());
+        let mut state = self.lock();
+        let admission = state
+            .admissions
+            .entry((service, group))
+            .or_insert_with(|| GroupAdmission::new(now));
+        admission.observe_arrival(now);
+        if position == 0 || !self.costs.policy.has(Mechanism::Admission) {
+            return None;
+        }
+        let may_return = may_return?;
+        let index = self.index();
+        let listed = index.listed(service, group).iter();
+        let ready = listed.filter(|replica| !replica.is_draining());
+        let newcomer = Newcomer {
+            position,
+            replica_slots: replica.slots(),
+            group_slots: ready.map(|replica| replica.slots()).sum(),
+            objective,
+            may_return,
+        };
+        admission.come_back_after(&newcomer, rand::random(), now)
+    }
+
+    /// True if an overdue request is probably one whose caller this daemon told to come back now.
+    fn claim_return(&self, service: &str, group: GroupId) -> bool {
+        let mut state = self.lock();
+        let admission = state.admissions.get_mut(&(short_hash(service), group));
+        admission.is_some_and(|admission| admission.claim_return(Instant::now()))
+    }
+
+    /// Takes into account how long requests that have ended held their slots.
+    fn observe_ended(&self, state: &mut State) {
+        let ended = state.ledger.take_ended();
+        let view = self.replicas.view();
+        for lease in ended {
+            let Some(replica) = view.by_hash(lease.replica) else {
+                continue;
+            };
+            let group = (short_hash(&replica.record.service), self.group(replica));
+            if let Some(admission) = state.admissions.get_mut(&group) {
+                admission.observe_hold(lease.held);
+            }
+        }
+    }
+
     /// An online request was given a lease where all are taken: an item ends for it.
     fn make_room(&self, choice: &Choice, usage: SlotUse) {
         let replica = &choice.replica;
@@ -198,11 +269,24 @@
             prompt: &prompt,
             length: length_of(ask),
             is_item: ask.item.is_some(),
-            is_overdue: ask.overdue,
+            is_overdue: ask.overdue && !self.claim_return(service, group),
         };
         let Some(choice) = self.choose(service, group, &asker) else {
             return none;
         };
+        if ask.item.is_none() {
+            let objective = Duration::from_millis(u64::from(ask.objective_ms));
+            let may_return = Duration::from_millis(u64::from(ask.may_return_ms));
+            let may_return = Some(may_return).filter(|longest| !longest.is_zero());
+            let after = self.come_back_after(service, group, &choice, objective, may_return);
+            if let Some(after) = after {
+                return SlotGrant {
+                    come_back_ms: millis(after).max(1),
+                    free_permille: choice.free_permille,
+                    ..none
+                };
+            }
+        }
         let now = Instant::now();
         let usage = match &ask.item {
             None => SlotUse::Online,
@@ -243,7 +327,11 @@
 
     /// Takes what a holder says of its leases.
     pub(super) fn take_report(&self, report: &SlotReport, from: SocketAddr) {
-        self.lock().ledger.take_report(report, from, Instant::now());
+        {
+            let mut state = self.lock();
+            state.ledger.take_report(report, from, Instant::now());
+            self.observe_ended(&mut state);
+        }
         self.publish();
     }
 
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -18,7 +18,9 @@
     Mechanism, Policy, Replica, ReplicaSet, ReplicaView, SelectionCosts, Suspicion, WorkClass,
     short_hash,
 };
-use harrierward_slots::{GroupId, GroupLayout, HeldSlots, SlotLedger, SlotUse, coordinator_of};
+use harrierward_slots::{
+    GroupAdmission, GroupId, GroupLayout, HeldSlots, SlotLedger, SlotUse, coordinator_of,
+};
 use harrierward_wire::{NodeDatagram, SlotGrant, encode, node_datagram};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -70,6 +72,8 @@
     /// Coordinators that the last round of reports told of leases.
     reported: HashSet<SocketAddr>,
     ticks: u64,
+    /// What was observed of the groups that this daemon coordinates.
+    admissions: HashMap<(u32, GroupId), GroupAdmission>,
     /// Coordinators by service and group, as they follow from the members.
     coordinators: HashMap<(u32, GroupId), Coordinator>,
 }
@@ -128,6 +132,7 @@
                 no_room_at: HashMap::new(),
                 reported: HashSet::new(),
                 ticks: 0,
+                admissions: HashMap::new(),
                 coordinators: HashMap::new(),
             }),
         }
--- a/crates/edge/tests/slots.rs
+++ b/crates/edge/tests/slots.rs
@@ -1,5 +1,6 @@
 //! Daemons that ask a coordinator for places, over loopback.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -122,6 +123,7 @@
         objective: OBJECTIVE,
         item,
         overdue: false,
+        may_return: None,
     }
 }
 
@@ -252,6 +254,59 @@
     }
 }
 
+/// Holds so many slots for a while, so that coordinators know how long requests take.
+async fn hold_slots(daemons: &[Daemon], count: usize, time: Duration) {
+    let mut places = Vec::new();
+    for number in 0..count {
+        let daemon = &daemons[number % daemons.len()];
+        places.push(enter(daemon, None).await.expect("a slot"));
+    }
+    tokio::time::sleep(time).await;
+}
+
+/// A newcomer that would be late is told to come back, each at another moment within its caller's patience; one that
+/// has come back before, or whose caller waits without a bound, is placed.
+#[tokio::test]
+async fn a_newcomer_that_would_be_late_is_told_when_to_come_back() {
+    const MAY_RETURN: Duration = Duration::from_millis(1_500);
+    // Four requests that wait at a replica with two slots, of 200 ms each, take longer than the objective.
+    const WAITING: usize = 4;
+    let daemons = fleet(&NAMES, &[]).await;
+    let prompt = Prompt::default();
+    let newcomer = SlotQuery {
+        may_return: Some(MAY_RETURN),
+        ..query(&prompt, None)
+    };
+    hold_slots(
+        &daemons,
+        REPLICAS * SLOTS as usize * 2,
+        Duration::from_millis(200),
+    )
+    .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for daemon in &daemons {
+        let answer = daemon.slots.ask(newcomer).await;
+        assert!(matches!(answer, SlotAnswer::Given { .. }), "{answer:?}");
+    }
+    let mut places = Vec::new();
+    for number in 0..REPLICAS * (SLOTS as usize + WAITING) {
+        places.push(enter(&daemons[number % 4], None).await.expect("a slot"));
+    }
+    let mut moments = HashSet::new();
+    for number in 0..8 {
+        let daemon = &daemons[number % 4];
+        let answer = daemon.slots.ask(newcomer).await;
+        let SlotAnswer::ComeBack { after } = answer else {
+            panic!("{answer:?}");
+        };
+        assert!(after > Duration::ZERO && after <= MAY_RETURN, "{after:?}");
+        moments.insert(after);
+        let answer = daemon.slots.ask(query(&prompt, None)).await;
+        assert!(matches!(answer, SlotAnswer::Given { .. }), "{answer:?}");
+    }
+    assert!(moments.len() >= 4, "{moments:?}");
+}
+
 /// Where a coordinator answers, a daemon leaves it to end items; where none does, it goes by its own estimate.
 #[tokio::test]
 async fn replicas_are_coordinated_until_their_coordinator_falls_silent() {
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -58,7 +58,9 @@
         .await;
     let attempt = match attempt {
         Ok(attempt) => attempt,
-        Err(AttemptFailure::NoReplica) => return RunOutcome::NotRun("no replica".to_owned()),
+        Err(AttemptFailure::NoReplica | AttemptFailure::ComeBack { .. }) => {
+            return RunOutcome::NotRun("no replica".to_owned());
+        }
         Err(AttemptFailure::NotRun { cause, .. }) => return RunOutcome::NotRun(cause),
         Err(AttemptFailure::MayHaveRun { cause }) => return RunOutcome::Broken(cause),
     };
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::choice::{Placement, ROOMY_PERMILLE};
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
 use crate::forwarder::{Forwarder, RequestState};
+use crate::placing::NoPlace;
 use crate::policy::Mechanism;
 use crate::replica::{InProgress, Replica};
 
@@ -40,6 +41,11 @@
 pub enum AttemptFailure {
     /// No replica takes the work.
     NoReplica,
+    /// It would be late, and its caller is to come back.
+    ComeBack {
+        /// After so long.
+        after: Duration,
+    },
     /// The replica certainly did not run it.
     NotRun {
         /// Cause in words.
@@ -101,16 +107,26 @@
     ) -> (Option<String>, Result<Attempt, AttemptFailure>) {
         let request = &state.request;
         let objective = state.route.objective;
-        let placement = if state.overdue && state.tried.is_empty() {
+        let placement = if !state.tried.is_empty() || sending.number > 1 {
+            self.place(request, &state.service, &state.tried, objective, None)
+                .await
+                .ok_or(NoPlace::NoReplica)
+        } else if state.overdue {
             let longest = state.clock.hold_left() / OVERDUE_HOLD_PART;
             self.place_overdue(request, &state.service, objective, longest)
                 .await
+                .ok_or(NoPlace::NoReplica)
         } else {
-            self.place(request, &state.service, &state.tried, objective, None)
+            let may_return = state.may_return();
+            self.place_newcomer(request, &state.service, objective, may_return)
                 .await
         };
-        let Some(placement) = placement else {
-            return (None, Err(AttemptFailure::NoReplica));
+        let placement = match placement {
+            Ok(placement) => placement,
+            Err(NoPlace::NoReplica) => return (None, Err(AttemptFailure::NoReplica)),
+            Err(NoPlace::ComeBack { after }) => {
+                return (None, Err(AttemptFailure::ComeBack { after }));
+            }
         };
         let replica_id = placement.in_progress.replica().record.id.clone();
         // Placing may have taken time.
@@ -239,7 +255,7 @@
         after: Duration,
     ) {
         let (cause, not_run) = match failure {
-            AttemptFailure::NoReplica => ("no replica", true),
+            AttemptFailure::NoReplica | AttemptFailure::ComeBack { .. } => ("no replica", true),
             AttemptFailure::NotRun { cause, .. } => (cause.as_str(), true),
             AttemptFailure::MayHaveRun { cause } => (cause.as_str(), false),
         };
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -91,10 +91,26 @@
     pub tried: Vec<String>,
     /// Replicas to which it was sent and that may have run it.
     pub sends: u32,
-    /// Its objective had passed before it came.
+    /// Its caller has been refused or cut off before.
+    pub is_return: bool,
+    /// Its objective had passed before it came, and it leaves slots to those that can be in time.
     pub overdue: bool,
 }
 
+/// Part of the time that a caller has left for which it still heeds when to come back.
+const RETURN_PART: u32 = 3;
+
+impl RequestState {
+    /// Longest time after which the caller still comes back; `None` for one that has come back before, which is not
+    /// sent away again, and for one that waits without a bound.
+    pub fn may_return(&self) -> Option<Duration> {
+        self.request
+            .patience
+            .filter(|_| !self.is_return)
+            .map(|patience| patience / RETURN_PART)
+    }
+}
+
 /// How long a request may still take.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RequestClock {
@@ -205,7 +221,7 @@
         let request = Arc::new(request);
         match self.serve(&request, &entry, arrived).await {
             Ok(answer) => Reply::Answer(answer),
-            Err(cause) => self.refuse(&request, refusal_of(cause), arrived),
+            Err(refusal) => self.refuse(&request, refusal, arrived),
         }
     }
 
@@ -265,8 +281,11 @@
         request: &Arc<ServingRequest>,
         entry: &RouteEntry,
         arrived: Instant,
-    ) -> Result<CallerAnswer, RefusalCause> {
-        let service = entry.next_service().ok_or(RefusalCause::NoReplica)?;
+    ) -> Result<CallerAnswer, Refusal> {
+        let service = entry
+            .next_service()
+            .ok_or_else(|| refusal_of(RefusalCause::NoReplica))?;
+        let is_return = entry.is_overdue(request.patience);
         let mut state = RequestState {
             request: request.clone(),
             route: Arc::new(entry.route.clone()),
@@ -274,38 +293,48 @@
             clock: RequestClock::new(arrived, request, &entry.route),
             tried: Vec::new(),
             sends: 0,
-            overdue: entry.is_overdue(request.patience)
-                && self.policy().has(Mechanism::OverdueLast),
+            is_return,
+            overdue: is_return && self.policy().has(Mechanism::OverdueLast),
         };
         let mut refusals = 0;
         let mut may_have_run = false;
         loop {
             if state.clock.hold_left().is_zero() {
-                return Err(given_up(may_have_run, RefusalCause::NoTimeLeft, &state));
+                let cause = given_up(may_have_run, RefusalCause::NoTimeLeft, &state);
+                return Err(refusal_of(cause));
             }
             state.sends += 1;
             let (replica, result) = self.first_attempt(&state).await;
             state.tried.extend(replica);
             match result {
                 Ok(attempt) if self.shall_repeat(&attempt, &state) => may_have_run = true,
-                Ok(attempt) => return answer(self, state, attempt),
+                Ok(attempt) => return answer(self, state, attempt).map_err(refusal_of),
+                Err(AttemptFailure::ComeBack { after }) => {
+                    return Err(Refusal {
+                        cause: RefusalCause::Overloaded,
+                        retry_after: Some(after),
+                    });
+                }
                 Err(AttemptFailure::NoReplica) if state.tried.is_empty() => {
-                    return Err(RefusalCause::NoReplica);
+                    return Err(refusal_of(RefusalCause::NoReplica));
                 }
                 Err(AttemptFailure::NoReplica) => {
-                    return Err(given_up(may_have_run, RefusalCause::Full, &state));
+                    let cause = given_up(may_have_run, RefusalCause::Full, &state);
+                    return Err(refusal_of(cause));
                 }
                 Err(AttemptFailure::NotRun { .. }) => {
                     state.sends -= 1;
                     refusals += 1;
                     if refusals > MOST_REFUSALS {
-                        return Err(given_up(may_have_run, RefusalCause::Full, &state));
+                        let cause = given_up(may_have_run, RefusalCause::Full, &state);
+                        return Err(refusal_of(cause));
                     }
                 }
                 Err(AttemptFailure::MayHaveRun { .. }) => {
                     may_have_run = true;
                     if !state.route.may_repeat() || state.sends >= state.route.attempts {
-                        return Err(given_up(true, RefusalCause::Broken, &state));
+                        let cause = given_up(true, RefusalCause::Broken, &state);
+                        return Err(refusal_of(cause));
                     }
                 }
             }
--- a/crates/serving/src/leases.rs
+++ b/crates/serving/src/leases.rs
@@ -34,6 +34,9 @@
     pub item: Option<ItemRoom>,
     /// An online request whose objective has passed: it waits while those that can still be in time take all slots.
     pub overdue: bool,
+    /// Longest time after which the caller of an online request still comes back, if it is told to; `None` if the
+    /// request must be placed.
+    pub may_return: Option<Duration>,
 }
 
 impl SlotQuery<'_> {
@@ -58,6 +61,11 @@
     },
     /// The coordinator has no room now for an item or an overdue request.
     NoRoom,
+    /// The request would be late; its caller is to come back.
+    ComeBack {
+        /// When a slot is expected to be free for it.
+        after: Duration,
+    },
     /// No coordinator answers: the daemon chooses by what it knows itself.
     NoCoordinator,
 }
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -22,6 +22,18 @@
 const OVERDUE_PAUSE_PART: u32 = 3;
 const LONGEST_OVERDUE_PAUSE: Duration = Duration::from_millis(150);
 
+/// Why a request has no place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoPlace {
+    /// No replica takes it.
+    NoReplica,
+    /// It would be late; its caller is to come back.
+    ComeBack {
+        /// After so long.
+        after: Duration,
+    },
+}
+
 impl Forwarder {
     /// A place for a request, online or, if `item` is set, batch.
     pub async fn place(
@@ -44,8 +56,30 @@
             objective,
             item,
             overdue: false,
+            may_return: None,
         };
-        self.ask_or_choose(query).await
+        self.ask_or_choose(query).await.ok()
+    }
+
+    /// A place for an online request that comes for the first time: its caller may be told to come back instead.
+    pub(crate) async fn place_newcomer(
+        &self,
+        request: &ServingRequest,
+        service: &str,
+        objective: Duration,
+        may_return: Option<Duration>,
+    ) -> Result<Placement, NoPlace> {
+        self.ask_or_choose(SlotQuery {
+            service,
+            prompt: &request.prompt,
+            length: self.length_of(service, request),
+            excluded: &[],
+            objective,
+            item: None,
+            overdue: false,
+            may_return,
+        })
+        .await
     }
 
     /// A place for an online request whose objective has passed: it waits up to `longest` while those that can still
@@ -67,6 +101,7 @@
             objective,
             item: None,
             overdue: true,
+            may_return: None,
         };
         let began = Instant::now();
         loop {
@@ -83,12 +118,14 @@
                     let held = SlotLease::new(self.places().clone(), lease);
                     return Some(choice.enter(query.class(), held));
                 }
-                SlotAnswer::NoRoom | SlotAnswer::NoCoordinator => break,
+                SlotAnswer::NoRoom | SlotAnswer::ComeBack { .. } | SlotAnswer::NoCoordinator => {
+                    break;
+                }
             }
         }
         self.log_overdue(request, began);
         query.overdue = false;
-        self.ask_or_choose(query).await
+        self.ask_or_choose(query).await.ok()
     }
 
     fn length_of(&self, service: &str, request: &ServingRequest) -> PromptLength {
@@ -107,14 +144,15 @@
         });
     }
 
-    async fn ask_or_choose(&self, query: SlotQuery<'_>) -> Option<Placement> {
+    async fn ask_or_choose(&self, query: SlotQuery<'_>) -> Result<Placement, NoPlace> {
         match self.places().ask(query).await {
             SlotAnswer::Given { choice, lease } => {
                 let held = SlotLease::new(self.places().clone(), lease);
-                Some(choice.enter(query.class(), held))
+                Ok(choice.enter(query.class(), held))
             }
-            SlotAnswer::NoRoom => None,
-            SlotAnswer::NoCoordinator => self.choose_alone(query),
+            SlotAnswer::NoRoom => Err(NoPlace::NoReplica),
+            SlotAnswer::ComeBack { after } => Err(NoPlace::ComeBack { after }),
+            SlotAnswer::NoCoordinator => self.choose_alone(query).ok_or(NoPlace::NoReplica),
         }
     }
 
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -45,17 +45,19 @@
     OverdueLast,
     /// Replicas to which the asking daemon keeps a connection are cheaper.
     KeptConnections,
+    /// An online request that would be late is refused at once, and its caller told to come back.
+    Admission,
 }
 
 use Mechanism::{
-    Coordinators, GatheredChanges, ItemReserve, Jitter, KeptConnections, LoadNotices,
+    Admission, Coordinators, GatheredChanges, ItemReserve, Jitter, KeptConnections, LoadNotices,
     LongPromptsApart, OverdueLast, OwnZoneFirst, Pacing, Preemption, PreferredReplica,
     PromptCopies, QueuePatience, Sampling, SavedProgress, Suspicion, ViewSync, ZoneGroups,
 };
 
 impl Mechanism {
     /// All of them, in the order of the ablation table.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         PreferredReplica,
         PromptCopies,
         LongPromptsApart,
@@ -75,6 +77,7 @@
         QueuePatience,
         OverdueLast,
         KeptConnections,
+        Admission,
     ];
 
     /// Name in settings.
@@ -99,6 +102,7 @@
             QueuePatience => "queue-patience",
             OverdueLast => "overdue-last",
             KeptConnections => "kept-connections",
+            Admission => "admission",
         }
     }
 
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -199,7 +199,7 @@
                     }
                 }
                 Err(AttemptFailure::MayHaveRun { cause }) => first_cause = Some(cause),
-                Err(AttemptFailure::NoReplica) => {
+                Err(AttemptFailure::NoReplica | AttemptFailure::ComeBack { .. }) => {
                     first_cause = Some("no replica".to_owned());
                     break;
                 }
--- a/crates/serving/src/reply.rs
+++ b/crates/serving/src/reply.rs
@@ -43,6 +43,8 @@
     NoReplica,
     /// All replicas tried are full.
     Full,
+    /// It would be late now, and can be in time a moment later.
+    Overloaded,
     /// The time ran out before any replica took it.
     NoTimeLeft,
     /// The time ran out while it may have run.
@@ -76,6 +78,7 @@
             Self::RateUnknown => "rate_unknown",
             Self::NoReplica => "no_replica",
             Self::Full => "full",
+            Self::Overloaded => "overloaded",
             Self::NoTimeLeft => "no_time_left",
             Self::TimedOut => "timed_out",
             Self::Broken => "broken",
@@ -94,6 +97,7 @@
             | Self::RateUnknown
             | Self::NoReplica
             | Self::Full
+            | Self::Overloaded
             | Self::NoTimeLeft
             | Self::Stopping => 503,
             Self::TimedOut => 504,
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -11,8 +11,8 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom,
-    KeyTrust, Prompt, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord,
-    ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts,
+    KeyTrust, Prompt, RateAnswer, RateLimits, RefusalCause, Replica, ReplicaAnswer, ReplicaClient,
+    ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts,
     ServingConfiguration, ServingRequest, SlotAnswer, SlotLeases, SlotQuery, WeightedService,
 };
 use harrierward_tenants::Tenant;
@@ -60,11 +60,16 @@
 struct Group {
     replicas: Arc<ReplicaSet>,
     free_permille: u32,
+    /// What newcomers are told.
+    come_back: Option<Duration>,
 }
 
 #[async_trait]
 impl SlotLeases for Group {
     async fn ask(&self, query: SlotQuery<'_>) -> SlotAnswer {
+        if let Some(after) = self.come_back.filter(|_| query.may_return.is_some()) {
+            return SlotAnswer::ComeBack { after };
+        }
         let view = self.replicas.view();
         let mut all = view.all();
         let replica = all.find(|replica| !query.excluded.contains(&replica.record.id));
@@ -121,8 +126,8 @@
     RouteTable::build(configuration, None)
 }
 
-/// Sends of one request, in a group of which so much is free.
-async fn sends_where_free(free_permille: u32) -> usize {
+/// A forwarder before such a group.
+fn forwarder(free_permille: u32, come_back: Option<Duration>) -> (Forwarder, Arc<QueueingClient>) {
     let replicas = ReplicaSet::default();
     let records = (0..2).map(|number| ReplicaRecord {
         id: format!("replica-{number}"),
@@ -142,6 +147,7 @@
         places: Arc::new(Group {
             replicas,
             free_permille,
+            come_back,
         }),
         rates: Arc::new(NoLimits),
         proof: Arc::default(),
@@ -152,24 +158,60 @@
             key_trust: KeyTrust::Unbounded,
         },
     });
-    let request = ServingRequest {
+    (forwarder, client)
+}
+
+fn request(patience: Duration) -> ServingRequest {
+    ServingRequest {
         id: "r".to_owned(),
         host: "example".to_owned(),
         method: Method::POST,
         target: "/ask/x".to_owned(),
         headers: HeaderMap::new(),
         body: Bytes::new(),
-        patience: Some(Duration::from_secs(5)),
+        patience: Some(patience),
         resume_after: None,
         prompt: Prompt::default(),
         key: None,
         tenant: None,
-    };
-    let reply = forwarder.forward(request, Instant::now()).await;
+    }
+}
+
+/// Longest that a caller of the route waits.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Sends of one request, in a group of which so much is free.
+async fn sends_where_free(free_permille: u32) -> usize {
+    let (forwarder, client) = forwarder(free_permille, None);
+    let reply = forwarder.forward(request(PATIENCE), Instant::now()).await;
     assert!(matches!(reply, Reply::Answer(_)), "an answer");
     client.sends.load(Ordering::Relaxed)
 }
 
+/// A caller that is sent away gets a refusal that says when to come back, at once and with nothing sent; when it comes
+/// back with what is left of its time, it is not sent away again.
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_comes_back_is_not_sent_away_again() {
+    let after = Duration::from_millis(700);
+    let (forwarder, client) = forwarder(0, Some(after));
+    let began = Instant::now();
+    let reply = forwarder.forward(request(PATIENCE), began).await;
+    let Reply::Refusal(refusal) = reply else {
+        panic!("a refusal");
+    };
+    assert_eq!(refusal.cause, RefusalCause::Overloaded);
+    assert_eq!(
+        (refusal.cause.status(), refusal.retry_after),
+        (503, Some(after))
+    );
+    assert!(refusal.cause.is_not_run() && began.elapsed() < Duration::from_millis(10));
+    assert_eq!(client.sends.load(Ordering::Relaxed), 0);
+    let reply = forwarder
+        .forward(request(PATIENCE - after), Instant::now())
+        .await;
+    assert!(matches!(reply, Reply::Answer(_)), "an answer");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_silent_replica_is_left_where_others_have_room() {
     assert_eq!(sends_where_free(900).await, 2);
--- a/crates/slots/src/ledger.rs
+++ b/crates/slots/src/ledger.rs
@@ -68,9 +68,19 @@
 struct Lease {
     replica: u32,
     usage: SlotUse,
+    granted_at: Instant,
     ending_since: Option<Instant>,
 }
 
+/// An online request that has given its lease back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndedLease {
+    /// Its replica.
+    pub replica: u32,
+    /// How long it held the lease.
+    pub held: Duration,
+}
+
 #[derive(Debug)]
 struct Holder {
     address: SocketAddr,
@@ -85,6 +95,7 @@
     holders: HashMap<u64, Holder>,
     counts: HashMap<u32, SlotCounts>,
     changed: HashSet<u32>,
+    ended: Vec<EndedLease>,
 }
 
 impl SlotLedger {
@@ -104,6 +115,11 @@
         self.changed.drain().collect()
     }
 
+    /// Online requests that have given their leases back since this was last asked.
+    pub fn take_ended(&mut self) -> Vec<EndedLease> {
+        std::mem::take(&mut self.ended)
+    }
+
     /// Gives out a lease.
     pub fn grant(
         &mut self,
@@ -115,7 +131,7 @@
         now: Instant,
     ) {
         self.hear(holder, address, now);
-        self.set(holder, number, replica, usage);
+        self.set(holder, number, replica, usage, now);
     }
 
     /// Takes a holder's report.
@@ -142,6 +158,7 @@
             self.take_held(holder, held, now);
         }
         for lease in &report.released {
+            self.note_ended(holder, *lease, now);
             self.remove(holder, *lease);
         }
     }
@@ -218,15 +235,35 @@
                     self.count(&counted, true);
                 }
             }
-            _ => self.set(holder, held.lease, held.replica, SlotUse::of(held, now)),
+            _ => self.set(
+                holder,
+                held.lease,
+                held.replica,
+                SlotUse::of(held, now),
+                now,
+            ),
+        }
+    }
+
+    fn note_ended(&mut self, holder: u64, lease: u32, now: Instant) {
+        let leases = self.holders.get(&holder).map(|known| &known.leases);
+        let Some(lease) = leases.and_then(|leases| leases.get(&lease)) else {
+            return;
+        };
+        if lease.usage == SlotUse::Online {
+            self.ended.push(EndedLease {
+                replica: lease.replica,
+                held: now.saturating_duration_since(lease.granted_at),
+            });
         }
     }
 
-    fn set(&mut self, holder: u64, number: u32, replica: u32, usage: SlotUse) {
+    fn set(&mut self, holder: u64, number: u32, replica: u32, usage: SlotUse, now: Instant) {
         self.remove(holder, number);
         let lease = Lease {
             replica,
             usage,
+            granted_at: now,
             ending_since: None,
         };
         if let Some(known) = self.holders.get_mut(&holder) {
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -5,10 +5,12 @@
 //! leases of a group one after the other knows both. What it knows is a hint: it is built anew from the holders'
 //! reports within a second, and no promise depends on it.
 
+mod admission;
 mod groups;
 mod held;
 mod ledger;
 
+pub use admission::{GroupAdmission, Newcomer};
 pub use groups::{GroupId, GroupLayout, coordinator_of};
 pub use held::HeldSlots;
-pub use ledger::{EndingLease, SlotCounts, SlotLedger, SlotUse};
+pub use ledger::{EndedLease, EndingLease, SlotCounts, SlotLedger, SlotUse};
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -44,6 +44,12 @@
     /// Hashes of replicas of the group to which the asker keeps a connection.
     #[prost(fixed32, repeated, tag = "13")]
     pub connected: Vec<u32>,
+    /// For an online request: time within which its answer must begin, milliseconds.
+    #[prost(uint32, tag = "14")]
+    pub objective_ms: u32,
+    /// Longest time after which its caller still comes back, milliseconds; 0 if it must be placed.
+    #[prost(uint32, tag = "15")]
+    pub may_return_ms: u32,
 }
 
 /// What a batch item adds to its question.
@@ -75,6 +81,9 @@
     /// The receiver keeps no such group, or does not know its replicas yet.
     #[prost(bool, tag = "6")]
     pub not_coordinator: bool,
+    /// The request would be late: its caller is to come back after so long, milliseconds; 0 if not.
+    #[prost(uint32, tag = "7")]
+    pub come_back_ms: u32,
 }
 
 /// A lease held at a replica.
