Whole reads go on at the page that was refused, count their pages, and second ones are spread

Each daemon reads seven pages of replicas and eight partitions of headers; a refused page made the whole read begin anew, a read of seven pages counted as one in its pace, and all second reads came 4 s after the start at the same moment, when the questions for configuration and replicas were refused with them. Ruled out: that daemons wait for the replicas after such a loss. Change: the table is read page by page (WatchedTable::read_page, WholeRead), a read that was interrupted goes on for 10 s; pages are counted; second reads are spread over 4 s at the most; configuration and replicas are read before the headers. Tests: 300 daemons before a store of 400 pages a second, of which at most 100 have read all in twice the least time when reads begin anew, and 290 or more when they go on; second reads are refused a fifth as often, or less, as at once.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -25,7 +25,8 @@
 use crate::settings::EdgeSettings;
 use crate::slots::{SlotService, YieldItems};
 use crate::watch::{
-    SpaceUpdate, Watch, WatchPace, WatchSettings, gathering_interval, unpaced, whole_read_interval,
+    SpaceUpdate, Watch, WatchPace, WatchSettings, WholeReadPace, gathering_interval, unpaced,
+    whole_read_interval,
 };
 
 /// Time in which the platform takes a daemon that is not ready out of service.
@@ -320,9 +321,9 @@
         Arc::new(move || gathering_interval(fleet_size(), reads))
     }
 
-    fn whole_reads(&self, calls: usize) -> WatchPace {
+    fn whole_reads(&self) -> WholeReadPace {
         let (fleet_size, reads) = (self.fleet_size.clone(), self.reads_a_second);
-        Arc::new(move || whole_read_interval(fleet_size(), calls, reads))
+        Arc::new(move |calls| whole_read_interval(fleet_size(), calls, reads))
     }
 }
 
@@ -342,7 +343,7 @@
             ..WatchSettings::default()
         },
         pace,
-        whole_read_pace: paces.whole_reads(partitions.len()),
+        whole_read_pace: paces.whole_reads(),
         partitions,
         log: log.clone(),
     };
@@ -365,7 +366,23 @@
     let wait = WatchSettings::default().wait;
     let heads = watch(HEADS, partitions(), paces.gathering(), wait);
     let jobs = jobs.clone();
-    tokio::spawn(heads.run(move |update| take_heads(&jobs, &update)));
+    let first = discovery.clone();
+    tokio::spawn(async move {
+        // Where all daemons start at once the store takes only part of their calls: what callers wait for is read first.
+        wait_until_complete(&first).await;
+        heads.run(move |update| take_heads(&jobs, &update)).await;
+    });
+}
+
+/// How long the jobs' headers wait for the configuration and the replicas, and the pause between looks.
+const DISCOVERY_FIRST: Duration = Duration::from_millis(2_000);
+const DISCOVERY_LOOK: Duration = Duration::from_millis(10);
+
+async fn wait_until_complete(discovery: &Discovery) {
+    let until = Instant::now() + DISCOVERY_FIRST;
+    while !discovery.is_complete() && Instant::now() < until {
+        sleep(DISCOVERY_LOOK).await;
+    }
 }
 
 /// The partition without a name, in which spaces that are not ours keep their rows.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,6 +27,6 @@
 pub use settings::EdgeSettings;
 pub use slots::{CoordinatorCandidate, SlotService, YieldItems};
 pub use watch::{
-    SpaceCopy, SpaceUpdate, Watch, WatchPace, WatchSettings, gathering_interval, unpaced,
-    whole_read_interval,
+    SpaceCopy, SpaceUpdate, Watch, WatchPace, WatchSettings, WholeReadPace, gathering_interval,
+    unpaced, unpaced_reads, whole_read_interval,
 };
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -7,10 +7,10 @@
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{
-    Backoff, ChangePage, PlatformErrorKind, Row, SpaceSnapshot, WatchedTable,
+    Backoff, ChangePage, PlatformErrorKind, Row, SpaceSnapshot, WatchedTable, WholeRead,
 };
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use tokio::time::{Instant, sleep};
 
 /// Bounds of a watch.
@@ -24,6 +24,9 @@
     pub longest_pause: Duration,
     /// Least time between whole reads: changes may be missing from what the store tells. It grows with the fleet.
     pub whole_read_every: Duration,
+    /// How long after its first page a whole read that was interrupted may go on: the store must still know what
+    /// changed since. Its history is known to reach 20 s back; whatever is gone is told by the next question.
+    pub resume_within: Duration,
     /// Time after the history was lost within which whole reads may be stale, and one more is made at its end.
     pub stale_for: Duration,
 }
@@ -35,6 +38,7 @@
             first_pause: Duration::from_millis(60),
             longest_pause: Duration::from_millis(500),
             whole_read_every: Duration::from_secs(10),
+            resume_within: Duration::from_secs(10),
             stale_for: Duration::from_secs(4),
         }
     }
@@ -43,6 +47,14 @@
 /// Least time between two answers that bring changes, asked anew each time: it grows with the fleet.
 pub type WatchPace = Arc<dyn Fn() -> Duration + Send + Sync>;
 
+/// Least time between two whole reads of a space, by the calls that one takes.
+pub type WholeReadPace = Arc<dyn Fn(usize) -> Duration + Send + Sync>;
+
+/// A pace for whole reads of a space that is small whatever the fleet's size.
+pub fn unpaced_reads() -> WholeReadPace {
+    Arc::new(|_| Duration::ZERO)
+}
+
 /// A pace for changes that must be known at once, and come seldom.
 pub fn unpaced() -> WatchPace {
     Arc::new(|| Duration::ZERO)
@@ -55,6 +67,10 @@
 /// and an end must be known to all within seconds.
 const LONGEST_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Longest time over which the second reads of daemons that have started together are spread. At 300 daemons before
+/// 3,000 replicas they are 4,500 calls, of which the users' stores take 2,000 a second and more.
+const LONGEST_SPREAD: Duration = Duration::from_secs(4);
+
 /// Share of the store's reads that the whole reads of one space may take.
 const WHOLE_READ_SHARE: f64 = 0.01;
 
@@ -189,7 +205,7 @@
     /// How long changes are gathered.
     pub pace: WatchPace,
     /// Time between whole reads, if longer than the settings' least.
-    pub whole_read_pace: WatchPace,
+    pub whole_read_pace: WholeReadPace,
     /// Log of lost and regained contact.
     pub log: DecisionLog,
 }
@@ -202,21 +218,34 @@
         let mut copy = SpaceCopy::default();
         let mut read_whole = true;
         let mut whole_read_due = Instant::now();
+        let mut reading: Option<ReadUnderWay> = None;
+        // A whole read that is only due again must not keep the changes from being asked for.
+        let mut ask_first = false;
+        let mut pages = 0;
         let mut lost_at: Option<Instant> = None;
         let mut interval = Duration::ZERO;
         loop {
-            let asked_at = Instant::now();
-            let result = if read_whole || asked_at >= whole_read_due {
-                let every = self.settings.whole_read_every;
-                whole_read_due = asked_at + every.max((self.whole_read_pace)());
-                self.read(&mut copy).await
+            let mut asked_at = Instant::now();
+            let is_read_due = reading.is_some() || asked_at >= whole_read_due;
+            let result = if read_whole || (is_read_due && !ask_first) {
+                let under_way = self.resume(&mut reading);
+                asked_at = under_way.began;
+                let read = self.read(under_way).await;
+                read.map(|()| {
+                    let done = reading.take().unwrap_or_else(|| self.begin_read());
+                    pages = done.whole.pages();
+                    let pace = (self.whole_read_pace)(pages);
+                    whole_read_due = asked_at + self.settings.whole_read_every.max(pace);
+                    copy.take_snapshot(done.whole.into_snapshot())
+                })
             } else {
+                ask_first = false;
                 self.ask(&mut copy, interval).await
             };
             match result {
                 Ok(Some(mut update)) => {
                     if std::mem::take(&mut read_whole) {
-                        whole_read_due = asked_at + self.settings.stale_for;
+                        whole_read_due = asked_at + self.second_read_after(pages, &mut random);
                     }
                     backoff.reset();
                     if let Some(since) = lost_at.take() {
@@ -241,6 +270,7 @@
                     sleep(backoff.wait(&mut random)).await;
                 }
                 Err(WatchFailure::NoContact(cause)) => {
+                    ask_first = reading.is_some() && !read_whole;
                     if lost_at.is_none() {
                         lost_at = Some(asked_at);
                         self.log_lost(&cause);
@@ -251,10 +281,41 @@
         }
     }
 
-    async fn read(&self, copy: &mut SpaceCopy) -> Result<Option<SpaceUpdate>, WatchFailure> {
-        let snapshot = self.table.read_space(self.space, &self.partitions).await;
-        let snapshot = snapshot.map_err(|error| WatchFailure::NoContact(error.to_string()))?;
-        Ok(copy.take_snapshot(snapshot))
+    /// When a space that was read for the first time, or after its history was lost, is read once more. Daemons that
+    /// lost it together do not all read it at the same moment.
+    fn second_read_after(&self, pages: usize, random: &mut SmallRng) -> Duration {
+        let spread = (self.whole_read_pace)(pages).min(LONGEST_SPREAD);
+        self.settings.stale_for + spread.mul_f64(random.random())
+    }
+
+    fn begin_read(&self) -> ReadUnderWay {
+        ReadUnderWay {
+            whole: WholeRead::new(&self.partitions),
+            began: Instant::now(),
+        }
+    }
+
+    /// The read under way, or a new one if there is none that may go on: the feed must still know the changes since
+    /// its first page.
+    fn resume<'a>(&self, reading: &'a mut Option<ReadUnderWay>) -> &'a mut ReadUnderWay {
+        let within = self.settings.resume_within;
+        if reading
+            .as_ref()
+            .is_some_and(|read| read.began.elapsed() >= within)
+        {
+            *reading = None;
+        }
+        reading.get_or_insert_with(|| self.begin_read())
+    }
+
+    /// Reads the pages that are left; those that were read stay if one fails.
+    async fn read(&self, under_way: &mut ReadUnderWay) -> Result<(), WatchFailure> {
+        while let Some(start) = under_way.whole.next_page() {
+            let page = self.table.read_page(self.space, start).await;
+            let page = page.map_err(|error| WatchFailure::NoContact(error.to_string()))?;
+            under_way.whole.take(page);
+        }
+        Ok(())
     }
 
     /// Asks for changes; a question that comes `later` than it could is held for less, so that the copy's age stays
@@ -292,6 +353,12 @@
     }
 }
 
+/// A whole read that has begun.
+struct ReadUnderWay {
+    whole: WholeRead,
+    began: Instant,
+}
+
 enum WatchFailure {
     HistoryLost,
     NoContact(String),
--- a/crates/edge/tests/watch.rs
+++ b/crates/edge/tests/watch.rs
@@ -8,9 +8,13 @@
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_edge::{
-    Watch, WatchPace, WatchSettings, gathering_interval, unpaced, whole_read_interval,
+    Watch, WatchPace, WatchSettings, gathering_interval, unpaced, unpaced_reads,
+    whole_read_interval,
+};
+use harrierward_external::{
+    ChangePage, PageStart, PlatformError, PlatformErrorKind, Row, RowChange, SpacePage,
+    WatchedTable,
 };
-use harrierward_external::{ChangePage, PlatformError, RowChange, SpaceSnapshot, WatchedTable};
 use tokio::time::{Instant, sleep, timeout};
 
 /// A row changes every 10 ms.
@@ -42,14 +46,14 @@
 
 #[async_trait]
 impl WatchedTable for BusySpace {
-    async fn read_space(
+    async fn read_page(
         &self,
         _space: &str,
-        _partitions: &[String],
-    ) -> Result<SpaceSnapshot, PlatformError> {
-        Ok(SpaceSnapshot {
+        _start: PageStart<'_>,
+    ) -> Result<SpacePage, PlatformError> {
+        Ok(SpacePage {
             revision: self.revision(),
-            ..SpaceSnapshot::default()
+            ..SpacePage::default()
         })
     }
 
@@ -101,7 +105,7 @@
             ..WatchSettings::default()
         },
         pace,
-        whole_read_pace: unpaced(),
+        whole_read_pace: unpaced_reads(),
         log: DecisionLog::new(LogBounds::default()),
     };
     let running = watch.run(move |update| {
@@ -169,3 +173,175 @@
     assert!(whole_read_interval(11, 8, reads) < WatchSettings::default().whole_read_every);
     assert_eq!(whole_read_interval(12, 1, 0.0), Duration::ZERO);
 }
+
+/// Pages of the space that many daemons read at once.
+const PAGES: usize = 7;
+
+/// Pages that its store answers in a second, of all daemons.
+const PAGES_A_SECOND: f64 = 400.0;
+
+/// A space of some pages in a store that refuses what is asked beyond its rate.
+struct CrowdedSpace {
+    start: Instant,
+    budget: Mutex<(f64, Instant)>,
+    answered: AtomicU64,
+    refused: AtomicU64,
+}
+
+impl CrowdedSpace {
+    fn new() -> Arc<Self> {
+        Arc::new(Self {
+            start: Instant::now(),
+            budget: Mutex::new((0.0, Instant::now())),
+            answered: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+        })
+    }
+
+    fn takes_call(&self) -> bool {
+        let mut budget = self.budget.lock().unwrap();
+        let now = Instant::now();
+        let earned = (now - budget.1).as_secs_f64() * PAGES_A_SECOND;
+        *budget = ((budget.0 + earned).min(PAGES_A_SECOND / 10.0), now);
+        if budget.0 < 1.0 {
+            return false;
+        }
+        budget.0 -= 1.0;
+        true
+    }
+}
+
+#[async_trait]
+impl WatchedTable for CrowdedSpace {
+    async fn read_page(
+        &self,
+        space: &str,
+        start: PageStart<'_>,
+    ) -> Result<SpacePage, PlatformError> {
+        sleep(Duration::from_millis(4)).await;
+        if !self.takes_call() {
+            self.refused.fetch_add(1, Ordering::Relaxed);
+            let kind = PlatformErrorKind::RateLimited {
+                retry_after: Duration::from_millis(100),
+            };
+            return Err(PlatformError::new("read", "store", kind, "too many"));
+        }
+        self.answered.fetch_add(1, Ordering::Relaxed);
+        let page: usize = start.from.parse().unwrap_or_default();
+        Ok(SpacePage {
+            rows: vec![Row {
+                key: format!("{space}//{page}"),
+                value: Bytes::new(),
+                revision: 1,
+            }],
+            next: (page + 1 < PAGES).then(|| (page + 1).to_string()),
+            revision: 1,
+            store_time_ms: 0,
+        })
+    }
+
+    async fn wait_changes(
+        &self,
+        _space: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<ChangePage, PlatformError> {
+        sleep(wait).await;
+        Ok(ChangePage {
+            revision: after,
+            ..ChangePage::default()
+        })
+    }
+}
+
+/// Daemons of a fleet of 300 that have read everything when twice the least time has passed in which a store that takes
+/// a fifth of their calls a second can answer all pages.
+async fn daemons_that_have_read(resume_within: Duration) -> usize {
+    const DAEMONS: usize = 300;
+    let space = CrowdedSpace::new();
+    let read = Arc::new(AtomicU64::new(0));
+    let watches = (0..DAEMONS).map(|_| {
+        let watch = Watch {
+            table: space.clone(),
+            space: "space",
+            partitions: vec![String::new()],
+            settings: WatchSettings {
+                stale_for: Duration::from_secs(1_000),
+                resume_within,
+                ..WatchSettings::default()
+            },
+            pace: unpaced(),
+            whole_read_pace: unpaced_reads(),
+            log: DecisionLog::new(LogBounds::default()),
+        };
+        let read = read.clone();
+        tokio::spawn(watch.run(move |update| {
+            if update.written.len() == PAGES {
+                read.fetch_add(1, Ordering::Relaxed);
+            }
+        }))
+    });
+    let watches: Vec<_> = watches.collect();
+    #[allow(clippy::cast_precision_loss)]
+    let least = (DAEMONS * PAGES) as f64 / PAGES_A_SECOND;
+    sleep(Duration::from_secs_f64(least * 2.0)).await;
+    for watch in watches {
+        watch.abort();
+    }
+    let answered = space.answered.load(Ordering::Relaxed);
+    assert!(
+        answered > 0,
+        "{answered} pages in {:?}",
+        space.start.elapsed()
+    );
+    usize::try_from(read.load(Ordering::Relaxed)).unwrap()
+}
+
+/// All daemons of a large fleet start at once: a page that is refused costs that page only. Reads that begin anew show
+/// that the test can fail.
+#[tokio::test(start_paused = true)]
+async fn reads_of_a_crowded_store_go_on_where_they_were_refused() {
+    let resumed = daemons_that_have_read(Duration::from_secs(60)).await;
+    assert!(resumed >= 290, "{resumed} of 300");
+    let anew = daemons_that_have_read(Duration::ZERO).await;
+    assert!(anew <= 100, "{anew} of 300");
+}
+
+/// Refused calls of second reads, where these may be spread over so long.
+async fn refused_second_reads(spread: Duration) -> u64 {
+    const DAEMONS: usize = 60;
+    let space = CrowdedSpace::new();
+    let watches = (0..DAEMONS).map(|_| {
+        let watch = Watch {
+            table: space.clone(),
+            space: "space",
+            partitions: vec![String::new()],
+            settings: WatchSettings {
+                stale_for: Duration::from_secs(10),
+                whole_read_every: Duration::from_secs(1_000),
+                ..WatchSettings::default()
+            },
+            pace: unpaced(),
+            whole_read_pace: Arc::new(move |_| spread),
+            log: DecisionLog::new(LogBounds::default()),
+        };
+        tokio::spawn(watch.run(|_| {}))
+    });
+    let watches: Vec<_> = watches.collect();
+    sleep(Duration::from_secs(8)).await;
+    let first = space.refused.load(Ordering::Relaxed);
+    sleep(Duration::from_secs(12)).await;
+    for watch in watches {
+        watch.abort();
+    }
+    space.refused.load(Ordering::Relaxed) - first
+}
+
+/// Daemons that have started together read once more at different moments, so that their questions for changes are not
+/// refused meanwhile.
+#[tokio::test(start_paused = true)]
+async fn second_reads_are_spread() {
+    let spread = refused_second_reads(Duration::from_secs(4)).await;
+    let at_once = refused_second_reads(Duration::ZERO).await;
+    assert!(spread * 5 < at_once, "{spread} refused, {at_once} at once");
+}
--- a/crates/external/src/lib.rs
+++ b/crates/external/src/lib.rs
@@ -15,6 +15,7 @@
 mod table;
 mod watch;
 mod weights;
+mod whole_read;
 
 pub use backoff::{Backoff, full_jitter};
 pub use budget::{RateBudget, RequestClass};
@@ -27,5 +28,6 @@
 pub use machines::{Machine, MachineList, MachineState};
 pub use objects::ObjectStore;
 pub use table::{Condition, Row, Table, Transaction, TransactionOutcome, Write};
-pub use watch::{ChangePage, RowChange, SpaceSnapshot, WatchedTable};
+pub use watch::{ChangePage, RowChange, SpacePage, SpaceSnapshot, WatchedTable};
 pub use weights::{WeightStore, WeightTransfer};
+pub use whole_read::{PageStart, WholeRead};
--- a/crates/external/src/watch.rs
+++ b/crates/external/src/watch.rs
@@ -8,6 +8,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 
+use crate::whole_read::{PageStart, WholeRead};
 use crate::{PlatformError, Row};
 
 /// All rows of a space as of one revision.
@@ -21,6 +22,19 @@
     pub store_time_ms: u64,
 }
 
+/// Some rows of a partition of a space, in the order of their keys.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SpacePage {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// Where the next page begins; `None` if this is the partition's last.
+    pub next: Option<String>,
+    /// Revision of the table that the page reflects at least.
+    pub revision: u64,
+    /// The store's steady clock, milliseconds.
+    pub store_time_ms: u64,
+}
+
 /// One change of a row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RowChange {
@@ -46,13 +60,27 @@
 /// Client of a table whose spaces can be watched.
 #[async_trait]
 pub trait WatchedTable: Send + Sync {
+    /// Reads rows of a space's partition.
+    async fn read_page(
+        &self,
+        space: &str,
+        start: PageStart<'_>,
+    ) -> Result<SpacePage, PlatformError>;
+
     /// Reads the whole of a space's partitions. They are named by the caller, because a list of them may be older
     /// than the rows.
     async fn read_space(
         &self,
         space: &str,
         partitions: &[String],
-    ) -> Result<SpaceSnapshot, PlatformError>;
+    ) -> Result<SpaceSnapshot, PlatformError> {
+        let mut whole = WholeRead::new(partitions);
+        while let Some(start) = whole.next_page() {
+            let page = self.read_page(space, start).await?;
+            whole.take(page);
+        }
+        Ok(whole.into_snapshot())
+    }
 
     /// Waits up to `wait` for changes after `revision`; an empty page if there are none.
     /// Fails with [`crate::PlatformErrorKind::HistoryLost`] if the store no longer knows the changes.
