A starting daemon asks a few near peers for their rows, and a daemon answers ten such questions a second

Ruled out: exchanges of views (615 and 620 in the second after the start, before and after). Change: members of the own zone first, in random order, four in a round; an answer each 100 ms, else 503 and the asker goes on.

--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -77,6 +77,7 @@
 /// This daemon's view of its peers.
 pub struct Members {
     life: String,
+    zone: String,
     policy: Policy,
     seeds: Vec<String>,
     started: Instant,
@@ -135,6 +136,7 @@
         };
         Self {
             life,
+            zone: settings.zone.clone(),
             policy: settings.policy,
             seeds: settings.seeds.clone(),
             started: Instant::now(),
@@ -154,11 +156,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Addresses at which the other living daemons answer control calls.
-    pub fn control_addresses(&self) -> Vec<String> {
+    /// Addresses at which some other living daemons answer control calls, near ones first.
+    pub fn control_addresses(&self, most: usize) -> Vec<String> {
         let view = self.view();
-        let others = view.members.iter().filter(|one| one.id != self.life);
-        others.map(|one| one.peer_address.clone()).collect()
+        let others = view.others_nearest_first(&self.life, &self.zone, &mut rand::rng());
+        let addresses = others.into_iter().map(|one| one.peer_address.clone());
+        addresses.take(most).collect()
     }
 
     /// Living daemons, this one among them.
--- a/crates/edge/src/peer_rows.rs
+++ b/crates/edge/src/peer_rows.rs
@@ -1,6 +1,6 @@
 //! A daemon that starts while the store cannot be read learns configuration and replicas from its peers.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -8,10 +8,10 @@
 use futures::StreamExt;
 use harrierward_external::Row;
 use harrierward_wire::{KnownRow, KnownRows, decode, encode};
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::discovery::Discovery;
 use crate::members::Members;
@@ -28,18 +28,42 @@
 /// Pause between rounds of questions.
 const ROUND_PAUSE: Duration = Duration::from_millis(300);
 
+/// Peers asked in one round.
+const MOST_ASKED: usize = 4;
+
+/// Least time between two answers of one daemon. The rows of 3,000 replicas are a megabyte, and all daemons may start at
+/// once: without a bound the first ones that know them held 90 MB of answers.
+const ANSWER_EVERY: Duration = Duration::from_millis(100);
+
 /// Longest wait for one peer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Answers peers.
 pub struct PeerRows {
     discovery: Arc<Discovery>,
+    last_answer: Mutex<Option<Instant>>,
 }
 
 impl PeerRows {
     /// Tells what this daemon knows.
     pub fn new(discovery: Arc<Discovery>) -> Self {
-        Self { discovery }
+        Self {
+            discovery,
+            last_answer: Mutex::default(),
+        }
+    }
+
+    /// True if this daemon has not just answered another one.
+    pub fn may_answer(&self, now: Instant) -> bool {
+        let mut last = self
+            .last_answer
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let due = last.is_none_or(|last| now.saturating_duration_since(last) >= ANSWER_EVERY);
+        if due {
+            *last = Some(now);
+        }
+        due
     }
 }
 
@@ -62,6 +86,13 @@
 #[async_trait]
 impl HttpService for PeerRows {
     async fn call(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
+        if !self.may_answer(Instant::now()) {
+            // The asker goes to another peer.
+            let body = Full::new(Bytes::new()).map_err(|never| match never {});
+            let mut response = Response::new(body.boxed_unsync());
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            return response;
+        }
         let (configuration, replicas) = self.discovery.known_rows();
         let rows = KnownRows {
             configuration: configuration.as_ref().map(to_message),
@@ -79,6 +110,9 @@
         .body(Bytes::new())
         .ok()?;
     let mut response = pool.send(address, request, true).await.ok()?;
+    if response.head.status != StatusCode::OK {
+        return None;
+    }
     let mut bytes = Vec::new();
     while let Some(part) = response.body.next().await {
         bytes.extend_from_slice(&part.ok()?);
@@ -90,7 +124,7 @@
 pub async fn learn(discovery: Arc<Discovery>, members: Arc<Members>, pool: ConnectionPool) {
     sleep(STORE_FIRST).await;
     while !discovery.is_complete() {
-        for address in members.control_addresses() {
+        for address in members.control_addresses(MOST_ASKED) {
             let answer = timeout(PEER_TIMEOUT, ask(&pool, &address)).await;
             let Ok(Some(rows)) = answer else {
                 continue;
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,6 +1,8 @@
 //! The view that the rest of a daemon reads.
 
 use harrierward_wire::ServiceBacklog;
+use rand::Rng;
+use rand::seq::SliceRandom;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A member as others see it.
@@ -56,6 +58,21 @@
         hashes.fold(0, |digest, hash| digest ^ hash)
     }
 
+    /// The members but `own`, those of a zone first, else in random order: daemons that need the same of some member
+    /// must not all ask the same one.
+    pub fn others_nearest_first(
+        &self,
+        own: &str,
+        zone: &str,
+        random: &mut impl Rng,
+    ) -> Vec<&Member> {
+        let others = self.members.iter().filter(|member| member.id != own);
+        let mut others: Vec<&Member> = others.collect();
+        others.shuffle(random);
+        others.sort_by_key(|member| member.zone != zone);
+        others
+    }
+
     /// Ids of members that may own something: not those that leave.
     pub fn staying(&self) -> impl Iterator<Item = &Member> {
         self.members.iter().filter(|member| !member.leaving)
