Types and wire fields for evacuated zones, cold replicas, regions and outcomes of leases; the gate before a replica

Cause: five parts are built side by side; each needs types, record fields and datagram fields that the others read. Change: Topology, Location, AllowedRegions, Warmup, Barred with the gate in attempt_at, decoded from settings, rows and the configuration; Replica::accepts_work in place of !is_draining. No behaviour changes yet: nothing sets an evacuation, a cold state or a bound on regions.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -9,8 +9,8 @@
 use harrierward_external::{ObjectStore, Table, WatchedTable};
 use harrierward_inline_jobs::{HEADS, InlineJobs, JobParts, JobSettings, is_fence, partitions};
 use harrierward_serving::{
-    ConfigurationProof, Forwarder, ForwarderParts, ForwarderSettings, KeyTrust, Mechanism, Replica,
-    ReplicaClient, ReplicaSet, SelectionCosts,
+    ConfigurationProof, Forwarder, ForwarderParts, ForwarderSettings, KeyTrust, Location,
+    Mechanism, Replica, ReplicaClient, ReplicaSet, SelectionCosts,
 };
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -119,7 +119,7 @@
         let control = Arc::new(ServerControl::default());
         let slots = Arc::new(SlotService::new(
             life.clone(),
-            &settings.zone,
+            Location::new(&settings.zone, &settings.region),
             replicas.clone(),
             SelectionCosts::under(settings.policy),
             log.clone(),
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -10,7 +10,7 @@
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_inline_jobs::{InlineJobs, Peers, QuotaRequest};
 use harrierward_membership::{Action, MembershipCore, MembershipSettings, MembershipView};
-use harrierward_serving::{Mechanism, Policy, Replica, ReplicaSet, WorkClass, short_hash};
+use harrierward_serving::{Location, Mechanism, Policy, Replica, ReplicaSet, WorkClass};
 use harrierward_wire::{
     Datagram, DatagramKind, LoadNotice, MemberRecord, MemberState, NodeDatagram, QuotaAnswer,
     QuotaAsk, QuotaOutcome, ReplicaCount, YieldRequest, decode, encode, node_datagram,
@@ -336,7 +336,7 @@
         let staying = view.staying().map(|member| CoordinatorCandidate {
             id: member.id.clone(),
             address: udp_address(&state.core, &member.id),
-            zone_hash: short_hash(&member.zone),
+            location: Location::new(&member.zone, &member.region),
         });
         let staying: Vec<CoordinatorCandidate> = staying.collect();
         self.rates.set_members(staying.clone());
--- a/crates/edge/src/rates.rs
+++ b/crates/edge/src/rates.rs
@@ -13,7 +13,7 @@
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use harrierward_decisions::{DecisionLog, Record};
-use harrierward_serving::{RateAnswer, RateLimits, SharedRoutes};
+use harrierward_serving::{Location, RateAnswer, RateLimits, SharedRoutes};
 use harrierward_tenants::{
     FleetMemory, RateBounds, RateDecision, RateLedger, SeenFleet, Tenant, TokenStock,
 };
@@ -83,7 +83,7 @@
         let own = CoordinatorCandidate {
             id: life.clone(),
             address: None,
-            zone_hash: 0,
+            location: Location::default(),
         };
         Self {
             life,
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use harrierward_serving::{KeyTrust, Policy};
+use harrierward_serving::{KeyTrust, Policy, Topology};
 use harrierward_tenants::RateBounds;
 
 /// Settings; addresses are `IP:PORT`.
@@ -14,6 +14,8 @@
     pub zone: String,
     /// Region.
     pub region: String,
+    /// All zones, and the regions in which they lie.
+    pub topology: Topology,
     /// Address for callers.
     pub caller_address: String,
     /// Address on which the daemon says whether it is ready.
@@ -40,6 +42,10 @@
     pub key_trust: KeyTrust,
     /// What the fleet may exceed tenants' rates by.
     pub rate_bounds: RateBounds,
+    /// What cold replicas may be sent beyond the rate that they bear.
+    pub warmup_bounds: RateBounds,
+    /// Time after which nothing may arrive in a zone whose evacuation was accepted.
+    pub evacuate_within: Duration,
     /// Address of the metrics; may be empty.
     pub metrics_address: String,
     /// Mechanisms of the policy in use.
--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -11,8 +11,9 @@
     SlotLeases, SlotQuery, WorkClass, preference_weight, short_hash,
 };
 use harrierward_slots::{GroupId, GroupLayout};
+use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{
-    ItemSlotAsk, PromptPartRow, SlotAsk, SlotGrant, SlotReport, node_datagram::Kind,
+    ItemSlotAsk, PromptPartRow, RegionNames, SlotAsk, SlotGrant, SlotReport, node_datagram::Kind,
 };
 use tokio::time::Instant;
 
@@ -95,7 +96,7 @@
         let preferred = if query.length == PromptLength::Long {
             None
         } else {
-            let near = layout.in_zone(self.zone_hash);
+            let near = layout.in_zone(self.location.zone);
             let near = near.flat_map(|group| index.listed(service, group));
             preferred_of(near, query)
         };
@@ -103,7 +104,7 @@
             preferred.or_else(|| preferred_of(index.view.listed(query.service).iter(), query));
         preferred.map_or_else(
             || layout.at(0),
-            |replica| layout.group_of(replica.hash, replica.zone_hash),
+            |replica| layout.group_of(replica.hash, replica.location.zone),
         )
     }
 
@@ -195,7 +196,7 @@
         }
         let view = self.replicas.view();
         let replica = view.by_hash(grant.replica);
-        let Some(replica) = replica.filter(|replica| !replica.is_draining()) else {
+        let Some(replica) = replica.filter(|replica| replica.accepts_work()) else {
             self.report_released(lease, coordinator);
             return none;
         };
@@ -207,6 +208,7 @@
                 by: ChosenBy::Coordinator,
                 load: grant.load,
                 free_permille: grant.free_permille,
+                cold_until: None,
                 copy_from: view.by_hash(grant.copy_from).cloned(),
             },
             lease,
@@ -238,7 +240,9 @@
             service,
             group: group.number,
             group_zone: group.zone,
-            zone: self.zone_hash,
+            zone: self.location.zone,
+            region: self.location.region,
+            allowed_regions: region_names(query.regions),
             parts: parts.collect(),
             length: match query.length {
                 PromptLength::Alike => 0,
@@ -388,6 +392,16 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
+/// The regions that a question names; nothing where all are allowed.
+fn region_names(regions: &AllowedRegions) -> Option<RegionNames> {
+    match regions {
+        AllowedRegions::Any => None,
+        AllowedRegions::Only(names) => Some(RegionNames {
+            names: names.to_vec(),
+        }),
+    }
+}
+
 /// Of replicas that take new work and were not tried, the one that all daemons prefer for the prompt; a random one for
 /// a prompt that shares nothing.
 fn preferred_of<'a>(
@@ -396,7 +410,7 @@
 ) -> Option<&'a Arc<Replica>> {
     let part = query.prompt.shared().last().map(|part| part.id);
     let usable = replicas
-        .filter(|replica| !replica.is_draining() && !query.excluded.contains(&replica.record.id));
+        .filter(|replica| replica.accepts_work() && !query.excluded.contains(&replica.record.id));
     usable.max_by_key(|replica| {
         part.map_or_else(rand::random, |part| {
             preference_weight(part, &replica.record.id)
--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -7,10 +7,11 @@
 
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChoiceQuery, ChosenBy, Mechanism, Prompt, PromptLength, PromptPart, Replica,
+    Choice, ChoiceQuery, ChosenBy, Location, Mechanism, Prompt, PromptLength, PromptPart, Replica,
     SlotAnswer, SlotQuery, WorkClass, choose_replica, short_hash,
 };
 use harrierward_slots::{GroupAdmission, GroupId, Newcomer, SlotUse};
+use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{SlotAsk, SlotGrant, SlotReport, YieldRequest, node_datagram::Kind};
 use tokio::time::Instant;
 
@@ -23,11 +24,12 @@
 
 /// Who asks for a lease of an own group.
 struct Asker<'a> {
-    zone_hash: u32,
+    location: Location,
     is_excluded: &'a dyn Fn(&Replica) -> bool,
     is_connected: &'a dyn Fn(&Replica) -> bool,
     is_suspected: &'a dyn Fn(&Replica) -> bool,
     prompt: &'a Prompt,
+    regions: &'a AllowedRegions,
     length: PromptLength,
     is_item: bool,
     is_overdue: bool,
@@ -40,8 +42,9 @@
         let view = &index.view;
         let usable = self.usable(&index, service, group);
         let query = ChoiceQuery {
-            is_own_zone: &|replica| replica.zone_hash == asker.zone_hash,
+            is_own_zone: &|replica| replica.location.zone == asker.location.zone,
             prompt: asker.prompt,
+            regions: asker.regions,
             length: asker.length,
             is_excluded: asker.is_excluded,
             is_connected: asker.is_connected,
@@ -61,7 +64,7 @@
     fn usable(&self, index: &GroupIndex, service: &str, group: GroupId) -> Vec<Arc<Replica>> {
         let listed = index.listed(short_hash(service), group).iter();
         let ready: Vec<Arc<Replica>> = listed
-            .filter(|replica| !replica.is_draining())
+            .filter(|replica| replica.accepts_work())
             .cloned()
             .collect();
         if !ready.is_empty() {
@@ -70,18 +73,19 @@
         let layout = layout(&index.view, service, self.costs.policy);
         let others = index.view.usable(service).into_iter();
         others
-            .filter(|replica| layout.group_of(replica.hash, replica.zone_hash) == group)
+            .filter(|replica| layout.group_of(replica.hash, replica.location.zone) == group)
             .collect()
     }
 
     /// A lease for a request of this daemon's own, in a group that it keeps.
     pub(super) fn place_own(&self, query: &SlotQuery<'_>, group: GroupId) -> SlotAnswer {
         let asker = Asker {
-            zone_hash: self.zone_hash,
+            location: self.location,
             is_excluded: &|replica| query.excluded.contains(&replica.record.id),
             is_connected: &|replica| self.is_connected(replica),
             is_suspected: &|replica| replica.is_suspected(),
             prompt: query.prompt,
+            regions: query.regions,
             length: query.length,
             is_item: query.item.is_some(),
             is_overdue: query.overdue && !self.claim_return(query.service, group),
@@ -141,7 +145,7 @@
         let may_return = may_return?;
         let index = self.index();
         let listed = index.listed(service, group).iter();
-        let ready = listed.filter(|replica| !replica.is_draining());
+        let ready = listed.filter(|replica| replica.accepts_work());
         let newcomer = Newcomer {
             position,
             replica_slots: replica.slots(),
@@ -261,12 +265,17 @@
             };
         }
         let prompt = prompt_of(ask);
+        let regions = regions_of(ask);
         let asker = Asker {
-            zone_hash: ask.zone,
+            location: Location {
+                zone: ask.zone,
+                region: ask.region,
+            },
             is_excluded: &|replica| ask.excluded.contains(&replica.hash),
             is_connected: &|replica| ask.connected.contains(&replica.hash),
             is_suspected: &|replica| ask.suspected.contains(&replica.hash),
             prompt: &prompt,
+            regions: &regions,
             length: length_of(ask),
             is_item: ask.item.is_some(),
             is_overdue: ask.overdue && !self.claim_return(service, group),
@@ -426,6 +435,14 @@
     }
 }
 
+fn regions_of(ask: &SlotAsk) -> AllowedRegions {
+    ask.allowed_regions
+        .as_ref()
+        .map_or(AllowedRegions::Any, |allowed| {
+            AllowedRegions::only(allowed.names.iter().cloned())
+        })
+}
+
 fn length_of(ask: &SlotAsk) -> PromptLength {
     match ask.length {
         1 => PromptLength::Short,
--- a/crates/edge/src/slots/index.rs
+++ b/crates/edge/src/slots/index.rs
@@ -24,7 +24,7 @@
             let hash = short_hash(service);
             let layout = layout(&view, service, policy);
             for replica in view.listed(service) {
-                let group = layout.group_of(replica.hash, replica.zone_hash);
+                let group = layout.group_of(replica.hash, replica.location.zone);
                 groups
                     .entry((hash, group))
                     .or_default()
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -15,8 +15,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use harrierward_decisions::DecisionLog;
 use harrierward_serving::{
-    Mechanism, Policy, Replica, ReplicaSet, ReplicaView, SelectionCosts, Suspicion, WorkClass,
-    short_hash,
+    Location, Mechanism, Policy, Replica, ReplicaSet, ReplicaView, SelectionCosts, Suspicion,
+    WorkClass, short_hash,
 };
 use harrierward_slots::{
     GroupAdmission, GroupId, GroupLayout, HeldSlots, SlotLedger, SlotUse, coordinator_of,
@@ -38,8 +38,8 @@
     pub id: String,
     /// Its address for datagrams; `None` if it cannot be read.
     pub address: Option<SocketAddr>,
-    /// Hash of its zone.
-    pub zone_hash: u32,
+    /// Where it is.
+    pub location: Location,
 }
 
 /// Ends this daemon's own batch items.
@@ -82,7 +82,7 @@
 pub struct SlotService {
     life: String,
     holder: u64,
-    zone_hash: u32,
+    location: Location,
     started: Instant,
     replicas: Arc<ReplicaSet>,
     costs: SelectionCosts,
@@ -100,7 +100,7 @@
     /// Holds nothing, and knows only itself.
     pub fn new(
         life: String,
-        zone: &str,
+        location: Location,
         replicas: Arc<ReplicaSet>,
         costs: SelectionCosts,
         log: DecisionLog,
@@ -108,12 +108,12 @@
         let own = CoordinatorCandidate {
             id: life.clone(),
             address: None,
-            zone_hash: short_hash(zone),
+            location,
         };
         Self {
             holder: xxh3_64(life.as_bytes()),
             life,
-            zone_hash: short_hash(zone),
+            location,
             started: Instant::now(),
             replicas,
             costs,
@@ -185,7 +185,7 @@
     /// A zone's group is coordinated from within the zone, if anybody is there.
     fn find_coordinator(&self, service: u32, group: GroupId) -> Coordinator {
         let members = self.members.load();
-        let is_near = |member: &&CoordinatorCandidate| member.zone_hash == group.zone;
+        let is_near = |member: &&CoordinatorCandidate| member.location.zone == group.zone;
         let is_anyone_near = members.iter().any(|member| is_near(&member));
         let candidates = members
             .iter()
@@ -220,7 +220,7 @@
     fn group(&self, replica: &Replica) -> GroupId {
         let view = self.replicas.view();
         let layout = layout(&view, &replica.record.service, self.costs.policy);
-        layout.group_of(replica.hash, replica.zone_hash)
+        layout.group_of(replica.hash, replica.location.zone)
     }
 
     /// True if this daemon keeps the replica's leases: the other daemons' requests there are then known exactly.
--- a/crates/edge/tests/discovery.rs
+++ b/crates/edge/tests/discovery.rs
@@ -1,6 +1,7 @@
 //! What a daemon believes only moves forward, whoever tells it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
@@ -32,6 +33,8 @@
 
     fn replica_of(&self, row: &Row) -> Option<ReplicaRecord> {
         Some(ReplicaRecord {
+            region: String::new(),
+            warmup: Duration::ZERO,
             id: row.key.clone(),
             service: "service".to_owned(),
             address: String::from_utf8(row.value.to_vec()).ok()?,
--- a/crates/edge/tests/rates.rs
+++ b/crates/edge/tests/rates.rs
@@ -7,8 +7,10 @@
 use arc_swap::ArcSwapOption;
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_edge::{CoordinatorCandidate, RateService};
-use harrierward_serving::{RateAnswer, RateLimits, RouteTable, ServingConfiguration};
-use harrierward_tenants::{RateBounds, RateLimit, Tenant, TenantDirectory, TenantSpec};
+use harrierward_serving::{Location, RateAnswer, RateLimits, RouteTable, ServingConfiguration};
+use harrierward_tenants::{
+    AllowedRegions, RateBounds, RateLimit, Tenant, TenantDirectory, TenantSpec,
+};
 use harrierward_wire::{NodeDatagram, decode};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -25,6 +27,7 @@
 fn routes() -> RouteTable {
     let specs: Vec<TenantSpec> = (0..40)
         .map(|number| TenantSpec {
+            allowed_regions: AllowedRegions::default(),
             name: format!("tenant-{number}"),
             keys: Vec::new(),
             priority: None,
@@ -79,7 +82,7 @@
     CoordinatorCandidate {
         id: name.to_owned(),
         address,
-        zone_hash: 0,
+        location: Location::default(),
     }
 }
 
--- a/crates/edge/tests/slots.rs
+++ b/crates/edge/tests/slots.rs
@@ -8,9 +8,10 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_edge::{CoordinatorCandidate, SlotService, YieldItems};
 use harrierward_serving::{
-    InProgress, ItemRoom, Prompt, PromptLength, Replica, ReplicaRecord, ReplicaSet, SelectionCosts,
-    SlotAnswer, SlotLease, SlotLeases, SlotQuery, WorkClass, short_hash,
+    InProgress, ItemRoom, Location, Prompt, PromptLength, Replica, ReplicaRecord, ReplicaSet,
+    SelectionCosts, SlotAnswer, SlotLease, SlotLeases, SlotQuery, WorkClass, short_hash,
 };
+use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{NodeDatagram, decode};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -42,6 +43,8 @@
 fn replica_set() -> Arc<ReplicaSet> {
     let replicas = ReplicaSet::default();
     let records = (0..REPLICAS).map(|number| ReplicaRecord {
+        region: String::new(),
+        warmup: Duration::ZERO,
         id: format!("replica-{number}"),
         service: SERVICE.to_owned(),
         address: format!("10.0.0.{number}:80"),
@@ -63,7 +66,7 @@
     let replicas = replica_set();
     let slots = Arc::new(SlotService::new(
         name.to_owned(),
-        "zone-a",
+        Location::new("zone-a", "region"),
         replicas.clone(),
         SelectionCosts::default(),
         DecisionLog::new(LogBounds::default()),
@@ -89,7 +92,7 @@
         members.push(CoordinatorCandidate {
             id: (*name).to_owned(),
             address: Some(address),
-            zone_hash: short_hash("zone-a"),
+            location: Location::new("zone-a", "region"),
         });
     }
     let mut daemons = Vec::new();
@@ -120,6 +123,7 @@
         prompt,
         length: PromptLength::Alike,
         excluded: &[],
+        regions: &AllowedRegions::Any,
         objective: OBJECTIVE,
         item,
         overdue: false,
--- a/crates/inline-jobs/src/model.rs
+++ b/crates/inline-jobs/src/model.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use harrierward_serving::{Prompt, PromptPart, RefusalCause, ServingRequest};
-use harrierward_tenants::ApiKey;
+use harrierward_tenants::{AllowedRegions, ApiKey};
 use harrierward_wire::{HeaderRow, ItemBodyRow, JobHeadRow, PromptPartRow};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use xxhash_rust::xxh3::xxh3_64;
@@ -186,6 +186,7 @@
         })
         .collect();
     ServingRequest {
+        regions: AllowedRegions::default(),
         id: row.id,
         host: head.host.clone(),
         method: Method::POST,
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::choice::{Placement, ROOMY_PERMILLE};
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
 use crate::forwarder::{Forwarder, RequestState};
+use crate::gate::{Passage, barred};
 use crate::placing::NoPlace;
 use crate::policy::Mechanism;
 use crate::replica::{InProgress, Replica};
@@ -148,6 +149,16 @@
             choice,
         } = placement;
         let replica = choice.replica;
+        let passage = Passage {
+            regions: &request.regions,
+            cold_until: choice.cold_until,
+        };
+        if let Some(reason) = barred(&replica, &passage, Instant::now()) {
+            let cause = format!("barred: {}", reason.name());
+            let failure = AttemptFailure::NotRun { cause, full: false };
+            self.log_failure(request, &replica, &failure, Duration::ZERO);
+            return Err(failure);
+        }
         let copy_from = choice.copy_from.as_ref().map(|source| &source.record);
         self.log().record(&Record::Sent {
             request: &request.id,
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -3,8 +3,10 @@
 
 use std::sync::Arc;
 
+use harrierward_tenants::AllowedRegions;
 use rand::Rng;
 use rand::seq::index;
+use tokio::time::Instant;
 
 use crate::leases::SlotLease;
 use crate::policy::{Mechanism, Policy};
@@ -43,6 +45,8 @@
     pub load: u32,
     /// Slots that online requests could still take at the replicas looked at, in thousandths of all their slots.
     pub free_permille: u32,
+    /// Until when the request may be sent there although the replica is cold; `None` if it was not counted there.
+    pub cold_until: Option<Instant>,
     /// Another one that probably keeps more of the prompt: its memory of it is copied instead of being made anew.
     pub copy_from: Option<Arc<Replica>>,
 }
@@ -91,6 +95,8 @@
     pub prompt: &'a Prompt,
     /// How its length stands among the service's.
     pub length: PromptLength,
+    /// Regions in which the request may be served.
+    pub regions: &'a AllowedRegions,
     /// Replicas not to be used.
     pub is_excluded: &'a dyn Fn(&Replica) -> bool,
     /// Replicas to which the asker keeps a connection.
@@ -116,6 +122,7 @@
     let usable: Vec<Arc<Replica>> = replicas
         .into_iter()
         .filter(|replica| !(query.is_excluded)(replica))
+        .filter(|replica| query.regions.allows(&replica.record.region))
         .collect();
     let usable = if query.is_item {
         room_for_items(usable, costs.policy, query)
@@ -155,6 +162,7 @@
         by: ChosenBy::Sender,
         load: candidates[position].load,
         free_permille: free_permille(&candidates),
+        cold_until: None,
         copy_from,
     })
 }
@@ -227,7 +235,7 @@
 
 /// True if another replica may be asked for its memory; one that is silent would hold the request up.
 fn can_copy(source: &Arc<Replica>, replica: &Arc<Replica>) -> bool {
-    !Arc::ptr_eq(source, replica) && !source.is_suspected() && !source.is_draining()
+    !Arc::ptr_eq(source, replica) && !source.is_suspected() && source.accepts_work()
 }
 
 /// Standard deviations of online's requests in progress for which items leave slots free. Arrivals that do not depend
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use harrierward_tenants::TenantDirectory;
+use harrierward_tenants::{AllowedRegions, TenantDirectory};
 
 /// What may be repeated of a route's requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,6 +65,8 @@
     pub priority: u32,
     /// Requests need no key.
     pub is_public: bool,
+    /// Regions in which requests may be served and kept.
+    pub allowed_regions: AllowedRegions,
 }
 
 impl Route {
@@ -101,8 +103,22 @@
     pub memory_tokens: u64,
     /// Connections that a replica takes from all callers together; 0 if unknown.
     pub connections: u32,
+    /// How its replicas warm up; `None` if they need not.
+    pub warmup: Option<Warmup>,
 }
 
+/// How a service's replicas warm up after a start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Warmup {
+    /// How long a replica stays cold.
+    pub lasts: Duration,
+    /// Requests a second that a cold replica bears, from all daemons together. Finite and not negative.
+    pub per_second: f64,
+}
+
+// The rate is finite, which the decoder checks.
+impl Eq for Warmup {}
+
 /// Limits on what a caller may send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -7,7 +7,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::Stream;
-use harrierward_tenants::ApiKey;
+use harrierward_tenants::{AllowedRegions, ApiKey};
 use http::{HeaderMap, Method};
 
 use crate::prompt::Prompt;
@@ -37,6 +37,8 @@
     pub key: Option<ApiKey>,
     /// The tenant for which the replica runs it: found by the key, or that of an item's job.
     pub tenant: Option<Arc<str>>,
+    /// Regions in which it may be served: those that its route and its tenant allow.
+    pub regions: AllowedRegions,
 }
 
 /// A request to one replica.
--- /dev/null
+++ b/crates/serving/src/gate.rs
@@ -0,0 +1,56 @@
+//! The gate before a replica: asked when a replica is chosen and again just before a request leaves for it, so that what
+//! was granted, queued or resumed earlier does not pass on an old belief.
+
+use harrierward_tenants::AllowedRegions;
+use tokio::time::Instant;
+
+use crate::replica::Replica;
+
+/// Why a request must not go to a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Barred {
+    /// The replica leaves.
+    Leaving,
+    /// Its zone is evacuated.
+    ZoneEvacuated,
+    /// Its region is not among those that the request's route and tenant allow.
+    RegionNotAllowed,
+    /// It is cold, and nobody who counts its requests has let this one pass lately.
+    ColdWithoutGrant,
+}
+
+impl Barred {
+    /// Name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::ZoneEvacuated => "zone_evacuated",
+            Self::RegionNotAllowed => "region_not_allowed",
+            Self::ColdWithoutGrant => "cold_without_grant",
+        }
+    }
+}
+
+/// What a request brings to the gate.
+#[derive(Debug, Clone, Copy)]
+pub struct Passage<'a> {
+    /// Regions in which it may be served.
+    pub regions: &'a AllowedRegions,
+    /// Until when it may be sent to a replica that is cold; `None` if it was not counted there.
+    pub cold_until: Option<Instant>,
+}
+
+/// Why the request must not go to the replica now; `None` if it may.
+pub fn barred(replica: &Replica, passage: &Passage<'_>, now: Instant) -> Option<Barred> {
+    if replica.is_draining() {
+        Some(Barred::Leaving)
+    } else if replica.is_zone_evacuated() {
+        Some(Barred::ZoneEvacuated)
+    } else if !passage.regions.allows(&replica.record.region) {
+        Some(Barred::RegionNotAllowed)
+    } else if replica.is_cold(now) && passage.cold_until.is_none_or(|until| now >= until) {
+        Some(Barred::ColdWithoutGrant)
+    } else {
+        None
+    }
+}
--- a/crates/serving/src/leases.rs
+++ b/crates/serving/src/leases.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use harrierward_tenants::AllowedRegions;
 
 use crate::choice::Choice;
 use crate::profile::PromptLength;
@@ -28,6 +29,8 @@
     pub length: PromptLength,
     /// Replicas not to be used again.
     pub excluded: &'a [String],
+    /// Regions in which it may be served.
+    pub regions: &'a AllowedRegions,
     /// Objective of the request, from which the patience with a coordinator follows.
     pub objective: Duration,
     /// Set for a batch item.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 mod events;
 mod exchange;
 mod forwarder;
+mod gate;
 mod leases;
 mod placing;
 mod policy;
@@ -22,6 +23,7 @@
 mod routes;
 mod selection;
 mod suspicion;
+mod topology;
 
 pub use admission::{ConfigurationProof, KeyTrust, RateAnswer, RateLimits, caller_of, tenant_of};
 pub use attempt::{Attempt, AttemptFailure, AttemptTimes, Sending, wait_for_progress};
@@ -29,7 +31,8 @@
     Choice, ChoiceQuery, ChosenBy, Placement, ROOMY_PERMILLE, choose_replica, reserved_slots,
 };
 pub use configuration::{
-    BatchBounds, CallerLimits, Route, RouteKind, Service, ServingConfiguration, WeightedService,
+    BatchBounds, CallerLimits, Route, RouteKind, Service, ServingConfiguration, Warmup,
+    WeightedService,
 };
 pub use events::{EventSplitter, StreamEvent};
 pub use exchange::{
@@ -37,6 +40,7 @@
     ReplicaRequest, ServingRequest,
 };
 pub use forwarder::{Forwarder, ForwarderParts, ForwarderSettings, SharedRoutes};
+pub use gate::{Barred, Passage, barred};
 pub use leases::{ItemRoom, SlotAnswer, SlotLease, SlotLeases, SlotQuery};
 pub use policy::{Mechanism, Policy, UnknownMechanism};
 pub use profile::{PromptLength, PromptProfiles};
@@ -49,3 +53,4 @@
 pub use routes::{RouteEntry, RouteTable};
 pub use selection::{Candidate, SelectionCosts, Separation, choose, cost, preference_weight};
 pub use suspicion::Suspicion;
+pub use topology::{Location, Topology};
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -51,6 +51,7 @@
         let query = SlotQuery {
             service,
             prompt: &request.prompt,
+            regions: &request.regions,
             length,
             excluded,
             objective,
@@ -72,6 +73,7 @@
         self.ask_or_choose(SlotQuery {
             service,
             prompt: &request.prompt,
+            regions: &request.regions,
             length: self.length_of(service, request),
             excluded: &[],
             objective,
@@ -96,6 +98,7 @@
         let mut query = SlotQuery {
             service,
             prompt: &request.prompt,
+            regions: &request.regions,
             length: self.length_of(service, request),
             excluded: &[],
             objective,
@@ -167,6 +170,7 @@
             &ChoiceQuery {
                 is_own_zone: &|replica| replica.record.zone == *zone,
                 prompt: query.prompt,
+                regions: query.regions,
                 length: query.length,
                 is_excluded: &|replica| query.excluded.contains(&replica.record.id),
                 is_connected: &|_| false,
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -14,6 +14,7 @@
 use crate::prompt::{Prompt, PromptMemory};
 use crate::selection::preference_weight;
 use crate::suspicion::Suspicion;
+use crate::topology::Location;
 
 /// How long a replica's own load word is trusted beside the daemons' counts.
 const REPLICA_LOAD_LIFETIME: Duration = Duration::from_millis(400);
@@ -36,10 +37,14 @@
     pub address: String,
     /// Zone.
     pub zone: String,
+    /// Region of the zone; empty if it is not known.
+    pub region: String,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Says that it leaves: gets no new work.
     pub draining: bool,
+    /// How much longer it stays cold, from the moment at which it wrote this.
+    pub warmup: Duration,
 }
 
 /// Class of a request in the load counts.
@@ -71,9 +76,11 @@
     pub record: ReplicaRecord,
     /// Hash of its id.
     pub hash: u32,
-    /// Hash of its zone.
-    pub zone_hash: u32,
+    /// Where it is.
+    pub location: Location,
     draining: AtomicBool,
+    zone_evacuated: AtomicBool,
+    cold_until_ms: AtomicU64,
     own_online: AtomicU32,
     own_batch: AtomicU32,
     peers_online: AtomicU32,
@@ -101,9 +108,11 @@
         let kept_tokens = memory_tokens * MEMORY_SHARE_PERCENT / 100;
         Self {
             hash: short_hash(&record.id),
-            zone_hash: short_hash(&record.zone),
+            location: Location::new(&record.zone, &record.region),
             record,
             draining: AtomicBool::new(draining),
+            zone_evacuated: AtomicBool::new(false),
+            cold_until_ms: AtomicU64::new(0),
             own_online: AtomicU32::new(0),
             own_batch: AtomicU32::new(0),
             peers_online: AtomicU32::new(0),
@@ -135,6 +144,34 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// True if its zone is evacuated: it gets nothing until that is taken back.
+    pub fn is_zone_evacuated(&self) -> bool {
+        self.zone_evacuated.load(Ordering::Relaxed)
+    }
+
+    /// Its zone is evacuated, or not any more.
+    pub fn set_zone_evacuated(&self, evacuated: bool) {
+        self.zone_evacuated.store(evacuated, Ordering::Relaxed);
+    }
+
+    /// True while it may take new work: it does not leave, and its zone is in service.
+    pub fn accepts_work(&self) -> bool {
+        !self.is_draining() && !self.is_zone_evacuated()
+    }
+
+    /// True while it is cold: it bears few requests a second, which its coordinator counts.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        let since = now.saturating_duration_since(self.started);
+        millis(since) < self.cold_until_ms.load(Ordering::Relaxed)
+    }
+
+    /// It stays cold until then, if it is not for longer already.
+    pub fn set_cold_until(&self, until: Instant) {
+        let since = until.saturating_duration_since(self.started);
+        self.cold_until_ms
+            .fetch_max(millis(since), Ordering::Relaxed);
+    }
+
     /// Requests of this daemon in progress there, of one class.
     pub fn own(&self, class: WorkClass) -> u32 {
         match class {
@@ -328,7 +365,7 @@
         let listed = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let ready: Vec<Arc<Replica>> = listed
             .iter()
-            .filter(|replica| !replica.is_draining())
+            .filter(|replica| replica.accepts_work())
             .cloned()
             .collect();
         if !ready.is_empty() {
@@ -337,7 +374,7 @@
         let vanished = self.vanished.get(service).map_or(&[][..], Vec::as_slice);
         vanished
             .iter()
-            .filter(|gone| gone.at.elapsed() < VANISHED_LIFETIME && !gone.replica.is_draining())
+            .filter(|gone| gone.at.elapsed() < VANISHED_LIFETIME && gone.replica.accepts_work())
             .map(|gone| gone.replica.clone())
             .collect()
     }
@@ -345,7 +382,7 @@
     /// True if any replica of the service takes new work.
     pub fn has_usable(&self, service: &str) -> bool {
         let ready = self.listed(service).iter();
-        let is_ready = |replica: &Arc<Replica>| !replica.is_draining();
+        let is_ready = |replica: &Arc<Replica>| replica.accepts_work();
         ready.clone().any(is_ready) || !self.usable(service).is_empty()
     }
 
@@ -450,7 +487,7 @@
 }
 
 fn zones_of(list: &[Arc<Replica>]) -> Vec<u32> {
-    let mut zones: Vec<u32> = list.iter().map(|replica| replica.zone_hash).collect();
+    let mut zones: Vec<u32> = list.iter().map(|replica| replica.location.zone).collect();
     zones.sort_unstable();
     zones.dedup();
     zones
@@ -464,7 +501,7 @@
 
 /// Replicas for long prompts: the first in an order that all daemons share. A service with too few replicas has none.
 fn homes(list: &[Arc<Replica>]) -> Vec<String> {
-    let mut ready: Vec<&Arc<Replica>> = list.iter().filter(|one| !one.is_draining()).collect();
+    let mut ready: Vec<&Arc<Replica>> = list.iter().filter(|one| one.accepts_work()).collect();
     let count = (ready.len() * HOME_PERCENT / 100).max(FEWEST_HOMES);
     if ready.len() < count * 2 {
         return Vec::new();
--- a/crates/serving/tests/admission.rs
+++ b/crates/serving/tests/admission.rs
@@ -6,7 +6,7 @@
     ConfigurationProof, KeyTrust, RefusalCause, Route, RouteKind, RouteTable, ServingConfiguration,
     WeightedService, caller_of,
 };
-use harrierward_tenants::{ApiKey, RateLimit, TenantDirectory, TenantSpec};
+use harrierward_tenants::{AllowedRegions, ApiKey, RateLimit, TenantDirectory, TenantSpec};
 use proptest::prelude::*;
 use tokio::time::{Instant, advance};
 
@@ -14,6 +14,7 @@
 
 fn table(has_tenants: bool) -> RouteTable {
     let specs = [TenantSpec {
+        allowed_regions: AllowedRegions::default(),
         name: "ada".to_owned(),
         keys: vec![ApiKey::new("good")],
         priority: Some(1),
@@ -29,6 +30,7 @@
 
 fn route(is_public: bool) -> Route {
     Route {
+        allowed_regions: AllowedRegions::default(),
         name: "ask".to_owned(),
         host: "example".to_owned(),
         prefix: "/ask/".to_owned(),
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -15,7 +15,7 @@
     ReplicaRecord, ReplicaRequest, ReplicaSet, SelectionCosts, Separation, ServingRequest,
     SlotAnswer, SlotLeases, SlotQuery, cost, reserved_slots,
 };
-use harrierward_tenants::Tenant;
+use harrierward_tenants::{AllowedRegions, Tenant};
 use http::{HeaderMap, Method};
 
 /// Replicas of the service, more than are looked at for one request.
@@ -83,6 +83,8 @@
 fn forwarder_over(places: Arc<NoCoordinators>) -> Forwarder {
     let replicas = ReplicaSet::default();
     let records = (0..REPLICAS).map(|number| ReplicaRecord {
+        region: String::new(),
+        warmup: Duration::ZERO,
         id: format!("replica-{number}"),
         service: "model".to_owned(),
         address: format!("10.0.0.{number}:80"),
@@ -119,6 +121,7 @@
         },
     ];
     ServingRequest {
+        regions: AllowedRegions::default(),
         id: "r".to_owned(),
         host: "example".to_owned(),
         method: Method::POST,
--- a/crates/serving/tests/routes.rs
+++ b/crates/serving/tests/routes.rs
@@ -1,6 +1,7 @@
 //! The shares of a split route, over all daemons together.
 
 use harrierward_serving::{Route, RouteKind, RouteTable, ServingConfiguration, WeightedService};
+use harrierward_tenants::AllowedRegions;
 use std::time::Duration;
 
 fn part(service: &str, weight: u32) -> WeightedService {
@@ -12,6 +13,7 @@
 
 fn table(first: u32, second: u32) -> RouteTable {
     let route = Route {
+        allowed_regions: AllowedRegions::default(),
         name: "ask".to_owned(),
         host: "example".to_owned(),
         prefix: "/ask/".to_owned(),
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -15,7 +15,7 @@
     ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts,
     ServingConfiguration, ServingRequest, SlotAnswer, SlotLeases, SlotQuery, WeightedService,
 };
-use harrierward_tenants::Tenant;
+use harrierward_tenants::{AllowedRegions, Tenant};
 use http::{HeaderMap, Method};
 use tokio::time::{Instant, sleep};
 
@@ -82,6 +82,7 @@
                 by: ChosenBy::Coordinator,
                 load: 1,
                 free_permille: self.free_permille,
+                cold_until: None,
                 copy_from: None,
             },
             lease: 1,
@@ -103,6 +104,7 @@
 
 fn routes() -> RouteTable {
     let route = Route {
+        allowed_regions: AllowedRegions::default(),
         name: "ask".to_owned(),
         host: "example".to_owned(),
         prefix: "/ask/".to_owned(),
@@ -130,6 +132,8 @@
 fn forwarder(free_permille: u32, come_back: Option<Duration>) -> (Forwarder, Arc<QueueingClient>) {
     let replicas = ReplicaSet::default();
     let records = (0..2).map(|number| ReplicaRecord {
+        region: String::new(),
+        warmup: Duration::ZERO,
         id: format!("replica-{number}"),
         service: "model".to_owned(),
         address: format!("10.0.0.{number}:80"),
@@ -163,6 +167,7 @@
 
 fn request(patience: Duration) -> ServingRequest {
     ServingRequest {
+        regions: AllowedRegions::default(),
         id: "r".to_owned(),
         host: "example".to_owned(),
         method: Method::POST,
--- a/crates/slots/src/held.rs
+++ b/crates/slots/src/held.rs
@@ -87,6 +87,7 @@
                 .map(|(lease, held)| describe(*lease, held, now))
                 .collect(),
             released: Vec::new(),
+            outcomes: Vec::new(),
             whole: Some(WholeReport {
                 number: self.reports,
                 next_lease: self.last + 1,
--- a/crates/tenants/src/directory.rs
+++ b/crates/tenants/src/directory.rs
@@ -5,6 +5,7 @@
 
 use crate::key::{ApiKey, KeyDigest};
 use crate::rate::RateLimit;
+use crate::regions::AllowedRegions;
 
 /// A tenant as configured.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,6 +18,8 @@
     pub priority: Option<u32>,
     /// Limit on the rate of its requests.
     pub rate: RateLimit,
+    /// Regions in which its requests may be served and kept.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// A tenant.
@@ -28,6 +31,8 @@
     pub priority: Option<u32>,
     /// Limit on the rate of its requests.
     pub rate: RateLimit,
+    /// Regions in which its requests may be served and kept.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// A directory that cannot be meant. Keys are not named.
@@ -68,6 +73,7 @@
                 name: Arc::from(spec.name.as_str()),
                 priority: spec.priority,
                 rate: spec.rate,
+                allowed_regions: spec.allowed_regions.clone(),
             });
             let name = tenant.name.clone();
             if directory.by_name.insert(name, tenant.clone()).is_some() {
--- a/crates/tenants/src/lib.rs
+++ b/crates/tenants/src/lib.rs
@@ -8,6 +8,7 @@
 mod key;
 mod ledger;
 mod rate;
+mod regions;
 mod stock;
 
 pub use directory::{DirectoryError, Tenant, TenantDirectory, TenantSpec};
@@ -15,4 +16,5 @@
 pub use key::ApiKey;
 pub use ledger::{RateDecision, RateLedger};
 pub use rate::{InvalidRate, RateBounds, RateLimit, TOKEN_LIFETIME};
+pub use regions::AllowedRegions;
 pub use stock::TokenStock;
--- a/crates/tenants/tests/directory.rs
+++ b/crates/tenants/tests/directory.rs
@@ -1,9 +1,12 @@
 //! Keys name their tenant, and are never printed.
 
-use harrierward_tenants::{ApiKey, DirectoryError, RateLimit, TenantDirectory, TenantSpec};
+use harrierward_tenants::{
+    AllowedRegions, ApiKey, DirectoryError, RateLimit, TenantDirectory, TenantSpec,
+};
 
 fn spec(name: &str, keys: &[&str]) -> TenantSpec {
     TenantSpec {
+        allowed_regions: AllowedRegions::default(),
         name: name.to_owned(),
         keys: keys.iter().map(|key| ApiKey::new(*key)).collect(),
         priority: None,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -36,7 +36,10 @@
 };
 pub use quota::{QuotaAnswer, QuotaAsk, QuotaFenceRow, QuotaOutcome};
 pub use rates::{RateAsk, RateGrant, RateOutcome};
-pub use slots::{HeldSlot, ItemSlotAsk, SlotAsk, SlotGrant, SlotReport, WholeReport};
+pub use slots::{
+    HeldSlot, ItemSlotAsk, LeaseOutcome, OutcomeKind, RegionNames, SlotAsk, SlotGrant, SlotReport,
+    WholeReport,
+};
 
 /// Reads a message; `None` if the bytes are not one.
 pub fn decode<M: prost::Message + Default>(bytes: &[u8]) -> Option<M> {
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -50,6 +50,20 @@
     /// Longest time after which its caller still comes back, milliseconds; 0 if it must be placed.
     #[prost(uint32, tag = "15")]
     pub may_return_ms: u32,
+    /// Hash of the asker's region.
+    #[prost(fixed32, tag = "16")]
+    pub region: u32,
+    /// Regions in which the request may be served; not set if in all.
+    #[prost(message, optional, tag = "17")]
+    pub allowed_regions: Option<RegionNames>,
+}
+
+/// Names of regions.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct RegionNames {
+    /// The names.
+    #[prost(string, repeated, tag = "1")]
+    pub names: Vec<String>,
 }
 
 /// What a batch item adds to its question.
@@ -84,6 +98,12 @@
     /// The request would be late: its caller is to come back after so long, milliseconds; 0 if not.
     #[prost(uint32, tag = "7")]
     pub come_back_ms: u32,
+    /// The replica is cold, and the coordinator has counted the request there: it may be sent for a short time.
+    #[prost(bool, tag = "8")]
+    pub counted_cold: bool,
+    /// Nothing was granted because the group's replicas are cold and have got what they bear now.
+    #[prost(bool, tag = "9")]
+    pub all_cold: bool,
 }
 
 /// A lease held at a replica.
@@ -118,6 +138,46 @@
     /// Set in a report that names all leases.
     #[prost(message, optional, tag = "4")]
     pub whole: Option<WholeReport>,
+    /// What became of requests whose leases are given back.
+    #[prost(message, repeated, tag = "5")]
+    pub outcomes: Vec<LeaseOutcome>,
+}
+
+/// How a request at a replica ended, as its holder saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum OutcomeKind {
+    /// Nothing can be said of the replica: the caller left, the item was ended, or the request itself was at fault.
+    NoEvidence = 0,
+    /// The replica answered in full.
+    Served = 1,
+    /// It answered with a failure of its own.
+    Failed = 2,
+    /// Its answer broke off, or its connection was refused or reset.
+    Cut = 3,
+    /// Nothing came from it.
+    Silent = 4,
+    /// Its bytes formed no answer, or that of another request.
+    Spoilt = 5,
+    /// It said that it did not run the request.
+    NotRun = 6,
+}
+
+/// The end of one lease.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct LeaseOutcome {
+    /// Number of the lease at its holder.
+    #[prost(uint32, tag = "1")]
+    pub lease: u32,
+    /// Hash of the replica's id.
+    #[prost(fixed32, tag = "2")]
+    pub replica: u32,
+    /// How it ended.
+    #[prost(enumeration = "OutcomeKind", tag = "3")]
+    pub kind: i32,
+    /// Time from sending it to the first event, milliseconds; 0 if none came.
+    #[prost(uint32, tag = "4")]
+    pub first_event_ms: u32,
 }
 
 /// What a report that names all leases adds.
