--- a/crates/edge/tests/slots.rs
+++ b/crates/edge/tests/slots.rs
@@ -9,7 +9,7 @@
 use harrierward_edge::{CoordinatorCandidate, SlotService, YieldItems};
 use harrierward_serving::{
     InProgress, ItemRoom, Location, Prompt, PromptLength, Replica, ReplicaRecord, ReplicaSet,
-    SelectionCosts, SlotAnswer, SlotLease, SlotLeases, SlotQuery, WorkClass, short_hash,
+    SelectionCosts, SlotAnswer, SlotLease, SlotLeases, SlotQuery, WorkClass,
 };
 use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{NodeDatagram, decode};
