Evacuated zones as a pure set that news from the store and peers can only move forward

Cause: nobody read the operator's evacuations, and a daemon that the store turns away must learn of them, and of their end, from peers whose knowledge may be older than its own. Ruled out: the last word wins (a peer that was frozen brings an evacuation back: the proptest's broken variant); the whole set with the newest revision wins (a feed that left a change out would spread the gap). Change: for each zone the revision of its row and whether that row is gone, and the revision of the last read of all rows; the replica set marks replicas by zone, those listed later too; copies of prompts ask the gate; admission hands the regions that route and tenant allow to choice and gate; a service without replica in these regions refuses at once.

--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -10,7 +10,7 @@
 use crate::choice::{Placement, ROOMY_PERMILLE};
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
 use crate::forwarder::{Forwarder, RequestState};
-use crate::gate::{Passage, barred};
+use crate::gate::{Passage, barred, may_give_copy};
 use crate::placing::NoPlace;
 use crate::policy::Mechanism;
 use crate::replica::{InProgress, Replica};
@@ -159,7 +159,9 @@
             self.log_failure(request, &replica, &failure, Duration::ZERO);
             return Err(failure);
         }
-        let copy_from = choice.copy_from.as_ref().map(|source| &source.record);
+        let copy_from = choice.copy_from.as_ref();
+        let copy_from = copy_from.filter(|source| may_give_copy(source, &request.regions));
+        let copy_from = copy_from.map(|source| &source.record);
         self.log().record(&Record::Sent {
             request: &request.id,
             route: &request.target,
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -159,6 +159,21 @@
 }
 
 impl ServingConfiguration {
+    /// Regions in which requests of a tenant on a route may be served and kept: what both allow. A route or tenant that
+    /// is not there says nothing.
+    pub fn allowed_regions(&self, route: &str, tenant: &str) -> AllowedRegions {
+        let of_route = self.route(route).map(|route| &route.allowed_regions);
+        let tenants = self.tenants.as_ref();
+        let of_tenant = tenants
+            .and_then(|tenants| tenants.tenant(tenant))
+            .map(|tenant| &tenant.allowed_regions);
+        match (of_route, of_tenant) {
+            (Some(route), Some(tenant)) => route.and(tenant),
+            (Some(one), None) | (None, Some(one)) => one.clone(),
+            (None, None) => AllowedRegions::Any,
+        }
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -243,10 +243,12 @@
         let tenant = tenant.map_err(refusal_of)?;
         let entry = entry.clone();
         drop(routes);
+        request.regions = entry.route.allowed_regions.clone();
         let Some(tenant) = tenant else {
             return Ok(entry);
         };
         request.tenant = Some(tenant.name.clone());
+        request.regions = request.regions.and(&tenant.allowed_regions);
         if tenant.rate.is_unlimited() {
             return Ok(entry);
         }
--- a/crates/serving/src/gate.rs
+++ b/crates/serving/src/gate.rs
@@ -54,3 +54,9 @@
         None
     }
 }
+
+/// True if what a replica keeps of a prompt may be copied from there now: it takes work, and lies where the request's own
+/// prompt may be kept. Asked just before the request leaves, like the gate itself.
+pub fn may_give_copy(source: &Replica, regions: &AllowedRegions) -> bool {
+    source.accepts_work() && regions.allows(&source.record.region)
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod choice;
 mod configuration;
+mod evacuation;
 mod events;
 mod exchange;
 mod forwarder;
@@ -34,6 +35,7 @@
     BatchBounds, CallerLimits, Route, RouteKind, Service, ServingConfiguration, Warmup,
     WeightedService,
 };
+pub use evacuation::{EvacuatedZones, EvacuationNews, EvacuationRows, ZoneChange, ZoneMark};
 pub use events::{EventSplitter, StreamEvent};
 pub use exchange::{
     AnswerBody, BodyError, ExchangeError, ReplicaAnswer, ReplicaClient, ReplicaLoad,
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -108,7 +108,7 @@
         };
         let began = Instant::now();
         loop {
-            if !self.replicas().view().has_usable(service) {
+            if !self.replicas().view().has_usable(service, &request.regions) {
                 break;
             }
             match self.places().ask(query).await {
@@ -148,6 +148,12 @@
     }
 
     async fn ask_or_choose(&self, query: SlotQuery<'_>) -> Result<Placement, NoPlace> {
+        // No coordinator has a place where nobody may serve the request: its caller is told at once.
+        let view = self.replicas().view();
+        if !view.has_usable(query.service, query.regions) {
+            return Err(NoPlace::NoReplica);
+        }
+        drop(view);
         match self.places().ask(query).await {
             SlotAnswer::Given { choice, lease } => {
                 let held = SlotLease::new(self.places().clone(), lease);
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use harrierward_tenants::AllowedRegions;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -379,11 +380,11 @@
             .collect()
     }
 
-    /// True if any replica of the service takes new work.
-    pub fn has_usable(&self, service: &str) -> bool {
-        let ready = self.listed(service).iter();
-        let is_ready = |replica: &Arc<Replica>| replica.accepts_work();
-        ready.clone().any(is_ready) || !self.usable(service).is_empty()
+    /// True if any replica of the service takes new work in these regions.
+    pub fn has_usable(&self, service: &str, regions: &AllowedRegions) -> bool {
+        let fits = |replica: &Arc<Replica>| regions.allows(&replica.record.region);
+        let is_ready = |replica: &Arc<Replica>| replica.accepts_work() && fits(replica);
+        self.listed(service).iter().any(is_ready) || self.usable(service).iter().any(fits)
     }
 
     /// The name of a service and its listed replicas, from the hash of the name.
@@ -443,6 +444,7 @@
 #[derive(Debug, Default)]
 pub struct ReplicaSet {
     view: ArcSwap<ReplicaView>,
+    evacuated_zones: ArcSwap<HashSet<String>>,
 }
 
 impl ReplicaSet {
@@ -451,13 +453,36 @@
         self.view.load_full()
     }
 
-    /// Takes a whole new list; counts and memory of replicas that stay are kept.
+    /// Takes a whole new list; counts and memory of replicas that stay are kept. None is seen in service while its zone
+    /// is evacuated.
     pub fn replace(&self, records: Vec<ReplicaRecord>, memory_tokens: impl Fn(&str) -> u64) {
         let old = self.view();
+        let replicas = records
+            .into_iter()
+            .map(|record| keep_or_create(&old, record, &memory_tokens));
+        self.publish(&old, replicas.collect());
+    }
+
+    /// Takes the names of all zones that are evacuated; it holds for replicas that are listed later too.
+    pub fn set_evacuated_zones(&self, zones: HashSet<String>) {
+        self.evacuated_zones.store(Arc::new(zones));
+        let old = self.view();
+        self.publish(&old, old.by_id.values().cloned().collect());
+    }
+
+    fn publish(&self, old: &ReplicaView, replicas: Vec<Arc<Replica>>) {
+        let evacuated = self.evacuated_zones.load();
+        let vanished_before = old.vanished.values().flatten();
+        for replica in replicas
+            .iter()
+            .chain(vanished_before.map(|gone| &gone.replica))
+            .chain(old.by_id.values())
+        {
+            replica.set_zone_evacuated(evacuated.contains(&replica.record.zone));
+        }
         let mut by_id = HashMap::new();
         let mut by_service: HashMap<String, Vec<Arc<Replica>>> = HashMap::new();
-        for record in records {
-            let replica = keep_or_create(&old, record, &memory_tokens);
+        for replica in replicas {
             let service = by_service
                 .entry(replica.record.service.clone())
                 .or_default();
@@ -467,7 +492,7 @@
         for list in by_service.values_mut() {
             list.sort_by(|left, right| left.record.id.cmp(&right.record.id));
         }
-        let vanished = still_vanished(&old, &by_id);
+        let vanished = still_vanished(old, &by_id);
         let by_hash = by_id
             .values()
             .map(|replica| (replica.hash, replica.clone()));
