Evacuations reach every daemon: from the store's rows, and from peers for those that the store turns away

Cause: a daemon whose connection the store refuses learned nothing new while others did. Ruled out: fetching rows from a peer that is ahead (the store's counter rises all the time, so every peer always is); a datagram of its own (15 more a second and daemon). A row that went and came back within one page of changes is there at its end.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::record::Record;
@@ -30,6 +30,8 @@
     dependencies_lost: IntCounterVec,
     configuration_version: IntGauge,
     members_alive: IntGauge,
+    zones_evacuated: IntGaugeVec,
+    zones_running: IntGaugeVec,
     view_sync_records: IntCounter,
     lines_dropped: IntGauge,
     rate_refusals: IntCounterVec,
@@ -128,6 +130,16 @@
                 "harrierward_members_alive",
                 "Daemons that this one holds alive, itself included",
             )?,
+            zones_evacuated: zone_gauge(
+                &registry,
+                "harrierward_zone_evacuated",
+                "1 for a zone that this daemon knows to be evacuated, 0 for one that is back",
+            )?,
+            zones_running: zone_gauge(
+                &registry,
+                "harrierward_evacuated_zone_requests",
+                "Requests and items of this daemon still in progress in an evacuated zone",
+            )?,
             view_sync_records: view_sync_records(&registry)?,
             lines_dropped: gauge(
                 "harrierward_log_lines_dropped",
@@ -224,6 +236,17 @@
                 let alive = i64::try_from(*alive).unwrap_or(i64::MAX);
                 self.members_alive.set(alive);
             }
+            Record::ZoneEvacuation { zone, state, .. } => {
+                let is_evacuated = i64::from(*state == "evacuated");
+                self.zones_evacuated
+                    .with_label_values(&[*zone])
+                    .set(is_evacuated);
+            }
+            Record::ZoneRunning { zone, running } => {
+                self.zones_running
+                    .with_label_values(&[*zone])
+                    .set(i64::from(*running));
+            }
             Record::ViewSynced { records, .. } => {
                 self.view_sync_records.inc_by(*records as u64);
             }
@@ -244,6 +267,17 @@
     }
 }
 
+/// A figure by zone; the zones of which anything is kept are bounded.
+fn zone_gauge(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> Result<IntGaugeVec, prometheus::Error> {
+    let gauge = IntGaugeVec::new(Opts::new(name, help), &["zone"])?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
 fn view_sync_records(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
     let counter = IntCounter::new(
         "harrierward_view_sync_records_total",
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -59,6 +59,39 @@
         /// Revision of the row that says so.
         revision: u64,
     },
+    /// A zone was taken out of service by an operator, or is back.
+    ZoneEvacuation {
+        /// Zone.
+        zone: &'a str,
+        /// `evacuated` or `returned`.
+        state: &'a str,
+        /// Revision of the row that evacuates it.
+        revision: u64,
+        /// Where this was learned: the store, or a peer's id.
+        source: &'a str,
+        /// Age of the proof that this daemon knows the store's newest rows; `None` if it has none.
+        proof_age_ms: Option<u64>,
+        /// Requests of this daemon in progress there.
+        running: u32,
+        /// The settings name the zone.
+        is_known: bool,
+    },
+    /// Requests of this daemon still in progress in an evacuated zone, whenever their number changes.
+    ZoneRunning {
+        /// Zone.
+        zone: &'a str,
+        /// Requests and items.
+        running: u32,
+    },
+    /// A daemon that hears nothing from the store asked a peer for the newer configuration there.
+    PeerAsked {
+        /// Address of the peer.
+        peer: &'a str,
+        /// Version of the configuration that the peer has.
+        version: u64,
+        /// What came of it.
+        outcome: &'a str,
+    },
     /// A replica is avoided for a while.
     ReplicaSuspected {
         /// Replica.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -18,6 +18,7 @@
 use crate::discovery::{Discovery, DiscoverySource};
 use crate::figures::Figures;
 use crate::members::{Members, new_life};
+use crate::peer_news::PeerNews;
 use crate::peer_rows::{PeerRows, learn};
 use crate::pool::ConnectionPool;
 use crate::rates::RateService;
@@ -165,6 +166,8 @@
             proof,
             log.clone(),
         ));
+        let news = Arc::new(PeerNews::new(discovery.clone(), log.clone()));
+        members.set_news(news.clone());
         let jobs = InlineJobs::new(JobParts {
             life,
             table,
@@ -193,6 +196,8 @@
         };
         start_watches(&discovery, source.as_ref(), &watched, &jobs, &paces, &log);
         tokio::spawn(jobs.clone().run());
+        tokio::spawn(news.catch_up(pool.clone()));
+        tokio::spawn(discovery.clone().watch_evacuated());
         tokio::spawn(learn(discovery.clone(), members.clone(), pool));
         let service = Arc::new(EdgeService {
             forwarder,
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -2,12 +2,15 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::Row;
 use harrierward_serving::{
-    ConfigurationProof, ReplicaRecord, ReplicaSet, RouteTable, ServingConfiguration, SharedRoutes,
+    ConfigurationProof, EvacuatedZones, EvacuationNews, EvacuationRows, ReplicaRecord, ReplicaSet,
+    RouteTable, ServingConfiguration, SharedRoutes, WorkClass, ZoneChange,
 };
+use tokio::time::{Instant, sleep};
 
 use crate::server::ServerControl;
 use crate::watch::SpaceUpdate;
@@ -28,8 +31,21 @@
 
     /// The replica of a row, if it holds one.
     fn replica_of(&self, row: &Row) -> Option<ReplicaRecord>;
+
+    /// The zone that a row of the configuration's space with this key takes out of service, if it is such a row.
+    fn evacuated_zone_of(&self, _key: &str) -> Option<String> {
+        None
+    }
+
+    /// True if the settings name the zone.
+    fn knows_zone(&self, _zone: &str) -> bool {
+        true
+    }
 }
 
+/// Time between two looks at what still runs in evacuated zones.
+const RUNNING_LOOK: Duration = Duration::from_millis(500);
+
 /// What the daemon believes; updates only move forward.
 pub struct Discovery {
     source: Arc<dyn DiscoverySource>,
@@ -39,6 +55,13 @@
     proof: Arc<ConfigurationProof>,
     log: DecisionLog,
     rows: Mutex<KnownRows>,
+    zones: Mutex<KnownZones>,
+}
+
+#[derive(Default)]
+struct KnownZones {
+    rows: EvacuationRows,
+    zones: EvacuatedZones,
 }
 
 #[derive(Default)]
@@ -68,6 +91,7 @@
             proof,
             log,
             rows: Mutex::default(),
+            zones: Mutex::default(),
         }
     }
 
@@ -87,8 +111,10 @@
         (rows.configuration.clone(), replicas)
     }
 
-    /// Takes an update of the configuration's space.
+    /// Takes an update of the configuration's space. Evacuations come first: what the configuration lets in then finds
+    /// them in force.
     pub fn take_configuration(&self, update: &SpaceUpdate, origin: &str) {
+        self.take_evacuation_rows(update, origin);
         for row in &update.written {
             self.adopt(row, origin);
         }
@@ -135,14 +161,14 @@
         if std::mem::take(&mut rows.replicas_of_peer) {
             rows.replicas.clear();
         }
+        for row in &update.written {
+            self.note_replica(&mut rows, row, first);
+        }
         for key in &update.removed {
             if let Some((row, record)) = rows.replicas.remove(key) {
                 self.log_replica(&record, "gone", row.revision);
             }
         }
-        for row in &update.written {
-            self.note_replica(&mut rows, row, first);
-        }
         if first {
             self.log_first_replicas(&rows, "store");
         }
@@ -211,4 +237,103 @@
             revision,
         });
     }
+
+    fn zones(&self) -> std::sync::MutexGuard<'_, KnownZones> {
+        self.zones.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take_evacuation_rows(&self, update: &SpaceUpdate, origin: &str) {
+        let zone_of = |key: &str| self.source.evacuated_zone_of(key);
+        let written = update.written.iter();
+        let written = written.filter_map(|row| Some((zone_of(&row.key)?, row.revision)));
+        let written = written.collect();
+        let gone: Vec<String> = update
+            .removed
+            .iter()
+            .filter_map(|key| zone_of(key))
+            .collect();
+        let news = self.zones().rows.take(written, &gone, update.complete_at);
+        self.take_evacuations(&news, origin);
+    }
+
+    /// Takes what the store or a peer knows of evacuated zones.
+    pub fn take_evacuations(&self, news: &EvacuationNews, origin: &str) {
+        // The lock is held until the replicas know: an older set must not come after a newer one.
+        let mut known = self.zones();
+        let changes = known.zones.merge(news, Instant::now());
+        if changes.is_empty() {
+            return;
+        }
+        self.replicas.set_evacuated_zones(known.zones.evacuated());
+        drop(known);
+        for change in &changes {
+            self.log_evacuation(change, origin);
+        }
+    }
+
+    /// What this daemon knows of evacuated zones.
+    pub fn evacuations(&self) -> EvacuationNews {
+        self.zones().zones.news()
+    }
+
+    /// When this daemon learned that the zone's last evacuation was over; `None` if there was none.
+    pub fn zone_returned_at(&self, zone: &str) -> Option<Instant> {
+        self.zones().zones.returned_at(zone)
+    }
+
+    /// Version of the configuration in force; 0 if there is none.
+    pub fn configuration_version(&self) -> u64 {
+        let routes = self.routes.load();
+        routes
+            .as_ref()
+            .map_or(0, |routes| routes.configuration.version)
+    }
+
+    /// Time since this daemon last knew its configuration to be the newest; `None` if it never did.
+    pub fn proof_age(&self) -> Option<Duration> {
+        self.proof.age()
+    }
+
+    /// Requests and items of this daemon in progress in a zone.
+    fn running_in(&self, zone: &str) -> u32 {
+        let view = self.replicas.view();
+        let there = view.all().filter(|replica| replica.record.zone == zone);
+        let running =
+            there.map(|replica| replica.own(WorkClass::Online) + replica.own(WorkClass::Batch));
+        running.sum()
+    }
+
+    fn log_evacuation(&self, change: &ZoneChange, origin: &str) {
+        let proof_age = self.proof.age();
+        self.log.record(&Record::ZoneEvacuation {
+            zone: &change.zone,
+            state: if change.is_evacuated {
+                "evacuated"
+            } else {
+                "returned"
+            },
+            revision: change.revision,
+            source: origin,
+            proof_age_ms: proof_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            running: self.running_in(&change.zone),
+            is_known: self.source.knows_zone(&change.zone),
+        });
+    }
+
+    /// Tells operators what still runs in evacuated zones, for as long as the process does.
+    pub async fn watch_evacuated(self: Arc<Self>) {
+        let mut told: HashMap<String, u32> = HashMap::new();
+        loop {
+            sleep(RUNNING_LOOK).await;
+            let evacuated = self.zones().zones.evacuated();
+            told.retain(|zone, _| evacuated.contains(zone));
+            for zone in evacuated {
+                let running = self.running_in(&zone);
+                if told.insert(zone.clone(), running) != Some(running) {
+                    let zone = &zone;
+                    self.log.record(&Record::ZoneRunning { zone, running });
+                }
+            }
+        }
+    }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 mod figures;
 mod members;
 mod peer_loads;
+mod peer_news;
 mod peer_rows;
 mod pool;
 mod rates;
@@ -19,6 +20,7 @@
 pub use discovery::{Discovery, DiscoverySource};
 pub use members::Members;
 pub use peer_loads::{PeerLoads, PeerSum};
+pub use peer_news::PeerNews;
 pub use pool::{
     ConnectionPool, PoolError, PoolSettings, PooledBody, PooledResponse, RequestBody, has_token,
 };
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -11,6 +11,7 @@
 use harrierward_inline_jobs::{InlineJobs, Peers, QuotaRequest};
 use harrierward_membership::{Action, MembershipCore, MembershipSettings, MembershipView};
 use harrierward_serving::{Location, Mechanism, Policy, Replica, ReplicaSet, WorkClass};
+use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{
     Datagram, DatagramKind, LoadNotice, MemberRecord, MemberState, NodeDatagram, QuotaAnswer,
     QuotaAsk, QuotaOutcome, ReplicaCount, YieldRequest, decode, encode, node_datagram,
@@ -23,6 +24,7 @@
 
 use crate::calls::{CallPatience, DatagramCalls};
 use crate::peer_loads::PeerLoads;
+use crate::peer_news::PeerNews;
 use crate::rates::RateService;
 use crate::settings::EdgeSettings;
 use crate::slots::{CoordinatorCandidate, SlotService};
@@ -87,6 +89,7 @@
     replicas: Arc<ReplicaSet>,
     log: DecisionLog,
     jobs: OnceLock<InlineJobs>,
+    news: OnceLock<Arc<PeerNews>>,
     quota_calls: DatagramCalls<QuotaAnswer>,
     next_quota_call: AtomicU32,
     slots: Arc<SlotService>,
@@ -146,6 +149,7 @@
             replicas,
             log,
             jobs: OnceLock::new(),
+            news: OnceLock::new(),
             quota_calls: DatagramCalls::default(),
             next_quota_call: AtomicU32::new(1),
             slots,
@@ -366,6 +370,11 @@
             number: state.notices,
             counts: counts.collect(),
             proof_age_ms: self.own_proof_age_ms(),
+            evacuations: self.news.get().map(|news| news.evacuations()),
+            configuration_version: self
+                .news
+                .get()
+                .map_or(0, |news| news.configuration_version()),
         };
         let datagram = NodeDatagram {
             kind: Some(node_datagram::Kind::LoadNotice(notice)),
@@ -443,7 +452,28 @@
         }
     }
 
-    fn take_notice(&self, state: &mut State, notice: LoadNotice) {
+    /// The operator's rows, of which peers are told in passing.
+    pub fn set_news(&self, news: Arc<PeerNews>) {
+        // Set once, at the start.
+        let _ = self.news.set(news);
+    }
+
+    /// What a notice tells of the operator's rows.
+    fn take_news(&self, state: &State, notice: &mut LoadNotice) {
+        let Some(news) = self.news.get() else {
+            return;
+        };
+        if let Some(evacuations) = notice.evacuations.take() {
+            news.take_evacuations(evacuations, &notice.from);
+        }
+        news.take_version(notice.configuration_version, || {
+            let member = state.view.member(&notice.from)?;
+            Some(member.peer_address.clone())
+        });
+    }
+
+    fn take_notice(&self, state: &mut State, mut notice: LoadNotice) {
+        self.take_news(state, &mut notice);
         let is_new = state.loads.take(notice, Instant::now());
         // In a large fleet notices come too often for that; the tick publishes them.
         if is_new && state.loads.heard() <= NOTICE_FAN_OUT {
@@ -485,6 +515,16 @@
         Some(attached.map(|member| member.id.clone()).collect())
     }
 
+    fn owners_in(&self, regions: &AllowedRegions) -> Option<Vec<String>> {
+        let owners = self.owners()?;
+        let view = self.view();
+        let is_in = |owner: &String| {
+            let member = view.member(owner);
+            member.is_some_and(|member| regions.allows(&member.region))
+        };
+        Some(owners.into_iter().filter(is_in).collect())
+    }
+
     async fn ask_quota(
         &self,
         coordinator: &str,
--- /dev/null
+++ b/crates/edge/src/peer_news.rs
@@ -0,0 +1,152 @@
+//! What daemons tell each other of the operator's rows in passing, for those that the store turns away: evacuated zones
+//! whole, since they are few, and the version of the configuration, which is fetched from the peer that told of it.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use harrierward_decisions::{DecisionLog, Record};
+use harrierward_serving::{EvacuationNews, ZoneMark};
+use harrierward_wire::{EvacuatedZone, Evacuations};
+use tokio::time::{sleep, timeout};
+
+use crate::discovery::Discovery;
+use crate::peer_rows::{PEER_TIMEOUT, ask_configuration, to_row};
+use crate::pool::ConnectionPool;
+use crate::watch::SpaceUpdate;
+
+/// Age of the own proof from which on a peer is asked for a newer configuration. Just above what a watch in good order
+/// reaches, so that a change that everybody hears of from the store is asked for nowhere else.
+const OWN_PROOF_STALE: Duration = Duration::from_millis(2_300);
+
+/// Pause between two looks whether a peer is ahead.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// What a peer has that this daemon lacks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Ahead {
+    version: u64,
+    /// Address at which it answers control calls.
+    address: String,
+}
+
+/// The news that passes between daemons.
+pub struct PeerNews {
+    discovery: Arc<Discovery>,
+    ahead: Mutex<Option<Ahead>>,
+    log: DecisionLog,
+}
+
+impl PeerNews {
+    /// Nothing was heard yet.
+    pub fn new(discovery: Arc<Discovery>, log: DecisionLog) -> Self {
+        Self {
+            discovery,
+            ahead: Mutex::default(),
+            log,
+        }
+    }
+
+    fn ahead(&self) -> std::sync::MutexGuard<'_, Option<Ahead>> {
+        self.ahead.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What this daemon tells of evacuations.
+    pub fn evacuations(&self) -> Evacuations {
+        evacuations_message(&self.discovery.evacuations())
+    }
+
+    /// The version that it tells.
+    pub fn configuration_version(&self) -> u64 {
+        self.discovery.configuration_version()
+    }
+
+    /// A peer told what it knows of evacuations.
+    pub fn take_evacuations(&self, told: Evacuations, peer: &str) {
+        self.discovery
+            .take_evacuations(&evacuation_news(told), peer);
+    }
+
+    /// A peer has a configuration of this version; `address` is where it answers control calls.
+    pub fn take_version(&self, version: u64, address: impl FnOnce() -> Option<String>) {
+        if version <= self.discovery.configuration_version() || !self.is_stale() {
+            return;
+        }
+        let mut ahead = self.ahead();
+        if ahead.as_ref().is_some_and(|known| known.version >= version) {
+            return;
+        }
+        *ahead = address().map(|address| Ahead { version, address });
+    }
+
+    /// True if the store may have told others of a configuration that this daemon has not heard of.
+    fn is_stale(&self) -> bool {
+        let age = self.discovery.proof_age();
+        age.is_none_or(|age| age > OWN_PROOF_STALE)
+    }
+
+    /// Fetches newer configurations from peers, for as long as the process runs.
+    pub async fn catch_up(self: Arc<Self>, pool: ConnectionPool) {
+        loop {
+            sleep(LOOK).await;
+            let ahead = self.ahead().take();
+            if let Some(ahead) = ahead {
+                self.fetch(&pool, &ahead).await;
+            }
+        }
+    }
+
+    async fn fetch(&self, pool: &ConnectionPool, ahead: &Ahead) {
+        if ahead.version <= self.discovery.configuration_version() {
+            return;
+        }
+        let answer = timeout(PEER_TIMEOUT, ask_configuration(pool, &ahead.address)).await;
+        // A peer that does not answer, or is busy with others, is named again by its next notice.
+        let configuration = answer.ok().flatten().and_then(|rows| rows.configuration);
+        let outcome = if configuration.is_some() {
+            "answered"
+        } else {
+            "no answer"
+        };
+        self.log.record(&Record::PeerAsked {
+            peer: &ahead.address,
+            version: ahead.version,
+            outcome,
+        });
+        if let Some(configuration) = configuration {
+            let update = SpaceUpdate {
+                written: vec![to_row(configuration)],
+                ..SpaceUpdate::default()
+            };
+            self.discovery.take_configuration(&update, "peer");
+        }
+    }
+}
+
+/// The message that carries the news.
+pub fn evacuations_message(news: &EvacuationNews) -> Evacuations {
+    let zones = news.zones.iter().map(|(zone, mark)| EvacuatedZone {
+        zone: zone.clone(),
+        revision: mark.revision,
+        is_over: mark.is_over,
+    });
+    Evacuations {
+        complete_at: news.complete_at,
+        zones: zones.collect(),
+    }
+}
+
+/// The news that a message carries.
+pub fn evacuation_news(message: Evacuations) -> EvacuationNews {
+    let zones = message.zones.into_iter().map(|told| {
+        let mark = ZoneMark {
+            revision: told.revision,
+            is_over: told.is_over,
+        };
+        (told.zone, mark)
+    });
+    EvacuationNews {
+        complete_at: message.complete_at,
+        zones: zones.collect::<BTreeMap<String, ZoneMark>>(),
+    }
+}
--- a/crates/edge/src/peer_rows.rs
+++ b/crates/edge/src/peer_rows.rs
@@ -15,6 +15,7 @@
 
 use crate::discovery::Discovery;
 use crate::members::Members;
+use crate::peer_news::{evacuation_news, evacuations_message};
 use crate::pool::ConnectionPool;
 use crate::server::{HttpService, ResponseBody};
 use crate::watch::SpaceUpdate;
@@ -22,6 +23,9 @@
 /// Path of the question.
 const PATH: &str = "/internal/known-rows";
 
+/// The same for the configuration alone: the replicas of a large fleet are a megabyte.
+const CONFIGURATION_PATH: &str = "/internal/known-rows?configuration";
+
 /// Time for the store to answer before peers are asked.
 const STORE_FIRST: Duration = Duration::from_millis(600);
 
@@ -36,7 +40,7 @@
 const ANSWER_EVERY: Duration = Duration::from_millis(100);
 
 /// Longest wait for one peer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+pub const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Answers peers.
 pub struct PeerRows {
@@ -75,7 +79,7 @@
     }
 }
 
-fn to_row(row: KnownRow) -> Row {
+pub fn to_row(row: KnownRow) -> Row {
     Row {
         key: row.key,
         value: Bytes::from(row.value),
@@ -85,7 +89,7 @@
 
 #[async_trait]
 impl HttpService for PeerRows {
-    async fn call(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn call(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         if !self.may_answer(Instant::now()) {
             // The asker goes to another peer.
             let body = Full::new(Bytes::new()).map_err(|never| match never {});
@@ -93,8 +97,12 @@
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             return response;
         }
-        let (configuration, replicas) = self.discovery.known_rows();
+        let (configuration, mut replicas) = self.discovery.known_rows();
+        if request.uri().query().is_some() {
+            replicas.clear();
+        }
         let rows = KnownRows {
+            evacuations: Some(evacuations_message(&self.discovery.evacuations())),
             configuration: configuration.as_ref().map(to_message),
             replicas: replicas.iter().map(to_message).collect(),
         };
@@ -103,9 +111,14 @@
     }
 }
 
-async fn ask(pool: &ConnectionPool, address: &str) -> Option<KnownRows> {
+/// Asks a peer for its configuration and the evacuated zones.
+pub async fn ask_configuration(pool: &ConnectionPool, address: &str) -> Option<KnownRows> {
+    ask(pool, address, CONFIGURATION_PATH).await
+}
+
+async fn ask(pool: &ConnectionPool, address: &str, path: &str) -> Option<KnownRows> {
     let request = Request::builder()
-        .uri(PATH)
+        .uri(path)
         .header("host", address)
         .body(Bytes::new())
         .ok()?;
@@ -125,13 +138,16 @@
     sleep(STORE_FIRST).await;
     while !discovery.is_complete() {
         for address in members.control_addresses(MOST_ASKED) {
-            let answer = timeout(PEER_TIMEOUT, ask(&pool, &address)).await;
+            let answer = timeout(PEER_TIMEOUT, ask(&pool, &address, PATH)).await;
             let Ok(Some(rows)) = answer else {
                 continue;
             };
             let Some(configuration) = rows.configuration else {
                 continue;
             };
+            if let Some(told) = rows.evacuations {
+                discovery.take_evacuations(&evacuation_news(told), "peer");
+            }
             let update = SpaceUpdate {
                 written: vec![to_row(configuration)],
                 ..SpaceUpdate::default()
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -103,12 +103,14 @@
 pub struct SpaceUpdate {
     /// Rows written, with their revisions.
     pub written: Vec<Row>,
-    /// Keys removed.
+    /// Keys of rows that are gone, those written before among them.
     pub removed: Vec<String>,
     /// When the question was sent whose answer this is: the copy is no older.
     pub as_of: Option<Instant>,
     /// The store's steady clock, milliseconds.
     pub store_time_ms: u64,
+    /// Revision of the read of all rows that this follows from; `None` for changes.
+    pub complete_at: Option<u64>,
 }
 
 /// The copy: pure, so that it can be tested without a store.
@@ -131,6 +133,7 @@
         }
         let mut update = SpaceUpdate {
             store_time_ms: snapshot.store_time_ms,
+            complete_at: Some(snapshot.revision),
             ..SpaceUpdate::default()
         };
         let mut revisions = HashMap::new();
@@ -165,6 +168,8 @@
             match change.value {
                 Some(value) => {
                     self.revisions.insert(change.key.clone(), change.revision);
+                    // A row that is back is not among those that are gone at the end of the page.
+                    update.removed.retain(|key| *key != change.key);
                     update.written.push(row(change.key, value, change.revision));
                 }
                 None => {
--- a/crates/inline-jobs/src/adoption.rs
+++ b/crates/inline-jobs/src/adoption.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use harrierward_serving::preference_weight;
+use harrierward_tenants::AllowedRegions;
 use harrierward_wire::ItemProgressRow;
 use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64;
@@ -53,9 +54,12 @@
                 .collect();
             missing_since.retain(|job, _| orphans.iter().any(|known| known.head.job_id == *job));
             for known in orphans {
+                let Some(adopters) = self.adopters_of(&known, &owners) else {
+                    continue;
+                };
                 let job_id = known.head.job_id.clone();
                 let since = *missing_since.entry(job_id).or_insert_with(Instant::now);
-                if since.elapsed() >= self.adoption_delay(&known, &owners) {
+                if since.elapsed() >= self.adoption_delay(&known, &adopters) {
                     missing_since.remove(&known.head.job_id);
                     let jobs = self.clone();
                     tokio::spawn(async move { jobs.adopt_job(known).await });
@@ -64,6 +68,17 @@
         }
     }
 
+    /// The daemons that may adopt a job, which is to read its bodies; `None` if this one is not among them. Where no
+    /// daemon of an allowed region lives the job waits.
+    fn adopters_of(&self, known: &KnownHead, owners: &[String]) -> Option<Vec<String>> {
+        let regions = self.regions_of(&known.head.route, &known.head.tenant)?;
+        let adopters = match &regions {
+            AllowedRegions::Any => owners.to_vec(),
+            AllowedRegions::Only(_) => self.inner.peers.owners_in(&regions)?,
+        };
+        adopters.contains(&self.inner.life).then_some(adopters)
+    }
+
     /// Daemons adopt a job in an order of its own, so that they do not all try at once.
     fn adoption_delay(&self, known: &KnownHead, owners: &[String]) -> Duration {
         let job = xxh3_64(known.head.job_id.as_bytes());
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -1,9 +1,13 @@
 //! Starting items where online leaves room, taking their ends, and giving slots back when online needs them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::{ItemRoom, Mechanism, Placement, Route, RouteTable, WorkClass};
+use harrierward_serving::{
+    ItemRoom, Mechanism, Placement, Route, RouteTable, ServingRequest, WorkClass,
+};
+use harrierward_tenants::AllowedRegions;
 use tokio::time::{Instant, sleep};
 
 use crate::book::{ItemPhase, RunPlace, StartableItem, YieldedItem};
@@ -63,6 +67,7 @@
             Instant::now(),
             ROUTE_PATIENCE,
         );
+        let view = self.inner.forwarder.replicas().view();
         for (item, urgency, slack) in self.startable(&routes) {
             let is_paced = self.inner.forwarder.policy().has(Mechanism::Pacing);
             if is_paced && !self.interval_over(urgency.start_interval()) {
@@ -76,6 +81,13 @@
             let Some(service) = entry.and_then(|entry| entry.next_service()) else {
                 continue;
             };
+            let tenant = item.request.tenant.as_deref().unwrap_or_default();
+            let regions = routes.configuration.allowed_regions(&item.route, tenant);
+            if !view.has_usable(service, &regions) {
+                // It waits, and must not hold up those that can run.
+                continue;
+            }
+            let item = within(item, regions);
             if !self.start_item(&item, service, room) {
                 return;
             }
@@ -334,6 +346,16 @@
     }
 }
 
+/// The item with the regions in which it may run by the configuration in force now.
+fn within(mut item: StartableItem, regions: AllowedRegions) -> StartableItem {
+    if item.request.regions != regions {
+        let mut request = ServingRequest::clone(&item.request);
+        request.regions = regions;
+        item.request = Arc::new(request);
+    }
+    item
+}
+
 /// Rounds so that the daemons' shares add up on the mean.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn round_by_chance(share: f64) -> usize {
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -8,6 +8,7 @@
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{ObjectStore, Table, WatchedTable};
 use harrierward_serving::Forwarder;
+use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{JobHeadRow, QuotaOutcome};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
@@ -25,6 +26,14 @@
     /// the others.
     fn owners(&self) -> Option<Vec<String>>;
 
+    /// Those of them that are in one of these regions: they may read the bodies of jobs that are to stay there.
+    fn owners_in(&self, regions: &AllowedRegions) -> Option<Vec<String>> {
+        match regions {
+            AllowedRegions::Any => self.owners(),
+            AllowedRegions::Only(_) => Some(Vec::new()),
+        }
+    }
+
     /// Asks another daemon, the coordinator of a route's quota, for a job's tokens: what became of it, and the fence of a
     /// grant. `None` if it does not answer.
     async fn ask_quota(
@@ -144,6 +153,13 @@
         !self.is_stopping() && age.is_some_and(|age| age < bound)
     }
 
+    /// Regions in which a job's items may run and its bodies be read, by the configuration in force; `None` while none is
+    /// known, and nobody may tell.
+    pub(crate) fn regions_of(&self, route: &str, tenant: &str) -> Option<AllowedRegions> {
+        let routes = self.inner.forwarder.routes()?;
+        Some(routes.configuration.allowed_regions(route, tenant))
+    }
+
     pub(crate) fn owns(&self, head: &JobHeadRow) -> bool {
         head.owner == self.inner.life
     }
--- a/crates/serving/src/topology.rs
+++ b/crates/serving/src/topology.rs
@@ -23,6 +23,11 @@
         self.region_by_zone.get(zone).map_or("", String::as_str)
     }
 
+    /// True if the settings name no zone at all.
+    pub fn is_empty(&self) -> bool {
+        self.region_by_zone.is_empty()
+    }
+
     /// True if the settings name the zone.
     pub fn has_zone(&self, zone: &str) -> bool {
         self.region_by_zone.contains_key(zone)
--- a/crates/wire/src/known_rows.rs
+++ b/crates/wire/src/known_rows.rs
@@ -23,4 +23,7 @@
     /// The replicas.
     #[prost(message, repeated, tag = "2")]
     pub replicas: Vec<KnownRow>,
+    /// The evacuated zones.
+    #[prost(message, optional, tag = "3")]
+    pub evacuations: Option<crate::Evacuations>,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 mod batch;
 mod claim;
 mod configuration;
+mod evacuation;
 mod inline_job;
 mod known_rows;
 mod membership;
@@ -19,6 +20,7 @@
 };
 pub use claim::{ClaimRow, ClaimState};
 pub use configuration::{ConfigChange, ConfigHead, ConfigLogEntry, ConfigObjectRow};
+pub use evacuation::{EvacuatedZone, Evacuations};
 pub use inline_job::{
     HeaderRow, ItemBodyRow, ItemHeadRow, ItemProgressRow, JobHeadRow, JobItemsRow, PromptPartRow,
     ResultPieceRow,
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -218,6 +218,12 @@
     /// Age of the sender's proof that its copy of the jobs' heads is true, milliseconds plus one; 0 if it has none.
     #[prost(uint32, tag = "4")]
     pub proof_age_ms: u32,
+    /// What the sender knows of evacuated zones, for those that the store turns away.
+    #[prost(message, optional, tag = "5")]
+    pub evacuations: Option<crate::Evacuations>,
+    /// Version of the configuration that the sender has in force; 0 if none.
+    #[prost(uint64, tag = "6")]
+    pub configuration_version: u64,
 }
 
 /// An online request found no free slot at a replica: the receiver's batch items there shall give some back.
