--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -47,6 +47,8 @@
 
 enum Step {
     Bytes(Bytes),
+    /// Nothing came, and nobody else would take it.
+    Wait,
     End,
     Broken(String),
 }
@@ -89,6 +91,7 @@
                 return None;
             }
             match self.step().await {
+                Step::Wait => {}
                 Step::Bytes(bytes) if self.splits_events() => self.split(&bytes),
                 Step::Bytes(bytes) => return Some(Ok(bytes)),
                 Step::End if self.splits_events() && self.splitter.left_over() > 0 => {
@@ -116,7 +119,7 @@
             return Step::Broken("the route's time is over".to_owned());
         }
         let gap = self.state.route.gap_objective.unwrap_or(DEFAULT_GAP);
-        let movable = self.can_move();
+        let movable = self.can_move() && self.has_elsewhere();
         let (dark, longest) = if movable {
             let dark = gap * DARK_GAP_PERCENT / 100;
             (dark, gap * LONGEST_GAP_FACTOR)
@@ -132,6 +135,7 @@
             None if self.state.clock.hold_left().is_zero() => {
                 Step::Broken("the route's time is over".to_owned())
             }
+            None if movable && !self.has_elsewhere() => Step::Wait,
             None => {
                 replica.suspect();
                 Step::Broken("no event in time".to_owned())
@@ -166,6 +170,12 @@
         self.splits_events() && self.state.sends < self.state.route.attempts
     }
 
+    /// True if some replica takes the rest. Where all zones are evacuated a pause must not end an answer that runs.
+    fn has_elsewhere(&self) -> bool {
+        let view = self.forwarder.replicas().view();
+        view.has_usable(&self.state.service, &self.state.request.regions)
+    }
+
     /// Goes on at another replica after the last event delivered, if that is allowed.
     async fn go_on(&mut self, cause: String) -> Result<(), Cut> {
         // The connection is closed before another replica starts.
