Cold replicas: warmth of a replica from its rows, a pacer at its coordinator, one token bucket for both rates

Cause: requests of all daemons went to replicas that had just started, which bear few. Change: serving::warmth believes the replica's row, and assumes it cold after its zone's evacuation; slots::pacer gives out what a cold replica bears, edge::slots::pacing asks it before a lease is granted; a daemon that chooses alone passes cold replicas over. The tenants' bucket and the memory of the fleet's size are shared.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::record::Record;
@@ -34,6 +34,8 @@
     lines_dropped: IntGauge,
     rate_refusals: IntCounterVec,
     tenant_refusals: IntCounterVec,
+    cold_replicas: IntGaugeVec,
+    cold_paced: IntCounterVec,
     tenants: Arc<Mutex<BTreeSet<String>>>,
 }
 
@@ -143,6 +145,16 @@
                 "Requests refused for their tenant's rate, by tenant",
                 "tenant",
             )?,
+            cold_replicas: zone_gauge(
+                &registry,
+                "harrierward_cold_replicas",
+                "Replicas that this daemon takes for cold, by zone",
+            )?,
+            cold_paced: counter(
+                "harrierward_cold_paced_total",
+                "Requests for cold replicas that this daemon, as their coordinator, counted or turned away",
+                "outcome",
+            )?,
             tenants: Arc::default(),
             registry,
         })
@@ -224,6 +236,13 @@
                 let alive = i64::try_from(*alive).unwrap_or(i64::MAX);
                 self.members_alive.set(alive);
             }
+            Record::ZoneWarmth { zone, cold, .. } => {
+                let cold = i64::try_from(*cold).unwrap_or(i64::MAX);
+                self.cold_replicas.with_label_values(&[*zone]).set(cold);
+            }
+            Record::ColdPaced { outcome, .. } => {
+                self.cold_paced.with_label_values(&[*outcome]).inc();
+            }
             Record::ViewSynced { records, .. } => {
                 self.view_sync_records.inc_by(*records as u64);
             }
@@ -244,6 +263,16 @@
     }
 }
 
+fn zone_gauge(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> Result<IntGaugeVec, prometheus::Error> {
+    let vector = IntGaugeVec::new(Opts::new(name, help), &["zone"])?;
+    registry.register(Box::new(vector.clone()))?;
+    Ok(vector)
+}
+
 fn view_sync_records(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
     let counter = IntCounter::new(
         "harrierward_view_sync_records_total",
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -237,6 +237,28 @@
         /// Part of each limit that it gives out, in thousandths.
         share_permille: u32,
     },
+    /// The number of cold replicas in a zone has changed, as this daemon knows them.
+    ZoneWarmth {
+        /// Zone.
+        zone: &'a str,
+        /// Replicas that are cold.
+        cold: usize,
+        /// Those that were before.
+        before: usize,
+        /// Longest time for which one of them stays cold.
+        longest_ms: u64,
+    },
+    /// As the coordinator of a cold replica, this daemon counted a request for it, or turned one away.
+    ColdPaced {
+        /// Replica; one of several if all were passed over.
+        replica: &'a str,
+        /// Its zone.
+        zone: &'a str,
+        /// What became of the request.
+        outcome: &'a str,
+        /// How much longer the replica stays cold.
+        cold_ms: u64,
+    },
     /// A configuration was not taken over; what is in force stays so.
     ConfigurationRejected {
         /// Revision of the row.
@@ -319,9 +341,10 @@
     /// How long the record is kept under load.
     pub fn importance(&self) -> Importance {
         match self {
-            Self::Sent { .. } | Self::Ended { .. } | Self::ItemEndOrdered { .. } => {
-                Importance::Ordinary
-            }
+            Self::Sent { .. }
+            | Self::Ended { .. }
+            | Self::ColdPaced { .. }
+            | Self::ItemEndOrdered { .. } => Importance::Ordinary,
             Self::ResultsListed { outcome, .. } if *outcome == "committed" => Importance::Ordinary,
             Self::ItemRun { outcome, .. } if *outcome == "finished" => Importance::Ordinary,
             Self::JobSubmitted { outcome, .. } if *outcome == "accepted" => Importance::Ordinary,
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -17,13 +17,14 @@
 
 use crate::discovery::{Discovery, DiscoverySource};
 use crate::figures::Figures;
+use crate::fleet::SharedFleet;
 use crate::members::{Members, new_life};
 use crate::peer_rows::{PeerRows, learn};
 use crate::pool::ConnectionPool;
 use crate::rates::RateService;
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
-use crate::slots::{SlotService, YieldItems};
+use crate::slots::{Pacing, SlotService, YieldItems};
 use crate::watch::{
     SpaceUpdate, Watch, WatchPace, WatchSettings, WholeReadPace, gathering_interval, unpaced,
     whole_read_interval,
@@ -126,9 +127,14 @@
         ));
         slots.set_connections(pool.clone());
         let is_other = |seed: &String| *seed != settings.peer_address;
+        let fleet = Arc::new(SharedFleet::new(settings.seeds.iter().any(is_other)));
+        slots.set_pacing(Pacing {
+            bounds: settings.warmup_bounds,
+            fleet: fleet.clone(),
+        });
         let rates = Arc::new(RateService::new(
             life.clone(),
-            settings.seeds.iter().any(is_other),
+            fleet,
             settings.rate_bounds,
             routes.clone(),
             log.clone(),
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -9,6 +9,8 @@
     ConfigurationProof, ReplicaRecord, ReplicaSet, RouteTable, ServingConfiguration, SharedRoutes,
 };
 
+use tokio::time::Instant;
+
 use crate::server::ServerControl;
 use crate::watch::SpaceUpdate;
 
@@ -126,6 +128,19 @@
         let table = RouteTable::build(configuration, current.as_deref());
         self.routes.store(Some(Arc::new(table)));
         rows.configuration = Some(row.clone());
+        self.apply_warmups();
+    }
+
+    /// Tells replicas how those of their service warm up.
+    fn apply_warmups(&self) {
+        let routes = self.routes.load_full();
+        let Some(configuration) = routes.as_ref().map(|table| &table.configuration) else {
+            return;
+        };
+        for replica in self.replicas.view().all() {
+            let service = configuration.service(&replica.record.service);
+            replica.set_service_warmup(service.and_then(|service| service.warmup));
+        }
     }
 
     /// Takes an update of the replicas' space from the store.
@@ -143,6 +158,7 @@
         for row in &update.written {
             self.note_replica(&mut rows, row, first);
         }
+        self.note_warmups(&update.written);
         if first {
             self.log_first_replicas(&rows, "store");
         }
@@ -192,6 +208,18 @@
             .map(|(_, record)| record.clone())
             .collect();
         self.replicas.replace(records, memory_tokens);
+        self.apply_warmups();
+    }
+
+    /// The rows' word on warmth, for replicas that were known before: new ones take it from their record.
+    fn note_warmups(&self, written: &[Row]) {
+        let seen = Instant::now();
+        let view = self.replicas.view();
+        for record in written.iter().filter_map(|row| self.source.replica_of(row)) {
+            if let Some(replica) = view.get(&record.id) {
+                replica.note_row_warmup(record.warmup, seen);
+            }
+        }
     }
 
     fn log_first_replicas(&self, rows: &KnownRows, source: &str) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod discovery;
 mod figures;
+mod fleet;
 mod members;
 mod peer_loads;
 mod peer_rows;
@@ -17,6 +18,7 @@
 
 pub use daemon::{Daemon, DaemonParts, EdgeService};
 pub use discovery::{Discovery, DiscoverySource};
+pub use fleet::SharedFleet;
 pub use members::Members;
 pub use peer_loads::{PeerLoads, PeerSum};
 pub use pool::{
@@ -25,7 +27,7 @@
 pub use rates::RateService;
 pub use server::{HttpService, ResponseBody, ServerControl, ServerStage, serve};
 pub use settings::EdgeSettings;
-pub use slots::{CoordinatorCandidate, SlotService, YieldItems};
+pub use slots::{CoordinatorCandidate, Pacing, SlotService, YieldItems};
 pub use watch::{
     SpaceCopy, SpaceUpdate, Watch, WatchPace, WatchSettings, WholeReadPace, gathering_interval,
     unpaced, unpaced_reads, whole_read_interval,
--- a/crates/edge/src/rates.rs
+++ b/crates/edge/src/rates.rs
@@ -14,15 +14,14 @@
 use async_trait::async_trait;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_serving::{Location, RateAnswer, RateLimits, SharedRoutes};
-use harrierward_tenants::{
-    FleetMemory, RateBounds, RateDecision, RateLedger, SeenFleet, Tenant, TokenStock,
-};
+use harrierward_tenants::{RateBounds, RateDecision, RateLedger, Tenant, TokenStock};
 use harrierward_wire::{NodeDatagram, RateAsk, RateGrant, RateOutcome, encode, node_datagram};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::calls::{CallPatience, DatagramCalls};
+use crate::fleet::SharedFleet;
 use crate::slots::CoordinatorCandidate;
 
 /// Bounds of a question for tokens. A round trip within a region takes about a millisecond; the whole wait stays under
@@ -41,7 +40,6 @@
 struct State {
     ledger: RateLedger,
     stocks: HashMap<Arc<str>, TokenStock>,
-    fleet: FleetMemory,
     silent_until: HashMap<String, Instant>,
     /// Another member has told how large the fleet was, or could not be asked.
     is_told: bool,
@@ -51,6 +49,7 @@
 pub struct RateService {
     life: String,
     bounds: RateBounds,
+    fleet: Arc<SharedFleet>,
     routes: SharedRoutes,
     members: ArcSwap<Vec<CoordinatorCandidate>>,
     socket: OnceLock<Arc<UdpSocket>>,
@@ -71,11 +70,9 @@
 
 impl RateService {
     /// Knows only itself.
-    ///
-    /// One that `expects_others` admits nothing by itself until it has found them, or has looked for long.
     pub fn new(
         life: String,
-        expects_others: bool,
+        fleet: Arc<SharedFleet>,
         bounds: RateBounds,
         routes: SharedRoutes,
         log: DecisionLog,
@@ -88,6 +85,7 @@
         Self {
             life,
             bounds,
+            fleet,
             routes,
             members: ArcSwap::from_pointee(vec![own]),
             socket: OnceLock::new(),
@@ -97,7 +95,6 @@
             state: Mutex::new(State {
                 ledger: RateLedger::default(),
                 stocks: HashMap::new(),
-                fleet: FleetMemory::new(expects_others, Instant::now()),
                 silent_until: HashMap::new(),
                 is_told: false,
             }),
@@ -114,8 +111,8 @@
     pub fn set_members(&self, members: Vec<CoordinatorCandidate>) {
         let mut state = self.lock();
         let now = Instant::now();
-        state.fleet.see(members.len(), now);
-        let share = state.fleet.share(members.len(), now);
+        self.fleet.see(members.len(), now);
+        let share = self.fleet.share(members.len(), now);
         let dropped = state
             .ledger
             .retain(|tenant| self.is_first(tenant, &members));
@@ -138,7 +135,7 @@
     /// Part of each limit that this daemon gives out as a coordinator, 0 to 1.
     pub fn share(&self) -> f64 {
         let members = self.members.load().len();
-        self.lock().fleet.share(members, Instant::now())
+        self.fleet.share(members, Instant::now())
     }
 
     /// True if this daemon coordinates the tenant.
@@ -154,11 +151,11 @@
     fn give_out(&self, tenant: &Tenant, wanted: u32) -> Option<RateDecision> {
         let members = self.members.load().len();
         let now = Instant::now();
-        let mut state = self.lock();
-        let share = state.fleet.share(members, now);
+        let share = self.fleet.share(members, now);
         if share == 0.0 {
             return None;
         }
+        let mut state = self.lock();
         let limit = tenant.rate;
         let decision = state
             .ledger
@@ -189,9 +186,7 @@
     fn answer(&self, ask: &RateAsk) -> RateGrant {
         self.take_fleet(ask.fleet_members, ask.fleet_seen_ms_ago);
         let mut grant = self.decide(ask);
-        let now = Instant::now();
-        let largest = self.lock().fleet.largest(now);
-        (grant.fleet_members, grant.fleet_seen_ms_ago) = describe(largest, now);
+        (grant.fleet_members, grant.fleet_seen_ms_ago) = self.fleet.describe(Instant::now());
         grant
     }
 
@@ -259,10 +254,10 @@
     }
 
     fn question(&self, tenant: &Tenant, now: Instant) -> RateAsk {
-        let mut state = self.lock();
+        let (fleet_members, fleet_seen_ms_ago) = self.fleet.describe(now);
+        let state = self.lock();
         let stock = state.stocks.get(&tenant.name);
         let wanted = stock.map_or(1, TokenStock::wanted);
-        let (fleet_members, fleet_seen_ms_ago) = describe(state.fleet.largest(now), now);
         RateAsk {
             number: self.next_call.fetch_add(1, Ordering::Relaxed),
             tenant: tenant.name.to_string(),
@@ -275,12 +270,8 @@
     /// Takes what another member saw of the fleet: a coordinator that has just started knows nothing of members that
     /// were cut off before.
     fn take_fleet(&self, members: u32, seen_ms_ago: u32) {
-        let ago = Duration::from_millis(u64::from(seen_ms_ago));
-        let members = usize::try_from(members).unwrap_or_default();
-        if let Some(at) = Instant::now().checked_sub(ago) {
-            let mut state = self.lock();
-            state.fleet.take(SeenFleet { members, at });
-            state.is_told = true;
+        if self.fleet.take(members, seen_ms_ago) {
+            self.lock().is_told = true;
         }
     }
 
@@ -437,18 +428,6 @@
     [first, second].map(|found| found.map(|(_, member)| member))
 }
 
-/// Members of a fleet and the time since it had them, in milliseconds, as datagrams carry them.
-fn describe(fleet: Option<SeenFleet>, now: Instant) -> (u32, u32) {
-    let Some(seen) = fleet else {
-        return (0, 0);
-    };
-    let ago = now.saturating_duration_since(seen.at).as_millis();
-    (
-        u32::try_from(seen.members).unwrap_or(u32::MAX),
-        u32::try_from(ago).unwrap_or(u32::MAX),
-    )
-}
-
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn permille(share: f64) -> u32 {
     (share * 1_000.0).round() as u32
--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -10,7 +10,7 @@
     Choice, ChosenBy, ItemRoom, Mechanism, PromptLength, ROOMY_PERMILLE, Replica, SlotAnswer,
     SlotLeases, SlotQuery, WorkClass, preference_weight, short_hash,
 };
-use harrierward_slots::{GroupId, GroupLayout};
+use harrierward_slots::{COLD_GRANT_LIFETIME, GroupId, GroupLayout};
 use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{
     ItemSlotAsk, PromptPartRow, RegionNames, SlotAsk, SlotGrant, SlotReport, node_datagram::Kind,
@@ -154,7 +154,9 @@
             coordinator: address,
             answered: false,
         };
-        let ask = self.describe_ask(query, service, group, lease);
+        let mut ask = self.describe_ask(query, service, group, lease);
+        self.tell_fleet(&mut ask);
+        let asked_at = Instant::now();
         let give_up = query.objective / GIVE_UP_PART;
         let give_up = give_up.clamp(LEAST_PATIENCE, MOST_PATIENCE);
         let patience = CallPatience {
@@ -170,7 +172,7 @@
         awaiting.answered = true;
         drop(awaiting);
         self.note_heard(&coordinator.id, service, group, &grant);
-        self.take_grant(query, lease, &grant, address)
+        self.take_grant(query, lease, &grant, address, asked_at)
     }
 
     fn take_grant(
@@ -179,7 +181,11 @@
         lease: u32,
         grant: &SlotGrant,
         coordinator: SocketAddr,
+        asked_at: Instant,
     ) -> SlotAnswer {
+        if grant.all_cold {
+            return SlotAnswer::AllCold;
+        }
         let may_wait = query.item.is_some() || query.overdue;
         let none = if may_wait && !grant.not_coordinator {
             SlotAnswer::NoRoom
@@ -200,7 +206,14 @@
             self.report_released(lease, coordinator);
             return none;
         };
-        let usage = usage_of(query.item, Instant::now());
+        let now = Instant::now();
+        let cold_until = grant.counted_cold.then(|| asked_at + COLD_GRANT_LIFETIME);
+        if replica.is_cold(now) && cold_until.is_none() {
+            // This daemon has heard sooner than the coordinator that the replica is cold.
+            self.report_released(lease, coordinator);
+            return SlotAnswer::AllCold;
+        }
+        let usage = usage_of(query.item, now);
         self.lock().held.take(lease, replica.hash, usage);
         SlotAnswer::Given {
             choice: Choice {
@@ -208,7 +221,7 @@
                 by: ChosenBy::Coordinator,
                 load: grant.load,
                 free_permille: grant.free_permille,
-                cold_until: None,
+                cold_until,
                 copy_from: view.by_hash(grant.copy_from).cloned(),
             },
             lease,
@@ -256,6 +269,8 @@
             objective_ms: millis(query.objective),
             may_return_ms: query.may_return.map_or(0, millis),
             connected: connected.collect(),
+            fleet_members: 0,
+            fleet_seen_ms_ago: 0,
         }
     }
 
@@ -284,7 +299,7 @@
         if let Some(suspicion) = state.silent.get(coordinator) {
             suspicion.note_progress(now_ms);
         }
-        if !grant.not_coordinator {
+        if !grant.not_coordinator && !grant.all_cold {
             let free = grant.free_permille;
             state.free_permille.insert((service, group), free);
         }
@@ -324,12 +339,12 @@
             self.group_to_ask(&query, service, &layout)
         };
         let mut answer = self.ask_group(&query, service, group).await;
-        if matches!(answer, SlotAnswer::ComeBack { .. })
+        if matches!(answer, SlotAnswer::ComeBack { .. } | SlotAnswer::AllCold)
             && let Some(roomier) = self.roomier_group(&query, service, group)
         {
             answer = self.ask_group(&query, service, roomier).await;
         }
-        if query.item.is_some() && matches!(answer, SlotAnswer::NoRoom) {
+        if query.item.is_some() && matches!(answer, SlotAnswer::NoRoom | SlotAnswer::AllCold) {
             let mut state = self.lock();
             state.no_room_at.insert((service, group), Instant::now());
         }
--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -41,6 +41,7 @@
         let index = self.index();
         let view = &index.view;
         let usable = self.usable(&index, service, group);
+        let usable = self.bearing((short_hash(service), group), usable, asker.is_item);
         let query = ChoiceQuery {
             is_own_zone: &|replica| replica.location.zone == asker.location.zone,
             prompt: asker.prompt,
@@ -90,7 +91,10 @@
             is_item: query.item.is_some(),
             is_overdue: query.overdue && !self.claim_return(query.service, group),
         };
-        let Some(choice) = self.choose(query.service, group, &asker) else {
+        let Some(mut choice) = self.choose(query.service, group, &asker) else {
+            if self.is_all_cold(&self.usable(&self.index(), query.service, group)) {
+                return SlotAnswer::AllCold;
+            }
             return if query.item.is_some() || query.overdue {
                 SlotAnswer::NoRoom
             } else {
@@ -108,6 +112,10 @@
         {
             return SlotAnswer::ComeBack { after };
         }
+        let Ok(cold_until) = self.count_cold(query.service, group, &choice.replica) else {
+            return SlotAnswer::AllCold;
+        };
+        choice.cold_until = cold_until;
         let usage = usage_of(query.item, Instant::now());
         let lease = {
             let mut state = self.lock();
@@ -145,7 +153,8 @@
         let may_return = may_return?;
         let index = self.index();
         let listed = index.listed(service, group).iter();
-        let ready = listed.filter(|replica| replica.accepts_work());
+        // Cold ones take few requests, so their slots are no part of what ends soon.
+        let ready = listed.filter(|replica| replica.accepts_work() && !replica.is_cold(now));
         let newcomer = Newcomer {
             position,
             replica_slots: replica.slots(),
@@ -242,10 +251,8 @@
             lease: ask.lease,
             ..SlotGrant::default()
         };
+        self.take_fleet(ask);
         let given = self.lock().ledger.replica_of(ask.holder, ask.lease);
-        if let Some(replica) = given {
-            return SlotGrant { replica, ..none };
-        }
         let view = self.replicas.view();
         let Some((service, _)) = view.service_by_hash(ask.service) else {
             return SlotGrant {
@@ -264,6 +271,16 @@
                 ..none
             };
         }
+        if let Some(replica) = given {
+            // The answer may have been lost: the request is counted once more rather than not at all.
+            let known = view.by_hash(replica);
+            let counted = known.map(|known| self.count_cold(service, group, known));
+            return SlotGrant {
+                replica,
+                counted_cold: matches!(counted, Some(Ok(Some(_)))),
+                ..none
+            };
+        }
         let prompt = prompt_of(ask);
         let regions = regions_of(ask);
         let asker = Asker {
@@ -280,7 +297,14 @@
             is_item: ask.item.is_some(),
             is_overdue: ask.overdue && !self.claim_return(service, group),
         };
+        let all_cold = SlotGrant {
+            all_cold: true,
+            ..none.clone()
+        };
         let Some(choice) = self.choose(service, group, &asker) else {
+            if self.is_all_cold(&self.usable(&self.index(), service, group)) {
+                return all_cold;
+            }
             return none;
         };
         if ask.item.is_none() {
@@ -296,6 +320,9 @@
                 };
             }
         }
+        let Ok(cold_until) = self.count_cold(service, group, &choice.replica) else {
+            return all_cold;
+        };
         let now = Instant::now();
         let usage = match &ask.item {
             None => SlotUse::Online,
@@ -315,6 +342,7 @@
             copy_from: choice.copy_from.as_ref().map_or(0, |source| source.hash),
             load: choice.load,
             free_permille: choice.free_permille,
+            counted_cold: cold_until.is_some(),
             ..none
         }
     }
@@ -376,6 +404,7 @@
             state.ticks += 1;
             state.ticks.is_multiple_of(REPORT_TICKS)
         };
+        self.tick_pacing(now);
         self.publish();
         if due {
             self.report_to_coordinators(now);
--- a/crates/edge/src/slots/index.rs
+++ b/crates/edge/src/slots/index.rs
@@ -34,6 +34,11 @@
         Self { view, groups }
     }
 
+    /// Service and group of all that have replicas.
+    pub fn keys(&self) -> impl Iterator<Item = (u32, GroupId)> {
+        self.groups.keys().copied()
+    }
+
     /// Listed replicas of a group, those that leave among them.
     pub fn listed(&self, service: u32, group: GroupId) -> &[Arc<Replica>] {
         self.groups
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -6,6 +6,7 @@
 mod asking;
 mod granting;
 mod index;
+mod pacing;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -30,6 +31,9 @@
 use crate::pool::ConnectionPool;
 
 use index::GroupIndex;
+use pacing::PacingState;
+
+pub use pacing::Pacing;
 
 /// A living member that stays, as far as the leases concern it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -76,6 +80,7 @@
     admissions: HashMap<(u32, GroupId), GroupAdmission>,
     /// Coordinators by service and group, as they follow from the members.
     coordinators: HashMap<(u32, GroupId), Coordinator>,
+    pacing: PacingState,
 }
 
 /// The leases of one daemon.
@@ -89,6 +94,7 @@
     members: ArcSwap<Vec<CoordinatorCandidate>>,
     yielding: OnceLock<Box<dyn YieldItems>>,
     connections: OnceLock<ConnectionPool>,
+    pacing: OnceLock<Pacing>,
     index: ArcSwapOption<GroupIndex>,
     socket: OnceLock<Arc<UdpSocket>>,
     log: DecisionLog,
@@ -120,6 +126,7 @@
             members: ArcSwap::from_pointee(vec![own]),
             yielding: OnceLock::new(),
             connections: OnceLock::new(),
+            pacing: OnceLock::new(),
             index: ArcSwapOption::empty(),
             socket: OnceLock::new(),
             log,
@@ -134,6 +141,7 @@
                 ticks: 0,
                 admissions: HashMap::new(),
                 coordinators: HashMap::new(),
+                pacing: PacingState::new(Instant::now()),
             }),
         }
     }
--- /dev/null
+++ b/crates/edge/src/slots/pacing.rs
@@ -0,0 +1,221 @@
+//! Cold replicas of the groups that this daemon coordinates: who may be sent there, counted so that all daemons together
+//! stay within what the replicas bear.
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+
+use harrierward_decisions::Record;
+use harrierward_serving::{Replica, short_hash};
+use harrierward_slots::{COLD_GRANT_LIFETIME, ColdPace, ColdPacer, ColdUse, GroupId};
+use harrierward_tenants::{RateBounds, RateLimit};
+use harrierward_wire::SlotAsk;
+use tokio::time::Instant;
+
+use super::{Coordinator, SlotService};
+use crate::fleet::SharedFleet;
+
+/// Names a group of all services.
+pub(super) type GroupKey = (u32, GroupId);
+
+/// What a slot service needs to pace.
+#[derive(Debug)]
+pub struct Pacing {
+    /// What cold replicas may be sent beyond the rate that they bear.
+    pub bounds: RateBounds,
+    /// How large the fleet was lately.
+    pub fleet: Arc<SharedFleet>,
+}
+
+/// What is kept under the slot service's lock.
+#[derive(Debug)]
+pub(super) struct PacingState {
+    pacer: ColdPacer<GroupKey>,
+    /// Cold replicas by zone, as last logged.
+    logged: BTreeMap<String, usize>,
+}
+
+impl PacingState {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            pacer: ColdPacer::new(now),
+            logged: BTreeMap::new(),
+        }
+    }
+}
+
+impl SlotService {
+    /// What paces requests to cold replicas; without it they get nothing.
+    pub fn set_pacing(&self, pacing: Pacing) {
+        // Set once, at the start.
+        let _ = self.pacing.set(pacing);
+    }
+
+    /// Part of each limit that this daemon may give out.
+    fn share(&self, pacing: &Pacing, now: Instant) -> f64 {
+        pacing.fleet.share(self.members.load().len(), now)
+    }
+
+    /// The pace for a replica. One of a service that says nothing of a rate gets none while it is cold.
+    fn pace(&self, pacing: &Pacing, replica: &Replica, now: Instant) -> Option<ColdPace> {
+        let warmup = replica.service_warmup()?;
+        let limit = RateLimit::new(warmup.per_second, 0.0).ok()?;
+        Some(ColdPace::of(&pacing.bounds, limit, self.share(pacing, now)))
+    }
+
+    /// Of a group's replicas, those that may get a request now: warm ones, and cold ones that bear one more.
+    pub(super) fn bearing(
+        &self,
+        group: GroupKey,
+        replicas: Vec<Arc<Replica>>,
+        is_item: bool,
+    ) -> Vec<Arc<Replica>> {
+        let now = Instant::now();
+        if !replicas.iter().any(|replica| replica.is_cold(now)) {
+            return replicas;
+        }
+        let usage = if is_item {
+            ColdUse::Item
+        } else {
+            ColdUse::Online
+        };
+        let has_room = |replica: &Arc<Replica>| {
+            !replica.is_cold(now) || self.has_cold_room(&group, replica, usage, now)
+        };
+        replicas.into_iter().filter(has_room).collect()
+    }
+
+    fn has_cold_room(
+        &self,
+        group: &GroupKey,
+        replica: &Replica,
+        usage: ColdUse,
+        now: Instant,
+    ) -> bool {
+        let Some(pacing) = self.pacing.get() else {
+            return false;
+        };
+        let Some(pace) = self.pace(pacing, replica, now) else {
+            return false;
+        };
+        let mut state = self.lock();
+        let pacer = &mut state.pacing.pacer;
+        pacer.has_room(group, replica.hash, pace, usage, &pacing.bounds, now)
+    }
+
+    /// Counts a request for its replica: until when it may be sent there if that is cold. An error if the replica bears
+    /// none now.
+    pub(super) fn count_cold(
+        &self,
+        service: &str,
+        group: GroupId,
+        replica: &Replica,
+    ) -> Result<Option<Instant>, AllCold> {
+        let now = Instant::now();
+        if !replica.is_cold(now) {
+            return Ok(None);
+        }
+        let pacing = self.pacing.get().ok_or(AllCold)?;
+        let pace = self.pace(pacing, replica, now).ok_or(AllCold)?;
+        let key = (short_hash(service), group);
+        let mut state = self.lock();
+        let pacer = &mut state.pacing.pacer;
+        let is_taken = pacer.take(&key, replica.hash, pace, &pacing.bounds, now);
+        drop(state);
+        self.log_paced(replica, now, is_taken);
+        if is_taken {
+            Ok(Some(now + COLD_GRANT_LIFETIME))
+        } else {
+            Err(AllCold)
+        }
+    }
+
+    /// True if nothing was chosen in a group because its replicas are cold and got all that they bear now.
+    pub(super) fn is_all_cold(&self, replicas: &[Arc<Replica>]) -> bool {
+        let now = Instant::now();
+        let Some(first) = replicas.first() else {
+            return false;
+        };
+        let is_all = replicas.iter().all(|replica| replica.is_cold(now));
+        if is_all {
+            self.log_paced(first, now, false);
+        }
+        is_all
+    }
+
+    fn log_paced(&self, replica: &Replica, now: Instant, is_counted: bool) {
+        let cold_for = replica.cold_for(now).as_millis();
+        self.log.record(&Record::ColdPaced {
+            replica: &replica.record.id,
+            zone: &replica.record.zone,
+            outcome: if is_counted { "counted" } else { "turned away" },
+            cold_ms: u64::try_from(cold_for).unwrap_or(u64::MAX),
+        });
+    }
+
+    /// Driven by the membership's tick: which groups this daemon coordinates, and how many replicas are cold.
+    pub(super) fn tick_pacing(&self, now: Instant) {
+        let Some(pacing) = self.pacing.get() else {
+            return;
+        };
+        let index = self.index();
+        let own: HashSet<GroupKey> = index
+            .keys()
+            .filter(|(service, group)| self.coordinator(*service, *group) == Coordinator::Own)
+            .collect();
+        self.lock().pacing.pacer.tick(own, &pacing.bounds, now);
+        self.log_warmth(now);
+    }
+
+    /// A line for each zone in which the number of cold replicas has changed.
+    fn log_warmth(&self, now: Instant) {
+        let view = self.replicas.view();
+        let mut cold: BTreeMap<&str, (usize, u128)> = BTreeMap::new();
+        for replica in view.all() {
+            let zone = cold.entry(replica.record.zone.as_str()).or_default();
+            if replica.is_cold(now) {
+                zone.0 += 1;
+                zone.1 = zone.1.max(replica.cold_for(now).as_millis());
+            }
+        }
+        for (zone, (count, longest)) in cold {
+            let logged = {
+                let mut state = self.lock();
+                let logged = &mut state.pacing.logged;
+                logged.insert(zone.to_owned(), count).unwrap_or(0)
+            };
+            if logged != count {
+                self.log.record(&Record::ZoneWarmth {
+                    zone,
+                    cold: count,
+                    before: logged,
+                    longest_ms: u64::try_from(longest).unwrap_or(u64::MAX),
+                });
+            }
+        }
+    }
+
+    /// Tells a coordinator how large the fleet was: one that has just started knows nothing of members that were cut
+    /// off before.
+    pub(super) fn tell_fleet(&self, ask: &mut SlotAsk) {
+        if let Some(pacing) = self.pacing.get() {
+            let (members, seen_ms_ago) = pacing.fleet.describe(Instant::now());
+            let present = u32::try_from(self.members.load().len()).unwrap_or(u32::MAX);
+            if members > present {
+                ask.fleet_members = members;
+                ask.fleet_seen_ms_ago = seen_ms_ago;
+            }
+        }
+    }
+
+    /// Takes what an asker tells of the fleet.
+    pub(super) fn take_fleet(&self, ask: &SlotAsk) {
+        if let Some(pacing) = self.pacing.get().filter(|_| ask.fleet_members > 0) {
+            pacing.fleet.take(ask.fleet_members, ask.fleet_seen_ms_ago);
+        }
+    }
+}
+
+/// The replica, or all of a group, is cold and has got what it bears now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("cold replicas got all that they bear now")]
+pub(super) struct AllCold;
--- a/crates/edge/tests/rates.rs
+++ b/crates/edge/tests/rates.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwapOption;
 use harrierward_decisions::{DecisionLog, LogBounds};
-use harrierward_edge::{CoordinatorCandidate, RateService};
+use harrierward_edge::{CoordinatorCandidate, RateService, SharedFleet};
 use harrierward_serving::{Location, RateAnswer, RateLimits, RouteTable, ServingConfiguration};
 use harrierward_tenants::{
     AllowedRegions, RateBounds, RateLimit, Tenant, TenantDirectory, TenantSpec,
@@ -62,7 +62,7 @@
     let socket = Arc::new(socket);
     let rates = Arc::new(RateService::new(
         name.to_owned(),
-        true,
+        Arc::new(SharedFleet::new(true)),
         BOUNDS,
         Arc::new(ArcSwapOption::from_pointee(routes())),
         DecisionLog::new(LogBounds::default()),
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -233,9 +233,10 @@
     }
 }
 
-/// True if another replica may be asked for its memory; one that is silent would hold the request up.
+/// True if another replica may be asked for its memory; one that is silent or cold would hold the request up.
 fn can_copy(source: &Arc<Replica>, replica: &Arc<Replica>) -> bool {
-    !Arc::ptr_eq(source, replica) && !source.is_suspected() && source.accepts_work()
+    let may_send = !source.is_suspected() && !source.is_cold(Instant::now());
+    !Arc::ptr_eq(source, replica) && may_send && source.accepts_work()
 }
 
 /// Standard deviations of online's requests in progress for which items leave slots free. Arrivals that do not depend
--- a/crates/serving/src/leases.rs
+++ b/crates/serving/src/leases.rs
@@ -69,6 +69,9 @@
         /// When a slot is expected to be free for it.
         after: Duration,
     },
+    /// Nothing was granted: the replicas asked for are cold, and got all that they bear now. The daemon may choose a warm
+    /// one itself.
+    AllCold,
     /// No coordinator answers: the daemon chooses by what it knows itself.
     NoCoordinator,
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -24,6 +24,7 @@
 mod selection;
 mod suspicion;
 mod topology;
+mod warmth;
 
 pub use admission::{ConfigurationProof, KeyTrust, RateAnswer, RateLimits, caller_of, tenant_of};
 pub use attempt::{Attempt, AttemptFailure, AttemptTimes, Sending, wait_for_progress};
@@ -54,3 +55,4 @@
 pub use selection::{Candidate, SelectionCosts, Separation, choose, cost, preference_weight};
 pub use suspicion::Suspicion;
 pub use topology::{Location, Topology};
+pub use warmth::Warmth;
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -121,7 +121,10 @@
                     let held = SlotLease::new(self.places().clone(), lease);
                     return Some(choice.enter(query.class(), held));
                 }
-                SlotAnswer::NoRoom | SlotAnswer::ComeBack { .. } | SlotAnswer::NoCoordinator => {
+                SlotAnswer::NoRoom
+                | SlotAnswer::ComeBack { .. }
+                | SlotAnswer::AllCold
+                | SlotAnswer::NoCoordinator => {
                     break;
                 }
             }
@@ -155,7 +158,11 @@
             }
             SlotAnswer::NoRoom => Err(NoPlace::NoReplica),
             SlotAnswer::ComeBack { after } => Err(NoPlace::ComeBack { after }),
-            SlotAnswer::NoCoordinator => self.choose_alone(query).ok_or(NoPlace::NoReplica),
+            // An item can wait for a coordinator's room; a caller cannot.
+            SlotAnswer::AllCold if query.item.is_some() => Err(NoPlace::NoReplica),
+            SlotAnswer::AllCold | SlotAnswer::NoCoordinator => {
+                self.choose_alone(query).ok_or(NoPlace::NoReplica)
+            }
         }
     }
 
@@ -163,9 +170,13 @@
         let view = self.replicas().view();
         let places = self.places();
         let zone = &self.settings().zone;
+        let now = Instant::now();
+        let mut usable = view.usable(query.service);
+        // Only a coordinator counts what a cold replica gets.
+        usable.retain(|replica| !replica.is_cold(now));
         let choice = choose_replica(
             &view,
-            view.usable(query.service),
+            usable,
             &self.settings().costs,
             &ChoiceQuery {
                 is_own_zone: &|replica| replica.record.zone == *zone,
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -9,12 +9,14 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::configuration::Warmup;
 use crate::exchange::ReplicaLoad;
 use crate::leases::SlotLease;
 use crate::prompt::{Prompt, PromptMemory};
 use crate::selection::preference_weight;
 use crate::suspicion::Suspicion;
 use crate::topology::Location;
+use crate::warmth::Warmth;
 
 /// How long a replica's own load word is trusted beside the daemons' counts.
 const REPLICA_LOAD_LIFETIME: Duration = Duration::from_millis(400);
@@ -80,7 +82,9 @@
     pub location: Location,
     draining: AtomicBool,
     zone_evacuated: AtomicBool,
+    /// Copy of the warmth's end for the request path, which takes no lock.
     cold_until_ms: AtomicU64,
+    warmth: Mutex<Warmth>,
     own_online: AtomicU32,
     own_batch: AtomicU32,
     peers_online: AtomicU32,
@@ -105,14 +109,16 @@
 impl Replica {
     fn new(record: ReplicaRecord, memory_tokens: u64) -> Self {
         let draining = record.draining;
+        let left = record.warmup;
         let kept_tokens = memory_tokens * MEMORY_SHARE_PERCENT / 100;
-        Self {
+        let replica = Self {
             hash: short_hash(&record.id),
             location: Location::new(&record.zone, &record.region),
             record,
             draining: AtomicBool::new(draining),
             zone_evacuated: AtomicBool::new(false),
             cold_until_ms: AtomicU64::new(0),
+            warmth: Mutex::default(),
             own_online: AtomicU32::new(0),
             own_batch: AtomicU32::new(0),
             peers_online: AtomicU32::new(0),
@@ -122,7 +128,9 @@
             suspicion: Suspicion::default(),
             report: Mutex::new(None),
             memory: Mutex::new(PromptMemory::new(kept_tokens)),
-        }
+        };
+        replica.note_row_warmup(left, replica.started);
+        replica
     }
 
     fn now_ms(&self) -> u64 {
@@ -149,9 +157,11 @@
         self.zone_evacuated.load(Ordering::Relaxed)
     }
 
-    /// Its zone is evacuated, or not any more.
+    /// Its zone is evacuated, or not any more: then it may be cold, whatever its last row said.
     pub fn set_zone_evacuated(&self, evacuated: bool) {
-        self.zone_evacuated.store(evacuated, Ordering::Relaxed);
+        if self.zone_evacuated.swap(evacuated, Ordering::Relaxed) && !evacuated {
+            self.change_warmth(|warmth| warmth.take_return(Instant::now()));
+        }
     }
 
     /// True while it may take new work: it does not leave, and its zone is in service.
@@ -167,9 +177,38 @@
 
     /// It stays cold until then, if it is not for longer already.
     pub fn set_cold_until(&self, until: Instant) {
-        let since = until.saturating_duration_since(self.started);
-        self.cold_until_ms
-            .fetch_max(millis(since), Ordering::Relaxed);
+        self.change_warmth(|warmth| warmth.extend(until));
+    }
+
+    /// Its row was seen at `seen` and says that it stays cold for `left`; zero says that it is warm.
+    pub fn note_row_warmup(&self, left: Duration, seen: Instant) {
+        self.change_warmth(|warmth| warmth.take_row(left, seen));
+    }
+
+    /// The configuration tells how replicas of its service warm up.
+    pub fn set_service_warmup(&self, warmup: Option<Warmup>) {
+        self.change_warmth(|warmth| warmth.take_service(warmup));
+    }
+
+    /// How replicas of its service warm up.
+    pub fn service_warmup(&self) -> Option<Warmup> {
+        lock(&self.warmth).service()
+    }
+
+    /// How much longer it is taken for cold.
+    pub fn cold_for(&self, now: Instant) -> Duration {
+        let until = lock(&self.warmth).cold_until();
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    fn change_warmth(&self, change: impl FnOnce(&mut Warmth)) {
+        let mut warmth = lock(&self.warmth);
+        change(&mut warmth);
+        let until = warmth.cold_until();
+        let since = until.map(|until| until.saturating_duration_since(self.started));
+        // Rounded up: it is not warm before its time.
+        let until_ms = since.map_or(0, |since| millis(since).saturating_add(1));
+        self.cold_until_ms.store(until_ms, Ordering::Relaxed);
     }
 
     /// Requests of this daemon in progress there, of one class.
@@ -521,6 +560,8 @@
         let same = gone
             .iter()
             .find(|gone| gone.replica.record.id == record.id)?;
+        // It comes back with a row that nobody has taken into account, and may have turned cold meanwhile.
+        same.replica.note_row_warmup(record.warmup, Instant::now());
         Some(same.replica.clone())
     });
     match kept {
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -9,8 +9,10 @@
 mod groups;
 mod held;
 mod ledger;
+mod pacer;
 
 pub use admission::{GroupAdmission, Newcomer};
 pub use groups::{GroupId, GroupLayout, coordinator_of};
 pub use held::HeldSlots;
 pub use ledger::{EndedLease, EndingLease, SlotCounts, SlotLedger, SlotUse};
+pub use pacer::{COLD_GRANT_LIFETIME, ColdPace, ColdPacer, ColdUse};
--- /dev/null
+++ b/crates/slots/src/pacer.rs
@@ -0,0 +1,167 @@
+//! How many requests a coordinator gives out for cold replicas, so that all daemons together stay within what these bear.
+//!
+//! Why half for each coordinator: while members' views differ, the coordinator before and the one after may both give
+//! out. No third one does, since each waits for a window before its first request, and one that stood still begins anew.
+
+use std::collections::{HashMap, HashSet};
+use std::hash::Hash;
+use std::time::Duration;
+
+use harrierward_tenants::{RateBounds, RateLimit, TokenBucket};
+use tokio::time::Instant;
+
+/// How long a request that was counted may still be sent to a cold replica, from the moment of the question. Above the
+/// longest patience with a coordinator (60 ms) and what placing takes; short, as what may rest at daemons is missing in
+/// the rate.
+pub const COLD_GRANT_LIFETIME: Duration = Duration::from_millis(250);
+
+/// Time between two ticks after which the daemon counts as one that stood still. Ticks come every 100 ms.
+const STOOD_STILL: Duration = Duration::from_millis(1_000);
+
+/// Time after a daemon's start in which it gives out nothing: it may see few of its members yet, and take itself for
+/// the coordinator of others' groups.
+const START_WAIT: Duration = Duration::from_millis(3_000);
+
+/// Coordinators that may give out at the same time: the one before and the one after.
+const COORDINATORS_AT_ONCE: f64 = 2.0;
+
+/// What one coordinator may give out for one cold replica.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdPace {
+    /// Requests a second.
+    pub per_second: f64,
+    /// Requests that may be saved up; below 1 nothing is given out.
+    pub saved: f64,
+}
+
+impl ColdPace {
+    /// The pace of a coordinator that sees `share` of the fleet, 0 to 1. Requests that arrive in a window were counted in
+    /// it or in the lifetime of grants before it, and in that time a coordinator gives out what it has saved and what
+    /// accrues. Coordinators on the sides of a cut have shares that add up to 1 at the most.
+    pub fn of(bounds: &RateBounds, limit: RateLimit, share: f64) -> Self {
+        let part = bounds.most_in_window(limit) * share / COORDINATORS_AT_ONCE;
+        let counted_over = (bounds.window + COLD_GRANT_LIFETIME).as_secs_f64();
+        let most = ((part - 1.0) / counted_over).max(0.0);
+        let per_second = (limit.per_second() * share).min(most);
+        Self {
+            per_second,
+            saved: part - per_second * counted_over,
+        }
+    }
+}
+
+/// Who is to be sent to a cold replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ColdUse {
+    /// A caller waits: any request that has accrued.
+    Online,
+    /// A batch item: only what would be lost, as online has left it until no more can be saved.
+    Item,
+}
+
+/// The counts of one coordinator, by group and replica. `G` names a group.
+#[derive(Debug)]
+pub struct ColdPacer<G> {
+    started: Instant,
+    ticked_at: Instant,
+    /// Since when this daemon coordinates its groups.
+    groups: HashMap<G, Instant>,
+    buckets: HashMap<u32, TokenBucket>,
+}
+
+impl<G: Eq + Hash> ColdPacer<G> {
+    /// A daemon that starts at `now`.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            started: now,
+            ticked_at: now,
+            groups: HashMap::new(),
+            buckets: HashMap::new(),
+        }
+    }
+
+    /// To be called regularly, with the groups that this daemon coordinates. One that it did not coordinate before, or
+    /// before it stood still, begins with a wait: others may have given out all that its replicas bear.
+    pub fn tick(&mut self, own: HashSet<G>, bounds: &RateBounds, now: Instant) {
+        if self.stood_still(now) {
+            self.groups.clear();
+        }
+        self.ticked_at = now;
+        self.groups.retain(|group, _| own.contains(group));
+        for group in own {
+            self.groups.entry(group).or_insert(now);
+        }
+        let wait = wait(bounds);
+        self.buckets
+            .retain(|_, bucket| now.saturating_duration_since(bucket.filled_at()) <= wait);
+    }
+
+    /// True if a request for a cold replica of the group would be counted now.
+    pub fn has_room(
+        &mut self,
+        group: &G,
+        replica: u32,
+        pace: ColdPace,
+        usage: ColdUse,
+        bounds: &RateBounds,
+        now: Instant,
+    ) -> bool {
+        if !self.may_give(group, bounds, now) {
+            return false;
+        }
+        let Some(tokens) = self.fill(replica, pace, now) else {
+            return false;
+        };
+        match usage {
+            ColdUse::Online => tokens >= 1.0,
+            ColdUse::Item => tokens >= 1.0 && tokens >= pace.saved,
+        }
+    }
+
+    /// Counts a request for a cold replica; false if none may be sent there now.
+    pub fn take(
+        &mut self,
+        group: &G,
+        replica: u32,
+        pace: ColdPace,
+        bounds: &RateBounds,
+        now: Instant,
+    ) -> bool {
+        if !self.may_give(group, bounds, now) {
+            return false;
+        }
+        self.fill(replica, pace, now);
+        let bucket = self.buckets.get_mut(&replica);
+        bucket.is_some_and(|bucket| bucket.take(1) == 1)
+    }
+
+    fn may_give(&self, group: &G, bounds: &RateBounds, now: Instant) -> bool {
+        let since = self.groups.get(group);
+        let waited =
+            since.is_some_and(|since| now.saturating_duration_since(*since) >= wait(bounds));
+        let started = now.saturating_duration_since(self.started) >= START_WAIT;
+        waited && started && !self.stood_still(now)
+    }
+
+    fn stood_still(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.ticked_at) >= STOOD_STILL
+    }
+
+    /// Brings a replica's bucket up to date. A new one is full: its coordinator has given out nothing for a window.
+    fn fill(&mut self, replica: u32, pace: ColdPace, now: Instant) -> Option<f64> {
+        if pace.saved < 1.0 {
+            return None;
+        }
+        let bucket = self
+            .buckets
+            .entry(replica)
+            .or_insert_with(|| TokenBucket::new(pace.saved, now));
+        bucket.fill(pace.per_second, pace.saved, now);
+        Some(bucket.tokens())
+    }
+}
+
+/// How long a new coordinator waits: what the one before gave out has been used or has lapsed, and is out of the window.
+fn wait(bounds: &RateBounds) -> Duration {
+    bounds.window + COLD_GRANT_LIFETIME
+}
--- a/crates/tenants/src/lib.rs
+++ b/crates/tenants/src/lib.rs
@@ -3,6 +3,7 @@
 //! Pure: the callers bring the time. A tenant's rate is counted by one daemon, its coordinator ([`RateLedger`]), which
 //! gives out tokens for single requests; the daemons that take the requests keep them for a moment ([`TokenStock`]).
 
+mod bucket;
 mod directory;
 mod fleet;
 mod key;
@@ -11,6 +12,7 @@
 mod regions;
 mod stock;
 
+pub use bucket::TokenBucket;
 pub use directory::{DirectoryError, Tenant, TenantDirectory, TenantSpec};
 pub use fleet::{FleetMemory, SeenFleet};
 pub use key::ApiKey;
--- a/crates/tenants/src/rate.rs
+++ b/crates/tenants/src/rate.rs
@@ -79,7 +79,7 @@
 }
 
 impl RateBounds {
-    /// Most requests of a tenant that may run in any window.
+    /// Most requests that may run in any window.
     pub fn most_in_window(&self, limit: RateLimit) -> f64 {
         self.allowed(limit) + self.permitted_excess(limit)
     }
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -56,6 +56,12 @@
     /// Regions in which the request may be served; not set if in all.
     #[prost(message, optional, tag = "17")]
     pub allowed_regions: Option<RegionNames>,
+    /// Most members that the asker knew lately; 0 if not more than now.
+    #[prost(uint32, tag = "18")]
+    pub fleet_members: u32,
+    /// Time since it knew so many, milliseconds.
+    #[prost(uint32, tag = "19")]
+    pub fleet_seen_ms_ago: u32,
 }
 
 /// Names of regions.
