--- /dev/null
+++ b/crates/serving/tests/warmth.rs
@@ -0,0 +1,121 @@
+//! When a replica is taken for cold, and by whose word.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use harrierward_serving::{
+    Barred, Passage, Replica, ReplicaRecord, ReplicaSet, Warmth, Warmup, barred,
+};
+use harrierward_tenants::AllowedRegions;
+use tokio::time::{Instant, advance};
+
+const WARMUP: Warmup = Warmup {
+    lasts: Duration::from_secs(6),
+    per_second: 2.0,
+};
+
+fn record(id: &str, warmup: Duration) -> ReplicaRecord {
+    ReplicaRecord {
+        region: String::new(),
+        warmup,
+        id: id.to_owned(),
+        service: "model".to_owned(),
+        address: format!("{id}:80"),
+        zone: "zone-a".to_owned(),
+        slots: 8,
+        draining: false,
+    }
+}
+
+fn listed(set: &ReplicaSet, id: &str) -> Arc<Replica> {
+    set.view().get(id).expect("listed").clone()
+}
+
+fn is_cold(warmth: &Warmth, now: Instant) -> bool {
+    warmth.cold_until().is_some_and(|until| now < until)
+}
+
+#[test]
+fn a_row_counts_from_when_it_was_seen_and_the_newest_one_holds() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut warmth = Warmth::default();
+    assert!(!is_cold(&warmth, start));
+    warmth.take_row(Duration::from_secs(6), at(0));
+    assert!(is_cold(&warmth, at(5_999)));
+    assert!(!is_cold(&warmth, at(6_000)));
+    warmth.take_row(Duration::from_secs(2), at(1_200));
+    assert!(!is_cold(&warmth, at(3_200)));
+    warmth.take_row(Duration::from_secs(6), at(3_000));
+    assert!(is_cold(&warmth, at(8_000)), "it turned cold again");
+    warmth.take_row(Duration::ZERO, at(8_000));
+    assert!(!is_cold(&warmth, at(8_000)), "it says that it is warm");
+}
+
+/// After an evacuation a row that was written before its end must not make a replica warm; one written later does.
+#[test]
+fn a_replica_that_returns_is_cold_until_a_newer_row_says_otherwise() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut warmth = Warmth::default();
+    warmth.take_return(at(0));
+    assert!(!is_cold(&warmth, at(0)), "its service needs no warmup");
+    warmth.take_service(Some(WARMUP));
+    warmth.take_return(at(0));
+    assert!(is_cold(&warmth, at(5_999)));
+    warmth.take_row(Duration::ZERO, at(1_000));
+    assert!(is_cold(&warmth, at(1_000)), "written before, perhaps");
+    warmth.take_row(Duration::ZERO, at(2_500));
+    assert!(!is_cold(&warmth, at(2_500)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_end_of_its_zones_evacuation_makes_a_replica_cold() {
+    let set = ReplicaSet::default();
+    set.replace(vec![record("one", Duration::ZERO)], |_| 0);
+    let replica = listed(&set, "one");
+    replica.set_service_warmup(Some(WARMUP));
+    replica.set_zone_evacuated(false);
+    assert!(!replica.is_cold(Instant::now()), "it was in service");
+    replica.set_zone_evacuated(true);
+    replica.set_zone_evacuated(false);
+    assert!(replica.is_cold(Instant::now()));
+    advance(WARMUP.lasts + Duration::from_millis(2)).await;
+    assert!(!replica.is_cold(Instant::now()));
+}
+
+/// A replica that crashed comes back under its id with a row that says how long it stays cold.
+#[tokio::test(start_paused = true)]
+async fn a_replica_whose_row_went_and_came_back_is_as_its_row_says() {
+    let set = ReplicaSet::default();
+    set.replace(vec![record("one", Duration::ZERO)], |_| 0);
+    set.replace(vec![], |_| 0);
+    advance(Duration::from_millis(500)).await;
+    set.replace(vec![record("one", WARMUP.lasts)], |_| 0);
+    assert!(listed(&set, "one").is_cold(Instant::now()));
+    set.replace(vec![record("new", WARMUP.lasts)], |_| 0);
+    assert!(listed(&set, "new").is_cold(Instant::now()));
+}
+
+/// A daemon that stood still wakes with a count that has lapsed.
+#[tokio::test(start_paused = true)]
+async fn the_gate_lets_only_counted_requests_pass_and_not_for_long() {
+    let set = ReplicaSet::default();
+    set.replace(vec![record("one", WARMUP.lasts)], |_| 0);
+    let replica = listed(&set, "one");
+    let now = Instant::now();
+    let passage = |cold_until| Passage {
+        regions: &AllowedRegions::Any,
+        cold_until,
+    };
+    let short = Duration::from_millis(250);
+    assert_eq!(
+        barred(&replica, &passage(None), now),
+        Some(Barred::ColdWithoutGrant)
+    );
+    assert_eq!(barred(&replica, &passage(Some(now + short)), now), None);
+    assert_eq!(
+        barred(&replica, &passage(Some(now + short)), now + short),
+        Some(Barred::ColdWithoutGrant)
+    );
+}
