--- a/crates/edge/src/slots/pacing.rs
+++ b/crates/edge/src/slots/pacing.rs
@@ -50,7 +50,7 @@
         let _ = self.pacing.set(pacing);
     }
 
-    /// Part of each limit that this daemon may give out.
+    /// Part of the fleet that this daemon sees.
     fn share(&self, pacing: &Pacing, now: Instant) -> f64 {
         pacing.fleet.share(self.members.load().len(), now)
     }
@@ -59,7 +59,9 @@
     fn pace(&self, pacing: &Pacing, replica: &Replica, now: Instant) -> Option<ColdPace> {
         let warmup = replica.service_warmup()?;
         let limit = RateLimit::new(warmup.per_second, 0.0).ok()?;
-        Some(ColdPace::of(&pacing.bounds, limit, self.share(pacing, now)))
+        let share = self.share(pacing, now);
+        let share = self.lock().pacing.pacer.share(share);
+        Some(ColdPace::of(&pacing.bounds, limit, share))
     }
 
     /// Of a group's replicas, those that may get a request now: warm ones, and cold ones that bear one more.
@@ -162,7 +164,10 @@
             .keys()
             .filter(|(service, group)| self.coordinator(*service, *group) == Coordinator::Own)
             .collect();
-        self.lock().pacing.pacer.tick(own, &pacing.bounds, now);
+        let share = self.share(pacing, now);
+        let mut state = self.lock();
+        state.pacing.pacer.tick(own, share, &pacing.bounds, now);
+        drop(state);
         self.log_warmth(now);
     }
 
--- a/crates/slots/src/pacer.rs
+++ b/crates/slots/src/pacer.rs
@@ -3,7 +3,7 @@
 //! Why half for each coordinator: while members' views differ, the coordinator before and the one after may both give
 //! out. No third one does, since each waits for a window before its first request, and one that stood still begins anew.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::Hash;
 use std::time::Duration;
 
@@ -67,6 +67,8 @@
     /// Since when this daemon coordinates its groups.
     groups: HashMap<G, Instant>,
     buckets: HashMap<u32, TokenBucket>,
+    /// Parts of the fleet that this daemon saw within the last wait.
+    shares: VecDeque<(Instant, f64)>,
 }
 
 impl<G: Eq + Hash> ColdPacer<G> {
@@ -77,12 +79,13 @@
             ticked_at: now,
             groups: HashMap::new(),
             buckets: HashMap::new(),
+            shares: VecDeque::new(),
         }
     }
 
-    /// To be called regularly, with the groups that this daemon coordinates. One that it did not coordinate before, or
+    /// To be called regularly, with the groups that this daemon coordinates and the part of the fleet that it sees. One that it did not coordinate before, or
     /// before it stood still, begins with a wait: others may have given out all that its replicas bear.
-    pub fn tick(&mut self, own: HashSet<G>, bounds: &RateBounds, now: Instant) {
+    pub fn tick(&mut self, own: HashSet<G>, share: f64, bounds: &RateBounds, now: Instant) {
         if self.stood_still(now) {
             self.groups.clear();
         }
@@ -92,10 +95,27 @@
             self.groups.entry(group).or_insert(now);
         }
         let wait = wait(bounds);
+        self.shares.push_back((now, share));
+        while self.is_past_first_share(wait, now) {
+            self.shares.pop_front();
+        }
         self.buckets
             .retain(|_, bucket| now.saturating_duration_since(bucket.filled_at()) <= wait);
     }
 
+    /// True if the second of the shares kept was seen before the wait, so that the first says nothing more.
+    fn is_past_first_share(&self, wait: Duration, now: Instant) -> bool {
+        let second = self.shares.get(1);
+        second.is_some_and(|(at, _)| now.saturating_duration_since(*at) > wait)
+    }
+
+    /// The part of the fleet that counts for a daemon which sees `share` now. One that has grown counts after a wait:
+    /// those that are back may not know yet that another one gives out.
+    pub fn share(&self, share: f64) -> f64 {
+        let seen = self.shares.iter().map(|(_, seen)| *seen);
+        seen.fold(share, f64::min)
+    }
+
     /// True if a request for a cold replica of the group would be counted now.
     pub fn has_room(
         &mut self,
--- a/crates/slots/tests/pacer.rs
+++ b/crates/slots/tests/pacer.rs
@@ -182,7 +182,9 @@
             if self.is_awake(number) {
                 let own = self.coordinator(number) == number;
                 let groups: HashSet<u32> = own.then_some(GROUP).into_iter().collect();
-                self.daemons[number].pacer.tick(groups, &BOUNDS, self.now);
+                let daemon = &mut self.daemons[number];
+                let share = daemon.fleet.share(daemon.view.len(), self.now);
+                daemon.pacer.tick(groups, share, &BOUNDS, self.now);
             }
         }
     }
@@ -190,6 +192,7 @@
     fn pace(&mut self, daemon: usize) -> ColdPace {
         let daemon = &mut self.daemons[daemon];
         let share = daemon.fleet.share(daemon.view.len(), self.now);
+        let share = daemon.pacer.share(share);
         let share = if self.fault == Fault::IgnoresShare {
             1.0
         } else {
@@ -412,7 +415,7 @@
     let pace = ColdPace::of(&BOUNDS, limit(BEARS), 1.0);
     let at = |ms| start + Duration::from_millis(ms);
     for tick in 0..50 {
-        pacer.tick(HashSet::from([GROUP]), &BOUNDS, at(tick * 100));
+        pacer.tick(HashSet::from([GROUP]), 1.0, &BOUNDS, at(tick * 100));
     }
     let has_room = |pacer: &mut ColdPacer<u32>, usage, ms| {
         pacer.has_room(&GROUP, REPLICA, pace, usage, &BOUNDS, at(ms))
@@ -436,11 +439,11 @@
         pacer.has_room(&GROUP, REPLICA, pace, ColdUse::Online, &BOUNDS, at(ms))
     };
     for tick in 0..60 {
-        pacer.tick(HashSet::new(), &BOUNDS, at(tick * 100));
+        pacer.tick(HashSet::new(), 1.0, &BOUNDS, at(tick * 100));
     }
     assert!(!may(&mut pacer, 5_950), "not its group");
     for tick in 60..90 {
-        pacer.tick(own(), &BOUNDS, at(tick * 100));
+        pacer.tick(own(), 1.0, &BOUNDS, at(tick * 100));
         let waited = tick * 100 - 6_000 >= 1_250;
         assert_eq!(
             may(&mut pacer, tick * 100 + 50),
@@ -449,10 +452,27 @@
         );
     }
     assert!(!may(&mut pacer, 12_000), "it stood still");
-    pacer.tick(own(), &BOUNDS, at(12_000));
+    pacer.tick(own(), 1.0, &BOUNDS, at(12_000));
     assert!(!may(&mut pacer, 12_050));
     for tick in 121..140 {
-        pacer.tick(own(), &BOUNDS, at(tick * 100));
+        pacer.tick(own(), 1.0, &BOUNDS, at(tick * 100));
     }
     assert!(may(&mut pacer, 13_950));
 }
+
+/// Members that come back may follow another coordinator for a while, so a larger part counts after a wait only; a
+/// smaller one counts at once.
+#[test]
+fn a_part_of_the_fleet_that_has_grown_counts_after_a_wait() {
+    let start = Instant::now();
+    let mut pacer: ColdPacer<u32> = ColdPacer::new(start);
+    for tick in 0..60_u64 {
+        let share = if tick < 20 { 0.25 } else { 1.0 };
+        let now = start + Duration::from_millis(tick * 100);
+        pacer.tick(HashSet::new(), share, &BOUNDS, now);
+        // Seen last at 1,900 ms, and for 1,250 ms after.
+        let expected = if tick < 33 { 0.25 } else { 1.0 };
+        assert!((pacer.share(share) - expected).abs() < 1e-9, "tick {tick}");
+        assert!((pacer.share(0.1) - 0.1).abs() < 1e-9);
+    }
+}
