--- a/crates/edge/tests/discovery.rs
+++ b/crates/edge/tests/discovery.rs
@@ -8,9 +8,18 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_edge::{Discovery, DiscoverySource, ServerControl, SpaceCopy, SpaceUpdate};
 use harrierward_external::{ChangePage, Row, RowChange, SpaceSnapshot};
-use harrierward_serving::{ReplicaRecord, ReplicaSet, ServingConfiguration, SharedRoutes};
-
-/// Rows whose content is a number: the version, or the address of the replica named by the key.
+use harrierward_serving::{
+    ReplicaRecord, ReplicaSet, Service, ServingConfiguration, SharedRoutes, Warmup,
+};
+use tokio::time::Instant;
+
+const WARMUP: Warmup = Warmup {
+    lasts: Duration::from_secs(6),
+    per_second: 2.0,
+};
+
+/// Rows whose content is a number: the version, or the address of the replica named by the key, and after a space for
+/// how many milliseconds it stays cold.
 struct PlainSource;
 
 impl DiscoverySource for PlainSource {
@@ -27,17 +36,26 @@
         let version = text.parse().map_err(|_| format!("version: {text:?}"))?;
         Ok(Some(ServingConfiguration {
             version,
+            services: vec![Service {
+                name: "service".to_owned(),
+                slots: 4,
+                memory_tokens: 0,
+                connections: 0,
+                warmup: Some(WARMUP),
+            }],
             ..ServingConfiguration::default()
         }))
     }
 
     fn replica_of(&self, row: &Row) -> Option<ReplicaRecord> {
+        let text = String::from_utf8(row.value.to_vec()).ok()?;
+        let (address, warmup_ms) = text.split_once(' ').unwrap_or((&text, "0"));
         Some(ReplicaRecord {
             region: String::new(),
-            warmup: Duration::ZERO,
+            warmup: Duration::from_millis(warmup_ms.parse().ok()?),
             id: row.key.clone(),
             service: "service".to_owned(),
-            address: String::from_utf8(row.value.to_vec()).ok()?,
+            address: address.to_owned(),
             zone: "zone".to_owned(),
             slots: 4,
             draining: false,
@@ -176,3 +194,37 @@
     let keys: Vec<&str> = update.written.iter().map(|row| row.key.as_str()).collect();
     assert_eq!(keys, ["c"]);
 }
+
+/// A replica that is listed may turn cold again at any moment, also one whose row went and came back.
+#[tokio::test]
+async fn the_newest_row_tells_whether_a_listed_replica_is_cold() {
+    let fixture = Fixture::new();
+    let configuration = written(vec![row("op", "1", 1)]);
+    let take = |value: &str, revision| {
+        let update = written(vec![row("one", value, revision)]);
+        fixture.discovery.take_replicas(&update);
+    };
+    let is_cold = || {
+        let view = fixture.replicas.view();
+        view.get("one").expect("listed").is_cold(Instant::now())
+    };
+    take("1:1", 2);
+    assert!(!is_cold());
+    fixture.discovery.take_configuration(&configuration, "test");
+    let view = fixture.replicas.view();
+    let replica = view.get("one").expect("listed");
+    assert_eq!(replica.service_warmup(), Some(WARMUP));
+    take("1:1 6000", 3);
+    assert!(is_cold(), "it turned cold");
+    take("1:1 0", 4);
+    assert!(!is_cold(), "it is warm again");
+    fixture.discovery.take_replicas(&SpaceUpdate {
+        removed: vec!["one".to_owned()],
+        ..SpaceUpdate::default()
+    });
+    take("1:1 5900", 5);
+    assert!(is_cold(), "it came back cold");
+    let view = fixture.replicas.view();
+    let replica = view.get("one").expect("listed");
+    assert_eq!(replica.service_warmup(), Some(WARMUP));
+}
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -17,6 +17,7 @@
 };
 use harrierward_tenants::{AllowedRegions, Tenant};
 use http::{HeaderMap, Method};
+use tokio::time::Instant;
 
 /// Replicas of the service, more than are looked at for one request.
 const REPLICAS: usize = 120;
@@ -268,3 +269,31 @@
     };
     assert!(cost(&costs, &idle) < cost(&costs, &far), "zones first");
 }
+
+/// Nobody counts what a daemon sends that chooses alone, so a cold replica gets nothing from it.
+#[tokio::test]
+async fn without_a_coordinator_nothing_goes_to_a_cold_replica() {
+    const WARM: usize = 3;
+    let forwarder = forwarder();
+    let view = forwarder.replicas().view();
+    let until = Instant::now() + Duration::from_secs(60);
+    for replica in view.all().skip(WARM) {
+        replica.set_cold_until(until);
+    }
+    let item = Some(ItemRoom {
+        slack: Duration::from_secs(9),
+    });
+    for number in 0..100 {
+        let request = request(number % 7);
+        let item = item.filter(|_| number % 2 == 0);
+        let placement = forwarder.place(&request, "model", &[], OBJECTIVE, item);
+        let placement = placement.await.expect("a warm one");
+        assert!(!placement.choice.replica.is_cold(Instant::now()));
+    }
+    for replica in view.all() {
+        replica.set_cold_until(until);
+    }
+    let request = request(1);
+    let placement = forwarder.place(&request, "model", &[], OBJECTIVE, None);
+    assert!(placement.await.is_none(), "all are cold");
+}
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -226,3 +226,22 @@
 async fn a_request_waits_in_the_queue_where_all_slots_are_taken() {
     assert_eq!(sends_where_free(0).await, 1);
 }
+
+/// A coordinator that has not heard that its replicas are cold grants them uncounted: nothing is sent, and the caller is
+/// told at once that its request has not run.
+#[tokio::test(start_paused = true)]
+async fn a_grant_that_nobody_counted_is_no_permission_for_a_cold_replica() {
+    let (forwarder, client) = forwarder(500, None);
+    for replica in forwarder.replicas().view().all() {
+        replica.set_cold_until(Instant::now() + Duration::from_secs(60));
+    }
+    let began = Instant::now();
+    let reply = forwarder.forward(request(OBJECTIVE), began).await;
+    let Reply::Refusal(refusal) = reply else {
+        panic!("an answer");
+    };
+    assert_eq!(refusal.cause, RefusalCause::Full);
+    assert!(refusal.retry_after.is_some());
+    assert_eq!(client.sends.load(Ordering::Relaxed), 0);
+    assert!(began.elapsed() < Duration::from_millis(10));
+}
