--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -36,6 +36,8 @@
     lines_dropped: IntGauge,
     rate_refusals: IntCounterVec,
     tenant_refusals: IntCounterVec,
+    cold_replicas: IntGaugeVec,
+    cold_paced: IntCounterVec,
     tenants: Arc<Mutex<BTreeSet<String>>>,
 }
 
@@ -155,6 +157,16 @@
                 "Requests refused for their tenant's rate, by tenant",
                 "tenant",
             )?,
+            cold_replicas: zone_gauge(
+                &registry,
+                "harrierward_cold_replicas",
+                "Replicas that this daemon takes for cold, by zone",
+            )?,
+            cold_paced: counter(
+                "harrierward_cold_paced_total",
+                "Requests for cold replicas that this daemon, as their coordinator, counted or turned away",
+                "outcome",
+            )?,
             tenants: Arc::default(),
             registry,
         })
@@ -247,6 +259,13 @@
                     .with_label_values(&[*zone])
                     .set(i64::from(*running));
             }
+            Record::ZoneWarmth { zone, cold, .. } => {
+                let cold = i64::try_from(*cold).unwrap_or(i64::MAX);
+                self.cold_replicas.with_label_values(&[*zone]).set(cold);
+            }
+            Record::ColdPaced { outcome, .. } => {
+                self.cold_paced.with_label_values(&[*outcome]).inc();
+            }
             Record::ViewSynced { records, .. } => {
                 self.view_sync_records.inc_by(*records as u64);
             }
