The gate overrules a coordinator that has not heard of an evacuation; tests of gate, belief and figures

Cause: a coordinator that has not heard grants the evacuated zone's replicas one after the other, until the request is given up although other zones have room. Change: a lease at a replica in an evacuated zone or outside the allowed regions is given back, and the daemon chooses itself. Conclusion: the test with six such replicas is answered at its first send.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -76,6 +76,13 @@
         /// The settings name the zone.
         is_known: bool,
     },
+    /// A coordinator granted a slot at a replica that this daemon knows to be out of bounds; the daemon chose itself.
+    LeaseOverruled {
+        /// Replica.
+        replica: &'a str,
+        /// What the gate said.
+        reason: &'a str,
+    },
     /// Requests of this daemon still in progress in an evacuated zone, whenever their number changes.
     ZoneRunning {
         /// Zone.
--- a/crates/edge/tests/discovery.rs
+++ b/crates/edge/tests/discovery.rs
@@ -23,6 +23,9 @@
     }
 
     fn configuration_of(&self, row: &Row) -> Result<Option<ServingConfiguration>, String> {
+        if self.evacuated_zone_of(&row.key).is_some() {
+            return Ok(None);
+        }
         let text = String::from_utf8_lossy(&row.value);
         let version = text.parse().map_err(|_| format!("version: {text:?}"))?;
         Ok(Some(ServingConfiguration {
@@ -31,6 +34,14 @@
         }))
     }
 
+    fn evacuated_zone_of(&self, key: &str) -> Option<String> {
+        key.strip_prefix("evacuate/").map(str::to_owned)
+    }
+
+    fn knows_zone(&self, zone: &str) -> bool {
+        zone == "zone"
+    }
+
     fn replica_of(&self, row: &Row) -> Option<ReplicaRecord> {
         Some(ReplicaRecord {
             region: String::new(),
@@ -64,24 +75,27 @@
     discovery: Discovery,
     routes: SharedRoutes,
     replicas: Arc<ReplicaSet>,
+    log: DecisionLog,
 }
 
 impl Fixture {
     fn new() -> Self {
         let routes: SharedRoutes = Arc::new(ArcSwapOption::empty());
         let replicas = Arc::new(ReplicaSet::default());
+        let log = DecisionLog::new(LogBounds::default());
         let discovery = Discovery::new(
             Arc::new(PlainSource),
             routes.clone(),
             replicas.clone(),
             Arc::new(ServerControl::default()),
             Arc::default(),
-            DecisionLog::new(LogBounds::default()),
+            log.clone(),
         );
         Self {
             discovery,
             routes,
             replicas,
+            log,
         }
     }
 
@@ -176,3 +190,161 @@
     let keys: Vec<&str> = update.written.iter().map(|row| row.key.as_str()).collect();
     assert_eq!(keys, ["c"]);
 }
+
+const EVACUATION: &str = "evacuate/zone";
+
+fn change(key: &str, value: Option<&str>, revision: u64) -> RowChange {
+    RowChange {
+        key: key.to_owned(),
+        revision,
+        value: value.map(|text| Bytes::copy_from_slice(text.as_bytes())),
+    }
+}
+
+/// A daemon with one replica, and its copy of the configuration's space.
+struct Evacuated {
+    fixture: Fixture,
+    copy: SpaceCopy,
+}
+
+impl Evacuated {
+    fn new() -> Self {
+        let fixture = Fixture::new();
+        let replicas = written(vec![row("replica", "1:1", 3)]);
+        fixture.discovery.take_replicas(&replicas);
+        Self {
+            fixture,
+            copy: SpaceCopy::default(),
+        }
+    }
+
+    fn read_all(&mut self, revision: u64, rows: Vec<Row>) {
+        if let Some(update) = self.copy.take_snapshot(snapshot(revision, rows)) {
+            self.fixture.discovery.take_configuration(&update, "store");
+        }
+    }
+
+    fn follow(&mut self, revision: u64, changes: Vec<RowChange>) {
+        let update = self.copy.take_changes(ChangePage {
+            changes,
+            revision,
+            store_time_ms: 2,
+        });
+        self.fixture.discovery.take_configuration(&update, "store");
+    }
+
+    fn hear(&self, peer: &Evacuated) {
+        let news = peer.fixture.discovery.evacuations();
+        self.fixture.discovery.take_evacuations(&news, "peer");
+    }
+
+    fn is_evacuated(&self) -> bool {
+        let view = self.fixture.replicas.view();
+        view.all().all(|replica| replica.is_zone_evacuated())
+    }
+
+    /// A figure on the metrics; `None` if it is not there.
+    fn figure(&self, name: &str) -> Option<String> {
+        let text = String::from_utf8(self.fixture.log.metrics_text()).ok()?;
+        let mut lines = text.lines().filter_map(|line| line.strip_prefix(name));
+        lines.next().map(|value| value.trim().to_owned())
+    }
+}
+
+#[tokio::test]
+async fn an_evacuation_holds_through_stale_reads_and_lost_history_until_its_row_is_gone() {
+    let mut daemon = Evacuated::new();
+    daemon.read_all(10, vec![row("op", "1", 5)]);
+    daemon.follow(12, vec![change(EVACUATION, Some(""), 12)]);
+    assert!(daemon.is_evacuated());
+    // A read from before, after the history was lost.
+    daemon.read_all(11, vec![row("op", "1", 5)]);
+    assert!(daemon.is_evacuated());
+    daemon.read_all(14, vec![row("op", "1", 5), row(EVACUATION, "", 12)]);
+    assert!(daemon.is_evacuated());
+    assert!(daemon.fixture.discovery.zone_returned_at("zone").is_none());
+    daemon.read_all(20, vec![row("op", "1", 5)]);
+    assert!(!daemon.is_evacuated());
+    assert!(daemon.fixture.discovery.zone_returned_at("zone").is_some());
+}
+
+#[tokio::test]
+async fn a_row_that_goes_and_comes_back_within_one_page_is_there() {
+    let mut daemon = Evacuated::new();
+    daemon.read_all(10, vec![row(EVACUATION, "", 9)]);
+    let changes = vec![
+        change(EVACUATION, None, 11),
+        change(EVACUATION, Some(""), 12),
+    ];
+    daemon.follow(12, changes);
+    assert!(daemon.is_evacuated());
+    let changes = vec![
+        change(EVACUATION, Some(""), 13),
+        change(EVACUATION, None, 14),
+    ];
+    daemon.follow(14, changes);
+    assert!(!daemon.is_evacuated());
+}
+
+#[tokio::test]
+async fn peers_tell_of_evacuations_and_their_end_and_an_older_word_undoes_neither() {
+    let (mut served, mut frozen, away) = (Evacuated::new(), Evacuated::new(), Evacuated::new());
+    served.read_all(10, vec![row(EVACUATION, "", 9)]);
+    frozen.read_all(10, vec![row(EVACUATION, "", 9)]);
+    away.hear(&served);
+    assert!(away.is_evacuated());
+    served.follow(12, vec![change(EVACUATION, None, 12)]);
+    away.hear(&served);
+    away.hear(&frozen);
+    assert!(!away.is_evacuated());
+    served.follow(15, vec![change(EVACUATION, Some(""), 15)]);
+    away.hear(&served);
+    assert!(away.is_evacuated());
+    // One that started in between has read that the old row is not there.
+    let mut young = Evacuated::new();
+    young.read_all(13, Vec::new());
+    young.hear(&frozen);
+    assert!(!young.is_evacuated());
+    // Whoever hears of it from that one knows as much.
+    let starting = Evacuated::new();
+    starting.hear(&young);
+    starting.hear(&frozen);
+    assert!(!starting.is_evacuated());
+}
+
+#[tokio::test]
+async fn operators_see_each_zone_and_a_name_that_is_none_moves_nothing() {
+    let mut daemon = Evacuated::new();
+    daemon.read_all(10, vec![row("evacuate/nowhere", "", 9)]);
+    assert!(!daemon.is_evacuated());
+    let of = |zone: &str| format!("harrierward_zone_evacuated{{zone=\"{zone}\"}}");
+    assert_eq!(daemon.figure(&of("nowhere")).as_deref(), Some("1"));
+    daemon.follow(12, vec![change(EVACUATION, Some(""), 12)]);
+    assert_eq!(daemon.figure(&of("zone")).as_deref(), Some("1"));
+    daemon.follow(13, vec![change(EVACUATION, None, 13)]);
+    assert_eq!(daemon.figure(&of("zone")).as_deref(), Some("0"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn operators_see_what_still_runs_in_an_evacuated_zone() {
+    let mut daemon = Evacuated::new();
+    daemon.read_all(10, vec![row(EVACUATION, "", 9)]);
+    let view = daemon.fixture.replicas.view();
+    let replica = view.get("replica").expect("the replica");
+    let running = replica.enter(harrierward_serving::WorkClass::Online, None);
+    let name = "harrierward_evacuated_zone_requests{zone=\"zone\"}";
+    let discovery = Arc::new(daemon.fixture.discovery);
+    let log = daemon.fixture.log.clone();
+    let figure = || {
+        let text = String::from_utf8(log.metrics_text()).expect("text");
+        let mut lines = text.lines().filter_map(|line| line.strip_prefix(name));
+        lines.next().map(|value| value.trim().to_owned())
+    };
+    let watching = tokio::spawn(discovery.watch_evacuated());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(figure().as_deref(), Some("1"));
+    drop(running);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(figure().as_deref(), Some("0"));
+    watching.abort();
+}
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
+use harrierward_tenants::AllowedRegions;
 use tokio::time::{Instant, sleep};
 
-use crate::choice::{ChoiceQuery, Placement, choose_replica};
+use crate::choice::{Choice, ChoiceQuery, Placement, choose_replica};
 use crate::exchange::ServingRequest;
 use crate::forwarder::Forwarder;
+use crate::gate::{Barred, Passage, barred};
 use crate::leases::{ItemRoom, SlotAnswer, SlotLease, SlotQuery};
 use crate::policy::Mechanism;
 use crate::profile::PromptLength;
@@ -157,6 +159,10 @@
         match self.places().ask(query).await {
             SlotAnswer::Given { choice, lease } => {
                 let held = SlotLease::new(self.places().clone(), lease);
+                if self.overrules(&choice, query.regions) {
+                    drop(held);
+                    return self.choose_alone(query).ok_or(NoPlace::NoReplica);
+                }
                 Ok(choice.enter(query.class(), held))
             }
             SlotAnswer::NoRoom => Err(NoPlace::NoReplica),
@@ -165,6 +171,24 @@
         }
     }
 
+    /// True if this daemon knows that the request must not go where the coordinator sends it: one that has not heard of an
+    /// evacuation would grant the zone's replicas one after the other until the request is given up.
+    fn overrules(&self, choice: &Choice, regions: &AllowedRegions) -> bool {
+        let passage = Passage {
+            regions,
+            cold_until: choice.cold_until,
+        };
+        let reason = barred(&choice.replica, &passage, Instant::now());
+        let Some(reason @ (Barred::ZoneEvacuated | Barred::RegionNotAllowed)) = reason else {
+            return false;
+        };
+        self.log().record(&Record::LeaseOverruled {
+            replica: &choice.replica.record.id,
+            reason: reason.name(),
+        });
+        true
+    }
+
     fn choose_alone(&self, query: SlotQuery<'_>) -> Option<Placement> {
         let view = self.replicas().view();
         let places = self.places();
--- /dev/null
+++ b/crates/serving/tests/gate.rs
@@ -0,0 +1,294 @@
+//! What was granted or chosen earlier is no permission: the gate is asked again when a lease comes and before a request
+//! leaves.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::StreamExt;
+use harrierward_decisions::{DecisionLog, LogBounds};
+use harrierward_serving::{
+    AttemptFailure, AttemptTimes, Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts,
+    ForwarderSettings, ItemRoom, KeyTrust, Prompt, RateAnswer, RateLimits, Replica, ReplicaAnswer,
+    ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable,
+    SelectionCosts, Sending, ServingConfiguration, ServingRequest, SlotAnswer, SlotLease,
+    SlotLeases, SlotQuery, WeightedService, WorkClass,
+};
+use harrierward_tenants::{AllowedRegions, Tenant};
+use http::{HeaderMap, Method};
+use tokio::time::Instant;
+
+/// Replicas in the zone that is evacuated, more than a request is refused by before it is given up.
+const EVACUATED_REPLICAS: usize = 6;
+
+/// A request as a replica got it: the replica, and where it was to copy its prompt from.
+type Sent = (String, Option<String>);
+
+#[derive(Default)]
+struct Client {
+    sent: Mutex<Vec<Sent>>,
+}
+
+impl Client {
+    fn sent(&self) -> Vec<Sent> {
+        let sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        sent.clone()
+    }
+}
+
+#[async_trait]
+impl ReplicaClient for Client {
+    async fn send(&self, request: ReplicaRequest<'_>) -> Result<ReplicaAnswer, ExchangeError> {
+        let source = request.copy_from.map(str::to_owned);
+        let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        sent.push((request.replica.to_owned(), source));
+        Ok(ReplicaAnswer {
+            status: 200,
+            answers: Some(request.request.id.clone()),
+            not_run: false,
+            other_replica: false,
+            load: None,
+            headers: HeaderMap::new(),
+            body: futures::stream::empty().boxed(),
+        })
+    }
+}
+
+struct NoLimits;
+
+#[async_trait]
+impl RateLimits for NoLimits {
+    async fn admit(&self, _tenant: &Tenant, _request: &str) -> RateAnswer {
+        RateAnswer::Within
+    }
+}
+
+/// A coordinator that has not heard of any evacuation.
+struct Deaf {
+    replicas: Arc<ReplicaSet>,
+}
+
+#[async_trait]
+impl SlotLeases for Deaf {
+    async fn ask(&self, query: SlotQuery<'_>) -> SlotAnswer {
+        let view = self.replicas.view();
+        let in_zone = view.all().filter(|one| one.record.zone == "zone-a");
+        let mut left = in_zone.filter(|one| !query.excluded.contains(&one.record.id));
+        let Some(replica) = left.next() else {
+            return SlotAnswer::NoCoordinator;
+        };
+        SlotAnswer::Given {
+            choice: choice(replica),
+            lease: 1,
+        }
+    }
+
+    fn take(&self, _replica: &Arc<Replica>, _item: Option<ItemRoom>) -> u32 {
+        1
+    }
+
+    fn release(&self, _place: u32) {}
+
+    fn is_coordinated(&self, _replica: &Replica) -> bool {
+        true
+    }
+
+    fn free_slot(&self, _replica: &Arc<Replica>) {}
+}
+
+fn choice(replica: &Arc<Replica>) -> Choice {
+    Choice {
+        replica: replica.clone(),
+        by: ChosenBy::Coordinator,
+        load: 0,
+        free_permille: 900,
+        cold_until: None,
+        copy_from: None,
+    }
+}
+
+fn record(id: &str, zone: &str, region: &str) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.to_owned(),
+        service: "model".to_owned(),
+        address: format!("{id}:80"),
+        zone: zone.to_owned(),
+        region: region.to_owned(),
+        slots: 8,
+        draining: false,
+        warmup: Duration::ZERO,
+    }
+}
+
+fn routes() -> RouteTable {
+    let route = Route {
+        allowed_regions: AllowedRegions::default(),
+        name: "ask".to_owned(),
+        host: "example".to_owned(),
+        prefix: "/ask/".to_owned(),
+        kind: RouteKind::Stream { resumable: true },
+        services: vec![WeightedService {
+            service: "model".to_owned(),
+            weight: 1,
+        }],
+        attempts: 2,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(300),
+        gap_objective: None,
+        priority: 0,
+        is_public: false,
+    };
+    let configuration = ServingConfiguration {
+        version: 1,
+        routes: vec![route],
+        ..ServingConfiguration::default()
+    };
+    RouteTable::build(configuration, None)
+}
+
+struct Fixture {
+    forwarder: Forwarder,
+    replicas: Arc<ReplicaSet>,
+    client: Arc<Client>,
+}
+
+fn fixture() -> Fixture {
+    let replicas = Arc::new(ReplicaSet::default());
+    let mut records: Vec<ReplicaRecord> = (0..EVACUATED_REPLICAS)
+        .map(|number| record(&format!("a-{number}"), "zone-a", "near"))
+        .collect();
+    records.push(record("b", "zone-b", "far"));
+    replicas.replace(records, |_| 100_000);
+    let client = Arc::new(Client::default());
+    let forwarder = Forwarder::new(ForwarderParts {
+        routes: Arc::new(ArcSwapOption::from_pointee(routes())),
+        replicas: replicas.clone(),
+        client: client.clone(),
+        places: Arc::new(Deaf {
+            replicas: replicas.clone(),
+        }),
+        rates: Arc::new(NoLimits),
+        proof: Arc::default(),
+        log: DecisionLog::new(LogBounds::default()),
+        settings: ForwarderSettings {
+            zone: "zone-a".to_owned(),
+            costs: SelectionCosts::default(),
+            key_trust: KeyTrust::Unbounded,
+        },
+    });
+    Fixture {
+        forwarder,
+        replicas,
+        client,
+    }
+}
+
+impl Fixture {
+    fn evacuate(&self, zone: &str) {
+        let zones = HashSet::from([zone.to_owned()]);
+        self.replicas.set_evacuated_zones(zones);
+    }
+
+    /// Sends a request to a replica that was chosen for it.
+    async fn send_to(&self, choice: Choice) -> Result<(), AttemptFailure> {
+        let place = SlotLease::new(self.forwarder.places().clone(), 1);
+        let placement = choice.enter(WorkClass::Online, place);
+        let long = Duration::from_secs(1);
+        let times = AttemptTimes {
+            time_left: None,
+            dark: long,
+            longest: long,
+        };
+        let sending = Sending {
+            resume_after: None,
+            fresh_connection: false,
+            number: 1,
+        };
+        let request = request();
+        let sent = self
+            .forwarder
+            .attempt_at(&request, placement, times, sending);
+        sent.await.map(|_| ())
+    }
+}
+
+fn request() -> ServingRequest {
+    ServingRequest {
+        regions: AllowedRegions::default(),
+        id: "r".to_owned(),
+        host: "example".to_owned(),
+        method: Method::POST,
+        target: "/ask/x".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        patience: Some(Duration::from_secs(5)),
+        resume_after: None,
+        prompt: Prompt::default(),
+        key: None,
+        tenant: None,
+    }
+}
+
+#[tokio::test]
+async fn a_coordinator_that_has_not_heard_does_not_keep_a_request_from_the_zones_left() {
+    let fixture = fixture();
+    fixture.evacuate("zone-a");
+    let reply = fixture.forwarder.forward(request(), Instant::now()).await;
+    assert!(matches!(reply, Reply::Answer(_)), "an answer");
+    assert_eq!(fixture.client.sent(), [("b".to_owned(), None)]);
+}
+
+#[tokio::test]
+async fn a_replica_whose_zone_is_evacuated_after_the_choice_gets_nothing() {
+    let fixture = fixture();
+    let view = fixture.replicas.view();
+    let chosen = choice(view.get("a-0").expect("the replica"));
+    fixture.evacuate("zone-a");
+    let outcome = fixture.send_to(chosen).await;
+    assert!(
+        matches!(outcome, Err(AttemptFailure::NotRun { full: false, .. })),
+        "{outcome:?}"
+    );
+    assert!(fixture.client.sent().is_empty());
+}
+
+#[tokio::test]
+async fn nothing_is_copied_from_an_evacuated_zone() {
+    let fixture = fixture();
+    let view = fixture.replicas.view();
+    let mut chosen = choice(view.get("b").expect("the replica"));
+    chosen.copy_from = view.get("a-0").cloned();
+    let copies = || fixture.client.sent().into_iter().map(|(_, source)| source);
+    fixture.send_to(chosen.clone()).await.expect("an answer");
+    fixture.evacuate("zone-a");
+    fixture.send_to(chosen).await.expect("an answer");
+    let copies: Vec<Option<String>> = copies().collect();
+    assert_eq!(copies, [Some("a-0:80".to_owned()), None]);
+}
+
+/// Replicas that are listed anew, or come back after they vanished, are in the state of their zone.
+#[tokio::test]
+async fn replicas_listed_later_find_their_zone_evacuated() {
+    let fixture = fixture();
+    fixture.evacuate("zone-a");
+    let later = vec![
+        record("a-0", "zone-a", "near"),
+        record("new", "zone-a", "near"),
+    ];
+    fixture.replicas.replace(later, |_| 100_000);
+    let view = fixture.replicas.view();
+    let any = AllowedRegions::Any;
+    assert!(view.all().all(|one| !one.accepts_work()));
+    // The replica of the other zone has just vanished from the list, and is used meanwhile.
+    assert!(view.has_usable("model", &any));
+    assert!(!view.has_usable("model", &AllowedRegions::only(["near".to_owned()])));
+    fixture
+        .replicas
+        .set_evacuated_zones(HashSet::from(["zone-a".to_owned(), "zone-b".to_owned()]));
+    assert!(!fixture.replicas.view().has_usable("model", &any));
+    fixture.replicas.set_evacuated_zones(HashSet::new());
+    assert!(fixture.replicas.view().all().all(|one| one.accepts_work()));
+}
