--- a/crates/harrierward/src/explain.rs
+++ b/crates/harrierward/src/explain.rs
@@ -12,7 +12,7 @@
 use crate::command_line::{Failure, Outcome};
 
 /// Fields that name what a record is about.
-const SUBJECTS: [&str; 4] = ["request", "job", "item", "replica"];
+const SUBJECTS: [&str; 5] = ["request", "job", "item", "replica", "zone"];
 
 /// Fields that are printed elsewhere.
 const SHOWN: [&str; 3] = ["at_ms", "event", "type"];
@@ -110,6 +110,9 @@
         "job_ended" => "the job's client ended it",
         "item_run" => "a run of an item ended",
         "replica_changed" => "the replica changed",
+        "zone_evacuation" => "the zone went out of service, or came back",
+        "zone_running" => "requests still running in the evacuated zone",
+        "lease_overruled" => "the coordinator had not heard; its lease was given back",
         other => other,
     };
     let inputs: Vec<String> = entry
