--- a/crates/harrierward/src/explain.rs
+++ b/crates/harrierward/src/explain.rs
@@ -1,4 +1,4 @@
-//! `explain ID`: the story of a request, job, item or replica from the decision logs of many machines.
+//! `explain ID`: the story of a request, job, item, replica or zone from the decision logs of many machines.
 //!
 //! Lines may carry a prefix, such as a machine's name; it is kept. A line that holds no record is passed over.
 
