--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -289,9 +289,9 @@
             .map_or(0, |routes| routes.configuration.version)
     }
 
-    /// Time since this daemon last knew its configuration to be the newest; `None` if it never did.
-    pub fn proof_age(&self) -> Option<Duration> {
-        self.proof.age()
+    /// True if the store may have told others of a configuration that this daemon has not heard of.
+    pub fn is_stale(&self) -> bool {
+        self.proof.is_stale()
     }
 
     /// Requests and items of this daemon in progress in a zone.
--- a/crates/edge/src/peer_news.rs
+++ b/crates/edge/src/peer_news.rs
@@ -15,10 +15,6 @@
 use crate::pool::ConnectionPool;
 use crate::watch::SpaceUpdate;
 
-/// Age of the own proof from which on a peer is asked for a newer configuration. Just above what a watch in good order
-/// reaches, so that a change that everybody hears of from the store is asked for nowhere else.
-const OWN_PROOF_STALE: Duration = Duration::from_millis(2_300);
-
 /// Pause between two looks whether a peer is ahead.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -67,9 +63,10 @@
             .take_evacuations(&evacuation_news(told), peer);
     }
 
-    /// A peer has a configuration of this version; `address` is where it answers control calls.
+    /// A peer has a configuration of this version; `address` is where it answers control calls. While the own proof is
+    /// good nobody is asked: a change that all hear of from the store would be fetched from peers by all.
     pub fn take_version(&self, version: u64, address: impl FnOnce() -> Option<String>) {
-        if version <= self.discovery.configuration_version() || !self.is_stale() {
+        if version <= self.discovery.configuration_version() || !self.discovery.is_stale() {
             return;
         }
         let mut ahead = self.ahead();
@@ -79,12 +76,6 @@
         *ahead = address().map(|address| Ahead { version, address });
     }
 
-    /// True if the store may have told others of a configuration that this daemon has not heard of.
-    fn is_stale(&self) -> bool {
-        let age = self.discovery.proof_age();
-        age.is_none_or(|age| age > OWN_PROOF_STALE)
-    }
-
     /// Fetches newer configurations from peers, for as long as the process runs.
     pub async fn catch_up(self: Arc<Self>, pool: ConnectionPool) {
         loop {
