--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -21,6 +21,7 @@
     request_seconds: Histogram,
     first_event_seconds: Histogram,
     places: IntCounterVec,
+    sent_by_region: IntCounterVec,
     items_ended: IntCounterVec,
     attempts_failed: IntCounterVec,
     jobs_submitted: IntCounterVec,
@@ -85,6 +86,7 @@
                 "SlotLeases at replicas, by who chose the replica",
                 "chosen_by",
             )?,
+            sent_by_region: sent_by_region(&registry)?,
             items_ended: counter(
                 "harrierward_item_ends_ordered_total",
                 "Batch items that this daemon, as the coordinator of a replica, ended for online requests",
@@ -190,8 +192,15 @@
                 let label = if *not_run { "true" } else { "false" };
                 self.attempts_failed.with_label_values(&[label]).inc();
             }
-            Record::Sent { chosen_by, .. } => {
+            Record::Sent {
+                chosen_by,
+                region,
+                left_region,
+                ..
+            } => {
                 self.places.with_label_values(&[*chosen_by]).inc();
+                let why = left_region.unwrap_or("");
+                self.sent_by_region.with_label_values(&[*region, why]).inc();
             }
             Record::ItemEndOrdered { of_peer, .. } => {
                 let label = if *of_peer { "true" } else { "false" };
@@ -244,6 +253,16 @@
     }
 }
 
+fn sent_by_region(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
+    let options = Opts::new(
+        "harrierward_sent_by_region_total",
+        "Requests sent to replicas, by region of the replica and why it is not the daemon's own region",
+    );
+    let counter = IntCounterVec::new(options, &["region", "left_region"])?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
 fn view_sync_records(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
     let counter = IntCounter::new(
         "harrierward_view_sync_records_total",
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -126,6 +126,11 @@
         replica: &'a str,
         /// Who chose it: the coordinator of its places, or this daemon by what it knows itself.
         chosen_by: &'a str,
+        /// Region in which the replica is.
+        region: &'a str,
+        /// Why it is not the region of this daemon; absent if it is.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        left_region: Option<&'a str>,
         /// Requests at the replica, as the chooser counted them.
         load: u32,
         /// Requests that the replica works on at once.
--- a/crates/edge/src/calls.rs
+++ b/crates/edge/src/calls.rs
@@ -5,32 +5,66 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
-/// Bounds of one question.
+use crate::trips::RoundTrips;
+
+/// How long a question that was given up is remembered, so that a late answer still tells how long the way is.
+const REMEMBERED_FOR: Duration = Duration::from_secs(1);
+
+/// Most questions remembered after they were given up.
+const MOST_REMEMBERED: usize = 256;
+
+/// Bounds of one question to a peer beside which the way takes no time; the way as measured is added.
 #[derive(Debug, Clone, Copy)]
 pub struct CallPatience {
     /// Time after which it is sent again.
     pub again: Duration,
     /// Time after which it is given up.
     pub give_up: Duration,
+    /// Longest time to wait, however long the way is.
+    pub longest: Duration,
+}
+
+impl CallPatience {
+    /// The bounds for a peer whose answers come within `way`.
+    ///
+    /// Why measured: a constant that suits one deployment's distances takes every peer of a wider one for silent.
+    fn over(self, way: Duration) -> Self {
+        let give_up = (self.give_up + way).min(self.longest.max(self.give_up));
+        Self {
+            again: (self.again + way).min(give_up),
+            give_up,
+            longest: self.longest,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Question<A> {
+    zone: u32,
+    asked: Instant,
+    /// `None` once it was given up.
+    asker: Option<oneshot::Sender<A>>,
 }
 
 /// Questions that wait for their answers, by number.
 #[derive(Debug)]
 pub struct DatagramCalls<A> {
-    waiting: Mutex<HashMap<u32, oneshot::Sender<A>>>,
+    waiting: Mutex<HashMap<u32, Question<A>>>,
+    trips: RoundTrips,
 }
 
 impl<A> Default for DatagramCalls<A> {
     fn default() -> Self {
         Self {
             waiting: Mutex::default(),
+            trips: RoundTrips::default(),
         }
     }
 }
 
-/// Forgets the question where its asker goes away.
+/// Ends the question where its asker goes away; what is answered later is only measured.
 struct Waiting<'a, A> {
     calls: &'a DatagramCalls<A>,
     number: u32,
@@ -38,19 +72,48 @@
 
 impl<A> Drop for Waiting<'_, A> {
     fn drop(&mut self) {
-        self.calls.lock().remove(&self.number);
+        let mut waiting = self.calls.lock();
+        if let Some(question) = waiting.get_mut(&self.number) {
+            question.asker = None;
+        }
+        if waiting.len() > MOST_REMEMBERED {
+            let is_kept = |question: &Question<A>| {
+                question.asker.is_some() || question.asked.elapsed() < REMEMBERED_FOR
+            };
+            waiting.retain(|_, question| is_kept(question));
+        }
+        if waiting.len() > 2 * MOST_REMEMBERED {
+            waiting.retain(|_, question| question.asker.is_some());
+        }
     }
 }
 
 impl<A> DatagramCalls<A> {
-    fn lock(&self) -> MutexGuard<'_, HashMap<u32, oneshot::Sender<A>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<u32, Question<A>>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sends a question by `send`, once more after a while, and waits for its answer.
-    pub async fn ask(&self, number: u32, patience: CallPatience, send: impl Fn()) -> Option<A> {
+    /// The ways that answers measured.
+    pub fn trips(&self) -> &RoundTrips {
+        &self.trips
+    }
+
+    /// Sends a question to a peer in a zone by `send`, once more after a while, and waits for its answer.
+    pub async fn ask(
+        &self,
+        number: u32,
+        zone: u32,
+        patience: CallPatience,
+        send: impl Fn(),
+    ) -> Option<A> {
+        let patience = patience.over(self.trips.longest(zone));
         let (sender, mut receiver) = oneshot::channel();
-        self.lock().insert(number, sender);
+        let question = Question {
+            zone,
+            asked: Instant::now(),
+            asker: Some(sender),
+        };
+        self.lock().insert(number, question);
         let _waiting = Waiting {
             calls: self,
             number,
@@ -64,10 +127,19 @@
         timeout(left, &mut receiver).await.ok()?.ok()
     }
 
-    /// Takes an answer; one that nobody waits for any more is dropped.
+    /// Takes an answer. One that nobody waits for any more tells only how long the way is: else a peer that is farther
+    /// than the patience reaches would be taken for silent for ever.
     pub fn take(&self, number: u32, answer: A) {
-        if let Some(waiting) = self.lock().remove(&number) {
-            let _ = waiting.send(answer);
+        let Some(question) = self.lock().remove(&number) else {
+            return;
+        };
+        let measured = question.asked.elapsed();
+        if measured < REMEMBERED_FOR {
+            self.trips.note(question.zone, measured);
+        }
+        if let Some(asker) = question.asker {
+            // The asker may have gone away at this moment.
+            let _ = asker.send(answer);
         }
     }
 }
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -153,6 +153,7 @@
             log: log.clone(),
             settings: ForwarderSettings {
                 zone: settings.zone.clone(),
+                region: settings.region.clone(),
                 costs: SelectionCosts::under(settings.policy),
                 key_trust: settings.key_trust,
             },
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod server;
 mod settings;
 mod slots;
+mod trips;
 mod watch;
 
 pub use daemon::{Daemon, DaemonParts, EdgeService};
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -10,7 +10,9 @@
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_inline_jobs::{InlineJobs, Peers, QuotaRequest};
 use harrierward_membership::{Action, MembershipCore, MembershipSettings, MembershipView};
-use harrierward_serving::{Location, Mechanism, Policy, Replica, ReplicaSet, WorkClass};
+use harrierward_serving::{
+    Location, Mechanism, Policy, Replica, ReplicaSet, WorkClass, short_hash,
+};
 use harrierward_wire::{
     Datagram, DatagramKind, LoadNotice, MemberRecord, MemberState, NodeDatagram, QuotaAnswer,
     QuotaAsk, QuotaOutcome, ReplicaCount, YieldRequest, decode, encode, node_datagram,
@@ -61,6 +63,7 @@
 const QUOTA_PATIENCE: CallPatience = CallPatience {
     again: Duration::from_millis(40),
     give_up: Duration::from_millis(100),
+    longest: Duration::from_millis(200),
 };
 
 /// Largest datagram received, bytes.
@@ -81,6 +84,7 @@
 pub struct Members {
     life: String,
     zone: String,
+    region: String,
     policy: Policy,
     seeds: Vec<String>,
     started: Instant,
@@ -140,6 +144,7 @@
         Self {
             life,
             zone: settings.zone.clone(),
+            region: settings.region.clone(),
             policy: settings.policy,
             seeds: settings.seeds.clone(),
             started: Instant::now(),
@@ -162,7 +167,8 @@
     /// Addresses at which some other living daemons answer control calls, near ones first.
     pub fn control_addresses(&self, most: usize) -> Vec<String> {
         let view = self.view();
-        let others = view.others_nearest_first(&self.life, &self.zone, &mut rand::rng());
+        let others =
+            view.others_nearest_first(&self.life, &self.zone, &self.region, &mut rand::rng());
         let addresses = others.into_iter().map(|one| one.peer_address.clone());
         addresses.take(most).collect()
     }
@@ -491,11 +497,16 @@
         request: QuotaRequest<'_>,
     ) -> Option<(QuotaOutcome, u64)> {
         let address = self.address_of(coordinator)?;
+        let zone = self
+            .view()
+            .member(coordinator)
+            .map(|one| short_hash(&one.zone));
+        let zone = zone.unwrap_or_default();
         let ask = self.quota_ask(request);
         let send = || self.send_to(node_datagram::Kind::QuotaAsk(ask.clone()), address);
         let answer = self
             .quota_calls
-            .ask(ask.number, QUOTA_PATIENCE, send)
+            .ask(ask.number, zone, QUOTA_PATIENCE, send)
             .await?;
         Some((answer.outcome(), answer.fence))
     }
--- a/crates/edge/src/rates.rs
+++ b/crates/edge/src/rates.rs
@@ -25,11 +25,12 @@
 use crate::calls::{CallPatience, DatagramCalls};
 use crate::slots::CoordinatorCandidate;
 
-/// Bounds of a question for tokens. A round trip within a region takes about a millisecond; the whole wait stays under
-/// a quarter of the shortest objective known (200 ms).
+/// Bounds of a question for tokens: what a busy peer takes to answer, and a whole wait under half of the shortest
+/// objective known (200 ms). The way to the peer is measured.
 const PATIENCE: CallPatience = CallPatience {
     again: Duration::from_millis(18),
     give_up: Duration::from_millis(45),
+    longest: Duration::from_millis(95),
 };
 
 /// How long a coordinator that did not answer is passed over.
@@ -291,17 +292,24 @@
         }
         if let Some(address) = other.and_then(|other| other.address) {
             // It does not coordinate the tenant, so it answers with what it knows of the fleet and nothing else.
-            let _ = self.ask(tenant, address).await;
+            let _ = self.ask(tenant, self.zone_at(address), address).await;
         }
         self.lock().is_told = true;
     }
 
+    /// Zone of the member with this address.
+    fn zone_at(&self, address: SocketAddr) -> u32 {
+        let members = self.members.load();
+        let member = members.iter().find(|one| one.address == Some(address));
+        member.map_or(0, |member| member.location.zone)
+    }
+
     /// Asks a coordinator at an address; keeps what it gives out beyond the one token for this request.
-    async fn ask(&self, tenant: &Tenant, address: SocketAddr) -> Asked {
+    async fn ask(&self, tenant: &Tenant, zone: u32, address: SocketAddr) -> Asked {
         let asked_at = Instant::now();
         let ask = self.question(tenant, asked_at);
         let send = || self.send(node_datagram::Kind::RateAsk(ask.clone()), address);
-        let Some(grant) = self.calls.ask(ask.number, PATIENCE, send).await else {
+        let Some(grant) = self.calls.ask(ask.number, zone, PATIENCE, send).await else {
             return Asked::Silent;
         };
         self.take_fleet(grant.fleet_members, grant.fleet_seen_ms_ago);
@@ -339,9 +347,10 @@
             return (chosen.id.clone(), Asked::Silent);
         };
         // Where the second still takes the first for the coordinator, which is silent here, nobody counts.
-        let asked = match self.ask(tenant, address).await {
+        let zone = chosen.location.zone;
+        let asked = match self.ask(tenant, zone, address).await {
             Asked::Other(Some(other)) if first.address != Some(other) => {
-                self.ask(tenant, other).await
+                self.ask(tenant, self.zone_at(other), other).await
             }
             asked => asked,
         };
--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -7,10 +7,10 @@
 use async_trait::async_trait;
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChosenBy, ItemRoom, Mechanism, PromptLength, ROOMY_PERMILLE, Replica, SlotAnswer,
-    SlotLeases, SlotQuery, WorkClass, preference_weight, short_hash,
+    Choice, ChosenBy, ItemRoom, LeftRegion, Mechanism, PromptLength, Replica, SlotAnswer,
+    SlotLeases, SlotQuery, WorkClass, short_hash,
 };
-use harrierward_slots::{GroupId, GroupLayout};
+use harrierward_slots::{GroupId, Room};
 use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{
     ItemSlotAsk, PromptPartRow, RegionNames, SlotAsk, SlotGrant, SlotReport, node_datagram::Kind,
@@ -19,25 +19,22 @@
 
 use crate::calls::CallPatience;
 
-use super::{Coordinator, CoordinatorCandidate, LONGEST_SLACK, SlotService, layout, usage_of};
+use super::choosing_group::Target;
+use super::{Coordinator, CoordinatorCandidate, LONGEST_SLACK, SlotService, usage_of};
 
-/// Parts of a request's objective after which a coordinator is asked again, and given up.
+/// Parts of a request's objective after which a coordinator is asked again, and given up; the way to it is added, up to
+/// the last part.
 const ASK_AGAIN_PART: u32 = 25;
 const GIVE_UP_PART: u32 = 10;
+const LONGEST_PART: u32 = 3;
 
-/// Bounds of the patience with a coordinator.
+/// Bounds of the patience with a coordinator, beside the way to it.
 const LEAST_PATIENCE: Duration = Duration::from_millis(15);
 const MOST_PATIENCE: Duration = Duration::from_millis(60);
 
 /// Replicas with a kept connection that a question names at the most: four bytes each.
 const MOST_CONNECTED: usize = 16;
 
-/// How long a group that had no room for an item is passed over for items.
-const NO_ROOM_LASTS: Duration = Duration::from_millis(300);
-
-/// A group's free slots where its coordinator has not reported them.
-const UNREPORTED_PERMILLE: u32 = 500;
-
 /// A question that is under way; ends it where the asker goes away.
 struct Awaiting<'a> {
     service: &'a SlotService,
@@ -59,83 +56,55 @@
 }
 
 impl SlotService {
-    /// The group to ask: that of the replica which all daemons prefer for the prompt, in the own zone if groups lie
-    /// in zones, unless another has far more room. Long prompts go to their homes, wherever these are.
-    fn group_to_ask(
-        &self,
-        query: &SlotQuery<'_>,
-        service: u32,
-        layout: &GroupLayout<'_>,
-    ) -> GroupId {
-        if layout.is_single() {
-            return layout.at(0);
-        }
-        let preferred = self.preferred_group(query, layout);
-        let other = layout.at(rand::random());
-        let state = self.lock();
-        if query.item.is_some() {
-            let full = state.no_room_at.get(&(service, preferred));
-            let is_full = full.is_some_and(|at| at.elapsed() < NO_ROOM_LASTS);
-            return if is_full { other } else { preferred };
-        }
-        let free = |group: GroupId| {
-            let reported = state.free_permille.get(&(service, group));
-            reported.copied().unwrap_or(UNREPORTED_PERMILLE)
+    async fn ask_group(&self, query: &SlotQuery<'_>, service: u32, target: Target) -> SlotAnswer {
+        let group = target.group;
+        let mut answer = match self.coordinator(service, group) {
+            Coordinator::Nobody => SlotAnswer::NoCoordinator,
+            Coordinator::Own => {
+                let answer = self.place_own(query, group);
+                self.note_own_room(query, service, group, &answer);
+                answer
+            }
+            Coordinator::Peer(peer) => self.ask_peer(query, service, target, &peer).await,
         };
-        if free(preferred) >= ROOMY_PERMILLE || free(preferred) >= free(other) {
-            preferred
-        } else {
-            other
+        if let SlotAnswer::Given { choice, .. } = &mut answer {
+            let is_away = choice.replica.location.region != self.location.region;
+            choice.left_region = target.left.filter(|_| is_away);
         }
+        answer
     }
 
-    /// The group of the replica that all daemons prefer for the prompt: of the own zone, if groups lie in zones.
-    fn preferred_group(&self, query: &SlotQuery<'_>, layout: &GroupLayout<'_>) -> GroupId {
-        let index = self.index();
-        let service = short_hash(query.service);
-        let preferred = if query.length == PromptLength::Long {
-            None
-        } else {
-            let near = layout.in_zone(self.location.zone);
-            let near = near.flat_map(|group| index.listed(service, group));
-            preferred_of(near, query)
+    /// Takes what an own group's answer tells of its room.
+    fn note_own_room(
+        &self,
+        query: &SlotQuery<'_>,
+        service: u32,
+        group: GroupId,
+        answer: &SlotAnswer,
+    ) {
+        let (free_permille, wait) = match answer {
+            SlotAnswer::Given { choice, .. } => {
+                let slots = choice.replica.slots();
+                (choice.free_permille, self.queue(choice.load, slots))
+            }
+            SlotAnswer::ComeBack { .. } => (0, query.objective),
+            SlotAnswer::NoRoom | SlotAnswer::NoCoordinator => return,
         };
-        let preferred =
-            preferred.or_else(|| preferred_of(index.view.listed(query.service).iter(), query));
-        preferred.map_or_else(
-            || layout.at(0),
-            |replica| layout.group_of(replica.hash, replica.location.zone),
-        )
-    }
-
-    async fn ask_group(&self, query: &SlotQuery<'_>, service: u32, group: GroupId) -> SlotAnswer {
-        match self.coordinator(service, group) {
-            Coordinator::Nobody => SlotAnswer::NoCoordinator,
-            Coordinator::Own => self.place_own(query, group),
-            Coordinator::Peer(peer) => self.ask_peer(query, service, group, &peer).await,
-        }
-    }
-
-    /// Another group that is not full as far as its coordinator told: a caller is not sent away while it is.
-    fn roomier_group(&self, query: &SlotQuery<'_>, service: u32, full: GroupId) -> Option<GroupId> {
-        let view = self.replicas.view();
-        let layout = layout(&view, query.service, self.costs.policy);
-        let state = self.lock();
-        let reported = state.free_permille.iter();
-        reported
-            .filter(|((of, group), _)| *of == service && *group != full && layout.contains(*group))
-            .filter(|(_, free)| **free > 0)
-            .max_by_key(|(_, free)| **free)
-            .map(|((_, group), _)| *group)
+        let room = Room {
+            free_permille,
+            wait,
+        };
+        self.set_room(service, group, room);
     }
 
     async fn ask_peer(
         &self,
         query: &SlotQuery<'_>,
         service: u32,
-        group: GroupId,
+        target: Target,
         coordinator: &CoordinatorCandidate,
     ) -> SlotAnswer {
+        let group = target.group;
         let Some(address) = coordinator.address else {
             return SlotAnswer::NoCoordinator;
         };
@@ -154,22 +123,26 @@
             coordinator: address,
             answered: false,
         };
-        let ask = self.describe_ask(query, service, group, lease);
+        let mut ask = self.describe_ask(query, service, group, lease);
+        ask.spilled = target.left == Some(LeftRegion::Full);
         let give_up = query.objective / GIVE_UP_PART;
         let give_up = give_up.clamp(LEAST_PATIENCE, MOST_PATIENCE);
         let patience = CallPatience {
             again: give_up * GIVE_UP_PART / ASK_AGAIN_PART,
             give_up,
+            longest: query.objective / LONGEST_PART,
         };
         let send = || self.send(Kind::SlotAsk(ask.clone()), address);
-        let Some(grant) = self.calls.ask(lease, patience, send).await else {
+        let zone = coordinator.location.zone;
+        let Some(grant) = self.calls.ask(lease, zone, patience, send).await else {
             drop(awaiting);
             self.note_silent(&coordinator.id);
             return SlotAnswer::NoCoordinator;
         };
         awaiting.answered = true;
         drop(awaiting);
-        self.note_heard(&coordinator.id, service, group, &grant);
+        self.note_heard(&coordinator.id);
+        self.note_room(query, service, group, &grant);
         self.take_grant(query, lease, &grant, address)
     }
 
@@ -209,6 +182,7 @@
                 load: grant.load,
                 free_permille: grant.free_permille,
                 cold_until: None,
+                left_region: None,
                 copy_from: view.by_hash(grant.copy_from).cloned(),
             },
             lease,
@@ -239,7 +213,7 @@
             lease,
             service,
             group: group.number,
-            group_zone: group.zone,
+            group_area: group.area,
             zone: self.location.zone,
             region: self.location.region,
             allowed_regions: region_names(query.regions),
@@ -253,13 +227,14 @@
             suspected: suspected.map(|replica| replica.hash).collect(),
             item,
             overdue: query.overdue,
+            spilled: false,
             objective_ms: millis(query.objective),
             may_return_ms: query.may_return.map_or(0, millis),
             connected: connected.collect(),
         }
     }
 
-    fn is_silent(&self, coordinator: &str) -> bool {
+    pub(super) fn is_silent(&self, coordinator: &str) -> bool {
         let now_ms = self.now_ms();
         let state = self.lock();
         let silent = state.silent.get(coordinator);
@@ -278,16 +253,12 @@
         });
     }
 
-    fn note_heard(&self, coordinator: &str, service: u32, group: GroupId, grant: &SlotGrant) {
+    fn note_heard(&self, coordinator: &str) {
         let now_ms = self.now_ms();
-        let mut state = self.lock();
+        let state = self.lock();
         if let Some(suspicion) = state.silent.get(coordinator) {
             suspicion.note_progress(now_ms);
         }
-        if !grant.not_coordinator {
-            let free = grant.free_permille;
-            state.free_permille.insert((service, group), free);
-        }
     }
 
     fn report_released(&self, lease: u32, coordinator: SocketAddr) {
@@ -318,20 +289,27 @@
             return SlotAnswer::NoCoordinator;
         }
         let service = short_hash(query.service);
-        let group = {
-            let view = self.replicas.view();
-            let layout = layout(&view, query.service, self.costs.policy);
-            self.group_to_ask(&query, service, &layout)
-        };
-        let mut answer = self.ask_group(&query, service, group).await;
-        if matches!(answer, SlotAnswer::ComeBack { .. })
-            && let Some(roomier) = self.roomier_group(&query, service, group)
+        let mut target = self.group_to_ask(&query, service);
+        let mut answer = self.ask_group(&query, service, target).await;
+        let was_refused = matches!(answer, SlotAnswer::NoCoordinator);
+        if was_refused && target.left == Some(LeftRegion::Full) {
+            // The room there was taken meanwhile, or nobody there answers: the own region takes it after all.
+            target = self.group_at_home(&query, service);
+            answer = self.ask_group(&query, service, target).await;
+        }
+        if let SlotAnswer::ComeBack { .. } = answer
+            && let Some(roomier) = self.roomier_group(&query, target.group)
         {
-            answer = self.ask_group(&query, service, roomier).await;
+            let second = self.ask_group(&query, service, roomier).await;
+            if !matches!(second, SlotAnswer::NoCoordinator) || roomier.left.is_none() {
+                answer = second;
+            }
         }
         if query.item.is_some() && matches!(answer, SlotAnswer::NoRoom) {
             let mut state = self.lock();
-            state.no_room_at.insert((service, group), Instant::now());
+            state
+                .no_room_at
+                .insert((service, target.group), Instant::now());
         }
         answer
     }
@@ -401,19 +379,3 @@
         }),
     }
 }
-
-/// Of replicas that take new work and were not tried, the one that all daemons prefer for the prompt; a random one for
-/// a prompt that shares nothing.
-fn preferred_of<'a>(
-    replicas: impl Iterator<Item = &'a Arc<Replica>>,
-    query: &SlotQuery<'_>,
-) -> Option<&'a Arc<Replica>> {
-    let part = query.prompt.shared().last().map(|part| part.id);
-    let usable = replicas
-        .filter(|replica| replica.accepts_work() && !query.excluded.contains(&replica.record.id));
-    usable.max_by_key(|replica| {
-        part.map_or_else(rand::random, |part| {
-            preference_weight(part, &replica.record.id)
-        })
-    })
-}
--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -7,8 +7,8 @@
 
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChoiceQuery, ChosenBy, Location, Mechanism, Prompt, PromptLength, PromptPart, Replica,
-    SlotAnswer, SlotQuery, WorkClass, choose_replica, short_hash,
+    Choice, ChoiceQuery, ChosenBy, Location, Mechanism, Prompt, PromptLength, PromptPart,
+    ROOMY_PERMILLE, Replica, SlotAnswer, SlotQuery, WorkClass, choose_replica, short_hash,
 };
 use harrierward_slots::{GroupAdmission, GroupId, Newcomer, SlotUse};
 use harrierward_tenants::AllowedRegions;
@@ -17,7 +17,7 @@
 
 use super::asking::millis;
 use super::index::GroupIndex;
-use super::{Coordinator, SlotService, State, class_of, layout, usage_of};
+use super::{Coordinator, SlotService, State, class_of, group_of, layout, usage_of};
 
 /// Ticks of the membership between two whole reports to a coordinator.
 const REPORT_TICKS: u64 = 4;
@@ -43,6 +43,7 @@
         let usable = self.usable(&index, service, group);
         let query = ChoiceQuery {
             is_own_zone: &|replica| replica.location.zone == asker.location.zone,
+            is_own_region: &|replica| replica.location.region == asker.location.region,
             prompt: asker.prompt,
             regions: asker.regions,
             length: asker.length,
@@ -73,7 +74,7 @@
         let layout = layout(&index.view, service, self.costs.policy);
         let others = index.view.usable(service).into_iter();
         others
-            .filter(|replica| layout.group_of(replica.hash, replica.location.zone) == group)
+            .filter(|replica| group_of(&layout, replica) == group)
             .collect()
     }
 
@@ -254,7 +255,7 @@
             };
         };
         let group = GroupId {
-            zone: ask.group_zone,
+            area: ask.group_area,
             number: ask.group,
         };
         let layout = layout(&view, service, self.costs.policy);
@@ -283,6 +284,13 @@
         let Some(choice) = self.choose(service, group, &asker) else {
             return none;
         };
+        if ask.spilled && choice.free_permille < ROOMY_PERMILLE {
+            return SlotGrant {
+                free_permille: choice.free_permille,
+                load: choice.load,
+                ..none
+            };
+        }
         if ask.item.is_none() {
             let objective = Duration::from_millis(u64::from(ask.objective_ms));
             let may_return = Duration::from_millis(u64::from(ask.may_return_ms));
@@ -370,11 +378,17 @@
     /// Driven by the membership's tick: forgets silent holders, and tells coordinators what is held.
     pub fn tick(&self) {
         let now = Instant::now();
+        let layouts = self.index().layouts;
         let due = {
             let mut state = self.lock();
             state.ledger.expire(now);
             state.ticks += 1;
-            state.ticks.is_multiple_of(REPORT_TICKS)
+            // Coordinators of groups that are new know nothing until the holders tell them.
+            let changed = std::mem::replace(&mut state.layouts, layouts) != layouts;
+            if changed {
+                state.coordinators.clear();
+            }
+            changed || state.ticks.is_multiple_of(REPORT_TICKS)
         };
         self.publish();
         if due {
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -4,6 +4,7 @@
 //! cut off or gone costs a request a part of its objective once; then the daemon chooses by itself for a while.
 
 mod asking;
+mod choosing_group;
 mod granting;
 mod index;
 
@@ -29,6 +30,7 @@
 use crate::calls::DatagramCalls;
 use crate::pool::ConnectionPool;
 
+use choosing_group::ToldRoom;
 use index::GroupIndex;
 
 /// A living member that stays, as far as the leases concern it.
@@ -66,11 +68,14 @@
     ledger: SlotLedger,
     held: HeldSlots,
     silent: HashMap<String, Suspicion>,
-    free_permille: HashMap<(u32, GroupId), u32>,
+    /// What coordinators last told of their groups.
+    rooms: HashMap<(u32, GroupId), ToldRoom>,
     /// When a group last had no room for an item.
     no_room_at: HashMap<(u32, GroupId), Instant>,
     /// Coordinators that the last round of reports told of leases.
     reported: HashSet<SocketAddr>,
+    /// Digest of the layouts at the last tick.
+    layouts: u64,
     ticks: u64,
     /// What was observed of the groups that this daemon coordinates.
     admissions: HashMap<(u32, GroupId), GroupAdmission>,
@@ -128,9 +133,10 @@
                 ledger: SlotLedger::default(),
                 held: HeldSlots::default(),
                 silent: HashMap::new(),
-                free_permille: HashMap::new(),
+                rooms: HashMap::new(),
                 no_room_at: HashMap::new(),
                 reported: HashSet::new(),
+                layouts: 0,
                 ticks: 0,
                 admissions: HashMap::new(),
                 coordinators: HashMap::new(),
@@ -182,15 +188,25 @@
             .clone()
     }
 
-    /// A zone's group is coordinated from within the zone, if anybody is there.
+    /// An area's group is coordinated from within the area if anybody is there, else from within its region.
+    ///
+    /// Why: nearly all who ask are there, and an area that is cut off goes on by itself.
     fn find_coordinator(&self, service: u32, group: GroupId) -> Coordinator {
         let members = self.members.load();
-        let is_near = |member: &&CoordinatorCandidate| member.location.zone == group.zone;
-        let is_anyone_near = members.iter().any(|member| is_near(&member));
-        let candidates = members
+        let region = self.index().region_of(service, group);
+        let distance = |member: &CoordinatorCandidate| {
+            let location = member.location;
+            if location.zone == group.area || location.region == group.area {
+                0
+            } else {
+                1 + u8::from(Some(location.region) != region)
+            }
+        };
+        let least = members.iter().map(distance).min();
+        let nearest = members
             .iter()
-            .filter(|member| !is_anyone_near || is_near(member));
-        let ids = candidates.map(|member| member.id.as_str());
+            .filter(|member| Some(distance(member)) == least);
+        let ids = nearest.map(|member| member.id.as_str());
         let Some(coordinator) = coordinator_of(service, group, ids) else {
             return Coordinator::Nobody;
         };
@@ -220,7 +236,7 @@
     fn group(&self, replica: &Replica) -> GroupId {
         let view = self.replicas.view();
         let layout = layout(&view, &replica.record.service, self.costs.policy);
-        layout.group_of(replica.hash, replica.location.zone)
+        group_of(&layout, replica)
     }
 
     /// True if this daemon keeps the replica's leases: the other daemons' requests there are then known exactly.
@@ -240,12 +256,17 @@
 
 /// How a service's replicas are divided into groups.
 fn layout<'a>(view: &'a ReplicaView, service: &str, policy: Policy) -> GroupLayout<'a> {
-    let zones = if policy.has(Mechanism::ZoneGroups) {
-        view.zones(service)
+    let (zones, regions) = if policy.has(Mechanism::ZoneGroups) {
+        (view.zones(service), view.regions(service))
     } else {
-        &[]
+        (&[][..], &[][..])
     };
-    GroupLayout::new(view.listed(service).len(), zones)
+    GroupLayout::new(view.listed(service).len(), zones, regions)
+}
+
+/// The group of a replica.
+fn group_of(layout: &GroupLayout<'_>, replica: &Replica) -> GroupId {
+    layout.group_of(replica.hash, replica.location.zone, replica.location.region)
 }
 
 fn usage_of(item: Option<harrierward_serving::ItemRoom>, now: Instant) -> SlotUse {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -58,18 +58,19 @@
         hashes.fold(0, |digest, hash| digest ^ hash)
     }
 
-    /// The members but `own`, those of a zone first, else in random order: daemons that need the same of some member
+    /// The members but `own`, those of a zone first, then those of its region, else in random order: daemons that need the same of some member
     /// must not all ask the same one.
     pub fn others_nearest_first(
         &self,
         own: &str,
         zone: &str,
+        region: &str,
         random: &mut impl Rng,
     ) -> Vec<&Member> {
         let others = self.members.iter().filter(|member| member.id != own);
         let mut others: Vec<&Member> = others.collect();
         others.shuffle(random);
-        others.sort_by_key(|member| member.zone != zone);
+        others.sort_by_key(|member| (member.zone != zone, member.region != region));
         others
     }
 
--- a/crates/membership/tests/view.rs
+++ b/crates/membership/tests/view.rs
@@ -27,7 +27,7 @@
     for number in 0..100 {
         let own = member(number);
         let mut random = SmallRng::seed_from_u64(number as u64);
-        let others = view.others_nearest_first(&own.id, &own.zone, &mut random);
+        let others = view.others_nearest_first(&own.id, &own.zone, &own.region, &mut random);
         assert_eq!(others.len(), 299);
         assert!(others.iter().all(|other| other.id != own.id));
         assert!(others[..99].iter().all(|other| other.zone == own.zone));
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -7,7 +7,7 @@
 use harrierward_decisions::Record;
 use tokio::time::{Instant, timeout};
 
-use crate::choice::{Placement, ROOMY_PERMILLE};
+use crate::choice::{LeftRegion, Placement, ROOMY_PERMILLE};
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
 use crate::forwarder::{Forwarder, RequestState};
 use crate::gate::{Passage, barred};
@@ -165,6 +165,8 @@
             route: &request.target,
             replica: &replica.record.id,
             chosen_by: choice.by.name(),
+            region: &replica.record.region,
+            left_region: choice.left_region.map(LeftRegion::name),
             load: choice.load,
             slots: replica.slots(),
             free_permille: choice.free_permille,
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -34,6 +34,25 @@
     }
 }
 
+/// Why a request leaves the region of the daemon that it came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeftRegion {
+    /// The own region's replicas are full, and the way costs less than their queues.
+    Full,
+    /// The own region has no replica that may take it and answers.
+    NoReplica,
+}
+
+impl LeftRegion {
+    /// Name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::NoReplica => "no replica",
+        }
+    }
+}
+
 /// The replica for an attempt.
 #[derive(Debug, Clone)]
 pub struct Choice {
@@ -47,6 +66,8 @@
     pub free_permille: u32,
     /// Until when the request may be sent there although the replica is cold; `None` if it was not counted there.
     pub cold_until: Option<Instant>,
+    /// Why a replica in another region was looked for; `None` where the own region's were.
+    pub left_region: Option<LeftRegion>,
     /// Another one that probably keeps more of the prompt: its memory of it is copied instead of being made anew.
     pub copy_from: Option<Arc<Replica>>,
 }
@@ -91,6 +112,8 @@
 pub struct ChoiceQuery<'a> {
     /// Zone whose replicas come first.
     pub is_own_zone: &'a dyn Fn(&Replica) -> bool,
+    /// Region whose replicas come next.
+    pub is_own_region: &'a dyn Fn(&Replica) -> bool,
     /// The prompt.
     pub prompt: &'a Prompt,
     /// How its length stands among the service's.
@@ -146,6 +169,7 @@
                 .as_ref()
                 .is_some_and(|preferred| Arc::ptr_eq(preferred, replica)),
             own_zone: (query.is_own_zone)(replica),
+            own_region: (query.is_own_region)(replica),
             connected: (query.is_connected)(replica),
             separation: separation(query.length, view.is_long_prompt_home(&replica.record.id)),
             suspected: (query.is_suspected)(replica),
@@ -163,10 +187,33 @@
         load: candidates[position].load,
         free_permille: free_permille(&candidates),
         cold_until: None,
+        left_region: None,
         copy_from,
     })
 }
 
+/// The replicas of the own region, if any of them may take the work; else all.
+///
+/// Why not by price: a daemon that chooses by itself knows too little of the others' queues to send work far away for
+/// them. Batch work waits rather than leave its region; online work leaves replicas that are silent.
+pub fn own_region_first(
+    replicas: Vec<Arc<Replica>>,
+    query: &ChoiceQuery<'_>,
+) -> (Vec<Arc<Replica>>, Option<LeftRegion>) {
+    let may_take = |replica: &&Arc<Replica>| {
+        (query.is_own_region)(replica)
+            && !(query.is_excluded)(replica)
+            && query.regions.allows(&replica.record.region)
+            && (query.is_item || !(query.is_suspected)(replica))
+    };
+    let near: Vec<Arc<Replica>> = replicas.iter().filter(may_take).cloned().collect();
+    if near.is_empty() {
+        (replicas, Some(LeftRegion::NoReplica))
+    } else {
+        (near, None)
+    }
+}
+
 /// Slots that online requests could take, those of items that would give way among them, in thousandths of all.
 fn free_permille(candidates: &[Candidate]) -> u32 {
     let slots: u32 = candidates.iter().map(|one| one.slots).sum();
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -44,6 +44,8 @@
 pub struct ForwarderSettings {
     /// Zone of the daemon.
     pub zone: String,
+    /// Region of the daemon.
+    pub region: String,
     /// Prices of the choice of a replica.
     pub costs: SelectionCosts,
     /// How long keys are served without contact.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -28,7 +28,8 @@
 pub use admission::{ConfigurationProof, KeyTrust, RateAnswer, RateLimits, caller_of, tenant_of};
 pub use attempt::{Attempt, AttemptFailure, AttemptTimes, Sending, wait_for_progress};
 pub use choice::{
-    Choice, ChoiceQuery, ChosenBy, Placement, ROOMY_PERMILLE, choose_replica, reserved_slots,
+    Choice, ChoiceQuery, ChosenBy, LeftRegion, Placement, ROOMY_PERMILLE, choose_replica,
+    own_region_first, reserved_slots,
 };
 pub use configuration::{
     BatchBounds, CallerLimits, Route, RouteKind, Service, ServingConfiguration, Warmup,
@@ -51,6 +52,8 @@
 };
 pub use reply::{CallerAnswer, CallerBody, Refusal, RefusalCause, Reply};
 pub use routes::{RouteEntry, RouteTable};
-pub use selection::{Candidate, SelectionCosts, Separation, choose, cost, preference_weight};
+pub use selection::{
+    Candidate, SelectionCosts, Separation, choose, cost, expected_wait_ms, preference_weight,
+};
 pub use suspicion::Suspicion;
 pub use topology::{Location, Topology};
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -6,7 +6,7 @@
 use harrierward_decisions::Record;
 use tokio::time::{Instant, sleep};
 
-use crate::choice::{ChoiceQuery, Placement, choose_replica};
+use crate::choice::{ChoiceQuery, Placement, choose_replica, own_region_first};
 use crate::exchange::ServingRequest;
 use crate::forwarder::Forwarder;
 use crate::leases::{ItemRoom, SlotAnswer, SlotLease, SlotQuery};
@@ -163,27 +163,27 @@
         let view = self.replicas().view();
         let places = self.places();
         let zone = &self.settings().zone;
-        let choice = choose_replica(
-            &view,
-            view.usable(query.service),
-            &self.settings().costs,
-            &ChoiceQuery {
-                is_own_zone: &|replica| replica.record.zone == *zone,
-                prompt: query.prompt,
-                regions: query.regions,
-                length: query.length,
-                is_excluded: &|replica| query.excluded.contains(&replica.record.id),
-                is_connected: &|_| false,
-                is_suspected: &|replica| replica.is_suspected(),
-                is_item: query.item.is_some(),
-                is_overdue: false,
-                most_candidates: if self.policy().has(Mechanism::Sampling) {
-                    OWN_CANDIDATES
-                } else {
-                    usize::MAX
-                },
+        let region = &self.settings().region;
+        let wanted = ChoiceQuery {
+            is_own_zone: &|replica| replica.record.zone == *zone,
+            is_own_region: &|replica| replica.record.region == *region,
+            prompt: query.prompt,
+            regions: query.regions,
+            length: query.length,
+            is_excluded: &|replica| query.excluded.contains(&replica.record.id),
+            is_connected: &|_| false,
+            is_suspected: &|replica| replica.is_suspected(),
+            is_item: query.item.is_some(),
+            is_overdue: false,
+            most_candidates: if self.policy().has(Mechanism::Sampling) {
+                OWN_CANDIDATES
+            } else {
+                usize::MAX
             },
-        )?;
+        };
+        let (replicas, left) = own_region_first(view.usable(query.service), &wanted);
+        let mut choice = choose_replica(&view, replicas, &self.settings().costs, &wanted)?;
+        choice.left_region = left.filter(|_| choice.replica.record.region != *region);
         let number = places.take(&choice.replica, query.item);
         let held = SlotLease::new(Arc::clone(places), number);
         let replica = choice.replica.clone();
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -355,6 +355,8 @@
     by_service: HashMap<String, Vec<Arc<Replica>>>,
     /// Hashes of the zones that each service's replicas are in, in order, each once.
     zones: HashMap<String, Vec<u32>>,
+    /// Hashes of their regions, likewise.
+    regions: HashMap<String, Vec<u32>>,
     long_prompt_homes: HashSet<String>,
     vanished: HashMap<String, Vec<Vanished>>,
 }
@@ -403,6 +405,11 @@
         self.zones.get(service).map_or(&[][..], Vec::as_slice)
     }
 
+    /// Hashes of the regions in which the service has replicas, each once.
+    pub fn regions(&self, service: &str) -> &[u32] {
+        self.regions.get(service).map_or(&[][..], Vec::as_slice)
+    }
+
     /// Names of the services that have replicas.
     pub fn services(&self) -> impl Iterator<Item = &str> {
         self.by_service.keys().map(String::as_str)
@@ -473,12 +480,13 @@
             .map(|replica| (replica.hash, replica.clone()));
         let by_hash = by_hash.collect();
         let long_prompt_homes = by_service.values().flat_map(|list| homes(list)).collect();
-        let zones = by_service.iter();
-        let zones = zones.map(|(service, list)| (service.clone(), zones_of(list)));
+        let zones = areas_of(&by_service, |location| location.zone);
+        let regions = areas_of(&by_service, |location| location.region);
         self.view.store(Arc::new(ReplicaView {
             by_id,
             by_hash,
-            zones: zones.collect(),
+            zones,
+            regions,
             by_service,
             long_prompt_homes,
             vanished,
@@ -486,11 +494,18 @@
     }
 }
 
-fn zones_of(list: &[Arc<Replica>]) -> Vec<u32> {
-    let mut zones: Vec<u32> = list.iter().map(|replica| replica.location.zone).collect();
-    zones.sort_unstable();
-    zones.dedup();
-    zones
+/// The areas that the replicas of each service are in, in order, each once.
+fn areas_of(
+    by_service: &HashMap<String, Vec<Arc<Replica>>>,
+    area: impl Fn(Location) -> u32,
+) -> HashMap<String, Vec<u32>> {
+    let services = by_service.iter().map(|(service, list)| {
+        let mut areas: Vec<u32> = list.iter().map(|one| area(one.location)).collect();
+        areas.sort_unstable();
+        areas.dedup();
+        (service.clone(), areas)
+    });
+    services.collect()
 }
 
 /// Share of a service's replicas that take the long prompts, in percent.
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -15,6 +15,10 @@
     pub waiting_ms: f64,
     /// Cost of a replica in another zone, milliseconds.
     pub other_zone_ms: f64,
+    /// Cost of a replica in another region, milliseconds: what a crossing must spare a request beyond the time on the
+    /// way. More than one request's wait at a full replica of eight slots and less than two requests', so that a region
+    /// keeps its requests until they would queue; an operator whose lines between regions are dearer sets more.
+    pub other_region_ms: f64,
     /// Cost of a replica to which the asker keeps no connection, milliseconds: a round trip between zones and the
     /// replica's work for a new connection (1 ms on the users' sites). Less than what one more request costs at a
     /// replica that is a third full, so that it decides only among replicas that are alike.
@@ -45,6 +49,7 @@
         }
         if !policy.has(Mechanism::OwnZoneFirst) {
             costs.other_zone_ms = 0.0;
+            costs.other_region_ms = 0.0;
         }
         if !policy.has(Mechanism::KeptConnections) {
             costs.new_connection_ms = 0.0;
@@ -63,6 +68,7 @@
             full_ms: 40.0,
             waiting_ms: 400.0,
             other_zone_ms: 6.0,
+            other_region_ms: 60.0,
             new_connection_ms: 2.5,
             suspected_ms: 2_000.0,
             preferred_share: 0.3,
@@ -100,6 +106,8 @@
     pub preferred: bool,
     /// In the daemon's own zone.
     pub own_zone: bool,
+    /// In the daemon's own region.
+    pub own_region: bool,
     /// The daemon keeps a connection to it.
     pub connected: bool,
     /// Where it stands to the separation of long prompts from short ones.
@@ -117,10 +125,12 @@
     };
     let tokens = f64::from(candidate.uncached_shared_tokens) * share;
     let prefill = tokens / costs.prefill_tokens_per_ms;
-    let zone = if candidate.own_zone {
+    let place = if candidate.own_zone {
         0.0
-    } else {
+    } else if candidate.own_region {
         costs.other_zone_ms
+    } else {
+        costs.other_region_ms
     };
     let connection = if candidate.connected {
         0.0
@@ -137,16 +147,22 @@
         Separation::LongAway => costs.long_away_ms,
         Separation::ShortBesideLong => costs.short_beside_long_ms,
     };
-    prefill + zone + connection + suspected + separation + congestion(costs, candidate)
+    prefill + place + connection + suspected + separation + congestion(costs, candidate)
 }
 
 fn congestion(costs: &SelectionCosts, candidate: &Candidate) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
     let load = f64::from(candidate.load);
     let fill = (load / slots).min(1.0);
-    let staying = f64::from(candidate.load.saturating_sub(candidate.preemptible));
-    let waiting = (staying + 1.0 - slots).max(0.0);
-    costs.full_ms * fill * fill + costs.waiting_ms * waiting / slots
+    let staying = candidate.load.saturating_sub(candidate.preemptible);
+    costs.full_ms * fill * fill + expected_wait_ms(costs, staying, candidate.slots)
+}
+
+/// Expected wait for a slot at a replica with so many requests that stay before this one, milliseconds.
+pub fn expected_wait_ms(costs: &SelectionCosts, staying: u32, slots: u32) -> f64 {
+    let slots = f64::from(slots.max(1));
+    let waiting = (f64::from(staying) + 1.0 - slots).max(0.0);
+    costs.waiting_ms * waiting / slots
 }
 
 /// Position of the cheapest candidate; `jitter` gives numbers from 0 to 1.
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -103,6 +103,7 @@
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
             zone: ZONE.to_owned(),
+            region: String::new(),
             costs: SelectionCosts::default(),
             key_trust: KeyTrust::Unbounded,
         },
@@ -224,6 +225,7 @@
         uncached_shared_tokens: 0,
         preferred: false,
         own_zone: true,
+        own_region: true,
         connected: false,
         separation: Separation::Fits,
         suspected: false,
@@ -248,6 +250,7 @@
         uncached_shared_tokens: 0,
         preferred: false,
         own_zone: true,
+        own_region: true,
         connected: false,
         separation: Separation::Fits,
         suspected: false,
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -83,6 +83,7 @@
                 load: 1,
                 free_permille: self.free_permille,
                 cold_until: None,
+                left_region: None,
                 copy_from: None,
             },
             lease: 1,
@@ -158,6 +159,7 @@
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
             zone: "zone-a".to_owned(),
+            region: String::new(),
             costs: SelectionCosts::default(),
             key_trust: KeyTrust::Unbounded,
         },
--- a/crates/slots/src/groups.rs
+++ b/crates/slots/src/groups.rs
@@ -9,90 +9,135 @@
 /// what they have free: requests would have to ask twice.
 const LEAST_ZONE_REPLICAS: usize = 12;
 
+/// Fewest replicas that a region must have on the mean for its groups to be its own. A question to another region takes
+/// longer than one more question within the own, so regions have groups of their own long before zones have; with one
+/// to three replicas, though, nearly every request of a busy region would find its group full and ask twice, once far
+/// away.
+const LEAST_REGION_REPLICAS: usize = 4;
+
 /// A group of a service's replicas.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct GroupId {
-    /// Hash of the zone that the group lies in; 0 for a group over all zones.
-    pub zone: u32,
-    /// Its number within the zone, or among all.
+    /// Hash of the zone or the region that the group lies in; 0 for a group over all places.
+    pub area: u32,
+    /// Its number within the area, or among all.
     pub number: u32,
 }
 
+/// What the groups of a service lie in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AreaKind {
+    /// Each lies in one zone.
+    Zone,
+    /// Each lies in one region.
+    Region,
+    /// They reach over all places.
+    All,
+}
+
 /// How a service's replicas are divided into groups: all daemons that know the same replicas divide them alike.
 ///
 /// Why by zone where zones are large enough: most requests stay in their zone, so that the datagrams about their
-/// slots need not leave it either, and a zone that is cut off goes on by itself.
+/// slots need not leave it either, and a zone that is cut off goes on by itself. Why else by region: a coordinator in
+/// another region answers later than a request can wait.
+///
+/// Why nothing is remembered of earlier layouts: daemons that started at different times would divide the same
+/// replicas differently for good, and refuse each other's questions. A layout that changes costs what a coordinator
+/// that changes costs: the new one learns from the holders' next whole report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GroupLayout<'a> {
-    /// Zones with groups of their own; empty if the groups reach over all zones.
-    zones: &'a [u32],
-    /// Groups of each zone, or of all together: a power of two, so that it seldom changes.
+    kind: AreaKind,
+    /// Areas with groups of their own; empty if the groups reach over all places.
+    areas: &'a [u32],
+    /// Groups of each area, or of all together: a power of two, so that it seldom changes.
     numbers: u32,
 }
 
 impl<'a> GroupLayout<'a> {
-    /// The layout for so many replicas in `zones` (hashes of their names, each once).
-    pub fn new(replicas: usize, zones: &'a [u32]) -> Self {
+    /// The layout for so many replicas in `zones` and `regions` (hashes of their names, each once).
+    pub fn new(replicas: usize, zones: &'a [u32], regions: &'a [u32]) -> Self {
         let in_a_zone = replicas / zones.len().max(1);
+        let in_a_region = replicas / regions.len().max(1);
         let is_by_zone = replicas > GROUP_REPLICAS && in_a_zone >= LEAST_ZONE_REPLICAS;
         if is_by_zone {
-            Self {
-                zones,
-                numbers: group_count(in_a_zone),
-            }
+            Self::over(AreaKind::Zone, zones, in_a_zone)
+        } else if regions.len() > 1 && in_a_region >= LEAST_REGION_REPLICAS {
+            Self::over(AreaKind::Region, regions, in_a_region)
         } else {
-            Self {
-                zones: &[],
-                numbers: group_count(replicas),
-            }
+            Self::over(AreaKind::All, &[], replicas)
+        }
+    }
+
+    fn over(kind: AreaKind, areas: &'a [u32], replicas: usize) -> Self {
+        Self {
+            kind,
+            areas,
+            numbers: group_count(replicas),
         }
     }
 
-    /// True if each group lies in one zone.
-    pub fn is_by_zone(&self) -> bool {
-        !self.zones.is_empty()
+    /// What each group lies in.
+    pub fn kind(&self) -> AreaKind {
+        self.kind
     }
 
     /// True if there is only one group.
     pub fn is_single(&self) -> bool {
-        self.zones.len() <= 1 && self.numbers <= 1
+        self.areas.len() <= 1 && self.numbers <= 1
     }
 
-    /// The group of a replica, from the hashes of its id and its zone.
-    pub fn group_of(&self, replica: u32, zone: u32) -> GroupId {
+    /// The group of a replica, from the hashes of its id, its zone and its region.
+    pub fn group_of(&self, replica: u32, zone: u32, region: u32) -> GroupId {
         GroupId {
-            zone: if self.is_by_zone() { zone } else { 0 },
+            area: self.area_at(zone, region),
             number: replica % self.numbers.max(1),
         }
     }
 
+    /// The area of a place.
+    pub fn area_at(&self, zone: u32, region: u32) -> u32 {
+        match self.kind {
+            AreaKind::Zone => zone,
+            AreaKind::Region => region,
+            AreaKind::All => 0,
+        }
+    }
+
     /// True for a group of this layout.
     pub fn contains(&self, group: GroupId) -> bool {
-        let zone_fits = if self.is_by_zone() {
-            self.zones.contains(&group.zone)
-        } else {
-            group.zone == 0
+        let is_area = match self.kind {
+            AreaKind::Zone | AreaKind::Region => self.areas.contains(&group.area),
+            AreaKind::All => group.area == 0,
         };
-        zone_fits && group.number < self.numbers
+        is_area && group.number < self.numbers
     }
 
-    /// The groups that lie in a zone; none if groups do not lie in zones.
-    pub fn in_zone(&self, zone: u32) -> impl Iterator<Item = GroupId> + use<> {
-        let numbers = if self.zones.contains(&zone) {
-            self.numbers
+    /// All groups, area after area.
+    pub fn all(&self) -> impl Iterator<Item = GroupId> + use<'a> {
+        let everywhere: &[u32] = &[0];
+        let areas = if self.areas.is_empty() {
+            everywhere
         } else {
-            0
+            self.areas
         };
-        (0..numbers).map(move |number| GroupId { zone, number })
+        let numbers = self.numbers;
+        areas
+            .iter()
+            .flat_map(move |&area| (0..numbers).map(move |number| GroupId { area, number }))
+    }
+
+    /// The groups that lie in an area; none if there is no such area.
+    pub fn in_area(&self, area: u32) -> impl Iterator<Item = GroupId> + use<'a> {
+        self.all().filter(move |group| group.area == area)
     }
 
     /// The group at a position of an endless turn through all groups.
     pub fn at(&self, position: u32) -> GroupId {
         let number = position % self.numbers.max(1);
         let turn = (position / self.numbers.max(1)) as usize;
-        let zone = self.zones.get(turn % self.zones.len().max(1));
+        let area = self.areas.get(turn % self.areas.len().max(1));
         GroupId {
-            zone: zone.copied().unwrap_or(0),
+            area: area.copied().unwrap_or(0),
             number,
         }
     }
@@ -111,7 +156,7 @@
     group: GroupId,
     members: impl IntoIterator<Item = &'a str>,
 ) -> Option<&'a str> {
-    let lease = u64::from(group.zone) << u32::BITS | u64::from(group.number);
+    let lease = u64::from(group.area) << u32::BITS | u64::from(group.number);
     let seed = (u64::from(service) << u32::BITS) ^ lease;
     members
         .into_iter()
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -9,8 +9,10 @@
 mod groups;
 mod held;
 mod ledger;
+mod spill;
 
 pub use admission::{GroupAdmission, Newcomer};
-pub use groups::{GroupId, GroupLayout, coordinator_of};
+pub use groups::{AreaKind, GroupId, GroupLayout, coordinator_of};
 pub use held::HeldSlots;
 pub use ledger::{EndedLease, EndingLease, SlotCounts, SlotLedger, SlotUse};
+pub use spill::{Crossing, Room, is_better_off};
--- /dev/null
+++ b/crates/slots/src/spill.rs
@@ -0,0 +1,33 @@
+//! Whether a request leaves its region for another one's replicas.
+
+use std::time::Duration;
+
+/// What is known of the room in some replicas.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    /// Slots that online requests could take, those of items that would give way among them, in thousandths of all.
+    pub free_permille: u32,
+    /// Expected wait for a slot there.
+    pub wait: Duration,
+}
+
+/// What leaving costs, beside the wait there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Crossing {
+    /// Time on the way: of the question for a slot, and of the request itself.
+    pub way: Duration,
+    /// What the crossing must spare beyond that.
+    pub price: Duration,
+    /// Part of the slots there that must be free, in thousandths.
+    pub least_free_permille: u32,
+}
+
+/// True if a request of a region with `own` room is better off with the `other` room.
+///
+/// Why only from a full region to a roomy one: the two conditions exclude each other for the same replicas, so that two
+/// regions never swap load, whatever the waits are taken for.
+pub fn is_better_off(own: &Room, other: &Room, crossing: &Crossing) -> bool {
+    own.free_permille == 0
+        && other.free_permille >= crossing.least_free_permille.max(1)
+        && own.wait > other.wait + crossing.way + crossing.price
+}
--- a/crates/slots/tests/ledger.rs
+++ b/crates/slots/tests/ledger.rs
@@ -14,6 +14,7 @@
 const HOLDER: u64 = 7;
 const REPLICA: u32 = 40;
 const OTHER_REPLICA: u32 = 41;
+const ONE_REGION: u32 = 70;
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -142,7 +143,7 @@
     reversed.reverse();
     let coordinators: HashSet<&str> = (0..8)
         .map(|number| {
-            let group = GroupId { zone: 0, number };
+            let group = GroupId { area: 0, number };
             let coordinator = coordinator_of(5, group, members.iter().map(String::as_str));
             assert_eq!(
                 coordinator,
@@ -156,12 +157,12 @@
 
 /// Groups of a layout, and how many replicas each one has; replicas are spread evenly over the zones.
 fn group_sizes(replicas: u32, zones: &[u32]) -> BTreeMap<GroupId, usize> {
-    let layout = GroupLayout::new(replicas as usize, zones);
+    let layout = GroupLayout::new(replicas as usize, zones, &[ONE_REGION]);
     let mut sizes: BTreeMap<GroupId, usize> = BTreeMap::new();
     for replica in 0..replicas {
         let hash = replica.wrapping_mul(2_654_435_761);
         let zone = zones[replica as usize % zones.len()];
-        let group = layout.group_of(hash, zone);
+        let group = layout.group_of(hash, zone, ONE_REGION);
         assert!(layout.contains(group), "{group:?}");
         *sizes.entry(group).or_default() += 1;
     }
@@ -182,7 +183,7 @@
     assert_eq!(target.len(), 88);
     assert!(target.values().all(|size| *size <= 64), "{target:?}");
     for sizes in [group_sizes(89, &[1, 2, 3, 4, 5]), target] {
-        assert!(sizes.keys().all(|group| group.zone > 0));
+        assert!(sizes.keys().all(|group| group.area > 0));
     }
 }
 
@@ -190,7 +191,7 @@
 fn a_turn_through_a_layout_meets_every_group() {
     let zones = [1, 2, 3, 4, 5];
     for replicas in [12, 51, 200, 2_200] {
-        let layout = GroupLayout::new(replicas, &zones);
+        let layout = GroupLayout::new(replicas, &zones, &[ONE_REGION]);
         let met: HashSet<GroupId> = (0..1_000).map(|position| layout.at(position)).collect();
         let by_replica = group_sizes(u32::try_from(replicas).expect("few"), &zones);
         assert_eq!(met, by_replica.into_keys().collect());
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -38,9 +38,9 @@
     /// Set for an online request whose objective has passed.
     #[prost(bool, tag = "11")]
     pub overdue: bool,
-    /// Hash of the zone that the group lies in; 0 for a group over all zones.
+    /// Hash of the zone or the region that the group lies in; 0 for a group over all places.
     #[prost(fixed32, tag = "12")]
-    pub group_zone: u32,
+    pub group_area: u32,
     /// Hashes of replicas of the group to which the asker keeps a connection.
     #[prost(fixed32, repeated, tag = "13")]
     pub connected: Vec<u32>,
@@ -56,6 +56,9 @@
     /// Regions in which the request may be served; not set if in all.
     #[prost(message, optional, tag = "17")]
     pub allowed_regions: Option<RegionNames>,
+    /// The asker's own region has replicas too, which are full: granted only where there is room to spare.
+    #[prost(bool, tag = "18")]
+    pub spilled: bool,
 }
 
 /// Names of regions.
