--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -69,7 +69,8 @@
         };
         if let SlotAnswer::Given { choice, .. } = &mut answer {
             let is_away = choice.replica.location.region != self.location.region;
-            choice.left_region = target.left.filter(|_| is_away);
+            let why = target.left.unwrap_or(LeftRegion::Price);
+            choice.left_region = is_away.then_some(why);
         }
         answer
     }
--- a/crates/edge/src/slots/choosing_group.rs
+++ b/crates/edge/src/slots/choosing_group.rs
@@ -116,7 +116,7 @@
         let index = self.index();
         let layout = layout(&index.view, query.service, self.costs.policy);
         if layout.is_single() {
-            return Target::near(layout.at(0));
+            return self.only(&index, service, layout.at(0));
         }
         let groups = Groups {
             service,
@@ -130,6 +130,15 @@
         spilled.flatten().unwrap_or(target)
     }
 
+    fn only(&self, index: &GroupIndex, service: u32, group: GroupId) -> Target {
+        let region = index.region_of(service, group);
+        let is_away = region.is_some_and(|region| region != self.location.region);
+        Target {
+            group,
+            left: is_away.then_some(LeftRegion::NoReplica),
+        }
+    }
+
     /// The group to ask in the own region, however full it is; another one only if that has no replica to ask for.
     pub(super) fn group_at_home(&self, query: &SlotQuery<'_>, service: u32) -> Target {
         let index = self.index();
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -41,6 +41,8 @@
     Full,
     /// The own region has no replica that may take it and answers.
     NoReplica,
+    /// Its coordinator gives out slots of several regions, and one in another was the cheapest.
+    Price,
 }
 
 impl LeftRegion {
@@ -49,6 +51,7 @@
         match self {
             Self::Full => "full",
             Self::NoReplica => "no replica",
+            Self::Price => "price",
         }
     }
 }
--- a/crates/slots/src/groups.rs
+++ b/crates/slots/src/groups.rs
@@ -61,7 +61,8 @@
         let is_by_zone = replicas > GROUP_REPLICAS && in_a_zone >= LEAST_ZONE_REPLICAS;
         if is_by_zone {
             Self::over(AreaKind::Zone, zones, in_a_zone)
-        } else if regions.len() > 1 && in_a_region >= LEAST_REGION_REPLICAS {
+        } else if regions.len() == 1 || (regions.len() > 1 && in_a_region >= LEAST_REGION_REPLICAS)
+        {
             Self::over(AreaKind::Region, regions, in_a_region)
         } else {
             Self::over(AreaKind::All, &[], replicas)
--- /dev/null
+++ b/crates/slots/tests/groups.rs
@@ -0,0 +1,158 @@
+//! How replicas are divided into groups over zones and regions, and when a request leaves its region.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use harrierward_slots::{
+    AreaKind, Crossing, GroupId, GroupLayout, Room, coordinator_of, is_better_off,
+};
+use proptest::prelude::*;
+
+const ZONES: [u32; 6] = [11, 12, 21, 22, 31, 32];
+const REGIONS: [u32; 3] = [1, 2, 3];
+
+fn region_of(zone: u32) -> u32 {
+    zone / 10
+}
+
+/// Replicas by zone, as hashes of their ids.
+type Fleet = BTreeMap<u32, BTreeSet<u32>>;
+
+fn fleets() -> impl Strategy<Value = Fleet> {
+    let zone = prop::collection::btree_set(any::<u32>(), 0..40);
+    prop::collection::vec(zone, ZONES.len())
+        .prop_map(|zones| ZONES.into_iter().zip(zones).collect())
+}
+
+fn zones_of(fleet: &Fleet) -> Vec<u32> {
+    let used = fleet.iter().filter(|(_, replicas)| !replicas.is_empty());
+    used.map(|(zone, _)| *zone).collect()
+}
+
+fn regions_of(zones: &[u32]) -> Vec<u32> {
+    let regions: BTreeSet<u32> = zones.iter().map(|zone| region_of(*zone)).collect();
+    regions.into_iter().collect()
+}
+
+fn size(fleet: &Fleet) -> usize {
+    fleet.values().map(BTreeSet::len).sum()
+}
+
+fn even(replicas: usize) -> GroupLayout<'static> {
+    GroupLayout::new(replicas, &ZONES, &REGIONS)
+}
+
+#[test]
+fn groups_lie_in_zones_where_these_are_large_else_in_regions_else_nowhere() {
+    assert_eq!(even(72).kind(), AreaKind::Zone, "twelve a zone");
+    assert_eq!(even(60).kind(), AreaKind::Region, "ten a zone");
+    assert_eq!(even(12).kind(), AreaKind::Region, "four a region");
+    assert_eq!(even(11).kind(), AreaKind::All, "fewer");
+    let one_region = GroupLayout::new(5, &[11, 12], &[1]);
+    assert_eq!(one_region.kind(), AreaKind::Region, "all in one region");
+    assert!(one_region.is_single());
+}
+
+proptest! {
+    /// Every replica is in one group of the layout, in its own zone or region, and all daemons that list the same
+    /// replicas say so, whatever layout they had before.
+    #[test]
+    fn every_replica_is_in_exactly_one_group(fleet in fleets()) {
+        let zones = zones_of(&fleet);
+        let regions = regions_of(&zones);
+        let layout = GroupLayout::new(size(&fleet), &zones, &regions);
+        let again = GroupLayout::new(size(&fleet), &zones, &regions);
+        prop_assert_eq!(layout, again);
+        let all: Vec<GroupId> = layout.all().collect();
+        let distinct: BTreeSet<GroupId> = all.iter().copied().collect();
+        prop_assert_eq!(all.len(), distinct.len());
+        for (zone, replicas) in &fleet {
+            for replica in replicas {
+                let group = layout.group_of(*replica, *zone, region_of(*zone));
+                prop_assert!(layout.contains(group));
+                prop_assert_eq!(all.iter().filter(|one| **one == group).count(), 1);
+                let area = layout.area_at(*zone, region_of(*zone));
+                prop_assert!(layout.in_area(area).any(|one| one == group));
+            }
+        }
+        for position in 0..all.len() {
+            let position = u32::try_from(position).unwrap_or_default();
+            prop_assert!(distinct.contains(&layout.at(position)));
+        }
+    }
+
+    /// One replica that comes or goes moves the others to other groups only where a bound of the layout lies, so that
+    /// a fleet that grows or shrinks changes its layout a few times and not with each replica.
+    #[test]
+    fn a_layout_changes_seldom_while_a_fleet_grows(start in 1_usize..40) {
+        let mut changes = 0;
+        for replicas in start..start + 400 {
+            let before = even(replicas);
+            let after = even(replicas + 1);
+            changes += usize::from(before != after);
+        }
+        prop_assert!(changes <= 6, "{} changes", changes);
+    }
+
+    /// A request goes only from a full region to a roomy one: then no two regions send each other requests, whatever
+    /// the waits are and wherever the price is set.
+    #[test]
+    fn two_regions_never_swap_load(
+        free in prop::collection::vec(0_u32..1_000, 2),
+        waits in prop::collection::vec(0_u64..2_000, 2),
+        way in 0_u64..80,
+        price in 0_u64..100,
+        least in 0_u32..300,
+    ) {
+        let room = |at: usize| Room {
+            free_permille: free[at],
+            wait: Duration::from_millis(waits[at]),
+        };
+        let crossing = Crossing {
+            way: Duration::from_millis(way),
+            price: Duration::from_millis(price),
+            least_free_permille: least,
+        };
+        let there = is_better_off(&room(0), &room(1), &crossing);
+        let back = is_better_off(&room(1), &room(0), &crossing);
+        prop_assert!(!(there && back));
+    }
+}
+
+#[test]
+fn a_request_leaves_a_full_region_only_for_more_than_the_way_and_the_price() {
+    let crossing = Crossing {
+        way: Duration::from_millis(80),
+        price: Duration::from_millis(60),
+        least_free_permille: 150,
+    };
+    let roomy = Room {
+        free_permille: 400,
+        wait: Duration::ZERO,
+    };
+    let full = |wait| Room {
+        free_permille: 0,
+        wait: Duration::from_millis(wait),
+    };
+    assert!(!is_better_off(&full(140), &roomy, &crossing));
+    assert!(is_better_off(&full(141), &roomy, &crossing));
+    let nearly_full = Room {
+        free_permille: 1,
+        ..full(900)
+    };
+    assert!(!is_better_off(&nearly_full, &roomy, &crossing));
+    let tight = Room {
+        free_permille: 149,
+        ..roomy
+    };
+    assert!(!is_better_off(&full(900), &tight, &crossing));
+}
+
+#[test]
+fn an_area_has_a_coordinator_of_its_own() {
+    let members = ["a", "b", "c", "d", "e", "f", "g"];
+    let coordinators: BTreeSet<&str> = (0..20)
+        .filter_map(|area| coordinator_of(1, GroupId { area, number: 0 }, members))
+        .collect();
+    assert!(coordinators.len() > 3, "{coordinators:?}");
+}
