Jobs are adopted near their last owner first; tests of the way to far coordinators and of the sender's own choice

Cause: a job of a region whose acceptor died was adopted anywhere, while its clients and the prompts that replicas keep are near.

--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -491,6 +491,16 @@
         Some(attached.map(|member| member.id.clone()).collect())
     }
 
+    fn owners_near(&self, owner: &str) -> Vec<String> {
+        let state = self.lock();
+        let Some(region) = state.core.region(owner) else {
+            return Vec::new();
+        };
+        let staying = state.view.staying();
+        let near = staying.filter(|member| !member.detached && member.region == region);
+        near.map(|member| member.id.clone()).collect()
+    }
+
     async fn ask_quota(
         &self,
         coordinator: &str,
--- a/crates/edge/tests/rates.rs
+++ b/crates/edge/tests/rates.rs
@@ -57,6 +57,11 @@
 
 /// A daemon that answers, unless it is deaf.
 async fn start(name: &str, is_deaf: bool) -> Daemon {
+    start_at(name, is_deaf, Duration::ZERO).await
+}
+
+/// One that hears everything so much later.
+async fn start_at(name: &str, is_deaf: bool, distance: Duration) -> Daemon {
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
     let address = socket.local_addr().expect("an address");
     let socket = Arc::new(socket);
@@ -70,7 +75,7 @@
     rates.set_socket(socket.clone());
     if !is_deaf {
         let receiver = rates.clone();
-        tokio::spawn(async move { receive(&receiver, &socket).await });
+        tokio::spawn(async move { receive(&receiver, &socket, distance).await });
     }
     Daemon {
         rates,
@@ -86,12 +91,23 @@
     }
 }
 
-async fn receive(rates: &RateService, socket: &UdpSocket) {
+async fn receive(rates: &Arc<RateService>, socket: &UdpSocket, distance: Duration) {
     let mut buffer = vec![0; 2_000];
     while let Ok((length, from)) = socket.recv_from(&mut buffer).await {
         let datagram = decode::<NodeDatagram>(&buffer[..length]);
         if let Some(kind) = datagram.and_then(|datagram| datagram.kind) {
-            assert!(rates.receive(kind, from).is_none(), "not about rates");
+            let rates = rates.clone();
+            let taking = async move {
+                assert!(rates.receive(kind, from).is_none(), "not about rates");
+            };
+            if distance.is_zero() {
+                taking.await;
+            } else {
+                tokio::spawn(async move {
+                    tokio::time::sleep(distance).await;
+                    taking.await;
+                });
+            }
         }
     }
 }
@@ -183,3 +199,27 @@
         assert_eq!(answer, RateAnswer::Unknown);
     }
 }
+
+/// Two daemons with 60 ms between them, there and back: longer than the patience beside which the way takes no time.
+/// The first answer comes too late, and tells how long to wait for the next ones.
+#[tokio::test]
+async fn a_coordinator_that_is_far_away_is_waited_for() {
+    const ONE_WAY: Duration = Duration::from_millis(30);
+    const SILENT_FOR: Duration = Duration::from_millis(1_000);
+    let near = start_at("a", false, ONE_WAY).await;
+    let far = start_at("b", false, ONE_WAY).await;
+    let members = vec![near.candidate.clone(), far.candidate.clone()];
+    near.rates.set_members(members.clone());
+    far.rates.set_members(members);
+    let tenants = tenants();
+    let of_far: Vec<&Arc<Tenant>> = tenants
+        .iter()
+        .filter(|tenant| far.rates.coordinates(&tenant.name))
+        .collect();
+    near.rates.admit(of_far[0], "r").await;
+    tokio::time::sleep(SILENT_FOR + ONE_WAY).await;
+    for tenant in &of_far[1..6] {
+        let answer = near.rates.admit(tenant, "r").await;
+        assert_eq!(answer, RateAnswer::Within);
+    }
+}
--- a/crates/inline-jobs/src/adoption.rs
+++ b/crates/inline-jobs/src/adoption.rs
@@ -55,7 +55,8 @@
             for known in orphans {
                 let job_id = known.head.job_id.clone();
                 let since = *missing_since.entry(job_id).or_insert_with(Instant::now);
-                if since.elapsed() >= self.adoption_delay(&known, &owners) {
+                let near = self.inner.peers.owners_near(&known.head.owner);
+                if since.elapsed() >= self.adoption_delay(&known, &owners, &near) {
                     missing_since.remove(&known.head.job_id);
                     let jobs = self.clone();
                     tokio::spawn(async move { jobs.adopt_job(known).await });
@@ -64,20 +65,31 @@
         }
     }
 
-    /// Daemons adopt a job in an order of its own, so that they do not all try at once.
-    fn adoption_delay(&self, known: &KnownHead, owners: &[String]) -> Duration {
-        let job = xxh3_64(known.head.job_id.as_bytes());
-        let own = preference_weight(job, &self.inner.life);
-        let before = owners
-            .iter()
-            .filter(|owner| preference_weight(job, owner) > own)
-            .count();
+    /// Daemons adopt a job in an order of its own, so that they do not all try at once: those in the region of its last
+    /// owner first, since its clients and the replicas that keep its prompts are there.
+    fn adoption_delay(&self, known: &KnownHead, owners: &[String], near: &[String]) -> Duration {
+        let is_near = near.contains(&self.inner.life);
+        let rank = if is_near || near.is_empty() {
+            self.rank(known, if is_near { near } else { owners })
+        } else {
+            let others = owners.iter().filter(|owner| !near.contains(owner));
+            1 + self.rank(known, others)
+        };
         let first = if known.head.owner.is_empty() {
             Duration::ZERO
         } else {
             MISSING_FOR
         };
-        first + RANK_DELAY * u32::try_from(before).unwrap_or(u32::MAX)
+        first + RANK_DELAY * rank
+    }
+
+    /// How many of the daemons come before this one in a job's order.
+    fn rank<'a>(&self, known: &KnownHead, owners: impl IntoIterator<Item = &'a String>) -> u32 {
+        let job = xxh3_64(known.head.job_id.as_bytes());
+        let own = preference_weight(job, &self.inner.life);
+        let before = owners.into_iter();
+        let before = before.filter(|owner| preference_weight(job, owner) > own);
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
     async fn adopt_job(&self, known: KnownHead) {
@@ -145,7 +157,7 @@
             let keep_ms = u64::try_from(keep.as_millis()).unwrap_or(u64::MAX);
             let before = self.inner.view.store_now_ms().saturating_sub(keep_ms);
             for known in self.inner.view.closed_before(before) {
-                if self.adoption_delay(&known, &owners) < MISSING_FOR + RANK_DELAY {
+                if self.rank(&known, &owners) == 0 {
                     // What is not removed now is found again at the next round.
                     let _ = self.inner.store.remove(&known).await;
                 }
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -25,6 +25,9 @@
     /// the others.
     fn owners(&self) -> Option<Vec<String>>;
 
+    /// Of those, the ones in the region of a daemon that may have died; empty if its region is not known.
+    fn owners_near(&self, owner: &str) -> Vec<String>;
+
     /// Asks another daemon, the coordinator of a route's quota, for a job's tokens: what became of it, and the fence of a
     /// grant. `None` if it does not answer.
     async fn ask_quota(
--- a/crates/membership/src/core/mod.rs
+++ b/crates/membership/src/core/mod.rs
@@ -297,6 +297,11 @@
         MembershipView { members }
     }
 
+    /// Region of a member, also of one that is held for dead; `None` if it is unknown.
+    pub fn region(&self, id: &str) -> Option<&str> {
+        self.known.get(id).map(|known| known.record.region.as_str())
+    }
+
     /// State in which a member is held; `None` if unknown.
     pub fn state(&self, id: &str) -> Option<MemberState> {
         self.known.get(id).map(|known| state_of(&known.record))
--- a/crates/membership/tests/view.rs
+++ b/crates/membership/tests/view.rs
@@ -35,3 +35,25 @@
     }
     assert!(first.len() > 60, "{} are asked first", first.len());
 }
+
+/// Zones 0 and 1 lie in one region, zone 2 in another.
+#[test]
+fn members_of_the_own_region_come_before_those_of_others() {
+    let in_region = |number: usize| Member {
+        region: format!("region-{}", number % 3 / 2),
+        ..member(number)
+    };
+    let view = MembershipView {
+        members: (0..30).map(in_region).collect(),
+    };
+    let own = in_region(0);
+    let mut random = SmallRng::seed_from_u64(1);
+    let others = view.others_nearest_first(&own.id, &own.zone, &own.region, &mut random);
+    let places: Vec<(bool, bool)> = others
+        .iter()
+        .map(|other| (other.zone == own.zone, other.region == own.region))
+        .collect();
+    assert!(places[..9].iter().all(|(zone, _)| *zone));
+    assert!(places[9..19].iter().all(|place| *place == (false, true)));
+    assert!(places[19..].iter().all(|(_, region)| !region));
+}
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -11,7 +11,7 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     Candidate, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, KeyTrust,
-    Prompt, PromptPart, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient,
+    LeftRegion, Prompt, PromptPart, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient,
     ReplicaRecord, ReplicaRequest, ReplicaSet, SelectionCosts, Separation, ServingRequest,
     SlotAnswer, SlotLeases, SlotQuery, cost, reserved_slots,
 };
@@ -81,8 +81,11 @@
 }
 
 fn forwarder_over(places: Arc<NoCoordinators>) -> Forwarder {
-    let replicas = ReplicaSet::default();
-    let records = (0..REPLICAS).map(|number| ReplicaRecord {
+    forwarder_with(places, (0..REPLICAS).map(record).collect())
+}
+
+fn record(number: usize) -> ReplicaRecord {
+    ReplicaRecord {
         region: String::new(),
         warmup: Duration::ZERO,
         id: format!("replica-{number}"),
@@ -91,8 +94,12 @@
         zone: ZONE.to_owned(),
         slots: 8,
         draining: false,
-    });
-    replicas.replace(records.collect(), |_| 100_000);
+    }
+}
+
+fn forwarder_with(places: Arc<NoCoordinators>, records: Vec<ReplicaRecord>) -> Forwarder {
+    let replicas = ReplicaSet::default();
+    replicas.replace(records, |_| 100_000);
     Forwarder::new(ForwarderParts {
         routes: Arc::new(ArcSwapOption::empty()),
         replicas: Arc::new(replicas),
@@ -271,3 +278,41 @@
     };
     assert!(cost(&costs, &idle) < cost(&costs, &far), "zones first");
 }
+
+/// Of 24 replicas, a third in each of three regions, five of which a choice looks at: a daemon that finds no
+/// coordinator stays in its region while a replica there answers. Items stay even then.
+#[tokio::test]
+async fn a_daemon_that_chooses_itself_stays_in_its_region_while_a_replica_there_answers() {
+    let in_region = |number: usize| {
+        let own = number.is_multiple_of(3);
+        let (zone, region) = if own { (ZONE, "") } else { ("far", "far") };
+        ReplicaRecord {
+            zone: zone.to_owned(),
+            region: region.to_owned(),
+            ..record(number)
+        }
+    };
+    let forwarder = forwarder_with(Arc::default(), (0..24).map(in_region).collect());
+    let mut held = Vec::new();
+    for number in 0..64 {
+        let request = request(number);
+        let placement = forwarder.place(&request, "model", &[], OBJECTIVE, None);
+        let placement = placement.await.expect("a replica");
+        assert!(placement.choice.replica.record.region.is_empty());
+        assert_eq!(placement.choice.left_region, None);
+        held.push(placement);
+    }
+    let view = forwarder.replicas().view();
+    let own = view.all().filter(|one| one.record.region.is_empty());
+    own.for_each(|replica| replica.suspect());
+    let request = request(1);
+    let away = forwarder.place(&request, "model", &[], OBJECTIVE, None);
+    let away = away.await.expect("a replica of another region");
+    assert_eq!(away.choice.replica.record.region, "far");
+    assert_eq!(away.choice.left_region, Some(LeftRegion::NoReplica));
+    let item = ItemRoom {
+        slack: Duration::from_secs(9),
+    };
+    let item = forwarder.place(&request, "model", &[], OBJECTIVE, Some(item));
+    assert!(item.await.is_none(), "an item left its region");
+}
