--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -22,7 +22,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep};
 
-use crate::calls::{CallPatience, DatagramCalls};
+use crate::calls::{CallPatience, DatagramCalls, PeerPlace};
 use crate::peer_loads::PeerLoads;
 use crate::peer_news::PeerNews;
 use crate::rates::RateService;
@@ -63,6 +63,7 @@
 const QUOTA_PATIENCE: CallPatience = CallPatience {
     again: Duration::from_millis(40),
     give_up: Duration::from_millis(100),
+    longest: Duration::from_millis(200),
 };
 
 /// Largest datagram received, bytes.
@@ -83,6 +84,7 @@
 pub struct Members {
     life: String,
     zone: String,
+    region: String,
     policy: Policy,
     seeds: Vec<String>,
     started: Instant,
@@ -143,6 +145,7 @@
         Self {
             life,
             zone: settings.zone.clone(),
+            region: settings.region.clone(),
             policy: settings.policy,
             seeds: settings.seeds.clone(),
             started: Instant::now(),
@@ -166,7 +169,8 @@
     /// Addresses at which some other living daemons answer control calls, near ones first.
     pub fn control_addresses(&self, most: usize) -> Vec<String> {
         let view = self.view();
-        let others = view.others_nearest_first(&self.life, &self.zone, &mut rand::rng());
+        let others =
+            view.others_nearest_first(&self.life, &self.zone, &self.region, &mut rand::rng());
         let addresses = others.into_iter().map(|one| one.peer_address.clone());
         addresses.take(most).collect()
     }
@@ -296,7 +300,8 @@
                 Vec::new()
             }
             Some(node_datagram::Kind::QuotaAnswer(answer)) => {
-                self.quota_calls.take(answer.number, answer);
+                // A late answer changes nothing: a job's tokens are asked for again.
+                let _ = self.quota_calls.take(answer.number, answer);
                 Vec::new()
             }
             Some(node_datagram::Kind::LoadNotice(notice)) => {
@@ -525,17 +530,32 @@
         Some(owners.into_iter().filter(is_in).collect())
     }
 
+    fn owners_near(&self, owner: &str) -> Vec<String> {
+        let state = self.lock();
+        let Some(region) = state.core.region(owner) else {
+            return Vec::new();
+        };
+        let staying = state.view.staying();
+        let near = staying.filter(|member| !member.detached && member.region == region);
+        near.map(|member| member.id.clone()).collect()
+    }
+
     async fn ask_quota(
         &self,
         coordinator: &str,
         request: QuotaRequest<'_>,
     ) -> Option<(QuotaOutcome, u64)> {
         let address = self.address_of(coordinator)?;
+        let own = Location::new(&self.zone, &self.region);
+        let view = self.view();
+        let peer = view.member(coordinator);
+        let peer = peer.map_or(own, |one| Location::new(&one.zone, &one.region));
+        let place = PeerPlace::from(own, peer);
         let ask = self.quota_ask(request);
         let send = || self.send_to(node_datagram::Kind::QuotaAsk(ask.clone()), address);
         let answer = self
             .quota_calls
-            .ask(ask.number, QUOTA_PATIENCE, send)
+            .ask(ask.number, place, QUOTA_PATIENCE, send)
             .await?;
         Some((answer.outcome(), answer.fence))
     }
--- a/crates/edge/src/rates.rs
+++ b/crates/edge/src/rates.rs
@@ -20,15 +20,16 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::calls::{CallPatience, DatagramCalls};
+use crate::calls::{CallPatience, DatagramCalls, PeerPlace};
 use crate::fleet::SharedFleet;
 use crate::slots::CoordinatorCandidate;
 
-/// Bounds of a question for tokens. A round trip within a region takes about a millisecond; the whole wait stays under
-/// a quarter of the shortest objective known (200 ms).
+/// Bounds of a question for tokens: what a busy peer takes to answer, and a whole wait under half of the shortest
+/// objective known (200 ms). The way to the peer is measured.
 const PATIENCE: CallPatience = CallPatience {
     again: Duration::from_millis(18),
     give_up: Duration::from_millis(45),
+    longest: Duration::from_millis(95),
 };
 
 /// How long a coordinator that did not answer is passed over.
@@ -176,13 +177,24 @@
                 None
             }
             node_datagram::Kind::RateGrant(grant) => {
-                self.calls.take(grant.number, grant);
+                if self.calls.take(grant.number, grant) {
+                    self.note_late(from);
+                }
                 None
             }
             other => Some(other),
         }
     }
 
+    /// An answer came that nobody waits for any more: its sender is not silent, only farther than was known.
+    fn note_late(&self, from: SocketAddr) {
+        let members = self.members.load();
+        let sender = members.iter().find(|one| one.address == Some(from));
+        if let Some(sender) = sender {
+            self.lock().silent_until.remove(&sender.id);
+        }
+    }
+
     fn answer(&self, ask: &RateAsk) -> RateGrant {
         self.take_fleet(ask.fleet_members, ask.fleet_seen_ms_ago);
         let mut grant = self.decide(ask);
@@ -287,12 +299,22 @@
         self.lock().is_told = true;
     }
 
+    /// Where the member with this address is, as seen from here.
+    fn place_of(&self, address: SocketAddr) -> PeerPlace {
+        let members = self.members.load();
+        let own = members.iter().find(|one| one.id == self.life);
+        let peer = members.iter().find(|one| one.address == Some(address));
+        let peer = peer.map_or_else(Location::default, |peer| peer.location);
+        PeerPlace::from(own.map_or(peer, |own| own.location), peer)
+    }
+
     /// Asks a coordinator at an address; keeps what it gives out beyond the one token for this request.
     async fn ask(&self, tenant: &Tenant, address: SocketAddr) -> Asked {
         let asked_at = Instant::now();
         let ask = self.question(tenant, asked_at);
+        let place = self.place_of(address);
         let send = || self.send(node_datagram::Kind::RateAsk(ask.clone()), address);
-        let Some(grant) = self.calls.ask(ask.number, PATIENCE, send).await else {
+        let Some(grant) = self.calls.ask(ask.number, place, PATIENCE, send).await else {
             return Asked::Silent;
         };
         self.take_fleet(grant.fleet_members, grant.fleet_seen_ms_ago);
--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -7,8 +7,8 @@
 
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChoiceQuery, ChosenBy, Location, Mechanism, Prompt, PromptLength, PromptPart, Replica,
-    SlotAnswer, SlotQuery, WorkClass, choose_replica, short_hash,
+    Choice, ChoiceQuery, ChosenBy, Location, Mechanism, Prompt, PromptLength, PromptPart,
+    ROOMY_PERMILLE, Replica, SlotAnswer, SlotQuery, WorkClass, choose_replica, short_hash,
 };
 use harrierward_slots::{GroupAdmission, GroupId, Newcomer, SlotUse};
 use harrierward_tenants::AllowedRegions;
@@ -17,7 +17,7 @@
 
 use super::asking::millis;
 use super::index::GroupIndex;
-use super::{Coordinator, SlotService, State, class_of, layout, usage_of};
+use super::{Coordinator, SlotService, State, class_of, group_of, layout, usage_of};
 
 /// Ticks of the membership between two whole reports to a coordinator.
 const REPORT_TICKS: u64 = 4;
@@ -44,6 +44,7 @@
         let usable = self.bearing((short_hash(service), group), usable, asker.is_item);
         let query = ChoiceQuery {
             is_own_zone: &|replica| replica.location.zone == asker.location.zone,
+            is_own_region: &|replica| replica.location.region == asker.location.region,
             prompt: asker.prompt,
             regions: asker.regions,
             length: asker.length,
@@ -74,7 +75,7 @@
         let layout = layout(&index.view, service, self.costs.policy);
         let others = index.view.usable(service).into_iter();
         others
-            .filter(|replica| layout.group_of(replica.hash, replica.location.zone) == group)
+            .filter(|replica| group_of(&layout, replica) == group)
             .collect()
     }
 
@@ -261,7 +262,7 @@
             };
         };
         let group = GroupId {
-            zone: ask.group_zone,
+            area: ask.group_area,
             number: ask.group,
         };
         let layout = layout(&view, service, self.costs.policy);
@@ -307,6 +308,13 @@
             }
             return none;
         };
+        if ask.spilled && choice.free_permille < ROOMY_PERMILLE {
+            return SlotGrant {
+                free_permille: choice.free_permille,
+                load: choice.load,
+                ..none
+            };
+        }
         if ask.item.is_none() {
             let objective = Duration::from_millis(u64::from(ask.objective_ms));
             let may_return = Duration::from_millis(u64::from(ask.may_return_ms));
@@ -398,11 +406,17 @@
     /// Driven by the membership's tick: forgets silent holders, and tells coordinators what is held.
     pub fn tick(&self) {
         let now = Instant::now();
+        let layouts = self.index().layouts;
         let due = {
             let mut state = self.lock();
             state.ledger.expire(now);
             state.ticks += 1;
-            state.ticks.is_multiple_of(REPORT_TICKS)
+            // Coordinators of groups that are new know nothing until the holders tell them.
+            let changed = std::mem::replace(&mut state.layouts, layouts) != layouts;
+            if changed {
+                state.coordinators.clear();
+            }
+            changed || state.ticks.is_multiple_of(REPORT_TICKS)
         };
         self.tick_pacing(now);
         self.publish();
@@ -444,7 +458,11 @@
     pub fn receive(&self, kind: Kind, from: SocketAddr) -> Option<Kind> {
         match kind {
             Kind::SlotAsk(ask) => self.take_ask(&ask, from),
-            Kind::SlotGrant(grant) => self.calls.take(grant.lease, grant),
+            Kind::SlotGrant(grant) => {
+                if self.calls.take(grant.lease, grant) {
+                    self.note_late(from);
+                }
+            }
             Kind::SlotReport(report) => self.take_report(&report, from),
             Kind::YieldRequest(request) => self.take_yield(&request),
             other => return Some(other),
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -101,6 +101,7 @@
 
 fn choice(replica: &Arc<Replica>) -> Choice {
     Choice {
+        left_region: None,
         replica: replica.clone(),
         by: ChosenBy::Coordinator,
         load: 0,
@@ -174,6 +175,7 @@
         proof: Arc::default(),
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
+            region: String::new(),
             zone: "zone-a".to_owned(),
             costs: SelectionCosts::default(),
             key_trust: KeyTrust::Unbounded,
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -38,9 +38,9 @@
     /// Set for an online request whose objective has passed.
     #[prost(bool, tag = "11")]
     pub overdue: bool,
-    /// Hash of the zone that the group lies in; 0 for a group over all zones.
+    /// Hash of the zone or the region that the group lies in; 0 for a group over all places.
     #[prost(fixed32, tag = "12")]
-    pub group_zone: u32,
+    pub group_area: u32,
     /// Hashes of replicas of the group to which the asker keeps a connection.
     #[prost(fixed32, repeated, tag = "13")]
     pub connected: Vec<u32>,
@@ -62,6 +62,9 @@
     /// Time since it knew so many, milliseconds.
     #[prost(uint32, tag = "19")]
     pub fleet_seen_ms_ago: u32,
+    /// The asker's own region has replicas too, which are full: granted only where there is room to spare.
+    #[prost(bool, tag = "20")]
+    pub spilled: bool,
 }
 
 /// Names of regions.
