Requests' outcomes go back with their leases, and a coordinator ejects replicas that fail beside the others

Cause: Attempt::judge took any answer, a 500 too, as progress, which cleared suspicion, and each daemon learned alone. Change: a 5xx of the replica suspects it at the daemon. A lease gathers what its request saw (served, failed, cut, silent, spoilt, not run with room, first event) and goes back with it; the coordinator of the group feeds the outlier detector and offers replicas in the order probes, in service, all. SlotAsk says whether the request may be repeated. Items that failed before are no evidence. Records replica_standing and ejections_dropped, a counter and a gauge; policy switch ejection.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -34,6 +34,8 @@
     lines_dropped: IntGauge,
     rate_refusals: IntCounterVec,
     tenant_refusals: IntCounterVec,
+    replica_standings: IntCounterVec,
+    replicas_ejected: IntGauge,
     tenants: Arc<Mutex<BTreeSet<String>>>,
 }
 
@@ -143,6 +145,15 @@
                 "Requests refused for their tenant's rate, by tenant",
                 "tenant",
             )?,
+            replica_standings: counter(
+                "harrierward_replica_standings_total",
+                "Replicas that this daemon, as their coordinator, ejected, spared, probed or took back",
+                "outcome",
+            )?,
+            replicas_ejected: gauge(
+                "harrierward_replicas_ejected",
+                "Replicas that this daemon, as their coordinator, keeps out of service",
+            )?,
             tenants: Arc::default(),
             registry,
         })
@@ -161,6 +172,11 @@
         tenant
     }
 
+    fn set_ejected(&self, ejected: u64) {
+        let ejected = i64::try_from(ejected).unwrap_or(i64::MAX);
+        self.replicas_ejected.set(ejected);
+    }
+
     /// Counts a decision.
     pub fn observe(&self, record: &Record<'_>) {
         match record {
@@ -224,6 +240,13 @@
                 let alive = i64::try_from(*alive).unwrap_or(i64::MAX);
                 self.members_alive.set(alive);
             }
+            Record::ReplicaStanding {
+                outcome, ejected, ..
+            } => {
+                self.replica_standings.with_label_values(&[*outcome]).inc();
+                self.set_ejected(*ejected);
+            }
+            Record::EjectionsDropped { ejected, .. } => self.set_ejected(*ejected),
             Record::ViewSynced { records, .. } => {
                 self.view_sync_records.inc_by(*records as u64);
             }
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -162,6 +162,35 @@
         /// The item is a peer's.
         of_peer: bool,
     },
+    /// The coordinator of a replica's group took it out of service, tried it, or took it back, by what requests there
+    /// came to.
+    ReplicaStanding {
+        /// Replica.
+        replica: &'a str,
+        /// `ejected`, `spared` (it would be ejected if not too many were out), `probed`, `returned`.
+        outcome: &'static str,
+        /// How long it gets no work.
+        absence_ms: u64,
+        /// Outcomes there that count.
+        outcomes: u32,
+        /// Failures among them.
+        failures: u32,
+        /// Failures in a row up to now.
+        in_a_row: u32,
+        /// Age of the oldest outcome that counts.
+        window_ms: u64,
+        /// Share of failures that is usual among the others of the group, in thousandths.
+        others_permille: u32,
+        /// Replicas that this daemon keeps out of service now.
+        ejected: u64,
+    },
+    /// Replicas that were out are gone, or another daemon coordinates them now.
+    EjectionsDropped {
+        /// So many.
+        dropped: u64,
+        /// Replicas that this daemon keeps out of service now.
+        ejected: u64,
+    },
     /// An attempt at a replica failed.
     AttemptFailed {
         /// Request.
--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -7,8 +7,8 @@
 use async_trait::async_trait;
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChosenBy, ItemRoom, Mechanism, PromptLength, ROOMY_PERMILLE, Replica, SlotAnswer,
-    SlotLeases, SlotQuery, WorkClass, preference_weight, short_hash,
+    Choice, ChosenBy, ItemRoom, LeaseEnd, Mechanism, PromptLength, ROOMY_PERMILLE, Replica,
+    SlotAnswer, SlotLeases, SlotQuery, WorkClass, preference_weight, short_hash,
 };
 use harrierward_slots::{GroupId, GroupLayout};
 use harrierward_tenants::AllowedRegions;
@@ -253,6 +253,7 @@
             suspected: suspected.map(|replica| replica.hash).collect(),
             item,
             overdue: query.overdue,
+            may_repeat: query.may_repeat,
             objective_ms: millis(query.objective),
             may_return_ms: query.may_return.map_or(0, millis),
             connected: connected.collect(),
@@ -355,10 +356,10 @@
         lease
     }
 
-    fn release(&self, lease: u32) {
+    fn release(&self, lease: u32, end: LeaseEnd) {
         let replica = self.lock().held.release(lease);
-        if let Some(coordinator) = replica.and_then(|replica| self.peer_coordinating(replica)) {
-            self.report_released(lease, coordinator);
+        if let Some(replica) = replica {
+            self.report_end(lease, replica, end);
         }
     }
 
--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -17,6 +17,7 @@
 
 use super::asking::millis;
 use super::index::GroupIndex;
+use super::outcomes::work_of;
 use super::{Coordinator, SlotService, State, class_of, layout, usage_of};
 
 /// Ticks of the membership between two whole reports to a coordinator.
@@ -33,6 +34,7 @@
     length: PromptLength,
     is_item: bool,
     is_overdue: bool,
+    may_repeat: bool,
 }
 
 impl SlotService {
@@ -53,7 +55,12 @@
             is_overdue: asker.is_overdue,
             most_candidates: usize::MAX,
         };
-        let choice = choose_replica(view, usable, &self.costs, &query);
+        let work = work_of(asker.is_item, asker.may_repeat);
+        let may_wait = asker.is_item || asker.is_overdue;
+        let offered = self.offered(service, group, usable, work, may_wait);
+        let choice = offered
+            .into_iter()
+            .find_map(|replicas| choose_replica(view, replicas, &self.costs, &query));
         choice.map(|choice| Choice {
             by: ChosenBy::Coordinator,
             ..choice
@@ -89,6 +96,7 @@
             length: query.length,
             is_item: query.item.is_some(),
             is_overdue: query.overdue && !self.claim_return(query.service, group),
+            may_repeat: query.may_repeat,
         };
         let Some(choice) = self.choose(query.service, group, &asker) else {
             return if query.item.is_some() || query.overdue {
@@ -115,6 +123,7 @@
             state.held.take(lease, choice.replica.hash, usage);
             lease
         };
+        self.note_granted(query.service, group, &choice.replica, (self.holder, lease));
         self.make_room(&choice, usage);
         SlotAnswer::Given { choice, lease }
     }
@@ -279,6 +288,7 @@
             length: length_of(ask),
             is_item: ask.item.is_some(),
             is_overdue: ask.overdue && !self.claim_return(service, group),
+            may_repeat: ask.may_repeat,
         };
         let Some(choice) = self.choose(service, group, &asker) else {
             return none;
@@ -308,6 +318,7 @@
             .ledger
             .grant(ask.holder, from, ask.lease, replica, usage, now);
         self.publish();
+        self.note_granted(service, group, &choice.replica, (ask.holder, ask.lease));
         self.make_room(&choice, usage);
         choice.replica.note_prompt(&prompt);
         SlotGrant {
@@ -341,6 +352,7 @@
             state.ledger.take_report(report, from, Instant::now());
             self.observe_ended(&mut state);
         }
+        self.take_outcomes(report);
         self.publish();
     }
 
@@ -378,6 +390,7 @@
         };
         self.publish();
         if due {
+            self.prune_outliers();
             self.report_to_coordinators(now);
         }
     }
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -6,6 +6,7 @@
 mod asking;
 mod granting;
 mod index;
+mod outcomes;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -19,7 +20,8 @@
     WorkClass, short_hash,
 };
 use harrierward_slots::{
-    GroupAdmission, GroupId, GroupLayout, HeldSlots, SlotLedger, SlotUse, coordinator_of,
+    GroupAdmission, GroupId, GroupLayout, HeldSlots, OutlierDetector, SlotLedger, SlotUse,
+    coordinator_of,
 };
 use harrierward_wire::{NodeDatagram, SlotGrant, encode, node_datagram};
 use tokio::net::UdpSocket;
@@ -74,6 +76,8 @@
     ticks: u64,
     /// What was observed of the groups that this daemon coordinates.
     admissions: HashMap<(u32, GroupId), GroupAdmission>,
+    /// What became of requests at the replicas of the groups that this daemon coordinates.
+    outliers: HashMap<(u32, GroupId), OutlierDetector>,
     /// Coordinators by service and group, as they follow from the members.
     coordinators: HashMap<(u32, GroupId), Coordinator>,
 }
@@ -133,6 +137,7 @@
                 reported: HashSet::new(),
                 ticks: 0,
                 admissions: HashMap::new(),
+                outliers: HashMap::new(),
                 coordinators: HashMap::new(),
             }),
         }
--- /dev/null
+++ b/crates/edge/tests/ejection.rs
@@ -0,0 +1,223 @@
+//! A replica that fails all its requests at once, in a group whose slots a coordinator grants to many daemons.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use harrierward_decisions::{DecisionLog, LogBounds};
+use harrierward_edge::{CoordinatorCandidate, SlotService};
+use harrierward_serving::{
+    InProgress, ItemRoom, Location, Policy, Prompt, PromptLength, ReplicaRecord, ReplicaSet,
+    SelectionCosts, SlotAnswer, SlotLease, SlotLeases, SlotQuery, Verdict,
+};
+use harrierward_tenants::AllowedRegions;
+use harrierward_wire::{NodeDatagram, decode};
+use tokio::net::UdpSocket;
+
+const SERVICE: &str = "model";
+const DAEMONS: usize = 8;
+const REPLICAS: usize = 8;
+const BAD: &str = "replica-0";
+
+/// How long a replica that serves works on a request.
+const SERVED_AFTER: Duration = Duration::from_millis(10);
+
+/// Requests of each daemon, one after the other.
+const REQUESTS: usize = 40;
+
+fn replica_set() -> Arc<ReplicaSet> {
+    let records = (0..REPLICAS).map(|number| ReplicaRecord {
+        region: String::new(),
+        warmup: Duration::ZERO,
+        id: format!("replica-{number}"),
+        service: SERVICE.to_owned(),
+        address: format!("10.0.0.{number}:80"),
+        zone: "zone-a".to_owned(),
+        slots: 4,
+        draining: false,
+    });
+    let replicas = ReplicaSet::default();
+    replicas.replace(records.collect(), |_| 100_000);
+    Arc::new(replicas)
+}
+
+/// Daemons that know each other and answer.
+async fn fleet(policy: Policy) -> Vec<Arc<SlotService>> {
+    let mut sockets = Vec::new();
+    let mut members = Vec::new();
+    for number in 0..DAEMONS {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+        let address: SocketAddr = socket.local_addr().expect("an address");
+        sockets.push(Arc::new(socket));
+        members.push(CoordinatorCandidate {
+            id: format!("daemon-{number}"),
+            address: Some(address),
+            location: Location::new("zone-a", "region"),
+        });
+    }
+    let mut daemons = Vec::new();
+    for (member, socket) in members.iter().zip(sockets) {
+        let slots = Arc::new(SlotService::new(
+            member.id.clone(),
+            member.location,
+            replica_set(),
+            SelectionCosts::under(policy),
+            DecisionLog::new(LogBounds::default()),
+        ));
+        slots.set_socket(socket.clone());
+        slots.set_members(members.clone());
+        let receiving = slots.clone();
+        tokio::spawn(async move { receive(&receiving, &socket).await });
+        daemons.push(slots);
+    }
+    daemons
+}
+
+async fn receive(slots: &SlotService, socket: &UdpSocket) {
+    let mut buffer = vec![0; 2_000];
+    while let Ok((length, from)) = socket.recv_from(&mut buffer).await {
+        let datagram = decode::<NodeDatagram>(&buffer[..length]);
+        if let Some(kind) = datagram.and_then(|datagram| datagram.kind) {
+            assert!(slots.receive(kind, from).is_none(), "not about places");
+        }
+    }
+}
+
+async fn enter(
+    daemon: &Arc<SlotService>,
+    item: Option<ItemRoom>,
+    may_repeat: bool,
+) -> Option<InProgress> {
+    let prompt = Prompt::default();
+    let query = SlotQuery {
+        service: SERVICE,
+        prompt: &prompt,
+        length: PromptLength::Alike,
+        excluded: &[],
+        regions: &AllowedRegions::Any,
+        objective: Duration::from_millis(300),
+        item,
+        overdue: false,
+        may_repeat,
+        may_return: None,
+    };
+    let SlotAnswer::Given { choice, lease } = daemon.ask(query).await else {
+        return None;
+    };
+    let held = SlotLease::new(daemon.clone(), lease);
+    Some(choice.enter(query.class(), held).in_progress)
+}
+
+/// What happens to a request at each replica. True if it was sent to the bad one.
+async fn run(place: InProgress, bad: Verdict) -> bool {
+    let evidence = place.evidence().expect("a lease");
+    evidence.note_sent(true, Duration::ZERO);
+    let is_bad = place.replica().record.id == BAD;
+    if is_bad {
+        place.conclude(bad);
+    } else {
+        tokio::time::sleep(SERVED_AFTER).await;
+        place.conclude(Verdict::Served);
+    }
+    is_bad
+}
+
+/// All daemons send at the same time. Returns the requests that went to the bad replica.
+async fn send_from_all(daemons: &[Arc<SlotService>], bad: Verdict, may_repeat: bool) -> usize {
+    let calls = daemons.iter().map(|daemon| async move {
+        let mut sent = 0;
+        for _ in 0..REQUESTS {
+            let place = enter(daemon, None, may_repeat).await.expect("a slot");
+            sent += usize::from(run(place, bad).await);
+        }
+        sent
+    });
+    futures::future::join_all(calls).await.into_iter().sum()
+}
+
+#[tokio::test]
+async fn after_the_first_failures_no_daemon_sends_to_a_replica_that_fails_all() {
+    for bad in [
+        Verdict::Failed,
+        Verdict::Cut,
+        Verdict::Spoilt,
+        Verdict::NotRun,
+    ] {
+        let daemons = fleet(Policy::default()).await;
+        send_from_all(&daemons, Verdict::Served, false).await;
+        let sent = send_from_all(&daemons, bad, false).await;
+        // Those of all daemons that are on their way when it is ejected add to the first failures.
+        assert!(
+            sent <= 3 + 2 * DAEMONS,
+            "{sent} of {} requests",
+            DAEMONS * REQUESTS
+        );
+        let sent = send_from_all(&daemons, bad, false).await;
+        assert_eq!(sent, 0, "it is out");
+    }
+}
+
+/// What the mechanism is there for: the replica that fails at once is free at every moment.
+#[tokio::test]
+async fn without_ejection_a_replica_that_fails_all_draws_requests_in() {
+    let policy = Policy::without("ejection").expect("a mechanism");
+    let daemons = fleet(policy).await;
+    send_from_all(&daemons, Verdict::Served, false).await;
+    let sent = send_from_all(&daemons, Verdict::Failed, false).await;
+    assert!(sent > DAEMONS * REQUESTS / REPLICAS, "{sent}");
+}
+
+#[tokio::test]
+async fn a_request_that_says_nothing_of_its_replica_ejects_nobody() {
+    let daemons = fleet(Policy::default()).await;
+    let first = send_from_all(&daemons, Verdict::NoEvidence, true).await;
+    let second = send_from_all(&daemons, Verdict::NoEvidence, true).await;
+    assert!(first > REQUESTS && second > REQUESTS, "{first}, {second}");
+}
+
+/// Requests that run once only never try it; items do, one at a time, and then it is back.
+#[tokio::test]
+async fn an_ejected_replica_returns_by_items() {
+    let daemons = fleet(Policy::default()).await;
+    send_from_all(&daemons, Verdict::Served, false).await;
+    send_from_all(&daemons, Verdict::Failed, false).await;
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    let item = ItemRoom {
+        slack: Duration::from_secs(9),
+    };
+    let mut tried = 0;
+    for number in 0..3 {
+        let daemon = &daemons[number % DAEMONS];
+        let probe = enter(daemon, Some(item), true).await.expect("room");
+        tried += usize::from(probe.replica().record.id == BAD);
+        let other = enter(&daemons[5], Some(item), true).await.expect("room");
+        assert_ne!(other.replica().record.id, BAD, "one at a time");
+        let online = enter(&daemons[6], None, false).await.expect("a slot");
+        assert_ne!(
+            online.replica().record.id,
+            BAD,
+            "not with one that runs once only"
+        );
+        probe.conclude(Verdict::Served);
+        drop((probe, other, online));
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    assert_eq!(tried, 3, "items try it");
+    let sent = send_from_all(&daemons, Verdict::Served, false).await;
+    assert!(sent > REQUESTS / 2, "{sent}: it is back");
+}
+
+/// A group all of whose replicas fail goes on being used.
+#[tokio::test]
+async fn a_group_that_fails_as_a_whole_is_used_on() {
+    let daemons = fleet(Policy::default()).await;
+    let mut replicas = std::collections::HashSet::new();
+    for number in 0..400 {
+        let place = enter(&daemons[number % DAEMONS], None, false).await;
+        let place = place.expect("a slot");
+        replicas.insert(place.replica().hash);
+        place.conclude(Verdict::Failed);
+    }
+    assert_eq!(replicas.len(), REPLICAS);
+    assert!(enter(&daemons[0], None, false).await.is_some());
+}
--- a/crates/edge/tests/slots.rs
+++ b/crates/edge/tests/slots.rs
@@ -127,6 +127,7 @@
         objective: OBJECTIVE,
         item,
         overdue: false,
+        may_repeat: true,
         may_return: None,
     }
 }
--- a/crates/inline-jobs/src/book.rs
+++ b/crates/inline-jobs/src/book.rs
@@ -226,6 +226,8 @@
     pub began_anew: bool,
     /// Replica at which it last ran.
     pub ran_at: Option<String>,
+    /// Runs that a replica failed.
+    pub failures: u32,
     /// The request that runs it.
     pub request: Arc<ServingRequest>,
     /// What has come so far.
@@ -270,6 +272,7 @@
                         accepted_ms: job.known.head.accepted_ms,
                         began_anew: lock(&item.progress).last_event.is_none(),
                         ran_at: item.ran_at.clone(),
+                        failures: item.failures,
                         request: item.request.clone(),
                         progress: item.progress.clone(),
                     });
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -5,7 +5,7 @@
 use futures::StreamExt;
 use harrierward_serving::{
     AttemptFailure, AttemptTimes, EventSplitter, Forwarder, Placement, Sending, ServingRequest,
-    StreamEvent, wait_for_progress,
+    StreamEvent, Verdict, wait_for_progress,
 };
 
 use crate::book::{SharedProgress, lock};
@@ -35,12 +35,13 @@
 const FAILED: u16 = 500;
 const IMPOSSIBLE: u16 = 422;
 
-/// Runs an item where it is placed.
+/// Runs an item where it is placed; one that has `failed_before` and fails again is no evidence against its replica.
 pub async fn run(
     forwarder: &Forwarder,
     request: &ServingRequest,
     progress: &SharedProgress,
     placement: Placement,
+    failed_before: bool,
 ) -> RunOutcome {
     let resume_after = lock(progress).last_event;
     let times = AttemptTimes {
@@ -52,6 +53,7 @@
         resume_after,
         fresh_connection: false,
         number: 1,
+        failed_before,
     };
     let attempt = forwarder
         .attempt_at(request, placement, times, sending)
@@ -70,7 +72,8 @@
         IMPOSSIBLE => return RunOutcome::Impossible,
         status => return RunOutcome::Broken(format!("status {status}")),
     }
-    let replica = attempt.in_progress.replica().clone();
+    let in_progress = attempt.in_progress;
+    let replica = in_progress.replica().clone();
     let mut body = attempt.answer.body;
     let mut splitter = EventSplitter::default();
     loop {
@@ -78,19 +81,28 @@
         let bytes = match next {
             None => {
                 replica.suspect();
+                in_progress.conclude(Verdict::Silent);
                 return RunOutcome::Broken("no event in time".to_owned());
             }
             Some(None) if splitter.left_over() > 0 => {
+                in_progress.conclude(Verdict::Cut);
                 return RunOutcome::Broken("the stream ended within an event".to_owned());
             }
-            Some(None) => return RunOutcome::Finished,
-            Some(Some(Err(error))) => return RunOutcome::Broken(error.to_string()),
+            Some(None) => {
+                in_progress.conclude(Verdict::Served);
+                return RunOutcome::Finished;
+            }
+            Some(Some(Err(error))) => {
+                in_progress.conclude(Verdict::Cut);
+                return RunOutcome::Broken(error.to_string());
+            }
             Some(Some(Ok(bytes))) => bytes,
         };
-        replica.note_progress();
+        in_progress.note_event();
         splitter.push(&bytes);
         while let Some(event) = splitter.next_event() {
             if let Err(cause) = take_event(progress, &event) {
+                in_progress.conclude(Verdict::Spoilt);
                 return RunOutcome::Broken(cause.to_owned());
             }
         }
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -210,6 +210,7 @@
             &item.request,
             &item.progress,
             placement,
+            item.failures > 0,
         )
         .await;
         self.finish(&item, &replica, &outcome, started);
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt at one replica: send, and tell what the answer means.
 
 use std::future::Future;
-use std::sync::Arc;
 use std::time::Duration;
 
 use harrierward_decisions::Record;
@@ -11,6 +10,7 @@
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
 use crate::forwarder::{Forwarder, RequestState};
 use crate::gate::{Passage, barred};
+use crate::outcome::Verdict;
 use crate::placing::NoPlace;
 use crate::policy::Mechanism;
 use crate::replica::{InProgress, Replica};
@@ -35,6 +35,8 @@
     pub fresh_connection: bool,
     /// Number of the attempt, from 1.
     pub number: u32,
+    /// The work has failed at a replica before: if it fails again, that is its own fault rather than the replica's.
+    pub failed_before: bool,
 }
 
 /// Why an attempt gave no answer.
@@ -92,6 +94,9 @@
     }
 }
 
+/// Statuses from this one on are failures of the replica, not of the request.
+const FIRST_FAILURE: u16 = 500;
+
 /// Looks at a replica's silence in the time after which it counts as dark.
 const LOOKS_A_SILENCE: u32 = 3;
 
@@ -119,7 +124,8 @@
                 .ok_or(NoPlace::NoReplica)
         } else {
             let may_return = state.may_return();
-            self.place_newcomer(request, &state.service, objective, may_return)
+            let may_repeat = state.route.may_repeat() && state.route.attempts > 1;
+            self.place_newcomer(request, &state.service, objective, may_repeat, may_return)
                 .await
         };
         let placement = match placement {
@@ -176,6 +182,12 @@
             resume_after: sending.resume_after,
         });
         replica.note_prompt(&request.prompt);
+        // Where all slots are taken a request waits for one, and sending it once more adds to the queue.
+        let is_queue = choice.free_permille < ROOMY_PERMILLE;
+        if let Some(evidence) = in_progress.evidence() {
+            let has_room = !is_queue && choice.load < replica.slots();
+            evidence.note_sent(has_room, self.prefill_time(request));
+        }
         let started = Instant::now();
         let exchange = self.client().send(ReplicaRequest {
             request,
@@ -186,15 +198,13 @@
             fresh_connection: sending.fresh_connection,
             copy_from: copy_from.map(|source| source.address.as_str()),
         });
-        // Where all slots are taken a request waits for one, and sending it once more adds to the queue.
-        let is_queue = choice.free_permille < ROOMY_PERMILLE;
         let dark = if is_queue && self.policy().has(Mechanism::QueuePatience) {
             times.longest
         } else {
             times.dark
         };
         let answer = wait_for_progress(exchange, &replica, dark, times.longest).await;
-        let result = self.judge(request, &replica, answer);
+        let result = self.judge(request, &in_progress, answer, sending.failed_before);
         if let Err(failure) = &result {
             self.log_failure(request, &replica, failure, started.elapsed());
         }
@@ -204,6 +214,12 @@
         })
     }
 
+    /// Time that reading the whole prompt should take.
+    fn prefill_time(&self, request: &ServingRequest) -> Duration {
+        let ms = f64::from(request.prompt.tokens) / self.settings().costs.prefill_tokens_per_ms;
+        Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or_default()
+    }
+
     fn suspect(&self, replica: &Replica) {
         if self.policy().has(Mechanism::Suspicion) {
             replica.suspect();
@@ -213,17 +229,21 @@
     fn judge(
         &self,
         request: &ServingRequest,
-        replica: &Arc<Replica>,
+        in_progress: &InProgress,
         answer: Option<Result<ReplicaAnswer, ExchangeError>>,
+        failed_before: bool,
     ) -> Result<ReplicaAnswer, AttemptFailure> {
+        let replica = in_progress.replica();
         let answer = match answer {
             None => {
                 self.suspect(replica);
+                in_progress.conclude(Verdict::Silent);
                 let cause = "no answer in time".to_owned();
                 return Err(AttemptFailure::MayHaveRun { cause });
             }
             Some(Err(error)) => {
                 self.suspect(replica);
+                in_progress.conclude(Verdict::Cut);
                 let cause = error.to_string();
                 return Err(if error.is_not_run() {
                     AttemptFailure::NotRun { cause, full: false }
@@ -233,7 +253,14 @@
             }
             Some(Ok(answer)) => answer,
         };
-        replica.note_progress();
+        let is_own_failure = !answer.not_run && answer.status >= FIRST_FAILURE && !failed_before;
+        if is_own_failure {
+            // Progress would clear the suspicion, and a replica that fails at once has the least load of all.
+            self.suspect(replica);
+            in_progress.conclude(Verdict::Failed);
+        } else {
+            replica.note_progress();
+        }
         if let Some(word) = answer.load {
             replica.note_load(word);
         }
@@ -243,15 +270,18 @@
             return Err(AttemptFailure::NotRun { cause, full: false });
         }
         if answer.answers.as_deref().is_some_and(|id| id != request.id) {
+            in_progress.conclude(Verdict::Spoilt);
             let cause = "the answer belongs to another request".to_owned();
             return Err(AttemptFailure::MayHaveRun { cause });
         }
         if answer.not_run {
             replica.note_full();
+            in_progress.conclude(Verdict::NotRun);
             let cause = format!("refused with status {}", answer.status);
             return Err(AttemptFailure::NotRun { cause, full: true });
         }
         if answer.answers.is_none() {
+            in_progress.conclude(Verdict::Spoilt);
             let cause = format!("an answer without id, status {}", answer.status);
             return Err(AttemptFailure::MayHaveRun { cause });
         }
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -351,6 +351,7 @@
             resume_after: state.request.resume_after,
             fresh_connection: !state.route.may_repeat(),
             number: state.sends,
+            failed_before: false,
         };
         let times = || state.clock.attempt_times(&state.route, state.sends);
         self.attempt(state, times, sending).await
--- a/crates/serving/src/leases.rs
+++ b/crates/serving/src/leases.rs
@@ -7,6 +7,7 @@
 use harrierward_tenants::AllowedRegions;
 
 use crate::choice::Choice;
+use crate::outcome::{Evidence, LeaseEnd};
 use crate::profile::PromptLength;
 use crate::prompt::Prompt;
 use crate::replica::{Replica, WorkClass};
@@ -37,6 +38,8 @@
     pub item: Option<ItemRoom>,
     /// An online request whose objective has passed: it waits while those that can still be in time take all slots.
     pub overdue: bool,
+    /// It may be sent again elsewhere if it fails: a replica that failed may be tried with it.
+    pub may_repeat: bool,
     /// Longest time after which the caller of an online request still comes back, if it is told to; `None` if the
     /// request must be placed.
     pub may_return: Option<Duration>,
@@ -82,8 +85,8 @@
     /// A lease that this daemon chose itself. Returns its number.
     fn take(&self, replica: &Arc<Replica>, item: Option<ItemRoom>) -> u32;
 
-    /// The lease is free again. Does not wait.
-    fn release(&self, lease: u32);
+    /// The lease is free again; `end` is what its request saw of the replica. Does not wait.
+    fn release(&self, lease: u32, end: LeaseEnd);
 
     /// True if a coordinator that answers grants the replica's slots: it ends items where online requests need them,
     /// and this daemon need not go by its own estimate of what the others have there.
@@ -97,12 +100,23 @@
 pub struct SlotLease {
     leases: Arc<dyn SlotLeases>,
     number: u32,
+    evidence: Evidence,
 }
 
 impl SlotLease {
     /// Holds a lease that was given out or taken.
     pub fn new(leases: Arc<dyn SlotLeases>, number: u32) -> Self {
-        Self { leases, number }
+        let evidence = Evidence::default();
+        Self {
+            leases,
+            number,
+            evidence,
+        }
+    }
+
+    /// What its request sees of the replica.
+    pub fn evidence(&self) -> &Evidence {
+        &self.evidence
     }
 
     /// Its number.
@@ -113,7 +127,7 @@
 
 impl Drop for SlotLease {
     fn drop(&mut self) {
-        self.leases.release(self.number);
+        self.leases.release(self.number, self.evidence.end());
     }
 }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 mod forwarder;
 mod gate;
 mod leases;
+mod outcome;
 mod placing;
 mod policy;
 mod profile;
@@ -42,6 +43,7 @@
 pub use forwarder::{Forwarder, ForwarderParts, ForwarderSettings, SharedRoutes};
 pub use gate::{Barred, Passage, barred};
 pub use leases::{ItemRoom, SlotAnswer, SlotLease, SlotLeases, SlotQuery};
+pub use outcome::{Evidence, LeaseEnd, Verdict};
 pub use policy::{Mechanism, Policy, UnknownMechanism};
 pub use profile::{PromptLength, PromptProfiles};
 pub use prompt::{Prompt, PromptMemory, PromptPart};
--- /dev/null
+++ b/crates/serving/src/outcome.rs
@@ -0,0 +1,97 @@
+//! What the end of a request says of the replica that it ran at.
+//!
+//! Why: a daemon sees few of a replica's requests. What they came to goes back with their leases, so that the replica's
+//! coordinator, which sees all of them, can tell a replica that fails from one that had bad luck.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// What a request's end says of its replica.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing: the caller left, the item was ended, or the request itself was at fault.
+    #[default]
+    NoEvidence,
+    /// The replica answered in full.
+    Served,
+    /// It answered with a failure of its own.
+    Failed,
+    /// Its answer broke off, or its connection was refused or reset.
+    Cut,
+    /// Nothing came from it in time.
+    Silent,
+    /// Its bytes formed no answer, or that of another request.
+    Spoilt,
+    /// It refused although it had room.
+    NotRun,
+}
+
+/// A verdict and how long the first event took.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LeaseEnd {
+    /// The verdict.
+    pub verdict: Verdict,
+    /// Time from sending to the first event without that for reading the prompt, where the replica had room; `None` if that says nothing.
+    pub first_event: Option<Duration>,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    sent: Option<Instant>,
+    has_room: bool,
+    prefill: Duration,
+    end: LeaseEnd,
+}
+
+/// Gathers what one request saw of its replica. The first verdict stays: what follows it is a consequence.
+#[derive(Debug, Default)]
+pub struct Evidence {
+    seen: Mutex<Seen>,
+}
+
+impl Evidence {
+    /// The request is sent now. A replica without room may rightly be slow, silent or refuse; reading the prompt should
+    /// take `prefill`, which is not counted as its slowness.
+    pub fn note_sent(&self, has_room: bool, prefill: Duration) {
+        let mut seen = self.lock();
+        seen.sent = Some(Instant::now());
+        seen.has_room = has_room;
+        seen.prefill = prefill;
+    }
+
+    /// Something of the answer's content came.
+    pub fn note_event(&self) {
+        let mut seen = self.lock();
+        if !seen.has_room || seen.end.first_event.is_some() {
+            return;
+        }
+        let prefill = seen.prefill;
+        let elapsed = seen.sent.map(|sent| sent.elapsed());
+        seen.end.first_event = elapsed.map(|elapsed| elapsed.saturating_sub(prefill));
+    }
+
+    /// True if the first event came.
+    pub fn has_begun(&self) -> bool {
+        self.lock().end.first_event.is_some()
+    }
+
+    /// The request ended so.
+    pub fn conclude(&self, verdict: Verdict) {
+        let mut seen = self.lock();
+        let excused = matches!(verdict, Verdict::Silent | Verdict::NotRun) && !seen.has_room;
+        if seen.end.verdict == Verdict::NoEvidence && !excused {
+            seen.end.verdict = verdict;
+        }
+    }
+
+    /// What was gathered.
+    pub fn end(&self) -> LeaseEnd {
+        self.lock().end
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Seen> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -57,6 +57,7 @@
             objective,
             item,
             overdue: false,
+            may_repeat: item.is_some(),
             may_return: None,
         };
         self.ask_or_choose(query).await.ok()
@@ -68,6 +69,7 @@
         request: &ServingRequest,
         service: &str,
         objective: Duration,
+        may_repeat: bool,
         may_return: Option<Duration>,
     ) -> Result<Placement, NoPlace> {
         self.ask_or_choose(SlotQuery {
@@ -79,6 +81,7 @@
             objective,
             item: None,
             overdue: false,
+            may_repeat,
             may_return,
         })
         .await
@@ -104,6 +107,7 @@
             objective,
             item: None,
             overdue: true,
+            may_repeat: false,
             may_return: None,
         };
         let began = Instant::now();
--- a/crates/serving/src/policy.rs
+++ b/crates/serving/src/policy.rs
@@ -47,17 +47,19 @@
     KeptConnections,
     /// An online request that would be late is refused at once, and its caller told to come back.
     Admission,
+    /// A replica that fails or is slow beside the others of its group gets no or less work from its coordinator.
+    Ejection,
 }
 
 use Mechanism::{
-    Admission, Coordinators, GatheredChanges, ItemReserve, Jitter, KeptConnections, LoadNotices,
-    LongPromptsApart, OverdueLast, OwnZoneFirst, Pacing, Preemption, PreferredReplica,
+    Admission, Coordinators, Ejection, GatheredChanges, ItemReserve, Jitter, KeptConnections,
+    LoadNotices, LongPromptsApart, OverdueLast, OwnZoneFirst, Pacing, Preemption, PreferredReplica,
     PromptCopies, QueuePatience, Sampling, SavedProgress, Suspicion, ViewSync, ZoneGroups,
 };
 
 impl Mechanism {
     /// All of them, in the order of the ablation table.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         PreferredReplica,
         PromptCopies,
         LongPromptsApart,
@@ -78,6 +80,7 @@
         OverdueLast,
         KeptConnections,
         Admission,
+        Ejection,
     ];
 
     /// Name in settings.
@@ -103,6 +106,7 @@
             OverdueLast => "overdue-last",
             KeptConnections => "kept-connections",
             Admission => "admission",
+            Ejection => "ejection",
         }
     }
 
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::events::EventSplitter;
 use crate::exchange::AnswerBody;
 use crate::forwarder::{Forwarder, RequestClock, RequestState};
+use crate::outcome::{Evidence, Verdict};
 use crate::replica::InProgress;
 
 /// The answer could not be brought to its end; the caller's connection must be broken off.
@@ -28,6 +29,9 @@
 /// Pauses allowed after which any replica is given up.
 const LONGEST_GAP_FACTOR: u32 = 3;
 
+/// Answers with this status or a higher one are no service of the replica's.
+const FIRST_ERROR: u16 = 400;
+
 /// Allowed pause between events where the route tells none.
 const DEFAULT_GAP: Duration = Duration::from_millis(500);
 
@@ -76,6 +80,12 @@
         })
     }
 
+    fn conclude(&self, verdict: Verdict) {
+        if let Some(in_progress) = &self.in_progress {
+            in_progress.conclude(verdict);
+        }
+    }
+
     fn splits_events(&self) -> bool {
         self.state.route.is_resumable() && self.status < 300
     }
@@ -93,11 +103,15 @@
                 Step::Bytes(bytes) => return Some(Ok(bytes)),
                 Step::End if self.splits_events() && self.splitter.left_over() > 0 => {
                     let cause = "the stream ended within an event".to_owned();
+                    self.conclude(Verdict::Cut);
                     if let Err(cut) = self.go_on(cause).await {
                         return Some(Err(cut));
                     }
                 }
                 Step::End => {
+                    if self.status < FIRST_ERROR {
+                        self.conclude(Verdict::Served);
+                    }
                     self.finish("whole");
                     return None;
                 }
@@ -130,20 +144,31 @@
         let next = wait_for_progress(body.next(), replica, dark.min(left), longest.min(left)).await;
         match next {
             None if self.state.clock.hold_left().is_zero() => {
+                // One that has sent something may only have had little time.
+                let began = in_progress.evidence().is_some_and(Evidence::has_begun);
+                if !began {
+                    in_progress.conclude(Verdict::Silent);
+                }
                 Step::Broken("the route's time is over".to_owned())
             }
             None => {
                 replica.suspect();
+                in_progress.conclude(Verdict::Silent);
                 Step::Broken("no event in time".to_owned())
             }
             Some(None) => Step::End,
             Some(Some(Ok(bytes))) => {
-                replica.note_progress();
+                if self.status < FIRST_ERROR {
+                    in_progress.note_event();
+                }
                 let elapsed = self.state.clock.elapsed_ms();
                 self.first_event_ms.get_or_insert(elapsed);
                 Step::Bytes(bytes)
             }
-            Some(Some(Err(error))) => Step::Broken(error.to_string()),
+            Some(Some(Err(error))) => {
+                in_progress.conclude(Verdict::Cut);
+                Step::Broken(error.to_string())
+            }
         }
     }
 
@@ -215,6 +240,7 @@
             resume_after: self.delivered,
             fresh_connection: true,
             number: state.sends,
+            failed_before: false,
         };
         self.forwarder.attempt(state, times, sending).await
     }
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -11,6 +11,7 @@
 
 use crate::exchange::ReplicaLoad;
 use crate::leases::SlotLease;
+use crate::outcome::{Evidence, Verdict};
 use crate::prompt::{Prompt, PromptMemory};
 use crate::selection::preference_weight;
 use crate::suspicion::Suspicion;
@@ -331,6 +332,26 @@
     pub fn place(&self) -> Option<u32> {
         self.place.as_ref().map(SlotLease::number)
     }
+
+    /// What the request sees of the replica; goes back with its place.
+    pub fn evidence(&self) -> Option<&Evidence> {
+        self.place.as_ref().map(SlotLease::evidence)
+    }
+
+    /// The request ended so.
+    pub fn conclude(&self, verdict: Verdict) {
+        if let Some(evidence) = self.evidence() {
+            evidence.conclude(verdict);
+        }
+    }
+
+    /// Bytes of the answer's content came.
+    pub fn note_event(&self) {
+        self.replica.note_progress();
+        if let Some(evidence) = self.evidence() {
+            evidence.note_event();
+        }
+    }
 }
 
 impl Drop for InProgress {
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -11,7 +11,7 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     Candidate, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, KeyTrust,
-    Prompt, PromptPart, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient,
+    LeaseEnd, Prompt, PromptPart, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient,
     ReplicaRecord, ReplicaRequest, ReplicaSet, SelectionCosts, Separation, ServingRequest,
     SlotAnswer, SlotLeases, SlotQuery, cost, reserved_slots,
 };
@@ -63,7 +63,7 @@
         1
     }
 
-    fn release(&self, _place: u32) {
+    fn release(&self, _place: u32, _end: LeaseEnd) {
         self.held.fetch_sub(1, Ordering::Relaxed);
     }
 
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -11,9 +11,10 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom,
-    KeyTrust, Prompt, RateAnswer, RateLimits, RefusalCause, Replica, ReplicaAnswer, ReplicaClient,
-    ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts,
-    ServingConfiguration, ServingRequest, SlotAnswer, SlotLeases, SlotQuery, WeightedService,
+    KeyTrust, LeaseEnd, Prompt, RateAnswer, RateLimits, RefusalCause, Replica, ReplicaAnswer,
+    ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable,
+    SelectionCosts, ServingConfiguration, ServingRequest, SlotAnswer, SlotLeases, SlotQuery,
+    WeightedService,
 };
 use harrierward_tenants::{AllowedRegions, Tenant};
 use http::{HeaderMap, Method};
@@ -93,7 +94,7 @@
         1
     }
 
-    fn release(&self, _place: u32) {}
+    fn release(&self, _place: u32, _end: LeaseEnd) {}
 
     fn is_coordinated(&self, _replica: &Replica) -> bool {
         false
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -56,6 +56,9 @@
     /// Regions in which the request may be served; not set if in all.
     #[prost(message, optional, tag = "17")]
     pub allowed_regions: Option<RegionNames>,
+    /// The request may be sent again elsewhere if it fails: it may try a replica that was ejected.
+    #[prost(bool, tag = "20")]
+    pub may_repeat: bool,
 }
 
 /// Names of regions.
