--- a/crates/slots/src/ejection.rs
+++ b/crates/slots/src/ejection.rs
@@ -26,8 +26,9 @@
 /// Probes that must be served before a replica returns.
 const PROBES_TO_RETURN: u32 = 3;
 
-/// How long the end of a probe is waited for: its report may have been lost.
-const PROBE_PATIENCE: Duration = Duration::from_secs(4);
+/// How long the end of a probe is waited for before another is sent: an item may run for long, and a report may have
+/// been lost. What fails a request does so in less.
+const PROBE_PATIENCE: Duration = Duration::from_secs(1);
 
 /// How long after its absence a replica waits for items to probe it, and for work that may be repeated before any
 /// work may.
--- a/crates/slots/tests/ejection.rs
+++ b/crates/slots/tests/ejection.rs
@@ -224,7 +224,7 @@
             .probed_by(ProbeWork::Item, group.now)
             .is_empty()
     );
-    group.pass(Duration::from_secs(4));
+    group.pass(Duration::from_secs(1));
     assert_eq!(group.detector.probed_by(ProbeWork::Item, group.now), [1]);
 }
 
