--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -147,7 +147,7 @@
             )?,
             replica_standings: counter(
                 "harrierward_replica_standings_total",
-                "Replicas that this daemon, as their coordinator, ejected, spared, probed or took back",
+                "Replicas that this daemon, as their coordinator, ejected, spared, probed, took back, or gave less work",
                 "outcome",
             )?,
             replicas_ejected: gauge(
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -167,10 +167,12 @@
     ReplicaStanding {
         /// Replica.
         replica: &'a str,
-        /// `ejected`, `spared` (it would be ejected if not too many were out), `probed`, `returned`.
+        /// `ejected`, `spared` (it would be ejected if not too many were out), `probed`, `returned`, `slowed`, `restored`.
         outcome: &'static str,
         /// How long it gets no work.
         absence_ms: u64,
+        /// Part of its new work that it gets, in thousandths.
+        share_permille: u32,
         /// Outcomes there that count.
         outcomes: u32,
         /// Failures among them.
--- a/crates/edge/src/slots/outcomes.rs
+++ b/crates/edge/src/slots/outcomes.rs
@@ -19,6 +19,9 @@
 /// Most outcomes that are taken of one report: a holder sends them one by one.
 const MOST_OUTCOMES: usize = 64;
 
+/// All of a replica's new work, in thousandths.
+const WHOLE_SHARE: u32 = 1_000;
+
 impl SlotService {
     /// A lease that was held is free: its replica's coordinator learns that, and what its request came to.
     pub(super) fn report_end(&self, lease: u32, replica: u32, end: LeaseEnd) {
@@ -134,6 +137,7 @@
             replica: &replica.record.id,
             outcome: "probed",
             absence_ms: 0,
+            share_permille: 0,
             outcomes: 0,
             failures: 0,
             in_a_row: 0,
@@ -170,15 +174,18 @@
     }
 
     fn log_change(&self, replica: &Replica, change: &StandingChange, ejected: u64) {
-        let (outcome, absence) = match change.what {
-            StandingEvent::Ejected(absence) => ("ejected", absence),
-            StandingEvent::Spared => ("spared", Duration::ZERO),
-            StandingEvent::Returned => ("returned", Duration::ZERO),
+        let (outcome, absence, share_permille) = match change.what {
+            StandingEvent::Ejected(absence) => ("ejected", absence, 0),
+            StandingEvent::Spared => ("spared", Duration::ZERO, WHOLE_SHARE),
+            StandingEvent::Returned => ("returned", Duration::ZERO, WHOLE_SHARE),
+            StandingEvent::Slowed(share) => ("slowed", Duration::ZERO, share),
+            StandingEvent::Restored => ("restored", Duration::ZERO, WHOLE_SHARE),
         };
         self.log.record(&Record::ReplicaStanding {
             replica: &replica.record.id,
             outcome,
             absence_ms: u64::from(millis(absence)),
+            share_permille,
             outcomes: change.outcomes,
             failures: change.failures,
             in_a_row: change.in_a_row,
--- a/crates/slots/src/ejection.rs
+++ b/crates/slots/src/ejection.rs
@@ -101,6 +101,10 @@
     Spared,
     /// It gets work again.
     Returned,
+    /// Its first events come late: it gets this part of its new work, in thousandths.
+    Slowed(u32),
+    /// It gets all of its new work again.
+    Restored,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -237,7 +241,7 @@
             return self.judge(end.replica, group, now);
         }
         if !end.first_event.is_zero() && watched.window.time(end.first_event, now) {
-            self.compare_times(now);
+            return self.compare_times(end.replica, now);
         }
         None
     }
@@ -285,6 +289,7 @@
                 return None;
             }
             watched.standing = Standing::InService;
+            self.shares.remove(&end.replica);
             watched.window = OutcomeWindow::default();
             watched.since = now;
             StandingEvent::Returned
@@ -301,24 +306,24 @@
         usual_rate(others.collect())
     }
 
-    /// Looks anew for replicas whose first events come late beside the others'.
-    fn compare_times(&mut self, now: Instant) {
-        let timed = self.watched.iter();
-        let timed = timed.filter_map(|(replica, one)| {
-            let time = one.window.first_event_ms(LEAST_TIMED, now)?;
-            Some((*replica, time))
-        });
-        let timed: Vec<(u32, f64)> = timed.collect();
-        self.shares.clear();
-        let Some(usual) = median(timed.iter().map(|(_, time)| *time).collect()) else {
-            return;
+    /// Looks anew whether a replica's first events come late beside the others'. Tells when that changes.
+    fn compare_times(&mut self, replica: u32, now: Instant) -> Option<StandingChange> {
+        let own = self.watched.get(&replica)?;
+        let own = own.window.first_event_ms(LEAST_TIMED, now)?;
+        let others = self.watched.iter().filter(|(other, _)| **other != replica);
+        let others = others.filter_map(|(_, one)| one.window.first_event_ms(LEAST_TIMED, now));
+        let usual = median(others.collect())?;
+        let is_slow = own >= usual * SLOW_FACTOR && own >= usual + LEAST_SLOW_MS;
+        let what = if is_slow {
+            let share = (usual * SLOW_FACTOR / 2.0 / own).max(LEAST_SHARE);
+            let was_slow = self.shares.insert(replica, share).is_some();
+            (!was_slow).then(|| StandingEvent::Slowed(permille(share)))
+        } else {
+            let was_slow = self.shares.remove(&replica).is_some();
+            was_slow.then_some(StandingEvent::Restored)
         };
-        for (replica, time) in timed {
-            if time >= usual * SLOW_FACTOR && time >= usual + LEAST_SLOW_MS {
-                let share = (usual * SLOW_FACTOR / 2.0 / time).max(LEAST_SHARE);
-                self.shares.insert(replica, share);
-            }
-        }
+        let others = self.others_rate(replica, now).unwrap_or_default();
+        what.map(|what| self.change(replica, what, others, now))
     }
 
     fn change(
--- /dev/null
+++ b/crates/slots/tests/outliers/mod.rs
@@ -0,0 +1,112 @@
+//! A group of replicas whose requests end as a test says.
+
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use harrierward_slots::{OutlierDetector, ProbeWork, RequestEnd, StandingChange, StandingEvent};
+use harrierward_wire::OutcomeKind;
+use tokio::time::Instant;
+
+pub const GROUP: u32 = 12;
+
+/// Requests served at each replica before a test: enough to say that hardly any fails.
+pub const ROUNDS: u32 = 32;
+
+/// Longest absence plus what a probe waits for work.
+pub const LONG: Duration = Duration::from_secs(40);
+
+/// A group, and a clock that goes on by a little with each request.
+pub struct Group {
+    pub detector: OutlierDetector,
+    pub now: Instant,
+    size: u32,
+    lease: u32,
+}
+
+impl Group {
+    pub fn new(size: u32) -> Self {
+        Self {
+            detector: OutlierDetector::default(),
+            now: Instant::now(),
+            size,
+            lease: 0,
+        }
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        self.now += time;
+    }
+
+    pub fn end(&mut self, replica: u32, kind: OutcomeKind) -> Option<StandingEvent> {
+        self.end_after(replica, kind, Duration::ZERO)
+            .map(|change| change.what)
+    }
+
+    /// A request at the replica ends; the replica may be out.
+    pub fn end_after(
+        &mut self,
+        replica: u32,
+        kind: OutcomeKind,
+        first_event: Duration,
+    ) -> Option<StandingChange> {
+        self.lease += 1;
+        self.pass(Duration::from_millis(1));
+        let end = RequestEnd {
+            replica,
+            lease: (u64::from(self.lease % 8), self.lease),
+            kind,
+            first_event,
+        };
+        self.detector.observe(end, self.size as usize, self.now)
+    }
+
+    pub fn serve_all(&mut self, rounds: u32) {
+        for _ in 0..rounds {
+            for replica in 1..=self.size {
+                if !self.is_out(replica) {
+                    self.end(replica, OutcomeKind::Served);
+                }
+            }
+        }
+    }
+
+    pub fn is_out(&self, replica: u32) -> bool {
+        self.detector.out().contains(&replica)
+    }
+
+    /// A probe by this work, if it may be one now.
+    pub fn probe(
+        &mut self,
+        replica: u32,
+        work: ProbeWork,
+        kind: OutcomeKind,
+    ) -> Option<StandingChange> {
+        if !self.detector.probed_by(work, self.now).contains(&replica) {
+            return None;
+        }
+        self.lease += 1;
+        let lease = (1, self.lease);
+        assert!(self.detector.note_grant(replica, lease, self.now));
+        let others = self.detector.probed_by(work, self.now);
+        assert!(!others.contains(&replica), "one request at a time");
+        let end = RequestEnd {
+            replica,
+            lease,
+            kind,
+            first_event: Duration::ZERO,
+        };
+        self.detector.observe(end, self.size as usize, self.now)
+    }
+}
+
+/// A group in which replica 1 was ejected.
+pub fn one_out() -> Group {
+    let mut group = Group::new(GROUP);
+    group.serve_all(ROUNDS);
+    while !group.is_out(1) {
+        group.end(1, OutcomeKind::Failed);
+    }
+    group
+}
