--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -39,6 +39,8 @@
     tenant_refusals: IntCounterVec,
     cold_replicas: IntGaugeVec,
     cold_paced: IntCounterVec,
+    replica_standings: IntCounterVec,
+    replicas_ejected: IntGauge,
     tenants: Arc<Mutex<BTreeSet<String>>>,
 }
 
@@ -169,6 +171,15 @@
                 "Requests for cold replicas that this daemon, as their coordinator, counted or turned away",
                 "outcome",
             )?,
+            replica_standings: counter(
+                "harrierward_replica_standings_total",
+                "Replicas that this daemon, as their coordinator, ejected, spared, probed, took back, or gave less work",
+                "outcome",
+            )?,
+            replicas_ejected: gauge(
+                "harrierward_replicas_ejected",
+                "Replicas that this daemon, as their coordinator, keeps out of service",
+            )?,
             tenants: Arc::default(),
             registry,
         })
@@ -187,6 +198,11 @@
         tenant
     }
 
+    fn set_ejected(&self, ejected: u64) {
+        let ejected = i64::try_from(ejected).unwrap_or(i64::MAX);
+        self.replicas_ejected.set(ejected);
+    }
+
     /// Counts a decision.
     pub fn observe(&self, record: &Record<'_>) {
         match record {
@@ -275,6 +291,13 @@
             Record::ColdPaced { outcome, .. } => {
                 self.cold_paced.with_label_values(&[*outcome]).inc();
             }
+            Record::ReplicaStanding {
+                outcome, ejected, ..
+            } => {
+                self.replica_standings.with_label_values(&[*outcome]).inc();
+                self.set_ejected(*ejected);
+            }
+            Record::EjectionsDropped { ejected, .. } => self.set_ejected(*ejected),
             Record::ViewSynced { records, .. } => {
                 self.view_sync_records.inc_by(*records as u64);
             }
--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -7,7 +7,7 @@
 use async_trait::async_trait;
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChosenBy, ItemRoom, LeftRegion, Mechanism, PromptLength, Replica, SlotAnswer,
+    Choice, ChosenBy, ItemRoom, LeaseEnd, LeftRegion, Mechanism, PromptLength, Replica, SlotAnswer,
     SlotLeases, SlotQuery, WorkClass, short_hash,
 };
 use harrierward_slots::{COLD_GRANT_LIFETIME, GroupId, Room};
@@ -246,6 +246,7 @@
             item,
             overdue: query.overdue,
             spilled: false,
+            may_repeat: query.may_repeat,
             objective_ms: millis(query.objective),
             may_return_ms: query.may_return.map_or(0, millis),
             connected: connected.collect(),
@@ -365,10 +366,10 @@
         lease
     }
 
-    fn release(&self, lease: u32) {
+    fn release(&self, lease: u32, end: LeaseEnd) {
         let replica = self.lock().held.release(lease);
-        if let Some(coordinator) = replica.and_then(|replica| self.peer_coordinating(replica)) {
-            self.report_released(lease, coordinator);
+        if let Some(replica) = replica {
+            self.report_end(lease, replica, end);
         }
     }
 
--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -17,6 +17,7 @@
 
 use super::asking::millis;
 use super::index::GroupIndex;
+use super::outcomes::work_of;
 use super::{Coordinator, SlotService, State, class_of, group_of, layout, usage_of};
 
 /// Ticks of the membership between two whole reports to a coordinator.
@@ -33,6 +34,7 @@
     length: PromptLength,
     is_item: bool,
     is_overdue: bool,
+    may_repeat: bool,
 }
 
 impl SlotService {
@@ -55,7 +57,12 @@
             is_overdue: asker.is_overdue,
             most_candidates: usize::MAX,
         };
-        let choice = choose_replica(view, usable, &self.costs, &query);
+        let work = work_of(asker.is_item, asker.may_repeat);
+        let may_wait = asker.is_item || asker.is_overdue;
+        let offered = self.offered(service, group, usable, work, may_wait);
+        let choice = offered
+            .into_iter()
+            .find_map(|replicas| choose_replica(view, replicas, &self.costs, &query));
         choice.map(|choice| Choice {
             by: ChosenBy::Coordinator,
             ..choice
@@ -91,6 +98,7 @@
             length: query.length,
             is_item: query.item.is_some(),
             is_overdue: query.overdue && !self.claim_return(query.service, group),
+            may_repeat: query.may_repeat,
         };
         let Some(mut choice) = self.choose(query.service, group, &asker) else {
             if self.is_all_cold(&self.usable(&self.index(), query.service, group)) {
@@ -124,6 +132,7 @@
             state.held.take(lease, choice.replica.hash, usage);
             lease
         };
+        self.note_granted(query.service, group, &choice.replica, (self.holder, lease));
         self.make_room(&choice, usage);
         SlotAnswer::Given { choice, lease }
     }
@@ -297,6 +306,7 @@
             length: length_of(ask),
             is_item: ask.item.is_some(),
             is_overdue: ask.overdue && !self.claim_return(service, group),
+            may_repeat: ask.may_repeat,
         };
         let all_cold = SlotGrant {
             all_cold: true,
@@ -343,6 +353,7 @@
             .ledger
             .grant(ask.holder, from, ask.lease, replica, usage, now);
         self.publish();
+        self.note_granted(service, group, &choice.replica, (ask.holder, ask.lease));
         self.make_room(&choice, usage);
         choice.replica.note_prompt(&prompt);
         SlotGrant {
@@ -377,6 +388,7 @@
             state.ledger.take_report(report, from, Instant::now());
             self.observe_ended(&mut state);
         }
+        self.take_outcomes(report);
         self.publish();
     }
 
@@ -421,6 +433,7 @@
         self.tick_pacing(now);
         self.publish();
         if due {
+            self.prune_outliers();
             self.report_to_coordinators(now);
         }
     }
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -7,6 +7,7 @@
 mod choosing_group;
 mod granting;
 mod index;
+mod outcomes;
 mod pacing;
 
 use std::collections::{HashMap, HashSet};
@@ -21,7 +22,8 @@
     WorkClass, short_hash,
 };
 use harrierward_slots::{
-    GroupAdmission, GroupId, GroupLayout, HeldSlots, SlotLedger, SlotUse, coordinator_of,
+    GroupAdmission, GroupId, GroupLayout, HeldSlots, OutlierDetector, SlotLedger, SlotUse,
+    coordinator_of,
 };
 use harrierward_wire::{NodeDatagram, SlotGrant, encode, node_datagram};
 use tokio::net::UdpSocket;
@@ -83,6 +85,8 @@
     ticks: u64,
     /// What was observed of the groups that this daemon coordinates.
     admissions: HashMap<(u32, GroupId), GroupAdmission>,
+    /// What became of requests at the replicas of the groups that this daemon coordinates.
+    outliers: HashMap<(u32, GroupId), OutlierDetector>,
     /// Coordinators by service and group, as they follow from the members.
     coordinators: HashMap<(u32, GroupId), Coordinator>,
     pacing: PacingState,
@@ -146,6 +150,7 @@
                 layouts: 0,
                 ticks: 0,
                 admissions: HashMap::new(),
+                outliers: HashMap::new(),
                 coordinators: HashMap::new(),
                 pacing: PacingState::new(Instant::now()),
             }),
--- a/crates/edge/tests/cold.rs
+++ b/crates/edge/tests/cold.rs
@@ -134,6 +134,7 @@
 async fn ask(daemon: &Daemon, item: Option<ItemRoom>) -> SlotAnswer {
     let prompt = Prompt::default();
     let query = SlotQuery {
+        may_repeat: true,
         service: SERVICE,
         prompt: &prompt,
         length: PromptLength::Alike,
--- a/crates/edge/tests/regions.rs
+++ b/crates/edge/tests/regions.rs
@@ -174,6 +174,7 @@
 
 fn query<'a>(regions: &'a AllowedRegions, item: Option<ItemRoom>) -> SlotQuery<'a> {
     SlotQuery {
+        may_repeat: true,
         service: SERVICE,
         prompt: &PROMPT,
         length: PromptLength::Alike,
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -11,9 +11,9 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     Candidate, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, KeyTrust,
-    LeftRegion, Prompt, PromptPart, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient,
-    ReplicaRecord, ReplicaRequest, ReplicaSet, SelectionCosts, Separation, ServingRequest,
-    SlotAnswer, SlotLeases, SlotQuery, cost, reserved_slots,
+    LeaseEnd, LeftRegion, Prompt, PromptPart, RateAnswer, RateLimits, Replica, ReplicaAnswer,
+    ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, SelectionCosts, Separation,
+    ServingRequest, SlotAnswer, SlotLeases, SlotQuery, cost, reserved_slots,
 };
 use harrierward_tenants::{AllowedRegions, Tenant};
 use http::{HeaderMap, Method};
@@ -64,7 +64,7 @@
         1
     }
 
-    fn release(&self, _place: u32) {
+    fn release(&self, _place: u32, _end: LeaseEnd) {
         self.held.fetch_sub(1, Ordering::Relaxed);
     }
 
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -12,10 +12,10 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     AttemptFailure, AttemptTimes, Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts,
-    ForwarderSettings, ItemRoom, KeyTrust, Prompt, RateAnswer, RateLimits, Replica, ReplicaAnswer,
-    ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable,
-    SelectionCosts, Sending, ServingConfiguration, ServingRequest, SlotAnswer, SlotLease,
-    SlotLeases, SlotQuery, WeightedService, WorkClass,
+    ForwarderSettings, ItemRoom, KeyTrust, LeaseEnd, Prompt, RateAnswer, RateLimits, Replica,
+    ReplicaAnswer, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route,
+    RouteKind, RouteTable, SelectionCosts, Sending, ServingConfiguration, ServingRequest,
+    SlotAnswer, SlotLease, SlotLeases, SlotQuery, WeightedService, WorkClass,
 };
 use harrierward_tenants::{AllowedRegions, Tenant};
 use http::{HeaderMap, Method};
@@ -90,7 +90,7 @@
         1
     }
 
-    fn release(&self, _place: u32) {}
+    fn release(&self, _place: u32, _end: LeaseEnd) {}
 
     fn is_coordinated(&self, _replica: &Replica) -> bool {
         true
@@ -205,6 +205,7 @@
             longest: long,
         };
         let sending = Sending {
+            failed_before: false,
             resume_after: None,
             fresh_connection: false,
             number: 1,
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -6,13 +6,19 @@
 //! reports within a second, and no promise depends on it.
 
 mod admission;
+mod bad_luck;
+mod ejection;
 mod groups;
 mod held;
 mod ledger;
+mod outcome_window;
 mod pacer;
 mod spill;
 
 pub use admission::{GroupAdmission, Newcomer};
+pub use ejection::{
+    LeaseName, OutlierDetector, ProbeWork, RequestEnd, StandingChange, StandingEvent,
+};
 pub use groups::{AreaKind, GroupId, GroupLayout, coordinator_of};
 pub use held::HeldSlots;
 pub use ledger::{EndedLease, EndingLease, SlotCounts, SlotLedger, SlotUse};
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -65,6 +65,9 @@
     /// The asker's own region has replicas too, which are full: granted only where there is room to spare.
     #[prost(bool, tag = "20")]
     pub spilled: bool,
+    /// The request may be sent again elsewhere if it fails: it may try a replica that was ejected.
+    #[prost(bool, tag = "21")]
+    pub may_repeat: bool,
 }
 
 /// Names of regions.
