A listing is called empty only on a proof younger than what another daemon may have shown

Cause: a daemon denied a result by its copy of the heads if that was proven up to 1.3 s before. Users expect a result from every daemon 1 s after one of them showed it. The copy is usually younger than 1 s, because the feed is asked again at least that often; after refused or slow calls of the store, as after an outage, it lies between the two.

Ruled out: a header row written again by a submission whose answer was lost (the row must be absent); an older head over a newer one (the view takes higher revisions only); a position that changes (results and the list are one transaction under the revision); a whole read that forgets a head of this daemon's own (only rows that the feed brought are forgotten).

Change: what the copy lists is shown whatever its age, without asking the store; that nothing is listed needs a proof younger than 0.8 s at the moment of the answer, else the store is asked, else 503.

--- a/crates/inline-jobs/src/lookup.rs
+++ b/crates/inline-jobs/src/lookup.rs
@@ -13,9 +13,18 @@
 use crate::store::WriteOutcome;
 use crate::view::KnownHead;
 
-/// Age up to which this daemon's copy of a head is as good as the store's.
+/// Age up to which this daemon's copy of a head is as good as the store's for what no caller can have seen change: an
+/// item's body, the head that an end replaces under its revision.
 const FRESH: Duration = Duration::from_millis(1_300);
 
+/// Age up to which this daemon's copy may tell that nothing is listed. Users expect what one daemon has listed from
+/// every daemon a second after it was read; the rest of that second is for the answers' own ways.
+const DENIAL_FRESH: Duration = Duration::from_millis(800);
+
+/// Age up to which the feed of the heads counts as alive, so that a held read waits for it. Beyond that, the store is
+/// asked at once.
+const FEED_ALIVE: Duration = FRESH;
+
 /// Text of one page of results, bytes; a page has 1 MB at most.
 const PAGE_BYTES: usize = 700_000;
 
@@ -23,9 +32,14 @@
 const END_HOLD: Duration = Duration::from_millis(3_000);
 
 impl InlineJobs {
-    /// The head, from this daemon's copy if that is fresh, else from the store.
-    async fn find(&self, job_id: &str) -> Lookup<KnownHead> {
-        let fresh = self.inner.view.proof_age().is_some_and(|age| age < FRESH);
+    /// True if this daemon's copy of the heads was proven less than `bound` ago.
+    fn is_proven_within(&self, bound: Duration) -> bool {
+        self.inner.view.proof_age().is_some_and(|age| age < bound)
+    }
+
+    /// The head, from this daemon's copy if that is younger than `bound`, else from the store.
+    async fn find(&self, job_id: &str, bound: Duration) -> Lookup<KnownHead> {
+        let fresh = self.is_proven_within(bound);
         if let Some(known) = self.inner.view.get(job_id).filter(|_| fresh) {
             return Lookup::Found(known);
         }
@@ -58,20 +72,23 @@
 
     /// The head of a job that the caller may know of. Jobs of nobody, accepted while there were no tenants or on a
     /// route that asks for no key, are for all.
-    async fn find_for(&self, caller: &JobCaller, id: &str) -> Lookup<KnownHead> {
+    async fn find_for(&self, caller: &JobCaller, id: &str, bound: Duration) -> Lookup<KnownHead> {
         if let JobCaller::Tenant(tenant) = caller {
-            let found = self.find(&kept_id(Some(tenant), id)).await;
+            let found = self.find(&kept_id(Some(tenant), id), bound).await;
             if found != Lookup::Missing {
                 return found;
             }
         }
-        match self.find(id).await {
+        match self.find(id, bound).await {
             Lookup::Found(known) if !known.head.tenant.is_empty() => Lookup::Missing,
             found => found,
         }
     }
 
     /// Results from position `after` on; waits up to `wait` for one.
+    ///
+    /// Positions are only added, so a copy of any age may show what it lists. That nothing is listed is said only on
+    /// a proof that is younger than what another daemon may have shown.
     pub async fn results(
         &self,
         caller: &JobCaller,
@@ -82,18 +99,25 @@
         let until = Instant::now() + wait;
         loop {
             let changed = self.inner.view.changed();
-            let known = match self.find_for(caller, id).await {
+            let left = until.saturating_duration_since(Instant::now());
+            let bound = if left.is_zero() {
+                DENIAL_FRESH
+            } else {
+                FEED_ALIVE
+            };
+            if let Some(known) = self.known_to_list(caller, id, after) {
+                return self.page(&known, after).await;
+            }
+            let known = match self.find_for(caller, id, bound).await {
                 Lookup::Found(known) => known,
                 Lookup::Missing => return Lookup::Missing,
                 Lookup::Unsure => return Lookup::Unsure,
             };
-            let listed = known.head.listed.len();
-            if listed > after as usize {
+            if known.lists_beyond(after) {
                 return self.page(&known, after).await;
             }
-            let left = until.saturating_duration_since(Instant::now());
-            let complete = listed >= known.head.items.len() || known.head.ended;
-            if complete || left.is_zero() {
+            // The list of a job that is complete or ended never grows again.
+            if !known.is_open() || left.is_zero() {
                 return Lookup::Found(ResultPage {
                     total: known.head.items.len(),
                     next: after,
@@ -104,6 +128,18 @@
         }
     }
 
+    /// The caller's job, if this daemon's copy lists a result at `after` already.
+    fn known_to_list(&self, caller: &JobCaller, id: &str, after: u32) -> Option<KnownHead> {
+        let view = &self.inner.view;
+        let of_tenant = match caller {
+            JobCaller::Tenant(tenant) => view.get(&kept_id(Some(tenant), id)),
+            JobCaller::Anyone | JobCaller::Refused(_) => None,
+        };
+        let of_nobody = || view.get(id).filter(|known| known.head.tenant.is_empty());
+        let known = of_tenant.or_else(of_nobody)?;
+        known.lists_beyond(after).then_some(known)
+    }
+
     async fn page(&self, known: &KnownHead, after: u32) -> Lookup<ResultPage> {
         let head = &known.head;
         let read = self
@@ -139,7 +175,7 @@
 
     /// The body of an item of a job that has not ended.
     pub async fn item_body(&self, caller: &JobCaller, id: &str, item_id: &str) -> Lookup<Bytes> {
-        let known = match self.find_for(caller, id).await {
+        let known = match self.find_for(caller, id, FRESH).await {
             Lookup::Found(known) => known,
             Lookup::Missing => return Lookup::Missing,
             Lookup::Unsure => return Lookup::Unsure,
@@ -180,7 +216,7 @@
 
     async fn try_end(&self, caller: &JobCaller, id: &str) -> EndOutcome {
         let until = Instant::now() + END_HOLD;
-        let mut known = match self.find_for(caller, id).await {
+        let mut known = match self.find_for(caller, id, FRESH).await {
             Lookup::Found(known) => known,
             Lookup::Missing => return EndOutcome::Missing,
             Lookup::Unsure => return EndOutcome::NotDone,
--- a/crates/inline-jobs/src/view.rs
+++ b/crates/inline-jobs/src/view.rs
@@ -26,6 +26,11 @@
         !self.head.ended && self.head.listed.len() < self.head.items.len()
     }
 
+    /// True if a result is listed at the position.
+    pub fn lists_beyond(&self, position: u32) -> bool {
+        self.head.listed.len() > position as usize
+    }
+
     /// Tokens of the items that are not listed.
     pub fn waiting_tokens(&self) -> u64 {
         if self.head.ended {
--- /dev/null
+++ b/crates/inline-jobs/tests/stale_listing.rs
@@ -0,0 +1,303 @@
+//! A listing never shows less than another daemon has shown before, whatever this daemon has heard of it.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use async_trait::async_trait;
+use bytes::Bytes;
+use harrierward_decisions::{DecisionLog, LogBounds};
+use harrierward_external::{
+    ChangePage, ObjectStore, PageStart, PlatformError, PlatformErrorKind, RequestClass, Row,
+    SpacePage, Table, Transaction, TransactionOutcome, WatchedTable,
+};
+use harrierward_inline_jobs::{
+    InlineJobs, JobCaller, JobParts, JobSettings, KnownHead, Lookup, Peers, QuotaRequest,
+    ResultPage,
+};
+use harrierward_serving::{
+    ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, KeyTrust, RateAnswer,
+    RateLimits, Replica, ReplicaAnswer, ReplicaClient, ReplicaRequest, ReplicaSet, SelectionCosts,
+    SlotAnswer, SlotLeases, SlotQuery,
+};
+use harrierward_tenants::Tenant;
+use harrierward_wire::{ItemHeadRow, JobHeadRow, QuotaOutcome, ResultPieceRow, encode};
+use tokio::time::{Instant, advance};
+
+const JOB: &str = "job-1";
+
+/// Age of what this daemon knows at which a result that another daemon showed must not be denied any more, less what
+/// the answers themselves take.
+const MUST_SHOW_AFTER: Duration = Duration::from_millis(850);
+
+/// A store that holds one job with its first result listed.
+#[derive(Default)]
+struct OneJob {
+    /// Reads of the job's head.
+    head_reads: AtomicUsize,
+    /// The store answers nothing.
+    is_away: bool,
+    /// Results that the store holds.
+    listed: u32,
+}
+
+fn head(listed: u32) -> JobHeadRow {
+    JobHeadRow {
+        job_id: JOB.to_owned(),
+        items: (0..3)
+            .map(|number| ItemHeadRow {
+                id: format!("item-{number}"),
+                tokens: 10,
+            })
+            .collect(),
+        listed: (0..listed).collect(),
+        owner: "another-daemon".to_owned(),
+        epoch: 1,
+        ..JobHeadRow::default()
+    }
+}
+
+fn away(step: &'static str) -> PlatformError {
+    PlatformError::new(step, "store", PlatformErrorKind::NotDone, "away")
+}
+
+#[async_trait]
+impl Table for OneJob {
+    async fn transact(
+        &self,
+        _class: RequestClass,
+        _transaction: Transaction,
+    ) -> Result<TransactionOutcome, PlatformError> {
+        Err(away("transact"))
+    }
+
+    async fn get(
+        &self,
+        _class: RequestClass,
+        keys: &[String],
+    ) -> Result<Vec<Option<Row>>, PlatformError> {
+        self.head_reads.fetch_add(1, Ordering::Relaxed);
+        if self.is_away {
+            return Err(away("get"));
+        }
+        let row = |key: &String| Row {
+            key: key.clone(),
+            value: Bytes::from(encode(&head(self.listed))),
+            revision: 10 + u64::from(self.listed),
+        };
+        Ok(keys.iter().map(|key| Some(row(key))).collect())
+    }
+
+    async fn scan(
+        &self,
+        _class: RequestClass,
+        prefix: &str,
+        after: &str,
+        _limit: usize,
+    ) -> Result<Vec<Row>, PlatformError> {
+        if self.is_away {
+            return Err(away("scan"));
+        }
+        let row = |position: u32| Row {
+            key: format!("{prefix}{position:05}.000"),
+            value: Bytes::from(encode(&ResultPieceRow {
+                failed: false,
+                pieces: 1,
+                text: format!("text {position}"),
+            })),
+            revision: 11,
+        };
+        let rows = (0..self.listed).map(row);
+        Ok(rows.filter(|row| row.key.as_str() > after).collect())
+    }
+}
+
+#[async_trait]
+impl ObjectStore for OneJob {
+    async fn put(&self, _: RequestClass, _: &str, _: Bytes) -> Result<(), PlatformError> {
+        Err(away("put"))
+    }
+
+    async fn get(&self, _: RequestClass, _: &str) -> Result<Bytes, PlatformError> {
+        Err(away("get object"))
+    }
+
+    async fn delete(&self, _: RequestClass, _: &str) -> Result<(), PlatformError> {
+        Err(away("delete"))
+    }
+}
+
+#[async_trait]
+impl WatchedTable for OneJob {
+    async fn read_page(&self, _: &str, _: PageStart<'_>) -> Result<SpacePage, PlatformError> {
+        Err(away("read page"))
+    }
+
+    async fn wait_changes(
+        &self,
+        _: &str,
+        _: u64,
+        _: Duration,
+    ) -> Result<ChangePage, PlatformError> {
+        Err(away("wait changes"))
+    }
+}
+
+struct Nothing;
+
+#[async_trait]
+impl Peers for Nothing {
+    fn owners(&self) -> Option<Vec<String>> {
+        None
+    }
+
+    async fn ask_quota(&self, _: &str, _: QuotaRequest<'_>) -> Option<(QuotaOutcome, u64)> {
+        None
+    }
+
+    fn return_quota(&self, _: &str, _: QuotaRequest<'_>) {}
+}
+
+#[async_trait]
+impl RateLimits for Nothing {
+    async fn admit(&self, _tenant: &Tenant, _request: &str) -> RateAnswer {
+        RateAnswer::Within
+    }
+}
+
+#[async_trait]
+impl ReplicaClient for Nothing {
+    async fn send(&self, request: ReplicaRequest<'_>) -> Result<ReplicaAnswer, ExchangeError> {
+        Err(ExchangeError::NotSent {
+            step: "test",
+            peer: request.address.to_owned(),
+            detail: "no client".to_owned(),
+        })
+    }
+}
+
+#[async_trait]
+impl SlotLeases for Nothing {
+    async fn ask(&self, _query: SlotQuery<'_>) -> SlotAnswer {
+        SlotAnswer::NoCoordinator
+    }
+
+    fn take(&self, _replica: &Arc<Replica>, _item: Option<ItemRoom>) -> u32 {
+        1
+    }
+
+    fn release(&self, _place: u32) {}
+
+    fn is_coordinated(&self, _replica: &Replica) -> bool {
+        false
+    }
+
+    fn free_slot(&self, _replica: &Arc<Replica>) {}
+}
+
+fn jobs_over(store: Arc<OneJob>) -> InlineJobs {
+    let log = DecisionLog::new(LogBounds::default());
+    let forwarder = Forwarder::new(ForwarderParts {
+        routes: Arc::new(ArcSwapOption::empty()),
+        replicas: Arc::new(ReplicaSet::default()),
+        client: Arc::new(Nothing),
+        places: Arc::new(Nothing),
+        rates: Arc::new(Nothing),
+        proof: Arc::default(),
+        log: log.clone(),
+        settings: ForwarderSettings {
+            zone: "zone-a".to_owned(),
+            costs: SelectionCosts::default(),
+            key_trust: KeyTrust::Unbounded,
+        },
+    });
+    InlineJobs::new(JobParts {
+        life: "this-daemon".to_owned(),
+        table: store.clone(),
+        objects: store.clone(),
+        watched: store,
+        forwarder,
+        peers: Arc::new(Nothing),
+        log,
+        settings: JobSettings {
+            keep: Duration::from_secs(120),
+            cancel_within: Duration::from_secs(3),
+        },
+    })
+}
+
+/// A daemon that last heard of the job `age` ago, when `known` results were listed; the store now holds `listed`.
+async fn daemon(
+    age: Duration,
+    known: u32,
+    listed: u32,
+    is_away: bool,
+) -> (InlineJobs, Arc<OneJob>) {
+    let store = Arc::new(OneJob {
+        listed,
+        is_away,
+        ..OneJob::default()
+    });
+    let jobs = jobs_over(store.clone());
+    jobs.view().take(KnownHead {
+        head: head(known),
+        revision: 10 + u64::from(known),
+    });
+    jobs.view().prove(Instant::now(), 1);
+    advance(age).await;
+    (jobs, store)
+}
+
+async fn read(jobs: &InlineJobs, after: u32, wait: Duration) -> Lookup<ResultPage> {
+    jobs.results(&JobCaller::Anyone, JOB, after, wait).await
+}
+
+fn count(found: &Lookup<ResultPage>) -> Option<usize> {
+    match found {
+        Lookup::Found(page) => Some(page.results.len()),
+        Lookup::Missing | Lookup::Unsure => None,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_result_that_others_have_shown_for_a_second_is_shown_by_all() {
+    for age in [850, 950, 1_000, 1_100, 1_250, 1_350, 5_000] {
+        let (jobs, _) = daemon(Duration::from_millis(age), 0, 1, false).await;
+        let found = read(&jobs, 0, Duration::ZERO).await;
+        assert_eq!(count(&found), Some(1), "at {age} ms: {found:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_held_read_that_ends_empty_was_proven_at_its_end() {
+    for age in [0, 300, 700, 1_100] {
+        let (jobs, _) = daemon(Duration::from_millis(age), 0, 1, false).await;
+        let found = read(&jobs, 0, Duration::from_millis(1_000)).await;
+        assert_eq!(count(&found), Some(1), "known {age} ms ago: {found:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_cannot_be_proven_is_not_denied() {
+    let (jobs, _) = daemon(MUST_SHOW_AFTER, 0, 1, true).await;
+    let found = read(&jobs, 0, Duration::ZERO).await;
+    assert_eq!(found, Lookup::Unsure);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_known_to_be_listed_needs_no_new_proof() {
+    // Results are only added, so that a daemon that knows of one may show it however long ago it heard of it.
+    let (jobs, store) = daemon(Duration::from_secs(5), 1, 2, false).await;
+    let found = read(&jobs, 0, Duration::ZERO).await;
+    assert!(count(&found).is_some_and(|count| count >= 1), "{found:?}");
+    assert_eq!(store.head_reads.load(Ordering::Relaxed), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_empty_answer_within_the_proof_costs_no_read() {
+    let (jobs, store) = daemon(Duration::from_millis(200), 0, 0, false).await;
+    let found = read(&jobs, 0, Duration::from_millis(300)).await;
+    assert_eq!(count(&found), Some(0));
+    assert_eq!(store.head_reads.load(Ordering::Relaxed), 0);
+}
