A start alone is no lost history: daemons of a large fleet read everything once, and again when it is due

Cause: the first whole read was followed by a second one after 4 to 8 s, as after lost history. Nothing had been lost: a stale read carries the revision that it is as old as, and the feed goes on from there or answers that its history is lost. At 300 daemons before 3,000 replicas these second reads are as many bytes and calls as the first ones.

Change: the second read after a start comes at 0.5 to 1.5 times the interval of the regular ones, 4 s at least; after lost history it comes as before. No rule rests on it: any bound is shorter than the 4 s that it came after.

The test of spread second reads loses the history first, since only that brings them now; its bounds are the same.

--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -217,6 +217,7 @@
         let mut backoff = Backoff::new(self.settings.first_pause, self.settings.longest_pause);
         let mut copy = SpaceCopy::default();
         let mut read_whole = true;
+        let mut history_lost = false;
         let mut whole_read_due = Instant::now();
         let mut reading: Option<ReadUnderWay> = None;
         // A whole read that is only due again must not keep the changes from being asked for.
@@ -245,7 +246,9 @@
             match result {
                 Ok(Some(mut update)) => {
                     if std::mem::take(&mut read_whole) {
-                        whole_read_due = asked_at + self.second_read_after(pages, &mut random);
+                        let lost = std::mem::take(&mut history_lost);
+                        whole_read_due =
+                            asked_at + self.second_read_after(lost, pages, &mut random);
                     }
                     backoff.reset();
                     if let Some(since) = lost_at.take() {
@@ -267,6 +270,7 @@
                 }
                 Err(WatchFailure::HistoryLost) => {
                     read_whole = true;
+                    history_lost = true;
                     sleep(backoff.wait(&mut random)).await;
                 }
                 Err(WatchFailure::NoContact(cause)) => {
@@ -281,11 +285,20 @@
         }
     }
 
-    /// When a space that was read for the first time, or after its history was lost, is read once more. Daemons that
-    /// lost it together do not all read it at the same moment.
-    fn second_read_after(&self, pages: usize, random: &mut SmallRng) -> Duration {
-        let spread = (self.whole_read_pace)(pages).min(LONGEST_SPREAD);
-        self.settings.stale_for + spread.mul_f64(random.random())
+    /// When a space that was read for the first time, or after its history was lost, is read once more.
+    ///
+    /// After lost history the read may have been stale, so the next one comes as soon as that is over, spread a little
+    /// because all daemons have lost it together. After a start nothing says so: a stale read is as old as its revision
+    /// tells, and the feed goes on from there or answers that its history is lost. Then the next read comes when a large
+    /// fleet's whole reads are due anyway, at a moment of each daemon's own.
+    fn second_read_after(&self, lost: bool, pages: usize, random: &mut SmallRng) -> Duration {
+        let regular = (self.whole_read_pace)(pages);
+        let spread = regular.min(LONGEST_SPREAD);
+        let soon = self.settings.stale_for + spread.mul_f64(random.random());
+        if lost {
+            return soon;
+        }
+        soon.max(regular.mul_f64(0.5 + random.random::<f64>()))
     }
 
     fn begin_read(&self) -> ReadUnderWay {
--- a/crates/edge/tests/watch.rs
+++ b/crates/edge/tests/watch.rs
@@ -183,6 +183,8 @@
 /// A space of some pages in a store that refuses what is asked beyond its rate.
 struct CrowdedSpace {
     start: Instant,
+    /// Until then, questions for changes are told that the history is lost.
+    forgotten_until: Duration,
     budget: Mutex<(f64, Instant)>,
     answered: AtomicU64,
     refused: AtomicU64,
@@ -190,8 +192,13 @@
 
 impl CrowdedSpace {
     fn new() -> Arc<Self> {
+        Self::forgetful(Duration::ZERO)
+    }
+
+    fn forgetful(forgotten_until: Duration) -> Arc<Self> {
         Arc::new(Self {
             start: Instant::now(),
+            forgotten_until,
             budget: Mutex::new((0.0, Instant::now())),
             answered: AtomicU64::new(0),
             refused: AtomicU64::new(0),
@@ -246,6 +253,11 @@
         after: u64,
         wait: Duration,
     ) -> Result<ChangePage, PlatformError> {
+        if self.start.elapsed() < self.forgotten_until {
+            sleep(self.forgotten_until.saturating_sub(self.start.elapsed())).await;
+            let kind = PlatformErrorKind::HistoryLost;
+            return Err(PlatformError::new("changes", "store", kind, "forgotten"));
+        }
         sleep(wait).await;
         Ok(ChangePage {
             revision: after,
@@ -307,10 +319,13 @@
     assert!(anew <= 100, "{anew} of 300");
 }
 
-/// Refused calls of second reads, where these may be spread over so long.
+/// When all daemons of the tests below have read everything at their start and lose the store's history.
+const FORGOTTEN_AT: Duration = Duration::from_secs(4);
+
+/// Refused calls of second reads after lost history, where these may be spread over so long.
 async fn refused_second_reads(spread: Duration) -> u64 {
     const DAEMONS: usize = 60;
-    let space = CrowdedSpace::new();
+    let space = CrowdedSpace::forgetful(FORGOTTEN_AT);
     let watches = (0..DAEMONS).map(|_| {
         let watch = Watch {
             table: space.clone(),
@@ -328,7 +343,7 @@
         tokio::spawn(watch.run(|_| {}))
     });
     let watches: Vec<_> = watches.collect();
-    sleep(Duration::from_secs(8)).await;
+    sleep(FORGOTTEN_AT + Duration::from_secs(8)).await;
     let first = space.refused.load(Ordering::Relaxed);
     sleep(Duration::from_secs(12)).await;
     for watch in watches {
@@ -337,7 +352,7 @@
     space.refused.load(Ordering::Relaxed) - first
 }
 
-/// Daemons that have started together read once more at different moments, so that their questions for changes are not
+/// Daemons that have lost the history together read once more at different moments, so that their questions for changes are not
 /// refused meanwhile.
 #[tokio::test(start_paused = true)]
 async fn second_reads_are_spread() {
@@ -345,3 +360,49 @@
     let at_once = refused_second_reads(Duration::ZERO).await;
     assert!(spread * 5 < at_once, "{spread} refused, {at_once} at once");
 }
+
+/// Pages that daemons read within a time after their start, where whole reads are due so seldom.
+async fn pages_read(space: &Arc<CrowdedSpace>, regular: Duration, time: Duration) -> usize {
+    const DAEMONS: usize = 20;
+    let watches = (0..DAEMONS).map(|_| {
+        let watch = Watch {
+            table: space.clone(),
+            space: "space",
+            partitions: vec![String::new()],
+            settings: WatchSettings::default(),
+            pace: unpaced(),
+            whole_read_pace: Arc::new(move |_| regular),
+            log: DecisionLog::new(LogBounds::default()),
+        };
+        tokio::spawn(watch.run(|_| {}))
+    });
+    let watches: Vec<_> = watches.collect();
+    sleep(time).await;
+    for watch in watches {
+        watch.abort();
+    }
+    let pages = space.answered.load(Ordering::Relaxed);
+    usize::try_from(pages).unwrap() / DAEMONS
+}
+
+/// A start alone makes no read stale: daemons of a large fleet read everything once, and again when it is due.
+#[tokio::test(start_paused = true)]
+async fn daemons_of_a_large_fleet_that_start_read_everything_once() {
+    let regular = Duration::from_secs(40);
+    let start = pages_read(&CrowdedSpace::new(), regular, Duration::from_secs(15)).await;
+    assert_eq!(start, PAGES);
+    let later = pages_read(&CrowdedSpace::new(), regular, Duration::from_secs(61)).await;
+    // The earliest may be at their third.
+    assert!((2 * PAGES..=2 * PAGES + 1).contains(&later), "{later}");
+}
+
+/// After lost history a read may be stale, at any size of the fleet; and a small fleet reads again soon in any case.
+#[tokio::test(start_paused = true)]
+async fn lost_history_is_followed_by_two_reads_soon() {
+    let regular = Duration::from_secs(100);
+    let space = CrowdedSpace::forgetful(FORGOTTEN_AT);
+    let time = FORGOTTEN_AT + Duration::from_secs(12);
+    assert_eq!(pages_read(&space, regular, time).await, 3 * PAGES);
+    let small = pages_read(&CrowdedSpace::new(), Duration::ZERO, Duration::from_secs(6)).await;
+    assert_eq!(small, 2 * PAGES);
+}
