--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -25,6 +25,8 @@
     attempts_failed: IntCounterVec,
     jobs_submitted: IntCounterVec,
     results_listed: IntCounterVec,
+    listings_asked: IntCounterVec,
+    peers_asked: IntCounterVec,
     item_runs: IntCounterVec,
     ownerships: IntCounterVec,
     dependencies_lost: IntCounterVec,
@@ -105,6 +107,16 @@
                 "Writes that list results, by outcome",
                 "outcome",
             )?,
+            listings_asked: counter(
+                "harrierward_listings_asked_total",
+                "Reads of results for which the copy of the job's head was too old, by what the store said",
+                "outcome",
+            )?,
+            peers_asked: counter(
+                "harrierward_peers_asked_total",
+                "Rounds in which a daemon that could not serve yet asked peers for their rows, by outcome",
+                "outcome",
+            )?,
             item_runs: counter(
                 "harrierward_item_runs_total",
                 "Runs of items of batch jobs, by outcome",
@@ -203,6 +215,12 @@
             Record::ResultsListed { outcome, .. } => {
                 self.results_listed.with_label_values(&[*outcome]).inc();
             }
+            Record::ListingAsked { outcome, .. } => {
+                self.listings_asked.with_label_values(&[*outcome]).inc();
+            }
+            Record::PeersAsked { outcome, .. } => {
+                self.peers_asked.with_label_values(&[*outcome]).inc();
+            }
             Record::ItemRun { outcome, .. } => {
                 let known = RUN_OUTCOMES.iter().find(|known| *known == outcome);
                 let label = known.copied().unwrap_or("broken");
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -89,6 +89,17 @@
         /// Who told of them.
         source: &'a str,
     },
+    /// A daemon without configuration or replicas asked some peers for theirs.
+    PeersAsked {
+        /// Peers that could be asked.
+        peers: usize,
+        /// Replicas that the answer names.
+        replicas: usize,
+        /// Time since the first question, milliseconds.
+        after_ms: u64,
+        /// `rows`, or `none`.
+        outcome: &'a str,
+    },
     /// The members that this process believes alive changed.
     MembersChanged {
         /// Members alive.
@@ -295,6 +306,17 @@
         /// Outcome.
         outcome: &'a str,
     },
+    /// This daemon's copy of a job's head lists nothing at a position, and is too old to say so: the store was asked.
+    ListingAsked {
+        /// Job, as its reader names it.
+        job: &'a str,
+        /// Position that was read.
+        position: u32,
+        /// Age of the copy's last proof, milliseconds; none if it was never proven.
+        proof_age_ms: Option<u64>,
+        /// `more`, `nothing`, `missing`, or `unsure`.
+        outcome: &'a str,
+    },
     /// A run of an item failed or was given back.
     ItemRun {
         /// Job.
@@ -322,6 +344,7 @@
             Self::Sent { .. } | Self::Ended { .. } | Self::ItemEndOrdered { .. } => {
                 Importance::Ordinary
             }
+            Self::ListingAsked { .. } => Importance::Ordinary,
             Self::ResultsListed { outcome, .. } if *outcome == "committed" => Importance::Ordinary,
             Self::ItemRun { outcome, .. } if *outcome == "finished" => Importance::Ordinary,
             Self::JobSubmitted { outcome, .. } if *outcome == "accepted" => Importance::Ordinary,
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -193,7 +193,7 @@
         };
         start_watches(&discovery, source.as_ref(), &watched, &jobs, &paces, &log);
         tokio::spawn(jobs.clone().run());
-        tokio::spawn(learn(discovery.clone(), members.clone(), pool));
+        tokio::spawn(learn(discovery.clone(), members.clone(), pool, log.clone()));
         let service = Arc::new(EdgeService {
             forwarder,
             jobs,
--- a/crates/edge/src/peer_rows.rs
+++ b/crates/edge/src/peer_rows.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::StreamExt;
+use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{Backoff, Row};
 use harrierward_wire::{KnownRow, KnownRows, decode, encode};
 use http::{Request, Response, StatusCode};
@@ -132,9 +133,8 @@
     decode(&bytes)
 }
 
-/// Asks some near peers for their rows. Only one of them sends them.
-async fn ask_some(members: &Members, pool: &ConnectionPool) -> Option<KnownRows> {
-    let addresses = members.control_addresses(MOST_ASKED);
+/// Asks near peers for their rows. Only one of them sends them.
+async fn ask_some(addresses: Vec<String>, pool: &ConnectionPool) -> Option<KnownRows> {
     let asking = |address| ask(pool.clone(), address);
     let answer = first_answer(addresses, SILENT_FOR, asking).await?;
     timeout(PEER_TIMEOUT, read_rows(answer)).await.ok()?
@@ -155,12 +155,27 @@
 
 /// Asks peers until this daemon can serve. What a peer says proves nothing: neither the configuration's age nor the
 /// jobs' headers, which only the store's own answers do.
-pub async fn learn(discovery: Arc<Discovery>, members: Arc<Members>, pool: ConnectionPool) {
+pub async fn learn(
+    discovery: Arc<Discovery>,
+    members: Arc<Members>,
+    pool: ConnectionPool,
+    log: DecisionLog,
+) {
     sleep(STORE_FIRST).await;
+    let began = Instant::now();
     let mut random = SmallRng::from_os_rng();
     let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     while !discovery.is_complete() {
-        if let Some(rows) = ask_some(&members, &pool).await {
+        let addresses = members.control_addresses(MOST_ASKED);
+        let peers = addresses.len();
+        let rows = ask_some(addresses, &pool).await;
+        log.record(&Record::PeersAsked {
+            peers,
+            replicas: rows.as_ref().map_or(0, |rows| rows.replicas.len()),
+            after_ms: u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX),
+            outcome: if rows.is_some() { "rows" } else { "none" },
+        });
+        if let Some(rows) = rows {
             take(&discovery, rows);
         }
         if !discovery.is_complete() {
--- a/crates/inline-jobs/src/lookup.rs
+++ b/crates/inline-jobs/src/lookup.rs
@@ -108,7 +108,12 @@
             if let Some(known) = self.known_to_list(caller, id, after) {
                 return self.page(&known, after).await;
             }
-            let known = match self.find_for(caller, id, bound).await {
+            let proof_age = self.inner.view.proof_age();
+            let found = self.find_for(caller, id, bound).await;
+            if proof_age.is_none_or(|age| age >= bound) {
+                self.log_asked(id, after, proof_age, &found);
+            }
+            let known = match found {
                 Lookup::Found(known) => known,
                 Lookup::Missing => return Lookup::Missing,
                 Lookup::Unsure => return Lookup::Unsure,
@@ -128,6 +133,28 @@
         }
     }
 
+    fn log_asked(
+        &self,
+        job: &str,
+        position: u32,
+        proof_age: Option<Duration>,
+        found: &Lookup<KnownHead>,
+    ) {
+        let outcome = match found {
+            Lookup::Found(known) if known.lists_beyond(position) => "more",
+            Lookup::Found(_) => "nothing",
+            Lookup::Missing => "missing",
+            Lookup::Unsure => "unsure",
+        };
+        let milliseconds = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        self.inner.log.record(&Record::ListingAsked {
+            job,
+            position,
+            proof_age_ms: proof_age.map(milliseconds),
+            outcome,
+        });
+    }
+
     /// The caller's job, if this daemon's copy lists a result at `after` already.
     fn known_to_list(&self, caller: &JobCaller, id: &str, after: u32) -> Option<KnownHead> {
         let view = &self.inner.view;
--- a/crates/inline-jobs/tests/stale_listing.rs
+++ b/crates/inline-jobs/tests/stale_listing.rs
@@ -196,8 +196,7 @@
     fn free_slot(&self, _replica: &Arc<Replica>) {}
 }
 
-fn jobs_over(store: Arc<OneJob>) -> InlineJobs {
-    let log = DecisionLog::new(LogBounds::default());
+fn jobs_over(store: Arc<OneJob>, log: DecisionLog) -> InlineJobs {
     let forwarder = Forwarder::new(ForwarderParts {
         routes: Arc::new(ArcSwapOption::empty()),
         replicas: Arc::new(ReplicaSet::default()),
@@ -239,7 +238,8 @@
         is_away,
         ..OneJob::default()
     });
-    let jobs = jobs_over(store.clone());
+    let log = DecisionLog::new(LogBounds::default());
+    let jobs = jobs_over(store.clone(), log);
     jobs.view().take(KnownHead {
         head: head(known),
         revision: 10 + u64::from(known),
@@ -301,3 +301,27 @@
     assert_eq!(count(&found), Some(0));
     assert_eq!(store.head_reads.load(Ordering::Relaxed), 0);
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_operator_sees_how_often_the_store_was_asked_and_what_it_said() {
+    let log = DecisionLog::new(LogBounds::default());
+    let store = Arc::new(OneJob {
+        listed: 1,
+        ..OneJob::default()
+    });
+    let jobs = jobs_over(store, log.clone());
+    jobs.view().take(KnownHead {
+        head: head(0),
+        revision: 10,
+    });
+    jobs.view().prove(Instant::now(), 1);
+    assert_eq!(count(&read(&jobs, 1, Duration::ZERO).await), Some(0));
+    advance(MUST_SHOW_AFTER).await;
+    assert_eq!(count(&read(&jobs, 0, Duration::ZERO).await), Some(1));
+    assert_eq!(count(&read(&jobs, 1, Duration::ZERO).await), Some(0));
+    let figures = String::from_utf8(log.metrics_text()).unwrap();
+    for outcome in ["more", "nothing"] {
+        let line = format!("harrierward_listings_asked_total{{outcome=\"{outcome}\"}} 1");
+        assert!(figures.contains(&line), "{line} in {figures}");
+    }
+}
