Rows for starting daemons are bounded by their bytes, not by answers

Cause: a daemon gave one answer each 0.1 s, whatever its size. The bound stands for the megabyte of 3,000 replicas; 60 replicas' rows are some kilobytes.

Change: 10 MB a second, ten answers of 3,000 replicas as before.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,6 +1,7 @@
 //! One serving daemon without machines for control and without disk: its server towards callers, its connections
 //! to back ends, its copies of what the store says, and its peers.
 
+mod answer_budget;
 mod calls;
 mod daemon;
 mod discovery;
@@ -16,6 +17,7 @@
 mod slots;
 mod watch;
 
+pub use answer_budget::AnswerBudget;
 pub use daemon::{Daemon, DaemonParts, EdgeService};
 pub use discovery::{Discovery, DiscoverySource};
 pub use hedged::first_answer;
--- a/crates/edge/src/peer_rows.rs
+++ b/crates/edge/src/peer_rows.rs
@@ -16,6 +16,7 @@
 use rand::rngs::SmallRng;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::answer_budget::AnswerBudget;
 use crate::discovery::Discovery;
 use crate::hedged::first_answer;
 use crate::members::Members;
@@ -41,17 +42,13 @@
 /// Peers asked in one round.
 const MOST_ASKED: usize = 4;
 
-/// Least time between two answers of one daemon. The rows of 3,000 replicas are a megabyte, and all daemons may start at
-/// once: without a bound the first ones that know them held 90 MB of answers.
-const ANSWER_EVERY: Duration = Duration::from_millis(100);
-
 /// Longest wait for one peer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Answers peers.
 pub struct PeerRows {
     discovery: Arc<Discovery>,
-    last_answer: Mutex<Option<Instant>>,
+    budget: Mutex<AnswerBudget>,
 }
 
 impl PeerRows {
@@ -59,21 +56,28 @@
     pub fn new(discovery: Arc<Discovery>) -> Self {
         Self {
             discovery,
-            last_answer: Mutex::default(),
+            budget: Mutex::default(),
         }
     }
 
-    /// True if this daemon has not just answered another one.
-    pub fn may_answer(&self, now: Instant) -> bool {
-        let mut last = self
-            .last_answer
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let due = last.is_none_or(|last| now.saturating_duration_since(last) >= ANSWER_EVERY);
-        if due {
-            *last = Some(now);
+    /// The rows, encoded; `None` while this daemon cannot serve itself, or has just answered others.
+    fn answer(&self, now: Instant) -> Option<Bytes> {
+        if !self.discovery.is_complete() {
+            return None;
+        }
+        // Held while the rows are encoded: answers are made one at a time.
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        if !budget.is_free(now) {
+            return None;
         }
-        due
+        let (configuration, replicas) = self.discovery.known_rows();
+        let rows = KnownRows {
+            configuration: configuration.as_ref().map(to_message),
+            replicas: replicas.iter().map(to_message).collect(),
+        };
+        let bytes = Bytes::from(encode(&rows));
+        budget.spend(bytes.len(), now);
+        Some(bytes)
     }
 }
 
@@ -96,20 +100,17 @@
 #[async_trait]
 impl HttpService for PeerRows {
     async fn call(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
-        if !self.discovery.is_complete() || !self.may_answer(Instant::now()) {
+        let answer = self.answer(Instant::now());
+        let status = if answer.is_some() {
+            StatusCode::OK
+        } else {
             // The asker goes to another peer.
-            let body = Full::new(Bytes::new()).map_err(|never| match never {});
-            let mut response = Response::new(body.boxed_unsync());
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            return response;
-        }
-        let (configuration, replicas) = self.discovery.known_rows();
-        let rows = KnownRows {
-            configuration: configuration.as_ref().map(to_message),
-            replicas: replicas.iter().map(to_message).collect(),
+            StatusCode::SERVICE_UNAVAILABLE
         };
-        let body = Full::new(Bytes::from(encode(&rows)));
-        Response::new(body.map_err(|never| match never {}).boxed_unsync())
+        let body = Full::new(answer.unwrap_or_default());
+        let mut response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
+        *response.status_mut() = status;
+        response
     }
 }
 
