--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -205,7 +205,7 @@
         tokio::spawn(jobs.clone().run());
         tokio::spawn(news.catch_up(pool.clone()));
         tokio::spawn(discovery.clone().watch_evacuated());
-        tokio::spawn(learn(discovery.clone(), members.clone(), pool));
+        tokio::spawn(learn(discovery.clone(), members.clone(), pool, log.clone()));
         let service = Arc::new(EdgeService {
             forwarder,
             jobs,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,11 +1,13 @@
 //! One serving daemon without machines for control and without disk: its server towards callers, its connections
 //! to back ends, its copies of what the store says, and its peers.
 
+mod answer_budget;
 mod calls;
 mod daemon;
 mod discovery;
 mod figures;
 mod fleet;
+mod hedged;
 mod members;
 mod peer_loads;
 mod peer_news;
@@ -18,9 +20,11 @@
 mod trips;
 mod watch;
 
+pub use answer_budget::AnswerBudget;
 pub use daemon::{Daemon, DaemonParts, EdgeService};
 pub use discovery::{Discovery, DiscoverySource};
 pub use fleet::SharedFleet;
+pub use hedged::first_answer;
 pub use members::Members;
 pub use peer_loads::{PeerLoads, PeerSum};
 pub use peer_news::PeerNews;
