--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -248,6 +248,16 @@
         /// Longest time for which one of them stays cold.
         longest_ms: u64,
     },
+    /// The replicas asked for were cold and had got what they bear: the request goes to a warm one elsewhere, or waits if
+    /// it is an item.
+    ColdPassedOver {
+        /// Request.
+        request: &'a str,
+        /// Service.
+        service: &'a str,
+        /// It is an item of a batch job.
+        item: bool,
+    },
     /// As the coordinator of a cold replica, this daemon counted a request for it, or turned one away.
     ColdPaced {
         /// Replica; one of several if all were passed over.
@@ -344,6 +354,7 @@
             Self::Sent { .. }
             | Self::Ended { .. }
             | Self::ColdPaced { .. }
+            | Self::ColdPassedOver { .. }
             | Self::ItemEndOrdered { .. } => Importance::Ordinary,
             Self::ResultsListed { outcome, .. } if *outcome == "committed" => Importance::Ordinary,
             Self::ItemRun { outcome, .. } if *outcome == "finished" => Importance::Ordinary,
--- a/crates/edge/tests/cold.rs
+++ b/crates/edge/tests/cold.rs
@@ -303,6 +303,20 @@
     );
 }
 
+/// A daemon that remembers more members than it sees tells the coordinator with its question.
+#[tokio::test]
+async fn an_asker_tells_of_the_fleet_that_it_remembers() {
+    let daemons = fleet(REPLICAS).await;
+    let own = coordinator(&daemons);
+    let asker = daemons
+        .iter()
+        .find(|daemon| !std::ptr::eq(*daemon, own))
+        .expect("another");
+    assert!(asker.fleet.take(400, 10));
+    let _ = choose(asker).await;
+    assert!(own.fleet.share(4, Instant::now()) < 0.02);
+}
+
 /// The answer to the question of a daemon that stood still has lapsed when it is read.
 #[tokio::test]
 async fn a_late_answer_is_no_permission() {
--- a/crates/harrierward/src/explain.rs
+++ b/crates/harrierward/src/explain.rs
@@ -109,6 +109,9 @@
         "results_listed" => "results were listed",
         "job_ended" => "the job's client ended it",
         "item_run" => "a run of an item ended",
+        "cold_passed_over" => {
+            "the replicas asked for were cold and had got what they bear: a warm one is chosen"
+        }
         "replica_changed" => "the replica changed",
         other => other,
     };
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -59,7 +59,7 @@
             overdue: false,
             may_return: None,
         };
-        self.ask_or_choose(query).await.ok()
+        self.ask_or_choose(query, request).await.ok()
     }
 
     /// A place for an online request that comes for the first time: its caller may be told to come back instead.
@@ -70,7 +70,7 @@
         objective: Duration,
         may_return: Option<Duration>,
     ) -> Result<Placement, NoPlace> {
-        self.ask_or_choose(SlotQuery {
+        let query = SlotQuery {
             service,
             prompt: &request.prompt,
             regions: &request.regions,
@@ -80,8 +80,8 @@
             item: None,
             overdue: false,
             may_return,
-        })
-        .await
+        };
+        self.ask_or_choose(query, request).await
     }
 
     /// A place for an online request whose objective has passed: it waits up to `longest` while those that can still
@@ -131,7 +131,7 @@
         }
         self.log_overdue(request, began);
         query.overdue = false;
-        self.ask_or_choose(query).await.ok()
+        self.ask_or_choose(query, request).await.ok()
     }
 
     fn length_of(&self, service: &str, request: &ServingRequest) -> PromptLength {
@@ -150,8 +150,20 @@
         });
     }
 
-    async fn ask_or_choose(&self, query: SlotQuery<'_>) -> Result<Placement, NoPlace> {
-        match self.places().ask(query).await {
+    async fn ask_or_choose(
+        &self,
+        query: SlotQuery<'_>,
+        request: &ServingRequest,
+    ) -> Result<Placement, NoPlace> {
+        let answer = self.places().ask(query).await;
+        if matches!(answer, SlotAnswer::AllCold) {
+            self.log().record(&Record::ColdPassedOver {
+                request: &request.id,
+                service: query.service,
+                item: query.item.is_some(),
+            });
+        }
+        match answer {
             SlotAnswer::Given { choice, lease } => {
                 let held = SlotLease::new(self.places().clone(), lease);
                 Ok(choice.enter(query.class(), held))
