--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -240,8 +240,12 @@
                 let cold = i64::try_from(*cold).unwrap_or(i64::MAX);
                 self.cold_replicas.with_label_values(&[*zone]).set(cold);
             }
-            Record::ColdPaced { outcome, .. } => {
-                self.cold_paced.with_label_values(&[*outcome]).inc();
+            Record::ColdCounted { .. } => {
+                self.cold_paced.with_label_values(&["counted"]).inc();
+            }
+            Record::ColdTurnedAway { requests, .. } => {
+                let counter = self.cold_paced.with_label_values(&["turned away"]);
+                counter.inc_by(u64::from(*requests));
             }
             Record::ViewSynced { records, .. } => {
                 self.view_sync_records.inc_by(*records as u64);
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -258,16 +258,24 @@
         /// It is an item of a batch job.
         item: bool,
     },
-    /// As the coordinator of a cold replica, this daemon counted a request for it, or turned one away.
-    ColdPaced {
-        /// Replica; one of several if all were passed over.
+    /// As the coordinator of a cold replica, this daemon counted a request for it.
+    ColdCounted {
+        /// Replica.
         replica: &'a str,
         /// Its zone.
         zone: &'a str,
-        /// What became of the request.
-        outcome: &'a str,
         /// How much longer the replica stays cold.
         cold_ms: u64,
+        /// Part of what the replica bears that this daemon gives out, in thousandths.
+        share_permille: u32,
+    },
+    /// As the coordinator of cold replicas, this daemon turned requests away since the last tick: the replicas had got
+    /// what they bear, or this daemon has not coordinated them for long enough.
+    ColdTurnedAway {
+        /// Requests.
+        requests: u32,
+        /// Part of what a replica bears that this daemon gives out, in thousandths.
+        share_permille: u32,
     },
     /// A configuration was not taken over; what is in force stays so.
     ConfigurationRejected {
@@ -353,7 +361,7 @@
         match self {
             Self::Sent { .. }
             | Self::Ended { .. }
-            | Self::ColdPaced { .. }
+            | Self::ColdCounted { .. }
             | Self::ColdPassedOver { .. }
             | Self::ItemEndOrdered { .. } => Importance::Ordinary,
             Self::ResultsListed { outcome, .. } if *outcome == "committed" => Importance::Ordinary,
--- a/crates/decisions/tests/log.rs
+++ b/crates/decisions/tests/log.rs
@@ -91,3 +91,34 @@
     assert_eq!(lines.count(), 257);
     assert!(text.contains("harrierward_tenant_refusals_total{tenant=\"(other)\"} 144"));
 }
+
+#[tokio::test]
+async fn cold_replicas_are_shown_by_zone_and_requests_for_them_counted() {
+    let log = DecisionLog::new(LogBounds::default());
+    for (cold, before) in [(30, 0), (7, 30)] {
+        log.record(&Record::ZoneWarmth {
+            zone: "zone-a",
+            cold,
+            before,
+            longest_ms: 900,
+        });
+    }
+    log.record(&Record::ColdCounted {
+        replica: "one",
+        zone: "zone-a",
+        cold_ms: 900,
+        share_permille: 1_000,
+    });
+    log.record(&Record::ColdTurnedAway {
+        requests: 5,
+        share_permille: 1_000,
+    });
+    let text = String::from_utf8(log.metrics_text()).expect("text");
+    for line in [
+        "harrierward_cold_replicas{zone=\"zone-a\"} 7",
+        "harrierward_cold_paced_total{outcome=\"counted\"} 1",
+        "harrierward_cold_paced_total{outcome=\"turned away\"} 5",
+    ] {
+        assert!(text.contains(line), "{line} in {text}");
+    }
+}
--- a/crates/edge/src/slots/pacing.rs
+++ b/crates/edge/src/slots/pacing.rs
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 pub(super) struct PacingState {
     pacer: ColdPacer<GroupKey>,
+    /// Requests turned away since the last tick.
+    turned_away: u32,
     /// Cold replicas by zone, as last logged.
     logged: BTreeMap<String, usize>,
 }
@@ -38,6 +40,7 @@
     pub(super) fn new(now: Instant) -> Self {
         Self {
             pacer: ColdPacer::new(now),
+            turned_away: 0,
             logged: BTreeMap::new(),
         }
     }
@@ -59,11 +62,16 @@
     fn pace(&self, pacing: &Pacing, replica: &Replica, now: Instant) -> Option<ColdPace> {
         let warmup = replica.service_warmup()?;
         let limit = RateLimit::new(warmup.per_second, 0.0).ok()?;
-        let share = self.share(pacing, now);
-        let share = self.lock().pacing.pacer.share(share);
+        let share = self.lowest_share(pacing, now);
         Some(ColdPace::of(&pacing.bounds, limit, share))
     }
 
+    /// The part of the fleet that counts: one that has grown does so after a wait only.
+    fn lowest_share(&self, pacing: &Pacing, now: Instant) -> f64 {
+        let share = self.share(pacing, now);
+        self.lock().pacing.pacer.share(share)
+    }
+
     /// Of a group's replicas, those that may get a request now: warm ones, and cold ones that bear one more.
     pub(super) fn bearing(
         &self,
@@ -122,38 +130,47 @@
         let mut state = self.lock();
         let pacer = &mut state.pacing.pacer;
         let is_taken = pacer.take(&key, replica.hash, pace, &pacing.bounds, now);
-        drop(state);
-        self.log_paced(replica, now, is_taken);
-        if is_taken {
-            Ok(Some(now + COLD_GRANT_LIFETIME))
-        } else {
-            Err(AllCold)
+        if !is_taken {
+            state.pacing.turned_away += 1;
+            return Err(AllCold);
         }
+        drop(state);
+        self.log_counted(pacing, replica, now);
+        Ok(Some(now + COLD_GRANT_LIFETIME))
     }
 
     /// True if nothing was chosen in a group because its replicas are cold and got all that they bear now.
     pub(super) fn is_all_cold(&self, replicas: &[Arc<Replica>]) -> bool {
         let now = Instant::now();
-        let Some(first) = replicas.first() else {
-            return false;
-        };
-        let is_all = replicas.iter().all(|replica| replica.is_cold(now));
+        let mut all = replicas.iter();
+        let is_all = !replicas.is_empty() && all.all(|replica| replica.is_cold(now));
         if is_all {
-            self.log_paced(first, now, false);
+            self.lock().pacing.turned_away += 1;
         }
         is_all
     }
 
-    fn log_paced(&self, replica: &Replica, now: Instant, is_counted: bool) {
+    fn log_counted(&self, pacing: &Pacing, replica: &Replica, now: Instant) {
         let cold_for = replica.cold_for(now).as_millis();
-        self.log.record(&Record::ColdPaced {
+        self.log.record(&Record::ColdCounted {
             replica: &replica.record.id,
             zone: &replica.record.zone,
-            outcome: if is_counted { "counted" } else { "turned away" },
             cold_ms: u64::try_from(cold_for).unwrap_or(u64::MAX),
+            share_permille: permille(self.lowest_share(pacing, now)),
         });
     }
 
+    /// One line a tick for all requests that were turned away: there may be very many.
+    fn log_turned_away(&self, pacing: &Pacing, now: Instant) {
+        let requests = std::mem::take(&mut self.lock().pacing.turned_away);
+        if requests > 0 {
+            self.log.record(&Record::ColdTurnedAway {
+                requests,
+                share_permille: permille(self.lowest_share(pacing, now)),
+            });
+        }
+    }
+
     /// Driven by the membership's tick: which groups this daemon coordinates, and how many replicas are cold.
     pub(super) fn tick_pacing(&self, now: Instant) {
         let Some(pacing) = self.pacing.get() else {
@@ -168,6 +185,7 @@
         let mut state = self.lock();
         state.pacing.pacer.tick(own, share, &pacing.bounds, now);
         drop(state);
+        self.log_turned_away(pacing, now);
         self.log_warmth(now);
     }
 
@@ -224,3 +242,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("cold replicas got all that they bear now")]
 pub(super) struct AllCold;
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn permille(share: f64) -> u32 {
+    (share * 1_000.0).round() as u32
+}
