--- a/crates/slots/src/pacer.rs
+++ b/crates/slots/src/pacer.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 /// How long a request that was counted may still be sent to a cold replica, from the moment of the question. Above the
-/// longest patience with a coordinator (60 ms) and what placing takes; short, as what may rest at daemons is missing in
+/// longest patience with a coordinator and what placing takes; short, as what may rest at daemons is missing in
 /// the rate.
 pub const COLD_GRANT_LIFETIME: Duration = Duration::from_millis(250);
 
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -57,10 +57,10 @@
     #[prost(message, optional, tag = "17")]
     pub allowed_regions: Option<RegionNames>,
     /// Most members that the asker knew lately; 0 if not more than now.
-    #[prost(uint32, tag = "18")]
+    #[prost(uint32, tag = "21")]
     pub fleet_members: u32,
     /// Time since it knew so many, milliseconds.
-    #[prost(uint32, tag = "19")]
+    #[prost(uint32, tag = "22")]
     pub fleet_seen_ms_ago: u32,
 }
 
