--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -62,7 +62,7 @@
             may_repeat: item.is_some(),
             may_return: None,
         };
-        self.ask_or_choose(query).await.ok()
+        self.ask_or_choose(query, request).await.ok()
     }
 
     /// A place for an online request that comes for the first time: its caller may be told to come back instead.
@@ -74,7 +74,7 @@
         may_repeat: bool,
         may_return: Option<Duration>,
     ) -> Result<Placement, NoPlace> {
-        self.ask_or_choose(SlotQuery {
+        let query = SlotQuery {
             service,
             prompt: &request.prompt,
             regions: &request.regions,
@@ -85,8 +85,8 @@
             overdue: false,
             may_repeat,
             may_return,
-        })
-        .await
+        };
+        self.ask_or_choose(query, request).await
     }
 
     /// A place for an online request whose objective has passed: it waits up to `longest` while those that can still
@@ -137,7 +137,7 @@
         }
         self.log_overdue(request, began);
         query.overdue = false;
-        self.ask_or_choose(query).await.ok()
+        self.ask_or_choose(query, request).await.ok()
     }
 
     fn length_of(&self, service: &str, request: &ServingRequest) -> PromptLength {
@@ -156,14 +156,26 @@
         });
     }
 
-    async fn ask_or_choose(&self, query: SlotQuery<'_>) -> Result<Placement, NoPlace> {
+    async fn ask_or_choose(
+        &self,
+        query: SlotQuery<'_>,
+        request: &ServingRequest,
+    ) -> Result<Placement, NoPlace> {
         // No coordinator has a place where nobody may serve the request: its caller is told at once.
         let view = self.replicas().view();
         if !view.has_usable(query.service, query.regions) {
             return Err(NoPlace::NoReplica);
         }
         drop(view);
-        match self.places().ask(query).await {
+        let answer = self.places().ask(query).await;
+        if matches!(answer, SlotAnswer::AllCold) {
+            self.log().record(&Record::ColdPassedOver {
+                request: &request.id,
+                service: query.service,
+                item: query.item.is_some(),
+            });
+        }
+        match answer {
             SlotAnswer::Given { choice, lease } => {
                 let held = SlotLease::new(self.places().clone(), lease);
                 if self.overrules(&choice, query.regions) {
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -57,16 +57,16 @@
     #[prost(message, optional, tag = "17")]
     pub allowed_regions: Option<RegionNames>,
     /// Most members that the asker knew lately; 0 if not more than now.
-    #[prost(uint32, tag = "18")]
+    #[prost(uint32, tag = "21")]
     pub fleet_members: u32,
     /// Time since it knew so many, milliseconds.
-    #[prost(uint32, tag = "19")]
+    #[prost(uint32, tag = "22")]
     pub fleet_seen_ms_ago: u32,
     /// The asker's own region has replicas too, which are full: granted only where there is room to spare.
-    #[prost(bool, tag = "20")]
+    #[prost(bool, tag = "18")]
     pub spilled: bool,
     /// The request may be sent again elsewhere if it fails: it may try a replica that was ejected.
-    #[prost(bool, tag = "21")]
+    #[prost(bool, tag = "20")]
     pub may_repeat: bool,
 }
 
