A job's tokens that one daemon gives back stay granted to another that submits the same job

Cause: the coordinator of a quota kept one grant for a job, whoever asked. A client that is refused or hears nothing sends its job to another daemon; when the first gave the tokens back, by a datagram that may come late, the grant of the second was gone as well, and its job waited uncounted until its header reached the coordinator.

Ruled out: grants under an earlier fence (the fence is a condition of the job's own write), heads read before the fence (the read must be as new), a write done late (the submission is then in doubt and gives nothing back).

Change: each submission has a number, which its questions and returns carry; a grant is free when its last submission gave it back. Daemons that send none share one number, as before.

The model of the quota did not know returns. A test of the order itself fails before the change.

--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -403,6 +403,7 @@
             tenant: &ask.tenant,
             job: &ask.job,
             tokens: ask.tokens,
+            submission: ask.submission,
         };
         if ask.returned {
             jobs.give_back_quota(request);
@@ -440,6 +441,7 @@
             job: request.job.to_owned(),
             tokens: request.tokens,
             returned: false,
+            submission: request.submission,
         }
     }
 
--- a/crates/inline-jobs/src/quota.rs
+++ b/crates/inline-jobs/src/quota.rs
@@ -133,7 +133,8 @@
 
     /// A job that was granted its tokens will certainly not be kept.
     pub fn give_back_quota(&self, request: QuotaRequest<'_>) {
-        self.quotas().give_back(request.route, request.job);
+        self.quotas()
+            .give_back(request.route, request.job, request.submission);
     }
 
     pub(crate) fn return_quota(&self, request: QuotaRequest<'_>) {
--- a/crates/inline-jobs/src/quota_book.rs
+++ b/crates/inline-jobs/src/quota_book.rs
@@ -4,7 +4,7 @@
 //! Why exact: a job is kept only under the revision of its route's fence, so every job that can still be kept under
 //! it was granted here. The count is that of the heads, read whole after the fence was written, and of these grants.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -13,11 +13,13 @@
 /// How long a grant may stay unseen. Then the fence is written anew, so that it can come to nothing for certain.
 const GRANT_LIFETIME: Duration = Duration::from_secs(8);
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Grant {
     tokens: u64,
     at: Instant,
     tenant: u64,
+    /// Submissions that may yet keep the job. One that gives the tokens back says nothing of the others.
+    submissions: HashSet<u64>,
 }
 
 #[derive(Debug)]
@@ -37,6 +39,9 @@
     pub job: &'a str,
     /// Tokens of its items.
     pub tokens: u64,
+    /// Which submission of the job asks: a client that hears nothing sends the same job to another daemon. The same
+    /// number each time one submission asks.
+    pub submission: u64,
 }
 
 /// What the heads tell of a route.
@@ -107,7 +112,11 @@
             return QuotaDecision::NotKept;
         }
         let fence = kept.fence;
-        if (count.is_known)(request.job) || kept.grants.contains_key(request.job) {
+        if let Some(grant) = kept.grants.get_mut(request.job) {
+            grant.submissions.insert(request.submission);
+            return QuotaDecision::Granted { fence };
+        }
+        if (count.is_known)(request.job) {
             return QuotaDecision::Granted { fence };
         }
         let tenant = xxh3_64(request.tenant.as_bytes());
@@ -120,14 +129,22 @@
             tokens: request.tokens,
             at: now,
             tenant,
+            submissions: HashSet::from([request.submission]),
         };
         kept.grants.insert(request.job.to_owned(), grant);
         QuotaDecision::Granted { fence }
     }
 
-    /// A job will certainly not be kept under the present fence.
-    pub fn give_back(&mut self, route: &str, job: &str) {
-        if let Some(kept) = self.routes.get_mut(route) {
+    /// A submission will certainly not keep its job. The tokens are free once no other submission of it is left.
+    pub fn give_back(&mut self, route: &str, job: &str, submission: u64) {
+        let Some(kept) = self.routes.get_mut(route) else {
+            return;
+        };
+        let Some(grant) = kept.grants.get_mut(job) else {
+            return;
+        };
+        let held = grant.submissions.remove(&submission);
+        if held && grant.submissions.is_empty() {
             kept.grants.remove(job);
         }
     }
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -91,6 +91,7 @@
             tenant,
             job: &job.id,
             tokens: tokens_of(job),
+            submission: rand::random(),
         };
         let rows = JobItemsRow {
             items: job.items.iter().map(item_row).collect(),
--- a/crates/inline-jobs/tests/quota_book.rs
+++ b/crates/inline-jobs/tests/quota_book.rs
@@ -19,6 +19,10 @@
     Ask { daemon: usize, job: u8, tokens: u64 },
     /// The store does the oldest or newest write that is under way, if its condition still holds.
     Write { newest: bool },
+    /// A daemon learns that a write of its own will certainly not be done, and gives the tokens back.
+    GiveUp { newest: bool },
+    /// The coordinator hears that tokens are given back.
+    Return { newest: bool },
     /// A job is over: its tokens wait no longer.
     Finish { job: u8 },
     /// A daemon hears what the store has.
@@ -35,6 +39,8 @@
         6 => (daemon.clone(), job.clone(), 10..60_u64)
             .prop_map(|(daemon, job, tokens)| Event::Ask { daemon, job, tokens }),
         4 => any::<bool>().prop_map(|newest| Event::Write { newest }),
+        2 => any::<bool>().prop_map(|newest| Event::GiveUp { newest }),
+        2 => any::<bool>().prop_map(|newest| Event::Return { newest }),
         2 => job.prop_map(|job| Event::Finish { job }),
         3 => daemon.prop_map(|daemon| Event::Hear { daemon }),
         1 => (0..9_000_u64).prop_map(|millis| Event::Pass { millis }),
@@ -48,6 +54,16 @@
     job: u8,
     tokens: u64,
     fence: u64,
+    submission: u64,
+    coordinator: usize,
+}
+
+fn take_one(writes: &mut Vec<Write>, newest: bool) -> Option<Write> {
+    if newest {
+        writes.pop()
+    } else {
+        (!writes.is_empty()).then(|| writes.remove(0))
+    }
 }
 
 fn name(job: u8) -> String {
@@ -60,6 +76,17 @@
     job: u8,
     tokens: u64,
     now: Instant,
+) -> QuotaDecision {
+    decide_for(book, heads, job, tokens, now, 1)
+}
+
+fn decide_for(
+    book: &mut QuotaBook,
+    heads: &Heads,
+    job: u8,
+    tokens: u64,
+    now: Instant,
+    submission: u64,
 ) -> QuotaDecision {
     let known: HashSet<String> = heads.keys().map(|job| name(*job)).collect();
     let count = RouteCount {
@@ -72,11 +99,15 @@
         tenant: "",
         job: &name(job),
         tokens,
+        submission,
     };
     book.decide(request, count, now)
 }
 
 proptest! {
+    // The same job submitted twice, given back once and kept by the other is a rare order of events.
+    #![proptest_config(ProptestConfig::with_cases(4_000))]
+
     #[test]
     fn the_quota_holds_whoever_grants_and_whenever_writes_are_done(
         events in proptest::collection::vec(event(), 0..120)
@@ -86,6 +117,8 @@
         let mut store = Heads::new();
         let mut sizes: BTreeMap<u8, u64> = BTreeMap::new();
         let mut under_way: Vec<Write> = Vec::new();
+        let mut given_back: Vec<Write> = Vec::new();
+        let mut submissions = 0;
         let mut books: Vec<QuotaBook> = (0..DAEMONS).map(|_| QuotaBook::default()).collect();
         let mut heard: Vec<Heads> = vec![Heads::new(); DAEMONS];
         for event in events {
@@ -97,21 +130,32 @@
                 }
                 Event::Ask { daemon, job, tokens } => {
                     let tokens = *sizes.entry(job).or_insert(tokens);
-                    let decision = decide(&mut books[daemon], &heard[daemon], job, tokens, now);
+                    submissions += 1;
+                    let (book, heads) = (&mut books[daemon], &heard[daemon]);
+                    let decision = decide_for(book, heads, job, tokens, now, submissions);
                     if let QuotaDecision::Granted { fence } = decision {
-                        under_way.push(Write { job, tokens, fence });
+                        under_way.push(Write {
+                            job,
+                            tokens,
+                            fence,
+                            submission: submissions,
+                            coordinator: daemon,
+                        });
                     }
                 }
                 Event::Write { newest } => {
-                    let write = if newest {
-                        under_way.pop()
-                    } else {
-                        (!under_way.is_empty()).then(|| under_way.remove(0))
-                    };
+                    let write = take_one(&mut under_way, newest);
                     if let Some(write) = write.filter(|write| write.fence == fence) {
                         store.entry(write.job).or_insert(write.tokens);
                     }
                 }
+                Event::GiveUp { newest } => given_back.extend(take_one(&mut under_way, newest)),
+                Event::Return { newest } => {
+                    if let Some(write) = take_one(&mut given_back, newest) {
+                        let book = &mut books[write.coordinator];
+                        book.give_back(ROUTE, &name(write.job), write.submission);
+                    }
+                }
                 Event::Finish { job } => {
                     if let Some(tokens) = store.get_mut(&job) {
                         *tokens = 0;
@@ -144,7 +188,7 @@
         "asked again"
     );
     assert_eq!(decide(&mut book, &none, 2, 60, start), QuotaDecision::Full);
-    book.give_back(ROUTE, &name(1));
+    book.give_back(ROUTE, &name(1), 1);
     assert_eq!(decide(&mut book, &none, 2, 60, start), granted);
     let later = start + Duration::from_secs(8);
     assert_eq!(
@@ -157,3 +201,23 @@
         QuotaDecision::Granted { fence: 6 }
     );
 }
+
+/// A client that hears nothing sends its job to another daemon while the first still tries.
+#[test]
+fn what_one_daemon_gives_back_stays_granted_to_another_that_submits_the_same_job() {
+    let now = Instant::now();
+    let mut book = QuotaBook::default();
+    let none = Heads::new();
+    book.begin(ROUTE, 5);
+    let granted = QuotaDecision::Granted { fence: 5 };
+    assert_eq!(decide_for(&mut book, &none, 1, 60, now, 1), granted);
+    assert_eq!(decide_for(&mut book, &none, 1, 60, now, 2), granted);
+    book.give_back(ROUTE, &name(1), 1);
+    book.give_back(ROUTE, &name(1), 1);
+    assert_eq!(
+        decide_for(&mut book, &none, 2, 60, now, 3),
+        QuotaDecision::Full
+    );
+    book.give_back(ROUTE, &name(1), 2);
+    assert_eq!(decide_for(&mut book, &none, 2, 60, now, 3), granted);
+}
--- a/crates/wire/src/quota.rs
+++ b/crates/wire/src/quota.rs
@@ -33,6 +33,9 @@
     /// Tenant whose tokens they are; empty without tenants.
     #[prost(string, tag = "6")]
     pub tenant: String,
+    /// Which submission of the job asks, a number that no other one has.
+    #[prost(fixed64, tag = "7")]
+    pub submission: u64,
 }
 
 /// A coordinator's answer.
