--- a/crates/edge/src/slots/choosing_group.rs
+++ b/crates/edge/src/slots/choosing_group.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use harrierward_serving::{
-    LeftRegion, PromptLength, ROOMY_PERMILLE, Replica, SlotAnswer, SlotLeases, SlotQuery,
+    LeaseEnd, LeftRegion, PromptLength, ROOMY_PERMILLE, Replica, SlotAnswer, SlotLeases, SlotQuery,
     expected_wait_ms, preference_weight, short_hash,
 };
 use harrierward_slots::{Crossing, GroupId, GroupLayout, Room, is_better_off};
@@ -44,7 +44,7 @@
 impl Drop for QueuePlace<'_> {
     fn drop(&mut self) {
         if let Some(lease) = self.lease {
-            self.service.release(lease);
+            self.service.release(lease, LeaseEnd::default());
         }
     }
 }
