--- a/crates/edge/tests/cold.rs
+++ b/crates/edge/tests/cold.rs
@@ -355,6 +355,8 @@
             holder: 5,
             lease: 1,
             service: harrierward_serving::short_hash(SERVICE),
+            // The replicas name no region: that is the one in which their group lies.
+            group_area: harrierward_serving::short_hash(""),
             excluded: others,
             ..SlotAsk::default()
         };
