A resent at-most-once request gets the stored answer as it was

Cause: the answer's id and time were made by the door at each send and never stored, so a stored answer came back under another id, and nothing told it from a second run. A resend during the run was refused at once, which also met callers that resent while the finished answer was still being stored.

Ruled out: an id reckoned from the key (an answer that was released and run anew would bear the id of another run); news between daemons that a run has ended (the row is what outlives the run's daemon).

Change: id and time go with the call and into the stored answer; a replay bears `Idempotent-Replayed: true` and `harrierward-execution: ran`. A claim row holds a second digest, of what is asked for without `stream` and `stream_options`, so that a stored answer is given whole or streamed as the resend asks; rows of earlier daemons are still judged by the digest of the body's bytes. A resend waits up to a second for the claim to be settled, without a place among the running requests; one task per daemon reads all awaited rows together. Then 409 with `Retry-After`. Loopback's set-up moved to tests/support unchanged, its checks as they were.

--- a/crates/api/src/generate.rs
+++ b/crates/api/src/generate.rs
@@ -9,11 +9,11 @@
 use axum::http::{HeaderMap, HeaderValue, header::CONTENT_TYPE};
 use axum::response::{IntoResponse, Response};
 use futures::{StreamExt, stream};
-use harrierward_claims::{ClaimKey, request_digest};
+use harrierward_claims::{ClaimKey, RequestDigest};
 use harrierward_external::FinishReason;
 use harrierward_gateway::{
-    AnswerEvent, AnswerStream, Call, EndpointKind, Execution, GenerationSpec, MarkedCall, Usage,
-    parse_request,
+    AnswerEvent, AnswerIdentity, AnswerStream, Call, EndpointKind, Execution, GenerationSpec,
+    MarkedCall, Usage, content_bytes, parse_request,
 };
 use harrierward_node::Node;
 use serde::Serialize;
@@ -26,6 +26,9 @@
 const MARK_HEADER: &str = "harrierward-execution";
 const AT_MOST_ONCE: &str = "at-most-once";
 
+/// Header of an answer that is the stored one of an earlier send.
+const STORED_HEADER: &str = "idempotent-replayed";
+
 /// Header by which a caller bounds the time for its request to start, milliseconds.
 const DEADLINE_HEADER: &str = "harrierward-deadline-ms";
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -63,27 +66,41 @@
     let value = serde_json::from_slice(&body)
         .map_err(|error| ApiError::bad_field("body", format!("is not JSON: {error}")))?;
     let spec = parse_request(kind, &value)?;
-    let marked = mark(&caller, kind, &headers, &body)?;
+    let digest = || RequestDigest::of(kind.path(), &body, &content_bytes(&value));
+    let marked = mark(&caller, &headers, digest)?;
     let call = Call {
         tenant: caller.tenant,
         spec: spec.clone(),
+        identity: new_identity(&node, kind),
         marked,
         deadline: Instant::now() + deadline(&headers)?,
     };
     let answer = node.gateway().call(call).await?;
-    let head = AnswerHead::new(&node, &spec);
-    if spec.stream {
-        Ok(streamed(head, spec, answer))
+    let is_stored = answer.is_stored();
+    let head = AnswerHead::new(answer.identity().clone(), &spec);
+    let mut response = if spec.stream {
+        streamed(head, spec, answer)
     } else {
-        whole(head, answer).await
+        whole(head, answer).await?
+    };
+    if is_stored {
+        mark_stored(&mut response);
     }
+    Ok(response)
+}
+
+/// Tells the caller that the answer is that of an earlier send.
+fn mark_stored(response: &mut Response) {
+    let stored = HeaderValue::from_static("true");
+    response.headers_mut().insert(STORED_HEADER, stored);
+    let ran = HeaderValue::from_static(Execution::Ran.name());
+    response.headers_mut().insert(EXECUTION_HEADER, ran);
 }
 
 fn mark(
     caller: &Caller,
-    kind: EndpointKind,
     headers: &HeaderMap,
-    body: &[u8],
+    digest: impl FnOnce() -> RequestDigest,
 ) -> Result<Option<MarkedCall>, ApiError> {
     let Some(mark) = headers.get(MARK_HEADER) else {
         return Ok(None);
@@ -100,7 +117,7 @@
             tenant: caller.tenant.clone(),
             key,
         },
-        digest: request_digest(kind.path(), body),
+        digest: digest(),
     }))
 }
 
@@ -120,25 +137,30 @@
         })
 }
 
+fn new_identity(node: &Node, kind: EndpointKind) -> AnswerIdentity {
+    let prefix = match kind {
+        EndpointKind::Chat => "chatcmpl",
+        EndpointKind::Completion => "cmpl",
+    };
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    AnswerIdentity {
+        id: format!("{prefix}-{:016x}", node.random_id()),
+        created: now.unwrap_or_default().as_secs(),
+    }
+}
+
 /// What all parts of an answer have in common.
 #[derive(Debug, Clone)]
 struct AnswerHead {
-    id: String,
-    created: u64,
+    identity: AnswerIdentity,
     model: String,
     kind: EndpointKind,
 }
 
 impl AnswerHead {
-    fn new(node: &Node, spec: &GenerationSpec) -> Self {
-        let prefix = match spec.kind {
-            EndpointKind::Chat => "chatcmpl",
-            EndpointKind::Completion => "cmpl",
-        };
-        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    fn new(identity: AnswerIdentity, spec: &GenerationSpec) -> Self {
         Self {
-            id: format!("{prefix}-{:016x}", node.random_id()),
-            created: now.unwrap_or_default().as_secs(),
+            identity,
             model: spec.endpoint.clone(),
             kind: spec.kind,
         }
@@ -146,9 +168,9 @@
 
     fn part<'a>(&'a self, object: &'static str, choices: Vec<Choice<'a>>) -> Answer<'a> {
         Answer {
-            id: &self.id,
+            id: &self.identity.id,
             object,
-            created: self.created,
+            created: self.identity.created,
             model: &self.model,
             choices,
             usage: None,
--- a/crates/bench/src/faults/clients.rs
+++ b/crates/bench/src/faults/clients.rs
@@ -5,12 +5,13 @@
 
 use futures::StreamExt;
 use harrierward_batch::{BatchError, CreateJob, UploadRequest, batch_id_at};
-use harrierward_claims::{ClaimKey, request_digest};
+use harrierward_claims::{ClaimKey, RequestDigest};
 use harrierward_config::{
     ApplyRequest, ConfigError, ConfigObject, LimitsSpec, RequestedChange, Spec,
 };
 use harrierward_gateway::{
-    AnswerEvent, Call, EndpointKind, Execution, GatewayError, GenerationSpec, MarkedCall,
+    AnswerEvent, AnswerIdentity, Call, EndpointKind, Execution, GatewayError, GenerationSpec,
+    MarkedCall,
 };
 use harrierward_wire::ConfigDeltaReply;
 use rand::Rng;
@@ -41,6 +42,17 @@
     }
 }
 
+fn digest(prompt: &str) -> RequestDigest {
+    RequestDigest::of("/v1/completions", prompt.as_bytes(), prompt.as_bytes())
+}
+
+fn identity(prompt: &str) -> AnswerIdentity {
+    AnswerIdentity {
+        id: prompt.to_owned(),
+        created: 0,
+    }
+}
+
 fn any_tenant(world: &World) -> (&'static str, &'static str) {
     let index = world.random(|random| random.random_range(0..TENANTS.len()));
     TENANTS[index]
@@ -109,6 +121,7 @@
         let call = Call {
             tenant: tenant.to_owned(),
             spec: spec(model, &prompt, maximum_tokens),
+            identity: identity(&prompt),
             marked: None,
             deadline: Instant::now() + Duration::from_secs(20),
         };
@@ -175,11 +188,12 @@
                 tenant: request.tenant.to_owned(),
                 key: request.prompt.clone(),
             },
-            digest: request_digest("/v1/completions", request.prompt.as_bytes()),
+            digest: digest(&request.prompt),
         };
         let call = Call {
             tenant: request.tenant.to_owned(),
             spec: spec(request.model, &request.prompt, request.maximum_tokens),
+            identity: identity(&request.prompt),
             marked: (!world.broken.no_claims).then_some(marked),
             deadline: Instant::now() + Duration::from_secs(20),
         };
@@ -495,10 +509,11 @@
         tenant: tenant.to_owned(),
         key: prompt.clone(),
     };
-    let digest = request_digest("/v1/completions", prompt.as_bytes());
+    let digest = digest(&prompt);
     let call = Call {
         tenant: tenant.to_owned(),
         spec: spec(model, &prompt, MAXIMUM_TOKENS),
+        identity: identity(&prompt),
         marked: marked.then_some(MarkedCall { key, digest }),
         deadline: Instant::now() + Duration::from_secs(20),
     };
--- a/crates/bench/tests/loopback.rs
+++ b/crates/bench/tests/loopback.rs
@@ -1,122 +1,15 @@
 //! Three daemons over real loopback before one stand-in platform: what was sent to one holds at the others.
 
-use std::sync::Arc;
-use std::time::Duration;
+mod support;
 
 use bytes::Bytes;
-use harrierward_config::{ApplyFile, ApplyRequest, ConfigStore, KeyDigest};
-use harrierward_emulator::server::{engine_router, platform_router};
-use harrierward_emulator::{
-    EngineHandle, EngineParameters, MemoryPlatform, PlatformParameters, expected_answer,
-};
-use harrierward_external::http::{
-    HttpCaller, HttpEngine, HttpMachineList, HttpObjectStore, HttpTable, HttpWeightStore,
-    without_delay,
-};
-use harrierward_external::{Engine, Machine, MachineState, ReplicaId};
-use harrierward_gateway::EngineConnector;
-use harrierward_node::{
-    Node, NodeIdentity, NodeParts, NodeSettings, SocketNetwork, peer_router, serve_datagrams,
-};
+use harrierward_emulator::expected_answer;
 use http::Method;
-use prometheus::Registry;
+use http_body_util::BodyExt;
 use serde_json::{Value, json};
-use tokio::net::{TcpListener, UdpSocket};
+use support::{MODEL, PAUSE, start_daemon, start_platform};
 use tokio::time::sleep;
 
-const MODEL: &str = "banco-lm";
-const KEY: &str = "caller";
-const SHARDS: u32 = 4;
-const PAUSE: Duration = Duration::from_millis(50);
-
-struct Connector {
-    caller: HttpCaller,
-}
-
-impl EngineConnector for Connector {
-    fn connect(&self, machine: &Machine) -> Arc<dyn Engine> {
-        Arc::new(HttpEngine::new(self.caller.clone(), &machine.address))
-    }
-}
-
-async fn serve(routes: axum::Router) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address").to_string();
-    tokio::spawn(async move { axum::serve(without_delay(listener), routes).await });
-    address
-}
-
-async fn start_platform() -> (MemoryPlatform, EngineHandle, String) {
-    let platform = MemoryPlatform::new(PlatformParameters::default());
-    let models = vec![MODEL.to_owned()];
-    let engine = EngineHandle::start("engine", EngineParameters::default(), models, 0.1, true);
-    let engine_address = serve(engine_router(engine.clone())).await;
-    platform.seed_machine(Machine {
-        replica: ReplicaId("engine".to_owned()),
-        service: MODEL.to_owned(),
-        zone: "zone".to_owned(),
-        address: engine_address,
-        state: MachineState::Live,
-    });
-    let digest = KeyDigest::of(KEY).0;
-    let text = format!(
-        "[[tenant]]\nname='desks'\nowner='desks'\nspec={{caller_keys=['{digest}']}}\n\
-         [[service]]\nname='{MODEL}'\nowner='desks'\nspec={{model='{MODEL}'}}\n\
-         [[endpoint]]\nname='{MODEL}'\nowner='desks'\nspec={{service='{MODEL}'}}\n"
-    );
-    let file = ApplyFile::parse(&text).expect("objects");
-    let request = ApplyRequest {
-        operation: "first".to_owned(),
-        operator: None,
-        at_ms: 0,
-        changes: file.changes().expect("changes"),
-    };
-    let store = ConfigStore::new(Arc::new(platform.clone()));
-    let applied = store.apply(&request, &|_| Ok(())).await;
-    applied.expect("the first objects are accepted");
-    let address = serve(platform_router(platform.clone())).await;
-    (platform, engine, address)
-}
-
-/// Starts a daemon on sockets of its own; its API address and UDP address.
-async fn start_daemon(platform: &str, seeds: Vec<String>) -> (Node, String, String) {
-    let udp = Arc::new(UdpSocket::bind("127.0.0.1:0").await.expect("a port"));
-    let peers = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let udp_address = udp.local_addr().expect("an address").to_string();
-    let peer_address = peers.local_addr().expect("an address").to_string();
-    let caller = HttpCaller::new();
-    let node = Node::start(NodeParts {
-        identity: NodeIdentity {
-            member: format!("member-{peer_address}"),
-            udp_address: udp_address.clone(),
-            peer_address,
-            zone: "zone".to_owned(),
-            region: "region".to_owned(),
-            region_zones: vec!["zone".to_owned()],
-            seeds,
-        },
-        table: Arc::new(HttpTable::new(caller.clone(), platform)),
-        objects: Arc::new(HttpObjectStore::new(caller.clone(), platform)),
-        machines: Arc::new(HttpMachineList::new(caller.clone(), platform)),
-        weights: Arc::new(HttpWeightStore::new(caller.clone(), platform)),
-        connector: Arc::new(Connector {
-            caller: caller.clone(),
-        }),
-        network: Arc::new(SocketNetwork::new(caller, udp.clone())),
-        registry: Registry::new(),
-        settings: NodeSettings {
-            shards: SHARDS,
-            ..NodeSettings::default()
-        },
-    })
-    .expect("the daemon starts");
-    tokio::spawn(serve_datagrams(node.clone(), udp));
-    let routes = peer_router(node.clone());
-    tokio::spawn(async move { axum::serve(without_delay(peers), routes).await });
-    let api = serve(harrierward_api::router(node.clone())).await;
-    (node, api, udp_address)
-}
-
 async fn send(
     address: &str,
     method: Method,
@@ -124,14 +17,10 @@
     headers: &[(&str, &str)],
     body: impl Into<Bytes>,
 ) -> (u16, Bytes) {
-    let authorization = format!("Bearer {KEY}");
-    let mut all = vec![("authorization", authorization.as_str())];
-    all.extend_from_slice(headers);
-    let reply = HttpCaller::new()
-        .call(method, address, path, &all, body.into())
-        .await
-        .expect("an answer");
-    (reply.status.as_u16(), reply.body)
+    let answer = support::open(address, method, path, headers, body).await;
+    let status = answer.status().as_u16();
+    let body = answer.into_body().collect().await.expect("a whole body");
+    (status, body.to_bytes())
 }
 
 async fn send_json(
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -6,7 +6,9 @@
 mod group;
 mod service;
 mod verdict;
+mod watch;
 
 pub use group::{ClaimGroup, PendingClaim, Resolution};
 pub use service::{ClaimSettings, Claims};
-pub use verdict::{Claim, ClaimKey, ClaimRefused, Verdict, judge, request_digest};
+pub use verdict::{Claim, ClaimKey, ClaimRefused, RequestDigest, Verdict, judge};
+pub use watch::{MOST_WATCHED, Waited};
--- a/crates/claims/src/service.rs
+++ b/crates/claims/src/service.rs
@@ -14,7 +14,8 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::group::{ClaimGroup, PendingClaim};
-use crate::verdict::{Claim, ClaimKey, ClaimRefused, Verdict};
+use crate::verdict::{Claim, ClaimKey, ClaimRefused, RequestDigest, Verdict};
+use crate::watch::{ClaimWatch, Waited};
 
 const PREFIX: &str = "claims:";
 
@@ -66,32 +67,39 @@
 pub struct Claims {
     queue: mpsc::UnboundedSender<Waiting>,
     settler: Settler,
+    watch: ClaimWatch,
 }
 
 impl Claims {
     /// Starts the service on the current tokio runtime.
     pub fn start(table: Arc<dyn Table>, settings: ClaimSettings) -> Self {
         let (queue, receiver) = mpsc::unbounded_channel();
+        let watch = ClaimWatch::start(table.clone());
         let settler = Settler { table, settings };
         tokio::spawn(run_groups(settler.clone(), receiver));
-        Self { queue, settler }
+        Self {
+            queue,
+            settler,
+            watch,
+        }
     }
 
     /// Claims a request for `attempt`. Nothing may be dispatched unless the verdict is `Granted`.
     pub async fn begin(
         &self,
         key: ClaimKey,
-        digest: Vec<u8>,
+        digest: RequestDigest,
         attempt: String,
         now_ms: u64,
     ) -> Result<Verdict, ClaimRefused> {
         let deadline = Instant::now() + self.settler.settings.claim_deadline;
         let row = ClaimRow {
-            digest,
+            digest: digest.body,
             attempt,
             state: ClaimState::Open as i32,
             answer: Vec::new(),
             created_at_ms: now_ms,
+            content_digest: digest.content,
         };
         let pending = PendingClaim { key, row };
         let (reply, receiver) = oneshot::channel();
@@ -112,6 +120,11 @@
         Err(ClaimRefused(error))
     }
 
+    /// Waits while another attempt's claim of this key is open, until `deadline` at the longest.
+    pub async fn wait_while_open(&self, key: &ClaimKey, deadline: Instant) -> Waited {
+        self.watch.wait_while_open(key, deadline).await
+    }
+
     /// Stores the answer for resends. Keeps trying for the settle deadline, in the background of the answer.
     pub async fn finish(&self, claim: &Claim, answer: &[u8]) {
         self.settler.finish(claim, answer).await;
--- a/crates/claims/src/verdict.rs
+++ b/crates/claims/src/verdict.rs
@@ -22,8 +22,28 @@
     }
 }
 
-/// Digest of a request body, by which a resend is told from another request.
-pub fn request_digest(path: &str, body: &[u8]) -> Vec<u8> {
+/// Digests by which a resend is told from another request: it is one if either is equal.
+///
+/// Why two: daemons of an earlier version compare the digest of the body's bytes only, and claims outlive an upgrade.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestDigest {
+    /// Of the path and the body's bytes.
+    pub body: Vec<u8>,
+    /// Of the path and what is asked for, whichever way the answer is to be sent.
+    pub content: Vec<u8>,
+}
+
+impl RequestDigest {
+    /// The digests of a request whose body asks for `content`.
+    pub fn of(path: &str, body: &[u8], content: &[u8]) -> Self {
+        Self {
+            body: digest_of(path, body),
+            content: digest_of(path, content),
+        }
+    }
+}
+
+fn digest_of(path: &str, body: &[u8]) -> Vec<u8> {
     let mut hasher = Sha256::new();
     hasher.update(path.as_bytes());
     hasher.update([0]);
@@ -60,12 +80,18 @@
 #[error("claim not made: {0}")]
 pub struct ClaimRefused(pub PlatformError);
 
+fn is_same_request(present: &ClaimRow, wanted: &ClaimRow) -> bool {
+    let has_content = !present.content_digest.is_empty();
+    present.digest == wanted.digest
+        || (has_content && present.content_digest == wanted.content_digest)
+}
+
 /// Judges the row that stands where `wanted` should go.
 pub fn judge(key: &ClaimKey, wanted: &ClaimRow, current: &Row) -> Verdict {
     let Some(present) = decode::<ClaimRow>(&current.value) else {
         return Verdict::Unknown;
     };
-    if present.digest != wanted.digest {
+    if !is_same_request(&present, wanted) {
         return Verdict::Mismatch;
     }
     if present.state == ClaimState::Done as i32 {
--- a/crates/claims/tests/group.rs
+++ b/crates/claims/tests/group.rs
@@ -57,6 +57,7 @@
             state: ClaimState::Open as i32,
             answer: Vec::new(),
             created_at_ms: 1,
+            content_digest: Vec::new(),
         },
     }
 }
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::admission::AdmissionPermit;
-use crate::call::Call;
+use crate::call::{AnswerIdentity, Call};
 use crate::errors::{Execution, GatewayError};
 use crate::gateway::{Attempt, Gateway};
 use crate::limits::InProgress;
@@ -42,6 +42,9 @@
 /// A whole answer as kept for resends of a marked request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredAnswer {
+    /// What it is known by; absent in answers stored by daemons that kept none.
+    #[serde(default)]
+    pub identity: Option<AnswerIdentity>,
     /// The text.
     pub text: String,
     /// Why it ended.
@@ -52,6 +55,8 @@
 
 /// Parts of an answer. The last item is `Finished` or an error; dropping the stream cancels an unmarked request.
 pub struct AnswerStream {
+    identity: AnswerIdentity,
+    is_stored: bool,
     inner: BoxStream<'static, Result<AnswerEvent, GatewayError>>,
 }
 
@@ -68,21 +73,38 @@
 
 impl AnswerStream {
     pub(crate) fn new(
+        identity: AnswerIdentity,
         inner: impl Stream<Item = Result<AnswerEvent, GatewayError>> + Send + 'static,
     ) -> Self {
         Self {
+            identity,
+            is_stored: false,
             inner: inner.boxed(),
         }
     }
 
-    /// A stored answer as a stream.
-    pub(crate) fn replay(stored: StoredAnswer) -> Self {
+    /// What the answer is known by.
+    pub fn identity(&self) -> &AnswerIdentity {
+        &self.identity
+    }
+
+    /// True if it is the answer to an earlier send of the request: nothing ran for this one.
+    pub fn is_stored(&self) -> bool {
+        self.is_stored
+    }
+
+    /// A stored answer as a stream, under `fallback` if it was stored without an identity.
+    pub(crate) fn replay(stored: StoredAnswer, fallback: AnswerIdentity) -> Self {
         let finished = AnswerEvent::Finished {
             reason: stored.reason,
             usage: stored.usage,
         };
         let events = [AnswerEvent::Text(stored.text), finished];
-        Self::new(stream::iter(events.map(Ok)))
+        let identity = stored.identity.unwrap_or(fallback);
+        Self {
+            is_stored: true,
+            ..Self::new(identity, stream::iter(events.map(Ok)))
+        }
     }
 
     /// Reads the whole answer.
@@ -93,6 +115,7 @@
                 AnswerEvent::Text(part) => text.push_str(&part),
                 AnswerEvent::Finished { reason, usage } => {
                     return Ok(StoredAnswer {
+                        identity: Some(self.identity),
                         text,
                         reason,
                         usage,
@@ -240,6 +263,8 @@
 /// Runs a marked request to its end, whether or not the caller stays, and stores its answer for resends.
 pub(crate) fn run_marked(state: AnswerState, claims: Claims, claim: Claim) -> AnswerStream {
     let (sender, receiver) = mpsc::unbounded_channel();
+    let identity = state.call.identity.clone();
+    let stored_identity = identity.clone();
     tokio::spawn(async move {
         let mut text = String::new();
         let mut events = Box::pin(state.into_stream());
@@ -250,6 +275,7 @@
                     None
                 }
                 Ok(AnswerEvent::Finished { reason, usage }) => Some(StoredAnswer {
+                    identity: Some(stored_identity.clone()),
                     text: std::mem::take(&mut text),
                     reason: *reason,
                     usage: *usage,
@@ -263,7 +289,6 @@
             }
         }
     });
-    AnswerStream::new(tokio_stream::wrappers::UnboundedReceiverStream::new(
-        receiver,
-    ))
+    let events = tokio_stream::wrappers::UnboundedReceiverStream::new(receiver);
+    AnswerStream::new(identity, events)
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,6 +1,7 @@
 //! One call as it enters the request path.
 
-use harrierward_claims::ClaimKey;
+use harrierward_claims::{ClaimKey, RequestDigest};
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::openai::GenerationSpec;
@@ -10,8 +11,17 @@
 pub struct MarkedCall {
     /// Tenant and idempotency key.
     pub key: ClaimKey,
-    /// Digest of the request body.
-    pub digest: Vec<u8>,
+    /// Digests of the request.
+    pub digest: RequestDigest,
+}
+
+/// What an answer is known by to its caller. It stays with a stored answer, so that a resend is seen to be one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerIdentity {
+    /// Id.
+    pub id: String,
+    /// When the request came, seconds since 1970.
+    pub created: u64,
 }
 
 /// A call to an endpoint.
@@ -21,6 +31,8 @@
     pub tenant: String,
     /// What to generate.
     pub spec: GenerationSpec,
+    /// Identity of the answer, unless one is stored.
+    pub identity: AnswerIdentity,
     /// Set if the request must run at most once.
     pub marked: Option<MarkedCall>,
     /// Time after which the request is no longer started or retried.
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -1,10 +1,12 @@
 //! The request path from call to answer stream.
 
 mod attempt;
+mod claiming;
 mod dispatch;
 mod prefix_news;
 
 pub(crate) use attempt::Attempt;
+use claiming::{Claimed, ResendWait};
 use prefix_news::run_index;
 
 use std::collections::HashMap;
@@ -13,18 +15,18 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use harrierward_claims::{Claim, Claims, Verdict};
+use harrierward_claims::{Claim, Claims};
 use harrierward_config::ConfigSnapshot;
 use harrierward_routing::PrefixIndex;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::admission::{Admission, AdmissionSettings};
-use crate::answer::{AnswerState, AnswerStream, StoredAnswer, run_marked};
-use crate::call::{Call, MarkedCall};
+use crate::admission::{Admission, AdmissionPermit, AdmissionSettings};
+use crate::answer::{AnswerState, AnswerStream, run_marked};
+use crate::call::Call;
 use crate::directory::ReplicaDirectory;
-use crate::errors::{Execution, GatewayError};
-use crate::limits::{LimitDecision, TenantLimits};
+use crate::errors::GatewayError;
+use crate::limits::{InProgress, LimitDecision, TenantLimits};
 use crate::metrics::GatewayMetrics;
 use crate::retry::RetryBudget;
 
@@ -238,46 +240,86 @@
                 return Err(error.after(retry_after));
             }
         };
-        let admission = self.inner.admissions.load().get(&service).cloned();
+        let mut wait = ResendWait::new(&call);
+        loop {
+            let entered = self.enter_service(&service, &call).await;
+            let permit = entered.map_err(|error| wait.qualify(error))?;
+            let started = Instant::now();
+            let claim = match &call.marked {
+                None => None,
+                Some(marked) => match self.claim(marked).await {
+                    Ok(Claimed::Granted(claim)) => Some(claim),
+                    Ok(Claimed::Answered(stored)) => {
+                        self.count_resend("stored");
+                        return Ok(AnswerStream::replay(stored, call.identity));
+                    }
+                    Ok(Claimed::Held) => {
+                        // Who only waits takes no place from those who run.
+                        drop(permit);
+                        self.wait_for_holder(marked, &mut wait).await?;
+                        continue;
+                    }
+                    Err(error) => return Err(wait.qualify(error)),
+                },
+            };
+            if claim.is_some() && wait.has_waited() {
+                self.count_resend("run_after_release");
+            }
+            let places = Places {
+                permit,
+                in_progress,
+                started,
+            };
+            return self.run(call, claim, places).await;
+        }
+    }
+
+    /// A place among the running requests of a service.
+    async fn enter_service(
+        &self,
+        service: &str,
+        call: &Call,
+    ) -> Result<AdmissionPermit, GatewayError> {
+        let admission = self.inner.admissions.load().get(service).cloned();
         let admission = admission.ok_or_else(no_replica)?;
-        let permit = admission
-            .enter(&call.tenant, call.deadline)
-            .await
-            .map_err(|retry_after| {
-                let message = "the service is at its capacity";
-                GatewayError::not_run("gateway.admission", 503, "overloaded", message)
-                    .after(retry_after)
-            })?;
-        let started = Instant::now();
-        let claim = match &call.marked {
-            None => None,
-            Some(marked) => match self.claim(marked).await? {
-                Claimed::Granted(claim) => Some(claim),
-                Claimed::Answered(answer) => return Ok(AnswerStream::replay(answer)),
-            },
-        };
-        let attempt = self.connect(&call, Vec::new(), 0).await;
-        let attempt = match (attempt, &claim) {
-            (Ok(attempt), _) => attempt,
-            (Err(error), Some(claim)) => {
-                self.release_if_not_run(&error, claim);
+        let entered = admission.enter(&call.tenant, call.deadline).await;
+        entered.map_err(|retry_after| {
+            let message = "the service is at its capacity";
+            GatewayError::not_run("gateway.admission", 503, "overloaded", message)
+                .after(retry_after)
+        })
+    }
+
+    /// Sends a call that may run to an engine; with its claim, if it is marked.
+    async fn run(
+        &self,
+        call: Call,
+        claim: Option<Claim>,
+        places: Places,
+    ) -> Result<AnswerStream, GatewayError> {
+        let attempt = match self.connect(&call, Vec::new(), 0).await {
+            Ok(attempt) => attempt,
+            Err(error) => {
+                if let Some(claim) = &claim {
+                    self.release_if_not_run(&error, claim);
+                }
                 return Err(error);
             }
-            (Err(error), None) => return Err(error),
         };
+        let identity = call.identity.clone();
         let state = AnswerState {
             gateway: self.clone(),
             call,
             attempt,
             delivered: 0,
             resumes: 0,
-            started,
+            started: places.started,
             ended: false,
-            _permit: permit,
-            _in_progress: in_progress,
+            _permit: places.permit,
+            _in_progress: places.in_progress,
         };
         Ok(match claim {
-            None => AnswerStream::new(state.into_stream()),
+            None => AnswerStream::new(identity, state.into_stream()),
             Some(claim) => run_marked(state, self.inner.parts.claims.clone(), claim),
         })
     }
@@ -319,56 +361,6 @@
                 .after(Duration::from_millis(500))
         })
     }
-
-    async fn claim(&self, marked: &MarkedCall) -> Result<Claimed, GatewayError> {
-        const STEP: &str = "gateway.claim";
-        let parts = &self.inner.parts;
-        let attempt = format!("{}-claim-{}", parts.member, self.next_id());
-        let now_ms = (parts.now_ms)();
-        let verdict = parts
-            .claims
-            .begin(marked.key.clone(), marked.digest.clone(), attempt, now_ms)
-            .await
-            .map_err(|refused| {
-                let message = format!("the request cannot be claimed now: {refused}");
-                GatewayError::not_run(STEP, 503, "claim_refused", message)
-                    .at("table")
-                    .after(Duration::from_secs(1))
-            })?;
-        match verdict {
-            Verdict::Granted(claim) => Ok(Claimed::Granted(claim)),
-            Verdict::Answered(bytes) => match serde_json::from_slice::<StoredAnswer>(&bytes) {
-                Ok(answer) => Ok(Claimed::Answered(answer)),
-                Err(_) => {
-                    let message = "the request ran; its answer was too large to keep";
-                    let error = GatewayError::unknown(STEP, 409, "answer_not_kept", message);
-                    Err(GatewayError {
-                        execution: Execution::Ran,
-                        ..error
-                    })
-                }
-            },
-            Verdict::Unknown => {
-                let message = "the request is running, or may have run; it is not run again";
-                let error = GatewayError::unknown(STEP, 409, "in_progress_or_unknown", message);
-                Err(error.after(Duration::from_secs(1)))
-            }
-            Verdict::Mismatch => {
-                let message = "Idempotency-Key: was used with another body";
-                let step = STEP;
-                Err(GatewayError::not_run(step, 422, "key_reused", message))
-            }
-        }
-    }
-
-    fn release_if_not_run(&self, error: &GatewayError, claim: &Claim) {
-        if error.execution != Execution::NotRun {
-            return;
-        }
-        let claims = self.inner.parts.claims.clone();
-        let claim = claim.clone();
-        tokio::spawn(async move { claims.release(&claim).await });
-    }
 }
 
 fn as_micros(time: Duration) -> u64 {
@@ -378,9 +370,11 @@
 /// Characters that one token of a prompt covers, for estimates.
 const CHARACTERS_A_TOKEN: usize = 4;
 
-enum Claimed {
-    Granted(Claim),
-    Answered(StoredAnswer),
+/// What a call holds while it runs.
+struct Places {
+    permit: AdmissionPermit,
+    in_progress: InProgress,
+    started: Instant,
 }
 
 fn no_replica() -> GatewayError {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use admission::{Admission, AdmissionPermit, AdmissionSettings, FairQueue};
 pub use answer::{AnswerEvent, AnswerStream, StoredAnswer, Usage};
-pub use call::{Call, MarkedCall};
+pub use call::{AnswerIdentity, Call, MarkedCall};
 pub use directory::{
     Directory, DirectoryEntry, EngineConnector, OnlineCounts, Replica, ReplicaDirectory, ZoneRank,
 };
@@ -24,5 +24,7 @@
 pub use gateway::{Gateway, GatewayParts, GatewaySettings};
 pub use limits::{LimitDecision, TenantLimits};
 pub use metrics::GatewayMetrics;
-pub use openai::{ChatMessage, EndpointKind, GenerationSpec, SpecError, parse_request};
+pub use openai::{
+    ChatMessage, EndpointKind, GenerationSpec, SpecError, content_bytes, parse_request,
+};
 pub use retry::RetryBudget;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub retries: IntCounter,
     /// Streams resumed after a cut.
     pub resumed: IntCounter,
+    /// Resends of at-most-once requests by what they were told.
+    pub resends: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -47,6 +49,13 @@
                 "harrierward_gateway_resumed_total",
                 "Streams resumed after a cut",
             )?,
+            resends: IntCounterVec::new(
+                Opts::new(
+                    "harrierward_gateway_resends_total",
+                    "Resends of at-most-once requests by outcome",
+                ),
+                &["outcome"],
+            )?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.first_token.clone()))?;
@@ -54,6 +63,7 @@
         registry.register(Box::new(metrics.dropped_events.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.resumed.clone()))?;
+        registry.register(Box::new(metrics.resends.clone()))?;
         Ok(metrics)
     }
 }
--- a/crates/gateway/src/openai.rs
+++ b/crates/gateway/src/openai.rs
@@ -117,6 +117,20 @@
     })
 }
 
+/// Fields that say how an answer is sent and not what it is.
+const DELIVERY_FIELDS: [&str; 2] = ["stream", "stream_options"];
+
+/// What a request body asks for, whichever way its answer is to be sent: by this a resend is told from another request.
+pub fn content_bytes(body: &Value) -> Vec<u8> {
+    let mut content = body.clone();
+    if let Some(fields) = content.as_object_mut() {
+        for field in DELIVERY_FIELDS {
+            fields.remove(field);
+        }
+    }
+    content.to_string().into_bytes()
+}
+
 fn read_flag(value: Option<&Value>, field: &str) -> Result<bool, SpecError> {
     match value {
         None | Some(Value::Null) => Ok(false),
--- a/crates/wire/src/claim.rs
+++ b/crates/wire/src/claim.rs
@@ -28,4 +28,8 @@
     /// When the claim was made, milliseconds since 1970.
     #[prost(uint64, tag = "5")]
     pub created_at_ms: u64,
+    /// Digest of what the request asks for, whichever way its answer is to be sent. Empty if written by a daemon that
+    /// knows only the digest of the whole body.
+    #[prost(bytes = "vec", tag = "6")]
+    pub content_digest: Vec<u8>,
 }
