--- /dev/null
+++ b/crates/claims/tests/watch.rs
@@ -0,0 +1,269 @@
+//! Waiting for another attempt's claim: it ends when the claim is settled or released, in time when it is not, and
+//! costs no more reads the more wait.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use harrierward_claims::{
+    Claim, ClaimKey, ClaimSettings, Claims, MOST_WATCHED, RequestDigest, Verdict, Waited,
+};
+use harrierward_external::{
+    Condition, PlatformError, PlatformErrorKind, RequestClass, Row, Table, Transaction,
+    TransactionOutcome, Write,
+};
+use tokio::time::{Instant, sleep};
+
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+
+#[derive(Default)]
+struct FakeTable {
+    rows: Mutex<BTreeMap<String, Row>>,
+    revision: AtomicUsize,
+    reads: AtomicUsize,
+    /// Reads fail.
+    is_down: AtomicBool,
+}
+
+#[async_trait]
+impl Table for FakeTable {
+    async fn transact(
+        &self,
+        _: RequestClass,
+        transaction: Transaction,
+    ) -> Result<TransactionOutcome, PlatformError> {
+        let mut rows = self.rows.lock().expect("not poisoned");
+        for condition in &transaction.conditions {
+            let current = rows.get(condition.key());
+            let holds = match condition {
+                Condition::Absent { .. } => current.is_none(),
+                Condition::AtRevision { revision, .. } => {
+                    current.is_some_and(|row| row.revision == *revision)
+                }
+            };
+            if !holds {
+                return Ok(TransactionOutcome::Conflict {
+                    key: condition.key().to_owned(),
+                    current: current.cloned(),
+                });
+            }
+        }
+        let revision = self.revision.fetch_add(1, Ordering::Relaxed) as u64 + 1;
+        for write in transaction.writes {
+            match write {
+                Write::Put { key, value } => {
+                    let row = Row {
+                        key: key.clone(),
+                        value,
+                        revision,
+                    };
+                    rows.insert(key, row);
+                }
+                Write::Delete { key } => {
+                    rows.remove(&key);
+                }
+            }
+        }
+        Ok(TransactionOutcome::Committed { revision })
+    }
+
+    async fn get(
+        &self,
+        _: RequestClass,
+        keys: &[String],
+    ) -> Result<Vec<Option<Row>>, PlatformError> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        if self.is_down.load(Ordering::Relaxed) {
+            let kind = PlatformErrorKind::NotDone;
+            return Err(PlatformError::new("table.get", "table", kind, "is down"));
+        }
+        let rows = self.rows.lock().expect("not poisoned");
+        Ok(keys.iter().map(|key| rows.get(key).cloned()).collect())
+    }
+
+    async fn scan(
+        &self,
+        _: RequestClass,
+        _: &str,
+        _: &str,
+        _: usize,
+    ) -> Result<Vec<Row>, PlatformError> {
+        Ok(Vec::new())
+    }
+}
+
+fn key(number: usize) -> ClaimKey {
+    ClaimKey {
+        tenant: "desks".to_owned(),
+        key: format!("desk-{number}"),
+    }
+}
+
+fn digest(body: &str, content: &str) -> RequestDigest {
+    RequestDigest::of("/v1/completions", body.as_bytes(), content.as_bytes())
+}
+
+async fn begin(claims: &Claims, number: usize, attempt: &str) -> Verdict {
+    let digest = digest("body", "content");
+    let verdict = claims.begin(key(number), digest, attempt.to_owned(), 1);
+    verdict.await.expect("the table answers")
+}
+
+async fn open_claim(claims: &Claims, number: usize) -> Claim {
+    match begin(claims, number, "holder").await {
+        Verdict::Granted(claim) => claim,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The claim services of two daemons at one table.
+fn two_daemons() -> (Arc<FakeTable>, Claims, Claims) {
+    let table = Arc::new(FakeTable::default());
+    let holder = Claims::start(table.clone(), ClaimSettings::default());
+    let other = Claims::start(table.clone(), ClaimSettings::default());
+    (table, holder, other)
+}
+
+fn wait(claims: &Claims, number: usize) -> tokio::task::JoinHandle<(Waited, Duration)> {
+    let claims = claims.clone();
+    tokio::spawn(async move {
+        let asked_at = Instant::now();
+        let waited = claims
+            .wait_while_open(&key(number), asked_at + LONGEST_WAIT)
+            .await;
+        (waited, asked_at.elapsed())
+    })
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wait_at_another_daemon_ends_with_the_stored_answer() {
+    let (_, holder, other) = two_daemons();
+    let claim = open_claim(&holder, 0).await;
+    let waiting = wait(&other, 0);
+    sleep(Duration::from_millis(400)).await;
+    holder.finish(&claim, b"the answer").await;
+    let (waited, took) = waiting.await.expect("the wait ends");
+    assert_eq!(waited, Waited::Settled);
+    assert!(took < Duration::from_millis(600), "{took:?}");
+    let verdict = begin(&other, 0, "resend").await;
+    assert_eq!(verdict, Verdict::Answered(b"the answer".to_vec()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_is_just_being_stored_is_found_at_once() {
+    let (_, holder, other) = two_daemons();
+    let claim = open_claim(&holder, 0).await;
+    let waiting = wait(&other, 0);
+    sleep(Duration::from_millis(2)).await;
+    holder.finish(&claim, b"the answer").await;
+    let (waited, took) = waiting.await.expect("the wait ends");
+    assert_eq!(waited, Waited::Settled);
+    assert!(took <= Duration::from_millis(25), "{took:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_released_claim_is_the_waiting_resends_to_take() {
+    let (_, holder, other) = two_daemons();
+    let claim = open_claim(&holder, 0).await;
+    let waiting = wait(&other, 0);
+    sleep(Duration::from_millis(200)).await;
+    holder.release(&claim).await;
+    let (waited, _) = waiting.await.expect("the wait ends");
+    assert_eq!(waited, Waited::Settled);
+    let verdict = begin(&other, 0, "resend").await;
+    assert!(matches!(verdict, Verdict::Granted(_)), "{verdict:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_that_stays_open_is_waited_for_in_vain() {
+    let (_, holder, other) = two_daemons();
+    open_claim(&holder, 0).await;
+    let (waited, took) = wait(&other, 0).await.expect("the wait ends");
+    assert_eq!((waited, took), (Waited::StillOpen, LONGEST_WAIT));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_table_that_cannot_be_read_proves_nothing() {
+    let (table, holder, other) = two_daemons();
+    let claim = open_claim(&holder, 0).await;
+    table.is_down.store(true, Ordering::Relaxed);
+    let (waited, took) = wait(&other, 0).await.expect("the wait ends");
+    assert_eq!((waited, took), (Waited::StillOpen, LONGEST_WAIT));
+    let waiting = wait(&other, 0);
+    sleep(Duration::from_millis(500)).await;
+    holder.finish(&claim, b"the answer").await;
+    table.is_down.store(false, Ordering::Relaxed);
+    let (waited, _) = waiting.await.expect("the wait ends");
+    assert_eq!(waited, Waited::Settled);
+}
+
+#[tokio::test(start_paused = true)]
+async fn many_who_wait_cost_the_reads_of_one_and_too_many_do_not_wait() {
+    let (table, holder, other) = two_daemons();
+    for number in 0..=MOST_WATCHED {
+        open_claim(&holder, number).await;
+    }
+    let alone = wait(&other, 0).await.expect("the wait ends");
+    assert_eq!(alone.0, Waited::StillOpen);
+    let reads_alone = table.reads.swap(0, Ordering::Relaxed);
+
+    let waiting: Vec<_> = (0..MOST_WATCHED)
+        .map(|number| wait(&other, number))
+        .collect();
+    sleep(Duration::from_millis(1)).await;
+    let (waited, took) = wait(&other, MOST_WATCHED).await.expect("it ends at once");
+    assert_eq!((waited, took), (Waited::TooMany, Duration::ZERO));
+    for one in waiting {
+        assert_eq!(one.await.expect("the wait ends").0, Waited::StillOpen);
+    }
+    let reads = table.reads.load(Ordering::Relaxed);
+    assert!(
+        reads <= reads_alone + 1,
+        "{reads} reads, {reads_alone} for one"
+    );
+    // Places are free again.
+    let (waited, _) = wait(&other, 0).await.expect("the wait ends");
+    assert_eq!(waited, Waited::StillOpen);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_resend_is_known_by_its_body_or_by_what_it_asks_for() {
+    let (_, holder, other) = two_daemons();
+    let first = digest("whole", "content");
+    let granted = holder.begin(key(0), first, "holder".to_owned(), 1).await;
+    assert!(matches!(granted, Ok(Verdict::Granted(_))), "{granted:?}");
+    let cases = [
+        ("whole", "content", Verdict::Unknown),
+        ("streamed", "content", Verdict::Unknown),
+        // As an earlier version that knew no content wrote or compares it.
+        ("whole", "another content", Verdict::Unknown),
+        ("streamed", "another content", Verdict::Mismatch),
+    ];
+    for (body, content, expected) in cases {
+        let resend = digest(body, content);
+        let verdict = other.begin(key(0), resend, "resend".to_owned(), 2).await;
+        assert_eq!(verdict, Ok(expected), "{body}, {content}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn rows_without_a_content_digest_are_judged_by_the_body() {
+    let (table, holder, other) = two_daemons();
+    let mut first = digest("whole", "content");
+    first.content.clear();
+    let granted = holder.begin(key(0), first, "holder".to_owned(), 1).await;
+    assert!(matches!(granted, Ok(Verdict::Granted(_))), "{granted:?}");
+    assert_eq!(table.rows.lock().expect("not poisoned").len(), 1);
+    let mut other_body = digest("other", "content");
+    other_body.content.clear();
+    for (resend, expected) in [
+        (digest("whole", "content"), Verdict::Unknown),
+        (digest("streamed", "content"), Verdict::Mismatch),
+        (other_body, Verdict::Mismatch),
+    ] {
+        let verdict = other.begin(key(0), resend, "resend".to_owned(), 2).await;
+        assert_eq!(verdict, Ok(expected));
+    }
+}
