Resends are logged with who holds the claim, and a planned stop waits for them

Cause: a 409 named neither the daemon that holds the claim nor its age, and a resend that waits without a place among the running requests was not seen by a planned stop. An unreadable stored answer was called too large, and its cause was dropped.

Change: `Record::Resent` (tenant, claim, holder, how long held, outcome, wait) through a decision log that our own daemon now runs, written to standard error beside its other lines; `harrierward_gateway_resends_total{outcome}`. Verdict::Unknown became Verdict::Held, which names the holder; claims/tests/group.rs now also checks that it is the attempt of the standing row. Waiting resends count in the gateway's load, which a planned stop empties first.

--- a/crates/bench/tests/resend.rs
+++ b/crates/bench/tests/resend.rs
@@ -6,8 +6,11 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use harrierward_emulator::{EngineHandle, expected_answer};
+use harrierward_claims::{ClaimKey, RequestDigest};
+use harrierward_emulator::{EngineHandle, MemoryPlatform, expected_answer};
+use harrierward_external::{RequestClass, Table, Transaction};
 use harrierward_node::Node;
+use harrierward_wire::{ClaimRow, ClaimState, encode};
 use http::{HeaderMap, Method};
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
@@ -25,26 +28,28 @@
 const SHORTEST_WAIT: Duration = Duration::from_millis(900);
 
 struct Fleet {
+    platform: MemoryPlatform,
     engine: EngineHandle,
     first: String,
     second: String,
-    _nodes: [Node; 2],
+    nodes: [Node; 2],
 }
 
 /// Two daemons that both know the engine.
 async fn start_fleet() -> Fleet {
-    let (_, engine, platform) = start_platform().await;
-    let (one, first, seed) = start_daemon(&platform, Vec::new()).await;
-    let (two, second, _) = start_daemon(&platform, vec![seed]).await;
+    let (platform, engine, address) = start_platform().await;
+    let (one, first, seed) = start_daemon(&address, Vec::new()).await;
+    let (two, second, _) = start_daemon(&address, vec![seed]).await;
     let knows = |node: &Node| node.is_ready() && node.status().replicas == 1;
     while !(knows(&one) && knows(&two)) {
         sleep(PAUSE).await;
     }
     let fleet = Fleet {
+        platform,
         engine,
         first,
         second,
-        _nodes: [one, two],
+        nodes: [one, two],
     };
     fleet.settle().await;
     fleet
@@ -124,6 +129,27 @@
         runs.iter().filter(|run| run.prompt == PROMPT).count()
     }
 
+    /// Writes a claim as a daemon does that is not there any more.
+    async fn write_claim(&self, key: &str, state: ClaimState, answer: &[u8]) {
+        let body = completion(false).to_string();
+        let digest = RequestDigest::of("/v1/completions", body.as_bytes(), b"");
+        let row = ClaimRow {
+            digest: digest.body,
+            attempt: "gone-claim-1".to_owned(),
+            state: state as i32,
+            answer: answer.to_vec(),
+            created_at_ms: 1,
+            content_digest: Vec::new(),
+        };
+        let write = Transaction::default().put(row_key(key), encode(&row));
+        self.change_claims(write).await;
+    }
+
+    async fn change_claims(&self, write: Transaction) {
+        let done = self.platform.transact(RequestClass::Urgent, write).await;
+        done.expect("the table takes it");
+    }
+
     fn freeze(&self, is_frozen: bool) {
         let frozen = &self.engine.faults().frozen;
         frozen.store(is_frozen, Ordering::Relaxed);
@@ -141,6 +167,14 @@
     }
 }
 
+fn row_key(key: &str) -> String {
+    let key = ClaimKey {
+        tenant: "desks".to_owned(),
+        key: key.to_owned(),
+    };
+    key.row_key()
+}
+
 fn assert_stored(seen: &Seen) {
     assert_eq!(seen.status, 200, "{}", seen.text);
     assert_eq!(seen.header(STORED_HEADER), Some("true"), "{seen:?}");
@@ -285,3 +319,58 @@
     assert_eq!(refused.status, 422, "{}", refused.text);
     assert_eq!(fleet.runs(), 1);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_resend_runs_what_was_released_while_it_waited() {
+    let fleet = start_fleet().await;
+    fleet.write_claim("released", ClaimState::Open, b"").await;
+    let address = fleet.second.clone();
+    let resend = tokio::spawn(async move { book(&address, "released", &completion(false)).await });
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(fleet.runs(), 0, "another attempt holds the claim");
+    let release = Transaction::default().delete(row_key("released"));
+    fleet.change_claims(release).await;
+    let answer = resend.await.expect("the resend ends");
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    assert_eq!(answer.header(STORED_HEADER), None, "it ran");
+    assert_eq!(fleet.runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_answer_stored_without_an_id_is_still_given_and_marked() {
+    let fleet = start_fleet().await;
+    let stored = json!({
+        "text": "booked", "reason": "stop",
+        "usage": {"prompt_tokens": 4, "completion_tokens": 1},
+    });
+    let stored = stored.to_string();
+    fleet
+        .write_claim("old", ClaimState::Done, stored.as_bytes())
+        .await;
+    let again = book(&fleet.second, "old", &completion(false)).await;
+    assert_stored(&again);
+    assert_eq!(again.json()["choices"][0]["text"], "booked");
+    assert_eq!(fleet.runs(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_planned_stop_waits_for_a_resend_that_waits() {
+    let fleet = start_fleet().await;
+    let booking = fleet.start_frozen_booking("stop").await;
+    let address = fleet.second.clone();
+    let resend = tokio::spawn(async move { book(&address, "stop", &completion(false)).await });
+    let [_, second] = &fleet.nodes;
+    sleep(Duration::from_millis(200)).await;
+    let load = second.gateway().load();
+    assert_ne!(load, (0, 0), "a planned stop waits until this is nothing");
+    let leaving = second.clone();
+    let stop = tokio::spawn(async move { leaving.drain().await });
+    sleep(Duration::from_millis(300)).await;
+    assert!(!stop.is_finished(), "the resend still waits");
+    fleet.freeze(false);
+    assert!(stop.await.expect("the stop ends"), "it cuts nothing off");
+    let again = resend.await.expect("the resend ends");
+    assert_stored(&again);
+    let first = booking.await.expect("the booking ends");
+    assert_eq!(again.json(), first.json());
+}
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use group::{ClaimGroup, PendingClaim, Resolution};
 pub use service::{ClaimSettings, Claims};
-pub use verdict::{Claim, ClaimKey, ClaimRefused, RequestDigest, Verdict, judge};
+pub use verdict::{Claim, ClaimKey, ClaimRefused, Holder, RequestDigest, Verdict, judge};
 pub use watch::{MOST_WATCHED, Waited};
--- a/crates/claims/src/verdict.rs
+++ b/crates/claims/src/verdict.rs
@@ -62,6 +62,15 @@
     pub revision: u64,
 }
 
+/// Who holds a claim that is open.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Holder {
+    /// Attempt, whose name begins with its daemon's member id; empty if the row cannot be read.
+    pub attempt: String,
+    /// When it claimed, milliseconds since 1970 by its daemon's clock.
+    pub created_at_ms: u64,
+}
+
 /// Answer to an attempt to claim.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Verdict {
@@ -70,7 +79,7 @@
     /// The request has run; this is its stored answer.
     Answered(Vec<u8>),
     /// Another attempt holds the claim: the request may be running, or may have run.
-    Unknown,
+    Held(Holder),
     /// The key was used with another body.
     Mismatch,
 }
@@ -89,7 +98,7 @@
 /// Judges the row that stands where `wanted` should go.
 pub fn judge(key: &ClaimKey, wanted: &ClaimRow, current: &Row) -> Verdict {
     let Some(present) = decode::<ClaimRow>(&current.value) else {
-        return Verdict::Unknown;
+        return Verdict::Held(Holder::default());
     };
     if !is_same_request(&present, wanted) {
         return Verdict::Mismatch;
@@ -104,5 +113,8 @@
             revision: current.revision,
         });
     }
-    Verdict::Unknown
+    Verdict::Held(Holder {
+        attempt: present.attempt,
+        created_at_ms: present.created_at_ms,
+    })
 }
--- a/crates/claims/tests/group.rs
+++ b/crates/claims/tests/group.rs
@@ -111,7 +111,10 @@
                             prop_assert!(earlier.is_none(), "granted twice");
                         }
                         Verdict::Mismatch => prop_assert_ne!(standing.digest, resolution.pending.row.digest),
-                        Verdict::Unknown => prop_assert_ne!(standing.attempt, resolution.pending.row.attempt),
+                        Verdict::Held(holder) => {
+                            prop_assert_eq!(&standing.attempt, &holder.attempt);
+                            prop_assert_ne!(standing.attempt, resolution.pending.row.attempt);
+                        }
                         Verdict::Answered(_) => prop_assert!(false, "nothing was answered"),
                     }
                 }
--- a/crates/claims/tests/watch.rs
+++ b/crates/claims/tests/watch.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 use harrierward_claims::{
-    Claim, ClaimKey, ClaimSettings, Claims, MOST_WATCHED, RequestDigest, Verdict, Waited,
+    Claim, ClaimKey, ClaimSettings, Claims, Holder, MOST_WATCHED, RequestDigest, Verdict, Waited,
 };
 use harrierward_external::{
     Condition, PlatformError, PlatformErrorKind, RequestClass, Row, Table, Transaction,
@@ -101,6 +101,14 @@
     }
 }
 
+/// What others are told of the claim of `holder`.
+fn held() -> Verdict {
+    Verdict::Held(Holder {
+        attempt: "holder".to_owned(),
+        created_at_ms: 1,
+    })
+}
+
 fn digest(body: &str, content: &str) -> RequestDigest {
     RequestDigest::of("/v1/completions", body.as_bytes(), content.as_bytes())
 }
@@ -235,10 +243,10 @@
     let granted = holder.begin(key(0), first, "holder".to_owned(), 1).await;
     assert!(matches!(granted, Ok(Verdict::Granted(_))), "{granted:?}");
     let cases = [
-        ("whole", "content", Verdict::Unknown),
-        ("streamed", "content", Verdict::Unknown),
+        ("whole", "content", held()),
+        ("streamed", "content", held()),
         // As an earlier version that knew no content wrote or compares it.
-        ("whole", "another content", Verdict::Unknown),
+        ("whole", "another content", held()),
         ("streamed", "another content", Verdict::Mismatch),
     ];
     for (body, content, expected) in cases {
@@ -259,7 +267,7 @@
     let mut other_body = digest("other", "content");
     other_body.content.clear();
     for (resend, expected) in [
-        (digest("whole", "content"), Verdict::Unknown),
+        (digest("whole", "content"), held()),
         (digest("streamed", "content"), Verdict::Mismatch),
         (other_body, Verdict::Mismatch),
     ] {
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -263,6 +263,21 @@
         /// Time for which the coordinator was waited for.
         asked_ms: u64,
     },
+    /// What became of a resend of an at-most-once request.
+    Resent {
+        /// Tenant.
+        tenant: &'a str,
+        /// Key of the claim's row.
+        claim: &'a str,
+        /// Attempt that holds the claim; empty for a stored answer.
+        holder: &'a str,
+        /// Time since the holder claimed, by both daemons' clocks; 0 for a stored answer.
+        held_for_ms: u64,
+        /// What the resend was told.
+        outcome: &'a str,
+        /// Time for which it waited for the holder.
+        waited_ms: u64,
+    },
     /// This daemon began or ceased to coordinate tenants' rates.
     RatesCoordinated {
         /// Tenants whose count it dropped, since another member coordinates them now.
@@ -378,12 +393,14 @@
             | Self::Ended { .. }
             | Self::ColdPaced { .. }
             | Self::ItemEndOrdered { .. } => Importance::Ordinary,
+            Self::Resent { outcome, .. } if *outcome == "stored" => Importance::Ordinary,
             Self::ResultsListed { outcome, .. } if *outcome == "committed" => Importance::Ordinary,
             Self::ItemRun { outcome, .. } if *outcome == "finished" => Importance::Ordinary,
             Self::JobSubmitted { outcome, .. } if *outcome == "accepted" => Importance::Ordinary,
             Self::AttemptFailed { .. }
             | Self::Refused { .. }
             | Self::RateRefused { .. }
+            | Self::Resent { .. }
             | Self::ItemRun { .. }
             | Self::JobSubmitted { .. }
             | Self::ResultsListed { .. }
--- a/crates/gateway/src/gateway/claiming.rs
+++ b/crates/gateway/src/gateway/claiming.rs
@@ -1,11 +1,14 @@
 //! The claim of a marked request, and what a resend is told.
 
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use harrierward_claims::{Claim, Verdict, Waited};
+use harrierward_claims::{Claim, Holder, Verdict, Waited};
+use harrierward_decisions::Record;
 use tokio::time::Instant;
 
-use super::Gateway;
+use super::{Gateway, Inner, PREFIX};
 use crate::answer::StoredAnswer;
 use crate::call::{Call, MarkedCall};
 use crate::errors::{Execution, GatewayError};
@@ -26,33 +29,37 @@
     /// It ran; this is its answer.
     Answered(StoredAnswer),
     /// Another attempt holds the claim.
-    Held,
+    Held(Holder),
 }
 
 /// The wait of one call for another attempt's run.
 pub(super) struct ResendWait {
+    began: Instant,
     until: Instant,
-    has_waited: bool,
+    /// Who was seen to hold the claim last.
+    holder: Option<Holder>,
 }
 
 impl ResendWait {
     /// That of a call that comes now.
     pub fn new(call: &Call) -> Self {
-        let longest = Instant::now() + LONGEST_RESEND_WAIT;
+        let began = Instant::now();
+        let longest = began + LONGEST_RESEND_WAIT;
         Self {
+            began,
             until: longest.min(call.deadline),
-            has_waited: false,
+            holder: None,
         }
     }
 
     /// True once another attempt was seen to hold the claim.
     pub fn has_waited(&self) -> bool {
-        self.has_waited
+        self.holder.is_some()
     }
 
     /// The error of a call that goes no further: once another attempt was seen, the request may have run.
     pub fn qualify(&self, error: GatewayError) -> GatewayError {
-        if self.has_waited && error.execution == Execution::NotRun {
+        if self.has_waited() && error.execution == Execution::NotRun {
             return GatewayError {
                 execution: Execution::Unknown,
                 ..error
@@ -62,6 +69,26 @@
     }
 }
 
+/// Counts a resend that waits, until dropped.
+struct WaitingResend {
+    inner: Arc<Inner>,
+}
+
+impl WaitingResend {
+    fn count(inner: &Arc<Inner>) -> Self {
+        inner.waiting_resends.fetch_add(1, Ordering::Relaxed);
+        Self {
+            inner: inner.clone(),
+        }
+    }
+}
+
+impl Drop for WaitingResend {
+    fn drop(&mut self) {
+        self.inner.waiting_resends.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Gateway {
     /// Claims a marked request for this attempt, unless another one has it.
     pub(super) async fn claim(&self, marked: &MarkedCall) -> Result<Claimed, GatewayError> {
@@ -81,7 +108,7 @@
         match verdict {
             Verdict::Granted(claim) => Ok(Claimed::Granted(claim)),
             Verdict::Answered(bytes) => stored_answer(&bytes).map(Claimed::Answered),
-            Verdict::Unknown => Ok(Claimed::Held),
+            Verdict::Held(holder) => Ok(Claimed::Held(holder)),
             Verdict::Mismatch => {
                 let message = "Idempotency-Key: was used with another body";
                 Err(GatewayError::not_run(STEP, 422, "key_reused", message))
@@ -96,25 +123,40 @@
     pub(super) async fn wait_for_holder(
         &self,
         marked: &MarkedCall,
+        holder: Holder,
         wait: &mut ResendWait,
     ) -> Result<(), GatewayError> {
-        wait.has_waited = true;
+        wait.holder = Some(holder);
+        let _waiting = WaitingResend::count(&self.inner);
         let claims = &self.inner.parts.claims;
         let outcome = match claims.wait_while_open(&marked.key, wait.until).await {
             Waited::Settled => return Ok(()),
             Waited::StillOpen => "still_open",
             Waited::TooMany => "too_many_wait",
         };
-        self.count_resend(outcome);
+        self.note_resend(marked, wait, outcome);
         let message = "the request is running, or may have run; it is not run again";
         let error = GatewayError::unknown(STEP, 409, "in_progress_or_unknown", message);
         Err(error.after(RESEND_RETRY))
     }
 
-    /// Counts what became of a resend.
-    pub(super) fn count_resend(&self, outcome: &str) {
+    /// Counts and logs what became of a resend.
+    pub(super) fn note_resend(&self, marked: &MarkedCall, wait: &ResendWait, outcome: &str) {
         let resends = &self.metrics().resends;
         resends.with_label_values(&[outcome]).inc();
+        let parts = &self.inner.parts;
+        let holder = wait.holder.as_ref();
+        let waited = holder.map_or(Duration::ZERO, |_| wait.began.elapsed());
+        let claimed_at = holder.map(|holder| holder.created_at_ms);
+        let held_for = claimed_at.map_or(0, |at| (parts.now_ms)().saturating_sub(at));
+        parts.log.record(&Record::Resent {
+            tenant: &marked.key.tenant,
+            claim: &marked.key.row_key(),
+            holder: holder.map_or("", |holder| &holder.attempt),
+            held_for_ms: held_for,
+            outcome,
+            waited_ms: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+        });
     }
 
     /// Lets a request that certainly did not run be run by a resend.
@@ -129,11 +171,19 @@
 }
 
 fn stored_answer(bytes: &[u8]) -> Result<StoredAnswer, GatewayError> {
-    serde_json::from_slice(bytes).map_err(|_| {
-        let message = "the request ran; its answer was too large to keep";
-        GatewayError {
-            execution: Execution::Ran,
-            ..GatewayError::unknown(STEP, 409, "answer_not_kept", message)
-        }
+    if bytes.is_empty() {
+        return Err(answer_not_kept("its answer was too large to keep"));
+    }
+    serde_json::from_slice(bytes).map_err(|error| {
+        log::warn!("{PREFIX} a stored answer cannot be read: {error}");
+        answer_not_kept("its stored answer cannot be read")
     })
 }
+
+fn answer_not_kept(cause: &str) -> GatewayError {
+    let message = format!("the request ran; {cause}");
+    GatewayError {
+        execution: Execution::Ran,
+        ..GatewayError::unknown(STEP, 409, "answer_not_kept", message)
+    }
+}
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -11,12 +11,13 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use harrierward_claims::{Claim, Claims};
 use harrierward_config::ConfigSnapshot;
+use harrierward_decisions::DecisionLog;
 use harrierward_routing::PrefixIndex;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -80,6 +81,8 @@
     pub claims: Claims,
     /// Metrics.
     pub metrics: GatewayMetrics,
+    /// Log of decisions.
+    pub log: DecisionLog,
     /// Milliseconds since 1970.
     pub now_ms: fn() -> u64,
     /// Start of the daemon, from which replica loads are dated.
@@ -101,6 +104,8 @@
     news: mpsc::UnboundedSender<PrefixNews>,
     retries: RetryBudget,
     counter: AtomicU64,
+    /// Resends that wait for another attempt: they hold no place, but a planned stop waits for them too.
+    waiting_resends: AtomicUsize,
 }
 
 /// The gateway of one daemon; cheap to clone.
@@ -123,6 +128,7 @@
             news,
             retries: RetryBudget::default(),
             counter: AtomicU64::new(0),
+            waiting_resends: AtomicUsize::new(0),
         });
         tokio::spawn(run_index(Arc::downgrade(&inner), receiver));
         Self { inner }
@@ -194,9 +200,10 @@
     /// Requests running and waiting at this gateway, over all services.
     pub fn load(&self) -> (u32, usize) {
         let admissions = self.inner.admissions.load();
+        let waiting_resends = self.inner.waiting_resends.load(Ordering::Relaxed);
         admissions
             .values()
-            .fold((0, 0), |(running, waiting), admission| {
+            .fold((0, waiting_resends), |(running, waiting), admission| {
                 let (more_running, more_waiting) = admission.load();
                 (running + more_running, waiting + more_waiting)
             })
@@ -248,23 +255,25 @@
             let claim = match &call.marked {
                 None => None,
                 Some(marked) => match self.claim(marked).await {
-                    Ok(Claimed::Granted(claim)) => Some(claim),
+                    Ok(Claimed::Granted(claim)) => {
+                        if wait.has_waited() {
+                            self.note_resend(marked, &wait, "run_after_release");
+                        }
+                        Some(claim)
+                    }
                     Ok(Claimed::Answered(stored)) => {
-                        self.count_resend("stored");
+                        self.note_resend(marked, &wait, "stored");
                         return Ok(AnswerStream::replay(stored, call.identity));
                     }
-                    Ok(Claimed::Held) => {
+                    Ok(Claimed::Held(holder)) => {
                         // Who only waits takes no place from those who run.
                         drop(permit);
-                        self.wait_for_holder(marked, &mut wait).await?;
+                        self.wait_for_holder(marked, holder, &mut wait).await?;
                         continue;
                     }
                     Err(error) => return Err(wait.qualify(error)),
                 },
             };
-            if claim.is_some() && wait.has_waited() {
-                self.count_resend("run_after_release");
-            }
             let places = Places {
                 permit,
                 in_progress,
--- a/crates/harrierward/src/logging.rs
+++ b/crates/harrierward/src/logging.rs
@@ -1,9 +1,10 @@
 //! Logs go to the console: plain lines or JSON lines.
 
 use eyre::Result;
+use harrierward_decisions::DECISION_TARGET;
 use log::LevelFilter;
 use log4rs::append::console::{ConsoleAppender, Target};
-use log4rs::config::{Appender, Config, Root};
+use log4rs::config::{Appender, Config, Logger, Root};
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
 
@@ -12,6 +13,11 @@
 
 const APPENDER: &str = "console";
 
+/// Pattern of decisions, which come as whole lines.
+const DECISION_PATTERN: &str = "{m}";
+
+const DECISION_APPENDER: &str = "decisions";
+
 /// Form of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogFormat {
@@ -30,7 +36,26 @@
     };
     let appender = Appender::builder().build(APPENDER, Box::new(appender.build()));
     let root = Root::builder().appender(APPENDER).build(level);
-    let config = Config::builder().appender(appender).build(root)?;
+    let config = Config::builder()
+        .appender(appender)
+        .appender(decision_appender())
+        .logger(decision_logger(level))
+        .build(root)?;
     log4rs::init_config(config)?;
     Ok(())
 }
+
+fn decision_appender() -> Appender {
+    let appender = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(Box::new(PatternEncoder::new(DECISION_PATTERN)))
+        .build();
+    Appender::builder().build(DECISION_APPENDER, Box::new(appender))
+}
+
+fn decision_logger(level: LevelFilter) -> Logger {
+    Logger::builder()
+        .appender(DECISION_APPENDER)
+        .additive(false)
+        .build(DECISION_TARGET, level)
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,6 +10,7 @@
 use harrierward_capacity::CapacityPlan;
 use harrierward_claims::Claims;
 use harrierward_config::{ConfigReplica, ConfigSnapshot, ConfigStore};
+use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_external::{
     Condition, GuardedObjects, GuardedTable, MachineList, ObjectStore, PlatformError, RateBudget,
     RequestClass, Table, Transaction, WeightStore,
@@ -233,12 +234,15 @@
             CostModel::default(),
         ));
         let claims = Claims::start(table.clone(), settings.claims);
+        let log = DecisionLog::new(LogBounds::default());
+        tokio::spawn(log.clone().run());
         let gateway_parts = GatewayParts {
             member: identity.member.clone(),
             config: config.clone(),
             directory: directory.clone(),
             claims,
             metrics: GatewayMetrics::new(&parts.registry)?,
+            log: log.clone(),
             now_ms,
             started,
         };
