--- a/crates/bench/tests/resend.rs
+++ b/crates/bench/tests/resend.rs
@@ -15,7 +15,7 @@
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
 use support::{MODEL, PAUSE, start_daemon, start_platform};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const PROMPT: &str = "book desk 17";
 const TOKENS: u32 = 6;
@@ -360,9 +360,14 @@
     let address = fleet.second.clone();
     let resend = tokio::spawn(async move { book(&address, "stop", &completion(false)).await });
     let [_, second] = &fleet.nodes;
-    sleep(Duration::from_millis(200)).await;
-    let load = second.gateway().load();
-    assert_ne!(load, (0, 0), "a planned stop waits until this is nothing");
+    // A planned stop waits until the load is nothing.
+    let is_counted = async {
+        while second.gateway().load() == (0, 0) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let counted = timeout(Duration::from_secs(1), is_counted).await;
+    assert!(counted.is_ok(), "a resend that waits counts");
     let leaving = second.clone();
     let stop = tokio::spawn(async move { leaving.drain().await });
     sleep(Duration::from_millis(300)).await;
