--- /dev/null
+++ b/crates/gateway/src/gateway/claiming.rs
@@ -0,0 +1,189 @@
+//! The claim of a marked request, and what a resend is told.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use harrierward_claims::{Claim, Holder, Verdict, Waited};
+use harrierward_decisions::Record;
+use tokio::time::Instant;
+
+use super::{Gateway, Inner, PREFIX};
+use crate::answer::StoredAnswer;
+use crate::call::{Call, MarkedCall};
+use crate::errors::{Execution, GatewayError};
+
+const STEP: &str = "gateway.claim";
+
+/// Longest time for which a resend waits for the run that is in progress. Most answers that a caller has given up on
+/// too early come in this time; a longer wait would hold many connections for runs whose holder is gone for good.
+const LONGEST_RESEND_WAIT: Duration = Duration::from_secs(1);
+
+/// When a resend that waited in vain is told to come back.
+const RESEND_RETRY: Duration = Duration::from_secs(1);
+
+/// How a marked call may go on.
+pub(super) enum Claimed {
+    /// It may be dispatched, once.
+    Granted(Claim),
+    /// It ran; this is its answer.
+    Answered(StoredAnswer),
+    /// Another attempt holds the claim.
+    Held(Holder),
+}
+
+/// The wait of one call for another attempt's run.
+pub(super) struct ResendWait {
+    began: Instant,
+    until: Instant,
+    /// Who was seen to hold the claim last.
+    holder: Option<Holder>,
+}
+
+impl ResendWait {
+    /// That of a call that comes now.
+    pub fn new(call: &Call) -> Self {
+        let began = Instant::now();
+        let longest = began + LONGEST_RESEND_WAIT;
+        Self {
+            began,
+            until: longest.min(call.deadline),
+            holder: None,
+        }
+    }
+
+    /// True once another attempt was seen to hold the claim.
+    pub fn has_waited(&self) -> bool {
+        self.holder.is_some()
+    }
+
+    /// The error of a call that goes no further: once another attempt was seen, the request may have run.
+    pub fn qualify(&self, error: GatewayError) -> GatewayError {
+        if self.has_waited() && error.execution == Execution::NotRun {
+            return GatewayError {
+                execution: Execution::Unknown,
+                ..error
+            };
+        }
+        error
+    }
+}
+
+/// Counts a resend that waits, until dropped.
+struct WaitingResend {
+    inner: Arc<Inner>,
+}
+
+impl WaitingResend {
+    fn count(inner: &Arc<Inner>) -> Self {
+        inner.waiting_resends.fetch_add(1, Ordering::Relaxed);
+        Self {
+            inner: inner.clone(),
+        }
+    }
+}
+
+impl Drop for WaitingResend {
+    fn drop(&mut self) {
+        self.inner.waiting_resends.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Gateway {
+    /// Claims a marked request for this attempt, unless another one has it.
+    pub(super) async fn claim(&self, marked: &MarkedCall) -> Result<Claimed, GatewayError> {
+        let parts = &self.inner.parts;
+        let attempt = format!("{}-claim-{}", parts.member, self.next_id());
+        let now_ms = (parts.now_ms)();
+        let verdict = parts
+            .claims
+            .begin(marked.key.clone(), marked.digest.clone(), attempt, now_ms)
+            .await
+            .map_err(|refused| {
+                let message = format!("the request cannot be claimed now: {refused}");
+                GatewayError::not_run(STEP, 503, "claim_refused", message)
+                    .at("table")
+                    .after(Duration::from_secs(1))
+            })?;
+        match verdict {
+            Verdict::Granted(claim) => Ok(Claimed::Granted(claim)),
+            Verdict::Answered(bytes) => stored_answer(&bytes).map(Claimed::Answered),
+            Verdict::Held(holder) => Ok(Claimed::Held(holder)),
+            Verdict::Mismatch => {
+                let message = "Idempotency-Key: was used with another body";
+                Err(GatewayError::not_run(STEP, 422, "key_reused", message))
+            }
+        }
+    }
+
+    /// Waits until the attempt that holds the claim has settled it.
+    ///
+    /// # Errors
+    /// It did not in time, or too many wait.
+    pub(super) async fn wait_for_holder(
+        &self,
+        marked: &MarkedCall,
+        holder: Holder,
+        wait: &mut ResendWait,
+    ) -> Result<(), GatewayError> {
+        wait.holder = Some(holder);
+        let _waiting = WaitingResend::count(&self.inner);
+        let claims = &self.inner.parts.claims;
+        let outcome = match claims.wait_while_open(&marked.key, wait.until).await {
+            Waited::Settled => return Ok(()),
+            Waited::StillOpen => "still_open",
+            Waited::TooMany => "too_many_wait",
+        };
+        self.note_resend(marked, wait, outcome);
+        let message = "the request is running, or may have run; it is not run again";
+        let error = GatewayError::unknown(STEP, 409, "in_progress_or_unknown", message);
+        Err(error.after(RESEND_RETRY))
+    }
+
+    /// Counts and logs what became of a resend.
+    pub(super) fn note_resend(&self, marked: &MarkedCall, wait: &ResendWait, outcome: &str) {
+        let resends = &self.metrics().resends;
+        resends.with_label_values(&[outcome]).inc();
+        let parts = &self.inner.parts;
+        let holder = wait.holder.as_ref();
+        let waited = holder.map_or(Duration::ZERO, |_| wait.began.elapsed());
+        let claimed_at = holder.map(|holder| holder.created_at_ms);
+        let held_for = claimed_at.map_or(0, |at| (parts.now_ms)().saturating_sub(at));
+        parts.log.record(&Record::Resent {
+            tenant: &marked.key.tenant,
+            claim: &marked.key.row_key(),
+            holder: holder.map_or("", |holder| &holder.attempt),
+            held_for_ms: held_for,
+            outcome,
+            waited_ms: u64::try_from(waited.as_millis()).unwrap_or(u64::MAX),
+        });
+    }
+
+    /// Lets a request that certainly did not run be run by a resend.
+    pub(super) fn release_if_not_run(&self, error: &GatewayError, claim: &Claim) {
+        if error.execution != Execution::NotRun {
+            return;
+        }
+        let claims = self.inner.parts.claims.clone();
+        let claim = claim.clone();
+        tokio::spawn(async move { claims.release(&claim).await });
+    }
+}
+
+fn stored_answer(bytes: &[u8]) -> Result<StoredAnswer, GatewayError> {
+    if bytes.is_empty() {
+        return Err(answer_not_kept("its answer was too large to keep"));
+    }
+    serde_json::from_slice(bytes).map_err(|error| {
+        log::warn!("{PREFIX} a stored answer cannot be read: {error}");
+        answer_not_kept("its stored answer cannot be read")
+    })
+}
+
+fn answer_not_kept(cause: &str) -> GatewayError {
+    let message = format!("the request ran; {cause}");
+    GatewayError {
+        execution: Execution::Ran,
+        ..GatewayError::unknown(STEP, 409, "answer_not_kept", message)
+    }
+}
