standalone says that it listens once the replicas of all its services are owned

Cause: the test of a booking sent twice failed once in some sixty runs, 0.33 s after the program had started, on a busy machine, with a status other than 200. By reading: the program announced itself as soon as one replica was owned, which may be one of the other service, and a service without an owned replica refuses. The failure did not come again in 6 runs beside 16 busy loops and 42 runs 14 at a time, so that this was the cause is inferred. Change: it waits for all replicas. The test is as it was.

--- a/crates/harrierward/src/standalone.rs
+++ b/crates/harrierward/src/standalone.rs
@@ -197,7 +197,9 @@
         settings,
     })?;
     let address = api.local_addr()?;
-    while !node.is_ready() || node.status().owned_replicas == 0 {
+    // A service whose replicas nobody owns yet refuses its first callers, who were just told that the node listens.
+    let all = TRIALS.len() * REPLICAS_A_SERVICE;
+    while !node.is_ready() || node.status().owned_replicas < all {
         sleep(READY_PAUSE).await;
     }
     announce(&address.to_string());
