Kept connections that fell silent with another are not used again

Cause: connections can fall silent for good, all of one moment together, while new ones work. The pool put one request after the other on each kept one; an attempt that followed a lost answer also took a kept one. Ruled out: looking at the socket's state, which tells nothing where the far kernel acknowledges. Change: an exchange that is dropped after a silence closes the connections kept to its peer that have not worked since it was last heard; a second attempt takes a new connection; keep-alive probes on all connections, and a bound on unacknowledged bytes towards callers.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -36,6 +36,7 @@
     zones_evacuated: IntGaugeVec,
     zones_running: IntGaugeVec,
     view_sync_records: IntCounter,
+    connections_silent: IntCounter,
     lines_dropped: IntGauge,
     rate_refusals: IntCounterVec,
     tenant_refusals: IntCounterVec,
@@ -159,6 +160,7 @@
                 "Requests and items of this daemon still in progress in an evacuated zone",
             )?,
             view_sync_records: view_sync_records(&registry)?,
+            connections_silent: connections_silent(&registry)?,
             lines_dropped: gauge(
                 "harrierward_log_lines_dropped",
                 "Log lines dropped since the start",
@@ -283,6 +285,9 @@
                     .with_label_values(&[*dependency])
                     .inc();
             }
+            Record::ConnectionsSilent { closed, .. } => {
+                self.connections_silent.inc_by(*closed as u64);
+            }
             Record::ConfigurationInForce { version, .. } => {
                 let version = i64::try_from(*version).unwrap_or(i64::MAX);
                 self.configuration_version.set(version);
@@ -361,6 +366,15 @@
     Ok(counter)
 }
 
+fn connections_silent(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
+    let silent = IntCounter::new(
+        "harrierward_connections_silent_total",
+        "Kept connections closed because an exchange with their peer fell silent",
+    )?;
+    registry.register(Box::new(silent.clone()))?;
+    Ok(silent)
+}
+
 fn view_sync_records(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
     let counter = IntCounter::new(
         "harrierward_view_sync_records_total",
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -76,6 +76,15 @@
         /// The settings name the zone.
         is_known: bool,
     },
+    /// An exchange was given up after a silence, and the connections kept to the peer since before it were closed.
+    ConnectionsSilent {
+        /// Address of the peer.
+        peer: &'a str,
+        /// Connections closed besides the exchange's own.
+        closed: usize,
+        /// How long nothing came.
+        silent_ms: u64,
+    },
     /// A coordinator granted a slot at a replica that this daemon knows to be out of bounds; the daemon chose itself.
     LeaseOverruled {
         /// Replica.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod rates;
 mod server;
 mod settings;
+mod silence;
 mod slots;
 mod trips;
 mod watch;
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use futures::Stream;
+use harrierward_decisions::{DecisionLog, Record};
 use http::{HeaderMap, Request, response};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
@@ -20,6 +21,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::silence::{SilenceWatch, set_probes};
+
 /// Bounds of the pool.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolSettings {
@@ -33,6 +36,8 @@
     pub idle_margin: Duration,
     /// Idle connections kept to one address.
     pub idle_per_address: usize,
+    /// Silence in an exchange that was given up after which the connections kept since before it count as silent too.
+    pub silent_after: Duration,
 }
 
 impl Default for PoolSettings {
@@ -43,6 +48,7 @@
             idle: Duration::from_millis(1_500),
             idle_margin: Duration::from_millis(700),
             idle_per_address: 32,
+            silent_after: Duration::from_millis(200),
         }
     }
 }
@@ -103,6 +109,8 @@
 struct Idle {
     connection: Connection,
     until: Instant,
+    /// When its last exchange ended: it worked until then.
+    worked_at: Instant,
 }
 
 /// Connections to back ends; cheap to clone.
@@ -113,6 +121,7 @@
 
 struct Inner {
     settings: PoolSettings,
+    log: DecisionLog,
     idle: Mutex<HashMap<String, Vec<Idle>>>,
 }
 
@@ -135,6 +144,7 @@
     address: String,
     connection: Connection,
     keep_for: Option<Duration>,
+    silence: SilenceWatch,
 }
 
 impl PooledBody {
@@ -160,6 +170,9 @@
             };
             match frame {
                 Some(Ok(frame)) => {
+                    if let Some(lease) = &mut self.lease {
+                        lease.silence.heard();
+                    }
                     if let Ok(data) = frame.into_data() {
                         return Poll::Ready(Some(Ok(data)));
                     }
@@ -180,13 +193,15 @@
 }
 
 impl Lease {
-    fn give_back(self) {
+    fn give_back(mut self) {
+        self.silence.end();
         let Some(keep_for) = self.keep_for else {
             return;
         };
         let idle = Idle {
             connection: self.connection,
             until: Instant::now() + keep_for,
+            worked_at: Instant::now(),
         };
         self.pool.put(self.address, idle);
     }
@@ -194,9 +209,10 @@
 
 impl ConnectionPool {
     /// An empty pool.
-    pub fn new(settings: PoolSettings) -> Self {
+    pub fn new(settings: PoolSettings, log: DecisionLog) -> Self {
         let inner = Inner {
             settings,
+            log,
             idle: Mutex::new(HashMap::new()),
         };
         Self {
@@ -235,6 +251,33 @@
         None
     }
 
+    /// Closes the connections to the address that have not worked since `heard_at`.
+    ///
+    /// Connections can fall silent for good, all of one moment together, while new ones work. Each of them would cost
+    /// one more request its time-out.
+    pub(crate) fn distrust(&self, address: &str, heard_at: Instant) {
+        let closed = self.close_unheard(address, heard_at);
+        if closed == 0 {
+            return;
+        }
+        let silent = heard_at.elapsed().as_millis();
+        self.inner.log.record(&Record::ConnectionsSilent {
+            peer: address,
+            closed,
+            silent_ms: u64::try_from(silent).unwrap_or(u64::MAX),
+        });
+    }
+
+    fn close_unheard(&self, address: &str, heard_at: Instant) -> usize {
+        let mut all = self.lock();
+        let Some(list) = all.get_mut(address) else {
+            return 0;
+        };
+        let before = list.len();
+        list.retain(|idle| idle.worked_at > heard_at);
+        before - list.len()
+    }
+
     /// True if a connection to the address is kept that a request could use.
     pub fn has_idle(&self, address: &str) -> bool {
         let all = self.lock();
@@ -255,9 +298,7 @@
         };
         let not_sent = |error: std::io::Error| PoolError::NotSent(error.to_string());
         stream.set_nodelay(true).map_err(not_sent)?;
-        // Not every system has this option; the exchange's own time limits hold anyway.
-        let _ = socket2::SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(settings.unacknowledged_timeout));
+        set_probes(&stream, settings.unacknowledged_timeout);
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
@@ -290,10 +331,12 @@
             taken: taken.clone(),
         };
         let request = Request::from_parts(head, body);
+        let mut silence = SilenceWatch::begin(self, address);
         let answer = connection.sender.send_request(request).await;
         let (head, body) = answer
             .map_err(|error| PoolError::Lost(error.to_string()))?
             .into_parts();
+        silence.heard();
         // An answer that came before the whole body was sent leaves the connection in doubt.
         let orderly = taken.load(Ordering::Relaxed);
         let keep_for = self.keep_for(&head.headers).filter(|_| orderly);
@@ -302,6 +345,7 @@
             address: address.to_owned(),
             connection,
             keep_for,
+            silence,
         };
         let body = PooledBody {
             body,
@@ -310,6 +354,10 @@
         Ok(PooledResponse { head, body })
     }
 
+    pub(crate) fn silent_after(&self) -> Duration {
+        self.inner.settings.silent_after
+    }
+
     fn keep_for(&self, headers: &HeaderMap) -> Option<Duration> {
         let settings = &self.inner.settings;
         if has_token(headers, "connection", "close") {
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -22,12 +22,19 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::silence::set_probes;
+
 /// Least buffer of a connection, bytes.
 const LEAST_BUFFER: usize = 16 << 10;
 
 /// Pause after a failed accept, for example when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How long a caller may leave bytes unacknowledged, or its receive window closed, before it has gone. Where bytes wait
+/// nothing else ends the request, and its slot at a replica stays taken. Longer than towards replicas: a caller may read
+/// slowly.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// Body of an answer; an error breaks the connection off.
 pub type ResponseBody = UnsyncBoxBody<Bytes, Cut>;
 
@@ -54,6 +61,7 @@
     stage: watch::Sender<ServerStage>,
     in_progress: AtomicUsize,
     limits: ArcSwap<CallerLimits>,
+    unacknowledged_timeout: Duration,
 }
 
 impl Default for ServerControl {
@@ -62,11 +70,18 @@
             stage: watch::Sender::new(ServerStage::Serving),
             in_progress: AtomicUsize::new(0),
             limits: ArcSwap::from_pointee(CallerLimits::default()),
+            unacknowledged_timeout: UNACKNOWLEDGED_TIMEOUT,
         }
     }
 }
 
 impl ServerControl {
+    /// Another time after which a caller that takes nothing has gone.
+    pub fn with_unacknowledged_timeout(mut self, timeout: Duration) -> Self {
+        self.unacknowledged_timeout = timeout;
+        self
+    }
+
     /// Moves to another stage.
     pub fn set_stage(&self, stage: ServerStage) {
         self.stage.send_replace(stage);
@@ -168,6 +183,7 @@
     service: Arc<S>,
 ) {
     let _ = stream.set_nodelay(true);
+    set_probes(&stream, control.unacknowledged_timeout);
     let limits = *control.limits.load_full();
     let activity = Arc::new(Activity {
         started: Instant::now(),
--- /dev/null
+++ b/crates/edge/src/silence.rs
@@ -0,0 +1,68 @@
+//! Connections that fall silent for good, without a reset, while new ones work.
+
+use std::time::Duration;
+
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::pool::ConnectionPool;
+
+/// Quiet time on a connection before the first keep-alive probe; the least that the system takes is a second.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+
+/// Time between probes, which also is a second at least.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// Lets the system end a connection whose peer acknowledges nothing for `unacknowledged`: neither bytes, which waits
+/// without a bound are otherwise, nor probes where nothing is written.
+pub(crate) fn set_probes(stream: &TcpStream, unacknowledged: Duration) {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_EVERY);
+    // Not every system has these options; the exchanges' own time limits hold anyway.
+    let _ = socket.set_tcp_keepalive(&probes);
+    let _ = socket.set_tcp_user_timeout(Some(unacknowledged));
+}
+
+/// Watches one exchange. If it is dropped before its end after a silence, connections that were kept since before the
+/// silence are not used again.
+///
+/// Why at the drop: whoever gives an exchange up, for whatever limit, drops it, and a lost one ends there too.
+pub(crate) struct SilenceWatch {
+    pool: ConnectionPool,
+    address: String,
+    heard_at: Option<Instant>,
+}
+
+impl SilenceWatch {
+    pub(crate) fn begin(pool: &ConnectionPool, address: &str) -> Self {
+        Self {
+            pool: pool.clone(),
+            address: address.to_owned(),
+            heard_at: Some(Instant::now()),
+        }
+    }
+
+    /// Bytes have come.
+    pub(crate) fn heard(&mut self) {
+        self.heard_at = Some(Instant::now());
+    }
+
+    /// The exchange is over in order.
+    pub(crate) fn end(&mut self) {
+        self.heard_at = None;
+    }
+}
+
+impl Drop for SilenceWatch {
+    fn drop(&mut self) {
+        let Some(heard_at) = self.heard_at else {
+            return;
+        };
+        if heard_at.elapsed() >= self.pool.silent_after() {
+            self.pool.distrust(&self.address, heard_at);
+        }
+    }
+}
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -350,10 +350,10 @@
         state: &RequestState,
     ) -> (Option<String>, Result<Attempt, AttemptFailure>) {
         // A connection that was used before may carry a late answer, or be closing: an attempt that cannot be
-        // repeated takes a new one.
+        // repeated takes a new one. So does one that follows a lost answer: kept connections fall silent together.
         let sending = Sending {
             resume_after: state.request.resume_after,
-            fresh_connection: !state.route.may_repeat(),
+            fresh_connection: !state.route.may_repeat() || state.sends > 1,
             number: state.sends,
             failed_before: false,
         };
