--- a/crates/edge/tests/server.rs
+++ b/crates/edge/tests/server.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use harrierward_edge::{HttpService, ResponseBody, ServerControl, ServerStage, serve};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -104,3 +104,37 @@
     drop(stream);
     fixture.until_in_progress(0).await;
 }
+
+/// Answers without an end.
+struct Endless;
+
+#[async_trait]
+impl HttpService for Endless {
+    async fn call(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
+        let piece = Bytes::from_static(&[0; 16_384]);
+        let pieces = futures::stream::repeat_with(move || Ok(Frame::data(piece.clone())));
+        Response::new(StreamBody::new(pieces).boxed_unsync())
+    }
+}
+
+/// Nothing but this ends the request of a caller that is silent for good while bytes wait for it.
+#[tokio::test]
+async fn a_caller_that_takes_nothing_has_gone_after_a_time() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let control = ServerControl::default().with_unacknowledged_timeout(Duration::from_secs(1));
+    let control = Arc::new(control);
+    tokio::spawn(serve(listener, control.clone(), Arc::new(Endless)));
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    stream.write_all(REQUEST).await.expect("write");
+    let mut byte = [0];
+    stream.read_exact(&mut byte).await.expect("a first byte");
+    assert_eq!(control.in_progress(), 1);
+    let gone = async {
+        while control.in_progress() > 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let gone = tokio::time::timeout(Duration::from_secs(10), gone).await;
+    assert!(gone.is_ok(), "its request is still in progress");
+}
