--- a/crates/edge/src/silence.rs
+++ b/crates/edge/src/silence.rs
@@ -8,19 +8,18 @@
 
 use crate::pool::ConnectionPool;
 
-/// Quiet time on a connection before the first keep-alive probe; the least that the system takes is a second.
-const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Probes in the time after which a connection counts as dead.
+const PROBES: u32 = 3;
 
-/// Time between probes, which also is a second at least.
-const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// Least time between probes that systems take.
+const LEAST_PROBE_PAUSE: Duration = Duration::from_secs(1);
 
-/// Lets the system end a connection whose peer acknowledges nothing for `unacknowledged`: neither bytes, which waits
-/// without a bound are otherwise, nor probes where nothing is written.
+/// Lets the system end a connection whose peer acknowledges nothing for `unacknowledged`: neither bytes, which wait
+/// without a bound otherwise, nor probes where nothing is written.
 pub(crate) fn set_probes(stream: &TcpStream, unacknowledged: Duration) {
     let socket = SockRef::from(stream);
-    let probes = TcpKeepalive::new()
-        .with_time(PROBE_AFTER)
-        .with_interval(PROBE_EVERY);
+    let pause = (unacknowledged / PROBES).max(LEAST_PROBE_PAUSE);
+    let probes = TcpKeepalive::new().with_time(pause).with_interval(pause);
     // Not every system has these options; the exchanges' own time limits hold anyway.
     let _ = socket.set_tcp_keepalive(&probes);
     let _ = socket.set_tcp_user_timeout(Some(unacknowledged));
