A cold replica's rows are no log lines of their own

Cause: each row of a cold replica tells another time for which it stays cold, so that each heartbeat of each cold replica was logged as a change at every daemon. Ruled out: leaving the time out of the record, which new replicas need. Change: the time is left out where a row is compared with the one before; the number of cold replicas by zone has lines of its own. The test fails without it.

--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -43,6 +43,16 @@
     }
 }
 
+/// True if a row says something that is worth a line. How long a replica stays cold is not: each row of a cold one tells
+/// another time, all daemons see all rows, and the changes of a zone's warmth have lines of their own.
+fn is_news(known: &ReplicaRecord, told: &ReplicaRecord) -> bool {
+    let known = ReplicaRecord {
+        warmup: told.warmup,
+        ..known.clone()
+    };
+    known != *told
+}
+
 /// Time between two looks at what still runs in evacuated zones.
 const RUNNING_LOOK: Duration = Duration::from_millis(500);
 
@@ -211,8 +221,8 @@
             return;
         };
         let known = rows.replicas.get(&row.key);
-        let same = known.is_some_and(|(_, known)| *known == record);
-        if !same && !is_first_read {
+        let is_news = known.is_none_or(|(_, known)| is_news(known, &record));
+        if is_news && !is_first_read {
             let state = if record.draining { "draining" } else { "ready" };
             self.log_replica(&record, state, row.revision);
         }
--- a/crates/edge/tests/discovery.rs
+++ b/crates/edge/tests/discovery.rs
@@ -243,6 +243,23 @@
     assert_eq!(replica.service_warmup(), Some(WARMUP));
 }
 
+/// Each row of a cold replica tells another time, and all daemons see all rows.
+#[tokio::test]
+async fn the_time_that_a_replica_stays_cold_is_no_line_of_its_own() {
+    let fixture = Fixture::new();
+    let take = |value: &str, revision| {
+        let update = written(vec![row("one", value, revision)]);
+        fixture.discovery.take_replicas(&update);
+    };
+    take("1:1", 2);
+    let lines = fixture.log.held_lines();
+    take("1:1 6000", 3);
+    take("1:1 4800", 4);
+    assert_eq!(fixture.log.held_lines(), lines);
+    take("1:2 3600", 5);
+    assert_eq!(fixture.log.held_lines(), lines + 1, "its address is new");
+}
+
 const EVACUATION: &str = "evacuate/zone";
 
 fn change(key: &str, value: Option<&str>, revision: u64) -> RowChange {
