A whole read ends no row that was written after it

Cause: a whole read of several pages is as old as its oldest page, but holds rows of newer ones. If the next read came before the feed and was older than such a row, the row counted as gone; where it was an evacuation the zone came back, and for good, as marks never go back. Change: a read takes only rows away that are no newer than itself. The test fails without it.

--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -144,11 +144,17 @@
                 update.written.push(row);
             }
         }
-        let gone = self
-            .revisions
-            .keys()
-            .filter(|key| !revisions.contains_key(*key));
-        update.removed = gone.cloned().collect();
+        for (key, known) in &self.revisions {
+            if revisions.contains_key(key) {
+                continue;
+            }
+            // A read is as old as its oldest page: the one before may hold rows that were written after this one.
+            if *known > snapshot.revision {
+                revisions.insert(key.clone(), *known);
+            } else {
+                update.removed.push(key.clone());
+            }
+        }
         self.revisions = revisions;
         self.revision = snapshot.revision;
         Some(update)
--- a/crates/edge/tests/discovery.rs
+++ b/crates/edge/tests/discovery.rs
@@ -260,6 +260,17 @@
     assert_eq!(fixture.log.held_lines(), lines + 1, "its address is new");
 }
 
+/// A page of a whole read may be newer than the read as a whole, so that the next read may be older than a row in it.
+#[tokio::test]
+async fn a_read_that_is_older_than_an_evacuation_does_not_end_it() {
+    let mut daemon = Evacuated::new();
+    daemon.read_all(10, vec![row("op", "1", 5), row(EVACUATION, "", 12)]);
+    daemon.read_all(11, vec![row("op", "1", 5)]);
+    assert!(daemon.is_evacuated());
+    daemon.read_all(13, vec![row("op", "1", 5)]);
+    assert!(!daemon.is_evacuated());
+}
+
 const EVACUATION: &str = "evacuate/zone";
 
 fn change(key: &str, value: Option<&str>, revision: u64) -> RowChange {
