Items whose regions have no room hold up no others

Cause: items are started oldest first, and one that found no room stopped all starts for a moment, after which it was the first again. A job whose only allowed region was full, cold or silent so kept every other job of its daemon waiting for as long as that lasted. Ruled out: a pause for its set alone, as the interval between two starts is longer and the older items would take every turn. Change: room is noted by service and set of regions, and items that found none lately come after all others.

--- a/crates/inline-jobs/src/book.rs
+++ b/crates/inline-jobs/src/book.rs
@@ -9,6 +9,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::no_room::NoRoom;
 use crate::pacing::RunLength;
 use crate::store::ListedResult;
 use crate::view::KnownHead;
@@ -241,8 +242,8 @@
     pub last_start: Option<Instant>,
     /// Items for which a place is being asked.
     pub placing: usize,
-    /// No place is asked for until then.
-    pub no_room_until: Option<Instant>,
+    /// Where there was no room a moment ago.
+    pub no_room: NoRoom,
     /// What items take.
     pub run_length: RunLength,
     /// Routes of jobs that the configuration does not hold, and since when this is known.
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -1,18 +1,15 @@
 //! Starting items where online leaves room, taking their ends, and giving slots back when online needs them.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::{
-    ItemRoom, Mechanism, Placement, Route, RouteTable, ServingRequest, WorkClass,
-};
-use harrierward_tenants::AllowedRegions;
+use harrierward_serving::{ItemRoom, Mechanism, Placement, Route, RouteTable, WorkClass};
 use tokio::time::{Instant, sleep};
 
 use crate::book::{ItemPhase, RunPlace, StartableItem, YieldedItem};
 use crate::item_run::{self, RunOutcome};
 use crate::pacing::{RunLength, Urgency, slack, urgency};
+use crate::ready::{ReadyItem, within};
 use crate::service::InlineJobs;
 
 /// How often the runner looks for room when nothing wakes it.
@@ -33,9 +30,6 @@
 /// Items for which a daemon asks for places at the same time.
 const MOST_PLACING: usize = 3;
 
-/// Pause before a place is asked for again where there was none.
-const NO_ROOM_PAUSE: Duration = Duration::from_millis(20);
-
 /// Objective of an item's question for a place: no caller waits for it.
 const PLACE_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -67,33 +61,53 @@
             Instant::now(),
             ROUTE_PATIENCE,
         );
-        let view = self.inner.forwarder.replicas().view();
+        let mut behind = Vec::new();
         for (item, urgency, slack) in self.startable(&routes) {
-            let is_paced = self.inner.forwarder.policy().has(Mechanism::Pacing);
-            if is_paced && !self.interval_over(urgency.start_interval()) {
+            if !self.is_due(urgency) {
                 return;
             }
             let room = ItemRoom { slack };
-            let Some(route) = routes.configuration.route(&item.route) else {
-                continue;
-            };
-            let entry = routes.find(&route.host, &route.prefix);
-            let Some(service) = entry.and_then(|entry| entry.next_service()) else {
-                continue;
-            };
-            let tenant = item.request.tenant.as_deref().unwrap_or_default();
-            let regions = routes.configuration.allowed_regions(&item.route, tenant);
-            if !view.has_usable(service, &regions) {
+            let Some(ready) = self.ready(&routes, item, room) else {
                 // It waits, and must not hold up those that can run.
                 continue;
+            };
+            if ready.is_behind {
+                behind.push((ready, urgency));
+            } else if !self.start_item(&ready) {
+                return;
             }
-            let item = within(item, regions);
-            if !self.start_item(&item, service, room) {
+        }
+        for (ready, urgency) in behind {
+            if !self.is_due(urgency) || !self.start_item(&ready) {
                 return;
             }
         }
     }
 
+    /// The item as it may run by the configuration in force; `None` if nothing takes it now.
+    fn ready(&self, routes: &RouteTable, item: StartableItem, room: ItemRoom) -> Option<ReadyItem> {
+        let route = routes.configuration.route(&item.route)?;
+        let entry = routes.find(&route.host, &route.prefix);
+        let service = entry.and_then(|entry| entry.next_service())?;
+        let tenant = item.request.tenant.as_deref().unwrap_or_default();
+        let regions = routes.configuration.allowed_regions(&item.route, tenant);
+        let view = self.inner.forwarder.replicas().view();
+        let now = Instant::now();
+        let book = self.book();
+        let is_held = book.no_room.holds(service, &regions, now);
+        let is_behind = book.no_room.is_behind(service, &regions, now);
+        drop(book);
+        if is_held || !view.has_usable(service, &regions) {
+            return None;
+        }
+        Some(ReadyItem {
+            item: within(item, regions),
+            service: service.to_owned(),
+            room,
+            is_behind,
+        })
+    }
+
     /// Items that may be started now, those that can no longer be in time last, else the oldest first.
     fn startable(&self, routes: &RouteTable) -> Vec<(StartableItem, Urgency, Duration)> {
         let (items, run_length) = {
@@ -130,18 +144,20 @@
         )
     }
 
-    fn interval_over(&self, interval: Duration) -> bool {
+    /// True if the time between two starts of items this urgent is over.
+    fn is_due(&self, urgency: Urgency) -> bool {
+        if !self.inner.forwarder.policy().has(Mechanism::Pacing) {
+            return true;
+        }
         let last = self.book().last_start;
-        last.is_none_or(|last| last.elapsed() >= interval)
+        last.is_none_or(|last| last.elapsed() >= urgency.start_interval())
     }
 
     /// Asks for a place for an item and runs it there; false if no place is to be asked for now.
-    fn start_item(&self, item: &StartableItem, service: &str, room: ItemRoom) -> bool {
+    fn start_item(&self, ready: &ReadyItem) -> bool {
+        let item = &ready.item;
         let mut book = self.book();
-        let no_room = book
-            .no_room_until
-            .is_some_and(|until| Instant::now() < until);
-        if no_room || book.placing >= MOST_PLACING {
+        if book.placing >= MOST_PLACING {
             return false;
         }
         if book.item(&item.job, item.number).is_none() {
@@ -151,11 +167,9 @@
         book.last_start = Some(Instant::now());
         let placing = PlacingGuard { jobs: self.clone() };
         let jobs = self.clone();
-        let started = item.clone();
-        let service = service.to_owned();
+        let started = ready.clone();
         // The task cannot end before its phase is set: it takes the lock that is held here.
-        let task =
-            tokio::spawn(async move { jobs.place_item(started, &service, room, placing).await });
+        let task = tokio::spawn(async move { jobs.place_item(started, placing).await });
         if let Some(entry) = book.item(&item.job, item.number) {
             entry.phase = ItemPhase::Running {
                 at: None,
@@ -166,20 +180,20 @@
         true
     }
 
-    async fn place_item(
-        &self,
-        item: StartableItem,
-        service: &str,
-        room: ItemRoom,
-        placing: PlacingGuard,
-    ) {
+    async fn place_item(&self, ready: ReadyItem, placing: PlacingGuard) {
+        let ReadyItem {
+            item,
+            service,
+            room,
+            ..
+        } = ready;
         let forwarder = &self.inner.forwarder;
         let placement = forwarder
-            .place(&item.request, service, &[], PLACE_PATIENCE, Some(room))
+            .place(&item.request, &service, &[], PLACE_PATIENCE, Some(room))
             .await;
         drop(placing);
         let Some(mut placement) = placement else {
-            self.note_no_room(&item);
+            self.note_no_room(&item, &service);
             return;
         };
         if let Some(earlier) = &item.ran_at {
@@ -204,11 +218,11 @@
         self.run_item(item, placement).await;
     }
 
-    /// No replica has room for an item: it waits, and no other is tried for a moment.
-    fn note_no_room(&self, item: &StartableItem) {
+    /// No replica has room for an item: it waits, and none that may run nowhere else is tried for a moment.
+    fn note_no_room(&self, item: &StartableItem, service: &str) {
         let now = Instant::now();
         let mut book = self.book();
-        book.no_room_until = Some(now + NO_ROOM_PAUSE);
+        book.no_room.note(service, &item.request.regions, now);
         if let Some(entry) = book.item(&item.job, item.number) {
             entry.phase = ItemPhase::Waiting { not_before: now };
         }
@@ -347,16 +361,6 @@
     }
 }
 
-/// The item with the regions in which it may run by the configuration in force now.
-fn within(mut item: StartableItem, regions: AllowedRegions) -> StartableItem {
-    if item.request.regions != regions {
-        let mut request = ServingRequest::clone(&item.request);
-        request.regions = regions;
-        item.request = Arc::new(request);
-    }
-    item
-}
-
 /// Rounds so that the daemons' shares add up on the mean.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn round_by_chance(share: f64) -> usize {
