A warm-up of any length in a row or configuration is taken without a panic

Cause: the time of a row was added to the clock as it came; one beyond the clock's range ended the task that watches the replicas. Change: one word keeps a replica cold for an hour at most. The test failed with an overflow before.

--- a/crates/serving/src/warmth.rs
+++ b/crates/serving/src/warmth.rs
@@ -10,6 +10,10 @@
 /// row that is written late. A row that comes sooner after an assumption may have been written before its cause.
 const ROW_LAG: Duration = Duration::from_millis(2_400);
 
+/// Longest time for which a replica is taken for cold by one word: far above any warm-up. Rows and configurations may
+/// hold more than a clock can add.
+const LONGEST: Duration = Duration::from_secs(3_600);
+
 /// The belief. Pure: callers bring the time.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Warmth {
@@ -35,7 +39,7 @@
     /// less.
     pub fn take_row(&mut self, left: Duration, seen: Instant) {
         if !left.is_zero() {
-            self.cold_until = Some(seen + left);
+            self.cold_until = Some(seen + left.min(LONGEST));
             self.assumed_at = None;
             return;
         }
@@ -51,7 +55,7 @@
         let Some(warmup) = self.service else {
             return;
         };
-        let until = now + warmup.lasts;
+        let until = now + warmup.lasts.min(LONGEST);
         self.cold_until = Some(self.cold_until.map_or(until, |known| known.max(until)));
         self.assumed_at = Some(now);
     }
--- a/crates/serving/tests/warmth.rs
+++ b/crates/serving/tests/warmth.rs
@@ -52,6 +52,23 @@
     assert!(!is_cold(&warmth, at(8_000)), "it says that it is warm");
 }
 
+/// The times come from rows and configurations that others write.
+#[test]
+fn a_time_beyond_all_measure_is_a_long_one() {
+    let start = Instant::now();
+    let boundless = Duration::MAX;
+    let mut warmth = Warmth::default();
+    warmth.take_row(boundless, start);
+    assert!(is_cold(&warmth, start + WARMUP.lasts));
+    warmth.take_row(Duration::ZERO, start);
+    warmth.take_service(Some(Warmup {
+        lasts: boundless,
+        ..WARMUP
+    }));
+    warmth.take_return(start);
+    assert!(is_cold(&warmth, start + WARMUP.lasts));
+}
+
 /// After an evacuation a row that was written before its end must not make a replica warm; one written later does.
 #[test]
 fn a_replica_that_returns_is_cold_until_a_newer_row_says_otherwise() {
