A new list of replicas and a change of the evacuated zones cannot undo each other

Cause: both made a view from the one before and stored it; where they came from two threads one was lost: the list with its new replicas, or the zones. A daemon runs on one thread, so that this did not happen there; nothing in the type said so. Change: a lock over both, which no request takes.

--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -512,6 +512,8 @@
 pub struct ReplicaSet {
     view: ArcSwap<ReplicaView>,
     evacuated_zones: ArcSwap<HashSet<String>>,
+    /// Held while a view is made from the one before: a new list and a change of the zones come from different tasks.
+    changing: Mutex<()>,
 }
 
 impl ReplicaSet {
@@ -523,6 +525,7 @@
     /// Takes a whole new list; counts and memory of replicas that stay are kept. None is seen in service while its zone
     /// is evacuated.
     pub fn replace(&self, records: Vec<ReplicaRecord>, memory_tokens: impl Fn(&str) -> u64) {
+        let _changing = lock(&self.changing);
         let old = self.view();
         let replicas = records
             .into_iter()
@@ -532,6 +535,7 @@
 
     /// Takes the names of all zones that are evacuated; it holds for replicas that are listed later too.
     pub fn set_evacuated_zones(&self, zones: HashSet<String>) {
+        let _changing = lock(&self.changing);
         self.evacuated_zones.store(Arc::new(zones));
         let old = self.view();
         self.publish(&old, old.by_id.values().cloned().collect());
