An evacuation that finds no room is logged

Cause: daemons keep 64 zones, so that made-up names cannot fill their notices. Where all 64 are evacuated a further row was left out without a word, a real zone's too. Ruled out: letting it displace one in force, which would end that evacuation. Change: such a row is logged as ignored, again at each whole read, and is in force with the first whole read that finds room. The test found no line before.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -291,7 +291,7 @@
                 let alive = i64::try_from(*alive).unwrap_or(i64::MAX);
                 self.members_alive.set(alive);
             }
-            Record::ZoneEvacuation { zone, state, .. } => {
+            Record::ZoneEvacuation { zone, state, .. } if *state != "ignored" => {
                 let is_evacuated = i64::from(*state == "evacuated");
                 self.zones_evacuated
                     .with_label_values(&[*zone])
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -63,7 +63,7 @@
     ZoneEvacuation {
         /// Zone.
         zone: &'a str,
-        /// `evacuated` or `returned`.
+        /// `evacuated`, `returned`, or `ignored`: too many other zones are evacuated.
         state: &'a str,
         /// Revision of the row that evacuates it.
         revision: u64,
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -290,6 +290,18 @@
             .collect();
         let news = self.zones().rows.take(written, &gone, update.complete_at);
         self.take_evacuations(&news, origin);
+        self.log_without_room(&news, origin);
+    }
+
+    /// Rows that are not in force since there are too many: told again at each whole read, for as long as it is so.
+    fn log_without_room(&self, news: &EvacuationNews, origin: &str) {
+        let standing = news.zones.iter().filter(|(_, mark)| !mark.is_over);
+        for (zone, mark) in standing {
+            if self.zones().zones.is_kept(zone) {
+                continue;
+            }
+            self.log_zone(zone, mark.revision, "ignored", origin);
+        }
     }
 
     /// Takes what the store or a peer knows of evacuated zones.
@@ -340,19 +352,24 @@
     }
 
     fn log_evacuation(&self, change: &ZoneChange, origin: &str) {
+        let state = if change.is_evacuated {
+            "evacuated"
+        } else {
+            "returned"
+        };
+        self.log_zone(&change.zone, change.revision, state, origin);
+    }
+
+    fn log_zone(&self, zone: &str, revision: u64, state: &str, origin: &str) {
         let proof_age = self.proof.age();
         self.log.record(&Record::ZoneEvacuation {
-            zone: &change.zone,
-            state: if change.is_evacuated {
-                "evacuated"
-            } else {
-                "returned"
-            },
-            revision: change.revision,
+            zone,
+            state,
+            revision,
             source: origin,
             proof_age_ms: proof_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-            running: self.running_in(&change.zone),
-            is_known: self.source.knows_zone(&change.zone),
+            running: self.running_in(zone),
+            is_known: self.source.knows_zone(zone),
         });
     }
 
--- a/crates/edge/tests/discovery.rs
+++ b/crates/edge/tests/discovery.rs
@@ -271,6 +271,9 @@
     assert!(!daemon.is_evacuated());
 }
 
+/// Zones of which daemons keep something.
+const MOST_ZONES: usize = 64;
+
 const EVACUATION: &str = "evacuate/zone";
 
 fn change(key: &str, value: Option<&str>, revision: u64) -> RowChange {
@@ -405,6 +408,26 @@
     assert_eq!(daemon.figure(&of("zone")).as_deref(), Some("0"));
 }
 
+/// So many rows with made-up names leave no room for a further zone, which must not stay unsaid.
+#[tokio::test]
+async fn operators_see_a_row_that_found_no_room() {
+    let mut daemon = Evacuated::new();
+    let made_up = (0..MOST_ZONES).map(|number| row(&format!("evacuate/z{number}"), "", 9));
+    daemon.read_all(10, made_up.collect());
+    let lines = daemon.fixture.log.held_lines();
+    daemon.follow(12, vec![change(EVACUATION, Some(""), 12)]);
+    assert!(!daemon.is_evacuated());
+    assert_eq!(daemon.fixture.log.held_lines(), lines + 1);
+    // Its zone is taken out of service as soon as there is room and all rows are read again.
+    daemon.follow(13, vec![change("evacuate/z0", None, 13)]);
+    let mut rows: Vec<Row> = (1..MOST_ZONES)
+        .map(|number| row(&format!("evacuate/z{number}"), "", 9))
+        .collect();
+    rows.push(row(EVACUATION, "", 12));
+    daemon.read_all(14, rows);
+    assert!(daemon.is_evacuated());
+}
+
 #[tokio::test(start_paused = true)]
 async fn operators_see_what_still_runs_in_an_evacuated_zone() {
     let mut daemon = Evacuated::new();
--- a/crates/serving/src/evacuation.rs
+++ b/crates/serving/src/evacuation.rs
@@ -153,6 +153,11 @@
         }
     }
 
+    /// True if something is kept of the zone; a row of one that found no room is not in force.
+    pub fn is_kept(&self, zone: &str) -> bool {
+        self.zones.contains_key(zone)
+    }
+
     /// True if the zone takes nothing.
     pub fn is_evacuated(&self, zone: &str) -> bool {
         self.zones
