A row from before a zone's return does not shorten what is assumed of its replicas

Cause: after the end of an evacuation a row that said warm was not believed at once, as it may be older, but one that told of a short time was, so that a replica that had turned cold since counted as warm until its next row. Change: until rows are surely newer they only lengthen the assumption. The test fails without it.

--- a/crates/serving/src/warmth.rs
+++ b/crates/serving/src/warmth.rs
@@ -36,16 +36,14 @@
 
     /// A row of the replica was seen at `seen`, which says that it stays cold for `left` from its writing; zero says
     /// that it is warm. Counted from when the row was seen, so a row that came late keeps it cold for longer, never for
-    /// less.
+    /// less. Shortly after an assumption a row does not shorten it: it may have been written before its cause.
     pub fn take_row(&mut self, left: Duration, seen: Instant) {
-        if !left.is_zero() {
-            self.cold_until = Some(seen + left.min(LONGEST));
-            self.assumed_at = None;
-            return;
-        }
-        let is_older = |assumed: Instant| seen < assumed + ROW_LAG;
-        if !self.assumed_at.is_some_and(is_older) {
-            self.cold_until = None;
+        let until = (!left.is_zero()).then(|| seen + left.min(LONGEST));
+        let may_be_older = |assumed: Instant| seen < assumed + ROW_LAG;
+        if self.assumed_at.is_some_and(may_be_older) {
+            self.cold_until = self.cold_until.max(until);
+        } else {
+            self.cold_until = until;
             self.assumed_at = None;
         }
     }
--- a/crates/serving/tests/warmth.rs
+++ b/crates/serving/tests/warmth.rs
@@ -86,6 +86,22 @@
     assert!(!is_cold(&warmth, at(2_500)));
 }
 
+/// The same holds for a row that tells of an earlier time in which it was cold.
+#[test]
+fn a_row_from_before_its_return_does_not_shorten_what_is_assumed() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut warmth = Warmth::default();
+    warmth.take_service(Some(WARMUP));
+    warmth.take_return(at(0));
+    warmth.take_row(Duration::from_millis(300), at(1_000));
+    assert!(is_cold(&warmth, at(5_999)), "written before, perhaps");
+    warmth.take_row(Duration::from_secs(8), at(1_200));
+    assert!(is_cold(&warmth, at(9_199)), "it says that it is for longer");
+    warmth.take_row(Duration::from_millis(300), at(2_500));
+    assert!(!is_cold(&warmth, at(2_801)));
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_end_of_its_zones_evacuation_makes_a_replica_cold() {
     let set = ReplicaSet::default();
