The part of the fleet is reckoned once for a choice among cold replicas

Cause: it was worked out, under two locks, for each cold replica of a group at each request. Change: once for each choice, and once for the count; the pace of a replica is a function of it.

--- a/crates/edge/src/slots/pacing.rs
+++ b/crates/edge/src/slots/pacing.rs
@@ -58,14 +58,6 @@
         pacing.fleet.share(self.members.load().len(), now)
     }
 
-    /// The pace for a replica. One of a service that says nothing of a rate gets none while it is cold.
-    fn pace(&self, pacing: &Pacing, replica: &Replica, now: Instant) -> Option<ColdPace> {
-        let warmup = replica.service_warmup()?;
-        let limit = RateLimit::new(warmup.per_second, 0.0).ok()?;
-        let share = self.lowest_share(pacing, now);
-        Some(ColdPace::of(&pacing.bounds, limit, share))
-    }
-
     /// The part of the fleet that counts: one that has grown does so after a wait only.
     fn lowest_share(&self, pacing: &Pacing, now: Instant) -> f64 {
         let share = self.share(pacing, now);
@@ -88,28 +80,22 @@
         } else {
             ColdUse::Online
         };
-        let has_room = |replica: &Arc<Replica>| {
-            !replica.is_cold(now) || self.has_cold_room(&group, replica, usage, now)
-        };
-        replicas.into_iter().filter(has_room).collect()
-    }
-
-    fn has_cold_room(
-        &self,
-        group: &GroupKey,
-        replica: &Replica,
-        usage: ColdUse,
-        now: Instant,
-    ) -> bool {
         let Some(pacing) = self.pacing.get() else {
-            return false;
-        };
-        let Some(pace) = self.pace(pacing, replica, now) else {
-            return false;
+            let warm = replicas.into_iter();
+            return warm.filter(|replica| !replica.is_cold(now)).collect();
         };
+        let share = self.lowest_share(pacing, now);
         let mut state = self.lock();
         let pacer = &mut state.pacing.pacer;
-        pacer.has_room(group, replica.hash, pace, usage, &pacing.bounds, now)
+        let mut has_room = |replica: &Arc<Replica>| {
+            let Some(pace) = pace_of(pacing, replica, share) else {
+                return false;
+            };
+            pacer.has_room(&group, replica.hash, pace, usage, &pacing.bounds, now)
+        };
+        let all = replicas.into_iter();
+        all.filter(|replica| !replica.is_cold(now) || has_room(replica))
+            .collect()
     }
 
     /// Counts a request for its replica: until when it may be sent there if that is cold. An error if the replica bears
@@ -125,7 +111,8 @@
             return Ok(None);
         }
         let pacing = self.pacing.get().ok_or(AllCold)?;
-        let pace = self.pace(pacing, replica, now).ok_or(AllCold)?;
+        let share = self.lowest_share(pacing, now);
+        let pace = pace_of(pacing, replica, share).ok_or(AllCold)?;
         let key = (short_hash(service), group);
         let mut state = self.lock();
         let pacer = &mut state.pacing.pacer;
@@ -135,7 +122,7 @@
             return Err(AllCold);
         }
         drop(state);
-        self.log_counted(pacing, replica, now);
+        self.log_counted(replica, share, now);
         Ok(Some(now + COLD_GRANT_LIFETIME))
     }
 
@@ -150,13 +137,13 @@
         is_all
     }
 
-    fn log_counted(&self, pacing: &Pacing, replica: &Replica, now: Instant) {
+    fn log_counted(&self, replica: &Replica, share: f64, now: Instant) {
         let cold_for = replica.cold_for(now).as_millis();
         self.log.record(&Record::ColdCounted {
             replica: &replica.record.id,
             zone: &replica.record.zone,
             cold_ms: u64::try_from(cold_for).unwrap_or(u64::MAX),
-            share_permille: permille(self.lowest_share(pacing, now)),
+            share_permille: permille(share),
         });
     }
 
@@ -238,6 +225,13 @@
     }
 }
 
+/// The pace for a replica. One of a service that says nothing of a rate gets none while it is cold.
+fn pace_of(pacing: &Pacing, replica: &Replica, share: f64) -> Option<ColdPace> {
+    let warmup = replica.service_warmup()?;
+    let limit = RateLimit::new(warmup.per_second, 0.0).ok()?;
+    Some(ColdPace::of(&pacing.bounds, limit, share))
+}
+
 /// The replica, or all of a group, is cold and has got what it bears now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("cold replicas got all that they bear now")]
--- a/crates/slots/src/pacer.rs
+++ b/crates/slots/src/pacer.rs
@@ -83,7 +83,8 @@
         }
     }
 
-    /// To be called regularly, with the groups that this daemon coordinates and the part of the fleet that it sees. One that it did not coordinate before, or
+    /// To be called regularly, with the groups that this daemon coordinates and the part of the fleet that it sees. One
+    /// that it did not coordinate before, or
     /// before it stood still, begins with a wait: others may have given out all that its replicas bear.
     pub fn tick(&mut self, own: HashSet<G>, share: f64, bounds: &RateBounds, now: Instant) {
         if self.stood_still(now) {
