A daemon that chooses itself believes a coordinator that calls its group cold

Cause: a daemon told that all of a group are cold chose among the replicas that it held for warm itself, those of that group among them where it had not seen their rows yet, and nobody counted these requests. Ruled out: keeping them for cold by that word, as grants of the coordinator would be refused at the end of the warm-up. Change: the word is kept for a second, or until the coordinator says otherwise, and asked only where the daemon chooses itself. The test in serving sent the request to the cold group before.

--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -152,6 +152,7 @@
         awaiting.answered = true;
         drop(awaiting);
         self.note_heard(&coordinator.id);
+        self.note_told_cold((service, group), grant.all_cold);
         if !grant.all_cold {
             self.note_room(query, service, group, &grant);
         }
@@ -384,6 +385,10 @@
         }
     }
 
+    fn is_told_cold(&self, replica: &Replica) -> bool {
+        self.was_told_cold(replica)
+    }
+
     fn is_coordinated(&self, replica: &Replica) -> bool {
         if !self.costs.policy.has(Mechanism::Coordinators) {
             return false;
--- a/crates/edge/src/slots/pacing.rs
+++ b/crates/edge/src/slots/pacing.rs
@@ -1,8 +1,9 @@
 //! Cold replicas of the groups that this daemon coordinates: who may be sent there, counted so that all daemons together
 //! stay within what the replicas bear.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use harrierward_decisions::Record;
 use harrierward_serving::{Replica, short_hash};
@@ -14,6 +15,10 @@
 use super::{Coordinator, SlotService};
 use crate::fleet::SharedFleet;
 
+/// How long a coordinator's word that a group is cold holds at who asked, for replicas that it chooses itself: rows that
+/// tell of it come to all daemons within about a second, and each question brings a new word.
+const TOLD_LASTS: Duration = Duration::from_secs(1);
+
 /// Names a group of all services.
 pub(super) type GroupKey = (u32, GroupId);
 
@@ -34,6 +39,8 @@
     turned_away: u32,
     /// Cold replicas by zone, as last logged.
     logged: BTreeMap<String, usize>,
+    /// Groups that their coordinators called cold, and when.
+    told_cold: HashMap<GroupKey, Instant>,
 }
 
 impl PacingState {
@@ -42,6 +49,7 @@
             pacer: ColdPacer::new(now),
             turned_away: 0,
             logged: BTreeMap::new(),
+            told_cold: HashMap::new(),
         }
     }
 }
@@ -137,6 +145,27 @@
         is_all
     }
 
+    /// Takes a coordinator's word on whether its whole group is cold.
+    pub(super) fn note_told_cold(&self, group: GroupKey, is_cold: bool) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let told = &mut state.pacing.told_cold;
+        told.retain(|known, at| *known != group && is_fresh(*at, now));
+        if is_cold {
+            told.insert(group, now);
+        }
+    }
+
+    /// True if the replica's coordinator called its group cold a moment ago.
+    pub(super) fn was_told_cold(&self, replica: &Replica) -> bool {
+        if self.lock().pacing.told_cold.is_empty() {
+            return false;
+        }
+        let group = (short_hash(&replica.record.service), self.group(replica));
+        let told = self.lock().pacing.told_cold.get(&group).copied();
+        told.is_some_and(|at| is_fresh(at, Instant::now()))
+    }
+
     fn log_counted(&self, replica: &Replica, share: f64, now: Instant) {
         let cold_for = replica.cold_for(now).as_millis();
         self.log.record(&Record::ColdCounted {
@@ -225,6 +254,10 @@
     }
 }
 
+fn is_fresh(told: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(told) < TOLD_LASTS
+}
+
 /// The pace for a replica. One of a service that says nothing of a rate gets none while it is cold.
 fn pace_of(pacing: &Pacing, replica: &Replica, share: f64) -> Option<ColdPace> {
     let warmup = replica.service_warmup()?;
--- a/crates/edge/tests/cold.rs
+++ b/crates/edge/tests/cold.rs
@@ -229,6 +229,37 @@
     }
 }
 
+/// The coordinator has seen the replicas' rows, and the daemon that asks has not.
+#[tokio::test]
+async fn a_group_that_its_coordinator_calls_cold_is_so_for_who_asked() {
+    let daemons = fleet(REPLICAS).await;
+    let own = coordinator(&daemons);
+    let asker = daemons
+        .iter()
+        .find(|daemon| !std::ptr::eq(*daemon, own))
+        .expect("another");
+    let view = asker.replicas.view();
+    let are_told_cold = || view.all().all(|one| asker.slots.is_told_cold(one));
+    for replica in view.all() {
+        replica.note_row_warmup(Duration::ZERO, Instant::now());
+    }
+    assert!(!are_told_cold());
+    while choose(own).await.is_some() {}
+    let answer = ask(asker, None).await;
+    assert!(matches!(answer, SlotAnswer::AllCold), "{answer:?}");
+    assert!(are_told_cold());
+    settle(&daemons).await;
+    assert!(!are_told_cold(), "a word holds for a moment");
+    while choose(own).await.is_some() {}
+    ask(asker, None).await;
+    let view = own.replicas.view();
+    for replica in view.all() {
+        replica.note_row_warmup(Duration::ZERO, Instant::now());
+    }
+    assert!(choose(asker).await.is_some());
+    assert!(!are_told_cold(), "the coordinator takes it back");
+}
+
 /// Items leave what they find to callers until it would be lost.
 #[tokio::test]
 async fn an_item_goes_to_a_cold_replica_only_where_callers_leave_it() {
--- a/crates/serving/src/leases.rs
+++ b/crates/serving/src/leases.rs
@@ -91,6 +91,12 @@
     /// The lease is free again; `end` is what its request saw of the replica. Does not wait.
     fn release(&self, lease: u32, end: LeaseEnd);
 
+    /// True if the coordinator of the replica's group has just said that all of the group are cold, which this daemon may
+    /// not have heard from their rows.
+    fn is_told_cold(&self, _replica: &Replica) -> bool {
+        false
+    }
+
     /// True if a coordinator that answers grants the replica's slots: it ends items where online requests need them,
     /// and this daemon need not go by its own estimate of what the others have there.
     fn is_coordinated(&self, replica: &Replica) -> bool;
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -236,8 +236,8 @@
         };
         let now = Instant::now();
         let mut usable = view.usable(query.service);
-        // Only a coordinator counts what a cold replica gets.
-        usable.retain(|replica| !replica.is_cold(now));
+        // Only a coordinator counts what a cold replica gets, and it may have heard sooner that one is cold.
+        usable.retain(|replica| !replica.is_cold(now) && !places.is_told_cold(replica));
         let (replicas, left) = own_region_first(usable, &wanted);
         let mut choice = choose_replica(&view, replicas, &self.settings().costs, &wanted)?;
         choice.left_region = left.filter(|_| choice.replica.record.region != *region);
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -69,11 +69,16 @@
 /// A coordinator that has not heard of any evacuation.
 struct Deaf {
     replicas: Arc<ReplicaSet>,
+    /// It says that all of the zone is cold.
+    is_all_cold: bool,
 }
 
 #[async_trait]
 impl SlotLeases for Deaf {
     async fn ask(&self, query: SlotQuery<'_>) -> SlotAnswer {
+        if self.is_all_cold {
+            return SlotAnswer::AllCold;
+        }
         let view = self.replicas.view();
         let in_zone = view.all().filter(|one| one.record.zone == "zone-a");
         let mut left = in_zone.filter(|one| !query.excluded.contains(&one.record.id));
@@ -96,6 +101,10 @@
         true
     }
 
+    fn is_told_cold(&self, replica: &Replica) -> bool {
+        self.is_all_cold && replica.record.zone == "zone-a"
+    }
+
     fn free_slot(&self, _replica: &Arc<Replica>) {}
 }
 
@@ -157,6 +166,10 @@
 }
 
 fn fixture() -> Fixture {
+    fixture_before(false)
+}
+
+fn fixture_before(is_all_cold: bool) -> Fixture {
     let replicas = Arc::new(ReplicaSet::default());
     let mut records: Vec<ReplicaRecord> = (0..EVACUATED_REPLICAS)
         .map(|number| record(&format!("a-{number}"), "zone-a", "near"))
@@ -170,6 +183,7 @@
         client: client.clone(),
         places: Arc::new(Deaf {
             replicas: replicas.clone(),
+            is_all_cold,
         }),
         rates: Arc::new(NoLimits),
         proof: Arc::default(),
@@ -244,6 +258,15 @@
     assert_eq!(fixture.client.sent(), [("b".to_owned(), None)]);
 }
 
+/// The coordinator has heard sooner than this daemon that the zone's replicas are cold.
+#[tokio::test]
+async fn a_daemon_that_chooses_itself_believes_a_coordinator_that_calls_a_group_cold() {
+    let fixture = fixture_before(true);
+    let reply = fixture.forwarder.forward(request(), Instant::now()).await;
+    assert!(matches!(reply, Reply::Answer(_)), "an answer");
+    assert_eq!(fixture.client.sent(), [("b".to_owned(), None)]);
+}
+
 #[tokio::test]
 async fn a_replica_whose_zone_is_evacuated_after_the_choice_gets_nothing() {
     let fixture = fixture();
