--- a/crates/edge/src/slots/pacing.rs
+++ b/crates/edge/src/slots/pacing.rs
@@ -1,8 +1,9 @@
 //! Cold replicas of the groups that this daemon coordinates: who may be sent there, counted so that all daemons together
 //! stay within what the replicas bear.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use harrierward_decisions::Record;
 use harrierward_serving::{Replica, short_hash};
@@ -14,6 +15,10 @@
 use super::{Coordinator, SlotService};
 use crate::fleet::SharedFleet;
 
+/// How long a coordinator's word that a group is cold holds at who asked, for replicas that it chooses itself: rows that
+/// tell of it come to all daemons within about a second, and each question brings a new word.
+const TOLD_LASTS: Duration = Duration::from_secs(1);
+
 /// Names a group of all services.
 pub(super) type GroupKey = (u32, GroupId);
 
@@ -34,6 +39,8 @@
     turned_away: u32,
     /// Cold replicas by zone, as last logged.
     logged: BTreeMap<String, usize>,
+    /// Groups that their coordinators called cold, and when.
+    told_cold: HashMap<GroupKey, Instant>,
 }
 
 impl PacingState {
@@ -42,6 +49,7 @@
             pacer: ColdPacer::new(now),
             turned_away: 0,
             logged: BTreeMap::new(),
+            told_cold: HashMap::new(),
         }
     }
 }
@@ -58,14 +66,6 @@
         pacing.fleet.share(self.members.load().len(), now)
     }
 
-    /// The pace for a replica. One of a service that says nothing of a rate gets none while it is cold.
-    fn pace(&self, pacing: &Pacing, replica: &Replica, now: Instant) -> Option<ColdPace> {
-        let warmup = replica.service_warmup()?;
-        let limit = RateLimit::new(warmup.per_second, 0.0).ok()?;
-        let share = self.lowest_share(pacing, now);
-        Some(ColdPace::of(&pacing.bounds, limit, share))
-    }
-
     /// The part of the fleet that counts: one that has grown does so after a wait only.
     fn lowest_share(&self, pacing: &Pacing, now: Instant) -> f64 {
         let share = self.share(pacing, now);
@@ -88,28 +88,22 @@
         } else {
             ColdUse::Online
         };
-        let has_room = |replica: &Arc<Replica>| {
-            !replica.is_cold(now) || self.has_cold_room(&group, replica, usage, now)
-        };
-        replicas.into_iter().filter(has_room).collect()
-    }
-
-    fn has_cold_room(
-        &self,
-        group: &GroupKey,
-        replica: &Replica,
-        usage: ColdUse,
-        now: Instant,
-    ) -> bool {
         let Some(pacing) = self.pacing.get() else {
-            return false;
-        };
-        let Some(pace) = self.pace(pacing, replica, now) else {
-            return false;
+            let warm = replicas.into_iter();
+            return warm.filter(|replica| !replica.is_cold(now)).collect();
         };
+        let share = self.lowest_share(pacing, now);
         let mut state = self.lock();
         let pacer = &mut state.pacing.pacer;
-        pacer.has_room(group, replica.hash, pace, usage, &pacing.bounds, now)
+        let mut has_room = |replica: &Arc<Replica>| {
+            let Some(pace) = pace_of(pacing, replica, share) else {
+                return false;
+            };
+            pacer.has_room(&group, replica.hash, pace, usage, &pacing.bounds, now)
+        };
+        let all = replicas.into_iter();
+        all.filter(|replica| !replica.is_cold(now) || has_room(replica))
+            .collect()
     }
 
     /// Counts a request for its replica: until when it may be sent there if that is cold. An error if the replica bears
@@ -125,7 +119,8 @@
             return Ok(None);
         }
         let pacing = self.pacing.get().ok_or(AllCold)?;
-        let pace = self.pace(pacing, replica, now).ok_or(AllCold)?;
+        let share = self.lowest_share(pacing, now);
+        let pace = pace_of(pacing, replica, share).ok_or(AllCold)?;
         let key = (short_hash(service), group);
         let mut state = self.lock();
         let pacer = &mut state.pacing.pacer;
@@ -135,7 +130,7 @@
             return Err(AllCold);
         }
         drop(state);
-        self.log_counted(pacing, replica, now);
+        self.log_counted(replica, share, now);
         Ok(Some(now + COLD_GRANT_LIFETIME))
     }
 
@@ -150,13 +145,34 @@
         is_all
     }
 
-    fn log_counted(&self, pacing: &Pacing, replica: &Replica, now: Instant) {
+    /// Takes a coordinator's word on whether its whole group is cold.
+    pub(super) fn note_told_cold(&self, group: GroupKey, is_cold: bool) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let told = &mut state.pacing.told_cold;
+        told.retain(|known, at| *known != group && is_fresh(*at, now));
+        if is_cold {
+            told.insert(group, now);
+        }
+    }
+
+    /// True if the replica's coordinator called its group cold a moment ago.
+    pub(super) fn was_told_cold(&self, replica: &Replica) -> bool {
+        if self.lock().pacing.told_cold.is_empty() {
+            return false;
+        }
+        let group = (short_hash(&replica.record.service), self.group(replica));
+        let told = self.lock().pacing.told_cold.get(&group).copied();
+        told.is_some_and(|at| is_fresh(at, Instant::now()))
+    }
+
+    fn log_counted(&self, replica: &Replica, share: f64, now: Instant) {
         let cold_for = replica.cold_for(now).as_millis();
         self.log.record(&Record::ColdCounted {
             replica: &replica.record.id,
             zone: &replica.record.zone,
             cold_ms: u64::try_from(cold_for).unwrap_or(u64::MAX),
-            share_permille: permille(self.lowest_share(pacing, now)),
+            share_permille: permille(share),
         });
     }
 
@@ -238,6 +254,17 @@
     }
 }
 
+fn is_fresh(told: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(told) < TOLD_LASTS
+}
+
+/// The pace for a replica. One of a service that says nothing of a rate gets none while it is cold.
+fn pace_of(pacing: &Pacing, replica: &Replica, share: f64) -> Option<ColdPace> {
+    let warmup = replica.service_warmup()?;
+    let limit = RateLimit::new(warmup.per_second, 0.0).ok()?;
+    Some(ColdPace::of(&pacing.bounds, limit, share))
+}
+
 /// The replica, or all of a group, is cold and has got what it bears now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("cold replicas got all that they bear now")]
--- a/crates/serving/src/warmth.rs
+++ b/crates/serving/src/warmth.rs
@@ -10,6 +10,10 @@
 /// row that is written late. A row that comes sooner after an assumption may have been written before its cause.
 const ROW_LAG: Duration = Duration::from_millis(2_400);
 
+/// Longest time for which a replica is taken for cold by one word: far above any warm-up. Rows and configurations may
+/// hold more than a clock can add.
+const LONGEST: Duration = Duration::from_secs(3_600);
+
 /// The belief. Pure: callers bring the time.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Warmth {
@@ -32,16 +36,14 @@
 
     /// A row of the replica was seen at `seen`, which says that it stays cold for `left` from its writing; zero says
     /// that it is warm. Counted from when the row was seen, so a row that came late keeps it cold for longer, never for
-    /// less.
+    /// less. Shortly after an assumption a row does not shorten it: it may have been written before its cause.
     pub fn take_row(&mut self, left: Duration, seen: Instant) {
-        if !left.is_zero() {
-            self.cold_until = Some(seen + left);
-            self.assumed_at = None;
-            return;
-        }
-        let is_older = |assumed: Instant| seen < assumed + ROW_LAG;
-        if !self.assumed_at.is_some_and(is_older) {
-            self.cold_until = None;
+        let until = (!left.is_zero()).then(|| seen + left.min(LONGEST));
+        let may_be_older = |assumed: Instant| seen < assumed + ROW_LAG;
+        if self.assumed_at.is_some_and(may_be_older) {
+            self.cold_until = self.cold_until.max(until);
+        } else {
+            self.cold_until = until;
             self.assumed_at = None;
         }
     }
@@ -51,7 +53,7 @@
         let Some(warmup) = self.service else {
             return;
         };
-        let until = now + warmup.lasts;
+        let until = now + warmup.lasts.min(LONGEST);
         self.cold_until = Some(self.cold_until.map_or(until, |known| known.max(until)));
         self.assumed_at = Some(now);
     }
