--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -3,7 +3,6 @@
 //! Why by datagram, and with a short patience: a lease is a hint that spares a request a wait. A coordinator that is slow,
 //! cut off or gone costs a request a part of its objective once; then the daemon chooses by itself for a while.
 
-mod answering;
 mod asking;
 mod choosing_group;
 mod granting;
