--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -257,16 +257,18 @@
     }
 
     fn answer(&self, ask: &SlotAsk, from: SocketAddr) -> SlotGrant {
-        let none = no_grant(ask);
+        let none = SlotGrant {
+            lease: ask.lease,
+            ..SlotGrant::default()
+        };
         self.take_fleet(ask);
         let given = self.lock().ledger.replica_of(ask.holder, ask.lease);
         let view = self.replicas.view();
-        let not_coordinator = SlotGrant {
-            not_coordinator: true,
-            ..none.clone()
-        };
         let Some((service, _)) = view.service_by_hash(ask.service) else {
-            return not_coordinator;
+            return SlotGrant {
+                not_coordinator: true,
+                ..none
+            };
         };
         let group = GroupId {
             area: ask.group_area,
@@ -274,7 +276,10 @@
         };
         let layout = layout(&view, service, self.costs.policy);
         if !layout.contains(group) || self.coordinator(ask.service, group) != Coordinator::Own {
-            return not_coordinator;
+            return SlotGrant {
+                not_coordinator: true,
+                ..none
+            };
         }
         if let Some(replica) = given {
             // The answer may have been lost: the request is counted once more rather than not at all.
@@ -286,23 +291,28 @@
                 ..none
             };
         }
-        self.answer_first(ask, from, service, group)
-    }
-
-    /// Answers a question that comes for the first time, about a group that this daemon keeps.
-    fn answer_first(
-        &self,
-        ask: &SlotAsk,
-        from: SocketAddr,
-        service: &str,
-        group: GroupId,
-    ) -> SlotGrant {
-        let none = no_grant(ask);
+        let prompt = prompt_of(ask);
+        let regions = regions_of(ask);
+        let asker = Asker {
+            location: Location {
+                zone: ask.zone,
+                region: ask.region,
+            },
+            is_excluded: &|replica| ask.excluded.contains(&replica.hash),
+            is_connected: &|replica| ask.connected.contains(&replica.hash),
+            is_suspected: &|replica| ask.suspected.contains(&replica.hash),
+            prompt: &prompt,
+            regions: &regions,
+            length: length_of(ask),
+            is_item: ask.item.is_some(),
+            is_overdue: ask.overdue && !self.claim_return(service, group),
+            may_repeat: ask.may_repeat,
+        };
         let all_cold = SlotGrant {
             all_cold: true,
             ..none.clone()
         };
-        let Some(choice) = self.choose_for(ask, service, group) else {
+        let Some(choice) = self.choose(service, group, &asker) else {
             if self.is_all_cold(&self.usable(&self.index(), service, group)) {
                 return all_cold;
             }
@@ -315,71 +325,22 @@
                 ..none
             };
         }
-        if let Some(after) = self.peer_comes_back_after(ask, service, group, &choice) {
-            return SlotGrant {
-                come_back_ms: millis(after).max(1),
-                free_permille: choice.free_permille,
-                ..none
-            };
+        if ask.item.is_none() {
+            let objective = Duration::from_millis(u64::from(ask.objective_ms));
+            let may_return = Duration::from_millis(u64::from(ask.may_return_ms));
+            let may_return = Some(may_return).filter(|longest| !longest.is_zero());
+            let after = self.come_back_after(service, group, &choice, objective, may_return);
+            if let Some(after) = after {
+                return SlotGrant {
+                    come_back_ms: millis(after).max(1),
+                    free_permille: choice.free_permille,
+                    ..none
+                };
+            }
         }
         let Ok(cold_until) = self.count_cold(service, group, &choice.replica) else {
             return all_cold;
         };
-        self.enter_lease(ask, from, service, group, &choice);
-        SlotGrant {
-            replica: choice.replica.hash,
-            copy_from: choice.copy_from.as_ref().map_or(0, |source| source.hash),
-            load: choice.load,
-            free_permille: choice.free_permille,
-            counted_cold: cold_until.is_some(),
-            ..none
-        }
-    }
-
-    fn choose_for(&self, ask: &SlotAsk, service: &str, group: GroupId) -> Option<Choice> {
-        let asker = Asker {
-            location: Location {
-                zone: ask.zone,
-                region: ask.region,
-            },
-            is_excluded: &|replica| ask.excluded.contains(&replica.hash),
-            is_connected: &|replica| ask.connected.contains(&replica.hash),
-            is_suspected: &|replica| ask.suspected.contains(&replica.hash),
-            prompt: &prompt_of(ask),
-            regions: &regions_of(ask),
-            length: length_of(ask),
-            is_item: ask.item.is_some(),
-            is_overdue: ask.overdue && !self.claim_return(service, group),
-            may_repeat: ask.may_repeat,
-        };
-        self.choose(service, group, &asker)
-    }
-
-    fn peer_comes_back_after(
-        &self,
-        ask: &SlotAsk,
-        service: &str,
-        group: GroupId,
-        choice: &Choice,
-    ) -> Option<Duration> {
-        if ask.item.is_some() {
-            return None;
-        }
-        let objective = Duration::from_millis(u64::from(ask.objective_ms));
-        let may_return = Duration::from_millis(u64::from(ask.may_return_ms));
-        let may_return = Some(may_return).filter(|longest| !longest.is_zero());
-        self.come_back_after(service, group, choice, objective, may_return)
-    }
-
-    /// Enters a peer's lease, and makes room for it.
-    fn enter_lease(
-        &self,
-        ask: &SlotAsk,
-        from: SocketAddr,
-        service: &str,
-        group: GroupId,
-        choice: &Choice,
-    ) {
         let now = Instant::now();
         let usage = match &ask.item {
             None => SlotUse::Online,
@@ -387,14 +348,22 @@
                 due: now + Duration::from_millis(u64::from(item.slack_ms)),
             },
         };
-        let replica = &choice.replica;
+        let replica = choice.replica.hash;
         self.lock()
             .ledger
-            .grant(ask.holder, from, ask.lease, replica.hash, usage, now);
+            .grant(ask.holder, from, ask.lease, replica, usage, now);
         self.publish();
-        self.note_granted(service, group, replica, (ask.holder, ask.lease));
-        self.make_room(choice, usage);
-        replica.note_prompt(&prompt_of(ask));
+        self.note_granted(service, group, &choice.replica, (ask.holder, ask.lease));
+        self.make_room(&choice, usage);
+        choice.replica.note_prompt(&prompt);
+        SlotGrant {
+            replica,
+            copy_from: choice.copy_from.as_ref().map_or(0, |source| source.hash),
+            load: choice.load,
+            free_permille: choice.free_permille,
+            counted_cold: cold_until.is_some(),
+            ..none
+        }
     }
 
     /// A coordinator, or a daemon that found none, wants items of this daemon to end.
@@ -515,14 +484,6 @@
     }
 }
 
-/// The answer to a question that gets nothing.
-fn no_grant(ask: &SlotAsk) -> SlotGrant {
-    SlotGrant {
-        lease: ask.lease,
-        ..SlotGrant::default()
-    }
-}
-
 fn prompt_of(ask: &SlotAsk) -> Prompt {
     let parts = ask.parts.iter().map(|part| PromptPart {
         id: part.id,
