A quota's grant covers the most tokens that a job was submitted with

Cause: a grant was kept by the job's name and a second submission of the name was granted whatever its tokens. A client that hears nothing may send other items under the name to another daemon; if the first submission's write is not done, the larger job is kept under the smaller grant and the tenant's tokens are exceeded until the head is known. Change: a submission with more tokens needs room for the difference, and the grant grows by it. The model of the quota lets the size of a job differ between submissions; with the old rule it finds 101 tokens of 100. Conclusion: safe side only; what a larger submission gives back stays counted until the last one does.

--- a/crates/inline-jobs/src/quota_book.rs
+++ b/crates/inline-jobs/src/quota_book.rs
@@ -112,19 +112,23 @@
             return QuotaDecision::NotKept;
         }
         let fence = kept.fence;
-        if let Some(grant) = kept.grants.get_mut(request.job) {
-            grant.submissions.insert(request.submission);
-            return QuotaDecision::Granted { fence };
-        }
         if (count.is_known)(request.job) {
             return QuotaDecision::Granted { fence };
         }
+        // A submission may bring other items under the same name, and any of them may be the one that is kept.
+        let before = kept.grants.get(request.job).map_or(0, |grant| grant.tokens);
+        let more = request.tokens.saturating_sub(before);
         let tenant = xxh3_64(request.tenant.as_bytes());
         let of_tenant = kept.grants.values().filter(|grant| grant.tenant == tenant);
         let granted: u64 = of_tenant.map(|grant| grant.tokens).sum();
-        if count.waiting + granted + request.tokens > count.limit {
+        if more > 0 && count.waiting + granted + more > count.limit {
             return QuotaDecision::Full;
         }
+        if let Some(grant) = kept.grants.get_mut(request.job) {
+            grant.tokens += more;
+            grant.submissions.insert(request.submission);
+            return QuotaDecision::Granted { fence };
+        }
         let grant = Grant {
             tokens: request.tokens,
             at: now,
--- a/crates/inline-jobs/tests/quota_book.rs
+++ b/crates/inline-jobs/tests/quota_book.rs
@@ -115,7 +115,6 @@
         let mut now = Instant::now();
         let mut fence = 0;
         let mut store = Heads::new();
-        let mut sizes: BTreeMap<u8, u64> = BTreeMap::new();
         let mut under_way: Vec<Write> = Vec::new();
         let mut given_back: Vec<Write> = Vec::new();
         let mut submissions = 0;
@@ -129,7 +128,6 @@
                     books[daemon].begin(ROUTE, fence);
                 }
                 Event::Ask { daemon, job, tokens } => {
-                    let tokens = *sizes.entry(job).or_insert(tokens);
                     submissions += 1;
                     let (book, heads) = (&mut books[daemon], &heard[daemon]);
                     let decision = decide_for(book, heads, job, tokens, now, submissions);
@@ -221,3 +219,24 @@
     book.give_back(ROUTE, &name(1), 2);
     assert_eq!(decide_for(&mut book, &none, 2, 60, now, 3), granted);
 }
+
+/// A client that hears nothing may send other items under the same key to another daemon.
+#[test]
+fn a_grant_never_covers_more_tokens_than_were_asked_for() {
+    let now = Instant::now();
+    let mut book = QuotaBook::default();
+    let none = Heads::new();
+    book.begin(ROUTE, 5);
+    let granted = QuotaDecision::Granted { fence: 5 };
+    assert_eq!(decide_for(&mut book, &none, 1, 10, now, 1), granted);
+    assert_eq!(decide_for(&mut book, &none, 2, 60, now, 2), granted);
+    assert_eq!(
+        decide_for(&mut book, &none, 1, 60, now, 3),
+        QuotaDecision::Full
+    );
+    assert_eq!(decide_for(&mut book, &none, 1, 40, now, 4), granted);
+    assert_eq!(
+        decide_for(&mut book, &none, 3, 1, now, 5),
+        QuotaDecision::Full
+    );
+}
