A request granted beside a probe does not take the probe's place

Cause: each grant at an ejected replica after its absence became its probe. Where all others are excluded or not allowed, grants follow each other faster than probes end, and an end counts only for the newest probe: the replica neither returned nor was ejected again.

--- a/crates/slots/src/ejection.rs
+++ b/crates/slots/src/ejection.rs
@@ -193,24 +193,24 @@
             let Standing::Out { until, probe, .. } = one.standing else {
                 return false;
             };
-            let is_probed = probe.is_some_and(|(_, at)| now < at + PROBE_PATIENCE);
             let may_probe = match work {
                 ProbeWork::Item => now >= until,
                 ProbeWork::Repeatable => now >= until + ITEMS_FIRST,
                 ProbeWork::OnceOnly => hardly_repeatable && now >= until + REPEATABLE_FIRST,
             };
-            may_probe && !is_probed
+            may_probe && !is_probed(probe, now)
         });
         due.map(|(replica, _)| *replica).collect()
     }
 
-    /// A lease was granted at the replica. True if its request is a probe.
+    /// A lease was granted at the replica. True if its request is a probe; one beside a probe that still runs is none,
+    /// else the probe's end would never be taken where requests keep coming.
     pub fn note_grant(&mut self, replica: u32, lease: LeaseName, now: Instant) -> bool {
         let Some(watched) = self.watched.get_mut(&replica) else {
             return false;
         };
         match &mut watched.standing {
-            Standing::Out { until, probe, .. } if now >= *until => {
+            Standing::Out { until, probe, .. } if now >= *until && !is_probed(*probe, now) => {
                 *probe = Some((lease, now));
                 true
             }
@@ -363,6 +363,11 @@
     }
 }
 
+/// True while the end of a probe is waited for.
+fn is_probed(probe: Option<(LeaseName, Instant)>, now: Instant) -> bool {
+    probe.is_some_and(|(_, at)| now < at + PROBE_PATIENCE)
+}
+
 /// Replicas of a group of this size that may be out at the same time: one at least where there is another.
 fn most_out(group: usize) -> u64 {
     let share = group * MOST_OUT_PERCENT / 100;
--- a/crates/slots/tests/ejection.rs
+++ b/crates/slots/tests/ejection.rs
@@ -5,7 +5,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use harrierward_slots::{ProbeWork, StandingEvent};
+use harrierward_slots::{ProbeWork, RequestEnd, StandingEvent};
 use harrierward_wire::OutcomeKind;
 use outliers::{GROUP, Group, LONG, ROUNDS, one_out};
 
@@ -127,6 +127,25 @@
     assert_eq!(group.detector.probed_by(ProbeWork::Item, group.now), [1]);
 }
 
+/// Where all others are excluded a request is granted the ejected replica although a probe runs there.
+#[test]
+fn a_request_sent_beside_a_probe_does_not_take_its_place() {
+    let mut group = one_out();
+    for lease in [1_000, 2_000, 3_000] {
+        group.pass(LONG);
+        assert!(group.detector.note_grant(1, (1, lease), group.now));
+        assert!(!group.detector.note_grant(1, (1, lease + 1), group.now));
+        let served = RequestEnd {
+            replica: 1,
+            lease: (1, lease),
+            kind: OutcomeKind::Served,
+            first_event: Duration::ZERO,
+        };
+        group.detector.observe(served, GROUP as usize, group.now);
+    }
+    assert!(!group.is_out(1), "three probes were served");
+}
+
 #[test]
 fn work_that_runs_once_only_is_no_probe_unless_there_is_hardly_any_other() {
     let mut group = one_out();
