Silence towards a request with hardly any time left is no evidence

Cause: a request gives up when its caller's patience or the route's time is over. One that comes with 20 ms left ends before any replica could answer, and the replica was suspected for it at the daemon and ejected by its coordinator after three of them: callers in a hurry took replicas from all. Change: silence counts only after the time for reading the prompt and 100 ms, for the verdict and for the daemon's suspicion of an attempt that brought no head. The test failed before: the first such request had the replica suspected.

--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -10,7 +10,7 @@
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
 use crate::forwarder::{Forwarder, RequestState};
 use crate::gate::{Passage, barred, may_give_copy};
-use crate::outcome::Verdict;
+use crate::outcome::{Evidence, Verdict};
 use crate::placing::NoPlace;
 use crate::policy::Mechanism;
 use crate::replica::{InProgress, Replica};
@@ -240,7 +240,10 @@
         let replica = in_progress.replica();
         let answer = match answer {
             None => {
-                self.suspect(replica);
+                let evidence = in_progress.evidence();
+                if evidence.is_none_or(Evidence::was_patient) {
+                    self.suspect(replica);
+                }
                 in_progress.conclude(Verdict::Silent);
                 let cause = "no answer in time".to_owned();
                 return Err(AttemptFailure::MayHaveRun { cause });
--- a/crates/serving/src/outcome.rs
+++ b/crates/serving/src/outcome.rs
@@ -8,6 +8,10 @@
 
 use tokio::time::Instant;
 
+/// Time beyond that for reading the prompt below which silence says nothing of a replica: a request that came with less
+/// time left would end before any replica could answer. Half of the shortest objective known (200 ms).
+const LEAST_SILENCE: Duration = Duration::from_millis(100);
+
 /// What a request's end says of its replica.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Verdict {
@@ -45,6 +49,13 @@
     end: LeaseEnd,
 }
 
+impl Seen {
+    fn was_patient(&self) -> bool {
+        let waited = self.sent.map(|sent| sent.elapsed());
+        waited.is_none_or(|waited| waited >= self.prefill + LEAST_SILENCE)
+    }
+}
+
 /// Gathers what one request saw of its replica. The first verdict stays: what follows it is a consequence.
 #[derive(Debug, Default)]
 pub struct Evidence {
@@ -77,10 +88,19 @@
         self.lock().end.first_event.is_some()
     }
 
+    /// True if the request was under way for long enough that its replica's silence says something.
+    pub fn was_patient(&self) -> bool {
+        self.lock().was_patient()
+    }
+
     /// The request ended so.
     pub fn conclude(&self, verdict: Verdict) {
         let mut seen = self.lock();
-        let excused = matches!(verdict, Verdict::Silent | Verdict::NotRun) && !seen.has_room;
+        let excused = match verdict {
+            Verdict::Silent => !seen.has_room || !seen.was_patient(),
+            Verdict::NotRun => !seen.has_room,
+            _ => false,
+        };
         if seen.end.verdict == Verdict::NoEvidence && !excused {
             seen.end.verdict = verdict;
         }
--- a/crates/serving/tests/failing.rs
+++ b/crates/serving/tests/failing.rs
@@ -299,3 +299,28 @@
     let ended = site.leases.ended.lock().expect("a lock");
     assert_eq!(ended[0].1, LeaseEnd::default());
 }
+
+/// A request that comes with hardly any time left ends before any replica could have answered it.
+#[tokio::test(start_paused = true)]
+async fn a_request_with_hardly_any_time_is_no_evidence() {
+    for conduct in [Conduct::IsSilent, Conduct::IsMute] {
+        let site = site(conduct, 2, 1);
+        for _ in 0..40 {
+            let hurried = ServingRequest {
+                patience: Some(Duration::from_millis(20)),
+                ..request()
+            };
+            let reply = site.forwarder.forward(hurried, Instant::now()).await;
+            if let Reply::Answer(answer) = reply {
+                let _ = answer.body.collect::<Vec<_>>().await;
+            }
+        }
+        let sent = site.client.sent_to_first.load(Ordering::Relaxed);
+        assert!(sent > 5, "{conduct:?} {sent}: it is not avoided");
+        let ended = site.leases.ended.lock().expect("a lock");
+        let at_first = ended.iter().filter(|(replica, _)| replica == "replica-0");
+        for (_, end) in at_first {
+            assert_eq!(end.verdict, Verdict::NoEvidence, "{conduct:?}");
+        }
+    }
+}
