A lease that was not needed tells nothing of how long requests hold theirs

Cause: a place at home that is given back for a slot in another region, and a lease whose answer came too late, were taken for requests that held a slot for one round trip. A full region's mean time fell with each request that left it, so that callers were let in who had to be late, and told to come back too soon. Change: such a lease goes back as NotSent; the ledger takes no time from it. The test failed before.

--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -13,7 +13,8 @@
 use harrierward_slots::{COLD_GRANT_LIFETIME, GroupId, Room};
 use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{
-    ItemSlotAsk, PromptPartRow, RegionNames, SlotAsk, SlotGrant, SlotReport, node_datagram::Kind,
+    ItemSlotAsk, LeaseOutcome, OutcomeKind, PromptPartRow, RegionNames, SlotAsk, SlotGrant,
+    SlotReport, node_datagram::Kind,
 };
 use tokio::time::Instant;
 
@@ -296,10 +297,17 @@
         }
     }
 
+    /// A lease that was or may have been given out is not needed: nothing was sent under it.
     fn report_released(&self, lease: u32, coordinator: SocketAddr) {
+        let outcome = LeaseOutcome {
+            lease,
+            kind: OutcomeKind::NotSent.into(),
+            ..LeaseOutcome::default()
+        };
         let report = SlotReport {
             holder: self.holder,
             released: vec![lease],
+            outcomes: vec![outcome],
             ..SlotReport::default()
         };
         self.send(Kind::SlotReport(report), coordinator);
--- a/crates/edge/src/slots/choosing_group.rs
+++ b/crates/edge/src/slots/choosing_group.rs
@@ -5,7 +5,7 @@
 
 use harrierward_serving::{
     LeaseEnd, LeftRegion, PromptLength, ROOMY_PERMILLE, Replica, SlotAnswer, SlotLeases, SlotQuery,
-    expected_wait_ms, preference_weight, short_hash,
+    Verdict, expected_wait_ms, preference_weight, short_hash,
 };
 use harrierward_slots::{Crossing, GroupId, GroupLayout, Room, is_better_off};
 use harrierward_wire::SlotGrant;
@@ -44,7 +44,11 @@
 impl Drop for QueuePlace<'_> {
     fn drop(&mut self) {
         if let Some(lease) = self.lease {
-            self.service.release(lease, LeaseEnd::default());
+            let not_needed = LeaseEnd {
+                verdict: Verdict::NotSent,
+                first_event: None,
+            };
+            self.service.release(lease, not_needed);
         }
     }
 }
--- a/crates/edge/src/slots/outcomes.rs
+++ b/crates/edge/src/slots/outcomes.rs
@@ -211,6 +211,7 @@
         Verdict::Silent => OutcomeKind::Silent,
         Verdict::Spoilt => OutcomeKind::Spoilt,
         Verdict::NotRun => OutcomeKind::NotRun,
+        Verdict::NotSent => OutcomeKind::NotSent,
     }
 }
 
--- a/crates/serving/src/outcome.rs
+++ b/crates/serving/src/outcome.rs
@@ -30,6 +30,8 @@
     Spoilt,
     /// It refused although it had room.
     NotRun,
+    /// Nothing was sent to it: the lease was not needed.
+    NotSent,
 }
 
 /// A verdict and how long the first event took.
--- a/crates/slots/src/ejection.rs
+++ b/crates/slots/src/ejection.rs
@@ -377,7 +377,7 @@
 /// Whether an outcome is a failure of the replica; `None` if it says nothing.
 fn is_failure(kind: OutcomeKind) -> Option<bool> {
     match kind {
-        OutcomeKind::NoEvidence => None,
+        OutcomeKind::NoEvidence | OutcomeKind::NotSent => None,
         OutcomeKind::Served => Some(false),
         OutcomeKind::Failed
         | OutcomeKind::Cut
--- a/crates/slots/src/ledger.rs
+++ b/crates/slots/src/ledger.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use harrierward_wire::{HeldSlot, SlotReport};
+use harrierward_wire::{HeldSlot, OutcomeKind, SlotReport};
 use tokio::time::Instant;
 
 /// How long a holder's leases are believed after its last report.
@@ -89,6 +89,13 @@
     leases: HashMap<u32, Lease>,
 }
 
+/// True for a lease under which nothing was sent: it does not tell how long requests hold theirs.
+fn is_unused(report: &SlotReport, lease: u32) -> bool {
+    let outcomes = report.outcomes.iter();
+    let mut outcomes = outcomes.filter(|outcome| outcome.lease == lease);
+    outcomes.any(|outcome| outcome.kind() == OutcomeKind::NotSent)
+}
+
 /// The leases of all other daemons.
 #[derive(Debug, Default)]
 pub struct SlotLedger {
@@ -158,7 +165,9 @@
             self.take_held(holder, held, now);
         }
         for lease in &report.released {
-            self.note_ended(holder, *lease, now);
+            if !is_unused(report, *lease) {
+                self.note_ended(holder, *lease, now);
+            }
             self.remove(holder, *lease);
         }
     }
--- a/crates/slots/tests/ledger.rs
+++ b/crates/slots/tests/ledger.rs
@@ -7,7 +7,7 @@
 use harrierward_slots::{
     GroupId, GroupLayout, HeldSlots, SlotCounts, SlotLedger, SlotUse, coordinator_of,
 };
-use harrierward_wire::SlotReport;
+use harrierward_wire::{LeaseOutcome, OutcomeKind, SlotReport};
 use proptest::prelude::*;
 use tokio::time::Instant;
 
@@ -57,6 +57,30 @@
     assert_eq!(ledger.counts(REPLICA), counts(0, 1));
 }
 
+/// A lease that was given back for one elsewhere would tell that requests hold their slots for a round trip only.
+#[test]
+fn a_lease_that_was_never_used_tells_nothing_of_how_long_requests_hold_theirs() {
+    let now = Instant::now();
+    for (kind, expected) in [(OutcomeKind::Served, 1), (OutcomeKind::NotSent, 0)] {
+        let mut ledger = SlotLedger::default();
+        ledger.grant(HOLDER, address(1), 1, REPLICA, SlotUse::Online, now);
+        let released = SlotReport {
+            holder: HOLDER,
+            released: vec![1],
+            outcomes: vec![LeaseOutcome {
+                lease: 1,
+                replica: REPLICA,
+                kind: kind.into(),
+                first_event_ms: 0,
+            }],
+            ..SlotReport::default()
+        };
+        ledger.take_report(&released, address(1), now + millis(40));
+        assert_eq!(ledger.counts(REPLICA), counts(0, 0));
+        assert_eq!(ledger.take_ended().len(), expected, "{kind:?}");
+    }
+}
+
 #[test]
 fn a_coordinator_that_has_just_begun_learns_all_places_from_one_word() {
     let now = Instant::now();
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -173,6 +173,8 @@
     Spoilt = 5,
     /// It said that it did not run the request.
     NotRun = 6,
+    /// The lease was given back before anything was sent under it.
+    NotSent = 7,
 }
 
 /// The end of one lease.
