A slot found in another region instead of a refusal at home is kept

Cause: a request that its own coordinator would send away got a slot in another region, was then taken for one with a place in the queue at home, and asked the other region once more: a second round trip between regions and a second lease, of which the first was given back. Change: which group gave the slot decides, not the one asked first. The test failed before with two questions between regions in place of one.

--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -334,10 +334,12 @@
         let service = short_hash(query.service);
         let mut target = self.group_to_ask(&query, service);
         let mut answer = self.ask_group(&query, service, target).await;
+        let mut answered_by = target;
         let was_refused = matches!(answer, SlotAnswer::NoCoordinator);
         if was_refused && target.left == Some(LeftRegion::Full) {
             // The room there was taken meanwhile, or nobody there answers: the own region takes it after all.
             target = self.group_at_home(&query, service);
+            answered_by = target;
             answer = self.ask_group(&query, service, target).await;
         }
         let other = match answer {
@@ -349,11 +351,14 @@
             let second = self.ask_group(&query, service, roomier).await;
             if !matches!(second, SlotAnswer::NoCoordinator) || roomier.left.is_none() {
                 answer = second;
+                answered_by = roomier;
             }
         }
         if let SlotAnswer::Given { lease, .. } = answer
-            && target.left.is_none()
-            && let Some(elsewhere) = self.leave_the_queue(&query, service, target, lease).await
+            && answered_by.left.is_none()
+            && let Some(elsewhere) = self
+                .leave_the_queue(&query, service, answered_by, lease)
+                .await
         {
             answer = elsewhere;
         }
--- a/crates/edge/tests/regions.rs
+++ b/crates/edge/tests/regions.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
     ReplicaSet, SelectionCosts, SlotAnswer, SlotLease, SlotLeases, SlotQuery,
 };
 use harrierward_tenants::AllowedRegions;
-use harrierward_wire::{NodeDatagram, decode};
+use harrierward_wire::{NodeDatagram, decode, node_datagram::Kind};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep};
 
@@ -33,6 +33,8 @@
 struct Network {
     region_at: OnceLock<HashMap<SocketAddr, usize>>,
     is_cut: AtomicBool,
+    /// Questions for slots that crossed between regions.
+    far_asks: AtomicUsize,
 }
 
 impl Network {
@@ -152,6 +154,9 @@
         let Some(delay) = network.delay(from, region) else {
             continue;
         };
+        if !delay.is_zero() && matches!(kind, Kind::SlotAsk(_)) {
+            network.far_asks.fetch_add(1, Ordering::Relaxed);
+        }
         let slots = slots.clone();
         tokio::spawn(async move {
             if !delay.is_zero() {
@@ -300,6 +305,50 @@
     assert_eq!(away(seldom, 0), 2);
 }
 
+/// Its own coordinator would send the caller away; the slot found elsewhere instead is kept.
+#[tokio::test]
+async fn a_request_that_would_be_sent_away_asks_elsewhere_once() {
+    let fleet = fleet([IN_A_REGION; 3]).await;
+    let busy = [fleet.at(0, 0), fleet.at(0, 1)];
+    let home = AllowedRegions::only([REGIONS[0].to_owned()]);
+    let mut held = Vec::new();
+    for turn in 0..4 * IN_A_REGION * SLOTS as usize {
+        held.push(enter_in(busy[turn % 2], &home).await.expect("a place"));
+    }
+    // How long requests hold their slots shows when some end.
+    sleep(OBJECTIVE).await;
+    held.drain(..2 * IN_A_REGION * SLOTS as usize);
+    settle().await;
+    let regions = AllowedRegions::Any;
+    let newcomer = SlotQuery {
+        may_return: Some(Duration::from_secs(5)),
+        ..query(&regions, None)
+    };
+    let at_home = busy[0].slots.ask(SlotQuery {
+        regions: &home,
+        ..newcomer
+    });
+    let at_home = at_home.await;
+    assert!(
+        matches!(at_home, SlotAnswer::ComeBack { .. }),
+        "{at_home:?}"
+    );
+    // A daemon that knows how long the way is, and nothing of its region's queues.
+    let asker = fleet.at(0, 2);
+    for region in [1, 2] {
+        let there = AllowedRegions::only([REGIONS[region].to_owned()]);
+        assert!(enter_in(asker, &there).await.is_some());
+    }
+    fleet.network.far_asks.store(0, Ordering::Relaxed);
+    let answer = asker.slots.ask(newcomer).await;
+    let SlotAnswer::Given { choice, .. } = answer else {
+        panic!("{answer:?}");
+    };
+    assert_eq!(choice.left_region, Some(LeftRegion::Full));
+    settle().await;
+    assert_eq!(fleet.network.far_asks.load(Ordering::Relaxed), 1);
+}
+
 /// Coordinators give a request of a full region a slot only where there is room to spare: two full regions that both
 /// believe the other one empty keep their requests.
 #[tokio::test]
