The silence of a member is forgotten with it

Cause: coordinators that did not answer were kept by the name of their life, which each start gives anew; nothing removed them, in the slots nor in the rates. Change: who is no member any more is forgotten when the members change. The test of the slots failed before; the rates have the same lines and no test of their own.

--- a/crates/edge/src/rates.rs
+++ b/crates/edge/src/rates.rs
@@ -117,6 +117,9 @@
         let dropped = state
             .ledger
             .retain(|tenant| self.is_first(tenant, &members));
+        // Each start has a name of its own, so what is known of the gone is of no use any more.
+        let silent = &mut state.silent_until;
+        silent.retain(|id, _| members.iter().any(|member| member.id == *id));
         self.members.store(Arc::new(members));
         drop(state);
         if dropped > 0 {
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -181,8 +181,13 @@
 
     /// The members that may keep leases, this one among them unless it leaves.
     pub fn set_members(&self, members: Vec<CoordinatorCandidate>) {
-        self.members.store(Arc::new(members));
-        self.lock().coordinators.clear();
+        let members = Arc::new(members);
+        self.members.store(members.clone());
+        let mut state = self.lock();
+        state.coordinators.clear();
+        // Each start has a name of its own, so what is known of the gone is of no use any more.
+        let silent = &mut state.silent;
+        silent.retain(|id, _| members.iter().any(|member| member.id == *id));
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/edge/tests/slots.rs
+++ b/crates/edge/tests/slots.rs
@@ -136,6 +136,28 @@
     slack: Duration::from_secs(9),
 };
 
+/// A member that is gone for good would otherwise be remembered for ever: each start has a name of its own.
+#[tokio::test]
+async fn the_silence_of_a_member_is_forgotten_with_it() {
+    let (socket, _) = socket().await;
+    let member = |name: &str, port: u16| CoordinatorCandidate {
+        id: name.to_owned(),
+        address: Some(SocketAddr::from(([127, 0, 0, 1], port))),
+        location: Location::new("zone-a", "region"),
+    };
+    // Nobody listens there.
+    let deaf = vec![member("deaf", 9)];
+    let daemon = start("a", &socket, &deaf);
+    let view = daemon.replicas.view();
+    let replica = view.all().next().expect("a replica");
+    assert!(daemon.slots.is_coordinated(replica));
+    assert!(enter(&daemon, None).await.is_none());
+    assert!(!daemon.slots.is_coordinated(replica), "it is silent");
+    daemon.slots.set_members(vec![member("a", 10)]);
+    daemon.slots.set_members(deaf);
+    assert!(daemon.slots.is_coordinated(replica));
+}
+
 /// A place, entered as a request does.
 async fn enter(daemon: &Daemon, item: Option<ItemRoom>) -> Option<InProgress> {
     let prompt = Prompt::default();
