Slots of ejected replicas do not count for callers who are to come back

Cause: the time at which a caller is told to come back follows from the group's slots; those of ejected replicas counted, although no work goes there, so that callers were told to come back too soon. Cold replicas were left out already. Change: ejected ones are left out too.

--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -152,19 +152,20 @@
         let replica = &choice.replica;
         let position = (replica.online() + 1).saturating_sub(replica.slots());
         let mut state = self.lock();
-        let admission = state
-            .admissions
-            .entry((service, group))
-            .or_insert_with(|| GroupAdmission::new(now));
+        let admission = state.admissions.entry((service, group));
+        let admission = admission.or_insert_with(|| GroupAdmission::new(now));
         admission.observe_arrival(now);
         if position == 0 || !self.costs.policy.has(Mechanism::Admission) {
             return None;
         }
         let may_return = may_return?;
         let index = self.index();
+        let ejected = Self::ejected(&state, service, group);
         let listed = index.listed(service, group).iter();
-        // Cold ones take few requests, so their slots are no part of what ends soon.
-        let ready = listed.filter(|replica| replica.accepts_work() && !replica.is_cold(now));
+        // Cold and ejected ones take few requests, so their slots are no part of what ends soon.
+        let ready = listed.filter(|replica| {
+            replica.accepts_work() && !replica.is_cold(now) && !ejected.contains(&replica.hash)
+        });
         let newcomer = Newcomer {
             position,
             replica_slots: replica.slots(),
@@ -172,6 +173,7 @@
             objective,
             may_return,
         };
+        let admission = state.admissions.get_mut(&(service, group))?;
         admission.come_back_after(&newcomer, rand::random(), now)
     }
 
--- a/crates/edge/src/slots/outcomes.rs
+++ b/crates/edge/src/slots/outcomes.rs
@@ -116,7 +116,13 @@
         offered
     }
 
-    /// A lease was granted at a replica of an own group; it may be a probe.
+    /// Replicas of an own group that get no work now.
+    pub(super) fn ejected(state: &State, service: u32, group: GroupId) -> HashSet<u32> {
+        let detector = state.outliers.get(&(service, group));
+        detector.map(OutlierDetector::out).unwrap_or_default()
+    }
+
+    /// A lease was granted at a replica of an own group. True if its request is a probe.
     pub(super) fn note_granted(
         &self,
         service: &str,
