The room at a replica that is tried is not taken for its group's

Cause: a probe is chosen among the replicas to be tried only, so that the free share in its grant is that of one empty replica. The asker took it for the group's: for a second it believed a full group roomy. A request from another region was a probe even where the group had no room for it. Change: a grant says that it is a probe, and its room is not noted. The attempt itself goes on by the room of its replica, so that its silence counts.

--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -90,6 +90,8 @@
         answer: &SlotAnswer,
     ) {
         let (free_permille, wait) = match answer {
+            // The replica that is tried is empty, whatever its group is.
+            SlotAnswer::Given { choice, .. } if choice.is_probe => return,
             SlotAnswer::Given { choice, .. } => {
                 let slots = choice.replica.slots();
                 (choice.free_permille, self.queue(choice.load, slots))
@@ -153,7 +155,7 @@
         awaiting.answered = true;
         drop(awaiting);
         self.note_heard(&coordinator.id);
-        if !grant.all_cold {
+        if !grant.all_cold && !grant.is_probe {
             self.note_room(query, service, group, &grant);
         }
         self.take_grant(query, lease, &grant, address, asked_at)
@@ -207,6 +209,7 @@
                 free_permille: grant.free_permille,
                 cold_until,
                 left_region: None,
+                is_probe: grant.is_probe,
                 copy_from: view.by_hash(grant.copy_from).cloned(),
             },
             lease,
--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -132,7 +132,8 @@
             state.held.take(lease, choice.replica.hash, usage);
             lease
         };
-        self.note_granted(query.service, group, &choice.replica, (self.holder, lease));
+        let name = (self.holder, lease);
+        choice.is_probe = self.note_granted(query.service, group, &choice.replica, name);
         self.make_room(&choice, usage);
         SlotAnswer::Given { choice, lease }
     }
@@ -308,7 +309,8 @@
             length: length_of(ask),
             is_item: ask.item.is_some(),
             is_overdue: ask.overdue && !self.claim_return(service, group),
-            may_repeat: ask.may_repeat,
+            // The way from another region is not worth a probe.
+            may_repeat: ask.may_repeat && !ask.spilled,
         };
         let all_cold = SlotGrant {
             all_cold: true,
@@ -355,7 +357,8 @@
             .ledger
             .grant(ask.holder, from, ask.lease, replica, usage, now);
         self.publish();
-        self.note_granted(service, group, &choice.replica, (ask.holder, ask.lease));
+        let name = (ask.holder, ask.lease);
+        let is_probe = self.note_granted(service, group, &choice.replica, name);
         self.make_room(&choice, usage);
         choice.replica.note_prompt(&prompt);
         SlotGrant {
@@ -364,6 +367,7 @@
             load: choice.load,
             free_permille: choice.free_permille,
             counted_cold: cold_until.is_some(),
+            is_probe,
             ..none
         }
     }
--- a/crates/edge/src/slots/outcomes.rs
+++ b/crates/edge/src/slots/outcomes.rs
@@ -129,13 +129,13 @@
         group: GroupId,
         replica: &Replica,
         lease: LeaseName,
-    ) {
+    ) -> bool {
         let mut state = self.lock();
         let detector = state.outliers.get_mut(&(short_hash(service), group));
         let is_probe = detector
             .is_some_and(|detector| detector.note_grant(replica.hash, lease, Instant::now()));
         if !is_probe {
-            return;
+            return false;
         }
         let ejected = ejected_here(&state);
         drop(state);
@@ -151,6 +151,7 @@
             others_permille: 0,
             ejected,
         });
+        true
     }
 
     /// Forgets replicas that are gone, and groups that another daemon keeps now.
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -71,6 +71,8 @@
     pub cold_until: Option<Instant>,
     /// Why a replica in another region was looked for; `None` where the own region's were.
     pub left_region: Option<LeftRegion>,
+    /// The replica was out of service and is tried for its return.
+    pub is_probe: bool,
     /// Another one that probably keeps more of the prompt: its memory of it is copied instead of being made anew.
     pub copy_from: Option<Arc<Replica>>,
 }
@@ -191,6 +193,7 @@
         free_permille: free_permille(&candidates),
         cold_until: None,
         left_region: None,
+        is_probe: false,
         copy_from,
     })
 }
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -102,6 +102,7 @@
 fn choice(replica: &Arc<Replica>) -> Choice {
     Choice {
         left_region: None,
+        is_probe: false,
         replica: replica.clone(),
         by: ChosenBy::Coordinator,
         load: 0,
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -85,6 +85,7 @@
                 free_permille: self.free_permille,
                 cold_until: None,
                 left_region: None,
+                is_probe: false,
                 copy_from: None,
             },
             lease: 1,
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -116,6 +116,9 @@
     /// Nothing was granted because the group's replicas are cold and have got what they bear now.
     #[prost(bool, tag = "9")]
     pub all_cold: bool,
+    /// The replica is tried for its return to service: its room says nothing of the group's.
+    #[prost(bool, tag = "10")]
+    pub is_probe: bool,
 }
 
 /// A lease held at a replica.
