Ejected replicas are counted only for a line that is logged

Cause: each ended request counted the ejected replicas of all groups of this daemon under the lock, for a log line that hardly any writes. Change: counted once there is a change to log; behaviour unchanged.

--- a/crates/edge/src/slots/outcomes.rs
+++ b/crates/edge/src/slots/outcomes.rs
@@ -73,12 +73,12 @@
         };
         let mut state = self.lock();
         let detector = state.outliers.entry(key).or_default();
-        let change = detector.observe(end, group, Instant::now());
+        let Some(change) = detector.observe(end, group, Instant::now()) else {
+            return;
+        };
         let ejected = ejected_here(&state);
         drop(state);
-        if let Some(change) = change {
-            self.log_change(replica, &change, ejected);
-        }
+        self.log_change(replica, &change, ejected);
     }
 
     /// The replicas among which one is chosen, in the order in which that is tried: those that this work may probe,
