A slow replica goes before an ejected one

Cause: a slow replica is offered with a small probability. Where all in service were left out by the draw, all replicas were offered, ejected ones among them, which are empty: with one ejected and one slow replica 95 of 100 requests, and items too, went to the one that fails. Change: where the draw leaves none, all in service are offered. The test failed before, for requests and for items.

--- a/crates/edge/src/slots/outcomes.rs
+++ b/crates/edge/src/slots/outcomes.rs
@@ -101,12 +101,19 @@
             return vec![usable];
         }
         let out = detector.out();
-        let in_service = usable
+        let in_service = usable.iter().filter(|replica| !out.contains(&replica.hash));
+        let in_service: Vec<Arc<Replica>> = in_service.cloned().collect();
+        let offered = in_service
             .iter()
-            .filter(|replica| !out.contains(&replica.hash))
             .filter(|replica| rand::random::<f64>() < detector.share(replica.hash));
-        let in_service: Vec<Arc<Replica>> = in_service.cloned().collect();
+        let offered: Vec<Arc<Replica>> = offered.cloned().collect();
         drop(state);
+        // A slow replica still goes before one that fails.
+        let in_service = if offered.is_empty() {
+            in_service
+        } else {
+            offered
+        };
         let due = usable.iter();
         let due = due.filter(|replica| probed.contains(&replica.hash));
         let mut offered = vec![due.cloned().collect(), in_service];
