A job that was given up is adopted near its last owner

Cause: the owner is taken out of a job's head when it is handed over at a planned stop, or submitted to a daemon that stops. Whose region came first was looked up by the owner, so such a job was adopted by any daemon of any region, away from its clients and the replicas that keep its prompts. Change: the head keeps who gave it up, until it is adopted. The head in a conflict is boxed: it has grown.

--- a/crates/inline-jobs/src/adoption.rs
+++ b/crates/inline-jobs/src/adoption.rs
@@ -3,12 +3,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use harrierward_serving::preference_weight;
 use harrierward_tenants::AllowedRegions;
 use harrierward_wire::ItemProgressRow;
 use tokio::time::{Instant, sleep};
-use xxhash_rust::xxh3::xxh3_64;
 
+use crate::adoption_order::{adopted, adoption_delay, adoption_rank, given_up, last_owner};
 use crate::service::InlineJobs;
 use crate::store::WriteOutcome;
 use crate::view::KnownHead;
@@ -16,12 +15,6 @@
 /// How often jobs without owner are looked for.
 const CHECK_EVERY: Duration = Duration::from_millis(100);
 
-/// How long an owner must be missing before its job is adopted.
-const MISSING_FOR: Duration = Duration::from_millis(300);
-
-/// How much longer each further daemon in the job's order waits.
-const RANK_DELAY: Duration = Duration::from_millis(400);
-
 /// How long an adoption is tried.
 const ADOPT_HOLD: Duration = Duration::from_millis(1_500);
 
@@ -59,8 +52,9 @@
                 };
                 let job_id = known.head.job_id.clone();
                 let since = *missing_since.entry(job_id).or_insert_with(Instant::now);
-                let near = self.inner.peers.owners_near(&known.head.owner);
-                if since.elapsed() >= self.adoption_delay(&known, &adopters, &near) {
+                let near = self.inner.peers.owners_near(last_owner(&known.head));
+                let life = &self.inner.life;
+                if since.elapsed() >= adoption_delay(&known.head, life, &adopters, &near) {
                     missing_since.remove(&known.head.job_id);
                     let jobs = self.clone();
                     tokio::spawn(async move { jobs.adopt_job(known).await });
@@ -80,37 +74,8 @@
         adopters.contains(&self.inner.life).then_some(adopters)
     }
 
-    /// Daemons adopt a job in an order of its own, so that they do not all try at once: those in the region of its last
-    /// owner first, since its clients and the replicas that keep its prompts are there.
-    fn adoption_delay(&self, known: &KnownHead, owners: &[String], near: &[String]) -> Duration {
-        let is_near = near.contains(&self.inner.life);
-        let rank = if is_near || near.is_empty() {
-            self.rank(known, if is_near { near } else { owners })
-        } else {
-            let others = owners.iter().filter(|owner| !near.contains(owner));
-            1 + self.rank(known, others)
-        };
-        let first = if known.head.owner.is_empty() {
-            Duration::ZERO
-        } else {
-            MISSING_FOR
-        };
-        first + RANK_DELAY * rank
-    }
-
-    /// How many of the daemons come before this one in a job's order.
-    fn rank<'a>(&self, known: &KnownHead, owners: impl IntoIterator<Item = &'a String>) -> u32 {
-        let job = xxh3_64(known.head.job_id.as_bytes());
-        let own = preference_weight(job, &self.inner.life);
-        let before = owners.into_iter();
-        let before = before.filter(|owner| preference_weight(job, owner) > own);
-        u32::try_from(before.count()).unwrap_or(u32::MAX)
-    }
-
     async fn adopt_job(&self, known: KnownHead) {
-        let mut head = known.head.clone();
-        head.owner = self.inner.life.clone();
-        head.epoch += 1;
+        let head = adopted(&known.head, &self.inner.life);
         let until = Instant::now() + ADOPT_HOLD;
         let written = self
             .inner
@@ -126,7 +91,7 @@
             WriteOutcome::Conflict {
                 current: Some(current),
             } => {
-                self.learn(current);
+                self.learn(*current);
             }
             _ => {}
         }
@@ -141,8 +106,7 @@
     ) {
         progress.truncate(MOST_PROGRESS);
         while known.is_open() && self.owns(&known.head) && Instant::now() < until {
-            let mut head = known.head.clone();
-            head.owner = String::new();
+            let head = given_up(&known.head);
             let written = self
                 .inner
                 .store
@@ -155,7 +119,7 @@
                 }
                 WriteOutcome::Conflict {
                     current: Some(current),
-                } => known = current,
+                } => known = *current,
                 _ => return,
             }
         }
@@ -172,7 +136,7 @@
             let keep_ms = u64::try_from(keep.as_millis()).unwrap_or(u64::MAX);
             let before = self.inner.view.store_now_ms().saturating_sub(keep_ms);
             for known in self.inner.view.closed_before(before) {
-                if self.rank(&known, &owners) == 0 {
+                if adoption_rank(&known.head.job_id, &self.inner.life, &owners) == 0 {
                     // What is not removed now is found again at the next round.
                     let _ = self.inner.store.remove(&known).await;
                 }
--- /dev/null
+++ b/crates/inline-jobs/src/adoption_order.rs
@@ -0,0 +1,79 @@
+//! In which order daemons adopt a job that nobody runs: pure.
+
+use std::time::Duration;
+
+use harrierward_serving::preference_weight;
+use harrierward_wire::JobHeadRow;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How long an owner must be missing before its job is adopted.
+const MISSING_FOR: Duration = Duration::from_millis(300);
+
+/// How much longer each further daemon in the job's order waits.
+const RANK_DELAY: Duration = Duration::from_millis(400);
+
+/// The head of a job that its owner gives up.
+pub fn given_up(head: &JobHeadRow) -> JobHeadRow {
+    JobHeadRow {
+        owner: String::new(),
+        last_owner: head.owner.clone(),
+        ..head.clone()
+    }
+}
+
+/// The head of a job that the daemon with this life adopts.
+pub fn adopted(head: &JobHeadRow, life: &str) -> JobHeadRow {
+    JobHeadRow {
+        owner: life.to_owned(),
+        last_owner: String::new(),
+        epoch: head.epoch + 1,
+        ..head.clone()
+    }
+}
+
+/// Life of the daemon that runs a job or ran it last.
+pub fn last_owner(head: &JobHeadRow) -> &str {
+    if head.owner.is_empty() {
+        &head.last_owner
+    } else {
+        &head.owner
+    }
+}
+
+/// How long the daemon with this `life` waits before it adopts a job without a living owner. Daemons adopt a job in an
+/// order of its own, so that they do not all try at once: those `near` its last owner first, since its clients and the
+/// replicas that keep its prompts are there. `owners` are all that may adopt it.
+pub fn adoption_delay(
+    head: &JobHeadRow,
+    life: &str,
+    owners: &[String],
+    near: &[String],
+) -> Duration {
+    let is_near = near.iter().any(|owner| owner == life);
+    let rank = if is_near || near.is_empty() {
+        adoption_rank(&head.job_id, life, if is_near { near } else { owners })
+    } else {
+        let others = owners.iter().filter(|owner| !near.contains(owner));
+        1 + adoption_rank(&head.job_id, life, others)
+    };
+    // One that was given up is known to be nobody's.
+    let first = if head.owner.is_empty() {
+        Duration::ZERO
+    } else {
+        MISSING_FOR
+    };
+    first + RANK_DELAY * rank
+}
+
+/// How many of the daemons come before the one with this `life` in a job's order.
+pub fn adoption_rank<'a>(
+    job: &str,
+    life: &str,
+    owners: impl IntoIterator<Item = &'a String>,
+) -> u32 {
+    let job = xxh3_64(job.as_bytes());
+    let own = preference_weight(job, life);
+    let before = owners.into_iter();
+    let before = before.filter(|owner| preference_weight(job, owner) > own);
+    u32::try_from(before.count()).unwrap_or(u32::MAX)
+}
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -6,6 +6,7 @@
 //! nothing after another took over.
 
 mod adoption;
+pub mod adoption_order;
 mod book;
 mod checkpoint;
 mod item_run;
--- a/crates/inline-jobs/src/listing.rs
+++ b/crates/inline-jobs/src/listing.rs
@@ -80,7 +80,7 @@
                 current: Some(current),
             } => {
                 let outcome = conflict_name(&current.head, &head);
-                self.adopt(current);
+                self.adopt(*current);
                 (outcome, true)
             }
             WriteOutcome::Conflict { current: None } => {
--- a/crates/inline-jobs/src/lookup.rs
+++ b/crates/inline-jobs/src/lookup.rs
@@ -267,8 +267,8 @@
                 WriteOutcome::Conflict {
                     current: Some(current),
                 } => {
-                    self.learn(current.clone());
-                    known = current;
+                    self.learn(KnownHead::clone(&current));
+                    known = *current;
                 }
                 WriteOutcome::Conflict { current: None } => return EndOutcome::Missing,
                 // Only new jobs are written under a fence.
--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -45,7 +45,7 @@
     /// The head is another one; nothing was done by the last try.
     Conflict {
         /// The head as it stands; `None` if there is none.
-        current: Option<KnownHead>,
+        current: Option<Box<KnownHead>>,
     },
     /// The quota's fence is another one; nothing was done, and nothing will be.
     Fenced {
@@ -176,7 +176,7 @@
                     return WriteOutcome::Fenced { current };
                 }
                 Ok(TransactionOutcome::Conflict { current, .. }) => {
-                    let current = current.as_ref().and_then(known);
+                    let current = current.as_ref().and_then(known).map(Box::new);
                     return WriteOutcome::Conflict { current };
                 }
                 Err(error) => in_doubt |= error.may_have_happened(),
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -7,6 +7,7 @@
 use harrierward_wire::{ItemHeadRow, JobHeadRow, JobItemsRow};
 use tokio::time::{Instant, sleep};
 
+use crate::adoption_order::given_up;
 use crate::book::OwnedJob;
 use crate::keys;
 use crate::model::{SubmitOutcome, SubmittedJob, item_request, item_row, kept_id};
@@ -116,7 +117,7 @@
                 WriteOutcome::Conflict {
                     current: Some(current),
                 } => {
-                    self.learn(current);
+                    self.learn(*current);
                     return SubmitOutcome::Accepted;
                 }
                 // What was granted comes to nothing; a new coordinator is asked.
@@ -157,24 +158,25 @@
                 tokens: item.tokens,
             })
             .collect();
-        let owner = if self.is_stopping() {
-            String::new()
-        } else {
-            self.inner.life.clone()
-        };
-        JobHeadRow {
+        let head = JobHeadRow {
             job_id: job.id.clone(),
             route: route.name.clone(),
             host: route.host.clone(),
             items,
             listed: Vec::new(),
-            owner,
+            owner: self.inner.life.clone(),
+            last_owner: String::new(),
             epoch: 1,
             ended: false,
             accepted_ms: self.inner.view.store_now_ms(),
             item_rows: 0,
             item_object: String::new(),
             tenant: tenant.to_owned(),
+        };
+        if self.is_stopping() {
+            given_up(&head)
+        } else {
+            head
         }
     }
 
--- a/crates/wire/src/inline_job.rs
+++ b/crates/wire/src/inline_job.rs
@@ -106,6 +106,9 @@
     /// Tenant that submitted it; empty if the configuration knew no tenants, or its route asks for no key.
     #[prost(string, tag = "12")]
     pub tenant: String,
+    /// Life of the daemon that ran the job last and gave it up; empty if somebody runs it.
+    #[prost(string, tag = "13")]
+    pub last_owner: String,
 }
 
 /// A piece of a result.
