What a request costs that leaves its region is the operator's to set

Cause: the price of another region was a constant (60 ms); lines between regions differ by deployment.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -10,7 +10,7 @@
 use harrierward_inline_jobs::{HEADS, InlineJobs, JobParts, JobSettings, is_fence, partitions};
 use harrierward_serving::{
     ConfigurationProof, Forwarder, ForwarderParts, ForwarderSettings, KeyTrust, Location,
-    Mechanism, Replica, ReplicaClient, ReplicaSet, SelectionCosts,
+    Mechanism, Replica, ReplicaClient, ReplicaSet,
 };
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -123,7 +123,7 @@
             life.clone(),
             Location::new(&settings.zone, &settings.region),
             replicas.clone(),
-            SelectionCosts::under(settings.policy),
+            settings.costs(),
             log.clone(),
         ));
         slots.set_connections(pool.clone());
@@ -161,7 +161,7 @@
             settings: ForwarderSettings {
                 zone: settings.zone.clone(),
                 region: settings.region.clone(),
-                costs: SelectionCosts::under(settings.policy),
+                costs: settings.costs(),
                 key_trust: settings.key_trust,
             },
         });
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use harrierward_serving::{KeyTrust, Policy, Topology};
+use harrierward_serving::{KeyTrust, Mechanism, Policy, SelectionCosts, Topology};
 use harrierward_tenants::RateBounds;
 
 /// Settings; addresses are `IP:PORT`.
@@ -50,4 +50,20 @@
     pub metrics_address: String,
     /// Mechanisms of the policy in use.
     pub policy: Policy,
+    /// What a request must be spared, beyond the time on the way, for it to leave its region; `None` for what the choice
+    /// of replicas takes by itself.
+    pub region_price: Option<Duration>,
+}
+
+impl EdgeSettings {
+    /// The prices by which replicas are chosen.
+    pub fn costs(&self) -> SelectionCosts {
+        let mut costs = SelectionCosts::under(self.policy);
+        if let Some(price) = self.region_price
+            && self.policy.has(Mechanism::OwnZoneFirst)
+        {
+            costs.other_region_ms = price.as_secs_f64() * 1_000.0;
+        }
+        costs
+    }
 }
