--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -1,27 +1,22 @@
-//! The groups that this daemon keeps: granting leases, taking the holders' reports, ending items.
+//! The groups that this daemon keeps: granting leases.
 
-use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use harrierward_decisions::Record;
 use harrierward_serving::{
     Choice, ChoiceQuery, ChosenBy, Location, Mechanism, Prompt, PromptLength, PromptPart,
-    ROOMY_PERMILLE, Replica, SlotAnswer, SlotQuery, WorkClass, choose_replica, short_hash,
+    ROOMY_PERMILLE, Replica, SlotAnswer, SlotQuery, choose_replica, short_hash,
 };
 use harrierward_slots::{GroupAdmission, GroupId, Newcomer, SlotUse};
 use harrierward_tenants::AllowedRegions;
-use harrierward_wire::{SlotAsk, SlotGrant, SlotReport, YieldRequest, node_datagram::Kind};
+use harrierward_wire::{SlotAsk, SlotGrant, node_datagram::Kind};
 use tokio::time::Instant;
 
 use super::asking::millis;
 use super::index::GroupIndex;
 use super::outcomes::work_of;
-use super::{Coordinator, SlotService, State, class_of, group_of, layout, usage_of};
-
-/// Ticks of the membership between two whole reports to a coordinator.
-const REPORT_TICKS: u64 = 4;
+use super::{Coordinator, SlotService, group_of, layout, usage_of};
 
 /// Who asks for a lease of an own group.
 struct Asker<'a> {
@@ -185,74 +180,6 @@
         admission.is_some_and(|admission| admission.claim_return(Instant::now()))
     }
 
-    /// Takes into account how long requests that have ended held their slots.
-    fn observe_ended(&self, state: &mut State) {
-        let ended = state.ledger.take_ended();
-        let view = self.replicas.view();
-        for lease in ended {
-            let Some(replica) = view.by_hash(lease.replica) else {
-                continue;
-            };
-            let group = (short_hash(&replica.record.service), self.group(replica));
-            if let Some(admission) = state.admissions.get_mut(&group) {
-                admission.observe_hold(lease.held);
-            }
-        }
-    }
-
-    /// An online request was given a lease where all are taken: an item ends for it.
-    fn make_room(&self, choice: &Choice, usage: SlotUse) {
-        let replica = &choice.replica;
-        let may_preempt = self.costs.policy.has(Mechanism::Preemption);
-        let online = may_preempt && class_of(usage) == WorkClass::Online;
-        if online && choice.load >= replica.slots() && replica.batch() > 0 {
-            self.end_an_item(replica);
-        }
-    }
-
-    /// The item at the replica with most time left gives its lease back.
-    pub(super) fn end_an_item(&self, replica: &Arc<Replica>) {
-        let now = Instant::now();
-        let (own, peers) = {
-            let state = self.lock();
-            let own = state.held.most_slack(replica.hash, now);
-            (own, state.ledger.most_slack(replica.hash, now))
-        };
-        let own_first = match (&own, &peers) {
-            (Some((_, own)), Some(peers)) => *own >= peers.slack,
-            (own, _) => own.is_some(),
-        };
-        let own = own.filter(|_| own_first);
-        let slack = own.map(|(_, slack)| slack);
-        if let Some(slack) = slack.or(peers.map(|ended| ended.slack)) {
-            self.log_end(replica, slack, own.is_none());
-        }
-        if let (Some((lease, _)), Some(items)) = (own, self.yielding.get()) {
-            self.lock().held.release(lease);
-            items.yield_lease(lease);
-        } else if let Some(ended) = peers {
-            self.lock().ledger.note_ending(ended, now);
-            self.publish();
-            let request = YieldRequest {
-                replica: replica.hash,
-                slots: 1,
-                lease: ended.lease,
-            };
-            self.send(Kind::YieldRequest(request), ended.holder);
-        }
-    }
-
-    fn log_end(&self, replica: &Replica, slack: Duration, of_peer: bool) {
-        self.log.record(&Record::ItemEndOrdered {
-            replica: &replica.record.id,
-            online: replica.online(),
-            batch: replica.batch(),
-            slots: replica.slots(),
-            slack_ms: u64::try_from(slack.as_millis()).unwrap_or(u64::MAX),
-            of_peer,
-        });
-    }
-
     /// Answers a peer that asks for a lease.
     pub(super) fn take_ask(&self, ask: &SlotAsk, from: SocketAddr) {
         let grant = self.answer(ask, from);
@@ -371,123 +298,6 @@
             ..none
         }
     }
-
-    /// A coordinator, or a daemon that found none, wants items of this daemon to end.
-    fn take_yield(&self, request: &YieldRequest) {
-        let Some(items) = self.yielding.get() else {
-            return;
-        };
-        if request.lease > 0 {
-            items.yield_lease(request.lease);
-            return;
-        }
-        let view = self.replicas.view();
-        if let Some(replica) = view.by_hash(request.replica) {
-            items.yield_at(&replica.record.id, request.slots);
-        }
-    }
-
-    /// Takes what a holder says of its leases.
-    pub(super) fn take_report(&self, report: &SlotReport, from: SocketAddr) {
-        {
-            let mut state = self.lock();
-            state.ledger.take_report(report, from, Instant::now());
-            self.observe_ended(&mut state);
-        }
-        self.take_outcomes(report);
-        self.publish();
-    }
-
-    /// Brings the replicas' counts of other daemons' requests up to date.
-    fn publish(&self) {
-        let mut state = self.lock();
-        let changed = state.ledger.take_changed();
-        if changed.is_empty() {
-            return;
-        }
-        let counts: Vec<_> = changed
-            .into_iter()
-            .map(|replica| (replica, state.ledger.counts(replica)))
-            .collect();
-        drop(state);
-        let view = self.replicas.view();
-        for (hash, counts) in counts {
-            if let Some(replica) = view
-                .by_hash(hash)
-                .filter(|replica| self.coordinates(replica))
-            {
-                replica.set_peers(counts.online, counts.batch);
-            }
-        }
-    }
-
-    /// Driven by the membership's tick: forgets silent holders, and tells coordinators what is held.
-    pub fn tick(&self) {
-        let now = Instant::now();
-        let layouts = self.index().layouts;
-        let due = {
-            let mut state = self.lock();
-            state.ledger.expire(now);
-            state.ticks += 1;
-            // Coordinators of groups that are new know nothing until the holders tell them.
-            let changed = std::mem::replace(&mut state.layouts, layouts) != layouts;
-            if changed {
-                state.coordinators.clear();
-            }
-            changed || state.ticks.is_multiple_of(REPORT_TICKS)
-        };
-        self.tick_pacing(now);
-        self.publish();
-        if due {
-            self.prune_outliers();
-            self.report_to_coordinators(now);
-        }
-    }
-
-    /// Reports all leases held to their coordinators, and that there are none any more to those who had some.
-    fn report_to_coordinators(&self, now: Instant) {
-        let held = self.lock().held.replicas();
-        let mut held_with: HashMap<SocketAddr, HashSet<u32>> = HashMap::new();
-        for replica in held {
-            if let Some(address) = self.peer_coordinating(replica) {
-                held_with.entry(address).or_default().insert(replica);
-            }
-        }
-        let mut reports = Vec::new();
-        {
-            let mut state = self.lock();
-            for address in std::mem::take(&mut state.reported) {
-                held_with.entry(address).or_default();
-            }
-            for (address, replicas) in held_with {
-                let holds = |replica| replicas.contains(&replica);
-                let report = state.held.whole_report(self.holder, now, holds);
-                if !report.held.is_empty() {
-                    state.reported.insert(address);
-                }
-                reports.push((address, report));
-            }
-        }
-        for (address, report) in reports {
-            self.send(Kind::SlotReport(report), address);
-        }
-    }
-
-    /// Takes a datagram that concerns leases; gives back any other.
-    pub fn receive(&self, kind: Kind, from: SocketAddr) -> Option<Kind> {
-        match kind {
-            Kind::SlotAsk(ask) => self.take_ask(&ask, from),
-            Kind::SlotGrant(grant) => {
-                if self.calls.take(grant.lease, grant) {
-                    self.note_late(from);
-                }
-            }
-            Kind::SlotReport(report) => self.take_report(&report, from),
-            Kind::YieldRequest(request) => self.take_yield(&request),
-            other => return Some(other),
-        }
-        None
-    }
 }
 
 fn prompt_of(ask: &SlotAsk) -> Prompt {
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -5,10 +5,12 @@
 
 mod asking;
 mod choosing_group;
+mod giving_way;
 mod granting;
 mod index;
 mod outcomes;
 mod pacing;
+mod reports;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
