--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -1,16 +1,12 @@
-//! The daemon's own requests: asking coordinators, holding leases, giving them back.
+//! One question to a group's coordinator, and what its answer means.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
-use harrierward_decisions::Record;
 use harrierward_serving::{
-    Choice, ChosenBy, ItemRoom, LeaseEnd, LeftRegion, Mechanism, PromptLength, Replica, SlotAnswer,
-    SlotLeases, SlotQuery, WorkClass, short_hash,
+    Choice, ChosenBy, LeftRegion, PromptLength, SlotAnswer, SlotQuery, short_hash,
 };
-use harrierward_slots::{COLD_GRANT_LIFETIME, GroupId, Room};
+use harrierward_slots::{COLD_GRANT_LIFETIME, GroupId};
 use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{
     ItemSlotAsk, LeaseOutcome, OutcomeKind, PromptPartRow, RegionNames, SlotAsk, SlotGrant,
@@ -81,31 +77,6 @@
         answer
     }
 
-    /// Takes what an own group's answer tells of its room.
-    fn note_own_room(
-        &self,
-        query: &SlotQuery<'_>,
-        service: u32,
-        group: GroupId,
-        answer: &SlotAnswer,
-    ) {
-        let (free_permille, wait) = match answer {
-            // The replica that is tried is empty, whatever its group is.
-            SlotAnswer::Given { choice, .. } if choice.is_probe => return,
-            SlotAnswer::Given { choice, .. } => {
-                let slots = choice.replica.slots();
-                (choice.free_permille, self.queue(choice.load, slots))
-            }
-            SlotAnswer::ComeBack { .. } => (0, query.objective),
-            SlotAnswer::NoRoom | SlotAnswer::NoCoordinator | SlotAnswer::AllCold => return,
-        };
-        let room = Room {
-            free_permille,
-            wait,
-        };
-        self.set_room(service, group, room);
-    }
-
     async fn ask_peer(
         &self,
         query: &SlotQuery<'_>,
@@ -264,42 +235,6 @@
         }
     }
 
-    pub(super) fn is_silent(&self, coordinator: &str) -> bool {
-        let now_ms = self.now_ms();
-        let state = self.lock();
-        let silent = state.silent.get(coordinator);
-        silent.is_some_and(|silent| silent.is_active(now_ms))
-    }
-
-    fn note_silent(&self, coordinator: &str) {
-        let now_ms = self.now_ms();
-        let mut state = self.lock();
-        let suspicion = state.silent.entry(coordinator.to_owned()).or_default();
-        suspicion.fail(now_ms);
-        drop(state);
-        self.log.record(&Record::DependencyLost {
-            dependency: "slot coordinator",
-            cause: coordinator,
-        });
-    }
-
-    /// An answer came that nobody waits for any more: its sender is not silent, only farther than was known.
-    pub(super) fn note_late(&self, from: SocketAddr) {
-        let members = self.members.load();
-        let sender = members.iter().find(|one| one.address == Some(from));
-        if let Some(sender) = sender {
-            self.lock().silent.remove(&sender.id);
-        }
-    }
-
-    fn note_heard(&self, coordinator: &str) {
-        let now_ms = self.now_ms();
-        let state = self.lock();
-        if let Some(suspicion) = state.silent.get(coordinator) {
-            suspicion.note_progress(now_ms);
-        }
-    }
-
     /// A lease that was or may have been given out is not needed: nothing was sent under it.
     fn report_released(&self, lease: u32, coordinator: SocketAddr) {
         let outcome = LeaseOutcome {
@@ -328,103 +263,6 @@
     }
 }
 
-#[async_trait]
-impl SlotLeases for SlotService {
-    async fn ask(&self, query: SlotQuery<'_>) -> SlotAnswer {
-        if !self.costs.policy.has(Mechanism::Coordinators) {
-            return SlotAnswer::NoCoordinator;
-        }
-        let service = short_hash(query.service);
-        let mut target = self.group_to_ask(&query, service);
-        let mut answer = self.ask_group(&query, service, target).await;
-        let mut answered_by = target;
-        let was_refused = matches!(answer, SlotAnswer::NoCoordinator);
-        if was_refused && target.left == Some(LeftRegion::Full) {
-            // The room there was taken meanwhile, or nobody there answers: the own region takes it after all.
-            target = self.group_at_home(&query, service);
-            answered_by = target;
-            answer = self.ask_group(&query, service, target).await;
-        }
-        let other = match answer {
-            SlotAnswer::ComeBack { .. } => self.roomier_group(&query, target.group),
-            SlotAnswer::AllCold => self.warmer_group(&query, target.group),
-            _ => None,
-        };
-        if let Some(roomier) = other {
-            let second = self.ask_group(&query, service, roomier).await;
-            if !matches!(second, SlotAnswer::NoCoordinator) || roomier.left.is_none() {
-                answer = second;
-                answered_by = roomier;
-            }
-        }
-        if let SlotAnswer::Given { lease, .. } = answer
-            && answered_by.left.is_none()
-            && let Some(elsewhere) = self
-                .leave_the_queue(&query, service, answered_by, lease)
-                .await
-        {
-            answer = elsewhere;
-        }
-        if query.item.is_some() && matches!(answer, SlotAnswer::NoRoom | SlotAnswer::AllCold) {
-            let mut state = self.lock();
-            state
-                .no_room_at
-                .insert((service, target.group), Instant::now());
-        }
-        answer
-    }
-
-    fn take(&self, replica: &Arc<Replica>, item: Option<ItemRoom>) -> u32 {
-        let now = Instant::now();
-        let coordinator = self.peer_coordinating(replica.hash);
-        let mut state = self.lock();
-        let lease = state.held.next_number();
-        state.held.take(lease, replica.hash, usage_of(item, now));
-        let held = state.held.describe(lease, now);
-        drop(state);
-        if let Some(coordinator) = coordinator {
-            let report = SlotReport {
-                holder: self.holder,
-                held: held.into_iter().collect(),
-                ..SlotReport::default()
-            };
-            self.send(Kind::SlotReport(report), coordinator);
-        }
-        lease
-    }
-
-    fn release(&self, lease: u32, end: LeaseEnd) {
-        let replica = self.lock().held.release(lease);
-        if let Some(replica) = replica {
-            self.report_end(lease, replica, end);
-        }
-    }
-
-    fn is_coordinated(&self, replica: &Replica) -> bool {
-        if !self.costs.policy.has(Mechanism::Coordinators) {
-            return false;
-        }
-        let service = short_hash(&replica.record.service);
-        match self.coordinator(service, self.group(replica)) {
-            Coordinator::Own => true,
-            Coordinator::Peer(peer) => peer.address.is_some() && !self.is_silent(&peer.id),
-            Coordinator::Nobody => false,
-        }
-    }
-
-    fn free_slot(&self, replica: &Arc<Replica>) {
-        if self.coordinates(replica) {
-            self.end_an_item(replica);
-        } else if let Some(items) = self.yielding.get() {
-            if replica.own(WorkClass::Batch) > 0 {
-                items.yield_at(&replica.record.id, 1);
-            } else {
-                items.ask_peer(replica);
-            }
-        }
-    }
-}
-
 pub(super) fn millis(time: Duration) -> u32 {
     let time = time.min(LONGEST_SLACK);
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
--- /dev/null
+++ b/crates/edge/src/slots/leases.rs
@@ -0,0 +1,110 @@
+//! Leases as requests ask for them: the groups asked in turn, and leases that this daemon takes itself.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use harrierward_serving::{
+    ItemRoom, LeaseEnd, LeftRegion, Mechanism, Replica, SlotAnswer, SlotLeases, SlotQuery,
+    WorkClass, short_hash,
+};
+use harrierward_wire::{SlotReport, node_datagram::Kind};
+use tokio::time::Instant;
+
+use super::{Coordinator, SlotService, usage_of};
+
+#[async_trait]
+impl SlotLeases for SlotService {
+    async fn ask(&self, query: SlotQuery<'_>) -> SlotAnswer {
+        if !self.costs.policy.has(Mechanism::Coordinators) {
+            return SlotAnswer::NoCoordinator;
+        }
+        let service = short_hash(query.service);
+        let mut target = self.group_to_ask(&query, service);
+        let mut answer = self.ask_group(&query, service, target).await;
+        let mut answered_by = target;
+        let was_refused = matches!(answer, SlotAnswer::NoCoordinator);
+        if was_refused && target.left == Some(LeftRegion::Full) {
+            // The room there was taken meanwhile, or nobody there answers: the own region takes it after all.
+            target = self.group_at_home(&query, service);
+            answered_by = target;
+            answer = self.ask_group(&query, service, target).await;
+        }
+        let other = match answer {
+            SlotAnswer::ComeBack { .. } => self.roomier_group(&query, target.group),
+            SlotAnswer::AllCold => self.warmer_group(&query, target.group),
+            _ => None,
+        };
+        if let Some(roomier) = other {
+            let second = self.ask_group(&query, service, roomier).await;
+            if !matches!(second, SlotAnswer::NoCoordinator) || roomier.left.is_none() {
+                answer = second;
+                answered_by = roomier;
+            }
+        }
+        if let SlotAnswer::Given { lease, .. } = answer
+            && answered_by.left.is_none()
+            && let Some(elsewhere) = self
+                .leave_the_queue(&query, service, answered_by, lease)
+                .await
+        {
+            answer = elsewhere;
+        }
+        if query.item.is_some() && matches!(answer, SlotAnswer::NoRoom | SlotAnswer::AllCold) {
+            let mut state = self.lock();
+            state
+                .no_room_at
+                .insert((service, target.group), Instant::now());
+        }
+        answer
+    }
+
+    fn take(&self, replica: &Arc<Replica>, item: Option<ItemRoom>) -> u32 {
+        let now = Instant::now();
+        let coordinator = self.peer_coordinating(replica.hash);
+        let mut state = self.lock();
+        let lease = state.held.next_number();
+        state.held.take(lease, replica.hash, usage_of(item, now));
+        let held = state.held.describe(lease, now);
+        drop(state);
+        if let Some(coordinator) = coordinator {
+            let report = SlotReport {
+                holder: self.holder,
+                held: held.into_iter().collect(),
+                ..SlotReport::default()
+            };
+            self.send(Kind::SlotReport(report), coordinator);
+        }
+        lease
+    }
+
+    fn release(&self, lease: u32, end: LeaseEnd) {
+        let replica = self.lock().held.release(lease);
+        if let Some(replica) = replica {
+            self.report_end(lease, replica, end);
+        }
+    }
+
+    fn is_coordinated(&self, replica: &Replica) -> bool {
+        if !self.costs.policy.has(Mechanism::Coordinators) {
+            return false;
+        }
+        let service = short_hash(&replica.record.service);
+        match self.coordinator(service, self.group(replica)) {
+            Coordinator::Own => true,
+            Coordinator::Peer(peer) => peer.address.is_some() && !self.is_silent(&peer.id),
+            Coordinator::Nobody => false,
+        }
+    }
+
+    fn free_slot(&self, replica: &Arc<Replica>) {
+        if self.coordinates(replica) {
+            self.end_an_item(replica);
+        } else if let Some(items) = self.yielding.get() {
+            if replica.own(WorkClass::Batch) > 0 {
+                items.yield_at(&replica.record.id, 1);
+            } else {
+                items.ask_peer(replica);
+            }
+        }
+    }
+}
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -8,9 +8,12 @@
 mod giving_way;
 mod granting;
 mod index;
+mod leases;
 mod outcomes;
 mod pacing;
 mod reports;
+mod room;
+mod silence;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -35,9 +38,9 @@
 use crate::calls::DatagramCalls;
 use crate::pool::ConnectionPool;
 
-use choosing_group::ToldRoom;
 use index::GroupIndex;
 use pacing::PacingState;
+use room::ToldRoom;
 
 pub use pacing::Pacing;
 
