--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -1,71 +1,52 @@
 //! The other daemons: who lives, and what each has in progress at the replicas.
 
+mod notices;
+mod peers;
+
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use async_trait::async_trait;
 use harrierward_decisions::{DecisionLog, Record};
-use harrierward_inline_jobs::{InlineJobs, Peers, QuotaRequest};
+use harrierward_inline_jobs::InlineJobs;
 use harrierward_membership::{Action, MembershipCore, MembershipSettings, MembershipView};
-use harrierward_serving::{Location, Mechanism, Policy, Replica, ReplicaSet, WorkClass};
-use harrierward_tenants::AllowedRegions;
+use harrierward_serving::{Location, Mechanism, Policy, Replica, ReplicaSet};
 use harrierward_wire::{
-    Datagram, DatagramKind, LoadNotice, MemberRecord, MemberState, NodeDatagram, QuotaAnswer,
-    QuotaAsk, QuotaOutcome, ReplicaCount, YieldRequest, decode, encode, node_datagram,
+    Datagram, DatagramKind, MemberRecord, MemberState, NodeDatagram, QuotaAnswer, YieldRequest,
+    decode, encode, node_datagram,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep};
 
-use crate::calls::{CallPatience, DatagramCalls, PeerPlace};
+use crate::calls::DatagramCalls;
 use crate::peer_loads::PeerLoads;
 use crate::peer_news::PeerNews;
 use crate::rates::RateService;
 use crate::settings::EdgeSettings;
 use crate::slots::{CoordinatorCandidate, SlotService};
 
+use notices::{ALONE_CUT_OFF_AFTER, NOTICE_FAN_OUT};
+
 /// How often the membership protocol is driven.
 const TICK: Duration = Duration::from_millis(100);
 
 /// Ticks between two load notices.
 const NOTICE_TICKS: u64 = 2;
 
-/// Members that one notice goes to. Coordinators count exactly; a notice only serves a daemon that finds no
-/// coordinator and the question whether it alone is cut off, for which a sample does (measured on further-grown:
-/// 24 -> 3 halves the bytes between zones and moves nothing else).
-const NOTICE_FAN_OUT: usize = 3;
-
 /// How often seeds are asked while nobody else is known: at each tick. A daemon that knows nobody admits no request of a
 /// tenant with a rate, and after a loss of all daemons the seeds come up at any time (one day on 61 daemons: 412 requests
 /// refused for it in the second after the start where this was 400 ms). Seeds that are down cost nothing, and one that
 /// answers ends it.
 const JOIN_EVERY: Duration = TICK;
 
-/// Time after which a daemon that found nobody takes itself for the only one.
-const ALONE_AFTER: Duration = Duration::from_millis(2_500);
-
-/// Time after the first sight of others in which the rest become known.
-const SETTLE: Duration = Duration::from_millis(1_200);
-
 /// Age of the own proof from which on this daemon, if it alone is cut off from the store, says so to all: its jobs go
 /// on elsewhere.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(3_200);
 
-/// Age of the own proof from which on this daemon asks whether it alone is cut off.
-const ALONE_CUT_OFF_AFTER: Duration = Duration::from_millis(2_200);
-
-/// Bounds of a question for a job's tokens.
-const QUOTA_PATIENCE: CallPatience = CallPatience {
-    again: Duration::from_millis(40),
-    give_up: Duration::from_millis(100),
-    longest: Duration::from_millis(200),
-};
-
 /// Largest datagram received, bytes.
 const DATAGRAM_LIMIT: usize = 65_536;
 
@@ -189,20 +170,6 @@
         self.is_alone_without_proof_for(&self.lock(), ALONE_CUT_OFF_AFTER)
     }
 
-    fn is_alone_without_proof_for(&self, state: &State, least: Duration) -> bool {
-        let own = Duration::from_millis(u64::from(self.own_proof_age_ms()));
-        if own < least {
-            return false;
-        }
-        let (mut reaching, mut all) = (0, 0);
-        for age_ms in state.loads.proof_ages_ms() {
-            all += 1;
-            let age = Duration::from_millis(u64::from(age_ms));
-            reaching += usize::from(age_ms > 0 && age < ALONE_CUT_OFF_AFTER);
-        }
-        reaching * 2 > all
-    }
-
     /// Says that this daemon leaves.
     pub fn leave(&self) {
         self.lock().core.leave();
@@ -352,93 +319,12 @@
         self.slots.set_members(staying);
     }
 
-    /// Own counts, for some other members.
-    fn notices(&self, state: &mut State) -> Vec<(String, Vec<u8>)> {
-        if !self.policy.has(Mechanism::LoadNotices) {
-            return Vec::new();
-        }
-        if state.loads.expire(Instant::now()) {
-            self.publish_loads(state);
-        }
-        state.notices += 1;
-        let view = self.replicas.view();
-        let counts = view.all().filter_map(|replica| {
-            let count = ReplicaCount {
-                replica: replica.hash,
-                online: replica.own(WorkClass::Online),
-                batch: replica.own(WorkClass::Batch),
-            };
-            (count.online + count.batch > 0).then_some(count)
-        });
-        let notice = LoadNotice {
-            from: self.life.clone(),
-            number: state.notices,
-            counts: counts.collect(),
-            proof_age_ms: self.own_proof_age_ms(),
-            evacuations: self.news.get().map(|news| news.evacuations()),
-            configuration_version: self
-                .news
-                .get()
-                .map_or(0, |news| news.configuration_version()),
-        };
-        let datagram = NodeDatagram {
-            kind: Some(node_datagram::Kind::LoadNotice(notice)),
-        };
-        let bytes = encode(&datagram);
-        let view = state.view.clone();
-        let others = view.members.iter().filter(|member| member.id != self.life);
-        let told = others.choose_multiple(&mut rand::rng(), NOTICE_FAN_OUT);
-        told.into_iter()
-            .filter_map(|member| state.core.udp_address(&member.id))
-            .map(|address| (address, bytes.clone()))
-            .collect()
-    }
-
-    fn own_proof_age_ms(&self) -> u32 {
-        let age = self.jobs.get().and_then(|jobs| jobs.view().proof_age());
-        age.map_or(0, |age| {
-            u32::try_from(age.as_millis()).map_or(u32::MAX, |millis| millis.saturating_add(1))
-        })
-    }
-
     /// The jobs of this daemon, of which its peers are told, and whose quotas they ask for.
     pub fn set_jobs(&self, jobs: InlineJobs) {
         // Set once, at the start.
         let _ = self.jobs.set(jobs);
     }
 
-    /// A peer wants tokens for a job, or gives them back.
-    fn take_quota_ask(&self, ask: &QuotaAsk, from: SocketAddr) {
-        let Some(jobs) = self.jobs.get() else {
-            return;
-        };
-        let request = QuotaRequest {
-            route: &ask.route,
-            tenant: &ask.tenant,
-            job: &ask.job,
-            tokens: ask.tokens,
-            submission: ask.submission,
-        };
-        if ask.returned {
-            jobs.give_back_quota(request);
-            return;
-        }
-        let (outcome, fence) = jobs.answer_quota(request);
-        let answer = QuotaAnswer {
-            number: ask.number,
-            outcome: outcome as i32,
-            fence,
-        };
-        self.send_to(node_datagram::Kind::QuotaAnswer(answer), from);
-    }
-
-    /// Where a living member takes datagrams.
-    fn address_of(&self, member: &str) -> Option<SocketAddr> {
-        let state = self.lock();
-        state.view.member(member)?;
-        udp_address(&state.core, member)
-    }
-
     fn send_to(&self, kind: node_datagram::Kind, address: SocketAddr) {
         let datagram = NodeDatagram { kind: Some(kind) };
         if let Some(socket) = self.socket.get() {
@@ -447,130 +333,11 @@
         }
     }
 
-    fn quota_ask(&self, request: QuotaRequest<'_>) -> QuotaAsk {
-        QuotaAsk {
-            number: self.next_quota_call.fetch_add(1, Ordering::Relaxed),
-            route: request.route.to_owned(),
-            tenant: request.tenant.to_owned(),
-            job: request.job.to_owned(),
-            tokens: request.tokens,
-            returned: false,
-            submission: request.submission,
-        }
-    }
-
     /// The operator's rows, of which peers are told in passing.
     pub fn set_news(&self, news: Arc<PeerNews>) {
         // Set once, at the start.
         let _ = self.news.set(news);
     }
-
-    /// What a notice tells of the operator's rows.
-    fn take_news(&self, state: &State, notice: &mut LoadNotice) {
-        let Some(news) = self.news.get() else {
-            return;
-        };
-        if let Some(evacuations) = notice.evacuations.take() {
-            news.take_evacuations(evacuations, &notice.from);
-        }
-        news.take_version(notice.configuration_version, || {
-            let member = state.view.member(&notice.from)?;
-            Some(member.peer_address.clone())
-        });
-    }
-
-    fn take_notice(&self, state: &mut State, mut notice: LoadNotice) {
-        self.take_news(state, &mut notice);
-        let is_new = state.loads.take(notice, Instant::now());
-        // In a large fleet notices come too often for that; the tick publishes them.
-        if is_new && state.loads.heard() <= NOTICE_FAN_OUT {
-            self.publish_loads(state);
-        }
-    }
-
-    fn publish_loads(&self, state: &mut State) {
-        let peers = state.view.members.len().saturating_sub(1);
-        let view = self.replicas.view();
-        let sums = state.loads.sums(peers);
-        // Of very many replicas peers have something at a few.
-        let before = std::mem::take(&mut state.published);
-        for hash in before.iter().chain(sums.keys()) {
-            let Some(replica) = view.by_hash(*hash) else {
-                continue;
-            };
-            if !self.slots.coordinates(replica) {
-                let sum = sums.get(hash).copied().unwrap_or_default();
-                replica.set_peers(sum.online, sum.batch);
-            }
-        }
-        state.published = sums.into_keys().collect();
-    }
-}
-
-#[async_trait]
-impl Peers for Members {
-    fn owners(&self) -> Option<Vec<String>> {
-        let state = self.lock();
-        let settled = match state.others_since {
-            Some(since) => since.elapsed() >= SETTLE,
-            None => self.started.elapsed() >= ALONE_AFTER,
-        };
-        if !settled {
-            return None;
-        }
-        let attached = state.view.staying().filter(|member| !member.detached);
-        Some(attached.map(|member| member.id.clone()).collect())
-    }
-
-    fn owners_in(&self, regions: &AllowedRegions) -> Option<Vec<String>> {
-        let owners = self.owners()?;
-        let view = self.view();
-        let is_in = |owner: &String| {
-            let member = view.member(owner);
-            member.is_some_and(|member| regions.allows(&member.region))
-        };
-        Some(owners.into_iter().filter(is_in).collect())
-    }
-
-    fn owners_near(&self, owner: &str) -> Vec<String> {
-        let state = self.lock();
-        let Some(region) = state.core.region(owner) else {
-            return Vec::new();
-        };
-        let staying = state.view.staying();
-        let near = staying.filter(|member| !member.detached && member.region == region);
-        near.map(|member| member.id.clone()).collect()
-    }
-
-    async fn ask_quota(
-        &self,
-        coordinator: &str,
-        request: QuotaRequest<'_>,
-    ) -> Option<(QuotaOutcome, u64)> {
-        let address = self.address_of(coordinator)?;
-        let own = Location::new(&self.zone, &self.region);
-        let view = self.view();
-        let peer = view.member(coordinator);
-        let peer = peer.map_or(own, |one| Location::new(&one.zone, &one.region));
-        let place = PeerPlace::from(own, peer);
-        let ask = self.quota_ask(request);
-        let send = || self.send_to(node_datagram::Kind::QuotaAsk(ask.clone()), address);
-        let answer = self
-            .quota_calls
-            .ask(ask.number, place, QUOTA_PATIENCE, send)
-            .await?;
-        Some((answer.outcome(), answer.fence))
-    }
-
-    fn return_quota(&self, coordinator: &str, request: QuotaRequest<'_>) {
-        if let Some(address) = self.address_of(coordinator) {
-            let ask = QuotaAsk {
-                returned: true,
-                ..self.quota_ask(request)
-            };
-            self.send_to(node_datagram::Kind::QuotaAsk(ask), address);
-        }
-    }
 }
 
 fn udp_address(core: &MembershipCore, id: &str) -> Option<SocketAddr> {
--- /dev/null
+++ b/crates/edge/src/rates/asking.rs
@@ -0,0 +1,134 @@
+//! Questions for tokens: to a tenant's coordinator, or to the member that follows it.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use harrierward_serving::Location;
+use harrierward_tenants::{RateDecision, Tenant, TokenStock};
+use harrierward_wire::{RateAsk, RateOutcome, node_datagram};
+use tokio::time::Instant;
+
+use crate::calls::{CallPatience, PeerPlace};
+use crate::slots::CoordinatorCandidate;
+
+use super::{Asked, RateService, first_two};
+
+/// Bounds of a question for tokens: what a busy peer takes to answer, and a whole wait under half of the shortest
+/// objective known (200 ms). The way to the peer is measured.
+const PATIENCE: CallPatience = CallPatience {
+    again: Duration::from_millis(18),
+    give_up: Duration::from_millis(45),
+    longest: Duration::from_millis(95),
+};
+
+/// How long a coordinator that did not answer is passed over.
+const SILENT_FOR: Duration = Duration::from_millis(1_000);
+
+impl RateService {
+    pub(super) fn question(&self, tenant: &Tenant, now: Instant) -> RateAsk {
+        let (fleet_members, fleet_seen_ms_ago) = self.fleet.describe(now);
+        let state = self.lock();
+        let stock = state.stocks.get(&tenant.name);
+        let wanted = stock.map_or(1, TokenStock::wanted);
+        RateAsk {
+            number: self.next_call.fetch_add(1, Ordering::Relaxed),
+            tenant: tenant.name.to_string(),
+            wanted,
+            fleet_members,
+            fleet_seen_ms_ago,
+        }
+    }
+
+    /// Lets another member tell how large the fleet was, before this one gives out tokens for the first time.
+    pub(super) async fn be_told(&self, tenant: &Tenant, other: Option<&CoordinatorCandidate>) {
+        if self.lock().is_told {
+            return;
+        }
+        if let Some(address) = other.and_then(|other| other.address) {
+            // It does not coordinate the tenant, so it answers with what it knows of the fleet and nothing else.
+            let _ = self.ask(tenant, address).await;
+        }
+        self.lock().is_told = true;
+    }
+
+    /// Where the member with this address is, as seen from here.
+    pub(super) fn place_of(&self, address: SocketAddr) -> PeerPlace {
+        let members = self.members.load();
+        let own = members.iter().find(|one| one.id == self.life);
+        let peer = members.iter().find(|one| one.address == Some(address));
+        let peer = peer.map_or_else(Location::default, |peer| peer.location);
+        PeerPlace::from(own.map_or(peer, |own| own.location), peer)
+    }
+
+    /// Asks a coordinator at an address; keeps what it gives out beyond the one token for this request.
+    pub(super) async fn ask(&self, tenant: &Tenant, address: SocketAddr) -> Asked {
+        let asked_at = Instant::now();
+        let ask = self.question(tenant, asked_at);
+        let place = self.place_of(address);
+        let send = || self.send(node_datagram::Kind::RateAsk(ask.clone()), address);
+        let Some(grant) = self.calls.ask(ask.number, place, PATIENCE, send).await else {
+            return Asked::Silent;
+        };
+        self.take_fleet(grant.fleet_members, grant.fleet_seen_ms_ago);
+        let mut state = self.lock();
+        let stock = state.stocks.entry(tenant.name.clone()).or_default();
+        match grant.outcome() {
+            RateOutcome::Granted => {
+                stock.keep(grant.tokens.saturating_sub(1), asked_at);
+                Asked::Granted
+            }
+            RateOutcome::Empty => {
+                let retry_after = Duration::from_millis(u64::from(grant.retry_after_ms));
+                stock.note_refusal(retry_after, Instant::now());
+                Asked::Empty(retry_after)
+            }
+            RateOutcome::NotCoordinator => Asked::Other(grant.coordinator.parse().ok()),
+        }
+    }
+
+    /// Asks the coordinator; where it is silent, the member that follows it, and where it names another, that one.
+    pub(super) async fn ask_coordinators(&self, tenant: &Tenant) -> (String, Asked) {
+        let members = self.members.load_full();
+        let [Some(first), second] = first_two(&tenant.name, &members) else {
+            return (String::new(), Asked::Silent);
+        };
+        if first.id == self.life {
+            self.be_told(tenant, second).await;
+            return (first.id.clone(), self.give_out_to_self(tenant));
+        }
+        let chosen = second
+            .filter(|_| self.is_silent(&first.id))
+            .unwrap_or(first);
+        // The second gives out tokens only once it does not see the first any more. That is so for this daemon too.
+        let Some(address) = chosen.address.filter(|_| chosen.id != self.life) else {
+            return (chosen.id.clone(), Asked::Silent);
+        };
+        // Where the second still takes the first for the coordinator, which is silent here, nobody counts.
+        let asked = match self.ask(tenant, address).await {
+            Asked::Other(Some(other)) if first.address != Some(other) => {
+                self.ask(tenant, other).await
+            }
+            asked => asked,
+        };
+        if matches!(asked, Asked::Silent) {
+            let until = Instant::now() + SILENT_FOR;
+            self.lock().silent_until.insert(chosen.id.clone(), until);
+        }
+        (chosen.id.clone(), asked)
+    }
+
+    pub(super) fn is_silent(&self, member: &str) -> bool {
+        let state = self.lock();
+        let until = state.silent_until.get(member);
+        until.is_some_and(|until| Instant::now() < *until)
+    }
+
+    pub(super) fn give_out_to_self(&self, tenant: &Tenant) -> Asked {
+        match self.give_out(tenant, 1) {
+            Some(RateDecision::Granted { .. }) => Asked::Granted,
+            Some(RateDecision::Empty { retry_after }) => Asked::Empty(retry_after),
+            None => Asked::Silent,
+        }
+    }
+}
