--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -5,10 +5,15 @@
 
 mod asking;
 mod choosing_group;
+mod giving_way;
 mod granting;
 mod index;
+mod leases;
 mod outcomes;
 mod pacing;
+mod reports;
+mod room;
+mod silence;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -33,9 +38,9 @@
 use crate::calls::DatagramCalls;
 use crate::pool::ConnectionPool;
 
-use choosing_group::ToldRoom;
 use index::GroupIndex;
 use pacing::PacingState;
+use room::ToldRoom;
 
 pub use pacing::Pacing;
 
@@ -181,8 +186,13 @@
 
     /// The members that may keep leases, this one among them unless it leaves.
     pub fn set_members(&self, members: Vec<CoordinatorCandidate>) {
-        self.members.store(Arc::new(members));
-        self.lock().coordinators.clear();
+        let members = Arc::new(members);
+        self.members.store(members.clone());
+        let mut state = self.lock();
+        state.coordinators.clear();
+        // Each start has a name of its own, so what is known of the gone is of no use any more.
+        let silent = &mut state.silent;
+        silent.retain(|id, _| members.iter().any(|member| member.id == *id));
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/edge/src/slots/outcomes.rs
+++ b/crates/edge/src/slots/outcomes.rs
@@ -73,12 +73,12 @@
         };
         let mut state = self.lock();
         let detector = state.outliers.entry(key).or_default();
-        let change = detector.observe(end, group, Instant::now());
+        let Some(change) = detector.observe(end, group, Instant::now()) else {
+            return;
+        };
         let ejected = ejected_here(&state);
         drop(state);
-        if let Some(change) = change {
-            self.log_change(replica, &change, ejected);
-        }
+        self.log_change(replica, &change, ejected);
     }
 
     /// The replicas among which one is chosen, in the order in which that is tried: those that this work may probe,
@@ -101,12 +101,19 @@
             return vec![usable];
         }
         let out = detector.out();
-        let in_service = usable
+        let in_service = usable.iter().filter(|replica| !out.contains(&replica.hash));
+        let in_service: Vec<Arc<Replica>> = in_service.cloned().collect();
+        let offered = in_service
             .iter()
-            .filter(|replica| !out.contains(&replica.hash))
             .filter(|replica| rand::random::<f64>() < detector.share(replica.hash));
-        let in_service: Vec<Arc<Replica>> = in_service.cloned().collect();
+        let offered: Vec<Arc<Replica>> = offered.cloned().collect();
         drop(state);
+        // A slow replica still goes before one that fails.
+        let in_service = if offered.is_empty() {
+            in_service
+        } else {
+            offered
+        };
         let due = usable.iter();
         let due = due.filter(|replica| probed.contains(&replica.hash));
         let mut offered = vec![due.cloned().collect(), in_service];
@@ -116,20 +123,26 @@
         offered
     }
 
-    /// A lease was granted at a replica of an own group; it may be a probe.
+    /// Replicas of an own group that get no work now.
+    pub(super) fn ejected(state: &State, service: u32, group: GroupId) -> HashSet<u32> {
+        let detector = state.outliers.get(&(service, group));
+        detector.map(OutlierDetector::out).unwrap_or_default()
+    }
+
+    /// A lease was granted at a replica of an own group. True if its request is a probe.
     pub(super) fn note_granted(
         &self,
         service: &str,
         group: GroupId,
         replica: &Replica,
         lease: LeaseName,
-    ) {
+    ) -> bool {
         let mut state = self.lock();
         let detector = state.outliers.get_mut(&(short_hash(service), group));
         let is_probe = detector
             .is_some_and(|detector| detector.note_grant(replica.hash, lease, Instant::now()));
         if !is_probe {
-            return;
+            return false;
         }
         let ejected = ejected_here(&state);
         drop(state);
@@ -145,6 +158,7 @@
             others_permille: 0,
             ejected,
         });
+        true
     }
 
     /// Forgets replicas that are gone, and groups that another daemon keeps now.
@@ -211,6 +225,7 @@
         Verdict::Silent => OutcomeKind::Silent,
         Verdict::Spoilt => OutcomeKind::Spoilt,
         Verdict::NotRun => OutcomeKind::NotRun,
+        Verdict::NotSent => OutcomeKind::NotSent,
     }
 }
 
