--- a/crates/edge/src/rates.rs
+++ b/crates/edge/src/rates/mod.rs
@@ -3,28 +3,32 @@
 //!
 //! Why asked, and not estimated: a limit holds for the whole fleet, also for daemons that are cut off. A daemon admits
 //! only requests for which a coordinator gave it a token; with nobody to ask, it refuses and the caller goes elsewhere.
+//!
+//! A coordinator that died is found out after a second or more. Until then the member that follows it gives out a
+//! bounded stock in its place ([`Succession`], [`RateLedger::stand_in`]).
 
 mod asking;
+mod giving;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_serving::{Location, RateAnswer, RateLimits, SharedRoutes};
-use harrierward_tenants::{RateBounds, RateDecision, RateLedger, Tenant, TokenStock};
-use harrierward_wire::{NodeDatagram, RateAsk, RateGrant, RateOutcome, encode, node_datagram};
+use harrierward_tenants::{RateBounds, RateLedger, Succession, Tenant, TokenStock};
+use harrierward_wire::{NodeDatagram, RateGrant, encode, node_datagram};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::calls::DatagramCalls;
 use crate::fleet::SharedFleet;
+use crate::order::first_two;
 use crate::slots::CoordinatorCandidate;
+use asking::Asked;
 
 /// Stocks kept before those are dropped that hold nothing; bounds the memory of a daemon whose tenants change.
 const MOST_STOCKS: usize = 1_024;
@@ -35,6 +39,7 @@
     silent_until: HashMap<String, Instant>,
     /// Another member has told how large the fleet was, or could not be asked.
     is_told: bool,
+    succession: Succession,
 }
 
 /// The rates of one daemon.
@@ -51,15 +56,6 @@
     state: Mutex<State>,
 }
 
-/// What a coordinator said.
-enum Asked {
-    Granted,
-    Empty(Duration),
-    /// It is another one, perhaps at this address.
-    Other(Option<SocketAddr>),
-    Silent,
-}
-
 impl RateService {
     /// Knows only itself.
     pub fn new(
@@ -89,6 +85,7 @@
                 stocks: HashMap::new(),
                 silent_until: HashMap::new(),
                 is_told: false,
+                succession: Succession::new(bounds.in_doubt_for(), Instant::now()),
             }),
         }
     }
@@ -99,18 +96,34 @@
         let _ = self.socket.set(socket);
     }
 
+    /// To be called ten times a second at least: finds out that this daemon stood still.
+    pub fn tick(&self) {
+        self.note_running(&mut self.lock(), Instant::now());
+    }
+
+    fn note_running(&self, state: &mut State, now: Instant) {
+        if let Some(stood_still) = state.ledger.note_running(now) {
+            self.log.record(&Record::RatesStoodStill {
+                stood_still_ms: u64::try_from(stood_still.as_millis()).unwrap_or(u64::MAX),
+            });
+        }
+    }
+
     /// The members that may coordinate tenants, this one among them unless it leaves.
     pub fn set_members(&self, members: Vec<CoordinatorCandidate>) {
         let mut state = self.lock();
         let now = Instant::now();
         self.fleet.see(members.len(), now);
         let share = self.fleet.share(members.len(), now);
-        let dropped = state
-            .ledger
-            .retain(|tenant| self.is_first(tenant, &members));
+        let before = self.members.load();
+        let is_there = |id: &str| members.iter().any(|member| member.id == id);
+        let gone = before.iter().filter(|member| !is_there(&member.id));
+        let gone = gone.map(|member| member.id.clone());
+        state.succession.note_change(gone, is_there, now);
+        let is_first = |tenant: &str| self.is_first(tenant, &members);
+        let dropped = state.ledger.retain(&self.bounds, now, is_first);
         // Each start has a name of its own, so what is known of the gone is of no use any more.
-        let silent = &mut state.silent_until;
-        silent.retain(|id, _| members.iter().any(|member| member.id == *id));
+        state.silent_until.retain(|id, _| is_there(id));
         self.members.store(Arc::new(members));
         drop(state);
         if dropped > 0 {
@@ -142,22 +155,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Gives out tokens of a tenant that this daemon coordinates; `None` if it cannot tell its part of the limit yet.
-    fn give_out(&self, tenant: &Tenant, wanted: u32) -> Option<RateDecision> {
-        let members = self.members.load().len();
-        let now = Instant::now();
-        let share = self.fleet.share(members, now);
-        if share == 0.0 {
-            return None;
-        }
-        let mut state = self.lock();
-        let limit = tenant.rate;
-        let decision = state
-            .ledger
-            .take(&tenant.name, limit, &self.bounds, share, wanted, now);
-        Some(decision)
-    }
-
     /// Answers a peer's question, or takes the answer to an own one. Returns datagrams of other kinds.
     pub fn receive(
         &self,
@@ -189,47 +186,6 @@
         }
     }
 
-    fn answer(&self, ask: &RateAsk) -> RateGrant {
-        self.take_fleet(ask.fleet_members, ask.fleet_seen_ms_ago);
-        let mut grant = self.decide(ask);
-        (grant.fleet_members, grant.fleet_seen_ms_ago) = self.fleet.describe(Instant::now());
-        grant
-    }
-
-    fn decide(&self, ask: &RateAsk) -> RateGrant {
-        let members = self.members.load();
-        let is_first = self.is_first(&ask.tenant, &members);
-        let tenant = self.tenant(&ask.tenant);
-        let decision = tenant
-            .filter(|_| is_first)
-            .and_then(|tenant| self.give_out(&tenant, ask.wanted.max(1)));
-        let Some(decision) = decision else {
-            let [first, _] = first_two(&ask.tenant, &members);
-            let other = first.filter(|member| member.id != self.life);
-            let address = other.and_then(|member| member.address);
-            return RateGrant {
-                number: ask.number,
-                outcome: RateOutcome::NotCoordinator as i32,
-                coordinator: address.map_or_else(String::new, |address| address.to_string()),
-                ..RateGrant::default()
-            };
-        };
-        match decision {
-            RateDecision::Granted { tokens } => RateGrant {
-                number: ask.number,
-                outcome: RateOutcome::Granted as i32,
-                tokens,
-                ..RateGrant::default()
-            },
-            RateDecision::Empty { retry_after } => RateGrant {
-                number: ask.number,
-                outcome: RateOutcome::Empty as i32,
-                retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
-                ..RateGrant::default()
-            },
-        }
-    }
-
     /// A tenant as the configuration in force has it.
     fn tenant(&self, name: &str) -> Option<Arc<Tenant>> {
         let routes = self.routes.load();
@@ -245,20 +201,6 @@
         }
     }
 
-    /// Takes a token from the stock, or says when the caller may come back without asking again.
-    fn take_from_stock(&self, tenant: &Tenant, now: Instant) -> Result<(), Option<Duration>> {
-        let mut state = self.lock();
-        if state.stocks.len() >= MOST_STOCKS {
-            state.stocks.retain(|_, stock| !stock.is_idle(now));
-        }
-        let stock = state.stocks.entry(tenant.name.clone()).or_default();
-        stock.note_request(now);
-        if stock.take(now) {
-            return Ok(());
-        }
-        Err(stock.refusal(now))
-    }
-
     /// Takes what another member saw of the fleet: a coordinator that has just started knows nothing of members that
     /// were cut off before.
     fn take_fleet(&self, members: u32, seen_ms_ago: u32) {
@@ -318,26 +260,6 @@
     }
 }
 
-/// The two members that come first in a tenant's order: its coordinator, and who follows it. All daemons that know the
-/// same members name the same ones (rendezvous hashing).
-fn first_two<'a>(
-    tenant: &str,
-    members: &'a [CoordinatorCandidate],
-) -> [Option<&'a CoordinatorCandidate>; 2] {
-    let seed = xxh3_64_with_seed(tenant.as_bytes(), 0);
-    let mut first: Option<(u64, &CoordinatorCandidate)> = None;
-    let mut second: Option<(u64, &CoordinatorCandidate)> = None;
-    for member in members {
-        let weight = xxh3_64_with_seed(member.id.as_bytes(), seed);
-        if first.is_none_or(|(most, _)| weight > most) {
-            second = first.replace((weight, member));
-        } else if second.is_none_or(|(most, _)| weight > most) {
-            second = Some((weight, member));
-        }
-    }
-    [first, second].map(|found| found.map(|(_, member)| member))
-}
-
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn permille(share: f64) -> u32 {
     (share * 1_000.0).round() as u32
