Tests of regions: all times are twice as long, so that a busy machine does not decide

Cause: on a busy machine (load about 20 on 12 cores) two of eight runs of this file failed, each time another test: a coordinator of the own region that was not scheduled for 30 ms counted as silent. Ruled out: longer patience alone, with which the tests would pass without the measured way. Change: objective 600 ms and 40 ms one way, so the ratio of patience to way is as it was, and the assertions are the same.

--- a/crates/edge/tests/regions.rs
+++ b/crates/edge/tests/regions.rs
@@ -20,8 +20,8 @@
 
 const SERVICE: &str = "model";
 const SLOTS: u32 = 2;
-const OBJECTIVE: Duration = Duration::from_millis(300);
-const ONE_WAY: Duration = Duration::from_millis(20);
+const OBJECTIVE: Duration = Duration::from_millis(600);
+const ONE_WAY: Duration = Duration::from_millis(40);
 const REGIONS: [&str; 3] = ["north", "middle", "south"];
 const IN_A_REGION: usize = 8;
 
