The bound on evacuations is no setting of a daemon

Cause: it was decoded and read by nothing; a daemon follows an evacuation as soon as it learns of it, whatever the bound. Change: the field goes.

--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -44,8 +44,6 @@
     pub rate_bounds: RateBounds,
     /// What cold replicas may be sent beyond the rate that they bear.
     pub warmup_bounds: RateBounds,
-    /// Time after which nothing may arrive in a zone whose evacuation was accepted.
-    pub evacuate_within: Duration,
     /// Address of the metrics; may be empty.
     pub metrics_address: String,
     /// Mechanisms of the policy in use.
