One place looks at a service's groups as they are now

Cause: five functions built the same view of the groups, three of them line for line. Change: with_groups; behaviour as it was (tests of edge and platform: none failed).

--- a/crates/edge/src/slots/choosing_group.rs
+++ b/crates/edge/src/slots/choosing_group.rs
@@ -118,21 +118,32 @@
 impl SlotService {
     /// The group to ask for a request, and why it lies in another region if it does.
     pub(super) fn group_to_ask(&self, query: &SlotQuery<'_>, service: u32) -> Target {
+        self.with_groups(query, service, |groups| {
+            if groups.layout.is_single() {
+                return self.only(groups.index, service, groups.layout.at(0));
+            }
+            let target = self.nearest(groups);
+            let may_spill = query.item.is_none() && !query.overdue && target.left.is_none();
+            let spilled = may_spill.then(|| self.spill(groups, target.group));
+            spilled.flatten().unwrap_or(target)
+        })
+    }
+
+    /// Looks at the groups of the query's service as they are now.
+    fn with_groups<T>(
+        &self,
+        query: &SlotQuery<'_>,
+        service: u32,
+        look: impl FnOnce(&Groups<'_>) -> T,
+    ) -> T {
         let index = self.index();
         let layout = layout(&index.view, query.service, self.costs.policy);
-        if layout.is_single() {
-            return self.only(&index, service, layout.at(0));
-        }
-        let groups = Groups {
+        look(&Groups {
             service,
             index: &index,
             layout: &layout,
             query,
-        };
-        let target = self.nearest(&groups);
-        let may_spill = query.item.is_none() && !query.overdue && target.left.is_none();
-        let spilled = may_spill.then(|| self.spill(&groups, target.group));
-        spilled.flatten().unwrap_or(target)
+        })
     }
 
     fn only(&self, index: &GroupIndex, service: u32, group: GroupId) -> Target {
@@ -146,14 +157,7 @@
 
     /// The group to ask in the own region, however full it is; another one only if that has no replica to ask for.
     pub(super) fn group_at_home(&self, query: &SlotQuery<'_>, service: u32) -> Target {
-        let index = self.index();
-        let layout = layout(&index.view, query.service, self.costs.policy);
-        self.nearest(&Groups {
-            service,
-            index: &index,
-            layout: &layout,
-            query,
-        })
+        self.with_groups(query, service, |groups| self.nearest(groups))
     }
 
     fn nearest(&self, groups: &Groups<'_>) -> Target {
@@ -252,17 +256,7 @@
         if query.item.is_some() || query.overdue {
             return None;
         }
-        let target = {
-            let index = self.index();
-            let layout = layout(&index.view, query.service, self.costs.policy);
-            let groups = Groups {
-                service,
-                index: &index,
-                layout: &layout,
-                query,
-            };
-            self.spill(&groups, home.group)?
-        };
+        let target = self.with_groups(query, service, |groups| self.spill(groups, home.group))?;
         let mut at_home = QueuePlace {
             service: self,
             lease: Some(lease),
@@ -295,45 +289,33 @@
     /// Another group for a caller that would be sent away: of the own region one that is not full as far as its
     /// coordinator told, else one of another region that is worth the way.
     pub(super) fn roomier_group(&self, query: &SlotQuery<'_>, full: GroupId) -> Option<Target> {
-        let index = self.index();
         let service = short_hash(query.service);
-        let layout = layout(&index.view, query.service, self.costs.policy);
-        let groups = Groups {
-            service,
-            index: &index,
-            layout: &layout,
-            query,
-        };
-        let near = groups.in_region(self.location.region).into_iter();
-        let told = near.filter(|group| *group != full).filter_map(|group| {
-            let told = self.told_room(service, group)?;
-            (told.free_permille > 0).then_some((told.free_permille, group))
-        });
-        let roomiest = told.max().map(|(_, group)| Target::near(group));
-        roomiest.or_else(|| self.spill(&groups, full))
+        self.with_groups(query, service, |groups| {
+            let near = groups.in_region(self.location.region).into_iter();
+            let told = near.filter(|group| *group != full).filter_map(|group| {
+                let told = self.told_room(service, group)?;
+                (told.free_permille > 0).then_some((told.free_permille, group))
+            });
+            let roomiest = told.max().map(|(_, group)| Target::near(group));
+            roomiest.or_else(|| self.spill(groups, full))
+        })
     }
 
     /// Another group for a request that met cold replicas only: one of the own region with warm ones, the roomiest as
     /// far as is known.
     pub(super) fn warmer_group(&self, query: &SlotQuery<'_>, cold: GroupId) -> Option<Target> {
-        let index = self.index();
         let service = short_hash(query.service);
-        let layout = layout(&index.view, query.service, self.costs.policy);
-        let groups = Groups {
-            service,
-            index: &index,
-            layout: &layout,
-            query,
-        };
         let now = Instant::now();
-        let near = groups.in_region(self.location.region).into_iter();
-        let others = near.filter(|group| *group != cold);
-        let warm = others.filter(|group| groups.usable(*group).any(|one| !one.is_cold(now)));
-        let roomiest = warm.max_by_key(|group| {
-            let free = self.room(service, *group).free_permille;
-            // Of several that are alike, not all daemons ask the same.
-            (free, rand::random::<u32>())
-        });
-        roomiest.map(Target::near)
+        self.with_groups(query, service, |groups| {
+            let near = groups.in_region(self.location.region).into_iter();
+            let others = near.filter(|group| *group != cold);
+            let warm = others.filter(|group| groups.usable(*group).any(|one| !one.is_cold(now)));
+            let roomiest = warm.max_by_key(|group| {
+                let free = self.room(service, *group).free_permille;
+                // Of several that are alike, not all daemons ask the same.
+                (free, rand::random::<u32>())
+            });
+            roomiest.map(Target::near)
+        })
     }
 }
