standalone says that it listens once all replicas have told their load

A replica of which nothing was heard yet gets no requests, and the program waited only until it owned them. Change: the node's status counts the replicas that told their load lately, and standalone waits for all. The test is as it was.

--- a/crates/harrierward/src/standalone.rs
+++ b/crates/harrierward/src/standalone.rs
@@ -197,9 +197,9 @@
         settings,
     })?;
     let address = api.local_addr()?;
-    // A service whose replicas nobody owns yet refuses its first callers, who were just told that the node listens.
+    // A service of whose replicas nothing was heard yet refuses its first callers, who were just told that the node listens.
     let all = TRIALS.len() * REPLICAS_A_SERVICE;
-    while !node.is_ready() || node.status().owned_replicas < all {
+    while !node.is_ready() || node.status().confirmed_replicas < all {
         sleep(READY_PAUSE).await;
     }
     announce(&address.to_string());
--- a/crates/node/src/directory_task.rs
+++ b/crates/node/src/directory_task.rs
@@ -46,6 +46,16 @@
     }
 }
 
+/// Number of replicas of which this daemon heard lately.
+pub(crate) fn confirmed_replicas(shared: &Shared) -> usize {
+    let now_micros = shared.now_micros();
+    let directory = shared.directory.load();
+    let replicas = directory.replicas.values();
+    let confirmed =
+        replicas.filter(|replica| replica.load.confirmation_age(now_micros) <= UNHEARD_MICROS);
+    confirmed.count()
+}
+
 /// Replicas whose load this daemon reads itself: those it owns, and those of which it has heard nothing lately.
 fn replicas_to_read(shared: &Arc<Shared>) -> Vec<Arc<Replica>> {
     let owned = lock(&shared.ownership).replicas();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -108,6 +108,8 @@
     pub replicas: usize,
     /// Replicas owned.
     pub owned_replicas: usize,
+    /// Replicas that told their load lately: the others get no requests.
+    pub confirmed_replicas: usize,
     /// Shards owned.
     pub owned_shards: usize,
     /// Open jobs at its shards.
@@ -471,6 +473,7 @@
             members: shared.view.load().members.len(),
             replicas: shared.directory.load().replicas.len(),
             owned_replicas,
+            confirmed_replicas: crate::directory_task::confirmed_replicas(shared),
             owned_shards: shared.owner.shards().len(),
             open_jobs: shared.owner.job_count(),
             online_running,
