Sight: each step of a planned stop is logged, with requests in progress and open connections

Cause: stopping and stopped alone do not tell whether a stop waited for the store, for replicas or for callers. Ruled out: one line with all times at the end, which a daemon that is killed never writes. Change: a stop_step record for each step with the time since the signal; connections are counted. No decision changes. Conclusion: the hand-over of jobs can be told from the wait for answers.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -31,10 +31,23 @@
         /// Requests in progress.
         in_progress: usize,
     },
+    /// A step of a planned stop is over.
+    StopStep {
+        /// Step.
+        step: &'a str,
+        /// Time since the signal.
+        after_ms: u64,
+        /// Requests in progress.
+        in_progress: usize,
+        /// Open connections of callers.
+        connections: usize,
+    },
     /// The process ends.
     Stopped {
         /// Requests cut off.
         cut_off: usize,
+        /// Time since the signal.
+        after_ms: u64,
     },
     /// Settings were read again.
     Reloaded {
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -265,19 +265,37 @@
         });
         let last = self.settings.grace.saturating_sub(END_RESERVE);
         self.service.jobs.hand_over_all(asked_at + last).await;
+        self.log_stop_step("jobs handed over", asked_at);
         self.members.leave();
         sleep_until(asked_at + TAKEN_OUT_AFTER).await;
         // If most daemons of a zone stop at once, callers still come; from now on they are not let in.
         control.set_stage(ServerStage::Closing);
+        self.log_stop_step("listener closed", asked_at);
         while control.in_progress() > 0 && asked_at.elapsed() < last {
             sleep(STOP_CHECK).await;
         }
+        self.log_stop_step("requests answered", asked_at);
         sleep(CLOSE_TIME).await;
         self.log.record(&Record::Stopped {
             cut_off: control.in_progress(),
+            after_ms: milliseconds_since(asked_at),
         });
         self.log.flush();
     }
+
+    fn log_stop_step(&self, step: &str, asked_at: Instant) {
+        let control = &self.service.control;
+        self.log.record(&Record::StopStep {
+            step,
+            after_ms: milliseconds_since(asked_at),
+            in_progress: control.in_progress(),
+            connections: control.connections(),
+        });
+    }
+}
+
+fn milliseconds_since(moment: Instant) -> u64 {
+    u64::try_from(moment.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
 
 /// What ends batch items for online requests.
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -60,6 +60,7 @@
 pub struct ServerControl {
     stage: watch::Sender<ServerStage>,
     in_progress: AtomicUsize,
+    connections: AtomicUsize,
     limits: ArcSwap<CallerLimits>,
     unacknowledged_timeout: Duration,
 }
@@ -69,6 +70,7 @@
         Self {
             stage: watch::Sender::new(ServerStage::Serving),
             in_progress: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             limits: ArcSwap::from_pointee(CallerLimits::default()),
             unacknowledged_timeout: UNACKNOWLEDGED_TIMEOUT,
         }
@@ -97,6 +99,11 @@
         self.in_progress.load(Ordering::Relaxed)
     }
 
+    /// Open connections.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
     /// Takes over limits for connections made from now on.
     pub fn set_limits(&self, limits: CallerLimits) {
         self.limits.store(Arc::new(limits));
@@ -177,11 +184,28 @@
 /// How often the times of a busy connection are looked at.
 const BUSY_CHECK: Duration = Duration::from_secs(1);
 
+/// A connection that is counted.
+struct OpenConnection(Arc<ServerControl>);
+
+impl OpenConnection {
+    fn begin(control: &Arc<ServerControl>) -> Self {
+        control.connections.fetch_add(1, Ordering::Relaxed);
+        Self(control.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn serve_connection<S: HttpService>(
     stream: TcpStream,
     control: Arc<ServerControl>,
     service: Arc<S>,
 ) {
+    let _open = OpenConnection::begin(&control);
     let _ = stream.set_nodelay(true);
     set_probes(&stream, control.unacknowledged_timeout);
     let limits = *control.limits.load_full();
