--- a/crates/edge/tests/server.rs
+++ b/crates/edge/tests/server.rs
@@ -105,6 +105,40 @@
     fixture.until_in_progress(0).await;
 }
 
+/// Answers with one piece that is larger than the buffers of a connection.
+struct Large;
+
+const LARGE_BYTES: usize = 32 << 20;
+
+#[async_trait]
+impl HttpService for Large {
+    async fn call(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
+        let body = Full::new(Bytes::from(vec![b'x'; LARGE_BYTES]));
+        Response::new(body.map_err(|never| match never {}).boxed_unsync())
+    }
+}
+
+/// A stop that took the request for done would end the process, and with it what the caller has not taken yet.
+#[tokio::test]
+async fn an_answer_is_in_progress_until_its_last_byte_is_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let control = Arc::new(ServerControl::default());
+    tokio::spawn(serve(listener, control.clone(), Arc::new(Large)));
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    stream.write_all(REQUEST).await.expect("write");
+    let mut byte = [0];
+    stream.read_exact(&mut byte).await.expect("a first byte");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(control.in_progress(), 1);
+    control.set_stage(ServerStage::Closing);
+    let rest = read_to_end(stream).await;
+    assert!(rest.len() > LARGE_BYTES, "{} bytes", rest.len());
+    while control.in_progress() > 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
 /// Answers without an end.
 struct Endless;
 
