A planned stop closes its listener in time whatever the store does: callers and jobs leave side by side

Cause: the hand-over of jobs, which needs the store, ran before the listener was closed and before peers were told; beside a slow or absent store it took the whole grace, callers were let in until its end and cut off. Change: hand-over and answering run side by side; peers are told after 2.6 s at the latest, so that jobs which are not handed over are adopted. The store's condition decides where both meet.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -1,4 +1,4 @@
-//! One daemon: its parts wired together, its start and its planned stop.
+//! One daemon: its parts wired together, and its start.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,7 +13,7 @@
     Mechanism, Replica, ReplicaClient, ReplicaSet,
 };
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 use crate::discovery::{Discovery, DiscoverySource};
 use crate::figures::Figures;
@@ -23,7 +23,7 @@
 use crate::peer_rows::{PeerRows, learn};
 use crate::pool::ConnectionPool;
 use crate::rates::RateService;
-use crate::server::{HttpService, ServerControl, ServerStage, serve};
+use crate::server::{HttpService, ServerControl, serve};
 use crate::settings::EdgeSettings;
 use crate::slots::{Pacing, SlotService, YieldItems};
 use crate::watch::{
@@ -31,18 +31,6 @@
     whole_read_interval,
 };
 
-/// Time in which the platform takes a daemon that is not ready out of service.
-const TAKEN_OUT_AFTER: Duration = Duration::from_millis(2_600);
-
-/// Part of the grace that is kept for the end itself.
-const END_RESERVE: Duration = Duration::from_millis(900);
-
-/// How often a stopping daemon looks whether its requests are done.
-const STOP_CHECK: Duration = Duration::from_millis(50);
-
-/// Time for idle connections to be closed in order.
-const CLOSE_TIME: Duration = Duration::from_millis(150);
-
 /// What a daemon is made of.
 pub struct DaemonParts {
     /// Settings.
@@ -71,7 +59,7 @@
     pub jobs: InlineJobs,
     /// The servers' state.
     pub control: Arc<ServerControl>,
-    stopping: AtomicBool,
+    pub(crate) stopping: AtomicBool,
     discovery: Arc<Discovery>,
     members: Arc<Members>,
 }
@@ -91,10 +79,10 @@
 
 /// A running daemon.
 pub struct Daemon {
-    settings: EdgeSettings,
-    service: Arc<EdgeService>,
-    members: Arc<Members>,
-    log: DecisionLog,
+    pub(crate) settings: EdgeSettings,
+    pub(crate) service: Arc<EdgeService>,
+    pub(crate) members: Arc<Members>,
+    pub(crate) log: DecisionLog,
 }
 
 impl Daemon {
@@ -253,49 +241,6 @@
         }
         Ok(())
     }
-
-    /// Stops in order: not ready at once, then what was read is answered, then the end.
-    pub async fn stop(&self) {
-        let asked_at = Instant::now();
-        let control = &self.service.control;
-        self.service.stopping.store(true, Ordering::Relaxed);
-        control.set_stage(ServerStage::Draining);
-        self.log.record(&Record::Stopping {
-            in_progress: control.in_progress(),
-        });
-        let last = self.settings.grace.saturating_sub(END_RESERVE);
-        self.service.jobs.hand_over_all(asked_at + last).await;
-        self.log_stop_step("jobs handed over", asked_at);
-        self.members.leave();
-        sleep_until(asked_at + TAKEN_OUT_AFTER).await;
-        // If most daemons of a zone stop at once, callers still come; from now on they are not let in.
-        control.set_stage(ServerStage::Closing);
-        self.log_stop_step("listener closed", asked_at);
-        while control.in_progress() > 0 && asked_at.elapsed() < last {
-            sleep(STOP_CHECK).await;
-        }
-        self.log_stop_step("requests answered", asked_at);
-        sleep(CLOSE_TIME).await;
-        self.log.record(&Record::Stopped {
-            cut_off: control.in_progress(),
-            after_ms: milliseconds_since(asked_at),
-        });
-        self.log.flush();
-    }
-
-    fn log_stop_step(&self, step: &str, asked_at: Instant) {
-        let control = &self.service.control;
-        self.log.record(&Record::StopStep {
-            step,
-            after_ms: milliseconds_since(asked_at),
-            in_progress: control.in_progress(),
-            connections: control.connections(),
-        });
-    }
-}
-
-fn milliseconds_since(moment: Instant) -> u64 {
-    u64::try_from(moment.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
 
 /// What ends batch items for online requests.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod settings;
 mod silence;
 mod slots;
+mod stop;
 mod trips;
 mod watch;
 
