Log lines are written by a thread of their own: an output that takes nothing stops no daemon

Cause: decision lines went through a blocking write on the daemon's only thread; a pipe of 64 kB that nobody reads stopped it for good, alive and silent, with all its requests. Ruled out: the queue's bound (it bounds what waits before the write, not the write). Same cause elsewhere: the product's own program wrote all its logs so; it uses the same appender now. Weighed: a non-blocking descriptor, which would change the output of whoever shares it.

--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -187,6 +187,13 @@
     }
 }
 
+/// The line that tells of lines that the output did not take.
+pub fn dropped_record(lines: u64) -> String {
+    let mut bytes = Vec::new();
+    append(&mut bytes, &Record::LinesDropped { lines });
+    String::from_utf8(bytes).unwrap_or_default()
+}
+
 fn append(bytes: &mut Vec<u8>, record: &Record<'_>) {
     let at_ms = SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/harrierward/src/logging.rs
+++ b/crates/harrierward/src/logging.rs
@@ -1,10 +1,10 @@
 //! Logs go to the console: plain lines or JSON lines.
 
 use eyre::Result;
-use harrierward_decisions::DECISION_TARGET;
+use harrierward_decisions::{ConsoleStream, DECISION_TARGET, DetachedConsole, dropped_record};
 use log::LevelFilter;
-use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Config, Logger, Root};
+use log4rs::encode::Encode;
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
 
@@ -29,28 +29,26 @@
 
 /// Starts logging to standard error.
 pub fn start(format: LogFormat, level: LevelFilter) -> Result<()> {
-    let builder = ConsoleAppender::builder().target(Target::Stderr);
-    let appender = match format {
-        LogFormat::Plain => builder.encoder(Box::new(PatternEncoder::new(PLAIN_PATTERN))),
-        LogFormat::Json => builder.encoder(Box::new(JsonEncoder::new())),
+    let encoder: Box<dyn Encode> = match format {
+        LogFormat::Plain => Box::new(PatternEncoder::new(PLAIN_PATTERN)),
+        LogFormat::Json => Box::new(JsonEncoder::new()),
     };
-    let appender = Appender::builder().build(APPENDER, Box::new(appender.build()));
+    let appender = DetachedConsole::start(ConsoleStream::Error, encoder, dropped_record)?;
+    let appender = Appender::builder().build(APPENDER, Box::new(appender));
     let root = Root::builder().appender(APPENDER).build(level);
     let config = Config::builder()
         .appender(appender)
-        .appender(decision_appender())
+        .appender(decision_appender()?)
         .logger(decision_logger(level))
         .build(root)?;
     log4rs::init_config(config)?;
     Ok(())
 }
 
-fn decision_appender() -> Appender {
-    let appender = ConsoleAppender::builder()
-        .target(Target::Stderr)
-        .encoder(Box::new(PatternEncoder::new(DECISION_PATTERN)))
-        .build();
-    Appender::builder().build(DECISION_APPENDER, Box::new(appender))
+fn decision_appender() -> Result<Appender> {
+    let encoder = Box::new(PatternEncoder::new(DECISION_PATTERN));
+    let appender = DetachedConsole::start(ConsoleStream::Error, encoder, dropped_record)?;
+    Ok(Appender::builder().build(DECISION_APPENDER, Box::new(appender)))
 }
 
 fn decision_logger(level: LevelFilter) -> Logger {
--- a/crates/harrierward/src/main.rs
+++ b/crates/harrierward/src/main.rs
@@ -13,5 +13,8 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    command_line::run(&arguments)
+    let code = command_line::run(&arguments);
+    // Lines that wait would end with the process.
+    log::logger().flush();
+    code
 }
