--- a/crates/edge/tests/server.rs
+++ b/crates/edge/tests/server.rs
@@ -139,6 +139,90 @@
     }
 }
 
+/// Answers at once.
+struct Prompt;
+
+#[async_trait]
+impl HttpService for Prompt {
+    async fn call(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
+        let body = Full::new(Bytes::from_static(b"prompt"));
+        Response::new(body.map_err(|never| match never {}).boxed_unsync())
+    }
+}
+
+/// A caller whose writes do not let the server run.
+struct BlockingCaller {
+    stream: std::net::TcpStream,
+}
+
+impl BlockingCaller {
+    fn ask(address: std::net::SocketAddr) -> Self {
+        let stream = std::net::TcpStream::connect(address).expect("connect");
+        let mut caller = Self { stream };
+        caller.ask_again();
+        caller
+    }
+
+    fn ask_again(&mut self) {
+        std::io::Write::write_all(&mut self.stream, REQUEST).expect("write");
+    }
+
+    fn into_stream(self) -> TcpStream {
+        self.stream.set_nonblocking(true).expect("nonblocking");
+        TcpStream::from_std(self.stream).expect("stream")
+    }
+}
+
+/// Closing the listener, or a connection that seems idle, would reset what has come and is not read yet.
+#[tokio::test]
+async fn a_request_that_came_before_the_close_is_answered() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let control = Arc::new(ServerControl::default());
+    tokio::spawn(serve(listener, control.clone(), Arc::new(Prompt)));
+    let mut kept = TcpStream::connect(address).await.expect("connect");
+    kept.write_all(REQUEST).await.expect("write");
+    let mut answer = vec![0; 1];
+    kept.read_exact(&mut answer).await.expect("an answer");
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let mut kept = BlockingCaller {
+        stream: kept.into_std().expect("stream"),
+    };
+    kept.stream.set_nonblocking(false).expect("blocking");
+    kept.ask_again();
+    let fresh = BlockingCaller::ask(address);
+    control.set_stage(ServerStage::Closing);
+    let fresh = read_to_end(fresh.into_stream()).await;
+    assert!(fresh.ends_with("prompt"), "{fresh}");
+    let kept = read_to_end(kept.into_stream()).await;
+    assert_eq!(kept.matches("prompt").count(), 2, "{kept}");
+}
+
+/// Bytes that the server does not read, more than its buffers hold.
+const UNREAD_BYTES: usize = 1 << 20;
+
+/// A close with bytes unread is a reset, which would take the end of the answer with it.
+#[tokio::test]
+async fn bytes_behind_the_last_request_do_not_cut_its_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let control = Arc::new(ServerControl::default());
+    tokio::spawn(serve(listener, control.clone(), Arc::new(Large)));
+    control.set_stage(ServerStage::Draining);
+    let stream = TcpStream::connect(address).await.expect("connect");
+    let (mut reading, mut writing) = stream.into_split();
+    let sending = tokio::spawn(async move {
+        writing.write_all(REQUEST).await.expect("write");
+        // The server may close before it has taken all.
+        let _ = writing.write_all(&[b'x'; UNREAD_BYTES]).await;
+        writing
+    });
+    let mut answer = Vec::new();
+    reading.read_to_end(&mut answer).await.expect("read");
+    assert!(answer.len() > LARGE_BYTES, "{} bytes", answer.len());
+    sending.await.expect("sender");
+}
+
 /// Answers without an end.
 struct Endless;
 
