The server closes no connection with bytes unread, and counts an answer until its last byte is sent

Cause: three ways in which the end of a connection takes bytes with it. A request counted as done when its body was made, though megabytes of it may wait for a slow caller; idle connections and the listener were closed without a look for what had come; a socket with bytes unread is reset by its close, which discards what the caller has not taken. Ruled out: hyper's flush (it sends all, if it is given the time), the kernel's own buffer (it outlives the process where nothing is unread). Change: a request is in progress until the connection's buffer is empty; what has come is read and answered before a close, also by callers whose connections wait to be accepted; after the last answer the connection lingers 0.5 s at most for its caller. Server split by job: activity, connection, stream.

Conclusion: hypothesis 3 holds by test; that it was among the cases seen is not shown.

--- /dev/null
+++ b/crates/edge/src/server/stream.rs
@@ -0,0 +1,101 @@
+//! A caller's socket, shared by the HTTP connection and its keeper, which looks at it before it closes it.
+
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::activity::Activity;
+
+/// A stream that notes when bytes come, and when all are sent.
+pub(super) struct WatchedStream {
+    pub stream: Arc<TcpStream>,
+    pub activity: Arc<Activity>,
+}
+
+/// True if bytes wait to be read. To close now would reset the connection, and what the caller has not read yet would be
+/// lost with it.
+pub(super) fn has_unread(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = SockRef::from(stream).peek(&mut byte);
+    matches!(peeked, Ok(1..))
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read(buffer.initialize_unfilled()) {
+                Ok(read) => {
+                    buffer.advance(read);
+                    if read > 0 {
+                        self.activity.bytes_came();
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl WatchedStream {
+    fn poll_write_with(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> std::io::Result<usize>,
+    ) -> Poll<std::io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match write(&self.stream) {
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        self.poll_write_with(context, |stream| stream.try_write(bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        self.poll_write_with(context, |stream| stream.try_write_vectored(buffers))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    /// Asked when the connection's buffer is empty: a socket has none of its own.
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.activity.all_sent();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(
+        self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+    }
+}
