A stopping daemon begins nothing that becomes whole after its listener is closed

Cause: a request whose head came before and whose last byte comes after the close of the listener was passed to a replica with less time left than its answer may take. Ruled out: refusing by the route's time-out from the signal on (callers are led away only after 2.6 s, and most answers take a second). Change: it is refused as not run, 503, at once and without Retry-After, since other daemons take it; logged as stopping.

Conclusion: the class is one: what a stop waits for and what it still lets in were bounded by different clocks.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -23,7 +23,7 @@
 use crate::peer_rows::{PeerRows, learn};
 use crate::pool::ConnectionPool;
 use crate::rates::RateService;
-use crate::server::{HttpService, ServerControl, serve};
+use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
 use crate::slots::{Pacing, SlotService, YieldItems};
 use crate::watch::{
@@ -75,6 +75,11 @@
         let stopping = self.stopping.load(Ordering::Relaxed);
         !stopping && self.discovery.is_complete() && !self.members.is_cut_off_alone()
     }
+
+    /// True if the daemon stops, and begins nothing any more.
+    pub fn is_closing(&self) -> bool {
+        self.control.stage() == ServerStage::Closing
+    }
 }
 
 /// A running daemon.
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -265,19 +265,34 @@
     }
 
     fn refuse(&self, request: &ServingRequest, refusal: Refusal, arrived: Instant) -> Reply {
+        self.log_refusal(&request.id, request.tenant.as_deref(), refusal, arrived);
+        Reply::Refusal(refusal)
+    }
+
+    /// Refuses a request that became whole while this daemon stops: its answer might not come to its end in the time that
+    /// is left. No pause is asked of the caller, since other daemons take it at once.
+    pub fn refuse_while_stopping(&self, request_id: &str, arrived: Instant) -> Refusal {
+        let refusal = Refusal {
+            cause: RefusalCause::Stopping,
+            retry_after: None,
+        };
+        self.log_refusal(request_id, None, refusal, arrived);
+        refusal
+    }
+
+    fn log_refusal(&self, request: &str, tenant: Option<&str>, refusal: Refusal, arrived: Instant) {
         let routes = self.routes();
         let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         self.log().record(&Record::Refused {
-            request: &request.id,
+            request,
             status: refusal.cause.status(),
             cause: refusal.cause.name(),
-            tenant: request.tenant.as_deref(),
+            tenant,
             version: routes.map_or(0, |routes| routes.configuration.version),
             configuration_age_ms: self.proof().age().map(millis),
             retry_after_ms: refusal.retry_after.map(millis),
             after_ms: millis(arrived.elapsed()),
         });
-        Reply::Refusal(refusal)
     }
 
     async fn serve(
