Red: a hangup ends the product's own program

The daemon on the users' platform takes SIGHUP; serve and standalone have no handler, so it ends them with every answer in progress.

--- a/crates/harrierward/tests/whole_path.rs
+++ b/crates/harrierward/tests/whole_path.rs
@@ -54,10 +54,14 @@
             .expect("the command runs")
     }
 
-    fn stop(mut self) -> std::process::ExitStatus {
+    fn signal(&self, signal: &str) {
         let id = self.process.id().to_string();
-        let killed = Command::new("kill").args(["-TERM", &id]).status();
+        let killed = Command::new("kill").args([signal, &id]).status();
         assert!(killed.expect("kill runs").success());
+    }
+
+    fn stop(mut self) -> std::process::ExitStatus {
+        self.signal("-TERM");
         self.process.wait().expect("it ends")
     }
 }
@@ -118,6 +122,18 @@
     assert!(standalone.stop().success(), "SIGTERM ends with exit code 0");
 }
 
+/// A signal that no handler takes ends the process, and with it every answer in progress.
+#[test]
+fn a_hangup_ends_nothing() {
+    let standalone = Standalone::start();
+    for _ in 0..3 {
+        standalone.signal("-HUP");
+    }
+    let listed = standalone.run("trakia-caller-key", &["batch", "list"]);
+    assert!(listed.status.success(), "{}", text(&listed.stderr));
+    assert!(standalone.stop().success(), "SIGTERM ends with exit code 0");
+}
+
 #[test]
 fn wrong_usage_has_its_own_exit_code() {
     let run = |arguments: &[&str]| {
