The product's own program takes SIGHUP and goes on

Cause: no handler. Change: a hangup is logged and changes nothing, since settings are fixed for the life of a process.

--- a/crates/harrierward/src/serve.rs
+++ b/crates/harrierward/src/serve.rs
@@ -203,14 +203,19 @@
     }
 }
 
+/// Waits for a signal to stop. A hangup, which would end the process if nobody took it, changes nothing: settings are
+/// fixed for the life of a process.
 async fn stop_signal() -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => log::info!("{PREFIX} SIGHUP; settings are read at the start only"),
+        }
     }
-    Ok(())
 }
 
 /// Serves until a signal, then drains: new work is refused, running answers finish.
