--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -10,10 +10,11 @@
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
 use crate::forwarder::{Forwarder, RequestState};
 use crate::gate::{Passage, barred, may_give_copy};
+use crate::in_progress::InProgress;
 use crate::outcome::{Evidence, Verdict};
 use crate::placing::NoPlace;
 use crate::policy::Mechanism;
-use crate::replica::{InProgress, Replica};
+use crate::replica::Replica;
 
 /// Bounds of one attempt.
 #[derive(Debug, Clone, Copy)]
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -8,11 +8,13 @@
 use rand::seq::index;
 use tokio::time::Instant;
 
+use crate::in_progress::InProgress;
 use crate::leases::SlotLease;
 use crate::policy::{Mechanism, Policy};
 use crate::profile::PromptLength;
 use crate::prompt::Prompt;
-use crate::replica::{InProgress, Replica, ReplicaView, WorkClass};
+use crate::replica::{Replica, WorkClass};
+use crate::replica_set::ReplicaView;
 use crate::selection::{Candidate, SelectionCosts, Separation, choose, preference_weight};
 
 /// Who chose a replica.
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -16,7 +16,7 @@
 use crate::policy::{Mechanism, Policy};
 use crate::profile::PromptProfiles;
 use crate::relay::Relay;
-use crate::replica::ReplicaSet;
+use crate::replica_set::ReplicaSet;
 use crate::reply::{CallerAnswer, Refusal, RefusalCause, Reply};
 use crate::routes::{RouteEntry, RouteTable};
 use crate::selection::SelectionCosts;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 mod exchange;
 mod forwarder;
 mod gate;
+mod in_progress;
 mod leases;
 mod outcome;
 mod placing;
@@ -21,6 +22,7 @@
 mod prompt;
 mod relay;
 mod replica;
+mod replica_set;
 mod reply;
 mod routes;
 mod selection;
@@ -46,15 +48,15 @@
 };
 pub use forwarder::{Forwarder, ForwarderParts, ForwarderSettings, SharedRoutes};
 pub use gate::{Barred, Passage, barred};
+pub use in_progress::InProgress;
 pub use leases::{ItemRoom, SlotAnswer, SlotLease, SlotLeases, SlotQuery};
 pub use outcome::{Evidence, LeaseEnd, Verdict};
 pub use policy::{Mechanism, Policy, UnknownMechanism};
 pub use profile::{PromptLength, PromptProfiles};
 pub use prompt::{Prompt, PromptMemory, PromptPart};
 pub use relay::Cut;
-pub use replica::{
-    InProgress, Replica, ReplicaRecord, ReplicaSet, ReplicaView, WorkClass, short_hash,
-};
+pub use replica::{Replica, ReplicaRecord, WorkClass, short_hash};
+pub use replica_set::{ReplicaSet, ReplicaView};
 pub use reply::{CallerAnswer, CallerBody, Refusal, RefusalCause, Reply};
 pub use routes::{RouteEntry, RouteTable};
 pub use selection::{
