A daemon tells when it can accept no connections

An error of accept was swallowed: a daemon without descriptors let callers wait and said nothing. Told once until one is accepted again, with the number of open connections. No test runs out of descriptors; the line is by reading.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -31,6 +31,13 @@
         /// Requests in progress.
         in_progress: usize,
     },
+    /// Connections of callers cannot be accepted; told once until one is accepted again.
+    AcceptFailed {
+        /// Cause.
+        cause: &'a str,
+        /// Open connections of callers.
+        connections: usize,
+    },
     /// A step of a planned stop is over.
     StopStep {
         /// Step.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -111,7 +111,7 @@
         });
         let routes = Arc::new(ArcSwapOption::empty());
         let replicas = Arc::new(ReplicaSet::default());
-        let control = Arc::new(ServerControl::default());
+        let control = Arc::new(ServerControl::default().with_log(log.clone()));
         let slots = Arc::new(SlotService::new(
             life.clone(),
             Location::new(&settings.zone, &settings.region),
--- a/crates/edge/src/server/mod.rs
+++ b/crates/edge/src/server/mod.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use bytes::Bytes;
+use harrierward_decisions::{DecisionLog, Record};
 use harrierward_serving::{CallerLimits, Cut};
 use http::{Request, Response};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -58,6 +59,7 @@
     connections: AtomicUsize,
     limits: ArcSwap<CallerLimits>,
     unacknowledged_timeout: Duration,
+    log: Option<DecisionLog>,
 }
 
 impl Default for ServerControl {
@@ -68,6 +70,7 @@
             connections: AtomicUsize::new(0),
             limits: ArcSwap::from_pointee(CallerLimits::default()),
             unacknowledged_timeout: UNACKNOWLEDGED_TIMEOUT,
+            log: None,
         }
     }
 }
@@ -79,6 +82,21 @@
         self
     }
 
+    /// Where failures of the server are told.
+    pub fn with_log(mut self, log: DecisionLog) -> Self {
+        self.log = Some(log);
+        self
+    }
+
+    fn note_accept_failed(&self, error: &std::io::Error) {
+        if let Some(log) = &self.log {
+            log.record(&Record::AcceptFailed {
+                cause: &error.to_string(),
+                connections: self.connections(),
+            });
+        }
+    }
+
     /// Moves to another stage.
     pub fn set_stage(&self, stage: ServerStage) {
         self.stage.send_replace(stage);
@@ -115,14 +133,23 @@
         tokio::spawn(serve_connection(stream, control.clone(), service.clone()));
     };
     let mut stage = control.stage.subscribe();
+    let mut is_failing = false;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stage.wait_for(|stage| *stage == ServerStage::Closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => begin(stream),
-            Err(_) => sleep(ACCEPT_PAUSE).await,
+            Ok((stream, _)) => {
+                is_failing = false;
+                begin(stream);
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut is_failing, true) {
+                    control.note_accept_failed(&error);
+                }
+                sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
     waiting_connections(&listener).for_each(begin);
