--- a/crates/decisions/tests/log.rs
+++ b/crates/decisions/tests/log.rs
@@ -122,3 +122,13 @@
         assert!(text.contains(line), "{line} in {text}");
     }
 }
+
+/// Writes of lines that nobody takes are dropped and counted; the count goes out with the first line that is taken.
+#[test]
+fn dropped_lines_are_told_in_a_line_of_their_own() {
+    let line = harrierward_decisions::dropped_record(7);
+    let record: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+    assert_eq!(record["event"], "lines_dropped");
+    assert_eq!(record["lines"], 7);
+    assert!(line.ends_with('\n'));
+}
