--- a/crates/harrierward/tests/whole_path.rs
+++ b/crates/harrierward/tests/whole_path.rs
@@ -1,70 +1,10 @@
 //! The main path as a new user runs it: the program, a chat answer, a batch job, a planned stop.
 
-use std::io::{BufRead, BufReader};
-use std::process::{Child, Command, Output, Stdio};
+mod support;
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_harrierward");
+use std::process::Command;
 
-struct Standalone {
-    process: Child,
-    address: String,
-}
-
-impl Drop for Standalone {
-    fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-    }
-}
-
-impl Standalone {
-    fn start() -> Self {
-        let mut process = Command::new(PROGRAM)
-            .args([
-                "standalone",
-                "--listen",
-                "127.0.0.1:0",
-                "--log-level",
-                "error",
-            ])
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("the program starts");
-        let output = process.stdout.take().expect("its output is piped");
-        let line = BufReader::new(output)
-            .lines()
-            .next()
-            .expect("it prints a line")
-            .expect("the line is text");
-        let address = line
-            .split("http://")
-            .nth(1)
-            .and_then(|rest| rest.split(';').next())
-            .expect("the line names the address")
-            .to_owned();
-        Self { process, address }
-    }
-
-    fn run(&self, key: &str, arguments: &[&str]) -> Output {
-        Command::new(PROGRAM)
-            .args(arguments)
-            .args(["--server", &self.address, "--key", key])
-            .output()
-            .expect("the command runs")
-    }
-
-    fn signal(&self, signal: &str) {
-        let id = self.process.id().to_string();
-        let killed = Command::new("kill").args([signal, &id]).status();
-        assert!(killed.expect("kill runs").success());
-    }
-
-    fn stop(mut self) -> std::process::ExitStatus {
-        self.signal("-TERM");
-        self.process.wait().expect("it ends")
-    }
-}
+use support::{PROGRAM, Standalone};
 
 fn batch_file(items: usize, model: &str) -> String {
     (0..items)
