An answer that has begun waits for room elsewhere instead of being broken off

Cause: a resumable answer whose replica was left looked once at the others; refusals as full by all of them, or no replica left to try, ended it. Change: pauses of 0.1 s, 1.5 s in all, after which all are asked anew. Ruled out: waiting for the whole time of the request (callers give a stream up after two seconds, and may go on through another daemon). Measured: its test in platform/tests/held_up.rs fails before, passes after; serving's tests and platform's pass.

--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
 use harrierward_decisions::Record;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::attempt::{Attempt, AttemptFailure, Sending, wait_for_progress};
 use crate::events::EventSplitter;
@@ -212,6 +212,7 @@
         }
         self.log_break(&cause);
         let mut first_cause = Some(cause);
+        let mut room_waits = 0;
         while self.can_move() && !self.state.clock.hold_left().is_zero() {
             self.state.sends += 1;
             let (replica, result) = self.try_again().await;
@@ -229,20 +230,36 @@
                 Err(AttemptFailure::NotRun { cause, .. }) => {
                     self.state.sends -= 1;
                     first_cause = Some(cause);
-                    if self.state.tried.len() > MOST_REFUSALS {
+                    let all_refuse = self.state.tried.len() > MOST_REFUSALS;
+                    if all_refuse && !self.wait_for_room(&mut room_waits).await {
                         break;
                     }
                 }
                 Err(AttemptFailure::MayHaveRun { cause }) => first_cause = Some(cause),
                 Err(AttemptFailure::NoReplica | AttemptFailure::ComeBack { .. }) => {
+                    self.state.sends -= 1;
                     first_cause = Some("no replica".to_owned());
-                    break;
+                    if !self.wait_for_room(&mut room_waits).await {
+                        break;
+                    }
                 }
             }
         }
         Err(self.cut(first_cause.unwrap_or_default()))
     }
 
+    /// A pause after which all replicas are asked anew; false if there were enough. An answer that has begun is not broken off
+    /// because the others are full for a moment: what the caller has would be lost, and the rest is wanted also late.
+    async fn wait_for_room(&mut self, waits: &mut u32) -> bool {
+        if *waits == MOST_ROOM_WAITS {
+            return false;
+        }
+        *waits += 1;
+        sleep(ROOM_PAUSE.min(self.state.clock.hold_left())).await;
+        self.state.tried.clear();
+        true
+    }
+
     async fn try_again(&mut self) -> (Option<String>, Result<Attempt, AttemptFailure>) {
         let state = &self.state;
         let times = || state.clock.attempt_times(&state.route, state.sends);
@@ -302,6 +319,13 @@
     }
 }
 
+/// Pause before all replicas are asked anew for the rest of an answer.
+const ROOM_PAUSE: Duration = Duration::from_millis(100);
+
+/// Most such pauses: 1.5 s in all. Callers give a stream up after a gap of two seconds, and may take it up through another
+/// daemon before that.
+const MOST_ROOM_WAITS: u32 = 15;
+
 /// Most replicas that are tried for one request, refusals included.
 const MOST_REFUSALS: usize = 5;
 
