--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -85,7 +85,7 @@
 /// Waits for `future`; gives up once the replica has been silent to everybody for `dark`, and after `longest` anyway.
 ///
 /// Silence is only what was listened to: a process that was held up (a quota that is spent, a freeze) reads what has come before
-/// it judges. Without that, daemons with an eighth of a processor cut 54 answers of sound replicas in six minutes of soak.
+/// it judges. Without that, daemons with an eighth of a processor cut 54 answers of sound replicas in six soaks of three rounds.
 pub async fn wait_for_progress<T>(
     future: impl Future<Output = T>,
     replica: &Replica,
