--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/support/mod.rs
@@ -40,7 +40,7 @@
     }
 }
 
-async fn serve(routes: axum::Router) -> String {
+pub async fn serve(routes: axum::Router) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
     tokio::spawn(async move { axum::serve(without_delay(listener), routes).await });
