Final answers follow from what is known of a request's execution

Cause: status, Retry-After and the knowledge of the execution were chosen apart. On the OpenAI interface every end after an engine had begun (engine_failed, deadline, retry_budget, no_replica) was 503 with Retry-After, and so was a job or file whose write was in doubt; operators' unsettled changes said not_run in their header. On the platform's door a 421 was believed before its id, and a refusal without any id on a connection that had carried others counted as this request's. Ruled out (tests): a claim in doubt is never sent and does not stay; a 503 of another request was told apart already; submissions refused as full or not kept follow writes whose outcome is known (a write in doubt answers 504; a changed fence keeps a late one from happening); a stop between reading and sending; a wait for a connection counts as perhaps run once bytes may have left. Change: crate execution: Execution only moves towards Ran, FinalAnswer derives status and pause from it; Refusal and GatewayError keep them private. AttemptFailure::Unattributed for refusals that nobody can assign.

--- a/crates/api/src/admin.rs
+++ b/crates/api/src/admin.rs
@@ -146,7 +146,7 @@
             ConfigError::Store(error) => error.into(),
             ConfigError::Unsettled(_) => {
                 let message = format!("{message}; send it again with the same Operation-Id");
-                Self::new(StatusCode::GATEWAY_TIMEOUT, "unsettled", message)
+                Self::in_doubt("unsettled", message)
             }
         }
     }
--- a/crates/api/src/errors.rs
+++ b/crates/api/src/errors.rs
@@ -1,12 +1,15 @@
 //! Error answers in the shape of the OpenAI API, with what is known of the execution.
 
+use std::time::Duration;
+
 use axum::Json;
 use axum::extract::rejection::BytesRejection;
 use axum::http::{HeaderValue, StatusCode, Uri};
 use axum::response::{IntoResponse, Response};
 use harrierward_batch::BatchError;
+use harrierward_execution::{Execution, FinalAnswer};
 use harrierward_external::{PlatformError, PlatformErrorKind};
-use harrierward_gateway::{Execution, GatewayError, SpecError};
+use harrierward_gateway::{GatewayError, SpecError};
 use serde::Serialize;
 
 /// Header that says what is known of the execution.
@@ -28,12 +31,11 @@
     execution: Execution,
 }
 
-/// An error answer.
+/// An error answer: its status and pause have been derived from what is known of the execution.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct ApiError {
-    status: StatusCode,
+    answer: FinalAnswer,
     body: ErrorBody,
-    retry_after: Option<std::time::Duration>,
 }
 
 fn kind_of(status: StatusCode) -> &'static str {
@@ -49,20 +51,28 @@
 impl ApiError {
     /// An error of a request that certainly did not run.
     pub fn new(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        let execution = Execution::NotRun;
+        let answer = FinalAnswer::of(execution, status.as_u16(), None);
+        Self::with(answer, execution, code, message)
+    }
+
+    fn with(
+        answer: FinalAnswer,
+        execution: Execution,
+        code: &'static str,
+        message: impl Into<String>,
+    ) -> Self {
         let detail = ErrorDetail {
             message: message.into(),
-            kind: kind_of(status),
+            kind: kind_of(status_of(answer)),
             param: None,
             code,
         };
-        Self {
-            status,
-            body: ErrorBody {
-                error: detail,
-                execution: Execution::NotRun,
-            },
-            retry_after: None,
-        }
+        let body = ErrorBody {
+            error: detail,
+            execution,
+        };
+        Self { answer, body }
     }
 
     /// A field is wrong.
@@ -79,23 +89,43 @@
         &self.body
     }
 
-    fn with_execution(mut self, execution: Execution) -> Self {
-        self.body.execution = execution;
-        self
+    /// What was asked for may have been done, or may yet be.
+    pub fn in_doubt(code: &'static str, message: impl Into<String>) -> Self {
+        let execution = Execution::Unknown;
+        let answer = FinalAnswer::of(execution, StatusCode::GATEWAY_TIMEOUT.as_u16(), None);
+        Self::with(answer, execution, code, message)
     }
 
-    fn after(mut self, retry_after: Option<std::time::Duration>) -> Self {
-        self.retry_after = retry_after;
-        self
+    /// A call of the store failed: "not run" is said only if it certainly did nothing.
+    fn of_store(error: &PlatformError) -> Self {
+        let message = error.to_string();
+        if error.may_have_happened() {
+            return Self::in_doubt("store_in_doubt", message);
+        }
+        let execution = Execution::NotRun;
+        let wait = match error.kind {
+            PlatformErrorKind::RateLimited { retry_after } => retry_after,
+            _ => STORE_RETRY,
+        };
+        let status = StatusCode::SERVICE_UNAVAILABLE.as_u16();
+        let answer = FinalAnswer::of(execution, status, Some(wait));
+        Self::with(answer, execution, "store_unavailable", message)
     }
 }
 
+/// When a caller whose call the store did not take may come back.
+const STORE_RETRY: Duration = Duration::from_secs(1);
+
+fn status_of(answer: FinalAnswer) -> StatusCode {
+    StatusCode::from_u16(answer.status()).unwrap_or(StatusCode::BAD_GATEWAY)
+}
+
 impl IntoResponse for ApiError {
     fn into_response(self) -> Response {
         let execution = HeaderValue::from_static(self.body.execution.name());
-        let mut response = (self.status, Json(self.body)).into_response();
+        let mut response = (status_of(self.answer), Json(self.body)).into_response();
         response.headers_mut().insert(EXECUTION_HEADER, execution);
-        if let Some(wait) = self.retry_after {
+        if let Some(wait) = self.answer.retry_after() {
             let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
             response
                 .headers_mut()
@@ -107,11 +137,8 @@
 
 impl From<GatewayError> for ApiError {
     fn from(error: GatewayError) -> Self {
-        let status = StatusCode::from_u16(error.status).unwrap_or(StatusCode::BAD_GATEWAY);
         let message = format!("{} ({} at {})", error.message, error.step, error.peer);
-        Self::new(status, error.code, message)
-            .with_execution(error.execution)
-            .after(error.retry_after)
+        Self::with(error.answer(), error.execution(), error.code, message)
     }
 }
 
@@ -123,12 +150,7 @@
 
 impl From<PlatformError> for ApiError {
     fn from(error: PlatformError) -> Self {
-        let retry_after = match error.kind {
-            PlatformErrorKind::RateLimited { retry_after } => retry_after,
-            _ => std::time::Duration::from_secs(1),
-        };
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        Self::new(status, "store_unavailable", error.to_string()).after(Some(retry_after))
+        Self::of_store(&error)
     }
 }
 
@@ -146,7 +168,8 @@
             }
             BatchError::Ended { .. } => Self::new(StatusCode::CONFLICT, "ended", message),
             BatchError::Store(error) => error.into(),
-            BatchError::Unsettled(error) => Self::from(error).with_execution(Execution::Unknown),
+            // An earlier try may have been done, whatever the last one came to.
+            BatchError::Unsettled(_) => Self::in_doubt("store_in_doubt", message),
         }
     }
 }
--- a/crates/bench/src/faults/clients.rs
+++ b/crates/bench/src/faults/clients.rs
@@ -99,7 +99,7 @@
 
 fn refused(error: GatewayError, partial: String) -> OnlineOutcome {
     OnlineOutcome::Refused {
-        execution: error.execution,
+        execution: error.execution(),
         code: error.code,
         partial,
     }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -131,6 +131,8 @@
     pub head: response::Parts,
     /// The body.
     pub body: PooledBody,
+    /// The connection carried nothing before.
+    pub is_first_on_connection: bool,
 }
 
 /// Body of an answer. After its clean end the connection goes back to the pool; dropped before, it is closed.
@@ -320,6 +322,7 @@
         fresh: bool,
     ) -> Result<PooledResponse, PoolError> {
         let kept = if fresh { None } else { self.take(address) };
+        let is_first_on_connection = kept.is_none();
         let mut connection = match kept {
             Some(connection) => connection,
             None => self.connect(address).await?,
@@ -351,7 +354,11 @@
             body,
             lease: Some(lease),
         };
-        Ok(PooledResponse { head, body })
+        Ok(PooledResponse {
+            head,
+            body,
+            is_first_on_connection,
+        })
     }
 
     pub(crate) fn silent_after(&self) -> Duration {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -5,6 +5,7 @@
 use futures::stream::BoxStream;
 use futures::{Stream, StreamExt, stream};
 use harrierward_claims::{Claim, Claims};
+use harrierward_execution::Execution;
 use harrierward_external::{EngineEvent, FinishReason};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -12,7 +13,7 @@
 
 use crate::admission::AdmissionPermit;
 use crate::call::{AnswerIdentity, Call};
-use crate::errors::{Execution, GatewayError};
+use crate::errors::GatewayError;
 use crate::gateway::{Attempt, Gateway};
 use crate::limits::InProgress;
 
@@ -252,10 +253,7 @@
             .gateway
             .connect(&self.call, excluded, self.delivered)
             .await;
-        self.attempt = attempt.map_err(|error| GatewayError {
-            execution: Execution::Unknown,
-            ..error
-        })?;
+        self.attempt = attempt.map_err(|error| error.learn(Execution::Unknown))?;
         Ok(())
     }
 }
--- a/crates/gateway/src/errors.rs
+++ b/crates/gateway/src/errors.rs
@@ -2,32 +2,9 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use harrierward_execution::{Execution, FinalAnswer};
 
-/// What is known of a request's execution.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Execution {
-    /// It certainly did not run.
-    NotRun,
-    /// It may have run, wholly or in part.
-    Unknown,
-    /// It ran.
-    Ran,
-}
-
-impl Execution {
-    /// Name as used in bodies and headers.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::NotRun => "not_run",
-            Self::Unknown => "unknown",
-            Self::Ran => "ran",
-        }
-    }
-}
-
-/// Why a request was refused or its answer broke off.
+/// Why a request was refused or its answer broke off. Status and pause follow from what is known of the execution.
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
 #[error("{step} at {peer}: {message} (execution: {})", execution.name())]
 pub struct GatewayError {
@@ -35,16 +12,14 @@
     pub step: &'static str,
     /// Party at which it arose.
     pub peer: String,
-    /// HTTP status.
-    pub status: u16,
     /// Short code for programs.
     pub code: &'static str,
     /// Words for people.
     pub message: String,
-    /// What is known of the execution.
-    pub execution: Execution,
-    /// When to come back, if that makes sense.
-    pub retry_after: Option<Duration>,
+    status: u16,
+    execution: Execution,
+    retry_after: Option<Duration>,
+    is_under_key: bool,
 }
 
 impl GatewayError {
@@ -63,6 +38,7 @@
             message: message.into(),
             execution: Execution::NotRun,
             retry_after: None,
+            is_under_key: false,
         }
     }
 
@@ -73,10 +49,7 @@
         code: &'static str,
         message: impl Into<String>,
     ) -> Self {
-        Self {
-            execution: Execution::Unknown,
-            ..Self::not_run(step, status, code, message)
-        }
+        Self::not_run(step, status, code, message).learn(Execution::Unknown)
     }
 
     /// Names the other party.
@@ -85,9 +58,36 @@
         self
     }
 
-    /// Says when to come back.
+    /// Adds what is known of the execution.
+    pub fn learn(mut self, more: Execution) -> Self {
+        self.execution.learn(more);
+        self
+    }
+
+    /// Says when to come back, if it turns out that the request has not run.
     pub fn after(mut self, retry_after: Duration) -> Self {
         self.retry_after = Some(retry_after);
         self
     }
+
+    /// Says when to come back to a caller whose key lets the request run once only.
+    pub fn after_under_key(mut self, retry_after: Duration) -> Self {
+        self.is_under_key = true;
+        self.after(retry_after)
+    }
+
+    /// What is known of the execution.
+    pub fn execution(&self) -> Execution {
+        self.execution
+    }
+
+    /// Status and pause for the caller.
+    pub fn answer(&self) -> FinalAnswer {
+        let answer = if self.is_under_key {
+            FinalAnswer::under_key
+        } else {
+            FinalAnswer::of
+        };
+        answer(self.execution, self.status, self.retry_after)
+    }
 }
--- a/crates/gateway/src/gateway/claiming.rs
+++ b/crates/gateway/src/gateway/claiming.rs
@@ -6,12 +6,13 @@
 
 use harrierward_claims::{Claim, Holder, Verdict, Waited};
 use harrierward_decisions::Record;
+use harrierward_execution::Execution;
 use tokio::time::Instant;
 
 use super::{Gateway, Inner, PREFIX};
 use crate::answer::StoredAnswer;
 use crate::call::{Call, MarkedCall};
-use crate::errors::{Execution, GatewayError};
+use crate::errors::GatewayError;
 
 const STEP: &str = "gateway.claim";
 
@@ -59,11 +60,8 @@
 
     /// The error of a call that goes no further: once another attempt was seen, the request may have run.
     pub fn qualify(&self, error: GatewayError) -> GatewayError {
-        if self.has_waited() && error.execution == Execution::NotRun {
-            return GatewayError {
-                execution: Execution::Unknown,
-                ..error
-            };
+        if self.has_waited() {
+            return error.learn(Execution::Unknown);
         }
         error
     }
@@ -137,7 +135,7 @@
         self.note_resend(marked, wait, outcome);
         let message = "the request is running, or may have run; it is not run again";
         let error = GatewayError::unknown(STEP, 409, "in_progress_or_unknown", message);
-        Err(error.after(RESEND_RETRY))
+        Err(error.after_under_key(RESEND_RETRY))
     }
 
     /// Counts and logs what became of a resend.
@@ -161,7 +159,7 @@
 
     /// Lets a request that certainly did not run be run by a resend.
     pub(super) fn release_if_not_run(&self, error: &GatewayError, claim: &Claim) {
-        if error.execution != Execution::NotRun {
+        if !error.execution().is_not_run() {
             return;
         }
         let claims = self.inner.parts.claims.clone();
@@ -182,8 +180,5 @@
 
 fn answer_not_kept(cause: &str) -> GatewayError {
     let message = format!("the request ran; {cause}");
-    GatewayError {
-        execution: Execution::Ran,
-        ..GatewayError::unknown(STEP, 409, "answer_not_kept", message)
-    }
+    GatewayError::unknown(STEP, 409, "answer_not_kept", message).learn(Execution::Ran)
 }
--- a/crates/gateway/src/gateway/dispatch.rs
+++ b/crates/gateway/src/gateway/dispatch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use harrierward_execution::Execution;
 use harrierward_external::{EngineError, GenerateRequest, Priority, ReplicaId, prefix_blocks};
 use harrierward_routing::RouteRequest;
 use rand::SeedableRng;
@@ -12,7 +13,7 @@
 use super::{Attempt, CHARACTERS_A_TOKEN, Gateway, PREFIX, PrefixNews, as_micros, no_replica};
 use crate::call::Call;
 use crate::directory::Replica;
-use crate::errors::{Execution, GatewayError};
+use crate::errors::GatewayError;
 
 impl Gateway {
     /// Sends the request to a replica, or to others after it while it certainly has not run, or may run again.
@@ -25,14 +26,10 @@
         const STEP: &str = "gateway.connect";
         let (service, model) = self.model_of(call)?;
         let blocks = Arc::new(prefix_blocks(&model, &call.spec.prompt));
-        let mut may_have_run = false;
+        let mut execution = Execution::default();
         loop {
             let Some((replica, uncached)) = self.route(&service, call, &blocks, &excluded) else {
-                let mut error = no_replica();
-                if may_have_run {
-                    error.execution = Execution::Unknown;
-                }
-                return Err(error);
+                return Err(no_replica().learn(execution));
             };
             let error = match self
                 .send(call, &model, &replica, uncached, resume_from)
@@ -52,18 +49,15 @@
                 error,
                 EngineError::NotRun { .. } | EngineError::Fenced { .. }
             );
-            may_have_run |= !not_run;
+            if !not_run {
+                execution.learn(Execution::Unknown);
+            }
             self.penalize(&replica);
             log::debug!("{PREFIX} {error}");
             let name = replica.machine.replica.0.clone();
-            let execution = if may_have_run {
-                Execution::Unknown
-            } else {
-                Execution::NotRun
-            };
-            let failed = |code: &'static str, message: String| GatewayError {
-                execution,
-                ..GatewayError::not_run(STEP, 503, code, message)
+            let failed = |code: &'static str, message: String| {
+                GatewayError::not_run(STEP, 503, code, message)
+                    .learn(execution)
                     .at(name.clone())
                     .after(Duration::from_secs(1))
             };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,8 +20,9 @@
 pub use directory::{
     Directory, DirectoryEntry, EngineConnector, OnlineCounts, Replica, ReplicaDirectory, ZoneRank,
 };
-pub use errors::{Execution, GatewayError};
+pub use errors::GatewayError;
 pub use gateway::{Gateway, GatewayParts, GatewaySettings};
+pub use harrierward_execution::Execution;
 pub use limits::{LimitDecision, TenantLimits};
 pub use metrics::GatewayMetrics;
 pub use openai::{
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -63,7 +63,9 @@
         Err(AttemptFailure::NoReplica | AttemptFailure::ComeBack { .. }) => {
             return RunOutcome::NotRun("no replica".to_owned());
         }
-        Err(AttemptFailure::NotRun { cause, .. }) => return RunOutcome::NotRun(cause),
+        Err(AttemptFailure::NotRun { cause, .. } | AttemptFailure::Unattributed { cause }) => {
+            return RunOutcome::NotRun(cause);
+        }
         Err(AttemptFailure::MayHaveRun { cause }) => return RunOutcome::Broken(cause),
     };
     match attempt.answer.status {
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
+use harrierward_execution::Execution;
 use tokio::time::{Instant, timeout};
 
 use crate::choice::{LeftRegion, Placement, ROOMY_PERMILLE};
@@ -57,6 +58,12 @@
         /// It was full.
         full: bool,
     },
+    /// A refusal that names no request came on a connection that carried others before: it may be the late answer to one of
+    /// those, while the replica runs this one.
+    Unattributed {
+        /// Cause in words.
+        cause: String,
+    },
     /// It may have run.
     MayHaveRun {
         /// Cause in words.
@@ -64,6 +71,25 @@
     },
 }
 
+impl AttemptFailure {
+    /// What it shows of the request's execution.
+    pub fn execution(&self) -> Execution {
+        match self {
+            Self::NoReplica | Self::ComeBack { .. } | Self::NotRun { .. } => Execution::NotRun,
+            Self::Unattributed { .. } | Self::MayHaveRun { .. } => Execution::Unknown,
+        }
+    }
+
+    fn cause(&self) -> &str {
+        match self {
+            Self::NoReplica | Self::ComeBack { .. } => "no replica",
+            Self::NotRun { cause, .. }
+            | Self::Unattributed { cause }
+            | Self::MayHaveRun { cause } => cause,
+        }
+    }
+}
+
 /// An answer that has begun.
 pub struct Attempt {
     /// The answer.
@@ -125,6 +151,15 @@
 /// Part of the time that it may still be held for which an overdue request waits for slots that others leave.
 const OVERDUE_HOLD_PART: u32 = 3;
 
+/// A replica's refusal, if it is known to be the answer to this request.
+fn refused(cause: String, full: bool, is_attributed: bool) -> AttemptFailure {
+    if is_attributed {
+        AttemptFailure::NotRun { cause, full }
+    } else {
+        AttemptFailure::Unattributed { cause }
+    }
+}
+
 impl Forwarder {
     /// Sends the request to a replica chosen for it. Returns the replica's id, and what came of it.
     pub(crate) async fn attempt(
@@ -293,21 +328,23 @@
         if let Some(word) = answer.load {
             replica.note_load(word);
         }
-        if answer.other_replica {
-            replica.set_draining();
-            let cause = "another replica has the address".to_owned();
-            return Err(AttemptFailure::NotRun { cause, full: false });
-        }
+        // Whose answer it is comes first: a refusal that is left over from an earlier request says nothing of this one.
         if answer.answers.as_deref().is_some_and(|id| id != request.id) {
             in_progress.conclude(Verdict::Spoilt);
             let cause = "the answer belongs to another request".to_owned();
             return Err(AttemptFailure::MayHaveRun { cause });
         }
+        let is_attributed = answer.answers.is_some() || answer.is_first_on_connection;
+        if answer.other_replica {
+            replica.set_draining();
+            let cause = "another replica has the address".to_owned();
+            return Err(refused(cause, false, is_attributed));
+        }
         if answer.not_run {
             replica.note_full();
             in_progress.conclude(Verdict::NotRun);
             let cause = format!("refused with status {}", answer.status);
-            return Err(AttemptFailure::NotRun { cause, full: true });
+            return Err(refused(cause, true, is_attributed));
         }
         if answer.answers.is_none() {
             in_progress.conclude(Verdict::Spoilt);
@@ -324,16 +361,11 @@
         failure: &AttemptFailure,
         after: Duration,
     ) {
-        let (cause, not_run) = match failure {
-            AttemptFailure::NoReplica | AttemptFailure::ComeBack { .. } => ("no replica", true),
-            AttemptFailure::NotRun { cause, .. } => (cause.as_str(), true),
-            AttemptFailure::MayHaveRun { cause } => (cause.as_str(), false),
-        };
         self.log().record(&Record::AttemptFailed {
             request: &request.id,
             replica: &replica.record.id,
-            cause,
-            not_run,
+            cause: failure.cause(),
+            not_run: failure.execution().is_not_run(),
             after_ms: u64::try_from(after.as_millis()).unwrap_or(u64::MAX),
         });
     }
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -90,6 +90,8 @@
     pub status: u16,
     /// Request that it answers, as the replica says.
     pub answers: Option<String>,
+    /// The connection carried nothing before, so that no late answer to another request can come on it.
+    pub is_first_on_connection: bool,
     /// The replica says that it did not run the request.
     pub not_run: bool,
     /// Another replica has the address.
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwapOption;
 use futures::StreamExt;
 use harrierward_decisions::{DecisionLog, Record};
+use harrierward_execution::{Execution, promises_not_run};
 use tokio::time::Instant;
 
 use crate::admission::{ConfigurationProof, KeyTrust, RateAnswer, RateLimits, caller_of};
@@ -93,6 +94,8 @@
     pub tried: Vec<String>,
     /// Replicas to which it was sent and that may have run it.
     pub sends: u32,
+    /// What the attempts so far have shown of its execution.
+    pub execution: Execution,
     /// Its caller has been refused or cut off before.
     pub is_return: bool,
     /// Its objective had passed before it came, and it leaves slots to those that can be in time.
@@ -231,10 +234,10 @@
     async fn admit(&self, request: &mut ServingRequest) -> Result<Arc<RouteEntry>, Refusal> {
         let routes = self
             .routes()
-            .ok_or_else(|| refusal_of(RefusalCause::NoConfiguration))?;
+            .ok_or_else(|| refuse_unsent(RefusalCause::NoConfiguration))?;
         let proof = self.proof();
         let Some(entry) = routes.find(&request.host, path_of(&request.target)) else {
-            return Err(refusal_of(if proof.is_stale() {
+            return Err(refuse_unsent(if proof.is_stale() {
                 RefusalCause::StaleConfiguration
             } else {
                 RefusalCause::NoRoute
@@ -242,7 +245,7 @@
         };
         let key = request.key.as_ref();
         let tenant = caller_of(&routes, &entry.route, key, proof, self.key_trust());
-        let tenant = tenant.map_err(refusal_of)?;
+        let tenant = tenant.map_err(refuse_unsent)?;
         let entry = entry.clone();
         drop(routes);
         request.regions = entry.route.allowed_regions.clone();
@@ -256,11 +259,11 @@
         }
         match self.parts.rates.admit(&tenant, &request.id).await {
             RateAnswer::Within => Ok(entry),
-            RateAnswer::Over { retry_after } => Err(Refusal {
-                cause: RefusalCause::RateLimited,
-                retry_after: Some(retry_after),
-            }),
-            RateAnswer::Unknown => Err(refusal_of(RefusalCause::RateUnknown)),
+            RateAnswer::Over { retry_after } => {
+                let cause = RefusalCause::RateLimited;
+                Err(Refusal::not_run(cause, Some(retry_after)))
+            }
+            RateAnswer::Unknown => Err(refuse_unsent(RefusalCause::RateUnknown)),
         }
     }
 
@@ -272,10 +275,7 @@
     /// Refuses a request that became whole while this daemon stops: its answer might not come to its end in the time that
     /// is left. No pause is asked of the caller, since other daemons take it at once.
     pub fn refuse_while_stopping(&self, request_id: &str, arrived: Instant) -> Refusal {
-        let refusal = Refusal {
-            cause: RefusalCause::Stopping,
-            retry_after: None,
-        };
+        let refusal = Refusal::not_run(RefusalCause::Stopping, None);
         self.log_refusal(request_id, None, refusal, arrived);
         refusal
     }
@@ -285,12 +285,12 @@
         let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         self.log().record(&Record::Refused {
             request,
-            status: refusal.cause.status(),
-            cause: refusal.cause.name(),
+            status: refusal.status(),
+            cause: refusal.cause().name(),
             tenant,
             version: routes.map_or(0, |routes| routes.configuration.version),
             configuration_age_ms: self.proof().age().map(millis),
-            retry_after_ms: refusal.retry_after.map(millis),
+            retry_after_ms: refusal.retry_after().map(millis),
             after_ms: millis(arrived.elapsed()),
         });
     }
@@ -303,7 +303,7 @@
     ) -> Result<CallerAnswer, Refusal> {
         let service = entry
             .next_service()
-            .ok_or_else(|| refusal_of(RefusalCause::NoReplica))?;
+            .ok_or_else(|| refuse_unsent(RefusalCause::NoReplica))?;
         let is_return = entry.is_overdue(request.patience);
         let mut state = RequestState {
             request: request.clone(),
@@ -312,48 +312,46 @@
             clock: RequestClock::new(arrived, request, &entry.route),
             tried: Vec::new(),
             sends: 0,
+            execution: Execution::NotRun,
             is_return,
             overdue: is_return && self.policy().has(Mechanism::OverdueLast),
         };
         let mut refusals = 0;
-        let mut may_have_run = false;
         loop {
             if state.clock.hold_left().is_zero() {
-                let cause = given_up(may_have_run, RefusalCause::NoTimeLeft, &state);
-                return Err(refusal_of(cause));
+                return Err(given_up(RefusalCause::NoTimeLeft, &state));
             }
             state.sends += 1;
             let (replica, result) = self.first_attempt(&state).await;
             state.tried.extend(replica);
-            match result {
-                Ok(attempt) if self.shall_repeat(&attempt, &state) => may_have_run = true,
-                Ok(attempt) => return answer(self, state, attempt).map_err(refusal_of),
-                Err(AttemptFailure::ComeBack { after }) => {
-                    return Err(Refusal {
-                        cause: RefusalCause::Overloaded,
-                        retry_after: Some(after),
-                    });
+            let failure = match result {
+                Ok(attempt) if self.shall_repeat(&attempt, &state) => {
+                    state.execution.learn(Execution::Ran);
+                    continue;
                 }
-                Err(AttemptFailure::NoReplica) if state.tried.is_empty() => {
-                    return Err(refusal_of(RefusalCause::NoReplica));
+                Ok(attempt) => return answer(self, state, attempt),
+                Err(failure) => failure,
+            };
+            state.execution.learn(failure.execution());
+            match failure {
+                AttemptFailure::ComeBack { after } => {
+                    let cause = RefusalCause::Overloaded;
+                    return Err(Refusal::new(cause, state.execution, Some(after)));
                 }
-                Err(AttemptFailure::NoReplica) => {
-                    let cause = given_up(may_have_run, RefusalCause::Full, &state);
-                    return Err(refusal_of(cause));
+                AttemptFailure::NoReplica if state.tried.is_empty() => {
+                    return Err(given_up(RefusalCause::NoReplica, &state));
                 }
-                Err(AttemptFailure::NotRun { .. }) => {
+                AttemptFailure::NoReplica => return Err(given_up(RefusalCause::Full, &state)),
+                AttemptFailure::NotRun { .. } | AttemptFailure::Unattributed { .. } => {
                     state.sends -= 1;
                     refusals += 1;
                     if refusals > MOST_REFUSALS {
-                        let cause = given_up(may_have_run, RefusalCause::Full, &state);
-                        return Err(refusal_of(cause));
+                        return Err(given_up(RefusalCause::Full, &state));
                     }
                 }
-                Err(AttemptFailure::MayHaveRun { .. }) => {
-                    may_have_run = true;
+                AttemptFailure::MayHaveRun { .. } => {
                     if !state.route.may_repeat() || state.sends >= state.route.attempts {
-                        let cause = given_up(true, RefusalCause::Broken, &state);
-                        return Err(refusal_of(cause));
+                        return Err(given_up(RefusalCause::Broken, &state));
                     }
                 }
             }
@@ -383,39 +381,32 @@
     }
 }
 
-/// A refusal that leaves it to the cause whether the caller may come back.
-fn refusal_of(cause: RefusalCause) -> Refusal {
-    Refusal {
-        cause,
-        retry_after: cause.is_passing().then_some(RETRY_AFTER),
-    }
+/// The refusal of a request of which nothing was sent; the cause tells whether its caller may come back.
+fn refuse_unsent(cause: RefusalCause) -> Refusal {
+    Refusal::not_run(cause, cause.is_passing().then_some(RETRY_AFTER))
 }
 
-/// Statuses that promise the caller that its request has not run.
-fn promises_not_run(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
-
-/// Why a request is given up: `cause` only if it certainly has not run.
-fn given_up(may_have_run: bool, cause: RefusalCause, state: &RequestState) -> RefusalCause {
-    if !may_have_run {
-        cause
-    } else if state.clock.hold_left().is_zero() {
+/// The refusal of a request that is given up, by what its attempts have shown.
+fn given_up(cause: RefusalCause, state: &RequestState) -> Refusal {
+    let is_late = state.clock.hold_left().is_zero();
+    let cause = if is_late && !state.execution.is_not_run() {
         RefusalCause::TimedOut
     } else {
-        RefusalCause::Broken
-    }
+        cause
+    };
+    Refusal::new(cause, state.execution, Some(RETRY_AFTER))
 }
 
 fn answer(
     forwarder: &Forwarder,
-    state: RequestState,
+    mut state: RequestState,
     attempt: Attempt,
-) -> Result<CallerAnswer, RefusalCause> {
+) -> Result<CallerAnswer, Refusal> {
+    state.execution.learn(Execution::Ran);
     let status = attempt.answer.status;
     if promises_not_run(status) {
         // The replica did not say that it has not run the request, so neither may this daemon.
-        return Err(RefusalCause::Broken);
+        return Err(Refusal::new(RefusalCause::Broken, state.execution, None));
     }
     let headers = attempt.answer.headers.clone();
     let relay = Relay::new(forwarder.clone(), state, attempt);
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -227,7 +227,9 @@
                     let status = attempt.answer.status;
                     first_cause = Some(format!("resumed with status {status}"));
                 }
-                Err(AttemptFailure::NotRun { cause, .. }) => {
+                Err(
+                    AttemptFailure::NotRun { cause, .. } | AttemptFailure::Unattributed { cause },
+                ) => {
                     self.state.sends -= 1;
                     first_cause = Some(cause);
                     let all_refuse = self.state.tried.len() > MOST_REFUSALS;
--- a/crates/serving/src/reply.rs
+++ b/crates/serving/src/reply.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures::stream::BoxStream;
+use harrierward_execution::{Execution, FinalAnswer};
 use http::HeaderMap;
 
 use crate::relay::Cut;
@@ -61,6 +62,16 @@
         !matches!(self, Self::TimedOut | Self::Broken)
     }
 
+    /// The cause that is told of a request of which this is known.
+    fn after(self, execution: Execution) -> Self {
+        match self {
+            _ if execution.is_not_run() => self,
+            Self::NoTimeLeft => Self::TimedOut,
+            cause if cause.is_not_run() => Self::Broken,
+            cause => cause,
+        }
+    }
+
     /// True if the same request may be served later.
     pub fn is_passing(self) -> bool {
         self.is_not_run() && !matches!(self, Self::NoRoute | Self::NoKey | Self::UnknownKey)
@@ -106,13 +117,42 @@
     }
 }
 
-/// A final answer without a replica's.
+/// A final answer without a replica's. Status and pause follow from what is known of the request's execution.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refusal {
+    cause: RefusalCause,
+    answer: FinalAnswer,
+}
+
+impl Refusal {
+    /// The refusal of a request of which this is known; `retry_after` is when to come back if it has not run.
+    pub fn new(cause: RefusalCause, execution: Execution, retry_after: Option<Duration>) -> Self {
+        let cause = cause.after(execution);
+        Self {
+            cause,
+            answer: FinalAnswer::of(execution, cause.status(), retry_after),
+        }
+    }
+
+    /// The refusal of a request of which nothing was sent.
+    pub fn not_run(cause: RefusalCause, retry_after: Option<Duration>) -> Self {
+        Self::new(cause, Execution::NotRun, retry_after)
+    }
+
     /// Cause.
-    pub cause: RefusalCause,
+    pub fn cause(&self) -> RefusalCause {
+        self.cause
+    }
+
+    /// HTTP status.
+    pub fn status(&self) -> u16 {
+        self.answer.status()
+    }
+
     /// When to come back, if the request has not run.
-    pub retry_after: Option<Duration>,
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.answer.retry_after()
+    }
 }
 
 /// What became of a request.
--- a/crates/serving/tests/failing.rs
+++ b/crates/serving/tests/failing.rs
@@ -48,6 +48,7 @@
     ReplicaAnswer {
         status,
         answers: Some(request.request.id.clone()),
+        is_first_on_connection: true,
         not_run: false,
         other_replica: false,
         load: None,
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -48,6 +48,7 @@
         Ok(ReplicaAnswer {
             status: 200,
             answers: Some(request.request.id.clone()),
+            is_first_on_connection: true,
             not_run: false,
             other_replica: false,
             load: None,
--- a/crates/serving/tests/not_run.rs
+++ b/crates/serving/tests/not_run.rs
@@ -22,7 +22,7 @@
 }
 
 fn promises(refusal: &Refusal) -> bool {
-    PROMISES.contains(&refusal.cause.status()) || refusal.retry_after.is_some()
+    PROMISES.contains(&refusal.status()) || refusal.retry_after().is_some()
 }
 
 /// An answer that is left over from an earlier request of the connection came in the place of this one's, and the replica
@@ -36,8 +36,8 @@
     let (fixture, refusal) = play(RouteKind::Unsafe, 1, &[late]).await;
     assert_eq!(fixture.client.played().len(), 1, "it may have run");
     let refusal = refusal.expect("a refusal");
-    assert_eq!(refusal.cause.status(), 502);
-    assert_eq!(refusal.retry_after, None);
+    assert_eq!(refusal.status(), 502);
+    assert_eq!(refusal.retry_after(), None);
 }
 
 #[tokio::test(start_paused = true)]
@@ -47,7 +47,20 @@
     };
     let (fixture, refusal) = play(RouteKind::Unsafe, 1, &[late]).await;
     assert_eq!(fixture.client.played().len(), 1, "it may have run");
-    assert_eq!(refusal.expect("a refusal").cause.status(), 502);
+    assert_eq!(refusal.expect("a refusal").status(), 502);
+}
+
+/// Only requests that may be repeated go out on connections that carried others; without an id nobody can tell whose refusal
+/// comes there.
+#[tokio::test(start_paused = true)]
+async fn a_late_refusal_without_an_id_is_no_proof() {
+    let late = End::Refusal {
+        status: 503,
+        answers: Answers::NobodyLate,
+    };
+    let (fixture, refusal) = play(RouteKind::Safe, 2, &[late, End::NotSent]).await;
+    assert!(fixture.client.has_begun());
+    assert_eq!(refusal.expect("a refusal").status(), 502);
 }
 
 /// True refusals keep their status and say when to come back.
@@ -61,8 +74,8 @@
         let (fixture, refusal) = play(RouteKind::Unsafe, 2, &[full, full]).await;
         assert_eq!(fixture.client.played().len(), 2);
         let refusal = refusal.expect("a refusal");
-        assert_eq!(refusal.cause.status(), 503);
-        assert!(refusal.retry_after.is_some());
+        assert_eq!(refusal.status(), 503);
+        assert!(refusal.retry_after().is_some());
     }
 }
 
@@ -70,7 +83,8 @@
     prop_oneof![
         Just(Answers::Own),
         Just(Answers::Another),
-        Just(Answers::Nobody)
+        Just(Answers::Nobody),
+        Just(Answers::NobodyLate)
     ]
 }
 
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -48,6 +48,7 @@
         Ok(ReplicaAnswer {
             status: 200,
             answers: Some(request.request.id.clone()),
+            is_first_on_connection: true,
             not_run: false,
             other_replica: false,
             load: None,
@@ -208,12 +209,12 @@
     let Reply::Refusal(refusal) = reply else {
         panic!("a refusal");
     };
-    assert_eq!(refusal.cause, RefusalCause::Overloaded);
+    assert_eq!(refusal.cause(), RefusalCause::Overloaded);
     assert_eq!(
-        (refusal.cause.status(), refusal.retry_after),
+        (refusal.status(), refusal.retry_after()),
         (503, Some(after))
     );
-    assert!(refusal.cause.is_not_run() && began.elapsed() < Duration::from_millis(10));
+    assert!(refusal.cause().is_not_run() && began.elapsed() < Duration::from_millis(10));
     assert_eq!(client.sends.load(Ordering::Relaxed), 0);
     let reply = forwarder
         .forward(request(PATIENCE - after), Instant::now())
@@ -244,8 +245,8 @@
     let Reply::Refusal(refusal) = reply else {
         panic!("an answer");
     };
-    assert_eq!(refusal.cause, RefusalCause::Full);
-    assert!(refusal.retry_after.is_some());
+    assert_eq!(refusal.cause(), RefusalCause::Full);
+    assert!(refusal.retry_after().is_some());
     assert_eq!(client.sends.load(Ordering::Relaxed), 0);
     assert!(began.elapsed() < Duration::from_millis(10));
 }
--- a/crates/serving/tests/support/mod.rs
+++ b/crates/serving/tests/support/mod.rs
@@ -30,6 +30,14 @@
     Another,
     /// None.
     Nobody,
+    /// None, where a connection that is used again has a late answer to an earlier request in its place.
+    NobodyLate,
+}
+
+impl Answers {
+    fn is_late(self) -> bool {
+        matches!(self, Self::Another | Self::NobodyLate)
+    }
 }
 
 /// What a replica does with a request.
@@ -57,12 +65,28 @@
     pub fn began(self) -> bool {
         match self {
             Self::NotSent => false,
-            Self::Refusal { answers, .. } | Self::OtherReplica { answers } => {
-                answers == Answers::Another
-            }
+            Self::Refusal { answers, .. } | Self::OtherReplica { answers } => answers.is_late(),
             _ => true,
         }
     }
+
+    /// On a new connection no late answer without an id can come: then it is the replica's own refusal.
+    fn on_new_connection(self) -> Self {
+        let own = |answers: Answers| match answers {
+            Answers::NobodyLate => Answers::Nobody,
+            other => other,
+        };
+        match self {
+            Self::Refusal { status, answers } => Self::Refusal {
+                status,
+                answers: own(answers),
+            },
+            Self::OtherReplica { answers } => Self::OtherReplica {
+                answers: own(answers),
+            },
+            other => other,
+        }
+    }
 }
 
 #[derive(Default)]
@@ -104,8 +128,9 @@
         answers: match answers {
             Answers::Own => Some(id.to_owned()),
             Answers::Another => Some("another".to_owned()),
-            Answers::Nobody => None,
+            Answers::Nobody | Answers::NobodyLate => None,
         },
+        is_first_on_connection: answers != Answers::NobodyLate,
         not_run,
         other_replica: status == 421,
         load: None,
@@ -119,7 +144,10 @@
     async fn send(&self, request: ReplicaRequest<'_>) -> Result<ReplicaAnswer, ExchangeError> {
         let end = {
             let mut script = self.lock();
-            let end = script.ends.pop_front().unwrap_or(End::Whole);
+            let mut end = script.ends.pop_front().unwrap_or(End::Whole);
+            if request.fresh_connection {
+                end = end.on_new_connection();
+            }
             script.played.push((request.replica.to_owned(), end));
             end
         };
