Red: requests that end each replica that runs them, at three daemons; sight: the content of each send

Sight: each sent and attempt_failed line tells the digest of the request's path, caller and body, the same under any id.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -200,6 +200,8 @@
     Sent {
         /// Request.
         request: &'a str,
+        /// Digest of its path, caller and body: the same however often it comes.
+        content: &'a str,
         /// Route.
         route: &'a str,
         /// Replica.
@@ -282,6 +284,8 @@
     AttemptFailed {
         /// Request.
         request: &'a str,
+        /// Digest of its path, caller and body.
+        content: &'a str,
         /// Replica.
         replica: &'a str,
         /// Cause.
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -227,6 +227,7 @@
         let copy_from = copy_from.map(|source| &source.record);
         self.log().record(&Record::Sent {
             request: &request.id,
+            content: &request.content().to_string(),
             route: &request.target,
             replica: &replica.record.id,
             chosen_by: choice.by.name(),
@@ -363,6 +364,7 @@
     ) {
         self.log().record(&Record::AttemptFailed {
             request: &request.id,
+            content: &request.content().to_string(),
             replica: &replica.record.id,
             cause: failure.cause(),
             not_run: failure.execution().is_not_run(),
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod choice;
 mod configuration;
+mod content;
 mod evacuation;
 mod events;
 mod exchange;
--- a/crates/tenants/src/key.rs
+++ b/crates/tenants/src/key.rs
@@ -15,6 +15,12 @@
         Self(text.into())
     }
 
+    /// Tells keys apart without telling the key: the first bytes of its digest.
+    pub fn fingerprint(&self) -> [u8; 8] {
+        let KeyDigest([a, b, c, d, e, f, g, h, ..]) = self.digest();
+        [a, b, c, d, e, f, g, h]
+    }
+
     pub(crate) fn digest(&self) -> KeyDigest {
         KeyDigest(Sha256::digest(self.0.as_bytes()).into())
     }
