Contents under which replicas end are held back by all daemons

Cause: a request was known by the id of one try. attempts bounds a try, so each try ended two replicas and the next one, at any daemon, began anew; an item of a batch job had no bound at all, since a run whose replica ends is no failure. Class: a bound that holds for one party's view of a thing (a try, a daemon) where the harm is the fleet's. Change: crate quarantine (pure): digest of path, caller and body; ends of replicas by content; the content with the most ends explains them, so what ran beside it is acquitted; held from three ends on, 10 minutes and longer each time; a whole answer or an operator clears. edge/quarantine: a broken connection is followed by a look whether the replica still listens, or by the word that its entry went; told to six members at once, three a tick, then now and then; new members are told. serving: asked before each send; 503 held_back where nothing ran. A replica that ended gets nothing, and does not count among the attempts of what may be repeated. Items wait, get one trial 5 s after the third end, and are given up when max-wait allows it. What is left: replicas back under their id are not told from their earlier start (next).

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -45,6 +45,8 @@
     cold_paced: IntCounterVec,
     replica_standings: IntCounterVec,
     replicas_ejected: IntGauge,
+    replicas_ended: IntCounterVec,
+    contents_held: IntGauge,
     tenants: Arc<Mutex<BTreeSet<String>>>,
 }
 
@@ -200,6 +202,15 @@
                 "harrierward_replicas_ejected",
                 "Replicas that this daemon, as their coordinator, keeps out of service",
             )?,
+            replicas_ended: counter(
+                "harrierward_replicas_ended_total",
+                "Replicas that ended while requests of this daemon were in progress there, by how that is known",
+                "known_by",
+            )?,
+            contents_held: gauge(
+                "harrierward_contents_held",
+                "Contents that are held back since replicas ended under them",
+            )?,
             tenants: Arc::default(),
             registry,
         })
@@ -294,6 +305,13 @@
                     .with_label_values(&[*dependency])
                     .inc();
             }
+            Record::ReplicaEnded { known_by, .. } => {
+                self.replicas_ended.with_label_values(&[*known_by]).inc();
+            }
+            Record::ContentHeld { held, .. } => {
+                self.contents_held
+                    .set(i64::try_from(*held).unwrap_or(i64::MAX));
+            }
             Record::ConnectionsSilent { closed, .. } => {
                 self.connections_silent.inc_by(*closed as u64);
             }
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -135,6 +135,32 @@
         /// Cause.
         cause: &'a str,
     },
+    /// A replica has ended while requests of this daemon were in progress there.
+    ReplicaEnded {
+        /// Replica.
+        replica: &'a str,
+        /// How that is known: `refused` (nobody listens at its address), `gone` (its entry went), `peer` (another daemon says so).
+        known_by: &'a str,
+        /// Contents of this daemon that were there.
+        contents: usize,
+        /// Time since the first connection broke.
+        after_ms: u64,
+    },
+    /// A content is held back, or no longer, since replicas ended under it.
+    ContentHeld {
+        /// Digest of path, caller and body.
+        content: &'a str,
+        /// `held`, `released` (by an operator), `cleared` (it came to a whole answer, or another one is to blame).
+        outcome: &'a str,
+        /// Replicas that ended under it.
+        ends: usize,
+        /// Time since the first of these ends.
+        since_ms: u64,
+        /// How much longer it is held back.
+        hold_ms: u64,
+        /// Contents held back now.
+        held: usize,
+    },
     /// A dependency was lost.
     DependencyLost {
         /// Name.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -22,6 +22,7 @@
 use crate::peer_news::PeerNews;
 use crate::peer_rows::{PeerRows, learn};
 use crate::pool::ConnectionPool;
+use crate::quarantine::{HeldContents, QuarantineService};
 use crate::rates::RateService;
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
@@ -60,6 +61,8 @@
     /// The servers' state.
     pub control: Arc<ServerControl>,
     pub(crate) stopping: AtomicBool,
+    /// Contents that are held back.
+    pub quarantine: QuarantineService,
     discovery: Arc<Discovery>,
     members: Arc<Members>,
 }
@@ -134,12 +137,15 @@
             log.clone(),
         ));
         let proof = Arc::new(ConfigurationProof::default());
+        let quarantine =
+            QuarantineService::new(life.clone(), replicas.clone(), pool.clone(), log.clone());
         let members = Members::new(
             life.clone(),
             &settings,
             replicas.clone(),
             slots.clone(),
             rates.clone(),
+            quarantine.clone(),
             log.clone(),
         );
         let members = Arc::new(members);
@@ -149,6 +155,7 @@
             client,
             places: slots.clone(),
             rates,
+            quarantine: Arc::new(quarantine.clone()),
             proof: proof.clone(),
             log: log.clone(),
             settings: ForwarderSettings {
@@ -204,6 +211,7 @@
             jobs,
             control,
             stopping: AtomicBool::new(false),
+            quarantine,
             discovery,
             members: members.clone(),
         });
@@ -241,8 +249,9 @@
         }
         if !self.settings.control_address.is_empty() {
             let listener = TcpListener::bind(&self.settings.control_address).await?;
-            let peer_rows = PeerRows::new(self.service.discovery.clone());
-            tokio::spawn(serve(listener, inner_control, Arc::new(peer_rows)));
+            let peer_rows = Arc::new(PeerRows::new(self.service.discovery.clone()));
+            let held = HeldContents::new(self.service.quarantine.clone(), peer_rows);
+            tokio::spawn(serve(listener, inner_control, Arc::new(held)));
         }
         Ok(())
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod peer_news;
 mod peer_rows;
 mod pool;
+mod quarantine;
 mod rates;
 mod server;
 mod settings;
@@ -34,6 +35,7 @@
 pub use pool::{
     ConnectionPool, PoolError, PoolSettings, PooledBody, PooledResponse, RequestBody, has_token,
 };
+pub use quarantine::QuarantineService;
 pub use rates::RateService;
 pub use server::{HttpService, ResponseBody, ServerControl, ServerStage, serve};
 pub use settings::EdgeSettings;
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -25,6 +25,7 @@
 use crate::calls::DatagramCalls;
 use crate::peer_loads::PeerLoads;
 use crate::peer_news::PeerNews;
+use crate::quarantine::QuarantineService;
 use crate::rates::RateService;
 use crate::settings::EdgeSettings;
 use crate::slots::{CoordinatorCandidate, SlotService};
@@ -77,6 +78,7 @@
     next_quota_call: AtomicU32,
     slots: Arc<SlotService>,
     rates: Arc<RateService>,
+    quarantine: QuarantineService,
     socket: OnceLock<Arc<UdpSocket>>,
     state: Mutex<State>,
 }
@@ -96,6 +98,7 @@
         replicas: Arc<ReplicaSet>,
         slots: Arc<SlotService>,
         rates: Arc<RateService>,
+        quarantine: QuarantineService,
         log: DecisionLog,
     ) -> Self {
         let own = MemberRecord {
@@ -138,6 +141,7 @@
             next_quota_call: AtomicU32::new(1),
             slots,
             rates,
+            quarantine,
             socket: OnceLock::new(),
             state: Mutex::new(state),
         }
@@ -200,6 +204,7 @@
         let _ = self.socket.set(socket.clone());
         self.slots.set_socket(socket.clone());
         self.rates.set_socket(socket.clone());
+        self.quarantine.set_socket(socket.clone());
         let receiving = self.clone().receive_all(socket.clone());
         tokio::join!(self.tick_all(socket), receiving);
     }
@@ -233,6 +238,7 @@
             tick += 1;
             self.slots.tick();
             self.rates.tick();
+            self.quarantine.tick();
             send_all(&socket, datagrams).await;
             sleep(TICK).await;
         }
@@ -255,6 +261,7 @@
         let kind = decode::<NodeDatagram>(bytes).and_then(|datagram| datagram.kind);
         let kind = kind.and_then(|kind| self.slots.receive(kind, from));
         let kind = kind.and_then(|kind| self.rates.receive(kind, from));
+        let kind = kind.and_then(|kind| self.quarantine.receive(kind));
         let mut state = self.lock();
         match kind {
             Some(node_datagram::Kind::Membership(datagram)) => {
@@ -316,6 +323,7 @@
             location: Location::new(&member.zone, &member.region),
         });
         let staying: Vec<CoordinatorCandidate> = staying.collect();
+        self.quarantine.set_members(&staying);
         self.rates.set_members(staying.clone());
         self.slots.set_members(staying);
     }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -4,6 +4,7 @@
 //! be used again, and one that is given up must be closed at once, so that the back end stops.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -290,6 +291,13 @@
         })
     }
 
+    /// True if nobody listens at the address: the connection is refused at once. One that is silent may listen.
+    pub async fn is_refused(&self, address: &str) -> bool {
+        let connecting = TcpStream::connect(address.to_owned());
+        let connected = timeout(self.inner.settings.connect_timeout, connecting).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     async fn connect(&self, address: &str) -> Result<Connection, PoolError> {
         let settings = &self.inner.settings;
         let connecting = TcpStream::connect(address.to_owned());
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -87,15 +87,16 @@
                 return RunOutcome::Broken("no event in time".to_owned());
             }
             Some(None) if splitter.left_over() > 0 => {
-                in_progress.conclude(Verdict::Cut);
+                in_progress.break_off();
                 return RunOutcome::Broken("the stream ended within an event".to_owned());
             }
             Some(None) => {
                 in_progress.conclude(Verdict::Served);
+                in_progress.note_whole();
                 return RunOutcome::Finished;
             }
             Some(Some(Err(error))) => {
-                in_progress.conclude(Verdict::Cut);
+                in_progress.break_off();
                 return RunOutcome::Broken(error.to_string());
             }
             Some(Some(Ok(bytes))) => bytes,
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -66,6 +66,10 @@
             if !self.is_due(urgency) {
                 return;
             }
+            if self.inner.forwarder.bars_item(&item.request) {
+                self.give_up_held(&routes, &item);
+                continue;
+            }
             let room = ItemRoom { slack };
             let Some(ready) = self.ready(&routes, item, room) else {
                 // It waits, and must not hold up those that can run.
@@ -84,6 +88,28 @@
         }
     }
 
+    /// An item that must not run since replicas have ended under its content waits, and is given up when its route allows
+    /// that: its job's caller learns of it then, and not earlier.
+    fn give_up_held(&self, routes: &RouteTable, item: &StartableItem) {
+        let route = routes.configuration.route(&item.route);
+        let bounds = route.and_then(|route| route.batch());
+        let Some(longest) = bounds.map(|bounds| bounds.give_up_after) else {
+            return;
+        };
+        let age_ms = self
+            .inner
+            .view
+            .store_now_ms()
+            .saturating_sub(item.accepted_ms);
+        if longest.is_zero() || Duration::from_millis(age_ms) < longest {
+            return;
+        }
+        if let Some(entry) = self.book().item(&item.job, item.number) {
+            entry.phase = ItemPhase::Done { failed: true };
+        }
+        self.log_run(item, "", &RunOutcome::NotRun("held back".to_owned()));
+    }
+
     /// The item as it may run by the configuration in force; `None` if nothing takes it now.
     fn ready(&self, routes: &RouteTable, item: StartableItem, room: ItemRoom) -> Option<ReadyItem> {
         let route = routes.configuration.route(&item.route)?;
@@ -100,6 +126,7 @@
         if is_held || !view.has_usable(service, &regions) {
             return None;
         }
+
         Some(ReadyItem {
             item: within(item, regions),
             service: service.to_owned(),
--- a/crates/inline-jobs/tests/stale_listing.rs
+++ b/crates/inline-jobs/tests/stale_listing.rs
@@ -18,8 +18,8 @@
 };
 use harrierward_serving::{
     ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, KeyTrust, LeaseEnd,
-    RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient, ReplicaRequest, ReplicaSet,
-    SelectionCosts, SlotAnswer, SlotLeases, SlotQuery,
+    NoQuarantine, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient, ReplicaRequest,
+    ReplicaSet, SelectionCosts, SlotAnswer, SlotLeases, SlotQuery,
 };
 use harrierward_tenants::Tenant;
 use harrierward_wire::{ItemHeadRow, JobHeadRow, QuotaOutcome, ResultPieceRow, encode};
@@ -207,6 +207,7 @@
         client: Arc::new(Nothing),
         places: Arc::new(Nothing),
         rates: Arc::new(Nothing),
+        quarantine: Arc::new(NoQuarantine),
         proof: Arc::default(),
         log: log.clone(),
         settings: ForwarderSettings {
--- /dev/null
+++ b/crates/quarantine/tests/ledger.rs
@@ -0,0 +1,246 @@
+//! Who is to blame where replicas end, as one daemon and as several come to it.
+
+use std::time::Duration;
+
+use harrierward_quarantine::{ContentId, CrashLedger, ReplicaStart, Standing};
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+const CULPRIT: ContentId = ContentId(1);
+const BYSTANDER: ContentId = ContentId(2);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Times are counted from a moment that lies well after the clock's beginning.
+fn start() -> Instant {
+    Instant::now() + Duration::from_secs(10_000)
+}
+
+fn end(ledger: &mut CrashLedger, contents: &[ContentId], replica: u32, at: Instant) {
+    for content in contents {
+        ledger.note_end(*content, ReplicaStart(replica), at);
+    }
+}
+
+fn is_held(ledger: &CrashLedger, content: ContentId, now: Instant) -> bool {
+    matches!(ledger.standings().of(content, now), Standing::Held(_))
+}
+
+#[test]
+fn a_content_is_held_back_from_its_third_end_on() {
+    let (mut ledger, now) = (CrashLedger::default(), start());
+    for replica in 1..=2 {
+        end(&mut ledger, &[CULPRIT], replica, now);
+        assert!(!is_held(&ledger, CULPRIT, now));
+    }
+    end(&mut ledger, &[CULPRIT], 2, now + ms(5));
+    assert!(!is_held(&ledger, CULPRIT, now), "an end counts once");
+    end(&mut ledger, &[CULPRIT], 3, now + ms(9));
+    assert!(is_held(&ledger, CULPRIT, now + ms(10)));
+}
+
+/// One that ran beside the culprit three times by chance is explained by it as soon as the culprit has one end more.
+#[test]
+fn what_ran_beside_the_culprit_is_not_held_back() {
+    let (mut ledger, now) = (CrashLedger::default(), start());
+    for replica in 1..=3 {
+        end(&mut ledger, &[CULPRIT, BYSTANDER], replica, now);
+    }
+    end(&mut ledger, &[CULPRIT], 4, now);
+    assert!(is_held(&ledger, CULPRIT, now));
+    assert_eq!(ledger.standings().of(BYSTANDER, now), Standing::Clear);
+}
+
+#[test]
+fn a_whole_answer_clears_and_old_news_does_not_undo_it() {
+    let (mut ledger, now) = (CrashLedger::default(), start());
+    end(&mut ledger, &[BYSTANDER], 1, now);
+    end(&mut ledger, &[BYSTANDER], 2, now + ms(300));
+    let told = ledger.told(&ledger.standings(), now + ms(310), 10);
+    assert!(ledger.clear(BYSTANDER, 7, now + ms(400)));
+    // It was on its way for half a second.
+    ledger.take(&told, now + ms(810));
+    assert_eq!(
+        ledger.standings().of(BYSTANDER, now + ms(810)),
+        Standing::Clear
+    );
+    end(&mut ledger, &[BYSTANDER], 3, now + ms(2_000));
+    let standing = ledger.standings().of(BYSTANDER, now + ms(2_000));
+    assert_eq!(standing, Standing::Suspect { ends: 1 });
+}
+
+#[test]
+fn a_hold_ends_and_is_longer_after_each_further_end() {
+    let (mut ledger, now) = (CrashLedger::default(), start());
+    for replica in 1..=3 {
+        end(&mut ledger, &[CULPRIT], replica, now);
+    }
+    let minutes = |count: u64| Duration::from_secs(count * 60);
+    assert!(is_held(&ledger, CULPRIT, now + minutes(9)));
+    assert!(!is_held(&ledger, CULPRIT, now + minutes(10)));
+    let again = now + minutes(11);
+    end(&mut ledger, &[CULPRIT], 4, again);
+    assert!(is_held(&ledger, CULPRIT, again + minutes(19)));
+    assert!(!is_held(&ledger, CULPRIT, again + minutes(20)));
+}
+
+#[test]
+fn an_operator_releases_it() {
+    let (mut ledger, now) = (CrashLedger::default(), start());
+    for replica in 1..=3 {
+        end(&mut ledger, &[CULPRIT], replica, now);
+    }
+    assert!(ledger.clear(CULPRIT, 1, now + ms(2_000)));
+    assert!(!is_held(&ledger, CULPRIT, now + ms(2_000)));
+    assert!(
+        !ledger.clear(CULPRIT, 2, now + ms(2_001)),
+        "nothing is left"
+    );
+}
+
+#[test]
+fn memory_is_bounded_and_the_culprit_stays() {
+    let (mut ledger, now) = (CrashLedger::default(), start());
+    for replica in 1..=3 {
+        end(&mut ledger, &[CULPRIT], replica, now);
+    }
+    for content in 100..10_000 {
+        end(&mut ledger, &[ContentId(content)], 50, now + ms(content));
+    }
+    assert!(ledger.len() <= 2_048);
+    assert!(is_held(&ledger, CULPRIT, now));
+    assert!(ledger.told(&ledger.standings(), now + ms(10_000), 8).len() <= 8);
+}
+
+/// An item that was there by chance runs once more; one that has ended a fourth replica does not.
+#[test]
+fn an_item_has_one_trial() {
+    let (mut ledger, now) = (CrashLedger::default(), start());
+    let allows = |ledger: &CrashLedger, at: Instant| match ledger.standings().of(CULPRIT, at) {
+        Standing::Held(hold) => hold.allows_trial(at),
+        _ => true,
+    };
+    for replica in 1..=3 {
+        end(&mut ledger, &[CULPRIT], replica, now);
+    }
+    assert!(!allows(&ledger, now + ms(4_900)));
+    assert!(allows(&ledger, now + ms(5_100)));
+    end(&mut ledger, &[CULPRIT], 4, now + ms(5_200));
+    assert!(!allows(&ledger, now + ms(60_000)));
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    End {
+        content: u64,
+        replica: u32,
+        at_ms: u64,
+    },
+    Whole {
+        content: u64,
+        at_ms: u64,
+        number: u32,
+    },
+}
+
+/// A replica ends once; daemons date that a little differently.
+fn any_event() -> impl Strategy<Value = Event> {
+    let end = (1_u64..6, 1_u32..9, 0_u64..400).prop_map(|(content, replica, error_ms)| {
+        let at_ms = u64::from(replica) * 600 + error_ms;
+        Event::End {
+            content,
+            replica,
+            at_ms,
+        }
+    });
+    let whole = (2_u64..6, 0_u64..5_000, any::<u32>());
+    let whole = whole.prop_map(|(content, at_ms, number)| Event::Whole {
+        content,
+        at_ms,
+        number,
+    });
+    prop_oneof![4 => end, 1 => whole]
+}
+
+fn apply(ledger: &mut CrashLedger, event: &Event, start: Instant) {
+    match event {
+        Event::End {
+            content,
+            replica,
+            at_ms,
+        } => {
+            let at = start + ms(*at_ms);
+            ledger.note_end(ContentId(*content), ReplicaStart(*replica), at);
+        }
+        Event::Whole {
+            content,
+            at_ms,
+            number,
+        } => {
+            ledger.clear(ContentId(*content), *number, start + ms(*at_ms));
+        }
+    }
+}
+
+proptest! {
+    /// Daemons saw different parts; after telling each other often enough all hold back the same, whatever was lost on the way.
+    #[test]
+    fn ledgers_come_to_the_same(
+        events in prop::collection::vec((0_usize..3, any_event()), 0..40),
+        lost in prop::collection::vec(any::<bool>(), 12),
+    ) {
+        let start = start();
+        let mut ledgers = vec![CrashLedger::default(); 3];
+        let mut ordered = events.clone();
+        ordered.sort_by_key(|(_, event)| match event {
+            Event::End { at_ms, .. } | Event::Whole { at_ms, .. } => *at_ms,
+        });
+        for (seen_by, event) in &ordered {
+            apply(&mut ledgers[*seen_by], event, start);
+        }
+        let now = start + ms(6_000);
+        let mut losses = lost.into_iter();
+        for round in 0..6 {
+            for from in 0..3 {
+                for to in (0..3).filter(|to| *to != from) {
+                    if round < 4 && losses.next().unwrap_or(false) {
+                        continue;
+                    }
+                    let told = ledgers[from].told(&ledgers[from].standings(), now, 100);
+                    ledgers[to].take(&told, now);
+                }
+            }
+        }
+        let standings: Vec<_> = ledgers.iter().map(CrashLedger::standings).collect();
+        for content in 1..6 {
+            // Each dates the ends by its own sight.
+            let of = |index: usize| match standings[index].of(ContentId(content), now) {
+                Standing::Clear => (false, 0),
+                Standing::Suspect { ends } => (false, ends),
+                Standing::Held(hold) => (true, hold.ends),
+            };
+            prop_assert_eq!(of(0), of(1));
+            prop_assert_eq!(of(1), of(2));
+        }
+    }
+
+    /// Whatever runs beside it: a content with more ends than any other, and never a whole answer, is held back from three on.
+    #[test]
+    fn the_culprit_is_always_held_back(
+        beside in prop::collection::vec(prop::collection::vec(2_u64..20, 0..10), 3..10),
+    ) {
+        let (mut ledger, now) = (CrashLedger::default(), start());
+        for (replica, contents) in (1..).zip(&beside) {
+            end(&mut ledger, &[CULPRIT], replica, now);
+            let others: Vec<ContentId> = contents.iter().map(|content| ContentId(*content)).collect();
+            end(&mut ledger, &others, replica, now);
+        }
+        prop_assert!(is_held(&ledger, CULPRIT, now));
+        // Nothing else is: all ends are the culprit's.
+        for content in 2..20 {
+            prop_assert!(!is_held(&ledger, ContentId(content), now));
+        }
+    }
+}
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::outcome::{Evidence, Verdict};
 use crate::placing::NoPlace;
 use crate::policy::Mechanism;
-use crate::replica::Replica;
+use crate::replica::{Replica, WorkClass};
 
 /// Bounds of one attempt.
 #[derive(Debug, Clone, Copy)]
@@ -142,6 +142,9 @@
     }
 }
 
+/// Cause of an attempt that was not made since replicas have ended under its content.
+const HELD_BACK: &str = "held back";
+
 /// Statuses from this one on are failures of the replica, not of the request.
 const FIRST_FAILURE: u16 = 500;
 
@@ -208,7 +211,7 @@
         sending: Sending,
     ) -> Result<Attempt, AttemptFailure> {
         let Placement {
-            in_progress,
+            mut in_progress,
             choice,
         } = placement;
         let replica = choice.replica;
@@ -222,12 +225,25 @@
             self.log_failure(request, &replica, &failure, Duration::ZERO);
             return Err(failure);
         }
+        let content = request.content();
+        let is_barred = match in_progress.class() {
+            WorkClass::Online => self.is_held(content),
+            WorkClass::Batch => self.bars_item(request),
+        };
+        if is_barred {
+            // It may have waited for its slot meanwhile.
+            let cause = HELD_BACK.to_owned();
+            let failure = AttemptFailure::NotRun { cause, full: false };
+            self.log_failure(request, &replica, &failure, Duration::ZERO);
+            return Err(failure);
+        }
+        in_progress.begin(content, self.quarantine().clone());
         let copy_from = choice.copy_from.as_ref();
         let copy_from = copy_from.filter(|source| may_give_copy(source, &request.regions));
         let copy_from = copy_from.map(|source| &source.record);
         self.log().record(&Record::Sent {
             request: &request.id,
-            content: &request.content().to_string(),
+            content: &content.to_string(),
             route: &request.target,
             replica: &replica.record.id,
             chosen_by: choice.by.name(),
@@ -308,13 +324,13 @@
             }
             Some(Err(error)) => {
                 self.suspect(replica);
-                in_progress.conclude(Verdict::Cut);
                 let cause = error.to_string();
-                return Err(if error.is_not_run() {
-                    AttemptFailure::NotRun { cause, full: false }
-                } else {
-                    AttemptFailure::MayHaveRun { cause }
-                });
+                if error.is_not_run() {
+                    in_progress.conclude(Verdict::Cut);
+                    return Err(AttemptFailure::NotRun { cause, full: false });
+                }
+                in_progress.break_off();
+                return Err(AttemptFailure::MayHaveRun { cause });
             }
             Some(Ok(answer)) => answer,
         };
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -7,6 +7,7 @@
 use futures::StreamExt;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_execution::{Execution, promises_not_run};
+use harrierward_quarantine::{ContentId, Hold, Standing};
 use tokio::time::Instant;
 
 use crate::admission::{ConfigurationProof, KeyTrust, RateAnswer, RateLimits, caller_of};
@@ -16,7 +17,9 @@
 use crate::leases::SlotLeases;
 use crate::policy::{Mechanism, Policy};
 use crate::profile::PromptProfiles;
+use crate::quarantine::Quarantine;
 use crate::relay::Relay;
+use crate::replica::Replica;
 use crate::replica_set::ReplicaSet;
 use crate::reply::{CallerAnswer, Refusal, RefusalCause, Reply};
 use crate::routes::{RouteEntry, RouteTable};
@@ -65,6 +68,8 @@
     pub places: Arc<dyn SlotLeases>,
     /// Rates of tenants.
     pub rates: Arc<dyn RateLimits>,
+    /// Contents that are held back.
+    pub quarantine: Arc<dyn Quarantine>,
     /// Age of the routes.
     pub proof: Arc<ConfigurationProof>,
     /// The decision log.
@@ -84,6 +89,8 @@
 pub(crate) struct RequestState {
     /// The request.
     pub request: Arc<ServingRequest>,
+    /// Its content.
+    pub content: ContentId,
     /// Its route.
     pub route: Arc<Route>,
     /// The service that its turn fell to.
@@ -96,16 +103,29 @@
     pub sends: u32,
     /// What the attempts so far have shown of its execution.
     pub execution: Execution,
+    /// Replicas that ended while they ran it, and do not count among `sends`.
+    pub forgiven: u32,
     /// Its caller has been refused or cut off before.
     pub is_return: bool,
     /// Its objective had passed before it came, and it leaves slots to those that can be in time.
     pub overdue: bool,
 }
 
+/// Most replicas that may end under one try without counting: as many as it takes to tell whether it is to blame.
+const MOST_FORGIVEN: u32 = 3;
+
 /// Part of the time that a caller has left for which it still heeds when to come back.
 const RETURN_PART: u32 = 3;
 
 impl RequestState {
+    /// The replica that ran it last has ended, and does not count.
+    pub fn forgive(&mut self) {
+        if self.forgiven < MOST_FORGIVEN && self.sends > 0 {
+            self.forgiven += 1;
+            self.sends -= 1;
+        }
+    }
+
     /// Longest time after which the caller still comes back; `None` for one that has come back before, which is not
     /// sent away again, and for one that waits without a bound.
     pub fn may_return(&self) -> Option<Duration> {
@@ -202,6 +222,36 @@
         &self.parts.settings
     }
 
+    pub(crate) fn quarantine(&self) -> &Arc<dyn Quarantine> {
+        &self.parts.quarantine
+    }
+
+    pub(crate) async fn has_ended(&self, replica: &Arc<Replica>) -> bool {
+        self.parts.quarantine.has_ended(replica).await
+    }
+
+    fn hold(&self, content: ContentId) -> Option<Hold> {
+        match self.parts.quarantine.standing(content) {
+            Standing::Held(hold) => Some(hold),
+            Standing::Clear | Standing::Suspect { .. } => None,
+        }
+    }
+
+    /// True if replicas have ended under the content, so that it is sent to none.
+    pub(crate) fn is_held(&self, content: ContentId) -> bool {
+        self.hold(content).is_some()
+    }
+
+    /// True if an item must not run now since replicas have ended under its content. One that may have been there by chance
+    /// gets one trial; its caller does not wait, and it is lost for nothing otherwise.
+    pub fn bars_item(&self, request: &ServingRequest) -> bool {
+        if !self.parts.quarantine.holds_any() {
+            return false;
+        }
+        let hold = self.hold(request.content());
+        hold.is_some_and(|hold| !hold.allows_trial(Instant::now()))
+    }
+
     /// Mechanisms in use.
     pub fn policy(&self) -> Policy {
         self.parts.settings.costs.policy
@@ -307,17 +357,22 @@
         let is_return = entry.is_overdue(request.patience);
         let mut state = RequestState {
             request: request.clone(),
+            content: request.content(),
             route: Arc::new(entry.route.clone()),
             service: service.to_owned(),
             clock: RequestClock::new(arrived, request, &entry.route),
             tried: Vec::new(),
             sends: 0,
             execution: Execution::NotRun,
+            forgiven: 0,
             is_return,
             overdue: is_return && self.policy().has(Mechanism::OverdueLast),
         };
         let mut refusals = 0;
         loop {
+            if let Some(hold) = self.hold(state.content) {
+                return Err(held_back(&hold, &state));
+            }
             if state.clock.hold_left().is_zero() {
                 return Err(given_up(RefusalCause::NoTimeLeft, &state));
             }
@@ -350,6 +405,7 @@
                     }
                 }
                 AttemptFailure::MayHaveRun { .. } => {
+                    self.forgive_end(&mut state).await;
                     if !state.route.may_repeat() || state.sends >= state.route.attempts {
                         return Err(given_up(RefusalCause::Broken, &state));
                     }
@@ -358,6 +414,23 @@
         }
     }
 
+    /// A replica that has ended does not count among the attempts of a request that may be repeated.
+    async fn forgive_end(&self, state: &mut RequestState) {
+        let is_last = state.sends >= state.route.attempts;
+        let Some(replica) = self.last_tried(state) else {
+            return;
+        };
+        if is_last && state.route.may_repeat() && self.has_ended(&replica).await {
+            state.forgive();
+        }
+    }
+
+    /// The replica that a request was sent to last, if it is still known.
+    pub(crate) fn last_tried(&self, state: &RequestState) -> Option<Arc<Replica>> {
+        let last = state.tried.last()?;
+        self.replicas().view().get(last).cloned()
+    }
+
     async fn first_attempt(
         &self,
         state: &RequestState,
@@ -397,6 +470,12 @@
     Refusal::new(cause, state.execution, Some(RETRY_AFTER))
 }
 
+/// The refusal of a request under whose content replicas have ended. To come back earlier is of no use.
+fn held_back(hold: &Hold, state: &RequestState) -> Refusal {
+    let left = hold.until.saturating_duration_since(Instant::now());
+    Refusal::new(RefusalCause::HeldBack, state.execution, Some(left))
+}
+
 fn answer(
     forwarder: &Forwarder,
     mut state: RequestState,
--- a/crates/serving/src/gate.rs
+++ b/crates/serving/src/gate.rs
@@ -11,6 +11,8 @@
 pub enum Barred {
     /// The replica leaves.
     Leaving,
+    /// It has ended.
+    Ended,
     /// Its zone is evacuated.
     ZoneEvacuated,
     /// Its region is not among those that the request's route and tenant allow.
@@ -24,6 +26,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Leaving => "leaving",
+            Self::Ended => "ended",
             Self::ZoneEvacuated => "zone_evacuated",
             Self::RegionNotAllowed => "region_not_allowed",
             Self::ColdWithoutGrant => "cold_without_grant",
@@ -44,6 +47,8 @@
 pub fn barred(replica: &Replica, passage: &Passage<'_>, now: Instant) -> Option<Barred> {
     if replica.is_draining() {
         Some(Barred::Leaving)
+    } else if replica.has_ended() {
+        Some(Barred::Ended)
     } else if replica.is_zone_evacuated() {
         Some(Barred::ZoneEvacuated)
     } else if !passage.regions.allows(&replica.record.region) {
--- a/crates/serving/src/in_progress.rs
+++ b/crates/serving/src/in_progress.rs
@@ -3,16 +3,35 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use harrierward_quarantine::ContentId;
+
 use crate::leases::SlotLease;
 use crate::outcome::{Evidence, Verdict};
+use crate::quarantine::Quarantine;
 use crate::replica::{Replica, WorkClass};
 
 /// A request in progress at a replica.
-#[derive(Debug)]
 pub struct InProgress {
     replica: Arc<Replica>,
     class: WorkClass,
     place: Option<SlotLease>,
+    content: Option<WatchedContent>,
+}
+
+/// The content that is in progress, and who learns how that ends.
+struct WatchedContent {
+    content: ContentId,
+    quarantine: Arc<dyn Quarantine>,
+}
+
+impl std::fmt::Debug for InProgress {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("InProgress")
+            .field("replica", &self.replica.record.id)
+            .field("class", &self.class)
+            .finish_non_exhaustive()
+    }
 }
 
 impl InProgress {
@@ -22,6 +41,32 @@
             replica,
             class,
             place,
+            content: None,
+        }
+    }
+
+    /// The content is sent now: how it ends says something of it as well as of the replica.
+    pub(crate) fn begin(&mut self, content: ContentId, quarantine: Arc<dyn Quarantine>) {
+        self.content = Some(WatchedContent {
+            content,
+            quarantine,
+        });
+    }
+
+    /// The connection broke after the request may have been begun.
+    pub fn break_off(&self) {
+        self.conclude(Verdict::Cut);
+        if let Some(watched) = &self.content {
+            watched
+                .quarantine
+                .note_broken(watched.content, &self.replica);
+        }
+    }
+
+    /// The whole answer came, whatever it says: the replica has outlived the request.
+    pub fn note_whole(&self) {
+        if let Some(watched) = &self.content {
+            watched.quarantine.note_whole(watched.content);
         }
     }
 
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -202,7 +202,9 @@
             cold_until: choice.cold_until,
         };
         let reason = barred(&choice.replica, &passage, Instant::now());
-        let Some(reason @ (Barred::ZoneEvacuated | Barred::RegionNotAllowed)) = reason else {
+        let Some(reason @ (Barred::ZoneEvacuated | Barred::RegionNotAllowed | Barred::Ended)) =
+            reason
+        else {
             return false;
         };
         self.log().record(&Record::LeaseOverruled {
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -1,6 +1,7 @@
 //! An answer's body on its way to the caller: whole events of streams that may be resumed, raw bytes of others.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use crate::forwarder::{Forwarder, RequestClock, RequestState};
 use crate::in_progress::InProgress;
 use crate::outcome::{Evidence, Verdict};
+use crate::replica::Replica;
 
 /// The answer could not be brought to its end; the caller's connection must be broken off.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -88,6 +90,12 @@
         }
     }
 
+    fn break_off(&self) {
+        if let Some(in_progress) = &self.in_progress {
+            in_progress.break_off();
+        }
+    }
+
     fn splits_events(&self) -> bool {
         self.state.route.is_resumable() && self.status < 300
     }
@@ -106,7 +114,7 @@
                 Step::Bytes(bytes) => return Some(Ok(bytes)),
                 Step::End if self.splits_events() && self.splitter.left_over() > 0 => {
                     let cause = "the stream ended within an event".to_owned();
-                    self.conclude(Verdict::Cut);
+                    self.break_off();
                     if let Err(cut) = self.go_on(cause).await {
                         return Some(Err(cut));
                     }
@@ -115,6 +123,9 @@
                     if self.status < FIRST_ERROR {
                         self.conclude(Verdict::Served);
                     }
+                    if let Some(in_progress) = &self.in_progress {
+                        in_progress.note_whole();
+                    }
                     self.finish("whole");
                     return None;
                 }
@@ -170,7 +181,7 @@
                 Step::Bytes(bytes)
             }
             Some(Some(Err(error))) => {
-                in_progress.conclude(Verdict::Cut);
+                in_progress.break_off();
                 Step::Broken(error.to_string())
             }
         }
@@ -205,8 +216,12 @@
     async fn go_on(&mut self, cause: String) -> Result<(), Cut> {
         // The connection is closed before another replica starts.
         self.body = None;
-        self.in_progress = None;
+        let left = self.in_progress.take();
+        let left = left.map(|in_progress| in_progress.replica().clone());
         self.splitter = EventSplitter::default();
+        if let Some(replica) = left {
+            self.forgive_end(&replica).await;
+        }
         if !self.can_move() || self.state.clock.hold_left().is_zero() {
             return Err(self.cut(cause));
         }
@@ -214,6 +229,9 @@
         let mut first_cause = Some(cause);
         let mut room_waits = 0;
         while self.can_move() && !self.state.clock.hold_left().is_zero() {
+            if self.forwarder.is_held(self.state.content) {
+                break;
+            }
             self.state.sends += 1;
             let (replica, result) = self.try_again().await;
             self.state.tried.extend(replica);
@@ -237,7 +255,13 @@
                         break;
                     }
                 }
-                Err(AttemptFailure::MayHaveRun { cause }) => first_cause = Some(cause),
+                Err(AttemptFailure::MayHaveRun { cause }) => {
+                    first_cause = Some(cause);
+                    let replica = self.forwarder.last_tried(&self.state);
+                    if let Some(replica) = replica {
+                        self.forgive_end(&replica).await;
+                    }
+                }
                 Err(AttemptFailure::NoReplica | AttemptFailure::ComeBack { .. }) => {
                     self.state.sends -= 1;
                     first_cause = Some("no replica".to_owned());
@@ -250,6 +274,15 @@
         Err(self.cut(first_cause.unwrap_or_default()))
     }
 
+    /// A replica that has ended does not count among the attempts: what ran there beside the request to blame would be lost
+    /// with the second one that it ends.
+    async fn forgive_end(&mut self, replica: &Arc<Replica>) {
+        let is_last = self.state.sends >= self.state.route.attempts;
+        if self.splits_events() && is_last && self.forwarder.has_ended(replica).await {
+            self.state.forgive();
+        }
+    }
+
     /// A pause after which all replicas are asked anew; false if there were enough. An answer that has begun is not broken off
     /// because the others are full for a moment: what the caller has would be lost, and the rest is wanted also late.
     async fn wait_for_room(&mut self, waits: &mut u32) -> bool {
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -22,6 +22,10 @@
 /// Share of a replica's memory that shared prompt parts are believed to keep.
 const MEMORY_SHARE_PERCENT: u64 = 70;
 
+/// How long a replica whose port is dead counts as ended. Entries go after three heartbeats of silence, 3.6 s on the smallest
+/// sites; one that is back earlier under the same name is found by the next request.
+const ENDED_FOR: Duration = Duration::from_millis(4_000);
+
 /// What a replica says of itself in discovery.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaRecord {
@@ -76,6 +80,8 @@
     pub location: Location,
     draining: AtomicBool,
     zone_evacuated: AtomicBool,
+    /// Until when it counts as ended, on its own clock; 0 if it does not.
+    ended_until_ms: AtomicU64,
     /// Copy of the warmth's end for the request path, which takes no lock.
     cold_until_ms: AtomicU64,
     warmth: Mutex<Warmth>,
@@ -111,6 +117,7 @@
             record,
             draining: AtomicBool::new(draining),
             zone_evacuated: AtomicBool::new(false),
+            ended_until_ms: AtomicU64::new(0),
             cold_until_ms: AtomicU64::new(0),
             warmth: Mutex::default(),
             own_online: AtomicU32::new(0),
@@ -158,9 +165,21 @@
         }
     }
 
-    /// True while it may take new work: it does not leave, and its zone is in service.
+    /// It has ended: it gets nothing until its entry goes or another start of it is named. Where that does not come, it is
+    /// tried again after a while.
+    pub fn set_ended(&self) {
+        let until = self.now_ms() + millis(ENDED_FOR);
+        self.ended_until_ms.store(until, Ordering::Relaxed);
+    }
+
+    /// True while it counts as ended.
+    pub fn has_ended(&self) -> bool {
+        self.now_ms() < self.ended_until_ms.load(Ordering::Relaxed)
+    }
+
+    /// True while it may take new work: it is there, does not leave, and its zone is in service.
     pub fn accepts_work(&self) -> bool {
-        !self.is_draining() && !self.is_zone_evacuated()
+        !self.is_draining() && !self.is_zone_evacuated() && !self.has_ended()
     }
 
     /// True while it is cold: it bears few requests a second, which its coordinator counts.
@@ -295,6 +314,7 @@
 
     /// Bytes came from the replica.
     pub fn note_progress(&self) {
+        self.ended_until_ms.store(0, Ordering::Relaxed);
         self.suspicion.note_progress(self.now_ms());
     }
 
--- a/crates/serving/src/reply.rs
+++ b/crates/serving/src/reply.rs
@@ -52,6 +52,8 @@
     TimedOut,
     /// A replica broke off, and the request must not run again.
     Broken,
+    /// Replicas have ended each time that they ran it: it is sent to none.
+    HeldBack,
     /// The daemon is stopping.
     Stopping,
 }
@@ -93,6 +95,7 @@
             Self::NoTimeLeft => "no_time_left",
             Self::TimedOut => "timed_out",
             Self::Broken => "broken",
+            Self::HeldBack => "held_back",
             Self::Stopping => "stopping",
         }
     }
@@ -110,6 +113,7 @@
             | Self::Full
             | Self::Overloaded
             | Self::NoTimeLeft
+            | Self::HeldBack
             | Self::Stopping => 503,
             Self::TimedOut => 504,
             Self::Broken => 502,
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -11,9 +11,9 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     Candidate, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, KeyTrust,
-    LeaseEnd, LeftRegion, Prompt, PromptPart, RateAnswer, RateLimits, Replica, ReplicaAnswer,
-    ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, SelectionCosts, Separation,
-    ServingRequest, SlotAnswer, SlotLeases, SlotQuery, cost, reserved_slots,
+    LeaseEnd, LeftRegion, NoQuarantine, Prompt, PromptPart, RateAnswer, RateLimits, Replica,
+    ReplicaAnswer, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, SelectionCosts,
+    Separation, ServingRequest, SlotAnswer, SlotLeases, SlotQuery, cost, reserved_slots,
 };
 use harrierward_tenants::{AllowedRegions, Tenant};
 use http::{HeaderMap, Method};
@@ -107,6 +107,7 @@
         client: Arc::new(NoClient),
         places,
         rates: Arc::new(NoLimits),
+        quarantine: Arc::new(NoQuarantine),
         proof: Arc::default(),
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
--- a/crates/serving/tests/failing.rs
+++ b/crates/serving/tests/failing.rs
@@ -11,8 +11,8 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     BodyError, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, KeyTrust,
-    LeaseEnd, Prompt, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord,
-    ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts,
+    LeaseEnd, NoQuarantine, Prompt, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient,
+    ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts,
     ServingConfiguration, ServingRequest, SlotAnswer, SlotLeases, SlotQuery, Verdict,
     WeightedService,
 };
@@ -209,6 +209,7 @@
         client: client.clone(),
         places: leases.clone(),
         rates: Arc::new(NoLimits),
+        quarantine: Arc::new(NoQuarantine),
         proof: Arc::default(),
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -12,8 +12,8 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     AttemptFailure, AttemptTimes, Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts,
-    ForwarderSettings, ItemRoom, KeyTrust, LeaseEnd, Prompt, RateAnswer, RateLimits, Replica,
-    ReplicaAnswer, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route,
+    ForwarderSettings, ItemRoom, KeyTrust, LeaseEnd, NoQuarantine, Prompt, RateAnswer, RateLimits,
+    Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route,
     RouteKind, RouteTable, SelectionCosts, Sending, ServingConfiguration, ServingRequest,
     SlotAnswer, SlotLease, SlotLeases, SlotQuery, WeightedService, WorkClass,
 };
@@ -188,6 +188,7 @@
             is_all_cold,
         }),
         rates: Arc::new(NoLimits),
+        quarantine: Arc::new(NoQuarantine),
         proof: Arc::default(),
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -11,10 +11,10 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom,
-    KeyTrust, LeaseEnd, Prompt, RateAnswer, RateLimits, RefusalCause, Replica, ReplicaAnswer,
-    ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable,
-    SelectionCosts, ServingConfiguration, ServingRequest, SlotAnswer, SlotLeases, SlotQuery,
-    WeightedService,
+    KeyTrust, LeaseEnd, NoQuarantine, Prompt, RateAnswer, RateLimits, RefusalCause, Replica,
+    ReplicaAnswer, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route,
+    RouteKind, RouteTable, SelectionCosts, ServingConfiguration, ServingRequest, SlotAnswer,
+    SlotLeases, SlotQuery, WeightedService,
 };
 use harrierward_tenants::{AllowedRegions, Tenant};
 use http::{HeaderMap, Method};
@@ -158,6 +158,7 @@
             come_back,
         }),
         rates: Arc::new(NoLimits),
+        quarantine: Arc::new(NoQuarantine),
         proof: Arc::default(),
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
--- a/crates/serving/tests/support/mod.rs
+++ b/crates/serving/tests/support/mod.rs
@@ -14,9 +14,9 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     BodyError, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, KeyTrust,
-    LeaseEnd, Prompt, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord,
-    ReplicaRequest, ReplicaSet, Route, RouteKind, RouteTable, SelectionCosts, ServingConfiguration,
-    ServingRequest, SlotAnswer, SlotLeases, SlotQuery, WeightedService,
+    LeaseEnd, NoQuarantine, Prompt, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient,
+    ReplicaRecord, ReplicaRequest, ReplicaSet, Route, RouteKind, RouteTable, SelectionCosts,
+    ServingConfiguration, ServingRequest, SlotAnswer, SlotLeases, SlotQuery, WeightedService,
 };
 use harrierward_tenants::{AllowedRegions, Tenant};
 use http::{HeaderMap, Method};
@@ -271,6 +271,7 @@
             client: client.clone(),
             places: Arc::new(Uncoordinated),
             rates: Arc::new(NoLimits),
+            quarantine: Arc::new(NoQuarantine),
             proof: Arc::default(),
             log: DecisionLog::new(LogBounds::default()),
             settings: ForwarderSettings {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod known_rows;
 mod membership;
 mod peer;
+mod quarantine;
 mod quota;
 mod rates;
 mod slots;
@@ -36,6 +37,7 @@
     JobNotice, PeerReply, PeerRequest, PullReply, PullRequest, ResultsReply, ResultsRequest,
     RunningItem, peer_reply, peer_request,
 };
+pub use quarantine::{CrashNews, CrashedContent, ReplicaEnd};
 pub use quota::{QuotaAnswer, QuotaAsk, QuotaFenceRow, QuotaOutcome};
 pub use rates::{RateAsk, RateGrant, RateOutcome};
 pub use slots::{
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -246,7 +246,7 @@
     /// What it carries.
     #[prost(
         oneof = "node_datagram::Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
     )]
     pub kind: Option<node_datagram::Kind>,
 }
@@ -292,5 +292,8 @@
         /// What became of that.
         #[prost(message, tag = "12")]
         RateGrant(crate::RateGrant),
+        /// Contents under which replicas ended.
+        #[prost(message, tag = "13")]
+        CrashNews(crate::CrashNews),
     }
 }
