A replica is its id and its start; an entry that cannot be read names none

Cause: replicas were known by id alone, so all that was known of an earlier start held for the next one; an entry without readable content was passed over, so the one named before stayed in use, and missing fields became defaults. Change: ReplicaRecord::born_ms and is_other_start; the hash by which daemons speak of a replica is that of its start (slot leases, ledger, ejection, loads, quarantine follow by it); items copy prompts from a start, not a name. A date that is missing says nothing, one that goes back is another start. Ruled out: old news of an earlier start (the copy of a space takes no older revision).

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -46,6 +46,7 @@
     replica_standings: IntCounterVec,
     replicas_ejected: IntGauge,
     replicas_ended: IntCounterVec,
+    replicas_rejected: IntGauge,
     contents_held: IntGauge,
     tenants: Arc<Mutex<BTreeSet<String>>>,
 }
@@ -207,6 +208,10 @@
                 "Replicas that ended while requests of this daemon were in progress there, by how that is known",
                 "known_by",
             )?,
+            replicas_rejected: gauge(
+                "harrierward_replica_entries_rejected",
+                "Entries of replicas since the start that could not be read, as last told",
+            )?,
             contents_held: gauge(
                 "harrierward_contents_held",
                 "Contents that are held back since replicas ended under them",
@@ -305,6 +310,10 @@
                     .with_label_values(&[*dependency])
                     .inc();
             }
+            Record::ReplicaRejected { rejected, .. } => {
+                self.replicas_rejected
+                    .set(i64::try_from(*rejected).unwrap_or(i64::MAX));
+            }
             Record::ReplicaEnded { known_by, .. } => {
                 self.replicas_ended.with_label_values(&[*known_by]).inc();
             }
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -79,6 +79,17 @@
         /// Revision of the row that says so.
         revision: u64,
     },
+    /// A replica's entry cannot be read: it names no replica to use. Told once a second at most.
+    ReplicaRejected {
+        /// Key of the entry.
+        entry: &'a str,
+        /// Revision of its row.
+        revision: u64,
+        /// What of it cannot be read.
+        cause: &'a str,
+        /// Such entries since the start.
+        rejected: u64,
+    },
     /// A zone was taken out of service by an operator, or is back.
     ZoneEvacuation {
         /// Zone.
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -29,8 +29,11 @@
     /// The row holds a configuration that cannot be taken over: the field and its value. Keys are not named.
     fn configuration_of(&self, row: &Row) -> Result<Option<ServingConfiguration>, String>;
 
-    /// The replica of a row, if it holds one.
-    fn replica_of(&self, row: &Row) -> Option<ReplicaRecord>;
+    /// The replica of a row.
+    ///
+    /// # Errors
+    /// The row names no replica to use: what of it cannot be read. The row's own text is not repeated.
+    fn replica_of(&self, row: &Row) -> Result<ReplicaRecord, String>;
 
     /// The zone that a row of the configuration's space with this key takes out of service, if it is such a row.
     fn evacuated_zone_of(&self, _key: &str) -> Option<String> {
@@ -53,6 +56,9 @@
     known != *told
 }
 
+/// Least time between two lines on rows that cannot be read: another writer may leave many.
+const REJECTED_EVERY: Duration = Duration::from_secs(1);
+
 /// Time between two looks at what still runs in evacuated zones.
 const RUNNING_LOOK: Duration = Duration::from_millis(500);
 
@@ -79,6 +85,9 @@
     configuration: Option<Row>,
     replicas: HashMap<String, (Row, ReplicaRecord)>,
     replicas_read: bool,
+    /// Rows so far that could not be read, and when that was told last.
+    rejected: u64,
+    rejected_told_at: Option<Instant>,
     /// The replicas are a peer's word; the store's first word replaces them all.
     replicas_of_peer: bool,
 }
@@ -217,18 +226,53 @@
     /// Takes a replica's row. The rows of the first read are logged together: a large fleet that starts would write a
     /// line for each pair of a daemon and a replica.
     fn note_replica(&self, rows: &mut KnownRows, row: &Row, is_first_read: bool) {
-        let Some(record) = self.source.replica_of(row) else {
-            return;
+        let mut record = match self.source.replica_of(row) {
+            Ok(record) => record,
+            Err(cause) => {
+                self.reject_replica(rows, row, &cause);
+                return;
+            }
         };
-        let known = rows.replicas.get(&row.key);
-        let is_news = known.is_none_or(|(_, known)| is_news(known, &record));
+        let known = rows.replicas.get(&row.key).map(|(_, known)| known);
+        let is_restart = known.is_some_and(|known| known.is_other_start(&record));
+        // An entry without a date speaks of the start that is known.
+        record.born_ms = record.born_ms.or(known.and_then(|known| known.born_ms));
+        let is_news = known.is_none_or(|known| is_news(known, &record));
         if is_news && !is_first_read {
-            let state = if record.draining { "draining" } else { "ready" };
+            let state = match (record.draining, is_restart) {
+                (true, _) => "draining",
+                (false, true) => "started again",
+                (false, false) => "ready",
+            };
             self.log_replica(&record, state, row.revision);
         }
         rows.replicas.insert(row.key.clone(), (row.clone(), record));
     }
 
+    /// A row that cannot be read names no replica to use, and the one that it named before is not used either.
+    fn reject_replica(&self, rows: &mut KnownRows, row: &Row, cause: &str) {
+        let known = rows.replicas.remove(&row.key);
+        if let Some((_, record)) = known
+            && let Some(replica) = self.replicas.view().get(&record.id)
+        {
+            replica.set_unlisted(true);
+        }
+        rows.rejected += 1;
+        let now = Instant::now();
+        let is_due = rows
+            .rejected_told_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= REJECTED_EVERY);
+        if is_due {
+            rows.rejected_told_at = Some(now);
+            self.log.record(&Record::ReplicaRejected {
+                entry: &row.key,
+                revision: row.revision,
+                cause,
+                rejected: rows.rejected,
+            });
+        }
+    }
+
     fn publish(&self, rows: &KnownRows) {
         let routes = self.routes.load_full();
         let memory_tokens = |service: &str| {
@@ -249,9 +293,15 @@
     fn note_warmups(&self, written: &[Row]) {
         let seen = Instant::now();
         let view = self.replicas.view();
-        for record in written.iter().filter_map(|row| self.source.replica_of(row)) {
+        let readable = written
+            .iter()
+            .filter_map(|row| self.source.replica_of(row).ok());
+        for record in readable {
             if let Some(replica) = view.get(&record.id) {
-                replica.note_row_warmup(record.warmup, seen);
+                // Another start takes it from its own record.
+                if !replica.record.is_other_start(&record) {
+                    replica.note_row_warmup(record.warmup, seen);
+                }
             }
         }
     }
--- a/crates/edge/src/quarantine/breaks.rs
+++ b/crates/edge/src/quarantine/breaks.rs
@@ -29,6 +29,9 @@
 /// How long a break is remembered. Entries go after three heartbeats of silence: 3.6 s on the smallest sites.
 const REMEMBERED_FOR: Duration = Duration::from_secs(6);
 
+/// Time within which connections break that one end of a replica breaks. A replica that crashes is back after some seconds.
+const SAME_END: Duration = Duration::from_secs(1);
+
 /// What is known of a replica whose connections broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Word {
@@ -67,6 +70,11 @@
     pub fn note(&self, start: ReplicaStart, replica: &Arc<Replica>, content: ContentId) -> bool {
         let now = Instant::now();
         let mut known = self.lock();
+        // Where starts are not told apart, the one that broke off then may be back under the same name.
+        known.retain(|known_start, one| {
+            let is_over = *one.word.borrow() == Word::Ended && one.since.elapsed() > SAME_END;
+            *known_start != start || !is_over
+        });
         let is_first = !known.contains_key(&start);
         let one = known.entry(start).or_insert_with(|| Break {
             replica: replica.clone(),
--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -204,6 +204,9 @@
             id: part.id,
             tokens: part.tokens,
         });
+        let view = self.replicas.view();
+        let excluded = query.excluded.iter();
+        let excluded = excluded.filter_map(|id| Some(view.get(id)?.hash));
         let item = query.item.map(|item| ItemSlotAsk {
             slack_ms: millis(item.slack),
         });
@@ -222,7 +225,7 @@
                 PromptLength::Short => 1,
                 PromptLength::Long => 2,
             },
-            excluded: query.excluded.iter().map(|id| short_hash(id)).collect(),
+            excluded: excluded.collect(),
             suspected: suspected.map(|replica| replica.hash).collect(),
             item,
             overdue: query.overdue,
--- a/crates/edge/tests/cold.rs
+++ b/crates/edge/tests/cold.rs
@@ -45,6 +45,7 @@
 fn replica_set(cold: usize) -> Arc<ReplicaSet> {
     let replicas = ReplicaSet::default();
     let records = (0..REPLICAS).map(|number| ReplicaRecord {
+        born_ms: None,
         region: String::new(),
         warmup: if number < cold {
             WARMUP.lasts
--- a/crates/edge/tests/coordinators.rs
+++ b/crates/edge/tests/coordinators.rs
@@ -16,6 +16,7 @@
 fn replicas(in_a_zone: usize) -> Arc<ReplicaSet> {
     let records = ZONES.into_iter().flat_map(|(zone, region)| {
         (0..in_a_zone).map(move |number| ReplicaRecord {
+            born_ms: None,
             id: format!("{zone}-{number}"),
             service: "model".to_owned(),
             address: String::new(),
--- a/crates/edge/tests/discovery.rs
+++ b/crates/edge/tests/discovery.rs
@@ -58,12 +58,14 @@
         zone == "zone"
     }
 
-    fn replica_of(&self, row: &Row) -> Option<ReplicaRecord> {
-        let text = String::from_utf8(row.value.to_vec()).ok()?;
+    fn replica_of(&self, row: &Row) -> Result<ReplicaRecord, String> {
+        let text = String::from_utf8(row.value.to_vec()).map_err(|error| error.to_string())?;
         let (address, warmup_ms) = text.split_once(' ').unwrap_or((&text, "0"));
-        Some(ReplicaRecord {
+        let warmup_ms = warmup_ms.parse().map_err(|_| "warmup".to_owned())?;
+        Ok(ReplicaRecord {
+            born_ms: None,
             region: String::new(),
-            warmup: Duration::from_millis(warmup_ms.parse().ok()?),
+            warmup: Duration::from_millis(warmup_ms),
             id: row.key.clone(),
             service: "service".to_owned(),
             address: address.to_owned(),
--- a/crates/edge/tests/ejection.rs
+++ b/crates/edge/tests/ejection.rs
@@ -27,6 +27,7 @@
 
 fn replica_set() -> Arc<ReplicaSet> {
     let records = (0..REPLICAS).map(|number| ReplicaRecord {
+        born_ms: None,
         region: String::new(),
         warmup: Duration::ZERO,
         id: format!("replica-{number}"),
--- a/crates/edge/tests/half_ejected.rs
+++ b/crates/edge/tests/half_ejected.rs
@@ -28,6 +28,7 @@
 
 fn record(id: &str) -> ReplicaRecord {
     ReplicaRecord {
+        born_ms: None,
         region: String::new(),
         warmup: Duration::ZERO,
         id: id.to_owned(),
--- a/crates/edge/tests/regions.rs
+++ b/crates/edge/tests/regions.rs
@@ -76,6 +76,7 @@
     let regions = counts.into_iter().enumerate();
     let records = regions.flat_map(|(region, count)| {
         (0..count).map(move |number| ReplicaRecord {
+            born_ms: None,
             region: REGIONS[region].to_owned(),
             warmup: Duration::ZERO,
             id: format!("{}-{number}", REGIONS[region]),
--- a/crates/edge/tests/slots.rs
+++ b/crates/edge/tests/slots.rs
@@ -43,6 +43,7 @@
 fn replica_set() -> Arc<ReplicaSet> {
     let replicas = ReplicaSet::default();
     let records = (0..REPLICAS).map(|number| ReplicaRecord {
+        born_ms: None,
         region: String::new(),
         warmup: Duration::ZERO,
         id: format!("replica-{number}"),
--- a/crates/inline-jobs/src/book.rs
+++ b/crates/inline-jobs/src/book.rs
@@ -72,8 +72,8 @@
     pub failures: u32,
     /// Events of it that are saved.
     pub saved_events: usize,
-    /// Replica at which it last ran: that one may still keep its prompt.
-    pub ran_at: Option<String>,
+    /// Hash of the replica's start at which it last ran: that one may still keep its prompt.
+    pub ran_at: Option<u32>,
     /// Where it stands.
     pub phase: ItemPhase,
 }
@@ -225,8 +225,8 @@
     pub accepted_ms: u64,
     /// Nothing has come of it yet.
     pub began_anew: bool,
-    /// Replica at which it last ran.
-    pub ran_at: Option<String>,
+    /// Hash of the replica's start at which it last ran.
+    pub ran_at: Option<u32>,
     /// Runs that a replica failed.
     pub failures: u32,
     /// The request that runs it.
@@ -272,7 +272,7 @@
                         route: job.known.head.route.clone(),
                         accepted_ms: job.known.head.accepted_ms,
                         began_anew: lock(&item.progress).last_event.is_none(),
-                        ran_at: item.ran_at.clone(),
+                        ran_at: item.ran_at,
                         failures: item.failures,
                         request: item.request.clone(),
                         progress: item.progress.clone(),
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -223,7 +223,7 @@
             self.note_no_room(&item, &service);
             return;
         };
-        if let Some(earlier) = &item.ran_at {
+        if let Some(earlier) = item.ran_at {
             let view = forwarder.replicas().view();
             let policy = self.inner.forwarder.policy();
             placement.choice.copy_from_earlier(&view, earlier, policy);
@@ -233,7 +233,7 @@
             place: placement.in_progress.place().unwrap_or_default(),
         };
         if let Some(entry) = self.book().item(&item.job, item.number) {
-            entry.ran_at = Some(at.replica.clone());
+            entry.ran_at = Some(placement.choice.replica.hash);
             if let ItemPhase::Running {
                 at: known, since, ..
             } = &mut entry.phase
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -81,8 +81,8 @@
 
 impl Choice {
     /// The work ran at `earlier` before, which may still keep all of its prompt.
-    pub fn copy_from_earlier(&mut self, view: &ReplicaView, earlier: &str, policy: Policy) {
-        let source = view.get(earlier);
+    pub fn copy_from_earlier(&mut self, view: &ReplicaView, earlier: u32, policy: Policy) {
+        let source = view.by_hash(earlier);
         let source = source.filter(|_| policy.has(Mechanism::PromptCopies));
         if let Some(source) = source.filter(|source| can_copy(source, &self.replica)) {
             self.copy_from = Some(source.clone());
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -29,8 +29,10 @@
 /// What a replica says of itself in discovery.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaRecord {
-    /// Incarnation: each start of a replica has a new one.
+    /// Name under which it is listed. It may start again under the same one.
     pub id: String,
+    /// When this start of it began, by its own clock, milliseconds since 1970; `None` if it does not say.
+    pub born_ms: Option<u64>,
     /// Service.
     pub service: String,
     /// Address.
@@ -47,6 +49,22 @@
     pub warmup: Duration,
 }
 
+impl ReplicaRecord {
+    /// True if `told` speaks of another start than this: whatever is known of this one does not hold for it. A date that is
+    /// missing says nothing; one that goes back is another start whose clock was set.
+    pub fn is_other_start(&self, told: &Self) -> bool {
+        told.born_ms.is_some() && told.born_ms != self.born_ms
+    }
+
+    /// Hash of this start, by which daemons tell each other of it.
+    pub fn start_hash(&self) -> u32 {
+        self.born_ms.map_or_else(
+            || short_hash(&self.id),
+            |born| short_hash(&format!("{}@{born}", self.id)),
+        )
+    }
+}
+
 /// Class of a request in the load counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WorkClass {
@@ -74,12 +92,13 @@
 pub struct Replica {
     /// Its record.
     pub record: ReplicaRecord,
-    /// Hash of its id.
+    /// Hash of its start.
     pub hash: u32,
     /// Where it is.
     pub location: Location,
     draining: AtomicBool,
     zone_evacuated: AtomicBool,
+    is_unlisted: AtomicBool,
     /// Until when it counts as ended, on its own clock; 0 if it does not.
     ended_until_ms: AtomicU64,
     /// Copy of the warmth's end for the request path, which takes no lock.
@@ -112,11 +131,12 @@
         let left = record.warmup;
         let kept_tokens = memory_tokens * MEMORY_SHARE_PERCENT / 100;
         let replica = Self {
-            hash: short_hash(&record.id),
+            hash: record.start_hash(),
             location: Location::new(&record.zone, &record.region),
             record,
             draining: AtomicBool::new(draining),
             zone_evacuated: AtomicBool::new(false),
+            is_unlisted: AtomicBool::new(false),
             ended_until_ms: AtomicU64::new(0),
             cold_until_ms: AtomicU64::new(0),
             warmth: Mutex::default(),
@@ -165,6 +185,12 @@
         }
     }
 
+    /// Its entry cannot be read, or can be again. Unlike one whose entry has vanished, which happens while the store is down,
+    /// it is not used for a moment more.
+    pub fn set_unlisted(&self, is_unlisted: bool) {
+        self.is_unlisted.store(is_unlisted, Ordering::Relaxed);
+    }
+
     /// It has ended: it gets nothing until its entry goes or another start of it is named. Where that does not come, it is
     /// tried again after a while.
     pub fn set_ended(&self) {
@@ -179,7 +205,8 @@
 
     /// True while it may take new work: it is there, does not leave, and its zone is in service.
     pub fn accepts_work(&self) -> bool {
-        !self.is_draining() && !self.is_zone_evacuated() && !self.has_ended()
+        let is_listed = !self.is_unlisted.load(Ordering::Relaxed);
+        is_listed && !self.is_draining() && !self.is_zone_evacuated() && !self.has_ended()
     }
 
     /// True while it is cold: it bears few requests a second, which its coordinator counts.
--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -90,7 +90,7 @@
         self.by_service.keys().map(String::as_str)
     }
 
-    /// A replica by the hash of its id.
+    /// A replica by the hash of its start.
     pub fn by_hash(&self, hash: u32) -> Option<&Arc<Replica>> {
         self.by_hash.get(&hash)
     }
@@ -244,7 +244,11 @@
         Some(same.replica.clone())
     });
     match kept {
-        Some(replica) if replica.record.address == record.address => {
+        Some(replica)
+            if replica.record.address == record.address
+                && !replica.record.is_other_start(&record) =>
+        {
+            replica.set_unlisted(false);
             if record.draining {
                 replica.set_draining();
             }
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -87,6 +87,7 @@
 
 fn record(number: usize) -> ReplicaRecord {
     ReplicaRecord {
+        born_ms: None,
         region: String::new(),
         warmup: Duration::ZERO,
         id: format!("replica-{number}"),
--- a/crates/serving/tests/failing.rs
+++ b/crates/serving/tests/failing.rs
@@ -163,6 +163,7 @@
 fn site(first: Conduct, replicas: usize, attempts: u32) -> Site {
     let set = ReplicaSet::default();
     let records = (0..replicas).map(|number| ReplicaRecord {
+        born_ms: None,
         region: String::new(),
         warmup: Duration::ZERO,
         id: format!("replica-{number}"),
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -125,6 +125,7 @@
 fn record(id: &str, zone: &str, region: &str) -> ReplicaRecord {
     ReplicaRecord {
         id: id.to_owned(),
+        born_ms: None,
         service: "model".to_owned(),
         address: format!("{id}:80"),
         zone: zone.to_owned(),
--- a/crates/serving/tests/replica_set.rs
+++ b/crates/serving/tests/replica_set.rs
@@ -12,6 +12,7 @@
 
 fn records(name: &str) -> Vec<ReplicaRecord> {
     let record = |number| ReplicaRecord {
+        born_ms: None,
         id: format!("{name}-{number}"),
         service: "model".to_owned(),
         address: format!("{name}-{number}:80"),
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -136,6 +136,7 @@
 fn forwarder(free_permille: u32, come_back: Option<Duration>) -> (Forwarder, Arc<QueueingClient>) {
     let replicas = ReplicaSet::default();
     let records = (0..2).map(|number| ReplicaRecord {
+        born_ms: None,
         region: String::new(),
         warmup: Duration::ZERO,
         id: format!("replica-{number}"),
--- a/crates/serving/tests/support/mod.rs
+++ b/crates/serving/tests/support/mod.rs
@@ -248,6 +248,7 @@
 pub fn record(id: &str) -> ReplicaRecord {
     ReplicaRecord {
         id: id.to_owned(),
+        born_ms: None,
         service: "model".to_owned(),
         address: format!("{id}:80"),
         zone: "zone".to_owned(),
--- a/crates/serving/tests/warmth.rs
+++ b/crates/serving/tests/warmth.rs
@@ -16,6 +16,7 @@
 
 fn record(id: &str, warmup: Duration) -> ReplicaRecord {
     ReplicaRecord {
+        born_ms: None,
         region: String::new(),
         warmup,
         id: id.to_owned(),
