--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -54,6 +54,9 @@
     }
 }
 
+/// Time within which a connection is closed whose other side has nobody to serve it.
+const CLOSED_AT_ONCE: Duration = Duration::from_millis(20);
+
 /// A failed exchange.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum PoolError {
@@ -291,11 +294,18 @@
         })
     }
 
-    /// True if nobody listens at the address: the connection is refused at once. One that is silent may listen.
+    /// True if nobody serves at the address: the connection is refused, or closed as soon as it is made, as by a proxy whose
+    /// back end is gone. One that stays open says nothing of that.
     pub async fn is_refused(&self, address: &str) -> bool {
         let connecting = TcpStream::connect(address.to_owned());
         let connected = timeout(self.inner.settings.connect_timeout, connecting).await;
-        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+        let stream = match connected {
+            Err(_) => return false,
+            Ok(Err(error)) => return error.kind() == ErrorKind::ConnectionRefused,
+            Ok(Ok(stream)) => stream,
+        };
+        // Nothing was asked: bytes, an end or an error are all that readiness can mean.
+        timeout(CLOSED_AT_ONCE, stream.readable()).await.is_ok()
     }
 
     async fn connect(&self, address: &str) -> Result<Connection, PoolError> {
