Ages of proofs, rates and deadlines count the time for which the machine was suspended

Cause: the steady clock stands still while a machine is suspended, so a daemon took proofs of before for fresh: it denied routes and jobs, might start items of jobs ended meanwhile, serve keys taken away, and give out tokens that another had given out. Change: the clock that counts suspensions for the proof of the configuration, the copy of the jobs' headers and its watch, tenants' rates (whose own look for a stand-still then finds it), the memory of the fleet's size, the pacing of cold replicas, and requests' deadlines. One line (suspended) with the length.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -172,6 +172,11 @@
         /// Contents held back now.
         held: usize,
     },
+    /// The machine was suspended: ages of proofs, grants and deadlines count that time.
+    Suspended {
+        /// For how long.
+        suspended_ms: u64,
+    },
     /// A dependency was lost.
     DependencyLost {
         /// Name.
--- a/crates/edge/src/fleet.rs
+++ b/crates/edge/src/fleet.rs
@@ -18,7 +18,7 @@
     /// long.
     pub fn new(expects_others: bool) -> Self {
         Self {
-            memory: Mutex::new(FleetMemory::new(expects_others, Instant::now())),
+            memory: Mutex::new(FleetMemory::new(expects_others, harrierward_clock::now())),
         }
     }
 
@@ -40,7 +40,7 @@
     pub fn take(&self, members: u32, seen_ms_ago: u32) -> bool {
         let ago = Duration::from_millis(u64::from(seen_ms_ago));
         let members = usize::try_from(members).unwrap_or_default();
-        let Some(at) = Instant::now().checked_sub(ago) else {
+        let Some(at) = harrierward_clock::now().checked_sub(ago) else {
             return false;
         };
         self.lock().take(SeenFleet { members, at });
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -48,6 +48,9 @@
 /// on elsewhere.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(3_200);
 
+/// Shortest suspension of the machine that is told.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(50);
+
 /// Largest datagram received, bytes.
 const DATAGRAM_LIMIT: usize = 65_536;
 
@@ -212,6 +215,7 @@
     async fn tick_all(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let mut random = SmallRng::from_os_rng();
         let mut joined_at: Option<Instant> = None;
+        let mut suspended = harrierward_clock::suspended();
         let mut tick: u64 = 0;
         loop {
             let mut datagrams = Vec::new();
@@ -236,6 +240,7 @@
                 }
             }
             tick += 1;
+            self.note_suspension(&mut suspended);
             self.slots.tick();
             self.rates.tick();
             self.quarantine.tick();
@@ -244,6 +249,19 @@
         }
     }
 
+    /// Tells of a suspension of the machine since the last tick. Whoever asks for the age of something has counted it already.
+    fn note_suspension(&self, known: &mut Duration) {
+        let now = harrierward_clock::suspended();
+        let suspended = now.saturating_sub(*known);
+        if suspended < LEAST_SUSPENSION {
+            return;
+        }
+        *known = now;
+        self.log.record(&Record::Suspended {
+            suspended_ms: u64::try_from(suspended.as_millis()).unwrap_or(u64::MAX),
+        });
+    }
+
     async fn receive_all(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let mut buffer = vec![0; DATAGRAM_LIMIT];
         loop {
--- a/crates/edge/src/rates/asking.rs
+++ b/crates/edge/src/rates/asking.rs
@@ -96,7 +96,7 @@
     /// Asks a coordinator at an address, or the member that follows one which is `silent` here; keeps what it gives out
     /// beyond the one token for this request.
     async fn ask(&self, tenant: &Tenant, address: SocketAddr, silent: &str) -> Asked {
-        let asked_at = Instant::now();
+        let asked_at = harrierward_clock::now();
         let ask = self.question(tenant, silent, asked_at);
         let place = self.place_of(address);
         let send = || self.send(node_datagram::Kind::RateAsk(ask.clone()), address);
@@ -113,7 +113,7 @@
             }
             RateOutcome::Empty => {
                 let retry_after = Duration::from_millis(u64::from(grant.retry_after_ms));
-                stock.note_refusal(retry_after, Instant::now());
+                stock.note_refusal(retry_after, harrierward_clock::now());
                 Asked::Empty(retry_after)
             }
             RateOutcome::NotCoordinator => Asked::Other(grant.coordinator.parse().ok()),
@@ -130,7 +130,7 @@
             self.be_told(tenant, second).await;
             return (first.id.clone(), self.give_out_to_self(tenant));
         }
-        let began = Instant::now();
+        let began = harrierward_clock::now();
         if !self.is_silent(&first.id) {
             let asked = match self.ask_member(tenant, first, "").await {
                 Asked::Other(Some(other)) if first.address != Some(other) => {
@@ -138,7 +138,7 @@
                 }
                 asked => asked,
             };
-            let is_late = began.elapsed() > LONGEST_FIRST_WAIT;
+            let is_late = harrierward_clock::age(began) > LONGEST_FIRST_WAIT;
             if is_late || !matches!(asked, Asked::Silent) {
                 return (first.id.clone(), asked);
             }
@@ -187,7 +187,7 @@
         };
         let asked = self.ask(tenant, address, silent).await;
         if matches!(asked, Asked::Silent) {
-            let until = Instant::now() + SILENT_FOR;
+            let until = harrierward_clock::now() + SILENT_FOR;
             self.lock().silent_until.insert(member.id.clone(), until);
         }
         asked
@@ -196,7 +196,7 @@
     fn is_silent(&self, member: &str) -> bool {
         let state = self.lock();
         let until = state.silent_until.get(member);
-        until.is_some_and(|until| Instant::now() < *until)
+        until.is_some_and(|until| harrierward_clock::now() < *until)
     }
 
     fn give_out_to_self(&self, tenant: &Tenant) -> Asked {
--- a/crates/edge/src/rates/giving.rs
+++ b/crates/edge/src/rates/giving.rs
@@ -13,7 +13,7 @@
     /// Gives out tokens of a tenant that this daemon coordinates; `None` if it cannot tell its part of the limit yet.
     pub(super) fn give_out(&self, tenant: &Tenant, wanted: u32) -> Option<RateDecision> {
         let members = self.members.load().len();
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let share = self.fleet.share(members, now);
         if share == 0.0 {
             return None;
@@ -31,7 +31,7 @@
     /// this daemon may not, or has given out all that it may.
     pub(super) fn stand_in(&self, tenant: &Tenant, silent: &str) -> bool {
         let members = self.members.load();
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let share = self.fleet.share(members.len(), now);
         let mut state = self.lock();
         let may = state.is_told && self.follows(tenant, silent, &state.succession, &members, now);
@@ -73,7 +73,8 @@
     pub(super) fn answer(&self, ask: &RateAsk) -> RateGrant {
         self.take_fleet(ask.fleet_members, ask.fleet_seen_ms_ago);
         let mut grant = self.decide(ask);
-        (grant.fleet_members, grant.fleet_seen_ms_ago) = self.fleet.describe(Instant::now());
+        (grant.fleet_members, grant.fleet_seen_ms_ago) =
+            self.fleet.describe(harrierward_clock::now());
         grant
     }
 
--- a/crates/edge/src/rates/mod.rs
+++ b/crates/edge/src/rates/mod.rs
@@ -85,7 +85,7 @@
                 stocks: HashMap::new(),
                 silent_until: HashMap::new(),
                 is_told: false,
-                succession: Succession::new(bounds.in_doubt_for(), Instant::now()),
+                succession: Succession::new(bounds.in_doubt_for(), harrierward_clock::now()),
             }),
         }
     }
@@ -98,7 +98,7 @@
 
     /// To be called ten times a second at least: finds out that this daemon stood still.
     pub fn tick(&self) {
-        self.note_running(&mut self.lock(), Instant::now());
+        self.note_running(&mut self.lock(), harrierward_clock::now());
     }
 
     fn note_running(&self, state: &mut State, now: Instant) {
@@ -112,7 +112,7 @@
     /// The members that may coordinate tenants, this one among them unless it leaves.
     pub fn set_members(&self, members: Vec<CoordinatorCandidate>) {
         let mut state = self.lock();
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         self.fleet.see(members.len(), now);
         let share = self.fleet.share(members.len(), now);
         let before = self.members.load();
@@ -143,7 +143,7 @@
     /// Part of each limit that this daemon gives out as a coordinator, 0 to 1.
     pub fn share(&self) -> f64 {
         let members = self.members.load().len();
-        self.fleet.share(members, Instant::now())
+        self.fleet.share(members, harrierward_clock::now())
     }
 
     /// True if this daemon coordinates the tenant.
@@ -217,7 +217,7 @@
         outcome: &str,
         asked_at: Instant,
     ) {
-        let asked_for = asked_at.elapsed().as_millis();
+        let asked_for = harrierward_clock::age(asked_at).as_millis();
         self.log.record(&Record::RateRefused {
             request,
             tenant: &tenant.name,
@@ -232,7 +232,7 @@
 #[async_trait]
 impl RateLimits for RateService {
     async fn admit(&self, tenant: &Tenant, request: &str) -> RateAnswer {
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         match self.take_from_stock(tenant, now) {
             Ok(()) => return RateAnswer::Within,
             Err(Some(retry_after)) => {
--- a/crates/edge/src/slots/pacing.rs
+++ b/crates/edge/src/slots/pacing.rs
@@ -79,7 +79,7 @@
         replicas: Vec<Arc<Replica>>,
         is_item: bool,
     ) -> Vec<Arc<Replica>> {
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         if !replicas.iter().any(|replica| replica.is_cold(now)) {
             return replicas;
         }
@@ -114,7 +114,7 @@
         group: GroupId,
         replica: &Replica,
     ) -> Result<Option<Instant>, AllCold> {
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         if !replica.is_cold(now) {
             return Ok(None);
         }
@@ -136,7 +136,7 @@
 
     /// True if nothing was chosen in a group because its replicas are cold and got all that they bear now.
     pub(super) fn is_all_cold(&self, replicas: &[Arc<Replica>]) -> bool {
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let mut all = replicas.iter();
         let is_all = !replicas.is_empty() && all.all(|replica| replica.is_cold(now));
         if is_all {
@@ -147,7 +147,7 @@
 
     /// Takes a coordinator's word on whether its whole group is cold.
     pub(super) fn note_told_cold(&self, group: GroupKey, is_cold: bool) {
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let mut state = self.lock();
         let told = &mut state.pacing.told_cold;
         told.retain(|known, at| *known != group && is_fresh(*at, now));
@@ -163,7 +163,7 @@
         }
         let group = (short_hash(&replica.record.service), self.group(replica));
         let told = self.lock().pacing.told_cold.get(&group).copied();
-        told.is_some_and(|at| is_fresh(at, Instant::now()))
+        told.is_some_and(|at| is_fresh(at, harrierward_clock::now()))
     }
 
     fn log_counted(&self, replica: &Replica, share: f64, now: Instant) {
@@ -237,7 +237,7 @@
     /// off before.
     pub(super) fn tell_fleet(&self, ask: &mut SlotAsk) {
         if let Some(pacing) = self.pacing.get() {
-            let (members, seen_ms_ago) = pacing.fleet.describe(Instant::now());
+            let (members, seen_ms_ago) = pacing.fleet.describe(harrierward_clock::now());
             let present = u32::try_from(self.members.load().len()).unwrap_or(u32::MAX);
             if members > present {
                 ask.fleet_members = members;
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -229,7 +229,7 @@
         let mut copy = SpaceCopy::default();
         let mut read_whole = true;
         let mut history_lost = false;
-        let mut whole_read_due = Instant::now();
+        let mut whole_read_due = harrierward_clock::now();
         let mut reading: Option<ReadUnderWay> = None;
         // A whole read that is only due again must not keep the changes from being asked for.
         let mut ask_first = false;
@@ -237,7 +237,7 @@
         let mut lost_at: Option<Instant> = None;
         let mut interval = Duration::ZERO;
         loop {
-            let mut asked_at = Instant::now();
+            let mut asked_at = harrierward_clock::now();
             let is_read_due = reading.is_some() || asked_at >= whole_read_due;
             let result = if read_whole || (is_read_due && !ask_first) {
                 let under_way = self.resume(&mut reading);
@@ -315,7 +315,7 @@
     fn begin_read(&self) -> ReadUnderWay {
         ReadUnderWay {
             whole: WholeRead::new(&self.partitions),
-            began: Instant::now(),
+            began: harrierward_clock::now(),
         }
     }
 
@@ -325,7 +325,7 @@
         let within = self.settings.resume_within;
         if reading
             .as_ref()
-            .is_some_and(|read| read.began.elapsed() >= within)
+            .is_some_and(|read| harrierward_clock::age(read.began) >= within)
         {
             *reading = None;
         }
@@ -369,7 +369,7 @@
     }
 
     fn log_regained(&self, since: Instant) {
-        let away = since.elapsed().as_millis();
+        let away = harrierward_clock::age(since).as_millis();
         self.log.record(&Record::DependencyRegained {
             dependency: self.space,
             away_ms: u64::try_from(away).unwrap_or(u64::MAX),
--- a/crates/inline-jobs/src/view.rs
+++ b/crates/inline-jobs/src/view.rs
@@ -104,20 +104,21 @@
         if store_time_ms > 0 {
             state.store_time = Some(StoreTime {
                 milliseconds: store_time_ms,
-                at: Instant::now(),
+                at: harrierward_clock::now(),
             });
         }
     }
 
     /// Time since the copy was known to be true; `None` if it never was.
     pub fn proof_age(&self) -> Option<Duration> {
-        self.lock().proven_at.map(|moment| moment.elapsed())
+        self.lock().proven_at.map(harrierward_clock::age)
     }
 
     /// The store's clock now, milliseconds; 0 if it is not known.
     pub fn store_now_ms(&self) -> u64 {
         self.lock().store_time.map_or(0, |time| {
-            let since = u64::try_from(time.at.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let since =
+                u64::try_from(harrierward_clock::age(time.at).as_millis()).unwrap_or(u64::MAX);
             time.milliseconds.saturating_add(since)
         })
     }
@@ -144,7 +145,7 @@
         let mut state = self.lock();
         let known = state.fences.get(route);
         if known.is_none_or(|known| known.fence.revision < fence.revision) {
-            let seen_at = state.proven_at.map(|_| Instant::now());
+            let seen_at = state.proven_at.map(|_| harrierward_clock::now());
             let seen = SeenFence { fence, seen_at };
             state.fences.insert(route.to_owned(), seen);
         }
@@ -160,7 +161,7 @@
     pub fn fence_age(&self, route: &str) -> Option<Duration> {
         let state = self.lock();
         let seen_at = state.fences.get(route)?.seen_at?;
-        Some(seen_at.elapsed())
+        Some(harrierward_clock::age(seen_at))
     }
 
     /// Takes a head. Returns it if it is newer than what was known.
--- a/crates/serving/src/admission.rs
+++ b/crates/serving/src/admission.rs
@@ -48,7 +48,7 @@
 impl Default for ConfigurationProof {
     fn default() -> Self {
         Self {
-            started: Instant::now(),
+            started: harrierward_clock::now(),
             proven_ms: AtomicU64::new(0),
         }
     }
@@ -65,11 +65,8 @@
     /// Time since the last proof; `None` if there was none.
     pub fn age(&self) -> Option<Duration> {
         let proven = self.proven_ms.load(Ordering::Relaxed).checked_sub(1)?;
-        Some(
-            self.started
-                .elapsed()
-                .saturating_sub(Duration::from_millis(proven)),
-        )
+        let since_start = harrierward_clock::age(self.started);
+        Some(since_start.saturating_sub(Duration::from_millis(proven)))
     }
 
     /// True if there may be a newer configuration.
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -158,7 +158,8 @@
 
     /// Time for which the request may still be held.
     pub fn hold_left(&self) -> Duration {
-        self.hold_until.saturating_duration_since(Instant::now())
+        self.hold_until
+            .saturating_duration_since(harrierward_clock::now())
     }
 
     /// Bounds of the attempt numbered `number`, from 1.
@@ -341,7 +342,7 @@
             version: routes.map_or(0, |routes| routes.configuration.version),
             configuration_age_ms: self.proof().age().map(millis),
             retry_after_ms: refusal.retry_after().map(millis),
-            after_ms: millis(arrived.elapsed()),
+            after_ms: millis(harrierward_clock::age(arrived)),
         });
     }
 
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
 use harrierward_decisions::Record;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::attempt::{Attempt, AttemptFailure, Sending, wait_for_progress};
 use crate::events::EventSplitter;
@@ -369,7 +369,7 @@
 impl RequestClock {
     /// Milliseconds since the request arrived.
     pub fn elapsed_ms(&self) -> u64 {
-        let elapsed = Instant::now().saturating_duration_since(self.arrived);
+        let elapsed = harrierward_clock::age(self.arrived);
         u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
     }
 }
