--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -1,5 +1,7 @@
 //! Which replica a request goes to in a large service.
 
+mod support;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -11,12 +13,13 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     Candidate, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, KeyTrust,
-    LeaseEnd, LeftRegion, NoQuarantine, Prompt, PromptPart, RateAnswer, RateLimits, Replica,
-    ReplicaAnswer, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, SelectionCosts,
-    Separation, ServingRequest, SlotAnswer, SlotLeases, SlotQuery, cost, reserved_slots,
+    LeaseEnd, LeftRegion, NoQuarantine, Prompt, PromptPart, Replica, ReplicaAnswer, ReplicaClient,
+    ReplicaRecord, ReplicaRequest, ReplicaSet, SelectionCosts, Separation, ServingRequest,
+    SlotAnswer, SlotLeases, SlotQuery, cost, reserved_slots,
 };
-use harrierward_tenants::{AllowedRegions, Tenant};
+use harrierward_tenants::AllowedRegions;
 use http::{HeaderMap, Method};
+use support::NoLimits;
 use tokio::time::Instant;
 
 /// Replicas of the service, more than are looked at for one request.
@@ -26,15 +29,6 @@
 
 struct NoClient;
 
-struct NoLimits;
-
-#[async_trait]
-impl RateLimits for NoLimits {
-    async fn admit(&self, _tenant: &Tenant, _request: &str) -> RateAnswer {
-        RateAnswer::Within
-    }
-}
-
 #[async_trait]
 impl ReplicaClient for NoClient {
     async fn send(&self, request: ReplicaRequest<'_>) -> Result<ReplicaAnswer, ExchangeError> {
--- a/crates/serving/tests/failing.rs
+++ b/crates/serving/tests/failing.rs
@@ -1,5 +1,7 @@
 //! A replica that fails at once has the least load of all: the daemon avoids it, and says what its requests came to.
 
+mod support;
+
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -11,13 +13,14 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     BodyError, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom, KeyTrust,
-    LeaseEnd, NoQuarantine, Prompt, RateAnswer, RateLimits, Replica, ReplicaAnswer, ReplicaClient,
-    ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts,
+    LeaseEnd, NoQuarantine, Prompt, Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord,
+    ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts,
     ServingConfiguration, ServingRequest, SlotAnswer, SlotLeases, SlotQuery, Verdict,
     WeightedService,
 };
-use harrierward_tenants::{AllowedRegions, Tenant};
+use harrierward_tenants::AllowedRegions;
 use http::{HeaderMap, Method};
+use support::NoLimits;
 use tokio::time::{Instant, sleep};
 
 const OBJECTIVE: Duration = Duration::from_millis(300);
@@ -114,15 +117,6 @@
     answer(request, 200)
 }
 
-struct NoLimits;
-
-#[async_trait]
-impl RateLimits for NoLimits {
-    async fn admit(&self, _tenant: &Tenant, _request: &str) -> RateAnswer {
-        RateAnswer::Within
-    }
-}
-
 /// Leases that the daemon takes itself; keeps what comes back of those at the first replica.
 #[derive(Default)]
 struct Leases {
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -1,6 +1,8 @@
 //! What was granted or chosen earlier is no permission: the gate is asked again when a lease comes and before a request
 //! leaves.
 
+mod support;
+
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -12,13 +14,14 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     AttemptFailure, AttemptTimes, Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts,
-    ForwarderSettings, ItemRoom, KeyTrust, LeaseEnd, NoQuarantine, Prompt, RateAnswer, RateLimits,
-    Replica, ReplicaAnswer, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route,
-    RouteKind, RouteTable, SelectionCosts, Sending, ServingConfiguration, ServingRequest,
-    SlotAnswer, SlotLease, SlotLeases, SlotQuery, WeightedService, WorkClass,
+    ForwarderSettings, ItemRoom, KeyTrust, LeaseEnd, NoQuarantine, Prompt, Replica, ReplicaAnswer,
+    ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable,
+    SelectionCosts, Sending, ServingConfiguration, ServingRequest, SlotAnswer, SlotLease,
+    SlotLeases, SlotQuery, WeightedService, WorkClass,
 };
-use harrierward_tenants::{AllowedRegions, Tenant};
+use harrierward_tenants::AllowedRegions;
 use http::{HeaderMap, Method};
+use support::NoLimits;
 use tokio::time::Instant;
 
 /// Replicas in the zone that is evacuated, more than a request is refused by before it is given up.
@@ -58,15 +61,6 @@
     }
 }
 
-struct NoLimits;
-
-#[async_trait]
-impl RateLimits for NoLimits {
-    async fn admit(&self, _tenant: &Tenant, _request: &str) -> RateAnswer {
-        RateAnswer::Within
-    }
-}
-
 /// A coordinator that has not heard of any evacuation.
 struct Deaf {
     replicas: Arc<ReplicaSet>,
--- a/crates/serving/tests/silence.rs
+++ b/crates/serving/tests/silence.rs
@@ -1,5 +1,7 @@
 //! How long a request waits for a replica that says nothing: a fault is left soon, a queue is not.
 
+mod support;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -11,13 +13,13 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
     Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemRoom,
-    KeyTrust, LeaseEnd, NoQuarantine, Prompt, RateAnswer, RateLimits, RefusalCause, Replica,
-    ReplicaAnswer, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route,
-    RouteKind, RouteTable, SelectionCosts, ServingConfiguration, ServingRequest, SlotAnswer,
-    SlotLeases, SlotQuery, WeightedService,
+    KeyTrust, LeaseEnd, NoQuarantine, Prompt, RefusalCause, Replica, ReplicaAnswer, ReplicaClient,
+    ReplicaRecord, ReplicaRequest, ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts,
+    ServingConfiguration, ServingRequest, SlotAnswer, SlotLeases, SlotQuery, WeightedService,
 };
-use harrierward_tenants::{AllowedRegions, Tenant};
+use harrierward_tenants::AllowedRegions;
 use http::{HeaderMap, Method};
+use support::NoLimits;
 use tokio::time::{Instant, sleep};
 
 const OBJECTIVE: Duration = Duration::from_millis(300);
@@ -31,15 +33,6 @@
     sends: AtomicUsize,
 }
 
-struct NoLimits;
-
-#[async_trait]
-impl RateLimits for NoLimits {
-    async fn admit(&self, _tenant: &Tenant, _request: &str) -> RateAnswer {
-        RateAnswer::Within
-    }
-}
-
 #[async_trait]
 impl ReplicaClient for QueueingClient {
     async fn send(&self, request: ReplicaRequest<'_>) -> Result<ReplicaAnswer, ExchangeError> {
--- a/crates/serving/tests/support/mod.rs
+++ b/crates/serving/tests/support/mod.rs
@@ -173,7 +173,8 @@
     }
 }
 
-struct NoLimits;
+/// No tenant has a limit.
+pub struct NoLimits;
 
 #[async_trait]
 impl RateLimits for NoLimits {
