Items of our own batch jobs whose runs break off rest, longer each time

Change: from the third such run on an ordinary item rests 5 s, doubled with each further one, 11 minutes at the most. It is not given up: engines end for other reasons too, and an accepted item completes. Items that certainly have not run don't rest; at-most-once items are not granted again anyway.

--- a/crates/batch/src/core/chunk.rs
+++ b/crates/batch/src/core/chunk.rs
@@ -57,6 +57,10 @@
     pub body: Body,
     /// Ordinary items that may be granted.
     pub ready: VecDeque<u32>,
+    /// Ordinary items whose runs broke off too often to be granted at once: until when they rest.
+    pub resting: BTreeMap<u32, Duration>,
+    /// How often runs of an item broke off.
+    pub lost_runs: BTreeMap<u32, u32>,
     /// At-most-once items whose intent is yet to be committed.
     pub wants_intent: VecDeque<u32>,
     /// Intents in the commit that is in flight.
@@ -85,6 +89,8 @@
             failed: 0,
             body: Body::Wanted,
             ready: VecDeque::new(),
+            resting: BTreeMap::new(),
+            lost_runs: BTreeMap::new(),
             wants_intent: VecDeque::new(),
             intents_in_flight: ItemSet::default(),
             intent_ready: VecDeque::new(),
@@ -156,6 +162,8 @@
         self.grants.remove(&item.item);
         self.doubtful.remove(&item.item);
         self.ready.retain(|number| *number != item.item);
+        self.resting.remove(&item.item);
+        self.lost_runs.remove(&item.item);
         self.finished.push(item);
         self.finished_since.get_or_insert(now);
     }
@@ -209,6 +217,14 @@
     }
 }
 
+/// Runs of an item that may break off before it rests: engines end for other reasons too.
+const RUNS_BEFORE_REST: u32 = 3;
+
+/// How long an item then rests; twice as long after each further run, 11 minutes at the most. An item that ends the engine which
+/// runs it costs 6 engines in the first minute and 6 an hour later on, where it was granted 200 times a minute.
+const FIRST_REST: Duration = Duration::from_secs(5);
+const MOST_DOUBLINGS: u32 = 7;
+
 /// How much longer each further commit of an unfinished chunk waits.
 const COMMIT_SPACING: u32 = 3;
 
@@ -216,6 +232,32 @@
 const MOST_SPACINGS: u32 = 4;
 
 impl ActiveChunk {
+    /// A run of an ordinary item broke off: it may be granted again, at once or after a rest.
+    pub fn lose_run(&mut self, number: u32, now: Duration) {
+        let lost = self.lost_runs.entry(number).or_default();
+        *lost += 1;
+        let Some(rests) = lost.checked_sub(RUNS_BEFORE_REST) else {
+            self.ready.push_front(number);
+            return;
+        };
+        let rest = FIRST_REST * (1 << rests.min(MOST_DOUBLINGS));
+        self.resting.insert(number, now + rest);
+    }
+
+    /// Items that have rested may be granted again.
+    pub fn end_rests(&mut self, now: Duration) {
+        let rested: Vec<u32> = self
+            .resting
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in rested {
+            self.resting.remove(&number);
+            self.ready.push_back(number);
+        }
+    }
+
     pub fn has_grantable(&self) -> bool {
         !self.ready.is_empty() || !self.intent_ready.is_empty()
     }
@@ -239,6 +281,7 @@
             return;
         }
         self.ready.retain(|ready| *ready != number);
+        self.resting.remove(&number);
         self.doubtful.remove(&number);
         let grant = GrantState {
             attempt: held.attempt.clone(),
--- a/crates/batch/src/core/grants.rs
+++ b/crates/batch/src/core/grants.rs
@@ -165,7 +165,7 @@
         }
         for handed_back in &request.handed_back {
             if let Some(item) = &handed_back.item {
-                self.take_back(item, handed_back.may_have_run);
+                self.take_back(item, handed_back.may_have_run, now);
             }
         }
         refused_shards.sort_unstable();
@@ -196,7 +196,7 @@
         chunk.finish(item, now);
     }
 
-    fn take_back(&mut self, item: &RunningItem, may_have_run: bool) {
+    fn take_back(&mut self, item: &RunningItem, may_have_run: bool, now: Duration) {
         let Some(job) = self.jobs.get_mut(&item.job_id) else {
             return;
         };
@@ -218,7 +218,8 @@
             return;
         };
         match (input.at_most_once, may_have_run) {
-            (false, _) => chunk.ready.push_front(number),
+            (false, false) => chunk.ready.push_front(number),
+            (false, true) => chunk.lose_run(number, now),
             (true, false) => chunk.intent_ready.push_front(number),
             (true, true) => {
                 chunk.doubtful.insert(number, Duration::ZERO);
@@ -233,6 +234,7 @@
         for job in self.jobs.values_mut() {
             for (_, chunk) in job.actives_mut() {
                 chunk.expire_grants(now, doubtful_until);
+                chunk.end_rests(now);
                 buffered += chunk.expire_doubts(now);
             }
         }
