Tests: jobs whose write is in doubt, and a resend that cannot see the first run

A job whose write the store does late is answered 504 without Retry-After, and runs; one whose answer was lost is accepted once; a resend under a key, while the store is away and the first send runs, is refused as not run of itself, is never sent, and later gets the stored answer.

--- a/crates/bench/tests/not_run.rs
+++ b/crates/bench/tests/not_run.rs
@@ -224,6 +224,43 @@
     assert_eq!(site.runs(), 1);
 }
 
+/// The first send runs and the store is away, so that nobody can see its claim: what the resend is told holds of the resend, which
+/// is never sent. The key keeps the caller from a second run, and leads to the first one's answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_resend_that_cannot_see_the_first_run_is_never_sent() {
+    let site = start_site().await;
+    let frozen = &site.engine.faults().frozen;
+    frozen.store(true, Ordering::Relaxed);
+    let address = site.address.clone();
+    let first = tokio::spawn(async move { complete(&address, &MARK).await });
+    while site.runs() == 0 {
+        sleep(PAUSE).await;
+    }
+    site.platform.faults().set(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    let resend = complete(&site.address, &MARK).await;
+    assert_eq!(resend.status, 503, "{}", resend.text);
+    assert!(resend.text.contains("claim_refused"), "{}", resend.text);
+    site.platform.faults().set(StoreFaults::default());
+    frozen.store(false, Ordering::Relaxed);
+    assert_eq!(first.await.expect("an answer").status, 200);
+    let stored = async {
+        loop {
+            let again = complete(&site.address, &MARK).await;
+            if again.status == 200 {
+                return again;
+            }
+            sleep(PAUSE).await;
+        }
+    };
+    let stored = tokio::time::timeout(Duration::from_secs(20), stored).await;
+    let stored = stored.expect("the stored answer");
+    assert_eq!(stored.header("idempotent-replayed"), Some("true"));
+    assert_eq!(site.runs(), 1);
+}
+
 /// The store did what it was asked and its answers were lost: the job may be kept.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_job_that_may_be_kept_is_not_refused_as_not_kept() {
