--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -9,13 +9,14 @@
 
 use crate::choice::{LeftRegion, Placement, ROOMY_PERMILLE};
 use crate::exchange::{ExchangeError, ReplicaAnswer, ReplicaRequest, ServingRequest};
-use crate::forwarder::{Forwarder, RequestState};
+use crate::forwarder::Forwarder;
 use crate::gate::{Passage, barred, may_give_copy};
 use crate::in_progress::InProgress;
 use crate::outcome::{Evidence, Verdict};
 use crate::placing::NoPlace;
 use crate::policy::Mechanism;
 use crate::replica::{Replica, WorkClass};
+use crate::request_state::RequestState;
 
 /// Bounds of one attempt.
 #[derive(Debug, Clone, Copy)]
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -11,8 +11,7 @@
 use tokio::time::Instant;
 
 use crate::admission::{ConfigurationProof, KeyTrust, RateAnswer, RateLimits, caller_of};
-use crate::attempt::{Attempt, AttemptFailure, AttemptTimes, Sending};
-use crate::configuration::Route;
+use crate::attempt::{Attempt, AttemptFailure, Sending};
 use crate::exchange::{ReplicaClient, ServingRequest};
 use crate::leases::SlotLeases;
 use crate::policy::{Mechanism, Policy};
@@ -22,6 +21,7 @@
 use crate::replica::Replica;
 use crate::replica_set::ReplicaSet;
 use crate::reply::{CallerAnswer, Refusal, RefusalCause, Reply};
+use crate::request_state::{RequestClock, RequestState};
 use crate::routes::{RouteEntry, RouteTable};
 use crate::selection::SelectionCosts;
 
@@ -31,15 +31,6 @@
 /// Most replicas that refuse one request before it is given up.
 const MOST_REFUSALS: u32 = 3;
 
-/// Silence before the first event after which a replica silent to everybody is given up, in percent of the objective.
-const DARK_FIRST_PERCENT: u32 = 120;
-
-/// Objectives without a first event after which any replica is given up.
-const LONGEST_FIRST_FACTOR: u32 = 3;
-
-/// Least silence before a replica is given up.
-const LEAST_FIRST: Duration = Duration::from_millis(250);
-
 /// When a caller whose request found no place shall come back.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -85,104 +76,6 @@
     profiles: Arc<PromptProfiles>,
 }
 
-/// A request on its way.
-pub(crate) struct RequestState {
-    /// The request.
-    pub request: Arc<ServingRequest>,
-    /// Its content.
-    pub content: ContentId,
-    /// Its route.
-    pub route: Arc<Route>,
-    /// The service that its turn fell to.
-    pub service: String,
-    /// Its time.
-    pub clock: RequestClock,
-    /// Replicas that were tried.
-    pub tried: Vec<String>,
-    /// Replicas to which it was sent and that may have run it.
-    pub sends: u32,
-    /// What the attempts so far have shown of its execution.
-    pub execution: Execution,
-    /// Replicas that ended while they ran it, and do not count among `sends`.
-    pub forgiven: u32,
-    /// Its caller has been refused or cut off before.
-    pub is_return: bool,
-    /// Its objective had passed before it came, and it leaves slots to those that can be in time.
-    pub overdue: bool,
-}
-
-/// Most replicas that may end under one try without counting: as many as it takes to tell whether it is to blame.
-const MOST_FORGIVEN: u32 = 3;
-
-/// Part of the time that a caller has left for which it still heeds when to come back.
-const RETURN_PART: u32 = 3;
-
-impl RequestState {
-    /// The replica that ran it last has ended, and does not count.
-    pub fn forgive(&mut self) {
-        if self.forgiven < MOST_FORGIVEN && self.sends > 0 {
-            self.forgiven += 1;
-            self.sends -= 1;
-        }
-    }
-
-    /// Longest time after which the caller still comes back; `None` for one that has come back before, which is not
-    /// sent away again, and for one that waits without a bound.
-    pub fn may_return(&self) -> Option<Duration> {
-        self.request
-            .patience
-            .filter(|_| !self.is_return)
-            .map(|patience| patience / RETURN_PART)
-    }
-}
-
-/// How long a request may still take.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct RequestClock {
-    pub arrived: Instant,
-    hold_until: Instant,
-    deadline: Option<Instant>,
-}
-
-impl RequestClock {
-    fn new(arrived: Instant, request: &ServingRequest, route: &Route) -> Self {
-        let held = request
-            .patience
-            .map_or(route.timeout, |patience| patience.min(route.timeout));
-        Self {
-            arrived,
-            hold_until: arrived + held,
-            deadline: request.patience.map(|patience| arrived + patience),
-        }
-    }
-
-    /// Time for which the request may still be held.
-    pub fn hold_left(&self) -> Duration {
-        self.hold_until
-            .saturating_duration_since(harrierward_clock::now())
-    }
-
-    /// Bounds of the attempt numbered `number`, from 1.
-    pub fn attempt_times(&self, route: &Route, number: u32) -> AttemptTimes {
-        let left = self.hold_left();
-        let time_left = self.deadline.map(|_| left);
-        if number < route.attempts && route.may_repeat() {
-            let dark = (route.objective * DARK_FIRST_PERCENT / 100).max(LEAST_FIRST);
-            let longest = (route.objective * LONGEST_FIRST_FACTOR).max(LEAST_FIRST);
-            return AttemptTimes {
-                time_left,
-                dark: dark.min(left),
-                longest: longest.min(left),
-            };
-        }
-        AttemptTimes {
-            time_left,
-            dark: left,
-            longest: left,
-        }
-    }
-}
-
 impl Forwarder {
     /// A forwarder over these parts.
     pub fn new(parts: ForwarderParts) -> Self {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -26,6 +26,7 @@
 mod replica;
 mod replica_set;
 mod reply;
+mod request_state;
 mod routes;
 mod selection;
 mod suspicion;
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -12,10 +12,11 @@
 use crate::attempt::{Attempt, AttemptFailure, Sending, wait_for_progress};
 use crate::events::EventSplitter;
 use crate::exchange::AnswerBody;
-use crate::forwarder::{Forwarder, RequestClock, RequestState};
+use crate::forwarder::Forwarder;
 use crate::in_progress::InProgress;
 use crate::outcome::{Evidence, Verdict};
 use crate::replica::Replica;
+use crate::request_state::{RequestClock, RequestState};
 
 /// The answer could not be brought to its end; the caller's connection must be broken off.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
