--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -312,7 +312,7 @@
         let replica = self.state.tried.last().map_or("", String::as_str);
         self.forwarder.log().record(&Record::AttemptFailed {
             request: &self.state.request.id,
-            content: &self.state.request.content().to_string(),
+            content: &self.state.content.to_string(),
             replica,
             cause,
             not_run: false,
@@ -324,7 +324,7 @@
         self.finish("cut");
         self.forwarder.log().record(&Record::AttemptFailed {
             request: &self.state.request.id,
-            content: &self.state.request.content().to_string(),
+            content: &self.state.content.to_string(),
             replica: self.state.tried.last().map_or("", String::as_str),
             cause: &cause,
             not_run: false,
