Sight: a job's change of owner names the owner before, the epochs and the reason

The lines could not tell why an owner was held for gone: gone from the daemon's view, or cut off from the store.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -510,6 +510,14 @@
         outcome: &'a str,
         /// Epoch of the ownership.
         epoch: u64,
+        /// The owner before; empty if there was none.
+        owner_before: &'a str,
+        /// Epoch before.
+        epoch_before: u64,
+        /// Why the owner changed; empty where the outcome says it.
+        reason: &'a str,
+        /// Daemons that this one held for living owners, itself among them.
+        owners_known: usize,
     },
     /// Results were listed, or the commit failed.
     ResultsListed {
--- a/crates/edge/src/members/peers.rs
+++ b/crates/edge/src/members/peers.rs
@@ -98,6 +98,15 @@
         Some(owners.into_iter().filter(is_in).collect())
     }
 
+    fn absence(&self, owner: &str) -> &'static str {
+        match self.view().member(owner) {
+            None => "gone",
+            Some(member) if member.detached => "cut off from the store",
+            Some(member) if member.leaving => "leaving",
+            Some(_) => "present",
+        }
+    }
+
     fn owners_near(&self, owner: &str) -> Vec<String> {
         let state = self.lock();
         let Some(region) = state.core.region(owner) else {
--- a/crates/inline-jobs/src/adoption.rs
+++ b/crates/inline-jobs/src/adoption.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use harrierward_tenants::AllowedRegions;
-use harrierward_wire::ItemProgressRow;
+use harrierward_wire::{ItemProgressRow, JobHeadRow};
 use tokio::time::{Instant, sleep};
 
 use crate::adoption_order::{adopted, adoption_delay, adoption_rank, given_up, last_owner};
@@ -84,7 +84,7 @@
             .await;
         match written {
             WriteOutcome::Committed { revision } => {
-                self.log_ownership(&head, "adopted");
+                self.log_ownership(&known.head, &head, "adopted", self.why_adopted(&known.head));
                 // The watch may have been faster and have begun the loading.
                 self.learn(KnownHead { head, revision });
             }
@@ -97,6 +97,14 @@
         }
     }
 
+    fn why_adopted(&self, before: &JobHeadRow) -> &'static str {
+        if before.owner.is_empty() {
+            "given up"
+        } else {
+            self.inner.peers.absence(&before.owner)
+        }
+    }
+
     /// Gives one job up, with the progress of its items.
     pub(crate) async fn hand_over(
         &self,
@@ -114,7 +122,7 @@
                 .await;
             match written {
                 WriteOutcome::Committed { .. } => {
-                    self.log_ownership(&head, "handed over");
+                    self.log_ownership(&known.head, &head, "handed over", "");
                     return;
                 }
                 WriteOutcome::Conflict {
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
+use crate::adoption_order::last_owner;
 use crate::book::{JobBook, OwnedJob};
 use crate::keys::HEADS;
 use crate::quota_book::{QuotaBook, QuotaRequest};
@@ -34,6 +35,9 @@
         }
     }
 
+    /// Why a daemon is not among those that may own jobs, for the log.
+    fn absence(&self, owner: &str) -> &'static str;
+
     /// Of those, the ones in the region of a daemon that may have died; empty if its region is not known.
     fn owners_near(&self, owner: &str) -> Vec<String>;
 
@@ -188,7 +192,8 @@
         if job.known.revision >= known.revision {
             return;
         }
-        let lost = !self.owns(&known.head) || known.head.epoch != job.known.head.epoch;
+        let before = job.known.head.clone();
+        let lost = !self.owns(&known.head) || known.head.epoch != before.epoch;
         if known.is_open() && !lost {
             job.known = known.clone();
             job.mark_listed();
@@ -198,7 +203,7 @@
         book.jobs.remove(job_id);
         drop(book);
         let outcome = if lost { "lost" } else { "closed" };
-        self.log_ownership(&known.head, outcome);
+        self.log_ownership(&before, &known.head, outcome, "");
     }
 
     /// A job's row is gone.
@@ -209,11 +214,21 @@
         }
     }
 
-    pub(crate) fn log_ownership(&self, head: &JobHeadRow, outcome: &str) {
+    pub(crate) fn log_ownership(
+        &self,
+        before: &JobHeadRow,
+        head: &JobHeadRow,
+        outcome: &str,
+        reason: &str,
+    ) {
         self.inner.log.record(&Record::JobOwnership {
             job: &head.job_id,
             outcome,
             epoch: head.epoch,
+            owner_before: last_owner(before),
+            epoch_before: before.epoch,
+            reason,
+            owners_known: self.inner.peers.owners().map_or(0, |owners| owners.len()),
         });
     }
 
--- a/crates/inline-jobs/tests/stale_listing.rs
+++ b/crates/inline-jobs/tests/stale_listing.rs
@@ -148,6 +148,10 @@
 
 #[async_trait]
 impl Peers for Nothing {
+    fn absence(&self, _owner: &str) -> &'static str {
+        ""
+    }
+
     fn owners_near(&self, _owner: &str) -> Vec<String> {
         Vec::new()
     }
