A live owner keeps its jobs: who holds it for gone challenges it in the job's head

Cause: whether a job's owner lives was decided by each daemon's own view of its peers. Two daemons that don't hear each other adopted each open job by turns, 0.3 to 0.4 s a turn, for as long as it was open; and an item's failures were saved only with new events, so each owner began to count anew. Class: something that one owner must hold, decided by a view that each has for itself.

Change: the core of harrierward-ownership drives adoptions. The head counts the failures of its items, and a failed item runs again once its count is kept.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -383,8 +383,8 @@
     for row in &update.written {
         if is_fence(&row.key) {
             jobs.view().take_fence_row(&row.value, row.revision);
-        } else if let Some(newer) = jobs.view().take_row(&row.value, row.revision) {
-            jobs.head_changed(&newer);
+        } else {
+            jobs.learn_row(&row.value, row.revision);
         }
     }
     for key in &update.removed {
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -93,6 +93,25 @@
     format!("{member}@{millis:x}-{:04x}", rand::random::<u16>())
 }
 
+/// What a life's name tells.
+#[derive(Debug, PartialEq, Eq)]
+struct LifeName<'a> {
+    /// The daemon by its settings' name.
+    member: &'a str,
+    /// When it was started, by its machine's clock, milliseconds.
+    started_ms: u64,
+}
+
+impl<'a> LifeName<'a> {
+    /// `None` for a name of another form.
+    fn parse(life: &'a str) -> Option<Self> {
+        let (member, start) = life.rsplit_once('@')?;
+        let (millis, _) = start.split_once('-')?;
+        let started_ms = u64::from_str_radix(millis, 16).ok()?;
+        Some(Self { member, started_ms })
+    }
+}
+
 impl Members {
     /// Knows only itself.
     pub fn new(
--- a/crates/edge/src/members/peers.rs
+++ b/crates/edge/src/members/peers.rs
@@ -6,13 +6,15 @@
 
 use async_trait::async_trait;
 use harrierward_inline_jobs::{Peers, QuotaRequest};
+use harrierward_membership::MembershipView;
+use harrierward_ownership::OwnerStanding;
 use harrierward_serving::Location;
 use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{QuotaAnswer, QuotaAsk, QuotaOutcome, node_datagram};
 
 use crate::calls::{CallPatience, PeerPlace};
 
-use super::{Members, udp_address};
+use super::{LifeName, Members, udp_address};
 
 /// Bounds of a question for a job's tokens.
 const QUOTA_PATIENCE: CallPatience = CallPatience {
@@ -73,6 +75,17 @@
     }
 }
 
+/// True if a daemon that is not in the view has been started again: another start at its machine is there, and a later one.
+fn has_later_start(view: &MembershipView, life: &str) -> bool {
+    let Some(gone) = LifeName::parse(life) else {
+        return false;
+    };
+    let lives = view.members.iter().map(|member| member.id.as_str());
+    lives
+        .filter_map(LifeName::parse)
+        .any(|life| life.member == gone.member && life.started_ms > gone.started_ms)
+}
+
 #[async_trait]
 impl Peers for Members {
     fn owners(&self) -> Option<Vec<String>> {
@@ -98,12 +111,13 @@
         Some(owners.into_iter().filter(is_in).collect())
     }
 
-    fn absence(&self, owner: &str) -> &'static str {
-        match self.view().member(owner) {
-            None => "gone",
-            Some(member) if member.detached => "cut off from the store",
-            Some(member) if member.leaving => "leaving",
-            Some(_) => "present",
+    fn standing(&self, owner: &str) -> OwnerStanding {
+        let view = self.view();
+        match view.member(owner) {
+            Some(member) if member.detached || member.leaving => OwnerStanding::Detached,
+            Some(_) => OwnerStanding::Present,
+            None if has_later_start(&view, owner) => OwnerStanding::Succeeded,
+            None => OwnerStanding::Gone,
         }
     }
 
--- a/crates/inline-jobs/src/adoption.rs
+++ b/crates/inline-jobs/src/adoption.rs
@@ -1,10 +1,11 @@
 //! Jobs change hands: those of daemons that died or stopped are adopted, and old ones removed.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
+use harrierward_ownership::{OwnerStanding, Step};
 use harrierward_tenants::AllowedRegions;
-use harrierward_wire::{ItemProgressRow, JobHeadRow};
+use harrierward_wire::ItemProgressRow;
 use tokio::time::{Instant, sleep};
 
 use crate::adoption_order::{adopted, adoption_delay, adoption_rank, given_up, last_owner};
@@ -15,8 +16,8 @@
 /// How often jobs without owner are looked for.
 const CHECK_EVERY: Duration = Duration::from_millis(100);
 
-/// How long an adoption is tried.
-const ADOPT_HOLD: Duration = Duration::from_millis(1_500);
+/// How long a head's change by this daemon is tried.
+pub(crate) const ADOPT_HOLD: Duration = Duration::from_millis(1_500);
 
 /// Most progress rows handed over in one transaction.
 const MOST_PROGRESS: usize = 80;
@@ -29,38 +30,50 @@
 
 impl InlineJobs {
     pub(crate) async fn run_adoption(self) {
-        let mut missing_since: HashMap<String, Instant> = HashMap::new();
         loop {
             sleep(CHECK_EVERY).await;
             let Some(owners) = self.inner.peers.owners() else {
                 continue;
             };
-            if !self.may_start_runs() {
+            if self.may_start_runs() {
+                self.look_for_orphans(&owners);
+            }
+        }
+    }
+
+    /// Does what is due for jobs whose owners are missing. `owners` are the daemons that may own jobs.
+    fn look_for_orphans(&self, owners: &[String]) {
+        let open = self.inner.view.open_jobs();
+        for known in &open {
+            let standing = self.owner_standing(&known.head);
+            if standing == OwnerStanding::Present {
+                self.takeovers().is_present(known);
                 continue;
             }
-            let orphans: Vec<KnownHead> = self
-                .inner
-                .view
-                .open_jobs()
-                .into_iter()
-                .filter(|known| !owners.contains(&known.head.owner))
-                .collect();
-            missing_since.retain(|job, _| orphans.iter().any(|known| known.head.job_id == *job));
-            for known in orphans {
-                let Some(adopters) = self.adopters_of(&known, &owners) else {
-                    continue;
-                };
-                let job_id = known.head.job_id.clone();
-                let since = *missing_since.entry(job_id).or_insert_with(Instant::now);
-                let near = self.inner.peers.owners_near(last_owner(&known.head));
-                let life = &self.inner.life;
-                if since.elapsed() >= adoption_delay(&known.head, life, &adopters, &near) {
-                    missing_since.remove(&known.head.job_id);
-                    let jobs = self.clone();
-                    tokio::spawn(async move { jobs.adopt_job(known).await });
-                }
+            let Some(adopters) = self.adopters_of(known, owners) else {
+                continue;
+            };
+            let near = self.inner.peers.owners_near(last_owner(&known.head));
+            let delay = adoption_delay(&known.head, &self.inner.life, &adopters, &near);
+            match self.takeovers().step(known, standing, delay) {
+                Step::Wait => {}
+                Step::Challenge => self.start_challenge(known.clone(), standing),
+                Step::Take => self.start_adoption(known.clone(), standing),
             }
         }
+        let open: HashSet<&str> = open
+            .iter()
+            .map(|known| known.head.job_id.as_str())
+            .collect();
+        self.takeovers().retain(|job| open.contains(job));
+    }
+
+    fn start_adoption(&self, known: KnownHead, standing: OwnerStanding) {
+        let jobs = self.clone();
+        tokio::spawn(async move {
+            jobs.adopt_job(&known, standing).await;
+            jobs.takeovers().written(&known.head.job_id);
+        });
     }
 
     /// The daemons that may adopt a job, which is to read its bodies; `None` if this one is not among them. Where no
@@ -74,7 +87,7 @@
         adopters.contains(&self.inner.life).then_some(adopters)
     }
 
-    async fn adopt_job(&self, known: KnownHead) {
+    async fn adopt_job(&self, known: &KnownHead, standing: OwnerStanding) {
         let head = adopted(&known.head, &self.inner.life);
         let until = Instant::now() + ADOPT_HOLD;
         let written = self
@@ -84,7 +97,7 @@
             .await;
         match written {
             WriteOutcome::Committed { revision } => {
-                self.log_ownership(&known.head, &head, "adopted", self.why_adopted(&known.head));
+                self.log_ownership(&known.head, &head, "adopted", standing.name());
                 // The watch may have been faster and have begun the loading.
                 self.learn(KnownHead { head, revision });
             }
@@ -93,23 +106,17 @@
             } => {
                 self.learn(*current);
             }
+            // The next look decides anew.
             _ => {}
         }
     }
 
-    fn why_adopted(&self, before: &JobHeadRow) -> &'static str {
-        if before.owner.is_empty() {
-            "given up"
-        } else {
-            self.inner.peers.absence(&before.owner)
-        }
-    }
-
     /// Gives one job up, with the progress of its items.
     pub(crate) async fn hand_over(
         &self,
         mut known: KnownHead,
         mut progress: Vec<(u32, ItemProgressRow)>,
+        reason: &str,
         until: Instant,
     ) {
         progress.truncate(MOST_PROGRESS);
@@ -122,7 +129,7 @@
                 .await;
             match written {
                 WriteOutcome::Committed { .. } => {
-                    self.log_ownership(&known.head, &head, "handed over", "");
+                    self.log_ownership(&known.head, &head, "handed over", reason);
                     return;
                 }
                 WriteOutcome::Conflict {
--- a/crates/inline-jobs/src/adoption_order.rs
+++ b/crates/inline-jobs/src/adoption_order.rs
@@ -6,8 +6,12 @@
 use harrierward_wire::JobHeadRow;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// How long an owner must be missing before its job is adopted.
-const MISSING_FOR: Duration = Duration::from_millis(300);
+/// How long an owner must be missing before it is challenged: a member that is held for dead and lives refutes that within
+/// about as long. With the time for which a challenge stands, a job follows its dead owner at most 1 s later than by a view alone.
+const MISSING_FOR: Duration = Duration::from_millis(100);
+
+/// How much later than the others a daemon takes a job back that it gave up without stopping: it got nowhere with it.
+const GAVE_UP_BEFORE: Duration = Duration::from_secs(2);
 
 /// How much longer each further daemon in the job's order waits.
 const RANK_DELAY: Duration = Duration::from_millis(400);
@@ -17,6 +21,7 @@
     JobHeadRow {
         owner: String::new(),
         last_owner: head.owner.clone(),
+        challenger: String::new(),
         ..head.clone()
     }
 }
@@ -26,11 +31,28 @@
     JobHeadRow {
         owner: life.to_owned(),
         last_owner: String::new(),
+        challenger: String::new(),
         epoch: head.epoch + 1,
         ..head.clone()
     }
 }
 
+/// The head of a job whose owner the daemon with this life holds for gone.
+pub fn challenged(head: &JobHeadRow, life: &str) -> JobHeadRow {
+    JobHeadRow {
+        challenger: life.to_owned(),
+        ..head.clone()
+    }
+}
+
+/// The head as its owner writes it: whoever challenged it is refuted.
+pub fn refuted(head: &JobHeadRow) -> JobHeadRow {
+    JobHeadRow {
+        challenger: String::new(),
+        ..head.clone()
+    }
+}
+
 /// Life of the daemon that runs a job or ran it last.
 pub fn last_owner(head: &JobHeadRow) -> &str {
     if head.owner.is_empty() {
@@ -40,7 +62,7 @@
     }
 }
 
-/// How long the daemon with this `life` waits before it adopts a job without a living owner. Daemons adopt a job in an
+/// How long the daemon with this `life` waits before it adopts a job that was given up, or challenges an owner that is missing. Daemons adopt a job in an
 /// order of its own, so that they do not all try at once: those `near` its last owner first, since its clients and the
 /// replicas that keep its prompts are there. `owners` are all that may adopt it.
 pub fn adoption_delay(
@@ -57,10 +79,12 @@
         1 + adoption_rank(&head.job_id, life, others)
     };
     // One that was given up is known to be nobody's.
-    let first = if head.owner.is_empty() {
-        Duration::ZERO
-    } else {
+    let first = if !head.owner.is_empty() {
         MISSING_FOR
+    } else if head.last_owner == life {
+        GAVE_UP_BEFORE
+    } else {
+        Duration::ZERO
     };
     first + RANK_DELAY * rank
 }
--- a/crates/inline-jobs/src/book.rs
+++ b/crates/inline-jobs/src/book.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use harrierward_serving::ServingRequest;
-use harrierward_wire::ItemProgressRow;
+use harrierward_wire::{ItemFailuresRow, ItemProgressRow};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -21,6 +21,8 @@
     pub last_event: Option<u64>,
     /// Data of the events so far.
     pub texts: Vec<String>,
+    /// When the last of them came to this daemon.
+    pub moved_at: Option<Instant>,
 }
 
 /// Progress shared between book and task.
@@ -70,6 +72,9 @@
     pub progress: SharedProgress,
     /// Failed attempts.
     pub failures: u32,
+    /// Those of them that the job's head counts. The item does not run again before it counts all, so that a later owner
+    /// allows no more attempts than this one.
+    pub failures_kept: u32,
     /// Events of it that are saved.
     pub saved_events: usize,
     /// Hash of the replica's start at which it last ran: that one may still keep its prompt.
@@ -78,6 +83,24 @@
     pub phase: ItemPhase,
 }
 
+impl Item {
+    fn may_run_again(&self) -> bool {
+        matches!(
+            self.phase,
+            ItemPhase::Waiting { .. } | ItemPhase::Running { .. }
+        )
+    }
+
+    fn has_failures_to_keep(&self) -> bool {
+        self.failures > self.failures_kept && self.may_run_again()
+    }
+
+    fn is_startable(&self, now: Instant) -> bool {
+        let is_due = matches!(self.phase, ItemPhase::Waiting { not_before } if not_before <= now);
+        is_due && !self.has_failures_to_keep()
+    }
+}
+
 /// One job that this daemon runs.
 #[derive(Debug)]
 pub struct OwnedJob {
@@ -89,6 +112,8 @@
     pub listing: bool,
     /// When progress of its items was last saved.
     pub checkpoint_at: Instant,
+    /// When this daemon began to run it.
+    pub entered_at: Instant,
 }
 
 impl OwnedJob {
@@ -105,6 +130,7 @@
                 request: Arc::new(request),
                 progress: SharedProgress::default(),
                 failures: 0,
+                failures_kept: 0,
                 saved_events: 0,
                 ran_at: None,
                 phase: ItemPhase::Waiting { not_before: now },
@@ -113,25 +139,40 @@
         for (number, row) in progress {
             if let Some(item) = items.get_mut(number as usize) {
                 item.failures = row.failures;
+                item.failures_kept = row.failures;
                 item.saved_events = row.texts.len();
                 item.progress = Arc::new(Mutex::new(ItemProgress {
                     last_event: Some(row.last_event).filter(|_| !row.texts.is_empty()),
                     texts: row.texts,
+                    moved_at: None,
                 }));
             }
         }
         let mut job = Self {
-            known,
+            known: known.clone(),
             items,
             listing: false,
             checkpoint_at: now,
+            entered_at: now,
         };
-        job.mark_listed();
+        job.take_head(known);
         job
     }
 
+    /// Takes a newer head of the same owner and epoch: what it lists, and the failures that it counts.
+    pub fn take_head(&mut self, known: KnownHead) {
+        self.known = known;
+        for row in &self.known.head.failures {
+            if let Some(item) = self.items.get_mut(row.item as usize) {
+                item.failures = item.failures.max(row.count);
+                item.failures_kept = item.failures_kept.max(row.count);
+            }
+        }
+        self.mark_listed();
+    }
+
     /// Items that the head lists need nothing more.
-    pub fn mark_listed(&mut self) {
+    fn mark_listed(&mut self) {
         for number in &self.known.head.listed {
             if let Some(item) = self.items.get_mut(*number as usize) {
                 end_run(&item.phase);
@@ -174,6 +215,32 @@
             .collect()
     }
 
+    /// True if nothing has come of the job here for so long.
+    pub fn is_stuck(&self, patience: Duration) -> bool {
+        let has_moved = |item: &Item| {
+            let moved_at = lock(&item.progress).moved_at;
+            matches!(item.phase, ItemPhase::Done { .. })
+                || moved_at.is_some_and(|at| at.elapsed() < patience)
+        };
+        self.entered_at.elapsed() >= patience && !self.items.iter().any(has_moved)
+    }
+
+    /// True if items have failed and the head does not count it yet.
+    pub fn has_failures_to_keep(&self) -> bool {
+        self.items.iter().any(Item::has_failures_to_keep)
+    }
+
+    /// Failures of items that may run again, for the head.
+    pub fn failures(&self) -> Vec<ItemFailuresRow> {
+        let items = (0..).zip(&self.items);
+        let failed = items.filter(|(_, item)| item.failures > 0 && item.may_run_again());
+        let rows = failed.map(|(number, item)| ItemFailuresRow {
+            item: number,
+            count: item.failures,
+        });
+        rows.collect()
+    }
+
     /// Results that wait to be listed, within the bounds of one transaction.
     pub fn results_to_list(&self, most: usize, bytes: usize) -> Vec<ListedResult> {
         let mut results = Vec::new();
@@ -263,9 +330,7 @@
         let mut startable = Vec::new();
         for job in jobs {
             for (number, item) in (0..).zip(&job.items) {
-                let ready =
-                    matches!(item.phase, ItemPhase::Waiting { not_before } if not_before <= now);
-                if ready {
+                if item.is_startable(now) {
                     startable.push(StartableItem {
                         job: job.known.head.job_id.clone(),
                         number,
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -7,6 +7,7 @@
     AttemptFailure, AttemptTimes, EventSplitter, Forwarder, Placement, Sending, ServingRequest,
     StreamEvent, Verdict, wait_for_progress,
 };
+use tokio::time::Instant;
 
 use crate::book::{SharedProgress, lock};
 
@@ -126,5 +127,6 @@
     }
     progress.last_event = Some(id);
     progress.texts.push(event.data());
+    progress.moved_at = Some(Instant::now());
     Ok(())
 }
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -23,6 +23,7 @@
 mod service;
 mod store;
 mod submit;
+mod takeover;
 mod view;
 
 pub use keys::{HEADS, is_fence, partitions};
@@ -34,4 +35,4 @@
 pub use quota_book::{QuotaBook, QuotaDecision, QuotaRequest, RouteCount};
 pub use service::{InlineJobs, JobParts, JobSettings, Peers};
 pub use store::{FenceOutcome, JobStore, KnownFence, ListedResult, ReadResult, WriteOutcome};
-pub use view::{JobView, KnownHead};
+pub use view::{HeadChange, JobView, KnownHead};
--- a/crates/inline-jobs/src/listing.rs
+++ b/crates/inline-jobs/src/listing.rs
@@ -1,11 +1,13 @@
-//! Listing results: the position of each is fixed by a conditional write that also marks its item.
+//! Listing results: the position of each is fixed by a conditional write that also marks its item, and counts the failures of
+//! items that are to run again.
 
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_wire::JobHeadRow;
+use harrierward_wire::{ItemFailuresRow, JobHeadRow};
 use tokio::time::{Instant, sleep};
 
+use crate::adoption_order::refuted;
 use crate::book::ItemPhase;
 use crate::service::InlineJobs;
 use crate::store::{ListedResult, WriteOutcome};
@@ -21,8 +23,16 @@
 /// Pause after a failed write.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// A change of a job's head by its owner.
+struct Listing {
+    known: KnownHead,
+    results: Vec<ListedResult>,
+    /// Failures of items that are to run again.
+    failures: Vec<ItemFailuresRow>,
+}
+
 impl InlineJobs {
-    /// Starts a listing task for each job with finished items and none.
+    /// Starts a listing task for each job with finished items, or failures to be counted, and none.
     pub(crate) fn start_listings(&self) {
         let mut book = self.book();
         for (job_id, job) in &mut book.jobs {
@@ -30,7 +40,7 @@
                 .items
                 .iter()
                 .any(|item| matches!(item.phase, ItemPhase::Done { .. }));
-            if !finished || job.listing {
+            if job.listing || !(finished || job.has_failures_to_keep()) {
                 continue;
             }
             job.listing = true;
@@ -41,30 +51,41 @@
     }
 
     async fn list_finished(&self, job_id: &str) {
-        while let Some((known, results)) = self.next_listing(job_id) {
-            if !self.list(&known, &results).await {
+        while let Some(listing) = self.next_listing(job_id) {
+            if !self.list(&listing).await {
                 sleep(PAUSE).await;
             }
         }
     }
 
     /// What is to be listed; `None` ends the task.
-    fn next_listing(&self, job_id: &str) -> Option<(KnownHead, Vec<ListedResult>)> {
+    fn next_listing(&self, job_id: &str) -> Option<Listing> {
         let mut book = self.book();
         let job = book.jobs.get_mut(job_id)?;
         let results = job.results_to_list(MOST_RESULTS, MOST_BYTES);
-        if results.is_empty() || self.is_stopping() {
+        let has_nothing = results.is_empty() && !job.has_failures_to_keep();
+        if has_nothing || self.is_stopping() {
             job.listing = false;
             return None;
         }
-        Some((job.known.clone(), results))
+        Some(Listing {
+            known: job.known.clone(),
+            results,
+            failures: job.failures(),
+        })
     }
 
     /// Lists results; true if that is settled.
-    async fn list(&self, known: &KnownHead, results: &[ListedResult]) -> bool {
-        let mut head = known.head.clone();
+    async fn list(&self, listing: &Listing) -> bool {
+        let Listing {
+            known,
+            results,
+            failures,
+        } = listing;
+        let mut head = refuted(&known.head);
         let position = u32::try_from(head.listed.len()).unwrap_or(u32::MAX);
         head.listed.extend(results.iter().map(|result| result.item));
+        head.failures.clone_from(failures);
         let until = Instant::now() + WRITE_HOLD;
         let written = self
             .inner
@@ -101,15 +122,15 @@
     }
 
     fn adopt(&self, known: KnownHead) {
+        self.learn(known.clone());
         // The watch may have been faster; the book must hear of it in any case.
-        self.inner.view.take(known.clone());
         self.head_changed(&known);
     }
 }
 
 /// A conflict with a head that already lists the results is a write whose answer was lost.
 fn conflict_name(current: &JobHeadRow, wanted: &JobHeadRow) -> &'static str {
-    if current.listed == wanted.listed {
+    if current.listed == wanted.listed && current.failures == wanted.failures {
         "committed before"
     } else {
         "conflict"
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{ObjectStore, Table, WatchedTable};
+use harrierward_ownership::OwnerStanding;
 use harrierward_serving::Forwarder;
 use harrierward_tenants::AllowedRegions;
-use harrierward_wire::{JobHeadRow, QuotaOutcome};
+use harrierward_wire::{JobHeadRow, QuotaOutcome, decode};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
@@ -18,6 +20,7 @@
 use crate::keys::HEADS;
 use crate::quota_book::{QuotaBook, QuotaRequest};
 use crate::store::JobStore;
+use crate::takeover::JobTakeovers;
 use crate::view::{JobView, KnownHead};
 
 /// Other daemons, as far as the jobs need them.
@@ -35,8 +38,8 @@
         }
     }
 
-    /// Why a daemon is not among those that may own jobs, for the log.
-    fn absence(&self, owner: &str) -> &'static str;
+    /// How this daemon sees another one that owns a job.
+    fn standing(&self, owner: &str) -> OwnerStanding;
 
     /// Of those, the ones in the region of a daemon that may have died; empty if its region is not known.
     fn owners_near(&self, owner: &str) -> Vec<String>;
@@ -91,6 +94,7 @@
     pub peers: Arc<dyn Peers>,
     pub log: DecisionLog,
     pub settings: JobSettings,
+    pub takeovers: Mutex<JobTakeovers>,
     pub wake: Notify,
     pub stopping: AtomicBool,
     pub quotas: Mutex<QuotaBook>,
@@ -119,6 +123,7 @@
             peers: parts.peers,
             log: parts.log,
             settings: parts.settings,
+            takeovers: Mutex::default(),
             wake: Notify::new(),
             stopping: AtomicBool::new(false),
             quotas: Mutex::default(),
@@ -173,8 +178,16 @@
 
     /// Takes a head that was read or written; nothing happens if a newer one is known.
     pub fn learn(&self, known: KnownHead) {
-        if let Some(newer) = self.inner.view.take(known) {
-            self.head_changed(&newer);
+        if let Some(change) = self.inner.view.take(known) {
+            self.note_owners(&change);
+            self.head_changed(&change.known);
+        }
+    }
+
+    /// Takes the row of a head; one that cannot be read names no job.
+    pub fn learn_row(&self, value: &Bytes, revision: u64) {
+        if let Some(head) = decode::<JobHeadRow>(value) {
+            self.learn(KnownHead { head, revision });
         }
     }
 
@@ -195,15 +208,15 @@
         let before = job.known.head.clone();
         let lost = !self.owns(&known.head) || known.head.epoch != before.epoch;
         if known.is_open() && !lost {
-            job.known = known.clone();
-            job.mark_listed();
+            job.take_head(known.clone());
             return;
         }
         job.stop_runs();
         book.jobs.remove(job_id);
         drop(book);
         let outcome = if lost { "lost" } else { "closed" };
-        self.log_ownership(&before, &known.head, outcome, "");
+        let reason = if lost { known.head.owner.as_str() } else { "" };
+        self.log_ownership(&before, &known.head, outcome, reason);
     }
 
     /// A job's row is gone.
@@ -297,7 +310,7 @@
         }
         let handing = given
             .into_iter()
-            .map(|(known, progress)| self.hand_over(known, progress, until));
+            .map(|(known, progress)| self.hand_over(known, progress, "stopping", until));
         // A write that the store does not answer lasts longer than `until`; what it was to hand over is adopted once
         // this daemon is gone.
         let handed = timeout_at(until, futures::future::join_all(handing)).await;
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -172,6 +172,8 @@
             item_rows: 0,
             item_object: String::new(),
             tenant: tenant.to_owned(),
+            challenger: String::new(),
+            failures: Vec::new(),
         };
         if self.is_stopping() {
             given_up(&head)
--- a/crates/inline-jobs/src/view.rs
+++ b/crates/inline-jobs/src/view.rs
@@ -48,6 +48,15 @@
     }
 }
 
+/// A newer head, and the one known before.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HeadChange {
+    /// `None` for a job that was not known.
+    pub before: Option<KnownHead>,
+    /// The head as it is now.
+    pub known: KnownHead,
+}
+
 #[derive(Debug, Default)]
 struct State {
     heads: HashMap<String, KnownHead>,
@@ -123,12 +132,6 @@
         })
     }
 
-    /// Takes a head's row. Returns the head if it is newer than what was known.
-    pub fn take_row(&self, value: &Bytes, revision: u64) -> Option<KnownHead> {
-        let head: JobHeadRow = decode(value)?;
-        self.take(KnownHead { head, revision })
-    }
-
     /// Takes a row of a fence.
     pub fn take_fence_row(&self, value: &Bytes, revision: u64) {
         if let Some(row) = decode::<QuotaFenceRow>(value) {
@@ -164,18 +167,18 @@
         Some(harrierward_clock::age(seen_at))
     }
 
-    /// Takes a head. Returns it if it is newer than what was known.
-    pub fn take(&self, known: KnownHead) -> Option<KnownHead> {
+    /// Takes a head; `None` if it is not newer than what was known.
+    pub fn take(&self, known: KnownHead) -> Option<HeadChange> {
         let mut state = self.lock();
         let old = state.heads.get(&known.head.job_id);
         if old.is_some_and(|old| old.revision >= known.revision) {
             return None;
         }
         let job_id = known.head.job_id.clone();
-        state.heads.insert(job_id, known.clone());
+        let before = state.heads.insert(job_id, known.clone());
         drop(state);
         self.wake();
-        Some(known)
+        Some(HeadChange { before, known })
     }
 
     /// Forgets a job whose row is gone.
--- a/crates/wire/src/inline_job.rs
+++ b/crates/wire/src/inline_job.rs
@@ -109,6 +109,23 @@
     /// Life of the daemon that ran the job last and gave it up; empty if somebody runs it.
     #[prost(string, tag = "13")]
     pub last_owner: String,
+    /// Life of a daemon that holds the owner for gone; empty if none does since the owner last wrote the head.
+    #[prost(string, tag = "14")]
+    pub challenger: String,
+    /// Items that replicas have failed and that are not listed.
+    #[prost(message, repeated, tag = "15")]
+    pub failures: Vec<ItemFailuresRow>,
+}
+
+/// How often replicas have failed an item.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ItemFailuresRow {
+    /// The item, by its number in the job.
+    #[prost(uint32, tag = "1")]
+    pub item: u32,
+    /// Failed runs.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
 }
 
 /// A piece of a result.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,8 +23,8 @@
 pub use configuration::{ConfigChange, ConfigHead, ConfigLogEntry, ConfigObjectRow};
 pub use evacuation::{EvacuatedZone, Evacuations};
 pub use inline_job::{
-    HeaderRow, ItemBodyRow, ItemHeadRow, ItemProgressRow, JobHeadRow, JobItemsRow, PromptPartRow,
-    ResultPieceRow,
+    HeaderRow, ItemBodyRow, ItemFailuresRow, ItemHeadRow, ItemProgressRow, JobHeadRow, JobItemsRow,
+    PromptPartRow, ResultPieceRow,
 };
 pub use known_rows::{KnownRow, KnownRows};
 pub use membership::{
