--- a/crates/inline-jobs/src/adoption.rs
+++ b/crates/inline-jobs/src/adoption.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::adoption_order::{adopted, adoption_delay, adoption_rank, given_up, last_owner};
-use crate::book::LeftWork;
+use crate::owned_job::LeftWork;
 use crate::service::InlineJobs;
 use crate::store::WriteOutcome;
 use crate::view::KnownHead;
--- a/crates/inline-jobs/src/checkpoint.rs
+++ b/crates/inline-jobs/src/checkpoint.rs
@@ -8,7 +8,8 @@
 use harrierward_wire::ItemProgressRow;
 use tokio::time::Instant;
 
-use crate::book::{ItemPhase, OwnedJob, lock};
+use crate::item::{ItemPhase, lock};
+use crate::owned_job::OwnedJob;
 use crate::service::InlineJobs;
 
 /// Least time between two checkpoints of a job.
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -9,7 +9,7 @@
 };
 use tokio::time::Instant;
 
-use crate::book::{SharedProgress, lock};
+use crate::item::{SharedProgress, lock};
 
 /// Silence after which a replica that is silent to everybody is given up.
 const DARK: Duration = Duration::from_millis(500);
--- a/crates/inline-jobs/src/listing.rs
+++ b/crates/inline-jobs/src/listing.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::adoption_order::refuted;
-use crate::book::ItemPhase;
+use crate::item::ItemPhase;
 use crate::service::InlineJobs;
 use crate::store::{ListedResult, WriteOutcome};
 use crate::view::KnownHead;
--- /dev/null
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -0,0 +1,222 @@
+//! One job that this daemon runs.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use harrierward_serving::ServingRequest;
+use harrierward_wire::{ItemFailuresRow, ItemProgressRow};
+use tokio::time::Instant;
+
+use crate::item::{Item, ItemPhase, ItemProgress, SharedProgress, end_run, lock};
+use crate::store::ListedResult;
+use crate::view::KnownHead;
+
+/// What is handed over of a job, beside its head.
+#[derive(Debug, Default)]
+pub struct LeftWork {
+    /// Progress of unfinished items.
+    pub progress: Vec<(u32, ItemProgressRow)>,
+    /// Failures of items that are not listed.
+    pub failures: Vec<ItemFailuresRow>,
+}
+
+/// One job that this daemon runs.
+#[derive(Debug)]
+pub struct OwnedJob {
+    /// Its head.
+    pub known: KnownHead,
+    /// Its items.
+    pub items: Vec<Item>,
+    /// A task lists results of the job.
+    pub listing: bool,
+    /// When progress of its items was last saved.
+    pub checkpoint_at: Instant,
+    /// When this daemon began to run it.
+    pub entered_at: Instant,
+    /// When a run of it last came to nothing at a replica.
+    pub broken_run_at: Option<Instant>,
+}
+
+impl OwnedJob {
+    /// A job whose items were read; `progress` is what an earlier owner left.
+    pub fn new(
+        known: KnownHead,
+        requests: Vec<ServingRequest>,
+        progress: Vec<(u32, ItemProgressRow)>,
+    ) -> Self {
+        let now = Instant::now();
+        let mut items: Vec<Item> = requests
+            .into_iter()
+            .map(|request| Item {
+                request: Arc::new(request),
+                progress: SharedProgress::default(),
+                failures: 0,
+                failures_kept: 0,
+                saved_events: 0,
+                ran_at: None,
+                phase: ItemPhase::Waiting { not_before: now },
+            })
+            .collect();
+        for (number, row) in progress {
+            if let Some(item) = items.get_mut(number as usize) {
+                item.failures = row.failures;
+                item.failures_kept = row.failures;
+                item.saved_events = row.texts.len();
+                item.progress = Arc::new(Mutex::new(ItemProgress {
+                    last_event: Some(row.last_event).filter(|_| !row.texts.is_empty()),
+                    texts: row.texts,
+                    moved_at: None,
+                }));
+            }
+        }
+        let mut job = Self {
+            known: known.clone(),
+            items,
+            listing: false,
+            checkpoint_at: now,
+            entered_at: now,
+            broken_run_at: None,
+        };
+        job.take_head(known);
+        job
+    }
+
+    /// Takes a newer head of the same owner and epoch: what it lists, and the failures that it counts.
+    pub fn take_head(&mut self, known: KnownHead) {
+        self.known = known;
+        for row in &self.known.head.failures {
+            if let Some(item) = self.items.get_mut(row.item as usize) {
+                item.failures = item.failures.max(row.count);
+                item.failures_kept = item.failures_kept.max(row.count);
+            }
+        }
+        self.mark_listed();
+    }
+
+    /// Items that the head lists need nothing more.
+    fn mark_listed(&mut self) {
+        for number in &self.known.head.listed {
+            if let Some(item) = self.items.get_mut(*number as usize) {
+                end_run(&item.phase);
+                item.phase = ItemPhase::Listed;
+                item.progress = SharedProgress::default();
+            }
+        }
+    }
+
+    /// Ends all runs; items go back to waiting.
+    pub fn stop_runs(&mut self) {
+        for item in &mut self.items {
+            if matches!(item.phase, ItemPhase::Running { .. }) {
+                end_run(&item.phase);
+                item.phase = ItemPhase::Waiting {
+                    not_before: Instant::now(),
+                };
+            }
+        }
+    }
+
+    /// Ends all runs; what another owner needs of the job.
+    pub fn left_work(&mut self) -> LeftWork {
+        self.stop_runs();
+        LeftWork {
+            progress: self.progress_rows(),
+            failures: self.failures(&[]),
+        }
+    }
+
+    /// Progress of unfinished items, for another owner.
+    pub fn progress_rows(&self) -> Vec<(u32, ItemProgressRow)> {
+        let unfinished = (0..).zip(&self.items).filter(|(_, item)| {
+            matches!(
+                item.phase,
+                ItemPhase::Waiting { .. } | ItemPhase::Running { .. } | ItemPhase::Done { .. }
+            )
+        });
+        unfinished
+            .filter_map(|(number, item)| {
+                let progress = lock(&item.progress);
+                let row = ItemProgressRow {
+                    last_event: progress.last_event?,
+                    texts: progress.texts.clone(),
+                    failures: item.failures,
+                };
+                Some((number, row))
+            })
+            .collect()
+    }
+
+    /// True if nothing has come of the job here for so long, though runs were tried. Items that wait for slots are not stuck.
+    pub fn is_stuck(&self, patience: Duration) -> bool {
+        let is_recent = |at: Instant| at.elapsed() < patience;
+        let has_moved = |item: &Item| {
+            let is_young = match item.phase {
+                ItemPhase::Running { since, .. } => is_recent(since),
+                ItemPhase::Done { .. } => true,
+                ItemPhase::Waiting { .. } | ItemPhase::Listed => false,
+            };
+            is_young || lock(&item.progress).moved_at.is_some_and(is_recent)
+        };
+        let has_tried = self.broken_run_at.is_some_and(is_recent);
+        has_tried && !is_recent(self.entered_at) && !self.items.iter().any(has_moved)
+    }
+
+    /// Items that have failed as often as their route allows, under an earlier owner, do not run again.
+    pub fn fail_spent_items(&mut self, attempts: u32) {
+        for item in &mut self.items {
+            if item.failures >= attempts && item.may_run_again() {
+                end_run(&item.phase);
+                item.phase = ItemPhase::Done { failed: true };
+            }
+        }
+    }
+
+    /// True if items have failed and the head does not count it yet.
+    pub fn has_failures_to_keep(&self) -> bool {
+        self.items.iter().any(Item::has_failures_to_keep)
+    }
+
+    /// Failures of items that are not listed, nor among the results that are to be listed, for the head.
+    pub fn failures(&self, to_list: &[ListedResult]) -> Vec<ItemFailuresRow> {
+        let items = (0..).zip(&self.items);
+        let failed = items.filter(|(number, item)| {
+            let is_open = !matches!(item.phase, ItemPhase::Listed);
+            let is_listed_now = to_list.iter().any(|result| result.item == *number);
+            item.failures > 0 && is_open && !is_listed_now
+        });
+        let rows = failed.map(|(number, item)| ItemFailuresRow {
+            item: number,
+            count: item.failures,
+        });
+        rows.collect()
+    }
+
+    /// Results that wait to be listed, within the bounds of one transaction.
+    pub fn results_to_list(&self, most: usize, bytes: usize) -> Vec<ListedResult> {
+        let mut results = Vec::new();
+        let mut size = 0;
+        for (number, item) in (0..).zip(&self.items) {
+            let ItemPhase::Done { failed } = item.phase else {
+                continue;
+            };
+            if self.known.head.listed.contains(&number) {
+                continue;
+            }
+            let text = if failed {
+                String::new()
+            } else {
+                lock(&item.progress).texts.join("\n")
+            };
+            size += text.len();
+            if !results.is_empty() && (size > bytes || results.len() >= most) {
+                break;
+            }
+            results.push(ListedResult {
+                item: number,
+                failed,
+                text,
+            });
+        }
+        results
+    }
+}
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -6,7 +6,8 @@
 use harrierward_serving::{ItemRoom, Mechanism, Placement, Route, RouteTable, WorkClass};
 use tokio::time::{Instant, sleep};
 
-use crate::book::{ItemPhase, RunPlace, StartableItem, YieldedItem};
+use crate::book::{StartableItem, YieldedItem};
+use crate::item::{ItemPhase, RunPlace};
 use crate::item_run::{self, RunOutcome};
 use crate::pacing::{RunLength, Urgency, slack, urgency};
 use crate::ready::{ReadyItem, within};
@@ -163,7 +164,7 @@
         let now = self.inner.view.store_now_ms();
         let age = Duration::from_millis(now.saturating_sub(item.accepted_ms));
         let target = route.batch().map_or(Duration::MAX, |bounds| bounds.target);
-        let events = crate::book::lock(&item.progress).texts.len();
+        let events = crate::item::lock(&item.progress).texts.len();
         let remaining = run_length.remaining(events);
         (
             urgency(age, remaining, target),
@@ -275,7 +276,7 @@
         let attempts = self.attempts_of(&item.route);
         let mut book = self.book();
         if *outcome == RunOutcome::Finished && item.began_anew {
-            let events = crate::book::lock(&item.progress).texts.len();
+            let events = crate::item::lock(&item.progress).texts.len();
             book.run_length.observe(started.elapsed(), events);
         }
         let Some(job) = book.jobs.get_mut(&item.job) else {
@@ -324,7 +325,7 @@
             RunOutcome::Impossible => "impossible",
             RunOutcome::NotRun(cause) | RunOutcome::Broken(cause) => cause.as_str(),
         };
-        let events = crate::book::lock(&item.progress).last_event;
+        let events = crate::item::lock(&item.progress).last_event;
         self.inner.log.record(&Record::ItemRun {
             job: &item.job,
             item: &item.request.id,
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -16,8 +16,9 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::adoption_order::last_owner;
-use crate::book::{JobBook, OwnedJob};
+use crate::book::JobBook;
 use crate::keys::HEADS;
+use crate::owned_job::OwnedJob;
 use crate::quota_book::{QuotaBook, QuotaRequest};
 use crate::store::JobStore;
 use crate::takeover::JobTakeovers;
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -8,9 +8,9 @@
 use tokio::time::{Instant, sleep};
 
 use crate::adoption_order::given_up;
-use crate::book::OwnedJob;
 use crate::keys;
 use crate::model::{SubmitOutcome, SubmittedJob, item_request, item_row, kept_id};
+use crate::owned_job::OwnedJob;
 use crate::quota::Reservation;
 use crate::quota_book::QuotaRequest;
 use crate::service::InlineJobs;
--- a/crates/inline-jobs/src/takeover.rs
+++ b/crates/inline-jobs/src/takeover.rs
@@ -10,7 +10,7 @@
 
 use crate::adoption::ADOPT_HOLD;
 use crate::adoption_order::{challenged, refuted};
-use crate::book::LeftWork;
+use crate::owned_job::LeftWork;
 use crate::service::InlineJobs;
 use crate::store::WriteOutcome;
 use crate::view::{HeadChange, KnownHead};
