--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -1,12 +1,14 @@
 //! Transactions on jobs' rows, and what is done when their answers are lost.
 
+mod reads;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use harrierward_external::{
-    Backoff, Condition, ObjectStore, PlatformError, PlatformErrorKind, RequestClass, Row, Table,
-    Transaction, TransactionOutcome, WatchedTable,
+    Backoff, Condition, ObjectStore, PlatformError, RequestClass, Row, Table, Transaction,
+    TransactionOutcome, WatchedTable,
 };
 use harrierward_wire::{
     ItemProgressRow, JobHeadRow, JobItemsRow, QuotaFenceRow, ResultPieceRow, decode, encode,
@@ -28,12 +30,6 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(15);
 const LONGEST_PAUSE: Duration = Duration::from_millis(250);
 
-/// Most rows read at once.
-const READ_ROWS: usize = 500;
-
-/// Most rows of results read at once; most results are a row of about 15 kB.
-const RESULT_ROWS: usize = 40;
-
 /// How a conditional write of a head ended.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WriteOutcome {
@@ -267,23 +263,6 @@
         }
     }
 
-    /// All heads, as of `revision` at least; `None` if they could not be read before `until`.
-    pub async fn read_heads(&self, revision: u64, until: Instant) -> Option<Vec<KnownHead>> {
-        let partitions = keys::partitions();
-        while Instant::now() < until {
-            let read = self.watched.read_space(keys::HEADS, &partitions).await;
-            // A read may be older than what was written before it.
-            if let Ok(snapshot) = read.as_ref()
-                && snapshot.revision >= revision
-            {
-                let heads = snapshot.rows.iter().filter(|row| !keys::is_fence(&row.key));
-                return Some(heads.filter_map(known).collect());
-            }
-            sleep(LONGEST_PAUSE / 2).await;
-        }
-        None
-    }
-
     /// Replaces a head under its revision.
     pub async fn replace_head(
         &self,
@@ -347,152 +326,8 @@
             .await?;
         Ok(())
     }
-
-    /// A job's head as the store has it.
-    pub async fn read_head(&self, job_id: &str) -> Result<Option<KnownHead>, PlatformError> {
-        let keys = [keys::head(job_id)];
-        let rows = self.table.get(RequestClass::Commit, &keys).await?;
-        Ok(rows.into_iter().flatten().find_map(|row| known(&row)))
-    }
-
-    /// All rows whose keys begin with `prefix` and are above `after`.
-    async fn read_all(&self, prefix: &str) -> Result<Vec<Row>, PlatformError> {
-        let mut rows: Vec<Row> = Vec::new();
-        loop {
-            let after = rows.last().map_or(String::new(), |row| row.key.clone());
-            let page = self
-                .table
-                .scan(RequestClass::Commit, prefix, &after, READ_ROWS)
-                .await?;
-            let last = page.len() < READ_ROWS;
-            rows.extend(page);
-            if last {
-                return Ok(rows);
-            }
-        }
-    }
-
-    /// A job's items.
-    pub async fn read_items(&self, head: &JobHeadRow) -> Result<JobItemsRow, PlatformError> {
-        const STEP: &str = "jobs.read_items";
-        let content = if head.item_object.is_empty() {
-            let rows = self.read_all(&keys::items_prefix(&head.job_id)).await?;
-            if rows.len() < head.item_rows as usize {
-                let kind = PlatformErrorKind::Unknown;
-                return Err(PlatformError::new(STEP, "store", kind, "rows are missing"));
-            }
-            rows.iter()
-                .flat_map(|row| row.value.iter().copied())
-                .collect()
-        } else {
-            self.objects
-                .get(RequestClass::Commit, &head.item_object)
-                .await?
-        };
-        decode(&content).ok_or_else(|| {
-            let kind = PlatformErrorKind::Malformed;
-            PlatformError::new(STEP, "store", kind, "the items cannot be read")
-        })
-    }
-
-    /// Progress of a job's unfinished items.
-    pub async fn read_progress(
-        &self,
-        job_id: &str,
-    ) -> Result<Vec<(u32, ItemProgressRow)>, PlatformError> {
-        let rows = self.read_all(&keys::progress_prefix(job_id)).await?;
-        let read = |row: &Row| Some((keys::item_of_progress(&row.key)?, decode(&row.value)?));
-        Ok(rows.iter().filter_map(read).collect())
-    }
-
-    /// Results from `position` on, in order without gaps; about `bytes` of text at most, but one at least.
-    pub async fn read_results(
-        &self,
-        job_id: &str,
-        position: u32,
-        bytes: usize,
-    ) -> Result<Vec<ReadResult>, PlatformError> {
-        let prefix = keys::results_prefix(job_id);
-        let mut after = format!("{prefix}{position:05}");
-        let mut results: Vec<ReadResult> = Vec::new();
-        let mut pieces: Vec<ResultPieceRow> = Vec::new();
-        let mut read_bytes = 0;
-        loop {
-            let page = self
-                .table
-                .scan(RequestClass::Commit, &prefix, &after, RESULT_ROWS)
-                .await?;
-            let last_page = page.len() < RESULT_ROWS;
-            for row in page {
-                let wanted = position + u32::try_from(results.len()).unwrap_or_default();
-                let piece: Option<ResultPieceRow> = decode(&row.value);
-                let at = keys::position_of_result(&row.key);
-                let (Some(piece), true) = (piece, at == Some(wanted)) else {
-                    return Ok(results);
-                };
-                after = row.key;
-                read_bytes += piece.text.len();
-                pieces.push(piece);
-                if pieces.len() < pieces[0].pieces as usize {
-                    continue;
-                }
-                let whole: String = pieces.iter().map(|piece| piece.text.as_str()).collect();
-                results.push(ReadResult {
-                    failed: pieces[0].failed,
-                    text: whole,
-                });
-                pieces.clear();
-                if read_bytes >= bytes {
-                    return Ok(results);
-                }
-            }
-            if last_page {
-                return Ok(results);
-            }
-        }
-    }
-
-    /// Removes all rows of a job whose time is over.
-    pub async fn remove(&self, known: &KnownHead) -> Result<(), PlatformError> {
-        let job_id = &known.head.job_id;
-        for prefix in [
-            keys::items_prefix(job_id),
-            keys::results_prefix(job_id),
-            keys::progress_prefix(job_id),
-        ] {
-            for rows in self.read_all(&prefix).await?.chunks(DELETE_ROWS) {
-                let transaction = rows
-                    .iter()
-                    .fold(Transaction::default(), |transaction, row| {
-                        transaction.delete(row.key.clone())
-                    });
-                self.table
-                    .transact(RequestClass::Listing, transaction)
-                    .await?;
-            }
-        }
-        if !known.head.item_object.is_empty() {
-            self.objects
-                .delete(RequestClass::Listing, &known.head.item_object)
-                .await?;
-        }
-        let key = keys::head(job_id);
-        let transaction = Transaction::default()
-            .require(Condition::AtRevision {
-                key: key.clone(),
-                revision: known.revision,
-            })
-            .delete(key);
-        self.table
-            .transact(RequestClass::Listing, transaction)
-            .await?;
-        Ok(())
-    }
 }
 
-/// Most rows removed at once.
-const DELETE_ROWS: usize = 80;
-
 /// Adds rows of progress within the bounds of one transaction.
 fn add_progress(
     mut transaction: Transaction,
