Red: parts of a fleet that were cut off from each other never join again

Cause: seeds are asked only while a daemon knows nobody else, and dead members are forgotten after a minute. So two parts that were cut from the start, or for longer than that, never hear of each other again.

Ruled out: short cuts after the start (5, 30, 55 s both ways and one way join again 2.7 to 3.6 s after the end), seeds all in one part when cut from the start (2.6 and 2.8 s), flapping with turns of 7 s (2.8 s).

Change: tests only.

Measured, 71 members: not whole within 10 s are halves cut 5 and 70 s from the start, 70, 120 and 600 s from second 8 with seeds on both sides, in one part or gone, thirds, five single ones and two together cut for 120 s with seeds gone; one way 70 s from the start.

--- /dev/null
+++ b/crates/membership/tests/cuts.rs
@@ -0,0 +1,236 @@
+//! Daemons that were cut off from each other find each other again when the cut ends, whatever it was: views are whole soon.
+
+mod support;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use support::{Cut, CutKind, Fleet};
+
+/// Members of the fleet that the table of the incident was measured with.
+const MEMBERS: usize = 71;
+
+/// Time in which the daemons start.
+const SPREAD: Duration = Duration::from_secs(1);
+
+/// A moment at which a fleet that was not cut is whole.
+const SETTLED: Duration = Duration::from_secs(8);
+
+/// Time after the end of a cut in which all views must be whole.
+const WHOLE_WITHIN: Duration = Duration::from_secs(10);
+
+/// When seeds that go away stop: the fleet knows itself by then.
+const SEEDS_STOP_AT: Duration = Duration::from_secs(6);
+
+/// Seeds of a fleet.
+const SEEDS: usize = 3;
+
+/// How a cut divides the fleet.
+#[derive(Debug, Clone, Copy)]
+enum Parts {
+    /// This many of the same size.
+    Even(usize),
+    /// This many last daemons, each by itself, and the rest.
+    Single(usize),
+    /// This many last daemons together, and the rest.
+    Few(usize),
+}
+
+impl Parts {
+    fn of(self, members: usize) -> Vec<usize> {
+        let part = |index: usize| match self {
+            Self::Even(parts) => index * parts / members,
+            Self::Single(count) => (index + count + 1).saturating_sub(members),
+            Self::Few(count) => usize::from(index + count >= members),
+        };
+        (0..members).map(part).collect()
+    }
+}
+
+/// Where the seeds are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Seeds {
+    /// All in the first part.
+    OnePart,
+    /// Far apart.
+    Spread,
+    /// Replaced by daemons elsewhere, before the cut.
+    Gone,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Play {
+    members: usize,
+    kind: CutKind,
+    parts: Parts,
+    seeds: Seeds,
+    begins: Duration,
+    lasts: Duration,
+}
+
+impl Play {
+    fn halves(begins: Duration, lasts: Duration) -> Self {
+        Self {
+            members: MEMBERS,
+            kind: CutKind::BothWays,
+            parts: Parts::Even(2),
+            seeds: Seeds::Spread,
+            begins,
+            lasts,
+        }
+    }
+
+    fn fleet(self) -> Fleet {
+        let members = self.members;
+        let seeds = match self.seeds {
+            Seeds::Spread => [0, members / 3, members * 2 / 3],
+            Seeds::OnePart | Seeds::Gone => [0, 1, 2],
+        };
+        let mut fleet = Fleet::with_seeds(members, SPREAD, &seeds);
+        if self.seeds == Seeds::Gone {
+            for seed in 0..SEEDS {
+                fleet.stop_at(seed, SEEDS_STOP_AT);
+            }
+        }
+        fleet.set_cut(Cut {
+            kind: self.kind,
+            begins: self.begins,
+            lasts: self.lasts,
+            part_of: self.parts.of(members),
+        });
+        fleet
+    }
+
+    /// Seconds from the end of the cut until all views are whole; `None` if that took too long.
+    fn seconds_until_whole(self) -> Option<f64> {
+        let mut fleet = self.fleet();
+        fleet.run_until(self.begins + self.lasts);
+        let seconds = fleet.seconds_until_whole(WHOLE_WITHIN);
+        println!("{self:?}: whole after {seconds:?} s");
+        seconds
+    }
+}
+
+/// All plays are played before one that fails ends the test.
+fn assert_all_join_again(plays: impl IntoIterator<Item = Play>) {
+    let failed = plays
+        .into_iter()
+        .filter(|play| play.seconds_until_whole().is_none());
+    let failed: Vec<Play> = failed.collect();
+    assert!(failed.is_empty(), "never whole again: {failed:#?}");
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Cuts after the start that are shorter than dead members are remembered.
+#[test]
+fn parts_cut_for_less_than_a_minute_join_again() {
+    let both = [5, 30, 55].map(|lasts| Play::halves(SETTLED, seconds(lasts)));
+    let one_way = both.map(|play| Play {
+        kind: CutKind::OneWay,
+        ..play
+    });
+    assert_all_join_again(both.into_iter().chain(one_way));
+}
+
+/// Neither part has ever heard of the other: only its seeds lead there.
+#[test]
+fn parts_cut_from_the_start_join_again() {
+    let both = [5, 70].map(|lasts| Play::halves(Duration::ZERO, seconds(lasts)));
+    let one_way = both.map(|play| Play {
+        kind: CutKind::OneWay,
+        ..play
+    });
+    let seeds_beyond = both.map(|play| Play {
+        seeds: Seeds::OnePart,
+        ..play
+    });
+    let thirds = both.map(|play| Play {
+        parts: Parts::Even(3),
+        ..play
+    });
+    let plays = both.into_iter().chain(one_way);
+    assert_all_join_again(plays.chain(seeds_beyond).chain(thirds));
+}
+
+/// Each part has forgotten the other, and the seeds may all be beyond the cut or no more.
+#[test]
+fn parts_that_forgot_each_other_join_again() {
+    let both = [70, 120, 600].map(|lasts| Play::halves(SETTLED, seconds(lasts)));
+    let mut plays = both.to_vec();
+    for seeds in [Seeds::OnePart, Seeds::Gone] {
+        plays.extend(both.map(|play| Play { seeds, ..play }));
+    }
+    let long = Play {
+        seeds: Seeds::Gone,
+        ..Play::halves(SETTLED, seconds(120))
+    };
+    for parts in [Parts::Even(3), Parts::Single(5), Parts::Few(2)] {
+        plays.push(Play { parts, ..long });
+    }
+    let flapping = CutKind::Flapping(seconds(7));
+    for kind in [CutKind::OneWay, flapping] {
+        plays.push(Play { kind, ..long });
+    }
+    assert_all_join_again(plays);
+}
+
+fn any_play() -> impl Strategy<Value = Play> {
+    let kind = prop_oneof![
+        Just(CutKind::BothWays),
+        Just(CutKind::OneWay),
+        (1_u64..20).prop_map(|turn| CutKind::Flapping(seconds(turn))),
+    ];
+    let parts = prop_oneof![
+        (2_usize..5).prop_map(Parts::Even),
+        (1_usize..6).prop_map(Parts::Single),
+        (2_usize..5).prop_map(Parts::Few),
+    ];
+    let seeds = prop_oneof![Just(Seeds::OnePart), Just(Seeds::Spread), Just(Seeds::Gone)];
+    let begins = prop_oneof![Just(0_u64), 0_u64..30];
+    let lasts = prop_oneof![1_u64..60, 60_u64..200, 200_u64..600];
+    (12_usize..40, kind, parts, seeds, begins, lasts).prop_map(
+        |(members, kind, parts, seeds, begins, lasts)| {
+            // Whoever has neither heard of the others nor of a seed that lives can find nobody.
+            let first = if seeds == Seeds::Gone {
+                SETTLED
+            } else {
+                Duration::ZERO
+            };
+            Play {
+                members,
+                kind,
+                parts,
+                seeds,
+                begins: seconds(begins).max(first),
+                lasts: seconds(lasts),
+            }
+        },
+    )
+}
+
+/// Draws of the property test: as many as fit into a few seconds.
+const CASES: u32 = 24;
+
+/// Any cut, of any length, between any parts.
+#[test]
+fn views_are_whole_again_after_any_cut() {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..Config::default()
+    };
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let outcome = runner.run(&any_play(), |play| {
+        prop_assert!(play.seconds_until_whole().is_some(), "never whole again");
+        Ok(())
+    });
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+}
