Daemons ask an address at which they know nobody: parts of a fleet join again after any cut

Cause: seeds were asked only by daemons that knew nobody else, and members that were forgotten (60 s after their death) were asked by nobody. Two parts that were cut from the start or for longer than that stayed apart until a restart.

Change: the core owns the seeds and the driver no longer asks them: all at each tick while alone (edge) or each second (node), as before. Besides, a daemon asks one address at which it knows no present member, a seed or a member that it forgot without its having left (1,024 at most, for an hour), by a join without news: once per max(2 s, members x 20 ms), with jitter. A welcome now tells the one that joins if it is held for suspect or dead. The simulation's driver asks seeds at each tick while alone, as the edge has it; it had been 400 ms.

--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -38,12 +38,6 @@
 /// Ticks between two load notices.
 const NOTICE_TICKS: u64 = 2;
 
-/// How often seeds are asked while nobody else is known: at each tick. A daemon that knows nobody admits no request of a
-/// tenant with a rate, and after a loss of all daemons the seeds come up at any time (one day on 61 daemons: 412 requests
-/// refused for it in the second after the start where this was 400 ms). Seeds that are down cost nothing, and one that
-/// answers ends it.
-const JOIN_EVERY: Duration = TICK;
-
 /// Age of the own proof from which on this daemon, if it alone is cut off from the store, says so to all: its jobs go
 /// on elsewhere.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(3_200);
@@ -71,7 +65,6 @@
     zone: String,
     region: String,
     policy: Policy,
-    seeds: Vec<String>,
     started: Instant,
     replicas: Arc<ReplicaSet>,
     log: DecisionLog,
@@ -139,7 +132,7 @@
             bounds.sync_catch_up_every = Duration::MAX;
             bounds.sync_after_disagreement = Duration::MAX;
         }
-        let core = MembershipCore::new(bounds, own);
+        let core = MembershipCore::new(bounds, own).with_seeds(settings.seeds.clone());
         let state = State {
             view: Arc::new(core.view()),
             core,
@@ -153,7 +146,6 @@
             zone: settings.zone.clone(),
             region: settings.region.clone(),
             policy: settings.policy,
-            seeds: settings.seeds.clone(),
             started: Instant::now(),
             replicas,
             log,
@@ -233,19 +225,12 @@
 
     async fn tick_all(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let mut random = SmallRng::from_os_rng();
-        let mut joined_at: Option<Instant> = None;
         let mut suspended = harrierward_clock::suspended();
         let mut tick: u64 = 0;
         loop {
             let mut datagrams = Vec::new();
             {
                 let mut state = self.lock();
-                let alone = state.view.members.len() <= 1;
-                let due = joined_at.is_none_or(|at| at.elapsed() >= JOIN_EVERY);
-                if alone && due {
-                    joined_at = Some(Instant::now());
-                    datagrams.extend(wrap(state.core.join(&self.seeds)));
-                }
                 let detached = self.is_alone_without_proof_for(&state, CUT_OFF_AFTER);
                 state.core.set_detached(detached);
                 let actions = state.core.tick(self.started.elapsed(), &mut random);
--- a/crates/membership/src/core/mod.rs
+++ b/crates/membership/src/core/mod.rs
@@ -6,6 +6,7 @@
 mod digest;
 mod probes;
 mod receive;
+mod rejoin;
 mod sync;
 
 use std::collections::BTreeMap;
@@ -18,6 +19,7 @@
 use crate::settings::MembershipSettings;
 use crate::view::{Member, MembershipView};
 
+use rejoin::RejoinState;
 use sync::SyncState;
 
 /// A datagram to send.
@@ -102,6 +104,7 @@
     cancelled_jobs: Vec<String>,
     /// Dead members to be probed soon, because another one turned out to live: a cut has mended.
     revivals: Vec<String>,
+    rejoin: RejoinState,
     sync: SyncState,
     changed: bool,
 }
@@ -141,6 +144,10 @@
         state_of(&self.record) != MemberState::Dead
     }
 
+    fn address(&self) -> &str {
+        &self.record.udp_address
+    }
+
     /// True unless the member left for good.
     fn may_answer(&self) -> bool {
         state_of(&self.record) != MemberState::Dead || !self.left
@@ -162,6 +169,7 @@
             config: ConfigWord::default(),
             cancelled_jobs: Vec::new(),
             revivals: Vec::new(),
+            rejoin: RejoinState::default(),
             sync: SyncState::default(),
             changed: true,
         };
@@ -169,6 +177,15 @@
         core
     }
 
+    /// The same with UDP addresses at which other members may be found: all of them are asked while nobody else is known,
+    /// and one at a time now and then while nobody is known there.
+    #[must_use]
+    pub fn with_seeds(mut self, mut seeds: Vec<String>) -> Self {
+        seeds.retain(|seed| *seed != self.own.udp_address);
+        self.rejoin = RejoinState::new(seeds);
+        self
+    }
+
     fn note_own(&mut self) {
         let known = Known::new(self.own.clone(), Duration::ZERO, self.passes());
         self.known.insert(self.own.id.clone(), known);
@@ -185,7 +202,7 @@
         &self.own.id
     }
 
-    /// Datagrams by which seeds learn of this member, and answer with some others.
+    /// Datagrams by which members at these addresses learn of this member, and answer with some others.
     pub fn join(&mut self, seeds: &[String]) -> Vec<Action> {
         let addresses = seeds.iter().filter(|seed| **seed != self.own.udp_address);
         let addresses: Vec<String> = addresses.cloned().collect();
--- a/crates/membership/src/core/probes.rs
+++ b/crates/membership/src/core/probes.rs
@@ -11,7 +11,7 @@
 impl MembershipCore {
     /// Time passes: sends probes, asks others, suspects and declares dead.
     pub fn tick(&mut self, now: Duration, random: &mut impl Rng) -> Vec<Action> {
-        let mut actions = Vec::new();
+        let mut actions = self.rejoin(now, random);
         self.sync.note_tick();
         self.check_probes(now, random, &mut actions);
         self.check_suspicions(now);
@@ -211,10 +211,19 @@
             record.state = MemberState::Dead as i32;
             self.take_record(record, Source::Gossip, now);
         }
+        self.forget_dead(now);
+    }
+
+    fn forget_dead(&mut self, now: Duration) {
         let forget_dead = self.settings.forget_dead;
+        let rejoin = &mut self.rejoin;
         self.known.retain(|_, known| {
-            state_of(&known.record) != MemberState::Dead
-                || now.saturating_sub(known.state_since) < forget_dead
+            let is_over = now.saturating_sub(known.state_since) >= forget_dead;
+            let kept = known.is_present() || !is_over;
+            if !kept && known.may_answer() {
+                rejoin.remember(known.record.udp_address.clone(), now);
+            }
+            kept
         });
     }
 }
--- a/crates/membership/src/core/receive.rs
+++ b/crates/membership/src/core/receive.rs
@@ -104,6 +104,8 @@
         let records = self.next_present(most);
         let mut datagram = self.bare_datagram(DatagramKind::SyncReturn, 0, String::new());
         datagram.records = records;
+        // One that was cut off for long may be held for dead here.
+        self.tell_of_trouble(&join.from, &mut datagram);
         vec![Action { address, datagram }]
     }
 }
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -5,6 +5,8 @@
 /// Bounds and sizes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct MembershipSettings {
+    /// Least time between two asks of all seeds while nobody else is known; zero: at each tick.
+    pub join_every: Duration,
     /// Time between probes.
     pub probe_every: Duration,
     /// Wait for a direct answer before others are asked to probe.
@@ -41,6 +43,7 @@
 impl Default for MembershipSettings {
     fn default() -> Self {
         Self {
+            join_every: Duration::from_secs(1),
             probe_every: Duration::from_secs(1),
             direct_timeout: Duration::from_millis(250),
             probe_timeout: Duration::from_millis(800),
@@ -61,8 +64,13 @@
 
 impl MembershipSettings {
     /// Bounds for a fleet whose members replace each other within seconds.
+    ///
+    /// Seeds are asked at each tick. A daemon that knows nobody admits no request of a tenant with a rate, and after a
+    /// loss of all daemons the seeds come up at any time (one day on 61 daemons: 412 requests refused for it in the second
+    /// after the start where this was 400 ms). Seeds that are down cost nothing, and one that answers ends it.
     pub fn quick() -> Self {
         Self {
+            join_every: Duration::ZERO,
             probe_every: Duration::from_millis(300),
             direct_timeout: Duration::from_millis(150),
             probe_timeout: Duration::from_millis(400),
--- a/crates/membership/tests/cuts.rs
+++ b/crates/membership/tests/cuts.rs
@@ -234,3 +234,98 @@
         panic!("{error}");
     }
 }
+
+/// Time over which a cost is measured.
+const MEASURED: Duration = Duration::from_secs(10);
+
+/// A moment from which on a fleet that was not cut does nothing but probe.
+const CALM: Duration = Duration::from_secs(20);
+
+/// What a daemon may send for control in [`MEASURED`], bytes: 9 KB a second.
+const SHARE: usize = 90_000;
+
+/// Most asks for members by a whole fleet, or by each part of one that is cut, in [`MEASURED`]: 50 a second, and some for
+/// chance.
+const MOST_JOINS: usize = 600;
+
+/// Most datagrams a daemon in [`MEASURED`]: a probe, its answer and those for another are some 75.
+const MOST_DATAGRAMS: usize = 120;
+
+#[derive(Debug)]
+struct Cost {
+    bytes_a_daemon: usize,
+    datagrams: usize,
+    joins: usize,
+}
+
+/// What the fleet sends in [`MEASURED`] from `begin` on.
+fn cost(fleet: &mut Fleet, begin: Duration) -> Cost {
+    fleet.run_until(begin);
+    fleet.count_anew();
+    fleet.run_until(begin + MEASURED);
+    Cost {
+        bytes_a_daemon: fleet.bytes_a_daemon(),
+        datagrams: fleet.datagrams,
+        joins: fleet.joins,
+    }
+}
+
+/// A whole fleet asks nobody if its seeds are there, and little else if they are not.
+fn assert_calm_costs_little(members: usize) {
+    let play = Play {
+        members,
+        ..Play::halves(SETTLED, Duration::ZERO)
+    };
+    let present = cost(&mut play.fleet(), CALM);
+    println!("{members} members, calm: {present:?}");
+    assert_eq!(present.joins, 0, "asks of a whole fleet");
+    let gone = Play {
+        seeds: Seeds::Gone,
+        ..play
+    };
+    // From when the daemons that were seeds are forgotten.
+    let gone = cost(&mut gone.fleet(), seconds(75));
+    println!("{members} members, calm, seeds gone: {gone:?}");
+    assert!((1..=MOST_JOINS).contains(&gone.joins), "{gone:?}");
+    assert!(gone.bytes_a_daemon <= SHARE / 2, "{gone:?}");
+}
+
+/// Neither during a cut nor at its end are there more than so many asks, or more bytes than a daemon's share.
+fn assert_cut_costs_little(members: usize) {
+    let play = Play {
+        members,
+        ..Play::halves(SETTLED, seconds(70))
+    };
+    let mut fleet = play.fleet();
+    let end = play.begins + play.lasts;
+    let during = cost(&mut fleet, end - MEASURED);
+    println!("{members} members, last 10 s of a cut of 70 s: {during:?}");
+    let after = cost(&mut fleet, end);
+    println!("{members} members, 10 s after it: {after:?}");
+    assert!(fleet.is_whole());
+    for cost in [during, after] {
+        assert!(cost.joins <= 2 * MOST_JOINS, "{cost:?}");
+        assert!(cost.bytes_a_daemon <= SHARE, "{cost:?}");
+        let datagrams = cost.datagrams / members;
+        assert!(datagrams <= MOST_DATAGRAMS, "{datagrams} a daemon");
+    }
+}
+
+#[test]
+fn a_whole_fleet_asks_nobody() {
+    assert_calm_costs_little(MEMBERS);
+}
+
+#[test]
+fn the_end_of_a_cut_brings_no_herd() {
+    assert_cut_costs_little(MEMBERS);
+}
+
+#[test]
+#[ignore = "takes minutes: figures for the decision page"]
+fn costs_at_the_target() {
+    for members in [300, 520] {
+        assert_calm_costs_little(members);
+        assert_cut_costs_little(members);
+    }
+}
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use harrierward_membership::{Action, MembershipCore, MembershipSettings};
-use harrierward_wire::{MemberRecord, MemberState, encode};
+use harrierward_wire::{DatagramKind, MemberRecord, MemberState, encode};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -17,9 +17,6 @@
 /// Datagrams lost of a hundred.
 const LOSS_PERCENT: u32 = 1;
 
-/// How often a member that knows nobody asks its seeds again.
-const JOIN_EVERY: Duration = Duration::from_millis(400);
-
 /// How often [`Fleet::seconds_until_whole`] looks.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
@@ -74,8 +71,6 @@
     core: MembershipCore,
     starts_at: Duration,
     stops_at: Duration,
-    joined_at: Option<Duration>,
-    alone: bool,
     phase: u64,
 }
 
@@ -88,7 +83,6 @@
 /// The daemons and their network.
 pub struct Fleet {
     daemons: Vec<Daemon>,
-    seeds: Vec<String>,
     cut: Option<Cut>,
     under_way: VecDeque<(Duration, Action)>,
     random: SmallRng,
@@ -97,6 +91,8 @@
     pub bytes: usize,
     /// Datagrams sent by all.
     pub datagrams: usize,
+    /// Those among them that ask an address for members.
+    pub joins: usize,
 }
 
 fn address(index: usize) -> String {
@@ -139,25 +135,29 @@
         let seeds: Vec<String> = seeds.iter().map(|index| address(*index)).collect();
         let mut random = SmallRng::seed_from_u64(11);
         let daemons = (0..size).map(|index| Daemon {
-            core: MembershipCore::new(MembershipSettings::quick(), record(index)),
+            core: MembershipCore::new(MembershipSettings::quick(), record(index))
+                .with_seeds(seeds.clone()),
             starts_at: random.random_range(Duration::ZERO..spread),
             stops_at: Duration::MAX,
-            joined_at: None,
-            alone: true,
             phase: random.random_range(0..TICK_STEPS),
         });
         Self {
             daemons: daemons.collect(),
-            seeds,
             cut: None,
             under_way: VecDeque::new(),
             random,
             now: Duration::ZERO,
             bytes: 0,
             datagrams: 0,
+            joins: 0,
         }
     }
 
+    /// Draws anew from this seed.
+    pub fn draw_from(&mut self, seed: u64) {
+        self.random = SmallRng::seed_from_u64(seed);
+    }
+
     /// Lets the network be cut.
     pub fn set_cut(&mut self, cut: Cut) {
         self.cut = Some(cut);
@@ -172,6 +172,7 @@
         for action in actions {
             self.bytes += encode(&action.datagram).len();
             self.datagrams += 1;
+            self.joins += usize::from(action.datagram.kind == DatagramKind::Join as i32);
             let lost = self.random.random_range(0..100) < LOSS_PERCENT;
             let to = index_of(&action.address);
             let cut = self.cut.as_ref();
@@ -204,16 +205,7 @@
     fn tick(&mut self, index: usize) {
         let now = self.now;
         let daemon = &mut self.daemons[index];
-        let mut actions = Vec::new();
-        if daemon.core.take_changed() {
-            daemon.alone = daemon.core.view().members.len() <= 1;
-        }
-        let due = daemon.joined_at.is_none_or(|at| now - at >= JOIN_EVERY);
-        if daemon.alone && due {
-            daemon.joined_at = Some(now);
-            actions.extend(daemon.core.join(&self.seeds));
-        }
-        actions.extend(daemon.core.tick(now, &mut self.random));
+        let actions = daemon.core.tick(now, &mut self.random);
         self.send(index, actions);
     }
 
@@ -269,6 +261,11 @@
         Some((self.now - begin).as_secs_f64())
     }
 
+    /// Counts from here on what is sent.
+    pub fn count_anew(&mut self) {
+        (self.bytes, self.datagrams, self.joins) = (0, 0, 0);
+    }
+
     /// Bytes sent, per daemon.
     pub fn bytes_a_daemon(&self) -> usize {
         self.bytes / self.daemons.len()
--- a/crates/node/src/membership_task.rs
+++ b/crates/node/src/membership_task.rs
@@ -14,21 +14,9 @@
 const PREFIX: &str = "members:";
 const TICK: Duration = Duration::from_millis(100);
 
-/// How often seeds are asked while nobody else is known.
-const JOIN_EVERY: Duration = Duration::from_secs(1);
-
 pub(crate) async fn run(shared: Arc<Shared>) {
-    let mut last_join = None;
     loop {
-        let now = shared.now();
-        let alone = shared.view.load().members.len() <= 1;
-        let due = last_join.is_none_or(|joined: Duration| now - joined >= JOIN_EVERY);
-        if alone && due {
-            last_join = Some(now);
-            let seeds = shared.identity.seeds.clone();
-            join(&shared, &seeds).await;
-        }
-        let actions = step(&shared, now);
+        let actions = step(&shared, shared.now());
         send_all(&shared, actions).await;
         sleep(TICK).await;
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -268,7 +268,8 @@
             backlog: Vec::new(),
             detached: false,
         };
-        let membership = MembershipCore::new(settings.membership, own_record);
+        let membership =
+            MembershipCore::new(settings.membership, own_record).with_seeds(identity.seeds.clone());
         let view = ArcSwap::from_pointee(membership.view());
         let (config_pulls, config_pull_requests) = mpsc::unbounded_channel();
         let shared = Arc::new(Shared {
