A view that is smaller than a peer's for two seconds asks for a sync, though other peers agree with it

Cause: members that lack the same one agree with each other, and each agreement put off the sync for two seconds more. So a few views could lack one member for long after a whole exchange of views (seen: seven views of 71, up to 15.4 s after a cut).

Ruled out: members that are held for dead (the missing one was unknown to all of them, not dead); asks that come too late (all others had joined by then).

Change: a member whose view has kept its size for as long as news needs (2 s in the quick settings) asks a peer with a larger view. The old rule stands beside it. In a calm fleet no view is larger.

--- a/crates/membership/src/core/sync.rs
+++ b/crates/membership/src/core/sync.rs
@@ -22,12 +22,22 @@
     requested_at: Option<Duration>,
     /// When a peer's view was last the same as the own one.
     agreed_at: Duration,
+    /// Size of the own view when it was last compared, and since when it is so.
+    size: u32,
+    size_since: Duration,
     replies_since_tick: usize,
     /// Members sent to those that joined.
     welcomed: usize,
 }
 
 impl SyncState {
+    fn note_size(&mut self, size: u32, now: Duration) {
+        if self.size != size {
+            self.size = size;
+            self.size_since = now;
+        }
+    }
+
     /// A tick has passed: requests are answered again.
     pub(super) fn note_tick(&mut self) {
         self.replies_since_tick = 0;
@@ -38,6 +48,7 @@
     /// A request for what this member lacks, if the sender's view differs by enough.
     pub(super) fn consider_sync(&mut self, datagram: &Datagram, now: Duration) -> Option<Action> {
         let own_size = self.view_size();
+        self.sync.note_size(own_size, now);
         if datagram.view_size == 0 {
             return None;
         }
@@ -71,9 +82,12 @@
         if peer_size >= own_size + much {
             return since_request >= self.settings.sync_catch_up_every;
         }
-        let disagreed_for = now.saturating_sub(self.sync.agreed_at.max(self.joined_at()));
         let patience = self.settings.sync_after_disagreement;
-        disagreed_for >= patience && since_request >= patience / 2
+        let disagreed_for = now.saturating_sub(self.sync.agreed_at.max(self.joined_at()));
+        // Several members that lack the same one agree with each other, so agreement with some peer says little here.
+        let unchanged_for = now.saturating_sub(self.sync.size_since);
+        let lacks_some = peer_size > own_size && unchanged_for >= patience;
+        (lacks_some || disagreed_for >= patience) && since_request >= patience / 2
     }
 
     /// Views of members that have just started differ: disagreement counts from the first request on.
--- a/crates/membership/tests/cuts.rs
+++ b/crates/membership/tests/cuts.rs
@@ -178,6 +178,26 @@
     assert_all_join_again(plays);
 }
 
+/// Plays of one cut that lose other datagrams.
+const DRAWS: u64 = 60;
+
+/// Bound of the slowest of them.
+const SLOWEST: Duration = Duration::from_secs(6);
+
+/// A few members that lack the same one agree with each other, and must find out all the same.
+#[test]
+fn no_draw_of_losses_keeps_views_apart() {
+    let play = Play::halves(Duration::ZERO, seconds(5));
+    let slow = (0..DRAWS).filter(|draw| {
+        let mut fleet = play.fleet();
+        fleet.draw_from(*draw);
+        fleet.run_until(play.begins + play.lasts);
+        fleet.seconds_until_whole(SLOWEST).is_none()
+    });
+    let slow: Vec<u64> = slow.collect();
+    assert!(slow.is_empty(), "not whole in time: {slow:?} of {DRAWS}");
+}
+
 fn any_play() -> impl Strategy<Value = Play> {
     let kind = prop_oneof![
         Just(CutKind::BothWays),
