Membership stays on the steady clock: views are whole after stops and suspensions alike

Need: a daemon whose machine was suspended should act as one whose process was stopped. The steady clock stands still in a suspension, and goes on in a stop.

Ruled out: giving the core a clock that counts suspensions. Each suspicion would run out in the instant of waking, before anybody could refute it, and an answer under way would count as missing; what others did meanwhile comes as news in any case.

Change: tests, and the reason at the driver's field.

--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -65,6 +65,8 @@
     zone: String,
     region: String,
     policy: Policy,
+    /// Beginning of the membership's time. It is the steady clock, which stands still while the machine is suspended: ages in
+    /// the protocol are times in which this daemon listened, and a suspicion must not run out while nobody could refute it.
     started: Instant,
     replicas: Arc<ReplicaSet>,
     log: DecisionLog,
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -67,8 +67,21 @@
     }
 }
 
+/// A time in which a daemon does nothing and hears nothing.
+#[derive(Debug, Clone, Copy)]
+pub struct Pause {
+    /// When it begins.
+    pub begins: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// The daemon's clock goes on, as if its process were stopped; else it stands, as the steady clock does while a machine is
+    /// suspended.
+    pub clock_goes_on: bool,
+}
+
 struct Daemon {
     core: MembershipCore,
+    pause: Option<Pause>,
     starts_at: Duration,
     stops_at: Duration,
     phase: u64,
@@ -76,7 +89,16 @@
 
 impl Daemon {
     fn runs(&self, now: Duration) -> bool {
-        (self.starts_at..self.stops_at).contains(&now)
+        let paused = |pause: Pause| (pause.begins..pause.begins + pause.lasts).contains(&now);
+        (self.starts_at..self.stops_at).contains(&now) && !self.pause.is_some_and(paused)
+    }
+
+    /// What the daemon's clock says while it runs.
+    fn clock(&self, now: Duration) -> Duration {
+        let stood = self
+            .pause
+            .filter(|pause| !pause.clock_goes_on && now >= pause.begins);
+        now - stood.map_or(Duration::ZERO, |pause| pause.lasts)
     }
 }
 
@@ -137,6 +159,7 @@
         let daemons = (0..size).map(|index| Daemon {
             core: MembershipCore::new(MembershipSettings::quick(), record(index))
                 .with_seeds(seeds.clone()),
+            pause: None,
             starts_at: random.random_range(Duration::ZERO..spread),
             stops_at: Duration::MAX,
             phase: random.random_range(0..TICK_STEPS),
@@ -168,6 +191,11 @@
         self.daemons[index].stops_at = time;
     }
 
+    /// Lets a daemon pause.
+    pub fn pause(&mut self, index: usize, pause: Pause) {
+        self.daemons[index].pause = Some(pause);
+    }
+
     fn send(&mut self, from: usize, actions: Vec<Action>) {
         for action in actions {
             self.bytes += encode(&action.datagram).len();
@@ -196,7 +224,8 @@
             let index = index_of(&action.address);
             let daemon = &mut self.daemons[index];
             if daemon.runs(now) {
-                let (answers, _) = daemon.core.receive(&action.datagram, now);
+                let clock = daemon.clock(now);
+                let (answers, _) = daemon.core.receive(&action.datagram, clock);
                 self.send(index, answers);
             }
         }
@@ -205,7 +234,8 @@
     fn tick(&mut self, index: usize) {
         let now = self.now;
         let daemon = &mut self.daemons[index];
-        let actions = daemon.core.tick(now, &mut self.random);
+        let clock = daemon.clock(now);
+        let actions = daemon.core.tick(clock, &mut self.random);
         self.send(index, actions);
     }
 
@@ -237,6 +267,18 @@
         sizes.min().unwrap_or(0)
     }
 
+    /// Time since the first start.
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// The most members that any of these daemons knows.
+    pub fn largest_view(&self, daemons: std::ops::Range<usize>) -> usize {
+        let sizes = self.daemons[daemons].iter();
+        let sizes = sizes.map(|daemon| daemon.core.view().members.len());
+        sizes.max().unwrap_or(0)
+    }
+
     /// True if each running daemon's view holds just the running daemons.
     pub fn is_whole(&self) -> bool {
         let size = self.running().count();
