A stranger that knows others is taken in once it has heard the answer to its ask

Cause: in a cut one way, the part that hears the other one got its asks, took each asker for alive, had no answer to its probes, held it for dead and forgot it a minute later, for as long as the cut lasted. Owners by view (slots, rates, jobs) would move there for a moment each minute.

Ruled out: taking in nobody by a join (a daemon that is alone must be quick at its start, and it asks at each tick already).

Change: a join of a stranger whose view holds more than itself is answered, and the stranger's record left. Its next ping or sync request brings it, if the answer came through.

--- a/crates/membership/src/core/receive.rs
+++ b/crates/membership/src/core/receive.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use harrierward_wire::{Datagram, DatagramKind};
+use harrierward_wire::{Datagram, DatagramKind, MemberRecord};
 
 use super::{Action, ConfigWord, MembershipCore, ReceivedWord, Relay, Source};
 
@@ -20,7 +20,9 @@
             }
             _ => {
                 for record in &datagram.records {
-                    self.take_record(record.clone(), Source::Gossip, now);
+                    if !self.must_hear_first(datagram, record) {
+                        self.take_record(record.clone(), Source::Gossip, now);
+                    }
                 }
             }
         }
@@ -94,10 +96,21 @@
         vec![Action { address, datagram }]
     }
 
+    /// True for the record of a stranger that knows others and asks this member: the way back to it may be cut, and then it would be
+    /// held for alive and for dead by turns. Once it has heard the answer, its pings and sync requests tell of it. One that
+    /// is alone is taken in at once, since a start must be quick.
+    fn must_hear_first(&self, datagram: &Datagram, record: &MemberRecord) -> bool {
+        let is_join = datagram.kind == DatagramKind::Join as i32;
+        let is_stranger = record.id == datagram.from && !self.known.contains_key(&record.id);
+        is_join && is_stranger && datagram.view_size > 1
+    }
+
     /// Sends some members, others to each one that joins: whoever starts finds the rest by a sync with any of them,
     /// so that seeds need not send their whole view to all daemons of a fleet that starts.
     fn welcome(&mut self, join: &Datagram) -> Vec<Action> {
-        let Some(address) = self.address(&join.from) else {
+        let own = join.records.iter().find(|record| record.id == join.from);
+        let told = own.map(|record| record.udp_address.clone());
+        let Some(address) = told.or_else(|| self.address(&join.from)) else {
             return Vec::new();
         };
         let most = self.settings.records_per_sync_datagram;
--- a/crates/membership/tests/cuts.rs
+++ b/crates/membership/tests/cuts.rs
@@ -255,6 +255,27 @@
     }
 }
 
+/// Whoever hears the asks of members that it cannot reach does not take them for present again and again.
+#[test]
+fn members_that_hear_but_are_not_heard_stay_out_of_views() {
+    let play = Play {
+        kind: CutKind::OneWay,
+        ..Play::halves(SETTLED, seconds(200))
+    };
+    let own_part = play.parts.of(play.members);
+    let own_part = own_part.iter().filter(|part| **part == 0).count();
+    let mut fleet = play.fleet();
+    // By then the others are dead and forgotten.
+    fleet.run_until(SETTLED + seconds(90));
+    let mut largest = 0;
+    while fleet.now() < play.begins + play.lasts {
+        fleet.run_until(fleet.now() + Duration::from_millis(200));
+        largest = largest.max(fleet.largest_view(0..own_part));
+    }
+    println!("largest view of {own_part} who hear the others: {largest}");
+    assert_eq!(largest, own_part);
+}
+
 /// Time over which a cost is measured.
 const MEASURED: Duration = Duration::from_secs(10);
 
