Red: slot leases and kept connections are as old as the steady clock says after a suspension

Cause: holders, coordinators and the pool take ages from the steady clock, which stands still while a machine is suspended. Class: an age of what lies outside this process.

Ruled out: their pure cores (they take `now` from the driver), but for one place: a datagram makes all of a holder's earlier leases fresh, however old they are.

Change: tests only; the file is a process of its own, since the imagined suspension is the process's.

--- /dev/null
+++ b/crates/edge/tests/suspended.rs
@@ -0,0 +1,264 @@
+//! A machine that was suspended for seconds: what its daemon held, was told or kept before is as old as the world says.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use harrierward_decisions::{DecisionLog, LogBounds};
+use harrierward_edge::{ConnectionPool, CoordinatorCandidate, PoolSettings, SlotService};
+use harrierward_serving::{
+    Location, Prompt, PromptLength, ReplicaRecord, ReplicaSet, SelectionCosts, SlotAnswer,
+    SlotLeases, SlotQuery,
+};
+use harrierward_tenants::AllowedRegions;
+use harrierward_wire::{
+    HeldSlot, NodeDatagram, SlotGrant, SlotReport, WholeReport, decode, encode, node_datagram::Kind,
+};
+use http::Request;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::{Mutex, MutexGuard};
+use tokio::time::timeout;
+
+const SERVICE: &str = "model";
+const REPLICAS: usize = 4;
+
+/// Longer than a holder's leases are believed without a report, and than an idle connection is kept.
+const SUSPENSION: Duration = Duration::from_secs(3);
+
+/// Longest wait for a datagram over loopback.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// The clock is the process's, so one test at a time may let it jump.
+async fn one_at_a_time() -> MutexGuard<'static, ()> {
+    static TURN: Mutex<()> = Mutex::const_new(());
+    TURN.lock().await
+}
+
+fn replica_set() -> Arc<ReplicaSet> {
+    let records = (0..REPLICAS).map(|number| ReplicaRecord {
+        born_ms: None,
+        region: String::new(),
+        warmup: Duration::ZERO,
+        id: format!("replica-{number}"),
+        service: SERVICE.to_owned(),
+        address: format!("10.0.0.{number}:80"),
+        zone: "zone-a".to_owned(),
+        slots: 4,
+        draining: false,
+    });
+    let replicas = ReplicaSet::default();
+    replicas.replace(records.collect(), |_| 100_000);
+    Arc::new(replicas)
+}
+
+async fn socket() -> (Arc<UdpSocket>, SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let address = socket.local_addr().expect("an address");
+    (Arc::new(socket), address)
+}
+
+fn member(id: &str, address: SocketAddr) -> CoordinatorCandidate {
+    CoordinatorCandidate {
+        id: id.to_owned(),
+        address: Some(address),
+        location: Location::new("zone-a", "region"),
+    }
+}
+
+/// A daemon for whom `coordinator` keeps all groups.
+fn daemon(
+    name: &str,
+    coordinator: CoordinatorCandidate,
+    socket: &Arc<UdpSocket>,
+) -> (Arc<SlotService>, Arc<ReplicaSet>) {
+    let replicas = replica_set();
+    let slots = Arc::new(SlotService::new(
+        name.to_owned(),
+        Location::new("zone-a", "region"),
+        replicas.clone(),
+        SelectionCosts::default(),
+        DecisionLog::new(LogBounds::default()),
+    ));
+    slots.set_socket(socket.clone());
+    slots.set_members(vec![coordinator]);
+    (slots, replicas)
+}
+
+async fn receive_one(socket: &UdpSocket) -> (Kind, SocketAddr) {
+    let mut buffer = vec![0; 2_000];
+    let received = timeout(PATIENCE, socket.recv_from(&mut buffer)).await;
+    let (length, from) = received.expect("in time").expect("a datagram");
+    let datagram = decode::<NodeDatagram>(&buffer[..length]).expect("readable");
+    (datagram.kind.expect("a kind"), from)
+}
+
+async fn send(socket: &UdpSocket, kind: Kind, address: SocketAddr) {
+    let bytes = encode(&NodeDatagram { kind: Some(kind) });
+    socket.send_to(&bytes, address).await.expect("sent");
+}
+
+fn query<'a>(prompt: &'a Prompt) -> SlotQuery<'a> {
+    SlotQuery {
+        service: SERVICE,
+        prompt,
+        length: PromptLength::Alike,
+        excluded: &[],
+        regions: &AllowedRegions::Any,
+        objective: Duration::from_secs(3),
+        item: None,
+        overdue: false,
+        may_repeat: true,
+        may_return: None,
+    }
+}
+
+/// The coordinator has forgotten the lease by then, and may have given its slot to others.
+#[tokio::test]
+async fn a_holder_that_was_suspended_takes_no_lease_granted_before() {
+    let _turn = one_at_a_time().await;
+    let (peer, peer_address) = socket().await;
+    let (own, _) = socket().await;
+    let (holder, replicas) = daemon("holder", member("peer", peer_address), &own);
+    let receiving = {
+        let (holder, own) = (holder.clone(), own.clone());
+        tokio::spawn(async move {
+            let (grant, from) = receive_one(&own).await;
+            assert!(holder.receive(grant, from).is_none());
+        })
+    };
+    let granting = async {
+        let (Kind::SlotAsk(ask), from) = receive_one(&peer).await else {
+            panic!("not a question");
+        };
+        harrierward_clock::imagine_suspension(SUSPENSION);
+        let grant = SlotGrant {
+            lease: ask.lease,
+            replica: replicas.view().all().next().expect("a replica").hash,
+            load: 1,
+            free_permille: 900,
+            ..SlotGrant::default()
+        };
+        send(&peer, Kind::SlotGrant(grant), from).await;
+        ask.lease
+    };
+    let prompt = Prompt::default();
+    let (answer, lease) = tokio::join!(holder.ask(query(&prompt)), granting);
+    assert!(
+        matches!(answer, SlotAnswer::NoCoordinator),
+        "the lease is old"
+    );
+    receiving.await.expect("no panic");
+    loop {
+        // The question may have been sent a second time.
+        if let (Kind::SlotReport(report), _) = receive_one(&peer).await {
+            assert_eq!(report.released, vec![lease], "it is given back");
+            break;
+        }
+    }
+}
+
+fn whole_report(holder: u64, number: u64, leases: &[u32], replica: u32) -> Kind {
+    let held = leases.iter().map(|lease| HeldSlot {
+        lease: *lease,
+        replica,
+        batch: false,
+        slack_ms: 0,
+    });
+    Kind::SlotReport(SlotReport {
+        holder,
+        held: held.collect(),
+        whole: Some(WholeReport {
+            number,
+            next_lease: 100,
+            awaited: Vec::new(),
+        }),
+        ..SlotReport::default()
+    })
+}
+
+/// Its next tick forgets them; a datagram that comes before that makes nothing of them fresh.
+#[tokio::test]
+async fn a_coordinator_that_was_suspended_believes_no_lease_reported_before() {
+    let _turn = one_at_a_time().await;
+    let (own, own_address) = socket().await;
+    let (coordinator, replicas) = daemon("own", member("own", own_address), &own);
+    let from = SocketAddr::from(([127, 0, 0, 1], 9));
+    let view = replicas.view();
+    let replica = view.all().next().expect("a replica");
+    for holder in 1..=2 {
+        let report = whole_report(holder, 1, &[1, 2], replica.hash);
+        assert!(coordinator.receive(report, from).is_none());
+    }
+    assert_eq!(replica.online(), 4);
+    harrierward_clock::imagine_suspension(SUSPENSION);
+    let released = SlotReport {
+        holder: 1,
+        released: vec![1],
+        ..SlotReport::default()
+    };
+    coordinator.receive(Kind::SlotReport(released), from);
+    assert_eq!(
+        replica.online(),
+        2,
+        "of the holder that was not heard since"
+    );
+    coordinator.tick();
+    assert_eq!(replica.online(), 0);
+    let report = whole_report(1, 2, &[2], replica.hash);
+    coordinator.receive(report, from);
+    assert_eq!(replica.online(), 1, "what is told anew counts");
+}
+
+/// Answers whole, and keeps its connections for ever. Returns its address and the count of its connections.
+async fn server() -> (String, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address").to_string();
+    let accepted = Arc::<AtomicUsize>::default();
+    let count = accepted.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            count.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(serve(stream));
+        }
+    });
+    (address, accepted)
+}
+
+async fn serve(mut stream: TcpStream) {
+    let mut buffer = [0; 4_096];
+    while let Ok(count) = stream.read(&mut buffer).await {
+        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf";
+        if count == 0 || stream.write_all(answer).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn exchange(pool: &ConnectionPool, address: &str) {
+    let request = Request::builder().uri("/").header("host", "example");
+    let request = request.body(Bytes::new()).expect("request");
+    let mut answer = pool.send(address, request, false).await.expect("answer");
+    while let Some(part) = answer.body.next().await {
+        part.expect("part");
+    }
+}
+
+/// The back end, or a proxy before it, may have given the connection up meanwhile.
+#[tokio::test]
+async fn connections_kept_since_before_a_suspension_are_not_used() {
+    let _turn = one_at_a_time().await;
+    let (address, accepted) = server().await;
+    let log = DecisionLog::new(LogBounds::default());
+    let pool = ConnectionPool::new(PoolSettings::default(), log);
+    exchange(&pool, &address).await;
+    exchange(&pool, &address).await;
+    assert_eq!(accepted.load(Ordering::Relaxed), 1, "it is kept");
+    harrierward_clock::imagine_suspension(SUSPENSION);
+    assert!(!pool.has_idle(&address), "its time is over");
+    exchange(&pool, &address).await;
+    assert_eq!(accepted.load(Ordering::Relaxed), 2);
+}
