Kept connections age while the machine is suspended

Cause: the pool took the age of an idle connection from the steady clock. After a suspension one that its other side had given up long ago was taken for fresh, and cost its request an attempt.

Ruled out: closing all kept connections at a jump of the clocks, which would also close those whose time is not over.

Change: the pool's times, and those of the watch on silent exchanges that are compared with them, are of the clock that counts suspensions. Timers stay on the steady clock.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -110,6 +110,7 @@
     _driver: Driver,
 }
 
+/// A kept connection. Its times count suspensions, as the clock of the other side does.
 struct Idle {
     connection: Connection,
     until: Instant,
@@ -204,10 +205,11 @@
         let Some(keep_for) = self.keep_for else {
             return;
         };
+        let now = harrierward_clock::now();
         let idle = Idle {
             connection: self.connection,
-            until: Instant::now() + keep_for,
-            worked_at: Instant::now(),
+            until: now + keep_for,
+            worked_at: now,
         };
         self.pool.put(self.address, idle);
     }
@@ -236,7 +238,7 @@
     fn put(&self, address: String, idle: Idle) {
         let mut all = self.lock();
         let list = all.entry(address).or_default();
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         list.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
         if list.len() < self.inner.settings.idle_per_address {
             list.push(idle);
@@ -247,7 +249,7 @@
     fn take(&self, address: &str) -> Option<Connection> {
         let mut all = self.lock();
         let list = all.get_mut(address)?;
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         while let Some(idle) = list.pop() {
             let connection = idle.connection;
             if idle.until > now && connection.sender.is_ready() {
@@ -266,7 +268,7 @@
         if closed == 0 {
             return;
         }
-        let silent = heard_at.elapsed().as_millis();
+        let silent = harrierward_clock::age(heard_at).as_millis();
         self.inner.log.record(&Record::ConnectionsSilent {
             peer: address,
             closed,
@@ -287,7 +289,7 @@
     /// True if a connection to the address is kept that a request could use.
     pub fn has_idle(&self, address: &str) -> bool {
         let all = self.lock();
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         all.get(address).is_some_and(|list| {
             let usable = |idle: &Idle| idle.until > now && idle.connection.sender.is_ready();
             list.iter().any(usable)
--- a/crates/edge/src/silence.rs
+++ b/crates/edge/src/silence.rs
@@ -40,13 +40,13 @@
         Self {
             pool: pool.clone(),
             address: address.to_owned(),
-            heard_at: Some(Instant::now()),
+            heard_at: Some(harrierward_clock::now()),
         }
     }
 
     /// Bytes have come.
     pub(crate) fn heard(&mut self) {
-        self.heard_at = Some(Instant::now());
+        self.heard_at = Some(harrierward_clock::now());
     }
 
     /// The exchange is over in order.
@@ -60,7 +60,7 @@
         let Some(heard_at) = self.heard_at else {
             return;
         };
-        if heard_at.elapsed() >= self.pool.silent_after() {
+        if harrierward_clock::age(heard_at) >= self.pool.silent_after() {
             self.pool.distrust(&self.address, heard_at);
         }
     }
