Slot leases and beliefs of replicas age while the machine is suspended

Cause: holders and coordinators of leases, and all that a daemon believes of a replica, were dated on the steady clock. Pacing of cold replicas already used the clock that counts suspensions, so moments of both were compared: after a suspension of S a coordinator's own cold grant held S longer, and a replica was cold to the one and warm to the other.

Ruled out: a shorter patience with coordinators (its timers stand still too), and looking for silent holders at each question, which costs a walk over all holders of the fleet: a watch on the suspended time does it after a suspension only.

Change: these moments are of the clock that counts suspensions. A grant that comes HOLDER_LIFETIME after its question is given back. The ledger lets a holder that was silent for too long begin anew, so that its word makes no earlier lease fresh; that also holds for a coordinator that was stopped. SuspensionWatch in the clock's crate tells each suspension once; leases are forgotten at the first datagram or question after one, before the tick. Time for which a replica was silent stays on the steady clock, since nobody listens meanwhile.

The test of a replica's beliefs lets 5 ms pass first, since counts of the first millisecond are dated one later and its age fell 1 ms short; its other bounds are as they were.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -38,10 +38,10 @@
 pub fn suspended() -> Duration {
     let first = *FIRST_LEAD.get_or_init(least_lead);
     let since = least_lead().saturating_sub(first);
-    let micros = u64::try_from(since.as_micros()).unwrap_or(u64::MAX);
-    let known = SUSPENDED_MICROS.fetch_max(micros, Ordering::Relaxed);
+    let since = micros(since);
+    let known = SUSPENDED_MICROS.fetch_max(since, Ordering::Relaxed);
     let imagined = IMAGINED_MICROS.load(Ordering::Relaxed);
-    Duration::from_micros(known.max(micros) + imagined)
+    Duration::from_micros(known.max(since) + imagined)
 }
 
 /// Now, on a clock that counts suspensions. Compare it only with moments of the same clock.
@@ -54,8 +54,41 @@
     now().saturating_duration_since(moment)
 }
 
+/// Least growth of the suspended time that is told as a suspension: far above the time between both readings of the clocks.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(50);
+
+/// Notices suspensions, for one reader: it distrusts what it knows before it uses any.
+#[derive(Debug)]
+pub struct SuspensionWatch {
+    known_micros: AtomicU64,
+}
+
+impl SuspensionWatch {
+    /// Knows all suspensions up to now.
+    pub fn start() -> Self {
+        Self {
+            known_micros: AtomicU64::new(micros(suspended())),
+        }
+    }
+
+    /// Length of the suspensions since this was last asked; `None` if there were none. Each is told once.
+    pub fn take(&self) -> Option<Duration> {
+        let now = micros(suspended());
+        let known = self.known_micros.load(Ordering::Relaxed);
+        let since = Duration::from_micros(now.saturating_sub(known));
+        if since < LEAST_SUSPENSION {
+            return None;
+        }
+        let before = self.known_micros.fetch_max(now, Ordering::Relaxed);
+        (before == known).then_some(since)
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Lets the machine seem to have been suspended for so long: for tests, which cannot suspend one.
 pub fn imagine_suspension(time: Duration) {
-    let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-    IMAGINED_MICROS.fetch_add(micros, Ordering::Relaxed);
+    IMAGINED_MICROS.fetch_add(micros(time), Ordering::Relaxed);
 }
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -291,7 +291,7 @@
 
     /// The rows' word on warmth, for replicas that were known before: new ones take it from their record.
     fn note_warmups(&self, written: &[Row]) {
-        let seen = Instant::now();
+        let seen = harrierward_clock::now();
         let view = self.replicas.view();
         let readable = written
             .iter()
@@ -358,7 +358,7 @@
     pub fn take_evacuations(&self, news: &EvacuationNews, origin: &str) {
         // The lock is held until the replicas know: an older set must not come after a newer one.
         let mut known = self.zones();
-        let changes = known.zones.merge(news, Instant::now());
+        let changes = known.zones.merge(news, harrierward_clock::now());
         if changes.is_empty() {
             return;
         }
--- a/crates/edge/src/slots/asking.rs
+++ b/crates/edge/src/slots/asking.rs
@@ -6,7 +6,7 @@
 use harrierward_serving::{
     Choice, ChosenBy, LeftRegion, PromptLength, SlotAnswer, SlotQuery, short_hash,
 };
-use harrierward_slots::{COLD_GRANT_LIFETIME, GroupId};
+use harrierward_slots::{COLD_GRANT_LIFETIME, GroupId, HOLDER_LIFETIME};
 use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{
     ItemSlotAsk, LeaseOutcome, OutcomeKind, PromptPartRow, RegionNames, SlotAsk, SlotGrant,
@@ -105,7 +105,7 @@
         };
         let mut ask = self.describe_ask(query, service, group, lease);
         self.tell_fleet(&mut ask);
-        let asked_at = Instant::now();
+        let asked_at = harrierward_clock::now();
         ask.spilled = target.left == Some(LeftRegion::Full);
         let give_up = query.objective / GIVE_UP_PART;
         let give_up = give_up.clamp(LEAST_PATIENCE, MOST_PATIENCE);
@@ -158,13 +158,19 @@
         if grant.replica == 0 {
             return none;
         }
+        if harrierward_clock::age(asked_at) >= HOLDER_LIFETIME {
+            // The patience is kept by timers, which stand still during a suspension. The coordinator may have forgotten
+            // the lease since, and given its slot to others.
+            self.report_released(lease, coordinator);
+            return none;
+        }
         let view = self.replicas.view();
         let replica = view.by_hash(grant.replica);
         let Some(replica) = replica.filter(|replica| replica.accepts_work()) else {
             self.report_released(lease, coordinator);
             return none;
         };
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let cold_until = grant.counted_cold.then(|| asked_at + COLD_GRANT_LIFETIME);
         if replica.is_cold(now) && cold_until.is_none() {
             // This daemon has heard sooner than the coordinator that the replica is cold.
--- a/crates/edge/src/slots/choosing_group.rs
+++ b/crates/edge/src/slots/choosing_group.rs
@@ -8,7 +8,6 @@
     Verdict, preference_weight, short_hash,
 };
 use harrierward_slots::{Crossing, GroupId, GroupLayout, is_better_off};
-use tokio::time::Instant;
 
 use super::asking::LONGEST_PART;
 use super::index::GroupIndex;
@@ -192,7 +191,7 @@
         if query.item.is_some() {
             let state = self.lock();
             let full = state.no_room_at.get(&(groups.service, preferred));
-            let is_full = full.is_some_and(|at| at.elapsed() < NO_ROOM_LASTS);
+            let is_full = full.is_some_and(|at| harrierward_clock::age(*at) < NO_ROOM_LASTS);
             return Some(if is_full { other } else { preferred });
         }
         let free = |group| self.room(groups.service, group).free_permille;
@@ -305,7 +304,7 @@
     /// far as is known.
     pub(super) fn warmer_group(&self, query: &SlotQuery<'_>, cold: GroupId) -> Option<Target> {
         let service = short_hash(query.service);
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         self.with_groups(query, service, |groups| {
             let near = groups.in_region(self.location.region).into_iter();
             let others = near.filter(|group| *group != cold);
--- a/crates/edge/src/slots/giving_way.rs
+++ b/crates/edge/src/slots/giving_way.rs
@@ -7,7 +7,6 @@
 use harrierward_serving::{Choice, Mechanism, Replica, WorkClass};
 use harrierward_slots::SlotUse;
 use harrierward_wire::{YieldRequest, node_datagram::Kind};
-use tokio::time::Instant;
 
 use super::{SlotService, class_of};
 
@@ -24,7 +23,7 @@
 
     /// The item at the replica with most time left gives its lease back.
     pub(super) fn end_an_item(&self, replica: &Arc<Replica>) {
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let (own, peers) = {
             let state = self.lock();
             let own = state.held.most_slack(replica.hash, now);
--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -11,7 +11,6 @@
 use harrierward_slots::{GroupAdmission, GroupId, Newcomer, SlotUse};
 use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{SlotAsk, SlotGrant, node_datagram::Kind};
-use tokio::time::Instant;
 
 use super::asking::millis;
 use super::index::GroupIndex;
@@ -120,7 +119,7 @@
             return SlotAnswer::AllCold;
         };
         choice.cold_until = cold_until;
-        let usage = usage_of(query.item, Instant::now());
+        let usage = usage_of(query.item, harrierward_clock::now());
         let lease = {
             let mut state = self.lock();
             let lease = state.held.next_number();
@@ -143,7 +142,7 @@
         objective: Duration,
         may_return: Option<Duration>,
     ) -> Option<Duration> {
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let service = short_hash(service);
         let replica = &choice.replica;
         let position = (replica.online() + 1).saturating_sub(replica.slots());
@@ -177,7 +176,7 @@
     fn claim_return(&self, service: &str, group: GroupId) -> bool {
         let mut state = self.lock();
         let admission = state.admissions.get_mut(&(short_hash(service), group));
-        admission.is_some_and(|admission| admission.claim_return(Instant::now()))
+        admission.is_some_and(|admission| admission.claim_return(harrierward_clock::now()))
     }
 
     /// Answers a peer that asks for a lease.
@@ -272,7 +271,7 @@
         let Ok(cold_until) = self.count_cold(service, group, &choice.replica) else {
             return all_cold;
         };
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let usage = match &ask.item {
             None => SlotUse::Online,
             Some(item) => SlotUse::Batch {
--- a/crates/edge/src/slots/leases.rs
+++ b/crates/edge/src/slots/leases.rs
@@ -8,7 +8,6 @@
     WorkClass, short_hash,
 };
 use harrierward_wire::{SlotReport, node_datagram::Kind};
-use tokio::time::Instant;
 
 use super::{Coordinator, SlotService, usage_of};
 
@@ -18,6 +17,7 @@
         if !self.costs.policy.has(Mechanism::Coordinators) {
             return SlotAnswer::NoCoordinator;
         }
+        self.forget_over_suspension();
         let service = short_hash(query.service);
         let mut target = self.group_to_ask(&query, service);
         let mut answer = self.ask_group(&query, service, target).await;
@@ -53,13 +53,13 @@
             let mut state = self.lock();
             state
                 .no_room_at
-                .insert((service, target.group), Instant::now());
+                .insert((service, target.group), harrierward_clock::now());
         }
         answer
     }
 
     fn take(&self, replica: &Arc<Replica>, item: Option<ItemRoom>) -> u32 {
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let coordinator = self.peer_coordinating(replica.hash);
         let mut state = self.lock();
         let lease = state.held.next_number();
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -21,6 +21,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use harrierward_clock::SuspensionWatch;
 use harrierward_decisions::DecisionLog;
 use harrierward_serving::{
     Location, Mechanism, Policy, Replica, ReplicaSet, ReplicaView, SelectionCosts, Suspicion,
@@ -113,6 +114,7 @@
     socket: OnceLock<Arc<UdpSocket>>,
     log: DecisionLog,
     calls: DatagramCalls<SlotGrant>,
+    suspensions: SuspensionWatch,
     state: Mutex<State>,
 }
 
@@ -134,7 +136,7 @@
             holder: xxh3_64(life.as_bytes()),
             life,
             location,
-            started: Instant::now(),
+            started: harrierward_clock::now(),
             replicas,
             costs,
             members: ArcSwap::from_pointee(vec![own]),
@@ -145,6 +147,7 @@
             socket: OnceLock::new(),
             log,
             calls: DatagramCalls::default(),
+            suspensions: SuspensionWatch::start(),
             state: Mutex::new(State {
                 ledger: SlotLedger::default(),
                 held: HeldSlots::default(),
@@ -157,7 +160,7 @@
                 admissions: HashMap::new(),
                 outliers: HashMap::new(),
                 coordinators: HashMap::new(),
-                pacing: PacingState::new(Instant::now()),
+                pacing: PacingState::new(harrierward_clock::now()),
             }),
         }
     }
@@ -200,7 +203,7 @@
     }
 
     fn now_ms(&self) -> u64 {
-        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+        u64::try_from(harrierward_clock::age(self.started).as_millis()).unwrap_or(u64::MAX)
     }
 
     fn coordinator(&self, service: u32, group: GroupId) -> Coordinator {
--- a/crates/edge/src/slots/reports.rs
+++ b/crates/edge/src/slots/reports.rs
@@ -32,7 +32,9 @@
     pub(super) fn take_report(&self, report: &SlotReport, from: SocketAddr) {
         {
             let mut state = self.lock();
-            state.ledger.take_report(report, from, Instant::now());
+            state
+                .ledger
+                .take_report(report, from, harrierward_clock::now());
             self.observe_ended(&mut state);
         }
         self.take_outcomes(report);
@@ -64,7 +66,7 @@
 
     /// Driven by the membership's tick: forgets silent holders, and tells coordinators what is held.
     pub fn tick(&self) {
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let layouts = self.index().layouts;
         let due = {
             let mut state = self.lock();
@@ -114,8 +116,18 @@
         }
     }
 
+    /// After a suspension, forgets the leases that have become old meanwhile before any of them is counted; the next tick
+    /// may come later than questions do.
+    pub(super) fn forget_over_suspension(&self) {
+        if self.suspensions.take().is_some() {
+            self.lock().ledger.expire(harrierward_clock::now());
+            self.publish();
+        }
+    }
+
     /// Takes a datagram that concerns leases; gives back any other.
     pub fn receive(&self, kind: Kind, from: SocketAddr) -> Option<Kind> {
+        self.forget_over_suspension();
         match kind {
             Kind::SlotAsk(ask) => self.take_ask(&ask, from),
             Kind::SlotGrant(grant) => {
--- a/crates/edge/src/slots/room.rs
+++ b/crates/edge/src/slots/room.rs
@@ -28,7 +28,7 @@
     pub(super) fn told_room(&self, service: u32, group: GroupId) -> Option<Room> {
         let state = self.lock();
         let told = state.rooms.get(&(service, group))?;
-        (told.at.elapsed() < ROOM_LASTS).then_some(told.room)
+        (harrierward_clock::age(told.at) < ROOM_LASTS).then_some(told.room)
     }
 
     pub(super) fn room(&self, service: u32, group: GroupId) -> Room {
@@ -74,7 +74,7 @@
     pub(super) fn set_room(&self, service: u32, group: GroupId, room: Room) {
         let told = ToldRoom {
             room,
-            at: Instant::now(),
+            at: harrierward_clock::now(),
         };
         self.lock().rooms.insert((service, group), told);
     }
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -220,7 +220,7 @@
             regions: &request.regions,
             cold_until: choice.cold_until,
         };
-        if let Some(reason) = barred(&replica, &passage, Instant::now()) {
+        if let Some(reason) = barred(&replica, &passage, harrierward_clock::now()) {
             let cause = format!("barred: {}", reason.name());
             let failure = AttemptFailure::NotRun { cause, full: false };
             self.log_failure(request, &replica, &failure, Duration::ZERO);
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -290,7 +290,7 @@
 
 /// True if another replica may be asked for its memory; one that is silent or cold would hold the request up.
 fn can_copy(source: &Arc<Replica>, replica: &Arc<Replica>) -> bool {
-    let may_send = !source.is_suspected() && !source.is_cold(Instant::now());
+    let may_send = !source.is_suspected() && !source.is_cold(harrierward_clock::now());
     !Arc::ptr_eq(source, replica) && may_send && source.accepts_work()
 }
 
--- a/crates/serving/src/placing.rs
+++ b/crates/serving/src/placing.rs
@@ -201,7 +201,7 @@
             regions,
             cold_until: choice.cold_until,
         };
-        let reason = barred(&choice.replica, &passage, Instant::now());
+        let reason = barred(&choice.replica, &passage, harrierward_clock::now());
         let Some(reason @ (Barred::ZoneEvacuated | Barred::RegionNotAllowed | Barred::Ended)) =
             reason
         else {
@@ -236,7 +236,7 @@
                 usize::MAX
             },
         };
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let mut usable = view.usable(query.service);
         // Only a coordinator counts what a cold replica gets, and it may have heard sooner that one is cold.
         usable.retain(|replica| !replica.is_cold(now) && !places.is_told_cold(replica));
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -109,7 +109,10 @@
     peers_online: AtomicU32,
     peers_batch: AtomicU32,
     peers_told_at_ms: AtomicU64,
+    /// On the clock that counts suspensions, as are all times of what is believed of it.
     started: Instant,
+    /// On the steady clock: nobody listens while the machine is suspended.
+    listening_since: Instant,
     suspicion: Suspicion,
     report: Mutex<Option<LoadReport>>,
     memory: Mutex<PromptMemory>,
@@ -145,7 +148,8 @@
             peers_online: AtomicU32::new(0),
             peers_batch: AtomicU32::new(0),
             peers_told_at_ms: AtomicU64::new(0),
-            started: Instant::now(),
+            started: harrierward_clock::now(),
+            listening_since: Instant::now(),
             suspicion: Suspicion::default(),
             report: Mutex::new(None),
             memory: Mutex::new(PromptMemory::new(kept_tokens)),
@@ -155,7 +159,11 @@
     }
 
     fn now_ms(&self) -> u64 {
-        millis(self.started.elapsed())
+        millis(harrierward_clock::age(self.started))
+    }
+
+    fn listened_ms(&self) -> u64 {
+        millis(self.listening_since.elapsed())
     }
 
     /// Requests that the replica works on at once.
@@ -181,7 +189,7 @@
     /// Its zone is evacuated, or not any more: then it may be cold, whatever its last row said.
     pub fn set_zone_evacuated(&self, evacuated: bool) {
         if self.zone_evacuated.swap(evacuated, Ordering::Relaxed) && !evacuated {
-            self.change_warmth(|warmth| warmth.take_return(Instant::now()));
+            self.change_warmth(|warmth| warmth.take_return(harrierward_clock::now()));
         }
     }
 
@@ -295,7 +303,7 @@
         let Some(report) = *lock(&self.report) else {
             return counted;
         };
-        if report.at.elapsed() > REPLICA_LOAD_LIFETIME {
+        if harrierward_clock::age(report.at) > REPLICA_LOAD_LIFETIME {
             return counted;
         }
         let told = report.word.running + report.word.waiting;
@@ -310,7 +318,7 @@
 
     /// Age of the last load word, milliseconds.
     pub fn report_age_ms(&self) -> Option<u64> {
-        lock(&self.report).map(|report| millis(report.at.elapsed()))
+        lock(&self.report).map(|report| millis(harrierward_clock::age(report.at)))
     }
 
     /// Age of the other daemons' counts, milliseconds.
@@ -323,7 +331,7 @@
     pub fn note_load(&self, word: ReplicaLoad) {
         let report = LoadReport {
             word,
-            at: Instant::now(),
+            at: harrierward_clock::now(),
             own_then: self.own_total(),
         };
         *lock(&self.report) = Some(report);
@@ -342,12 +350,12 @@
     /// Bytes came from the replica.
     pub fn note_progress(&self) {
         self.ended_until_ms.store(0, Ordering::Relaxed);
-        self.suspicion.note_progress(self.now_ms());
+        self.suspicion.note_progress(self.listened_ms());
     }
 
-    /// Time since bytes last came from the replica.
+    /// Time since bytes last came from the replica, as far as this daemon could hear them: suspensions are left out.
     pub fn silent_for(&self) -> Duration {
-        Duration::from_millis(self.suspicion.silent_for_ms(self.now_ms()))
+        Duration::from_millis(self.suspicion.silent_for_ms(self.listened_ms()))
     }
 
     /// Avoids the replica for a while: longer each time that nothing comes from it in between.
--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -51,7 +51,9 @@
         let vanished = self.vanished.get(service).map_or(&[][..], Vec::as_slice);
         vanished
             .iter()
-            .filter(|gone| gone.at.elapsed() < VANISHED_LIFETIME && gone.replica.accepts_work())
+            .filter(|gone| {
+                harrierward_clock::age(gone.at) < VANISHED_LIFETIME && gone.replica.accepts_work()
+            })
             .map(|gone| gone.replica.clone())
             .collect()
     }
@@ -240,7 +242,8 @@
             .iter()
             .find(|gone| gone.replica.record.id == record.id)?;
         // It comes back with a row that nobody has taken into account, and may have turned cold meanwhile.
-        same.replica.note_row_warmup(record.warmup, Instant::now());
+        same.replica
+            .note_row_warmup(record.warmup, harrierward_clock::now());
         Some(same.replica.clone())
     });
     match kept {
@@ -265,7 +268,7 @@
     old: &ReplicaView,
     by_id: &HashMap<String, Arc<Replica>>,
 ) -> HashMap<String, Vec<Vanished>> {
-    let now = Instant::now();
+    let now = harrierward_clock::now();
     let just_gone = old.by_id.values().map(|replica| Vanished {
         replica: replica.clone(),
         at: now,
@@ -274,7 +277,7 @@
     let mut vanished: HashMap<String, Vec<Vanished>> = HashMap::new();
     for gone in earlier.chain(just_gone) {
         let listed = by_id.contains_key(&gone.replica.record.id);
-        if listed || gone.at.elapsed() >= VANISHED_LIFETIME {
+        if listed || harrierward_clock::age(gone.at) >= VANISHED_LIFETIME {
             continue;
         }
         let service = gone.replica.record.service.clone();
--- a/crates/serving/src/suspicion.rs
+++ b/crates/serving/src/suspicion.rs
@@ -7,7 +7,8 @@
 const FIRST_MS: u64 = 500;
 const MOST_DOUBLINGS: u32 = 3;
 
-/// Suspicion of one replica. Times are milliseconds on a clock of the caller's that never goes back.
+/// Suspicion of one replica. Times are milliseconds on clocks of the caller's that never go back: one for the suspicion, and one
+/// for progress and silence, which may leave out the time in which the caller could not listen.
 #[derive(Debug, Default)]
 pub struct Suspicion {
     until_ms: AtomicU64,
--- a/crates/serving/tests/suspended.rs
+++ b/crates/serving/tests/suspended.rs
@@ -43,6 +43,8 @@
 async fn what_is_believed_of_a_replica_ages_over_a_suspension() {
     let _turn = one_at_a_time().await;
     let (_set, replica) = one_replica();
+    // Peers' counts that came in its first millisecond are dated a millisecond later.
+    tokio::time::advance(Duration::from_millis(5)).await;
     replica.note_load(ReplicaLoad {
         running: 4,
         waiting: 3,
@@ -75,3 +77,14 @@
     tokio::time::advance(Duration::from_millis(300)).await;
     assert_eq!(replica.silent_for(), Duration::from_millis(300));
 }
+
+/// An entry that vanished is believed for a moment, since the store may be away.
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_vanished_before_a_suspension_is_not_used_after_it() {
+    let _turn = one_at_a_time().await;
+    let (set, _replica) = one_replica();
+    listed(&set, &[]);
+    assert_eq!(set.view().usable(SERVICE).len(), 1);
+    harrierward_clock::imagine_suspension(SUSPENSION);
+    assert_eq!(set.view().usable(SERVICE).len(), 0);
+}
--- a/crates/slots/src/ledger.rs
+++ b/crates/slots/src/ledger.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 /// How long a holder's leases are believed after its last report.
-const HOLDER_LIFETIME: Duration = Duration::from_millis(2_500);
+pub const HOLDER_LIFETIME: Duration = Duration::from_millis(2_500);
 
 /// How long an item that was ordered to end may go on before its lease counts again: the order may have been lost.
 const END_PATIENCE: Duration = Duration::from_millis(400);
@@ -89,6 +89,12 @@
     leases: HashMap<u32, Lease>,
 }
 
+impl Holder {
+    fn is_silent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard_at) >= HOLDER_LIFETIME
+    }
+}
+
 /// True for a lease under which nothing was sent: it does not tell how long requests hold theirs.
 fn is_unused(report: &SlotReport, lease: u32) -> bool {
     let outcomes = report.outcomes.iter();
@@ -174,17 +180,20 @@
 
     /// Forgets holders that have not been heard of for long.
     pub fn expire(&mut self, now: Instant) {
-        let silent = self.holders.iter().filter(|(_, holder)| {
-            now.saturating_duration_since(holder.heard_at) >= HOLDER_LIFETIME
-        });
+        let silent = self.holders.iter();
+        let silent = silent.filter(|(_, holder)| holder.is_silent(now));
         let silent: Vec<u64> = silent.map(|(holder, _)| *holder).collect();
         for holder in silent {
-            let Some(gone) = self.holders.remove(&holder) else {
-                continue;
-            };
-            for lease in gone.leases.values() {
-                self.count(lease, false);
-            }
+            self.forget(holder);
+        }
+    }
+
+    fn forget(&mut self, holder: u64) {
+        let Some(gone) = self.holders.remove(&holder) else {
+            return;
+        };
+        for lease in gone.leases.values() {
+            self.count(lease, false);
         }
     }
 
@@ -221,7 +230,12 @@
         self.count(&counted, false);
     }
 
+    /// A holder that was not heard for too long begins anew: its word makes nothing of its earlier leases fresh.
     fn hear(&mut self, holder: u64, address: SocketAddr, now: Instant) -> &mut Holder {
+        let known = self.holders.get(&holder);
+        if known.is_some_and(|known| known.is_silent(now)) {
+            self.forget(holder);
+        }
         let known = self.holders.entry(holder).or_insert_with(|| Holder {
             address,
             last_whole: 0,
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -21,6 +21,6 @@
 };
 pub use groups::{AreaKind, GroupId, GroupLayout, coordinator_of};
 pub use held::HeldSlots;
-pub use ledger::{EndedLease, EndingLease, SlotCounts, SlotLedger, SlotUse};
+pub use ledger::{EndedLease, EndingLease, HOLDER_LIFETIME, SlotCounts, SlotLedger, SlotUse};
 pub use pacer::{COLD_GRANT_LIFETIME, ColdPace, ColdPacer, ColdUse};
 pub use spill::{Crossing, Room, is_better_off};
