Red: quota grants, ejections and held contents do not age over a suspension

Cause: the drivers of these three pure cores feed them the steady clock. A grant that came to nothing keeps its tokens, an ejected replica stays out and a content is held back for as much longer as the machine was suspended.

Ruled out: the cores; the tests drive the services, with the clock as the only thing that changes.

Tests of one file take turns, since the clock is the process's.

--- a/crates/edge/tests/suspended.rs
+++ b/crates/edge/tests/suspended.rs
@@ -8,14 +8,18 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use harrierward_decisions::{DecisionLog, LogBounds};
-use harrierward_edge::{ConnectionPool, CoordinatorCandidate, PoolSettings, SlotService};
+use harrierward_edge::{
+    ConnectionPool, CoordinatorCandidate, PoolSettings, QuarantineService, SlotService,
+};
+use harrierward_quarantine::{ContentId, Standing};
 use harrierward_serving::{
-    Location, Prompt, PromptLength, ReplicaRecord, ReplicaSet, SelectionCosts, SlotAnswer,
-    SlotLeases, SlotQuery,
+    ItemRoom, Location, Prompt, PromptLength, Quarantine, Replica, ReplicaRecord, ReplicaSet,
+    SelectionCosts, SlotAnswer, SlotLeases, SlotQuery,
 };
 use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{
-    HeldSlot, NodeDatagram, SlotGrant, SlotReport, WholeReport, decode, encode, node_datagram::Kind,
+    CrashNews, CrashedContent, HeldSlot, LeaseOutcome, NodeDatagram, OutcomeKind, ReplicaEnd,
+    SlotGrant, SlotReport, WholeReport, decode, encode, node_datagram::Kind,
 };
 use http::Request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -256,3 +260,92 @@
     exchange(&pool, &address).await;
     assert_eq!(accepted.load(Ordering::Relaxed), 2);
 }
+
+/// An ended request of another daemon, as it reports it.
+fn ended(lease: u32, replica: u32, kind: OutcomeKind) -> Kind {
+    let outcome = LeaseOutcome {
+        lease,
+        replica,
+        kind: kind.into(),
+        first_event_ms: 0,
+    };
+    Kind::SlotReport(SlotReport {
+        holder: 1,
+        released: vec![lease],
+        outcomes: vec![outcome],
+        ..SlotReport::default()
+    })
+}
+
+/// The replica at which an item is placed.
+async fn place_item(coordinator: &SlotService) -> Arc<Replica> {
+    let prompt = Prompt::default();
+    let item = ItemRoom {
+        slack: Duration::from_secs(9),
+    };
+    let query = SlotQuery {
+        item: Some(item),
+        ..query(&prompt)
+    };
+    match coordinator.ask(query).await {
+        SlotAnswer::Given { choice, .. } => choice.replica,
+        _ => panic!("no place"),
+    }
+}
+
+#[tokio::test]
+async fn an_ejected_replica_is_tried_after_a_suspension_that_was_longer_than_its_absence() {
+    let _turn = one_at_a_time().await;
+    let (own, own_address) = socket().await;
+    let (coordinator, replicas) = daemon("own", member("own", own_address), &own);
+    let view = replicas.view();
+    let bad = view.get("replica-0").expect("a replica").hash;
+    let from = SocketAddr::from(([127, 0, 0, 1], 9));
+    for lease in 1..=40 {
+        for replica in view.all().filter(|replica| replica.hash != bad) {
+            coordinator.receive(ended(lease, replica.hash, OutcomeKind::Served), from);
+        }
+    }
+    for lease in 41..=60 {
+        coordinator.receive(ended(lease, bad, OutcomeKind::Failed), from);
+    }
+    for _ in 0..8 {
+        assert_ne!(place_item(&coordinator).await.hash, bad, "it is out");
+    }
+    harrierward_clock::imagine_suspension(SUSPENSION);
+    assert_eq!(place_item(&coordinator).await.hash, bad, "it is tried");
+    assert_ne!(place_item(&coordinator).await.hash, bad, "one at a time");
+}
+
+/// Callers were told on their own clocks when to come back.
+#[tokio::test]
+async fn a_content_is_held_back_no_longer_for_a_suspension() {
+    const HELD_FOR: Duration = Duration::from_secs(600);
+    let _turn = one_at_a_time().await;
+    let log = DecisionLog::new(LogBounds::default());
+    let pool = ConnectionPool::new(PoolSettings::default(), log.clone());
+    let quarantine = QuarantineService::new("own".to_owned(), replica_set(), pool, log);
+    let ends = (1..=3).map(|replica| ReplicaEnd { replica, age_ms: 0 });
+    let news = CrashNews {
+        contents: vec![CrashedContent {
+            content: 5,
+            ends: ends.collect(),
+            ..CrashedContent::default()
+        }],
+    };
+    assert!(quarantine.receive(Kind::CrashNews(news)).is_none());
+    let Standing::Held(hold) = quarantine.standing(ContentId(5)) else {
+        panic!("not held");
+    };
+    harrierward_clock::imagine_suspension(Duration::from_secs(6));
+    assert!(hold.allows_trial(harrierward_clock::now()));
+    let left = hold
+        .until
+        .saturating_duration_since(harrierward_clock::now());
+    let expected = HELD_FOR - Duration::from_secs(6);
+    let passed = expected.saturating_sub(left);
+    assert!(left <= expected && passed < PATIENCE, "{left:?}");
+    harrierward_clock::imagine_suspension(HELD_FOR);
+    let standing = quarantine.standing(ContentId(5));
+    assert_eq!(standing, Standing::Suspect { ends: 3 });
+}
