Quota grants, ejections and held contents age while the machine is suspended

Cause: the drivers of these cores fed them the steady clock.

Ruled out: patience with whoever is asked (a coordinator of a quota that reads, a probe's word on a replica): it goes with timers, which stand still during a suspension, and says nothing of the world.

Change: the drivers feed the clock that counts suspensions: the quota's book, the detector of outliers, the quarantine's ledger, its standings and its broken connections. The quarantine's core read a clock itself when it noted an end; it takes `now` from its caller, as in all its other functions.

Tests: the ledger's tests pass the time of the end for `now`; no bound was changed.

--- a/crates/edge/src/quarantine/breaks.rs
+++ b/crates/edge/src/quarantine/breaks.rs
@@ -68,11 +68,12 @@
 
     /// A connection broke with the content in progress; true if it is the first to that replica.
     pub fn note(&self, start: ReplicaStart, replica: &Arc<Replica>, content: ContentId) -> bool {
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let mut known = self.lock();
         // Where starts are not told apart, the one that broke off then may be back under the same name.
         known.retain(|known_start, one| {
-            let is_over = *one.word.borrow() == Word::Ended && one.since.elapsed() > SAME_END;
+            let is_over =
+                *one.word.borrow() == Word::Ended && harrierward_clock::age(one.since) > SAME_END;
             *known_start != start || !is_over
         });
         let is_first = !known.contains_key(&start);
--- a/crates/edge/src/quarantine/mod.rs
+++ b/crates/edge/src/quarantine/mod.rs
@@ -95,7 +95,7 @@
     /// Drives what is due; called each tenth of a second.
     pub fn tick(&self) {
         let tick = self.inner.ticks.fetch_add(1, Ordering::Relaxed);
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         for (start, replica) in self.inner.breaks.gone(&self.inner.replicas.view(), now) {
             self.confirm(start, &replica, "gone");
         }
@@ -133,13 +133,14 @@
             replica: &replica.record.id,
             known_by,
             contents: contents.len(),
-            after_ms: millis(since.elapsed()),
+            after_ms: millis(harrierward_clock::age(since)),
         });
         let mut is_news = false;
         {
+            let now = harrierward_clock::now();
             let mut ledger = self.ledger();
             for (content, at) in contents {
-                is_news |= ledger.note_end(content, start, at);
+                is_news |= ledger.note_end(content, start, at, now);
             }
         }
         if is_news {
@@ -150,7 +151,7 @@
 
     /// Brings the standings up to date, and logs what is held back from now on, or no longer.
     fn judge(&self) {
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         // The ledger is held until the standings are in place: an older judgement must not replace a newer one.
         let ledger = self.ledger();
         let standings = Arc::new(ledger.standings());
@@ -195,7 +196,10 @@
     }
 
     fn standing(&self, content: ContentId) -> Standing {
-        self.inner.standings.load().of(content, Instant::now())
+        self.inner
+            .standings
+            .load()
+            .of(content, harrierward_clock::now())
     }
 
     fn note_broken(&self, content: ContentId, replica: &Arc<Replica>) {
@@ -212,7 +216,9 @@
             return;
         }
         self.inner.breaks.forget(content);
-        let is_news = self.ledger().clear(content, rand::random(), Instant::now());
+        let is_news = self
+            .ledger()
+            .clear(content, rand::random(), harrierward_clock::now());
         if is_news {
             self.judge();
             self.tell_at_once();
--- a/crates/edge/src/quarantine/operating.rs
+++ b/crates/edge/src/quarantine/operating.rs
@@ -37,7 +37,7 @@
 impl QuarantineService {
     /// What is held back now.
     pub fn held(&self) -> Vec<HeldContent> {
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let age = |at: Instant| millis(now.saturating_duration_since(at));
         let standings = self.inner.standings.load();
         let held = standings.held().map(|(content, hold)| HeldContent {
@@ -58,7 +58,10 @@
             .load()
             .held()
             .find(|(one, _)| *one == content);
-        if !self.ledger().clear(content, rand::random(), Instant::now()) {
+        if !self
+            .ledger()
+            .clear(content, rand::random(), harrierward_clock::now())
+        {
             return false;
         }
         self.judge();
@@ -67,7 +70,7 @@
             content: &content.to_string(),
             outcome: "released",
             ends: hold.map_or(0, |(_, hold)| hold.ends),
-            since_ms: hold.map_or(0, |(_, hold)| millis(hold.since.elapsed())),
+            since_ms: hold.map_or(0, |(_, hold)| millis(harrierward_clock::age(hold.since))),
             hold_ms: 0,
             held: self.inner.standings.load().held().count(),
         });
--- a/crates/edge/src/quarantine/telling.rs
+++ b/crates/edge/src/quarantine/telling.rs
@@ -68,7 +68,7 @@
         let told = {
             let ledger = self.ledger();
             let standings = self.inner.standings.load();
-            ledger.told(&standings, Instant::now(), MOST_TOLD)
+            ledger.told(&standings, harrierward_clock::now(), MOST_TOLD)
         };
         let Some(socket) = self.inner.socket.get().filter(|_| !told.is_empty()) else {
             return;
@@ -85,7 +85,7 @@
 
     pub(super) fn take_news(&self, news: &CrashNews) {
         let told: Vec<ToldContent> = news.contents.iter().map(told_content).collect();
-        let now = Instant::now();
+        let now = harrierward_clock::now();
         let is_news = self.ledger().take(&told, now);
         if is_news {
             self.judge();
--- a/crates/edge/src/slots/outcomes.rs
+++ b/crates/edge/src/slots/outcomes.rs
@@ -11,7 +11,6 @@
     GroupId, LeaseName, OutlierDetector, ProbeWork, RequestEnd, StandingChange, StandingEvent,
 };
 use harrierward_wire::{LeaseOutcome, OutcomeKind, SlotReport, node_datagram::Kind};
-use tokio::time::Instant;
 
 use super::asking::millis;
 use super::{Coordinator, SlotService, State};
@@ -73,7 +72,7 @@
         };
         let mut state = self.lock();
         let detector = state.outliers.entry(key).or_default();
-        let Some(change) = detector.observe(end, group, Instant::now()) else {
+        let Some(change) = detector.observe(end, group, harrierward_clock::now()) else {
             return;
         };
         let ejected = ejected_here(&state);
@@ -96,7 +95,7 @@
         let Some(detector) = detector else {
             return vec![usable];
         };
-        let probed = detector.probed_by(work, Instant::now());
+        let probed = detector.probed_by(work, harrierward_clock::now());
         if detector.is_quiet() {
             return vec![usable];
         }
@@ -139,8 +138,9 @@
     ) -> bool {
         let mut state = self.lock();
         let detector = state.outliers.get_mut(&(short_hash(service), group));
-        let is_probe = detector
-            .is_some_and(|detector| detector.note_grant(replica.hash, lease, Instant::now()));
+        let is_probe = detector.is_some_and(|detector| {
+            detector.note_grant(replica.hash, lease, harrierward_clock::now())
+        });
         if !is_probe {
             return false;
         }
--- a/crates/inline-jobs/src/quota.rs
+++ b/crates/inline-jobs/src/quota.rs
@@ -124,7 +124,7 @@
             waiting: view.waiting_tokens(request.route, request.tenant),
             is_known: &|job| view.get(job).is_some(),
         };
-        match book.decide(request, count, Instant::now()) {
+        match book.decide(request, count, harrierward_clock::now()) {
             QuotaDecision::Granted { fence } => (QuotaOutcome::Granted, fence),
             QuotaDecision::Full => (QuotaOutcome::Full, 0),
             QuotaDecision::NotKept => (QuotaOutcome::NotCoordinator, 0),
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -129,12 +129,18 @@
 }
 
 impl CrashLedger {
-    /// A replica ended while the content was in progress there; true if that is news.
-    pub fn note_end(&mut self, content: ContentId, replica: ReplicaStart, at: Instant) -> bool {
+    /// A replica ended while the content was in progress there at `at`, as this daemon knows `now`; true if that is news.
+    pub fn note_end(
+        &mut self,
+        content: ContentId,
+        replica: ReplicaStart,
+        at: Instant,
+        now: Instant,
+    ) -> bool {
         let entry = self.entries.entry(content).or_default();
         let is_new = entry.note(End { replica, at });
         if is_new {
-            entry.changed_at = Some(Instant::now());
+            entry.changed_at = Some(now);
             self.make_room();
         }
         is_new
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -20,7 +20,7 @@
 
 fn end(ledger: &mut CrashLedger, contents: &[ContentId], replica: u32, at: Instant) {
     for content in contents {
-        ledger.note_end(*content, ReplicaStart(replica), at);
+        ledger.note_end(*content, ReplicaStart(replica), at, at);
     }
 }
 
@@ -172,7 +172,7 @@
             at_ms,
         } => {
             let at = start + ms(*at_ms);
-            ledger.note_end(ContentId(*content), ReplicaStart(*replica), at);
+            ledger.note_end(ContentId(*content), ReplicaStart(*replica), at, at);
         }
         Event::Whole {
             content,
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -143,7 +143,7 @@
             return false;
         }
         let hold = self.hold(request.content());
-        hold.is_some_and(|hold| !hold.allows_trial(Instant::now()))
+        hold.is_some_and(|hold| !hold.allows_trial(harrierward_clock::now()))
     }
 
     /// Mechanisms in use.
@@ -366,7 +366,9 @@
 
 /// The refusal of a request under whose content replicas have ended. To come back earlier is of no use.
 fn held_back(hold: &Hold, state: &RequestState) -> Refusal {
-    let left = hold.until.saturating_duration_since(Instant::now());
+    let left = hold
+        .until
+        .saturating_duration_since(harrierward_clock::now());
     Refusal::new(RefusalCause::HeldBack, state.execution, Some(left))
 }
 
