Red: two parts of a fleet take shards and replicas from each other without any patience

Cause: whoever the own view names takes the row at once if the present owner is not in that view; the patience that doubles with each loss counts for owners in the view only. The same class as the jobs of the users' platform: something that one owner must hold, decided by a view that each has for itself.

The play: three whole daemons on virtual time, the first never hears of the other two, the store is well; 12 jobs of 12 items of 5 s each, 60 s. Ruled out as a cause: the play itself, by a control in which all hear each other.

--- a/crates/bench/src/faults/clients.rs
+++ b/crates/bench/src/faults/clients.rs
@@ -217,7 +217,7 @@
 }
 
 /// One line of a job's input.
-fn input_line(model: &str, id: &str, prompt: &str, maximum_tokens: u32, once: bool) -> String {
+pub fn input_line(model: &str, id: &str, prompt: &str, maximum_tokens: u32, once: bool) -> String {
     let mut line = json!({
         "custom_id": id,
         "method": "POST",
@@ -307,7 +307,8 @@
     }
 }
 
-async fn submit_to(
+/// Uploads a job's input to a daemon and creates the job; its id.
+pub async fn submit_to(
     world: &World,
     daemon: &Daemon,
     tenant: &str,
--- a/crates/bench/src/faults/mod.rs
+++ b/crates/bench/src/faults/mod.rs
@@ -8,6 +8,7 @@
 mod gated_platform;
 mod history;
 mod network;
+mod parts;
 mod world;
 
 use std::collections::BTreeMap;
@@ -18,6 +19,7 @@
 use tokio::time::sleep;
 
 pub use checker::{Checked, Violation};
+pub use parts::{PartsReport, run_one_part, run_two_parts};
 pub use world::BrokenGuards;
 use world::World;
 
--- /dev/null
+++ b/crates/bench/src/faults/parts.rs
@@ -0,0 +1,157 @@
+//! A fleet in two parts that never hear each other, all of it in touch with a store that is well, and jobs of slow items.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use eyre::Result;
+use harrierward_emulator::{EngineParameters, expected_answer};
+use harrierward_wire::{OwnershipRow, decode};
+use tokio::time::sleep;
+
+use super::clients::{input_line, submit_to};
+use super::world::{BrokenGuards, ENGINE_SEQUENCES, TENANTS, World};
+use super::{QUIET_START, virtual_time};
+
+/// Time of one token, microseconds: with the tokens of an item 5 s.
+const STEP_MICROS: u64 = 100_000;
+
+/// Tokens of an item.
+const ITEM_TOKENS: u32 = 50;
+
+const ITEMS_A_JOB: usize = 12;
+
+/// Jobs of each tenant.
+const JOBS_A_TENANT: usize = 6;
+
+/// How often it is looked whether jobs have ended.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// What a fleet in two parts did.
+#[derive(Debug, Clone)]
+pub struct PartsReport {
+    /// Takeovers of the shard that changed hands most often, in the time given.
+    pub most_shard_takeovers: u64,
+    /// Takeovers of the replica that changed hands most often.
+    pub most_replica_takeovers: u64,
+    /// Takeovers of all shards and replicas.
+    pub takeovers: u64,
+    /// Jobs accepted.
+    pub jobs: usize,
+    /// Jobs that had not ended then.
+    pub open_jobs: usize,
+    /// When the last job was seen to have ended, since the first was accepted.
+    pub all_ended_after: Option<Duration>,
+}
+
+/// Runs jobs for `length` in a fleet whose first daemon and the others never hear of each other.
+pub fn run_two_parts(seed: u64, length: Duration) -> Result<PartsReport> {
+    virtual_time()?.block_on(simulate(seed, length, true))
+}
+
+/// Runs the same jobs in a fleet in which all hear each other.
+pub fn run_one_part(seed: u64, length: Duration) -> Result<PartsReport> {
+    virtual_time()?.block_on(simulate(seed, length, false))
+}
+
+async fn simulate(seed: u64, length: Duration, is_cut: bool) -> Result<PartsReport> {
+    let parameters = EngineParameters {
+        step_base_micros: STEP_MICROS,
+        maximum_running: ENGINE_SEQUENCES,
+        ..EngineParameters::default()
+    };
+    let world = World::start_with(seed, BrokenGuards::default(), parameters).await?;
+    if is_cut {
+        separate(&world);
+    }
+    sleep(QUIET_START).await;
+    let before = epochs(&world);
+    let began = world.now();
+    let jobs = submit_jobs(&world).await?;
+    let mut all_ended_after = None;
+    while world.now() < began + length {
+        sleep(LOOK_EVERY).await;
+        if all_ended_after.is_none() && open_jobs(&world) == 0 {
+            all_ended_after = Some(world.now() - began);
+        }
+    }
+    let takeovers = takeovers(&before, &epochs(&world));
+    let most = |prefix: &str| {
+        let kind = takeovers.iter().filter(|(key, _)| key.starts_with(prefix));
+        kind.map(|(_, count)| *count).max().unwrap_or_default()
+    };
+    Ok(PartsReport {
+        most_shard_takeovers: most(SHARDS_PREFIX),
+        most_replica_takeovers: most(REPLICAS_PREFIX),
+        takeovers: takeovers.values().sum(),
+        jobs,
+        open_jobs: open_jobs(&world),
+        all_ended_after,
+    })
+}
+
+const SHARDS_PREFIX: &str = "owner/shard/";
+const REPLICAS_PREFIX: &str = "owner/replica/";
+
+/// Cuts the first daemon off from the others before any datagram has been sent.
+fn separate(world: &World) {
+    let daemons = world.live();
+    for other in &daemons[1..] {
+        world.network.cut(&daemons[0].address, &other.address);
+    }
+}
+
+fn open_jobs(world: &World) -> usize {
+    world.platform.peek_prefix("open/").len()
+}
+
+/// Epochs of what is owned, by the keys of the rows.
+fn epochs(world: &World) -> BTreeMap<String, u64> {
+    let rows = world.platform.peek_prefix("owner/").into_iter();
+    rows.filter_map(|row| {
+        let owned = decode::<OwnershipRow>(&row.value)?;
+        Some((row.key, owned.epoch))
+    })
+    .collect()
+}
+
+fn takeovers(
+    before: &BTreeMap<String, u64>,
+    after: &BTreeMap<String, u64>,
+) -> BTreeMap<String, u64> {
+    let since = |key: &String, epoch: &u64| epoch - before.get(key).copied().unwrap_or_default();
+    let after = after.iter();
+    after
+        .map(|(key, epoch)| (key.clone(), since(key, epoch)))
+        .collect()
+}
+
+/// Submits jobs to all daemons in turns; how many.
+async fn submit_jobs(world: &World) -> Result<usize> {
+    let daemons = world.live();
+    let mut jobs = 0;
+    for (tenant, model) in TENANTS {
+        for number in 0..JOBS_A_TENANT {
+            let key = format!("slow-{tenant}-{number}");
+            let daemon = &daemons[jobs % daemons.len()];
+            let input = slow_items(model, &key);
+            submit_to(world, daemon, tenant, model, &key, &input).await?;
+            jobs += 1;
+        }
+    }
+    Ok(jobs)
+}
+
+/// Input lines whose answers are as long as the limit.
+fn slow_items(model: &str, job: &str) -> String {
+    let whole = ITEM_TOKENS as usize;
+    let prompts = (0..).map(|number| format!("{job} item {number}"));
+    let slow = prompts.filter(|prompt| {
+        expected_answer(model, prompt, ITEM_TOKENS)
+            .split_whitespace()
+            .count()
+            == whole
+    });
+    slow.take(ITEMS_A_JOB)
+        .map(|prompt| input_line(model, &prompt, &prompt, ITEM_TOKENS, false))
+        .collect()
+}
--- a/crates/bench/src/faults/world.rs
+++ b/crates/bench/src/faults/world.rs
@@ -29,7 +29,7 @@
 const ENGINES_A_SERVICE: usize = 3;
 
 /// Sequences that an engine runs at once.
-const ENGINE_SEQUENCES: usize = 12;
+pub const ENGINE_SEQUENCES: usize = 12;
 
 /// Daemons.
 pub const DAEMONS: usize = 3;
@@ -93,6 +93,20 @@
 impl World {
     /// A fleet with all daemons started.
     pub async fn start(seed: u64, broken: BrokenGuards) -> Result<Self> {
+        // Small engines, so that jobs last long enough for faults to meet them.
+        let parameters = EngineParameters {
+            maximum_running: ENGINE_SEQUENCES,
+            ..EngineParameters::default()
+        };
+        Self::start_with(seed, broken, parameters).await
+    }
+
+    /// A fleet with all daemons started, before engines of these parameters.
+    pub async fn start_with(
+        seed: u64,
+        broken: BrokenGuards,
+        parameters: EngineParameters,
+    ) -> Result<Self> {
         let platform = MemoryPlatform::new(PlatformParameters {
             seed,
             machine_lag: Duration::from_secs(5),
@@ -103,11 +117,6 @@
             for number in 0..ENGINES_A_SERVICE {
                 let name = format!("{service}-{number}");
                 let models = vec![service.to_owned()];
-                // Small engines, so that jobs last long enough for faults to meet them.
-                let parameters = EngineParameters {
-                    maximum_running: ENGINE_SEQUENCES,
-                    ..EngineParameters::default()
-                };
                 let engine = EngineHandle::start(&name, parameters, models, 1.0, true);
                 platform.seed_machine(Machine {
                     replica: ReplicaId(name.clone()),
