Shards and replicas: who took something from this member lives, and is left alone for a while

Cause: an owner out of the own view was taken over at once, each time; the patience that doubled with each loss counted for owners in view only. Two parts that never hear each other took each shard and replica in turns of 2 to 4 s, and items of 5 s did not end.

Change: a member that took something from this one is left alone for 4 s, doubled each time up to 64 s, in view or not (the rests of harrierward-ownership, by member). After a loss all held rows are read at once. One takeover counts as one loss, and an engine's late refusal of an older epoch takes away nothing that was taken again since. Members are forgotten 128 s after their rest, where losses by asset were kept for ever.

Ruled out: a challenge in the row (commits hang on its revision, so the challenge would itself take the shard), one in a row of its own (held rows are read each 15 s, so each dead owner would be followed 16 s late), reading more often while members are missing (a part that never heard of the other misses nobody).

--- a/crates/bench/src/faults/parts.rs
+++ b/crates/bench/src/faults/parts.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use eyre::Result;
-use harrierward_emulator::{EngineParameters, expected_answer};
+use harrierward_emulator::{EngineParameters, natural_length};
 use harrierward_wire::{OwnershipRow, decode};
 use tokio::time::sleep;
 
+use super::checker::{self, Checked};
 use super::clients::{input_line, submit_to};
+use super::history::JobRecord;
 use super::world::{BrokenGuards, ENGINE_SEQUENCES, TENANTS, World};
 use super::{QUIET_START, virtual_time};
 
@@ -41,6 +43,8 @@
     pub open_jobs: usize,
     /// When the last job was seen to have ended, since the first was accepted.
     pub all_ended_after: Option<Duration>,
+    /// The promises.
+    pub checked: Checked,
 }
 
 /// Runs jobs for `length` in a fleet whose first daemon and the others never hear of each other.
@@ -86,6 +90,7 @@
         jobs,
         open_jobs: open_jobs(&world),
         all_ended_after,
+        checked: checker::check(&world),
     })
 }
 
@@ -133,25 +138,32 @@
         for number in 0..JOBS_A_TENANT {
             let key = format!("slow-{tenant}-{number}");
             let daemon = &daemons[jobs % daemons.len()];
-            let input = slow_items(model, &key);
-            submit_to(world, daemon, tenant, model, &key, &input).await?;
+            let mut job = slow_job(tenant, model, &key);
+            let prompts = job.prompts.values();
+            let input: String = prompts
+                .map(|prompt| input_line(model, prompt, prompt, ITEM_TOKENS, false))
+                .collect();
+            let id = submit_to(world, daemon, tenant, model, &key, &input).await?;
+            job.acknowledged.push(id);
+            world.recorder.lock().jobs.insert(key, job);
             jobs += 1;
         }
     }
     Ok(jobs)
 }
 
-/// Input lines whose answers are as long as the limit.
-fn slow_items(model: &str, job: &str) -> String {
-    let whole = ITEM_TOKENS as usize;
-    let prompts = (0..).map(|number| format!("{job} item {number}"));
-    let slow = prompts.filter(|prompt| {
-        expected_answer(model, prompt, ITEM_TOKENS)
-            .split_whitespace()
-            .count()
-            == whole
-    });
-    slow.take(ITEMS_A_JOB)
-        .map(|prompt| input_line(model, &prompt, &prompt, ITEM_TOKENS, false))
-        .collect()
+/// A job of items whose answers are as long as the limit; an item's prompt is its id too.
+fn slow_job(tenant: &str, model: &str, key: &str) -> JobRecord {
+    let prompts = (0..).map(|number| format!("{key} item {number}"));
+    let is_slow = |prompt: &String| natural_length(model, prompt) >= ITEM_TOKENS;
+    let slow = prompts.filter(is_slow).take(ITEMS_A_JOB);
+    JobRecord {
+        tenant: tenant.to_owned(),
+        model: model.to_owned(),
+        prompts: slow.map(|prompt| (prompt.clone(), prompt)).collect(),
+        at_most_once: Vec::new(),
+        maximum_tokens: ITEM_TOKENS,
+        acknowledged: Vec::new(),
+        cancel_acknowledged: None,
+    }
 }
--- a/crates/bench/tests/two_parts.rs
+++ b/crates/bench/tests/two_parts.rs
@@ -8,8 +8,8 @@
 const LENGTH: Duration = Duration::from_secs(60);
 const SEEDS: [u64; 3] = [1, 2, 3];
 
-/// Takeovers of one thing in a minute. A part that has lost a thing waits 4 s, then 8, 16 and 32 s: the two take it in turns
-/// at 0, 4, 4, 12, 12, 28 and 28 s at the earliest, and one turn may have begun in the time before.
+/// Takeovers of one thing in a minute. Each part waits 4 s when it has lost something the first time, then 8, 16 and 32 s: the
+/// two take it in turns 4, 8, 16, 24, 40 and 56 s after the first two turns.
 const MOST_TAKEOVERS: u64 = 8;
 
 fn reports(run: impl Fn(u64, Duration) -> Result<PartsReport>) -> Vec<PartsReport> {
@@ -30,6 +30,7 @@
             "{reports:?}"
         );
         assert_eq!(report.open_jobs, 0, "{reports:?}");
+        assert!(report.checked.violations.is_empty(), "{reports:?}");
     }
 }
 
@@ -39,5 +40,6 @@
     for report in &reports {
         assert_eq!(report.takeovers, 0, "{reports:?}");
         assert_eq!(report.open_jobs, 0, "{reports:?}");
+        assert!(report.checked.violations.is_empty(), "{reports:?}");
     }
 }
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -3,7 +3,7 @@
 //! Why no renewal: safety comes from the epoch alone, so holding costs nothing at the table. Two members may
 //! believe for a while that they own the same thing; the older one's writes and orders are refused.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
     TransactionOutcome,
 };
 use harrierward_gateway::Replica;
+use harrierward_ownership::Rests;
 use harrierward_wire::{OwnershipRow, decode, encode};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -55,13 +56,20 @@
 pub(crate) struct Ownership {
     held: BTreeMap<Asset, Held>,
     wanted_since: BTreeMap<Asset, Duration>,
-    /// How often an asset was lost to another member; each time this member waits longer before it takes it
-    /// back from a live owner, so that two members with different views do not take it in turns.
-    losses: BTreeMap<Asset, u32>,
+    /// What other members took from this one, while it is not known who did.
+    lost: BTreeSet<Asset>,
+    /// Something was lost, and what else is held has not been compared with the table since.
+    must_verify: bool,
+    /// Members that took something from this one live, whatever its view says, and are left alone for a while.
+    rests: Rests,
 }
 
-/// Doublings of the patience at most.
-const MOST_DOUBLINGS: u32 = 5;
+/// Patience with a member that took something from this one the first time, in times of the first patience; it doubles each
+/// time.
+const FIRST_REST: u32 = 2;
+
+/// The same at most: longer would keep things from members whose owner has really died.
+const LONGEST_REST: u32 = 32;
 
 /// How often held ownership rows are read, to find what was lost without noticing.
 const VERIFY_EVERY: Duration = Duration::from_secs(15);
@@ -93,7 +101,8 @@
         wanted.renew(&shared);
         step(&shared, &wanted.assets).await;
         let now = shared.now();
-        if now.saturating_sub(verified_at) >= VERIFY_EVERY {
+        let has_lost = std::mem::take(&mut lock(&shared.ownership).must_verify);
+        if has_lost || now.saturating_sub(verified_at) >= VERIFY_EVERY {
             verified_at = now;
             verify(&shared).await;
         }
@@ -153,6 +162,9 @@
         ownership
             .wanted_since
             .retain(|asset, _| wanted.contains(asset));
+        ownership.lost.retain(|asset| wanted.contains(asset));
+        let longest = shared.settings.ownership_patience * LONGEST_REST;
+        ownership.rests.forget(longest, now);
         for asset in wanted {
             ownership.wanted_since.entry(asset.clone()).or_insert(now);
         }
@@ -194,21 +206,29 @@
     futures::future::join_all(takes).await;
 }
 
-/// A live owner is given time to hand back; a dead or absent one is not waited for.
+/// A live owner is given time to hand back; one out of view only if it has lately taken something from this member.
 fn may_take(shared: &Arc<Shared>, asset: &Asset, row: Option<&Row>, now: Duration) -> bool {
     let owner = row
         .and_then(|row| decode::<OwnershipRow>(&row.value))
         .unwrap_or_default()
         .owner;
-    let live = shared.view.load().member(&owner).is_some();
-    if !live || owner == shared.identity.member {
+    let first = shared.settings.ownership_patience;
+    let mut ownership = lock(&shared.ownership);
+    let was_lost = ownership.lost.remove(asset);
+    if owner.is_empty() || owner == shared.identity.member {
         return true;
     }
-    let ownership = lock(&shared.ownership);
+    let longest = first * LONGEST_REST;
+    if was_lost {
+        let rests = &mut ownership.rests;
+        rests.extend(&owner, first * FIRST_REST, longest, now);
+    }
+    if now < ownership.rests.until(&owner) {
+        return false;
+    }
+    let is_in_view = shared.view.load().member(&owner).is_some();
     let since = ownership.wanted_since.get(asset).copied().unwrap_or(now);
-    let losses = ownership.losses.get(asset).copied().unwrap_or_default();
-    let patience = shared.settings.ownership_patience * 2u32.pow(losses.min(MOST_DOUBLINGS));
-    now.saturating_sub(since) >= patience
+    !is_in_view || now.saturating_sub(since) >= first
 }
 
 async fn take(shared: &Arc<Shared>, asset: &Asset, row: Option<Row>) {
@@ -276,22 +296,33 @@
     }
 }
 
-/// Another member has taken the asset over.
+/// Another member has taken the asset over. One takeover is one loss, however many writes and orders it refuses.
 fn lose(shared: &Arc<Shared>, asset: &Asset) {
-    forget(shared, asset);
     let now = shared.now();
-    let mut ownership = lock(&shared.ownership);
-    *ownership.losses.entry(asset.clone()).or_default() += 1;
-    ownership.wanted_since.insert(asset.clone(), now);
+    {
+        let mut ownership = lock(&shared.ownership);
+        if !ownership.held.contains_key(asset) {
+            return;
+        }
+        ownership.lost.insert(asset.clone());
+        ownership.wanted_since.insert(asset.clone(), now);
+        ownership.must_verify = true;
+    }
+    forget(shared, asset);
 }
 
-/// The engine refused this member's epoch: another owns the replica.
-pub(crate) fn replica_lost(shared: &Arc<Shared>, replica: &ReplicaId) {
-    lose(shared, &Asset::Replica(replica.clone()));
+/// The engine refused this member's epoch: another owns the replica, unless this member has taken it again since.
+pub(crate) fn replica_lost(shared: &Arc<Shared>, replica: &ReplicaId, epoch: u64) {
+    let asset = Asset::Replica(replica.clone());
+    let held = lock(&shared.ownership).held.get(&asset).copied();
+    if held.is_some_and(|held| held.epoch == epoch) {
+        lose(shared, &asset);
+    }
 }
 
 /// Compares what this member believes to hold with the table. An owner that has nothing to commit would
-/// otherwise never notice that it was taken over.
+/// otherwise never notice that it was taken over. After a loss it is done at once: who took one thing took others, and parts
+/// of a fleet that take all things in the same turns can work, which those that hold shards without replicas cannot.
 async fn verify(shared: &Arc<Shared>) {
     let held: Vec<(Asset, Held)> = {
         let ownership = lock(&shared.ownership);
--- a/crates/node/src/runner/slots.rs
+++ b/crates/node/src/runner/slots.rs
@@ -191,7 +191,7 @@
             "{PREFIX} {} obeys another owner",
             task.replica.machine.replica
         );
-        ownership::replica_lost(&shared, &task.replica.machine.replica);
+        ownership::replica_lost(&shared, &task.replica.machine.replica, task.epoch);
     }
     lock(&shared.runner).ended(&task, &outcome);
     shared.runner_wake.notify_one();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -39,7 +39,8 @@
     pub load_every: Duration,
     /// How often ownership is compared with the view.
     pub ownership_every: Duration,
-    /// How long the view must name this member before it takes over from a live owner.
+    /// How long the view must name this member before it takes over from a live owner. Who took something from this member
+    /// is left alone for twice as long, in view or not, and longer each time.
     pub ownership_patience: Duration,
     /// How often batch slots are decided.
     pub batch_tick: Duration,
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -4,8 +4,11 @@
 //! fleet differ in cuts and in stalls, so a view alone takes nothing from its owner: who holds an owner for gone challenges it in
 //! the record, and an owner that lives and reaches the store refutes that by writing the record. Only a challenge that stands is
 //! followed by a takeover, under the challenge's revision. A calm fleet writes nothing.
+//!
+//! What nobody watches (shards, replicas) cannot be challenged soon: there [`Rests`] alone bound the turns.
 
 mod rests;
 mod takeovers;
 
+pub use rests::Rests;
 pub use takeovers::{Claim, OwnerStanding, Step, TakeoverBounds, Takeovers};
--- a/crates/ownership/src/rests.rs
+++ b/crates/ownership/src/rests.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Rests of one daemon, by owner.
+/// Rests of one daemon, by owner. All times are those of its own clock.
 #[derive(Debug, Default)]
-pub(crate) struct Rests {
+pub struct Rests {
     owners: HashMap<String, Rest>,
 }
 
