--- a/crates/tenants/tests/rates.rs
+++ b/crates/tenants/tests/rates.rs
@@ -201,6 +201,14 @@
         self.changed_at = Some(self.now);
     }
 
+    /// Two sides each of which hears itself only.
+    fn split(&mut self, daemons: &[usize]) {
+        for daemon in daemons {
+            self.daemons[*daemon].side = 1;
+        }
+        self.changed_at = Some(self.now);
+    }
+
     fn heal(&mut self) {
         for daemon in &mut self.daemons {
             daemon.side = 0;
@@ -561,6 +569,33 @@
     assert!(most[1] > bound, "the unsafe variant admits {}", most[1]);
 }
 
+/// Two halves that do not hear each other for longer than members that are gone are remembered: each then gives out the whole
+/// limit, since a fleet that really shrank must have it. No more than that, and one limit again once they have met.
+#[test]
+fn halves_that_do_not_hear_each_other_for_long_give_out_a_limit_each_and_no_more() {
+    const DAEMONS: usize = 60;
+    const REMEMBERED: Duration = Duration::from_secs(20);
+    let bound = BOUNDS.most_in_window(limit(80.0, 80.0));
+    let mut random = SmallRng::seed_from_u64(11);
+    let mut fleet = Fleet::new(DAEMONS, limit(80.0, 80.0));
+    fleet.pass(Duration::from_secs(6), 400.0, &mut random);
+    fleet.split(&(0..DAEMONS / 2).collect::<Vec<usize>>());
+    fleet.pass(REMEMBERED, 400.0, &mut random);
+    let remembered = fleet.most_in_window as f64;
+    assert!(remembered <= bound, "{remembered} of {bound}");
+    fleet.pass(Duration::from_secs(40), 400.0, &mut random);
+    let forgotten = fleet.most_in_window as f64;
+    assert!(forgotten <= 2.0 * bound, "{forgotten} of twice {bound}");
+    fleet.heal();
+    // Views meet, and a window that reaches back into the cut ends.
+    fleet.pass(DETECTED_AFTER + BOUNDS.window, 400.0, &mut random);
+    fleet.most_in_window = 0;
+    fleet.pass(Duration::from_secs(30), 400.0, &mut random);
+    let healed = fleet.most_in_window as f64;
+    println!("{remembered}, {forgotten}, {healed} of {bound}");
+    assert!(healed <= bound, "{healed} of {bound}");
+}
+
 /// The coordinator is taken for alive, but half of the fleet does not reach it: the one that follows gives out its
 /// starting stock and no more. The variant in which it gives out the limit shows that the test can fail.
 #[test]
