--- a/crates/ownership/src/rests.rs
+++ b/crates/ownership/src/rests.rs
@@ -16,24 +16,27 @@
 }
 
 impl Rests {
-    /// An owner has just shown that it lives: it rests for `first`, or twice as long as the last time, `longest` at most, and
-    /// `longer` times that. Within a rest it begins anew and does not double: several records show the same.
-    pub fn extend(
-        &mut self,
-        owner: &str,
-        (first, longest): (Duration, Duration),
-        longer: f64,
-        now: Duration,
-    ) {
-        let length = match self.owners.get(owner) {
-            None => first,
-            Some(rest) if now < rest.until => rest.length,
-            Some(rest) => (rest.length * 2).min(longest),
-        };
-        let until = now + length.mul_f64(longer);
+    /// An owner has just shown that it lives: it rests for `first`, or twice as long as the last time, `longest` at most. What
+    /// several records show in the same rest is one proof.
+    pub fn extend(&mut self, owner: &str, first: Duration, longest: Duration, now: Duration) {
+        let rest = self.owners.get(owner);
+        if rest.is_some_and(|rest| now < rest.until) {
+            return;
+        }
+        let length = rest.map_or(first, |rest| (rest.length * 2).min(longest));
+        let until = now + length;
         self.owners.insert(owner.to_owned(), Rest { length, until });
     }
 
+    /// The same, but a rest that lasts begins anew, no longer than before: where several daemons rest for the same owner, none
+    /// acts shortly after another has.
+    pub fn renew(&mut self, owner: &str, first: Duration, longest: Duration, now: Duration) {
+        match self.owners.get_mut(owner) {
+            Some(rest) if now < rest.until => rest.until = now + rest.length,
+            _ => self.extend(owner, first, longest, now),
+        }
+    }
+
     /// An owner is in the own view: if it is missing later, that is news.
     pub fn end(&mut self, owner: &str) {
         self.owners.remove(owner);
--- a/crates/ownership/src/takeovers.rs
+++ b/crates/ownership/src/takeovers.rs
@@ -241,15 +241,16 @@
             && !after.owner.is_empty()
             && before.owner != after.owner;
         if has_refuted || took_from_present {
-            let lengths = (self.bounds.first_rest, self.bounds.longest_rest);
-            self.rests
-                .extend(after.owner, lengths, self.rests_longer, now);
+            let first = self.bounds.first_rest.mul_f64(self.rests_longer);
+            let longest = self.bounds.longest_rest.mul_f64(self.rests_longer);
+            self.rests.renew(after.owner, first, longest, now);
         }
     }
 
     /// Forgets things that `is_open` does not name, and owners that were left alone long ago.
     pub fn retain(&mut self, is_open: impl Fn(&str) -> bool, now: Duration) {
         self.missing.retain(|asset, _| is_open(asset));
-        self.rests.forget(self.bounds.longest_rest, now);
+        let longest = self.bounds.longest_rest.mul_f64(self.rests_longer);
+        self.rests.forget(longest, now);
     }
 }
