The counting clock is read only where an answer needs it, and a paused first reading is no suspension

Cause: each look whether a replica has ended or is suspected read the clock, for every replica and request; the counting clock takes about three times as long as the steady one. And the clock's first reading was a single one: a pause of the process within it made the first lead too small, so that the same time looked like a suspension from then on.

Ruled out: a copy of the suspended time that a task refreshes: a request could use what it knows before the task has run.

Change: a replica that never ended and was never suspected needs no clock for that. The clock writes its largest lead only when it grows. The first lead is the largest of eight readings. The pause itself is not tested: nothing of the tests can pause a thread between two instructions.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -34,12 +34,25 @@
     boot.saturating_sub(steady)
 }
 
+/// Readings of the first lead. The largest counts: a pause within the only one would make it too small, and all later ones look
+/// like a suspension of that length.
+const FIRST_READINGS: usize = 8;
+
+fn first_lead() -> Duration {
+    let readings = (0..FIRST_READINGS).map(|_| least_lead());
+    readings.max().unwrap_or_default()
+}
+
 /// Time for which this machine was suspended since this was first asked.
 pub fn suspended() -> Duration {
-    let first = *FIRST_LEAD.get_or_init(least_lead);
+    let first = *FIRST_LEAD.get_or_init(first_lead);
     let since = least_lead().saturating_sub(first);
     let since = micros(since);
-    let known = SUSPENDED_MICROS.fetch_max(since, Ordering::Relaxed);
+    // Nearly all readings find nothing new, and need not write for that.
+    let mut known = SUSPENDED_MICROS.load(Ordering::Relaxed);
+    if since > known {
+        known = SUSPENDED_MICROS.fetch_max(since, Ordering::Relaxed);
+    }
     let imagined = IMAGINED_MICROS.load(Ordering::Relaxed);
     Duration::from_micros(known.max(since) + imagined)
 }
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -208,7 +208,9 @@
 
     /// True while it counts as ended.
     pub fn has_ended(&self) -> bool {
-        self.now_ms() < self.ended_until_ms.load(Ordering::Relaxed)
+        let until = self.ended_until_ms.load(Ordering::Relaxed);
+        // Asked of every replica for every request; nearly all have not, and need no look at the clock for that.
+        until > 0 && self.now_ms() < until
     }
 
     /// True while it may take new work: it is there, does not leave, and its zone is in service.
@@ -365,7 +367,7 @@
 
     /// True while the replica is avoided.
     pub fn is_suspected(&self) -> bool {
-        self.suspicion.is_active(self.now_ms())
+        self.suspicion.was_raised() && self.suspicion.is_active(self.now_ms())
     }
 
     /// Tokens at the beginning of the prompt that the replica probably keeps.
--- a/crates/serving/src/suspicion.rs
+++ b/crates/serving/src/suspicion.rs
@@ -35,6 +35,11 @@
         now_ms.saturating_sub(self.progress_at_ms.load(Ordering::Relaxed))
     }
 
+    /// True if a request has ever failed there: else no look at a clock is needed.
+    pub fn was_raised(&self) -> bool {
+        self.until_ms.load(Ordering::Relaxed) > 0
+    }
+
     /// True while the replica is avoided.
     pub fn is_active(&self, now_ms: u64) -> bool {
         now_ms < self.until_ms.load(Ordering::Relaxed)
