A daemon behind a forwarder tells its peers the forwarder's addresses

Cause: the soak cannot cut daemons apart: the address that a daemon tells its peers is always the one that it binds, so nothing can stand between two daemons. Change: EdgeSettings names advertised addresses for datagrams and for control calls; where it names none, the bound ones are told as before.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -38,7 +38,7 @@
 pub use quarantine::QuarantineService;
 pub use rates::RateService;
 pub use server::{HttpService, ResponseBody, ServerControl, ServerStage, serve};
-pub use settings::EdgeSettings;
+pub use settings::{AdvertisedAddresses, EdgeSettings};
 pub use slots::{CoordinatorCandidate, Pacing, SlotService, YieldItems};
 pub use watch::{
     SpaceCopy, SpaceUpdate, Watch, WatchPace, WatchSettings, WholeReadPace, gathering_interval,
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -125,8 +125,8 @@
     ) -> Self {
         let own = MemberRecord {
             id: life.clone(),
-            udp_address: settings.peer_address.clone(),
-            peer_address: settings.control_address.clone(),
+            udp_address: settings.told_peer_address().to_owned(),
+            peer_address: settings.told_control_address().to_owned(),
             zone: settings.zone.clone(),
             region: settings.region.clone(),
             incarnation: 1,
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -5,6 +5,15 @@
 use harrierward_serving::{KeyTrust, Mechanism, Policy, SelectionCosts, Topology};
 use harrierward_tenants::RateBounds;
 
+/// Addresses that peers are told, `IP:PORT`; `None` for the one that is bound.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AdvertisedAddresses {
+    /// In place of [`EdgeSettings::peer_address`].
+    pub peer: Option<String>,
+    /// In place of [`EdgeSettings::control_address`].
+    pub control: Option<String>,
+}
+
 /// Settings; addresses are `IP:PORT`.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EdgeSettings {
@@ -24,6 +33,8 @@
     pub control_address: String,
     /// UDP and TCP address for peers.
     pub peer_address: String,
+    /// Addresses that peers are told where they differ from those that are bound, as behind a forwarder.
+    pub advertised: AdvertisedAddresses,
     /// Peers' addresses of some other daemons.
     pub seeds: Vec<String>,
     /// Address of the store.
@@ -54,6 +65,17 @@
 }
 
 impl EdgeSettings {
+    /// Address at which peers send datagrams.
+    pub fn told_peer_address(&self) -> &str {
+        self.advertised.peer.as_ref().unwrap_or(&self.peer_address)
+    }
+
+    /// Address at which peers ask control calls; may be empty.
+    pub fn told_control_address(&self) -> &str {
+        let told = self.advertised.control.as_ref();
+        told.unwrap_or(&self.control_address)
+    }
+
     /// The prices by which replicas are chosen.
     pub fn costs(&self) -> SelectionCosts {
         let mut costs = SelectionCosts::under(self.policy);
