A test holds the rate of asks for members and its jitter

Cause: of eight mutants of the rejoin, three passed all tests of cuts.rs and rejoin.rs: a rate that does not fall with the fleet's size, one ten times as high, none of the jitter.

Change: a test of the core alone: mean time between asks with 2, 70, 299 and 519 others (2, 2, 6, 10.4 s within a tenth), and its spread.

--- a/crates/membership/tests/rejoin.rs
+++ b/crates/membership/tests/rejoin.rs
@@ -17,6 +17,9 @@
 const RESTARTED: &str = "10.0.0.5:1";
 const SEED: &str = "10.0.0.6:1";
 
+/// How addresses of many members begin that all answer.
+const CROWD: &str = "10.1.";
+
 fn record(id: &str, address: &str, state: MemberState) -> MemberRecord {
     MemberRecord {
         id: id.to_owned(),
@@ -27,7 +30,19 @@
     }
 }
 
-/// A daemon whose peer answers all probes, while nobody else answers.
+fn crowd(size: usize) -> Vec<MemberRecord> {
+    let member = |number: usize| {
+        let address = format!("{CROWD}{}.{}:1", number / 100, number % 100);
+        record(&format!("crowd-{number}"), &address, MemberState::Alive)
+    };
+    (0..size).map(member).collect()
+}
+
+fn is_in_crowd(address: &str) -> bool {
+    address.starts_with(CROWD)
+}
+
+/// A daemon whose peer, and the crowd, answer all probes, while nobody else answers.
 struct Play {
     core: MembershipCore,
     random: SmallRng,
@@ -72,7 +87,9 @@
                     Ok(DatagramKind::Join) => {
                         asked.insert(action.address);
                     }
-                    Ok(DatagramKind::Ping) if action.address == PEER => {
+                    Ok(DatagramKind::Ping)
+                        if action.address == PEER || is_in_crowd(&action.address) =>
+                    {
                         self.hear(DatagramKind::Ack, action.datagram.probe, Vec::new());
                     }
                     _ => {}
@@ -136,3 +153,32 @@
         assert_eq!(asked, BTreeSet::from([PEER.to_owned(), SEED.to_owned()]));
     }
 }
+
+/// Seconds between asks of a seed, in a fleet of the daemon and so many others.
+fn gaps(others: usize) -> Vec<f64> {
+    let mut play = Play::new(&[SEED]);
+    play.hear_of(crowd(others));
+    let mut asked_at = Vec::new();
+    while asked_at.len() < 200 {
+        if !play.asked_in(TICK).is_empty() {
+            asked_at.push(play.now.as_secs_f64());
+        }
+    }
+    asked_at.windows(2).map(|pair| pair[1] - pair[0]).collect()
+}
+
+/// All daemons together ask 50 times a second, a daemon each 2 s at most, and not in step.
+#[test]
+fn asks_are_rarer_in_a_large_fleet_and_never_regular() {
+    for (others, mean) in [(2, 2.0), (70, 2.0), (299, 6.0), (519, 10.4)] {
+        let gaps = gaps(others);
+        let count = f64::from(u32::try_from(gaps.len()).unwrap_or(u32::MAX));
+        let seen = gaps.iter().sum::<f64>() / count;
+        assert!((seen / mean - 1.0).abs() < 0.1, "{others} others: {seen} s");
+        let (least, most) = gaps.iter().fold((f64::MAX, 0.0_f64), |(least, most), gap| {
+            (least.min(*gap), most.max(*gap))
+        });
+        assert!(least < mean * 0.7, "{others} others: at least {least} s");
+        assert!(most > mean * 1.3, "{others} others: at most {most} s");
+    }
+}
