--- a/crates/edge/src/members/notices.rs
+++ b/crates/edge/src/members/notices.rs
@@ -5,7 +5,6 @@
 use harrierward_serving::{Mechanism, WorkClass};
 use harrierward_wire::{LoadNotice, NodeDatagram, ReplicaCount, encode, node_datagram};
 use rand::seq::IteratorRandom;
-use tokio::time::Instant;
 
 use super::{Members, State};
 
@@ -23,7 +22,7 @@
         if !self.policy.has(Mechanism::LoadNotices) {
             return Vec::new();
         }
-        if state.loads.expire(Instant::now()) {
+        if state.loads.expire(harrierward_clock::now()) {
             self.publish_loads(state);
         }
         state.notices += 1;
@@ -83,7 +82,7 @@
 
     pub(super) fn take_notice(&self, state: &mut State, mut notice: LoadNotice) {
         self.take_news(state, &mut notice);
-        let is_new = state.loads.take(notice, Instant::now());
+        let is_new = state.loads.take(notice, harrierward_clock::now());
         // In a large fleet notices come too often for that; the tick publishes them.
         if is_new && state.loads.heard() <= NOTICE_FAN_OUT {
             self.publish_loads(state);
@@ -114,7 +113,7 @@
             return false;
         }
         let (mut reaching, mut all) = (0, 0);
-        for age_ms in state.loads.proof_ages_ms() {
+        for age_ms in state.loads.proof_ages_ms(harrierward_clock::now()) {
             all += 1;
             let age = Duration::from_millis(u64::from(age_ms));
             reaching += usize::from(age_ms > 0 && age < ALONE_CUT_OFF_AFTER);
--- a/crates/edge/src/peer_loads.rs
+++ b/crates/edge/src/peer_loads.rs
@@ -17,6 +17,12 @@
     at: Instant,
 }
 
+impl PeerLoad {
+    fn is_believed(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < NOTICE_LIFETIME
+    }
+}
+
 /// All peers together at one replica.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PeerSum {
@@ -26,7 +32,7 @@
     pub batch: u32,
 }
 
-/// The peers' last words.
+/// The peers' last words. All times are those of a clock that counts suspensions.
 #[derive(Default)]
 pub struct PeerLoads {
     loads: HashMap<String, PeerLoad>,
@@ -52,14 +58,15 @@
     /// Forgets what is too old; true if anything was.
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.loads.len();
-        self.loads
-            .retain(|_, load| now.saturating_duration_since(load.at) < NOTICE_LIFETIME);
+        self.loads.retain(|_, load| load.is_believed(now));
         self.loads.len() != before
     }
 
-    /// The ages of all peers' proofs.
-    pub fn proof_ages_ms(&self) -> impl Iterator<Item = u32> {
-        self.loads.values().map(|load| load.notice.proof_age_ms)
+    /// The ages of the peers' proofs, of those heard of lately: what was heard before a suspension says nothing of now.
+    pub fn proof_ages_ms(&self, now: Instant) -> impl Iterator<Item = u32> {
+        let loads = self.loads.values();
+        let believed = loads.filter(move |load| load.is_believed(now));
+        believed.map(|load| load.notice.proof_age_ms)
     }
 
     /// A peer, chosen at random by their numbers, that runs a batch item at the replica; it counts one less from
--- a/crates/edge/tests/peer_loads.rs
+++ b/crates/edge/tests/peer_loads.rs
@@ -38,6 +38,21 @@
     assert_eq!(loads.heard(), 0);
 }
 
+/// A daemon whose machine was suspended has an old proof itself; peers' proofs from before must not make it look cut off alone.
+#[test]
+fn what_peers_said_of_their_proofs_before_a_suspension_does_not_count_after_it() {
+    let now = Instant::now();
+    let mut loads = PeerLoads::default();
+    let fresh = LoadNotice {
+        proof_age_ms: 40,
+        ..notice("a", 1, Vec::new())
+    };
+    loads.take(fresh, now);
+    let ages = |at: Instant| loads.proof_ages_ms(at).collect::<Vec<u32>>();
+    assert_eq!(ages(now + Duration::from_millis(1_400)), [40]);
+    assert_eq!(ages(now + Duration::from_millis(4_000)), Vec::<u32>::new());
+}
+
 #[test]
 fn the_peers_that_run_items_at_a_replica_are_asked_for_its_slots_and_each_item_once() {
     let now = Instant::now();
