--- /dev/null
+++ b/crates/inline-jobs/tests/stuck.rs
@@ -0,0 +1,69 @@
+//! Which jobs get nowhere at their owner, so that it gives them up when it is challenged.
+
+use std::time::Duration;
+
+use harrierward_inline_jobs::KnownHead;
+use harrierward_inline_jobs::owned_job::OwnedJob;
+use harrierward_wire::{ItemHeadRow, JobHeadRow};
+use tokio::time::{Instant, advance};
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+fn known(listed: &[u32]) -> KnownHead {
+    let items = (0..3).map(|number| ItemHeadRow {
+        id: format!("item-{number}"),
+        tokens: 10,
+    });
+    KnownHead {
+        head: JobHeadRow {
+            job_id: "job-1".to_owned(),
+            items: items.collect(),
+            listed: listed.to_vec(),
+            owner: "this-daemon".to_owned(),
+            epoch: 1,
+            ..JobHeadRow::default()
+        },
+        revision: 10 + listed.len() as u64,
+    }
+}
+
+/// A job that was entered more than the patience ago, and of which a run has just failed to reach a replica.
+async fn job_with_a_broken_run() -> OwnedJob {
+    let mut job = OwnedJob::new(known(&[]), Vec::new(), Vec::new());
+    advance(Duration::from_secs(20)).await;
+    job.broken_run_at = Some(Instant::now());
+    job
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_whose_runs_come_to_nothing_is_stuck() {
+    let job = job_with_a_broken_run().await;
+    assert!(job.is_stuck(PATIENCE));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_waits_for_slots_is_not_stuck() {
+    let job = OwnedJob::new(known(&[]), Vec::new(), Vec::new());
+    advance(Duration::from_secs(20)).await;
+    assert!(!job.is_stuck(PATIENCE));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_has_just_been_entered_is_not_stuck() {
+    let mut job = OwnedJob::new(known(&[]), Vec::new(), Vec::new());
+    job.broken_run_at = Some(Instant::now());
+    assert!(!job.is_stuck(PATIENCE));
+}
+
+/// The progress of items is dropped when they are listed; the listing itself is what has moved.
+#[tokio::test(start_paused = true)]
+async fn a_job_of_which_a_result_was_listed_lately_is_not_stuck() {
+    let mut job = job_with_a_broken_run().await;
+    job.take_head(known(&[0]));
+    advance(Duration::from_millis(2_800)).await;
+    job.broken_run_at = Some(Instant::now());
+    assert!(!job.is_stuck(PATIENCE));
+    advance(Duration::from_millis(2_200)).await;
+    job.broken_run_at = Some(Instant::now());
+    assert!(job.is_stuck(PATIENCE));
+}
