A listed result counts as movement of its job

Cause: listing an item drops its progress, and with it the time of its last event, so a job looked stuck from the moment of a listing on. Ruled out: keeping the progress of listed items (it is the whole output).

--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -35,6 +35,8 @@
     pub entered_at: Instant,
     /// When a run of it last came to nothing at a replica.
     pub broken_run_at: Option<Instant>,
+    /// When results of it were last seen to be listed.
+    listed_at: Option<Instant>,
 }
 
 impl OwnedJob {
@@ -76,6 +78,7 @@
             checkpoint_at: now,
             entered_at: now,
             broken_run_at: None,
+            listed_at: None,
         };
         job.take_head(known);
         job
@@ -83,6 +86,9 @@
 
     /// Takes a newer head of the same owner and epoch: what it lists, and the failures that it counts.
     pub fn take_head(&mut self, known: KnownHead) {
+        if known.head.listed.len() > self.known.head.listed.len() {
+            self.listed_at = Some(Instant::now());
+        }
         self.known = known;
         for row in &self.known.head.failures {
             if let Some(item) = self.items.get_mut(row.item as usize) {
@@ -158,7 +164,9 @@
             is_young || lock(&item.progress).moved_at.is_some_and(is_recent)
         };
         let has_tried = self.broken_run_at.is_some_and(is_recent);
-        has_tried && !is_recent(self.entered_at) && !self.items.iter().any(has_moved)
+        let has_listed = self.listed_at.is_some_and(is_recent);
+        let has_begun = is_recent(self.entered_at);
+        has_tried && !has_begun && !has_listed && !self.items.iter().any(has_moved)
     }
 
     /// Items that have failed as often as their route allows, under an earlier owner, do not run again.
