--- a/crates/inline-jobs/src/item.rs
+++ b/crates/inline-jobs/src/item.rs
@@ -81,24 +81,24 @@
 }
 
 impl Item {
-    pub fn may_run_again(&self) -> bool {
+    pub(crate) fn may_run_again(&self) -> bool {
         matches!(
             self.phase,
             ItemPhase::Waiting { .. } | ItemPhase::Running { .. }
         )
     }
 
-    pub fn has_failures_to_keep(&self) -> bool {
+    pub(crate) fn has_failures_to_keep(&self) -> bool {
         self.failures > self.failures_kept && self.may_run_again()
     }
 
-    pub fn is_startable(&self, now: Instant) -> bool {
+    pub(crate) fn is_startable(&self, now: Instant) -> bool {
         let is_due = matches!(self.phase, ItemPhase::Waiting { not_before } if not_before <= now);
         is_due && !self.has_failures_to_keep()
     }
 }
 
-pub fn end_run(phase: &ItemPhase) {
+pub(crate) fn end_run(phase: &ItemPhase) {
     if let ItemPhase::Running { task, .. } = phase {
         task.abort();
     }
