Ends of replicas are kept in the store as well: daemons that hear nobody hold contents back together

Cause: ends, whole answers and releases went by datagram only.

Ruled out: a space of its own (a further feed for each daemon); a row a content (conditions, and rows that somebody must remove); rows by all that hear of it (a write a daemon for each end); the store instead of the datagrams (slow or away when it is needed).

All take such rows by the watch that they have, aged by the store's clock. `keys::row_kind` tells heads, fences and these rows apart, in place of `is_fence`. The ledger takes nothing that is too old to count, and remembers a clearing for an hour and not a minute: another daemon's row may still hold the ends that it cleared, and one that starts later would hold them back anew.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -7,7 +7,9 @@
 use arc_swap::ArcSwapOption;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{ObjectStore, Table, WatchedTable};
-use harrierward_inline_jobs::{HEADS, InlineJobs, JobParts, JobSettings, is_fence, partitions};
+use harrierward_inline_jobs::{
+    HEADS, InlineJobs, JobParts, JobSettings, RowKind, partitions, row_kind,
+};
 use harrierward_serving::{
     ConfigurationProof, Forwarder, ForwarderParts, ForwarderSettings, KeyTrust, Location,
     Mechanism, Replica, ReplicaClient, ReplicaSet,
@@ -177,7 +179,7 @@
         members.set_news(news.clone());
         let jobs = InlineJobs::new(JobParts {
             life,
-            table,
+            table: table.clone(),
             objects,
             watched: watched.clone(),
             forwarder: forwarder.clone(),
@@ -201,7 +203,14 @@
             reads_a_second,
             configuration_wait: configuration_wait(settings.key_trust),
         };
-        start_watches(&discovery, source.as_ref(), &watched, &jobs, &paces, &log);
+        let heads = HeadTaker {
+            jobs: jobs.clone(),
+            quarantine: quarantine.clone(),
+        };
+        start_watches(&discovery, source.as_ref(), &watched, heads, &paces, &log);
+        let clock = jobs.clone();
+        let store_now_ms = move || clock.view().store_now_ms();
+        tokio::spawn(quarantine.clone().keep_stored(table, store_now_ms));
         tokio::spawn(jobs.clone().run());
         tokio::spawn(news.catch_up(pool.clone()));
         tokio::spawn(discovery.clone().watch_evacuated());
@@ -320,7 +329,7 @@
     discovery: &Arc<Discovery>,
     source: &dyn DiscoverySource,
     table: &Arc<dyn WatchedTable>,
-    jobs: &InlineJobs,
+    head_taker: HeadTaker,
     paces: &Paces,
     log: &DecisionLog,
 ) {
@@ -354,12 +363,11 @@
     tokio::spawn(replicas.run(move |update| taker.take_replicas(&update)));
     let wait = WatchSettings::default().wait;
     let heads = watch(HEADS, partitions(), paces.gathering(), wait);
-    let jobs = jobs.clone();
     let first = discovery.clone();
     tokio::spawn(async move {
         // Where all daemons start at once the store takes only part of their calls: what callers wait for is read first.
         wait_until_complete(&first).await;
-        heads.run(move |update| take_heads(&jobs, &update)).await;
+        heads.run(move |update| head_taker.take(&update)).await;
     });
 }
 
@@ -379,20 +387,31 @@
     vec![String::new()]
 }
 
-fn take_heads(jobs: &InlineJobs, update: &SpaceUpdate) {
-    for row in &update.written {
-        if is_fence(&row.key) {
-            jobs.view().take_fence_row(&row.value, row.revision);
-        } else {
-            jobs.learn_row(&row.value, row.revision);
+/// What the rows of the space of heads are for.
+struct HeadTaker {
+    jobs: InlineJobs,
+    quarantine: QuarantineService,
+}
+
+impl HeadTaker {
+    fn take(&self, update: &SpaceUpdate) {
+        let view = self.jobs.view();
+        for row in &update.written {
+            match row_kind(&row.key) {
+                RowKind::Head => self.jobs.learn_row(&row.value, row.revision),
+                RowKind::Fence => view.take_fence_row(&row.value, row.revision),
+                // Before the store's clock is told to those that write such rows: a daemon that has started must not replace
+                // what its last life knew before it has read it.
+                RowKind::CrashNews => self.quarantine.take_stored(row, update.store_time_ms),
+            }
         }
-    }
-    for key in &update.removed {
-        if let Some(job_id) = key.rsplit('/').next() {
-            jobs.head_removed(job_id);
+        for key in &update.removed {
+            if let (RowKind::Head, Some(job_id)) = (row_kind(key), key.rsplit('/').next()) {
+                self.jobs.head_removed(job_id);
+            }
+        }
+        if let Some(moment) = update.as_of {
+            view.prove(moment, update.store_time_ms);
         }
-    }
-    if let Some(moment) = update.as_of {
-        jobs.view().prove(moment, update.store_time_ms);
     }
 }
--- a/crates/edge/src/quarantine/mod.rs
+++ b/crates/edge/src/quarantine/mod.rs
@@ -1,11 +1,12 @@
 //! Requests under which replicas end, as this daemon sees them and as others tell: what is held back here.
 //!
-//! Why told from daemon to daemon, and not by the store: a request that ends replicas comes again within half a second at any
+//! Why told from daemon to daemon, and by the store only as well ([`stored`]): a request that ends replicas comes again within half a second at any
 //! daemon, and whole fleets of replicas are gone before a store that is slow or away has answered. What is known is small,
 //! any order will do, and each telling repeats the last, so that a lost datagram costs a tenth of a second.
 
 mod breaks;
 mod operating;
+mod stored;
 mod telling;
 
 use std::net::SocketAddr;
@@ -26,6 +27,7 @@
 use crate::slots::CoordinatorCandidate;
 
 use breaks::Breaks;
+use stored::OwnRow;
 
 pub use operating::HeldContents;
 
@@ -47,6 +49,7 @@
     /// What the ledger comes to, for the request path.
     standings: ArcSwap<Standings>,
     breaks: Breaks,
+    own_row: OwnRow,
     members: ArcSwap<Vec<SocketAddr>>,
     socket: OnceLock<Arc<UdpSocket>>,
     ticks: AtomicU64,
@@ -68,6 +71,7 @@
             ledger: Mutex::default(),
             standings: ArcSwap::default(),
             breaks: Breaks::default(),
+            own_row: OwnRow::default(),
             members: ArcSwap::default(),
             socket: OnceLock::new(),
             ticks: AtomicU64::new(0),
@@ -145,7 +149,7 @@
         }
         if is_news {
             self.judge();
-            self.tell_at_once();
+            self.make_known();
         }
     }
 
@@ -221,7 +225,7 @@
             .clear(content, rand::random(), harrierward_clock::now());
         if is_news {
             self.judge();
-            self.tell_at_once();
+            self.make_known();
         }
     }
 
--- a/crates/edge/src/quarantine/operating.rs
+++ b/crates/edge/src/quarantine/operating.rs
@@ -65,7 +65,7 @@
             return false;
         }
         self.judge();
-        self.tell_at_once();
+        self.make_known();
         self.inner.log.record(&Record::ContentHeld {
             content: &content.to_string(),
             outcome: "released",
--- a/crates/edge/src/quarantine/telling.rs
+++ b/crates/edge/src/quarantine/telling.rs
@@ -46,8 +46,10 @@
         }
     }
 
-    pub(super) fn tell_at_once(&self) {
+    /// Tells what this daemon saw itself: some members at once, and all that reach the store.
+    pub(super) fn make_known(&self) {
         self.tell(TOLD_AT_ONCE);
+        self.inner.own_row.set_due();
     }
 
     fn tell(&self, most: usize) {
@@ -108,7 +110,7 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
-fn to_message(told: &[ToldContent]) -> CrashNews {
+pub(super) fn to_message(told: &[ToldContent]) -> CrashNews {
     let contents = told.iter().map(|one| CrashedContent {
         content: one.content.0,
         ends: one
--- a/crates/inline-jobs/src/keys.rs
+++ b/crates/inline-jobs/src/keys.rs
@@ -70,10 +70,43 @@
     partitions().into_iter().map(key).collect()
 }
 
-/// True if the row is a fence, and not a head.
-pub fn is_fence(key: &str) -> bool {
-    let name = key.rsplit('/').next();
-    name.is_some_and(|name| name.starts_with(FENCE_MARK))
+/// Beginning of the names of the rows in which daemons keep what they know of ends of replicas; no job's id can begin so.
+const CRASH_MARK: &str = "~crash.";
+
+/// What separates a daemon's name, which stays over restarts, from the rest of its life's.
+const LIFE_MARK: char = '@';
+
+/// Key of the row of a daemon's news of ends of replicas. One a daemon, whatever its life: a restart replaces it.
+pub fn crash_news(life: &str) -> String {
+    let member = life
+        .rsplit_once(LIFE_MARK)
+        .map_or(life, |(member, _)| member);
+    let hash = xxh3_64(member.as_bytes());
+    let partition = partition_name(hash % PARTITIONS);
+    format!("{HEADS}/{partition}/{CRASH_MARK}{hash:016x}")
+}
+
+/// What a row of the space of heads is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RowKind {
+    /// A job's head.
+    Head,
+    /// Who keeps a route's quota.
+    Fence,
+    /// What a daemon knows of ends of replicas.
+    CrashNews,
+}
+
+/// Tells what a row of the space of heads is, by its key.
+pub fn row_kind(key: &str) -> RowKind {
+    let name = key.rsplit('/').next().unwrap_or_default();
+    if name.starts_with(FENCE_MARK) {
+        RowKind::Fence
+    } else if name.starts_with(CRASH_MARK) {
+        RowKind::CrashNews
+    } else {
+        RowKind::Head
+    }
 }
 
 /// Key of a row of items.
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -28,7 +28,7 @@
 mod takeover;
 mod view;
 
-pub use keys::{HEADS, is_fence, partitions};
+pub use keys::{HEADS, RowKind, crash_news, partitions, row_kind};
 pub use model::{
     EndOutcome, JobCaller, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem,
     SubmittedJob,
--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -17,7 +17,7 @@
 use rand::rngs::SmallRng;
 use tokio::time::{Instant, sleep};
 
-use crate::keys;
+use crate::keys::{self, RowKind};
 use crate::view::KnownHead;
 
 /// Largest content of a row, bytes; base64 makes it a third longer.
@@ -167,7 +167,9 @@
                 Ok(TransactionOutcome::Committed { revision }) => {
                     return WriteOutcome::Committed { revision };
                 }
-                Ok(TransactionOutcome::Conflict { key, current }) if keys::is_fence(&key) => {
+                Ok(TransactionOutcome::Conflict { key, current })
+                    if keys::row_kind(&key) == RowKind::Fence =>
+                {
                     let current = current.as_ref().and_then(known_fence);
                     return WriteOutcome::Fenced { current };
                 }
--- a/crates/inline-jobs/src/store/reads.rs
+++ b/crates/inline-jobs/src/store/reads.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{JobStore, LONGEST_PAUSE, ReadResult, known};
-use crate::keys;
+use crate::keys::{self, RowKind};
 use crate::view::KnownHead;
 
 /// Most rows read at once.
@@ -29,7 +29,8 @@
             if let Ok(snapshot) = read.as_ref()
                 && snapshot.revision >= revision
             {
-                let heads = snapshot.rows.iter().filter(|row| !keys::is_fence(&row.key));
+                let is_head = |row: &&Row| keys::row_kind(&row.key) == RowKind::Head;
+                let heads = snapshot.rows.iter().filter(is_head);
                 return Some(heads.filter_map(known).collect());
             }
             sleep(LONGEST_PAUSE / 2).await;
--- /dev/null
+++ b/crates/inline-jobs/tests/rows_of_heads.rs
@@ -0,0 +1,140 @@
+//! The space of the jobs' heads holds rows of three kinds, which must never be taken for each other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use harrierward_external::{
+    ChangePage, ObjectStore, PageStart, PlatformError, PlatformErrorKind, RequestClass, Row,
+    SpacePage, Table, Transaction, TransactionOutcome, WatchedTable,
+};
+use harrierward_inline_jobs::{JobStore, RowKind, crash_news, partitions, row_kind};
+use harrierward_wire::{CrashNewsRow, JobHeadRow, QuotaFenceRow, encode};
+use tokio::time::Instant;
+
+const JOB: &str = "job-1";
+const LIFE: &str = "node@1";
+const HEAD_KEY: &str = "jobheads/p0/job-1";
+const FENCE_KEY: &str = "jobheads/p0/~quota.0000000000000001";
+
+#[test]
+fn a_key_tells_what_the_row_is() {
+    assert_eq!(row_kind(HEAD_KEY), RowKind::Head);
+    assert_eq!(row_kind(FENCE_KEY), RowKind::Fence);
+    assert_eq!(row_kind(&crash_news(LIFE)), RowKind::CrashNews);
+}
+
+/// As many rows as daemons, however often these start.
+#[test]
+fn a_daemon_that_starts_again_has_the_row_of_its_last_life() {
+    assert_eq!(crash_news("node@1"), crash_news("node@2-ab"));
+    assert_ne!(crash_news("node-1@1"), crash_news("node-2@1"));
+    let key = crash_news(LIFE);
+    let partition = key.split('/').nth(1).expect("a partition");
+    assert!(partitions().iter().any(|one| one == partition), "{key}");
+}
+
+/// A store with a row of each kind; any of them can be decoded as a head.
+struct EachKind;
+
+fn away(step: &'static str) -> PlatformError {
+    PlatformError::new(step, "store", PlatformErrorKind::NotDone, "away")
+}
+
+#[async_trait]
+impl Table for EachKind {
+    async fn transact(
+        &self,
+        _: RequestClass,
+        _: Transaction,
+    ) -> Result<TransactionOutcome, PlatformError> {
+        Err(away("transact"))
+    }
+
+    async fn get(&self, _: RequestClass, _: &[String]) -> Result<Vec<Option<Row>>, PlatformError> {
+        Err(away("get"))
+    }
+
+    async fn scan(
+        &self,
+        _: RequestClass,
+        _: &str,
+        _: &str,
+        _: usize,
+    ) -> Result<Vec<Row>, PlatformError> {
+        Err(away("scan"))
+    }
+}
+
+#[async_trait]
+impl ObjectStore for EachKind {
+    async fn put(&self, _: RequestClass, _: &str, _: Bytes) -> Result<(), PlatformError> {
+        Err(away("put"))
+    }
+
+    async fn get(&self, _: RequestClass, _: &str) -> Result<Bytes, PlatformError> {
+        Err(away("get object"))
+    }
+
+    async fn delete(&self, _: RequestClass, _: &str) -> Result<(), PlatformError> {
+        Err(away("delete"))
+    }
+}
+
+#[async_trait]
+impl WatchedTable for EachKind {
+    async fn read_page(&self, _: &str, start: PageStart<'_>) -> Result<SpacePage, PlatformError> {
+        let head = JobHeadRow {
+            job_id: JOB.to_owned(),
+            ..JobHeadRow::default()
+        };
+        let fence = QuotaFenceRow {
+            route: "route".to_owned(),
+            ..QuotaFenceRow::default()
+        };
+        let news = CrashNewsRow {
+            life: LIFE.to_owned(),
+            ..CrashNewsRow::default()
+        };
+        let rows = [
+            (HEAD_KEY.to_owned(), encode(&head)),
+            (FENCE_KEY.to_owned(), encode(&fence)),
+            (crash_news(LIFE), encode(&news)),
+        ];
+        let is_here = |key: &str| key.split('/').nth(1) == Some(start.partition);
+        let rows = rows.into_iter().filter(|(key, _)| is_here(key));
+        let rows = rows.map(|(key, value)| Row {
+            key,
+            value: value.into(),
+            revision: 1,
+        });
+        Ok(SpacePage {
+            rows: rows.collect(),
+            revision: 1,
+            ..SpacePage::default()
+        })
+    }
+
+    async fn wait_changes(
+        &self,
+        _: &str,
+        _: u64,
+        _: Duration,
+    ) -> Result<ChangePage, PlatformError> {
+        Err(away("wait changes"))
+    }
+}
+
+#[tokio::test]
+async fn only_heads_are_read_as_heads() {
+    let rows = Arc::new(EachKind);
+    let store = JobStore::new(rows.clone(), rows.clone(), rows);
+    let until = Instant::now() + Duration::from_secs(2);
+    let heads = store.read_heads(1, until).await.expect("read");
+    let ids: Vec<&str> = heads
+        .iter()
+        .map(|known| known.head.job_id.as_str())
+        .collect();
+    assert_eq!(ids, [JOB]);
+}
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -14,7 +14,7 @@
 /// Most ends kept of one content, the newest.
 const MOST_ENDS: usize = 16;
 
-/// How long an end counts. A request that comes back every quarter of an hour is found within an hour.
+/// How long an end counts, and how long a clearing is remembered. A request that comes back every quarter of an hour is found within an hour.
 const END_LIFETIME: Duration = Duration::from_secs(3_600);
 
 /// How much later than it happened an end may be dated, where it was told from daemon to daemon. A whole answer later than
@@ -122,6 +122,15 @@
     pub cleared: Option<ToldClearing>,
 }
 
+impl ToldContent {
+    /// True if anything of it is young enough to count.
+    fn counts(&self) -> bool {
+        let cleared = self.cleared.iter().map(|cleared| cleared.age);
+        let mut ages = self.ends.iter().map(|end| end.age).chain(cleared);
+        ages.any(|age| age < END_LIFETIME)
+    }
+}
+
 /// The ends that this daemon knows of.
 #[derive(Debug, Clone, Default)]
 pub struct CrashLedger {
@@ -164,10 +173,16 @@
     pub fn take(&mut self, told: &[ToldContent], now: Instant) -> bool {
         let mut is_news = false;
         for one in told {
+            if !one.counts() {
+                continue;
+            }
             let entry = self.entries.entry(one.content).or_default();
             let mut has_changed = false;
-            // A time before the clock began stands for its beginning.
-            let date = |age: Duration| now.checked_sub(age);
+            // What is too old to count, or from before the clock began, is nothing new.
+            let date = |age: Duration| {
+                let counts = age < END_LIFETIME;
+                counts.then(|| now.checked_sub(age)).flatten()
+            };
             if let Some(told) = one.cleared
                 && let Some(at) = date(told.age)
             {
@@ -196,6 +211,22 @@
 
     /// What to tell others, at most so many contents: those to blame first, then the newest.
     pub fn told(&self, standings: &Standings, now: Instant, most: usize) -> Vec<ToldContent> {
+        self.told_within(TOLD_FOR, standings, now, most)
+    }
+
+    /// What to keep for those who hear of it later, at most so many contents, in the same order: all that still counts, and
+    /// what was cleared, since others may keep its ends.
+    pub fn kept(&self, standings: &Standings, now: Instant, most: usize) -> Vec<ToldContent> {
+        self.told_within(END_LIFETIME, standings, now, most)
+    }
+
+    fn told_within(
+        &self,
+        time: Duration,
+        standings: &Standings,
+        now: Instant,
+        most: usize,
+    ) -> Vec<ToldContent> {
         let mut wanted: Vec<(bool, Option<Instant>, &ContentId, &Entry)> = self
             .entries
             .iter()
@@ -204,7 +235,7 @@
                 (is_to_blame, entry.last_change(), content, entry)
             })
             .filter(|(is_to_blame, changed, _, _)| {
-                let is_new = changed.is_some_and(|at| now.saturating_duration_since(at) < TOLD_FOR);
+                let is_new = changed.is_some_and(|at| now.saturating_duration_since(at) < time);
                 *is_to_blame || is_new
             })
             .collect();
@@ -250,11 +281,11 @@
             entry.ends.retain(|end| !is_old(end.at));
             has_changed |= entry.ends.len() < before;
         }
-        // What was cleared is remembered for as long as others may still tell the ends.
+        // What was cleared is remembered for as long as others may still tell the ends, or keep them in the store.
         self.entries.retain(|_, entry| {
             let is_told = entry
                 .cleared
-                .is_some_and(|cleared| now.saturating_duration_since(cleared.at) < TOLD_FOR * 2);
+                .is_some_and(|cleared| now.saturating_duration_since(cleared.at) < END_LIFETIME);
             !entry.ends.is_empty() || is_told
         });
         has_changed
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -100,6 +100,37 @@
     );
 }
 
+/// What lies in the store is read much later: its ends must not come back after what cleared them is no longer told.
+#[test]
+fn a_clearing_is_kept_for_as_long_as_ends_count_and_old_ends_are_no_news() {
+    let (mut ledger, now) = (CrashLedger::default(), start());
+    for replica in 1..=3 {
+        end(&mut ledger, &[CULPRIT], replica, now);
+    }
+    let ends = ledger.kept(&ledger.standings(), now, 8);
+    assert!(ledger.clear(CULPRIT, 7, now + ms(10)));
+    let later = now + Duration::from_secs(600);
+    ledger.expire(later);
+    assert!(ledger.told(&ledger.standings(), later, 8).is_empty());
+    let kept = ledger.kept(&ledger.standings(), later, 8);
+    assert_eq!(kept.len(), 1);
+    let aged = |by: Duration| {
+        let mut ends = ends.clone();
+        for end in &mut ends[0].ends {
+            end.age += by;
+        }
+        ends
+    };
+    let mut other = CrashLedger::default();
+    other.take(&kept, later);
+    assert!(!other.take(&aged(later - now), later), "cleared");
+    let mut other = CrashLedger::default();
+    assert!(!other.take(&aged(Duration::from_secs(3_600)), later), "old");
+    assert!(other.is_empty());
+    ledger.expire(now + Duration::from_secs(3_601));
+    assert!(ledger.is_empty(), "nothing lasts");
+}
+
 #[test]
 fn memory_is_bounded_and_the_culprit_stays() {
     let (mut ledger, now) = (CrashLedger::default(), start());
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -37,7 +37,7 @@
     JobNotice, PeerReply, PeerRequest, PullReply, PullRequest, ResultsReply, ResultsRequest,
     RunningItem, peer_reply, peer_request,
 };
-pub use quarantine::{CrashNews, CrashedContent, ReplicaEnd};
+pub use quarantine::{CrashNews, CrashNewsRow, CrashedContent, ReplicaEnd};
 pub use quota::{QuotaAnswer, QuotaAsk, QuotaFenceRow, QuotaOutcome};
 pub use rates::{RateAsk, RateGrant, RateOutcome};
 pub use slots::{
--- a/crates/wire/src/quarantine.rs
+++ b/crates/wire/src/quarantine.rs
@@ -28,6 +28,20 @@
     pub clearing: u32,
 }
 
+/// What a daemon keeps in the store, for those whom its datagrams don't reach.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct CrashNewsRow {
+    /// Life of the daemon.
+    #[prost(string, tag = "1")]
+    pub life: String,
+    /// When it was written, by the store's clock, milliseconds; ages count from here.
+    #[prost(uint64, tag = "2")]
+    pub written_ms: u64,
+    /// What it knew.
+    #[prost(message, optional, tag = "3")]
+    pub news: Option<CrashNews>,
+}
+
 /// Some of what the sender knows.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct CrashNews {
