--- a/crates/ownership/tests/takeovers.rs
+++ b/crates/ownership/tests/takeovers.rs
@@ -428,3 +428,26 @@
     // Each of 70 daemons writes in a round at most, a round a rest, and rests are 16 s and longer after the first four.
     assert!(outcome.writes <= 70 * 22, "{} writes", outcome.writes);
 }
+
+/// An owner whose machine runs a later start is gone for certain, also where it had refuted a challenge just before.
+#[test]
+fn a_thing_of_an_owner_that_was_started_again_is_taken_in_its_rest() {
+    let mut core = Takeovers::new(TakeoverBounds::default(), 1.0);
+    let claim = |challenger: &'static str, revision| Claim {
+        asset: "thing",
+        owner: "daemon-0",
+        challenger,
+        epoch: 1,
+        takeovers: 0,
+        revision,
+    };
+    let now = Duration::from_secs(10);
+    core.note_change(claim("daemon-1", 1), claim("", 2), false, now);
+    let step =
+        |core: &mut Takeovers, standing, at| core.step(claim("", 2), standing, || RANK_DELAY, at);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(step(&mut core, OwnerStanding::Gone, later), Step::Wait);
+    let later = later + RANK_DELAY;
+    assert_eq!(step(&mut core, OwnerStanding::Gone, later), Step::Wait);
+    assert_eq!(step(&mut core, OwnerStanding::Succeeded, later), Step::Take);
+}
