An owner that was started again has no rest

Cause: a rest after a refutation held back also the certain ways: a later start at the owner's machine. Its jobs waited for up to 30 s. One step of the core is three now, one for what is certain, one for a challenge that stands, one for a new one.

--- a/crates/ownership/src/takeovers.rs
+++ b/crates/ownership/src/takeovers.rs
@@ -161,26 +161,45 @@
             self.rests.end(claim.owner);
             return Step::Wait;
         }
-        let is_known_to_be_over =
-            matches!(standing, OwnerStanding::GivenUp | OwnerStanding::Succeeded);
-        let is_challenged = !claim.challenger.is_empty();
+        if matches!(standing, OwnerStanding::GivenUp | OwnerStanding::Succeeded) {
+            return self.consider_certain(claim, delay, now);
+        }
+        if !claim.challenger.is_empty() {
+            return self.consider_taking(claim, delay, now);
+        }
+        self.consider_challenge(claim, delay, now)
+    }
+
+    /// Nobody can refute that the owner is gone: a rest of it counts no more.
+    fn consider_certain(
+        &mut self,
+        claim: Claim<'_>,
+        delay: impl FnOnce() -> Duration,
+        now: Duration,
+    ) -> Step {
+        let missing = self.missing(claim, now);
+        let due = missing.since + missing.delay(delay, now);
+        if now >= due { Step::Take } else { Step::Wait }
+    }
+
+    fn consider_challenge(
+        &mut self,
+        claim: Claim<'_>,
+        delay: impl FnOnce() -> Duration,
+        now: Duration,
+    ) -> Step {
         let rested = self.rests.until(claim.owner);
         let missing = self.missing(claim, now);
-        if !is_known_to_be_over && !is_challenged && now < rested {
+        if now < rested {
             return Step::Wait;
         }
-        let delay = missing.delay(delay, now);
-        if is_challenged && !is_known_to_be_over {
-            return self.consider_taking(claim, delay, now);
-        }
-        let step = if is_known_to_be_over {
-            Step::Take
-        } else {
-            Step::Challenge
-        };
         // After a rest daemons act in their order again, or all would write at its end.
-        let due = missing.since.max(rested) + delay;
-        if now >= due { step } else { Step::Wait }
+        let due = missing.since.max(rested) + missing.delay(delay, now);
+        if now >= due {
+            Step::Challenge
+        } else {
+            Step::Wait
+        }
     }
 
     fn missing(&mut self, claim: Claim<'_>, now: Duration) -> &mut Missing {
@@ -199,11 +218,15 @@
     }
 
     /// Somebody has challenged the owner. Who did takes the thing first; the others, in their order, if it does not.
-    fn consider_taking(&mut self, claim: Claim<'_>, delay: Duration, now: Duration) -> Step {
-        let stands = self.stands(claim.takeovers) + delay;
-        let Some(missing) = self.missing.get_mut(claim.asset) else {
-            return Step::Wait;
-        };
+    fn consider_taking(
+        &mut self,
+        claim: Claim<'_>,
+        delay: impl FnOnce() -> Duration,
+        now: Duration,
+    ) -> Step {
+        let stands = self.stands(claim.takeovers);
+        let missing = self.missing(claim, now);
+        let stands = stands + missing.delay(delay, now);
         let until = match missing.challenge {
             Some((revision, until)) if revision == claim.revision => until,
             _ => now + stands,
