Red: a daemon that just started calls an old proof of its configuration fresh

With the table down, daemon-5, one second old, was told of a proof 9.65 s old and counted it as 1.00 s old; its next answer gave that back to daemon-4.

The property test had one clock, at 100 s and more, for all replicas. Now each has its own, which starts at zero with it, as daemons have: its bounds are as they were.

--- a/crates/config/tests/replica.rs
+++ b/crates/config/tests/replica.rs
@@ -47,6 +47,34 @@
         .collect()
 }
 
+/// Times are of each daemon's own clock, which starts at zero with it.
+#[test]
+fn a_proof_older_than_the_daemon_keeps_its_age() {
+    let bounds = FreshnessBounds::default();
+    let millis = Duration::from_millis;
+    let mut young = ConfigReplica::new(bounds);
+    young.adopt(&ConfigDeltaReply {
+        entries: entries(0, 10),
+        revision: 10,
+        ..ConfigDeltaReply::default()
+    });
+
+    young.observe(millis(1_003), 10, Some(millis(9_653)));
+    let shown = (
+        young.is_fresh(millis(1_003)),
+        young.proof_age(millis(1_003)),
+        young.proof_age(millis(1_313)),
+    );
+    assert_eq!(shown, (false, Some(millis(9_653)), Some(millis(9_963))));
+
+    // A proof that counts is of use, though it is older than the daemon too; an older one does not replace it.
+    young.observe(millis(2_000), 10, Some(millis(7_500)));
+    young.observe(millis(2_100), 10, Some(millis(9_000)));
+    assert!(young.is_fresh(millis(2_500)));
+    assert_eq!(young.proof_age(millis(2_500)), Some(millis(8_000)));
+    assert!(!young.is_fresh(millis(2_501)));
+}
+
 proptest! {
     #![proptest_config(Config {
         cases: 512,
@@ -62,6 +90,8 @@
         let mut accepted_at: Vec<Duration> = Vec::new();
         let mut questions: Vec<Question> = Vec::new();
         let mut now = Duration::from_secs(100);
+        // Each replica's clock starts at zero with it.
+        let mut started_at = [now; REPLICAS];
         for step in steps {
             let before: Vec<u64> = replicas.iter().map(ConfigReplica::revision).collect();
             let mut restarted = None;
@@ -83,17 +113,19 @@
                     let replica = &mut replicas[question.replica];
                     replica.adopt(&question.answer);
                     let age = now - question.asked_at;
-                    replica.observe(now, question.answer.revision, Some(age));
+                    let own_now = now - started_at[question.replica];
+                    replica.observe(own_now, question.answer.revision, Some(age));
                 }
                 Step::Answer { .. } => {}
                 Step::Pull { replica, peer } => {
                     let delta = replicas[peer].delta(replicas[replica].revision());
-                    let (revision, age) = (replicas[peer].revision(), replicas[peer].proof_age(now));
+                    let (revision, age) = (replicas[peer].revision(), replicas[peer].proof_age(now - started_at[peer]));
                     replicas[replica].adopt(&delta);
-                    replicas[replica].observe(now, revision, age);
+                    replicas[replica].observe(now - started_at[replica], revision, age);
                 }
                 Step::Restart { replica } => {
                     replicas[replica] = ConfigReplica::new(bounds);
+                    started_at[replica] = now;
                     questions.retain(|question| question.replica != replica);
                     restarted = Some(replica);
                 }
@@ -102,7 +134,7 @@
                 if restarted != Some(number) {
                     prop_assert!(replica.revision() >= before[number], "replica {number} went back");
                 }
-                if replica.is_fresh(now) {
+                if replica.is_fresh(now - started_at[number]) {
                     let due = accepted_at.iter().filter(|at| **at + bounds.safe_after < now).count();
                     prop_assert!(replica.revision() >= due as u64, "replica {number} is called fresh");
                 }
