A proof of the configuration that is older than the daemon keeps its age

Cause: the replica kept a proof as a time on its own clock, which starts at zero with the daemon, and the subtraction stopped at zero. So a proof older than the daemon counted as being as old as the daemon, and its answers to probes gave the others that age.

Change: a proof is kept as its age and the time at which that was told.

Ruled out: the changes of membership and ownership since (crates/config and the daemon's handling of proofs are the same there; this draw only shows it), the checker. Not kept: passing over proofs older than the daemon, since one that starts while the table is down would then hold no proof though its peers hold good ones.

--- a/crates/bench/tests/faults.rs
+++ b/crates/bench/tests/faults.rs
@@ -66,11 +66,12 @@
 #[test]
 fn seeds_that_found_faults_stay_clean() {
     let seeds = [
-        5,   // a penalty's end made a leaving replica available again
-        10,  // an upload whose commit's answer was lost removed the accepted input
-        28,  // a daemon just started sent work to a replica that had left
-        102, // two halves of a fleet never met again after all seeds had gone
-        829, // members that were cut off stayed dead to each other after the cut
+        5,    // a penalty's end made a leaving replica available again
+        10,   // an upload whose commit's answer was lost removed the accepted input
+        28,   // a daemon just started sent work to a replica that had left
+        102,  // two halves of a fleet never met again after all seeds had gone
+        829,  // members that were cut off stayed dead to each other after the cut
+        2053, // a daemon just started took an old proof of its configuration for as young as itself
     ];
     for seed in seeds {
         let found = violations(&run_seeds(seed, 1, BrokenGuards::default()));
--- a/crates/config/src/replica.rs
+++ b/crates/config/src/replica.rs
@@ -55,13 +55,27 @@
     Gap,
 }
 
+/// That the revision held was the newest `age` before `taken_at`. The two are kept apart since clocks start with their
+/// daemons: a proof may be older than the daemon that takes it, and has no time on its clock.
+#[derive(Debug, Clone, Copy)]
+struct Proof {
+    taken_at: Duration,
+    age: Duration,
+}
+
+impl Proof {
+    fn age_at(&self, now: Duration) -> Duration {
+        self.age + now.saturating_sub(self.taken_at)
+    }
+}
+
 /// One daemon's replica. Times are the daemon's own monotonic clock.
 #[derive(Debug, Clone)]
 pub struct ConfigReplica {
     bounds: FreshnessBounds,
     snapshot: Arc<ConfigSnapshot>,
     recent: VecDeque<ConfigLogEntry>,
-    confirmed_at: Option<Duration>,
+    proof: Option<Proof>,
     polled_at: Option<Duration>,
 }
 
@@ -72,7 +86,7 @@
             bounds,
             snapshot: Arc::new(ConfigSnapshot::default()),
             recent: VecDeque::new(),
-            confirmed_at: None,
+            proof: None,
             polled_at: None,
         }
     }
@@ -164,16 +178,17 @@
             return Observation::Behind;
         }
         if let Some(age) = age.filter(|_| revision == self.revision()) {
-            let proven_at = now.saturating_sub(age);
-            self.confirmed_at = self.confirmed_at.max(Some(proven_at));
+            let is_newer = self.proof_age(now).is_none_or(|held| age < held);
+            if is_newer {
+                self.proof = Some(Proof { taken_at: now, age });
+            }
         }
         Observation::Level
     }
 
     /// Age of the newest proof that the revision held is the newest; `None` without one.
     pub fn proof_age(&self, now: Duration) -> Option<Duration> {
-        self.confirmed_at
-            .map(|confirmed_at| now.saturating_sub(confirmed_at))
+        self.proof.map(|proof| proof.age_at(now))
     }
 
     /// True while the daemon may act on more than the safe plan.
