Red: a listed result is denied on the proof of a feed that passed over it

The look's proof is the feed's, and the feed answered with the newest revision and none of the changes. stale_listing on: 6 passed, a_feed_that_passed_over_a_result_does_not_deny_it failed (0 results at a proof 0 ms old).

--- a/crates/inline-jobs/tests/stale_listing.rs
+++ b/crates/inline-jobs/tests/stale_listing.rs
@@ -1,4 +1,9 @@
 //! A listing never shows less than another daemon has shown before, whatever this daemon has heard of it.
+//!
+//! What happened: a feed answered with the store's newest revision and without the changes up to it. The daemon took the answer
+//! for a proof that its copy of the heads was true, and told a caller that nothing was listed, where another daemon had shown a
+//! result seconds before. What showed it: the lines `listing_asked` of that daemon, `outcome: nothing` beside a `proof_age_ms` of
+//! 1,239 to 1,743, and none at all for the looks that it denied on a proof younger than 0.8 s.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -280,6 +285,15 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_feed_that_passed_over_a_result_does_not_deny_it() {
+    for age in [0, 1, 200, 700, 799] {
+        let (jobs, _) = daemon(Duration::from_millis(age), 0, 1, false).await;
+        let found = read(&jobs, 0, Duration::ZERO).await;
+        assert_eq!(count(&found), Some(1), "proven {age} ms ago: {found:?}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_held_read_that_ends_empty_was_proven_at_its_end() {
     for age in [0, 300, 700, 1_100] {
