A watch whose machine was suspended asks the store anew at once

Cause: its watches still waited for answers to questions that the store held for up to 2 s of a steady clock that had stood still; those answers proved nothing, and the next questions were held again. Lines: 'refused' with stale_configuration, configuration_age_ms growing on. Ruled out: a dead connection (the same one answers), the store (other daemons are served meanwhile). Change: the clock's crate wakes who waits for a suspension; the watch gives its question up, and asks unheld after it, and whenever its proof is 0.25 s older than a held question explains (the same after a stall or a loss of contact).

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use rustix::time::{ClockId, Timespec, clock_gettime};
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 use tokio::time::Instant;
 
 /// Time for which this machine was suspended since the process began, microseconds; only grows.
@@ -17,6 +19,9 @@
 /// Suspensions that a test imagines, microseconds.
 static IMAGINED_MICROS: AtomicU64 = AtomicU64::new(0);
 
+/// Wakes whoever waits for something that timers bound, which stood still while the machine did.
+static NOTICED: Notify = Notify::const_new();
+
 /// How far the boot clock was ahead of the steady clock when it was first asked.
 static FIRST_LEAD: OnceLock<Duration> = OnceLock::new();
 
@@ -52,6 +57,9 @@
     let mut known = SUSPENDED_MICROS.load(Ordering::Relaxed);
     if since > known {
         known = SUSPENDED_MICROS.fetch_max(since, Ordering::Relaxed);
+        if since.saturating_sub(known) >= micros(LEAST_SUSPENSION) {
+            NOTICED.notify_waiters();
+        }
     }
     let imagined = IMAGINED_MICROS.load(Ordering::Relaxed);
     Duration::from_micros(known.max(since) + imagined)
@@ -70,6 +78,11 @@
 /// Least growth of the suspended time that is told as a suspension: far above the time between both readings of the clocks.
 const LEAST_SUSPENSION: Duration = Duration::from_millis(50);
 
+/// Completes when a suspension is noticed: at the next reading of this clock after the machine goes on.
+pub fn noticed() -> Notified<'static> {
+    NOTICED.notified()
+}
+
 /// Notices suspensions, for one reader: it distrusts what it knows before it uses any.
 #[derive(Debug)]
 pub struct SuspensionWatch {
@@ -104,4 +117,5 @@
 /// Lets the machine seem to have been suspended for so long: for tests, which cannot suspend one.
 pub fn imagine_suspension(time: Duration) {
     IMAGINED_MICROS.fetch_add(micros(time), Ordering::Relaxed);
+    NOTICED.notify_waiters();
 }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -98,6 +98,11 @@
     Duration::from_secs_f64(seconds.min(LONGEST_INTERVAL.as_secs_f64()))
 }
 
+/// How much later than a held question explains the proof of a copy may be before the next question is not held: the store's
+/// answer and this process's own turn. A daemon that has woken, or is in contact again, is up to date an answer later instead of
+/// a held question later (2 s for what seldom changes); a store that is slower than this gets one more call for each one held.
+const LATE_PROOF: Duration = Duration::from_millis(250);
+
 /// What changed in the copy.
 #[derive(Debug, Clone, Default)]
 pub struct SpaceUpdate {
@@ -240,6 +245,7 @@
         let mut pages = 0;
         let mut lost_at: Option<Instant> = None;
         let mut interval = Duration::ZERO;
+        let mut proven_at: Option<Instant> = None;
         loop {
             let mut asked_at = harrierward_clock::now();
             let is_read_due = reading.is_some() || asked_at >= whole_read_due;
@@ -256,7 +262,8 @@
                 })
             } else {
                 ask_first = false;
-                self.ask(&mut copy, interval).await
+                let wait = self.hold(proven_at, interval);
+                self.ask(&mut copy, wait).await
             };
             match result {
                 Ok(Some(mut update)) => {
@@ -270,6 +277,7 @@
                         self.log_regained(since);
                     }
                     update.as_of = Some(asked_at);
+                    proven_at = proven_at.max(update.as_of);
                     let gather = !update.is_empty();
                     take(update);
                     interval = if gather {
@@ -288,6 +296,8 @@
                     history_lost = true;
                     sleep(backoff.wait(&mut random)).await;
                 }
+                // What was asked before proves nothing any more, and its time-out did not count the suspension.
+                Err(WatchFailure::Suspended) => proven_at = None,
                 Err(WatchFailure::NoContact(cause)) => {
                     ask_first = reading.is_some() && !read_whole;
                     if lost_at.is_none() {
@@ -346,22 +356,33 @@
         Ok(())
     }
 
-    /// Asks for changes; a question that comes `later` than it could is held for less, so that the copy's age stays
-    /// within the same bound.
+    /// How long the store may hold the next question. One that comes `later` than it could is held for less, so that the copy's
+    /// age stays within the same bound, and one without a proof, or with an old one, not at all.
+    fn hold(&self, proven_at: Option<Instant>, later: Duration) -> Duration {
+        let wait = self.settings.wait;
+        let is_old = |moment| harrierward_clock::age(moment) > wait + LATE_PROOF;
+        if proven_at.is_none_or(is_old) {
+            return Duration::ZERO;
+        }
+        wait.saturating_sub(later)
+    }
+
+    /// Asks for changes, until the machine was suspended meanwhile.
     async fn ask(
         &self,
         copy: &mut SpaceCopy,
-        later: Duration,
+        wait: Duration,
     ) -> Result<Option<SpaceUpdate>, WatchFailure> {
-        let wait = self.settings.wait.saturating_sub(later);
-        let page = self
-            .table
-            .wait_changes(self.space, copy.revision(), wait)
-            .await
-            .map_err(|error| match error.kind {
-                PlatformErrorKind::HistoryLost => WatchFailure::HistoryLost,
-                _ => WatchFailure::NoContact(error.to_string()),
-            })?;
+        let suspended = harrierward_clock::noticed();
+        let asked = self.table.wait_changes(self.space, copy.revision(), wait);
+        let answer = tokio::select! {
+            answer = asked => answer,
+            () = suspended => return Err(WatchFailure::Suspended),
+        };
+        let page = answer.map_err(|error| match error.kind {
+            PlatformErrorKind::HistoryLost => WatchFailure::HistoryLost,
+            _ => WatchFailure::NoContact(error.to_string()),
+        })?;
         Ok(Some(copy.take_changes(page)))
     }
 
@@ -388,6 +409,7 @@
 }
 
 enum WatchFailure {
+    Suspended,
     HistoryLost,
     NoContact(String),
 }
