--- /dev/null
+++ b/crates/edge/tests/peer_news.rs
@@ -0,0 +1,159 @@
+//! A daemon whose feed passes over a configuration takes it from a peer that names it.
+//!
+//! What happens: the store's feed answers, and tells nothing of a new version. The daemon's proof stays young, so it denied the new
+//! routes (404) for up to 10 s, though its peers named the version in five datagrams a second: their word was heard only
+//! beside an old proof. What shows it: no `configuration_in_force` at that daemon, and no `peer_asked`, while the others have
+//! the version.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use async_trait::async_trait;
+use bytes::Bytes;
+use harrierward_decisions::{DecisionLog, LogBounds};
+use harrierward_edge::{
+    ConnectionPool, Discovery, DiscoverySource, HttpService, PeerNews, PoolSettings, ResponseBody,
+    ServerControl, SpaceUpdate, serve,
+};
+use harrierward_external::Row;
+use harrierward_serving::{ReplicaRecord, ReplicaSet, ServingConfiguration};
+use harrierward_wire::{KnownRow, KnownRows, encode};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+
+/// Time within which a configuration is to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_millis(2_000);
+
+/// Time between two notices of a peer.
+const NOTICE: Duration = Duration::from_millis(200);
+
+const KEY: &str = "configuration";
+
+/// Rows whose content is the version.
+struct PlainSource;
+
+impl DiscoverySource for PlainSource {
+    fn configuration_space(&self) -> &'static str {
+        "configuration"
+    }
+
+    fn replica_space(&self) -> &'static str {
+        "replicas"
+    }
+
+    fn configuration_of(&self, row: &Row) -> Result<Option<ServingConfiguration>, String> {
+        let text = String::from_utf8_lossy(&row.value);
+        let version = text.parse().map_err(|_| format!("version: {text:?}"))?;
+        Ok(Some(ServingConfiguration {
+            version,
+            ..ServingConfiguration::default()
+        }))
+    }
+
+    fn replica_of(&self, _row: &Row) -> Result<ReplicaRecord, String> {
+        Err("no replicas here".to_owned())
+    }
+}
+
+/// A peer that has this version, and counts who asks for it.
+struct Peer {
+    version: u64,
+    asked: AtomicUsize,
+}
+
+#[async_trait]
+impl HttpService for Peer {
+    async fn call(&self, _request: Request<Incoming>) -> Response<ResponseBody> {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        let rows = KnownRows {
+            configuration: Some(KnownRow {
+                key: KEY.to_owned(),
+                value: self.version.to_string().into_bytes(),
+                revision: self.version,
+            }),
+            ..KnownRows::default()
+        };
+        let body = Full::new(Bytes::from(encode(&rows)));
+        Response::new(body.map_err(|never| match never {}).boxed_unsync())
+    }
+}
+
+async fn start_peer(version: u64) -> (Arc<Peer>, String) {
+    let peer = Arc::new(Peer {
+        version,
+        asked: AtomicUsize::new(0),
+    });
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let control = Arc::new(ServerControl::default());
+    tokio::spawn(serve(listener, control, peer.clone()));
+    (peer, address)
+}
+
+/// A daemon with the first version in force.
+fn daemon() -> (Arc<Discovery>, Arc<PeerNews>) {
+    let log = DecisionLog::new(LogBounds::default());
+    let discovery = Arc::new(Discovery::new(
+        Arc::new(PlainSource),
+        Arc::new(ArcSwapOption::empty()),
+        Arc::new(ReplicaSet::default()),
+        Arc::new(ServerControl::default()),
+        Arc::default(),
+        log.clone(),
+    ));
+    told(&discovery, Some(1));
+    let news = Arc::new(PeerNews::new(discovery.clone(), log.clone()));
+    let pool = ConnectionPool::new(PoolSettings::default(), log);
+    tokio::spawn(news.clone().catch_up(pool));
+    (discovery, news)
+}
+
+/// An answer of the store's feed, with a version or without one.
+fn told(discovery: &Discovery, version: Option<u64>) {
+    let row = |version: u64| Row {
+        key: KEY.to_owned(),
+        value: version.to_string().into(),
+        revision: version,
+    };
+    let update = SpaceUpdate {
+        written: version.map(row).into_iter().collect(),
+        as_of: Some(harrierward_clock::now()),
+        ..SpaceUpdate::default()
+    };
+    discovery.take_configuration(&update, "store");
+}
+
+#[tokio::test]
+async fn a_version_that_the_feed_passes_over_is_taken_from_a_peer() {
+    let (peer, address) = start_peer(2).await;
+    let (discovery, news) = daemon();
+    let began = Instant::now();
+    while began.elapsed() < IN_FORCE && discovery.configuration_version() < 2 {
+        told(&discovery, None);
+        news.take_version(2, || Some(address.clone()));
+        sleep(NOTICE).await;
+    }
+    assert_eq!(discovery.configuration_version(), 2);
+    assert_eq!(peer.asked.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test]
+async fn a_version_that_the_feed_brings_in_time_is_not_asked_for() {
+    let (peer, address) = start_peer(2).await;
+    let (discovery, news) = daemon();
+    let began = Instant::now();
+    while began.elapsed() < IN_FORCE {
+        // A feed in good order, behind by a slow answer or two of the store.
+        let version = (began.elapsed() > 3 * NOTICE).then_some(2);
+        told(&discovery, version);
+        news.take_version(2, || Some(address.clone()));
+        sleep(NOTICE).await;
+    }
+    assert_eq!(discovery.configuration_version(), 2);
+    assert_eq!(peer.asked.load(Ordering::Relaxed), 0);
+}
