A version that peers name for a second is taken from one of them, whatever the feed's proof says

Change: after 1 s behind a peer's version its configuration is fetched; a change that the feed brings in that time costs nothing.

--- a/crates/edge/src/peer_news.rs
+++ b/crates/edge/src/peer_news.rs
@@ -8,7 +8,7 @@
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_serving::{EvacuationNews, ZoneMark};
 use harrierward_wire::{EvacuatedZone, Evacuations};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::discovery::Discovery;
 use crate::peer_rows::{PEER_TIMEOUT, ask_configuration, to_row};
@@ -18,6 +18,19 @@
 /// Pause between two looks whether a peer is ahead.
 const LOOK: Duration = Duration::from_millis(200);
 
+/// How long peers may be ahead before the store's feed counts as one that has passed over the change: twice what a feed in good
+/// order takes beside a slow store, and half of the time in which a configuration is to be in force. Whoever is not asked before
+/// costs nothing, since nearly all changes are heard of from the store within this time.
+const UNTOLD_FOR: Duration = Duration::from_millis(1_000);
+
+/// Since when peers name versions that this daemon lacks.
+#[derive(Debug, Clone, Copy)]
+struct Behind {
+    /// The version in force here.
+    version: u64,
+    since: Instant,
+}
+
 /// What a peer has that this daemon lacks.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Ahead {
@@ -30,6 +43,7 @@
 pub struct PeerNews {
     discovery: Arc<Discovery>,
     ahead: Mutex<Option<Ahead>>,
+    behind: Mutex<Option<Behind>>,
     log: DecisionLog,
 }
 
@@ -39,6 +53,7 @@
         Self {
             discovery,
             ahead: Mutex::default(),
+            behind: Mutex::default(),
             log,
         }
     }
@@ -64,9 +79,11 @@
     }
 
     /// A peer has a configuration of this version; `address` is where it answers control calls. While the own proof is
-    /// good nobody is asked: a change that all hear of from the store would be fetched from peers by all.
+    /// good nobody is asked for a moment: a change that all hear of from the store would be fetched from peers by all. Then a peer
+    /// is, since a feed may pass over a change and prove its contact all the same.
     pub fn take_version(&self, version: u64, address: impl FnOnce() -> Option<String>) {
-        if version <= self.discovery.configuration_version() || !self.discovery.is_stale() {
+        let own = self.discovery.configuration_version();
+        if version <= own || !(self.is_untold(own) || self.discovery.is_stale()) {
             return;
         }
         let mut ahead = self.ahead();
@@ -76,6 +93,19 @@
         *ahead = address().map(|address| Ahead { version, address });
     }
 
+    /// True if peers have been ahead of the version in force here for longer than the store's feed takes.
+    fn is_untold(&self, own: u64) -> bool {
+        let mut behind = self.behind.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let known = behind.filter(|known| known.version == own);
+        let since = known.map_or(now, |known| known.since);
+        *behind = Some(Behind {
+            version: own,
+            since,
+        });
+        now.saturating_duration_since(since) >= UNTOLD_FOR
+    }
+
     /// Fetches newer configurations from peers, for as long as the process runs.
     pub async fn catch_up(self: Arc<Self>, pool: ConnectionPool) {
         loop {
