A planned stop hands over all that is known of its jobs, however slow the store is

Cause, two: the write that hands a job over was given up after 1.5 s and begun again, so no try was ever done; and a result that was done and not listed was handed over as progress only, so its item ran once more. Ruled out: other builds (the same one on both sides), the adoption. Change: the last writes are waited for as long as the stop lasts and sent again beside those that are not answered; the hand-over lists what is done in the same transaction; failures also stand in the item's own row, also when they are listed, for builds that drop them from the head. Tests of inline-jobs, external, edge, platform: all ok.

--- a/crates/external/src/budget.rs
+++ b/crates/external/src/budget.rs
@@ -9,6 +9,8 @@
 /// Importance of a store call. Lower classes leave a part of the budget to higher ones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RequestClass {
+    /// The last writes of a daemon that stops: what it knows is lost with it, so an answer is waited for as long as the stop lasts.
+    Farewell,
     /// Claims, cancels and lease changes: a caller waits, or safety does.
     Urgent,
     /// Commits of results and accepted jobs.
@@ -70,7 +72,7 @@
 
     fn reserve(&self, class: RequestClass) -> f64 {
         match class {
-            RequestClass::Urgent => 0.0,
+            RequestClass::Farewell | RequestClass::Urgent => 0.0,
             RequestClass::Commit => self.burst * COMMIT_RESERVE,
             RequestClass::Listing => self.burst * LISTING_RESERVE,
         }
--- a/crates/inline-jobs/src/adoption.rs
+++ b/crates/inline-jobs/src/adoption.rs
@@ -20,9 +20,6 @@
 /// How long a head's change by this daemon is tried.
 pub(crate) const ADOPT_HOLD: Duration = Duration::from_millis(1_500);
 
-/// Most progress rows handed over in one transaction.
-const MOST_PROGRESS: usize = 80;
-
 /// How often old jobs are looked for.
 const REMOVE_EVERY: Duration = Duration::from_secs(20);
 
@@ -134,20 +131,29 @@
         reason: &str,
         until: Instant,
     ) {
-        left.progress.truncate(MOST_PROGRESS);
         while known.is_open() && self.owns(&known.head) && Instant::now() < until {
             let mut head = given_up(&known.head);
             if !left.failures.is_empty() {
                 head.failures.clone_from(&left.failures);
             }
+            // A listing that was under way may have come first.
+            left.results
+                .retain(|result| !head.listed.contains(&result.item));
+            let position = u32::try_from(head.listed.len()).unwrap_or(u32::MAX);
+            let listed = left.results.iter().map(|result| result.item);
+            head.listed.extend(listed);
+            let results = (position, left.results.as_slice());
             let written = self
                 .inner
                 .store
-                .hand_over(known.revision, &head, &left.progress, until)
+                .hand_over(known.revision, &head, results, &left.progress, until)
                 .await;
             match written {
                 WriteOutcome::Committed { revision } => {
                     self.log_ownership(&known.head, &head, "handed over", reason);
+                    if !left.results.is_empty() {
+                        self.log_listed(&head.job_id, position, left.results.len(), "committed");
+                    }
                     self.learn(KnownHead { head, revision });
                     return;
                 }
--- a/crates/inline-jobs/src/listing.rs
+++ b/crates/inline-jobs/src/listing.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_wire::{ItemFailuresRow, JobHeadRow};
+use harrierward_wire::{ItemFailuresRow, ItemProgressRow, JobHeadRow};
 use tokio::time::{Instant, sleep};
 
 use crate::adoption_order::refuted;
@@ -29,6 +29,8 @@
     results: Vec<ListedResult>,
     /// Failures of items that are to run again.
     failures: Vec<ItemFailuresRow>,
+    /// The items' own rows of the failures that are new.
+    failed: Vec<(u32, ItemProgressRow)>,
 }
 
 impl InlineJobs {
@@ -71,6 +73,7 @@
         Some(Listing {
             known: job.known.clone(),
             failures: job.failures(&results),
+            failed: job.failed_progress_rows(&results),
             results,
         })
     }
@@ -81,6 +84,7 @@
             known,
             results,
             failures,
+            failed,
         } = listing;
         let mut head = refuted(&known.head);
         let position = u32::try_from(head.listed.len()).unwrap_or(u32::MAX);
@@ -90,7 +94,7 @@
         let written = self
             .inner
             .store
-            .list(known.revision, &head, position, results, until)
+            .list(known.revision, &head, (position, results), failed, until)
             .await;
         let (outcome, settled) = match written {
             WriteOutcome::Committed { revision } => {
@@ -112,13 +116,17 @@
             WriteOutcome::NotDone | WriteOutcome::Fenced { .. } => ("not done", false),
             WriteOutcome::InDoubt => ("in doubt", false),
         };
+        self.log_listed(&known.head.job_id, position, results.len(), outcome);
+        settled
+    }
+
+    pub(crate) fn log_listed(&self, job: &str, position: u32, count: usize, outcome: &str) {
         self.inner.log.record(&Record::ResultsListed {
-            job: &known.head.job_id,
+            job,
             position,
-            count: results.len(),
+            count,
             outcome,
         });
-        settled
     }
 
     fn adopt(&self, known: KnownHead) {
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -11,10 +11,35 @@
 use crate::store::ListedResult;
 use crate::view::KnownHead;
 
+/// Most results listed as a job is handed over, and their text in bytes: half of a transaction, so that progress has room.
+const MOST_HANDED_RESULTS: usize = 40;
+const MOST_HANDED_BYTES: usize = 300_000;
+
+/// True if an item is not listed, nor among the results that are to be listed.
+fn is_left(number: u32, item: &Item, to_list: &[ListedResult]) -> bool {
+    let is_listed = matches!(item.phase, ItemPhase::Listed);
+    !is_listed && !to_list.iter().any(|result| result.item == number)
+}
+
+/// What a later owner needs of an item; `None` if nothing has come of it.
+fn progress_row(item: &Item) -> Option<ItemProgressRow> {
+    let progress = lock(&item.progress);
+    if progress.last_event.is_none() && item.failures == 0 {
+        return None;
+    }
+    Some(ItemProgressRow {
+        last_event: progress.last_event.unwrap_or_default(),
+        texts: progress.texts.clone(),
+        failures: item.failures,
+    })
+}
+
 /// What is handed over of a job, beside its head.
 #[derive(Debug, Default)]
 pub struct LeftWork {
-    /// Progress of unfinished items.
+    /// Results that are done and not listed yet.
+    pub results: Vec<ListedResult>,
+    /// Progress of the other items that are not listed.
     pub progress: Vec<(u32, ItemProgressRow)>,
     /// Failures of items that are not listed.
     pub failures: Vec<ItemFailuresRow>,
@@ -125,33 +150,33 @@
     /// Ends all runs; what another owner needs of the job.
     pub fn left_work(&mut self) -> LeftWork {
         self.stop_runs();
+        let results = self.results_to_list(MOST_HANDED_RESULTS, MOST_HANDED_BYTES);
         LeftWork {
-            progress: self.progress_rows(),
-            failures: self.failures(&[]),
+            progress: self.progress_rows(&results),
+            failures: self.failures(&results),
+            results,
         }
     }
 
-    /// Progress of unfinished items, for another owner.
-    pub fn progress_rows(&self) -> Vec<(u32, ItemProgressRow)> {
-        let unfinished = (0..).zip(&self.items).filter(|(_, item)| {
-            matches!(
-                item.phase,
-                ItemPhase::Waiting { .. } | ItemPhase::Running { .. } | ItemPhase::Done { .. }
-            )
-        });
-        unfinished
-            .filter_map(|(number, item)| {
-                let progress = lock(&item.progress);
-                let row = ItemProgressRow {
-                    last_event: progress.last_event?,
-                    texts: progress.texts.clone(),
-                    failures: item.failures,
-                };
-                Some((number, row))
-            })
+    /// Progress of items that are not listed, nor among the results that are to be listed, for another owner.
+    pub fn progress_rows(&self, to_list: &[ListedResult]) -> Vec<(u32, ItemProgressRow)> {
+        let items = (0..).zip(&self.items);
+        let rows = items.filter(|(number, item)| is_left(*number, item, to_list));
+        rows.filter_map(|(number, item)| Some((number, progress_row(item)?)))
             .collect()
     }
 
+    /// Rows of items whose failures the head does not count yet. Builds that know of no failures in heads drop them when they rewrite one,
+    /// and read them here.
+    pub fn failed_progress_rows(&self, to_list: &[ListedResult]) -> Vec<(u32, ItemProgressRow)> {
+        let items = (0..).zip(&self.items);
+        let failed = items.filter(|(number, item)| {
+            item.has_failures_to_keep() && is_left(*number, item, to_list)
+        });
+        let rows = failed.filter_map(|(number, item)| Some((number, progress_row(item)?)));
+        rows.collect()
+    }
+
     /// True if nothing has come of the job here for so long, though runs were tried. Items that wait for slots are not stuck.
     pub fn is_stuck(&self, patience: Duration) -> bool {
         let is_recent = |at: Instant| at.elapsed() < patience;
@@ -187,11 +212,8 @@
     /// Failures of items that are not listed, nor among the results that are to be listed, for the head.
     pub fn failures(&self, to_list: &[ListedResult]) -> Vec<ItemFailuresRow> {
         let items = (0..).zip(&self.items);
-        let failed = items.filter(|(number, item)| {
-            let is_open = !matches!(item.phase, ItemPhase::Listed);
-            let is_listed_now = to_list.iter().any(|result| result.item == *number);
-            item.failures > 0 && is_open && !is_listed_now
-        });
+        let failed =
+            items.filter(|(number, item)| item.failures > 0 && is_left(*number, item, to_list));
         let rows = failed.map(|(number, item)| ItemFailuresRow {
             item: number,
             count: item.failures,
--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -6,16 +6,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use harrierward_external::{
     Backoff, Condition, ObjectStore, PlatformError, RequestClass, Row, Table, Transaction,
-    TransactionOutcome, WatchedTable,
+    TransactionOutcome, WatchedTable, Write,
 };
 use harrierward_wire::{
     ItemProgressRow, JobHeadRow, JobItemsRow, QuotaFenceRow, ResultPieceRow, decode, encode,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::keys::{self, RowKind};
 use crate::view::KnownHead;
@@ -26,6 +28,13 @@
 /// Largest content of a transaction that is kept in rows, bytes.
 const TRANSACTION_BYTES: usize = 600_000;
 
+/// Most entries of a transaction, conditions included: what the users' store takes.
+const TRANSACTION_ENTRIES: usize = 100;
+
+/// Pause after which a last write is sent again beside the one that is not answered, whose answer may be lost; and tries at a time.
+const BESIDE: Duration = Duration::from_millis(1_500);
+const MOST_TRIES: usize = 4;
+
 /// Pauses between tries of one transaction.
 const FIRST_PAUSE: Duration = Duration::from_millis(15);
 const LONGEST_PAUSE: Duration = Duration::from_millis(250);
@@ -173,33 +182,43 @@
         let mut in_doubt = false;
         loop {
             match self.table.transact(class, transaction.clone()).await {
-                Ok(TransactionOutcome::Committed { revision }) => {
-                    return WriteOutcome::Committed { revision };
-                }
-                Ok(TransactionOutcome::Conflict { key, current })
-                    if keys::row_kind(&key) == RowKind::Fence =>
-                {
-                    let current = current.as_ref().and_then(known_fence);
-                    return WriteOutcome::Fenced { current };
-                }
-                Ok(TransactionOutcome::Conflict { current, .. }) => {
-                    let current = current.as_ref().and_then(known).map(Box::new);
-                    return WriteOutcome::Conflict { current };
-                }
+                Ok(outcome) => return write_outcome(outcome),
                 Err(error) => in_doubt |= error.may_have_happened(),
             }
             let pause = FIRST_PAUSE + backoff.wait(&mut random);
             if Instant::now() + pause >= until {
-                return if in_doubt {
-                    WriteOutcome::InDoubt
-                } else {
-                    WriteOutcome::NotDone
-                };
+                return unsettled(in_doubt);
             }
             sleep(pause).await;
         }
     }
 
+    /// The same for a daemon that stops, which has no time for a second patience: a try that is not answered yet goes on while
+    /// others are sent beside it. A slow store does the first one, a lost answer is made up for by the second.
+    async fn settle_side_by_side(&self, transaction: Transaction, until: Instant) -> WriteOutcome {
+        let mut random = SmallRng::from_os_rng();
+        let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
+        let mut tries = FuturesUnordered::new();
+        let mut next = Instant::now();
+        let mut in_doubt = false;
+        loop {
+            tokio::select! {
+                () = sleep_until(next), if tries.len() < MOST_TRIES => {
+                    tries.push(self.table.transact(RequestClass::Farewell, transaction.clone()));
+                    next = Instant::now() + BESIDE;
+                }
+                Some(answer) = tries.next() => match answer {
+                    Ok(outcome) => return write_outcome(outcome),
+                    Err(error) => {
+                        in_doubt |= error.may_have_happened();
+                        next = Instant::now() + FIRST_PAUSE + backoff.wait(&mut random);
+                    }
+                },
+                () = sleep_until(until) => return unsettled(in_doubt || !tries.is_empty()),
+            }
+        }
+    }
+
     /// Keeps a new job: its head and all items in one transaction, unless there is a job of the id, and only under
     /// this revision of its route's fence, if the route has one.
     pub async fn create(
@@ -285,44 +304,32 @@
         self.settle(RequestClass::Urgent, transaction, until).await
     }
 
-    /// Replaces a head and lists results from `position` on, in one transaction.
+    /// Replaces a head, lists results from `position` on and keeps the progress of other items, in one transaction.
     pub async fn list(
         &self,
         revision: u64,
         head: &JobHeadRow,
-        position: u32,
-        results: &[ListedResult],
+        (position, results): (u32, &[ListedResult]),
+        progress: &[(u32, ItemProgressRow)],
         until: Instant,
     ) -> WriteOutcome {
-        let mut transaction = head_change(revision, head);
-        for (offset, result) in results.iter().enumerate() {
-            let position = position + u32::try_from(offset).unwrap_or_default();
-            let pieces = pieces_of(&result.text);
-            let count = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
-            for (number, text) in (0..).zip(pieces) {
-                let row = ResultPieceRow {
-                    failed: result.failed,
-                    pieces: count,
-                    text: text.to_owned(),
-                };
-                let key = keys::result(&head.job_id, position, number);
-                transaction = transaction.put(key, encode(&row));
-            }
-        }
+        let transaction = listing(revision, head, position, results);
+        let transaction = add_progress(transaction, &head.job_id, progress);
         self.settle(RequestClass::Commit, transaction, until).await
     }
 
-    /// Gives a job up for others, with the progress of its unfinished items.
+    /// Gives a job up for others: lists what is done, and keeps the progress of its unfinished items.
     pub async fn hand_over(
         &self,
         revision: u64,
         head: &JobHeadRow,
+        (position, results): (u32, &[ListedResult]),
         progress: &[(u32, ItemProgressRow)],
         until: Instant,
     ) -> WriteOutcome {
-        let transaction = head_change(revision, head);
+        let transaction = listing(revision, head, position, results);
         let transaction = add_progress(transaction, &head.job_id, progress);
-        self.settle(RequestClass::Urgent, transaction, until).await
+        self.settle_side_by_side(transaction, until).await
     }
 
     /// Saves the progress of items, once and under no condition.
@@ -339,19 +346,75 @@
     }
 }
 
+/// What a transaction's end says of the write of a head.
+fn write_outcome(outcome: TransactionOutcome) -> WriteOutcome {
+    match outcome {
+        TransactionOutcome::Committed { revision } => WriteOutcome::Committed { revision },
+        TransactionOutcome::Conflict { key, current } if keys::row_kind(&key) == RowKind::Fence => {
+            let current = current.as_ref().and_then(known_fence);
+            WriteOutcome::Fenced { current }
+        }
+        TransactionOutcome::Conflict { current, .. } => {
+            let current = current.as_ref().and_then(known).map(Box::new);
+            WriteOutcome::Conflict { current }
+        }
+    }
+}
+
+/// A write whose end is not known in time.
+fn unsettled(in_doubt: bool) -> WriteOutcome {
+    if in_doubt {
+        WriteOutcome::InDoubt
+    } else {
+        WriteOutcome::NotDone
+    }
+}
+
+/// The change of a head that lists results from `position` on.
+fn listing(
+    revision: u64,
+    head: &JobHeadRow,
+    position: u32,
+    results: &[ListedResult],
+) -> Transaction {
+    let mut transaction = head_change(revision, head);
+    for (position, result) in (position..).zip(results) {
+        let pieces = pieces_of(&result.text);
+        let count = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
+        for (number, text) in (0..).zip(pieces) {
+            let row = ResultPieceRow {
+                failed: result.failed,
+                pieces: count,
+                text: text.to_owned(),
+            };
+            let key = keys::result(&head.job_id, position, number);
+            transaction = transaction.put(key, encode(&row));
+        }
+    }
+    transaction
+}
+
 /// Adds rows of progress within the bounds of one transaction.
 fn add_progress(
     mut transaction: Transaction,
     job_id: &str,
     progress: &[(u32, ItemProgressRow)],
 ) -> Transaction {
-    let mut bytes = 0;
+    let puts = transaction.writes.iter().map(|write| match write {
+        Write::Put { value, .. } => value.len(),
+        Write::Delete { .. } => 0,
+    });
+    let mut bytes: usize = puts.sum();
+    let entries = transaction.conditions.len() + transaction.writes.len();
+    let mut room = TRANSACTION_ENTRIES.saturating_sub(entries);
     for (item, row) in progress {
         let content = encode(row);
-        bytes += content.len();
-        if content.len() > ROW_BYTES || bytes > TRANSACTION_BYTES {
+        let fits = content.len() <= ROW_BYTES && bytes + content.len() <= TRANSACTION_BYTES;
+        if room == 0 || !fits {
             continue;
         }
+        room -= 1;
+        bytes += content.len();
         transaction = transaction.put(keys::progress(job_id, *item), content);
     }
     transaction
