Fields of later builds survive a rewrite of a job's head; formats and rankings of earlier builds are pinned

Cause of what the upgrade's lead saw on the way back (10 of 500 failing items over their attempts): a build that does not know a field erases it when it rewrites the row. Builds that are out cannot be changed; from this one on a head's unknown fields are written back as they were. Ruled out as a way: a level in each row that forbids rewriting (half of the fleet could neither list nor end such a job).

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -23,6 +23,10 @@
         member: &'a str,
         /// Zone.
         zone: &'a str,
+        /// Version of the program.
+        version: &'a str,
+        /// Level of the formats of its rows and messages.
+        format: u32,
         /// Mechanisms of the policy that are switched off; empty in service.
         without: &'a str,
     },
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -14,6 +14,7 @@
     ConfigurationProof, Forwarder, ForwarderParts, ForwarderSettings, KeyTrust, Location,
     Mechanism, Replica, ReplicaClient, ReplicaSet,
 };
+use harrierward_wire::FORMAT_LEVEL;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{Instant, sleep};
 
@@ -112,6 +113,8 @@
         log.record(&Record::Started {
             member: &life,
             zone: &settings.zone,
+            version: env!("CARGO_PKG_VERSION"),
+            format: FORMAT_LEVEL,
             without: &settings.policy.to_string(),
         });
         let routes = Arc::new(ArcSwapOption::empty());
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,6 +28,7 @@
 pub use daemon::{Daemon, DaemonParts, EdgeService};
 pub use discovery::{Discovery, DiscoverySource};
 pub use fleet::SharedFleet;
+pub use harrierward_wire::FORMAT_LEVEL;
 pub use hedged::first_answer;
 pub use members::Members;
 pub use peer_loads::{PeerLoads, PeerSum};
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -11,7 +11,7 @@
 use harrierward_ownership::OwnerStanding;
 use harrierward_serving::Forwarder;
 use harrierward_tenants::AllowedRegions;
-use harrierward_wire::{JobHeadRow, QuotaOutcome, decode};
+use harrierward_wire::{JobHeadRow, QuotaOutcome, decode_head};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
@@ -187,7 +187,7 @@
 
     /// Takes the row of a head; one that cannot be read names no job.
     pub fn learn_row(&self, value: &Bytes, revision: u64) {
-        if let Some(head) = decode::<JobHeadRow>(value) {
+        if let Some(head) = decode_head(value) {
             self.learn(KnownHead { head, revision });
         }
     }
--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -13,7 +13,8 @@
     TransactionOutcome, WatchedTable, Write,
 };
 use harrierward_wire::{
-    ItemProgressRow, JobHeadRow, JobItemsRow, QuotaFenceRow, ResultPieceRow, decode, encode,
+    ItemProgressRow, JobHeadRow, JobItemsRow, QuotaFenceRow, ResultPieceRow, decode, decode_head,
+    encode, encode_head,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -125,7 +126,7 @@
 
 fn known(row: &Row) -> Option<KnownHead> {
     Some(KnownHead {
-        head: decode(&row.value)?,
+        head: decode_head(&row.value)?,
         revision: row.revision,
     })
 }
@@ -256,7 +257,7 @@
             }
             head.item_rows = number;
         }
-        transaction = transaction.put(head_key, encode(&head));
+        transaction = transaction.put(head_key, encode_head(&head));
         self.settle(RequestClass::Urgent, transaction, until).await
     }
 
@@ -427,5 +428,5 @@
             key: key.clone(),
             revision,
         })
-        .put(key, encode(head))
+        .put(key, encode_head(head))
 }
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -175,6 +175,7 @@
             challenger: String::new(),
             failures: Vec::new(),
             takeovers: 0,
+            later_fields: Vec::new(),
         };
         if self.is_stopping() {
             given_up(&head)
--- /dev/null
+++ b/crates/slots/tests/ranking.rs
@@ -0,0 +1,24 @@
+//! Who coordinates a group stays what it is: another order in another build would give groups two coordinators for as long as builds
+//! run side by side. The values are those of the build 9319f89.
+
+use harrierward_slots::{GroupId, coordinator_of};
+
+#[test]
+fn coordinators_are_those_of_earlier_builds() {
+    let members: Vec<String> = (0..20)
+        .map(|number| format!("node-{number}@1a2b"))
+        .collect();
+    let coordinator = |service: u32, group: GroupId| {
+        let ids = members.iter().map(String::as_str);
+        coordinator_of(service, group, ids)
+            .unwrap_or_default()
+            .to_owned()
+    };
+    let found: Vec<String> = (0..4)
+        .map(|number| coordinator(7, GroupId { area: 3, number }))
+        .collect();
+    assert_eq!(
+        found,
+        ["node-3@1a2b", "node-17@1a2b", "node-9@1a2b", "node-5@1a2b"]
+    );
+}
--- a/crates/wire/src/inline_job.rs
+++ b/crates/wire/src/inline_job.rs
@@ -1,5 +1,9 @@
 //! Rows of inline batch jobs: jobs whose items are kept in the table itself.
 
+use std::ops::RangeInclusive;
+
+use crate::{decode, encode, later_fields};
+
 /// One part of an item's prompt.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct PromptPartRow {
@@ -118,6 +122,34 @@
     /// Takeovers of the job under a challenge.
     #[prost(uint32, tag = "16")]
     pub takeovers: u32,
+    /// Fields that a later build has added, as it wrote them; empty in nearly all rows. [`decode_head`] fills it and [`encode_head`]
+    /// writes it back as fields of their own.
+    #[prost(bytes = "vec", tag = "536870911")]
+    pub later_fields: Vec<u8>,
+}
+
+/// Numbers of the fields of a head that this build knows.
+const HEAD_FIELDS: RangeInclusive<u32> = 1..=16;
+
+/// Reads a job's head, with whatever a later build has added to it; `None` if the bytes are not one.
+pub fn decode_head(bytes: &[u8]) -> Option<JobHeadRow> {
+    let mut head: JobHeadRow = decode(bytes)?;
+    head.later_fields = later_fields(bytes, &HEAD_FIELDS)?;
+    Some(head)
+}
+
+/// Bytes of a job's head, with whatever a later build has added to it.
+pub fn encode_head(head: &JobHeadRow) -> Vec<u8> {
+    if head.later_fields.is_empty() {
+        return encode(head);
+    }
+    let own = JobHeadRow {
+        later_fields: Vec::new(),
+        ..head.clone()
+    };
+    let mut bytes = encode(&own);
+    bytes.extend_from_slice(&head.later_fields);
+    bytes
 }
 
 /// How often replicas have failed an item.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod inline_job;
 mod known_rows;
+mod later_fields;
 mod membership;
 mod peer;
 mod quarantine;
@@ -24,9 +25,10 @@
 pub use evacuation::{EvacuatedZone, Evacuations};
 pub use inline_job::{
     HeaderRow, ItemBodyRow, ItemFailuresRow, ItemHeadRow, ItemProgressRow, JobHeadRow, JobItemsRow,
-    PromptPartRow, ResultPieceRow,
+    PromptPartRow, ResultPieceRow, decode_head, encode_head,
 };
 pub use known_rows::{KnownRow, KnownRows};
+pub use later_fields::later_fields;
 pub use membership::{
     Datagram, DatagramKind, LoadNotice, MemberRecord, MemberState, NodeDatagram, OnlineCount,
     OnlineNotice, ReplicaCount, ReplicaReport, ReplicaReports, ServiceBacklog, YieldRequest,
@@ -45,6 +47,11 @@
     WholeReport,
 };
 
+/// Level of the formats of rows and messages, raised with each change of what a build writes, reads or keeps: 1 knows no failures in
+/// heads, 2 does, 3 keeps fields of later builds in heads and failures in the items' own rows too. Builds of all levels work side by
+/// side; it tells an operator which are there.
+pub const FORMAT_LEVEL: u32 = 3;
+
 /// Reads a message; `None` if the bytes are not one.
 pub fn decode<M: prost::Message + Default>(bytes: &[u8]) -> Option<M> {
     M::decode(bytes).ok()
