--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -30,8 +30,9 @@
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
 use crate::slots::{Pacing, SlotService, YieldItems};
+use crate::space_copy::SpaceUpdate;
 use crate::watch::{
-    SpaceUpdate, Watch, WatchPace, WatchSettings, WholeReadPace, gathering_interval, unpaced,
+    Watch, WatchPace, WatchSettings, WholeReadPace, gathering_interval, unpaced,
     whole_read_interval,
 };
 
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::server::ServerControl;
-use crate::watch::SpaceUpdate;
+use crate::space_copy::SpaceUpdate;
 
 /// Translates the store's rows.
 pub trait DiscoverySource: Send + Sync {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod settings;
 mod silence;
 mod slots;
+mod space_copy;
 mod stop;
 mod trips;
 mod watch;
@@ -41,7 +42,8 @@
 pub use server::{HttpService, ResponseBody, ServerControl, ServerStage, serve};
 pub use settings::{AdvertisedAddresses, EdgeSettings};
 pub use slots::{CoordinatorCandidate, Pacing, SlotService, YieldItems};
+pub use space_copy::{SpaceCopy, SpaceUpdate};
 pub use watch::{
-    SpaceCopy, SpaceUpdate, Watch, WatchPace, WatchSettings, WholeReadPace, gathering_interval,
-    unpaced, unpaced_reads, whole_read_interval,
+    Watch, WatchPace, WatchSettings, WholeReadPace, gathering_interval, unpaced, unpaced_reads,
+    whole_read_interval,
 };
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use harrierward_clock::SuspensionWatch;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_inline_jobs::InlineJobs;
 use harrierward_membership::{Action, MembershipCore, MembershipSettings, MembershipView};
@@ -42,9 +43,6 @@
 /// on elsewhere.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(3_200);
 
-/// Shortest suspension of the machine that is told.
-const LEAST_SUSPENSION: Duration = Duration::from_millis(50);
-
 /// Largest datagram received, bytes.
 const DATAGRAM_LIMIT: usize = 65_536;
 
@@ -227,7 +225,7 @@
 
     async fn tick_all(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let mut random = SmallRng::from_os_rng();
-        let mut suspended = harrierward_clock::suspended();
+        let suspensions = SuspensionWatch::start();
         let mut tick: u64 = 0;
         loop {
             let mut datagrams = Vec::new();
@@ -246,7 +244,7 @@
                 }
             }
             tick += 1;
-            self.note_suspension(&mut suspended);
+            self.note_suspension(&suspensions);
             self.slots.tick();
             self.rates.tick();
             self.quarantine.tick();
@@ -256,13 +254,10 @@
     }
 
     /// Tells of a suspension of the machine since the last tick. Whoever asks for the age of something has counted it already.
-    fn note_suspension(&self, known: &mut Duration) {
-        let now = harrierward_clock::suspended();
-        let suspended = now.saturating_sub(*known);
-        if suspended < LEAST_SUSPENSION {
+    fn note_suspension(&self, suspensions: &SuspensionWatch) {
+        let Some(suspended) = suspensions.take() else {
             return;
-        }
-        *known = now;
+        };
         self.log.record(&Record::Suspended {
             suspended_ms: u64::try_from(suspended.as_millis()).unwrap_or(u64::MAX),
         });
--- a/crates/edge/src/peer_news.rs
+++ b/crates/edge/src/peer_news.rs
@@ -13,7 +13,7 @@
 use crate::discovery::Discovery;
 use crate::peer_rows::{PEER_TIMEOUT, ask_configuration, to_row};
 use crate::pool::ConnectionPool;
-use crate::watch::SpaceUpdate;
+use crate::space_copy::SpaceUpdate;
 
 /// Pause between two looks whether a peer is ahead.
 const LOOK: Duration = Duration::from_millis(200);
--- a/crates/edge/src/peer_rows.rs
+++ b/crates/edge/src/peer_rows.rs
@@ -23,7 +23,7 @@
 use crate::peer_news::{evacuation_news, evacuations_message};
 use crate::pool::{ConnectionPool, PooledResponse};
 use crate::server::{HttpService, ResponseBody};
-use crate::watch::SpaceUpdate;
+use crate::space_copy::SpaceUpdate;
 
 /// Path of the question.
 const PATH: &str = "/internal/known-rows";
--- a/crates/inline-jobs/src/adoption.rs
+++ b/crates/inline-jobs/src/adoption.rs
@@ -77,10 +77,8 @@
     }
 
     fn start_adoption(&self, known: KnownHead, standing: OwnerStanding) {
-        let jobs = self.clone();
-        tokio::spawn(async move {
+        self.spawn_write(known, move |jobs, known| async move {
             jobs.adopt_job(&known, standing).await;
-            jobs.takeovers().written(&known.head.job_id);
         });
     }
 
--- a/crates/inline-jobs/src/store/reads.rs
+++ b/crates/inline-jobs/src/store/reads.rs
@@ -6,7 +6,8 @@
 use harrierward_wire::{ItemProgressRow, JobHeadRow, JobItemsRow, ResultPieceRow, decode};
 use tokio::time::{Instant, sleep};
 
-use super::{HeadReading, JobStore, LONGEST_PAUSE, ReadResult, known};
+use super::settling::LONGEST_PAUSE;
+use super::{HeadReading, JobStore, ReadResult, known};
 use crate::keys::{self, RowKind};
 use crate::view::KnownHead;
 
--- /dev/null
+++ b/crates/inline-jobs/src/store/transactions.rs
@@ -0,0 +1,93 @@
+//! The transactions that change a job's rows, within the bounds of the store.
+
+use harrierward_external::{Condition, Transaction, Write};
+use harrierward_wire::{ItemProgressRow, JobHeadRow, ResultPieceRow, encode, encode_head};
+
+use super::ListedResult;
+use crate::keys;
+
+/// Largest content of a row, bytes; base64 makes it a third longer.
+pub(super) const ROW_BYTES: usize = 45_000;
+
+/// Largest content of a transaction that is kept in rows, bytes.
+pub(super) const TRANSACTION_BYTES: usize = 600_000;
+
+/// Most entries of a transaction, conditions included: what the users' store takes.
+const TRANSACTION_ENTRIES: usize = 100;
+
+/// Splits a text at character boundaries.
+fn pieces_of(text: &str) -> Vec<&str> {
+    let mut rest = text;
+    let mut pieces = Vec::new();
+    while rest.len() > ROW_BYTES {
+        let mut end = ROW_BYTES;
+        while !rest.is_char_boundary(end) {
+            end -= 1;
+        }
+        let (piece, left) = rest.split_at(end);
+        pieces.push(piece);
+        rest = left;
+    }
+    pieces.push(rest);
+    pieces
+}
+
+/// The change of a head that lists results from `position` on.
+pub(super) fn listing(
+    revision: u64,
+    head: &JobHeadRow,
+    position: u32,
+    results: &[ListedResult],
+) -> Transaction {
+    let mut transaction = head_change(revision, head);
+    for (position, result) in (position..).zip(results) {
+        let pieces = pieces_of(&result.text);
+        let count = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
+        for (number, text) in (0..).zip(pieces) {
+            let row = ResultPieceRow {
+                failed: result.failed,
+                pieces: count,
+                text: text.to_owned(),
+            };
+            let key = keys::result(&head.job_id, position, number);
+            transaction = transaction.put(key, encode(&row));
+        }
+    }
+    transaction
+}
+
+/// Adds rows of progress within the bounds of one transaction.
+pub(super) fn add_progress(
+    mut transaction: Transaction,
+    job_id: &str,
+    progress: &[(u32, ItemProgressRow)],
+) -> Transaction {
+    let puts = transaction.writes.iter().map(|write| match write {
+        Write::Put { value, .. } => value.len(),
+        Write::Delete { .. } => 0,
+    });
+    let mut bytes: usize = puts.sum();
+    let entries = transaction.conditions.len() + transaction.writes.len();
+    let mut room = TRANSACTION_ENTRIES.saturating_sub(entries);
+    for (item, row) in progress {
+        let content = encode(row);
+        let fits = content.len() <= ROW_BYTES && bytes + content.len() <= TRANSACTION_BYTES;
+        if room == 0 || !fits {
+            continue;
+        }
+        room -= 1;
+        bytes += content.len();
+        transaction = transaction.put(keys::progress(job_id, *item), content);
+    }
+    transaction
+}
+
+pub(super) fn head_change(revision: u64, head: &JobHeadRow) -> Transaction {
+    let key = keys::head(&head.job_id);
+    Transaction::default()
+        .require(Condition::AtRevision {
+            key: key.clone(),
+            revision,
+        })
+        .put(key, encode_head(head))
+}
--- a/crates/inline-jobs/src/takeover.rs
+++ b/crates/inline-jobs/src/takeover.rs
@@ -122,6 +122,18 @@
     }
 }
 
+/// A write of a job's head that is under way.
+struct EnteredWrite {
+    jobs: InlineJobs,
+    job_id: String,
+}
+
+impl Drop for EnteredWrite {
+    fn drop(&mut self) {
+        self.jobs.takeovers().written(&self.job_id);
+    }
+}
+
 impl InlineJobs {
     pub(crate) fn takeovers(&self) -> MutexGuard<'_, JobTakeovers> {
         self.inner
@@ -164,19 +176,32 @@
         if !is_challenged || !self.takeovers().begin_write(job_id) {
             return;
         }
-        let jobs = self.clone();
         let known = known.clone();
-        tokio::spawn(async move {
+        self.spawn_write(known, |jobs, known| async move {
             jobs.answer_challenge(&known).await;
-            jobs.takeovers().written(&known.head.job_id);
         });
     }
 
-    pub(crate) fn start_challenge(&self, known: KnownHead, standing: OwnerStanding) {
+    /// Runs the write of a job's head that has been entered as under way; it is taken off however the write ends.
+    pub(crate) fn spawn_write<F: Future<Output = ()> + Send>(
+        &self,
+        known: KnownHead,
+        write: impl FnOnce(Self, KnownHead) -> F + Send + 'static,
+    ) {
+        let entered = EnteredWrite {
+            jobs: self.clone(),
+            job_id: known.head.job_id.clone(),
+        };
         let jobs = self.clone();
         tokio::spawn(async move {
+            let _entered = entered;
+            write(jobs, known).await;
+        });
+    }
+
+    pub(crate) fn start_challenge(&self, known: KnownHead, standing: OwnerStanding) {
+        self.spawn_write(known, move |jobs, known| async move {
             jobs.challenge(&known, standing).await;
-            jobs.takeovers().written(&known.head.job_id);
         });
     }
 
