--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -79,7 +79,7 @@
 const LEAST_SUSPENSION: Duration = Duration::from_millis(50);
 
 /// Completes when a suspension is noticed: at the next reading of this clock after the machine goes on.
-pub fn noticed() -> Notified<'static> {
+pub fn suspension_noticed() -> Notified<'static> {
     NOTICED.notified()
 }
 
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -262,7 +262,7 @@
         copy: &mut SpaceCopy,
         wait: Duration,
     ) -> Result<Option<SpaceUpdate>, WatchFailure> {
-        let suspended = harrierward_clock::noticed();
+        let suspended = harrierward_clock::suspension_noticed();
         let asked = self.table.wait_changes(self.space, copy.revision(), wait);
         let answer = tokio::select! {
             answer = asked => answer,
--- a/crates/external/src/budget.rs
+++ b/crates/external/src/budget.rs
@@ -10,7 +10,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RequestClass {
     /// The last writes of a daemon that stops: what it knows is lost with it, so an answer is waited for as long as the stop lasts.
-    Farewell,
+    Handover,
     /// Claims, cancels and lease changes: a caller waits, or safety does.
     Urgent,
     /// Commits of results and accepted jobs.
@@ -72,7 +72,7 @@
 
     fn reserve(&self, class: RequestClass) -> f64 {
         match class {
-            RequestClass::Farewell | RequestClass::Urgent => 0.0,
+            RequestClass::Handover | RequestClass::Urgent => 0.0,
             RequestClass::Commit => self.burst * COMMIT_RESERVE,
             RequestClass::Listing => self.burst * LISTING_RESERVE,
         }
--- a/crates/inline-jobs/src/store/settling.rs
+++ b/crates/inline-jobs/src/store/settling.rs
@@ -13,7 +13,7 @@
 use crate::keys::{self, RowKind};
 
 /// Pause after which a last write is sent again beside the one that is not answered, whose answer may be lost; and tries at a time.
-const BESIDE: Duration = Duration::from_millis(1_500);
+const RESEND_AFTER: Duration = Duration::from_millis(1_500);
 const MOST_TRIES: usize = 4;
 
 /// Pauses between tries of one transaction.
@@ -60,8 +60,8 @@
         loop {
             tokio::select! {
                 () = sleep_until(next), if tries.len() < MOST_TRIES => {
-                    tries.push(self.table.transact(RequestClass::Farewell, transaction.clone()));
-                    next = Instant::now() + BESIDE;
+                    tries.push(self.table.transact(RequestClass::Handover, transaction.clone()));
+                    next = Instant::now() + RESEND_AFTER;
                 }
                 Some(answer) = tries.next() => match answer {
                     Ok(outcome) => return write_outcome(outcome),
