--- a/crates/inline-jobs/tests/rows_of_heads.rs
+++ b/crates/inline-jobs/tests/rows_of_heads.rs
@@ -1,16 +1,17 @@
 //! The space of the jobs' heads holds rows of three kinds, which must never be taken for each other.
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use bytes::Bytes;
 use harrierward_external::{
-    ChangePage, ObjectStore, PageStart, PlatformError, PlatformErrorKind, RequestClass, Row,
-    RowReading, SpacePage, Table, Transaction, TransactionOutcome, WatchedTable,
+    ChangePage, PageStart, PlatformError, Row, RowReading, SpacePage, WatchedTable,
 };
 use harrierward_inline_jobs::{JobStore, RowKind, crash_news, partitions, row_kind};
 use harrierward_wire::{CrashNewsRow, JobHeadRow, QuotaFenceRow, encode};
+use support::{AwayStore, away};
 use tokio::time::Instant;
 
 const JOB: &str = "job-1";
@@ -38,50 +39,6 @@
 /// A store with a row of each kind; any of them can be decoded as a head.
 struct EachKind;
 
-fn away(step: &'static str) -> PlatformError {
-    PlatformError::new(step, "store", PlatformErrorKind::NotDone, "away")
-}
-
-#[async_trait]
-impl Table for EachKind {
-    async fn transact(
-        &self,
-        _: RequestClass,
-        _: Transaction,
-    ) -> Result<TransactionOutcome, PlatformError> {
-        Err(away("transact"))
-    }
-
-    async fn get(&self, _: RequestClass, _: &[String]) -> Result<Vec<Option<Row>>, PlatformError> {
-        Err(away("get"))
-    }
-
-    async fn scan(
-        &self,
-        _: RequestClass,
-        _: &str,
-        _: &str,
-        _: usize,
-    ) -> Result<Vec<Row>, PlatformError> {
-        Err(away("scan"))
-    }
-}
-
-#[async_trait]
-impl ObjectStore for EachKind {
-    async fn put(&self, _: RequestClass, _: &str, _: Bytes) -> Result<(), PlatformError> {
-        Err(away("put"))
-    }
-
-    async fn get(&self, _: RequestClass, _: &str) -> Result<Bytes, PlatformError> {
-        Err(away("get object"))
-    }
-
-    async fn delete(&self, _: RequestClass, _: &str) -> Result<(), PlatformError> {
-        Err(away("delete"))
-    }
-}
-
 #[async_trait]
 impl WatchedTable for EachKind {
     async fn read_page(&self, _: &str, start: PageStart<'_>) -> Result<SpacePage, PlatformError> {
@@ -133,7 +90,8 @@
 #[tokio::test]
 async fn only_heads_are_read_as_heads() {
     let rows = Arc::new(EachKind);
-    let store = JobStore::new(rows.clone(), rows.clone(), rows);
+    let away = Arc::new(AwayStore);
+    let store = JobStore::new(away.clone(), away, rows);
     let until = Instant::now() + Duration::from_secs(2);
     let heads = store.read_heads(1, until).await.expect("read");
     let ids: Vec<&str> = heads
--- a/crates/inline-jobs/tests/stale_listing.rs
+++ b/crates/inline-jobs/tests/stale_listing.rs
@@ -5,6 +5,8 @@
 //! result seconds before. What showed it: the lines `listing_asked` of that daemon, `outcome: nothing` beside a `proof_age_ms` of
 //! 1,239 to 1,743, and none at all for the looks that it denied on a proof younger than 0.8 s.
 
+mod support;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -14,8 +16,8 @@
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_external::{
-    ChangePage, ObjectStore, PageStart, PlatformError, PlatformErrorKind, RequestClass, Row,
-    RowReading, SpacePage, Table, Transaction, TransactionOutcome, WatchedTable,
+    ChangePage, PageStart, PlatformError, RequestClass, Row, RowReading, SpacePage, Table,
+    Transaction, TransactionOutcome, WatchedTable,
 };
 use harrierward_inline_jobs::{
     InlineJobs, JobCaller, JobParts, JobSettings, KnownHead, Lookup, Peers, QuotaRequest,
@@ -29,6 +31,7 @@
 };
 use harrierward_tenants::Tenant;
 use harrierward_wire::{ItemHeadRow, JobHeadRow, QuotaOutcome, ResultPieceRow, encode};
+use support::{AwayStore, away};
 use tokio::time::{Instant, advance};
 
 const JOB: &str = "job-1";
@@ -66,10 +69,6 @@
     }
 }
 
-fn away(step: &'static str) -> PlatformError {
-    PlatformError::new(step, "store", PlatformErrorKind::NotDone, "away")
-}
-
 #[async_trait]
 impl Table for OneJob {
     async fn transact(
@@ -108,21 +107,6 @@
     }
 }
 
-#[async_trait]
-impl ObjectStore for OneJob {
-    async fn put(&self, _: RequestClass, _: &str, _: Bytes) -> Result<(), PlatformError> {
-        Err(away("put"))
-    }
-
-    async fn get(&self, _: RequestClass, _: &str) -> Result<Bytes, PlatformError> {
-        Err(away("get object"))
-    }
-
-    async fn delete(&self, _: RequestClass, _: &str) -> Result<(), PlatformError> {
-        Err(away("delete"))
-    }
-}
-
 #[async_trait]
 impl WatchedTable for OneJob {
     async fn read_page(&self, _: &str, _: PageStart<'_>) -> Result<SpacePage, PlatformError> {
@@ -236,7 +220,7 @@
     InlineJobs::new(JobParts {
         life: "this-daemon".to_owned(),
         table: store.clone(),
-        objects: store.clone(),
+        objects: Arc::new(AwayStore),
         watched: store,
         forwarder,
         peers: Arc::new(Nothing),
--- /dev/null
+++ b/crates/inline-jobs/tests/support/mod.rs
@@ -0,0 +1,78 @@
+//! A store that is away, for the parts of it that a test does not need.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use harrierward_external::{
+    ChangePage, ObjectStore, PageStart, PlatformError, PlatformErrorKind, RequestClass, Row,
+    RowReading, SpacePage, Table, Transaction, TransactionOutcome, WatchedTable,
+};
+
+/// The answer of a store that is away.
+pub fn away(step: &'static str) -> PlatformError {
+    PlatformError::new(step, "store", PlatformErrorKind::NotDone, "away")
+}
+
+/// It does nothing, and says so.
+pub struct AwayStore;
+
+#[async_trait]
+impl Table for AwayStore {
+    async fn transact(
+        &self,
+        _: RequestClass,
+        _: Transaction,
+    ) -> Result<TransactionOutcome, PlatformError> {
+        Err(away("transact"))
+    }
+
+    async fn get(&self, _: RequestClass, _: &[String]) -> Result<Vec<Option<Row>>, PlatformError> {
+        Err(away("get"))
+    }
+
+    async fn scan(
+        &self,
+        _: RequestClass,
+        _: &str,
+        _: &str,
+        _: usize,
+    ) -> Result<Vec<Row>, PlatformError> {
+        Err(away("scan"))
+    }
+}
+
+#[async_trait]
+impl ObjectStore for AwayStore {
+    async fn put(&self, _: RequestClass, _: &str, _: Bytes) -> Result<(), PlatformError> {
+        Err(away("put"))
+    }
+
+    async fn get(&self, _: RequestClass, _: &str) -> Result<Bytes, PlatformError> {
+        Err(away("get object"))
+    }
+
+    async fn delete(&self, _: RequestClass, _: &str) -> Result<(), PlatformError> {
+        Err(away("delete"))
+    }
+}
+
+#[async_trait]
+impl WatchedTable for AwayStore {
+    async fn read_page(&self, _: &str, _: PageStart<'_>) -> Result<SpacePage, PlatformError> {
+        Err(away("read page"))
+    }
+
+    async fn read_row(&self, _: &str) -> Result<RowReading, PlatformError> {
+        Err(away("read row"))
+    }
+
+    async fn wait_changes(
+        &self,
+        _: &str,
+        _: u64,
+        _: Duration,
+    ) -> Result<ChangePage, PlatformError> {
+        Err(away("wait changes"))
+    }
+}
