--- a/crates/edge/tests/discovery.rs
+++ b/crates/edge/tests/discovery.rs
@@ -1,81 +1,19 @@
 //! What a daemon believes only moves forward, whoever tells it.
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, LogBounds};
-use harrierward_edge::{Discovery, DiscoverySource, ServerControl, SpaceCopy, SpaceUpdate};
+use harrierward_edge::{Discovery, ServerControl, SpaceCopy, SpaceUpdate};
 use harrierward_external::{ChangePage, Row, RowChange, SpaceSnapshot};
-use harrierward_serving::{
-    ReplicaRecord, ReplicaSet, Service, ServingConfiguration, SharedRoutes, Warmup,
-};
+use harrierward_serving::{ReplicaSet, SharedRoutes};
+use support::{PlainSource, WARMUP};
 use tokio::time::Instant;
 
-const WARMUP: Warmup = Warmup {
-    lasts: Duration::from_secs(6),
-    per_second: 2.0,
-};
-
-/// Rows whose content is a number: the version, or the address of the replica named by the key, and after a space for
-/// how many milliseconds it stays cold.
-struct PlainSource;
-
-impl DiscoverySource for PlainSource {
-    fn configuration_space(&self) -> &'static str {
-        "configuration"
-    }
-
-    fn replica_space(&self) -> &'static str {
-        "replicas"
-    }
-
-    fn configuration_of(&self, row: &Row) -> Result<Option<ServingConfiguration>, String> {
-        if self.evacuated_zone_of(&row.key).is_some() {
-            return Ok(None);
-        }
-        let text = String::from_utf8_lossy(&row.value);
-        let version = text.parse().map_err(|_| format!("version: {text:?}"))?;
-        Ok(Some(ServingConfiguration {
-            version,
-            services: vec![Service {
-                name: "service".to_owned(),
-                slots: 4,
-                memory_tokens: 0,
-                connections: 0,
-                warmup: Some(WARMUP),
-            }],
-            ..ServingConfiguration::default()
-        }))
-    }
-
-    fn evacuated_zone_of(&self, key: &str) -> Option<String> {
-        key.strip_prefix("evacuate/").map(str::to_owned)
-    }
-
-    fn knows_zone(&self, zone: &str) -> bool {
-        zone == "zone"
-    }
-
-    fn replica_of(&self, row: &Row) -> Result<ReplicaRecord, String> {
-        let text = String::from_utf8(row.value.to_vec()).map_err(|error| error.to_string())?;
-        let (address, warmup_ms) = text.split_once(' ').unwrap_or((&text, "0"));
-        let warmup_ms = warmup_ms.parse().map_err(|_| "warmup".to_owned())?;
-        Ok(ReplicaRecord {
-            born_ms: None,
-            region: String::new(),
-            warmup: Duration::from_millis(warmup_ms),
-            id: row.key.clone(),
-            service: "service".to_owned(),
-            address: address.to_owned(),
-            zone: "zone".to_owned(),
-            slots: 4,
-            draining: false,
-        })
-    }
-}
-
 fn row(key: &str, value: &str, revision: u64) -> Row {
     Row {
         key: key.to_owned(),
--- a/crates/edge/tests/peer_news.rs
+++ b/crates/edge/tests/peer_news.rs
@@ -5,6 +5,8 @@
 //! beside an old proof. What shows it: no `configuration_in_force` at that daemon, and no `peer_asked`, while the others have
 //! the version.
 
+mod support;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -14,15 +16,16 @@
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_edge::{
-    ConnectionPool, Discovery, DiscoverySource, HttpService, PeerNews, PoolSettings, ResponseBody,
-    ServerControl, SpaceUpdate, serve,
+    ConnectionPool, Discovery, HttpService, PeerNews, PoolSettings, ResponseBody, ServerControl,
+    SpaceUpdate, serve,
 };
 use harrierward_external::Row;
-use harrierward_serving::{ReplicaRecord, ReplicaSet, ServingConfiguration};
+use harrierward_serving::ReplicaSet;
 use harrierward_wire::{KnownRow, KnownRows, encode};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use support::PlainSource;
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
@@ -34,32 +37,6 @@
 
 const KEY: &str = "configuration";
 
-/// Rows whose content is the version.
-struct PlainSource;
-
-impl DiscoverySource for PlainSource {
-    fn configuration_space(&self) -> &'static str {
-        "configuration"
-    }
-
-    fn replica_space(&self) -> &'static str {
-        "replicas"
-    }
-
-    fn configuration_of(&self, row: &Row) -> Result<Option<ServingConfiguration>, String> {
-        let text = String::from_utf8_lossy(&row.value);
-        let version = text.parse().map_err(|_| format!("version: {text:?}"))?;
-        Ok(Some(ServingConfiguration {
-            version,
-            ..ServingConfiguration::default()
-        }))
-    }
-
-    fn replica_of(&self, _row: &Row) -> Result<ReplicaRecord, String> {
-        Err("no replicas here".to_owned())
-    }
-}
-
 /// A peer that has this version, and counts who asks for it.
 struct Peer {
     version: u64,
