In a zone of many daemons one reads the store, and the others follow it

Cause: every daemon read all that the store holds for itself: at 985 daemons before 10,000 replicas some 3.5 MB a daemon and start (20 pages), each changed row, header and configuration 985 times. Bytes and calls of the store grew with daemons x rows.

Change: crate `relay` (pure but for the trait to peers): a zone's members in one order as a tree of at most 8 followers each; a question to a peer is held until it has rows or a newer proof for the asker, and the answer carries the age of its proof, so that nobody takes old rows for new ones. Digests of keys and revisions find what was passed over. The store stays the fall-back for changes (few), and the last resort for whole reads. Below 32 members of a zone (24 on the way back) all is as it was. The watch and its copy move there out of `edge`; the copy now also answers.

Ruled out: readers by key range (feeds have none); rows of the own zone only (the layout of groups counts all replicas); sending on by push (a slow follower would queue; a held question gathers by itself).

Tests: crates/relay/tests/{tree,copies,zone}.rs (200 and 400 daemons of a zone before 10,000 and 20,000 rows in virtual time), platform/tests/relayed.rs (36 daemons over sockets; with the bound put out of reach: 612 reads in 3 s instead of fewer than 36, so it can fail), formats.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -65,6 +65,44 @@
         /// What came of it.
         outcome: &'a str,
     },
+    /// A space of the store is read from elsewhere than before.
+    SpaceSource {
+        /// Space.
+        space: &'a str,
+        /// `store`, or the id of the peer whose copy is followed.
+        source: &'a str,
+        /// The source before; empty if there was none.
+        before: &'a str,
+        /// Revision of the own copy.
+        revision: u64,
+        /// Age of its proof; `None` if it has none.
+        proof_age_ms: Option<u64>,
+    },
+    /// A source of a space did not serve, and is passed over for a while.
+    SpaceSourceFailed {
+        /// Space.
+        space: &'a str,
+        /// `store`, or the id of the peer.
+        source: &'a str,
+        /// Why.
+        cause: &'a str,
+    },
+    /// The copy of a space differs from that of the peer that is followed, and is read whole.
+    CopyDiffers {
+        /// Space.
+        space: &'a str,
+        /// Revision of both.
+        revision: u64,
+    },
+    /// Whether this daemon reads the store by itself, or follows a peer of its zone.
+    RelayMode {
+        /// `direct` or `relayed`.
+        mode: &'a str,
+        /// Members of the zone that may be followed.
+        zone_members: usize,
+        /// It reads the store for its zone.
+        is_reader: bool,
+    },
     /// A configuration came into force.
     ConfigurationInForce {
         /// Version.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -10,6 +10,10 @@
 use harrierward_inline_jobs::{
     HEADS, InlineJobs, JobParts, JobSettings, RowKind, partitions, row_kind,
 };
+use harrierward_relay::{
+    Relay, SharedSpace, SpaceUpdate, Watch, WatchPace, WatchSettings, WholeReadPace,
+    gathering_interval, unpaced, whole_read_interval,
+};
 use harrierward_serving::{
     ConfigurationProof, Forwarder, ForwarderParts, ForwarderSettings, KeyTrust, Location,
     Mechanism, Replica, ReplicaClient, ReplicaSet,
@@ -27,14 +31,10 @@
 use crate::pool::ConnectionPool;
 use crate::quarantine::{HeldContents, QuarantineService};
 use crate::rates::RateService;
+use crate::relay::{HttpPeers, SpaceReplies};
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
 use crate::slots::{Pacing, SlotService, YieldItems};
-use crate::space_copy::SpaceUpdate;
-use crate::watch::{
-    Watch, WatchPace, WatchSettings, WholeReadPace, gathering_interval, unpaced,
-    whole_read_interval,
-};
 
 /// What a daemon is made of.
 pub struct DaemonParts {
@@ -94,6 +94,7 @@
     pub(crate) settings: EdgeSettings,
     pub(crate) service: Arc<EdgeService>,
     pub(crate) members: Arc<Members>,
+    relay: Arc<Relay>,
     pub(crate) log: DecisionLog,
 }
 
@@ -199,11 +200,18 @@
             jobs: jobs.clone(),
             members: members.clone(),
         }));
+        let spaces = [source.configuration_space(), source.replica_space(), HEADS];
+        let peers = Arc::new(HttpPeers::new(pool.clone()));
+        let life = members.life();
+        let relay = Relay::new(life, watched, peers, &spaces, log.clone());
+        let relay = Arc::new(relay);
+        members.set_relay(relay.clone());
         let fleet = members.clone();
         let reads_a_second = settings.store_reads_a_second;
         let paces = Paces {
             is_gathering: settings.policy.has(Mechanism::GatheredChanges),
             fleet_size: Arc::new(move || fleet.fleet_size()),
+            relay: relay.clone(),
             reads_a_second,
             configuration_wait: configuration_wait(settings.key_trust),
         };
@@ -211,14 +219,21 @@
             jobs: jobs.clone(),
             quarantine: quarantine.clone(),
         };
-        start_watches(&discovery, source.as_ref(), &watched, heads, &paces, &log);
+        start_watches(&discovery, source.as_ref(), heads, &paces, &log);
         let clock = jobs.clone();
         let store_now_ms = move || clock.view().store_now_ms();
         tokio::spawn(quarantine.clone().keep_stored(table, store_now_ms));
         tokio::spawn(jobs.clone().run());
         tokio::spawn(news.catch_up(pool.clone()));
         tokio::spawn(discovery.clone().watch_evacuated());
-        tokio::spawn(learn(discovery.clone(), members.clone(), pool, log.clone()));
+        let learning = learn(
+            discovery.clone(),
+            members.clone(),
+            relay.clone(),
+            pool,
+            log.clone(),
+        );
+        tokio::spawn(learning);
         let service = Arc::new(EdgeService {
             forwarder,
             jobs,
@@ -232,6 +247,7 @@
             settings,
             service,
             members,
+            relay,
             log,
         }
     }
@@ -264,7 +280,8 @@
             let listener = TcpListener::bind(&self.settings.control_address).await?;
             let peer_rows = Arc::new(PeerRows::new(self.service.discovery.clone()));
             let held = HeldContents::new(self.service.quarantine.clone(), peer_rows);
-            tokio::spawn(serve(listener, inner_control, Arc::new(held)));
+            let spaces = SpaceReplies::new(self.relay.clone(), Arc::new(held));
+            tokio::spawn(serve(listener, inner_control, Arc::new(spaces)));
         }
         Ok(())
     }
@@ -302,10 +319,14 @@
 struct Paces {
     is_gathering: bool,
     fleet_size: Arc<dyn Fn() -> usize + Send + Sync>,
+    relay: Arc<Relay>,
     reads_a_second: f64,
     configuration_wait: Duration,
 }
 
+/// Time between whole reads of a space that a peer hands on: what differs from the peer's copy is found by digest.
+const WHOLE_READS_OF_FOLLOWERS: Duration = Duration::from_secs(600);
+
 /// A daemon that may serve keys only for a while without contact must prove its contact several times in that while.
 fn configuration_wait(trust: KeyTrust) -> Duration {
     match trust {
@@ -315,37 +336,51 @@
 }
 
 impl Paces {
-    fn gathering(&self) -> WatchPace {
+    fn gathering(&self, space: &'static str) -> WatchPace {
         if !self.is_gathering {
             return unpaced();
         }
         let (fleet_size, reads) = (self.fleet_size.clone(), self.reads_a_second);
-        Arc::new(move || gathering_interval(fleet_size(), reads))
+        let relay = self.relay.clone();
+        Arc::new(move || {
+            let relayed = relay.interval(space);
+            relayed.unwrap_or_else(|| gathering_interval(fleet_size(), reads))
+        })
     }
 
-    fn whole_reads(&self) -> WholeReadPace {
+    fn whole_reads(&self, space: &'static str) -> WholeReadPace {
         let (fleet_size, reads) = (self.fleet_size.clone(), self.reads_a_second);
-        Arc::new(move |calls| whole_read_interval(fleet_size(), calls, reads))
+        let relay = self.relay.clone();
+        Arc::new(move |calls| {
+            if relay.is_follower(space) {
+                return WHOLE_READS_OF_FOLLOWERS;
+            }
+            whole_read_interval(fleet_size(), calls, reads)
+        })
+    }
+
+    /// The copy that the watch of a space keeps.
+    fn copy(&self, space: &'static str) -> Arc<SharedSpace> {
+        self.relay.space(space).cloned().unwrap_or_default()
     }
 }
 
 fn start_watches(
     discovery: &Arc<Discovery>,
     source: &dyn DiscoverySource,
-    table: &Arc<dyn WatchedTable>,
     head_taker: HeadTaker,
     paces: &Paces,
     log: &DecisionLog,
 ) {
     let watch = |space, partitions: Vec<String>, pace, wait| Watch {
-        table: table.clone(),
+        table: paces.relay.clone(),
         space,
         settings: WatchSettings {
             wait,
             ..WatchSettings::default()
         },
         pace,
-        whole_read_pace: paces.whole_reads(),
+        whole_read_pace: paces.whole_reads(space),
         partitions,
         log: log.clone(),
     };
@@ -356,22 +391,27 @@
         paces.configuration_wait,
     );
     let taker = discovery.clone();
-    tokio::spawn(configuration.run(move |update| taker.take_configuration(&update, "store")));
+    let copy = paces.copy(source.configuration_space());
+    let taking = move |update| taker.take_configuration(&update, "store");
+    tokio::spawn(configuration.run_shared(copy, taking));
     let replicas = watch(
         source.replica_space(),
         one_partition(),
-        paces.gathering(),
+        paces.gathering(source.replica_space()),
         QUIET_WAIT,
     );
     let taker = discovery.clone();
-    tokio::spawn(replicas.run(move |update| taker.take_replicas(&update)));
+    let copy = paces.copy(source.replica_space());
+    tokio::spawn(replicas.run_shared(copy, move |update| taker.take_replicas(&update)));
     let wait = WatchSettings::default().wait;
-    let heads = watch(HEADS, partitions(), paces.gathering(), wait);
+    let heads = watch(HEADS, partitions(), paces.gathering(HEADS), wait);
+    let copy = paces.copy(HEADS);
     let first = discovery.clone();
     tokio::spawn(async move {
         // Where all daemons start at once the store takes only part of their calls: what callers wait for is read first.
         wait_until_complete(&first).await;
-        heads.run(move |update| head_taker.take(&update)).await;
+        let taking = move |update| head_taker.take(&update);
+        heads.run_shared(copy, taking).await;
     });
 }
 
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -6,6 +6,7 @@
 
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::Row;
+use harrierward_relay::SpaceUpdate;
 use harrierward_serving::{
     ConfigurationProof, EvacuatedZones, EvacuationNews, EvacuationRows, ReplicaRecord, ReplicaSet,
     RouteTable, ServingConfiguration, SharedRoutes, WorkClass, ZoneChange,
@@ -13,7 +14,6 @@
 use tokio::time::{Instant, sleep};
 
 use crate::server::ServerControl;
-use crate::space_copy::SpaceUpdate;
 
 /// Translates the store's rows.
 pub trait DiscoverySource: Send + Sync {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,14 +16,13 @@
 mod pool;
 mod quarantine;
 mod rates;
+mod relay;
 mod server;
 mod settings;
 mod silence;
 mod slots;
-mod space_copy;
 mod stop;
 mod trips;
-mod watch;
 
 pub use answer_budget::AnswerBudget;
 pub use daemon::{Daemon, DaemonParts, EdgeService};
@@ -39,11 +38,7 @@
 };
 pub use quarantine::QuarantineService;
 pub use rates::RateService;
+pub use relay::{HttpPeers, SpaceReplies};
 pub use server::{HttpService, ResponseBody, ServerControl, ServerStage, serve};
 pub use settings::{AdvertisedAddresses, EdgeSettings};
 pub use slots::{CoordinatorCandidate, Pacing, SlotService, YieldItems};
-pub use space_copy::{SpaceCopy, SpaceUpdate};
-pub use watch::{
-    Watch, WatchPace, WatchSettings, WholeReadPace, gathering_interval, unpaced, unpaced_reads,
-    whole_read_interval,
-};
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -13,6 +13,7 @@
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_inline_jobs::InlineJobs;
 use harrierward_membership::{Action, MembershipCore, MembershipSettings, MembershipView};
+use harrierward_relay::{Relay, RelayPeer};
 use harrierward_serving::{Location, Mechanism, Policy, Replica, ReplicaSet};
 use harrierward_wire::{
     Datagram, DatagramKind, MemberRecord, MemberState, NodeDatagram, QuotaAnswer, YieldRequest,
@@ -70,6 +71,7 @@
     log: DecisionLog,
     jobs: OnceLock<InlineJobs>,
     news: OnceLock<Arc<PeerNews>>,
+    relay: OnceLock<Arc<Relay>>,
     quota_calls: DatagramCalls<QuotaAnswer>,
     next_quota_call: AtomicU32,
     slots: Arc<SlotService>,
@@ -151,6 +153,7 @@
             log,
             jobs: OnceLock::new(),
             news: OnceLock::new(),
+            relay: OnceLock::new(),
             quota_calls: DatagramCalls::default(),
             next_quota_call: AtomicU32::new(1),
             slots,
@@ -188,6 +191,11 @@
         self.is_alone_without_proof_for(&self.lock(), ALONE_CUT_OFF_AFTER)
     }
 
+    /// Member id of this life of the daemon.
+    pub fn life(&self) -> &str {
+        &self.life
+    }
+
     /// Says that this daemon leaves.
     pub fn leave(&self) {
         self.lock().core.leave();
@@ -342,11 +350,34 @@
             location: Location::new(&member.zone, &member.region),
         });
         let staying: Vec<CoordinatorCandidate> = staying.collect();
+        self.tell_relay(&view);
         self.quarantine.set_members(&staying);
         self.rates.set_members(staying.clone());
         self.slots.set_members(staying);
     }
 
+    /// Tells whom of the own zone this daemon may follow. Who cannot reach the store has nothing to hand on.
+    fn tell_relay(&self, view: &MembershipView) {
+        let Some(relay) = self.relay.get() else {
+            return;
+        };
+        let near = view.staying().filter(|member| {
+            member.zone == self.zone && !member.detached && !member.peer_address.is_empty()
+        });
+        let near = near.map(|member| RelayPeer {
+            id: member.id.clone(),
+            address: member.peer_address.clone(),
+        });
+        let near: Vec<RelayPeer> = near.collect();
+        relay.set_members(&near, view.members.len());
+    }
+
+    /// Where the store's spaces are read.
+    pub fn set_relay(&self, relay: Arc<Relay>) {
+        // Set once, at the start.
+        let _ = self.relay.set(relay);
+    }
+
     /// The jobs of this daemon, of which its peers are told, and whose quotas they ask for.
     pub fn set_jobs(&self, jobs: InlineJobs) {
         // Set once, at the start.
--- a/crates/edge/src/peer_news.rs
+++ b/crates/edge/src/peer_news.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use harrierward_decisions::{DecisionLog, Record};
+use harrierward_relay::SpaceUpdate;
 use harrierward_serving::{EvacuationNews, ZoneMark};
 use harrierward_wire::{EvacuatedZone, Evacuations};
 use tokio::time::{Instant, sleep, timeout};
@@ -13,7 +14,6 @@
 use crate::discovery::Discovery;
 use crate::peer_rows::{PEER_TIMEOUT, ask_configuration, to_row};
 use crate::pool::ConnectionPool;
-use crate::space_copy::SpaceUpdate;
 
 /// Pause between two looks whether a peer is ahead.
 const LOOK: Duration = Duration::from_millis(200);
--- a/crates/edge/src/peer_rows.rs
+++ b/crates/edge/src/peer_rows.rs
@@ -8,6 +8,7 @@
 use futures::StreamExt;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{Backoff, Row};
+use harrierward_relay::{Relay, SpaceUpdate};
 use harrierward_wire::{KnownRow, KnownRows, decode, encode};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -23,7 +24,6 @@
 use crate::peer_news::{evacuation_news, evacuations_message};
 use crate::pool::{ConnectionPool, PooledResponse};
 use crate::server::{HttpService, ResponseBody};
-use crate::space_copy::SpaceUpdate;
 
 /// Path of the question.
 const PATH: &str = "/internal/known-rows";
@@ -178,6 +178,7 @@
 pub async fn learn(
     discovery: Arc<Discovery>,
     members: Arc<Members>,
+    relay: Arc<Relay>,
     pool: ConnectionPool,
     log: DecisionLog,
 ) {
@@ -185,7 +186,8 @@
     let began = Instant::now();
     let mut random = SmallRng::from_os_rng();
     let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
-    while !discovery.is_complete() {
+    // Along a zone's tree all that this brings comes with its proof.
+    while !discovery.is_complete() && !relay.is_relaying() {
         let addresses = members.control_addresses(MOST_ASKED);
         let peers = addresses.len();
         let rows = ask_some(addresses, &pool).await;
--- a/crates/edge/tests/discovery.rs
+++ b/crates/edge/tests/discovery.rs
@@ -8,8 +8,9 @@
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, LogBounds};
-use harrierward_edge::{Discovery, ServerControl, SpaceCopy, SpaceUpdate};
+use harrierward_edge::{Discovery, ServerControl};
 use harrierward_external::{ChangePage, Row, RowChange, SpaceSnapshot};
+use harrierward_relay::{SpaceCopy, SpaceUpdate};
 use harrierward_serving::{ReplicaSet, SharedRoutes};
 use support::{PlainSource, WARMUP};
 use tokio::time::Instant;
@@ -109,6 +110,7 @@
         rows,
         revision,
         store_time_ms: 1,
+        proof: None,
     }
 }
 
@@ -125,6 +127,7 @@
         }],
         revision: 12,
         store_time_ms: 2,
+        proof: None,
     };
     assert_eq!(copy.take_changes(changes).removed, ["a"]);
     let stale = snapshot(11, vec![row("a", "1", 8), row("b", "1", 9)]);
@@ -141,6 +144,7 @@
         changes: Vec::new(),
         revision: 14,
         store_time_ms: 2,
+        proof: None,
     });
     let whole = snapshot(15, vec![row("a", "1", 8), row("c", "1", 11)]);
     let update = copy.take_snapshot(whole).expect("the read is newer");
@@ -252,6 +256,7 @@
             changes,
             revision,
             store_time_ms: 2,
+            proof: None,
         });
         self.fixture.discovery.take_configuration(&update, "store");
     }
--- a/crates/edge/tests/peer_news.rs
+++ b/crates/edge/tests/peer_news.rs
@@ -17,9 +17,10 @@
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_edge::{
     ConnectionPool, Discovery, HttpService, PeerNews, PoolSettings, ResponseBody, ServerControl,
-    SpaceUpdate, serve,
+    serve,
 };
 use harrierward_external::Row;
+use harrierward_relay::SpaceUpdate;
 use harrierward_serving::ReplicaSet;
 use harrierward_wire::{KnownRow, KnownRows, encode};
 use http::{Request, Response};
--- a/crates/external/src/lib.rs
+++ b/crates/external/src/lib.rs
@@ -28,6 +28,8 @@
 pub use machines::{Machine, MachineList, MachineState};
 pub use objects::ObjectStore;
 pub use table::{Condition, Row, Table, Transaction, TransactionOutcome, Write};
-pub use watch::{ChangePage, RowChange, RowReading, SpacePage, SpaceSnapshot, WatchedTable};
+pub use watch::{
+    ChangePage, CopyProof, RowChange, RowReading, SpacePage, SpaceSnapshot, WatchedTable,
+};
 pub use weights::{WeightStore, WeightTransfer};
 pub use whole_read::{PageStart, WholeRead};
--- a/crates/external/src/watch.rs
+++ b/crates/external/src/watch.rs
@@ -7,10 +7,20 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use tokio::time::Instant;
 
 use crate::whole_read::{PageStart, WholeRead};
 use crate::{PlatformError, Row};
 
+/// What a peer's copy of a space, which answers in the store's place, says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CopyProof {
+    /// The copy holds all that the store had acknowledged by then.
+    pub as_of: Instant,
+    /// Digest of the keys and revisions of all its rows.
+    pub digest: u64,
+}
+
 /// All rows of a space as of one revision.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SpaceSnapshot {
@@ -20,6 +30,8 @@
     pub revision: u64,
     /// The store's steady clock, milliseconds.
     pub store_time_ms: u64,
+    /// The answer is a peer's; `None` for the store's own.
+    pub proof: Option<CopyProof>,
 }
 
 /// Some rows of a partition of a space, in the order of their keys.
@@ -33,6 +45,8 @@
     pub revision: u64,
     /// The store's steady clock, milliseconds.
     pub store_time_ms: u64,
+    /// The answer is a peer's, and holds the whole space; `None` for the store's own.
+    pub proof: Option<CopyProof>,
 }
 
 /// What the store says of one row.
@@ -64,6 +78,8 @@
     pub revision: u64,
     /// The store's steady clock, milliseconds.
     pub store_time_ms: u64,
+    /// The answer is a peer's; `None` for the store's own.
+    pub proof: Option<CopyProof>,
 }
 
 /// Client of a table whose spaces can be watched.
--- a/crates/external/src/whole_read.rs
+++ b/crates/external/src/whole_read.rs
@@ -13,6 +13,8 @@
     pub partition: &'a str,
     /// Least key within the partition.
     pub from: &'a str,
+    /// Most rows wanted; the store may give fewer.
+    pub most_rows: usize,
 }
 
 /// A whole read under way.
@@ -40,12 +42,17 @@
         Some(PageStart {
             partition,
             from: &self.from,
+            most_rows: usize::MAX,
         })
     }
 
     /// Takes the page that was to be read next.
     pub fn take(&mut self, page: SpacePage) {
         self.pages += 1;
+        if page.proof.is_some() {
+            self.take_whole(page);
+            return;
+        }
         // The snapshot is as old as its oldest page; changes after that follow from the feed.
         self.snapshot.revision = if self.pages == 1 {
             page.revision
@@ -63,6 +70,17 @@
         }
     }
 
+    /// Takes a peer's answer, which holds all partitions: pages that were read before are not needed.
+    fn take_whole(&mut self, page: SpacePage) {
+        self.position = self.partitions.len();
+        self.snapshot = SpaceSnapshot {
+            rows: page.rows,
+            revision: page.revision,
+            store_time_ms: page.store_time_ms,
+            proof: page.proof,
+        };
+    }
+
     /// Pages read so far.
     pub fn pages(&self) -> usize {
         self.pages
--- a/crates/edge/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -9,7 +9,9 @@
 use rand::{Rng, SeedableRng};
 use tokio::time::{Instant, sleep};
 
-use crate::space_copy::{SpaceCopy, SpaceUpdate};
+use crate::pace::{WatchPace, WholeReadPace};
+use crate::shared_space::SharedSpace;
+use crate::space_copy::SpaceUpdate;
 
 /// Bounds of a watch.
 #[derive(Debug, Clone, Copy)]
@@ -42,60 +44,10 @@
     }
 }
 
-/// Least time between two answers that bring changes, asked anew each time: it grows with the fleet.
-pub type WatchPace = Arc<dyn Fn() -> Duration + Send + Sync>;
-
-/// Least time between two whole reads of a space, by the calls that one takes.
-pub type WholeReadPace = Arc<dyn Fn(usize) -> Duration + Send + Sync>;
-
-/// A pace for whole reads of a space that is small whatever the fleet's size.
-pub fn unpaced_reads() -> WholeReadPace {
-    Arc::new(|_| Duration::ZERO)
-}
-
-/// A pace for changes that must be known at once, and come seldom.
-pub fn unpaced() -> WatchPace {
-    Arc::new(|| Duration::ZERO)
-}
-
-/// Share of the store's reads that one space's changes may take, of all daemons together.
-const READ_SHARE: f64 = 0.02;
-
-/// Longest time for which changes are gathered: results are read about twice a second and are due in many seconds,
-/// and an end must be known to all within seconds.
-const LONGEST_INTERVAL: Duration = Duration::from_millis(800);
-
 /// Longest time over which the second reads of daemons that have started together are spread. At 300 daemons before
 /// 3,000 replicas they are 4,500 calls, of which the users' stores take 2,000 a second and more.
 const LONGEST_SPREAD: Duration = Duration::from_secs(4);
 
-/// Share of the store's reads that the whole reads of one space may take.
-const WHOLE_READ_SHARE: f64 = 0.01;
-
-/// Time between two whole reads of a space that take `calls` calls each, so that all `daemons` together stay within
-/// their share of the store's reads a second.
-pub fn whole_read_interval(daemons: usize, calls: usize, reads_a_second: f64) -> Duration {
-    let allowed = reads_a_second * WHOLE_READ_SHARE;
-    if allowed <= 0.0 {
-        return Duration::ZERO;
-    }
-    #[allow(clippy::cast_precision_loss)]
-    let seconds = (daemons * calls) as f64 / allowed;
-    Duration::from_secs_f64(seconds)
-}
-
-/// Least time between two answers of one watch, so that all `daemons` together, which each change wakes, stay
-/// within their share of the store's reads a second.
-pub fn gathering_interval(daemons: usize, reads_a_second: f64) -> Duration {
-    let allowed = reads_a_second * READ_SHARE;
-    if allowed <= 0.0 {
-        return Duration::ZERO;
-    }
-    #[allow(clippy::cast_precision_loss)]
-    let seconds = daemons as f64 / allowed;
-    Duration::from_secs_f64(seconds.min(LONGEST_INTERVAL.as_secs_f64()))
-}
-
 /// How much later than a held question explains the proof of a copy may be before the next question is not held: the store's
 /// answer and this process's own turn. A daemon that has woken, or is in contact again, is up to date an answer later instead of
 /// a held question later (2 s for what seldom changes); a store that is slower than this gets one more call for each one held.
@@ -121,10 +73,14 @@
 
 impl Watch {
     /// Runs for as long as the process does and gives each update to `take`.
-    pub async fn run(self, mut take: impl FnMut(SpaceUpdate)) {
+    pub async fn run(self, take: impl FnMut(SpaceUpdate)) {
+        self.run_shared(Arc::default(), take).await;
+    }
+
+    /// The same, with a copy that peers are answered from.
+    pub async fn run_shared(self, space: Arc<SharedSpace>, mut take: impl FnMut(SpaceUpdate)) {
         let mut random = SmallRng::from_os_rng();
         let mut backoff = Backoff::new(self.settings.first_pause, self.settings.longest_pause);
-        let mut copy = SpaceCopy::default();
         let mut read_whole = true;
         let mut history_lost = false;
         let mut whole_read_due = harrierward_clock::now();
@@ -135,6 +91,7 @@
         let mut lost_at: Option<Instant> = None;
         let mut interval = Duration::ZERO;
         let mut proven_at: Option<Instant> = None;
+        let mut difference = Difference::default();
         loop {
             let mut asked_at = harrierward_clock::now();
             let is_read_due = reading.is_some() || asked_at >= whole_read_due;
@@ -147,12 +104,12 @@
                     pages = done.whole.pages();
                     let pace = (self.whole_read_pace)(pages);
                     whole_read_due = asked_at + self.settings.whole_read_every.max(pace);
-                    copy.take_snapshot(done.whole.into_snapshot())
+                    space.copy().take_snapshot(done.whole.into_snapshot())
                 })
             } else {
                 ask_first = false;
                 let wait = self.hold(proven_at, interval);
-                self.ask(&mut copy, wait).await
+                self.ask(&space, wait).await
             };
             match result {
                 Ok(Some(mut update)) => {
@@ -165,9 +122,15 @@
                     if let Some(since) = lost_at.take() {
                         self.log_regained(since);
                     }
-                    update.as_of = Some(asked_at);
+                    if difference.is_standing(&update) {
+                        read_whole = true;
+                        self.log_differs(&update);
+                    }
+                    update.as_of = proof_of(&update, asked_at);
                     proven_at = proven_at.max(update.as_of);
-                    let gather = !update.is_empty();
+                    space.copy().prove(&update);
+                    space.notify();
+                    let gather = !update.is_empty() || update.differs;
                     take(update);
                     interval = if gather {
                         (self.pace)()
@@ -259,11 +222,12 @@
     /// Asks for changes, until the machine was suspended meanwhile.
     async fn ask(
         &self,
-        copy: &mut SpaceCopy,
+        space: &SharedSpace,
         wait: Duration,
     ) -> Result<Option<SpaceUpdate>, WatchFailure> {
         let suspended = harrierward_clock::suspension_noticed();
-        let asked = self.table.wait_changes(self.space, copy.revision(), wait);
+        let after = space.copy().revision();
+        let asked = self.table.wait_changes(self.space, after, wait);
         let answer = tokio::select! {
             answer = asked => answer,
             () = suspended => return Err(WatchFailure::Suspended),
@@ -272,7 +236,7 @@
             PlatformErrorKind::HistoryLost => WatchFailure::HistoryLost,
             _ => WatchFailure::NoContact(error.to_string()),
         })?;
-        Ok(Some(copy.take_changes(page)))
+        Ok(Some(space.copy().take_changes(page)))
     }
 
     fn log_lost(&self, cause: &str) {
@@ -282,6 +246,13 @@
         });
     }
 
+    fn log_differs(&self, update: &SpaceUpdate) {
+        self.log.record(&Record::CopyDiffers {
+            space: self.space,
+            revision: update.revision,
+        });
+    }
+
     fn log_regained(&self, since: Instant) {
         let away = harrierward_clock::age(since).as_millis();
         self.log.record(&Record::DependencyRegained {
@@ -291,6 +262,41 @@
     }
 }
 
+/// When the copy is true: as of the question, unless a peer answered, which says so itself. One that differs from the peer's
+/// proves nothing.
+fn proof_of(update: &SpaceUpdate, asked_at: Instant) -> Option<Instant> {
+    if update.differs {
+        return None;
+    }
+    update.as_of.or(Some(asked_at))
+}
+
+/// How long a copy may differ from that of the peer that it follows before it is read whole. It does for a moment where it holds
+/// rows that the peer has not been told of yet.
+const DIFFERS_FOR: Duration = Duration::from_millis(500);
+
+/// Since when the copy differs from that of the peer that it follows.
+#[derive(Debug, Default)]
+struct Difference {
+    since: Option<Instant>,
+}
+
+impl Difference {
+    /// True if the update shows that the copies have differed for too long; it then begins anew.
+    fn is_standing(&mut self, update: &SpaceUpdate) -> bool {
+        if !update.differs {
+            self.since = None;
+            return false;
+        }
+        let since = *self.since.get_or_insert_with(harrierward_clock::now);
+        let is_standing = harrierward_clock::age(since) >= DIFFERS_FOR;
+        if is_standing {
+            self.since = None;
+        }
+        is_standing
+    }
+}
+
 /// A whole read that has begun.
 struct ReadUnderWay {
     whole: WholeRead,
--- a/crates/edge/tests/suspended_watch.rs
+++ b/crates/relay/tests/suspended_watch.rs
@@ -11,10 +11,10 @@
 
 use async_trait::async_trait;
 use harrierward_decisions::{DecisionLog, LogBounds};
-use harrierward_edge::{Watch, WatchSettings, unpaced, unpaced_reads};
 use harrierward_external::{
     ChangePage, PageStart, PlatformError, RowReading, SpacePage, WatchedTable,
 };
+use harrierward_relay::{Watch, WatchSettings, unpaced, unpaced_reads};
 use tokio::sync::MutexGuard;
 use tokio::time::{Instant, sleep};
 
--- a/crates/edge/tests/watch.rs
+++ b/crates/relay/tests/watch.rs
@@ -7,14 +7,14 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, LogBounds};
-use harrierward_edge::{
-    Watch, WatchPace, WatchSettings, gathering_interval, unpaced, unpaced_reads,
-    whole_read_interval,
-};
 use harrierward_external::{
     ChangePage, PageStart, PlatformError, PlatformErrorKind, Row, RowChange, RowReading, SpacePage,
     WatchedTable,
 };
+use harrierward_relay::{
+    Watch, WatchPace, WatchSettings, gathering_interval, unpaced, unpaced_reads,
+    whole_read_interval,
+};
 use tokio::time::{Instant, sleep, timeout};
 
 /// A row changes every 10 ms.
@@ -92,6 +92,7 @@
             },
             revision,
             store_time_ms: 0,
+            proof: None,
         })
     }
 }
@@ -248,6 +249,7 @@
             next: (page + 1 < PAGES).then(|| (page + 1).to_string()),
             revision: 1,
             store_time_ms: 0,
+            proof: None,
         })
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,6 +15,7 @@
 mod quota;
 mod rates;
 mod slots;
+mod space;
 
 pub use batch::{
     ChunkRow, FileRow, JobKeyRow, JobRow, JobState, OpenJobRow, OwnershipRow, ProgressRow,
@@ -46,11 +47,13 @@
     HeldSlot, ItemSlotAsk, LeaseOutcome, OutcomeKind, RegionNames, SlotAsk, SlotGrant, SlotReport,
     WholeReport,
 };
+pub use space::{SpaceContent, SpaceQuestion, SpaceReply, SpaceRow};
 
 /// Level of the formats of rows and messages, raised with each change of what a build writes, reads or keeps: 1 knows no failures in
-/// heads, 2 does, 3 keeps fields of later builds in heads and failures in the items' own rows too. Builds of all levels work side by
+/// heads, 2 does, 3 keeps fields of later builds in heads and failures in the items' own rows too, 4 answers peers from its copies of the
+/// store's spaces. Builds of all levels work side by
 /// side; it tells an operator which are there.
-pub const FORMAT_LEVEL: u32 = 3;
+pub const FORMAT_LEVEL: u32 = 4;
 
 /// Reads a message; `None` if the bytes are not one.
 pub fn decode<M: prost::Message + Default>(bytes: &[u8]) -> Option<M> {
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -369,6 +369,23 @@
     fields
 }
 
+/// Builds before level 4 answer a question for a space with the rows that they know.
+#[test]
+fn the_rows_of_a_build_that_does_not_know_spaces_are_no_reply() {
+    let row = KnownRow {
+        key: "op//config".into(),
+        value: b"{}".to_vec(),
+        revision: 7,
+    };
+    let rows = KnownRows {
+        configuration: Some(row.clone()),
+        replicas: vec![row],
+        evacuations: Some(Evacuations::default()),
+    };
+    let reply: SpaceReply = decode(&encode(&rows)).expect("unknown fields are passed over");
+    assert_eq!(reply.format, 0);
+}
+
 #[test]
 fn a_message_that_changes_has_samples_of_before() {
     let known = include_str!("formats/fields.txt");
