Coordinators' areas are looked through once a change of members, warmth once a second

Cause: whenever a member came or went, each daemon looked through all members twice for each group of replicas to find its coordinator: 313 groups x 985 members x 2 at the whole fleet, up to ten times a second while daemons are replaced. The warmth of all replicas was looked at ten times a second for a line that says how many are cold.

Change: `slots::NearestMembers` finds the nearest members of an area once; the warmth is looked at once a second.

--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -28,8 +28,8 @@
     WorkClass, short_hash,
 };
 use harrierward_slots::{
-    GroupAdmission, GroupId, GroupLayout, HeldSlots, OutlierDetector, SlotLedger, SlotUse,
-    coordinator_of,
+    GroupAdmission, GroupId, GroupLayout, HeldSlots, NearestMembers, OutlierDetector, SlotLedger,
+    SlotUse, coordinator_of,
 };
 use harrierward_wire::{NodeDatagram, SlotGrant, encode, node_datagram};
 use tokio::net::UdpSocket;
@@ -95,6 +95,8 @@
     outliers: HashMap<(u32, GroupId), OutlierDetector>,
     /// Coordinators by service and group, as they follow from the members.
     coordinators: HashMap<(u32, GroupId), Coordinator>,
+    /// Members nearest to the groups' areas.
+    nearest: NearestMembers,
     pacing: PacingState,
 }
 
@@ -160,6 +162,7 @@
                 admissions: HashMap::new(),
                 outliers: HashMap::new(),
                 coordinators: HashMap::new(),
+                nearest: NearestMembers::default(),
                 pacing: PacingState::new(harrierward_clock::now()),
             }),
         }
@@ -190,9 +193,10 @@
     /// The members that may keep leases, this one among them unless it leaves.
     pub fn set_members(&self, members: Vec<CoordinatorCandidate>) {
         let members = Arc::new(members);
-        self.members.store(members.clone());
         let mut state = self.lock();
+        self.members.store(members.clone());
         state.coordinators.clear();
+        state.nearest.clear();
         // Each start has a name of its own, so what is known of the gone is of no use any more.
         let silent = &mut state.silent;
         silent.retain(|id, _| members.iter().any(|member| member.id == *id));
@@ -208,31 +212,33 @@
 
     fn coordinator(&self, service: u32, group: GroupId) -> Coordinator {
         let mut state = self.lock();
-        let known = state.coordinators.entry((service, group));
-        known
-            .or_insert_with(|| self.find_coordinator(service, group))
-            .clone()
+        if let Some(known) = state.coordinators.get(&(service, group)) {
+            return known.clone();
+        }
+        let found = self.find_coordinator(&mut state.nearest, service, group);
+        state.coordinators.insert((service, group), found.clone());
+        found
     }
 
     /// An area's group is coordinated from within the area if anybody is there, else from within its region.
     ///
     /// Why: nearly all who ask are there, and an area that is cut off goes on by itself.
-    fn find_coordinator(&self, service: u32, group: GroupId) -> Coordinator {
+    fn find_coordinator(
+        &self,
+        nearest: &mut NearestMembers,
+        service: u32,
+        group: GroupId,
+    ) -> Coordinator {
         let members = self.members.load();
         let region = self.index().region_of(service, group);
-        let distance = |member: &CoordinatorCandidate| {
+        let locations = members.iter().map(|member| {
             let location = member.location;
-            if location.zone == group.area || location.region == group.area {
-                0
-            } else {
-                1 + u8::from(Some(location.region) != region)
-            }
-        };
-        let least = members.iter().map(distance).min();
-        let nearest = members
+            (location.zone, location.region)
+        });
+        let nearest = nearest.of(group.area, region, locations);
+        let ids = nearest
             .iter()
-            .filter(|member| Some(distance(member)) == least);
-        let ids = nearest.map(|member| member.id.as_str());
+            .map(|position| members[*position].id.as_str());
         let Some(coordinator) = coordinator_of(service, group, ids) else {
             return Coordinator::Nobody;
         };
--- a/crates/edge/src/slots/pacing.rs
+++ b/crates/edge/src/slots/pacing.rs
@@ -19,6 +19,9 @@
 /// tell of it come to all daemons within about a second, and each question brings a new word.
 const TOLD_LASTS: Duration = Duration::from_secs(1);
 
+/// Ticks of the membership between two looks at the warmth of all replicas.
+const WARMTH_TICKS: u64 = 10;
+
 /// Names a group of all services.
 pub(super) type GroupKey = (u32, GroupId);
 
@@ -202,7 +205,9 @@
         state.pacing.pacer.tick(own, share, &pacing.bounds, now);
         drop(state);
         self.log_turned_away(pacing, now);
-        self.log_warmth(now);
+        if self.lock().ticks.is_multiple_of(WARMTH_TICKS) {
+            self.log_warmth(now);
+        }
     }
 
     /// A line for each zone in which the number of cold replicas has changed.
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -11,6 +11,7 @@
 mod groups;
 mod held;
 mod ledger;
+mod nearest;
 mod outcome_window;
 mod pacer;
 mod spill;
@@ -22,5 +23,6 @@
 pub use groups::{AreaKind, GroupId, GroupLayout, coordinator_of};
 pub use held::HeldSlots;
 pub use ledger::{EndedLease, EndingLease, HOLDER_LIFETIME, SlotCounts, SlotLedger, SlotUse};
+pub use nearest::{MemberLocation, NearestMembers};
 pub use pacer::{COLD_GRANT_LIFETIME, ColdPace, ColdPacer, ColdUse};
 pub use spill::{Crossing, Room, is_better_off};
