A forgotten history costs one reader's read, and stale reads a page each

Cause (by reading, then red in virtual time): when the store forgets its history, each daemon reads all replicas again, and again for as long as its reads are stale: a whole space of 20 pages for each try.

Change: a whole read ends at the first page that is older than what is known; followers leave the history to the reader for 5 s after a peer's last answer; who has a copy and follows nobody reads whole at the store only.

Test: relay/tests/zone.rs, a_forgotten_history_is_the_readers_to_make_good (200 daemons, 10,000 rows, reads stale for 6 s).

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -35,6 +35,9 @@
 const START_PATIENCE: Duration = Duration::from_secs(6);
 const START_SPREAD: Duration = Duration::from_secs(6);
 
+/// How long after a peer's last answer a follower leaves it to peers to find what a forgotten history held.
+const HISTORY_OF_PEERS: Duration = Duration::from_secs(5);
+
 /// Least time between two questions of one space after one that brought changes: what is gathered meanwhile comes at once, on
 /// each of the few steps down the tree.
 const RELAYED_INTERVAL: Duration = Duration::from_millis(200);
@@ -52,6 +55,8 @@
     sources: Sources,
     /// Who answered last, by space: empty for the store.
     answered_by: HashMap<String, String>,
+    /// When a peer last answered, by space.
+    peer_answered_at: HashMap<String, Instant>,
     /// Until when a space that was never read waits for peers.
     patience: HashMap<String, Instant>,
     logged_mode: Option<(RelayMode, bool)>,
@@ -74,6 +79,7 @@
             state: Mutex::new(State {
                 sources: Sources::new(own, harrierward_clock::now()),
                 answered_by: HashMap::new(),
+                peer_answered_at: HashMap::new(),
                 patience: HashMap::new(),
                 logged_mode: None,
             }),
@@ -144,6 +150,10 @@
         let before = {
             let mut state = self.lock();
             state.patience.remove(space);
+            if matches!(source, Source::Peer(_)) {
+                let now = harrierward_clock::now();
+                state.peer_answered_at.insert(space.to_owned(), now);
+            }
             if state.answered_by.get(space).is_some_and(|by| by == name) {
                 return;
             }
@@ -230,7 +240,9 @@
         space: &str,
         start: PageStart<'_>,
     ) -> Result<SpacePage, PlatformError> {
-        let sources = self.lock().sources.for_whole_read(harrierward_clock::now());
+        let has_copy = self.known(space).1.is_some();
+        let now = harrierward_clock::now();
+        let sources = self.lock().sources.for_whole_read(has_copy, now);
         for source in sources {
             let Source::Peer(peer) = &source else {
                 self.note_answer(space, &source);
@@ -293,13 +305,30 @@
                     self.note_answer(space, &source);
                     return Ok(page);
                 }
-                Err(error) if error.kind == PlatformErrorKind::HistoryLost => return Err(error),
+                Err(error) if error.kind == PlatformErrorKind::HistoryLost => {
+                    if source != Source::Store || !self.leaves_history_to_peers(space) {
+                        return Err(error);
+                    }
+                    let kind = PlatformErrorKind::NotDone;
+                    failed = Some(PlatformError { kind, ..error });
+                }
                 Err(error) => failed = Some(error),
             }
         }
         Err(failed.unwrap_or_else(|| no_source(space)))
     }
 
+    /// True if the store's word that it has forgotten the history is for another daemon to heed: the reader of the zone reads the space
+    /// whole, and its followers hear from it what they lack. All of them would read the store whole else, again and again for as long as
+    /// its reads are stale.
+    fn leaves_history_to_peers(&self, space: &str) -> bool {
+        let state = self.lock();
+        let is_follower = state.sources.mode(harrierward_clock::now()) == RelayMode::Relayed
+            && !state.sources.is_reader();
+        let answered = state.peer_answered_at.get(space);
+        is_follower && answered.is_some_and(|at| harrierward_clock::age(*at) < HISTORY_OF_PEERS)
+    }
+
     async fn changes_of_store(
         &self,
         space: &str,
--- a/crates/relay/src/sources.rs
+++ b/crates/relay/src/sources.rs
@@ -144,18 +144,16 @@
         followed.chain(first).chain(stand_ins).chain(last).collect()
     }
 
-    /// Whom to ask for a whole space, in this order. The store comes last: whole spaces are what its bytes are spent on.
-    pub fn for_whole_read(&self, now: Instant) -> Vec<Source> {
+    /// Whom to ask for a whole space, in this order. The store comes last: whole spaces are what its bytes are spent on. Who has a copy
+    /// already, and follows nobody, gains nothing from those who follow it.
+    pub fn for_whole_read(&self, has_copy: bool, now: Instant) -> Vec<Source> {
         if self.mode(now) != RelayMode::Relayed {
             return vec![Source::Store];
         }
-        let followed = self.followed(now).map(Source::Peer);
+        let followed = self.followed(now).map(Source::Peer).into_iter();
         let stand_ins = self.awake(&self.tree.stand_ins, now).map(Source::Peer);
-        followed
-            .into_iter()
-            .chain(stand_ins)
-            .chain([Source::Store])
-            .collect()
+        let stand_ins = stand_ins.filter(|_| !has_copy);
+        followed.chain(stand_ins).chain([Source::Store]).collect()
     }
 
     /// The nearest ancestor that is not passed over.
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -98,7 +98,8 @@
             let result = if read_whole || (is_read_due && !ask_first) {
                 let under_way = self.resume(&mut reading);
                 asked_at = under_way.began;
-                let read = self.read(under_way).await;
+                let newest = space.copy().revision();
+                let read = self.read(under_way, newest).await;
                 read.map(|()| {
                     let done = reading.take().unwrap_or_else(|| self.begin_read());
                     pages = done.whole.pages();
@@ -198,12 +199,17 @@
         reading.get_or_insert_with(|| self.begin_read())
     }
 
-    /// Reads the pages that are left; those that were read stay if one fails.
-    async fn read(&self, under_way: &mut ReadUnderWay) -> Result<(), WatchFailure> {
+    /// Reads the pages that are left; those that were read stay if one fails. One that is older than `newest`, the revision that is
+    /// known, ends the read: a whole that holds it would change nothing, and the rest of a large space would be read for nothing.
+    async fn read(&self, under_way: &mut ReadUnderWay, newest: u64) -> Result<(), WatchFailure> {
         while let Some(start) = under_way.whole.next_page() {
             let page = self.table.read_page(self.space, start).await;
             let page = page.map_err(|error| WatchFailure::NoContact(error.to_string()))?;
+            let is_stale = page.revision < newest;
             under_way.whole.take(page);
+            if is_stale {
+                return Ok(());
+            }
         }
         Ok(())
     }
--- a/crates/relay/tests/zone.rs
+++ b/crates/relay/tests/zone.rs
@@ -44,6 +44,10 @@
     rows_read: AtomicU64,
     calls: AtomicU64,
     is_away: AtomicBool,
+    /// Changes up to this revision are forgotten.
+    forgotten: AtomicU64,
+    /// Reads show the rows as they were at this revision; 0 for as they are.
+    stale_at: AtomicU64,
 }
 
 impl CountingStore {
@@ -59,6 +63,8 @@
             rows_read: AtomicU64::new(0),
             calls: AtomicU64::new(0),
             is_away: AtomicBool::new(false),
+            forgotten: AtomicU64::new(0),
+            stale_at: AtomicU64::new(0),
         })
     }
 
@@ -96,7 +102,10 @@
         Ok(SpacePage {
             rows: all[from..until].to_vec(),
             next: (until < all.len()).then(|| until.to_string()),
-            revision: *self.newest.borrow(),
+            revision: match self.stale_at.load(Ordering::Relaxed) {
+                0 => *self.newest.borrow(),
+                stale => stale,
+            },
             ..SpacePage::default()
         })
     }
@@ -112,6 +121,10 @@
         wait: Duration,
     ) -> Result<ChangePage, PlatformError> {
         self.call().await?;
+        if after < self.forgotten.load(Ordering::Relaxed) {
+            let kind = PlatformErrorKind::HistoryLost;
+            return Err(PlatformError::new("changes", "store", kind, "forgotten"));
+        }
         let mut newest = self.newest.subscribe();
         let _ = timeout(wait, newest.wait_for(|newest| *newest > after)).await;
         let all = self.rows.lock().unwrap();
@@ -436,3 +449,32 @@
         "{read} rows for a change and two changes of the way"
     );
 }
+
+/// The store forgets its history and shows old rows for some seconds: the reader looks at one page at a time, nobody else reads at all,
+/// and all know the newest rows soon after its end.
+#[tokio::test(start_paused = true)]
+async fn a_forgotten_history_is_the_readers_to_make_good() {
+    let (daemons, rows) = SIZES[0];
+    let zone = Zone::start(daemons, rows).await;
+    zone.until_all_hold(1, 0).await;
+    sleep(Duration::from_secs(2)).await;
+    let read_before = zone.store.rows_read.load(Ordering::Relaxed);
+    zone.store.stale_at.store(1, Ordering::Relaxed);
+    let mut newest = 0;
+    for number in 0..10 {
+        newest = zone.store.change(number);
+        sleep(Duration::from_millis(100)).await;
+    }
+    zone.store.forgotten.store(newest + 5, Ordering::Relaxed);
+    zone.store.newest.send_replace(newest + 6);
+    sleep(Duration::from_secs(6)).await;
+    let read = zone.store.rows_read.load(Ordering::Relaxed) - read_before;
+    // The same as two whole reads, whatever the number of daemons.
+    let most = u64::try_from(2 * rows).unwrap();
+    assert!(read <= most, "{read} rows while they were old");
+    zone.store.stale_at.store(0, Ordering::Relaxed);
+    let took = zone.until_all_hold(newest + 6, 0).await;
+    assert!(took < Duration::from_millis(2_500), "{took:?}");
+    let read = zone.store.rows_read.load(Ordering::Relaxed) - read_before;
+    assert!(read <= 2 * most, "{read} rows for a forgotten history");
+}
