--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -8,6 +8,7 @@
 mod metrics;
 mod queue;
 mod record;
+mod space_metrics;
 
 pub use console::{ConsoleStream, DetachedConsole, DroppedLine};
 pub use metrics::DecisionMetrics;
--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::record::Record;
+use crate::space_metrics::SpaceMetrics;
 
 /// Bounds of the latency buckets, seconds.
 const SECONDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
@@ -48,6 +49,7 @@
     replicas_ended: IntCounterVec,
     replicas_rejected: IntGauge,
     contents_held: IntGauge,
+    spaces: SpaceMetrics,
     tenants: Arc<Mutex<BTreeSet<String>>>,
 }
 
@@ -216,6 +218,7 @@
                 "harrierward_contents_held",
                 "Contents that are held back since replicas ended under them",
             )?,
+            spaces: SpaceMetrics::new(&registry)?,
             tenants: Arc::default(),
             registry,
         })
@@ -368,7 +371,7 @@
                 let lines = i64::try_from(*lines).unwrap_or(i64::MAX);
                 self.lines_dropped.add(lines);
             }
-            _ => {}
+            other => self.spaces.observe(other),
         }
     }
 
--- /dev/null
+++ b/crates/decisions/src/space_metrics.rs
@@ -0,0 +1,75 @@
+//! Figures on where a daemon reads the store's spaces.
+
+use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+
+use crate::record::Record;
+
+/// Counters of sources.
+#[derive(Debug, Clone)]
+pub(crate) struct SpaceMetrics {
+    relayed: IntGauge,
+    reader: IntGauge,
+    source_changes: IntCounterVec,
+    source_failures: IntCounterVec,
+    differences: IntCounterVec,
+}
+
+impl SpaceMetrics {
+    /// Registers them.
+    pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let counter = |name: &str, help: &str| {
+            let vector = IntCounterVec::new(Opts::new(name, help), &["space"])?;
+            registry.register(Box::new(vector.clone()))?;
+            Ok::<_, prometheus::Error>(vector)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        Ok(Self {
+            relayed: gauge(
+                "harrierward_spaces_relayed",
+                "1 if the store's spaces come from peers of the zone, 0 if they are read at the store",
+            )?,
+            reader: gauge(
+                "harrierward_zone_reader",
+                "1 if this daemon reads the store for its zone",
+            )?,
+            source_changes: counter(
+                "harrierward_space_source_changes_total",
+                "Times that a space was read from elsewhere than before",
+            )?,
+            source_failures: counter(
+                "harrierward_space_source_failures_total",
+                "Times that a source of a space, the store or a peer, did not serve",
+            )?,
+            differences: counter(
+                "harrierward_space_differences_total",
+                "Times that the copy of a space differed from that of the peer that is followed",
+            )?,
+        })
+    }
+
+    /// Counts a decision.
+    pub fn observe(&self, record: &Record<'_>) {
+        match record {
+            Record::RelayMode {
+                mode, is_reader, ..
+            } => {
+                self.relayed.set(i64::from(*mode == "relayed"));
+                self.reader.set(i64::from(*is_reader));
+            }
+            Record::SpaceSource { space, .. } => {
+                self.source_changes.with_label_values(&[*space]).inc();
+            }
+            Record::SpaceSourceFailed { space, .. } => {
+                self.source_failures.with_label_values(&[*space]).inc();
+            }
+            Record::CopyDiffers { space, .. } => {
+                self.differences.with_label_values(&[*space]).inc();
+            }
+            _ => {}
+        }
+    }
+}
