--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod slots;
 mod stop;
 mod trips;
+mod watches;
 
 pub use answer_budget::AnswerBudget;
 pub use daemon::{Daemon, DaemonParts, EdgeService};
--- a/crates/relay/src/sources.rs
+++ b/crates/relay/src/sources.rs
@@ -32,7 +32,7 @@
 const STORE_REST: Duration = Duration::from_secs(1);
 
 /// Where spaces are read.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Source {
     /// The store.
     Store,
--- a/crates/relay/src/tree.rs
+++ b/crates/relay/src/tree.rs
@@ -15,7 +15,7 @@
 const STAND_INS: usize = 2;
 
 /// A member that may be followed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct RelayPeer {
     /// Member id.
     pub id: String,
