Owners at risk read their jobs' headers: no second owner behind an omitted challenge

Cause: an owner learnt of a challenge from its watch only, and a watch may omit changes. It did not refute the challenge, and ran on until its own listing met the new owner's header.

Change: TakeoverRisk (pure) tells from what the owner sees whether others may consider it absent: challenged lately, alone, just started, a member lost or joined, an absent owner. Meanwhile it reads the headers of its open jobs each 0.4 s, refutes what stands there, and stops its runs if it has lost the job. New lines takeover_risk and own_headers_read, a counter.

Test: an_owner_whose_watch_omits_a_challenge_keeps_its_job failed before (job adopted, epoch 2) and passes.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -31,6 +31,7 @@
     peer_row_requests: IntCounterVec,
     item_runs: IntCounterVec,
     job_ownership_changes: IntCounterVec,
+    own_headers_read: IntCounterVec,
     dependencies_lost: IntCounterVec,
     configuration_version: IntGauge,
     members_alive: IntGauge,
@@ -142,6 +143,12 @@
                 "Changes of the owner of a job at this daemon, by kind",
                 "outcome",
             )?,
+
+            own_headers_read: counter(
+                "harrierward_own_headers_read_total",
+                "Headers of own jobs that the store had newer than the watch, or that could not be read",
+                "outcome",
+            )?,
             dependencies_lost: counter(
                 "harrierward_dependencies_lost_total",
                 "Times that contact to a dependency was lost",
@@ -310,6 +317,12 @@
                     .with_label_values(&[*outcome])
                     .inc();
             }
+            Record::OwnHeadersRead { newer, failed, .. } => {
+                for (outcome, count) in [("newer", newer), ("failed", failed)] {
+                    let counter = self.own_headers_read.with_label_values(&[outcome]);
+                    counter.inc_by(*count as u64);
+                }
+            }
             Record::DependencyLost { dependency, .. } => {
                 self.dependencies_lost
                     .with_label_values(&[*dependency])
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -564,6 +564,26 @@
         /// Daemons that may own jobs in this one's view, itself included; 0 until the membership has settled.
         owners_known: usize,
     },
+    /// Other daemons may begin to consider this one absent and challenge its jobs, or no longer do.
+    TakeoverRisk {
+        /// True from the first evidence until the last has expired.
+        at_risk: bool,
+        /// The evidence; empty without any.
+        cause: &'a str,
+        /// Jobs that this daemon runs.
+        own_jobs: usize,
+    },
+    /// The store had newer headers of own jobs than the watch had delivered, or could not be read.
+    OwnHeadersRead {
+        /// Why they were read.
+        cause: &'a str,
+        /// Headers that were read.
+        jobs: usize,
+        /// Headers that the watch had not delivered.
+        newer: usize,
+        /// Headers that could not be read.
+        failed: usize,
+    },
     /// Results of a job were listed, or the commit of the listing failed.
     ResultsListed {
         /// Job id.
@@ -645,6 +665,7 @@
             | Self::JobSubmitted { .. }
             | Self::ResultsListed { .. }
             | Self::ReadOutdated { .. }
+            | Self::OwnHeadersRead { .. }
             | Self::JobEnded { .. } => Importance::Failure,
             _ => Importance::Change,
         }
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -15,6 +15,7 @@
 mod lookup;
 mod model;
 mod no_capacity;
+mod own_headers;
 pub mod owned_job;
 mod pacing;
 mod quota;
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -222,6 +222,9 @@
             "" => ("released", ""),
             other => ("lost", other),
         };
+        if outcome == "lost" {
+            self.takeovers().note_challenged();
+        }
         self.log_ownership(&before, &known.header, outcome, reason);
     }
 
@@ -307,11 +310,12 @@
         }
     }
 
-    /// Runs items, adoption and removal until the process ends.
+    /// Runs items, adoption, reads of own headers and removal until the process ends.
     pub async fn run(self) {
         tokio::join!(
             self.clone().run_items(),
             self.clone().run_adoption(),
+            self.clone().run_own_header_reads(),
             self.clone().run_removal()
         );
     }
--- a/crates/inline-jobs/src/takeover.rs
+++ b/crates/inline-jobs/src/takeover.rs
@@ -5,7 +5,10 @@
 use std::sync::{MutexGuard, PoisonError};
 use std::time::Duration;
 
-use harrierward_ownership::{OwnerStatus, OwnershipRecord, Step, TakeoverBounds, Takeovers};
+use harrierward_ownership::{
+    OwnerStatus, OwnershipRecord, RiskBounds, RiskCause, Step, TakeoverBounds, TakeoverRisk,
+    Takeovers,
+};
 use harrierward_wire::JobHeadRow;
 use tokio::time::Instant;
 
@@ -27,6 +30,7 @@
 /// Takeover state of this daemon. The takeover clock counts time during which the machine was suspended.
 pub(crate) struct JobTakeovers {
     core: Takeovers,
+    risk: TakeoverRisk,
     origin: Instant,
     /// Jobs with a header write in flight.
     writing: HashSet<String>,
@@ -38,6 +42,7 @@
     fn default() -> Self {
         Self {
             core: Takeovers::new(TakeoverBounds::default(), rand::random()),
+            risk: TakeoverRisk::new(RiskBounds::default(), Duration::ZERO),
             origin: harrierward_clock::now(),
             writing: HashSet::new(),
             loading: HashMap::new(),
@@ -64,6 +69,9 @@
         }
         let now = self.now();
         let delay = || delay().unwrap_or(INELIGIBLE_DELAY);
+        if status == OwnerStatus::Absent {
+            self.risk.note_absent_owner(now);
+        }
         let step = self.core.step(ownership_record(known), status, delay, now);
         if step != Step::Wait {
             self.writing.insert(job_id.clone());
@@ -100,6 +108,23 @@
         since.is_some_and(|since| since.elapsed() >= timeout)
     }
 
+    /// Updates the view of the daemons that may own jobs, and returns why others may consider this one absent.
+    pub fn assess_risk(
+        &mut self,
+        owners: &[String],
+        is_absent: impl Fn(&str) -> bool,
+    ) -> Option<RiskCause> {
+        let now = self.now();
+        self.risk.note_view(owners, is_absent, now);
+        self.risk.cause(now)
+    }
+
+    /// Records that a job of this daemon was challenged or taken over.
+    pub fn note_challenged(&mut self) {
+        let now = self.now();
+        self.risk.note_challenge(now);
+    }
+
     /// Drops the state of jobs that are no longer open.
     pub fn retain(&mut self, is_open: impl Fn(&str) -> bool) {
         let now = self.now();
@@ -175,10 +200,15 @@
     /// lost.
     pub(crate) fn refute_if_challenged(&self, known: &KnownHeader) {
         let job_id = &known.header.job_id;
-        let is_challenged = !known.header.challenger.is_empty() && !self.is_stopping();
-        if !is_challenged || !self.takeovers().begin_write(job_id) {
+        if known.header.challenger.is_empty() || self.is_stopping() {
+            return;
+        }
+        let mut takeovers = self.takeovers();
+        takeovers.note_challenged();
+        if !takeovers.begin_write(job_id) {
             return;
         }
+        drop(takeovers);
         let known = known.clone();
         self.spawn_write(known, |jobs, known| async move {
             jobs.respond_to_challenge(&known).await;
