Owners read headers that have not changed: a cancelled job stops beside a watch that omits it

What callers saw: with the cancellation acknowledged, items of the job went on arriving at replicas beyond cancel-ms.

Cause: the right to start runs rests on the freshness proof of the watch, which proves that the store answers, not that the copy shows the cancellation. An owner that writes nothing (runs that break, are refused, or are long) met the cancel at the next full read only, 10 s later or more.

Ruled out: a view that is not settled (both daemons had known each other for 12 s), an owner at risk (those reads end 10 s after the start).

Change: an open header of an own job that has not changed for 1.2 s is read (1.6 s at most with the round's interval). A change, own commits among them, counts as current, so that a job which lists results costs no read. Selection is pure (HeaderReads). At risk each round reads all, not only those older than 0.4 s.

Why it works: read by 1.6 s, the stop of the runs comes well within 3 s whatever the feed shows.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -575,7 +575,7 @@
     },
     /// The store had newer headers of own jobs than the watch had delivered, or could not be read.
     OwnHeadersRead {
-        /// Why they were read.
+        /// Why others may consider this daemon absent; empty if nothing indicates it.
         cause: &'a str,
         /// Headers that were read.
         jobs: usize,
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -34,6 +34,7 @@
     CancelOutcome, JobCaller, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem,
     SubmittedJob,
 };
+pub use own_headers::HeaderReads;
 pub use pacing::{RunLength, Urgency, slack, urgency};
 pub use quota_ledger::{QuotaDecision, QuotaLedger, QuotaRequest, RouteUsage};
 pub use service::{InlineJobs, JobParts, JobSettings, Peers};
--- a/crates/inline-jobs/src/own_headers.rs
+++ b/crates/inline-jobs/src/own_headers.rs
@@ -1,8 +1,9 @@
-//! Reads of the headers of own jobs while other daemons may consider this one absent.
+//! Reads of the headers of own jobs, because a watch may omit changes.
 //!
-//! A watch may omit a challenge of a job. An owner that never learns of it neither refutes it nor stops its runs when
-//! the challenger has taken the job over.
+//! An owner that never learns of a cancellation goes on running the job's items. One that never learns of a challenge
+//! neither refutes it nor stops its runs when the challenger has taken the job over.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,10 +16,17 @@
 use crate::service::InlineJobs;
 use crate::view::KnownHeader;
 
-/// Interval between reads of a job's header. With the refutation it must fit into the duration of a challenge.
-const READ_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval at which jobs are selected for a read.
+const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Headers read in one round; more jobs are read in turn.
+/// While others may consider this daemon absent, each round reads all headers: with the refutation the read must fit
+/// into the duration of a challenge.
+const MAX_AGE_AT_RISK: Duration = Duration::ZERO;
+
+/// Age of a header above which it is read at all other times. Runs must end within the bound of a cancellation.
+const MAX_AGE: Duration = Duration::from_millis(1_200);
+
+/// Headers read in one round; the others follow in the next one.
 const MAX_READS: usize = 32;
 
 /// Reads of one round in flight at once.
@@ -27,6 +35,56 @@
 /// Rounds in flight at once: while the store is slow, a round must not delay the next one.
 const MAX_CONCURRENT_ROUNDS: usize = 8;
 
+/// Selects the headers to be read. A header that has changed was current then, so that only jobs without recent
+/// changes are read. All times are those of the daemon's own clock.
+#[derive(Debug, Default)]
+pub struct HeaderReads {
+    jobs: HashMap<String, LastChange>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LastChange {
+    revision: u64,
+    /// When the revision was first seen, or the header last selected.
+    checked_at: Duration,
+}
+
+impl HeaderReads {
+    /// Returns the ids of at most `max_reads` headers that were neither changed nor selected within `max_age`, those
+    /// that have waited longest first. `headers` are the ids and revisions of all own jobs.
+    pub fn select(
+        &mut self,
+        headers: Vec<(String, u64)>,
+        max_age: Duration,
+        max_reads: usize,
+        now: Duration,
+    ) -> Vec<String> {
+        let mut before = std::mem::take(&mut self.jobs);
+        for (job_id, revision) in headers {
+            let unchanged = before.remove(&job_id);
+            let unchanged = unchanged.filter(|last| last.revision == revision);
+            let last = unchanged.unwrap_or(LastChange {
+                revision,
+                checked_at: now,
+            });
+            self.jobs.insert(job_id, last);
+        }
+        let is_due = |last: &LastChange| now >= last.checked_at + max_age;
+        let mut due: Vec<(&String, &mut LastChange)> = self
+            .jobs
+            .iter_mut()
+            .filter(|(_, last)| is_due(last))
+            .collect();
+        due.sort_unstable_by_key(|(job_id, last)| (last.checked_at, *job_id));
+        due.truncate(max_reads);
+        let selected = due.into_iter().map(|(job_id, last)| {
+            last.checked_at = now;
+            job_id.clone()
+        });
+        selected.collect()
+    }
+}
+
 /// What a read of an own job's header has shown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ReadOutcome {
@@ -38,43 +96,37 @@
     Failed,
 }
 
-/// Returns up to [`MAX_READS`] ids from the first one after `last` on, continuing at the start of the list.
-fn next_in_turn(mut ids: Vec<String>, last: &str) -> Vec<String> {
-    ids.sort_unstable();
-    let first = ids.partition_point(|id| id.as_str() <= last);
-    ids.rotate_left(first);
-    ids.truncate(MAX_READS);
-    ids
-}
-
 impl InlineJobs {
-    /// Reads headers of own jobs while this daemon is at risk of being considered absent.
+    /// Reads headers of own jobs until the daemon stops.
     pub(crate) async fn run_own_header_reads(self) {
         let rounds = Arc::new(Semaphore::new(MAX_CONCURRENT_ROUNDS));
-        let mut last_read = String::new();
-        let mut last_cause = None;
+        let mut reads = HeaderReads::default();
+        let origin = harrierward_clock::now();
+        let mut was_at_risk = false;
         loop {
-            sleep(READ_INTERVAL).await;
+            sleep(ROUND_INTERVAL).await;
             if self.is_stopping() {
                 return;
             }
             let cause = self.takeover_risk();
-            if cause.is_some() != last_cause.is_some() {
+            if cause.is_some() != was_at_risk {
+                was_at_risk = cause.is_some();
                 self.log_risk(cause);
             }
-            last_cause = cause;
             // Without recent proof the store is unreachable, and reads would only add to its load.
-            let Some(cause) = cause.filter(|_| self.may_start_runs()) else {
+            if !self.may_start_runs() {
                 continue;
-            };
+            }
             let Ok(round) = rounds.clone().try_acquire_owned() else {
                 continue;
             };
-            let job_ids = next_in_turn(self.own_open_jobs(), &last_read);
-            let Some(last) = job_ids.last() else {
+            let own = self.inner.view.open_revisions(&self.inner.instance_id);
+            let max_age = cause.map_or(MAX_AGE, |_| MAX_AGE_AT_RISK);
+            let now = harrierward_clock::age(origin);
+            let job_ids = reads.select(own, max_age, MAX_READS, now);
+            if job_ids.is_empty() {
                 continue;
-            };
-            last_read.clone_from(last);
+            }
             let jobs = self.clone();
             tokio::spawn(async move {
                 let _round = round;
@@ -91,13 +143,7 @@
         self.takeovers().assess_risk(&owners, is_absent)
     }
 
-    fn own_open_jobs(&self) -> Vec<String> {
-        let open = self.inner.view.open_jobs().into_iter();
-        let own = open.filter(|known| self.owns(&known.header));
-        own.map(|known| known.header.job_id).collect()
-    }
-
-    async fn read_own_headers(&self, job_ids: Vec<String>, cause: RiskCause) {
+    async fn read_own_headers(&self, job_ids: Vec<String>, cause: Option<RiskCause>) {
         let jobs = job_ids.len();
         let reads = futures::stream::iter(job_ids)
             .map(|job_id| self.read_own_header(job_id))
@@ -108,7 +154,7 @@
         let failed = count(ReadOutcome::Failed);
         if newer > 0 || failed > 0 {
             self.inner.log.record(&Record::OwnHeadersRead {
-                cause: cause.name(),
+                cause: cause.map_or("", RiskCause::name),
                 jobs,
                 newer,
                 failed,
--- a/crates/inline-jobs/src/view.rs
+++ b/crates/inline-jobs/src/view.rs
@@ -216,6 +216,15 @@
         open.cloned().collect()
     }
 
+    /// Returns the ids and revisions of an owner's jobs with unlisted items.
+    pub fn open_revisions(&self, owner: &str) -> Vec<(String, u64)> {
+        let state = self.lock();
+        let headers = state.headers.iter();
+        let own = headers.filter(|(_, known)| known.header.owner == owner && known.is_open());
+        own.map(|(job_id, known)| (job_id.clone(), known.revision))
+            .collect()
+    }
+
     /// Returns jobs without unlisted items that were accepted before `before_ms` on the store's clock.
     pub fn closed_before(&self, before_ms: u64) -> Vec<KnownHeader> {
         let state = self.lock();
