Items: a response that begins after the first event breaks the run

What callers would see: a result listed as complete without the item's first events.

Cause: append_event compared an event with the last one received and took any number for the first.

Found by reading, never seen in a soak.

Why it works: events are numbered from 1 (a 0 is accepted), so a higher first number is a gap; the run breaks and the item runs again, as with a gap later on.

--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -113,8 +113,11 @@
     }
 }
 
+/// Maximum number of the first event of an item.
+const MAX_FIRST_EVENT: u64 = 1;
+
 /// Appends an event to the item's output. Ignores an event without a number and one that was received before; fails if
-/// events between the last one and this one are missing.
+/// events before this one are missing.
 fn append_event(progress: &SharedProgress, event: &StreamEvent) -> Result<(), &'static str> {
     let Some(id) = event.id else {
         return Ok(());
@@ -123,7 +126,8 @@
     if progress.last_event.is_some_and(|last| id <= last) {
         return Ok(());
     }
-    if progress.last_event.is_some_and(|last| id > last + 1) {
+    let next = progress.last_event.map_or(MAX_FIRST_EVENT, |last| last + 1);
+    if id > next {
         return Err("an event is missing");
     }
     progress.last_event = Some(id);
