Job ids: one without a tenant can't be the stored id of a tenant's job

What callers would see: 202 for a job of which nothing is stored, and that never ends: the id without a tenant equals the key of a tenant's job, so the creation meets "exists" and counts as accepted before.

Cause: ids of tenants are stored with a scope (a hash of the name), ids without a tenant as they are, whatever they look like.

Found by reading.

Why it works: an id without a tenant that looks scoped is scoped by the empty name, which no tenant has; submissions, reads, cancellations and bodies use the same function. Ids of the users have no dot and are stored as before.

--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -32,7 +32,7 @@
 pub use keys::{JOB_HEADERS, RowKind, crash_reports_key, partitions, row_kind};
 pub use model::{
     CancelOutcome, JobCaller, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem,
-    SubmittedJob,
+    SubmittedJob, scoped_id,
 };
 pub use own_headers::HeaderReads;
 pub use pacing::{RunLength, Urgency, slack, urgency};
--- a/crates/inline-jobs/src/lookup.rs
+++ b/crates/inline-jobs/src/lookup.rs
@@ -102,7 +102,7 @@
                 return found;
             }
         }
-        match self.find(id, max_age).await {
+        match self.find(&scoped_id(None, id), max_age).await {
             Lookup::Found(known) if !known.header.tenant.is_empty() => Lookup::Missing,
             found => found,
         }
@@ -185,7 +185,10 @@
             JobCaller::Tenant(tenant) => view.get(&scoped_id(Some(tenant), id)),
             JobCaller::Anyone | JobCaller::Refused(_) => None,
         };
-        let without_tenant = || view.get(id).filter(|known| known.header.tenant.is_empty());
+        let without_tenant = || {
+            let known = view.get(&scoped_id(None, id));
+            known.filter(|known| known.header.tenant.is_empty())
+        };
         let known = of_tenant.or_else(without_tenant)?;
         is_conclusive(&known, after).then_some(known)
     }
--- a/crates/inline-jobs/src/model.rs
+++ b/crates/inline-jobs/src/model.rs
@@ -55,13 +55,33 @@
     Refused(RefusalCause),
 }
 
+/// Hexadecimal digits in the scope of a stored id.
+const SCOPE_DIGITS: usize = 16;
+
+/// Scope of a caller without a tenant; no tenant's name is empty.
+const NO_TENANT: &str = "";
+
+fn with_scope(id: &str, tenant: &str) -> String {
+    let scope = xxh3_64(tenant.as_bytes());
+    format!("{id}.{scope:0SCOPE_DIGITS$x}")
+}
+
+/// True if an id ends like one with a scope.
+fn looks_scoped(id: &str) -> bool {
+    let Some((_, scope)) = id.rsplit_once('.') else {
+        return false;
+    };
+    scope.len() == SCOPE_DIGITS && scope.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
 /// Returns the id under which a job is stored. Ids are scoped by tenant, so that tenants can neither collide in them
-/// nor detect each other's jobs.
+/// nor detect each other's jobs. Without a tenant an id is stored as it is, unless it could be that of a tenant's job.
 pub fn scoped_id(tenant: Option<&str>, id: &str) -> String {
-    tenant.map_or_else(
-        || id.to_owned(),
-        |tenant| format!("{id}.{:016x}", xxh3_64(tenant.as_bytes())),
-    )
+    match tenant {
+        Some(tenant) => with_scope(id, tenant),
+        None if looks_scoped(id) => with_scope(id, NO_TENANT),
+        None => id.to_owned(),
+    }
 }
 
 /// Outcome of a submission.
