Admin API: an invalid wait is refused before the change is committed

What operators saw: 400 with not_run for POST /admin/v1/config?wait=-1, and the change in force. "Not run" must be true: whoever trusts it applies the change twice, or believes that it is not there.

Cause: wait was checked where it is first used, after the commit.

Found by reading.

Why it works: every field of the request is checked before the commit.

--- a/crates/api/src/admin.rs
+++ b/crates/api/src/admin.rs
@@ -71,6 +71,9 @@
     headers: HeaderMap,
     body: Result<Bytes, BytesRejection>,
 ) -> Result<Json<ApplyResult>, ApiError> {
+    // All of the request is checked before the commit: a refusal says that nothing was done.
+    let wait = Duration::try_from_secs_f64(query.wait.unwrap_or(0.0))
+        .map_err(|error| ApiError::bad_field("wait", error))?;
     let body = body?;
     let text = std::str::from_utf8(&body).map_err(|error| ApiError::bad_field("body", error))?;
     let file = ApplyFile::parse(text).map_err(|error| ApiError::bad_field("body", error))?;
@@ -99,8 +102,6 @@
             ..ConfigDeltaReply::default()
         });
     }
-    let wait = Duration::try_from_secs_f64(query.wait.unwrap_or(0.0))
-        .map_err(|error| ApiError::bad_field("wait", error))?;
     let in_force = wait_in_force(&node, applied.revision, wait.min(MAX_WAIT)).await;
     let has = |revision: &Option<u64>| revision.is_some_and(|held| held >= applied.revision);
     Ok(Json(ApplyResult {
