TakeoverRisk: an unchanged view costs no allocation, and few lost members are looked up

A lookup may scan the view, and rounds come each 0.4 s: with a zone lost (100 of 520) that is 52,000 comparisons a round, by count, not measured. One lost member that is still absent is evidence enough, so 8 are looked up at a time. A view that has not changed is compared, not copied.

--- a/crates/ownership/src/takeover_risk.rs
+++ b/crates/ownership/src/takeover_risk.rs
@@ -64,6 +64,9 @@
     }
 }
 
+/// Lost members that are looked up at a time. One that is still absent suffices as evidence; a lookup may scan the view.
+const MAX_CHECKS: usize = 8;
+
 /// Evidence of one daemon. All times are those of its own clock, which includes suspensions.
 #[derive(Debug)]
 pub struct TakeoverRisk {
@@ -98,6 +101,27 @@
         present: &[String],
         is_absent: impl Fn(&str) -> bool,
         now: Duration,
+    ) {
+        let is_unchanged = present.len() == self.present.len()
+            && present.iter().all(|member| self.present.contains(member));
+        if !is_unchanged {
+            self.note_changed_view(present, &is_absent, now);
+        }
+        let mut checks = 0;
+        self.lost.retain(|member, lost_at| {
+            let is_recent = now < *lost_at + self.bounds.after_loss;
+            checks += 1;
+            is_recent
+                && !self.present.contains(member)
+                && (checks > MAX_CHECKS || is_absent(member))
+        });
+    }
+
+    fn note_changed_view(
+        &mut self,
+        present: &[String],
+        is_absent: impl Fn(&str) -> bool,
+        now: Duration,
     ) {
         let current: HashSet<String> = present.iter().cloned().collect();
         if !self.present.is_empty() && current.difference(&self.present).next().is_some() {
@@ -108,10 +132,6 @@
                 self.lost.insert(member.clone(), now);
             }
         }
-        let after_loss = self.bounds.after_loss;
-        self.lost.retain(|member, lost_at| {
-            now < *lost_at + after_loss && !current.contains(member) && is_absent(member)
-        });
         self.present = current;
     }
 
