Batch owner: a held item that is not taken on is one to stop

What would happen: a member goes on with an at-most-once item of which the owner knows no grant, and the owner grants it again: two members run it.

Cause: adopt_grant returned without a word where the intent is not committed (or the number is beyond the chunk), and renew put only known conflicts into the list of items to stop.

Found by reading; how a member comes to hold such an item was not seen.

Why it works: adopt_grant says whether it took the grant on; what is neither kept nor taken on is to stop.

--- a/crates/batch/src/core/chunk.rs
+++ b/crates/batch/src/core/chunk.rs
@@ -267,16 +267,17 @@
             || self.intents_in_flight.contains(number)
     }
 
-    /// Adds a grant that an earlier owner made, or that expired here, and that its member still holds.
+    /// Adds a grant that an earlier owner made, or that expired here, and that its member still holds. False if the
+    /// member must stop: nobody can have been granted this item.
     pub fn adopt_grant(
         &mut self,
         number: u32,
         held: &harrierward_wire::RunningItem,
         member: &str,
         expires_at: Duration,
-    ) {
+    ) -> bool {
         if number >= self.size || self.is_unrun(number) {
-            return;
+            return false;
         }
         self.ready.retain(|ready| *ready != number);
         self.cooldowns.remove(&number);
@@ -287,6 +288,7 @@
             expires_at,
         };
         self.grants.insert(number, grant);
+        true
     }
 
     /// Expires grants: at-most-once items become indeterminate, the others ready. Without the input lines, loading them
--- a/crates/batch/src/core/grants.rs
+++ b/crates/batch/src/core/grants.rs
@@ -53,7 +53,9 @@
                 }
                 // Granted by an earlier owner, or expired here, and still held: the grant is kept.
                 None if !finished && !cancelled => {
-                    chunk.adopt_grant(number, held, &request.member, expires_at);
+                    if !chunk.adopt_grant(number, held, &request.member, expires_at) {
+                        stop.push(held.clone());
+                    }
                 }
                 _ => stop.push(held.clone()),
             }
