Batch results: a chunk row that cannot be read is an error

What callers would see: results without a chunk, in a response that ends as complete.

Cause: a row that does not decode was read as the default, a chunk without results.

Found by reading.

Why it works: the read fails with the step's name, and the response breaks off instead of ending.

--- a/crates/batch/src/results.rs
+++ b/crates/batch/src/results.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use harrierward_external::{ObjectStore, RequestClass, Table};
+use harrierward_external::{ObjectStore, PlatformError, PlatformErrorKind, RequestClass, Table};
 use harrierward_wire::{ChunkRow, decode};
 
 use crate::errors::BatchError;
@@ -14,6 +14,17 @@
 /// Number of chunk rows in one scan.
 const SCAN_PAGE: usize = 50;
 
+/// The results of the chunk are not known, so that the response must not end as if it were complete.
+fn unreadable_chunk() -> PlatformError {
+    let kind = PlatformErrorKind::Malformed;
+    PlatformError::new(
+        "batch.read_results",
+        "store",
+        kind,
+        "a chunk row cannot be read",
+    )
+}
+
 /// Reader of the results of a job; keeps one object in memory at a time.
 pub struct ResultReader {
     table: Arc<dyn Table>,
@@ -58,7 +69,7 @@
         let rows = retry_rate_limited(scan).await?;
         self.all_listed = rows.len() < SCAN_PAGE;
         for row in rows {
-            let chunk: ChunkRow = decode(&row.value).unwrap_or_default();
+            let chunk: ChunkRow = decode(&row.value).ok_or_else(unreadable_chunk)?;
             let names = chunk.results.into_iter().map(|result| result.name);
             self.names.extend(names);
             self.after = row.key;
