--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Starts daemons over loopback with one emulated platform.
 
+// Each test program uses only a part of this module.
+#![allow(dead_code)]
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/node/src/directory_task.rs
+++ b/crates/node/src/directory_task.rs
@@ -131,7 +131,7 @@
                     continue;
                 }
                 sent.insert(name.clone(), (running, prefill_tokens, now));
-                let Some(owner) = shared.owner_of(name) else {
+                let Some(owner) = shared.owner_of_replica(name) else {
                     continue;
                 };
                 notices.entry(owner).or_default().push(OnlineCount {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use harrierward_batch::{FileService, JobService, LineCheck, OwnerDriver, OwnerEvents};
+use harrierward_batch::{
+    FileService, JobService, LineCheck, OwnerDriver, OwnerEvents, replica_key,
+};
 use harrierward_capacity::CapacityPlan;
 use harrierward_claims::Claims;
 use harrierward_config::{ConfigReplica, ConfigSnapshot, ConfigStore};
@@ -455,6 +457,12 @@
         self.shared.draining.load(Ordering::Acquire)
     }
 
+    /// Returns the member that should control a replica's batch work, and to which gateways report their online requests
+    /// there; `None` while the view is empty.
+    pub fn owner_of_replica(&self, replica: &str) -> Option<String> {
+        self.shared.owner_of_replica(replica)
+    }
+
     /// Returns a snapshot of the status.
     pub fn status(&self) -> NodeStatus {
         let shared = &self.shared;
@@ -537,6 +545,11 @@
         harrierward_routing::rendezvous_owner(key, ids).map(str::to_owned)
     }
 
+    /// Returns the member that should own a replica.
+    pub fn owner_of_replica(&self, replica: &str) -> Option<String> {
+        self.owner_of(&replica_key(replica))
+    }
+
     /// Returns the HTTP address of a member; `None` if it is not in view.
     pub fn peer_address(&self, member: &str) -> Option<String> {
         let view = self.view.load();
