--- a/crates/batch/tests/lost_runs.rs
+++ b/crates/batch/tests/lost_runs.rs
@@ -1,46 +1,18 @@
 //! An item whose runs are interrupted repeatedly may crash its engines: it gets growing cooldowns, but is not dropped.
 
+mod support;
+
 use std::time::Duration;
 
-use harrierward_batch::core::{InputLine, OwnerCore, OwnerSettings, StoredJob};
-use harrierward_wire::{Grant, HandBack, JobRow, PullRequest, ResultsRequest, RunningItem};
+use harrierward_batch::core::OwnerCore;
+use harrierward_wire::{Grant, HandBack, ResultsRequest, RunningItem};
+use support::{owner_of_job, pull_request};
 
 /// Number of items of the job; the runs of the first one are interrupted.
 const ITEMS: u32 = 5;
 
-fn owner() -> OwnerCore {
-    let mut owner = OwnerCore::new("owner".to_owned(), OwnerSettings::default());
-    owner.take_shard(0, 1, 1);
-    owner.load_job(StoredJob {
-        row: JobRow {
-            job_id: "job".to_owned(),
-            tenant: "tenant".to_owned(),
-            service: "service".to_owned(),
-            items: ITEMS,
-            ..JobRow::default()
-        },
-        revision: 1,
-        chunks: Some(Vec::new()),
-    });
-    pull(&mut owner, Duration::ZERO, 1);
-    for chunk_ref in owner.take_chunk_loads() {
-        let lines = (0..ITEMS).map(|item| InputLine {
-            text: format!("{{\"custom_id\":\"{item}\"}}"),
-            at_most_once: false,
-        });
-        owner.input_loaded(&chunk_ref, lines.collect(), Duration::ZERO);
-    }
-    owner
-}
-
 fn pull(owner: &mut OwnerCore, now: Duration, slots: u32) -> Vec<Grant> {
-    let request = PullRequest {
-        member: "runner".to_owned(),
-        service: "service".to_owned(),
-        slots,
-        ..PullRequest::default()
-    };
-    owner.pull(&request, now).grants
+    owner.pull(&pull_request(slots), now).grants
 }
 
 fn return_item(owner: &mut OwnerCore, grant: &Grant, may_have_run: bool, now: Duration) {
@@ -81,21 +53,21 @@
 /// An item that crashes its engine must not be granted again at every pull.
 #[test]
 fn interrupted_runs_lengthen_the_cooldown() {
-    let mut owner = owner();
+    let mut owner = owner_of_job(ITEMS, false);
     let first = grants_of_first(&mut owner, 60, true);
     assert!((3..=8).contains(&first), "{first} grants in a minute");
 }
 
 #[test]
 fn an_interrupted_item_is_granted_again() {
-    let mut owner = owner();
+    let mut owner = owner_of_job(ITEMS, false);
     let hour = grants_of_first(&mut owner, 3_600, true);
     assert!((8..=24).contains(&hour), "{hour} grants in an hour");
 }
 
 #[test]
 fn an_item_returned_unrun_has_no_cooldown() {
-    let mut owner = owner();
+    let mut owner = owner_of_job(ITEMS, false);
     let first = grants_of_first(&mut owner, 10, false);
     assert!(first > 25, "{first} grants in ten seconds");
 }
