Job loads log whether all failures are stored: a count that nobody kept is not 0

Two hypotheses looked alike in the lines of a present adopter: it overlooked a count that the store held, or the owner before had stored none. An absent count read as 0 in both cases.

Change: `FailureHistory` says whether the stored counts are all there are. Each build from now on sets `failures_are_complete` in the header of a job that it accepts; builds that don't store each failure don't know the field and drop it with their first rewrite, so it is absent exactly where a count may be missing (and, on the safe side, for jobs of levels 2 to 4). `job_loaded` shows it at each adoption, with the failures and events that the store held; harrierward_jobs_loaded_total counts by it.

Ruled out as a place for it: the level of the last owner (members don't name their build), the progress rows (none is written for an item without events by level 1).

The property test of later fields begins at the first number that is unknown now, 18.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -31,6 +31,7 @@
     peer_row_requests: IntCounterVec,
     item_runs: IntCounterVec,
     job_ownership_changes: IntCounterVec,
+    jobs_loaded: IntCounterVec,
     own_headers_read: IntCounterVec,
     dependencies_lost: IntCounterVec,
     configuration_version: IntGauge,
@@ -143,7 +144,11 @@
                 "Changes of the owner of a job at this daemon, by kind",
                 "outcome",
             )?,
-
+            jobs_loaded: counter(
+                "harrierward_jobs_loaded_total",
+                "Adopted jobs that were loaded, by whether the store holds all failed runs of their items",
+                "failure_history",
+            )?,
             own_headers_read: counter(
                 "harrierward_own_headers_read_total",
                 "Headers of own jobs that the store had newer than the watch, or that could not be read",
@@ -317,6 +322,13 @@
                     .with_label_values(&[*outcome])
                     .inc();
             }
+            Record::JobLoaded {
+                failure_history, ..
+            } => {
+                self.jobs_loaded
+                    .with_label_values(&[*failure_history])
+                    .inc();
+            }
             Record::OwnHeadersRead { newer, failed, .. } => {
                 for (outcome, count) in [("newer", newer), ("failed", failed)] {
                     let counter = self.own_headers_read.with_label_values(&[outcome]);
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -564,6 +564,21 @@
         /// Daemons that may own jobs in this one's view, itself included; 0 until the membership has settled.
         owners_known: usize,
     },
+    /// A job that this daemon adopted was loaded from the store.
+    JobLoaded {
+        /// Job id.
+        job: &'a str,
+        /// Epoch of the ownership.
+        epoch: u64,
+        /// Items that are not listed yet.
+        unlisted: usize,
+        /// Unlisted items of which the store holds events.
+        with_events: usize,
+        /// Failed runs of unlisted items, by what the store holds.
+        failures: u32,
+        /// `complete`, or `incomplete` if an earlier owner may have failed runs that the store does not hold.
+        failure_history: &'a str,
+    },
     /// Other daemons may begin to consider this one absent and challenge its jobs, or no longer do.
     TakeoverRisk {
         /// True from the first evidence until the last has expired.
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -3,8 +3,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use harrierward_decisions::Record;
 use harrierward_serving::ServingRequest;
-use harrierward_wire::{ItemFailuresRow, ItemProgressRow};
+use harrierward_wire::{ItemFailuresRow, ItemProgressRow, JobHeadRow};
 use tokio::time::Instant;
 
 use crate::item::{Item, ItemPhase, ItemProgress, SharedProgress, abort_run, lock};
@@ -46,6 +47,34 @@
     pub failures: Vec<ItemFailuresRow>,
 }
 
+/// Whether the stored failure counts of a job's items include all failed runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureHistory {
+    /// Each owner stored every failure: an item without a count has not failed.
+    Complete,
+    /// An earlier owner runs a build that may not store a failure: each count is a lower bound.
+    Incomplete,
+}
+
+impl FailureHistory {
+    /// Returns the failure history of a job with this header.
+    pub fn of(header: &JobHeadRow) -> Self {
+        if header.failures_are_complete {
+            Self::Complete
+        } else {
+            Self::Incomplete
+        }
+    }
+
+    /// Returns its name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Incomplete => "incomplete",
+        }
+    }
+}
+
 /// A job that this daemon owns.
 #[derive(Debug)]
 pub struct OwnedJob {
@@ -197,6 +226,22 @@
         has_tried && !is_new && !has_listed && !self.items.iter().any(has_progressed)
     }
 
+    /// Returns the record of the job's load from the store.
+    pub fn load_record(&self) -> Record<'_> {
+        let header = &self.known.header;
+        let unlisted = self.items.iter();
+        let unlisted = unlisted.filter(|item| !matches!(item.phase, ItemPhase::Listed));
+        let has_events = |item: &&Item| lock(&item.progress).last_event.is_some();
+        Record::JobLoaded {
+            job: &header.job_id,
+            epoch: header.epoch,
+            unlisted: unlisted.clone().count(),
+            with_events: unlisted.clone().filter(has_events).count(),
+            failures: unlisted.map(|item| item.failures).sum(),
+            failure_history: FailureHistory::of(header).name(),
+        }
+    }
+
     /// Fails items that have used up their route's attempts, possibly under an earlier owner.
     pub fn fail_exhausted_items(&mut self, attempts: u32) {
         for item in &mut self.items {
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -302,6 +302,7 @@
                     .collect();
                 let attempts = self.attempts_of(&current.header.route);
                 let mut job = OwnedJob::new(current, requests, progress);
+                self.inner.log.record(&job.load_record());
                 job.fail_exhausted_items(attempts);
                 self.register(job);
                 return;
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -175,6 +175,7 @@
             challenger: String::new(),
             failures: Vec::new(),
             takeovers: 0,
+            failures_are_complete: true,
             later_fields: Vec::new(),
         };
         if self.is_stopping() {
--- a/crates/wire/src/inline_job.rs
+++ b/crates/wire/src/inline_job.rs
@@ -123,6 +123,11 @@
     /// Number of takeovers of the job under a challenge.
     #[prost(uint32, tag = "16")]
     pub takeovers: u32,
+    /// True if each owner so far stored every failed run of an item before the item's next run. Only builds of format
+    /// level 5 set it, on acceptance. Builds that store failures keep it through their rewrites, except those of level
+    /// 2; the others drop it.
+    #[prost(bool, tag = "17")]
+    pub failures_are_complete: bool,
     /// Encoded unknown fields of later builds. [`decode_job_header`] fills it, [`encode_job_header`] appends them to
     /// the known fields.
     #[prost(bytes = "vec", tag = "536870911")]
@@ -130,7 +135,7 @@
 }
 
 /// Field numbers of a job header that this build knows.
-const HEADER_FIELDS: RangeInclusive<u32> = 1..=16;
+const HEADER_FIELDS: RangeInclusive<u32> = 1..=17;
 
 /// Decodes a job header and keeps its unknown fields; `None` if the bytes are not one.
 pub fn decode_job_header(bytes: &[u8]) -> Option<JobHeadRow> {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -53,8 +53,8 @@
 /// of all levels interoperate; the level shows an operator which builds run.
 ///
 /// Level 1 has no failures in job headers, 2 has them, 3 keeps unknown fields in headers and failures in the items'
-/// rows, 4 serves peers from its copies of the store's spaces.
-pub const FORMAT_LEVEL: u32 = 4;
+/// rows, 4 serves peers from its copies of the store's spaces, 5 says in headers whether failures are complete.
+pub const FORMAT_LEVEL: u32 = 5;
 
 /// Decodes a message; `None` if the bytes are not one.
 pub fn decode<M: prost::Message + Default>(bytes: &[u8]) -> Option<M> {
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -264,6 +264,35 @@
     check(&later, "crash_news_row", &updates);
 }
 
+/// A header of a build that does not say whether failures are complete must not pass as complete.
+#[test]
+fn a_header_of_an_earlier_build_does_not_say_that_its_failures_are_complete() {
+    for text in [
+        include_str!("formats/9319f89.txt"),
+        include_str!("formats/862e326.txt"),
+        include_str!("formats/094e0bb.txt"),
+    ] {
+        let read = decode_job_header(&samples(text)["job_head"]).expect("a header");
+        assert!(!read.failures_are_complete);
+    }
+}
+
+/// Builds of levels 3 and 4 append the fields that they do not know to those that they know.
+#[test]
+fn a_header_rewritten_by_a_build_of_level_4_still_has_complete_failures() {
+    let mut bytes = samples(include_str!("formats/094e0bb.txt"))["job_head"].clone();
+    bytes.extend(encode(&JobHeadRow {
+        failures_are_complete: true,
+        ..JobHeadRow::default()
+    }));
+    let read = decode_job_header(&bytes).expect("a header");
+    let complete = JobHeadRow {
+        failures_are_complete: true,
+        ..header()
+    };
+    assert_eq!(read, complete);
+}
+
 /// Crash reports are stored next to job headers: a build that does not know their key must not decode them as a header.
 #[test]
 fn crash_updates_are_not_decoded_as_a_header() {
@@ -273,7 +302,7 @@
 
 /// Generates an unknown field: any wire type, with a number above all known ones.
 fn later_field() -> impl Strategy<Value = Vec<u8>> {
-    let number = 17_u32..100_000;
+    let number = 18_u32..100_000;
     let content = prop_oneof![
         any::<u64>().prop_map(|value| (0_u64, {
             let mut bytes = Vec::new();
