A failure that the store does not take is reported to the next owners, and survives a planned stop

Cause: the store was the only way by which a failure count could leave its owner. While the store takes no writes the item is held back, as it should be; then the handover ends with the process (`hand_over`: the outcome is "not committed", the state is dropped), and the next owner reads a header without the count.

Change: the owner reports unstored counts to the three daemons that would adopt the job first, each second, and at once when it stops (datagram `FailureReport`; builds before ignore it). They keep the highest count of each item, bounded in jobs and time, pass it on at their own stop, and apply it when they run the job; it is stored before the item runs again. Why it works: counts only rise, so reports may be late, repeated or crossed; what adopts first is the order that adoption itself uses (`first_adopters`, tested against `adoption_delay`). While the store takes writes nothing is sent.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -32,6 +32,7 @@
     item_runs: IntCounterVec,
     job_ownership_changes: IntCounterVec,
     jobs_loaded: IntCounterVec,
+    failures_reported: IntCounterVec,
     own_headers_read: IntCounterVec,
     dependencies_lost: IntCounterVec,
     configuration_version: IntGauge,
@@ -149,6 +150,11 @@
                 "Adopted jobs that were loaded, by whether the store holds all failed runs of their items",
                 "failure_history",
             )?,
+            failures_reported: counter(
+                "harrierward_failures_reported_total",
+                "Reports of failed runs that the store may not hold, by job and direction",
+                "outcome",
+            )?,
             own_headers_read: counter(
                 "harrierward_own_headers_read_total",
                 "Headers of own jobs that the store had newer than the watch, or that could not be read",
@@ -329,6 +335,9 @@
                     .with_label_values(&[*failure_history])
                     .inc();
             }
+            Record::FailuresReported { outcome, .. } => {
+                self.failures_reported.with_label_values(&[*outcome]).inc();
+            }
             Record::OwnHeadersRead { newer, failed, .. } => {
                 for (outcome, count) in [("newer", newer), ("failed", failed)] {
                     let counter = self.own_headers_read.with_label_values(&[outcome]);
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -579,6 +579,18 @@
         /// `complete`, or `incomplete` if an earlier owner may have failed runs that the store does not hold.
         failure_history: &'a str,
     },
+    /// Failures of a job's items that the store may not hold were reported to the daemons that would adopt the job, or
+    /// received from its owner.
+    FailuresReported {
+        /// Job id.
+        job: &'a str,
+        /// `sent`, `received`, or `no recipient` if no other daemon may adopt the job.
+        outcome: &'a str,
+        /// Recipients, separated by spaces, or the sender.
+        peers: &'a str,
+        /// Sum of the reported counts.
+        failures: u32,
+    },
     /// Other daemons may begin to consider this one absent and challenge its jobs, or no longer do.
     TakeoverRisk {
         /// True from the first evidence until the last has expired.
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -311,6 +311,13 @@
                 let _ = self.quota_calls.complete(reply.number, reply);
                 Vec::new()
             }
+            Some(node_datagram::Kind::FailureReport(report)) => {
+                drop(state);
+                if let Some(jobs) = self.jobs.get() {
+                    jobs.note_reported_failures(&report.from, &report.jobs);
+                }
+                Vec::new()
+            }
             Some(node_datagram::Kind::LoadNotice(notice)) => {
                 self.handle_notice(&mut state, notice);
                 Vec::new()
--- a/crates/edge/src/members/peers.rs
+++ b/crates/edge/src/members/peers.rs
@@ -10,7 +10,9 @@
 use harrierward_ownership::OwnerStatus;
 use harrierward_serving::Location;
 use harrierward_tenants::AllowedRegions;
-use harrierward_wire::{QuotaAnswer, QuotaAsk, QuotaOutcome, node_datagram};
+use harrierward_wire::{
+    FailureReport, JobFailures, QuotaAnswer, QuotaAsk, QuotaOutcome, node_datagram,
+};
 
 use crate::calls::{CallTimeouts, PeerLocation};
 
@@ -22,6 +24,9 @@
     max_timeout: Duration::from_millis(200),
 };
 
+/// Jobs in one report of failures: some 1 kB, and below the size limit of datagrams even where every item failed.
+const MAX_REPORTED_JOBS: usize = 16;
+
 /// Time after the first other member within which the remaining members become known.
 const VIEW_SETTLE_TIME: Duration = Duration::from_millis(1_200);
 
@@ -159,4 +164,17 @@
             self.send_to(node_datagram::Kind::QuotaAsk(ask), address);
         }
     }
+
+    fn report_failures(&self, recipient: &str, jobs: Vec<JobFailures>) {
+        let Some(address) = self.udp_address_of(recipient) else {
+            return;
+        };
+        for jobs in jobs.chunks(MAX_REPORTED_JOBS) {
+            let report = FailureReport {
+                from: self.instance_id.clone(),
+                jobs: jobs.to_vec(),
+            };
+            self.send_to(node_datagram::Kind::FailureReport(report), address);
+        }
+    }
 }
--- a/crates/inline-jobs/src/adoption_order.rs
+++ b/crates/inline-jobs/src/adoption_order.rs
@@ -1,6 +1,7 @@
 //! Order in which daemons adopt a job without an owner, and the header changes of adoption, challenge and release.
 //! Pure functions.
 
+use std::cmp::Reverse;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -95,6 +96,24 @@
     base_delay + RANK_DELAY * rank
 }
 
+/// Returns the first `count` of the daemons `owners` in a job's adoption order, by their delays.
+pub fn first_adopters(job: &str, owners: &[String], near: &[String], count: usize) -> Vec<String> {
+    let hash = xxh3_64(job.as_bytes());
+    let near: HashSet<&String> = near.iter().collect();
+    let (mut near, mut far): (Vec<&String>, Vec<&String>) =
+        owners.iter().partition(|owner| near.contains(owner));
+    let by_weight = |owner: &&String| Reverse(preference_weight(hash, owner));
+    near.sort_by_cached_key(by_weight);
+    far.sort_by_cached_key(by_weight);
+    let first_far_rank = usize::from(!near.is_empty());
+    let near = (0..).zip(near);
+    let far = (first_far_rank..).zip(far);
+    let mut ranked: Vec<(usize, &String)> = near.chain(far).collect();
+    ranked.sort_by_key(|(rank, _)| *rank);
+    let first = ranked.into_iter().take(count);
+    first.map(|(_, owner)| owner.clone()).collect()
+}
+
 /// Returns how many daemons precede the daemon `instance_id` in a job's order.
 pub fn adoption_rank<'a>(
     job: &str,
--- /dev/null
+++ b/crates/inline-jobs/src/failure_reports.rs
@@ -0,0 +1,222 @@
+//! Failures of items that the store does not hold yet, reported to the daemons that would adopt the jobs.
+//!
+//! An owner stores each failure in its job's header before the item runs again. While the store is unreachable that
+//! takes long, and an owner that stops or crashes meanwhile would lose the failure: the next owner would allow one run
+//! more. The reports are hints: a lost one costs that run, a repeated or outdated one changes nothing.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use harrierward_decisions::Record;
+use harrierward_tenants::AllowedRegions;
+use harrierward_wire::{ItemFailuresRow, JobFailures, JobHeadRow};
+use rand::seq::IteratorRandom;
+use tokio::time::{Instant, sleep};
+
+use crate::adoption_order::{first_adopters, last_owner};
+use crate::service::InlineJobs;
+
+/// Interval between reports of the same failures, as one may be lost. Longer than a write to a healthy store.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Daemons that receive a job's report, those first that would adopt it.
+const MAX_RECIPIENTS: usize = 3;
+
+/// Jobs reported in one interval, against floods during a long outage of the store. A planned stop reports all.
+const MAX_REPORTED_JOBS: usize = 32;
+
+/// How long a report is kept after it was last received. It must outlast an outage of the store.
+const RETENTION: Duration = Duration::from_secs(600);
+
+/// Jobs of which reports are kept.
+const MAX_KEPT_JOBS: usize = 4_096;
+
+/// The failures reported for a job.
+#[derive(Debug)]
+struct Report {
+    failures: Vec<ItemFailuresRow>,
+    received_at: Instant,
+}
+
+/// Failures reported by other daemons, by job. All times are those of a clock that counts suspensions.
+#[derive(Debug, Default)]
+pub struct ReportedFailures {
+    jobs: HashMap<String, Report>,
+}
+
+impl ReportedFailures {
+    /// Adds a report; true if it raises a count. Counts of an item never fall, whoever owns its job.
+    pub fn note(&mut self, job_id: &str, failures: &[ItemFailuresRow], now: Instant) -> bool {
+        if !self.jobs.contains_key(job_id) {
+            self.make_room(now);
+        }
+        let report = self.jobs.entry(job_id.to_owned()).or_insert(Report {
+            failures: Vec::new(),
+            received_at: now,
+        });
+        report.received_at = now;
+        let mut is_new = false;
+        for row in failures {
+            let known = report.failures.iter_mut().find(|one| one.item == row.item);
+            match known {
+                Some(known) if known.count >= row.count => continue,
+                Some(known) => known.count = row.count,
+                None => report.failures.push(row.clone()),
+            }
+            is_new = true;
+        }
+        is_new
+    }
+
+    /// Drops expired reports, and the oldest one if there is no room for another job.
+    fn make_room(&mut self, now: Instant) {
+        self.jobs
+            .retain(|_, report| now.saturating_duration_since(report.received_at) < RETENTION);
+        if self.jobs.len() < MAX_KEPT_JOBS {
+            return;
+        }
+        let oldest = self
+            .jobs
+            .iter()
+            .min_by_key(|(_, report)| report.received_at);
+        if let Some(job_id) = oldest.map(|(job_id, _)| job_id.clone()) {
+            self.jobs.remove(&job_id);
+        }
+    }
+
+    /// Returns the failures reported for a job.
+    pub fn of(&self, job_id: &str) -> &[ItemFailuresRow] {
+        self.jobs
+            .get(job_id)
+            .map_or(&[], |report| report.failures.as_slice())
+    }
+
+    /// Drops the report of a job that is closed.
+    pub fn remove(&mut self, job_id: &str) {
+        self.jobs.remove(job_id);
+    }
+
+    /// Returns all reports.
+    pub fn all(&self) -> Vec<JobFailures> {
+        let reports = self.jobs.iter().map(|(job_id, report)| JobFailures {
+            job_id: job_id.clone(),
+            failures: report.failures.clone(),
+        });
+        reports.collect()
+    }
+}
+
+impl InlineJobs {
+    /// Reports failures that the store does not hold yet, until the process ends.
+    pub(crate) async fn run_failure_reports(self) {
+        loop {
+            sleep(REPORT_INTERVAL).await;
+            if self.is_stopping() {
+                self.report_all_failures();
+                continue;
+            }
+            let unstored = self.unstored_failures().into_iter();
+            self.report_failures(unstored.choose_multiple(&mut rand::rng(), MAX_REPORTED_JOBS));
+        }
+    }
+
+    /// Reports what a stopping daemon knows of failures, since the store may not take its handover. Reports received
+    /// from others are passed on: their jobs may not be adopted yet.
+    pub(crate) fn report_all_failures(&self) {
+        let received = self.reported_failures().all();
+        self.report_failures(received);
+        self.report_failures(self.unstored_failures());
+    }
+
+    /// Returns the failures of own jobs that the store does not hold, by job.
+    fn unstored_failures(&self) -> Vec<JobFailures> {
+        let registry = self.registry();
+        let reports = registry.jobs.iter().filter_map(|(job_id, job)| {
+            let failures = job.unstored_failures();
+            (!failures.is_empty()).then(|| JobFailures {
+                job_id: job_id.clone(),
+                failures,
+            })
+        });
+        reports.collect()
+    }
+
+    fn report_failures(&self, reports: Vec<JobFailures>) {
+        let mut by_recipient: HashMap<String, Vec<JobFailures>> = HashMap::new();
+        for report in reports {
+            let recipients = self.next_owners(&report.job_id);
+            let outcome = if recipients.is_empty() {
+                "no recipient"
+            } else {
+                "sent"
+            };
+            self.log_failures(outcome, &recipients.join(" "), &report);
+            for recipient in recipients {
+                let jobs = by_recipient.entry(recipient).or_default();
+                jobs.push(report.clone());
+            }
+        }
+        for (recipient, jobs) in by_recipient {
+            self.inner.peers.report_failures(&recipient, jobs);
+        }
+    }
+
+    /// Returns the other daemons that would adopt a job first if this one departed.
+    fn next_owners(&self, job_id: &str) -> Vec<String> {
+        let peers = &self.inner.peers;
+        let header = self.inner.view.get(job_id).map(|known| known.header);
+        let header = header.unwrap_or_else(|| JobHeadRow {
+            job_id: job_id.to_owned(),
+            ..JobHeadRow::default()
+        });
+        let owners = match self.regions_of(&header.route, &header.tenant) {
+            None | Some(AllowedRegions::Any) => peers.owners(),
+            Some(regions) => peers.owners_in(&regions),
+        };
+        let mut owners = owners.unwrap_or_default();
+        owners.retain(|owner| *owner != self.inner.instance_id);
+        let near = peers.owners_near(last_owner(&header));
+        first_adopters(job_id, &owners, &near, MAX_RECIPIENTS)
+    }
+
+    /// Applies a peer's report: immediately if this daemon runs the job, else when it adopts it.
+    pub fn note_reported_failures(&self, from: &str, jobs: &[JobFailures]) {
+        for report in jobs {
+            let job_id = &report.job_id;
+            let known = self.inner.view.get(job_id);
+            if known.is_some_and(|known| !known.is_open()) {
+                continue;
+            }
+            let now = harrierward_clock::now();
+            let is_new = self.reported_failures().note(job_id, &report.failures, now);
+            if is_new {
+                self.log_failures("received", from, report);
+                self.apply_reported_failures(job_id);
+            }
+        }
+    }
+
+    /// Applies the reports received for a job that this daemon runs.
+    pub(crate) fn apply_reported_failures(&self, job_id: &str) {
+        let mut registry = self.registry();
+        let Some(job) = registry.jobs.get_mut(job_id) else {
+            return;
+        };
+        let attempts = self.attempts_of(&job.known.header.route);
+        let reported = self.reported_failures();
+        job.raise_failures(reported.of(job_id));
+        job.fail_exhausted_items(attempts);
+        drop(reported);
+        drop(registry);
+        self.inner.wake.notify_one();
+    }
+
+    fn log_failures(&self, outcome: &str, peers: &str, report: &JobFailures) {
+        self.inner.log.record(&Record::FailuresReported {
+            job: &report.job_id,
+            outcome,
+            peers,
+            failures: report.failures.iter().map(|row| row.count).sum(),
+        });
+    }
+}
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -8,6 +8,7 @@
 mod adoption;
 pub mod adoption_order;
 mod checkpoint;
+pub mod failure_reports;
 pub mod item;
 mod item_run;
 mod keys;
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -257,6 +257,29 @@
         self.items.iter().any(Item::has_unrecorded_failures)
     }
 
+    /// Returns the failure counts of unlisted items that the header does not hold yet.
+    pub fn unstored_failures(&self) -> Vec<ItemFailuresRow> {
+        let items = (0..).zip(&self.items);
+        let unstored = items.filter(|(_, item)| {
+            let is_listed = matches!(item.phase, ItemPhase::Listed);
+            item.failures > item.recorded_failures && !is_listed
+        });
+        let rows = unstored.map(|(number, item)| ItemFailuresRow {
+            item: number,
+            count: item.failures,
+        });
+        rows.collect()
+    }
+
+    /// Raises the failure counts of items to what an earlier owner reported. They count as not stored yet.
+    pub fn raise_failures(&mut self, reported: &[ItemFailuresRow]) {
+        for row in reported {
+            if let Some(item) = self.items.get_mut(row.item as usize) {
+                item.failures = item.failures.max(row.count);
+            }
+        }
+    }
+
     /// Returns the failure counts of items that are neither listed nor in `to_list`.
     pub fn failures(&self, to_list: &[ListedResult]) -> Vec<ItemFailuresRow> {
         let items = (0..).zip(&self.items);
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -11,11 +11,12 @@
 use harrierward_ownership::OwnerStatus;
 use harrierward_serving::Forwarder;
 use harrierward_tenants::AllowedRegions;
-use harrierward_wire::{JobHeadRow, QuotaOutcome, decode_job_header};
+use harrierward_wire::{JobFailures, JobHeadRow, QuotaOutcome, decode_job_header};
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 use crate::adoption_order::last_owner;
+use crate::failure_reports::ReportedFailures;
 use crate::keys::JOB_HEADERS;
 use crate::owned_job::OwnedJob;
 use crate::quota_ledger::{QuotaLedger, QuotaRequest};
@@ -57,6 +58,9 @@
 
     /// Notifies the coordinator that a submission will certainly not be stored. Does not wait for delivery.
     fn release_quota(&self, coordinator: &str, request: QuotaRequest<'_>);
+
+    /// Reports failures that the store may not hold to the daemon `recipient`. Does not wait for delivery.
+    fn report_failures(&self, recipient: &str, jobs: Vec<JobFailures>);
 }
 
 /// Time bounds of jobs, from the settings.
@@ -101,6 +105,7 @@
     pub wake: Notify,
     pub stopping: AtomicBool,
     pub quotas: Mutex<QuotaLedger>,
+    pub reported_failures: Mutex<ReportedFailures>,
     /// Serializes the writes of fences.
     pub fencing: tokio::sync::Mutex<()>,
 }
@@ -130,6 +135,7 @@
             wake: Notify::new(),
             stopping: AtomicBool::new(false),
             quotas: Mutex::default(),
+            reported_failures: Mutex::default(),
             fencing: tokio::sync::Mutex::default(),
         };
         Self {
@@ -149,6 +155,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn reported_failures(&self) -> MutexGuard<'_, ReportedFailures> {
+        self.inner
+            .reported_failures
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn registry(&self) -> MutexGuard<'_, JobRegistry> {
         self.inner
             .registry
@@ -182,6 +195,9 @@
     /// Applies a header that was read or written, unless a newer one is known.
     pub fn note_header(&self, known: KnownHeader) {
         if let Some(change) = self.inner.view.update(known) {
+            if !change.known.is_open() {
+                self.reported_failures().remove(&change.known.header.job_id);
+            }
             self.note_owners(&change);
             self.header_changed(&change.known);
         }
@@ -260,6 +276,7 @@
         let mut registry = self.registry();
         registry.jobs.entry(job_id.clone()).or_insert(job);
         drop(registry);
+        self.apply_reported_failures(&job_id);
         // The header may have changed while the items were read; later changes find the job registered.
         if let Some(newest) = self.inner.view.get(&job_id) {
             self.header_changed(&newest);
@@ -311,12 +328,13 @@
         }
     }
 
-    /// Runs items, adoption, reads of own headers and removal until the process ends.
+    /// Runs items, adoption, reads of own headers, reports of failures and removal until the process ends.
     pub async fn run(self) {
         tokio::join!(
             self.clone().run_items(),
             self.clone().run_adoption(),
             self.clone().run_own_header_reads(),
+            self.clone().run_failure_reports(),
             self.clone().run_removal()
         );
     }
@@ -331,6 +349,7 @@
                 released_jobs.push((job.known.clone(), job.stop_for_handover()));
             }
         }
+        self.report_all_failures();
         let handovers = released_jobs
             .into_iter()
             .map(|(known, state)| self.hand_over(known, state, "stopping", until));
--- a/crates/inline-jobs/tests/adoption_order.rs
+++ b/crates/inline-jobs/tests/adoption_order.rs
@@ -3,7 +3,9 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use harrierward_inline_jobs::adoption_order::{adopted, adoption_delay, last_owner, released};
+use harrierward_inline_jobs::adoption_order::{
+    adopted, adoption_delay, first_adopters, last_owner, released,
+};
 use harrierward_wire::JobHeadRow;
 
 fn owners() -> Vec<String> {
@@ -53,3 +55,18 @@
     );
     assert_eq!(adopted_header.last_owner, "");
 }
+
+/// Reports for a job's next owner must go to the daemons that adopt it first.
+#[test]
+fn the_first_adopters_are_those_with_the_shortest_delays() {
+    let owners = owners();
+    let released_header = released(&header());
+    for near in [&owners[3..6], &owners[..1], &[]] {
+        let first = first_adopters("job-1", &owners, near, 4);
+        let delay = |owner: &String| adoption_delay(&released_header, owner, &owners, near);
+        let mut delays: Vec<Duration> = owners.iter().map(delay).collect();
+        delays.sort();
+        let first_delays: Vec<Duration> = first.iter().map(delay).collect();
+        assert_eq!(first_delays, delays[..4], "near {near:?}");
+    }
+}
--- a/crates/inline-jobs/tests/stale_listing.rs
+++ b/crates/inline-jobs/tests/stale_listing.rs
@@ -27,7 +27,9 @@
     ReplicaSet, SelectionCosts, SlotLeases, SlotQuery, SlotReply,
 };
 use harrierward_tenants::Tenant;
-use harrierward_wire::{ItemHeadRow, JobHeadRow, QuotaOutcome, ResultPieceRow, encode};
+use harrierward_wire::{
+    ItemHeadRow, JobFailures, JobHeadRow, QuotaOutcome, ResultPieceRow, encode,
+};
 use support::{UnavailableStore, unavailable};
 use tokio::time::{Instant, advance};
 
@@ -157,6 +159,8 @@
     }
 
     fn release_quota(&self, _: &str, _: QuotaRequest<'_>) {}
+
+    fn report_failures(&self, _: &str, _: Vec<JobFailures>) {}
 }
 
 #[async_trait]
--- a/crates/wire/src/inline_job.rs
+++ b/crates/wire/src/inline_job.rs
@@ -169,6 +169,28 @@
     pub count: u32,
 }
 
+/// Failure counts of a job's items that the job's header may not hold.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct JobFailures {
+    /// Job id.
+    #[prost(string, tag = "1")]
+    pub job_id: String,
+    /// Counts of the items that are not listed.
+    #[prost(message, repeated, tag = "2")]
+    pub failures: Vec<ItemFailuresRow>,
+}
+
+/// Failures that the store may not hold yet, for a daemon that may adopt the jobs.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct FailureReport {
+    /// Member id of the sender.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// The jobs with such failures.
+    #[prost(message, repeated, tag = "2")]
+    pub jobs: Vec<JobFailures>,
+}
+
 /// A piece of a result; results too large for one row are split.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct ResultPieceRow {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -25,8 +25,9 @@
 pub use configuration::{ConfigChange, ConfigHead, ConfigLogEntry, ConfigObjectRow};
 pub use evacuation::{EvacuatedZone, Evacuations};
 pub use inline_job::{
-    HeaderRow, ItemBodyRow, ItemFailuresRow, ItemHeadRow, ItemProgressRow, JobHeadRow, JobItemsRow,
-    PromptPartRow, ResultPieceRow, decode_job_header, encode_job_header,
+    FailureReport, HeaderRow, ItemBodyRow, ItemFailuresRow, ItemHeadRow, ItemProgressRow,
+    JobFailures, JobHeadRow, JobItemsRow, PromptPartRow, ResultPieceRow, decode_job_header,
+    encode_job_header,
 };
 pub use known_rows::{KnownRow, KnownRows};
 pub use later_fields::later_fields;
@@ -53,7 +54,8 @@
 /// of all levels interoperate; the level shows an operator which builds run.
 ///
 /// Level 1 has no failures in job headers, 2 has them, 3 keeps unknown fields in headers and failures in the items'
-/// rows, 4 serves peers from its copies of the store's spaces, 5 says in headers whether failures are complete.
+/// rows, 4 serves peers from its copies of the store's spaces, 5 says in headers whether failures are complete and reports
+/// failures that the store does not hold yet to peers.
 pub const FORMAT_LEVEL: u32 = 5;
 
 /// Decodes a message; `None` if the bytes are not one.
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -246,7 +246,7 @@
     /// The content; `None` if its kind is unknown to this build.
     #[prost(
         oneof = "node_datagram::Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
     )]
     pub kind: Option<node_datagram::Kind>,
 }
@@ -295,5 +295,8 @@
         /// Contents under which replicas crashed.
         #[prost(message, tag = "13")]
         CrashNews(crate::CrashNews),
+        /// Failures of items that the store may not hold yet.
+        #[prost(message, tag = "14")]
+        FailureReport(crate::FailureReport),
     }
 }
