A stopping owner waits a moment for responses on their way, so that their failures are counted

Cause: a stop aborted all runs in its first millisecond. The 500 of an aborted run is never read, its failure never counted.

Change: placements that no replica has received are aborted at once; then up to 200 ms for responses that have not begun, while streams go on; then as before. Why it works: the count rises before the handover reads it. Weighed: waiting for whole runs (seconds), counting an aborted run as failed (MIXED: an item would be given up before its attempts).

--- a/crates/inline-jobs/src/item.rs
+++ b/crates/inline-jobs/src/item.rs
@@ -15,6 +15,8 @@
     pub texts: Vec<String>,
     /// When this daemon received the last event; `None` if it received none itself.
     pub last_event_at: Option<Instant>,
+    /// True while a request was sent and its response has not begun.
+    pub is_awaiting_response: bool,
 }
 
 /// Progress shared between the registry and the item's task.
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -56,9 +56,11 @@
         number: 1,
         failed_before,
     };
+    lock(progress).is_awaiting_response = true;
     let attempt = forwarder
         .attempt_at(request, placement, timeouts, options)
         .await;
+    lock(progress).is_awaiting_response = false;
     let attempt = match attempt {
         Ok(attempt) => attempt,
         Err(AttemptFailure::NoReplica | AttemptFailure::RetryLater { .. }) => {
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -123,6 +123,7 @@
                     last_event: Some(row.last_event).filter(|_| !row.texts.is_empty()),
                     texts: row.texts,
                     last_event_at: None,
+                    is_awaiting_response: false,
                 }));
             }
         }
@@ -167,8 +168,17 @@
 
     /// Aborts all runs; their items wait again.
     pub fn stop_runs(&mut self) {
+        self.stop_where(|phase| matches!(phase, ItemPhase::Running { .. }));
+    }
+
+    /// Aborts the placements of items that no replica has received yet; the items wait again.
+    pub fn stop_placements(&mut self) {
+        self.stop_where(|phase| matches!(phase, ItemPhase::Running { lease: None, .. }));
+    }
+
+    fn stop_where(&mut self, is_selected: impl Fn(&ItemPhase) -> bool) {
         for item in &mut self.items {
-            if matches!(item.phase, ItemPhase::Running { .. }) {
+            if is_selected(&item.phase) {
                 abort_run(&item.phase);
                 item.phase = ItemPhase::Waiting {
                     not_before: Instant::now(),
@@ -177,6 +187,14 @@
         }
     }
 
+    /// True if a replica has received an item and has not begun its response.
+    pub fn awaits_response(&self) -> bool {
+        self.items.iter().any(|item| {
+            let is_running = matches!(item.phase, ItemPhase::Running { lease: Some(_), .. });
+            is_running && lock(&item.progress).is_awaiting_response
+        })
+    }
+
     /// Aborts all runs and returns the state for the next owner.
     pub fn stop_for_handover(&mut self) -> HandoverState {
         self.stop_runs();
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -13,7 +13,7 @@
 use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{JobFailures, JobHeadRow, QuotaOutcome, decode_job_header};
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::adoption_order::last_owner;
 use crate::failure_reports::ReportedFailures;
@@ -324,7 +324,7 @@
                 self.register(job);
                 return;
             }
-            tokio::time::sleep(LOAD_RETRY_PAUSE).await;
+            sleep(LOAD_RETRY_PAUSE).await;
         }
     }
 
@@ -339,9 +339,27 @@
         );
     }
 
+    /// Waits for the responses of items that replicas have received: one that is aborted may have failed, and would not
+    /// be counted. Starts no further runs.
+    async fn finish_exchanges(&self) {
+        let until = Instant::now() + RESPONSE_WAIT;
+        for job in self.registry().jobs.values_mut() {
+            job.stop_placements();
+        }
+        while Instant::now() < until && self.awaits_response() {
+            sleep(RESPONSE_POLL).await;
+        }
+    }
+
+    fn awaits_response(&self) -> bool {
+        let registry = self.registry();
+        registry.jobs.values().any(OwnedJob::awaits_response)
+    }
+
     /// Releases all jobs to other daemons; returns at `until` at the latest.
     pub async fn hand_over_all(&self, until: Instant) {
         self.inner.stopping.store(true, Ordering::Relaxed);
+        self.finish_exchanges().await;
         let mut released_jobs = Vec::new();
         {
             let mut registry = self.registry();
@@ -366,3 +384,10 @@
 
 /// Pause before a failed load is retried.
 const LOAD_RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Time for responses on their way when a stop begins: more than a round trip between regions, and short beside the
+/// grace period.
+const RESPONSE_WAIT: Duration = Duration::from_millis(200);
+
+/// Interval at which outstanding responses are checked.
+const RESPONSE_POLL: Duration = Duration::from_millis(5);
