--- a/crates/batch/src/core/chunk.rs
+++ b/crates/batch/src/core/chunk.rs
@@ -218,8 +218,8 @@
 /// Number of interrupted runs from which an item gets a cooldown. Fewer may have another cause than the item.
 const INTERRUPTED_RUNS_BEFORE_COOLDOWN: u32 = 3;
 
-/// First cooldown; doubles after each further interrupted run, so that an item which crashes its engine is granted ever
-/// less often.
+/// First cooldown; doubles after each further interrupted run, up to about 11 minutes, so that an item which crashes
+/// its engine is granted ever less often.
 const MIN_COOLDOWN: Duration = Duration::from_secs(5);
 const MAX_DOUBLINGS: u32 = 7;
 
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -1,7 +1,8 @@
 //! A monotonic clock that counts suspensions of the machine, for ages of external state: freshness proofs, grants,
 //! deadlines.
 //!
-//! `CLOCK_MONOTONIC` stops during a suspension, so stale state would look fresh afterwards; the wall clock may step.
+//! `CLOCK_MONOTONIC` stops during a suspension, so stale state would look fresh afterwards, although jobs may have been
+//! cancelled, keys revoked and tokens granted to others meanwhile; the wall clock may step.
 
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/edge/src/peer_updates.rs
+++ b/crates/edge/src/peer_updates.rs
@@ -78,7 +78,8 @@
     }
 
     /// Notes a version announced by a peer whose control address is `address`; ignored unless this daemon's proof is
-    /// stale or its feed lags, since a working feed delivers the version itself.
+    /// stale or its feed lags, since a working feed delivers the version itself. A fresh proof alone isn't enough: a
+    /// feed that has skipped a change still renews the proof.
     pub fn note_peer_version(&self, version: u64, address: impl FnOnce() -> Option<String>) {
         let own = self.discovery.configuration_version();
         if version <= own || !(self.is_feed_lagging(own) || self.discovery.is_stale()) {
--- a/crates/edge/src/quarantine/store_row.rs
+++ b/crates/edge/src/quarantine/store_row.rs
@@ -1,7 +1,7 @@
 //! Crash reports in the store, for daemons that gossip doesn't reach or that start later.
 //!
 //! One row per daemon, in the space of the job headers, which every daemon watches. A daemon writes only crashes and
-//! clearings that it observed itself.
+//! clearings that it observed itself, so that the writes for a crash don't grow with the daemons that learn of it.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
--- a/crates/edge/src/rates/requests.rs
+++ b/crates/edge/src/rates/requests.rs
@@ -14,7 +14,8 @@
 use crate::rendezvous::top_two;
 use crate::slots::CoordinatorCandidate;
 
-/// Timeouts of a token request, before the measured round trip is added.
+/// Timeouts of a token request, before the measured round trip is added. They cover the response time of a busy peer;
+/// the longest wait of one call is less than half of an objective of 200 ms.
 const TIMEOUTS: CallTimeouts = CallTimeouts {
     resend_after: Duration::from_millis(18),
     timeout: Duration::from_millis(45),
--- a/crates/edge/src/response_budget.rs
+++ b/crates/edge/src/response_budget.rs
@@ -1,4 +1,6 @@
-//! Rate limit, in bytes, on the rows that a daemon serves to starting peers.
+//! Rate limit, in bytes, on the rows that a daemon serves to starting peers. It doesn't count responses, because their
+//! size grows with the fleet: a limit for large ones would refuse small ones without need, and a refused daemon may
+//! have to start without the rows.
 
 use std::time::Duration;
 
--- a/crates/edge/src/slots/group_selection.rs
+++ b/crates/edge/src/slots/group_selection.rs
@@ -258,6 +258,9 @@
 
     /// Moves a request that was just queued in its own region to another region, if the round trip costs less than the
     /// queue. The queue position is kept until a slot is granted there.
+    ///
+    /// Called after the coordinator's reply to this request: with many daemons in a region, each queries a group too
+    /// rarely to know from its previous reply that the region is full.
     pub(super) async fn spill_from_queue(
         &self,
         query: &SlotQuery<'_>,
--- a/crates/edge/src/slots/mod.rs
+++ b/crates/edge/src/slots/mod.rs
@@ -1,7 +1,8 @@
 //! Slot leases at replicas: requests them from the coordinators of replica groups, and grants those of the groups that
 //! this daemon coordinates.
 //!
-//! Leases are advisory: when a coordinator doesn't reply within a short timeout, the daemon chooses replicas by itself.
+//! Leases are advisory: when a coordinator doesn't reply within a short timeout, the daemon chooses replicas by itself
+//! for a while, so that not every request spends part of its objective on a failed coordinator.
 
 mod capacity;
 mod granting;
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -1,7 +1,7 @@
 //! Planned stop of a daemon: callers are drained and jobs handed over concurrently.
 //!
 //! The handover depends on the store, which may be unavailable for the whole grace period; draining must not wait
-//! for it.
+//! for it. Otherwise callers would be admitted until no time is left to answer them.
 
 use std::pin::pin;
 use std::sync::atomic::Ordering;
--- a/crates/inline-jobs/src/adoption_order.rs
+++ b/crates/inline-jobs/src/adoption_order.rs
@@ -10,7 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How long an owner must be absent before it is challenged; a live member refutes a false death report within about
-/// that time.
+/// that time. An absent owner's job is taken over after this delay and the duration of the challenge.
 const CHALLENGE_DELAY: Duration = Duration::from_millis(100);
 
 /// Additional delay of the daemon that released the job: it could not make progress with it.
--- a/crates/membership/src/core/rejoin.rs
+++ b/crates/membership/src/core/rejoin.rs
@@ -1,7 +1,8 @@
 //! Rejoining after partitions: merges parts of a fleet that never met, or that have forgotten each other's members.
 //!
 //! Probes reach only known members. So each daemon from time to time sends a join to one address at which it knows no
-//! member: a seed, or a forgotten member that didn't leave. One reply is enough, since syncs then exchange the views.
+//! member: a seed, or a forgotten member that didn't leave. One reply is enough, since syncs then exchange the views. A
+//! fleet whose seeds are all present, and that has lost no member lately, has no such address and sends no joins.
 
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
@@ -18,10 +19,12 @@
 /// Mean time between two joins of all daemons in a view together, which bounds their traffic at any fleet size.
 const FLEET_JOIN_SPACING: Duration = Duration::from_millis(20);
 
-/// Range of the time to the next join, as parts of the mean; keeps daemons that start together from synchronizing.
+/// Range of the time to the next join, as parts of the mean; keeps daemons from synchronizing that start together, or
+/// that detect the end of a partition at the same time.
 const JITTER: std::ops::Range<f64> = 0.5..1.5;
 
-/// How long the address of a forgotten member still gets joins.
+/// How long the address of a forgotten member still gets joins. Longer partitions are rare: a member that is absent for
+/// longer is most likely gone for good.
 const FORGOTTEN_TTL: Duration = Duration::from_secs(3_600);
 
 /// Maximum number of addresses of forgotten members, to bound memory.
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -64,7 +64,8 @@
 impl MembershipSettings {
     /// Returns settings for a fleet whose members are replaced within seconds.
     ///
-    /// Seeds get a join at each tick: a daemon without peers refuses requests of rate-limited tenants.
+    /// Seeds get a join at each tick: a daemon without peers refuses requests of rate-limited tenants, and after a loss
+    /// of all daemons the seeds may start at any time. The first reply ends these joins.
     pub fn quick() -> Self {
         Self {
             join_interval: Duration::ZERO,
--- a/crates/node/src/ownership.rs
+++ b/crates/node/src/ownership.rs
@@ -333,7 +333,8 @@
 }
 
 /// Compares the resources held with the table: an owner that commits nothing gets no rejected write after a takeover.
-/// Runs immediately after a loss, because a member usually takes over several resources at once.
+/// Runs immediately after a loss, because a member usually takes over several resources at once. During a partition the
+/// resources should change sides together: a side that holds shards without replicas can't run their items.
 async fn verify(shared: &Arc<Shared>) {
     let held: Vec<(Resource, Held)> = {
         let ownership = lock(&shared.ownership);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,7 +1,8 @@
 //! Copies of the store's spaces: kept up to date by watches, and relayed between the daemons of a zone.
 //!
 //! In a large zone few daemons read the store, and the others follow them along a [tree](RelayTree), so that the
-//! store's traffic doesn't grow with daemons x rows. Each reply carries the age of its freshness proof.
+//! store's traffic doesn't grow with daemons x rows. Each reply carries the age of its freshness proof, so that old
+//! rows aren't taken for new ones, whichever source replied.
 
 mod pace;
 mod peer_copies;
--- a/crates/relay/src/relay/reading.rs
+++ b/crates/relay/src/relay/reading.rs
@@ -15,6 +15,8 @@
 use super::{MAX_HOLD, Relay};
 
 /// Age above which a peer's proof counts as a failure of the peer, so that the next request goes to another source.
+/// About twice the age that the proof of the zone's reader reaches between two responses of the store, whose requests
+/// are held for up to [`MAX_HOLD`].
 const MAX_PROOF_AGE: Duration = Duration::from_millis(2_500);
 
 /// Maximum number of rows read before the members are known; reads of larger spaces wait for the relay mode.
@@ -23,7 +25,8 @@
 /// Interval of polls for the relay mode.
 const MODE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// How long a starting daemon waits for starting peers before it reads the store itself.
+/// How long a starting daemon waits for starting peers before it reads the store itself. Covers the time in which all
+/// rows pass down the tree.
 const START_TIMEOUT: Duration = Duration::from_secs(6);
 /// Jitter added to the timeout, against a thundering herd of starting daemons at the store.
 const START_JITTER: Duration = Duration::from_secs(6);
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -25,7 +25,8 @@
     pub max_backoff: Duration,
     /// Minimum time between full reads, which repair changes that the store's feed omitted.
     pub full_read_interval: Duration,
-    /// How long after its start an interrupted full read may resume; the store's history must reach back that far.
+    /// How long after its start an interrupted full read may resume; the store's history must reach back that far. If
+    /// it doesn't, the next request for changes fails with `HistoryLost`.
     pub resume_window: Duration,
     /// Time after lost history in which full reads may be stale; another one follows at its end.
     pub stale_window: Duration,
@@ -48,7 +49,8 @@
 const MAX_SECOND_READ_JITTER: Duration = Duration::from_secs(4);
 
 /// Margin over the hold time above which a proof counts as old, so that the next request isn't held: after a suspension
-/// or an outage the copy is then proven by one immediate response.
+/// or an outage the copy is then proven by one immediate response. Covers the store's response time and delays of this
+/// process; with a slower store each held request is followed by one that isn't held.
 const PROOF_MARGIN: Duration = Duration::from_millis(250);
 
 /// Settings and dependencies of the watch of one space.
@@ -165,8 +167,8 @@
     /// or a persistent difference from a peer's copy.
     ///
     /// After lost history a full read may be stale, so the next one comes as soon as reads are current again, with
-    /// jitter. After a start the feed itself detects a stale read, so the next one comes at a random time around the
-    /// regular interval.
+    /// jitter. After a start the feed itself detects a stale read, since it continues after the revision of that read
+    /// or reports its history as lost; so the next one comes at a random time around the regular interval.
     fn second_read_delay(
         &self,
         after_lost_history: bool,
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -101,7 +101,8 @@
 /// Delay of a timer beyond which this process is considered stalled.
 const STALL_TOLERANCE: Duration = Duration::from_millis(20);
 
-/// Additional wait after a stall, so that bytes received meanwhile are read before the attempt is abandoned.
+/// Additional wait after a stall, so that bytes received meanwhile are read before the attempt is abandoned. The poll's
+/// timer fires in the same turn of the runtime in which these bytes become readable, and may be handled first.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(10);
 
 /// Maximum number of catch-up waits per attempt; a process under a CPU quota may stall repeatedly.
@@ -110,7 +111,8 @@
 /// Waits for `future`; returns `None` after `max_wait`, or after `stall_timeout` if nothing came from the replica
 /// either.
 ///
-/// A stall of this process doesn't count as a stall of the replica: data received meanwhile is read first.
+/// A stall of this process doesn't count as a stall of the replica: data received meanwhile is read first. Otherwise a
+/// process that was frozen, or has used up its CPU quota, would abandon attempts at healthy replicas.
 pub async fn wait_for_progress<T>(
     future: impl Future<Output = T>,
     replica: &Replica,
--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -156,7 +156,8 @@
         self.view.load_full()
     }
 
-    /// True if no request of this daemon is in progress at any replica, listed or not.
+    /// True if no request of this daemon is in progress at any replica, listed or not. Callers that look for replicas
+    /// with such requests then needn't scan all of them.
     pub fn is_idle(&self) -> bool {
         self.in_progress.load(Ordering::Relaxed) == 0
     }
--- a/crates/serving/src/selection.rs
+++ b/crates/serving/src/selection.rs
@@ -18,8 +18,8 @@
     /// Cost of a replica in another region beyond the round trip, milliseconds. The default lies between the waits
     /// behind one and two queued requests at a replica of eight slots, so requests leave only to avoid a queue.
     pub other_region_ms: f64,
-    /// Cost of opening a connection, milliseconds. Less than one more request at a replica that is a third full, so
-    /// that it only decides between replicas of similar load.
+    /// Cost of opening a connection, milliseconds: a round trip between zones and the replica's work for it. Less than
+    /// one more request at a replica that is a third full, so that it only decides between replicas of similar load.
     pub new_connection_ms: f64,
     /// Cost of a recently failed or unresponsive replica, milliseconds.
     pub suspected_ms: f64,
--- a/crates/serving/src/warmth.rs
+++ b/crates/serving/src/warmth.rs
@@ -6,8 +6,8 @@
 
 use crate::configuration::Warmup;
 
-/// Maximum delay between a change of a replica and the row that shows it: two heartbeats. An earlier row may have
-/// been written before the change.
+/// Maximum delay between a change of a replica and the row that shows it: a heartbeat interval, and as much again for
+/// a row that is written late. An earlier row may have been written before the change.
 const ROW_LAG: Duration = Duration::from_millis(2_400);
 
 /// Maximum warmup accepted from a row or configuration, which could otherwise overflow the clock.
--- a/crates/slots/src/ejection.rs
+++ b/crates/slots/src/ejection.rs
@@ -12,7 +12,8 @@
 use crate::outcome_window::{OutcomeWindow, median};
 use crate::significance::{baseline_rate, is_outlier};
 
-/// Maximum share of a group's replicas that may be ejected at a time, in percent; the others must sustain the load.
+/// Maximum share of a group's replicas that may be ejected at a time, in percent; the others must sustain the load, and
+/// failures of more replicas than that hardly have their cause in the replicas.
 const MAX_EJECTED_PERCENT: usize = 50;
 
 /// Duration of the first ejection, and how often it may double for repeated ones.
--- a/crates/slots/src/groups.rs
+++ b/crates/slots/src/groups.rs
@@ -5,11 +5,13 @@
 /// Maximum mean number of replicas in a group; bounds the work of one coordinator.
 const MAX_MEAN_GROUP_SIZE: usize = 32;
 
-/// Minimum mean number of replicas per zone for groups by zone. With fewer, requests would often need a second group.
+/// Minimum mean number of replicas per zone for groups by zone. With fewer, the zones' free slots differ too much, and
+/// requests would often need a second group.
 const MIN_ZONE_REPLICAS: usize = 12;
 
 /// Minimum mean number of replicas per region for groups by region. With fewer, most requests of a busy region would
-/// find their group full and need a second query, to another region.
+/// find their group full and need a second query, to another region. Lower than the minimum for zones, since a query to
+/// another region takes longer than a second one within the own region.
 const MIN_REGION_REPLICAS: usize = 4;
 
 /// Identifies one group of a service's replicas; ordered by area.
@@ -37,6 +39,10 @@
 ///
 /// Groups by zone keep slot traffic within the zone and let an isolated zone keep serving. Otherwise groups lie in a
 /// region, as a coordinator in another region replies too late.
+///
+/// No earlier layout may influence this one: daemons that started at different times would keep different layouts for
+/// the same replicas, and refuse each other's queries. After a change of the layout a new coordinator learns the leases
+/// from the holders' next full reports, as after any change of the coordinator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GroupLayout<'a> {
     kind: AreaKind,
--- a/crates/slots/src/pacer.rs
+++ b/crates/slots/src/pacer.rs
@@ -14,7 +14,7 @@
 /// queries to coordinators; kept short, since grants that are unused lower the rate.
 pub const COLD_GRANT_LIFETIME: Duration = Duration::from_millis(250);
 
-/// Time between two ticks after which this daemon is considered stalled.
+/// Time between two ticks after which this daemon is considered stalled. Ticks come every 100 ms.
 const STALL_THRESHOLD: Duration = Duration::from_millis(1_000);
 
 /// Time after the start of a daemon in which it grants nothing: its view may be incomplete, so that it wrongly
@@ -54,7 +54,7 @@
 pub enum ColdUse {
     /// An online request: takes any available token.
     Online,
-    /// A batch item: takes only tokens that would overflow the bucket.
+    /// A batch item: takes only tokens that would overflow the bucket, since online requests may still use the others.
     Item,
 }
 
--- a/crates/tenants/src/ledger.rs
+++ b/crates/tenants/src/ledger.rs
@@ -9,7 +9,8 @@
 use crate::initial_allowance::InitialAllowance;
 use crate::rate::{RateBounds, RateLimit};
 
-/// Number of partly used allowances from which on nothing is granted as the fallback for further tenants.
+/// Number of partly used allowances from which on nothing is granted as the fallback for further tenants. Bounds the
+/// memory that they take, 48 bytes and the name for each tenant.
 const MAX_ALLOWANCES: usize = 1_024;
 
 /// Time between two calls after which this daemon is considered stalled. Longer than ticks on a busy machine, shorter
