A job taken over from an owner that did not release it has an incomplete failure history

Found by review, by reading: `failures_are_complete` was set at the acceptance and never cleared, so `job_loaded` said `complete` also after an owner that had crashed, or was cut off, between a failure and its write; the operations page drew from it that the fault is not in the handover. Callers see nothing of it: it is a line that misleads.

Change: `adopted` keeps the mark only if the header was released, and a release is written with all failures. Test first red: failure_history.rs, a takeover of a header that still names its owner.

--- a/crates/inline-jobs/src/adoption_order.rs
+++ b/crates/inline-jobs/src/adoption_order.rs
@@ -36,6 +36,8 @@
         last_owner: String::new(),
         challenger: String::new(),
         takeovers: header.takeovers + u32::from(!header.challenger.is_empty()),
+        // An owner that did not release the job may have stopped before it stored its last failures.
+        failures_are_complete: header.failures_are_complete && header.owner.is_empty(),
         epoch: header.epoch + 1,
         ..header.clone()
     }
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -50,9 +50,10 @@
 /// Whether the stored failure counts of a job's items include all failed runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FailureHistory {
-    /// Each owner stored every failure: an item without a count has not failed.
+    /// Each earlier owner released the job with every failure stored: an item without a count has not failed.
     Complete,
-    /// An earlier owner runs a build that may not store a failure: each count is a lower bound.
+    /// An earlier owner did not release the job, or runs a build that may not store a failure: each count is a lower
+    /// bound.
     Incomplete,
 }
 
--- a/crates/inline-jobs/tests/failure_history.rs
+++ b/crates/inline-jobs/tests/failure_history.rs
@@ -42,6 +42,12 @@
     assert_eq!(history_after_adoption(&header(false)), "incomplete");
 }
 
+#[test]
+fn a_job_taken_over_from_an_owner_that_did_not_release_it_has_an_incomplete_history() {
+    let taken_over = adopted(&header(true), "this-daemon");
+    assert_eq!(FailureHistory::of(&taken_over), FailureHistory::Incomplete);
+}
+
 #[test]
 fn a_complete_history_stays_complete_through_a_handover() {
     assert_eq!(history_after_adoption(&header(true)), "complete");
--- a/crates/wire/src/inline_job.rs
+++ b/crates/wire/src/inline_job.rs
@@ -123,9 +123,9 @@
     /// Number of takeovers of the job under a challenge.
     #[prost(uint32, tag = "16")]
     pub takeovers: u32,
-    /// True if each owner so far stored every failed run of an item before the item's next run. Only builds of format
-    /// level 5 set it, on acceptance. Builds that store failures keep it through their rewrites, except those of level
-    /// 2; the others drop it.
+    /// True if each owner before the present one released the job with all failed runs of its items stored. Only builds
+    /// of format level 5 set it, on acceptance, and clear it when they take over a job that was not released. Builds
+    /// that store failures keep it through their rewrites, except those of level 2; the others drop it.
     #[prost(bool, tag = "17")]
     pub failures_are_complete: bool,
     /// Encoded unknown fields of later builds. [`decode_job_header`] fills it, [`encode_job_header`] appends them to
