Reports of failures: also to the daemon that took a job over, only what is not stored, few lines

Found by review, by reading: an owner that was cut off learns of the loss of a job from the new owner's header and dropped the failures that it had not stored. A stopping daemon passed on all that it had received each second, with a line for each job, also what the headers held already.

Change: the loser of a job reports its unstored failures to the new owner; a stopping daemon passes on only what the known header doesn't hold; a round logs 32 jobs at most and asks for the owners once. Counts only rise, so a late report does no harm.

--- a/crates/inline-jobs/src/failure_reports.rs
+++ b/crates/inline-jobs/src/failure_reports.rs
@@ -4,6 +4,7 @@
 //! takes long, and an owner that stops or crashes meanwhile would lose the failure: the next owner would allow one run
 //! more. The reports are hints: a lost one costs that run, a repeated or outdated one changes nothing.
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -25,6 +26,9 @@
 /// Jobs reported in one interval, against floods during a long outage of the store. A planned stop reports all.
 const MAX_REPORTED_JOBS: usize = 32;
 
+/// Jobs of one round of reports that are logged.
+const MAX_LOGGED_JOBS: usize = 32;
+
 /// How long a report is kept after it was last received. It must outlast an outage of the store.
 const RETENTION: Duration = Duration::from_secs(600);
 
@@ -123,11 +127,25 @@
     /// Reports what a stopping daemon knows of failures, since the store may not take its handover. Reports received
     /// from others are passed on: their jobs may not be adopted yet.
     pub(crate) fn report_all_failures(&self) {
-        let received = self.reported_failures().all();
+        let mut received = self.reported_failures().all();
+        received.retain(|report| !self.is_stored(report));
         self.report_failures(received);
         self.report_failures(self.unstored_failures());
     }
 
+    /// True if the job's header holds the reported failures, or the job is closed.
+    fn is_stored(&self, report: &JobFailures) -> bool {
+        self.inner.view.get(&report.job_id).is_some_and(|known| {
+            let stored = &known.header.failures;
+            let is_stored = |row: &ItemFailuresRow| {
+                let mut stored = stored.iter();
+                let is_listed = known.header.listed.contains(&row.item);
+                is_listed || stored.any(|one| one.item == row.item && one.count >= row.count)
+            };
+            !known.is_open() || report.failures.iter().all(is_stored)
+        })
+    }
+
     /// Returns the failures of own jobs that the store does not hold, by job.
     fn unstored_failures(&self) -> Vec<JobFailures> {
         let registry = self.registry();
@@ -142,15 +160,16 @@
     }
 
     fn report_failures(&self, reports: Vec<JobFailures>) {
+        if reports.is_empty() {
+            return;
+        }
         let mut by_recipient: HashMap<String, Vec<JobFailures>> = HashMap::new();
-        for report in reports {
-            let recipients = self.next_owners(&report.job_id);
-            let outcome = if recipients.is_empty() {
-                "no recipient"
-            } else {
-                "sent"
-            };
-            self.log_failures(outcome, &recipients.join(" "), &report);
+        let owners = self.inner.peers.owners().unwrap_or_default();
+        for (number, report) in reports.into_iter().enumerate() {
+            let recipients = self.next_owners(&report.job_id, &owners);
+            if number < MAX_LOGGED_JOBS {
+                self.log_sent(&recipients, &report);
+            }
             for recipient in recipients {
                 let jobs = by_recipient.entry(recipient).or_default();
                 jobs.push(report.clone());
@@ -161,8 +180,17 @@
         }
     }
 
-    /// Returns the other daemons that would adopt a job first if this one departed.
-    fn next_owners(&self, job_id: &str) -> Vec<String> {
+    /// Reports the failures of a job that this daemon has lost to the daemon that took it over.
+    pub(crate) fn report_failures_to_new_owner(&self, owner: &str, report: JobFailures) {
+        if report.failures.is_empty() {
+            return;
+        }
+        self.log_sent(&[owner.to_owned()], &report);
+        self.inner.peers.report_failures(owner, vec![report]);
+    }
+
+    /// Returns the daemons among `owners` and this one's peers that would adopt a job first if this one departed.
+    fn next_owners(&self, job_id: &str, owners: &[String]) -> Vec<String> {
         let peers = &self.inner.peers;
         let header = self.inner.view.get(job_id).map(|known| known.header);
         let header = header.unwrap_or_else(|| JobHeadRow {
@@ -170,13 +198,15 @@
             ..JobHeadRow::default()
         });
         let owners = match self.regions_of(&header.route, &header.tenant) {
-            None | Some(AllowedRegions::Any) => peers.owners(),
-            Some(regions) => peers.owners_in(&regions),
+            None | Some(AllowedRegions::Any) => Cow::Borrowed(owners),
+            Some(regions) => Cow::Owned(peers.owners_in(&regions).unwrap_or_default()),
         };
-        let mut owners = owners.unwrap_or_default();
-        owners.retain(|owner| *owner != self.inner.instance_id);
         let near = peers.owners_near(last_owner(&header));
-        first_adopters(job_id, &owners, &near, MAX_RECIPIENTS)
+        // One more than needed, as this daemon may be among them.
+        let first = first_adopters(job_id, &owners, &near, MAX_RECIPIENTS + 1);
+        let others = first.into_iter();
+        let others = others.filter(|owner| *owner != self.inner.instance_id);
+        others.take(MAX_RECIPIENTS).collect()
     }
 
     /// Applies a peer's report: immediately if this daemon runs the job, else when it adopts it.
@@ -211,6 +241,15 @@
         self.inner.wake.notify_one();
     }
 
+    fn log_sent(&self, recipients: &[String], report: &JobFailures) {
+        let outcome = if recipients.is_empty() {
+            "no recipient"
+        } else {
+            "sent"
+        };
+        self.log_failures(outcome, &recipients.join(" "), report);
+    }
+
     fn log_failures(&self, outcome: &str, peers: &str, report: &JobFailures) {
         self.inner.log.record(&Record::FailuresReported {
             job: &report.job_id,
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -231,6 +231,10 @@
             return;
         }
         job.stop_runs();
+        let unstored = JobFailures {
+            job_id: job_id.clone(),
+            failures: job.unstored_failures(),
+        };
         registry.jobs.remove(job_id);
         drop(registry);
         let (outcome, reason) = match known.header.owner.as_str() {
@@ -240,6 +244,7 @@
         };
         if outcome == "lost" {
             self.takeovers().note_challenged();
+            self.report_failures_to_new_owner(reason, unstored);
         }
         self.log_ownership(&before, &known.header, outcome, reason);
     }
