An item that has used up its attempts is not run again when its route returns after the load

Found by review (read), then provoked. What callers saw: an item that fails at each run ran 4 times where 3 are allowed, if the adopter's configuration lacked the route at the moment of the load.

Cause: exhausted items were given up once, at the load (and when a report comes); while the route is missing its attempts read as unlimited, and nothing looked again.

Evidence: `an_exhausted_item_is_not_run_again_if_its_route_returns_after_the_load`, before: {"job-0": 4}, 3 expected. Change: an item is checked against its route's attempts each time before it would start.

--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -65,6 +65,10 @@
         );
         let mut deferred = Vec::new();
         for (item, urgency, slack) in self.startable(&routes) {
+            if is_exhausted(&routes, &item) {
+                self.fail_item(&item);
+                continue;
+            }
             if !self.is_due(urgency) {
                 return;
             }
@@ -106,10 +110,15 @@
         if limit.is_zero() || Duration::from_millis(age_ms) < limit {
             return;
         }
+        self.fail_item(item);
+        self.log_run(item, "", &RunOutcome::NotRun("held back".to_owned()));
+    }
+
+    /// Gives an item up without another run.
+    fn fail_item(&self, item: &StartableItem) {
         if let Some(entry) = self.registry().item(&item.job, item.number) {
             entry.phase = ItemPhase::Done { failed: true };
         }
-        self.log_run(item, "", &RunOutcome::NotRun("held back".to_owned()));
     }
 
     /// Returns the item as the current configuration allows it to run; `None` if no replica can take it now.
@@ -419,6 +428,13 @@
     }
 }
 
+/// True if an item has used up its route's attempts. The route may have been missing when the job was loaded or the
+/// failures were reported.
+fn is_exhausted(routes: &RouteTable, item: &StartableItem) -> bool {
+    let route = routes.configuration.route(&item.route);
+    route.is_some_and(|route| item.failures >= route.attempts)
+}
+
 /// Rounds stochastically, so that the daemons' shares add up to the excess on average.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn round_stochastically(share: f64) -> usize {
