A rejection that the store does not take reaches the next owner as used-up attempts

Found by review (read), then provoked. What callers saw: an item that a replica has rejected (422, it can never be done) ran again after a planned stop of its owner while the store was away.

Cause: the rejection lived in the owner's phase of the item only; header, progress rows and reports carry failure counts. Evidence: `a_rejected_item_is_not_run_again_if_the_store_is_away_through_the_stop`, before: {"job-0": 2}, 1 expected. Why it works: every owner gives up an item whose count has reached the attempts; it is listed as failed, as the rejection demands. Sums of counts in log lines are 64 bits wide.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -575,7 +575,7 @@
         /// Unlisted items of which the store holds events.
         with_events: usize,
         /// Failed runs of unlisted items, by what the store holds.
-        failures: u32,
+        failures: u64,
         /// `complete`, or `incomplete` if an earlier owner may have failed runs that the store does not hold.
         failure_history: &'a str,
     },
@@ -589,7 +589,7 @@
         /// Recipients, separated by spaces, or the sender.
         peers: &'a str,
         /// Sum of the reported counts.
-        failures: u32,
+        failures: u64,
     },
     /// Other daemons may begin to consider this one absent and challenge its jobs, or no longer do.
     TakeoverRisk {
--- a/crates/inline-jobs/src/failure_reports.rs
+++ b/crates/inline-jobs/src/failure_reports.rs
@@ -255,7 +255,7 @@
             job: &report.job_id,
             outcome,
             peers,
-            failures: report.failures.iter().map(|row| row.count).sum(),
+            failures: report.failures.iter().map(|row| u64::from(row.count)).sum(),
         });
     }
 }
--- a/crates/inline-jobs/src/item.rs
+++ b/crates/inline-jobs/src/item.rs
@@ -69,7 +69,8 @@
     pub request: Arc<ServingRequest>,
     /// Output received so far.
     pub progress: SharedProgress,
-    /// Runs that a replica ended with a failure response.
+    /// Runs that a replica ended with a failure response; at least the route's attempts once a replica has rejected the
+    /// item.
     pub failures: u32,
     /// Failures that the job's header counts. The item only runs again once it counts all, so that a later owner does
     /// not allow more attempts.
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -256,7 +256,7 @@
             epoch: header.epoch,
             unlisted: unlisted.clone().count(),
             with_events: unlisted.clone().filter(has_events).count(),
-            failures: unlisted.map(|item| item.failures).sum(),
+            failures: unlisted.map(|item| u64::from(item.failures)).sum(),
             failure_history: FailureHistory::of(header).name(),
         }
     }
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -322,7 +322,11 @@
         };
         entry.phase = match outcome {
             RunOutcome::Finished => ItemPhase::Done { failed: false },
-            RunOutcome::Impossible => ItemPhase::Done { failed: true },
+            RunOutcome::Impossible => {
+                // The count tells a later owner that no retry can succeed.
+                entry.failures = entry.failures.max(attempts);
+                ItemPhase::Done { failed: true }
+            }
             RunOutcome::Failed => {
                 entry.failures += 1;
                 if entry.failures >= attempts {
