--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -8,7 +8,7 @@
 mod adoption;
 pub mod adoption_order;
 mod checkpoint;
-pub mod failure_reports;
+mod failure_reports;
 pub mod item;
 mod item_run;
 mod keys;
@@ -23,6 +23,7 @@
 mod quota_ledger;
 mod ready;
 mod registry;
+mod reported_failures;
 mod runner;
 mod service;
 mod store;
@@ -38,6 +39,7 @@
 pub use own_headers::HeaderReads;
 pub use pacing::{RunLength, Urgency, slack, urgency};
 pub use quota_ledger::{QuotaDecision, QuotaLedger, QuotaRequest, RouteUsage};
+pub use reported_failures::ReportedFailures;
 pub use service::{InlineJobs, JobParts, JobSettings, Peers};
 pub use store::{FenceOutcome, JobStore, KnownFence, ListedResult, ReadResult, WriteOutcome};
 pub use view::{HeaderChange, JobView, KnownHeader};
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -16,11 +16,11 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::adoption_order::last_owner;
-use crate::failure_reports::ReportedFailures;
 use crate::keys::JOB_HEADERS;
 use crate::owned_job::OwnedJob;
 use crate::quota_ledger::{QuotaLedger, QuotaRequest};
 use crate::registry::JobRegistry;
+use crate::reported_failures::ReportedFailures;
 use crate::store::JobStore;
 use crate::takeover::JobTakeovers;
 use crate::view::{JobView, KnownHeader};
--- a/crates/inline-jobs/tests/failure_reports.rs
+++ b/crates/inline-jobs/tests/reported_failures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use harrierward_inline_jobs::failure_reports::ReportedFailures;
+use harrierward_inline_jobs::ReportedFailures;
 use harrierward_wire::ItemFailuresRow;
 use proptest::prelude::*;
 use tokio::time::Instant;
