An adoption is logged when it is learned, also if the response of its write was lost

The write's response had been lost behind a slow store; the adopter learned of its job from the watch, and only a confirmed write was logged. Whoever explains a failure from the lines misses the owner.

Change: the line is written where a header's change is applied, once for each revision. Tests: contested_jobs, handover, cancelled_job, failure_counts green (23); none asserts the line itself.

--- a/crates/inline-jobs/src/adoption.rs
+++ b/crates/inline-jobs/src/adoption.rs
@@ -73,13 +73,13 @@
         match step {
             Step::Wait => {}
             Step::Challenge => self.start_challenge(known.clone(), status),
-            Step::TakeOver => self.start_adoption(known.clone(), status),
+            Step::TakeOver => self.start_adoption(known.clone()),
         }
     }
 
-    fn start_adoption(&self, known: KnownHeader, status: OwnerStatus) {
-        self.spawn_write(known, move |jobs, known| async move {
-            jobs.adopt_job(&known, status).await;
+    fn start_adoption(&self, known: KnownHeader) {
+        self.spawn_write(known, |jobs, known| async move {
+            jobs.adopt_job(&known).await;
         });
     }
 
@@ -100,7 +100,7 @@
             .then_some(adopters)
     }
 
-    async fn adopt_job(&self, known: &KnownHeader, status: OwnerStatus) {
+    async fn adopt_job(&self, known: &KnownHeader) {
         let header = adopted(&known.header, &self.inner.instance_id);
         let until = Instant::now() + HEADER_WRITE_TIMEOUT;
         let written = self
@@ -110,7 +110,6 @@
             .await;
         match written {
             WriteOutcome::Committed { revision } => {
-                self.log_ownership(&known.header, &header, "adopted", status.name());
                 // The watch may have delivered this header already and started the load.
                 self.note_header(KnownHeader { header, revision });
             }
--- a/crates/inline-jobs/src/takeover.rs
+++ b/crates/inline-jobs/src/takeover.rs
@@ -181,7 +181,12 @@
     pub(crate) fn note_owners(&self, change: &HeaderChange) {
         let HeaderChange { before, known } = change;
         if let Some(before) = before {
-            let is_present = self.owner_status(&before.header) == OwnerStatus::Present;
+            let status = self.owner_status(&before.header);
+            // Not where the write is confirmed: its response may be lost.
+            if self.owns(&known.header) && known.header.epoch != before.header.epoch {
+                self.log_ownership(&before.header, &known.header, "adopted", status.name());
+            }
+            let is_present = status == OwnerStatus::Present;
             let mut takeovers = self.takeovers();
             let now = takeovers.now();
             takeovers.core.note_change(
