--- a/crates/inline-jobs/tests/failure_history.rs
+++ b/crates/inline-jobs/tests/failure_history.rs
@@ -2,7 +2,7 @@
 
 use harrierward_decisions::Record;
 use harrierward_inline_jobs::KnownHeader;
-use harrierward_inline_jobs::adoption_order::{adopted, released};
+use harrierward_inline_jobs::adoption_order::{adopted, challenged, released};
 use harrierward_inline_jobs::owned_job::{FailureHistory, OwnedJob};
 use harrierward_wire::JobHeadRow;
 
@@ -46,3 +46,21 @@
 fn a_complete_history_stays_complete_through_a_handover() {
     assert_eq!(history_after_adoption(&header(true)), "complete");
 }
+
+/// An owner that was taken over may have read a failure that it had not stored yet.
+#[test]
+fn a_takeover_under_a_challenge_leaves_an_incomplete_history() {
+    let challenged = challenged(&header(true), "this-daemon");
+    let known = KnownHeader {
+        header: adopted(&challenged, "this-daemon"),
+        revision: 10,
+    };
+    let job = OwnedJob::new(known, Vec::new(), Vec::new());
+    let Record::JobLoaded {
+        failure_history, ..
+    } = job.load_record()
+    else {
+        panic!("another record");
+    };
+    assert_eq!(failure_history, "incomplete");
+}
