--- a/crates/edge/src/members/peers.rs
+++ b/crates/edge/src/members/peers.rs
@@ -25,7 +25,7 @@
 };
 
 /// Jobs in one report of failures: some 1 kB, and below the size limit of datagrams even where every item failed.
-const MAX_REPORTED_JOBS: usize = 16;
+const MAX_JOBS_PER_REPORT: usize = 16;
 
 /// Time after the first other member within which the remaining members become known.
 const VIEW_SETTLE_TIME: Duration = Duration::from_millis(1_200);
@@ -169,7 +169,7 @@
         let Some(address) = self.udp_address_of(recipient) else {
             return;
         };
-        for jobs in jobs.chunks(MAX_REPORTED_JOBS) {
+        for jobs in jobs.chunks(MAX_JOBS_PER_REPORT) {
             let report = FailureReport {
                 from: self.instance_id.clone(),
                 jobs: jobs.to_vec(),
--- a/crates/inline-jobs/src/adoption.rs
+++ b/crates/inline-jobs/src/adoption.rs
@@ -10,6 +10,7 @@
 
 use crate::adoption_order::{adopted, adoption_delay, adoption_rank, last_owner, released};
 use crate::owned_job::HandoverState;
+use crate::reported_failures::raise_counts;
 use crate::service::InlineJobs;
 use crate::store::WriteOutcome;
 use crate::view::KnownHeader;
@@ -136,6 +137,11 @@
             if !state.failures.is_empty() {
                 header.failures.clone_from(&state.failures);
             }
+            // A job that was not loaded yet may have failures that only a report holds.
+            raise_counts(
+                &mut header.failures,
+                self.reported_failures().of(&header.job_id),
+            );
             // A concurrent listing may have committed first.
             state
                 .results
--- a/crates/inline-jobs/src/failure_reports.rs
+++ b/crates/inline-jobs/src/failure_reports.rs
@@ -23,8 +23,9 @@
 /// Daemons that receive a job's report, those first that would adopt it.
 const MAX_RECIPIENTS: usize = 3;
 
-/// Jobs reported in one interval, against floods during a long outage of the store. A planned stop reports all.
+/// Jobs reported in one interval, against floods during a long outage of the store, and by a stopping daemon.
 const MAX_REPORTED_JOBS: usize = 32;
+const MAX_REPORTED_JOBS_AT_STOP: usize = 512;
 
 /// Jobs of one round of reports that are logged.
 const MAX_LOGGED_JOBS: usize = 32;
@@ -38,8 +39,7 @@
                 self.report_all_failures();
                 continue;
             }
-            let unstored = self.unstored_failures().into_iter();
-            self.report_failures(unstored.choose_multiple(&mut rand::rng(), MAX_REPORTED_JOBS));
+            self.report_failures(sample(self.unrecorded_failures(), MAX_REPORTED_JOBS));
         }
     }
 
@@ -48,8 +48,9 @@
     pub(crate) fn report_all_failures(&self) {
         let mut received = self.reported_failures().all();
         received.retain(|report| !self.is_stored(report));
-        self.report_failures(received);
-        self.report_failures(self.unstored_failures());
+        self.report_failures(sample(received, MAX_REPORTED_JOBS_AT_STOP));
+        let own = self.unrecorded_failures();
+        self.report_failures(sample(own, MAX_REPORTED_JOBS_AT_STOP));
     }
 
     /// True if the job's header holds the reported failures, or the job is closed.
@@ -66,10 +67,10 @@
     }
 
     /// Returns the failures of own jobs that the store does not hold, by job.
-    fn unstored_failures(&self) -> Vec<JobFailures> {
+    fn unrecorded_failures(&self) -> Vec<JobFailures> {
         let registry = self.registry();
         let reports = registry.jobs.iter().filter_map(|(job_id, job)| {
-            let failures = job.unstored_failures();
+            let failures = job.unrecorded_failures();
             (!failures.is_empty()).then(|| JobFailures {
                 job_id: job_id.clone(),
                 failures,
@@ -178,3 +179,11 @@
         });
     }
 }
+
+/// Returns at most `count` of the reports, others each time.
+fn sample(reports: Vec<JobFailures>, count: usize) -> Vec<JobFailures> {
+    if reports.len() <= count {
+        return reports;
+    }
+    reports.into_iter().choose_multiple(&mut rand::rng(), count)
+}
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -276,14 +276,15 @@
         self.items.iter().any(Item::has_unrecorded_failures)
     }
 
-    /// Returns the failure counts of unlisted items that the header does not hold yet.
-    pub fn unstored_failures(&self) -> Vec<ItemFailuresRow> {
+    /// Returns the failure counts of unlisted items that the header does not hold yet. Unlike
+    /// [`Self::has_unrecorded_failures`] also those of finished items, which another owner would run again.
+    pub fn unrecorded_failures(&self) -> Vec<ItemFailuresRow> {
         let items = (0..).zip(&self.items);
-        let unstored = items.filter(|(_, item)| {
+        let unrecorded = items.filter(|(_, item)| {
             let is_listed = matches!(item.phase, ItemPhase::Listed);
             item.failures > item.recorded_failures && !is_listed
         });
-        let rows = unstored.map(|(number, item)| ItemFailuresRow {
+        let rows = unrecorded.map(|(number, item)| ItemFailuresRow {
             item: number,
             count: item.failures,
         });
--- a/crates/inline-jobs/src/reported_failures.rs
+++ b/crates/inline-jobs/src/reported_failures.rs
@@ -6,7 +6,8 @@
 use harrierward_wire::{ItemFailuresRow, JobFailures};
 use tokio::time::Instant;
 
-/// How long a report is kept after it was last received. It must outlast an outage of the store.
+/// How long a report is kept at least after it was last received, unless there is no room; it must outlast an outage of
+/// the store. Older ones go when another job's report arrives.
 const RETENTION: Duration = Duration::from_secs(600);
 
 /// Jobs of which reports are kept.
@@ -36,17 +37,7 @@
             received_at: now,
         });
         report.received_at = now;
-        let mut is_new = false;
-        for row in failures {
-            let known = report.failures.iter_mut().find(|one| one.item == row.item);
-            match known {
-                Some(known) if known.count >= row.count => continue,
-                Some(known) => known.count = row.count,
-                None => report.failures.push(row.clone()),
-            }
-            is_new = true;
-        }
-        is_new
+        raise_counts(&mut report.failures, failures)
     }
 
     /// Drops expired reports, and the oldest one if there is no room for another job.
@@ -86,3 +77,17 @@
         reports.collect()
     }
 }
+
+/// Raises the counts in `known` to those in `others`; true if one was lower or absent.
+pub fn raise_counts(known: &mut Vec<ItemFailuresRow>, others: &[ItemFailuresRow]) -> bool {
+    let mut is_raised = false;
+    for row in others {
+        match known.iter_mut().find(|one| one.item == row.item) {
+            Some(one) if one.count >= row.count => continue,
+            Some(one) => one.count = row.count,
+            None => known.push(row.clone()),
+        }
+        is_raised = true;
+    }
+    is_raised
+}
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -203,7 +203,9 @@
         if registry.placements_in_flight >= MAX_PLACEMENTS {
             return false;
         }
-        if registry.item(&item.job, item.number).is_none() {
+        // Its job may have been stopped, or its failures reported, since the item was selected.
+        let entry = registry.item(&item.job, item.number);
+        if self.is_stopping() || !entry.is_some_and(|entry| entry.is_startable(Instant::now())) {
             return true;
         }
         registry.placements_in_flight += 1;
@@ -254,19 +256,25 @@
             replica: placement.choice.replica.record.id.clone(),
             lease: placement.in_progress.lease().unwrap_or_default(),
         };
-        if let Some(entry) = self.registry().item(&item.job, item.number) {
-            entry.last_replica_instance = Some(placement.choice.replica.hash);
-            if let ItemPhase::Running {
-                lease: known,
-                since,
-                ..
-            } = &mut entry.phase
-            {
-                *known = Some(run_lease);
-                *since = Instant::now();
-            }
+        let replica = placement.choice.replica.hash;
+        if self.note_placed(&item, replica, run_lease) {
+            self.run_item(item, placement).await;
         }
-        self.run_item(item, placement).await;
+    }
+
+    /// Records where an item runs; false if its placement was aborted meanwhile.
+    fn note_placed(&self, item: &StartableItem, replica: u32, run_lease: RunLease) -> bool {
+        let mut registry = self.registry();
+        let Some(entry) = registry.item(&item.job, item.number) else {
+            return false;
+        };
+        let ItemPhase::Running { lease, since, .. } = &mut entry.phase else {
+            return false;
+        };
+        *lease = Some(run_lease);
+        *since = Instant::now();
+        entry.last_replica_instance = Some(replica);
+        true
     }
 
     /// Returns an item to the queue after no replica had capacity, and pauses placements for its service and regions.
@@ -276,7 +284,9 @@
         registry
             .no_capacity
             .note(service, &item.request.regions, now);
-        if let Some(entry) = registry.item(&item.job, item.number) {
+        if let Some(entry) = registry.item(&item.job, item.number)
+            && matches!(entry.phase, ItemPhase::Running { .. })
+        {
             entry.phase = ItemPhase::Waiting { not_before: now };
         }
     }
@@ -313,8 +323,8 @@
         let Some(entry) = job.items.get_mut(item.number as usize) else {
             return;
         };
-        // A listing by this or an earlier owner may have arrived since the run ended.
-        if matches!(entry.phase, ItemPhase::Listed) {
+        // A listing by this or an earlier owner, or a report of failures, may have arrived since the run ended.
+        if matches!(entry.phase, ItemPhase::Listed | ItemPhase::Done { .. }) {
             return;
         }
         let wait = |pause| ItemPhase::Waiting {
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -231,9 +231,9 @@
             return;
         }
         job.stop_runs();
-        let unstored = JobFailures {
+        let unrecorded = JobFailures {
             job_id: job_id.clone(),
-            failures: job.unstored_failures(),
+            failures: job.unrecorded_failures(),
         };
         registry.jobs.remove(job_id);
         drop(registry);
@@ -244,7 +244,7 @@
         };
         if outcome == "lost" {
             self.takeovers().note_challenged();
-            self.report_failures_to_new_owner(reason, unstored);
+            self.report_failures_to_new_owner(reason, unrecorded);
         }
         self.log_ownership(&before, &known.header, outcome, reason);
     }
@@ -252,6 +252,7 @@
     /// Drops a job whose row was removed from the store.
     pub fn header_removed(&self, job_id: &str) {
         self.inner.view.remove(job_id);
+        self.reported_failures().remove(job_id);
         if let Some(mut job) = self.registry().jobs.remove(job_id) {
             job.stop_runs();
         }
@@ -346,8 +347,8 @@
 
     /// Waits for the responses of items that replicas have received: one that is aborted may have failed, and would not
     /// be counted. Starts no further runs.
-    async fn finish_exchanges(&self) {
-        let until = Instant::now() + RESPONSE_WAIT;
+    async fn finish_exchanges(&self, until: Instant) {
+        let until = until.min(Instant::now() + RESPONSE_WAIT);
         for job in self.registry().jobs.values_mut() {
             job.stop_placements();
         }
@@ -364,7 +365,7 @@
     /// Releases all jobs to other daemons; returns at `until` at the latest.
     pub async fn hand_over_all(&self, until: Instant) {
         self.inner.stopping.store(true, Ordering::Relaxed);
-        self.finish_exchanges().await;
+        self.finish_exchanges(until).await;
         let mut released_jobs = Vec::new();
         {
             let mut registry = self.registry();
--- a/crates/wire/src/inline_job.rs
+++ b/crates/wire/src/inline_job.rs
@@ -175,7 +175,7 @@
     /// Job id.
     #[prost(string, tag = "1")]
     pub job_id: String,
-    /// Counts of the items that are not listed.
+    /// Counts that the header may not hold, of items that are not listed.
     #[prost(message, repeated, tag = "2")]
     pub failures: Vec<ItemFailuresRow>,
 }
