Who has received failures passes them on until the store holds them: the next owner may start after the last one stopped

Cause, from the new lines: the owner reported the failure to all three others (`failures_reported` received at each), its process ended, its next instance started 12 ms later and adopted the job ("succeeded by a later start") with `job_loaded` failures 0. The three that held the report had no reason to send it.

Change: each daemon reports what it holds and the store doesn't, each 0.5 s, to the job's owner and its first adopters.

--- a/crates/inline-jobs/src/failure_reports.rs
+++ b/crates/inline-jobs/src/failure_reports.rs
@@ -2,7 +2,9 @@
 //!
 //! An owner stores each failure in its job's header before the item runs again. While the store is unreachable that
 //! takes long, and an owner that stops or crashes meanwhile would lose the failure: the next owner would allow one run
-//! more. The reports are hints: a lost one costs that run, a repeated or outdated one changes nothing.
+//! more. Who has received a report passes it on until the store holds the failures: the next owner may have started
+//! after the last one has stopped. The reports are hints: a lost one costs that run, a repeated or outdated one changes
+//! nothing.
 
 use std::borrow::Cow;
 use std::collections::HashMap;
@@ -17,40 +19,49 @@
 use crate::adoption_order::{first_adopters, last_owner};
 use crate::service::InlineJobs;
 
-/// Interval between reports of the same failures, as one may be lost. Longer than a write to a healthy store.
-const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval between reports of the same failures, as one may be lost. Longer than a write to a healthy store, and shorter
+/// than the time in which a daemon that has started learns of its peers and adopts jobs.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Daemons that receive a job's report, those first that would adopt it.
 const MAX_RECIPIENTS: usize = 3;
 
 /// Jobs reported in one interval, against floods during a long outage of the store, and by a stopping daemon.
-const MAX_REPORTED_JOBS: usize = 32;
+const MAX_REPORTED_JOBS: usize = 16;
 const MAX_REPORTED_JOBS_AT_STOP: usize = 512;
 
-/// Jobs of one round of reports that are logged.
-const MAX_LOGGED_JOBS: usize = 32;
+/// Jobs whose last report is remembered, so that only a changed one is logged.
+const MAX_LOGGED_JOBS: usize = 1_024;
+
+/// The last logged report of each job.
+type LoggedReports = HashMap<String, Vec<ItemFailuresRow>>;
 
 impl InlineJobs {
     /// Reports failures that the store does not hold yet, until the process ends.
     pub(crate) async fn run_failure_reports(self) {
+        let mut logged = LoggedReports::new();
         loop {
             sleep(REPORT_INTERVAL).await;
-            if self.is_stopping() {
-                self.report_all_failures();
-                continue;
-            }
-            self.report_failures(sample(self.unrecorded_failures(), MAX_REPORTED_JOBS));
+            let max_jobs = if self.is_stopping() {
+                MAX_REPORTED_JOBS_AT_STOP
+            } else {
+                MAX_REPORTED_JOBS
+            };
+            self.report_known_failures(max_jobs, &mut logged);
         }
     }
 
-    /// Reports what a stopping daemon knows of failures, since the store may not take its handover. Reports received
-    /// from others are passed on: their jobs may not be adopted yet.
-    pub(crate) fn report_all_failures(&self) {
-        let mut received = self.reported_failures().all();
-        received.retain(|report| !self.is_stored(report));
-        self.report_failures(sample(received, MAX_REPORTED_JOBS_AT_STOP));
-        let own = self.unrecorded_failures();
-        self.report_failures(sample(own, MAX_REPORTED_JOBS_AT_STOP));
+    /// Reports all failures that the store does not hold yet, since it may not take the handover either.
+    pub(crate) fn report_failures_at_stop(&self) {
+        self.report_known_failures(MAX_REPORTED_JOBS_AT_STOP, &mut LoggedReports::new());
+    }
+
+    /// Reports the failures of own jobs and those received from others.
+    fn report_known_failures(&self, max_jobs: usize, logged: &mut LoggedReports) {
+        let mut reports = self.reported_failures().current(harrierward_clock::now());
+        reports.retain(|report| !self.is_stored(report));
+        reports.extend(self.unrecorded_failures());
+        self.report_failures(sample(reports, max_jobs), logged);
     }
 
     /// True if the job's header holds the reported failures, or the job is closed.
@@ -74,21 +85,26 @@
             (!failures.is_empty()).then(|| JobFailures {
                 job_id: job_id.clone(),
                 failures,
+                age_ms: 0,
             })
         });
         reports.collect()
     }
 
-    fn report_failures(&self, reports: Vec<JobFailures>) {
+    fn report_failures(&self, reports: Vec<JobFailures>, logged: &mut LoggedReports) {
         if reports.is_empty() {
             return;
         }
+        if logged.len() > MAX_LOGGED_JOBS {
+            logged.clear();
+        }
         let mut by_recipient: HashMap<String, Vec<JobFailures>> = HashMap::new();
         let owners = self.inner.peers.owners().unwrap_or_default();
-        for (number, report) in reports.into_iter().enumerate() {
+        for report in reports {
             let recipients = self.next_owners(&report.job_id, &owners);
-            if number < MAX_LOGGED_JOBS {
+            if logged.get(&report.job_id) != Some(&report.failures) {
                 self.log_sent(&recipients, &report);
+                logged.insert(report.job_id.clone(), report.failures.clone());
             }
             for recipient in recipients {
                 let jobs = by_recipient.entry(recipient).or_default();
@@ -109,7 +125,8 @@
         self.inner.peers.report_failures(owner, vec![report]);
     }
 
-    /// Returns the other daemons that would adopt a job first if this one departed; `owners` are all that may own jobs.
+    /// Returns the owner of a job and the daemons that would adopt it first, without this one; `owners` are all that may
+    /// own jobs.
     fn next_owners(&self, job_id: &str, owners: &[String]) -> Vec<String> {
         let peers = &self.inner.peers;
         let header = self.inner.view.get(job_id).map(|known| known.header);
@@ -124,9 +141,15 @@
         let near = peers.owners_near(last_owner(&header));
         // One more than needed, as this daemon may be among them.
         let first = first_adopters(job_id, &owners, &near, MAX_RECIPIENTS + 1);
-        let others = first.into_iter();
-        let others = others.filter(|owner| *owner != self.inner.instance_id);
-        others.take(MAX_RECIPIENTS).collect()
+        let mut others: Vec<String> = first.into_iter().collect();
+        others.retain(|owner| *owner != self.inner.instance_id);
+        others.truncate(MAX_RECIPIENTS);
+        let owner = header.owner;
+        let is_other = owner != self.inner.instance_id && owners.contains(&owner);
+        if is_other && !others.contains(&owner) {
+            others.push(owner);
+        }
+        others
     }
 
     /// Applies a peer's report: immediately if this daemon runs the job, else when it adopts it.
@@ -138,7 +161,7 @@
                 continue;
             }
             let now = harrierward_clock::now();
-            let is_new = self.reported_failures().note(job_id, &report.failures, now);
+            let is_new = self.reported_failures().note(report, now);
             if is_new {
                 self.log_failures("received", from, report);
                 self.apply_reported_failures(job_id);
--- a/crates/inline-jobs/src/reported_failures.rs
+++ b/crates/inline-jobs/src/reported_failures.rs
@@ -6,8 +6,8 @@
 use harrierward_wire::{ItemFailuresRow, JobFailures};
 use tokio::time::Instant;
 
-/// How long a report is kept at least after it was last received, unless there is no room; it must outlast an outage of
-/// the store. Older ones go when another job's report arrives.
+/// How long a report is kept after the job's owner last made it, unless there is no room; it must outlast an outage of
+/// the store.
 const RETENTION: Duration = Duration::from_secs(600);
 
 /// Jobs of which reports are kept.
@@ -17,7 +17,8 @@
 #[derive(Debug)]
 struct Report {
     failures: Vec<ItemFailuresRow>,
-    received_at: Instant,
+    /// When the job's owner last made the report.
+    reported_at: Instant,
 }
 
 /// Failures reported by other daemons, by job. All times are those of a clock that counts suspensions.
@@ -28,34 +29,45 @@
 
 impl ReportedFailures {
     /// Adds a report; true if it raises a count. Counts of an item never fall, whoever owns its job.
-    pub fn note(&mut self, job_id: &str, failures: &[ItemFailuresRow], now: Instant) -> bool {
-        if !self.jobs.contains_key(job_id) {
+    pub fn note(&mut self, report: &JobFailures, now: Instant) -> bool {
+        let age = Duration::from_millis(u64::from(report.age_ms));
+        if age >= RETENTION {
+            return false;
+        }
+        if !self.jobs.contains_key(&report.job_id) {
             self.make_room(now);
         }
-        let report = self.jobs.entry(job_id.to_owned()).or_insert(Report {
+        // The clock may be younger than the report.
+        let reported_at = now.checked_sub(age).unwrap_or(now);
+        let job_id = report.job_id.clone();
+        let known = self.jobs.entry(job_id).or_insert(Report {
             failures: Vec::new(),
-            received_at: now,
+            reported_at,
         });
-        report.received_at = now;
-        raise_counts(&mut report.failures, failures)
+        known.reported_at = known.reported_at.max(reported_at);
+        raise_counts(&mut known.failures, &report.failures)
     }
 
-    /// Drops expired reports, and the oldest one if there is no room for another job.
+    /// Drops the oldest report if there is no room for another job.
     fn make_room(&mut self, now: Instant) {
-        self.jobs
-            .retain(|_, report| now.saturating_duration_since(report.received_at) < RETENTION);
+        self.drop_expired(now);
         if self.jobs.len() < MAX_KEPT_JOBS {
             return;
         }
         let oldest = self
             .jobs
             .iter()
-            .min_by_key(|(_, report)| report.received_at);
+            .min_by_key(|(_, report)| report.reported_at);
         if let Some(job_id) = oldest.map(|(job_id, _)| job_id.clone()) {
             self.jobs.remove(&job_id);
         }
     }
 
+    fn drop_expired(&mut self, now: Instant) {
+        self.jobs
+            .retain(|_, report| now.saturating_duration_since(report.reported_at) < RETENTION);
+    }
+
     /// Returns the failures reported for a job.
     pub fn of(&self, job_id: &str) -> &[ItemFailuresRow] {
         self.jobs
@@ -68,16 +80,22 @@
         self.jobs.remove(job_id);
     }
 
-    /// Returns all reports.
-    pub fn all(&self) -> Vec<JobFailures> {
+    /// Drops expired reports and returns the others.
+    pub fn current(&mut self, now: Instant) -> Vec<JobFailures> {
+        self.drop_expired(now);
         let reports = self.jobs.iter().map(|(job_id, report)| JobFailures {
             job_id: job_id.clone(),
             failures: report.failures.clone(),
+            age_ms: millis(now.saturating_duration_since(report.reported_at)),
         });
         reports.collect()
     }
 }
 
+fn millis(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Raises the counts in `known` to those in `others`; true if one was lower or absent.
 pub fn raise_counts(known: &mut Vec<ItemFailuresRow>, others: &[ItemFailuresRow]) -> bool {
     let mut is_raised = false;
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -234,6 +234,7 @@
         let unrecorded = JobFailures {
             job_id: job_id.clone(),
             failures: job.unrecorded_failures(),
+            age_ms: 0,
         };
         registry.jobs.remove(job_id);
         drop(registry);
@@ -373,7 +374,7 @@
                 released_jobs.push((job.known.clone(), job.stop_for_handover()));
             }
         }
-        self.report_all_failures();
+        self.report_failures_at_stop();
         let handovers = released_jobs
             .into_iter()
             .map(|(known, state)| self.hand_over(known, state, "stopping", until));
--- a/crates/inline-jobs/tests/lost_job.rs
+++ b/crates/inline-jobs/tests/lost_job.rs
@@ -209,6 +209,7 @@
     let report = JobFailures {
         job_id: JOB.to_owned(),
         failures,
+        age_ms: 0,
     };
     jobs.note_reported_failures("daemon-0", &[report]);
     jobs.note_header(known(THIS_DAEMON, 1));
--- a/crates/wire/src/inline_job.rs
+++ b/crates/wire/src/inline_job.rs
@@ -178,6 +178,9 @@
     /// Counts that the header may not hold, of items that are not listed.
     #[prost(message, repeated, tag = "2")]
     pub failures: Vec<ItemFailuresRow>,
+    /// Time since the job's owner last reported them, milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 
 /// Failures that the store may not hold yet, for a daemon that may adopt the jobs.
