Log how the body of a response was delimited and what was received of it

The incident's lines could not tell its hypotheses apart: the line of a response that was broken off said only `whole`. `ended` now carries the replica's delimiter (length, chunks, close of the connection), bytes, complete events and the bytes of an event that has not ended; `harrierward_unfinished_streams_total{outcome,delimiter}` counts streams that ended within an event. No decision uses them.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -19,6 +19,7 @@
 pub struct DecisionMetrics {
     registry: Registry,
     requests: IntCounterVec,
+    unfinished_streams: IntCounterVec,
     request_seconds: Histogram,
     first_event_seconds: Histogram,
     slot_choices: IntCounterVec,
@@ -91,6 +92,7 @@
                 "Requests by outcome: whole, cut, or the cause of a refusal",
                 "outcome",
             )?,
+            unfinished_streams: unfinished_streams(&registry)?,
             request_seconds: histogram(
                 "harrierward_request_seconds",
                 "Time from a request's arrival to the end of its answer",
@@ -265,11 +267,16 @@
         match record {
             Record::Ended {
                 outcome,
+                body,
                 after_ms,
                 first_event_ms,
                 ..
             } => {
                 self.requests.with_label_values(&[*outcome]).inc();
+                if body.unfinished_bytes > 0 {
+                    let labels = [*outcome, body.delimiter];
+                    self.unfinished_streams.with_label_values(&labels).inc();
+                }
                 if let Some(first) = first_event_ms {
                     let seconds = std::time::Duration::from_millis(*first).as_secs_f64();
                     self.first_event_seconds.observe(seconds);
@@ -443,6 +450,16 @@
     Ok(counter)
 }
 
+fn unfinished_streams(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
+    let options = Opts::new(
+        "harrierward_unfinished_streams_total",
+        "Responses that ended within an event, by outcome and the delimiter of the replica's body",
+    );
+    let vector = IntCounterVec::new(options, &["outcome", "delimiter"])?;
+    registry.register(Box::new(vector.clone()))?;
+    Ok(vector)
+}
+
 fn stalled_connections_closed(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
     let counter = IntCounter::new(
         "harrierward_connections_silent_total",
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -13,6 +13,19 @@
     Failure,
 }
 
+/// What was received of a response body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct BodySummary {
+    /// How the sender marks its end: `length`, `chunks` or `close` (of the connection).
+    pub delimiter: &'static str,
+    /// Bytes received.
+    pub bytes: u64,
+    /// Complete events received; 0 if the body is not an event stream.
+    pub events: u64,
+    /// Bytes received of an event that has not ended.
+    pub unfinished_bytes: u64,
+}
+
 /// One decision. The snake_case name of the variant is the `event` of its line, the fields are its keys. Times and ages
 /// are in milliseconds.
 #[derive(Debug, Clone, Serialize)]
@@ -390,6 +403,8 @@
         status: u16,
         /// `whole` if the response was complete, else why it was cut off.
         outcome: &'a str,
+        /// What was received of the last replica's body.
+        body: BodySummary,
         /// Attempts at replicas.
         attempts: u32,
         /// Time from the request's arrival to the first byte of the response body; absent without one.
--- a/crates/decisions/tests/log.rs
+++ b/crates/decisions/tests/log.rs
@@ -1,12 +1,18 @@
 //! Recording never blocks, failures are dropped last, and dropped lines are counted.
 
-use harrierward_decisions::{DecisionLog, DecisionMetrics, LogBounds, Record};
+use harrierward_decisions::{BodySummary, DecisionLog, DecisionMetrics, LogBounds, Record};
 
 fn ended(request: &str) -> Record<'_> {
     Record::Ended {
         request,
         status: 200,
         outcome: "whole",
+        body: BodySummary {
+            delimiter: "chunks",
+            bytes: 60,
+            events: 1,
+            unfinished_bytes: 0,
+        },
         attempts: 1,
         first_event_ms: Some(4),
         after_ms: 30,
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -14,7 +14,9 @@
 use bytes::Bytes;
 use futures::Stream;
 use harrierward_decisions::{DecisionLog, Record};
-use http::{HeaderMap, Request, response};
+use harrierward_serving::BodyDelimiter;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, Request, StatusCode, response};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -135,6 +137,8 @@
 pub struct PooledResponse {
     /// Status line and headers.
     pub head: response::Parts,
+    /// How the end of the body is marked.
+    pub delimiter: BodyDelimiter,
     /// Body, to be read to its end for the connection to be reused.
     pub body: PooledBody,
     /// Whether this is the first exchange on its connection.
@@ -351,6 +355,7 @@
             None => self.connect(address).await?,
         };
         let (head, body) = request.into_parts();
+        let method = head.method.clone();
         let is_sent = Arc::new(AtomicBool::new(body.is_empty()));
         let body = RequestBody {
             data: Some(body).filter(|body| !body.is_empty()),
@@ -377,8 +382,10 @@
             body,
             lease: Some(lease),
         };
+        let delimiter = delimiter_of(&method, &head);
         Ok(PooledResponse {
             head,
+            delimiter,
             body,
             is_first_on_connection,
         })
@@ -406,6 +413,28 @@
     }
 }
 
+/// How the end of a response's body is marked (RFC 9112, section 6.3).
+fn delimiter_of(method: &Method, head: &response::Parts) -> BodyDelimiter {
+    let has_no_body = method == Method::HEAD
+        || matches!(
+            head.status,
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        );
+    if has_no_body {
+        return BodyDelimiter::Length;
+    }
+    if has_token(&head.headers, TRANSFER_ENCODING.as_str(), "chunked") {
+        return BodyDelimiter::Chunks;
+    }
+    let states_length =
+        head.headers.contains_key(CONTENT_LENGTH) && !head.headers.contains_key(TRANSFER_ENCODING);
+    if states_length {
+        BodyDelimiter::Length
+    } else {
+        BodyDelimiter::Close
+    }
+}
+
 /// True if a comma-separated header contains the token, ignoring case.
 pub fn has_token(headers: &HeaderMap, name: &str, token: &str) -> bool {
     headers
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -81,7 +81,29 @@
     pub detail: String,
 }
 
-/// Bytes of a response body. Ends without an error only if the body is complete; dropping it closes the connection.
+/// How the sender of a response marks the end of its body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyDelimiter {
+    /// The header section: it states a length, or excludes a body.
+    Length,
+    /// A last chunk.
+    Chunks,
+    /// The close of the connection. A sender that fails closes it too, so that this end proves nothing.
+    Close,
+}
+
+impl BodyDelimiter {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Close => "close",
+        }
+    }
+}
+
+/// Bytes of a response body. Ends without an error once its delimiter has arrived; dropping it closes the connection.
 pub type ReplicaBody = Pin<Box<dyn Stream<Item = Result<Bytes, BodyError>> + Send>>;
 
 /// Response of a replica, with its body still to be read.
@@ -100,6 +122,8 @@
     pub load: Option<ReplicaLoad>,
     /// Headers passed through to the caller.
     pub headers: HeaderMap,
+    /// How the end of the body is marked.
+    pub delimiter: BodyDelimiter,
     /// Body still to be read.
     pub body: ReplicaBody,
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -48,8 +48,8 @@
 };
 pub use events::{EventSplitter, StreamEvent};
 pub use exchange::{
-    BodyError, ExchangeError, ReplicaBody, ReplicaClient, ReplicaLoad, ReplicaRequest,
-    ReplicaResponse, ServingRequest,
+    BodyDelimiter, BodyError, ExchangeError, ReplicaBody, ReplicaClient, ReplicaLoad,
+    ReplicaRequest, ReplicaResponse, ServingRequest,
 };
 pub use forwarder::{Forwarder, ForwarderParts, ForwarderSettings, SharedRoutes};
 pub use gate::{GateDenial, GateRequest, check_gate};
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -6,12 +6,13 @@
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
-use harrierward_decisions::Record;
+use harrierward_decisions::{BodySummary, Record};
 use tokio::time::sleep;
 
 use crate::attempt::{Attempt, AttemptFailure, AttemptOptions, wait_for_progress};
+use crate::configuration::RouteKind;
 use crate::events::EventSplitter;
-use crate::exchange::ReplicaBody;
+use crate::exchange::{BodyDelimiter, ReplicaBody};
 use crate::forwarder::Forwarder;
 use crate::in_progress::InProgress;
 use crate::outcome::{AttemptOutcome, Evidence};
@@ -45,6 +46,10 @@
     status: u16,
     body: Option<ReplicaBody>,
     in_progress: Option<InProgress>,
+    delimiter: BodyDelimiter,
+    /// Bytes and complete events received of the current replica's body.
+    received_bytes: u64,
+    received_events: u64,
     splitter: EventSplitter,
     ready: VecDeque<Bytes>,
     /// Id of the last event relayed; at first the one after which the caller resumes the stream.
@@ -68,6 +73,9 @@
             forwarder,
             state,
             status: attempt.response.status,
+            delimiter: attempt.response.delimiter,
+            received_bytes: 0,
+            received_events: 0,
             body: Some(attempt.response.body),
             in_progress: Some(attempt.in_progress),
             splitter: EventSplitter::default(),
@@ -98,8 +106,12 @@
         }
     }
 
+    fn is_event_stream(&self) -> bool {
+        matches!(self.state.route.kind, RouteKind::Stream { .. }) && self.status < 300
+    }
+
     fn splits_events(&self) -> bool {
-        self.state.route.is_resumable() && self.status < 300
+        self.state.route.is_resumable() && self.is_event_stream()
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
@@ -112,8 +124,15 @@
             }
             match self.step().await {
                 Step::Wait => {}
-                Step::Bytes(bytes) if self.splits_events() => self.split(&bytes),
-                Step::Bytes(bytes) => return Some(Ok(bytes)),
+                Step::Bytes(bytes) => {
+                    self.received_bytes += bytes.len() as u64;
+                    if self.splits_events() {
+                        self.split(&bytes);
+                    } else {
+                        self.count_events(&bytes);
+                        return Some(Ok(bytes));
+                    }
+                }
                 Step::End if self.splits_events() && self.splitter.buffered_bytes() > 0 => {
                     let cause = "the stream ended within an event".to_owned();
                     self.note_disconnect();
@@ -195,9 +214,21 @@
         }
     }
 
+    /// Counts the events of a stream that is relayed as raw bytes.
+    fn count_events(&mut self, bytes: &[u8]) {
+        if !self.is_event_stream() {
+            return;
+        }
+        self.splitter.push(bytes);
+        while self.splitter.next_event().is_some() {
+            self.received_events += 1;
+        }
+    }
+
     fn split(&mut self, bytes: &[u8]) {
         self.splitter.push(bytes);
         while let Some(event) = self.splitter.next_event() {
+            self.received_events += 1;
             let is_duplicate = match (event.id, self.delivered) {
                 (Some(id), Some(last)) => id <= last,
                 _ => false,
@@ -227,7 +258,6 @@
         self.body = None;
         let abandoned = self.in_progress.take();
         let abandoned = abandoned.map(|in_progress| in_progress.replica().clone());
-        self.splitter = EventSplitter::default();
         if let Some(replica) = abandoned {
             self.forgive_crash(&replica).await;
         }
@@ -246,6 +276,10 @@
             self.state.tried.extend(replica);
             match result {
                 Ok(attempt) if attempt.response.status < 300 => {
+                    self.splitter = EventSplitter::default();
+                    self.received_bytes = 0;
+                    self.received_events = 0;
+                    self.delimiter = attempt.response.delimiter;
                     self.body = Some(attempt.response.body);
                     self.in_progress = Some(attempt.in_progress);
                     return Ok(());
@@ -341,6 +375,15 @@
         ResponseAborted { cause }
     }
 
+    fn body_summary(&self) -> BodySummary {
+        BodySummary {
+            delimiter: self.delimiter.name(),
+            bytes: self.received_bytes,
+            events: self.received_events,
+            unfinished_bytes: self.splitter.buffered_bytes() as u64,
+        }
+    }
+
     fn finish(&mut self, outcome: &'static str) {
         self.finished = true;
         self.body = None;
@@ -349,6 +392,7 @@
             request: &self.state.request.id,
             status: self.status,
             outcome,
+            body: self.body_summary(),
             attempts: self.state.sends,
             first_event_ms: self.first_event_ms,
             after_ms: self.state.clock.elapsed_ms(),
--- a/crates/serving/tests/failing.rs
+++ b/crates/serving/tests/failing.rs
@@ -12,11 +12,11 @@
 use futures::StreamExt;
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
-    AttemptOutcome, BodyError, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings,
-    ItemSlack, KeyTrust, NoQuarantine, Prompt, ReleaseReport, Replica, ReplicaClient,
-    ReplicaRecord, ReplicaRequest, ReplicaResponse, ReplicaSet, Reply, Route, RouteKind,
-    RouteTable, SelectionCosts, ServingConfiguration, ServingRequest, SlotLeases, SlotQuery,
-    SlotReply, WeightedService,
+    AttemptOutcome, BodyDelimiter, BodyError, ExchangeError, Forwarder, ForwarderParts,
+    ForwarderSettings, ItemSlack, KeyTrust, NoQuarantine, Prompt, ReleaseReport, Replica,
+    ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaResponse, ReplicaSet, Reply, Route,
+    RouteKind, RouteTable, SelectionCosts, ServingConfiguration, ServingRequest, SlotLeases,
+    SlotQuery, SlotReply, WeightedService,
 };
 use harrierward_tenants::AllowedRegions;
 use http::{HeaderMap, Method};
@@ -56,6 +56,7 @@
         other_replica: false,
         load: None,
         headers: HeaderMap::new(),
+        delimiter: BodyDelimiter::Length,
         body: futures::stream::iter([Ok(bytes)]).boxed(),
     }
 }
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -12,11 +12,11 @@
 use futures::StreamExt;
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
-    AttemptFailure, AttemptOptions, AttemptTimeouts, Choice, ChosenBy, ExchangeError, Forwarder,
-    ForwarderParts, ForwarderSettings, ItemSlack, KeyTrust, NoQuarantine, Prompt, ReleaseReport,
-    Replica, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaResponse, ReplicaSet, Reply,
-    Route, RouteKind, RouteTable, SelectionCosts, ServingConfiguration, ServingRequest, SlotLease,
-    SlotLeases, SlotQuery, SlotReply, WeightedService, WorkClass,
+    AttemptFailure, AttemptOptions, AttemptTimeouts, BodyDelimiter, Choice, ChosenBy,
+    ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemSlack, KeyTrust, NoQuarantine,
+    Prompt, ReleaseReport, Replica, ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaResponse,
+    ReplicaSet, Reply, Route, RouteKind, RouteTable, SelectionCosts, ServingConfiguration,
+    ServingRequest, SlotLease, SlotLeases, SlotQuery, SlotReply, WeightedService, WorkClass,
 };
 use harrierward_tenants::AllowedRegions;
 use http::{HeaderMap, Method};
@@ -55,6 +55,7 @@
             other_replica: false,
             load: None,
             headers: HeaderMap::new(),
+            delimiter: BodyDelimiter::Length,
             body: futures::stream::empty().boxed(),
         })
     }
--- a/crates/serving/tests/stalls.rs
+++ b/crates/serving/tests/stalls.rs
@@ -12,8 +12,8 @@
 use futures::StreamExt;
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
-    Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemSlack,
-    KeyTrust, NoQuarantine, Prompt, RefusalCause, ReleaseReport, Replica, ReplicaClient,
+    BodyDelimiter, Choice, ChosenBy, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings,
+    ItemSlack, KeyTrust, NoQuarantine, Prompt, RefusalCause, ReleaseReport, Replica, ReplicaClient,
     ReplicaRecord, ReplicaRequest, ReplicaResponse, ReplicaSet, Reply, Route, RouteKind,
     RouteTable, SelectionCosts, ServingConfiguration, ServingRequest, SlotLeases, SlotQuery,
     SlotReply, WeightedService,
@@ -47,6 +47,7 @@
             other_replica: false,
             load: None,
             headers: HeaderMap::new(),
+            delimiter: BodyDelimiter::Length,
             body: futures::stream::empty().boxed(),
         })
     }
--- a/crates/serving/tests/support/mod.rs
+++ b/crates/serving/tests/support/mod.rs
@@ -13,11 +13,11 @@
 use futures::StreamExt;
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_serving::{
-    BodyError, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemSlack, KeyTrust,
-    NoQuarantine, Prompt, RateLimits, RateStatus, ReleaseReport, Replica, ReplicaClient,
-    ReplicaRecord, ReplicaRequest, ReplicaResponse, ReplicaSet, Route, RouteKind, RouteTable,
-    SelectionCosts, ServingConfiguration, ServingRequest, SlotLeases, SlotQuery, SlotReply,
-    WeightedService,
+    BodyDelimiter, BodyError, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings,
+    ItemSlack, KeyTrust, NoQuarantine, Prompt, RateLimits, RateStatus, ReleaseReport, Replica,
+    ReplicaClient, ReplicaRecord, ReplicaRequest, ReplicaResponse, ReplicaSet, Route, RouteKind,
+    RouteTable, SelectionCosts, ServingConfiguration, ServingRequest, SlotLeases, SlotQuery,
+    SlotReply, WeightedService,
 };
 use harrierward_tenants::{AllowedRegions, Tenant};
 use http::{HeaderMap, Method};
@@ -143,6 +143,7 @@
         other_replica: status == 421,
         load: None,
         headers: HeaderMap::new(),
+        delimiter: BodyDelimiter::Length,
         body: futures::stream::empty().boxed(),
     }
 }
