A response is judged whole in one place, whether or not its route may resume

Cause: the relay looked for an event that has begun only where the stream could be resumed (`splits_events`), because only there did it split events at all. Elsewhere each end of a body without an error was `whole`; a body without a length or chunks ends without an error when its replica fails and closes the connection. A fact about the response hung on a permission to repeat it.

Change: `BodyParser` follows each response body, online and of items, by its format (an event stream by media type, or by the route where none is given) and alone judges its end. Events are passed on when they are complete, on all routes: bytes of an unfinished event would let a stated length be reached, and the response could no longer be cut off. An event of more than 4 MiB is not held back but broken off, so that a replica can't fill the daemon's memory. The replica is charged with a broken connection, as on resumable routes.

Why it works: whichever way the route is configured, an end within an event is an abort or a resumption, never `whole`.

--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::StreamExt;
 use harrierward_serving::{
-    AttemptFailure, AttemptOptions, AttemptOutcome, AttemptTimeouts, EventSplitter, Forwarder,
-    Placement, ServingRequest, StreamEvent, wait_for_progress,
+    AttemptFailure, AttemptOptions, AttemptOutcome, AttemptTimeouts, BodyEnd, BodyFormat,
+    BodyParser, BodyPart, Forwarder, InProgress, Placement, ServingRequest, StreamEvent,
+    wait_for_progress,
 };
 use tokio::time::Instant;
 
@@ -80,7 +82,7 @@
     let in_progress = attempt.in_progress;
     let replica = in_progress.replica().clone();
     let mut body = attempt.response.body;
-    let mut splitter = EventSplitter::default();
+    let mut parser = BodyParser::new(BodyFormat::Events, attempt.response.delimiter);
     loop {
         let next = wait_for_progress(body.next(), &replica, UNRESPONSIVE_TIMEOUT, MAX_STALL).await;
         let bytes = match next {
@@ -89,15 +91,7 @@
                 in_progress.conclude(AttemptOutcome::Unresponsive);
                 return RunOutcome::Broken("no event in time".to_owned());
             }
-            Some(None) if splitter.buffered_bytes() > 0 => {
-                in_progress.note_disconnect();
-                return RunOutcome::Broken("the stream ended within an event".to_owned());
-            }
-            Some(None) => {
-                in_progress.conclude(AttemptOutcome::Served);
-                in_progress.note_complete();
-                return RunOutcome::Finished;
-            }
+            Some(None) => return end(&parser, &in_progress),
             Some(Some(Err(error))) => {
                 in_progress.note_disconnect();
                 return RunOutcome::Broken(error.to_string());
@@ -105,16 +99,43 @@
             Some(Some(Ok(bytes))) => bytes,
         };
         in_progress.note_event();
-        splitter.push(&bytes);
-        while let Some(event) = splitter.next_event() {
-            if let Err(cause) = append_event(progress, &event) {
-                in_progress.conclude(AttemptOutcome::Corrupt);
-                return RunOutcome::Broken(cause.to_owned());
-            }
+        if let Err(cause) = append_events(progress, &mut parser, bytes) {
+            in_progress.conclude(AttemptOutcome::Corrupt);
+            return RunOutcome::Broken(cause);
         }
     }
 }
 
+/// Outcome of a run whose response body has ended.
+fn end(parser: &BodyParser, in_progress: &InProgress) -> RunOutcome {
+    match parser.end() {
+        BodyEnd::Whole => {
+            in_progress.conclude(AttemptOutcome::Served);
+            in_progress.note_complete();
+            RunOutcome::Finished
+        }
+        BodyEnd::BrokenOff(cause) => {
+            in_progress.note_disconnect();
+            RunOutcome::Broken(cause.to_string())
+        }
+    }
+}
+
+/// Appends the events that received bytes complete to the item's output.
+fn append_events(
+    progress: &SharedProgress,
+    parser: &mut BodyParser,
+    bytes: Bytes,
+) -> Result<(), String> {
+    parser.push(bytes).map_err(|cause| cause.to_string())?;
+    while let Some(part) = parser.next_part() {
+        if let BodyPart::Event(event) = part {
+            append_event(progress, &event)?;
+        }
+    }
+    Ok(())
+}
+
 /// Maximum number of the first event of an item.
 const MAX_FIRST_EVENT: u64 = 1;
 
--- /dev/null
+++ b/crates/serving/src/body.rs
@@ -0,0 +1,154 @@
+//! Parsing of a replica's response body, and what the end of the body proves.
+
+use bytes::Bytes;
+use harrierward_decisions::BodySummary;
+use http::HeaderMap;
+use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
+
+use crate::configuration::{Route, RouteKind};
+use crate::events::{EventSplitter, StreamEvent};
+use crate::exchange::BodyDelimiter;
+
+/// Media type of an event stream.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Lowest status whose body isn't the output of a request.
+const MIN_NON_SUCCESS_STATUS: u16 = 300;
+
+/// Maximum size of an event, which is held back until it is complete.
+const MAX_EVENT_BYTES: usize = 4 << 20;
+
+/// What a response body consists of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFormat {
+    /// Server-sent events.
+    Events,
+    /// Bytes without a structure known here.
+    Opaque,
+}
+
+impl BodyFormat {
+    /// Returns the format of a response on a route. On a stream route a media type may be missing.
+    pub fn of(route: &Route, status: u16, headers: &HeaderMap) -> Self {
+        if status >= MIN_NON_SUCCESS_STATUS || headers.contains_key(CONTENT_ENCODING) {
+            return Self::Opaque;
+        }
+        let is_event_stream = match headers.get(CONTENT_TYPE) {
+            Some(value) => value.to_str().is_ok_and(names_event_stream),
+            None => matches!(route.kind, RouteKind::Stream { .. }),
+        };
+        if is_event_stream {
+            Self::Events
+        } else {
+            Self::Opaque
+        }
+    }
+}
+
+/// True if the media type is that of an event stream, whatever its parameters.
+fn names_event_stream(content_type: &str) -> bool {
+    let media_type = content_type.split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
+}
+
+/// Part of a body that can be passed on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BodyPart {
+    /// A complete event.
+    Event(StreamEvent),
+    /// Bytes of an opaque body.
+    Bytes(Bytes),
+}
+
+/// What the end of a body proves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// Nothing contradicts that the response is whole.
+    Whole,
+    /// The replica broke the response off.
+    BrokenOff(BreakCause),
+}
+
+/// How it shows that a response was broken off, although its body ended without an error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum BreakCause {
+    /// Bytes of an event arrived, but not its end.
+    #[error("the stream ended within an event")]
+    WithinEvent,
+    /// An event exceeds the size up to which events are held back.
+    #[error("an event is too large")]
+    OversizedEvent,
+}
+
+/// Follows one response body to its end. The only place that judges whether a response is whole.
+#[derive(Debug)]
+pub struct BodyParser {
+    format: BodyFormat,
+    delimiter: BodyDelimiter,
+    received_bytes: u64,
+    received_events: u64,
+    splitter: EventSplitter,
+    /// Bytes of an opaque body that have not been taken.
+    opaque: Option<Bytes>,
+}
+
+impl BodyParser {
+    /// Starts with an empty body.
+    pub fn new(format: BodyFormat, delimiter: BodyDelimiter) -> Self {
+        Self {
+            format,
+            delimiter,
+            received_bytes: 0,
+            received_events: 0,
+            splitter: EventSplitter::default(),
+            opaque: None,
+        }
+    }
+
+    /// Appends received bytes, whose parts must be taken before the next ones are appended.
+    ///
+    /// # Errors
+    /// The event in progress is too large to be held back.
+    pub fn push(&mut self, bytes: Bytes) -> Result<(), BreakCause> {
+        self.received_bytes += bytes.len() as u64;
+        match self.format {
+            BodyFormat::Events => self.splitter.push(&bytes),
+            BodyFormat::Opaque => self.opaque = Some(bytes),
+        }
+        if self.splitter.buffered_bytes() > MAX_EVENT_BYTES {
+            return Err(BreakCause::OversizedEvent);
+        }
+        Ok(())
+    }
+
+    /// Removes and returns the next part. Bytes of an event that has not ended are held back: a response whose stated
+    /// length was reached could no longer be cut off.
+    pub fn next_part(&mut self) -> Option<BodyPart> {
+        match self.format {
+            BodyFormat::Opaque => self.opaque.take().map(BodyPart::Bytes),
+            BodyFormat::Events => {
+                let event = self.splitter.next_event()?;
+                self.received_events += 1;
+                Some(BodyPart::Event(event))
+            }
+        }
+    }
+
+    /// Judges the body after its delimiter has arrived and all parts were taken.
+    pub fn end(&self) -> BodyEnd {
+        if self.splitter.buffered_bytes() > 0 {
+            return BodyEnd::BrokenOff(BreakCause::WithinEvent);
+        }
+        BodyEnd::Whole
+    }
+
+    /// Returns what was received, for the log.
+    pub fn summary(&self) -> BodySummary {
+        BodySummary {
+            delimiter: self.delimiter.name(),
+            bytes: self.received_bytes,
+            events: self.received_events,
+            unfinished_bytes: self.splitter.buffered_bytes() as u64,
+        }
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod attempt;
+mod body;
 mod choice;
 mod configuration;
 mod content;
@@ -35,6 +36,7 @@
 
 pub use admission::{ConfigurationProof, KeyTrust, RateLimits, RateStatus, caller_of, tenant_of};
 pub use attempt::{Attempt, AttemptFailure, AttemptOptions, AttemptTimeouts, wait_for_progress};
+pub use body::{BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause};
 pub use choice::{
     Choice, ChoiceQuery, ChosenBy, CrossRegionReason, MIN_FREE_PERMILLE, Placement, choose_replica,
     own_region_first, reserved_slots,
@@ -46,7 +48,7 @@
 pub use evacuation::{
     EvacuatedZones, EvacuationRows, EvacuationState, EvacuationUpdate, ZoneChange,
 };
-pub use events::{EventSplitter, StreamEvent};
+pub use events::StreamEvent;
 pub use exchange::{
     BodyDelimiter, BodyError, ExchangeError, ReplicaBody, ReplicaClient, ReplicaLoad,
     ReplicaRequest, ReplicaResponse, ServingRequest,
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -1,4 +1,4 @@
-//! Relay of a response body to the caller: by event for streams that can resume, otherwise as raw bytes.
+//! Relay of a response body to the caller: by event for event streams, otherwise as raw bytes.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -6,13 +6,13 @@
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
-use harrierward_decisions::{BodySummary, Record};
+use harrierward_decisions::Record;
 use tokio::time::sleep;
 
 use crate::attempt::{Attempt, AttemptFailure, AttemptOptions, wait_for_progress};
-use crate::configuration::RouteKind;
-use crate::events::EventSplitter;
-use crate::exchange::{BodyDelimiter, ReplicaBody};
+use crate::body::{BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause};
+use crate::events::StreamEvent;
+use crate::exchange::ReplicaBody;
 use crate::forwarder::Forwarder;
 use crate::in_progress::InProgress;
 use crate::outcome::{AttemptOutcome, Evidence};
@@ -46,11 +46,9 @@
     status: u16,
     body: Option<ReplicaBody>,
     in_progress: Option<InProgress>,
-    delimiter: BodyDelimiter,
-    /// Bytes and complete events received of the current replica's body.
-    received_bytes: u64,
-    received_events: u64,
-    splitter: EventSplitter,
+    format: BodyFormat,
+    /// Parser of the current replica's body, or of the last one's.
+    parser: BodyParser,
     ready: VecDeque<Bytes>,
     /// Id of the last event relayed; at first the one after which the caller resumes the stream.
     delivered: Option<u64>,
@@ -69,16 +67,16 @@
 impl Relay {
     pub fn new(forwarder: Forwarder, state: RequestState, attempt: Attempt) -> Self {
         let delivered = state.request.resume_after;
+        let response = &attempt.response;
+        let format = BodyFormat::of(&state.route, response.status, &response.headers);
         Self {
             forwarder,
             state,
             status: attempt.response.status,
-            delimiter: attempt.response.delimiter,
-            received_bytes: 0,
-            received_events: 0,
+            format,
+            parser: BodyParser::new(format, response.delimiter),
             body: Some(attempt.response.body),
             in_progress: Some(attempt.in_progress),
-            splitter: EventSplitter::default(),
             ready: VecDeque::new(),
             delivered,
             first_event_ms: None,
@@ -106,12 +104,9 @@
         }
     }
 
-    fn is_event_stream(&self) -> bool {
-        matches!(self.state.route.kind, RouteKind::Stream { .. }) && self.status < 300
-    }
-
-    fn splits_events(&self) -> bool {
-        self.state.route.is_resumable() && self.is_event_stream()
+    /// True if the response can continue at another replica.
+    fn is_resumable(&self) -> bool {
+        self.state.route.is_resumable() && self.format == BodyFormat::Events
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
@@ -125,30 +120,17 @@
             match self.step().await {
                 Step::Wait => {}
                 Step::Bytes(bytes) => {
-                    self.received_bytes += bytes.len() as u64;
-                    if self.splits_events() {
-                        self.split(&bytes);
-                    } else {
-                        self.count_events(&bytes);
-                        return Some(Ok(bytes));
-                    }
-                }
-                Step::End if self.splits_events() && self.splitter.buffered_bytes() > 0 => {
-                    let cause = "the stream ended within an event".to_owned();
-                    self.note_disconnect();
-                    if let Err(error) = self.resume(cause).await {
-                        return Some(Err(error));
+                    if let Err(cause) = self.receive(bytes) {
+                        self.conclude(AttemptOutcome::Corrupt);
+                        if let Err(error) = self.resume(cause.to_string()).await {
+                            return Some(Err(error));
+                        }
                     }
                 }
                 Step::End => {
-                    if self.status < MIN_ERROR_STATUS {
-                        self.conclude(AttemptOutcome::Served);
-                    }
-                    if let Some(in_progress) = &self.in_progress {
-                        in_progress.note_complete();
+                    if let Err(error) = self.end().await {
+                        return Some(Err(error));
                     }
-                    self.finish("whole");
-                    return None;
                 }
                 Step::Broken(cause) => {
                     if let Err(error) = self.resume(cause).await {
@@ -214,35 +196,52 @@
         }
     }
 
-    /// Counts the events of a stream that is relayed as raw bytes.
-    fn count_events(&mut self, bytes: &[u8]) {
-        if !self.is_event_stream() {
-            return;
-        }
-        self.splitter.push(bytes);
-        while self.splitter.next_event().is_some() {
-            self.received_events += 1;
+    /// Appends bytes of the body, and makes its complete parts ready for the caller.
+    fn receive(&mut self, bytes: Bytes) -> Result<(), BreakCause> {
+        self.parser.push(bytes)?;
+        while let Some(part) = self.parser.next_part() {
+            match part {
+                BodyPart::Bytes(bytes) => self.ready.push_back(bytes),
+                BodyPart::Event(event) if self.is_duplicate(&event) => {}
+                BodyPart::Event(event) => {
+                    self.delivered = event.id.or(self.delivered);
+                    self.ready.push_back(event.raw);
+                }
+            }
         }
+        Ok(())
     }
 
-    fn split(&mut self, bytes: &[u8]) {
-        self.splitter.push(bytes);
-        while let Some(event) = self.splitter.next_event() {
-            self.received_events += 1;
-            let is_duplicate = match (event.id, self.delivered) {
-                (Some(id), Some(last)) => id <= last,
-                _ => false,
-            };
-            if is_duplicate {
-                continue;
+    /// True if the caller has the event already, from the replica at which the stream began.
+    fn is_duplicate(&self, event: &StreamEvent) -> bool {
+        let (Some(id), Some(last)) = (event.id, self.delivered) else {
+            return false;
+        };
+        self.is_resumable() && id <= last
+    }
+
+    /// Finishes a whole response; resumes one that the replica broke off.
+    async fn end(&mut self) -> Result<(), ResponseAborted> {
+        match self.parser.end() {
+            BodyEnd::Whole => {
+                if self.status < MIN_ERROR_STATUS {
+                    self.conclude(AttemptOutcome::Served);
+                }
+                if let Some(in_progress) = &self.in_progress {
+                    in_progress.note_complete();
+                }
+                self.finish("whole");
+                Ok(())
+            }
+            BodyEnd::BrokenOff(cause) => {
+                self.note_disconnect();
+                self.resume(cause.to_string()).await
             }
-            self.delivered = event.id.or(self.delivered);
-            self.ready.push_back(event.raw);
         }
     }
 
     fn may_resume(&self) -> bool {
-        self.splits_events() && self.state.sends < self.state.route.attempts
+        self.is_resumable() && self.state.sends < self.state.route.attempts
     }
 
     /// True if any replica of the service accepts the request. A response in progress is not interrupted for a stall
@@ -276,10 +275,7 @@
             self.state.tried.extend(replica);
             match result {
                 Ok(attempt) if attempt.response.status < 300 => {
-                    self.splitter = EventSplitter::default();
-                    self.received_bytes = 0;
-                    self.received_events = 0;
-                    self.delimiter = attempt.response.delimiter;
+                    self.parser = BodyParser::new(self.format, attempt.response.delimiter);
                     self.body = Some(attempt.response.body);
                     self.in_progress = Some(attempt.in_progress);
                     return Ok(());
@@ -321,7 +317,7 @@
     /// the crashes would otherwise be lost at the second crash.
     async fn forgive_crash(&mut self, replica: &Arc<Replica>) {
         let is_last = self.state.sends >= self.state.route.attempts;
-        if self.splits_events() && is_last && self.forwarder.has_crashed(replica).await {
+        if self.is_resumable() && is_last && self.forwarder.has_crashed(replica).await {
             self.state.forgive();
         }
     }
@@ -375,15 +371,6 @@
         ResponseAborted { cause }
     }
 
-    fn body_summary(&self) -> BodySummary {
-        BodySummary {
-            delimiter: self.delimiter.name(),
-            bytes: self.received_bytes,
-            events: self.received_events,
-            unfinished_bytes: self.splitter.buffered_bytes() as u64,
-        }
-    }
-
     fn finish(&mut self, outcome: &'static str) {
         self.finished = true;
         self.body = None;
@@ -392,7 +379,7 @@
             request: &self.state.request.id,
             status: self.status,
             outcome,
-            body: self.body_summary(),
+            body: self.parser.summary(),
             attempts: self.state.sends,
             first_event_ms: self.first_event_ms,
             after_ms: self.state.clock.elapsed_ms(),
