Blank lines and comments after the last event begin no event

What callers saw: a whole stream with one more line feed (or a keep-alive comment) after its last event was cut off on a route that may resume, and resumed without need; an item of a batch job at a replica that always ends so was run again and again and never completed.

Cause: `EventSplitter` asked only whether bytes were left, not whether they begin an event. Evidence: the tests; the line feed is the only difference from the whole stream that passes.

Change: the splitter knows lines. An event has begun if part of a line has arrived, or a line that is neither blank nor a comment; what follows the last event is passed on unchanged. Lines may end with a carriage return alone too, which before counted as an event that never ends. A long line is searched once, not again with each read.

Why it works: by the format's definition such lines can't be part of an event whose rest is missing. Part of a line, even of a comment, still counts as broken off.

--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -136,19 +136,28 @@
 
     /// Judges the body after its delimiter has arrived and all parts were taken.
     pub fn end(&self) -> BodyEnd {
-        if self.splitter.buffered_bytes() > 0 {
+        if self.splitter.is_within_event() {
             return BodyEnd::BrokenOff(BreakCause::WithinEvent);
         }
         BodyEnd::Whole
     }
 
+    /// Removes and returns what follows the last event of a whole response: blank lines and comments.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.splitter.take_rest()
+    }
+
     /// Returns what was received, for the log.
     pub fn summary(&self) -> BodySummary {
         BodySummary {
             delimiter: self.delimiter.name(),
             bytes: self.received_bytes,
             events: self.received_events,
-            unfinished_bytes: self.splitter.buffered_bytes() as u64,
+            unfinished_bytes: if self.splitter.is_within_event() {
+                self.splitter.buffered_bytes() as u64
+            } else {
+                0
+            },
         }
     }
 }
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -15,8 +15,7 @@
     /// Returns the values of the data lines, joined by line feeds.
     pub fn data(&self) -> String {
         let text = String::from_utf8_lossy(&self.raw);
-        let lines: Vec<&str> = text
-            .lines()
+        let lines: Vec<&str> = event_lines(&text)
             .filter_map(|line| field(line, "data"))
             .collect();
         lines.join("\n")
@@ -29,11 +28,26 @@
     Some(rest.strip_prefix(' ').unwrap_or(rest))
 }
 
-/// Buffers bytes of a stream until an event is complete.
+/// Buffers bytes of a stream until an event is complete. An event is a block of lines, closed by a blank one; lines end
+/// with a line feed, a carriage return, or both.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
-    scanned: usize,
+    /// Start of the first line whose end has not been found.
+    line_start: usize,
+    /// End of the bytes in which that line's end is known not to be.
+    searched: usize,
+    /// True if the block in progress has a line that isn't blank.
+    has_lines: bool,
+}
+
+/// A line's place in the buffer.
+struct Line {
+    start: usize,
+    /// End of its text.
+    end: usize,
+    /// Start of the line after it.
+    next: usize,
 }
 
 impl EventSplitter {
@@ -44,11 +58,16 @@
 
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let end = self.find_end()?;
-        let raw = self.buffer.split_to(end).freeze();
-        self.scanned = 0;
-        let id = event_id(&raw);
-        Some(StreamEvent { id, raw })
+        while let Some(line) = self.next_line() {
+            self.line_start = line.next;
+            self.searched = line.next;
+            let is_blank = line.start == line.end;
+            if is_blank && self.has_lines {
+                return Some(self.take_event(line.next));
+            }
+            self.has_lines |= !is_blank;
+        }
+        None
     }
 
     /// Returns the size of the incomplete event in the buffer.
@@ -56,29 +75,65 @@
         self.buffer.len()
     }
 
-    /// End of the first blank line, which terminates an event.
-    fn find_end(&mut self) -> Option<usize> {
-        let bytes = &self.buffer[..];
-        let mut line_start = self.scanned;
-        while let Some(offset) = bytes[line_start..].iter().position(|byte| *byte == b'\n') {
-            let line_end = line_start + offset;
-            let line = &bytes[line_start..line_end];
-            let blank = line.is_empty() || line == b"\r";
-            line_start = line_end + 1;
-            if blank && line_end > 0 {
-                return Some(line_start);
+    /// True if an event has begun: the buffer holds part of a line, or a line that is neither blank nor a comment.
+    pub fn is_within_event(&self) -> bool {
+        let mut lines = self.buffer[..].split(is_line_end);
+        let partial_line = lines.next_back().unwrap_or_default();
+        let is_comment = |line: &[u8]| line.starts_with(b":");
+        !partial_line.is_empty() || lines.any(|line| !line.is_empty() && !is_comment(line))
+    }
+
+    /// Removes and returns the rest of a stream that has ended after an event: blank lines and comments.
+    pub fn take_rest(&mut self) -> Bytes {
+        let rest = self.buffer.split().freeze();
+        *self = Self::default();
+        rest
+    }
+
+    fn take_event(&mut self, end: usize) -> StreamEvent {
+        let raw = self.buffer.split_to(end).freeze();
+        self.line_start = 0;
+        self.searched = 0;
+        self.has_lines = false;
+        let id = event_id(&raw);
+        StreamEvent { id, raw }
+    }
+
+    /// Finds the end of the current line. A carriage return at the end of the buffer may be half of a line's end: it
+    /// closes a blank line, so that an event isn't held back, but no other.
+    fn next_line(&mut self) -> Option<Line> {
+        let Some(offset) = self.buffer[self.searched..].iter().position(is_line_end) else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        let (start, end) = (self.line_start, self.searched + offset);
+        let following = self.buffer.get(end + 1);
+        let next = match (self.buffer[end], following) {
+            (b'\r', Some(b'\n')) => end + 2,
+            (b'\r', None) if end > start => {
+                self.searched = end;
+                return None;
             }
-        }
-        self.scanned = line_start;
-        None
+            _ => end + 1,
+        };
+        Some(Line { start, end, next })
     }
 }
 
+fn is_line_end(byte: &u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
 fn event_id(raw: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(raw).ok()?;
-    text.lines()
+    event_lines(text)
         .find_map(|line| field(line, "id"))?
         .trim()
         .parse()
         .ok()
 }
+
+/// Lines of an event, with any of the line ends.
+fn event_lines(text: &str) -> impl Iterator<Item = &str> {
+    text.split(['\n', '\r']).filter(|line| !line.is_empty())
+}
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -224,6 +224,10 @@
     async fn end(&mut self) -> Result<(), ResponseAborted> {
         match self.parser.end() {
             BodyEnd::Whole => {
+                let rest = self.parser.take_rest();
+                if !rest.is_empty() {
+                    self.ready.push_back(rest);
+                }
                 if self.status < MIN_ERROR_STATUS {
                     self.conclude(AttemptOutcome::Served);
                 }
--- /dev/null
+++ b/crates/serving/tests/body.rs
@@ -0,0 +1,117 @@
+//! What a body proves doesn't depend on where the network splits it, nor on its line ends.
+
+use bytes::Bytes;
+use harrierward_serving::{BodyDelimiter, BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause};
+use proptest::prelude::*;
+
+const LINE_ENDS: [&str; 3] = ["\n", "\r\n", "\r"];
+
+/// Events of a body that arrives in pieces of this size, and what its end proves.
+struct Parsed {
+    events: Vec<(Option<u64>, String)>,
+    bytes: Vec<u8>,
+    end: BodyEnd,
+}
+
+fn parse(body: &[u8], piece_bytes: usize) -> Parsed {
+    let mut parser = BodyParser::new(BodyFormat::Events, BodyDelimiter::Chunks);
+    let mut events = Vec::new();
+    let mut bytes = Vec::new();
+    for piece in body.chunks(piece_bytes) {
+        parser
+            .push(Bytes::copy_from_slice(piece))
+            .expect("small events");
+        while let Some(part) = parser.next_part() {
+            let BodyPart::Event(event) = part else {
+                panic!("an event is expected: {part:?}");
+            };
+            bytes.extend_from_slice(&event.raw);
+            events.push((event.id, event.data()));
+        }
+    }
+    let end = parser.end();
+    if end == BodyEnd::Whole {
+        bytes.extend_from_slice(&parser.take_rest());
+    }
+    Parsed { events, bytes, end }
+}
+
+fn stream(texts: &[String], line_end: &str) -> String {
+    let events = texts.iter().enumerate().map(|(index, text)| {
+        format!(
+            "id: {}{line_end}data: {text}{line_end}{line_end}",
+            index + 1
+        )
+    });
+    events.collect()
+}
+
+/// Guards against whole streams that are cut off: blank lines and comments after the last event begin no event.
+#[test]
+fn blank_lines_and_comments_after_the_last_event_are_passed_on() {
+    for line_end in LINE_ENDS {
+        for rest in [
+            String::new(),
+            line_end.to_owned(),
+            format!("{line_end}{line_end}"),
+            format!(": ping{line_end}"),
+        ] {
+            let body = stream(&["a".to_owned()], line_end) + &rest;
+            for piece_bytes in 1..=body.len() {
+                let parsed = parse(body.as_bytes(), piece_bytes);
+                assert_eq!(parsed.end, BodyEnd::Whole, "{body:?} by {piece_bytes}");
+                assert_eq!(parsed.bytes, body.as_bytes(), "{body:?} by {piece_bytes}");
+            }
+        }
+    }
+}
+
+/// Guards against a replica that fills the memory of a daemon with an event that never ends.
+#[test]
+fn an_event_without_an_end_is_not_held_back_forever() {
+    let mut parser = BodyParser::new(BodyFormat::Events, BodyDelimiter::Close);
+    let piece = Bytes::from(vec![b'x'; 1 << 20]);
+    let pushed = (0..8).try_for_each(|_| parser.push(piece.clone()));
+    assert_eq!(pushed, Err(BreakCause::OversizedEvent));
+}
+
+proptest! {
+    /// Guards against events that are lost, joined or split at the borders of network reads.
+    #[test]
+    fn the_same_events_arrive_in_pieces_of_any_size(
+        texts in prop::collection::vec("[a-z:\" ]{0,12}", 0..6),
+        line_end in prop::sample::select(LINE_ENDS.to_vec()),
+        piece_bytes in 1_usize..40,
+    ) {
+        let body = stream(&texts, line_end);
+        let parsed = parse(body.as_bytes(), piece_bytes);
+        let expected: Vec<(Option<u64>, String)> = texts
+            .iter()
+            .zip(1..)
+            .map(|(text, id)| (Some(id), text.clone()))
+            .collect();
+        prop_assert_eq!(parsed.events, expected);
+        prop_assert_eq!(parsed.bytes, body.as_bytes());
+        prop_assert_eq!(parsed.end, BodyEnd::Whole);
+    }
+
+    /// Guards against a stream that is taken for whole although it was cut anywhere within an event.
+    #[test]
+    fn a_stream_that_is_cut_within_its_last_event_was_broken_off(
+        texts in prop::collection::vec("[a-z]{1,8}", 1..4),
+        line_end in prop::sample::select(LINE_ENDS.to_vec()),
+        cut in any::<prop::sample::Index>(),
+        piece_bytes in 1_usize..40,
+    ) {
+        let before = stream(&texts[..texts.len() - 1], line_end).len();
+        let body = stream(&texts, line_end);
+        // The last line end, which makes the event's end a blank line, is missing at least.
+        let cuts = body.len() - before - line_end.len();
+        let cut = before + 1 + cut.index(cuts);
+        let parsed = parse(&body.as_bytes()[..cut], piece_bytes);
+        prop_assert_eq!(parsed.end, BodyEnd::BrokenOff(BreakCause::WithinEvent));
+        // Half of a line end may still be held back.
+        let passed_on = String::from_utf8(parsed.bytes).expect("text");
+        prop_assert_eq!(passed_on.trim_end(), body[..before].trim_end());
+    }
+}
