A response that another replica may continue doesn't state the length of one replica's body

What callers saw: a resumable stream whose first replica stated a length and broke off within an event was resumed, but the caller got the first replica's `Content-Length`: it read that many bytes of a longer response, framed as complete, or a cut, where the whole response had been sent.

Cause: headers of the first replica, its length among them, were passed on although the body may come from several replicas, or lack events that the caller has already. Evidence: the test's response ends at exactly the stated length, within the next replica's event.

Change: a response that can be resumed is sent without the length, so that its end is marked by chunks. Others keep it: their body is the replica's own, and events held back leave the length unreached.

Why it works: the end that the caller sees is now the end of the relay, not that of a body which may be abandoned.

--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -8,6 +8,7 @@
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_execution::{Execution, implies_not_run};
 use harrierward_quarantine::{ContentId, ContentStatus, QuarantinePeriod};
+use http::header::CONTENT_LENGTH;
 use tokio::time::Instant;
 
 use crate::admission::{ConfigurationProof, KeyTrust, RateLimits, RateStatus, caller_of};
@@ -385,8 +386,12 @@
         // The status would promise that the request did not run, which the replica did not state.
         return Err(Refusal::new(RefusalCause::Broken, state.execution, None));
     }
-    let headers = attempt.response.headers.clone();
+    let mut headers = attempt.response.headers.clone();
     let relay = Relay::new(forwarder.clone(), state, attempt);
+    if relay.is_resumable() {
+        // Events of another replica may follow, so that the length of one replica's body isn't that of the response.
+        headers.remove(CONTENT_LENGTH);
+    }
     Ok(CallerResponse {
         status,
         headers,
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -105,7 +105,7 @@
     }
 
     /// True if the response can continue at another replica.
-    fn is_resumable(&self) -> bool {
+    pub fn is_resumable(&self) -> bool {
         self.state.route.is_resumable() && self.format == BodyFormat::Events
     }
 
