A stream that must have an event left does not end by a closed connection before it

Cause: the end of a connection was believed whether or not anything had arrived. Evidence: the tests; the same end within an event is recognized.

Change: `BodyParser` is given what is known of the events that are left. Where one must follow, a body that only a closed connection delimits and that brought none was broken off: the stream is resumed elsewhere, or cut off. Where none may be left, it is whole: a stream that its caller takes up after an event. Complete framing states that there is no event, and is believed. An item can't be cut off and asked for again by its caller, so that its runs decide: after an interruption behind a complete event, the first run that ends so is broken off, a second one is believed; after an interruption within an event neither is.

What remains: a replica that closes its connection exactly between two events, without a length or chunks, can't be told from a whole one.

--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -11,7 +11,7 @@
 };
 use tokio::time::Instant;
 
-use crate::item::{SharedProgress, lock};
+use crate::item::{EventsLeft, SharedProgress, lock};
 
 /// Stall after which a replica that sends nothing to any request is considered unresponsive.
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -46,7 +46,10 @@
     placement: Placement,
     failed_before: bool,
 ) -> RunOutcome {
-    let resume_after = lock(progress).last_event;
+    let (resume_after, required) = {
+        let progress = lock(progress);
+        (progress.last_event, progress.events_left.required())
+    };
     let timeouts = AttemptTimeouts {
         time_left: None,
         stall_timeout: UNRESPONSIVE_TIMEOUT,
@@ -82,7 +85,7 @@
     let in_progress = attempt.in_progress;
     let replica = in_progress.replica().clone();
     let mut body = attempt.response.body;
-    let mut parser = BodyParser::new(BodyFormat::Events, attempt.response.delimiter);
+    let mut parser = BodyParser::new(BodyFormat::Events, attempt.response.delimiter, required);
     loop {
         let next = wait_for_progress(body.next(), &replica, UNRESPONSIVE_TIMEOUT, MAX_STALL).await;
         let bytes = match next {
@@ -91,9 +94,12 @@
                 in_progress.conclude(AttemptOutcome::Unresponsive);
                 return RunOutcome::Broken("no event in time".to_owned());
             }
-            Some(None) => return end(&parser, &in_progress),
+            Some(None) => return end(progress, &parser, &in_progress),
             Some(Some(Err(error))) => {
                 in_progress.note_disconnect();
+                if parser.is_within_event() {
+                    lock(progress).events_left = EventsLeft::Certain;
+                }
                 return RunOutcome::Broken(error.to_string());
             }
             Some(Some(Ok(bytes))) => bytes,
@@ -107,7 +113,7 @@
 }
 
 /// Outcome of a run whose response body has ended.
-fn end(parser: &BodyParser, in_progress: &InProgress) -> RunOutcome {
+fn end(progress: &SharedProgress, parser: &BodyParser, in_progress: &InProgress) -> RunOutcome {
     match parser.end() {
         BodyEnd::Whole => {
             in_progress.conclude(AttemptOutcome::Served);
@@ -116,6 +122,8 @@
         }
         BodyEnd::BrokenOff(cause) => {
             in_progress.note_disconnect();
+            let mut progress = lock(progress);
+            progress.events_left = progress.events_left.after_break(cause);
             RunOutcome::Broken(cause.to_string())
         }
     }
@@ -154,6 +162,7 @@
         return Err("an event is missing");
     }
     progress.last_event = Some(id);
+    progress.events_left = EventsLeft::Likely;
     progress.texts.push(event.data());
     progress.last_event_at = Some(Instant::now());
     Ok(())
--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -51,6 +51,16 @@
     media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
 }
 
+/// What is known of the events that a stream has left when a response begins.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RemainingEvents {
+    /// At least one: the stream begins, or it was broken off before its end.
+    #[default]
+    Some,
+    /// Perhaps none: the stream continues after an event that may be its last.
+    Unknown,
+}
+
 /// Part of a body that can be passed on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BodyPart {
@@ -72,6 +82,9 @@
 /// How it shows that a response was broken off, although its body ended without an error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum BreakCause {
+    /// The connection closed, which delimits the body, before an event that must follow.
+    #[error("the stream ended before its first event")]
+    BeforeEvents,
     /// Bytes of an event arrived, but not its end.
     #[error("the stream ended within an event")]
     WithinEvent,
@@ -85,6 +98,7 @@
 pub struct BodyParser {
     format: BodyFormat,
     delimiter: BodyDelimiter,
+    remaining: RemainingEvents,
     received_bytes: u64,
     received_events: u64,
     splitter: EventSplitter,
@@ -94,10 +108,11 @@
 
 impl BodyParser {
     /// Starts with an empty body.
-    pub fn new(format: BodyFormat, delimiter: BodyDelimiter) -> Self {
+    pub fn new(format: BodyFormat, delimiter: BodyDelimiter, remaining: RemainingEvents) -> Self {
         Self {
             format,
             delimiter,
+            remaining,
             received_bytes: 0,
             received_events: 0,
             splitter: EventSplitter::default(),
@@ -128,20 +143,36 @@
             BodyFormat::Opaque => self.opaque.take().map(BodyPart::Bytes),
             BodyFormat::Events => {
                 let event = self.splitter.next_event()?;
-                self.received_events += 1;
+                self.received_events += u64::from(!event.is_comment());
                 Some(BodyPart::Event(event))
             }
         }
     }
 
+    /// True if bytes of an event have arrived, but not its end.
+    pub fn is_within_event(&self) -> bool {
+        self.splitter.is_within_event()
+    }
+
     /// Judges the body after its delimiter has arrived and all parts were taken.
     pub fn end(&self) -> BodyEnd {
-        if self.splitter.is_within_event() {
+        if self.is_within_event() {
             return BodyEnd::BrokenOff(BreakCause::WithinEvent);
         }
+        if self.lacks_events() {
+            return BodyEnd::BrokenOff(BreakCause::BeforeEvents);
+        }
         BodyEnd::Whole
     }
 
+    /// True if no event arrived although one must follow. Complete framing states that there is none.
+    fn lacks_events(&self) -> bool {
+        self.format == BodyFormat::Events
+            && self.delimiter == BodyDelimiter::Close
+            && self.remaining == RemainingEvents::Some
+            && self.received_events == 0
+    }
+
     /// Removes and returns what follows the last event of a whole response: blank lines and comments.
     pub fn take_rest(&mut self) -> Bytes {
         self.splitter.take_rest()
@@ -153,7 +184,7 @@
             delimiter: self.delimiter.name(),
             bytes: self.received_bytes,
             events: self.received_events,
-            unfinished_bytes: if self.splitter.is_within_event() {
+            unfinished_bytes: if self.is_within_event() {
                 self.splitter.buffered_bytes() as u64
             } else {
                 0
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -12,6 +12,13 @@
 }
 
 impl StreamEvent {
+    /// True if the block consists of comments, which keep a connection alive.
+    pub fn is_comment(&self) -> bool {
+        self.raw
+            .split(is_line_end)
+            .all(|line| line.is_empty() || line.starts_with(b":"))
+    }
+
     /// Returns the values of the data lines, joined by line feeds.
     pub fn data(&self) -> String {
         let text = String::from_utf8_lossy(&self.raw);
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::attempt::{Attempt, AttemptFailure, AttemptOptions, wait_for_progress};
-use crate::body::{BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause};
+use crate::body::{BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause, RemainingEvents};
 use crate::events::StreamEvent;
 use crate::exchange::ReplicaBody;
 use crate::forwarder::Forwarder;
@@ -69,12 +69,16 @@
         let delivered = state.request.resume_after;
         let response = &attempt.response;
         let format = BodyFormat::of(&state.route, response.status, &response.headers);
+        let remaining = match delivered {
+            None => RemainingEvents::Some,
+            Some(_) => RemainingEvents::Unknown,
+        };
         Self {
             forwarder,
             state,
             status: attempt.response.status,
             format,
-            parser: BodyParser::new(format, response.delimiter),
+            parser: BodyParser::new(format, response.delimiter, remaining),
             body: Some(attempt.response.body),
             in_progress: Some(attempt.in_progress),
             ready: VecDeque::new(),
@@ -279,7 +283,10 @@
             self.state.tried.extend(replica);
             match result {
                 Ok(attempt) if attempt.response.status < 300 => {
-                    self.parser = BodyParser::new(self.format, attempt.response.delimiter);
+                    let delimiter = attempt.response.delimiter;
+                    // The response was broken off before its end, so that more has to follow.
+                    let remaining = RemainingEvents::Some;
+                    self.parser = BodyParser::new(self.format, delimiter, remaining);
                     self.body = Some(attempt.response.body);
                     self.in_progress = Some(attempt.in_progress);
                     return Ok(());
--- a/crates/serving/tests/body.rs
+++ b/crates/serving/tests/body.rs
@@ -1,7 +1,9 @@
 //! What a body proves doesn't depend on where the network splits it, nor on its line ends.
 
 use bytes::Bytes;
-use harrierward_serving::{BodyDelimiter, BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause};
+use harrierward_serving::{
+    BodyDelimiter, BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause, RemainingEvents,
+};
 use proptest::prelude::*;
 
 const LINE_ENDS: [&str; 3] = ["\n", "\r\n", "\r"];
@@ -14,7 +16,11 @@
 }
 
 fn parse(body: &[u8], piece_bytes: usize) -> Parsed {
-    let mut parser = BodyParser::new(BodyFormat::Events, BodyDelimiter::Chunks);
+    let mut parser = BodyParser::new(
+        BodyFormat::Events,
+        BodyDelimiter::Chunks,
+        RemainingEvents::Some,
+    );
     let mut events = Vec::new();
     let mut bytes = Vec::new();
     for piece in body.chunks(piece_bytes) {
@@ -69,12 +75,38 @@
 /// Guards against a replica that fills the memory of a daemon with an event that never ends.
 #[test]
 fn an_event_without_an_end_is_not_held_back_forever() {
-    let mut parser = BodyParser::new(BodyFormat::Events, BodyDelimiter::Close);
+    let mut parser = BodyParser::new(
+        BodyFormat::Events,
+        BodyDelimiter::Close,
+        RemainingEvents::Some,
+    );
     let piece = Bytes::from(vec![b'x'; 1 << 20]);
     let pushed = (0..8).try_for_each(|_| parser.push(piece.clone()));
     assert_eq!(pushed, Err(BreakCause::OversizedEvent));
 }
 
+/// Guards against a connection that is closed before the first event and passes for the end of an empty stream.
+#[test]
+fn only_a_stream_that_may_have_no_event_left_ends_without_one_by_a_close() {
+    let end = |delimiter, remaining, body: &'static str| {
+        let mut parser = BodyParser::new(BodyFormat::Events, delimiter, remaining);
+        parser.push(Bytes::from(body)).expect("small events");
+        while parser.next_part().is_some() {}
+        parser.end()
+    };
+    let broken_off = BodyEnd::BrokenOff(BreakCause::BeforeEvents);
+    for body in ["", ": ping\n\n", "\n"] {
+        let closed = end(BodyDelimiter::Close, RemainingEvents::Some, body);
+        assert_eq!(closed, broken_off, "{body:?}");
+        let continued = end(BodyDelimiter::Close, RemainingEvents::Unknown, body);
+        assert_eq!(continued, BodyEnd::Whole, "{body:?}");
+        for delimiter in [BodyDelimiter::Length, BodyDelimiter::Chunks] {
+            let framed = end(delimiter, RemainingEvents::Some, body);
+            assert_eq!(framed, BodyEnd::Whole, "{body:?} {delimiter:?}");
+        }
+    }
+}
+
 proptest! {
     /// Guards against events that are lost, joined or split at the borders of network reads.
     #[test]
