A resumed stream without events is believed only when a second response says the same

What callers would see: a caller that takes a stream up after an event, at a replica that closes its connection before the next one (neither length nor chunks), received the stream's rest as empty and complete; the daemon believed the first such response.

Cause: "perhaps none left" was one answer for every resumption by a caller, while items of jobs already asked twice; the knowledge stood in two types, one for responses and one for items.

Change: `EventsLeft` says for both what the responses so far have shown, and `BodyParser` alone moves it: certain for a stream that begins or that was broken off within an event, likely after a complete event, doubtful after one response that a closed connection ended without events. Only then is a second one believed. Where the route allows no second attempt, the first is: the caller could never complete its stream otherwise.

Why it works: one closed connection can be a failure; a stream that really is at its end is confirmed by the next response.

--- a/crates/inline-jobs/src/item.rs
+++ b/crates/inline-jobs/src/item.rs
@@ -2,42 +2,10 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use harrierward_serving::{BreakCause, RemainingEvents, ServingRequest};
+use harrierward_serving::{EventsLeft, ServingRequest};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// What the runs of an item have shown of the events that it has left.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum EventsLeft {
-    /// There are more: no event has arrived, or a run was broken off within one.
-    #[default]
-    Certain,
-    /// There may be more: a run was interrupted after a complete event.
-    Likely,
-    /// Perhaps none: a further run ended without an event, but only its connection closed. A second run that ends so
-    /// is believed, or an item that was interrupted after its last event would never complete.
-    Doubtful,
-}
-
-impl EventsLeft {
-    /// Returns what is known after a run that its replica broke off.
-    pub fn after_break(self, cause: BreakCause) -> Self {
-        match (self, cause) {
-            (_, BreakCause::WithinEvent | BreakCause::OversizedEvent) => Self::Certain,
-            (Self::Likely, BreakCause::BeforeEvents) => Self::Doubtful,
-            (unchanged, BreakCause::BeforeEvents) => unchanged,
-        }
-    }
-
-    /// Returns what the next run's response may be held to.
-    pub fn required(self) -> RemainingEvents {
-        match self {
-            Self::Certain | Self::Likely => RemainingEvents::Some,
-            Self::Doubtful => RemainingEvents::Unknown,
-        }
-    }
-}
-
 /// Output of an item so far; shared with the task that runs it.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct ItemProgress {
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -5,13 +5,13 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use harrierward_serving::{
-    AttemptFailure, AttemptOptions, AttemptOutcome, AttemptTimeouts, BodyEnd, BodyFormat,
-    BodyParser, BodyPart, Forwarder, InProgress, Placement, ServingRequest, StreamEvent,
-    wait_for_progress,
+    Attempt, AttemptFailure, AttemptOptions, AttemptOutcome, AttemptTimeouts, BodyEnd, BodyFormat,
+    BodyParser, BodyPart, EventsLeft, Forwarder, InProgress, Placement, ServingRequest,
+    StreamEvent, wait_for_progress,
 };
 use tokio::time::Instant;
 
-use crate::item::{EventsLeft, SharedProgress, lock};
+use crate::item::{SharedProgress, lock};
 
 /// Stall after which a replica that sends nothing to any request is considered unresponsive.
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -46,9 +46,9 @@
     placement: Placement,
     failed_before: bool,
 ) -> RunOutcome {
-    let (resume_after, required) = {
+    let (resume_after, events_left) = {
         let progress = lock(progress);
-        (progress.last_event, progress.events_left.required())
+        (progress.last_event, progress.events_left)
     };
     let timeouts = AttemptTimeouts {
         time_left: None,
@@ -82,10 +82,22 @@
         IMPOSSIBLE => return RunOutcome::Impossible,
         status => return RunOutcome::Broken(format!("status {status}")),
     }
+    let delimiter = attempt.response.delimiter;
+    let mut parser = BodyParser::new(BodyFormat::Events, delimiter, events_left);
+    let outcome = receive_output(attempt, &mut parser, progress).await;
+    lock(progress).events_left = parser.events_left();
+    outcome
+}
+
+/// Receives the output of a run to its end.
+async fn receive_output(
+    attempt: Attempt,
+    parser: &mut BodyParser,
+    progress: &SharedProgress,
+) -> RunOutcome {
     let in_progress = attempt.in_progress;
     let replica = in_progress.replica().clone();
     let mut body = attempt.response.body;
-    let mut parser = BodyParser::new(BodyFormat::Events, attempt.response.delimiter, required);
     loop {
         let next = wait_for_progress(body.next(), &replica, UNRESPONSIVE_TIMEOUT, MAX_STALL).await;
         let bytes = match next {
@@ -94,18 +106,15 @@
                 in_progress.conclude(AttemptOutcome::Unresponsive);
                 return RunOutcome::Broken("no event in time".to_owned());
             }
-            Some(None) => return end(progress, &parser, &in_progress),
+            Some(None) => return end(parser, &in_progress),
             Some(Some(Err(error))) => {
                 in_progress.note_disconnect();
-                if parser.is_within_event() {
-                    lock(progress).events_left = EventsLeft::Certain;
-                }
                 return RunOutcome::Broken(error.to_string());
             }
             Some(Some(Ok(bytes))) => bytes,
         };
         in_progress.note_event();
-        if let Err(cause) = append_events(progress, &mut parser, bytes) {
+        if let Err(cause) = append_events(progress, parser, bytes) {
             in_progress.conclude(AttemptOutcome::Corrupt);
             return RunOutcome::Broken(cause);
         }
@@ -113,7 +122,7 @@
 }
 
 /// Outcome of a run whose response body has ended.
-fn end(progress: &SharedProgress, parser: &BodyParser, in_progress: &InProgress) -> RunOutcome {
+fn end(parser: &mut BodyParser, in_progress: &InProgress) -> RunOutcome {
     match parser.end() {
         BodyEnd::Whole => {
             in_progress.conclude(AttemptOutcome::Served);
@@ -122,8 +131,6 @@
         }
         BodyEnd::BrokenOff(cause) => {
             in_progress.note_disconnect();
-            let mut progress = lock(progress);
-            progress.events_left = progress.events_left.after_break(cause);
             RunOutcome::Broken(cause.to_string())
         }
     }
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::ServingRequest;
+use harrierward_serving::{EventsLeft, ServingRequest};
 use harrierward_wire::{ItemFailuresRow, ItemProgressRow, JobHeadRow};
 use tokio::time::Instant;
 
-use crate::item::{EventsLeft, Item, ItemPhase, ItemProgress, SharedProgress, abort_run, lock};
+use crate::item::{Item, ItemPhase, ItemProgress, SharedProgress, abort_run, lock};
 use crate::store::ListedResult;
 use crate::view::KnownHeader;
 
@@ -121,14 +121,10 @@
                 item.recorded_failures = row.failures;
                 item.saved_events = row.texts.len();
                 let last_event = Some(row.last_event).filter(|_| !row.texts.is_empty());
-                let events_left = match last_event {
-                    None => EventsLeft::Certain,
-                    Some(_) => EventsLeft::Likely,
-                };
                 item.progress = Arc::new(Mutex::new(ItemProgress {
                     last_event,
                     texts: row.texts,
-                    events_left,
+                    events_left: EventsLeft::after(last_event),
                     last_event_at: None,
                     is_awaiting_response: false,
                 }));
--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -51,14 +51,35 @@
     media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
 }
 
-/// What is known of the events that a stream has left when a response begins.
+/// What the responses to a request have shown of the events that its stream has left.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum RemainingEvents {
-    /// At least one: the stream begins, or it was broken off before its end.
+pub enum EventsLeft {
+    /// At least one: no event has arrived, or a response was broken off within one.
     #[default]
-    Some,
-    /// Perhaps none: the stream continues after an event that may be its last.
-    Unknown,
+    Certain,
+    /// There may be more: the stream was interrupted after a complete event.
+    Likely,
+    /// Perhaps none: since that interruption, a response without events ended, but only its connection closed. A second
+    /// one that ends so is believed; a stream that was interrupted after its last event would never end otherwise.
+    Doubtful,
+}
+
+impl EventsLeft {
+    /// Returns what is known of a stream that continues after this event.
+    pub fn after(last_event: Option<u64>) -> Self {
+        match last_event {
+            None => Self::Certain,
+            Some(_) => Self::Likely,
+        }
+    }
+
+    /// Returns what is known after a response without events that a closed connection ended.
+    fn after_close(self) -> Self {
+        match self {
+            Self::Certain => Self::Certain,
+            Self::Likely | Self::Doubtful => Self::Doubtful,
+        }
+    }
 }
 
 /// Part of a body that can be passed on.
@@ -98,7 +119,7 @@
 pub struct BodyParser {
     format: BodyFormat,
     delimiter: BodyDelimiter,
-    remaining: RemainingEvents,
+    events_left: EventsLeft,
     received_bytes: u64,
     received_events: u64,
     splitter: EventSplitter,
@@ -108,11 +129,11 @@
 
 impl BodyParser {
     /// Starts with an empty body.
-    pub fn new(format: BodyFormat, delimiter: BodyDelimiter, remaining: RemainingEvents) -> Self {
+    pub fn new(format: BodyFormat, delimiter: BodyDelimiter, events_left: EventsLeft) -> Self {
         Self {
             format,
             delimiter,
-            remaining,
+            events_left,
             received_bytes: 0,
             received_events: 0,
             splitter: EventSplitter::default(),
@@ -149,17 +170,13 @@
         }
     }
 
-    /// True if bytes of an event have arrived, but not its end.
-    pub fn is_within_event(&self) -> bool {
-        self.splitter.is_within_event()
-    }
-
     /// Judges the body after its delimiter has arrived and all parts were taken.
-    pub fn end(&self) -> BodyEnd {
-        if self.is_within_event() {
+    pub fn end(&mut self) -> BodyEnd {
+        if self.splitter.is_within_event() {
             return BodyEnd::BrokenOff(BreakCause::WithinEvent);
         }
         if self.lacks_events() {
+            self.events_left = self.events_left.after_close();
             return BodyEnd::BrokenOff(BreakCause::BeforeEvents);
         }
         BodyEnd::Whole
@@ -169,10 +186,21 @@
     fn lacks_events(&self) -> bool {
         self.format == BodyFormat::Events
             && self.delimiter == BodyDelimiter::Close
-            && self.remaining == RemainingEvents::Some
+            && self.events_left != EventsLeft::Doubtful
             && self.received_events == 0
     }
 
+    /// Returns what is known of the events that are left, after the body ended or was interrupted.
+    pub fn events_left(&self) -> EventsLeft {
+        if self.splitter.is_within_event() {
+            EventsLeft::Certain
+        } else if self.received_events > 0 {
+            EventsLeft::Likely
+        } else {
+            self.events_left
+        }
+    }
+
     /// Removes and returns what follows the last event of a whole response: blank lines and comments.
     pub fn take_rest(&mut self) -> Bytes {
         self.splitter.take_rest()
@@ -184,7 +212,7 @@
             delimiter: self.delimiter.name(),
             bytes: self.received_bytes,
             events: self.received_events,
-            unfinished_bytes: if self.is_within_event() {
+            unfinished_bytes: if self.splitter.is_within_event() {
                 self.splitter.buffered_bytes() as u64
             } else {
                 0
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -36,7 +36,7 @@
 
 pub use admission::{ConfigurationProof, KeyTrust, RateLimits, RateStatus, caller_of, tenant_of};
 pub use attempt::{Attempt, AttemptFailure, AttemptOptions, AttemptTimeouts, wait_for_progress};
-pub use body::{BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause, RemainingEvents};
+pub use body::{BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause, EventsLeft};
 pub use choice::{
     Choice, ChoiceQuery, ChosenBy, CrossRegionReason, MIN_FREE_PERMILLE, Placement, choose_replica,
     own_region_first, reserved_slots,
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::attempt::{Attempt, AttemptFailure, AttemptOptions, wait_for_progress};
-use crate::body::{BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause, RemainingEvents};
+use crate::body::{BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause, EventsLeft};
 use crate::events::StreamEvent;
 use crate::exchange::ReplicaBody;
 use crate::forwarder::Forwarder;
@@ -69,16 +69,18 @@
         let delivered = state.request.resume_after;
         let response = &attempt.response;
         let format = BodyFormat::of(&state.route, response.status, &response.headers);
-        let remaining = match delivered {
-            None => RemainingEvents::Some,
-            Some(_) => RemainingEvents::Unknown,
+        let events_left = if state.sends < state.route.attempts {
+            EventsLeft::after(delivered)
+        } else {
+            // No second response can confirm that a resumed stream has no event left.
+            delivered.map_or(EventsLeft::Certain, |_| EventsLeft::Doubtful)
         };
         Self {
             forwarder,
             state,
             status: attempt.response.status,
             format,
-            parser: BodyParser::new(format, response.delimiter, remaining),
+            parser: BodyParser::new(format, response.delimiter, events_left),
             body: Some(attempt.response.body),
             in_progress: Some(attempt.in_progress),
             ready: VecDeque::new(),
@@ -284,9 +286,8 @@
             match result {
                 Ok(attempt) if attempt.response.status < 300 => {
                     let delimiter = attempt.response.delimiter;
-                    // The response was broken off before its end, so that more has to follow.
-                    let remaining = RemainingEvents::Some;
-                    self.parser = BodyParser::new(self.format, delimiter, remaining);
+                    let events_left = self.parser.events_left();
+                    self.parser = BodyParser::new(self.format, delimiter, events_left);
                     self.body = Some(attempt.response.body);
                     self.in_progress = Some(attempt.in_progress);
                     return Ok(());
--- a/crates/serving/tests/body.rs
+++ b/crates/serving/tests/body.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use harrierward_serving::{
-    BodyDelimiter, BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause, RemainingEvents,
+    BodyDelimiter, BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause, EventsLeft,
 };
 use proptest::prelude::*;
 
@@ -19,7 +19,7 @@
     let mut parser = BodyParser::new(
         BodyFormat::Events,
         BodyDelimiter::Chunks,
-        RemainingEvents::Some,
+        EventsLeft::Certain,
     );
     let mut events = Vec::new();
     let mut bytes = Vec::new();
@@ -78,35 +78,54 @@
     let mut parser = BodyParser::new(
         BodyFormat::Events,
         BodyDelimiter::Close,
-        RemainingEvents::Some,
+        EventsLeft::Certain,
     );
     let piece = Bytes::from(vec![b'x'; 1 << 20]);
     let pushed = (0..8).try_for_each(|_| parser.push(piece.clone()));
     assert_eq!(pushed, Err(BreakCause::OversizedEvent));
 }
 
-/// Guards against a connection that is closed before the first event and passes for the end of an empty stream.
+/// A parser of events after this body, and what its end proves.
+fn end_of(
+    body: &'static str,
+    delimiter: BodyDelimiter,
+    events_left: EventsLeft,
+) -> (BodyEnd, EventsLeft) {
+    let mut parser = BodyParser::new(BodyFormat::Events, delimiter, events_left);
+    parser.push(Bytes::from(body)).expect("small events");
+    while parser.next_part().is_some() {}
+    (parser.end(), parser.events_left())
+}
+
+/// Guards against a connection that is closed before the first event and passes for the end of an empty stream, and
+/// against a stream that never ends since no response to its resumption is believed.
 #[test]
-fn only_a_stream_that_may_have_no_event_left_ends_without_one_by_a_close() {
-    let end = |delimiter, remaining, body: &'static str| {
-        let mut parser = BodyParser::new(BodyFormat::Events, delimiter, remaining);
-        parser.push(Bytes::from(body)).expect("small events");
-        while parser.next_part().is_some() {}
-        parser.end()
-    };
+fn a_close_before_the_first_event_is_believed_the_second_time() {
     let broken_off = BodyEnd::BrokenOff(BreakCause::BeforeEvents);
     for body in ["", ": ping\n\n", "\n"] {
-        let closed = end(BodyDelimiter::Close, RemainingEvents::Some, body);
-        assert_eq!(closed, broken_off, "{body:?}");
-        let continued = end(BodyDelimiter::Close, RemainingEvents::Unknown, body);
-        assert_eq!(continued, BodyEnd::Whole, "{body:?}");
+        let end = |delimiter, events_left| end_of(body, delimiter, events_left);
+        let new = end(BodyDelimiter::Close, EventsLeft::Certain);
+        assert_eq!(new, (broken_off, EventsLeft::Certain), "{body:?}");
+        let resumed = end(BodyDelimiter::Close, EventsLeft::Likely);
+        assert_eq!(resumed, (broken_off, EventsLeft::Doubtful), "{body:?}");
+        let again = end(BodyDelimiter::Close, EventsLeft::Doubtful);
+        assert_eq!(again.0, BodyEnd::Whole, "{body:?}");
         for delimiter in [BodyDelimiter::Length, BodyDelimiter::Chunks] {
-            let framed = end(delimiter, RemainingEvents::Some, body);
-            assert_eq!(framed, BodyEnd::Whole, "{body:?} {delimiter:?}");
+            let framed = end(delimiter, EventsLeft::Certain);
+            assert_eq!(framed.0, BodyEnd::Whole, "{body:?} {delimiter:?}");
         }
     }
 }
 
+/// Guards against a resumption without events that is believed although an event had begun before.
+#[test]
+fn after_an_unfinished_event_another_one_must_follow() {
+    let body = "id: 1\ndata: a\n\nid: 2\nda";
+    let (end, events_left) = end_of(body, BodyDelimiter::Close, EventsLeft::Certain);
+    assert_eq!(end, BodyEnd::BrokenOff(BreakCause::WithinEvent));
+    assert_eq!(events_left, EventsLeft::Certain);
+}
+
 proptest! {
     /// Guards against events that are lost, joined or split at the borders of network reads.
     #[test]
