Keep-alives between events are passed on as they come, and only events with data count

What callers would see: a comment or blank line between two events reached them with the next event only, and such lines added up to an event that is too large; since streams that may not resume are split into events too, this held for every stream. And a new stream whose connection was closed after a block without data (`retry`, `event`, a byte order mark) counted as whole and had no output.

Cause: the splitter knew blank lines only.

Change: outside of an event a comment or blank line is passed on at once; an event begins with its first field. What a stream must have is an event with data, as clients dispatch no other.

Tests: a_keep_alive_between_two_events_is_passed_on_as_it_comes; the list of bodies without output in a_close_before_the_first_event_is_believed_the_second_time.

--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -85,7 +85,7 @@
 /// Part of a body that can be passed on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BodyPart {
-    /// A complete event.
+    /// A complete event, or a keep-alive between two events.
     Event(StreamEvent),
     /// Bytes of an opaque body.
     Bytes(Bytes),
@@ -164,7 +164,7 @@
             BodyFormat::Opaque => self.opaque.take().map(BodyPart::Bytes),
             BodyFormat::Events => {
                 let event = self.splitter.next_event()?;
-                self.received_events += u64::from(!event.is_comment());
+                self.received_events += u64::from(event.has_data());
                 Some(BodyPart::Event(event))
             }
         }
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -2,21 +2,21 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Complete event of a stream.
+/// Complete event of a stream, or a comment or blank line between two events.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamEvent {
     /// Value of the `id` field; `None` if missing or not a number.
     pub id: Option<u64>,
-    /// The event's bytes as received, including the closing blank line.
+    /// The bytes as received, including the blank line that closes an event.
     pub raw: Bytes,
 }
 
 impl StreamEvent {
-    /// True if the block consists of comments, which keep a connection alive.
-    pub fn is_comment(&self) -> bool {
+    /// True if the event has output; others only keep a connection alive or set a parameter of it.
+    pub fn has_data(&self) -> bool {
         self.raw
             .split(is_line_end)
-            .all(|line| line.is_empty() || line.starts_with(b":"))
+            .any(|line| line == b"data" || line.starts_with(b"data:"))
     }
 
     /// Returns the values of the data lines, joined by line feeds.
@@ -36,7 +36,8 @@
 }
 
 /// Buffers bytes of a stream until an event is complete. An event is a block of lines, closed by a blank one; lines end
-/// with a line feed, a carriage return, or both.
+/// with a line feed, a carriage return, or both. Comments and blank lines before an event's first field don't belong to
+/// it: they keep a connection alive, and are not held back for the event.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
@@ -44,8 +45,8 @@
     line_start: usize,
     /// End of the bytes in which that line's end is known not to be.
     searched: usize,
-    /// True if the block in progress has a line that isn't blank.
-    has_lines: bool,
+    /// True if the event in progress has a field.
+    has_fields: bool,
 }
 
 /// A line's place in the buffer.
@@ -63,16 +64,17 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Removes and returns the next complete event.
+    /// Removes and returns the next complete event, or what keeps the connection alive between two events.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         while let Some(line) = self.next_line() {
-            self.line_start = line.next;
-            self.searched = line.next;
             let is_blank = line.start == line.end;
-            if is_blank && self.has_lines {
+            let is_comment = self.buffer[line.start] == b':';
+            self.has_fields |= !is_blank && !is_comment;
+            if is_blank || !self.has_fields {
                 return Some(self.take_event(line.next));
             }
-            self.has_lines |= !is_blank;
+            self.line_start = line.next;
+            self.searched = line.next;
         }
         None
     }
@@ -90,7 +92,7 @@
         !partial_line.is_empty() || lines.any(|line| !line.is_empty() && !is_comment(line))
     }
 
-    /// Removes and returns the rest of a stream that has ended after an event: blank lines and comments.
+    /// Removes and returns the rest of a stream that has ended after an event.
     pub fn take_rest(&mut self) -> Bytes {
         let rest = self.buffer.split().freeze();
         *self = Self::default();
@@ -101,7 +103,7 @@
         let raw = self.buffer.split_to(end).freeze();
         self.line_start = 0;
         self.searched = 0;
-        self.has_lines = false;
+        self.has_fields = false;
         let id = event_id(&raw);
         StreamEvent { id, raw }
     }
--- a/crates/serving/tests/body.rs
+++ b/crates/serving/tests/body.rs
@@ -32,7 +32,9 @@
                 panic!("an event is expected: {part:?}");
             };
             bytes.extend_from_slice(&event.raw);
-            events.push((event.id, event.data()));
+            if event.has_data() {
+                events.push((event.id, event.data()));
+            }
         }
     }
     let end = parser.end();
@@ -102,7 +104,15 @@
 #[test]
 fn a_close_before_the_first_event_is_believed_the_second_time() {
     let broken_off = BodyEnd::BrokenOff(BreakCause::BeforeEvents);
-    for body in ["", ": ping\n\n", "\n"] {
+    let no_output = [
+        "",
+        ": ping\n\n",
+        "\n",
+        "retry: 1000\n\n",
+        "event: start\n\n",
+        "\u{feff}: ping\n\n",
+    ];
+    for body in no_output {
         let end = |delimiter, events_left| end_of(body, delimiter, events_left);
         let new = end(BodyDelimiter::Close, EventsLeft::Certain);
         assert_eq!(new, (broken_off, EventsLeft::Certain), "{body:?}");
@@ -126,6 +136,28 @@
     assert_eq!(events_left, EventsLeft::Certain);
 }
 
+/// Guards against keep-alives that a caller doesn't receive until the next event, and that add up to an oversized one.
+#[test]
+fn a_keep_alive_between_two_events_is_passed_on_as_it_comes() {
+    let keep_alives = [": ping\n", "\n", ":\r\n", ": ping\n\n"];
+    for keep_alive in keep_alives {
+        let mut parser = BodyParser::new(
+            BodyFormat::Events,
+            BodyDelimiter::Chunks,
+            EventsLeft::Certain,
+        );
+        let event = "id: 1\ndata: a\n\n";
+        let mut passed_on = String::new();
+        for piece in [event, keep_alive, keep_alive, event] {
+            parser.push(Bytes::from(piece)).expect("small pieces");
+            while let Some(BodyPart::Event(event)) = parser.next_part() {
+                passed_on += std::str::from_utf8(&event.raw).expect("text");
+            }
+            assert!(passed_on.ends_with(piece), "{keep_alive:?}: {passed_on:?}");
+        }
+    }
+}
+
 proptest! {
     /// Guards against events that are lost, joined or split at the borders of network reads.
     #[test]
