An event that has begun must follow, and one close without events says little after an interruption

What callers would see: a stream that was broken off within an event was complete without it if the next replica answered with complete framing and no event; a result of a batch job was complete without its last events if two runs in a row were closed before their first one.

Cause: `EventsLeft` put a stream that begins and one whose next event had begun into one state; and the second close was believed.

Change: `Begun` contradicts every response without events, whatever its framing. After a complete event two closes are taken for failures and the third is believed, where so many attempts are allowed; items always have them.

Why it works: an event of which bytes arrived exists. Three closes in a row before the next event are the work of a replica that always closes, or of one that fails each time; an item must end in the first case, and the chance of the second is what is left.

--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -169,7 +169,7 @@
         return Err("an event is missing");
     }
     progress.last_event = Some(id);
-    progress.events_left = EventsLeft::Likely;
+    progress.events_left = EventsLeft::after(Some(id), u32::MAX);
     progress.texts.push(event.data());
     progress.last_event_at = Some(Instant::now());
     Ok(())
--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -51,33 +51,53 @@
     media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
 }
 
+/// Closes without events, after an interrupted stream's last event, that are taken for failures before one is believed.
+const MAX_DOUBTED_CLOSES: u32 = 2;
+
 /// What the responses to a request have shown of the events that its stream has left.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum EventsLeft {
-    /// At least one: no event has arrived, or a response was broken off within one.
+    /// The stream begins; only complete framing states that it has no event.
     #[default]
-    Certain,
-    /// There may be more: the stream was interrupted after a complete event.
-    Likely,
-    /// Perhaps none: since that interruption, a response without events ended, but only its connection closed. A second
-    /// one that ends so is believed; a stream that was interrupted after its last event would never end otherwise.
-    Doubtful,
+    New,
+    /// At least one: a response was broken off within it.
+    Begun,
+    /// Perhaps none: the stream was interrupted after a complete event. A closed connection can be a failure, but if
+    /// none were believed, a stream that was interrupted after its last event would never end.
+    Interrupted {
+        /// Responses without events that may still be closed before one is believed.
+        doubted_closes: u32,
+    },
 }
 
 impl EventsLeft {
-    /// Returns what is known of a stream that continues after this event.
-    pub fn after(last_event: Option<u64>) -> Self {
+    /// Returns what is known of a stream that continues after this event, if at most `further_responses` can follow.
+    pub fn after(last_event: Option<u64>, further_responses: u32) -> Self {
         match last_event {
-            None => Self::Certain,
-            Some(_) => Self::Likely,
+            None => Self::New,
+            Some(_) => Self::Interrupted {
+                doubted_closes: further_responses.min(MAX_DOUBTED_CLOSES),
+            },
+        }
+    }
+
+    /// True if a body that ends so, without an event, was broken off.
+    fn contradicts_empty(self, delimiter: BodyDelimiter) -> bool {
+        let is_closed = delimiter == BodyDelimiter::Close;
+        match self {
+            Self::Begun => true,
+            Self::New => is_closed,
+            Self::Interrupted { doubted_closes } => is_closed && doubted_closes > 0,
         }
     }
 
     /// Returns what is known after a response without events that a closed connection ended.
     fn after_close(self) -> Self {
         match self {
-            Self::Certain => Self::Certain,
-            Self::Likely | Self::Doubtful => Self::Doubtful,
+            Self::Interrupted { doubted_closes } => Self::Interrupted {
+                doubted_closes: doubted_closes.saturating_sub(1),
+            },
+            unchanged => unchanged,
         }
     }
 }
@@ -103,7 +123,7 @@
 /// How it shows that a response was broken off, although its body ended without an error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum BreakCause {
-    /// The connection closed, which delimits the body, before an event that must follow.
+    /// The body ended before an event that must follow.
     #[error("the stream ended before its first event")]
     BeforeEvents,
     /// Bytes of an event arrived, but not its end.
@@ -182,26 +202,28 @@
         BodyEnd::Whole
     }
 
-    /// True if no event arrived although one must follow. Complete framing states that there is none.
+    /// True if no event arrived although one must follow.
     fn lacks_events(&self) -> bool {
         self.format == BodyFormat::Events
-            && self.delimiter == BodyDelimiter::Close
-            && self.events_left != EventsLeft::Doubtful
             && self.received_events == 0
+            && self.events_left.contradicts_empty(self.delimiter)
     }
 
     /// Returns what is known of the events that are left, after the body ended or was interrupted.
     pub fn events_left(&self) -> EventsLeft {
         if self.splitter.is_within_event() {
-            EventsLeft::Certain
+            EventsLeft::Begun
         } else if self.received_events > 0 {
-            EventsLeft::Likely
+            EventsLeft::Interrupted {
+                doubted_closes: MAX_DOUBTED_CLOSES,
+            }
         } else {
             self.events_left
         }
     }
 
-    /// Removes and returns what follows the last event of a whole response: blank lines and comments.
+    /// Removes and returns what follows the last event of a whole response and is no part yet: a comment whose line end
+    /// may be incomplete.
     pub fn take_rest(&mut self) -> Bytes {
         self.splitter.take_rest()
     }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -69,12 +69,8 @@
         let delivered = state.request.resume_after;
         let response = &attempt.response;
         let format = BodyFormat::of(&state.route, response.status, &response.headers);
-        let events_left = if state.sends < state.route.attempts {
-            EventsLeft::after(delivered)
-        } else {
-            // No second response can confirm that a resumed stream has no event left.
-            delivered.map_or(EventsLeft::Certain, |_| EventsLeft::Doubtful)
-        };
+        let further_attempts = state.route.attempts.saturating_sub(state.sends);
+        let events_left = EventsLeft::after(delivered, further_attempts);
         Self {
             forwarder,
             state,
--- a/crates/serving/tests/body.rs
+++ b/crates/serving/tests/body.rs
@@ -16,11 +16,7 @@
 }
 
 fn parse(body: &[u8], piece_bytes: usize) -> Parsed {
-    let mut parser = BodyParser::new(
-        BodyFormat::Events,
-        BodyDelimiter::Chunks,
-        EventsLeft::Certain,
-    );
+    let mut parser = BodyParser::new(BodyFormat::Events, BodyDelimiter::Chunks, EventsLeft::New);
     let mut events = Vec::new();
     let mut bytes = Vec::new();
     for piece in body.chunks(piece_bytes) {
@@ -77,11 +73,7 @@
 /// Guards against a replica that fills the memory of a daemon with an event that never ends.
 #[test]
 fn an_event_without_an_end_is_not_held_back_forever() {
-    let mut parser = BodyParser::new(
-        BodyFormat::Events,
-        BodyDelimiter::Close,
-        EventsLeft::Certain,
-    );
+    let mut parser = BodyParser::new(BodyFormat::Events, BodyDelimiter::Close, EventsLeft::New);
     let piece = Bytes::from(vec![b'x'; 1 << 20]);
     let pushed = (0..8).try_for_each(|_| parser.push(piece.clone()));
     assert_eq!(pushed, Err(BreakCause::OversizedEvent));
@@ -102,7 +94,7 @@
 /// Guards against a connection that is closed before the first event and passes for the end of an empty stream, and
 /// against a stream that never ends since no response to its resumption is believed.
 #[test]
-fn a_close_before_the_first_event_is_believed_the_second_time() {
+fn a_close_before_the_first_event_is_believed_after_some_that_say_the_same() {
     let broken_off = BodyEnd::BrokenOff(BreakCause::BeforeEvents);
     let no_output = [
         "",
@@ -114,26 +106,40 @@
     ];
     for body in no_output {
         let end = |delimiter, events_left| end_of(body, delimiter, events_left);
-        let new = end(BodyDelimiter::Close, EventsLeft::Certain);
-        assert_eq!(new, (broken_off, EventsLeft::Certain), "{body:?}");
-        let resumed = end(BodyDelimiter::Close, EventsLeft::Likely);
-        assert_eq!(resumed, (broken_off, EventsLeft::Doubtful), "{body:?}");
-        let again = end(BodyDelimiter::Close, EventsLeft::Doubtful);
-        assert_eq!(again.0, BodyEnd::Whole, "{body:?}");
+        let new = end(BodyDelimiter::Close, EventsLeft::New);
+        assert_eq!(new, (broken_off, EventsLeft::New), "{body:?}");
+        let mut events_left = EventsLeft::after(Some(1), u32::MAX);
+        let mut doubted_closes = 0;
+        while let (BodyEnd::BrokenOff(_), left) = end(BodyDelimiter::Close, events_left) {
+            events_left = left;
+            doubted_closes += 1;
+        }
+        assert_eq!(doubted_closes, 2, "{body:?}");
+        let last_chance = EventsLeft::after(Some(1), 0);
+        let last = end(BodyDelimiter::Close, last_chance);
+        assert_eq!(last.0, BodyEnd::Whole, "{body:?}");
         for delimiter in [BodyDelimiter::Length, BodyDelimiter::Chunks] {
-            let framed = end(delimiter, EventsLeft::Certain);
+            let framed = end(delimiter, EventsLeft::New);
             assert_eq!(framed.0, BodyEnd::Whole, "{body:?} {delimiter:?}");
         }
     }
 }
 
-/// Guards against a resumption without events that is believed although an event had begun before.
+/// Guards against a response without events that is believed although an event had begun before.
 #[test]
 fn after_an_unfinished_event_another_one_must_follow() {
     let body = "id: 1\ndata: a\n\nid: 2\nda";
-    let (end, events_left) = end_of(body, BodyDelimiter::Close, EventsLeft::Certain);
+    let (end, events_left) = end_of(body, BodyDelimiter::Close, EventsLeft::New);
     assert_eq!(end, BodyEnd::BrokenOff(BreakCause::WithinEvent));
-    assert_eq!(events_left, EventsLeft::Certain);
+    for delimiter in [
+        BodyDelimiter::Length,
+        BodyDelimiter::Chunks,
+        BodyDelimiter::Close,
+    ] {
+        let empty = end_of("", delimiter, events_left);
+        let broken_off = BodyEnd::BrokenOff(BreakCause::BeforeEvents);
+        assert_eq!(empty, (broken_off, events_left), "{delimiter:?}");
+    }
 }
 
 /// Guards against keep-alives that a caller doesn't receive until the next event, and that add up to an oversized one.
@@ -141,11 +147,8 @@
 fn a_keep_alive_between_two_events_is_passed_on_as_it_comes() {
     let keep_alives = [": ping\n", "\n", ":\r\n", ": ping\n\n"];
     for keep_alive in keep_alives {
-        let mut parser = BodyParser::new(
-            BodyFormat::Events,
-            BodyDelimiter::Chunks,
-            EventsLeft::Certain,
-        );
+        let mut parser =
+            BodyParser::new(BodyFormat::Events, BodyDelimiter::Chunks, EventsLeft::New);
         let event = "id: 1\ndata: a\n\n";
         let mut passed_on = String::new();
         for piece in [event, keep_alive, keep_alive, event] {
