--- a/crates/edge/tests/pool.rs
+++ b/crates/edge/tests/pool.rs
@@ -1,4 +1,7 @@
-//! Guards against reusing idle connections that have stalled while new ones work.
+//! Guards against reusing idle connections that have stalled while new ones work, and connections whose last response
+//! doesn't allow it.
+
+mod support;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -8,7 +11,9 @@
 use futures::StreamExt;
 use harrierward_decisions::{DecisionLog, LogBounds};
 use harrierward_edge::{ConnectionPool, PoolSettings};
+use harrierward_serving::BodyDelimiter;
 use http::Request;
+use support::{close_delimited, start_raw_server};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
@@ -18,10 +23,14 @@
 
 const STALL_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Paths with a complete response, no response, and half a response.
+/// Paths with a complete response, no response, half a response, and a complete response with another behind it.
 const COMPLETE: &str = "/whole";
 const NEVER: &str = "/never";
 const HALF: &str = "/midway";
+const SURPLUS: &str = "/surplus";
+
+/// A complete body, and a response that belongs to no request.
+const BODY_AND_SURPLUS: &str = "halfHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore";
 
 /// Idle connections in the pool before the stall.
 const IDLE_CONNECTIONS: usize = 4;
@@ -75,7 +84,11 @@
         // Delays responses so that a test's concurrent requests each need a connection.
         sleep(Duration::from_millis(20)).await;
         let head = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=30\r\nContent-Length: 4\r\n\r\n";
-        let body = if text.contains(HALF) { "ha" } else { "half" };
+        let body = match text {
+            text if text.contains(HALF) => "ha",
+            text if text.contains(SURPLUS) => BODY_AND_SURPLUS,
+            _ => "half",
+        };
         if stream.write_all(head.as_bytes()).await.is_err()
             || stream.write_all(body.as_bytes()).await.is_err()
         {
@@ -173,3 +186,73 @@
     assert!(request(&pool, &server, COMPLETE).await);
     assert_eq!(server.accepted(), IDLE_CONNECTIONS);
 }
+
+/// Returns how the pool takes the body of this response to be delimited.
+async fn delimiter_of(response: &str) -> BodyDelimiter {
+    let address = start_raw_server(response.as_bytes().to_vec()).await;
+    let request = Request::builder().uri(COMPLETE).header("host", "example");
+    let request = request.body(Bytes::new()).expect("request");
+    let response = pool().send(&address, request, false).await;
+    response.expect("a response").delimiter
+}
+
+/// Guards against taking the close of a connection for a last chunk, where chunks are not the last transfer coding.
+#[tokio::test]
+async fn only_chunks_as_the_last_transfer_coding_delimit_a_body() {
+    let cases = [
+        ("Transfer-Encoding: chunked", BodyDelimiter::Chunks),
+        ("Transfer-Encoding: gzip, Chunked", BodyDelimiter::Chunks),
+        ("Transfer-Encoding: chunked, gzip", BodyDelimiter::Close),
+        (
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+            BodyDelimiter::Close,
+        ),
+        (
+            "Transfer-Encoding: gzip\r\nContent-Length: 4",
+            BodyDelimiter::Close,
+        ),
+    ];
+    for (headers, delimiter) in cases {
+        let response = format!("HTTP/1.1 200 OK\r\n{headers}\r\n\r\n4\r\nhalf");
+        assert_eq!(delimiter_of(&response).await, delimiter, "{headers}");
+    }
+}
+
+/// Guards against sending a request on a connection whose close delimited the response before.
+#[tokio::test]
+async fn a_connection_whose_close_delimits_a_body_is_not_reused() {
+    let address = start_raw_server(close_delimited(b"body")).await;
+    let pool = pool();
+    for _ in 0..IDLE_CONNECTIONS {
+        let request = Request::builder().uri(COMPLETE).header("host", "example");
+        let request = request.body(Bytes::new()).expect("request");
+        let mut response = pool
+            .send(&address, request, false)
+            .await
+            .expect("a response");
+        assert!(response.is_first_on_connection);
+        while let Some(part) = response.body.next().await {
+            part.expect("part");
+        }
+        assert!(!pool.has_idle(&address));
+    }
+}
+
+/// Guards against taking surplus bytes after a whole response for the response to the next request.
+#[tokio::test]
+async fn a_connection_with_surplus_bytes_after_a_response_is_not_reused() {
+    let server = Server::start().await;
+    let pool = pool();
+    for _ in 0..IDLE_CONNECTIONS {
+        let request = Request::builder().uri(SURPLUS).header("host", "example");
+        let request = request.body(Bytes::new()).expect("request");
+        let response = pool.send(&server.address, request, false).await;
+        let mut response = response.expect("a response");
+        assert!(response.is_first_on_connection);
+        let mut body = Vec::new();
+        while let Some(part) = response.body.next().await {
+            body.extend_from_slice(&part.expect("part"));
+        }
+        assert_eq!(body, b"half");
+    }
+}
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! A discovery source whose rows are plain text.
+//! A discovery source whose rows are plain text, and servers of raw responses.
 
 // Each test binary uses a part of this module.
 #![allow(dead_code)]
@@ -8,6 +8,8 @@
 use harrierward_edge::DiscoverySource;
 use harrierward_external::Row;
 use harrierward_serving::{ReplicaRecord, Service, ServingConfiguration, Warmup};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 /// Warmup parameters of the configured service.
 pub const WARMUP: Warmup = Warmup {
@@ -72,3 +74,43 @@
         })
     }
 }
+
+/// Starts a server that responds to each connection's first request with these bytes and closes the connection.
+/// Returns its address.
+pub async fn start_raw_server(response: Vec<u8>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address").to_string();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let response = response.clone();
+            tokio::spawn(async move {
+                let mut buffer = [0; 4_096];
+                if stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {
+                    // The client may have closed the connection by itself.
+                    let _ = stream.write_all(&response).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Builds a response whose body only the close of the connection delimits.
+pub fn close_delimited(body: &[u8]) -> Vec<u8> {
+    [b"HTTP/1.1 200 OK\r\n\r\n", body].concat()
+}
+
+/// Builds a response that states the length of its body.
+pub fn with_length(body: &[u8]) -> Vec<u8> {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+/// Builds a response whose body is one chunk and the last chunk.
+pub fn chunked(body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body, b"\r\n0\r\n\r\n"].concat()
+}
