--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,6 +2,7 @@
 //! on disk.
 
 mod calls;
+mod collected_body;
 mod daemon;
 mod discovery;
 mod fleet;
@@ -25,6 +26,7 @@
 mod stop;
 mod watches;
 
+pub use collected_body::CollectedBody;
 pub use daemon::{Daemon, DaemonParts, EdgeService};
 pub use discovery::{Discovery, DiscoverySource};
 pub use fleet::SharedFleet;
--- a/crates/edge/src/peer_rows.rs
+++ b/crates/edge/src/peer_rows.rs
@@ -6,7 +6,6 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use futures::StreamExt;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{Backoff, Row};
 use harrierward_relay::{Relay, SpaceUpdate};
@@ -138,12 +137,9 @@
     (response.head.status == StatusCode::OK).then_some(response)
 }
 
-async fn read_rows(mut response: PooledResponse) -> Option<KnownRows> {
-    let mut bytes = Vec::new();
-    while let Some(part) = response.body.next().await {
-        bytes.extend_from_slice(&part.ok()?);
-    }
-    decode(&bytes)
+async fn read_rows(response: PooledResponse) -> Option<KnownRows> {
+    let body = response.collect().await.ok()?;
+    decode(&body.bytes)
 }
 
 /// Fetches the configuration and the evacuated zones from a peer.
--- a/crates/edge/src/relay/client.rs
+++ b/crates/edge/src/relay/client.rs
@@ -4,7 +4,6 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use futures::StreamExt;
 use harrierward_external::{ChangePage, FreshnessProof};
 use harrierward_relay::{PeerCopies, RelayPeer, RelayReply, SourceFailure, SpaceRequest};
 use harrierward_wire::{SpaceQuestion, SpaceReply, decode, encode};
@@ -62,7 +61,7 @@
             Err(error) => return unresponsive(error.to_string()),
         };
         let exchange = self.pool.send(&peer.address, http_request, false);
-        let mut response = match timeout(request.hold + HOLD_MARGIN, exchange).await {
+        let response = match timeout(request.hold + HOLD_MARGIN, exchange).await {
             Err(_) => return unresponsive("no answer in time"),
             Ok(Err(error)) => return unresponsive(error.to_string()),
             Ok(Ok(response)) => response,
@@ -72,17 +71,12 @@
             StatusCode::SERVICE_UNAVAILABLE => return RelayReply::NotReady,
             status => return unresponsive(format!("status {status}")),
         }
-        let read_body = async {
-            let mut bytes = Vec::new();
-            while let Some(part) = response.body.next().await {
-                bytes.extend_from_slice(&part.ok()?);
-            }
-            Some(bytes)
-        };
-        let Ok(Some(bytes)) = timeout(CONTENT_TIMEOUT, read_body).await else {
-            return unresponsive("the answer broke off");
+        let body = match timeout(CONTENT_TIMEOUT, response.collect()).await {
+            Err(_) => return unresponsive("the answer's body did not arrive in time"),
+            Ok(Err(error)) => return unresponsive(error.to_string()),
+            Ok(Ok(body)) => body,
         };
-        parse_reply(&bytes, sent_at)
+        parse_reply(&body.bytes, sent_at)
     }
 }
 
