Rows of a peer that only the close of its connection delimits are not adopted

What callers saw: a daemon that starts without the store and whose peer broke its response off at the border of a field became ready without the replicas that were cut (with none at all in the test) and refused what others could serve, until the store answered.

Cause: the end of the connection was taken for the end of the rows. A protobuf message has no end mark: its first fields alone decode too. Evidence: the test; the same bytes with a stated length are the peer's statement that there are no replicas, and are adopted.

Change: `CollectedBody::into_framed` returns the bytes of a body only if a length or chunks delimit it; `read_rows` uses it, for the bootstrap and for configurations that peers announce.

Why it works: with a length or chunks a cut is an error of the connection. Another service that answers at a peer's address is refused as before where its bytes are no such message.

--- a/crates/edge/src/collected_body.rs
+++ b/crates/edge/src/collected_body.rs
@@ -6,6 +6,9 @@
 
 use crate::pool::{PoolError, PooledResponse};
 
+/// Cause of refusing a body that may have been cut.
+const CLOSE_DELIMITED: &str = "only the close of the connection delimits the body";
+
 /// Body of a response, received up to its delimiter.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CollectedBody {
@@ -15,6 +18,20 @@
     pub delimiter: BodyDelimiter,
 }
 
+impl CollectedBody {
+    /// Returns the bytes of a body whose format has no end mark, such as a protobuf message: cut, it would pass for a
+    /// smaller one.
+    ///
+    /// # Errors
+    /// Only the close of the connection delimits the body, so that nothing proves it whole.
+    pub fn into_framed(self) -> Result<Bytes, PoolError> {
+        match self.delimiter {
+            BodyDelimiter::Length | BodyDelimiter::Chunks => Ok(self.bytes),
+            BodyDelimiter::Close => Err(PoolError::Lost(CLOSE_DELIMITED.to_owned())),
+        }
+    }
+}
+
 impl PooledResponse {
     /// Reads the body to its delimiter.
     ///
--- a/crates/edge/src/peer_rows.rs
+++ b/crates/edge/src/peer_rows.rs
@@ -139,7 +139,7 @@
 
 async fn read_rows(response: PooledResponse) -> Option<KnownRows> {
     let body = response.collect().await.ok()?;
-    decode(&body.bytes)
+    decode(&body.into_framed().ok()?)
 }
 
 /// Fetches the configuration and the evacuated zones from a peer.
