A relayed copy that only the close of its connection delimits is not adopted

What callers saw: a daemon that reads a space from a peer, and whose peer broke its reply off before the field of the rows, got a page without rows and with a valid proof, which replaces its copy: all replicas, jobs or routes of that space would be removed.

Cause: the end of the connection was taken for the end of the reply. All fields that are checked precede the rows. Evidence: the test for the reply, the code for what a copy makes of it (not run with a copy).

Change: `HttpPeers` reads framed bodies only; the peer counts as unresponsive and the next source is tried. Daemons send their replies with a length (a `Full` body).

Why it works: with a length or chunks a cut is an error of the connection.

--- a/crates/edge/src/relay/client.rs
+++ b/crates/edge/src/relay/client.rs
@@ -76,7 +76,10 @@
             Ok(Err(error)) => return unresponsive(error.to_string()),
             Ok(Ok(body)) => body,
         };
-        parse_reply(&body.bytes, sent_at)
+        match body.into_framed() {
+            Ok(bytes) => parse_reply(&bytes, sent_at),
+            Err(error) => unresponsive(error.to_string()),
+        }
     }
 }
 
