Chunks delimit a body only as its last transfer coding

What callers saw: with `Transfer-Encoding: chunked, gzip` (or the two in lines of their own) the pool reported a body that ends with a last chunk, although hyper reads such a body until the connection closes. Whoever relies on the delimiter took a cut for a whole body: the judge of replicas' streams before their first event, and the readers of peers' messages and of objects.

Cause: the pool looked for the coding anywhere in the header, hyper at its end (RFC 9112, section 6.3).

Change: `ends_in_chunks` looks at the last coding of the last line, as hyper does.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use futures::Stream;
 use harrierward_decisions::{DecisionLog, Record};
+use harrierward_external::http::ends_in_chunks;
 use harrierward_serving::BodyDelimiter;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Request, StatusCode, response};
@@ -423,12 +424,14 @@
     if has_no_body {
         return BodyDelimiter::Length;
     }
-    if has_token(&head.headers, TRANSFER_ENCODING.as_str(), "chunked") {
-        return BodyDelimiter::Chunks;
+    if head.headers.contains_key(TRANSFER_ENCODING) {
+        return if ends_in_chunks(&head.headers) {
+            BodyDelimiter::Chunks
+        } else {
+            BodyDelimiter::Close
+        };
     }
-    let states_length =
-        head.headers.contains_key(CONTENT_LENGTH) && !head.headers.contains_key(TRANSFER_ENCODING);
-    if states_length {
+    if head.headers.contains_key(CONTENT_LENGTH) {
         BodyDelimiter::Length
     } else {
         BodyDelimiter::Close
--- a/crates/edge/tests/pool.rs
+++ b/crates/edge/tests/pool.rs
@@ -207,6 +207,10 @@
             "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
             BodyDelimiter::Close,
         ),
+        (
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: \u{e9}",
+            BodyDelimiter::Close,
+        ),
         (
             "Transfer-Encoding: gzip\r\nContent-Length: 4",
             BodyDelimiter::Close,
--- a/crates/external/src/http/mod.rs
+++ b/crates/external/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod engine;
+mod framing;
 mod listen;
 mod machines;
 pub mod messages;
@@ -11,6 +12,7 @@
 
 pub use caller::{CallError, HttpCaller, HttpResponse};
 pub use engine::HttpEngine;
+pub use framing::ends_in_chunks;
 pub use listen::with_nodelay;
 pub use machines::HttpMachineList;
 pub use objects::HttpObjectStore;
