The product's client of objects refuses those that only the close of the connection delimits

Cause: `HttpCaller::call` collects a body up to its end, and didn't tell its callers what marked the end.

Change: `HttpResponse` says whether the body is framed; `call_platform_framed` requires it, and objects are read by it. Tables, machines, weights and engines answer in JSON, which shows its own end.

Why it works: with a length or chunks a cut is an error of the connection.

--- a/crates/external/src/http/caller.rs
+++ b/crates/external/src/http/caller.rs
@@ -9,6 +9,7 @@
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use super::framing::is_framed;
 use crate::{PlatformError, PlatformErrorKind};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -16,6 +17,9 @@
 /// Time after which an idle pooled connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Cause of refusing a body that may have been cut.
+const CLOSE_DELIMITED: &str = "only the close of the connection delimits the body";
+
 /// Failure of an HTTP call without a complete response.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -27,13 +31,15 @@
     Lost(String),
 }
 
-/// HTTP response with its full body.
+/// HTTP response with its body, received up to its delimiter.
 #[derive(Debug)]
 pub struct HttpResponse {
     /// Status code.
     pub status: StatusCode,
-    /// Full body.
+    /// What was received of the body.
     pub body: Bytes,
+    /// True if a length or chunks delimit the body. The close of the connection doesn't prove a body whole.
+    pub is_framed: bool,
     /// Value of the `retry-after` header in seconds; `None` if it is absent or invalid.
     pub retry_after: Option<Duration>,
 }
@@ -108,6 +114,7 @@
     ) -> Result<HttpResponse, CallError> {
         let response = self.open(method, peer, path, headers, body).await?;
         let status = response.status();
+        let is_framed = is_framed(status, response.headers());
         let retry_after = response
             .headers()
             .get("retry-after")
@@ -123,11 +130,13 @@
         Ok(HttpResponse {
             status,
             body,
+            is_framed,
             retry_after,
         })
     }
 
-    /// Calls the platform and maps failures to [`PlatformError`].
+    /// Calls the platform and maps failures to [`PlatformError`]. Returns the body of a successful response, whose
+    /// format must show its own end, as JSON does: nothing else may prove it whole.
     pub async fn call_platform(
         &self,
         step: &'static str,
@@ -136,6 +145,36 @@
         path: &str,
         body: Bytes,
     ) -> Result<Bytes, PlatformError> {
+        let response = self.call_successfully(step, method, peer, path, body);
+        Ok(response.await?.body)
+    }
+
+    /// As [`Self::call_platform`], for a body whose format has no end mark: it must be framed.
+    pub async fn call_platform_framed(
+        &self,
+        step: &'static str,
+        method: Method,
+        peer: &str,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, PlatformError> {
+        let response = self.call_successfully(step, method, peer, path, body);
+        let response = response.await?;
+        if response.is_framed {
+            return Ok(response.body);
+        }
+        let kind = PlatformErrorKind::Unknown;
+        Err(PlatformError::new(step, peer, kind, CLOSE_DELIMITED))
+    }
+
+    async fn call_successfully(
+        &self,
+        step: &'static str,
+        method: Method,
+        peer: &str,
+        path: &str,
+        body: Bytes,
+    ) -> Result<HttpResponse, PlatformError> {
         let response = self
             .call(method, peer, path, &[], body)
             .await
@@ -147,7 +186,7 @@
                 PlatformError::new(step, peer, kind, error.to_string())
             })?;
         let kind = match response.status {
-            status if status.is_success() => return Ok(response.body),
+            status if status.is_success() => return Ok(response),
             StatusCode::TOO_MANY_REQUESTS => PlatformErrorKind::RateLimited {
                 retry_after: response.retry_after.unwrap_or(Duration::from_millis(100)),
             },
--- a/crates/external/src/http/objects.rs
+++ b/crates/external/src/http/objects.rs
@@ -14,6 +14,10 @@
     address: String,
 }
 
+fn object_path(name: &str) -> String {
+    format!("/objects/{name}")
+}
+
 impl HttpObjectStore {
     /// Builds a client of the store at `address` (`ip:port`).
     pub fn new(caller: HttpCaller, address: impl Into<String>) -> Self {
@@ -30,7 +34,7 @@
         name: &str,
         body: Bytes,
     ) -> Result<Bytes, PlatformError> {
-        let path = format!("/objects/{name}");
+        let path = object_path(name);
         self.caller
             .call_platform(step, method, &self.address, &path, body)
             .await
@@ -46,7 +50,15 @@
     }
 
     async fn get(&self, _: RequestClass, name: &str) -> Result<Bytes, PlatformError> {
-        self.send_request("objects.get", Method::GET, name, Bytes::new())
+        let path = object_path(name);
+        self.caller
+            .call_platform_framed(
+                "objects.get",
+                Method::GET,
+                &self.address,
+                &path,
+                Bytes::new(),
+            )
             .await
     }
 
