A length that doesn't delimit the replica's body doesn't delimit the caller's response

What callers would see: a replica that sends chunks and, beside them, a shorter `Content-Length` (route that may not resume): the response ended at that length, framed as complete, with 2 of 4 events; with a longer one a whole response was cut.

Cause: the field was passed on unless the response might be resumed; the daemon itself read the chunks, which override it (RFC 9112, 6.3).

Change: the length is passed on only where it is what delimits the replica's body.

Test: a_length_beside_chunks_does_not_end_the_response failed before (1 of the 2 wrong lengths complete, the other cut).

--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -13,7 +13,7 @@
 
 use crate::admission::{ConfigurationProof, KeyTrust, RateLimits, RateStatus, caller_of};
 use crate::attempt::{Attempt, AttemptFailure, AttemptOptions};
-use crate::exchange::{ReplicaClient, ServingRequest};
+use crate::exchange::{BodyDelimiter, ReplicaClient, ServingRequest};
 use crate::leases::SlotLeases;
 use crate::policy::{Mechanism, Policy};
 use crate::profile::PromptProfiles;
@@ -387,9 +387,10 @@
         return Err(Refusal::new(RefusalCause::Broken, state.execution, None));
     }
     let mut headers = attempt.response.headers.clone();
+    let delimiter = attempt.response.delimiter;
     let relay = Relay::new(forwarder.clone(), state, attempt);
-    if relay.is_resumable() {
-        // Events of another replica may follow, so that the length of one replica's body isn't that of the response.
+    if relay.is_resumable() || delimiter != BodyDelimiter::Length {
+        // Events of another replica may follow, or the length isn't what delimits the replica's body.
         headers.remove(CONTENT_LENGTH);
     }
     Ok(CallerResponse {
