A stream's format isn't hidden by the coding `identity` or by a second media type

What callers would see: a stream that ended within an event was complete if its replica sent `Content-Encoding: identity`, or another `Content-Type` field before that of the event stream.

Cause: any content coding made a body opaque, and only the first media type was read. Evidence: the review's test, both fields. Change: `identity` changes nothing, and any field that names the event stream counts. Test: an_event_stream_is_recognized_beside_other_fields failed before.

--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use harrierward_decisions::BodySummary;
-use http::HeaderMap;
 use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
+use http::{HeaderMap, HeaderName};
 
 use crate::configuration::{Route, RouteKind};
 use crate::events::{EventSplitter, StreamEvent};
@@ -30,12 +30,13 @@
 impl BodyFormat {
     /// Returns the format of a response on a route. On a stream route a media type may be missing.
     pub fn of(route: &Route, status: u16, headers: &HeaderMap) -> Self {
-        if status >= MIN_NON_SUCCESS_STATUS || headers.contains_key(CONTENT_ENCODING) {
+        if status >= MIN_NON_SUCCESS_STATUS || is_encoded(headers) {
             return Self::Opaque;
         }
-        let is_event_stream = match headers.get(CONTENT_TYPE) {
-            Some(value) => value.to_str().is_ok_and(names_event_stream),
-            None => matches!(route.kind, RouteKind::Stream { .. }),
+        let is_event_stream = if headers.contains_key(CONTENT_TYPE) {
+            header_texts(headers, &CONTENT_TYPE).any(names_event_stream)
+        } else {
+            matches!(route.kind, RouteKind::Stream { .. })
         };
         if is_event_stream {
             Self::Events
@@ -45,6 +46,19 @@
     }
 }
 
+/// Values of a header field that are text.
+fn header_texts<'a>(headers: &'a HeaderMap, name: &HeaderName) -> impl Iterator<Item = &'a str> {
+    let values = headers.get_all(name).into_iter();
+    values.filter_map(|value| value.to_str().ok())
+}
+
+/// True if a content coding other than `identity` hides the structure of the body.
+fn is_encoded(headers: &HeaderMap) -> bool {
+    header_texts(headers, &CONTENT_ENCODING)
+        .flat_map(|codings| codings.split(','))
+        .any(|coding| !coding.trim().eq_ignore_ascii_case("identity"))
+}
+
 /// True if the media type is that of an event stream, whatever its parameters.
 fn names_event_stream(content_type: &str) -> bool {
     let media_type = content_type.split(';').next().unwrap_or_default();
