What continues a stream is a stream, and repeated events aren't those that are left

What callers would see: a stream that was broken off within an event was complete with a JSON text joined to it, if the next replica answered so and the text ended with a blank line; and complete without its last events, if the next replica repeated events that the caller had and closed its connection.

Cause: a resumed response was parsed as the first one, whatever its media type; and each event that arrived counted as one that was left.

Change: a response of another format is a failed attempt, as one of another status. Only events that the recipient did not have count as new. A byte order mark before the first event no longer hides its number, without which an item would miss its first event for ever (by reading; covered by the parser's tests only as a block without output).

--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -144,8 +144,10 @@
 ) -> Result<(), String> {
     parser.push(bytes).map_err(|cause| cause.to_string())?;
     while let Some(part) = parser.next_part() {
-        if let BodyPart::Event(event) = part {
-            append_event(progress, &event)?;
+        if let BodyPart::Event(event) = part
+            && append_event(progress, &event)?
+        {
+            parser.note_new(&event);
         }
     }
     Ok(())
@@ -154,15 +156,15 @@
 /// Maximum number of the first event of an item.
 const MAX_FIRST_EVENT: u64 = 1;
 
-/// Appends an event to the item's output. Ignores an event without a number and one that was received before; fails if
-/// events before this one are missing.
-fn append_event(progress: &SharedProgress, event: &StreamEvent) -> Result<(), &'static str> {
+/// Appends an event to the item's output. Returns false for an event without a number and one that was received
+/// before; fails if events before this one are missing.
+fn append_event(progress: &SharedProgress, event: &StreamEvent) -> Result<bool, &'static str> {
     let Some(id) = event.id else {
-        return Ok(());
+        return Ok(false);
     };
     let mut progress = lock(progress);
     if progress.last_event.is_some_and(|last| id <= last) {
-        return Ok(());
+        return Ok(false);
     }
     let next = progress.last_event.map_or(MAX_FIRST_EVENT, |last| last + 1);
     if id > next {
@@ -172,5 +174,5 @@
     progress.events_left = EventsLeft::after(Some(id), u32::MAX);
     progress.texts.push(event.data());
     progress.last_event_at = Some(Instant::now());
-    Ok(())
+    Ok(true)
 }
--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -155,7 +155,8 @@
     delimiter: BodyDelimiter,
     events_left: EventsLeft,
     received_bytes: u64,
-    received_events: u64,
+    /// Events with data that the recipient did not have before.
+    new_events: u64,
     splitter: EventSplitter,
     /// Bytes of an opaque body that have not been taken.
     opaque: Option<Bytes>,
@@ -169,7 +170,7 @@
             delimiter,
             events_left,
             received_bytes: 0,
-            received_events: 0,
+            new_events: 0,
             splitter: EventSplitter::default(),
             opaque: None,
         }
@@ -196,14 +197,15 @@
     pub fn next_part(&mut self) -> Option<BodyPart> {
         match self.format {
             BodyFormat::Opaque => self.opaque.take().map(BodyPart::Bytes),
-            BodyFormat::Events => {
-                let event = self.splitter.next_event()?;
-                self.received_events += u64::from(event.has_data());
-                Some(BodyPart::Event(event))
-            }
+            BodyFormat::Events => self.splitter.next_event().map(BodyPart::Event),
         }
     }
 
+    /// Notes that the recipient did not have the event. Repeated ones are not those that a resumed stream has left.
+    pub fn note_new(&mut self, event: &StreamEvent) {
+        self.new_events += u64::from(event.has_data());
+    }
+
     /// Judges the body after its delimiter has arrived and all parts were taken.
     pub fn end(&mut self) -> BodyEnd {
         if self.splitter.is_within_event() {
@@ -219,7 +221,7 @@
     /// True if no event arrived although one must follow.
     fn lacks_events(&self) -> bool {
         self.format == BodyFormat::Events
-            && self.received_events == 0
+            && self.new_events == 0
             && self.events_left.contradicts_empty(self.delimiter)
     }
 
@@ -227,7 +229,7 @@
     pub fn events_left(&self) -> EventsLeft {
         if self.splitter.is_within_event() {
             EventsLeft::Begun
-        } else if self.received_events > 0 {
+        } else if self.new_events > 0 {
             EventsLeft::Interrupted {
                 doubted_closes: MAX_DOUBTED_CLOSES,
             }
@@ -247,7 +249,7 @@
         BodySummary {
             delimiter: self.delimiter.name(),
             bytes: self.received_bytes,
-            events: self.received_events,
+            events: self.new_events,
             unfinished_bytes: if self.splitter.is_within_event() {
                 self.splitter.buffered_bytes() as u64
             } else {
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Mark that may precede the first event.
+const BYTE_ORDER_MARK: char = '\u{feff}';
+
 /// Complete event of a stream, or a comment or blank line between two events.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -144,5 +147,6 @@
 
 /// Lines of an event, with any of the line ends.
 fn event_lines(text: &str) -> impl Iterator<Item = &str> {
+    let text = text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(text);
     text.split(['\n', '\r']).filter(|line| !line.is_empty())
 }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -206,6 +206,7 @@
                 BodyPart::Bytes(bytes) => self.ready.push_back(bytes),
                 BodyPart::Event(event) if self.is_duplicate(&event) => {}
                 BodyPart::Event(event) => {
+                    self.parser.note_new(&event);
                     self.delivered = event.id.or(self.delivered);
                     self.ready.push_back(event.raw);
                 }
@@ -280,7 +281,7 @@
             let (replica, result) = self.retry().await;
             self.state.tried.extend(replica);
             match result {
-                Ok(attempt) if attempt.response.status < 300 => {
+                Ok(attempt) if self.continues_stream(&attempt) => {
                     let delimiter = attempt.response.delimiter;
                     let events_left = self.parser.events_left();
                     self.parser = BodyParser::new(self.format, delimiter, events_left);
@@ -290,7 +291,7 @@
                 }
                 Ok(attempt) => {
                     let status = attempt.response.status;
-                    last_cause = Some(format!("resumed with status {status}"));
+                    last_cause = Some(format!("resumed with status {status} and no stream"));
                 }
                 Err(
                     AttemptFailure::NotRun { cause, .. } | AttemptFailure::Unattributed { cause },
@@ -321,6 +322,13 @@
         Err(self.abort(last_cause.unwrap_or_default()))
     }
 
+    /// True if the response is a stream too, so that it can be joined to what was relayed.
+    fn continues_stream(&self, attempt: &Attempt) -> bool {
+        let response = &attempt.response;
+        let format = BodyFormat::of(&self.state.route, response.status, &response.headers);
+        format == BodyFormat::Events
+    }
+
     /// Doesn't count the last allowed attempt if its replica crashed: a stream that shares replicas with the cause of
     /// the crashes would otherwise be lost at the second crash.
     async fn forgive_crash(&mut self, replica: &Arc<Replica>) {
--- a/crates/serving/tests/body.rs
+++ b/crates/serving/tests/body.rs
@@ -28,6 +28,7 @@
                 panic!("an event is expected: {part:?}");
             };
             bytes.extend_from_slice(&event.raw);
+            parser.note_new(&event);
             if event.has_data() {
                 events.push((event.id, event.data()));
             }
@@ -87,7 +88,9 @@
 ) -> (BodyEnd, EventsLeft) {
     let mut parser = BodyParser::new(BodyFormat::Events, delimiter, events_left);
     parser.push(Bytes::from(body)).expect("small events");
-    while parser.next_part().is_some() {}
+    while let Some(BodyPart::Event(event)) = parser.next_part() {
+        parser.note_new(&event);
+    }
     (parser.end(), parser.events_left())
 }
 
