A cut response that only the close of its connection delimits resets the connection

What callers saw: a caller of HTTP/1.0 got the first events of a stream and an orderly close, which for it is the end of a whole response. So it was after an abort, after its own close of the write side (which the HTTP library takes for a caller that left), and when the daemon ended or was killed while it sent.

Cause: such a response has neither chunks nor a length, and each end of the connection looked the same.

Change: while a response without them is sent, the caller's socket lingers for no time, so that whatever closes it resets the connection. Once its body has ended whole and all its bytes are with the kernel, the option is taken back, before the request stops counting as in progress: a stopping daemon may exit right then. `RequestFraming` follows the HTTP library: HEAD, 204 and 304 have no body, a header or an exact size states a length, and chunks need HTTP/1.1. Responses with chunks or a length are closed as before. Where the system refuses the option, `linger_failed` says so, once.

Why it works: the kernel itself resets such a socket, also when it closes it for a process that is gone.

Without taking the option back, the tests of a slow caller and of a server that ends after a whole response fail; without the exclusion of HEAD, 204 and 304 that of responses without a body fails, which now also looks at the socket after the server has dropped its own (the first form passed).

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -56,6 +56,12 @@
         /// Open connections of callers.
         connections: usize,
     },
+    /// Whether the close of a caller's connection resets it can't be changed, so that a response which only the close
+    /// delimits may seem complete when it is cut off; logged once.
+    LingerFailed {
+        /// Error of the operating system.
+        cause: &'a str,
+    },
     /// A step of a planned stop is complete.
     StopStep {
         /// `jobs handed over`, `listener closed` or `requests answered`.
--- a/crates/edge/src/server/connection.rs
+++ b/crates/edge/src/server/connection.rs
@@ -2,11 +2,11 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
-use harrierward_serving::ResponseAborted;
+use harrierward_serving::{BodyDelimiter, ResponseAborted};
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -17,6 +17,8 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::activity::Activity;
+use super::delimiter::RequestFraming;
+use super::reset::ResetGuard;
 use super::stream::{WatchedStream, has_unread};
 use super::{HttpService, ResponseBody, ServerControl, ServerStage};
 use crate::stall::set_probes;
@@ -65,15 +67,17 @@
 ) -> ConnectionEnd {
     let limits = *control.limits.load_full();
     let activity = Arc::new(Activity::begin(control.clone()));
+    let reset = Arc::new(ResetGuard::new(control.clone(), stream.clone()));
     let io = WatchedStream {
         stream: stream.clone(),
         activity: activity.clone(),
+        reset: reset.clone(),
     };
     let handler = {
         let control = control.clone();
         let activity = activity.clone();
         service_fn(move |request| {
-            let guard = RequestGuard::begin(control.clone(), activity.clone());
+            let guard = RequestGuard::begin(control.clone(), activity.clone(), reset.clone());
             let service = service.clone();
             async move { Ok::<_, std::convert::Infallible>(guard.respond(service, request).await) }
         })
@@ -134,12 +138,17 @@
 struct RequestGuard {
     control: Arc<ServerControl>,
     activity: Arc<Activity>,
+    reset: Arc<ResetGuard>,
 }
 
 impl RequestGuard {
-    fn begin(control: Arc<ServerControl>, activity: Arc<Activity>) -> Self {
+    fn begin(control: Arc<ServerControl>, activity: Arc<Activity>, reset: Arc<ResetGuard>) -> Self {
         activity.begin_request();
-        Self { control, activity }
+        Self {
+            control,
+            activity,
+            reset,
+        }
     }
 
     async fn respond<S: HttpService>(
@@ -147,12 +156,19 @@
         service: Arc<S>,
         request: Request<Incoming>,
     ) -> Response<GuardedBody> {
+        let framing = RequestFraming {
+            method: request.method().clone(),
+            version: request.version(),
+        };
         let mut response = service.call(request).await;
         if self.control.stage() != ServerStage::Serving {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
-        response.map(|body| GuardedBody { body, _guard: self })
+        if framing.delimiter_of(&response) == BodyDelimiter::Close {
+            self.reset.arm();
+        }
+        response.map(|body| GuardedBody { body, guard: self })
     }
 }
 
@@ -165,7 +181,7 @@
 /// A response body that keeps its request counted as in progress.
 struct GuardedBody {
     body: ResponseBody,
-    _guard: RequestGuard,
+    guard: RequestGuard,
 }
 
 impl Body for GuardedBody {
@@ -176,7 +192,12 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        let has_failed = matches!(frame, Some(Err(_)));
+        if frame.is_none() || (self.body.is_end_stream() && !has_failed) {
+            self.guard.reset.note_whole();
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/edge/src/server/mod.rs
+++ b/crates/edge/src/server/mod.rs
@@ -2,10 +2,12 @@
 
 mod activity;
 mod connection;
+mod delimiter;
+mod reset;
 mod stream;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -59,6 +61,7 @@
     limits: ArcSwap<CallerLimits>,
     unacknowledged_timeout: Duration,
     log: Option<DecisionLog>,
+    is_linger_failing: AtomicBool,
 }
 
 impl Default for ServerControl {
@@ -70,6 +73,7 @@
             limits: ArcSwap::from_pointee(CallerLimits::default()),
             unacknowledged_timeout: UNACKNOWLEDGED_TIMEOUT,
             log: None,
+            is_linger_failing: AtomicBool::new(false),
         }
     }
 }
@@ -96,6 +100,18 @@
         }
     }
 
+    /// Logs, once, that the close of a connection can't be changed between an orderly one and a reset.
+    fn note_linger_failed(&self, error: &std::io::Error) {
+        if self.is_linger_failing.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        if let Some(log) = &self.log {
+            log.record(&Record::LingerFailed {
+                cause: &error.to_string(),
+            });
+        }
+    }
+
     /// Moves the server to another stage and notifies its connections.
     pub fn set_stage(&self, stage: ServerStage) {
         self.stage.send_replace(stage);
--- a/crates/edge/src/server/stream.rs
+++ b/crates/edge/src/server/stream.rs
@@ -11,11 +11,13 @@
 use tokio::net::TcpStream;
 
 use super::activity::Activity;
+use super::reset::ResetGuard;
 
 /// A stream that records when bytes arrive and when all are sent.
 pub(super) struct WatchedStream {
     pub stream: Arc<TcpStream>,
     pub activity: Arc<Activity>,
+    pub reset: Arc<ResetGuard>,
 }
 
 /// True if bytes wait to be read: closing now would reset the connection and lose responses that the caller has not
@@ -86,8 +88,10 @@
         true
     }
 
-    /// Called when the connection's write buffer is empty; a socket has no buffer in user space.
+    /// Called when the connection's write buffer is empty; a socket has no buffer in user space. The process may exit as
+    /// soon as the request no longer counts as in progress, and must not reset the connection then.
     fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        self.reset.note_all_sent();
         self.activity.note_all_sent();
         Poll::Ready(Ok(()))
     }
