A stated length is reached only by a body that ends there

What callers saw: a body that went on, or failed, after as many bytes as its header section stated arrived as complete. What operators saw: each whole response with a stated length ended as `caller left`, in the log and in harrierward_requests_total, and its attempt was not concluded as served.

Cause: the HTTP library asks a body for nothing more once the stated bytes have arrived, and drops it: neither an error nor the regular end behind them is ever seen. Evidence: the tests; the first two cases were provoked at the server only, no replica was seen to cause them.

Change: the bytes that would reach the stated length are held back until the body has ended. If more follows, an error follows, or the body ends early, the response is cut off below its length.

Why it works: the stated length is the caller's proof that the response is whole, and is now given after the body's own.

What remains: responses without a body (HEAD, 204, 304, a stated length of 0) are still dropped without being read, so that their line says `caller left`: inferred from the library's source, not run.

--- a/crates/edge/src/server/connection.rs
+++ b/crates/edge/src/server/connection.rs
@@ -19,8 +19,9 @@
 use super::activity::Activity;
 use super::delimiter::RequestFraming;
 use super::reset::ResetGuard;
+use super::stated_length::StatedLengthBody;
 use super::stream::{WatchedStream, has_unread};
-use super::{HttpService, ResponseBody, ServerControl, ServerStage};
+use super::{HttpService, ServerControl, ServerStage};
 use crate::stall::set_probes;
 
 const MIN_BUFFER_BYTES: usize = 16 << 10;
@@ -168,7 +169,7 @@
         if framing.delimiter_of(&response) == BodyDelimiter::Close {
             self.reset.arm();
         }
-        response.map(|body| GuardedBody { body, guard: self })
+        StatedLengthBody::wrap(response).map(|body| GuardedBody { body, guard: self })
     }
 }
 
@@ -180,7 +181,7 @@
 
 /// A response body that keeps its request counted as in progress.
 struct GuardedBody {
-    body: ResponseBody,
+    body: StatedLengthBody,
     guard: RequestGuard,
 }
 
--- a/crates/edge/src/server/mod.rs
+++ b/crates/edge/src/server/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod delimiter;
 mod reset;
+mod stated_length;
 mod stream;
 
 use std::sync::Arc;
