Log a response that is cut off with the framing towards its caller

Change: `response_cut_off` (bounded, kept as a failure) has the request's id, the delimiter of the response towards its caller (`length`, `chunks`, `close`) and the cause. The server writes it when it hands the abort to the connection, also for a body that differs from its stated length. The id is an extension of the response, not a field of `ResponseAborted`: the server's own aborts name the request as well, and the error of a body needs no text of its request.

What remains: requests still in progress when a stop's grace is over get no line each; `stopped` counts them (`cut_off`).

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -56,6 +56,16 @@
         /// Open connections of callers.
         connections: usize,
     },
+    /// A response that its caller had begun to receive can't be completed, and its connection is aborted.
+    ResponseCutOff {
+        /// Request id; empty if the service names none.
+        request: &'a str,
+        /// How the end of a whole response would be marked for the caller: `length`, `chunks` or `close` (of the
+        /// connection, which is reset instead).
+        delimiter: &'static str,
+        /// Why it can't be completed.
+        cause: &'a str,
+    },
     /// Whether the close of a caller's connection resets it can't be changed, so that a response which only the close
     /// delimits may seem complete when it is cut off; logged once.
     LingerFailed {
@@ -706,6 +716,7 @@
             Self::ItemRun { outcome, .. } if *outcome == "finished" => Importance::Ordinary,
             Self::JobSubmitted { outcome, .. } if *outcome == "accepted" => Importance::Ordinary,
             Self::AttemptFailed { .. }
+            | Self::ResponseCutOff { .. }
             | Self::Refused { .. }
             | Self::RateRefused { .. }
             | Self::Resent { .. }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -40,6 +40,6 @@
 pub use rates::RateService;
 pub use relay::{HttpPeers, SpaceReplies};
 pub use response_budget::ResponseBudget;
-pub use server::{HttpService, ResponseBody, ServerControl, ServerStage, serve};
+pub use server::{HttpService, RequestId, ResponseBody, ServerControl, ServerStage, serve};
 pub use settings::{AdvertisedAddresses, EdgeSettings};
 pub use slots::{CoordinatorCandidate, Pacing, PreemptItems, SlotService};
--- a/crates/edge/src/server/connection.rs
+++ b/crates/edge/src/server/connection.rs
@@ -21,7 +21,7 @@
 use super::reset::ResetGuard;
 use super::stated_length::StatedLengthBody;
 use super::stream::{WatchedStream, has_unread};
-use super::{HttpService, ServerControl, ServerStage};
+use super::{HttpService, RequestId, ServerControl, ServerStage};
 use crate::stall::set_probes;
 
 const MIN_BUFFER_BYTES: usize = 16 << 10;
@@ -166,10 +166,17 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
-        if framing.delimiter_of(&response) == BodyDelimiter::Close {
+        let delimiter = framing.delimiter_of(&response);
+        if delimiter == BodyDelimiter::Close {
             self.reset.arm();
         }
-        StatedLengthBody::wrap(response).map(|body| GuardedBody { body, guard: self })
+        let request_id = response.extensions_mut().remove::<RequestId>();
+        StatedLengthBody::wrap(response).map(|body| GuardedBody {
+            body,
+            guard: self,
+            request_id,
+            delimiter,
+        })
     }
 }
 
@@ -183,6 +190,17 @@
 struct GuardedBody {
     body: StatedLengthBody,
     guard: RequestGuard,
+    request_id: Option<RequestId>,
+    /// How the end of the response is marked for the caller.
+    delimiter: BodyDelimiter,
+}
+
+impl GuardedBody {
+    fn note_cut_off(&self, aborted: &ResponseAborted) {
+        let request = self.request_id.as_ref().map_or("", |id| &id.0);
+        let control = &self.guard.control;
+        control.note_cut_off(request, self.delimiter, &aborted.cause);
+    }
 }
 
 impl Body for GuardedBody {
@@ -194,9 +212,10 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
-        let has_failed = matches!(frame, Some(Err(_)));
-        if frame.is_none() || (self.body.is_end_stream() && !has_failed) {
-            self.guard.reset.note_whole();
+        match &frame {
+            Some(Err(aborted)) => self.note_cut_off(aborted),
+            Some(Ok(_)) if !self.body.is_end_stream() => {}
+            Some(Ok(_)) | None => self.guard.reset.note_whole(),
         }
         Poll::Ready(frame)
     }
--- a/crates/edge/src/server/mod.rs
+++ b/crates/edge/src/server/mod.rs
@@ -15,7 +15,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, Record};
-use harrierward_serving::{CallerLimits, ResponseAborted};
+use harrierward_serving::{BodyDelimiter, CallerLimits, ResponseAborted};
 use http::{Request, Response};
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
@@ -36,6 +36,10 @@
 /// Body of a response; an error aborts the connection.
 pub type ResponseBody = UnsyncBoxBody<Bytes, ResponseAborted>;
 
+/// Id of the request of a response, for the log; an extension of the response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestId(pub String);
+
 /// Handler of the requests of a server.
 #[async_trait]
 pub trait HttpService: Send + Sync + 'static {
@@ -101,6 +105,17 @@
         }
     }
 
+    /// Logs that a response can't be completed, and how its caller can tell.
+    fn note_cut_off(&self, request: &str, delimiter: BodyDelimiter, cause: &str) {
+        if let Some(log) = &self.log {
+            log.record(&Record::ResponseCutOff {
+                request,
+                delimiter: delimiter.name(),
+                cause,
+            });
+        }
+    }
+
     /// Logs, once, that the close of a connection can't be changed between an orderly one and a reset.
     fn note_linger_failed(&self, error: &std::io::Error) {
         if self.is_linger_failing.swap(true, Ordering::Relaxed) {
