--- a/crates/edge/src/server/connection.rs
+++ b/crates/edge/src/server/connection.rs
@@ -2,11 +2,11 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
-use harrierward_serving::ResponseAborted;
+use harrierward_serving::{BodyDelimiter, ResponseAborted};
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -17,8 +17,11 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::activity::Activity;
+use super::delimiter::RequestFraming;
+use super::reset::ResetGuard;
+use super::stated_length::StatedLengthBody;
 use super::stream::{WatchedStream, has_unread};
-use super::{HttpService, ResponseBody, ServerControl, ServerStage};
+use super::{HttpService, RequestId, ServerControl, ServerStage};
 use crate::stall::set_probes;
 
 const MIN_BUFFER_BYTES: usize = 16 << 10;
@@ -65,15 +68,17 @@
 ) -> ConnectionEnd {
     let limits = *control.limits.load_full();
     let activity = Arc::new(Activity::begin(control.clone()));
+    let reset = Arc::new(ResetGuard::new(control.clone(), stream.clone()));
     let io = WatchedStream {
         stream: stream.clone(),
         activity: activity.clone(),
+        reset: reset.clone(),
     };
     let handler = {
         let control = control.clone();
         let activity = activity.clone();
         service_fn(move |request| {
-            let guard = RequestGuard::begin(control.clone(), activity.clone());
+            let guard = RequestGuard::begin(control.clone(), activity.clone(), reset.clone());
             let service = service.clone();
             async move { Ok::<_, std::convert::Infallible>(guard.respond(service, request).await) }
         })
@@ -134,12 +139,17 @@
 struct RequestGuard {
     control: Arc<ServerControl>,
     activity: Arc<Activity>,
+    reset: Arc<ResetGuard>,
 }
 
 impl RequestGuard {
-    fn begin(control: Arc<ServerControl>, activity: Arc<Activity>) -> Self {
+    fn begin(control: Arc<ServerControl>, activity: Arc<Activity>, reset: Arc<ResetGuard>) -> Self {
         activity.begin_request();
-        Self { control, activity }
+        Self {
+            control,
+            activity,
+            reset,
+        }
     }
 
     async fn respond<S: HttpService>(
@@ -147,12 +157,26 @@
         service: Arc<S>,
         request: Request<Incoming>,
     ) -> Response<GuardedBody> {
+        let framing = RequestFraming {
+            method: request.method().clone(),
+            version: request.version(),
+        };
         let mut response = service.call(request).await;
         if self.control.stage() != ServerStage::Serving {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
-        response.map(|body| GuardedBody { body, _guard: self })
+        let delimiter = framing.delimiter_of(&response);
+        if delimiter == BodyDelimiter::Close {
+            self.reset.arm();
+        }
+        let request_id = response.extensions_mut().remove::<RequestId>();
+        StatedLengthBody::wrap(response).map(|body| GuardedBody {
+            body,
+            guard: self,
+            request_id,
+            delimiter,
+        })
     }
 }
 
@@ -164,8 +188,19 @@
 
 /// A response body that keeps its request counted as in progress.
 struct GuardedBody {
-    body: ResponseBody,
-    _guard: RequestGuard,
+    body: StatedLengthBody,
+    guard: RequestGuard,
+    request_id: Option<RequestId>,
+    /// How the end of the response is marked for the caller.
+    delimiter: BodyDelimiter,
+}
+
+impl GuardedBody {
+    fn note_cut_off(&self, aborted: &ResponseAborted) {
+        let request = self.request_id.as_ref().map_or("", |id| &id.0);
+        let control = &self.guard.control;
+        control.note_cut_off(request, self.delimiter, &aborted.cause);
+    }
 }
 
 impl Body for GuardedBody {
@@ -176,7 +211,13 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        match &frame {
+            Some(Err(aborted)) => self.note_cut_off(aborted),
+            Some(Ok(_)) if !self.body.is_end_stream() => {}
+            Some(Ok(_)) | None => self.guard.reset.note_whole(),
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/edge/src/server/mod.rs
+++ b/crates/edge/src/server/mod.rs
@@ -2,17 +2,20 @@
 
 mod activity;
 mod connection;
+mod delimiter;
+mod reset;
+mod stated_length;
 mod stream;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, Record};
-use harrierward_serving::{CallerLimits, ResponseAborted};
+use harrierward_serving::{BodyDelimiter, CallerLimits, ResponseAborted};
 use http::{Request, Response};
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
@@ -33,6 +36,10 @@
 /// Body of a response; an error aborts the connection.
 pub type ResponseBody = UnsyncBoxBody<Bytes, ResponseAborted>;
 
+/// Id of the request of a response, for the log; an extension of the response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestId(pub String);
+
 /// Handler of the requests of a server.
 #[async_trait]
 pub trait HttpService: Send + Sync + 'static {
@@ -59,6 +66,7 @@
     limits: ArcSwap<CallerLimits>,
     unacknowledged_timeout: Duration,
     log: Option<DecisionLog>,
+    is_linger_failing: AtomicBool,
 }
 
 impl Default for ServerControl {
@@ -70,6 +78,7 @@
             limits: ArcSwap::from_pointee(CallerLimits::default()),
             unacknowledged_timeout: UNACKNOWLEDGED_TIMEOUT,
             log: None,
+            is_linger_failing: AtomicBool::new(false),
         }
     }
 }
@@ -96,6 +105,29 @@
         }
     }
 
+    /// Logs that a response can't be completed, and how its caller can tell.
+    fn note_cut_off(&self, request: &str, delimiter: BodyDelimiter, cause: &str) {
+        if let Some(log) = &self.log {
+            log.record(&Record::ResponseCutOff {
+                request,
+                delimiter: delimiter.name(),
+                cause,
+            });
+        }
+    }
+
+    /// Logs, once, that the close of a connection can't be changed between an orderly one and a reset.
+    fn note_linger_failed(&self, error: &std::io::Error) {
+        if self.is_linger_failing.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        if let Some(log) = &self.log {
+            log.record(&Record::LingerFailed {
+                cause: &error.to_string(),
+            });
+        }
+    }
+
     /// Moves the server to another stage and notifies its connections.
     pub fn set_stage(&self, stage: ServerStage) {
         self.stage.send_replace(stage);
