A whole response on a kept connection doesn't vouch for the next one

What callers would see: a caller of HTTP/1.0 that keeps its connection receives a whole response with a length, then one that is cut off and that only the close delimits: the close was orderly, as after a whole one.

Cause: `ResetGuard` kept the end of the earlier response. Evidence: the test. Change: a response that begins has not ended.

--- a/crates/edge/src/server/reset.rs
+++ b/crates/edge/src/server/reset.rs
@@ -30,6 +30,7 @@
 
     /// Notes that a response begins whose end only the close of the connection marks.
     pub fn arm(&self) {
+        self.is_whole.store(false, Ordering::Relaxed);
         self.is_armed.store(true, Ordering::Relaxed);
         self.set_linger(Some(Duration::ZERO));
     }
--- a/crates/edge/tests/cut_responses.rs
+++ b/crates/edge/tests/cut_responses.rs
@@ -16,7 +16,7 @@
 use harrierward_serving::ResponseAborted;
 use http::header::CONTENT_LENGTH;
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -395,3 +395,25 @@
     assert_eq!(caller.body(), "whole");
     assert!(is_read.load(Ordering::Relaxed), "the end of the body");
 }
+
+/// Guards against a cut that seems orderly because an earlier response on the kept connection was whole.
+#[tokio::test]
+async fn a_cut_after_a_whole_response_on_the_same_connection_resets_it() {
+    let fixture = Fixture::start().await;
+    let whole = Full::new(Bytes::from_static(b"whole"));
+    let whole = whole.map_err(|never| match never {}).boxed_unsync();
+    fixture.service.push(Response::new(whole));
+    let cut = fixture.service.respond(StatusCode::OK, None);
+    let kept = "GET / HTTP/1.0\r\nHost: example\r\nConnection: keep-alive\r\n\r\n";
+    let mut caller = fixture.send(kept).await;
+    caller.receive_until("whole").await;
+    caller
+        .stream
+        .write_all(kept.as_bytes())
+        .await
+        .expect("write");
+    cut.send("part");
+    caller.receive_until("part").await;
+    cut.abort();
+    assert!(!caller.ends_orderly().await);
+}
