An object is whole only with the number of lines that is stored for it

What callers saw: where a part of an object arrived from the store, and no error, a download of input or results ended as complete without the rest. An item whose input line was cut failed for good with `invalid_request`; a job whose input lacked lines never ended, since the missing items were never queued. An at-most-once mark behind the cut was lost with its line.

Cause: the end of the store's response was taken for the end of the object. A response that only the close of the connection delimits ends so without an error.

Change: input parts and result objects are read in one place, which compares their lines with the number in the file, job or chunk row. Other numbers, or an unfinished line, are a failed read, logged as a warning: downloads are cut off, loads of input are tried again.

Why it works: the number is committed apart from the object, so that it proves the content, whatever framing the store's response has.

--- a/crates/batch/src/core/grants.rs
+++ b/crates/batch/src/core/grants.rs
@@ -7,9 +7,9 @@
 };
 
 use super::chunk::{ActiveChunk, ChunkInput, FinishedItem, GrantState, InputItem};
-use super::job::{ActiveJob, ChunkState, chunk_size};
+use super::job::{ActiveJob, ChunkState};
 use super::owner::{ChunkRef, InputLine, OwnerCore, OwnerSettings};
-use crate::keys::CHUNK_ITEMS;
+use crate::keys::{CHUNK_ITEMS, chunk_size};
 
 impl OwnerCore {
     /// Renews the caller's grants and grants up to `slots` items: fair between tenants, then by deadline.
@@ -281,5 +281,6 @@
         job_id: job.row.job_id.clone(),
         chunk,
         object_prefix: job.row.object_prefix.clone(),
+        items: chunk_size(items, chunk),
     }));
 }
--- a/crates/batch/src/core/job.rs
+++ b/crates/batch/src/core/job.rs
@@ -3,7 +3,7 @@
 use harrierward_wire::{ChunkRow, JobRow, JobState};
 
 use super::chunk::ActiveChunk;
-use crate::keys::CHUNK_ITEMS;
+use crate::keys::{CHUNK_ITEMS, chunk_size};
 
 /// A chunk row as read from the table.
 #[derive(Debug, Clone, PartialEq)]
@@ -162,7 +162,3 @@
     pub completed: u32,
     pub failed: u32,
 }
-
-pub(super) fn chunk_size(items: u32, chunk: u32) -> u32 {
-    items.saturating_sub(chunk * CHUNK_ITEMS).min(CHUNK_ITEMS)
-}
--- a/crates/batch/src/core/owner.rs
+++ b/crates/batch/src/core/owner.rs
@@ -49,6 +49,8 @@
     pub chunk: u32,
     /// Name prefix of the input file's part objects.
     pub object_prefix: String,
+    /// Number of items in the chunk, which is that of its input lines.
+    pub items: u32,
 }
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/batch/src/files.rs
+++ b/crates/batch/src/files.rs
@@ -15,7 +15,10 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::errors::{BatchError, LineError};
-use crate::keys::{CHUNK_ITEMS, MAX_ITEMS, client_key, file_key, file_prefix, part_name};
+use crate::keys::{
+    CHUNK_ITEMS, MAX_ITEMS, chunk_size, client_key, file_key, file_prefix, part_name,
+};
+use crate::lines::read_lines;
 use crate::rate_limit::retry_rate_limited;
 
 /// Maximum length of a line, bytes.
@@ -135,7 +138,8 @@
     /// Reads one part of a file; parts are numbered from 0.
     pub async fn part(&self, file: &FileRow, part: u32) -> Result<Bytes, BatchError> {
         let name = part_name(&file.object_prefix, part);
-        let read = retry_rate_limited(|| self.objects.get(RequestClass::Commit, &name));
+        let lines = chunk_size(file.lines, part);
+        let read = retry_rate_limited(|| read_lines(self.objects.as_ref(), &name, lines));
         Ok(read.await?)
     }
 }
--- a/crates/batch/src/keys.rs
+++ b/crates/batch/src/keys.rs
@@ -52,6 +52,13 @@
     format!("{object_prefix}/{part:06}")
 }
 
+/// Returns the number of items in a chunk of a job, or of lines in a part of a file.
+pub(crate) fn chunk_size(items: u32, chunk: u32) -> u32 {
+    items
+        .saturating_sub(chunk.saturating_mul(CHUNK_ITEMS))
+        .min(CHUNK_ITEMS)
+}
+
 /// Returns the key of a shard's ownership row.
 pub fn shard_key(shard: u32) -> String {
     ownership_key("shard", &format!("{shard:05}"))
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -9,6 +9,7 @@
 mod item_set;
 mod jobs;
 mod keys;
+mod lines;
 mod owner;
 mod rate_limit;
 mod results;
--- a/crates/batch/src/owner.rs
+++ b/crates/batch/src/owner.rs
@@ -21,6 +21,7 @@
     StoredChunk, StoredJob,
 };
 use crate::keys::{chunk_prefix, job_key, open_prefix, part_name, shard_key};
+use crate::lines::read_lines;
 
 const PREFIX: &str = "shards:";
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
@@ -298,7 +299,7 @@
 
     async fn load_input(&self, chunk_ref: ChunkRef) {
         let name = part_name(&chunk_ref.object_prefix, chunk_ref.chunk);
-        let body = self.objects.get(RequestClass::Commit, &name).await;
+        let body = read_lines(self.objects.as_ref(), &name, chunk_ref.items).await;
         let text = body.map(|body| String::from_utf8_lossy(&body).into_owned());
         match text {
             Ok(text) => {
--- a/crates/batch/src/results.rs
+++ b/crates/batch/src/results.rs
@@ -5,10 +5,11 @@
 
 use bytes::Bytes;
 use harrierward_external::{ObjectStore, PlatformError, PlatformErrorKind, RequestClass, Table};
-use harrierward_wire::{ChunkRow, decode};
+use harrierward_wire::{ChunkRow, ResultObject, decode};
 
 use crate::errors::BatchError;
 use crate::keys::chunk_prefix;
+use crate::lines::read_lines;
 use crate::rate_limit::retry_rate_limited;
 
 /// Number of chunk rows in one scan.
@@ -31,7 +32,7 @@
     objects: Arc<dyn ObjectStore>,
     prefix: String,
     after: String,
-    names: VecDeque<String>,
+    results: VecDeque<ResultObject>,
     all_listed: bool,
 }
 
@@ -43,20 +44,21 @@
             objects,
             prefix: chunk_prefix(job_id),
             after: String::new(),
-            names: VecDeque::new(),
+            results: VecDeque::new(),
             all_listed: false,
         }
     }
 
     /// Returns the lines of the next result object; `None` after the last one.
     pub async fn next(&mut self) -> Result<Option<Bytes>, BatchError> {
-        while self.names.is_empty() && !self.all_listed {
+        while self.results.is_empty() && !self.all_listed {
             self.read_page().await?;
         }
-        let Some(name) = self.names.pop_front() else {
+        let Some(result) = self.results.pop_front() else {
             return Ok(None);
         };
-        let read = retry_rate_limited(|| self.objects.get(RequestClass::Commit, &name));
+        let objects = self.objects.as_ref();
+        let read = retry_rate_limited(|| read_lines(objects, &result.name, result.lines));
         Ok(Some(read.await?))
     }
 
@@ -70,8 +72,7 @@
         self.all_listed = rows.len() < SCAN_PAGE;
         for row in rows {
             let chunk: ChunkRow = decode(&row.value).ok_or_else(unreadable_chunk)?;
-            let names = chunk.results.into_iter().map(|result| result.name);
-            self.names.extend(names);
+            self.results.extend(chunk.results);
             self.after = row.key;
         }
         Ok(())
