A streamed response that breaks off is cut by its framing too

What callers saw: a streamed completion or chat completion that its engine broke off ended with an error event and then with the last chunk, as a complete body. A caller that doesn't know the event, or doesn't look for `[DONE]`, had a partial text framed as complete.

Cause: the body's stream could not fail (`Infallible`); each end of the response's events was the end of the body. Ruled out: a loss of the error on its way, it is there as an event.

Change: the body ends without an error only after the last event of a complete response. After the error event, and where the events end without one, it fails, which closes the connection. Before that it is pending once, so that the connection writes the error event.

Why it works: what marks the body's end is sent for a complete response alone. A caller of HTTP/1.0 has no chunks; for it the error event and the missing `[DONE]` are what shows the cut, as before. If its socket takes no more bytes, a slow caller may get the cut without the event.

--- a/crates/api/src/generate.rs
+++ b/crates/api/src/generate.rs
@@ -12,11 +12,12 @@
 use harrierward_claims::{ClaimKey, RequestDigest};
 use harrierward_external::FinishReason;
 use harrierward_gateway::{
-    Call, EndpointKind, Execution, GenerationSpec, IdempotentCall, ResponseEvent, ResponseIdentity,
-    ResponseStream, Usage, content_bytes, parse_request,
+    Call, EndpointKind, Execution, GatewayError, GenerationSpec, IdempotentCall, ResponseEvent,
+    ResponseIdentity, ResponseStream, Usage, content_bytes, parse_request,
 };
 use harrierward_node::Node;
 use serde::Serialize;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 use crate::auth::{Caller, check_accepting_work, idempotency_key};
@@ -320,31 +321,74 @@
     }
 }
 
+/// How far a streamed response has come.
+enum Progress {
+    Running,
+    /// The last event was sent.
+    Complete,
+    /// The error event was sent; the body must not end as if it were complete.
+    BrokenOff(GatewayError),
+}
+
+/// Body of a streamed response. It ends without an error only after the last event of a complete response.
+struct StreamedBody {
+    response_stream: ResponseStream,
+    encoder: EventEncoder,
+    progress: Progress,
+}
+
+impl StreamedBody {
+    async fn next(&mut self) -> Option<Result<String, GatewayError>> {
+        match &self.progress {
+            Progress::Running => Some(self.next_frame().await),
+            Progress::Complete => None,
+            Progress::BrokenOff(error) => {
+                let error = error.clone();
+                // The connection writes the error event while the body is pending, and then is closed.
+                yield_now().await;
+                Some(Err(error))
+            }
+        }
+    }
+
+    async fn next_frame(&mut self) -> Result<String, GatewayError> {
+        match self.response_stream.next().await {
+            Some(Ok(ResponseEvent::Text(text))) => Ok(self.encoder.text(&text)),
+            Some(Ok(ResponseEvent::Finished { reason, usage })) => {
+                self.progress = Progress::Complete;
+                Ok(self.encoder.finish(reason, usage))
+            }
+            Some(Err(error)) => {
+                let frame = encode_event(ApiError::from(error.clone()).body());
+                self.progress = Progress::BrokenOff(error);
+                Ok(frame)
+            }
+            None => {
+                let message = "the answer ended without its last part";
+                Err(GatewayError::unknown("answer.stream", 502, "cut", message))
+            }
+        }
+    }
+}
+
 fn streamed_response(
     metadata: ResponseMetadata,
     spec: GenerationSpec,
     response_stream: ResponseStream,
 ) -> Response {
-    let encoder = EventEncoder {
-        metadata,
-        include_usage: spec.include_usage,
-        first: true,
-    };
-    let frames = stream::unfold(
-        (response_stream, encoder),
-        |(mut response_stream, mut encoder)| async move {
-            let frame = match response_stream.next().await? {
-                Ok(ResponseEvent::Text(text)) => encoder.text(&text),
-                Ok(ResponseEvent::Finished { reason, usage }) => encoder.finish(reason, usage),
-                // Without [DONE] the caller detects that the response is incomplete.
-                Err(error) => encode_event(ApiError::from(error).body()),
-            };
-            Some((
-                Ok::<_, std::convert::Infallible>(frame),
-                (response_stream, encoder),
-            ))
+    let body = StreamedBody {
+        response_stream,
+        encoder: EventEncoder {
+            metadata,
+            include_usage: spec.include_usage,
+            first: true,
         },
-    );
+        progress: Progress::Running,
+    };
+    let frames = stream::unfold(body, |mut body| async move {
+        let frame = body.next().await?;
+        Some((frame, body))
+    });
     let mut response = Response::new(Body::from_stream(frames));
     let event_stream = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(CONTENT_TYPE, event_stream);
