`batch results` fails where nothing proves that all results arrived

What callers saw: `batch results` printed the results that it got and exited with 0 where a server or proxy without lengths and chunks closed its connection midway, and where the last line was incomplete.

Cause: the end of the body without an error was taken for the end of the results.

Change: what came is printed, then the command fails unless a length or chunks mark the end of the body and the last line is complete. The output is flushed before success, so that a failure to write its last bytes is an error too. Other commands read one JSON value, which proves itself.

--- a/crates/harrierward/src/client.rs
+++ b/crates/harrierward/src/client.rs
@@ -3,9 +3,10 @@
 use bytes::Bytes;
 use eyre::{Result, WrapErr, bail};
 use harrierward_external::http::HttpCaller;
+use http::header::TRANSFER_ENCODING;
 use http::{Method, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use serde_json::Value;
 
 /// Client of one daemon.
@@ -66,3 +67,19 @@
         bail!("{status}: {message}")
     }
 }
+
+/// True if a length or chunks mark the end of the body. The close of the connection alone does not: a server or proxy
+/// that fails closes it too.
+pub fn is_end_marked(response: &Response<Incoming>) -> bool {
+    let states_length = response.body().size_hint().exact().is_some();
+    states_length || is_chunked(response)
+}
+
+fn is_chunked(response: &Response<Incoming>) -> bool {
+    let encodings = response.headers().get_all(TRANSFER_ENCODING);
+    encodings
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
+}
--- a/crates/harrierward/src/commands.rs
+++ b/crates/harrierward/src/commands.rs
@@ -4,16 +4,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eyre::{Context, Result, eyre};
+use eyre::{Context, Report, Result, bail, eyre};
 use getopts::{Matches, Options};
 use harrierward_capacity::{PolicyNumbers, check_program};
 use harrierward_config::KeyDigest;
-use http::Method;
+use http::{Method, Response};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use crate::client::Client;
+use crate::client::{Client, is_end_marked};
 use crate::command_line::{Failure, Outcome};
 use crate::settings;
 
@@ -22,6 +23,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 const DEFAULT_WINDOW: &str = "24h";
 
+/// Ends each line of results.
+const LINE_FEED: u8 = b'\n';
+
 pub fn no_options(_options: &mut Options) {}
 
 pub fn json_option(options: &mut Options) {
@@ -379,19 +383,43 @@
     let path = format!("/v1/files/file-output-{}/content", matches.free[0]);
     block_on(async {
         let response = client.open(Method::GET, &path, &[], Bytes::new()).await?;
-        let mut body = response.into_body();
         let mut output = std::io::stdout().lock();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.wrap_err("the results broke off")?;
-            if let Ok(data) = frame.into_data() {
-                match output.write_all(&data) {
-                    // The reader has closed the pipe, for example `head`.
-                    Err(error) if error.kind() == std::io::ErrorKind::BrokenPipe => return Ok(()),
-                    written => written?,
-                }
-            }
+        match copy_results(response, &mut output).await {
+            // The reader has closed the pipe, for example `head`.
+            Err(report) if is_closed_pipe(&report) => Ok(()),
+            copied => copied,
         }
-        Ok(())
     })?;
     Ok(())
 }
+
+/// Copies results to `output` as they arrive.
+///
+/// # Errors
+/// The output failed, or nothing proves that all results arrived.
+async fn copy_results(response: Response<Incoming>, output: &mut impl Write) -> Result<()> {
+    let is_end_marked = is_end_marked(&response);
+    let mut body = response.into_body();
+    let mut last_byte = LINE_FEED;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.wrap_err("the results broke off")?;
+        if let Ok(data) = frame.into_data() {
+            output.write_all(&data)?;
+            last_byte = data.last().copied().unwrap_or(last_byte);
+        }
+    }
+    output.flush()?;
+    if last_byte != LINE_FEED {
+        bail!("the results broke off within a line");
+    }
+    if !is_end_marked {
+        bail!("the results may be incomplete: they ended with the connection");
+    }
+    Ok(())
+}
+
+fn is_closed_pipe(report: &Report) -> bool {
+    report
+        .downcast_ref::<std::io::Error>()
+        .is_some_and(|error| error.kind() == std::io::ErrorKind::BrokenPipe)
+}
