A download to a caller of HTTP/1.0 states its length

What callers saw: a download that the store broke off midway ended for a caller of HTTP/1.0 as a whole file: its response has no chunks, so that the close of the connection is both the end of the body and the sign of a failure.

Cause: the length of a download isn't known when it begins.

Change: for such a caller the content is read once for its length, and again to be sent. Results are listed before that, since results committed between the two reads would change the length. A store that fails during the first read is answered with an error status.

Why it works: a body that is cut off is shorter than stated. Cost: two reads of each object for callers of HTTP/1.0, none for others.

--- a/crates/api/src/files.rs
+++ b/crates/api/src/files.rs
@@ -1,13 +1,15 @@
 //! `/v1/files`: streamed uploads of batch input and streamed downloads of input and results.
 
 use axum::Json;
-use axum::body::Body;
+use axum::body::{Body, Bytes};
 use axum::extract::multipart::{Field, MultipartError};
 use axum::extract::{Multipart, Path, Query, State};
-use axum::http::{HeaderMap, HeaderValue, StatusCode, header::CONTENT_TYPE};
+use axum::http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use axum::http::{HeaderMap, HeaderValue, StatusCode, Version};
 use axum::response::Response;
-use futures::stream;
-use harrierward_batch::{FileUpload, ResultReader, UploadRequest};
+use futures::stream::{self, BoxStream};
+use futures::{StreamExt, TryStreamExt};
+use harrierward_batch::{BatchError, FileService, FileUpload, ResultReader, UploadRequest};
 use harrierward_node::{Node, now_ms};
 use harrierward_wire::FileRow;
 use serde::Deserialize;
@@ -184,38 +186,72 @@
     ))
 }
 
-fn jsonl(body: Body) -> Response {
-    let mut response = Response::new(body);
-    let kind = HeaderValue::from_static("application/jsonl");
-    response.headers_mut().insert(CONTENT_TYPE, kind);
-    response
+/// Content of a file in parts.
+type Parts = BoxStream<'static, Result<Bytes, BatchError>>;
+
+fn result_parts(reader: ResultReader) -> Parts {
+    stream::try_unfold(reader, |mut reader| async move {
+        let next = reader.next().await?;
+        Ok(next.map(|part| (part, reader)))
+    })
+    .boxed()
+}
+
+fn input_parts(files: FileService, file: FileRow) -> Parts {
+    stream::try_unfold((files, file, 0), |(files, file, part)| async move {
+        if part == file.parts {
+            return Ok(None);
+        }
+        let content = files.part(&file, part).await?;
+        Ok(Some((content, (files, file, part + 1))))
+    })
+    .boxed()
+}
+
+/// True if the end of a body of unknown length is marked only by the close of the connection, as a failure is.
+fn needs_length(version: Version) -> bool {
+    version < Version::HTTP_11
+}
+
+/// Reads the content once and returns its length in bytes.
+async fn length_of(parts: Parts) -> Result<u64, BatchError> {
+    let add = |length, part: Bytes| async move { Ok(length + part.len() as u64) };
+    parts.try_fold(0, add).await
+}
+
+/// Streams content; `read` returns the same content each time.
+async fn jsonl(version: Version, read: impl Fn() -> Parts) -> Result<Response, ApiError> {
+    let length = if needs_length(version) {
+        Some(length_of(read()).await?)
+    } else {
+        None
+    };
+    let mut response = Response::new(Body::from_stream(read()));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/jsonl"));
+    if let Some(length) = length {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+    }
+    Ok(response)
 }
 
 /// Streams a file's content. A store failure midway aborts the connection, so that the caller detects the
-/// truncated response.
+/// truncated response: by its chunks, or by its length where it knows no chunks.
 pub(crate) async fn content(
     State(node): State<Node>,
     caller: Caller,
+    version: Version,
     Path(file_id): Path<String>,
 ) -> Result<Response, ApiError> {
     if let Some(job_id) = output_job_id(&file_id) {
         node.jobs().get(&caller.tenant, job_id).await?;
-        let reader = ResultReader::new(node.table(), node.objects(), job_id);
-        let parts = stream::try_unfold(reader, |mut reader| async move {
-            let next = reader.next().await.map_err(std::io::Error::other)?;
-            Ok::<_, std::io::Error>(next.map(|part| (part, reader)))
-        });
-        return Ok(jsonl(Body::from_stream(parts)));
+        let mut reader = ResultReader::new(node.table(), node.objects(), job_id);
+        if needs_length(version) {
+            // Results that are committed later would change the length.
+            reader.list_all().await?;
+        }
+        return jsonl(version, || result_parts(reader.clone())).await;
     }
     let file = node.files().get(&caller.tenant, &file_id).await?;
-    let files = node.files().clone();
-    let parts = stream::try_unfold((files, file, 0), |(files, file, part)| async move {
-        if part == file.parts {
-            return Ok::<_, std::io::Error>(None);
-        }
-        let body = files.part(&file, part).await;
-        let body = body.map_err(std::io::Error::other)?;
-        Ok(Some((body, (files, file, part + 1))))
-    });
-    Ok(jsonl(Body::from_stream(parts)))
+    jsonl(version, || input_parts(node.files().clone(), file.clone())).await
 }
--- a/crates/batch/src/results.rs
+++ b/crates/batch/src/results.rs
@@ -27,6 +27,7 @@
 }
 
 /// Reader of the results of a job; keeps one object in memory at a time.
+#[derive(Clone)]
 pub struct ResultReader {
     table: Arc<dyn Table>,
     objects: Arc<dyn ObjectStore>,
@@ -49,6 +50,14 @@
         }
     }
 
+    /// Lists all results, so that those committed later are not read.
+    pub async fn list_all(&mut self) -> Result<(), BatchError> {
+        while !self.all_listed {
+            self.read_page().await?;
+        }
+        Ok(())
+    }
+
     /// Returns the lines of the next result object; `None` after the last one.
     pub async fn next(&mut self) -> Result<Option<Bytes>, BatchError> {
         while self.results.is_empty() && !self.all_listed {
--- a/crates/bench/tests/broken_off.rs
+++ b/crates/bench/tests/broken_off.rs
@@ -542,3 +542,17 @@
         );
     }
 }
+
+/// Guards against results that lack objects, or are cut off, for a caller of HTTP/1.0.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_caller_without_chunks_receives_whole_results() {
+    const ITEMS: usize = 205;
+    let site = Site::start().await;
+    let (_, job) = site.submit(&input(ITEMS)).await;
+    site.follow(&job).await;
+    let file = format!("file-output-{job}");
+    let received = site.download_without_chunks(&file).await;
+    assert!(received.is_complete);
+    assert_eq!(received.text, site.download(&file).await.text);
+    assert_eq!(received.text.lines().count(), ITEMS);
+}
