A load measurement counts a response only if it is whole

What was seen: a figure of a response that broke off after its first event entered the measurement; errors of later frames and events were dropped, and an end before the last event was taken for the end.

Change: a generation must end with its final event, a streamed response with `[DONE]`; an error at any frame fails the measurement, as an error at the first one did.

The measurement itself was not run.

--- a/crates/bench/src/speed/mod.rs
+++ b/crates/bench/src/speed/mod.rs
@@ -9,17 +9,22 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use eyre::{Result, ensure};
+use eyre::{Result, WrapErr, ensure, eyre};
+use futures::StreamExt;
 use harrierward_emulator::server::engine_router;
 use harrierward_emulator::{EngineHandle, EngineParameters};
 use harrierward_external::http::{HttpCaller, HttpEngine, with_nodelay};
-use harrierward_external::{Engine, GenerateRequest, Priority};
+use harrierward_external::{Engine, EngineEvent, EventStream, GenerateRequest, Priority};
 use hdrhistogram::Histogram;
 use http::Method;
 use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
 use serde::Serialize;
 use tokio::net::TcpListener;
 
+/// Last event of a whole streamed response.
+const DONE: &[u8] = b"data: [DONE]\n\n";
+
 /// Latency and throughput of a load run.
 #[derive(Debug, Clone, Serialize)]
 pub struct SpeedReport {
@@ -85,7 +90,6 @@
 impl Target {
     /// Runs one request; returns the time to its first event, or to the first bytes of the response.
     async fn run(&self, model: &str, number: u64, tokens: u32, stream: bool) -> Result<Duration> {
-        use futures::StreamExt;
         let prompt = format!("speed {number}");
         let started = Instant::now();
         match self {
@@ -102,11 +106,11 @@
                 let mut events = engine.generate(request).await?;
                 let first = events.next().await;
                 let elapsed = started.elapsed();
-                ensure!(
-                    first.is_some_and(|event| event.is_ok()),
-                    "request {number} to the engine: no first event"
-                );
-                while events.next().await.is_some() {}
+                let first =
+                    first.ok_or_else(|| eyre!("request {number} to the engine: no first event"))?;
+                read_generation(first?, events)
+                    .await
+                    .wrap_err_with(|| format!("request {number} to the engine"))?;
                 Ok(elapsed)
             }
             Self::Gateway {
@@ -131,17 +135,54 @@
                 let mut body = response.into_body();
                 let first = body.frame().await;
                 let elapsed = started.elapsed();
+                let first = first
+                    .ok_or_else(|| eyre!("request {number} to the gateway: no first frame"))?;
+                let end = read_response(first?, body)
+                    .await
+                    .wrap_err_with(|| format!("request {number} to the gateway"))?;
                 ensure!(
-                    first.is_some_and(|frame| frame.is_ok()),
-                    "request {number} to the gateway: no first frame"
+                    !stream || end == DONE,
+                    "request {number} to the gateway: the stream ended without its last event"
                 );
-                while body.frame().await.is_some() {}
                 Ok(elapsed)
             }
         }
     }
 }
 
+/// Reads the events of a generation, which must end with its final event.
+async fn read_generation(first: EngineEvent, mut events: EventStream) -> Result<()> {
+    let mut last = first;
+    while let Some(event) = events.next().await {
+        last = event?;
+    }
+    ensure!(
+        last.finish.is_some(),
+        "the generation ended without its final event"
+    );
+    Ok(())
+}
+
+/// Reads a response to its end; returns its last bytes, as many as [`DONE`] has.
+async fn read_response(first: Frame<Bytes>, mut body: Incoming) -> Result<Vec<u8>> {
+    let mut end = Vec::new();
+    keep_end(&mut end, first);
+    while let Some(frame) = body.frame().await {
+        keep_end(&mut end, frame?);
+    }
+    Ok(end)
+}
+
+fn keep_end(end: &mut Vec<u8>, frame: Frame<Bytes>) {
+    let Ok(data) = frame.into_data() else {
+        return;
+    };
+    let from = data.len().saturating_sub(DONE.len());
+    end.extend_from_slice(&data[from..]);
+    let surplus = end.len().saturating_sub(DONE.len());
+    end.drain(..surplus);
+}
+
 /// Runs `total` requests with `clients` in flight; returns requests per second and the times to the first event in
 /// microseconds.
 pub async fn load(
