Log why a generation was interrupted and that a download broke off

An item whose stream ended early, failed, stalled or lacked an event was handed back without a word, and the cause of an interrupted online stream was lost where it could be resumed. A download that broke off was seen by its caller only.

Each interruption is a line now, with the request or item, the replica and the cause; a download that breaks off is a warning with the store's error. No decision changes. The tests of the changed crates pass; none of them reads the lines.

--- a/crates/api/src/files.rs
+++ b/crates/api/src/files.rs
@@ -19,6 +19,8 @@
 use crate::batches::output_job_id;
 use crate::errors::ApiError;
 
+const PREFIX: &str = "files:";
+
 /// The only supported `purpose` of an upload.
 const PURPOSE: &str = "batch";
 
@@ -226,7 +228,8 @@
     } else {
         None
     };
-    let mut response = Response::new(Body::from_stream(read()));
+    let parts = read().inspect_err(|error| log::warn!("{PREFIX} a download broke off: {error}"));
+    let mut response = Response::new(Body::from_stream(parts));
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/jsonl"));
     if let Some(length) = length {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -235,6 +235,11 @@
     async fn resume(&mut self, cause: &str) -> Result<(), GatewayError> {
         const STEP: &str = "answer.resume";
         let peer = self.attempt.replica_name();
+        log::info!(
+            "{STEP} {} was interrupted at {peer} after {} events: {cause}",
+            self.attempt.request_id,
+            self.delivered
+        );
         self.attempt.note_completed();
         let failure = |code: &'static str, message: String| {
             GatewayError::unknown(STEP, 502, code, message).with_peer(peer.clone())
--- a/crates/node/src/batch_item.rs
+++ b/crates/node/src/batch_item.rs
@@ -31,6 +31,8 @@
     Stopped,
 }
 
+const PREFIX: &str = "batch:";
+
 /// Timeout for the next event of an item.
 const STALL_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(20);
 
@@ -103,14 +105,17 @@
             () = task.stop.notified() => return ItemOutcome::Stopped,
             event = timeout(STALL_TIMEOUT, events.next()) => event,
         };
-        let Ok(Some(Ok(event))) = event else {
-            return ItemOutcome::Returned { may_have_run: true };
+        let event = match event {
+            Ok(Some(Ok(event))) => event,
+            Ok(Some(Err(error))) => return interrupted(task, &error.to_string()),
+            Ok(None) => return interrupted(task, "the stream ended early"),
+            Err(_) => return interrupted(task, "no event in time"),
         };
         if event.request_id != task.request_id || event.sequence < next_sequence {
             continue;
         }
         if event.sequence > next_sequence {
-            return ItemOutcome::Returned { may_have_run: true };
+            return interrupted(task, "an event is missing");
         }
         match event.finish {
             None => {
@@ -119,7 +124,7 @@
                 task.progress.add_token();
             }
             Some(FinishReason::Cancelled) => {
-                return ItemOutcome::Returned { may_have_run: true };
+                return interrupted(task, "the engine cancelled the request");
             }
             Some(reason) => {
                 return ItemOutcome::Done {
@@ -131,6 +136,17 @@
     }
 }
 
+/// Logs why a run ended early; the item must run again.
+fn interrupted(task: &ItemTask, cause: &str) -> ItemOutcome {
+    log::info!(
+        "{PREFIX} item {} of job {} was interrupted at {}: {cause}",
+        task.grant.item,
+        task.grant.job_id,
+        task.replica.machine.replica
+    );
+    ItemOutcome::Returned { may_have_run: true }
+}
+
 fn result_line(
     task: &ItemTask,
     item: &ItemRequest,
