--- a/crates/bench/tests/broken_off.rs
+++ b/crates/bench/tests/broken_off.rs
@@ -278,8 +278,16 @@
 
     /// Downloads a file as a caller that supports no chunks.
     async fn download_without_chunks(&self, file: &str) -> Received {
+        let target = format!("/v1/files/{file}/content");
+        self.send_without_chunks(Method::GET, &target, "").await
+    }
+
+    /// Sends a request as a caller that supports no chunks.
+    async fn send_without_chunks(&self, method: Method, target: &str, body: &str) -> Received {
+        let length = body.len();
         let request = format!(
-            "GET /v1/files/{file}/content HTTP/1.0\r\nauthorization: Bearer {CALLER_KEY}\r\n\r\n"
+            "{method} {target} HTTP/1.0\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+             content-type: application/json\r\ncontent-length: {length}\r\n\r\n{body}"
         );
         let mut connection = TcpStream::connect(&self.address).await.expect("connected");
         let sent = connection.write_all(request.as_bytes()).await;
@@ -556,3 +564,18 @@
     assert_eq!(received.text, site.download(&file).await.text);
     assert_eq!(received.text.lines().count(), ITEMS);
 }
+
+/// Guards against a streamed response that broke off and has no sign of it for a caller of HTTP/1.0.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_caller_without_chunks_has_an_error_event_of_a_stream_that_broke_off() {
+    let site = Site::start().await;
+    for path in [COMPLETIONS, CHAT] {
+        let body = request(path, "describe lot 17", true);
+        let whole = site.send_without_chunks(Method::POST, path, &body).await;
+        assert!(whole.text.ends_with(DONE), "{whole:?}");
+        site.engine.faults().cut_streams.store(1, Ordering::Relaxed);
+        let cut = site.send_without_chunks(Method::POST, path, &body).await;
+        assert!(cut.text.contains("data: {\"error\":"), "{cut:?}");
+        assert!(!cut.text.contains(DONE), "{cut:?}");
+    }
+}
