Denials: a reading of the store is held against a transaction, not believed

What callers saw: 404 for a job whose 202 another daemon had sent, or an empty page at a position that another daemon had shown, from a daemon whose reads of the store are behind and that has received no newer revision: one that has just started, is stopping, or commits nothing. By the same reading a job that another daemon had accepted was refused as beyond its quota (a false "not run"), a cancellation and an item's body answered "no such job".

Cause: `read_header` took a row's reading as proof unless it was older than the newest revision that this daemon had received. That revision comes from the same feeds and reads; where both are behind, nothing contradicts them.

Change: only transactions are decided on the store's current state, and their outcome names its revision. The revision of a daemon's last transaction and the moment before it was sent bound the age of later reads (`recency.rs`): a read at that revision or a later one is as recent. A denial needs a reading no older than 0.8 s (a refusal for the quota one that began with the question). Without such evidence, or with a read that is behind, the header is asked for by a transaction whose condition never holds: it writes nothing and returns the row as it is. Where it fails the answer is 503. What shows that a job exists or a result is listed needs no proof, and is answered from any reading, also while the store refuses transactions.

Why it works: everything acknowledged before the transaction was sent has at most the revision that it named, so a reading at that revision holds it. It asks nothing of peers, feeds or clocks of others, so it also holds for daemons that have just started, are stopping, or are cut off from their peers, and beside daemons of any build.

Weighed: the newest revision by heartbeats (late by a round, and not there in a partition or at a start); asking the owner (a job that is not known has none, and an owner of an older build denies by its feed); the store's clock in the answers (nothing says that a copy's clock is behind); a transaction for each denial (twice the writes, see below).

Lines: `header_read` (source, bound of the age, outcome, results listed), `harrierward_header_reads_total`.

--- a/crates/claims/src/group.rs
+++ b/crates/claims/src/group.rs
@@ -74,7 +74,7 @@
                 .drain(..)
                 .map(|pending| grant(pending, revision))
                 .collect(),
-            TransactionOutcome::Conflict { key, current } => {
+            TransactionOutcome::Conflict { key, current, .. } => {
                 let index = self
                     .pending
                     .iter()
--- a/crates/claims/tests/group.rs
+++ b/crates/claims/tests/group.rs
@@ -25,6 +25,7 @@
                 return TransactionOutcome::Conflict {
                     key: key.clone(),
                     current: Some(row.clone()),
+                    table_revision: self.revision,
                 };
             }
         }
--- a/crates/claims/tests/watch.rs
+++ b/crates/claims/tests/watch.rs
@@ -48,6 +48,7 @@
                 return Ok(TransactionOutcome::Conflict {
                     key: condition.key().to_owned(),
                     current: current.cloned(),
+                    table_revision: self.revision.load(Ordering::Relaxed) as u64,
                 });
             }
         }
--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -29,6 +29,7 @@
     jobs_submitted: IntCounterVec,
     results_listed: IntCounterVec,
     listing_reads: IntCounterVec,
+    header_reads: IntCounterVec,
     peer_row_requests: IntCounterVec,
     item_runs: IntCounterVec,
     job_ownership_changes: IntCounterVec,
@@ -132,6 +133,7 @@
                 "Reads of results that the copy of the job's head could not answer alone, by what the store said",
                 "outcome",
             )?,
+            header_reads: header_reads(&registry)?,
             peer_row_requests: counter(
                 "harrierward_peers_asked_total",
                 "Rounds in which a daemon that could not serve yet asked peers for their rows, by outcome",
@@ -322,6 +324,13 @@
             Record::ListingAsked { outcome, .. } => {
                 self.listing_reads.with_label_values(&[*outcome]).inc();
             }
+            Record::HeaderRead {
+                source, outcome, ..
+            } => {
+                self.header_reads
+                    .with_label_values(&[*source, *outcome])
+                    .inc();
+            }
             Record::PeersAsked { outcome, .. } => {
                 self.peer_row_requests.with_label_values(&[*outcome]).inc();
             }
@@ -450,6 +459,16 @@
     Ok(counter)
 }
 
+fn header_reads(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
+    let options = Opts::new(
+        "harrierward_header_reads_total",
+        "Reads of a job's header on which a denial may rest, by kind of call to the store and outcome",
+    );
+    let vector = IntCounterVec::new(options, &["source", "outcome"])?;
+    registry.register(Box::new(vector.clone()))?;
+    Ok(vector)
+}
+
 fn unfinished_streams(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
     let options = Opts::new(
         "harrierward_unfinished_streams_total",
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -669,6 +669,20 @@
         /// Newest store revision known before.
         newest_revision: u64,
     },
+    /// A job's header was read from the store, since only a recent reading proves that a job is missing or a result
+    /// unlisted.
+    HeaderRead {
+        /// Stored id of the job.
+        job: &'a str,
+        /// `read`, whose age an earlier transaction bounds, or `transaction`, which shows the store's current state.
+        source: &'a str,
+        /// Bound of the reading's age when it was requested; `None` if nothing bounds it.
+        max_age_ms: Option<u64>,
+        /// `found`, `missing`, `unproven` (older than the bound, or without one), or `unavailable` (no usable response).
+        outcome: &'a str,
+        /// Results that the header lists; 0 without one.
+        listed: usize,
+    },
     /// This daemon's copy of a job's header lists nothing at a position, and the store was read: the copy's freshness
     /// proof was missing or too old, or an empty response was due, which needs a read however recent the proof.
     ListingAsked {
@@ -708,6 +722,7 @@
             Self::Sent { .. }
             | Self::Ended { .. }
             | Self::ListingAsked { .. }
+            | Self::HeaderRead { .. }
             | Self::ColdCounted { .. }
             | Self::ColdPassedOver { .. }
             | Self::ItemEndOrdered { .. } => Importance::Ordinary,
--- a/crates/emulator/src/memory_platform.rs
+++ b/crates/emulator/src/memory_platform.rs
@@ -224,6 +224,7 @@
             return TransactionOutcome::Conflict {
                 key: condition.key().to_owned(),
                 current: self.rows.get(condition.key()).cloned(),
+                table_revision: self.revision,
             };
         }
         self.revision += 1;
--- a/crates/external/src/http/messages.rs
+++ b/crates/external/src/http/messages.rs
@@ -145,6 +145,9 @@
         key: String,
         /// Current row of that key; `None` if it is absent.
         current: Option<RowMessage>,
+        /// Newest revision of the table at the check; 0 if the service does not name it.
+        #[serde(default)]
+        table_revision: u64,
     },
 }
 
@@ -154,9 +157,14 @@
             TransactionOutcome::Committed { revision } => Self::Committed {
                 revision: *revision,
             },
-            TransactionOutcome::Conflict { key, current } => Self::Conflict {
+            TransactionOutcome::Conflict {
+                key,
+                current,
+                table_revision,
+            } => Self::Conflict {
                 key: key.clone(),
                 current: current.as_ref().map(RowMessage::from),
+                table_revision: *table_revision,
             },
         }
     }
@@ -167,8 +175,13 @@
     pub fn into_outcome(self) -> Option<TransactionOutcome> {
         Some(match self {
             Self::Committed { revision } => TransactionOutcome::Committed { revision },
-            Self::Conflict { key, current } => TransactionOutcome::Conflict {
+            Self::Conflict {
+                key,
+                current,
+                table_revision,
+            } => TransactionOutcome::Conflict {
                 key,
+                table_revision,
                 current: match current {
                     None => None,
                     Some(row) => Some(row.into_row()?),
--- a/crates/external/src/table.rs
+++ b/crates/external/src/table.rs
@@ -118,9 +118,21 @@
         key: String,
         /// Current row of that key; `None` if it is absent.
         current: Option<Row>,
+        /// Newest revision of the table at the check; 0 if the service does not name it.
+        table_revision: u64,
     },
 }
 
+impl TransactionOutcome {
+    /// Returns the newest revision of the table when it decided the transaction; 0 if the service does not name it.
+    pub fn table_revision(&self) -> u64 {
+        match self {
+            Self::Committed { revision } => *revision,
+            Self::Conflict { table_revision, .. } => *table_revision,
+        }
+    }
+}
+
 /// Client of the table service; every call names its class for the rate budget.
 #[async_trait]
 pub trait Table: Send + Sync {
--- a/crates/inline-jobs/src/lookup.rs
+++ b/crates/inline-jobs/src/lookup.rs
@@ -8,6 +8,7 @@
 use harrierward_tenants::ApiKey;
 use tokio::time::{Instant, timeout};
 
+use crate::header_lookup::{Need, milliseconds};
 use crate::model::{CancelOutcome, JobCaller, JobResult, Lookup, ResultPage, scoped_id};
 use crate::service::InlineJobs;
 use crate::store::WriteOutcome;
@@ -21,6 +22,10 @@
 /// itself proves that nothing is listed.
 const READ_STORE: Duration = Duration::ZERO;
 
+/// Age up to which a reading of the store proves that a job is missing or a result unlisted. What one daemon has
+/// returned is visible at all within a second; the rest is for the responses' way.
+const MAX_READING_AGE: Duration = Duration::from_millis(800);
+
 /// Age of the last freshness proof up to which a long poll waits for the watch. Above it, the store is read at once.
 const MAX_PROOF_AGE: Duration = MAX_COPY_AGE;
 
@@ -46,33 +51,15 @@
     /// store.
     async fn find(&self, job_id: &str, max_age: Duration) -> Lookup<KnownHeader> {
         let is_fresh = self.is_proven_within(max_age);
-        match self.inner.view.get(job_id).filter(|_| is_fresh) {
-            Some(known) => Lookup::Found(known),
-            None => self.read_header(job_id).await,
+        if let Some(known) = self.inner.view.get(job_id).filter(|_| is_fresh) {
+            return Lookup::Found(known);
         }
-    }
-
-    /// Reads the header from the store. A reading older than the newest known revision proves neither that the job is
-    /// missing nor that a result is unlisted.
-    pub(crate) async fn read_header(&self, job_id: &str) -> Lookup<KnownHeader> {
-        let view = &self.inner.view;
-        let newest = view.newest_revision();
-        let Ok(reading) = self.inner.store.read_header(job_id).await else {
-            return Lookup::Unavailable;
+        let need = if max_age == READ_STORE {
+            Need::Listing
+        } else {
+            Need::Existence
         };
-        if let Some(known) = reading.header {
-            self.note_header(known);
-        }
-        if reading.revision < newest {
-            self.inner.log.record(&Record::ReadOutdated {
-                job: job_id,
-                revision: reading.revision,
-                newest_revision: newest,
-            });
-            return Lookup::Unavailable;
-        }
-        view.note_revision(reading.revision);
-        view.get(job_id).map_or(Lookup::Missing, Lookup::Found)
+        self.read_header(job_id, need, MAX_READING_AGE).await
     }
 
     /// Returns the caller that a key identifies.
@@ -169,7 +156,6 @@
             Lookup::Missing => "missing",
             Lookup::Unavailable => "unsure",
         };
-        let milliseconds = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         self.inner.log.record(&Record::ListingAsked {
             job,
             position,
--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -8,7 +8,8 @@
 
 use bytes::Bytes;
 use harrierward_external::{
-    Condition, ObjectStore, PlatformError, RequestClass, Row, Table, Transaction, WatchedTable,
+    Condition, ObjectStore, PlatformError, RequestClass, Row, Table, Transaction,
+    TransactionOutcome, WatchedTable,
 };
 use harrierward_wire::{
     ItemProgressRow, JobHeadRow, JobItemsRow, QuotaFenceRow, decode, decode_job_header, encode,
@@ -17,6 +18,7 @@
 use tokio::time::Instant;
 
 use crate::keys;
+use crate::recency::{RecencyEvidence, RevisionPoint};
 use crate::view::KnownHeader;
 
 use transactions::{MAX_ROW_BYTES, MAX_TRANSACTION_BYTES, add_progress, header_change, listing};
@@ -74,6 +76,7 @@
     table: Arc<dyn Table>,
     objects: Arc<dyn ObjectStore>,
     watched: Arc<dyn WatchedTable>,
+    recency: Arc<RecencyEvidence>,
 }
 
 /// A result to be listed.
@@ -105,6 +108,15 @@
     pub revision: u64,
 }
 
+impl HeaderReading {
+    fn of(row: Option<&Row>, revision: u64) -> Self {
+        Self {
+            header: row.and_then(known),
+            revision,
+        }
+    }
+}
+
 fn known(row: &Row) -> Option<KnownHeader> {
     Some(KnownHeader {
         header: decode_job_header(&row.value)?,
@@ -131,9 +143,30 @@
             table,
             objects,
             watched,
+            recency: Arc::default(),
         }
     }
 
+    /// Returns the evidence of how recent readings are.
+    pub(crate) fn recency(&self) -> &RecencyEvidence {
+        &self.recency
+    }
+
+    /// Sends a transaction once. Each outcome is evidence for later readings.
+    async fn transact(
+        &self,
+        class: RequestClass,
+        transaction: Transaction,
+    ) -> Result<TransactionOutcome, PlatformError> {
+        let sent_at = harrierward_clock::now();
+        let outcome = self.table.transact(class, transaction).await?;
+        self.recency.note(RevisionPoint {
+            revision: outcome.table_revision(),
+            sent_at,
+        });
+        Ok(outcome)
+    }
+
     /// Creates a job: its header and all items in one transaction. Requires that the id is unused and, if the route
     /// has a fence, that `fence` is its present revision.
     pub async fn create(
@@ -255,9 +288,7 @@
         progress: &[(u32, ItemProgressRow)],
     ) -> Result<(), PlatformError> {
         let transaction = add_progress(Transaction::default(), job_id, progress);
-        self.table
-            .transact(RequestClass::Listing, transaction)
-            .await?;
+        self.transact(RequestClass::Listing, transaction).await?;
         Ok(())
     }
 }
--- a/crates/inline-jobs/src/store/reads.rs
+++ b/crates/inline-jobs/src/store/reads.rs
@@ -1,7 +1,7 @@
 //! Reads of jobs' rows, and their removal.
 
 use harrierward_external::{
-    Condition, PlatformError, PlatformErrorKind, RequestClass, Row, Transaction,
+    Condition, PlatformError, PlatformErrorKind, RequestClass, Row, Transaction, TransactionOutcome,
 };
 use harrierward_wire::{ItemProgressRow, JobHeadRow, JobItemsRow, ResultPieceRow, decode};
 use tokio::time::{Instant, sleep};
@@ -11,6 +11,9 @@
 use crate::keys::{self, RowKind};
 use crate::view::KnownHeader;
 
+/// A revision that no row ever has; exact in a JSON number.
+const UNREACHABLE_REVISION: u64 = 1 << 52;
+
 /// Rows per page of a scan.
 const MAX_READ_ROWS: usize = 500;
 
@@ -42,13 +45,28 @@
         None
     }
 
-    /// Reads a job's header from the store.
+    /// Reads a job's header from the store, which may respond with an earlier state.
     pub async fn read_header(&self, job_id: &str) -> Result<HeaderReading, PlatformError> {
         let reading = self.watched.read_row(&keys::header(job_id)).await?;
-        Ok(HeaderReading {
-            header: reading.row.as_ref().and_then(known),
-            revision: reading.revision,
-        })
+        Ok(HeaderReading::of(reading.row.as_ref(), reading.revision))
+    }
+
+    /// Reads a job's header as of this call: a transaction whose condition never holds writes nothing and returns the
+    /// current row. The store counts it as a write.
+    pub async fn read_current_header(&self, job_id: &str) -> Result<HeaderReading, PlatformError> {
+        const STEP: &str = "jobs.read_current_header";
+        let condition = Condition::AtRevision {
+            key: keys::header(job_id),
+            revision: UNREACHABLE_REVISION,
+        };
+        let transaction = Transaction::default().require(condition);
+        let outcome = self.transact(RequestClass::Urgent, transaction).await?;
+        let revision = outcome.table_revision();
+        let TransactionOutcome::Conflict { current, .. } = outcome else {
+            let kind = PlatformErrorKind::Malformed;
+            return Err(PlatformError::new(STEP, "store", kind, "no such revision"));
+        };
+        Ok(HeaderReading::of(current.as_ref(), revision))
     }
 
     /// Reads all rows whose keys begin with `prefix`.
@@ -162,9 +180,7 @@
                     .fold(Transaction::default(), |transaction, row| {
                         transaction.delete(row.key.clone())
                     });
-                self.table
-                    .transact(RequestClass::Listing, transaction)
-                    .await?;
+                self.transact(RequestClass::Listing, transaction).await?;
             }
         }
         if !known.header.item_object.is_empty() {
@@ -179,9 +195,7 @@
                 revision: known.revision,
             })
             .delete(key);
-        self.table
-            .transact(RequestClass::Listing, transaction)
-            .await?;
+        self.transact(RequestClass::Listing, transaction).await?;
         Ok(())
     }
 }
--- a/crates/inline-jobs/src/store/settling.rs
+++ b/crates/inline-jobs/src/store/settling.rs
@@ -33,7 +33,7 @@
         let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
         let mut is_indeterminate = false;
         loop {
-            match self.table.transact(class, transaction.clone()).await {
+            match self.transact(class, transaction.clone()).await {
                 Ok(outcome) => return write_outcome(outcome),
                 Err(error) => is_indeterminate |= error.may_have_happened(),
             }
@@ -60,7 +60,7 @@
         loop {
             tokio::select! {
                 () = sleep_until(next), if attempts.len() < MAX_ATTEMPTS => {
-                    attempts.push(self.table.transact(RequestClass::Handover, transaction.clone()));
+                    attempts.push(self.transact(RequestClass::Handover, transaction.clone()));
                     next = Instant::now() + RESEND_DELAY;
                 }
                 Some(result) = attempts.next() => match result {
@@ -80,7 +80,9 @@
 fn write_outcome(outcome: TransactionOutcome) -> WriteOutcome {
     match outcome {
         TransactionOutcome::Committed { revision } => WriteOutcome::Committed { revision },
-        TransactionOutcome::Conflict { key, current } if keys::row_kind(&key) == RowKind::Fence => {
+        TransactionOutcome::Conflict { key, current, .. }
+            if keys::row_kind(&key) == RowKind::Fence =>
+        {
             let current = current.as_ref().and_then(known_fence);
             WriteOutcome::Fenced { current }
         }
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::adoption_order::released;
+use crate::header_lookup::Need;
 use crate::keys;
 use crate::model::{Lookup, SubmitOutcome, SubmittedJob, item_request, item_row, scoped_id};
 use crate::owned_job::OwnedJob;
@@ -36,6 +37,9 @@
 /// Retry delay given to the caller of a job that exceeds the quota.
 const QUOTA_RETRY: Duration = Duration::from_millis(1_000);
 
+/// Maximum age of the reading behind a refusal, which states that the job will not run.
+const CURRENT: Duration = Duration::ZERO;
+
 /// Retry delay given to the caller of a job that could not be stored.
 const STORE_RETRY: Duration = Duration::from_millis(300);
 
@@ -205,7 +209,7 @@
 
     /// Refuses a job for its quota, unless another daemon has accepted it already.
     async fn refuse_unless_stored(&self, job_id: &str) -> SubmitOutcome {
-        match self.read_header(job_id).await {
+        match self.read_header(job_id, Need::Existence, CURRENT).await {
             Lookup::Found(_) => SubmitOutcome::Accepted,
             Lookup::Missing => SubmitOutcome::QuotaExceeded {
                 retry_after: QUOTA_RETRY,
