A header that cannot be decoded is no proof that a job is missing

What callers would see: 404 for a job whose header is in the store and cannot be decoded (a row of another writer, or of a format that this build does not know): "no such job" to a read, to the body of an item, and to a cancellation, which lets the job run on.

Cause: `read_header` reported a row that cannot be decoded as an absent one.

Evidence: by reading, while the reads of headers were changed; the new test `a_header_that_cannot_be_decoded_is_no_proof_that_a_job_is_missing` failed on the commit before (`Missing`).

Change: such a reading is an error, and the answer 503. A cancellation is not done, instead of "no such job".

Not covered: a write's conflict with such a row still counts as an absent header (`write_outcome`); after this change a cancellation gets that far only with a header in its own copy.

--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use harrierward_external::{
-    Condition, ObjectStore, PlatformError, RequestClass, Row, Table, Transaction,
-    TransactionOutcome, WatchedTable,
+    Condition, ObjectStore, PlatformError, PlatformErrorKind, RequestClass, Row, Table,
+    Transaction, TransactionOutcome, WatchedTable,
 };
 use harrierward_wire::{
     ItemProgressRow, JobHeadRow, JobItemsRow, QuotaFenceRow, decode, decode_job_header, encode,
@@ -109,11 +109,20 @@
 }
 
 impl HeaderReading {
-    fn of(row: Option<&Row>, revision: u64) -> Self {
-        Self {
-            header: row.and_then(known),
+    /// Decodes the header's row; `None` is an absent row.
+    ///
+    /// # Errors
+    /// The row exists and cannot be decoded.
+    fn of(step: &'static str, row: Option<&Row>, revision: u64) -> Result<Self, PlatformError> {
+        let header = row.map(|row| {
+            let kind = PlatformErrorKind::Malformed;
+            let detail = "the header cannot be read";
+            known(row).ok_or_else(|| PlatformError::new(step, "store", kind, detail))
+        });
+        Ok(Self {
+            header: header.transpose()?,
             revision,
-        }
+        })
     }
 }
 
--- a/crates/inline-jobs/src/store/reads.rs
+++ b/crates/inline-jobs/src/store/reads.rs
@@ -48,7 +48,7 @@
     /// Reads a job's header from the store, which may respond with an earlier state.
     pub async fn read_header(&self, job_id: &str) -> Result<HeaderReading, PlatformError> {
         let reading = self.watched.read_row(&keys::header(job_id)).await?;
-        Ok(HeaderReading::of(reading.row.as_ref(), reading.revision))
+        HeaderReading::of("jobs.read_header", reading.row.as_ref(), reading.revision)
     }
 
     /// Reads a job's header as of this call: a transaction whose condition never holds writes nothing and returns the
@@ -66,7 +66,7 @@
             let kind = PlatformErrorKind::Malformed;
             return Err(PlatformError::new(STEP, "store", kind, "no such revision"));
         };
-        Ok(HeaderReading::of(current.as_ref(), revision))
+        HeaderReading::of(STEP, current.as_ref(), revision)
     }
 
     /// Reads all rows whose keys begin with `prefix`.
--- a/crates/inline-jobs/tests/stale_listing.rs
+++ b/crates/inline-jobs/tests/stale_listing.rs
@@ -57,6 +57,8 @@
     listed: u32,
     /// True if the store is at a revision from before the job was accepted.
     is_missing: AtomicBool,
+    /// True if the job's header cannot be decoded.
+    is_unreadable: bool,
     /// What reads reflect while they are behind the store; transactions are always decided on the current state.
     behind: Option<StaleReads>,
 }
@@ -82,9 +84,14 @@
             return (None, BEFORE_ACCEPTANCE);
         }
         let revision = BEFORE_ACCEPTANCE + 1 + u64::from(listed);
+        let value = if self.is_unreadable {
+            Bytes::from_static(&[0xff])
+        } else {
+            Bytes::from(encode(&header(listed)))
+        };
         let row = Row {
             key: key.to_owned(),
-            value: Bytes::from(encode(&header(listed))),
+            value,
             revision,
         };
         (Some(row).filter(|_| key.ends_with(JOB)), revision)
@@ -505,6 +512,20 @@
     assert_eq!(jobs.submit(submitted).await, SubmitOutcome::Accepted);
 }
 
+// Guards against a 404 for a job whose header is there and cannot be decoded.
+#[tokio::test(start_paused = true)]
+async fn a_header_that_cannot_be_decoded_is_no_proof_that_a_job_is_missing() {
+    let store = Arc::new(SingleJobStore {
+        is_unreadable: true,
+        ..SingleJobStore::default()
+    });
+    let jobs = jobs_on(store, DecisionLog::new(LogBounds::default()));
+    let found = read(&jobs, 0, Duration::ZERO).await;
+    assert_eq!(found, Lookup::Unavailable);
+    let outcome = jobs.cancel(&JobCaller::Anyone, JOB).await;
+    assert_eq!(outcome, CancelOutcome::NotCancelled);
+}
+
 // Guards against 503 for a result that a read shows, from a store that refuses transactions.
 #[tokio::test(start_paused = true)]
 async fn a_listed_result_is_returned_while_the_store_refuses_transactions() {
