Log: why a header could not be read, and each reading that proved nothing or denied a job

Change: `header_read` names the error, and keeps its line ("failure") unless a header was found. The call and its outcome are one value (`HeaderCall`), applied and logged in one place.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -682,6 +682,9 @@
         outcome: &'a str,
         /// Results that the header lists; 0 without one.
         listed: usize,
+        /// Error of the call; `None` if there was a response that could be used.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        cause: Option<String>,
     },
     /// This daemon's copy of a job's header lists nothing at a position, and the store was read: the copy's freshness
     /// proof was missing or too old, or an empty response was due, which needs a read however recent the proof.
@@ -722,10 +725,10 @@
             Self::Sent { .. }
             | Self::Ended { .. }
             | Self::ListingAsked { .. }
-            | Self::HeaderRead { .. }
             | Self::ColdCounted { .. }
             | Self::ColdPassedOver { .. }
             | Self::ItemEndOrdered { .. } => Importance::Ordinary,
+            Self::HeaderRead { outcome, .. } if *outcome == "found" => Importance::Ordinary,
             Self::Resent { outcome, .. } if *outcome == "stored" => Importance::Ordinary,
             Self::ResultsListed { outcome, .. } if *outcome == "committed" => Importance::Ordinary,
             Self::ItemRun { outcome, .. } if *outcome == "finished" => Importance::Ordinary,
@@ -739,6 +742,7 @@
             | Self::JobSubmitted { .. }
             | Self::ResultsListed { .. }
             | Self::ReadOutdated { .. }
+            | Self::HeaderRead { .. }
             | Self::OwnHeadersRead { .. }
             | Self::JobEnded { .. } => Importance::Failure,
             _ => Importance::Change,
--- a/crates/inline-jobs/src/header_lookup.rs
+++ b/crates/inline-jobs/src/header_lookup.rs
@@ -31,6 +31,22 @@
     Listing,
 }
 
+/// A call to the store for a header, and its outcome.
+struct HeaderCall {
+    /// [`READ`] or [`TRANSACTION`].
+    source: &'static str,
+    /// Bound of the reading's age; `None` without one.
+    max_age: Option<Duration>,
+    reading: Result<HeaderReading, PlatformError>,
+}
+
+impl HeaderCall {
+    /// True if the store certainly did not process the call, so that another one does not add to a long wait.
+    fn is_refused(&self) -> bool {
+        matches!(&self.reading, Err(error) if !error.may_have_happened())
+    }
+}
+
 impl InlineJobs {
     /// Reads the header from the store. What it lacks, the store lacked at most `max_age` before this call: only such a
     /// reading proves that a job is missing or a result unlisted.
@@ -62,11 +78,13 @@
         newest: u64,
         point: Option<RevisionPoint>,
     ) -> Option<Lookup<KnownHeader>> {
-        let max_age = point.map(|point| harrierward_clock::age(point.sent_at));
+        let call = HeaderCall {
+            source: READ,
+            max_age: point.map(|point| harrierward_clock::age(point.sent_at)),
+            reading: self.inner.store.read_header(job_id).await,
+        };
         let required = point.map(|point| newest.max(point.revision));
-        let reading = self.inner.store.read_header(job_id).await;
-        let found = self.judge_reading(job_id, reading, required);
-        self.log_header_read(job_id, READ, max_age, found.as_ref());
+        let found = self.apply(job_id, &call, required);
         if found.is_none() && need == Need::Existence {
             return self.inner.view.get(job_id).map(Lookup::Found);
         }
@@ -79,11 +97,13 @@
         need: Need,
         newest: u64,
     ) -> Lookup<KnownHeader> {
-        let reading = self.inner.store.read_current_header(job_id).await;
-        let is_refused = matches!(&reading, Err(error) if !error.may_have_happened());
-        let found = self.judge_reading(job_id, reading, Some(newest));
-        self.log_header_read(job_id, TRANSACTION, Some(Duration::ZERO), found.as_ref());
-        if is_refused && need == Need::Listing {
+        let call = HeaderCall {
+            source: TRANSACTION,
+            max_age: Some(Duration::ZERO),
+            reading: self.inner.store.read_current_header(job_id).await,
+        };
+        let found = self.apply(job_id, &call, Some(newest));
+        if call.is_refused() && need == Need::Listing {
             self.read_for_copy(job_id).await;
         }
         found.unwrap_or(Lookup::Unavailable)
@@ -91,24 +111,38 @@
 
     /// Reads a header into the local copy, which may then show a result, while the store refuses transactions.
     async fn read_for_copy(&self, job_id: &str) {
-        let reading = self.inner.store.read_header(job_id).await;
-        let found = self.judge_reading(job_id, reading, None);
-        self.log_header_read(job_id, READ, None, found.as_ref());
+        let call = HeaderCall {
+            source: READ,
+            max_age: None,
+            reading: self.inner.store.read_header(job_id).await,
+        };
+        self.apply(job_id, &call, None);
     }
 
-    /// Applies a reading of the header; `None` if it does not reflect `required_revision`, or nothing tells which
-    /// revision is required.
-    fn judge_reading(
+    /// Applies and logs the outcome of a call; `None` if the reading does not reflect `required_revision`, or nothing
+    /// tells which revision is required.
+    fn apply(
         &self,
         job_id: &str,
-        reading: Result<HeaderReading, PlatformError>,
+        call: &HeaderCall,
         required_revision: Option<u64>,
     ) -> Option<Lookup<KnownHeader>> {
-        let Ok(reading) = reading else {
-            return Some(Lookup::Unavailable);
+        let found = match &call.reading {
+            Ok(reading) => self.judge_reading(job_id, reading, required_revision),
+            Err(_) => Some(Lookup::Unavailable),
         };
-        if let Some(known) = reading.header {
-            self.note_header(known);
+        self.log_header_read(job_id, call, found.as_ref());
+        found
+    }
+
+    fn judge_reading(
+        &self,
+        job_id: &str,
+        reading: &HeaderReading,
+        required_revision: Option<u64>,
+    ) -> Option<Lookup<KnownHeader>> {
+        if let Some(known) = &reading.header {
+            self.note_header(known.clone());
         }
         let required_revision = required_revision?;
         if reading.revision < required_revision {
@@ -124,25 +158,21 @@
         Some(view.get(job_id).map_or(Lookup::Missing, Lookup::Found))
     }
 
-    fn log_header_read(
-        &self,
-        job: &str,
-        source: &str,
-        max_age: Option<Duration>,
-        found: Option<&Lookup<KnownHeader>>,
-    ) {
+    fn log_header_read(&self, job: &str, call: &HeaderCall, found: Option<&Lookup<KnownHeader>>) {
         let (outcome, listed) = match found {
             Some(Lookup::Found(known)) => ("found", known.header.listed.len()),
             Some(Lookup::Missing) => ("missing", 0),
             Some(Lookup::Unavailable) => ("unavailable", 0),
             None => ("unproven", 0),
         };
+        let error = call.reading.as_ref().err();
         self.inner.log.record(&Record::HeaderRead {
             job,
-            source,
-            max_age_ms: max_age.map(milliseconds),
+            source: call.source,
+            max_age_ms: call.max_age.map(milliseconds),
             outcome,
             listed,
+            cause: error.map(ToString::to_string),
         });
     }
 }
