Log what a daemon knew of a leaving replica, from whom and how old

- replica_changed: source, reading, whether the feed had omitted the change, the age of the proof until then, requests in progress there
- sent: age of the proof that the replica was listed as not leaving; the same as a histogram
- leaving_replica_responded: since when the leaving is known here, when the gate was last asked for that request
- space_read, history_lost: why a space is read in full, whether the read was behind, what it brought that the feed had omitted; three metrics

No decision changes.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -24,6 +24,7 @@
     first_event_seconds: Histogram,
     slot_choices: IntCounterVec,
     sent_by_region: IntCounterVec,
+    listed_age_seconds: Histogram,
     items_preempted: IntCounterVec,
     attempts_failed: IntCounterVec,
     jobs_submitted: IntCounterVec,
@@ -108,6 +109,10 @@
                 "chosen_by",
             )?,
             sent_by_region: sent_by_region(&registry)?,
+            listed_age_seconds: histogram(
+                "harrierward_replica_listed_age_seconds",
+                "Age of the proof that a replica was not leaving, when a request was sent to it",
+            )?,
             items_preempted: counter(
                 "harrierward_item_ends_ordered_total",
                 "Batch items that this daemon, as the coordinator of a replica, ended for online requests",
@@ -305,8 +310,13 @@
                 chosen_by,
                 region,
                 left_region,
+                listed_age_ms,
                 ..
             } => {
+                if let Some(age) = listed_age_ms {
+                    let seconds = std::time::Duration::from_millis(*age).as_secs_f64();
+                    self.listed_age_seconds.observe(seconds);
+                }
                 self.slot_choices.with_label_values(&[*chosen_by]).inc();
                 let why = left_region.unwrap_or("");
                 self.sent_by_region.with_label_values(&[*region, why]).inc();
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -124,6 +124,38 @@
         /// Revision of both copies.
         revision: u64,
     },
+    /// The store no longer has the changes after this daemon's copy of a space, which is read in full again.
+    HistoryLost {
+        /// Name of the space.
+        space: &'a str,
+        /// Revision of the copy.
+        revision: u64,
+        /// Age of the copy's freshness proof; `None` without one.
+        proof_age_ms: Option<u64>,
+    },
+    /// A space was read in full.
+    SpaceRead {
+        /// Name of the space.
+        space: &'a str,
+        /// `start`, `history lost`, `difference` (to a peer's copy) or `periodic`.
+        reason: &'a str,
+        /// `applied`, or `behind`: the read was older than the copy and was discarded.
+        outcome: &'a str,
+        /// `store`, or the id of the peer that replied; empty if the read was discarded.
+        source: &'a str,
+        /// Revision of the copy before the read.
+        revision_before: u64,
+        /// Revision of the copy after the read.
+        revision: u64,
+        /// Rows that the copy lacked or had in an older state.
+        written: usize,
+        /// Those of them whose changes the feed had omitted.
+        omitted: usize,
+        /// Rows that are gone.
+        removed: usize,
+        /// Duration of the read.
+        after_ms: u64,
+    },
     /// Whether this daemon reads the store directly or follows a peer of its zone.
     RelayMode {
         /// `direct` or `relayed`.
@@ -148,8 +180,19 @@
         replica: &'a str,
         /// New state; `gone` if its row was removed.
         state: &'a str,
-        /// Revision of the row, or of its removal.
+        /// Revision of the row; of its last state if it was removed.
         revision: u64,
+        /// `store`, or the id of the peer that sent the row.
+        source: &'a str,
+        /// `feed` or `full read`.
+        reading: &'a str,
+        /// True if the feed had omitted the change and named a later revision; false where that isn't known, as of a row
+        /// that is gone.
+        omitted: bool,
+        /// Age of the freshness proof that this daemon had before; `None` without one.
+        proof_age_ms: Option<u64>,
+        /// Requests and batch items of this daemon in progress there.
+        running: u32,
     },
     /// A replica's row is malformed and is ignored. Logged at most once per second.
     ReplicaRejected {
@@ -341,6 +384,9 @@
         /// Age of the replica's last load report; absent if none is known.
         #[serde(skip_serializing_if = "Option::is_none")]
         report_age_ms: Option<u64>,
+        /// Age of the proof that the replica was listed as not leaving; absent without one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        listed_age_ms: Option<u64>,
         /// Prompt tokens estimated to be in the replica's prefix cache.
         cached_tokens: u32,
         /// Replica from which the prefix cache is transferred; `None` without a transfer.
@@ -350,6 +396,17 @@
         /// Last event that the caller has received; `None` if the response does not resume.
         resume_after: Option<u64>,
     },
+    /// A replica responded that this daemon knows to be leaving by then.
+    LeavingReplicaResponded {
+        /// Request id.
+        request: &'a str,
+        /// Replica id.
+        replica: &'a str,
+        /// Time since the request passed the last check of whether the replica accepts work.
+        checked_ms: u64,
+        /// Time since this daemon knows that the replica is leaving.
+        known_ms: u64,
+    },
     /// The coordinator of a replica preempted a batch item there for an online request.
     ItemEndOrdered {
         /// Replica id.
@@ -727,6 +784,7 @@
             | Self::ListingAsked { .. }
             | Self::ColdCounted { .. }
             | Self::ColdPassedOver { .. }
+            | Self::LeavingReplicaResponded { .. }
             | Self::ItemEndOrdered { .. } => Importance::Ordinary,
             Self::HeaderRead { outcome, .. } if *outcome == "found" => Importance::Ordinary,
             Self::Resent { outcome, .. } if *outcome == "stored" => Importance::Ordinary,
--- a/crates/decisions/src/space_metrics.rs
+++ b/crates/decisions/src/space_metrics.rs
@@ -12,6 +12,9 @@
     source_changes: IntCounterVec,
     source_failures: IntCounterVec,
     differences: IntCounterVec,
+    lost_histories: IntCounterVec,
+    full_reads: IntCounterVec,
+    omitted_changes: IntCounterVec,
 }
 
 impl SpaceMetrics {
@@ -27,7 +30,22 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let full_reads = Opts::new(
+            "harrierward_space_full_reads_total",
+            "Full reads of a space, by why it was read and whether the read was older than the copy",
+        );
+        let full_reads = IntCounterVec::new(full_reads, &["space", "reason", "outcome"])?;
+        registry.register(Box::new(full_reads.clone()))?;
         Ok(Self {
+            full_reads,
+            lost_histories: counter(
+                "harrierward_space_histories_lost_total",
+                "Times that the store no longer had the changes after the copy of a space",
+            )?,
+            omitted_changes: counter(
+                "harrierward_space_omitted_changes_total",
+                "Changes of rows that the feed of a space omitted, and that a full read brought",
+            )?,
             relayed: gauge(
                 "harrierward_spaces_relayed",
                 "1 if the store's spaces come from peers of the zone, 0 if they are read at the store",
@@ -66,6 +84,21 @@
             Record::SpaceSourceFailed { space, .. } => {
                 self.source_failures.with_label_values(&[*space]).inc();
             }
+            Record::HistoryLost { space, .. } => {
+                self.lost_histories.with_label_values(&[*space]).inc();
+            }
+            Record::SpaceRead {
+                space,
+                reason,
+                outcome,
+                omitted,
+                ..
+            } => {
+                let labels = [*space, *reason, *outcome];
+                self.full_reads.with_label_values(&labels).inc();
+                let counter = self.omitted_changes.with_label_values(&[*space]);
+                counter.inc_by(*omitted as u64);
+            }
             Record::CopyDiffers { space, .. } => {
                 self.differences.with_label_values(&[*space]).inc();
             }
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -202,16 +202,20 @@
         let mut rows = self.rows();
         let is_first_read = !std::mem::replace(&mut rows.replicas_read, true);
         let mut changes = ReplicaChanges::default();
+        if let Some(as_of) = update.as_of {
+            self.replicas.prove(as_of);
+        }
         if std::mem::take(&mut rows.replicas_from_peer) {
             let from_peer = rows.replicas.drain().map(|(_, (_, record))| record.id);
             changes.removed.extend(from_peer);
         }
         for row in &update.written {
-            self.note_replica(&mut rows, row, is_first_read, &mut changes);
+            let logged_as = (!is_first_read).then_some(update);
+            self.note_replica(&mut rows, row, logged_as, &mut changes);
         }
         for key in &update.removed {
             if let Some((row, record)) = rows.replicas.remove(key) {
-                self.log_replica(&record, "gone", row.revision);
+                self.log_replica(&record, "gone", row.revision, update);
                 changes.removed.push(record.id);
             }
         }
@@ -230,7 +234,7 @@
         }
         let mut changes = ReplicaChanges::default();
         for row in peer_rows {
-            self.note_replica(&mut rows, row, true, &mut changes);
+            self.note_replica(&mut rows, row, None, &mut changes);
         }
         rows.replicas_read = true;
         rows.replicas_from_peer = true;
@@ -238,13 +242,13 @@
         self.publish(changes);
     }
 
-    /// Records a replica's row. Rows of the first read are logged as one summary: otherwise the start of a large
-    /// fleet would log a line for each pair of a daemon and a replica.
+    /// Records a replica's row, and logs it if the update that brought it is given. Rows of the first read are logged as
+    /// one summary: otherwise the start of a large fleet would log a line for each pair of a daemon and a replica.
     fn note_replica(
         &self,
         rows: &mut DiscoveredRows,
         row: &Row,
-        is_first_read: bool,
+        logged_as: Option<&SpaceUpdate>,
         changes: &mut ReplicaChanges,
     ) {
         let mut record = match self.source.parse_replica(row) {
@@ -259,13 +263,13 @@
         // A row without a start time belongs to the replica instance already known.
         record.born_ms = record.born_ms.or(known.and_then(|known| known.born_ms));
         let is_notable = known.is_none_or(|known| is_notable(known, &record));
-        if is_notable && !is_first_read {
+        if let Some(update) = logged_as.filter(|_| is_notable) {
             let state = match (record.draining, is_restart) {
                 (true, _) => "draining",
                 (false, true) => "started again",
                 (false, false) => "ready",
             };
-            self.log_replica(&record, state, row.revision);
+            self.log_replica(&record, state, row.revision, update);
         }
         changes.changed.push(record.clone());
         rows.replicas.insert(row.key.clone(), (row.clone(), record));
@@ -345,11 +349,25 @@
         });
     }
 
-    fn log_replica(&self, record: &ReplicaRecord, state: &str, revision: u64) {
+    fn log_replica(
+        &self,
+        record: &ReplicaRecord,
+        state: &str,
+        revision: u64,
+        update: &SpaceUpdate,
+    ) {
+        let view = self.replicas.view();
+        let replica = view.get(&record.id);
+        let proof_age = update.as_of_before.map(harrierward_clock::age);
         self.log.record(&Record::ReplicaChanged {
             replica: &record.id,
             state,
             revision,
+            source: update.source.name(),
+            reading: update.reading(),
+            omitted: state != "gone" && update.is_omitted(revision),
+            proof_age_ms: proof_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            running: replica.map_or(0, |replica| replica.own_total()),
         });
     }
 
--- a/crates/edge/src/relay/client.rs
+++ b/crates/edge/src/relay/client.rs
@@ -77,15 +77,15 @@
             Ok(Ok(body)) => body,
         };
         match body.into_framed() {
-            Ok(bytes) => parse_reply(&bytes, sent_at),
+            Ok(bytes) => parse_reply(&bytes, &peer.id, sent_at),
             Err(error) => unresponsive(error.to_string()),
         }
     }
 }
 
-/// Reads a reply to a request sent at `sent_at`. The proof's time is derived from the earliest possible moment of
+/// Reads a reply of `peer` to a request sent at `sent_at`. The proof's time is derived from the earliest possible moment of
 /// the reply, which is `sent_at` plus the time the request was held.
-fn parse_reply(bytes: &[u8], sent_at: Instant) -> RelayReply {
+fn parse_reply(bytes: &[u8], peer: &str, sent_at: Instant) -> RelayReply {
     let Some(reply) = decode::<SpaceReply>(bytes).filter(|reply| reply.format == FORMAT) else {
         let cause = "the answer is of another kind".to_owned();
         return RelayReply::Failed(SourceFailure::Unsupported, cause);
@@ -105,6 +105,7 @@
     let proof = (sent_at + held)
         .checked_sub(age)
         .map(|as_of| FreshnessProof {
+            peer: peer.into(),
             as_of,
             digest: reply.digest,
         });
--- a/crates/external/src/watch.rs
+++ b/crates/external/src/watch.rs
@@ -1,6 +1,7 @@
 //! Client interface for watching a space of the table: one full read, then long polls for changes after its revision.
 //! A space is the first segment of the row keys (`space/partition/key`).
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -11,8 +12,10 @@
 use crate::{PlatformError, Row};
 
 /// Freshness of a space that was read from a peer's copy instead of the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FreshnessProof {
+    /// Id of the peer.
+    pub peer: Arc<str>,
     /// The copy includes every change that the store had acknowledged by then.
     pub as_of: Instant,
     /// Digest of the keys and revisions of all rows of the copy.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,6 @@
 pub use relay::Relay;
 pub use shared_space::{HeldReply, SharedSpace};
 pub use sources::{RelayMode, Source, SourceFailure, Sources};
-pub use space_copy::{CopyReply, SpaceCopy, SpaceUpdate};
+pub use space_copy::{CopyReply, SpaceCopy, SpaceUpdate, UpdateSource};
 pub use tree::{RelayPeer, RelayTree};
 pub use watch::{Watch, WatchSettings};
--- a/crates/relay/src/relay/reading.rs
+++ b/crates/relay/src/relay/reading.rs
@@ -190,7 +190,8 @@
         let source = Source::Peer(peer.clone());
         match self.request_peer(space, after, peer, MAX_HOLD).await {
             RelayReply::Page(page) => {
-                let age = page.proof.map(|proof| harrierward_clock::age(proof.as_of));
+                let proof = page.proof.as_ref();
+                let age = proof.map(|proof| harrierward_clock::age(proof.as_of));
                 if age.is_some_and(|age| age > MAX_PROOF_AGE) {
                     self.note_failure(space, &source, SourceFailure::Behind, "old proof");
                 }
--- a/crates/relay/src/space_copy.rs
+++ b/crates/relay/src/space_copy.rs
@@ -1,6 +1,7 @@
 //! A copy of a table space: merges full reads and pages of changes, and builds replies to peers. Does no I/O.
 
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use harrierward_external::{ChangePage, FreshnessProof, Row, RowChange, SpaceSnapshot};
@@ -13,6 +14,30 @@
 /// Recent changes are kept up to one `RECENT_DIVISOR`th of the rows; a peer that lacks more gets the full space.
 const RECENT_DIVISOR: usize = 4;
 
+/// Where rows were read.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum UpdateSource {
+    /// At the store itself.
+    #[default]
+    Store,
+    /// From the copy of the peer with this id.
+    Peer(Arc<str>),
+}
+
+impl UpdateSource {
+    fn of(proof: Option<&FreshnessProof>) -> Self {
+        proof.map_or(Self::Store, |proof| Self::Peer(proof.peer.clone()))
+    }
+
+    /// Returns the name in the decision log: `store`, or the id of the peer.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Store => "store",
+            Self::Peer(id) => id,
+        }
+    }
+}
+
 /// The effect of a full read or a page of changes on the copy.
 #[derive(Debug, Clone, Default)]
 pub struct SpaceUpdate {
@@ -31,6 +56,12 @@
     pub revision: u64,
     /// True if the replying peer holds other rows at the same revision: one of the copies has missed a change.
     pub differs: bool,
+    /// Where the rows were read.
+    pub source: UpdateSource,
+    /// Revision of the copy before the update. A changed row whose revision isn't higher was omitted by the feed.
+    pub revision_before: u64,
+    /// Time of the copy's proof before the update.
+    pub as_of_before: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -140,7 +171,10 @@
             store_time_ms: snapshot.store_time_ms,
             complete_at: Some(snapshot.revision),
             revision: snapshot.revision,
-            as_of: snapshot.proof.map(|proof| proof.as_of),
+            as_of: snapshot.proof.as_ref().map(|proof| proof.as_of),
+            source: UpdateSource::of(snapshot.proof.as_ref()),
+            revision_before: self.revision,
+            as_of_before: self.as_of,
             ..SpaceUpdate::default()
         };
         let read: HashSet<&str> = snapshot.rows.iter().map(|row| row.key.as_str()).collect();
@@ -168,7 +202,10 @@
         let mut update = SpaceUpdate {
             store_time_ms: page.store_time_ms,
             revision: page.revision,
-            as_of: page.proof.map(|proof| proof.as_of),
+            as_of: page.proof.as_ref().map(|proof| proof.as_of),
+            source: UpdateSource::of(page.proof.as_ref()),
+            revision_before: self.revision,
+            as_of_before: self.as_of,
             ..SpaceUpdate::default()
         };
         let mut page_revisions: HashMap<String, u64> = HashMap::new();
@@ -194,12 +231,12 @@
         self.apply(&update);
         update.differs = page
             .proof
-            .is_some_and(|proof| self.differs(page.revision, proof));
+            .is_some_and(|proof| self.differs(page.revision, &proof));
         update
     }
 
     /// True if a peer's copy of the same revision has another digest.
-    fn differs(&self, revision: u64, proof: FreshnessProof) -> bool {
+    fn differs(&self, revision: u64, proof: &FreshnessProof) -> bool {
         revision == self.revision && proof.digest != self.digest
     }
 
@@ -276,4 +313,24 @@
     pub fn is_empty(&self) -> bool {
         self.written.is_empty() && self.removed.is_empty()
     }
+
+    /// Returns the number of written rows that the feed had omitted.
+    pub fn omitted(&self) -> usize {
+        let written = self.written.iter();
+        written.filter(|row| self.is_omitted(row.revision)).count()
+    }
+
+    /// True if the feed had omitted a change with this revision: the copy was told of a later one before.
+    pub fn is_omitted(&self, revision: u64) -> bool {
+        self.as_of_before.is_some() && revision <= self.revision_before
+    }
+
+    /// Returns how the rows were read, as in the decision log: `feed`, or `full read`.
+    pub fn reading(&self) -> &'static str {
+        if self.complete_at.is_some() {
+            "full read"
+        } else {
+            "feed"
+        }
+    }
 }
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -83,6 +83,7 @@
         let mut backoff = Backoff::new(self.settings.min_backoff, self.settings.max_backoff);
         let mut needs_full_read = true;
         let mut history_lost = false;
+        let mut read_reason = ReadReason::Start;
         let mut full_read_due = harrierward_clock::now();
         let mut read_in_progress: Option<ReadInProgress> = None;
         // After a failed periodic full read, changes are requested once before it resumes.
@@ -105,7 +106,9 @@
                     pages = done.pages_read.pages();
                     let pace = (self.full_read_pace)(pages);
                     full_read_due = requested_at + self.settings.full_read_interval.max(pace);
-                    space.copy().apply_snapshot(done.pages_read.into_snapshot())
+                    let update = space.copy().apply_snapshot(done.pages_read.into_snapshot());
+                    self.log_read(read_reason, requested_at, newest, update.as_ref());
+                    update
                 })
             } else {
                 changes_first = false;
@@ -115,6 +118,7 @@
             match result {
                 Ok(Some(mut update)) => {
                     if std::mem::take(&mut needs_full_read) {
+                        read_reason = ReadReason::Periodic;
                         let after_lost_history = std::mem::take(&mut history_lost);
                         full_read_due = requested_at
                             + self.second_read_delay(after_lost_history, pages, &mut random);
@@ -125,6 +129,7 @@
                     }
                     if difference.is_persistent(&update) {
                         needs_full_read = true;
+                        read_reason = ReadReason::Difference;
                         self.log_differs(&update);
                     }
                     update.as_of = proof_time(&update, requested_at);
@@ -147,6 +152,8 @@
                 Err(WatchFailure::HistoryLost) => {
                     needs_full_read = true;
                     history_lost = true;
+                    read_reason = ReadReason::HistoryLost;
+                    self.log_history_lost(&space);
                     sleep(backoff.wait(&mut random)).await;
                 }
                 // The pending request is dropped: its timeout didn't count the suspension.
@@ -263,6 +270,42 @@
         });
     }
 
+    fn log_history_lost(&self, space: &SharedSpace) {
+        let copy = space.copy();
+        let proof_age = copy.as_of().map(harrierward_clock::age);
+        self.log.record(&Record::HistoryLost {
+            space: self.space,
+            revision: copy.revision(),
+            proof_age_ms: proof_age.map(milliseconds),
+        });
+    }
+
+    /// Logs a full read; `update` is its effect, `None` if it was older than the copy of revision `before`.
+    fn log_read(
+        &self,
+        reason: ReadReason,
+        started_at: Instant,
+        before: u64,
+        update: Option<&SpaceUpdate>,
+    ) {
+        self.log.record(&Record::SpaceRead {
+            space: self.space,
+            reason: reason.name(),
+            outcome: if update.is_some() {
+                "applied"
+            } else {
+                "behind"
+            },
+            source: update.map_or("", |update| update.source.name()),
+            revision_before: before,
+            revision: update.map_or(before, |update| update.revision),
+            written: update.map_or(0, |update| update.written.len()),
+            omitted: update.map_or(0, SpaceUpdate::omitted),
+            removed: update.map_or(0, |update| update.removed.len()),
+            after_ms: milliseconds(harrierward_clock::age(started_at)),
+        });
+    }
+
     fn log_differs(&self, update: &SpaceUpdate) {
         self.log.record(&Record::CopyDiffers {
             space: self.space,
@@ -271,14 +314,37 @@
     }
 
     fn log_regained(&self, since: Instant) {
-        let away = harrierward_clock::age(since).as_millis();
         self.log.record(&Record::DependencyRegained {
             dependency: self.space,
-            away_ms: u64::try_from(away).unwrap_or(u64::MAX),
+            away_ms: milliseconds(harrierward_clock::age(since)),
         });
     }
 }
 
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Why a space is read in full.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadReason {
+    Start,
+    HistoryLost,
+    Difference,
+    Periodic,
+}
+
+impl ReadReason {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Start => "start",
+            Self::HistoryLost => "history lost",
+            Self::Difference => "difference",
+            Self::Periodic => "periodic",
+        }
+    }
+}
+
 /// Returns the time of the proof: that of a peer's reply, else the time of the request. `None` if the copy differs
 /// from the peer's.
 fn proof_time(update: &SpaceUpdate, requested_at: Instant) -> Option<Instant> {
--- a/crates/relay/tests/copies.rs
+++ b/crates/relay/tests/copies.rs
@@ -16,6 +16,7 @@
 
 fn proof_of(reply: &CopyReply) -> Option<FreshnessProof> {
     Some(FreshnessProof {
+        peer: "peer".into(),
         as_of: Instant::now(),
         digest: reply.digest,
     })
@@ -85,6 +86,33 @@
     copy
 }
 
+/// A change that the feed omits is seen as such when a full read brings it, so that operators can tell it from a slow
+/// feed.
+#[test]
+fn a_full_read_tells_what_the_feed_has_omitted() {
+    let mut copy = first_copy();
+    copy.apply_changes(changes(Vec::new(), 5));
+    let update = copy.apply_snapshot(snapshot(vec![row(0, 4), row(1, 6)], 6));
+    let update = update.expect("not older than the copy");
+    assert_eq!(update.written.len(), 2);
+    assert_eq!(update.omitted(), 1, "the row at 6 is newer than the copy");
+    assert_eq!(update.revision_before, 5);
+}
+
+/// A feed that delivers its changes in order omits none.
+#[test]
+fn changes_of_a_feed_in_order_are_not_omitted() {
+    let mut copy = first_copy();
+    copy.apply_changes(changes(Vec::new(), 5));
+    let change = RowChange {
+        key: "row-0".to_owned(),
+        revision: 6,
+        value: Some(Bytes::from_static(b"6")),
+    };
+    let update = copy.apply_changes(changes(vec![change], 7));
+    assert_eq!((update.written.len(), update.omitted()), (1, 0));
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     /// Writes or removes a row.
--- a/crates/relay/tests/zone.rs
+++ b/crates/relay/tests/zone.rs
@@ -189,6 +189,7 @@
             revision: reply.revision,
             store_time_ms: reply.store_time_ms,
             proof: as_of.map(|as_of| FreshnessProof {
+                peer: peer.id.as_str().into(),
                 as_of,
                 digest: reply.digest,
             }),
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -263,6 +263,7 @@
             free_permille: choice.free_permille,
             peers_age_ms: replica.peers_age_ms(),
             report_age_ms: replica.report_age_ms(),
+            listed_age_ms: self.replicas().proof_age().map(milliseconds),
             cached_tokens: replica.cached_tokens(&request.prompt),
             copy_from: copy_from.map(|source| source.id.as_str()),
             attempt: options.number,
@@ -291,6 +292,14 @@
             times.stall_timeout
         };
         let response = wait_for_progress(exchange, &replica, stall_timeout, times.max_wait).await;
+        if let Some(known_for) = replica.draining_for() {
+            self.log().record(&Record::LeavingReplicaResponded {
+                request: &request.id,
+                replica: &replica.record.id,
+                checked_ms: milliseconds(started.elapsed()),
+                known_ms: milliseconds(known_for),
+            });
+        }
         let result = self.classify(request, &in_progress, response, options.failed_before);
         if let Err(failure) = &result {
             self.log_failure(request, &replica, failure, started.elapsed());
@@ -400,7 +409,11 @@
             replica: &replica.record.id,
             cause: failure.cause(),
             not_run: failure.execution().is_not_run(),
-            after_ms: u64::try_from(after.as_millis()).unwrap_or(u64::MAX),
+            after_ms: milliseconds(after),
         });
     }
 }
+
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -96,7 +96,8 @@
     pub hash: u32,
     /// Zone and region.
     pub location: Location,
-    draining: AtomicBool,
+    /// When this daemon learned that it is leaving, milliseconds after `started`, plus 1; 0 if it isn't known to be.
+    draining_since_ms: AtomicU64,
     zone_evacuated: AtomicBool,
     is_unlisted: AtomicBool,
     /// Milliseconds after `started` until which it counts as crashed; 0 if it doesn't.
@@ -143,7 +144,7 @@
             hash: record.instance_hash(),
             location: Location::new(&record.zone, &record.region),
             record,
-            draining: AtomicBool::new(draining),
+            draining_since_ms: AtomicU64::new(u64::from(draining)),
             zone_evacuated: AtomicBool::new(false),
             is_unlisted: AtomicBool::new(false),
             crashed_until_ms: AtomicU64::new(0),
@@ -180,12 +181,21 @@
 
     /// True if it is leaving, as its record or a response showed, and gets no new work.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.draining_since_ms.load(Ordering::Relaxed) > 0
     }
 
     /// Excludes it from new work at once.
     pub fn set_draining(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+        let now = self.now_ms() + 1;
+        let since = &self.draining_since_ms;
+        // An earlier time stays.
+        let _ = since.compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// Returns for how long this daemon has known that it is leaving; `None` if it isn't known to be.
+    pub fn draining_for(&self) -> Option<Duration> {
+        let since = self.draining_since_ms.load(Ordering::Relaxed);
+        (since > 0).then(|| Duration::from_millis((self.now_ms() + 1).saturating_sub(since)))
     }
 
     /// True if its zone is evacuated, so that it gets no work.
@@ -276,7 +286,8 @@
         }
     }
 
-    fn own_total(&self) -> u32 {
+    /// Returns this daemon's requests in progress at the replica.
+    pub fn own_total(&self) -> u32 {
         self.own_in_progress(WorkClass::Online) + self.own_in_progress(WorkClass::Batch)
     }
 
--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use harrierward_tenants::AllowedRegions;
 use tokio::time::Instant;
 
@@ -146,6 +146,8 @@
     view: ArcSwap<ReplicaView>,
     evacuated_zones: ArcSwap<HashSet<String>>,
     in_progress: Arc<AtomicUsize>,
+    /// Time of the proof that the listed replicas aren't leaving; `None` before the first.
+    proven_at: ArcSwapOption<Instant>,
     /// Serializes updates: the list and the evacuated zones are changed by different tasks.
     update_lock: Mutex<()>,
 }
@@ -156,6 +158,20 @@
         self.view.load_full()
     }
 
+    /// Records that the list held all that the store had acknowledged at `as_of`, but for changes that its feed omitted.
+    pub fn prove(&self, as_of: Instant) {
+        let known = self.proven_at.load();
+        if known.as_ref().is_none_or(|known| **known < as_of) {
+            self.proven_at.store(Some(Arc::new(as_of)));
+        }
+    }
+
+    /// Returns the age of the proof of the list; `None` without one.
+    pub fn proof_age(&self) -> Option<Duration> {
+        let proven_at = self.proven_at.load();
+        proven_at.as_ref().map(|at| harrierward_clock::age(**at))
+    }
+
     /// True if no request of this daemon is in progress at any replica, listed or not. Callers that look for replicas
     /// with such requests then needn't scan all of them.
     pub fn is_idle(&self) -> bool {
