--- a/crates/relay/tests/zone.rs
+++ b/crates/relay/tests/zone.rs
@@ -17,7 +17,7 @@
     WatchSettings,
 };
 use tokio::sync::Semaphore;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until};
 
 const SPACE: &str = "replicas";
 
@@ -44,6 +44,8 @@
     lost_up_to: AtomicU64,
     /// Revision reported by stale full reads; 0 for current reads.
     stale_at: AtomicU64,
+    /// Feeds are held beyond their time while it is set, and fail then.
+    are_feeds_silent: tokio::sync::watch::Sender<bool>,
 }
 
 impl CountingStore {
@@ -61,9 +63,29 @@
             is_unavailable: AtomicBool::new(false),
             lost_up_to: AtomicU64::new(0),
             stale_at: AtomicU64::new(0),
+            are_feeds_silent: tokio::sync::watch::Sender::new(false),
         })
     }
 
+    /// Waits until there is a change after `after`, or until the time is over. Fails at the end of a silence that begins
+    /// before.
+    async fn hold(&self, after: u64, until: Instant) -> Result<(), PlatformError> {
+        let mut silent = self.are_feeds_silent.subscribe();
+        let mut newest = self.newest.subscribe();
+        let is_silent = tokio::select! {
+            biased;
+            _ = silent.wait_for(|silent| *silent) => true,
+            _ = newest.wait_for(|newest| *newest > after) => false,
+            () = sleep_until(until) => false,
+        };
+        if !is_silent {
+            return Ok(());
+        }
+        let _ = silent.wait_for(|silent| !*silent).await;
+        let kind = PlatformErrorKind::Unknown;
+        Err(PlatformError::new("changes", "store", kind, "answer lost"))
+    }
+
     fn change(&self, number: usize) -> u64 {
         let revision = *self.newest.borrow() + 1;
         self.rows.lock().unwrap()[number].revision = revision;
@@ -121,8 +143,7 @@
             let kind = PlatformErrorKind::HistoryLost;
             return Err(PlatformError::new("changes", "store", kind, "forgotten"));
         }
-        let mut newest = self.newest.subscribe();
-        let _ = timeout(wait, newest.wait_for(|newest| *newest > after)).await;
+        self.hold(after, Instant::now() + wait).await?;
         let all = self.rows.lock().unwrap();
         let changed = all.iter().filter(|row| row.revision > after);
         let changes: Vec<RowChange> = changed
@@ -141,12 +162,62 @@
     }
 }
 
+/// One daemon's path to the store.
+struct StorePath {
+    store: Arc<CountingStore>,
+    is_cut: Arc<AtomicBool>,
+}
+
+/// Time after which a call over a path that is cut fails, beyond the time for which a feed is held.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+impl StorePath {
+    async fn pass(&self, wait: Duration) -> Result<(), PlatformError> {
+        if !self.is_cut.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        sleep(wait + CALL_TIMEOUT).await;
+        let kind = PlatformErrorKind::Unknown;
+        Err(PlatformError::new("call", "store", kind, "no answer"))
+    }
+}
+
+#[async_trait]
+impl WatchedTable for StorePath {
+    async fn read_page(
+        &self,
+        space: &str,
+        start: PageStart<'_>,
+    ) -> Result<SpacePage, PlatformError> {
+        self.pass(Duration::ZERO).await?;
+        self.store.read_page(space, start).await
+    }
+
+    async fn read_row(&self, key: &str) -> Result<RowRead, PlatformError> {
+        self.store.read_row(key).await
+    }
+
+    async fn wait_changes(
+        &self,
+        space: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<ChangePage, PlatformError> {
+        self.pass(wait).await?;
+        let page = self.store.wait_changes(space, after, wait).await;
+        // A response is lost as well if the path is cut while the store holds the request.
+        self.pass(Duration::ZERO).await?;
+        page
+    }
+}
+
 /// A daemon's copy, and its link, which transfers one reply at a time.
 struct Machine {
     space: Arc<SharedSpace>,
     link: Semaphore,
     is_unresponsive: AtomicBool,
     rows_sent: AtomicU64,
+    has_lost_store: Arc<AtomicBool>,
 }
 
 /// Simulated transport between the zone's daemons.
@@ -219,9 +290,14 @@
         let started_at = Instant::now();
         let relays = peers.iter().map(|peer| {
             let log = DecisionLog::new(LogBounds::default());
+            let has_lost_store = Arc::new(AtomicBool::new(false));
+            let path = StorePath {
+                store: store.clone(),
+                is_cut: has_lost_store.clone(),
+            };
             let relay = Relay::new(
                 &peer.id,
-                store.clone(),
+                Arc::new(path),
                 network.clone(),
                 &[SPACE],
                 log.clone(),
@@ -233,6 +309,7 @@
                 link: Semaphore::new(1),
                 is_unresponsive: AtomicBool::new(false),
                 rows_sent: AtomicU64::new(0),
+                has_lost_store,
             };
             let mut machines = network.machines.lock().unwrap();
             machines.insert(peer.id.clone(), Arc::new(machine));
@@ -478,3 +555,57 @@
     let read = zone.store.rows_read.load(Ordering::Relaxed) - read_before;
     assert!(read <= 2 * max_rows, "{read} rows after lost history");
 }
+
+/// Shortest time, over all sites, within which a change must be known everywhere.
+const CHANGE_BOUND: Duration = Duration::from_millis(2_000);
+
+/// Moments of a fault relative to the holds of feeds and of questions to peers, which last up to 1 s.
+const PHASES: [Duration; 4] = [
+    Duration::from_millis(50),
+    Duration::from_millis(300),
+    Duration::from_millis(550),
+    Duration::from_millis(800),
+];
+
+/// Guards against a reader that asks its own followers, which know no more, after its feed has broken.
+#[tokio::test(start_paused = true)]
+async fn a_reader_whose_feed_breaks_asks_the_store_again() {
+    let zone = Zone::start(36, 90).await;
+    zone.wait_until_all_hold(1, 0).await;
+    for phase in PHASES {
+        sleep(Duration::from_secs(4) + phase).await;
+        zone.store.are_feeds_silent.send_replace(true);
+        sleep(Duration::from_millis(200)).await;
+        let revision = zone.store.change(1);
+        let changed_at = Instant::now();
+        sleep(Duration::from_millis(1_000)).await;
+        zone.store.lost_up_to.store(revision, Ordering::Relaxed);
+        zone.store.are_feeds_silent.send_replace(false);
+        zone.wait_until_all_hold(revision, 0).await;
+        let elapsed = changed_at.elapsed();
+        assert!(elapsed < CHANGE_BOUND, "{elapsed:?} at {phase:?}");
+    }
+}
+
+/// Guards against followers that wait for a reader which is cut off from the store.
+#[tokio::test(start_paused = true)]
+async fn a_zone_whose_reader_loses_the_store_is_told_of_changes_in_time() {
+    for phase in PHASES {
+        let zone = Zone::start(36, 90).await;
+        zone.wait_until_all_hold(1, 0).await;
+        sleep(Duration::from_secs(4) + phase).await;
+        let reader = zone.machine(&zone.reader().id);
+        reader.has_lost_store.store(true, Ordering::Relaxed);
+        sleep(Duration::from_millis(100)).await;
+        for number in 0..10 {
+            let revision = zone.store.change(number);
+            // The reader itself may learn of it from its peers.
+            let elapsed = zone.wait_until_all_hold(revision, 1).await;
+            assert!(
+                elapsed < CHANGE_BOUND,
+                "{elapsed:?} at {phase:?}, change {number}"
+            );
+            sleep(Duration::from_millis(330)).await;
+        }
+    }
+}
