Relay: a fallback peer is asked without a hold, and counts only with news

Callers: requests could reach a replica up to 2.6 s after it had said that it leaves, in zones that relay (bound 2 to 5 s by site).

Cause: after one failed feed the reader of a zone turned to its fallback peers, which are its own followers. They held its question for 1 s, since they wait for what the reader lacks, and their page, with the reader's own old proof, counted as a result. Followers went the same way. A circle in a chain of sources that are tried one after the other, each with a hold.

Change: fallbacks are asked without a hold, and a page without changes and without a newer proof is no result, so the store is asked next. The followed peer is asked as before.

Red before, green now: a_reader_whose_feed_breaks_asks_the_store_again (2.05 s before), a_replica_that_leaves_while_the_feed_of_a_reader_is_silent_is_known_in_time (36 of 36 late).

--- a/crates/relay/src/relay/reading.rs
+++ b/crates/relay/src/relay/reading.rs
@@ -4,11 +4,13 @@
 
 use async_trait::async_trait;
 use harrierward_external::{
-    ChangePage, PageStart, PlatformError, PlatformErrorKind, Row, RowRead, SpacePage, WatchedTable,
+    ChangePage, FreshnessProof, PageStart, PlatformError, PlatformErrorKind, Row, RowRead,
+    SpacePage, WatchedTable,
 };
 use tokio::time::sleep;
 
 use crate::peer_copies::RelayReply;
+use crate::shared_space::MIN_PROOF_GAIN;
 use crate::sources::{RelayMode, Source, SourceFailure};
 use crate::tree::RelayPeer;
 
@@ -125,13 +127,20 @@
         after: u64,
         wait: Duration,
     ) -> Result<ChangePage, PlatformError> {
-        let sources = self.lock().sources.for_changes(harrierward_clock::now());
+        let (sources, followed) = {
+            let now = harrierward_clock::now();
+            let state = self.lock();
+            (state.sources.for_changes(now), state.sources.followed(now))
+        };
         let is_alone = sources.len() == 1;
         let mut failed = None;
         for source in sources {
             let result = match &source {
                 Source::Store => self.store_changes(space, after, wait, is_alone).await,
-                Source::Peer(peer) => self.peer_changes(space, after, peer).await,
+                Source::Peer(peer) if followed.as_ref() == Some(peer) => {
+                    self.followed_changes(space, after, peer).await
+                }
+                Source::Peer(peer) => self.fallback_changes(space, after, peer).await,
             };
             match result {
                 Ok(page) => {
@@ -181,22 +190,65 @@
         result
     }
 
+    /// Requests changes from the followed peer, which holds the request until it has any or a newer proof.
+    async fn followed_changes(
+        &self,
+        space: &str,
+        after: u64,
+        peer: &RelayPeer,
+    ) -> Result<ChangePage, PlatformError> {
+        let page = self.peer_changes(space, after, peer, MAX_HOLD).await?;
+        let proof = page.proof.as_ref();
+        let age = proof.map(|proof| harrierward_clock::age(proof.as_of));
+        if age.is_some_and(|age| age > MAX_PROOF_AGE) {
+            let source = Source::Peer(peer.clone());
+            self.note_failure(space, &source, SourceFailure::Behind, "old proof");
+        }
+        Ok(page)
+    }
+
+    /// Requests changes from a peer that isn't followed, without a hold: it may follow this daemon, and would then wait
+    /// for what this daemon lacks.
+    async fn fallback_changes(
+        &self,
+        space: &str,
+        after: u64,
+        peer: &RelayPeer,
+    ) -> Result<ChangePage, PlatformError> {
+        let page = self
+            .peer_changes(space, after, peer, Duration::ZERO)
+            .await?;
+        if self.has_news(space, &page) {
+            return Ok(page);
+        }
+        let kind = PlatformErrorKind::NotDone;
+        Err(PlatformError::new(
+            "relay.changes",
+            &peer.id,
+            kind,
+            "has no newer proof",
+        ))
+    }
+
+    /// True if a peer's page has changes, or a newer proof than the own copy.
+    fn has_news(&self, space: &str, page: &ChangePage) -> bool {
+        let known = self.space(space).and_then(|shared| shared.copy().as_of());
+        let is_newer = |proof: &FreshnessProof| {
+            known.is_none_or(|known| proof.as_of >= known + MIN_PROOF_GAIN)
+        };
+        !page.changes.is_empty() || page.proof.as_ref().is_some_and(is_newer)
+    }
+
     async fn peer_changes(
         &self,
         space: &str,
         after: u64,
         peer: &RelayPeer,
+        hold: Duration,
     ) -> Result<ChangePage, PlatformError> {
         let source = Source::Peer(peer.clone());
-        match self.request_peer(space, after, peer, MAX_HOLD).await {
-            RelayReply::Page(page) => {
-                let proof = page.proof.as_ref();
-                let age = proof.map(|proof| harrierward_clock::age(proof.as_of));
-                if age.is_some_and(|age| age > MAX_PROOF_AGE) {
-                    self.note_failure(space, &source, SourceFailure::Behind, "old proof");
-                }
-                Ok(page)
-            }
+        match self.request_peer(space, after, peer, hold).await {
+            RelayReply::Page(page) => Ok(page),
             RelayReply::HistoryLost => Err(PlatformError::new(
                 "relay.changes",
                 &peer.id,
--- a/crates/relay/src/shared_space.rs
+++ b/crates/relay/src/shared_space.rs
@@ -11,7 +11,7 @@
 use crate::space_copy::{CopyReply, SpaceCopy};
 
 /// Minimum difference by which a proof must be newer than the requester's to be sent without changes.
-const MIN_PROOF_GAIN: Duration = Duration::from_millis(100);
+pub(crate) const MIN_PROOF_GAIN: Duration = Duration::from_millis(100);
 
 /// A reply to a peer, with the times from which the peer computes the age of its proof.
 #[derive(Debug, Clone, PartialEq, Eq)]
