Audit the copies of replicas and configuration against the store's current state

Cause: the absence of news was taken for news of absence. A feed's response counted as proof that a replica isn't leaving; it proves that the store responds. All feeds are in step (a change wakes them, their holds of 2 s end together), so a second in which changes aren't delivered is skipped by the whole fleet: each feed names the newest revision without the change, the daemons ask on after it, and nobody knows better until the next full read (10 s). Reads that are behind after a lost history, and a store that turns one daemon away, leave daemons in the same position.

Change: one daemon at a time compares its copy, row by row, with the store's current state by a transaction that writes nothing, and announces the digest to all; the others compare their own digest at that revision and request what they lack from it. The same belief stood in the configuration's and the evacuations' rows, which are audited too.

The gate needs no special case, and no request is refused for old knowledge.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -111,7 +111,7 @@
             sent_by_region: sent_by_region(&registry)?,
             listed_age_seconds: histogram(
                 "harrierward_replica_listed_age_seconds",
-                "Age of the proof that a replica was not leaving, when a request was sent to it",
+                "Age of the last audit that confirmed the replicas' rows, when a request was sent",
             )?,
             items_preempted: counter(
                 "harrierward_item_ends_ordered_total",
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -156,6 +156,43 @@
         /// Duration of the read.
         after_ms: u64,
     },
+    /// This daemon compared its copy of a space with the store's current state. Audits that find nothing are logged once
+    /// their turn comes here, or after a failure.
+    SpaceAudited {
+        /// Name of the space.
+        space: &'a str,
+        /// `unchanged`, `changed` (the copy lacked changes) or `failed`.
+        outcome: &'a str,
+        /// Rows of the copy.
+        rows: usize,
+        /// Rows that had changed in the store.
+        changes: usize,
+        /// Time since the last audit that this daemon knows of.
+        last_ms: u64,
+        /// Duration of the check.
+        after_ms: u64,
+        /// Error of a failed check; absent otherwise.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        cause: Option<String>,
+    },
+    /// This daemon's copy of a space differed from one that a peer had audited, and the peer was asked for the changes.
+    SpaceRepaired {
+        /// Name of the space.
+        space: &'a str,
+        /// Id of the peer.
+        peer: &'a str,
+        /// `equal` (the copies are equal now), `differs` or `no reply`.
+        outcome: &'a str,
+        /// True if the feed had passed the last change; false if it was behind.
+        omitted: bool,
+        /// Revision of the copy.
+        revision: u64,
+        /// Changes received from the peer.
+        changes: usize,
+        /// Time since the last audit to which the copy was equal; absent if there was none.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        confirmed_ms: Option<u64>,
+    },
     /// Whether this daemon reads the store directly or follows a peer of its zone.
     RelayMode {
         /// `direct` or `relayed`.
@@ -184,7 +221,7 @@
         revision: u64,
         /// `store`, or the id of the peer that sent the row.
         source: &'a str,
-        /// `feed` or `full read`.
+        /// `feed`, `full read`, `audit` or `repair`.
         reading: &'a str,
         /// True if the feed had omitted the change and named a later revision; false where that isn't known, as of a row
         /// that is gone.
@@ -384,7 +421,7 @@
         /// Age of the replica's last load report; absent if none is known.
         #[serde(skip_serializing_if = "Option::is_none")]
         report_age_ms: Option<u64>,
-        /// Age of the proof that the replica was listed as not leaving; absent without one.
+        /// Age of the last audit that confirmed the replicas' rows; absent without one.
         #[serde(skip_serializing_if = "Option::is_none")]
         listed_age_ms: Option<u64>,
         /// Prompt tokens estimated to be in the replica's prefix cache.
--- a/crates/decisions/src/space_metrics.rs
+++ b/crates/decisions/src/space_metrics.rs
@@ -15,6 +15,8 @@
     lost_histories: IntCounterVec,
     full_reads: IntCounterVec,
     omitted_changes: IntCounterVec,
+    audits: IntCounterVec,
+    repairs: IntCounterVec,
 }
 
 impl SpaceMetrics {
@@ -36,7 +38,20 @@
         );
         let full_reads = IntCounterVec::new(full_reads, &["space", "reason", "outcome"])?;
         registry.register(Box::new(full_reads.clone()))?;
+        let by_outcome = |name: &str, help: &str| {
+            let vector = IntCounterVec::new(Opts::new(name, help), &["space", "outcome"])?;
+            registry.register(Box::new(vector.clone()))?;
+            Ok::<_, prometheus::Error>(vector)
+        };
         Ok(Self {
+            audits: by_outcome(
+                "harrierward_space_audits_total",
+                "Logged audits of the copy of a space: the first of a turn, and those that found changes or failed",
+            )?,
+            repairs: by_outcome(
+                "harrierward_space_repairs_total",
+                "Requests to audited peers for changes that the copy of a space lacked, by outcome",
+            )?,
             full_reads,
             lost_histories: counter(
                 "harrierward_space_histories_lost_total",
@@ -99,6 +114,12 @@
                 let counter = self.omitted_changes.with_label_values(&[*space]);
                 counter.inc_by(*omitted as u64);
             }
+            Record::SpaceAudited { space, outcome, .. } => {
+                self.audits.with_label_values(&[*space, *outcome]).inc();
+            }
+            Record::SpaceRepaired { space, outcome, .. } => {
+                self.repairs.with_label_values(&[*space, *outcome]).inc();
+            }
             Record::CopyDiffers { space, .. } => {
                 self.differences.with_label_values(&[*space]).inc();
             }
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -15,6 +15,7 @@
 use harrierward_wire::FORMAT_LEVEL;
 use tokio::net::{TcpListener, UdpSocket};
 
+use crate::audits::AuditService;
 use crate::discovery::{Discovery, DiscoverySource};
 use crate::fleet::SharedFleet;
 use crate::members::{Members, new_instance_id};
@@ -205,8 +206,13 @@
             JOB_HEADERS,
         ];
         let peers = Arc::new(HttpPeers::new(pool.clone()));
-        let instance_id = members.instance_id();
-        let relay = Relay::new(instance_id, watched, peers, &spaces, log.clone());
+        let relay = Relay::new(
+            members.instance_id(),
+            watched.clone(),
+            peers.clone(),
+            &spaces,
+            log.clone(),
+        );
         let relay = Arc::new(relay);
         members.set_relay(relay.clone());
         let view = members.clone();
@@ -215,7 +221,10 @@
             jobs: jobs.clone(),
             quarantine: quarantine.clone(),
         };
-        start_watches(&discovery, source.as_ref(), headers, &intervals, &log);
+        let audited = start_watches(&discovery, source.as_ref(), headers, &intervals, &log);
+        let instance_id = members.instance_id().to_owned();
+        let audits = AuditService::new(instance_id, audited, watched, peers, log.clone());
+        members.set_audits(Arc::new(audits));
         let clock = jobs.clone();
         let store_now_ms = move || clock.view().store_now_ms();
         tokio::spawn(quarantine.clone().run_row_writer(table, store_now_ms));
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -44,6 +44,11 @@
         None
     }
 
+    /// Returns the keys of the configuration's rows that may be written at any time, such as those that evacuate a zone.
+    fn configuration_keys(&self) -> Vec<String> {
+        Vec::new()
+    }
+
     /// True if the zone is part of the configured topology.
     fn is_configured_zone(&self, _zone: &str) -> bool {
         true
@@ -202,9 +207,6 @@
         let mut rows = self.rows();
         let is_first_read = !std::mem::replace(&mut rows.replicas_read, true);
         let mut changes = ReplicaChanges::default();
-        if let Some(as_of) = update.as_of {
-            self.replicas.prove(as_of);
-        }
         if std::mem::take(&mut rows.replicas_from_peer) {
             let from_peer = rows.replicas.drain().map(|(_, (_, record))| record.id);
             changes.removed.extend(from_peer);
@@ -226,6 +228,11 @@
         self.publish(changes);
     }
 
+    /// Records that an audit found the replicas' rows to be current at this time.
+    pub fn confirm_replicas(&self, at: Instant) {
+        self.replicas.prove(at);
+    }
+
     /// Applies replicas from a peer, unless replicas have been read already.
     pub fn apply_peer_replicas(&self, peer_rows: &[Row]) {
         let mut rows = self.rows();
@@ -364,7 +371,7 @@
             state,
             revision,
             source: update.source.name(),
-            reading: update.reading(),
+            reading: update.reading.name(),
             omitted: state != "gone" && update.is_omitted(revision),
             proof_age_ms: proof_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             running: replica.map_or(0, |replica| replica.own_total()),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,6 +1,7 @@
 //! One serving daemon: its HTTP servers, connection pool, copies of the store's spaces, and peers. It keeps no state
 //! on disk.
 
+mod audits;
 mod calls;
 mod collected_body;
 mod daemon;
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -26,6 +26,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep};
 
+use crate::audits::{AuditMember, AuditService};
 use crate::calls::DatagramCalls;
 use crate::peer_loads::PeerLoads;
 use crate::peer_updates::PeerUpdates;
@@ -73,6 +74,7 @@
     jobs: OnceLock<InlineJobs>,
     peer_updates: OnceLock<Arc<PeerUpdates>>,
     relay: OnceLock<Arc<Relay>>,
+    audits: OnceLock<Arc<AuditService>>,
     quota_calls: DatagramCalls<QuotaAnswer>,
     next_quota_call: AtomicU32,
     slots: Arc<SlotService>,
@@ -155,6 +157,7 @@
             jobs: OnceLock::new(),
             peer_updates: OnceLock::new(),
             relay: OnceLock::new(),
+            audits: OnceLock::new(),
             quota_calls: DatagramCalls::default(),
             next_quota_call: AtomicU32::new(1),
             slots,
@@ -232,6 +235,9 @@
         self.slots.set_socket(socket.clone());
         self.rates.set_socket(socket.clone());
         self.quarantine.set_socket(socket.clone());
+        if let Some(audits) = self.audits.get() {
+            audits.set_socket(socket.clone());
+        }
         let receiving = self.clone().receive_all(socket.clone());
         tokio::join!(self.tick_all(socket), receiving);
     }
@@ -261,6 +267,9 @@
             self.slots.tick();
             self.rates.tick();
             self.quarantine.tick();
+            if let Some(audits) = self.audits.get() {
+                audits.tick();
+            }
             send_all(&socket, datagrams).await;
             sleep(TICK).await;
         }
@@ -294,6 +303,10 @@
         let kind = kind.and_then(|kind| self.slots.receive(kind, from));
         let kind = kind.and_then(|kind| self.rates.receive(kind, from));
         let kind = kind.and_then(|kind| self.quarantine.receive(kind));
+        let kind = kind.and_then(|kind| match self.audits.get() {
+            Some(audits) => audits.receive(kind),
+            None => Some(kind),
+        });
         let mut state = self.lock();
         match kind {
             Some(node_datagram::Kind::Membership(datagram)) => {
@@ -363,6 +376,7 @@
         });
         let staying: Vec<CoordinatorCandidate> = staying.collect();
         self.update_relay_members(&view);
+        self.update_audit_members(&state.core, &view);
         self.quarantine.set_members(&staying);
         self.rates.set_members(staying.clone());
         self.slots.set_members(staying);
@@ -384,6 +398,30 @@
         relay.set_members(&candidates, view.members.len());
     }
 
+    /// Sets the members that audit, or compare their copies with audited ones.
+    fn update_audit_members(&self, core: &MembershipCore, view: &MembershipView) {
+        let Some(audits) = self.audits.get() else {
+            return;
+        };
+        let others = view
+            .staying()
+            .filter(|member| member.id != self.instance_id);
+        let others = others.map(|member| AuditMember {
+            peer: RelayPeer {
+                id: member.id.clone(),
+                address: member.peer_address.clone(),
+            },
+            address: udp_address(core, &member.id),
+            is_attached: !member.detached,
+        });
+        audits.set_members(others.collect());
+    }
+
+    /// Sets the audits of the store's spaces; effective once.
+    pub(crate) fn set_audits(&self, audits: Arc<AuditService>) {
+        let _ = self.audits.set(audits);
+    }
+
     /// Sets the relay that reads the store's spaces; effective once.
     pub fn set_relay(&self, relay: Arc<Relay>) {
         let _ = self.relay.set(relay);
--- a/crates/edge/src/watches.rs
+++ b/crates/edge/src/watches.rs
@@ -6,12 +6,13 @@
 use harrierward_decisions::DecisionLog;
 use harrierward_inline_jobs::{InlineJobs, JOB_HEADERS, RowKind, partitions, row_kind};
 use harrierward_relay::{
-    FullReadPace, Relay, SharedSpace, SpaceUpdate, Watch, WatchPace, WatchSettings,
+    FullReadPace, Relay, SpacePublisher, SpaceUpdate, Watch, WatchPace, WatchSettings,
     coalescing_interval, full_read_interval, unpaced,
 };
 use harrierward_serving::{KeyTrust, Mechanism};
 use tokio::time::{Instant, sleep};
 
+use crate::audits::AuditedSpace;
 use crate::discovery::{Discovery, DiscoverySource};
 use crate::quarantine::QuarantineService;
 use crate::settings::EdgeSettings;
@@ -83,20 +84,25 @@
         })
     }
 
-    /// Returns the copy that the watch of a space keeps.
-    fn copy(&self, space: &'static str) -> Arc<SharedSpace> {
-        self.relay.space(space).cloned().unwrap_or_default()
+    /// Returns the publisher of the copy that the watch of a space keeps.
+    fn publisher(
+        &self,
+        space: &'static str,
+        apply: impl FnMut(SpaceUpdate) + Send + 'static,
+    ) -> Arc<SpacePublisher> {
+        let copy = self.relay.space(space).cloned().unwrap_or_default();
+        Arc::new(SpacePublisher::new(copy, apply))
     }
 }
 
-/// Starts the watches on the current runtime.
+/// Starts the watches on the current runtime. Returns the spaces whose copies are audited.
 pub(crate) fn start_watches(
     discovery: &Arc<Discovery>,
     source: &dyn DiscoverySource,
     job_rows: JobRowHandler,
     intervals: &WatchIntervals,
     log: &DecisionLog,
-) {
+) -> Vec<AuditedSpace> {
     let watch = |space, partitions: Vec<String>, pace, wait| Watch {
         table: intervals.relay.clone(),
         space,
@@ -109,25 +115,28 @@
         partitions,
         log: log.clone(),
     };
+    let configuration_space = source.configuration_space();
     let configuration = watch(
-        source.configuration_space(),
+        configuration_space,
         unnamed_partition(),
         unpaced(),
         intervals.configuration_wait,
     );
     let target = discovery.clone();
-    let copy = intervals.copy(source.configuration_space());
     let apply = move |update| target.apply_configuration(&update, "store");
-    tokio::spawn(configuration.run_shared(copy, apply));
+    let configuration_rows = intervals.publisher(configuration_space, apply);
+    tokio::spawn(configuration.run_shared(configuration_rows.clone()));
+    let replica_space = source.replica_space();
     let replicas = watch(
-        source.replica_space(),
+        replica_space,
         unnamed_partition(),
-        intervals.coalescing(source.replica_space()),
+        intervals.coalescing(replica_space),
         LONG_POLL_WAIT,
     );
     let target = discovery.clone();
-    let copy = intervals.copy(source.replica_space());
-    tokio::spawn(replicas.run_shared(copy, move |update| target.apply_replicas(&update)));
+    let apply = move |update| target.apply_replicas(&update);
+    let replica_rows = intervals.publisher(replica_space, apply);
+    tokio::spawn(replicas.run_shared(replica_rows.clone()));
     let wait = WatchSettings::default().wait;
     let headers = watch(
         JOB_HEADERS,
@@ -135,14 +144,30 @@
         intervals.coalescing(JOB_HEADERS),
         wait,
     );
-    let copy = intervals.copy(JOB_HEADERS);
-    let discovery = discovery.clone();
+    let header_rows = intervals.publisher(JOB_HEADERS, move |update| job_rows.apply(&update));
+    let awaited = discovery.clone();
     tokio::spawn(async move {
         // When all daemons start at once the store is overloaded: what callers wait for is read first.
-        wait_until_complete(&discovery).await;
-        let apply = move |update| job_rows.apply(&update);
-        headers.run_shared(copy, apply).await;
+        wait_until_complete(&awaited).await;
+        headers.run_shared(header_rows).await;
     });
+    let confirmed = discovery.clone();
+    vec![
+        AuditedSpace {
+            name: configuration_space,
+            publisher: configuration_rows,
+            expected_keys: source.configuration_keys(),
+            coalescing: unpaced(),
+            on_confirmed: Box::new(|_| {}),
+        },
+        AuditedSpace {
+            name: replica_space,
+            publisher: replica_rows,
+            expected_keys: Vec::new(),
+            coalescing: intervals.coalescing(replica_space),
+            on_confirmed: Box::new(move |at| confirmed.confirm_replicas(at)),
+        },
+    ]
 }
 
 /// Longest time that reading the jobs' headers waits for the configuration and the replicas, and its check interval.
--- a/crates/external/src/lib.rs
+++ b/crates/external/src/lib.rs
@@ -28,6 +28,7 @@
 pub use objects::ObjectStore;
 pub use table::{Condition, Row, Table, Transaction, TransactionOutcome, Write};
 pub use watch::{
-    ChangePage, FreshnessProof, RowChange, RowRead, SpacePage, SpaceSnapshot, WatchedTable,
+    ChangePage, FreshnessProof, RowChange, RowCheck, RowRead, RowVersion, SpacePage, SpaceSnapshot,
+    WatchedTable,
 };
 pub use weights::{WeightStore, WeightTransfer};
--- a/crates/external/src/watch.rs
+++ b/crates/external/src/watch.rs
@@ -83,6 +83,25 @@
     pub proof: Option<FreshnessProof>,
 }
 
+/// A row as a copy holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RowVersion {
+    /// Key of the row.
+    pub key: String,
+    /// Revision of the row; 0 if the copy has none.
+    pub revision: u64,
+}
+
+/// Result of a check of rows against the current state of the table.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RowCheck {
+    /// The checked rows that are not as in the copy, in their current state. The revision of a row that is gone is that
+    /// of the table at the check.
+    pub changes: Vec<RowChange>,
+    /// Revision of the table at the check, or at its first step if it took several.
+    pub revision: u64,
+}
+
 /// Client of a table whose spaces can be watched.
 #[async_trait]
 pub trait WatchedTable: Send + Sync {
@@ -110,6 +129,17 @@
         Ok(read.into_snapshot())
     }
 
+    /// Compares rows with the current state of the table. Unlike reads and long polls, which may reflect an earlier state
+    /// or omit changes, the result holds everything that was acknowledged before the call.
+    async fn check_rows(&self, _rows: &[RowVersion]) -> Result<RowCheck, PlatformError> {
+        Err(PlatformError::new(
+            "table.check",
+            "",
+            crate::PlatformErrorKind::NotDone,
+            "not supported",
+        ))
+    }
+
     /// Long-polls up to `wait` for changes after revision `after`; the page is empty if there are none.
     /// Fails with [`crate::PlatformErrorKind::HistoryLost`] if the store no longer keeps the changes.
     async fn wait_changes(
--- a/crates/relay/src/space_copy.rs
+++ b/crates/relay/src/space_copy.rs
@@ -1,68 +1,18 @@
-//! A copy of a table space: merges full reads and pages of changes, and builds replies to peers. Does no I/O.
+//! A copy of a table space: merges full reads, pages of changes and audits, and builds replies to peers. Does no I/O.
 
-use std::collections::{HashMap, HashSet, VecDeque};
-use std::sync::Arc;
+mod recent;
+
+use std::collections::{HashMap, HashSet};
 
 use bytes::Bytes;
-use harrierward_external::{ChangePage, FreshnessProof, Row, RowChange, SpaceSnapshot};
+use harrierward_external::{ChangePage, FreshnessProof, Row, RowChange, RowVersion, SpaceSnapshot};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Minimum number of recent changes that are kept for incremental replies.
-const MIN_RECENT: usize = 1_024;
-
-/// Recent changes are kept up to one `RECENT_DIVISOR`th of the rows; a peer that lacks more gets the full space.
-const RECENT_DIVISOR: usize = 4;
-
-/// Where rows were read.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub enum UpdateSource {
-    /// At the store itself.
-    #[default]
-    Store,
-    /// From the copy of the peer with this id.
-    Peer(Arc<str>),
-}
-
-impl UpdateSource {
-    fn of(proof: Option<&FreshnessProof>) -> Self {
-        proof.map_or(Self::Store, |proof| Self::Peer(proof.peer.clone()))
-    }
-
-    /// Returns the name in the decision log: `store`, or the id of the peer.
-    pub fn name(&self) -> &str {
-        match self {
-            Self::Store => "store",
-            Self::Peer(id) => id,
-        }
-    }
-}
+use crate::audit::{AuditComparison, AuditStatement};
+use crate::space_update::{Reading, SpaceUpdate, UpdateSource};
 
-/// The effect of a full read or a page of changes on the copy.
-#[derive(Debug, Clone, Default)]
-pub struct SpaceUpdate {
-    /// Rows written, with their revisions.
-    pub written: Vec<Row>,
-    /// Keys of removed rows.
-    pub removed: Vec<String>,
-    /// Time of the proof: the copy holds everything that the store had acknowledged by then, except for changes that
-    /// its feed omitted. `None` if unknown.
-    pub as_of: Option<Instant>,
-    /// The store's monotonic clock at the read, in milliseconds.
-    pub store_time_ms: u64,
-    /// Revision of the full read; `None` for changes.
-    pub complete_at: Option<u64>,
-    /// Revision of the store up to which the update is complete.
-    pub revision: u64,
-    /// True if the replying peer holds other rows at the same revision: one of the copies has missed a change.
-    pub differs: bool,
-    /// Where the rows were read.
-    pub source: UpdateSource,
-    /// Revision of the copy before the update. A changed row whose revision isn't higher was omitted by the feed.
-    pub revision_before: u64,
-    /// Time of the copy's proof before the update.
-    pub as_of_before: Option<Instant>,
-}
+use recent::{RecentChange, RecentChanges};
 
 #[derive(Debug)]
 struct StoredRow {
@@ -70,14 +20,6 @@
     revision: u64,
 }
 
-/// A row that was recently written or removed.
-#[derive(Debug)]
-struct RecentChange {
-    key: String,
-    /// Revision of the copy after the change. It exceeds the row's own revision if the change was received late.
-    revision: u64,
-}
-
 /// The content of a reply to a peer.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CopyReply {
@@ -98,10 +40,9 @@
 pub struct SpaceCopy {
     rows: HashMap<String, StoredRow>,
     revision: u64,
-    /// Changes in the order in which they were applied.
-    recent: VecDeque<RecentChange>,
-    /// `recent` covers all changes after this revision.
-    recent_after: u64,
+    /// Highest revision at which any row is known to have changed.
+    changed_at: u64,
+    recent: RecentChanges,
     digest: u64,
     as_of: Option<Instant>,
     store_time_ms: u64,
@@ -111,6 +52,15 @@
     xxh3_64_with_seed(key.as_bytes(), revision)
 }
 
+/// Returns the revision of the copy after a change. One that was missing isn't ahead of the copy: followers would ask
+/// for it again and again until the copy's revision reaches it.
+fn revision_of(update: &SpaceUpdate, changed_at: u64) -> u64 {
+    match update.reading {
+        Reading::Feed | Reading::FullRead => update.revision.max(changed_at),
+        Reading::Audit | Reading::Repair => update.revision,
+    }
+}
+
 impl SpaceCopy {
     /// Returns the revision after which changes must be requested.
     pub fn revision(&self) -> u64 {
@@ -140,25 +90,10 @@
         }
     }
 
+    /// Returns the revision at which a row changed last, as far as known: 0 for an unknown row.
     fn row_revision(&self, key: &str) -> u64 {
-        self.rows.get(key).map_or(0, |row| row.revision)
-    }
-
-    fn insert(&mut self, row: &Row) {
-        let stored = StoredRow {
-            value: row.value.clone(),
-            revision: row.revision,
-        };
-        self.digest ^= row_digest(&row.key, row.revision);
-        if let Some(before) = self.rows.insert(row.key.clone(), stored) {
-            self.digest ^= row_digest(&row.key, before.revision);
-        }
-    }
-
-    fn remove(&mut self, key: &str) {
-        if let Some(row) = self.rows.remove(key) {
-            self.digest ^= row_digest(key, row.revision);
-        }
+        let stored = self.rows.get(key).map(|row| row.revision);
+        stored.unwrap_or_else(|| self.recent.removed_at(key))
     }
 
     /// Applies a full read; `None`, without effect, if it is older than the copy.
@@ -172,10 +107,8 @@
             complete_at: Some(snapshot.revision),
             revision: snapshot.revision,
             as_of: snapshot.proof.as_ref().map(|proof| proof.as_of),
-            source: UpdateSource::of(snapshot.proof.as_ref()),
-            revision_before: self.revision,
-            as_of_before: self.as_of,
-            ..SpaceUpdate::default()
+            reading: Reading::FullRead,
+            ..self.update_from(UpdateSource::of(snapshot.proof.as_ref()))
         };
         let read: HashSet<&str> = snapshot.rows.iter().map(|row| row.key.as_str()).collect();
         // A read is as old as its oldest page, so the copy may hold newer rows that the read lacks.
@@ -184,15 +117,18 @@
         let removed = self.rows.iter().filter(|(key, row)| is_removed(key, row));
         update.removed = removed.map(|(key, _)| key.clone()).collect();
         for row in snapshot.rows {
-            if row.revision > self.row_revision(&row.key) {
+            // A row that is listed at this revision wasn't removed before it.
+            let removed_at = self.recent.removed_at(&row.key);
+            let is_removed_later = removed_at > snapshot.revision;
+            let stored = self.rows.get(&row.key).map_or(0, |row| row.revision);
+            if row.revision > stored && !is_removed_later {
                 update.written.push(row);
             }
         }
         self.revision = snapshot.revision;
-        self.apply(&update);
+        self.apply(&update, |_| snapshot.revision);
         if is_first {
-            self.recent.clear();
-            self.recent_after = self.revision;
+            self.recent.restart(self.revision);
         }
         Some(update)
     }
@@ -203,21 +139,56 @@
             store_time_ms: page.store_time_ms,
             revision: page.revision,
             as_of: page.proof.as_ref().map(|proof| proof.as_of),
-            source: UpdateSource::of(page.proof.as_ref()),
+            ..self.update_from(UpdateSource::of(page.proof.as_ref()))
+        };
+        let removed_at = self.merge(page.changes, &mut update);
+        self.revision = self.revision.max(page.revision);
+        self.apply(&update, |key| removed_at[key]);
+        update.differs = page
+            .proof
+            .is_some_and(|proof| self.differs(page.revision, &proof));
+        update
+    }
+
+    /// Applies changes that this copy lacks although its revision may be higher: those that an audit found, or that
+    /// an audited peer holds. The copy's revision stays, since other changes up to theirs may be missing.
+    pub fn apply_missing(
+        &mut self,
+        changes: Vec<RowChange>,
+        reading: Reading,
+        source: UpdateSource,
+    ) -> SpaceUpdate {
+        let mut update = SpaceUpdate {
+            revision: self.revision,
+            reading,
+            ..self.update_from(source)
+        };
+        let removed_at = self.merge(changes, &mut update);
+        self.apply(&update, |key| removed_at[key]);
+        update
+    }
+
+    fn update_from(&self, source: UpdateSource) -> SpaceUpdate {
+        SpaceUpdate {
+            source,
             revision_before: self.revision,
             as_of_before: self.as_of,
             ..SpaceUpdate::default()
-        };
-        let mut page_revisions: HashMap<String, u64> = HashMap::new();
-        for change in page.changes {
-            let in_page = page_revisions.get(&change.key).copied();
-            let row_revision = in_page.unwrap_or_else(|| self.row_revision(&change.key));
-            if change.revision <= row_revision {
+        }
+    }
+
+    /// Adds those changes to `update` that are newer than the copy. Returns the revisions of removed rows.
+    fn merge(&self, changes: Vec<RowChange>, update: &mut SpaceUpdate) -> HashMap<String, u64> {
+        let mut merged: HashMap<String, u64> = HashMap::new();
+        for change in changes {
+            let earlier = merged.get(&change.key).copied();
+            let known = earlier.unwrap_or_else(|| self.row_revision(&change.key));
+            if change.revision <= known {
                 continue;
             }
-            // Only the last change of a row in the page counts.
+            // Only the last change of a row counts.
             update.removed.retain(|key| *key != change.key);
-            page_revisions.insert(change.key.clone(), change.revision);
+            merged.insert(change.key.clone(), change.revision);
             match change.value {
                 Some(value) => update.written.push(Row {
                     key: change.key,
@@ -227,12 +198,7 @@
                 None => update.removed.push(change.key),
             }
         }
-        self.revision = self.revision.max(page.revision);
-        self.apply(&update);
-        update.differs = page
-            .proof
-            .is_some_and(|proof| self.differs(page.revision, &proof));
-        update
+        merged
     }
 
     /// True if a peer's copy of the same revision has another digest.
@@ -240,43 +206,71 @@
         revision == self.revision && proof.digest != self.digest
     }
 
-    fn apply(&mut self, update: &SpaceUpdate) {
+    fn apply(&mut self, update: &SpaceUpdate, removed_at: impl Fn(&str) -> u64) {
         for row in &update.written {
-            self.insert(row);
-            self.remember(&row.key, row.revision.max(update.revision));
+            let digest_delta = self.insert(row);
+            let change = RecentChange {
+                key: row.key.clone(),
+                revision: revision_of(update, row.revision),
+                changed_at: row.revision,
+                digest_delta,
+                is_removal: false,
+            };
+            self.remember(change);
         }
         for key in &update.removed {
-            self.remove(key);
-            self.remember(key, update.revision);
-        }
-        let max_recent = MIN_RECENT.max(self.rows.len() / RECENT_DIVISOR);
-        while self.recent.len() > max_recent {
-            let oldest = self.recent.pop_front();
-            let oldest = oldest.map_or(0, |change| change.revision);
-            self.recent_after = self.recent_after.max(oldest);
+            let digest_delta = self.remove(key);
+            let changed_at = removed_at(key);
+            let change = RecentChange {
+                key: key.clone(),
+                revision: revision_of(update, changed_at),
+                changed_at,
+                digest_delta,
+                is_removal: true,
+            };
+            self.remember(change);
         }
     }
 
-    fn remember(&mut self, key: &str, revision: u64) {
-        self.recent.push_back(RecentChange {
-            key: key.to_owned(),
-            revision,
-        });
+    /// Stores a row; returns the change of the digest.
+    fn insert(&mut self, row: &Row) -> u64 {
+        let stored = StoredRow {
+            value: row.value.clone(),
+            revision: row.revision,
+        };
+        let before = self.rows.insert(row.key.clone(), stored);
+        let before = before.map_or(0, |before| row_digest(&row.key, before.revision));
+        before ^ row_digest(&row.key, row.revision)
+    }
+
+    /// Removes a row; returns the change of the digest.
+    fn remove(&mut self, key: &str) -> u64 {
+        let before = self.rows.remove(key);
+        before.map_or(0, |before| row_digest(key, before.revision))
+    }
+
+    fn remember(&mut self, change: RecentChange) {
+        self.digest ^= change.digest_delta;
+        self.changed_at = self.changed_at.max(change.changed_at);
+        self.recent.push(change, self.rows.len());
     }
 
     /// True if there are changes for a peer whose copy has the revision `after`.
     pub fn has_updates(&self, after: u64) -> bool {
-        after < self.recent_after || self.recent.iter().any(|change| change.revision > after)
+        !self.recent.reach_back_to(after) || self.recent.any_after(after)
     }
 
     /// Returns what a peer with a copy of the revision `after` lacks; 0 for a peer without a copy.
     pub fn reply(&self, after: u64) -> CopyReply {
-        let is_full = after < self.recent_after;
+        let is_full = !self.recent.reach_back_to(after);
         let changes = if is_full {
             let all = self.rows.keys();
             all.map(|key| self.change(key, self.revision)).collect()
         } else {
-            self.changes_after(after)
+            let latest = self.recent.latest_after(after);
+            latest
+                .map(|change| self.change(&change.key, change.changed_at))
+                .collect()
         };
         CopyReply {
             changes,
@@ -287,16 +281,6 @@
         }
     }
 
-    fn changes_after(&self, after: u64) -> Vec<RowChange> {
-        let newer = self.recent.iter().rev();
-        let newer = newer.filter(|change| change.revision > after);
-        let mut seen = HashSet::new();
-        let latest = newer.filter(|change| seen.insert(change.key.as_str()));
-        latest
-            .map(|change| self.change(&change.key, change.revision))
-            .collect()
-    }
-
     /// Returns the current state of a row as a change; `removed_at` is the revision if it was removed.
     fn change(&self, key: &str, removed_at: u64) -> RowChange {
         let row = self.rows.get(key);
@@ -306,31 +290,44 @@
             value: row.map(|row| row.value.clone()),
         }
     }
-}
 
-impl SpaceUpdate {
-    /// True if nothing changed.
-    pub fn is_empty(&self) -> bool {
-        self.written.is_empty() && self.removed.is_empty()
+    /// Returns the rows to be audited: those of the copy, and those of `expected` that it lacks.
+    pub fn versions(&self, expected: &[String]) -> Vec<RowVersion> {
+        let held = self.rows.iter().map(|(key, row)| RowVersion {
+            key: key.clone(),
+            revision: row.revision,
+        });
+        let missing = expected.iter().filter(|key| !self.rows.contains_key(*key));
+        let missing = missing.map(|key| RowVersion {
+            key: key.clone(),
+            revision: 0,
+        });
+        held.chain(missing).collect()
     }
 
-    /// Returns the number of written rows that the feed had omitted.
-    pub fn omitted(&self) -> usize {
-        let written = self.written.iter();
-        written.filter(|row| self.is_omitted(row.revision)).count()
+    /// Returns the statement of an audit that has found the copy's rows to be current.
+    pub fn statement(&self) -> AuditStatement {
+        AuditStatement {
+            revision: self.revision.max(self.changed_at),
+            changed_at: self.changed_at,
+            digest: self.digest,
+        }
     }
 
-    /// True if the feed had omitted a change with this revision: the copy was told of a later one before.
-    pub fn is_omitted(&self, revision: u64) -> bool {
-        self.as_of_before.is_some() && revision <= self.revision_before
+    /// True if the copy holds changes after the state that was audited.
+    pub fn is_ahead_of(&self, statement: &AuditStatement) -> bool {
+        self.changed_at > statement.revision
     }
 
-    /// Returns how the rows were read, as in the decision log: `feed`, or `full read`.
-    pub fn reading(&self) -> &'static str {
-        if self.complete_at.is_some() {
-            "full read"
+    /// Compares the copy with a peer's that was audited; `None` if the copy can't tell what it held at that revision.
+    pub fn compare(&self, statement: &AuditStatement) -> Option<AuditComparison> {
+        let delta = self.recent.digest_delta_since(statement.revision)?;
+        Some(if self.digest ^ delta == statement.digest {
+            AuditComparison::Equal
+        } else if self.revision < statement.changed_at {
+            AuditComparison::Behind
         } else {
-            "feed"
-        }
+            AuditComparison::Incomplete
+        })
     }
 }
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use harrierward_decisions::{DecisionLog, Record};
-use harrierward_external::{Backoff, FullRead, PlatformErrorKind, WatchedTable};
+use harrierward_external::{Backoff, ChangePage, FullRead, PlatformErrorKind, WatchedTable};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::{Instant, sleep};
 
 use crate::pace::{FullReadPace, WatchPace};
+use crate::publisher::SpacePublisher;
 use crate::shared_space::SharedSpace;
-use crate::space_copy::SpaceUpdate;
+use crate::space_copy::SpaceCopy;
+use crate::space_update::SpaceUpdate;
 
 /// Timeouts and intervals of a watch.
 #[derive(Debug, Clone, Copy)]
@@ -73,12 +75,14 @@
 
 impl Watch {
     /// Runs forever and passes each update to `on_update`.
-    pub async fn run(self, on_update: impl FnMut(SpaceUpdate)) {
-        self.run_shared(Arc::default(), on_update).await;
+    pub async fn run(self, on_update: impl FnMut(SpaceUpdate) + Send + 'static) {
+        let publisher = SpacePublisher::new(Arc::default(), on_update);
+        self.run_shared(Arc::new(publisher)).await;
     }
 
-    /// Runs like `run`, on a copy that is shared with peers.
-    pub async fn run_shared(self, space: Arc<SharedSpace>, mut on_update: impl FnMut(SpaceUpdate)) {
+    /// Runs like `run`, on a copy that is shared with peers and that audits change too.
+    pub async fn run_shared(self, publisher: Arc<SpacePublisher>) {
+        let space = publisher.space().clone();
         let mut random = SmallRng::from_os_rng();
         let mut backoff = Backoff::new(self.settings.min_backoff, self.settings.max_backoff);
         let mut needs_full_read = true;
@@ -106,17 +110,26 @@
                     pages = done.pages_read.pages();
                     let pace = (self.full_read_pace)(pages);
                     full_read_due = requested_at + self.settings.full_read_interval.max(pace);
-                    let update = space.copy().apply_snapshot(done.pages_read.into_snapshot());
-                    self.log_read(read_reason, requested_at, newest, update.as_ref());
-                    update
+                    let snapshot = done.pages_read.into_snapshot();
+                    publisher.publish(|copy| {
+                        let update = copy.apply_snapshot(snapshot);
+                        self.log_read(read_reason, requested_at, newest, update.as_ref());
+                        Some(prove(copy, update?, requested_at))
+                    })
                 })
             } else {
                 changes_first = false;
                 let wait = self.hold_time(proven_at, interval);
-                self.request_changes(&space, wait).await
+                let page = self.request_changes(&space, wait).await;
+                page.map(|page| {
+                    publisher.publish(|copy| {
+                        let update = copy.apply_changes(page);
+                        Some(prove(copy, update, requested_at))
+                    })
+                })
             };
             match result {
-                Ok(Some(mut update)) => {
+                Ok(Some(published)) => {
                     if std::mem::take(&mut needs_full_read) {
                         read_reason = ReadReason::Periodic;
                         let after_lost_history = std::mem::take(&mut history_lost);
@@ -127,18 +140,13 @@
                     if let Some(since) = lost_at.take() {
                         self.log_regained(since);
                     }
-                    if difference.is_persistent(&update) {
+                    if difference.is_persistent(published.differs) {
                         needs_full_read = true;
                         read_reason = ReadReason::Difference;
-                        self.log_differs(&update);
+                        self.log_differs(published.revision);
                     }
-                    update.as_of = proof_time(&update, requested_at);
-                    proven_at = proven_at.max(update.as_of);
-                    space.copy().prove(&update);
-                    space.notify();
-                    let is_changed = !update.is_empty() || update.differs;
-                    on_update(update);
-                    interval = if is_changed {
+                    proven_at = proven_at.max(published.as_of);
+                    interval = if published.is_changed || published.differs {
                         (self.pace)()
                     } else {
                         Duration::ZERO
@@ -248,7 +256,7 @@
         &self,
         space: &SharedSpace,
         wait: Duration,
-    ) -> Result<Option<SpaceUpdate>, WatchFailure> {
+    ) -> Result<ChangePage, WatchFailure> {
         let suspended = harrierward_clock::suspension_noticed();
         let after = space.copy().revision();
         let request = self.table.wait_changes(self.space, after, wait);
@@ -256,11 +264,10 @@
             response = request => response,
             () = suspended => return Err(WatchFailure::Suspended),
         };
-        let page = response.map_err(|error| match error.kind {
+        response.map_err(|error| match error.kind {
             PlatformErrorKind::HistoryLost => WatchFailure::HistoryLost,
             _ => WatchFailure::NoContact(error.to_string()),
-        })?;
-        Ok(Some(space.copy().apply_changes(page)))
+        })
     }
 
     fn log_lost(&self, cause: &str) {
@@ -306,10 +313,10 @@
         });
     }
 
-    fn log_differs(&self, update: &SpaceUpdate) {
+    fn log_differs(&self, revision: u64) {
         self.log.record(&Record::CopyDiffers {
             space: self.space,
-            revision: update.revision,
+            revision,
         });
     }
 
@@ -345,13 +352,13 @@
     }
 }
 
-/// Returns the time of the proof: that of a peer's reply, else the time of the request. `None` if the copy differs
-/// from the peer's.
-fn proof_time(update: &SpaceUpdate, requested_at: Instant) -> Option<Instant> {
-    if update.differs {
-        return None;
-    }
-    update.as_of.or(Some(requested_at))
+/// Sets the time of an update's proof: that of a peer's reply, else the time of the request; none if the copy differs
+/// from the peer's. The copy adopts it.
+fn prove(copy: &mut SpaceCopy, mut update: SpaceUpdate, requested_at: Instant) -> SpaceUpdate {
+    let proof_time = update.as_of.unwrap_or(requested_at);
+    update.as_of = (!update.differs).then_some(proof_time);
+    copy.prove(&update);
+    update
 }
 
 /// How long a copy may differ from the followed peer's before a full read. Short differences are normal while the peer
@@ -366,8 +373,8 @@
 
 impl Difference {
     /// Returns whether the copies have differed for too long, and restarts the measurement if so.
-    fn is_persistent(&mut self, update: &SpaceUpdate) -> bool {
-        if !update.differs {
+    fn is_persistent(&mut self, differs: bool) -> bool {
+        if !differs {
             self.since = None;
             return false;
         }
--- a/crates/relay/tests/zone.rs
+++ b/crates/relay/tests/zone.rs
@@ -13,8 +13,8 @@
     RowRead, SpacePage, WatchedTable,
 };
 use harrierward_relay::{
-    PeerCopies, Relay, RelayPeer, RelayReply, SharedSpace, SourceFailure, SpaceRequest, Watch,
-    WatchSettings,
+    PeerCopies, Relay, RelayPeer, RelayReply, SharedSpace, SourceFailure, SpacePublisher,
+    SpaceRequest, Watch, WatchSettings,
 };
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -323,7 +323,8 @@
                 full_read_pace: Arc::new(|_| Duration::from_secs(1_000)),
                 log,
             };
-            tokio::spawn(watch.run_shared(space, |_| {}));
+            let publisher = SpacePublisher::new(space, |_| {});
+            tokio::spawn(watch.run_shared(Arc::new(publisher)));
             relay
         });
         let relays: Vec<Arc<Relay>> = relays.collect();
--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -158,7 +158,7 @@
         self.view.load_full()
     }
 
-    /// Records that the list held all that the store had acknowledged at `as_of`, but for changes that its feed omitted.
+    /// Records that no listed replica had changed its record by `as_of`, as an audit showed.
     pub fn prove(&self, as_of: Instant) {
         let known = self.proven_at.load();
         if known.as_ref().is_none_or(|known| **known < as_of) {
--- a/crates/serving/src/topology.rs
+++ b/crates/serving/src/topology.rs
@@ -33,6 +33,11 @@
         self.region_by_zone.contains_key(zone)
     }
 
+    /// Returns the names of the defined zones, in no particular order.
+    pub fn zones(&self) -> impl Iterator<Item = &str> {
+        self.region_by_zone.keys().map(String::as_str)
+    }
+
     /// True if a defined zone lies in the region.
     pub fn has_region(&self, region: &str) -> bool {
         self.region_by_zone.values().any(|known| known == region)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -48,15 +48,15 @@
     HeldSlot, ItemSlotAsk, LeaseOutcome, OutcomeKind, RegionNames, SlotAsk, SlotGrant, SlotReport,
     WholeReport,
 };
-pub use space::{SpaceContent, SpaceQuestion, SpaceReply, SpaceRow};
+pub use space::{SpaceAudit, SpaceContent, SpaceQuestion, SpaceReply, SpaceRow};
 
 /// Version of the formats of rows and messages, raised with each change of what a build writes, reads or keeps. Builds
 /// of all levels interoperate; the level shows an operator which builds run.
 ///
 /// Level 1 has no failures in job headers, 2 has them, 3 keeps unknown fields in headers and failures in the items'
 /// rows, 4 serves peers from its copies of the store's spaces, 5 says in headers whether failures are complete and reports
-/// failures that the store does not hold yet to peers.
-pub const FORMAT_LEVEL: u32 = 5;
+/// failures that the store does not hold yet to peers, 6 audits its copies of the store's spaces and announces that.
+pub const FORMAT_LEVEL: u32 = 6;
 
 /// Decodes a message; `None` if the bytes are not one.
 pub fn decode<M: prost::Message + Default>(bytes: &[u8]) -> Option<M> {
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -246,7 +246,7 @@
     /// The content; `None` if its kind is unknown to this build.
     #[prost(
         oneof = "node_datagram::Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
     )]
     pub kind: Option<node_datagram::Kind>,
 }
@@ -298,5 +298,8 @@
         /// Failures of items that the store may not hold yet.
         #[prost(message, tag = "14")]
         FailureReport(crate::FailureReport),
+        /// Result of an audit of a copy of the store's rows.
+        #[prost(message, tag = "15")]
+        SpaceAudit(crate::SpaceAudit),
     }
 }
--- a/crates/wire/src/space.rs
+++ b/crates/wire/src/space.rs
@@ -20,6 +20,32 @@
     pub known_age_ms: u32,
 }
 
+/// A daemon compared its copy of a space with the store's current state and states what it holds.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct SpaceAudit {
+    /// Member id of the sender.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Name of the space.
+    #[prost(string, tag = "2")]
+    pub space: String,
+    /// Revision of the store up to which the sender's copy includes changes.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// Highest revision at which a row of that copy changed.
+    #[prost(uint64, tag = "4")]
+    pub changed_at: u64,
+    /// Digest of the keys and revisions of its rows.
+    #[prost(fixed64, tag = "5")]
+    pub digest: u64,
+    /// Time since the store was asked, milliseconds, rounded up.
+    #[prost(uint32, tag = "6")]
+    pub age_ms: u32,
+    /// True if the sender's copy was not audited: it holds changes that the receiver, which audits, has not announced.
+    #[prost(bool, tag = "7")]
+    pub is_unaudited: bool,
+}
+
 /// Reply to a [`SpaceQuestion`]. Its field numbers are above those of [`crate::KnownRows`], which builds without this
 /// request send instead.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
