Relay: followers leave a reader that has lost the store sooner, one step of the tree after the other

Callers: in zones that relay, a change was known up to 2.7 s late while the zone's reader was cut off from the store; the reader alone was struck.

Cause: a follower's question is held for 1 s, and the reader counted as failed only once its proof was over 2.5 s old, checked at the end of a hold. The limit had to be that long because the store held the reader's questions as long as the reader held its followers'.

Change: the store holds questions of relaying zones for 0.6 s, so that a sound reader renews its proof within each hold; its proof counts as old after 1.5 s, and 0.6 s later for each further step, so that those near the reader find another source first and the zone doesn't ask the store as a whole.

Ruled out: to leave a peer after any hold without a newer proof (2,347 rows read for 31 changes in an_unresponsive_reader_is_skipped, 620 allowed).

The limits of the other tests of the file on rows and calls hold.

--- a/crates/relay/src/relay/reading.rs
+++ b/crates/relay/src/relay/reading.rs
@@ -16,10 +16,17 @@
 
 use super::{MAX_HOLD, Relay};
 
-/// Age above which a peer's proof counts as a failure of the peer, so that the next request goes to another source.
-/// About twice the age that the proof of the zone's reader reaches between two responses of the store, whose requests
-/// are held for up to [`MAX_HOLD`].
-const MAX_PROOF_AGE: Duration = Duration::from_millis(2_500);
+/// Maximum time for which the store holds a request while the zone relays: the reader renews its proof well within
+/// [`MAX_HOLD`], so that a hold that brings a follower no newer proof shows that something is wrong.
+const STORE_HOLD: Duration = Duration::from_millis(600);
+
+/// Age above which the proof of the zone's reader counts as a failure of the followed peer, so that the next request goes
+/// to another source. A sound reader's proof reaches twice [`STORE_HOLD`] between two responses of the store.
+const MAX_READER_PROOF_AGE: Duration = Duration::from_millis(1_500);
+
+/// Additional age for each step of the tree between the reader and the followed peer, in which that peer finds another
+/// source itself: otherwise the whole zone would ask the store for a reader's failure.
+const PROOF_AGE_PER_STEP: Duration = Duration::from_millis(600);
 
 /// Maximum number of rows read before the members are known; reads of larger spaces wait for the relay mode.
 const FIRST_PAGE_ROWS: usize = 128;
@@ -178,7 +185,7 @@
         wait: Duration,
         is_alone: bool,
     ) -> Result<ChangePage, PlatformError> {
-        let wait = if is_alone { wait } else { wait.min(MAX_HOLD) };
+        let wait = if is_alone { wait } else { wait.min(STORE_HOLD) };
         let result = self.store.wait_changes(space, after, wait).await;
         if let Err(error) = &result
             && error.kind != PlatformErrorKind::HistoryLost
@@ -200,7 +207,9 @@
         let page = self.peer_changes(space, after, peer, MAX_HOLD).await?;
         let proof = page.proof.as_ref();
         let age = proof.map(|proof| harrierward_clock::age(proof.as_of));
-        if age.is_some_and(|age| age > MAX_PROOF_AGE) {
+        let steps = self.lock().sources.steps_to_reader().saturating_sub(1);
+        let max_age = MAX_READER_PROOF_AGE + PROOF_AGE_PER_STEP.saturating_mul(steps);
+        if age.is_some_and(|age| age > max_age) {
             let source = Source::Peer(peer.clone());
             self.note_failure(space, &source, SourceFailure::Behind, "old proof");
         }
--- a/crates/relay/src/sources.rs
+++ b/crates/relay/src/sources.rs
@@ -127,6 +127,11 @@
         self.is_relaying && self.tree.ancestors.is_empty()
     }
 
+    /// Returns the number of steps along the zone's tree from this daemon to the reader; 0 for the reader itself.
+    pub fn steps_to_reader(&self) -> u32 {
+        u32::try_from(self.tree.ancestors.len()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the sources to try for changes, in order. The store follows right after the followed peer, since
     /// changes are few; during its cooldown it comes last.
     pub fn for_changes(&self, now: Instant) -> Vec<Source> {
