Watch: a read that is as old as the copy is no success after a lost history

Callers: nothing seen. Found by the lines of late_draining.rs while reads were behind.

Cause: after a lost history the space is read in full; a read that is behind, at the very revision of the copy, was applied and reset the backoff; the next request for changes met the lost history again.

Change: the backoff is reset by changes, and after a lost history by a read only if it is newer than the copy. The loss is logged once, not at each turn.

Red before, green now: lost_history.rs, 300 to 320 calls in 6 s, 80 allowed (two calls each 0.25 s on the mean, and jitter); a current read is used within 0.6 s.

--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -87,6 +87,7 @@
         let mut backoff = Backoff::new(self.settings.min_backoff, self.settings.max_backoff);
         let mut needs_full_read = true;
         let mut history_lost = false;
+        let mut is_loss_logged = false;
         let mut read_reason = ReadReason::Start;
         let mut full_read_due = harrierward_clock::now();
         let mut read_in_progress: Option<ReadInProgress> = None;
@@ -99,12 +100,12 @@
         let mut difference = Difference::default();
         loop {
             let mut requested_at = harrierward_clock::now();
+            let revision_before = space.copy().revision();
             let is_read_due = read_in_progress.is_some() || requested_at >= full_read_due;
             let result = if needs_full_read || (is_read_due && !changes_first) {
                 let in_progress = self.resume(&mut read_in_progress);
                 requested_at = in_progress.started_at;
-                let newest = space.copy().revision();
-                let read = self.read(in_progress, newest).await;
+                let read = self.read(in_progress, revision_before).await;
                 read.map(|()| {
                     let done = read_in_progress.take().unwrap_or_else(|| self.start_read());
                     pages = done.pages_read.pages();
@@ -113,7 +114,7 @@
                     let snapshot = done.pages_read.into_snapshot();
                     publisher.publish(|copy| {
                         let update = copy.apply_snapshot(snapshot);
-                        self.log_read(read_reason, requested_at, newest, update.as_ref());
+                        self.log_read(read_reason, requested_at, revision_before, update.as_ref());
                         Some(prove(copy, update?, requested_at))
                     })
                 })
@@ -122,6 +123,7 @@
                 let wait = self.hold_time(proven_at, interval);
                 let page = self.request_changes(&space, wait).await;
                 page.map(|page| {
+                    is_loss_logged = false;
                     publisher.publish(|copy| {
                         let update = copy.apply_changes(page);
                         Some(prove(copy, update, requested_at))
@@ -130,13 +132,16 @@
             };
             match result {
                 Ok(Some(published)) => {
+                    // A read that is as old as the copy whose history was lost is no success.
+                    if !history_lost || published.revision > revision_before {
+                        backoff.reset();
+                    }
                     if std::mem::take(&mut needs_full_read) {
                         read_reason = ReadReason::Periodic;
                         let after_lost_history = std::mem::take(&mut history_lost);
                         full_read_due = requested_at
                             + self.second_read_delay(after_lost_history, pages, &mut random);
                     }
-                    backoff.reset();
                     if let Some(since) = lost_at.take() {
                         self.log_regained(since);
                     }
@@ -161,7 +166,9 @@
                     needs_full_read = true;
                     history_lost = true;
                     read_reason = ReadReason::HistoryLost;
-                    self.log_history_lost(&space);
+                    if !std::mem::replace(&mut is_loss_logged, true) {
+                        self.log_history_lost(&space);
+                    }
                     sleep(backoff.wait(&mut random)).await;
                 }
                 // The pending request is dropped: its timeout didn't count the suspension.
