Owners believe a read of their own header only with a bound on its age

Callers: items of a cancelled job run later than 3 s after the acknowledgement; a job taken from an owner that lives, whose items run twice. Beside a store whose reads are behind.

An owner reads its own headers, since its feed may omit a cancellation or a challenge; a read that is behind shows the earlier state, at its revision, and was believed.

Change: these reads go the way of denials (header_lookup): a read counts if it reaches the revision that a transaction of this daemon named in the last 0.4 s; else the header is asked for by a transaction that writes nothing.

Suites of inline-jobs, cancelled_job, contested_jobs green.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -472,7 +472,7 @@
 fn header_reads(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
     let options = Opts::new(
         "harrierward_header_reads_total",
-        "Reads of a job's header on which a denial may rest, by kind of call to the store and outcome",
+        "Reads of a job's header on which a denial or an owner's right may rest, by kind of call and outcome",
     );
     let vector = IntCounterVec::new(options, &["source", "outcome"])?;
     registry.register(Box::new(vector.clone()))?;
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -763,8 +763,8 @@
         /// Newest store revision known before.
         newest_revision: u64,
     },
-    /// A job's header was read from the store, since only a recent reading proves that a job is missing or a result
-    /// unlisted.
+    /// A job's header was read from the store, since only a recent reading proves that a job is missing, a result
+    /// unlisted, or an own job still owned and not cancelled.
     HeaderRead {
         /// Stored id of the job.
         job: &'a str,
--- a/crates/inline-jobs/src/header_lookup.rs
+++ b/crates/inline-jobs/src/header_lookup.rs
@@ -1,4 +1,5 @@
-//! Reads of headers on which a denial may rest: that there is no such job, or that a result is not listed.
+//! Reads of headers on which a denial may rest, that there is no such job or that a result is not listed, or an owner's
+//! right to go on with its job.
 
 use std::time::Duration;
 
--- a/crates/inline-jobs/src/own_headers.rs
+++ b/crates/inline-jobs/src/own_headers.rs
@@ -1,4 +1,5 @@
-//! Reads of the headers of own jobs, because a watch may omit changes.
+//! Reads of the headers of own jobs, because a watch may omit changes. A read may be behind as well, so that it counts
+//! only with a bound on its age.
 //!
 //! An owner that never learns of a cancellation goes on running the job's items. One that never learns of a challenge
 //! neither refutes it nor stops its runs when the challenger has taken the job over.
@@ -13,6 +14,8 @@
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
+use crate::header_lookup::Need;
+use crate::model::Lookup;
 use crate::service::InlineJobs;
 use crate::view::KnownHeader;
 
@@ -26,6 +29,9 @@
 /// Age of a header above which it is read at all other times. Runs must end within the bound of a cancellation.
 const MAX_AGE: Duration = Duration::from_millis(1_200);
 
+/// Bound of a reading's age. With the other intervals it must fit into the bound of a cancellation.
+const MAX_READING_AGE: Duration = Duration::from_millis(400);
+
 /// Headers read in one round; the others follow in the next one.
 const MAX_READS: usize = 32;
 
@@ -164,12 +170,11 @@
 
     async fn read_own_header(&self, job_id: String) -> ReadOutcome {
         let revision_before = self.inner.view.get(&job_id).map(|known| known.revision);
-        let read = self.inner.store.read_header(&job_id).await;
-        let Some(current) = read.ok().and_then(|reading| reading.header) else {
+        let reading = self.read_header(&job_id, Need::Listing, MAX_READING_AGE);
+        let Lookup::Found(current) = reading.await else {
             return ReadOutcome::Failed;
         };
         let is_newer = revision_before.is_some_and(|before| before < current.revision);
-        self.note_header(current.clone());
         self.repeat_refutation(&current);
         if is_newer {
             ReadOutcome::Newer
