A daemon checks its first read of replicas and configuration before it uses it

Callers: after a start beside reads that are behind, a daemon sends requests to replicas that have left long ago, and serves an old configuration, until the first audit that it hears of.

Later reads are held against the copy's revision, the first one has nothing to be held against and was believed. The audits bound the time from the *start*; the users' bound counts from the store's response, which may have passed before the daemon started.

Change: before the first read from the store is used, its rows, and those of the configuration that may be written at any time, are checked by a transaction (FirstReadCheck), and what has changed since is applied with it. One call for 100 rows, spaces of up to 500 rows; rows from a peer are audited ones. A failed check is logged and the read used, so a store that refuses transactions keeps no daemon from starting.

Ruled out: to wait for the first audit (a daemon that hears no member would wait, and 0.5 s of readiness of every start for a rare fault); to require a revision that a transaction named before the read (the same number of calls, and a read that is behind still has to be corrected).

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -157,7 +157,7 @@
         after_ms: u64,
     },
     /// This daemon compared its copy of a space with the store's current state. Audits that find nothing are logged once
-    /// their turn comes here, or after a failure.
+    /// their turn comes here, after a failure, and of the first read of a space.
     SpaceAudited {
         /// Name of the space.
         space: &'a str,
@@ -167,7 +167,7 @@
         rows: usize,
         /// Rows that had changed in the store.
         changes: usize,
-        /// Time since the last audit that this daemon knows of.
+        /// Time since the last audit that this daemon knows of; 0 for the first read.
         last_ms: u64,
         /// Duration of the check.
         after_ms: u64,
--- a/crates/edge/src/watches.rs
+++ b/crates/edge/src/watches.rs
@@ -6,8 +6,8 @@
 use harrierward_decisions::DecisionLog;
 use harrierward_inline_jobs::{InlineJobs, JOB_HEADERS, RowKind, partitions, row_kind};
 use harrierward_relay::{
-    FullReadPace, Relay, SpacePublisher, SpaceUpdate, Watch, WatchPace, WatchSettings,
-    coalescing_interval, full_read_interval, unpaced,
+    FirstReadCheck, FullReadPace, Relay, SpacePublisher, SpaceUpdate, Watch, WatchPace,
+    WatchSettings, coalescing_interval, full_read_interval, unpaced,
 };
 use harrierward_serving::{KeyTrust, Mechanism};
 use tokio::time::{Instant, sleep};
@@ -103,7 +103,7 @@
     intervals: &WatchIntervals,
     log: &DecisionLog,
 ) -> Vec<AuditedSpace> {
-    let watch = |space, partitions: Vec<String>, pace, wait| Watch {
+    let watch = |space, partitions: Vec<String>, pace, wait, first_read_check| Watch {
         table: intervals.relay.clone(),
         space,
         settings: WatchSettings {
@@ -113,6 +113,7 @@
         pace,
         full_read_pace: intervals.full_reads(space),
         partitions,
+        first_read_check,
         log: log.clone(),
     };
     let configuration_space = source.configuration_space();
@@ -121,6 +122,9 @@
         unnamed_partition(),
         unpaced(),
         intervals.configuration_wait,
+        Some(FirstReadCheck {
+            expected_keys: source.configuration_keys(),
+        }),
     );
     let target = discovery.clone();
     let apply = move |update| target.apply_configuration(&update, "store");
@@ -132,6 +136,7 @@
         unnamed_partition(),
         intervals.coalescing(replica_space),
         LONG_POLL_WAIT,
+        Some(FirstReadCheck::default()),
     );
     let target = discovery.clone();
     let apply = move |update| target.apply_replicas(&update);
@@ -143,6 +148,7 @@
         partitions(),
         intervals.coalescing(JOB_HEADERS),
         wait,
+        None,
     );
     let header_rows = intervals.publisher(JOB_HEADERS, move |update| job_rows.apply(&update));
     let awaited = discovery.clone();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 //! rows aren't taken for new ones, whichever source replied.
 
 mod audit;
+mod first_read;
 mod pace;
 mod peer_copies;
 mod publisher;
@@ -20,6 +21,7 @@
     AuditComparison, AuditState, AuditStatement, Repair, RepairScope, audit_interval, audit_rank,
     is_audit_due,
 };
+pub use first_read::FirstReadCheck;
 pub use pace::{
     FullReadPace, WatchPace, coalescing_interval, full_read_interval, unpaced, unpaced_reads,
 };
--- a/crates/relay/src/relay/reading.rs
+++ b/crates/relay/src/relay/reading.rs
@@ -4,8 +4,8 @@
 
 use async_trait::async_trait;
 use harrierward_external::{
-    ChangePage, FreshnessProof, PageStart, PlatformError, PlatformErrorKind, Row, RowRead,
-    SpacePage, WatchedTable,
+    ChangePage, FreshnessProof, PageStart, PlatformError, PlatformErrorKind, Row, RowCheck,
+    RowRead, RowVersion, SpacePage, WatchedTable,
 };
 use tokio::time::sleep;
 
@@ -326,6 +326,10 @@
         self.store.read_row(key).await
     }
 
+    async fn check_rows(&self, rows: &[RowVersion]) -> Result<RowCheck, PlatformError> {
+        self.store.check_rows(rows).await
+    }
+
     async fn wait_changes(
         &self,
         space: &str,
--- a/crates/relay/src/space_update.rs
+++ b/crates/relay/src/space_update.rs
@@ -1,5 +1,6 @@
 //! The effect of rows that were read on a copy.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use harrierward_external::{FreshnessProof, Row};
@@ -89,6 +90,19 @@
         self.written.is_empty() && self.removed.is_empty()
     }
 
+    /// Adds the rows of an update that was applied after this one.
+    pub(crate) fn append(&mut self, later: SpaceUpdate) {
+        let written = later.written.iter().map(|row| row.key.as_str());
+        let changed: HashSet<&str> = written
+            .chain(later.removed.iter().map(String::as_str))
+            .collect();
+        self.written
+            .retain(|row| !changed.contains(row.key.as_str()));
+        self.removed.retain(|key| !changed.contains(key.as_str()));
+        self.written.extend(later.written);
+        self.removed.extend(later.removed);
+    }
+
     /// Returns the number of written rows that the feed had omitted.
     pub fn omitted(&self) -> usize {
         let written = self.written.iter();
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -5,16 +5,19 @@
 use std::time::Duration;
 
 use harrierward_decisions::{DecisionLog, Record};
-use harrierward_external::{Backoff, ChangePage, FullRead, PlatformErrorKind, WatchedTable};
+use harrierward_external::{
+    Backoff, ChangePage, FullRead, PlatformErrorKind, RowChange, SpaceSnapshot, WatchedTable,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::time::{Instant, sleep};
 
+use crate::first_read::FirstReadCheck;
 use crate::pace::{FullReadPace, WatchPace};
 use crate::publisher::SpacePublisher;
 use crate::shared_space::SharedSpace;
 use crate::space_copy::SpaceCopy;
-use crate::space_update::SpaceUpdate;
+use crate::space_update::{Reading, SpaceUpdate, UpdateSource};
 
 /// Timeouts and intervals of a watch.
 #[derive(Debug, Clone, Copy)]
@@ -69,6 +72,8 @@
     pub pace: WatchPace,
     /// Time between full reads, if longer than the minimum of the settings.
     pub full_read_pace: FullReadPace,
+    /// Check of the first full read; `None` if that is used unchecked.
+    pub first_read_check: Option<FirstReadCheck>,
     /// Log for lost and regained contact, and for copies that differ.
     pub log: DecisionLog,
 }
@@ -105,19 +110,33 @@
             let result = if needs_full_read || (is_read_due && !changes_first) {
                 let in_progress = self.resume(&mut read_in_progress);
                 requested_at = in_progress.started_at;
-                let read = self.read(in_progress, revision_before).await;
-                read.map(|()| {
-                    let done = read_in_progress.take().unwrap_or_else(|| self.start_read());
-                    pages = done.pages_read.pages();
-                    let pace = (self.full_read_pace)(pages);
-                    full_read_due = requested_at + self.settings.full_read_interval.max(pace);
-                    let snapshot = done.pages_read.into_snapshot();
-                    publisher.publish(|copy| {
-                        let update = copy.apply_snapshot(snapshot);
-                        self.log_read(read_reason, requested_at, revision_before, update.as_ref());
-                        Some(prove(copy, update?, requested_at))
-                    })
-                })
+                match self.read(in_progress, revision_before).await {
+                    Err(failure) => Err(failure),
+                    Ok(()) => {
+                        let done = read_in_progress.take().unwrap_or_else(|| self.start_read());
+                        pages = done.pages_read.pages();
+                        let pace = (self.full_read_pace)(pages);
+                        full_read_due = requested_at + self.settings.full_read_interval.max(pace);
+                        let snapshot = done.pages_read.into_snapshot();
+                        let outdated = self.outdated_rows(read_reason, &snapshot).await;
+                        Ok(publisher.publish(|copy| {
+                            let update = copy.apply_snapshot(snapshot);
+                            self.log_read(
+                                read_reason,
+                                requested_at,
+                                revision_before,
+                                update.as_ref(),
+                            );
+                            let mut update = prove(copy, update?, requested_at);
+                            update.append(copy.apply_missing(
+                                outdated,
+                                Reading::Audit,
+                                UpdateSource::Store,
+                            ));
+                            Some(update)
+                        }))
+                    }
+                }
             } else {
                 changes_first = false;
                 let wait = self.hold_time(proven_at, interval);
@@ -247,6 +266,19 @@
         Ok(())
     }
 
+    /// Returns the rows of the space's first full read that have changed since the state that it reflects.
+    async fn outdated_rows(&self, reason: ReadReason, snapshot: &SpaceSnapshot) -> Vec<RowChange> {
+        match &self.first_read_check {
+            Some(check) if reason == ReadReason::Start => {
+                let table = self.table.as_ref();
+                check
+                    .outdated_rows(table, self.space, snapshot, &self.log)
+                    .await
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// Returns how long the store may hold the next request: the coalescing `interval` before it is deducted to
     /// bound the copy's age, and a request without a recent proof isn't held.
     fn hold_time(&self, proven_at: Option<Instant>, interval: Duration) -> Duration {
@@ -335,7 +367,7 @@
     }
 }
 
-fn milliseconds(time: Duration) -> u64 {
+pub(crate) fn milliseconds(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/crates/relay/tests/lost_history.rs
+++ b/crates/relay/tests/lost_history.rs
@@ -77,6 +77,7 @@
         settings: WatchSettings::default(),
         pace: unpaced(),
         full_read_pace: unpaced_reads(),
+        first_read_check: None,
         log: DecisionLog::new(LogBounds::default()),
     };
     let newest = Arc::new(AtomicU64::new(0));
--- a/crates/relay/tests/suspended_watch.rs
+++ b/crates/relay/tests/suspended_watch.rs
@@ -66,6 +66,7 @@
         },
         pace: unpaced(),
         full_read_pace: unpaced_reads(),
+        first_read_check: None,
         log: DecisionLog::new(LogBounds::default()),
     };
     tokio::spawn(watch.run(move |update| *latest.lock().unwrap() = update.as_of));
--- a/crates/relay/tests/watch.rs
+++ b/crates/relay/tests/watch.rs
@@ -111,6 +111,7 @@
         },
         pace,
         full_read_pace: unpaced_reads(),
+        first_read_check: None,
         log: DecisionLog::new(LogBounds::default()),
     };
     let running = watch.run(move |update| {
@@ -294,6 +295,7 @@
             },
             pace: unpaced(),
             full_read_pace: unpaced_reads(),
+            first_read_check: None,
             log: DecisionLog::new(LogBounds::default()),
         };
         let read = read.clone();
@@ -343,6 +345,7 @@
             },
             pace: unpaced(),
             full_read_pace: Arc::new(move |_| spread),
+            first_read_check: None,
             log: DecisionLog::new(LogBounds::default()),
         };
         tokio::spawn(watch.run(|_| {}))
@@ -380,6 +383,7 @@
             settings: WatchSettings::default(),
             pace: unpaced(),
             full_read_pace: Arc::new(move |_| regular),
+            first_read_check: None,
             log: DecisionLog::new(LogBounds::default()),
         };
         tokio::spawn(watch.run(|_| {}))
--- a/crates/relay/tests/zone.rs
+++ b/crates/relay/tests/zone.rs
@@ -321,6 +321,7 @@
                 settings: WatchSettings::default(),
                 pace: Arc::new(move || paced.interval(SPACE).unwrap_or_default()),
                 full_read_pace: Arc::new(|_| Duration::from_secs(1_000)),
+                first_read_check: None,
                 log,
             };
             let publisher = SpacePublisher::new(space, |_| {});
