Audits count daemons that stop: they audit last, hear statements and can be asked

Callers: requests reach a replica that left up to 3.9 s before, while daemons are being stopped in turn, as in each replacement of a fleet.

Cause: a daemon that leaves the membership was left out of the others' members. It heard no statements and so audited by itself, as the first in rank by its own reckoning; its statements counted at the others as audits ("heard of one, none is due here") but their sender was unknown there, so nobody could ask it for what they lacked, and that was passed over in silence. A statement that can't be acted on suppressed the audits that could.

Daemons 3 and 2 stopped at 26.3 and 27.0 s and learned by audits of their own 0.15 and 1.0 s after the leaving; daemon 0 by its audit at 31.8 s, 0.1 s after the last of them had ended. Ruled out: load (its audits of the other space, op, went on every 0.8 s meanwhile).

Change: all live members belong to the audits; those that leave rank after all others. A statement of an unknown member confirms an equal copy but doesn't take the place of an audit.

--- a/crates/edge/src/audits/mod.rs
+++ b/crates/edge/src/audits/mod.rs
@@ -14,8 +14,8 @@
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::WatchedTable;
 use harrierward_relay::{
-    AuditComparison, AuditState, AuditStatement, PeerCopies, Reading, RelayPeer, SpacePublisher,
-    UpdateSource, WatchPace, audit_interval, audit_rank, is_audit_due,
+    AuditComparison, AuditState, AuditStatement, Auditor, PeerCopies, Reading, RelayPeer,
+    SpacePublisher, UpdateSource, WatchPace, audit_interval, audit_rank, is_audit_due,
 };
 use harrierward_wire::{NodeDatagram, SpaceAudit, encode, node_datagram};
 use tokio::net::UdpSocket;
@@ -35,6 +35,8 @@
     pub address: Option<SocketAddr>,
     /// True if it may audit: it has contact to the store.
     pub is_attached: bool,
+    /// True if it leaves the membership; until its end it still serves callers, and compares its copies.
+    pub is_leaving: bool,
 }
 
 /// A space whose copy is audited.
@@ -140,13 +142,19 @@
         let _ = self.socket.set(socket);
     }
 
-    /// Sets the other live members.
-    pub fn set_members(&self, others: Vec<AuditMember>) {
+    /// Sets the other live members, and whether this daemon leaves the membership.
+    pub fn set_members(&self, others: Vec<AuditMember>, is_leaving: bool) {
+        let own = Auditor {
+            id: &self.instance_id,
+            is_leaving,
+        };
         let attached = others.iter().filter(|member| member.is_attached);
-        let attached: Vec<&str> = attached.map(|member| member.peer.id.as_str()).collect();
+        let attached = attached.map(|member| Auditor {
+            id: &member.peer.id,
+            is_leaving: member.is_leaving,
+        });
         for audited in &self.spaces {
-            let attached = attached.iter().copied();
-            let rank = audit_rank(audited.space.name, &self.instance_id, attached);
+            let rank = audit_rank(audited.space.name, own, attached.clone());
             audited.lock().rank = rank;
         }
         self.members.store(Arc::new(others));
@@ -312,15 +320,20 @@
             changed_at: audit.changed_at,
             digest: audit.digest,
         };
+        let Some(source) = self.member(&audit.from) else {
+            // It can't be asked for what this copy lacks, so its audit doesn't take the place of one by this daemon.
+            self.compare(audited, &statement, audited_at);
+            return None;
+        };
         if !audit.is_unaudited {
             let mut state = audited.lock();
             state.last_audit = state.last_audit.max(audited_at);
             state.is_own_turn = false;
             drop(state);
-            self.tell_auditor_if_due(audited, &statement, &audit.from);
+            self.tell_auditor_if_due(audited, &statement, &source);
             self.compare(audited, &statement, audited_at);
         }
-        self.repair_if_due(audited, &statement, &audit.from);
+        self.repair_if_due(audited, &statement, source);
         None
     }
 
@@ -340,7 +353,12 @@
     }
 
     /// Sends the auditor the statement of this copy if the auditor may lack a row.
-    fn tell_auditor_if_due(&self, audited: &Audited, statement: &AuditStatement, auditor: &str) {
+    fn tell_auditor_if_due(
+        &self,
+        audited: &Audited,
+        statement: &AuditStatement,
+        auditor: &AuditMember,
+    ) {
         let (is_ahead, own) = {
             let copy = audited.space.publisher.space().copy();
             (copy.is_ahead_of(statement), copy.statement())
@@ -349,9 +367,7 @@
         if !audited.lock().audits.must_tell_auditor(is_ahead, now) {
             return;
         }
-        let members = self.members.load();
-        let auditor = members.iter().find(|member| member.peer.id == auditor);
-        if let Some(address) = auditor.and_then(|auditor| auditor.address) {
+        if let Some(address) = auditor.address {
             let bytes = self.encode(audited.space.name, &own, now, true);
             self.send(&bytes, address);
         }
@@ -362,7 +378,7 @@
         self: &Arc<Self>,
         audited: &Arc<Audited>,
         statement: &AuditStatement,
-        member: &str,
+        source: AuditMember,
     ) {
         let Some(comparison) = audited.comparison(statement) else {
             return;
@@ -371,24 +387,21 @@
         let Some(repair) = audited.lock().audits.repair(comparison, now) else {
             return;
         };
-        let Some(source) = self.member(member) else {
-            return;
-        };
         if std::mem::replace(&mut audited.lock().is_repairing, true) {
             return;
         }
         let order = RepairOrder {
             repair,
-            source,
+            source: source.peer,
             statement: *statement,
             comparison,
         };
         tokio::spawn(self.clone().repair(audited.clone(), order));
     }
 
-    fn member(&self, id: &str) -> Option<RelayPeer> {
+    fn member(&self, id: &str) -> Option<AuditMember> {
         let members = self.members.load();
         let member = members.iter().find(|member| member.peer.id == id);
-        member.map(|member| member.peer.clone())
+        member.cloned()
     }
 }
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -403,9 +403,8 @@
         let Some(audits) = self.audits.get() else {
             return;
         };
-        let others = view
-            .staying()
-            .filter(|member| member.id != self.instance_id);
+        let others = view.members.iter();
+        let others = others.filter(|member| member.id != self.instance_id);
         let others = others.map(|member| AuditMember {
             peer: RelayPeer {
                 id: member.id.clone(),
@@ -413,8 +412,10 @@
             },
             address: udp_address(core, &member.id),
             is_attached: !member.detached,
+            is_leaving: member.leaving,
         });
-        audits.set_members(others.collect());
+        let own = view.member(&self.instance_id);
+        audits.set_members(others.collect(), own.is_some_and(|own| own.leaving));
     }
 
     /// Sets the audits of the store's spaces; effective once.
--- a/crates/relay/src/audit.rs
+++ b/crates/relay/src/audit.rs
@@ -45,16 +45,27 @@
     Incomplete,
 }
 
+/// A member that may audit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Auditor<'a> {
+    /// Member id.
+    pub id: &'a str,
+    /// True if it leaves the membership, so that its turn comes after that of all others.
+    pub is_leaving: bool,
+}
+
 /// Returns the position of the member `own` among those that audit a space, from 0; `None` if it only compares.
 pub fn audit_rank<'a>(
     space: &str,
-    own: &str,
-    members: impl Iterator<Item = &'a str>,
+    own: Auditor<'_>,
+    members: impl Iterator<Item = Auditor<'a>>,
 ) -> Option<usize> {
     let seed = xxh3_64_with_seed(space.as_bytes(), 0);
     let weight = |id: &str| xxh3_64_with_seed(id.as_bytes(), seed);
-    let own_rank = (weight(own), own);
-    let before = members.filter(|id| (weight(id), *id) > own_rank).count();
+    let own_rank = (!own.is_leaving, weight(own.id), own.id);
+    let is_before =
+        |other: &Auditor<'_>| (!other.is_leaving, weight(other.id), other.id) > own_rank;
+    let before = members.filter(is_before).count();
     (before < AUDITORS).then_some(before)
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,8 +18,8 @@
 mod watch;
 
 pub use audit::{
-    AuditComparison, AuditState, AuditStatement, Repair, RepairScope, audit_interval, audit_rank,
-    is_audit_due,
+    AuditComparison, AuditState, AuditStatement, Auditor, Repair, RepairScope, audit_interval,
+    audit_rank, is_audit_due,
 };
 pub use first_read::FirstReadCheck;
 pub use pace::{
--- a/crates/relay/tests/audits.rs
+++ b/crates/relay/tests/audits.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use harrierward_external::{ChangePage, Row, RowChange, RowVersion, SpaceSnapshot};
 use harrierward_relay::{
-    AuditComparison, AuditState, Reading, RepairScope, SpaceCopy, UpdateSource, audit_interval,
-    audit_rank, is_audit_due,
+    AuditComparison, AuditState, Auditor, Reading, RepairScope, SpaceCopy, UpdateSource,
+    audit_interval, audit_rank, is_audit_due,
 };
 use proptest::prelude::*;
 use tokio::time::Instant;
@@ -339,13 +339,20 @@
     assert!(state.must_tell_auditor(true, at(2_100)));
 }
 
+fn staying(id: &str) -> Auditor<'_> {
+    Auditor {
+        id,
+        is_leaving: false,
+    }
+}
+
 /// One member audits; the next one does if it is silent, soon enough for the shortest bound.
 #[test]
 fn the_next_member_audits_once_the_first_is_silent() {
     let members = ["a", "b", "c", "d"];
     let rank = |own: &str| {
-        let others = members.into_iter().filter(|id| *id != own);
-        audit_rank("replicas", own, others).expect("few members")
+        let others = members.into_iter().filter(|id| *id != own).map(staying);
+        audit_rank("replicas", staying(own), others).expect("few members")
     };
     let ranks: HashSet<usize> = members.into_iter().map(rank).collect();
     assert_eq!(ranks, HashSet::from([0, 1, 2, 3]));
@@ -356,3 +363,19 @@
     assert!(due(1, 800) && !due(1, 799));
     assert!(audit_interval(10_000, 985) <= Duration::from_millis(2_000));
 }
+
+/// A member that leaves audits only if none of those is left that stay.
+#[test]
+fn leaving_members_audit_after_all_others() {
+    let auditors = ["a", "b", "c", "d"].map(|id| Auditor {
+        id,
+        is_leaving: id < "c",
+    });
+    let rank = |own: Auditor<'_>| {
+        let others = auditors.into_iter().filter(|one| *one != own);
+        audit_rank("replicas", own, others).expect("few members")
+    };
+    for auditor in auditors {
+        assert_eq!(rank(auditor) >= 2, auditor.is_leaving, "{auditor:?}");
+    }
+}
