Last replicas of a service are used by when they were listed, not by when they went here

Callers: requests reach a replica that has gone up to 2.3 s before, if its service has no other one (2 s allowed).

A replica whose record vanished is used for 1.7 s as the last one of its service; the removal may have been known 0.6 s late.

Change: the 1.7 s count from the last audit that proved it listed. If that is older than 1.7 s the store was away, and they count from the removal as before: records that lapse in an outage are back within two seconds of its end.

Ruled out: a request sent late (all reached replicas within 2.0 to 2.6 s, while the list still offered them); to drop the use of vanished replicas (what it is for, an outage with a lapse, would refuse everything).

--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -14,12 +14,13 @@
 use crate::topology::Location;
 
 /// Time for which a replica whose record vanished is still used if its service has no other; records also vanish
-/// while the store is down.
+/// while the store is down. Less than the shortest bound on the use of a replica that has gone.
 const VANISHED_TTL: Duration = Duration::from_millis(1_700);
 
 #[derive(Debug, Clone)]
 struct Vanished {
     replica: Arc<Replica>,
+    /// Earliest moment at which the record may have vanished.
     vanished_at: Instant,
 }
 
@@ -208,8 +209,19 @@
             replica
         });
         let changed: Vec<Arc<Replica>> = changed.collect();
-        self.view
-            .store(Arc::new(next_view(&old, &changed, removed)));
+        let vanished_at = self.earliest_removal();
+        let view = next_view(&old, &changed, removed, vanished_at);
+        self.view.store(Arc::new(view));
+    }
+
+    /// Returns since when records may be gone whose removal becomes known now: since the last proof of the list. If that
+    /// is old, the store was away, and records that vanished meanwhile are used for the whole time.
+    fn earliest_removal(&self) -> Instant {
+        let now = harrierward_clock::now();
+        let proven_at = self.proven_at.load();
+        let proven_at = proven_at.as_deref().copied();
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < VANISHED_TTL;
+        proven_at.filter(is_recent).unwrap_or(now)
     }
 
     /// Sets the evacuated zones, which also apply to replicas listed later.
@@ -231,8 +243,13 @@
     }
 }
 
-/// Applies changes to the view `old`.
-fn next_view(old: &ReplicaView, changed: &[Arc<Replica>], removed: &[String]) -> ReplicaView {
+/// Applies changes to the view `old`; `vanished_at` is when the removed records vanished, at the earliest.
+fn next_view(
+    old: &ReplicaView,
+    changed: &[Arc<Replica>],
+    removed: &[String],
+    vanished_at: Instant,
+) -> ReplicaView {
     let mut view = old.clone();
     let mut edits: HashMap<String, ServiceEdit> = HashMap::new();
     for id in removed {
@@ -252,7 +269,7 @@
         view.by_hash.insert(replica.hash, replica.clone());
         edit_for(&mut edits, replica).listed.push(replica.clone());
     }
-    view.vanished = vanished_replicas(old, &view.by_id, changed, removed);
+    view.vanished = vanished_replicas(old, &view.by_id, changed, removed, vanished_at);
     for (service, edit) in edits {
         view.edit_service(service, edit);
     }
@@ -376,8 +393,8 @@
     by_id: &imbl::HashMap<String, Arc<Replica>>,
     changed: &[Arc<Replica>],
     removed: &[String],
+    vanished_at: Instant,
 ) -> HashMap<String, Vec<Vanished>> {
-    let now = harrierward_clock::now();
     // A replica replaced by another instance stays listed under its id, so it isn't among the vanished ones.
     let named = changed.iter().map(|replica| &replica.record.id);
     let named = named.chain(removed).filter(|id| !by_id.contains_key(*id));
@@ -385,7 +402,7 @@
         .filter_map(|id| old.by_id.get(id))
         .map(|replica| Vanished {
             replica: replica.clone(),
-            vanished_at: now,
+            vanished_at,
         });
     let earlier = old.vanished.values().flatten().cloned();
     let mut vanished: HashMap<String, Vec<Vanished>> = HashMap::new();
