Log: of each request at a leaving replica, from whom its leaving is known and how old that was

The line named when the leaving was known here and when the gate was last asked, but not from whom and on knowledge of what age; that stood in another line, and of replicas whose entry goes without a word there was none at all.

leaving_replica_responded now holds state (`draining`, `gone`), source, reading and the age of the last proof, from a notice that the replica keeps; the notice goes when the replica is listed again. No decision rests on it.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -439,10 +439,19 @@
         request: &'a str,
         /// Replica id.
         replica: &'a str,
+        /// `draining`, or `gone` if its record was removed.
+        state: &'a str,
         /// Time since the request passed the last check of whether the replica accepts work.
         checked_ms: u64,
         /// Time since this daemon knows that the replica is leaving.
         known_ms: u64,
+        /// `store`, the id of the peer that passed it on, or `replica`.
+        source: &'a str,
+        /// How it was read, as in `replica_changed`, or `response` of the replica.
+        reading: &'a str,
+        /// Age of the latest proof that it wasn't leaving, when this daemon learned it; absent without one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        proof_age_ms: Option<u64>,
     },
     /// The coordinator of a replica preempted a batch item there for an online request.
     ItemEndOrdered {
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -10,8 +10,8 @@
 use harrierward_external::Row;
 use harrierward_relay::SpaceUpdate;
 use harrierward_serving::{
-    ConfigurationProof, Replica, ReplicaRecord, ReplicaSet, RouteTable, ServingConfiguration,
-    SharedRoutes,
+    ConfigurationProof, LeavingNotice, Replica, ReplicaRecord, ReplicaSet, RouteTable,
+    ServingConfiguration, SharedRoutes,
 };
 use tokio::time::Instant;
 
@@ -65,6 +65,31 @@
     known != *received
 }
 
+/// State of a replica in a row that was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ListedState {
+    Ready,
+    StartedAgain,
+    Draining,
+    Gone,
+}
+
+impl ListedState {
+    fn is_leaving(self) -> bool {
+        matches!(self, Self::Draining | Self::Gone)
+    }
+
+    /// Returns the name in the decision log.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::StartedAgain => "started again",
+            Self::Draining => "draining",
+            Self::Gone => "gone",
+        }
+    }
+}
+
 /// Minimum time between two log lines on invalid rows, of which another writer may leave many.
 const REJECTED_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -217,7 +242,7 @@
         }
         for key in &update.removed {
             if let Some((row, record)) = rows.replicas.remove(key) {
-                self.log_replica(&record, "gone", row.revision, update);
+                self.log_replica(&record, ListedState::Gone, row.revision, update);
                 changes.removed.push(record.id);
             }
         }
@@ -272,9 +297,9 @@
         let is_notable = known.is_none_or(|known| is_notable(known, &record));
         if let Some(update) = logged_as.filter(|_| is_notable) {
             let state = match (record.draining, is_restart) {
-                (true, _) => "draining",
-                (false, true) => "started again",
-                (false, false) => "ready",
+                (true, _) => ListedState::Draining,
+                (false, true) => ListedState::StartedAgain,
+                (false, false) => ListedState::Ready,
             };
             self.log_replica(&record, state, row.revision, update);
         }
@@ -359,20 +384,29 @@
     fn log_replica(
         &self,
         record: &ReplicaRecord,
-        state: &str,
+        state: ListedState,
         revision: u64,
         update: &SpaceUpdate,
     ) {
         let view = self.replicas.view();
         let replica = view.get(&record.id);
         let proof_age = update.as_of_before.map(harrierward_clock::age);
+        if let Some(replica) = replica.filter(|_| state.is_leaving()) {
+            replica.note_leaving(LeavingNotice {
+                state: state.name(),
+                source: update.source.name().into(),
+                reading: update.reading.name(),
+                proof_age,
+                known_at: harrierward_clock::now(),
+            });
+        }
         self.log.record(&Record::ReplicaChanged {
             replica: &record.id,
-            state,
+            state: state.name(),
             revision,
             source: update.source.name(),
             reading: update.reading.name(),
-            omitted: state != "gone" && update.is_omitted(revision),
+            omitted: state != ListedState::Gone && update.is_omitted(revision),
             proof_age_ms: proof_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             running: replica.map_or(0, |replica| replica.own_total()),
         });
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::outcome::{AttemptOutcome, Evidence};
 use crate::placement::PlacementError;
 use crate::policy::Mechanism;
-use crate::replica::{Replica, WorkClass};
+use crate::replica::{LeavingNotice, Replica, WorkClass};
 use crate::request_state::RequestState;
 
 /// Time limits of one attempt.
@@ -292,12 +292,16 @@
             times.stall_timeout
         };
         let response = wait_for_progress(exchange, &replica, stall_timeout, times.max_wait).await;
-        if let Some(known_for) = replica.draining_for() {
+        if let Some(notice) = replica.leaving_notice() {
             self.log().record(&Record::LeavingReplicaResponded {
                 request: &request.id,
                 replica: &replica.record.id,
+                state: notice.state,
                 checked_ms: milliseconds(started.elapsed()),
-                known_ms: milliseconds(known_for),
+                known_ms: milliseconds(harrierward_clock::age(notice.known_at)),
+                source: &notice.source,
+                reading: notice.reading,
+                proof_age_ms: notice.proof_age.map(milliseconds),
             });
         }
         let result = self.classify(request, &in_progress, response, options.failed_before);
@@ -379,6 +383,13 @@
         let is_attributed = response.request_id.is_some() || response.is_first_on_connection;
         if response.other_replica {
             replica.set_draining();
+            replica.note_leaving(LeavingNotice {
+                state: "draining",
+                source: "replica".into(),
+                reading: "response",
+                proof_age: None,
+                known_at: harrierward_clock::now(),
+            });
             let cause = "another replica has the address".to_owned();
             return Err(refusal(cause, false, is_attributed));
         }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -63,7 +63,7 @@
 pub use prompt::{PrefixCacheEstimate, Prompt, PromptPart};
 pub use quarantine::{NoQuarantine, Quarantine};
 pub use relay::ResponseAborted;
-pub use replica::{Replica, ReplicaRecord, WorkClass, short_hash};
+pub use replica::{LeavingNotice, Replica, ReplicaRecord, WorkClass, short_hash};
 pub use replica_set::{ReplicaSet, ReplicaView};
 pub use response::{CallerBody, CallerResponse, Refusal, RefusalCause, Reply};
 pub use routes::{RouteEntry, RouteTable};
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use arc_swap::ArcSwapOption;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -65,6 +66,21 @@
     }
 }
 
+/// How this daemon learned that a replica is leaving.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeavingNotice {
+    /// `draining`, or `gone` if its record was removed.
+    pub state: &'static str,
+    /// `store`, the id of the peer that passed it on, or `replica`.
+    pub source: Arc<str>,
+    /// How it was read, as in the decision log.
+    pub reading: &'static str,
+    /// Age of the latest proof that it wasn't leaving; `None` if there was none.
+    pub proof_age: Option<Duration>,
+    /// When this daemon learned it.
+    pub known_at: Instant,
+}
+
 /// Class of a request in the load counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WorkClass {
@@ -96,8 +112,8 @@
     pub hash: u32,
     /// Zone and region.
     pub location: Location,
-    /// When this daemon learned that it is leaving, milliseconds after `started`, plus 1; 0 if it isn't known to be.
-    draining_since_ms: AtomicU64,
+    draining: AtomicBool,
+    leaving: ArcSwapOption<LeavingNotice>,
     zone_evacuated: AtomicBool,
     is_unlisted: AtomicBool,
     /// Milliseconds after `started` until which it counts as crashed; 0 if it doesn't.
@@ -144,7 +160,8 @@
             hash: record.instance_hash(),
             location: Location::new(&record.zone, &record.region),
             record,
-            draining_since_ms: AtomicU64::new(u64::from(draining)),
+            draining: AtomicBool::new(draining),
+            leaving: ArcSwapOption::empty(),
             zone_evacuated: AtomicBool::new(false),
             is_unlisted: AtomicBool::new(false),
             crashed_until_ms: AtomicU64::new(0),
@@ -181,21 +198,29 @@
 
     /// True if it is leaving, as its record or a response showed, and gets no new work.
     pub fn is_draining(&self) -> bool {
-        self.draining_since_ms.load(Ordering::Relaxed) > 0
+        self.draining.load(Ordering::Relaxed)
     }
 
     /// Excludes it from new work at once.
     pub fn set_draining(&self) {
-        let now = self.now_ms() + 1;
-        let since = &self.draining_since_ms;
-        // An earlier time stays.
-        let _ = since.compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Records how this daemon learned that it is leaving; an earlier notice stays.
+    pub fn note_leaving(&self, notice: LeavingNotice) {
+        if self.leaving.load().is_none() {
+            self.leaving.store(Some(Arc::new(notice)));
+        }
+    }
+
+    /// Records that it is listed again, not leaving.
+    pub(crate) fn note_listed(&self) {
+        self.leaving.store(None);
     }
 
-    /// Returns for how long this daemon has known that it is leaving; `None` if it isn't known to be.
-    pub fn draining_for(&self) -> Option<Duration> {
-        let since = self.draining_since_ms.load(Ordering::Relaxed);
-        (since > 0).then(|| Duration::from_millis((self.now_ms() + 1).saturating_sub(since)))
+    /// Returns how this daemon learned that it is leaving; `None` if it isn't known to be, or was when it was first read.
+    pub fn leaving_notice(&self) -> Option<Arc<LeavingNotice>> {
+        self.leaving.load_full()
     }
 
     /// True if its zone is evacuated, so that it gets no work.
--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -378,6 +378,8 @@
             replica.set_unlisted(false);
             if record.draining {
                 replica.set_draining();
+            } else if !replica.is_draining() {
+                replica.note_listed();
             }
             replica
         }
