Relay: the watch's loop as a struct with a method for each step

One function of 140 lines held fifteen variables; three of them (needs a read, why, lost history) were one: the reason of a required full read. No change of behaviour is meant.

--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -1,23 +1,26 @@
 //! Keeps a copy of a table space up to date by a full read and then changes, with further full reads after lost
 //! history.
 
+mod run;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{
-    Backoff, ChangePage, FullRead, PlatformErrorKind, RowChange, SpaceSnapshot, WatchedTable,
+    ChangePage, FullRead, PlatformErrorKind, RowChange, SpaceSnapshot, WatchedTable,
 };
+use rand::Rng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 use crate::first_read::FirstReadCheck;
 use crate::pace::{FullReadPace, WatchPace};
 use crate::publisher::SpacePublisher;
 use crate::shared_space::SharedSpace;
-use crate::space_copy::SpaceCopy;
-use crate::space_update::{Reading, SpaceUpdate, UpdateSource};
+use crate::space_update::SpaceUpdate;
+
+use run::WatchRun;
 
 /// Timeouts and intervals of a watch.
 #[derive(Debug, Clone, Copy)]
@@ -87,121 +90,7 @@
 
     /// Runs like `run`, on a copy that is shared with peers and that audits change too.
     pub async fn run_shared(self, publisher: Arc<SpacePublisher>) {
-        let space = publisher.space().clone();
-        let mut random = SmallRng::from_os_rng();
-        let mut backoff = Backoff::new(self.settings.min_backoff, self.settings.max_backoff);
-        let mut needs_full_read = true;
-        let mut history_lost = false;
-        let mut is_loss_logged = false;
-        let mut read_reason = ReadReason::Start;
-        let mut full_read_due = harrierward_clock::now();
-        let mut read_in_progress: Option<ReadInProgress> = None;
-        // After a failed periodic full read, changes are requested once before it resumes.
-        let mut changes_first = false;
-        let mut pages = 0;
-        let mut lost_at: Option<Instant> = None;
-        let mut interval = Duration::ZERO;
-        let mut proven_at: Option<Instant> = None;
-        let mut difference = Difference::default();
-        loop {
-            let mut requested_at = harrierward_clock::now();
-            let revision_before = space.copy().revision();
-            let is_read_due = read_in_progress.is_some() || requested_at >= full_read_due;
-            let result = if needs_full_read || (is_read_due && !changes_first) {
-                let in_progress = self.resume(&mut read_in_progress);
-                requested_at = in_progress.started_at;
-                match self.read(in_progress, revision_before).await {
-                    Err(failure) => Err(failure),
-                    Ok(()) => {
-                        let done = read_in_progress.take().unwrap_or_else(|| self.start_read());
-                        pages = done.pages_read.pages();
-                        let pace = (self.full_read_pace)(pages);
-                        full_read_due = requested_at + self.settings.full_read_interval.max(pace);
-                        let snapshot = done.pages_read.into_snapshot();
-                        let outdated = self.outdated_rows(read_reason, &snapshot).await;
-                        Ok(publisher.publish(|copy| {
-                            let update = copy.apply_snapshot(snapshot);
-                            self.log_read(
-                                read_reason,
-                                requested_at,
-                                revision_before,
-                                update.as_ref(),
-                            );
-                            let mut update = prove(copy, update?, requested_at);
-                            update.append(copy.apply_missing(
-                                outdated,
-                                Reading::Audit,
-                                UpdateSource::Store,
-                            ));
-                            Some(update)
-                        }))
-                    }
-                }
-            } else {
-                changes_first = false;
-                let wait = self.hold_time(proven_at, interval);
-                let page = self.request_changes(&space, wait).await;
-                page.map(|page| {
-                    is_loss_logged = false;
-                    publisher.publish(|copy| {
-                        let update = copy.apply_changes(page);
-                        Some(prove(copy, update, requested_at))
-                    })
-                })
-            };
-            match result {
-                Ok(Some(published)) => {
-                    // A read that is as old as the copy whose history was lost is no success.
-                    if !history_lost || published.revision > revision_before {
-                        backoff.reset();
-                    }
-                    if std::mem::take(&mut needs_full_read) {
-                        read_reason = ReadReason::Periodic;
-                        let after_lost_history = std::mem::take(&mut history_lost);
-                        full_read_due = requested_at
-                            + self.second_read_delay(after_lost_history, pages, &mut random);
-                    }
-                    if let Some(since) = lost_at.take() {
-                        self.log_regained(since);
-                    }
-                    if difference.is_persistent(published.differs) {
-                        needs_full_read = true;
-                        read_reason = ReadReason::Difference;
-                        self.log_differs(published.revision);
-                    }
-                    proven_at = proven_at.max(published.as_of);
-                    interval = if published.is_changed || published.differs {
-                        (self.pace)()
-                    } else {
-                        Duration::ZERO
-                    };
-                    sleep(interval).await;
-                }
-                Ok(None) => {
-                    // A stale read is discarded; the history may still cover the copy's revision.
-                    sleep(backoff.wait(&mut random)).await;
-                }
-                Err(WatchFailure::HistoryLost) => {
-                    needs_full_read = true;
-                    history_lost = true;
-                    read_reason = ReadReason::HistoryLost;
-                    if !std::mem::replace(&mut is_loss_logged, true) {
-                        self.log_history_lost(&space);
-                    }
-                    sleep(backoff.wait(&mut random)).await;
-                }
-                // The pending request is dropped: its timeout didn't count the suspension.
-                Err(WatchFailure::Suspended) => proven_at = None,
-                Err(WatchFailure::NoContact(cause)) => {
-                    changes_first = read_in_progress.is_some() && !needs_full_read;
-                    if lost_at.is_none() {
-                        lost_at = Some(requested_at);
-                        self.log_lost(&cause);
-                    }
-                    sleep(backoff.wait(&mut random)).await;
-                }
-            }
-        }
+        WatchRun::new(self, publisher).run().await;
     }
 
     /// Returns the time until the next full read after a space's first one, or after the one that follows lost history
@@ -225,40 +114,14 @@
         soon.max(regular.mul_f64(0.5 + random.random::<f64>()))
     }
 
-    fn start_read(&self) -> ReadInProgress {
-        ReadInProgress {
-            pages_read: FullRead::new(&self.partitions),
-            started_at: harrierward_clock::now(),
-        }
-    }
-
-    /// Returns the full read in progress, or a new one if that is too old to resume.
-    fn resume<'a>(
-        &self,
-        read_in_progress: &'a mut Option<ReadInProgress>,
-    ) -> &'a mut ReadInProgress {
-        let within = self.settings.resume_window;
-        if read_in_progress
-            .as_ref()
-            .is_some_and(|read| harrierward_clock::age(read.started_at) >= within)
-        {
-            *read_in_progress = None;
-        }
-        read_in_progress.get_or_insert_with(|| self.start_read())
-    }
-
     /// Reads the remaining pages; pages already read are kept on failure. Stops at a page older than `newest`, the
     /// copy's revision, since the full read would then be discarded as stale.
-    async fn read(
-        &self,
-        in_progress: &mut ReadInProgress,
-        newest: u64,
-    ) -> Result<(), WatchFailure> {
-        while let Some(start) = in_progress.pages_read.next_page() {
+    async fn read(&self, pages: &mut FullRead, newest: u64) -> Result<(), WatchFailure> {
+        while let Some(start) = pages.next_page() {
             let page = self.table.read_page(self.space, start).await;
             let page = page.map_err(|error| WatchFailure::NoContact(error.to_string()))?;
             let is_stale = page.revision < newest;
-            in_progress.pages_read.take(page);
+            pages.take(page);
             if is_stale {
                 return Ok(());
             }
@@ -391,47 +254,7 @@
     }
 }
 
-/// Sets the time of an update's proof: that of a peer's reply, else the time of the request; none if the copy differs
-/// from the peer's. The copy adopts it.
-fn prove(copy: &mut SpaceCopy, mut update: SpaceUpdate, requested_at: Instant) -> SpaceUpdate {
-    let proof_time = update.as_of.unwrap_or(requested_at);
-    update.as_of = (!update.differs).then_some(proof_time);
-    copy.prove(&update);
-    update
-}
-
-/// How long a copy may differ from the followed peer's before a full read. Short differences are normal while the peer
-/// hasn't received the latest rows.
-const DIFFERENCE_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Tracks how long the copy has differed from the followed peer's.
-#[derive(Debug, Default)]
-struct Difference {
-    since: Option<Instant>,
-}
-
-impl Difference {
-    /// Returns whether the copies have differed for too long, and restarts the measurement if so.
-    fn is_persistent(&mut self, differs: bool) -> bool {
-        if !differs {
-            self.since = None;
-            return false;
-        }
-        let since = *self.since.get_or_insert_with(harrierward_clock::now);
-        let is_persistent = harrierward_clock::age(since) >= DIFFERENCE_TIMEOUT;
-        if is_persistent {
-            self.since = None;
-        }
-        is_persistent
-    }
-}
-
-/// A full read in progress.
-struct ReadInProgress {
-    pages_read: FullRead,
-    started_at: Instant,
-}
-
+/// Why a request gave no response.
 enum WatchFailure {
     Suspended,
     HistoryLost,
