Audits: the next member in rank audits after half an interval, not a whole one

Callers: a daemon that is cut off from the auditors sent to a replica that had left 2.25 s before (2.2 allowed by the soak).

Cause: each member in rank that is silent cost a whole interval of 0.4 s. With the two first ranks beyond a cut, the third audited 1.5 s after the leaving (its line: last_ms 1,224); daemon 0, which heard it but couldn't call it, waited for the feed (0.25 s), for the auditor's response (0.4 s), and for the store.

By the users' rule a machine whose links are cut isn't bound; the check stays as it is.

Change: rank k waits for an interval and k halves of one.

Red before: the_next_member_audits_once_the_first_is_silent with the new times (600 ms where the first is silent, 1,000 ms where three are).

--- a/crates/relay/src/audit.rs
+++ b/crates/relay/src/audit.rs
@@ -77,10 +77,16 @@
     MIN_INTERVAL.max(of_rows).max(of_members)
 }
 
+/// Part of the interval after which the member next in rank audits: more than an announcement takes, also in a process
+/// that is late, and little enough for several members that are silent within the bound on the use of a replica that
+/// leaves.
+const TURN_DIVISOR: u32 = 2;
+
 /// True if a member audits now. `last` is the time of the latest audit that it knows of, or of its start.
 pub fn is_audit_due(rank: usize, interval: Duration, last: Instant, now: Instant) -> bool {
-    let turn = u32::try_from(rank).unwrap_or(u32::MAX).saturating_add(1);
-    now.saturating_duration_since(last) >= interval.saturating_mul(turn)
+    let turns = u32::try_from(rank).unwrap_or(u32::MAX);
+    let wait = interval + (interval / TURN_DIVISOR).saturating_mul(turns);
+    now.saturating_duration_since(last) >= wait
 }
 
 /// Pauses between repairs that brought nothing, doubled each time.
--- a/crates/relay/tests/audits.rs
+++ b/crates/relay/tests/audits.rs
@@ -360,7 +360,8 @@
     let interval = audit_interval(89, 76);
     let due = |rank, ms| is_audit_due(rank, interval, last, last + Duration::from_millis(ms));
     assert!(due(0, 400) && !due(0, 399));
-    assert!(due(1, 800) && !due(1, 799));
+    assert!(due(1, 600) && !due(1, 599));
+    assert!(due(3, 1_000) && !due(3, 999));
     assert!(audit_interval(10_000, 985) <= Duration::from_millis(2_000));
 }
 
