Log of each stream that goes on: version, from whom it is known, how old; metric of the versions

ReplicaRecord holds the software version of an entry; `sent` names it, so that it is known of each stream begun. No decision reads any of it yet.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -20,6 +20,7 @@
     registry: Registry,
     requests: IntCounterVec,
     unfinished_streams: IntCounterVec,
+    streams_continued: IntCounterVec,
     request_seconds: Histogram,
     first_event_seconds: Histogram,
     slot_choices: IntCounterVec,
@@ -95,6 +96,7 @@
                 "outcome",
             )?,
             unfinished_streams: unfinished_streams(&registry)?,
+            streams_continued: streams_continued(&registry)?,
             request_seconds: histogram(
                 "harrierward_request_seconds",
                 "Time from a request's arrival to the end of its answer",
@@ -302,6 +304,20 @@
             Record::RateStoodIn { outcome, .. } => {
                 self.rate_fallbacks.with_label_values(&[*outcome]).inc();
             }
+            Record::StreamContinued {
+                step,
+                began_at,
+                version,
+                ..
+            } => {
+                let label = match began_at {
+                    None => "unknown",
+                    Some(began_at) if began_at == version => "same",
+                    Some(_) => "other",
+                };
+                let labels = [*step, label];
+                self.streams_continued.with_label_values(&labels).inc();
+            }
             Record::AttemptFailed { not_run, .. } => {
                 let label = if *not_run { "true" } else { "false" };
                 self.attempts_failed.with_label_values(&[label]).inc();
@@ -489,6 +505,16 @@
     Ok(vector)
 }
 
+fn streams_continued(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
+    let options = Opts::new(
+        "harrierward_streams_continued_total",
+        "Streams and items that go on after events, or are refused, by whether the version that began them is known and that of the replica",
+    );
+    let vector = IntCounterVec::new(options, &["step", "version"])?;
+    registry.register(Box::new(vector.clone()))?;
+    Ok(vector)
+}
+
 fn stalled_connections_closed(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
     let counter = IntCounter::new(
         "harrierward_connections_silent_total",
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -402,6 +402,8 @@
         route: &'a str,
         /// Replica id.
         replica: &'a str,
+        /// Version of the replica's software; empty if it publishes none.
+        version: &'a str,
         /// Whether the coordinator or this daemon, by its own counts, chose the replica.
         chosen_by: &'a str,
         /// Region of the replica.
@@ -433,6 +435,27 @@
         /// Last event that the caller has received; `None` if the response does not resume.
         resume_after: Option<u64>,
     },
+    /// A stream or an item of which events had been received goes on at a replica, or doesn't.
+    StreamContinued {
+        /// Request id.
+        request: &'a str,
+        /// Id of the caller attempt that began the stream; empty if the caller names none.
+        stream: &'a str,
+        /// `resumed` (within the response or the item's run), `taken up` (by its caller), or `refused`.
+        step: &'a str,
+        /// Last event received.
+        resume_after: u64,
+        /// Software version that began it; `None` if unknown.
+        began_at: Option<&'a str>,
+        /// From whom that is known: `response` (this daemon received the events); empty if unknown.
+        source: &'a str,
+        /// Age of that knowledge; `None` if unknown.
+        known_ms: Option<u64>,
+        /// Replica at which it goes on; empty if refused.
+        replica: &'a str,
+        /// Version of that replica's software.
+        version: &'a str,
+    },
     /// A replica responded that this daemon knows to be leaving by then.
     LeavingReplicaResponded {
         /// Request id.
@@ -832,12 +855,14 @@
             | Self::ColdPassedOver { .. }
             | Self::LeavingReplicaResponded { .. }
             | Self::ItemEndOrdered { .. } => Importance::Ordinary,
+            Self::StreamContinued { step, .. } if *step != "refused" => Importance::Change,
             Self::HeaderRead { outcome, .. } if *outcome == "found" => Importance::Ordinary,
             Self::Resent { outcome, .. } if *outcome == "stored" => Importance::Ordinary,
             Self::ResultsListed { outcome, .. } if *outcome == "committed" => Importance::Ordinary,
             Self::ItemRun { outcome, .. } if *outcome == "finished" => Importance::Ordinary,
             Self::JobSubmitted { outcome, .. } if *outcome == "accepted" => Importance::Ordinary,
             Self::AttemptFailed { .. }
+            | Self::StreamContinued { .. }
             | Self::ResponseCutOff { .. }
             | Self::Refused { .. }
             | Self::RateRefused { .. }
--- a/crates/edge/tests/cold.rs
+++ b/crates/edge/tests/cold.rs
@@ -54,6 +54,7 @@
         },
         id: format!("replica-{number}"),
         service: SERVICE.to_owned(),
+        version: String::new(),
         address: format!("10.0.0.{number}:80"),
         zone: "zone-a".to_owned(),
         slots: 100,
--- a/crates/edge/tests/coordinators.rs
+++ b/crates/edge/tests/coordinators.rs
@@ -19,6 +19,7 @@
             born_ms: None,
             id: format!("{zone}-{number}"),
             service: "model".to_owned(),
+            version: String::new(),
             address: String::new(),
             zone: zone.to_owned(),
             region: region.to_owned(),
--- a/crates/edge/tests/half_ejected.rs
+++ b/crates/edge/tests/half_ejected.rs
@@ -33,6 +33,7 @@
         warmup: Duration::ZERO,
         id: id.to_owned(),
         service: SERVICE.to_owned(),
+        version: String::new(),
         address: format!("{id}:80"),
         zone: "zone-a".to_owned(),
         slots: SLOTS,
--- a/crates/edge/tests/regions.rs
+++ b/crates/edge/tests/regions.rs
@@ -81,6 +81,7 @@
             warmup: Duration::ZERO,
             id: format!("{}-{number}", REGIONS[region]),
             service: SERVICE.to_owned(),
+            version: String::new(),
             address: format!("10.0.{region}.{number}:80"),
             zone: format!("{}-{}", REGIONS[region], number % 2),
             slots: SLOTS,
--- a/crates/edge/tests/slots.rs
+++ b/crates/edge/tests/slots.rs
@@ -48,6 +48,7 @@
         warmup: Duration::ZERO,
         id: format!("replica-{number}"),
         service: SERVICE.to_owned(),
+        version: String::new(),
         address: format!("10.0.0.{number}:80"),
         zone: "zone-a".to_owned(),
         slots: SLOTS,
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -67,6 +67,7 @@
             warmup: Duration::from_millis(warmup_ms),
             id: row.key.clone(),
             service: "service".to_owned(),
+            version: String::new(),
             address: address.to_owned(),
             zone: "zone".to_owned(),
             slots: 4,
--- a/crates/inline-jobs/src/item.rs
+++ b/crates/inline-jobs/src/item.rs
@@ -13,6 +13,8 @@
     pub last_event: Option<u64>,
     /// Data of the events, in order.
     pub texts: Vec<String>,
+    /// Software version that wrote them; `None` without events, or if unknown.
+    pub version: Option<String>,
     /// What is known of the events that follow `last_event`.
     pub events_left: EventsLeft,
     /// When this daemon received the last event; `None` if it received none itself.
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -4,9 +4,10 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
+use harrierward_decisions::Record;
 use harrierward_serving::{
     Attempt, AttemptFailure, AttemptOptions, AttemptOutcome, AttemptTimeouts, BodyEnd, BodyFormat,
-    BodyParser, BodyPart, EventsLeft, Forwarder, InProgress, Placement, ServingRequest,
+    BodyParser, BodyPart, EventsLeft, Forwarder, InProgress, Placement, Replica, ServingRequest,
     StreamEvent, wait_for_progress,
 };
 use tokio::time::Instant;
@@ -83,12 +84,42 @@
         status => return RunOutcome::Broken(format!("status {status}")),
     }
     let delimiter = attempt.response.delimiter;
+    log_resumed(forwarder, request, progress, attempt.in_progress.replica());
     let mut parser = BodyParser::new(BodyFormat::Events, delimiter, events_left);
     let outcome = receive_output(attempt, &mut parser, progress).await;
     lock(progress).events_left = parser.events_left();
     outcome
 }
 
+/// Logs that an item of which events had been received goes on.
+fn log_resumed(
+    forwarder: &Forwarder,
+    request: &ServingRequest,
+    progress: &SharedProgress,
+    replica: &Replica,
+) {
+    let progress = lock(progress);
+    let Some(resume_after) = progress.last_event else {
+        return;
+    };
+    let age = progress.last_event_at.map(harrierward_clock::age);
+    forwarder.log().record(&Record::StreamContinued {
+        request: &request.id,
+        stream: &request.id,
+        step: "resumed",
+        resume_after,
+        began_at: progress.version.as_deref(),
+        source: match (&progress.version, progress.last_event_at) {
+            (None, _) => "",
+            (Some(_), None) => "store",
+            (Some(_), Some(_)) => "response",
+        },
+        known_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        replica: &replica.record.id,
+        version: &replica.record.version,
+    });
+}
+
 /// Receives the output of a run to its end.
 async fn receive_output(
     attempt: Attempt,
@@ -114,7 +145,7 @@
             Some(Some(Ok(bytes))) => bytes,
         };
         in_progress.note_event();
-        if let Err(cause) = append_events(progress, parser, bytes) {
+        if let Err(cause) = append_events(progress, parser, bytes, &replica.record.version) {
             in_progress.conclude(AttemptOutcome::Corrupt);
             return RunOutcome::Broken(cause);
         }
@@ -141,11 +172,12 @@
     progress: &SharedProgress,
     parser: &mut BodyParser,
     bytes: Bytes,
+    version: &str,
 ) -> Result<(), String> {
     parser.push(bytes).map_err(|cause| cause.to_string())?;
     while let Some(part) = parser.next_part() {
         if let BodyPart::Event(event) = part
-            && append_event(progress, &event)?
+            && append_event(progress, &event, version)?
         {
             parser.note_new(&event);
         }
@@ -158,7 +190,11 @@
 
 /// Appends an event to the item's output. Returns false for an event without a number and one that was received
 /// before; fails if events before this one are missing.
-fn append_event(progress: &SharedProgress, event: &StreamEvent) -> Result<bool, &'static str> {
+fn append_event(
+    progress: &SharedProgress,
+    event: &StreamEvent,
+    version: &str,
+) -> Result<bool, &'static str> {
     let Some(id) = event.id else {
         return Ok(false);
     };
@@ -171,6 +207,7 @@
         return Err("an event is missing");
     }
     progress.last_event = Some(id);
+    progress.version.get_or_insert_with(|| version.to_owned());
     progress.events_left = EventsLeft::after(Some(id), u32::MAX);
     progress.texts.push(event.data());
     progress.last_event_at = Some(Instant::now());
--- a/crates/inline-jobs/src/model.rs
+++ b/crates/inline-jobs/src/model.rs
@@ -215,6 +215,7 @@
         body: Bytes::from(row.body),
         timeout: None,
         resume_after: None,
+        resumes: None,
         prompt: Prompt {
             parts,
             tokens: row.prompt_tokens,
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -124,6 +124,7 @@
                 item.progress = Arc::new(Mutex::new(ItemProgress {
                     last_event,
                     texts: row.texts,
+                    version: None,
                     events_left: EventsLeft::after(last_event, u32::MAX),
                     last_event_at: None,
                     is_awaiting_response: false,
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -255,6 +255,7 @@
             content: &content.to_string(),
             route: &request.target,
             replica: &replica.record.id,
+            version: &replica.record.version,
             chosen_by: choice.by.name(),
             region: &replica.record.region,
             left_region: choice.left_region.map(CrossRegionReason::name),
@@ -425,6 +426,7 @@
     }
 }
 
-fn milliseconds(time: Duration) -> u64 {
+/// Returns whole milliseconds, for the decision log.
+pub(crate) fn milliseconds(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -31,6 +31,9 @@
     pub timeout: Option<Duration>,
     /// Id of the last event that the caller received.
     pub resume_after: Option<u64>,
+    /// Id of the caller attempt that brought the first event of the stream which this request takes up; `None` if it
+    /// names none.
+    pub resumes: Option<String>,
     /// Metadata of the prompt.
     pub prompt: Prompt,
     /// The caller's key, if any; never sent to a replica.
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -105,7 +105,8 @@
         &self.parts.leases
     }
 
-    pub(crate) fn log(&self) -> &DecisionLog {
+    /// Returns the decision log.
+    pub fn log(&self) -> &DecisionLog {
         &self.parts.log
     }
 
@@ -279,7 +280,10 @@
                     state.execution.merge(Execution::Ran);
                     continue;
                 }
-                Ok(attempt) => return respond(self, state, attempt),
+                Ok(attempt) => {
+                    self.log_taken_up(request, &attempt);
+                    return respond(self, state, attempt);
+                }
                 Err(failure) => failure,
             };
             state.execution.merge(failure.execution());
@@ -309,6 +313,25 @@
         }
     }
 
+    /// Logs that a stream which its caller takes up goes on.
+    fn log_taken_up(&self, request: &ServingRequest, attempt: &Attempt) {
+        let Some(resume_after) = request.resume_after else {
+            return;
+        };
+        let replica = &attempt.in_progress.replica().record;
+        self.log().record(&Record::StreamContinued {
+            request: &request.id,
+            stream: request.resumes.as_deref().unwrap_or_default(),
+            step: "taken up",
+            resume_after,
+            began_at: None,
+            source: "",
+            known_ms: None,
+            replica: &replica.id,
+            version: &replica.version,
+        });
+    }
+
     /// Doesn't count the last allowed attempt if its replica crashed and the request may be repeated.
     async fn forgive_crash(&self, state: &mut RequestState) {
         let is_last = state.sends >= state.route.attempts;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -30,6 +30,7 @@
 mod response;
 mod routes;
 mod selection;
+mod software_version;
 mod suspicion;
 mod topology;
 mod warmth;
@@ -70,6 +71,7 @@
 pub use selection::{
     Candidate, SelectionCosts, Separation, choose, cost, expected_wait_ms, preference_weight,
 };
+pub use software_version::SoftwareVersion;
 pub use suspicion::Suspicion;
 pub use topology::{Location, Topology};
 pub use warmth::Warmth;
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
 use harrierward_decisions::Record;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
-use crate::attempt::{Attempt, AttemptFailure, AttemptOptions, wait_for_progress};
+use crate::attempt::{Attempt, AttemptFailure, AttemptOptions, milliseconds, wait_for_progress};
 use crate::body::{BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause, EventsLeft};
 use crate::events::StreamEvent;
 use crate::exchange::ReplicaBody;
@@ -50,6 +50,10 @@
     /// Parser of the current replica's body, or of the last one's.
     parser: BodyParser,
     ready: VecDeque<Bytes>,
+    /// Software version at which the response began.
+    began_at: String,
+    /// When it began.
+    began: Instant,
     /// Id of the last event relayed; at first the one after which the caller resumes the stream.
     delivered: Option<u64>,
     first_event_ms: Option<u64>,
@@ -67,6 +71,7 @@
 impl Relay {
     pub fn new(forwarder: Forwarder, state: RequestState, attempt: Attempt) -> Self {
         let delivered = state.request.resume_after;
+        let attempt_version = attempt.in_progress.replica().record.version.clone();
         let response = &attempt.response;
         let format = BodyFormat::of(&state.route, response.status, &response.headers);
         let further_attempts = state.route.attempts.saturating_sub(state.sends);
@@ -80,6 +85,8 @@
             body: Some(attempt.response.body),
             in_progress: Some(attempt.in_progress),
             ready: VecDeque::new(),
+            began_at: attempt_version,
+            began: harrierward_clock::now(),
             delivered,
             first_event_ms: None,
             finished: false,
@@ -285,6 +292,7 @@
                     let delimiter = attempt.response.delimiter;
                     let events_left = self.parser.events_left();
                     self.parser = BodyParser::new(self.format, delimiter, events_left);
+                    self.log_resumed(&attempt);
                     self.body = Some(attempt.response.body);
                     self.in_progress = Some(attempt.in_progress);
                     return Ok(());
@@ -362,6 +370,25 @@
         self.forwarder.attempt(state, times, options).await
     }
 
+    fn log_resumed(&self, attempt: &Attempt) {
+        let Some(resume_after) = self.delivered else {
+            return;
+        };
+        let request = &self.state.request;
+        let replica = &attempt.in_progress.replica().record;
+        self.forwarder.log().record(&Record::StreamContinued {
+            request: &request.id,
+            stream: request.resumes.as_deref().unwrap_or(&request.id),
+            step: "resumed",
+            resume_after,
+            began_at: Some(&self.began_at),
+            source: "response",
+            known_ms: Some(milliseconds(harrierward_clock::age(self.began))),
+            replica: &replica.id,
+            version: &replica.version,
+        });
+    }
+
     fn log_interruption(&self, cause: &str) {
         let replica = self.state.tried.last().map_or("", String::as_str);
         self.forwarder.log().record(&Record::AttemptFailed {
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -13,6 +13,7 @@
 use crate::in_progress::InProgress;
 use crate::leases::SlotLease;
 use crate::prompt::{PrefixCacheEstimate, Prompt};
+use crate::software_version::SoftwareVersion;
 use crate::suspicion::Suspicion;
 use crate::topology::Location;
 use crate::warmth::Warmth;
@@ -36,6 +37,8 @@
     pub born_ms: Option<u64>,
     /// Name of the service.
     pub service: String,
+    /// Version of its software; empty if not published.
+    pub version: String,
     /// Address and port.
     pub address: String,
     /// Zone in which it runs.
@@ -112,6 +115,8 @@
     pub hash: u32,
     /// Zone and region.
     pub location: Location,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     draining: AtomicBool,
     leaving: ArcSwapOption<LeavingNotice>,
     zone_evacuated: AtomicBool,
@@ -159,6 +164,7 @@
         let replica = Self {
             hash: record.instance_hash(),
             location: Location::new(&record.zone, &record.region),
+            version: SoftwareVersion::of(&record.version),
             record,
             draining: AtomicBool::new(draining),
             leaving: ArcSwapOption::empty(),
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -86,6 +86,7 @@
         warmup: Duration::ZERO,
         id: format!("replica-{number}"),
         service: "model".to_owned(),
+        version: String::new(),
         address: format!("10.0.0.{number}:80"),
         zone: ZONE.to_owned(),
         slots: 8,
@@ -135,6 +136,7 @@
         body: Bytes::new(),
         timeout: None,
         resume_after: None,
+        resumes: None,
         prompt: Prompt {
             parts,
             tokens: 6_500,
--- a/crates/serving/tests/replica_set.rs
+++ b/crates/serving/tests/replica_set.rs
@@ -15,6 +15,7 @@
         born_ms: None,
         id: format!("{name}-{number}"),
         service: "model".to_owned(),
+        version: String::new(),
         address: format!("{name}-{number}:80"),
         zone: "zone".to_owned(),
         region: String::new(),
--- a/crates/serving/tests/set_changes.rs
+++ b/crates/serving/tests/set_changes.rs
@@ -11,6 +11,7 @@
         id: format!("i-{number:08x}"),
         born_ms: Some(born_ms),
         service: format!("model-{}", number % 2),
+        version: String::new(),
         address: format!("10.0.{}.{}:8000", number / 250, number % 250),
         zone: format!("zone-{}", number % 5),
         region: "region".to_owned(),
--- a/crates/serving/tests/suspended.rs
+++ b/crates/serving/tests/suspended.rs
@@ -22,6 +22,7 @@
         born_ms: None,
         id: (*id).to_owned(),
         service: SERVICE.to_owned(),
+        version: String::new(),
         address: "10.0.0.1:80".to_owned(),
         zone: "zone".to_owned(),
         region: String::new(),
--- a/crates/serving/tests/warmth.rs
+++ b/crates/serving/tests/warmth.rs
@@ -21,6 +21,7 @@
         warmup,
         id: id.to_owned(),
         service: "model".to_owned(),
+        version: String::new(),
         address: format!("{id}:80"),
         zone: "zone-a".to_owned(),
         slots: 8,
