A stream goes on within its response only at the software version that began it

Cause: whatever resumed a stream chose any replica of the service; neither ReplicaRecord nor the choice knew versions. Ruled out: the coordinator alone (the daemon's own choice did the same).

The version of the replica whose first event is passed on is held from then on. It is a property of the request like its regions: the choice, the coordinator (SlotAsk.version; earlier builds ignore it), the gate before each send and the check whether there is an alternative look at it. A grant of another version is overruled, so that a coordinator of an earlier build can't break it. Without any usable replica of the version the response is cut at once, not held. Capacity reported for such a request counts one version only and isn't noted for its group. Wire format level 7.

--- a/crates/edge/src/slots/capacity.rs
+++ b/crates/edge/src/slots/capacity.rs
@@ -45,6 +45,10 @@
         group: GroupId,
         grant: &SlotGrant,
     ) {
+        if query.version.is_some() {
+            // The reply counts the replicas of one version only.
+            return;
+        }
         let must_retry = grant.come_back_ms > 0;
         if !must_retry && grant.load == 0 && grant.free_permille == 0 {
             return;
@@ -86,6 +90,10 @@
         group: GroupId,
         reply: &SlotReply,
     ) {
+        if query.version.is_some() {
+            // The reply counts the replicas of one version only.
+            return;
+        }
         let (free_permille, wait) = match reply {
             // A probed replica is idle even if its group is full.
             SlotReply::Granted { choice, .. } if choice.is_probe => return,
--- a/crates/edge/src/slots/granting.rs
+++ b/crates/edge/src/slots/granting.rs
@@ -6,7 +6,7 @@
 
 use harrierward_serving::{
     Choice, ChoiceQuery, ChosenBy, Location, MIN_FREE_PERMILLE, Mechanism, Prompt, PromptLength,
-    PromptPart, Replica, SlotQuery, SlotReply, choose_replica, short_hash,
+    PromptPart, Replica, SlotQuery, SlotReply, SoftwareVersion, choose_replica, short_hash,
 };
 use harrierward_slots::{GroupAdmission, GroupId, QueuedRequest, SlotUse};
 use harrierward_tenants::AllowedRegions;
@@ -25,6 +25,7 @@
     is_suspected: &'a dyn Fn(&Replica) -> bool,
     prompt: &'a Prompt,
     regions: &'a AllowedRegions,
+    version: Option<SoftwareVersion>,
     length: PromptLength,
     is_item: bool,
     is_overdue: bool,
@@ -43,6 +44,7 @@
             is_own_region: &|replica| replica.location.region == requester.location.region,
             prompt: requester.prompt,
             regions: requester.regions,
+            version: requester.version,
             length: requester.length,
             is_excluded: requester.is_excluded,
             is_connected: requester.is_connected,
@@ -89,6 +91,7 @@
             is_suspected: &|replica| replica.is_suspected(),
             prompt: query.prompt,
             regions: query.regions,
+            version: query.version,
             length: query.length,
             is_item: query.item.is_some(),
             is_overdue: query.overdue && !self.take_retry(query.service, group),
@@ -233,6 +236,7 @@
             is_suspected: &|replica| request.suspected.contains(&replica.hash),
             prompt: &prompt,
             regions: &regions,
+            version: request.version.map(SoftwareVersion::from_hash),
             length: length_of(request),
             is_item: request.item.is_some(),
             is_overdue: request.overdue && !self.take_retry(service, group),
--- a/crates/edge/src/slots/group_selection.rs
+++ b/crates/edge/src/slots/group_selection.rs
@@ -5,7 +5,7 @@
 
 use harrierward_serving::{
     AttemptOutcome, CrossRegionReason, MIN_FREE_PERMILLE, PromptLength, ReleaseReport, Replica,
-    SlotLeases, SlotQuery, SlotReply, preference_weight, short_hash,
+    SlotLeases, SlotQuery, SlotReply, admits_version, preference_weight, short_hash,
 };
 use harrierward_slots::{GroupId, GroupLayout, SpillCost, should_spill};
 
@@ -70,6 +70,7 @@
         listed.filter(|replica| {
             replica.accepts_work()
                 && self.query.regions.allows(&replica.record.region)
+                && admits_version(self.query.version, replica)
                 && !self.query.excluded.contains(&replica.record.id)
         })
     }
--- a/crates/edge/src/slots/leases.rs
+++ b/crates/edge/src/slots/leases.rs
@@ -51,7 +51,11 @@
         {
             reply = spilled;
         }
-        if query.item.is_some() && matches!(reply, SlotReply::NoCapacity | SlotReply::AllCold) {
+        let is_any_version = query.version.is_none();
+        if query.item.is_some()
+            && is_any_version
+            && matches!(reply, SlotReply::NoCapacity | SlotReply::AllCold)
+        {
             let mut state = self.lock();
             state
                 .full_for_items_at
--- a/crates/edge/src/slots/requests.rs
+++ b/crates/edge/src/slots/requests.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use harrierward_serving::{
-    Choice, ChosenBy, CrossRegionReason, PromptLength, SlotQuery, SlotReply, short_hash,
+    Choice, ChosenBy, CrossRegionReason, PromptLength, SlotQuery, SlotReply, SoftwareVersion,
+    short_hash,
 };
 use harrierward_slots::{COLD_GRANT_LIFETIME, GroupId, HOLDER_LIFETIME};
 use harrierward_tenants::AllowedRegions;
@@ -228,6 +229,7 @@
             zone: self.location.zone,
             region: self.location.region,
             allowed_regions: region_names(query.regions),
+            version: query.version.map(SoftwareVersion::hash),
             parts: parts.collect(),
             length: match query.length {
                 PromptLength::Uniform => 0,
--- a/crates/edge/tests/cold.rs
+++ b/crates/edge/tests/cold.rs
@@ -160,6 +160,7 @@
         length: PromptLength::Uniform,
         excluded: &[],
         regions: &AllowedRegions::Any,
+        version: None,
         objective,
         item,
         overdue: false,
--- a/crates/edge/tests/ejection.rs
+++ b/crates/edge/tests/ejection.rs
@@ -92,6 +92,7 @@
 ) -> Option<InProgress> {
     let prompt = Prompt::default();
     let query = SlotQuery {
+        version: None,
         service: SERVICE,
         prompt: &prompt,
         length: PromptLength::Uniform,
--- a/crates/edge/tests/half_ejected.rs
+++ b/crates/edge/tests/half_ejected.rs
@@ -96,6 +96,7 @@
             length: PromptLength::Uniform,
             excluded: &[],
             regions: &AllowedRegions::Any,
+            version: None,
             objective: Duration::from_millis(300),
             item,
             overdue: false,
--- a/crates/edge/tests/regions.rs
+++ b/crates/edge/tests/regions.rs
@@ -183,6 +183,7 @@
 
 fn query<'a>(regions: &'a AllowedRegions, item: Option<ItemSlack>) -> SlotQuery<'a> {
     SlotQuery {
+        version: None,
         may_repeat: true,
         service: SERVICE,
         prompt: &PROMPT,
--- a/crates/edge/tests/slots.rs
+++ b/crates/edge/tests/slots.rs
@@ -126,6 +126,7 @@
         length: PromptLength::Uniform,
         excluded: &[],
         regions: &AllowedRegions::Any,
+        version: None,
         objective: OBJECTIVE,
         item,
         overdue: false,
--- a/crates/edge/tests/suspended.rs
+++ b/crates/edge/tests/suspended.rs
@@ -113,6 +113,7 @@
         length: PromptLength::Uniform,
         excluded: &[],
         regions: &AllowedRegions::Any,
+        version: None,
         objective: Duration::from_secs(3),
         item: None,
         overdue: false,
--- a/crates/inline-jobs/src/model.rs
+++ b/crates/inline-jobs/src/model.rs
@@ -216,6 +216,7 @@
         timeout: None,
         resume_after: None,
         resumes: None,
+        version: None,
         prompt: Prompt {
             parts,
             tokens: row.prompt_tokens,
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -9,6 +9,7 @@
 
 use crate::item::{ItemPhase, RunLease};
 use crate::item_run::{self, RunOutcome};
+use crate::no_capacity::ItemReplicas;
 use crate::pacing::{RunLength, Urgency, slack, urgency};
 use crate::ready::{ReadyItem, restrict_to_regions};
 use crate::registry::{PreemptedItem, StartableItem};
@@ -136,15 +137,20 @@
         let view = self.inner.forwarder.replicas().view();
         let now = Instant::now();
         let registry = self.registry();
-        let is_paused = registry.no_capacity.is_paused(service, &regions, now);
-        let is_deferred = registry.no_capacity.is_deferred(service, &regions, now);
+        let replicas = ItemReplicas {
+            service: service.to_owned(),
+            regions,
+            version: item.request.version,
+        };
+        let is_paused = registry.no_capacity.is_paused(&replicas, now);
+        let is_deferred = registry.no_capacity.is_deferred(&replicas, now);
         drop(registry);
-        if is_paused || !view.has_usable(service, &regions) {
+        if is_paused || !view.has_usable(service, &replicas.regions, replicas.version) {
             return None;
         }
 
         Some(ReadyItem {
-            item: restrict_to_regions(item, regions),
+            item: restrict_to_regions(item, replicas.regions),
             service: service.to_owned(),
             item_slack,
             is_deferred,
@@ -280,10 +286,13 @@
     /// Returns an item to the queue after no replica had capacity, and pauses placements for its service and regions.
     fn note_no_capacity(&self, item: &StartableItem, service: &str) {
         let now = Instant::now();
+        let replicas = ItemReplicas {
+            service: service.to_owned(),
+            regions: item.request.regions.clone(),
+            version: item.request.version,
+        };
         let mut registry = self.registry();
-        registry
-            .no_capacity
-            .note(service, &item.request.regions, now);
+        registry.no_capacity.note(replicas, now);
         if let Some(entry) = registry.item(&item.job, item.number)
             && matches!(entry.phase, ItemPhase::Running { .. })
         {
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -226,6 +226,7 @@
         let replica = choice.replica;
         let gate_request = GateRequest {
             regions: &request.regions,
+            version: request.version,
             cold_until: choice.cold_until,
         };
         if let Some(reason) = check_gate(&replica, &gate_request, harrierward_clock::now()) {
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -7,6 +7,7 @@
 use rand::seq::index;
 use tokio::time::Instant;
 
+use crate::gate::admits_version;
 use crate::in_progress::InProgress;
 use crate::leases::SlotLease;
 use crate::policy::{Mechanism, Policy};
@@ -15,6 +16,7 @@
 use crate::replica::{Replica, WorkClass};
 use crate::replica_set::ReplicaView;
 use crate::selection::{Candidate, SelectionCosts, Separation, choose, preference_weight};
+use crate::software_version::SoftwareVersion;
 
 /// Role of the daemon that chose a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -125,6 +127,8 @@
     pub length: PromptLength,
     /// Regions in which the request may be served.
     pub regions: &'a AllowedRegions,
+    /// The only software version that may serve it; `None` if any may.
+    pub version: Option<SoftwareVersion>,
     /// True for replicas that must not be used.
     pub is_excluded: &'a dyn Fn(&Replica) -> bool,
     /// True for replicas to which the requester keeps a connection.
@@ -151,6 +155,7 @@
         .into_iter()
         .filter(|replica| !(query.is_excluded)(replica))
         .filter(|replica| query.regions.allows(&replica.record.region))
+        .filter(|replica| admits_version(query.version, replica))
         .collect();
     let usable = if query.is_item {
         item_candidates(usable, costs.policy, query)
@@ -213,6 +218,7 @@
         (query.is_own_region)(replica)
             && !(query.is_excluded)(replica)
             && query.regions.allows(&replica.record.region)
+            && admits_version(query.version, replica)
             && (query.is_item || !(query.is_suspected)(replica))
     };
     let near: Vec<Arc<Replica>> = replicas.iter().filter(may_take).cloned().collect();
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, Method};
 
 use crate::prompt::Prompt;
+use crate::software_version::SoftwareVersion;
 
 /// Request of a caller; the body is opaque.
 #[derive(Debug, Clone)]
@@ -42,6 +43,9 @@
     pub tenant: Option<Arc<str>>,
     /// Regions allowed by both the route and the tenant.
     pub regions: AllowedRegions,
+    /// Software version that wrote the events received so far, the only one that may continue them; `None` if any may
+    /// serve it.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// Request as sent to one replica.
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -25,6 +25,7 @@
 use crate::response::{CallerResponse, Refusal, RefusalCause, Reply};
 use crate::routes::{RouteEntry, RouteTable};
 use crate::selection::SelectionCosts;
+use crate::software_version::SoftwareVersion;
 
 /// The routes in force; `None` until a configuration is known.
 pub type SharedRoutes = Arc<ArcSwapOption<RouteTable>>;
@@ -313,6 +314,17 @@
         }
     }
 
+    /// Returns the name of a software version for the log; its hash in hexadecimal if no listed replica has it.
+    pub(crate) fn version_name(&self, service: &str, version: SoftwareVersion) -> String {
+        let view = self.replicas().view();
+        let mut listed = view.listed(service).iter();
+        let named = listed.find(|replica| replica.version == version);
+        named.map_or_else(
+            || format!("#{:016x}", version.hash()),
+            |replica| replica.record.version.clone(),
+        )
+    }
+
     /// Logs that a stream which its caller takes up goes on.
     fn log_taken_up(&self, request: &ServingRequest, attempt: &Attempt) {
         let Some(resume_after) = request.resume_after else {
--- a/crates/serving/src/gate.rs
+++ b/crates/serving/src/gate.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use crate::replica::Replica;
+use crate::software_version::SoftwareVersion;
 
 /// Reason why a request must not be sent to a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,6 +18,8 @@
     ZoneEvacuated,
     /// The request's route or tenant doesn't allow the replica's region.
     RegionNotAllowed,
+    /// Another software version began the response.
+    OtherVersion,
     /// The replica is cold, and no coordinator has recently counted this request there.
     ColdWithoutGrant,
 }
@@ -29,6 +32,7 @@
             Self::Crashed => "ended",
             Self::ZoneEvacuated => "zone_evacuated",
             Self::RegionNotAllowed => "region_not_allowed",
+            Self::OtherVersion => "other_version",
             Self::ColdWithoutGrant => "cold_without_grant",
         }
     }
@@ -39,6 +43,8 @@
 pub struct GateRequest<'a> {
     /// Regions in which the request may be served.
     pub regions: &'a AllowedRegions,
+    /// The only software version that may serve it; `None` if any may.
+    pub version: Option<SoftwareVersion>,
     /// End of the permission to send to a cold replica; `None` if the request wasn't counted there.
     pub cold_until: Option<Instant>,
 }
@@ -57,6 +63,8 @@
         Some(GateDenial::ZoneEvacuated)
     } else if !request.regions.allows(&replica.record.region) {
         Some(GateDenial::RegionNotAllowed)
+    } else if !admits_version(request.version, replica) {
+        Some(GateDenial::OtherVersion)
     } else if replica.is_cold(now) && request.cold_until.is_none_or(|until| now >= until) {
         Some(GateDenial::ColdWithoutGrant)
     } else {
@@ -64,6 +72,11 @@
     }
 }
 
+/// True unless another software version than the replica's is required.
+pub fn admits_version(required: Option<SoftwareVersion>, replica: &Replica) -> bool {
+    required.is_none_or(|version| version == replica.version)
+}
+
 /// True if the prefix cache may be copied from `source` now: it accepts work and lies in an allowed region. Checked
 /// right before the request is sent.
 pub fn may_copy_from(source: &Replica, regions: &AllowedRegions) -> bool {
--- a/crates/serving/src/leases.rs
+++ b/crates/serving/src/leases.rs
@@ -11,6 +11,7 @@
 use crate::profile::PromptLength;
 use crate::prompt::Prompt;
 use crate::replica::{Replica, WorkClass};
+use crate::software_version::SoftwareVersion;
 
 /// Batch-specific part of a [`SlotQuery`].
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -32,6 +33,8 @@
     pub excluded: &'a [String],
     /// Regions in which the request may be served.
     pub regions: &'a AllowedRegions,
+    /// The only software version that may serve it; `None` if any may.
+    pub version: Option<SoftwareVersion>,
     /// Objective of the request, from which the timeout of the coordinator's reply is derived.
     pub objective: Duration,
     /// Set for batch items only.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -31,6 +31,7 @@
 mod routes;
 mod selection;
 mod software_version;
+mod stream_origin;
 mod suspicion;
 mod topology;
 mod warmth;
@@ -55,7 +56,7 @@
     ReplicaRequest, ReplicaResponse, ServingRequest,
 };
 pub use forwarder::{Forwarder, ForwarderParts, ForwarderSettings, SharedRoutes};
-pub use gate::{GateDenial, GateRequest, check_gate};
+pub use gate::{GateDenial, GateRequest, admits_version, check_gate};
 pub use in_progress::InProgress;
 pub use leases::{ItemSlack, SlotLease, SlotLeases, SlotQuery, SlotReply};
 pub use outcome::{AttemptOutcome, Evidence, ReleaseReport};
@@ -72,6 +73,7 @@
     Candidate, SelectionCosts, Separation, choose, cost, expected_wait_ms, preference_weight,
 };
 pub use software_version::SoftwareVersion;
+pub use stream_origin::{KnownOrigin, OriginSource, StreamOrigin};
 pub use suspicion::Suspicion;
 pub use topology::{Location, Topology};
 pub use warmth::Warmth;
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_tenants::AllowedRegions;
 use tokio::time::{Instant, sleep};
 
 use crate::choice::{Choice, ChoiceQuery, Placement, choose_replica, own_region_first};
@@ -55,6 +54,7 @@
             service,
             prompt: &request.prompt,
             regions: &request.regions,
+            version: request.version,
             length,
             excluded,
             objective,
@@ -79,6 +79,7 @@
             service,
             prompt: &request.prompt,
             regions: &request.regions,
+            version: request.version,
             length: self.length_of(service, request),
             excluded: &[],
             objective,
@@ -105,6 +106,7 @@
             service,
             prompt: &request.prompt,
             regions: &request.regions,
+            version: request.version,
             length: self.length_of(service, request),
             excluded: &[],
             objective,
@@ -115,7 +117,11 @@
         };
         let started = Instant::now();
         loop {
-            if !self.replicas().view().has_usable(service, &request.regions) {
+            if !self
+                .replicas()
+                .view()
+                .has_usable(service, &request.regions, request.version)
+            {
                 break;
             }
             match self.leases().acquire(query).await {
@@ -164,7 +170,7 @@
     ) -> Result<Placement, PlacementError> {
         // Without a usable replica no coordinator has a slot, so the caller is refused at once.
         let view = self.replicas().view();
-        if !view.has_usable(query.service, query.regions) {
+        if !view.has_usable(query.service, query.regions, query.version) {
             return Err(PlacementError::NoReplica);
         }
         drop(view);
@@ -179,7 +185,7 @@
         match reply {
             SlotReply::Granted { choice, lease } => {
                 let guard = SlotLease::new(self.leases().clone(), lease);
-                if self.overrides(&choice, query.regions) {
+                if self.overrides(&choice, &query) {
                     drop(guard);
                     return self.choose_locally(query).ok_or(PlacementError::NoReplica);
                 }
@@ -196,16 +202,18 @@
     }
 
     /// True if this daemon must not use the granted replica. A coordinator with an outdated view would otherwise
-    /// grant all replicas of an evacuated zone one after the other.
-    fn overrides(&self, choice: &Choice, regions: &AllowedRegions) -> bool {
+    /// grant all replicas of an evacuated zone one after the other, and one of an earlier build those of any version.
+    fn overrides(&self, choice: &Choice, query: &SlotQuery<'_>) -> bool {
         let gate_request = GateRequest {
-            regions,
+            regions: query.regions,
+            version: query.version,
             cold_until: choice.cold_until,
         };
         let reason = check_gate(&choice.replica, &gate_request, harrierward_clock::now());
         let Some(
             reason @ (GateDenial::ZoneEvacuated
             | GateDenial::RegionNotAllowed
+            | GateDenial::OtherVersion
             | GateDenial::Crashed),
         ) = reason
         else {
@@ -228,6 +236,7 @@
             is_own_region: &|replica| replica.record.region == *region,
             prompt: query.prompt,
             regions: query.regions,
+            version: query.version,
             length: query.length,
             is_excluded: &|replica| query.excluded.contains(&replica.record.id),
             is_connected: &|_| false,
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
 use harrierward_decisions::Record;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::attempt::{Attempt, AttemptFailure, AttemptOptions, milliseconds, wait_for_progress};
 use crate::body::{BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause, EventsLeft};
@@ -18,6 +18,8 @@
 use crate::outcome::{AttemptOutcome, Evidence};
 use crate::replica::Replica;
 use crate::request_state::{RequestClock, RequestState};
+use crate::software_version::SoftwareVersion;
+use crate::stream_origin::{KnownOrigin, OriginSource, StreamOrigin};
 
 /// The response can't be completed; the caller's connection must be aborted.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -50,10 +52,8 @@
     /// Parser of the current replica's body, or of the last one's.
     parser: BodyParser,
     ready: VecDeque<Bytes>,
-    /// Software version at which the response began.
-    began_at: String,
-    /// When it began.
-    began: Instant,
+    /// Where the stream began; `None` until its first event is passed on.
+    origin: Option<KnownOrigin>,
     /// Id of the last event relayed; at first the one after which the caller resumes the stream.
     delivered: Option<u64>,
     first_event_ms: Option<u64>,
@@ -71,7 +71,6 @@
 impl Relay {
     pub fn new(forwarder: Forwarder, state: RequestState, attempt: Attempt) -> Self {
         let delivered = state.request.resume_after;
-        let attempt_version = attempt.in_progress.replica().record.version.clone();
         let response = &attempt.response;
         let format = BodyFormat::of(&state.route, response.status, &response.headers);
         let further_attempts = state.route.attempts.saturating_sub(state.sends);
@@ -85,8 +84,7 @@
             body: Some(attempt.response.body),
             in_progress: Some(attempt.in_progress),
             ready: VecDeque::new(),
-            began_at: attempt_version,
-            began: harrierward_clock::now(),
+            origin: None,
             delivered,
             first_event_ms: None,
             finished: false,
@@ -214,6 +212,7 @@
                 BodyPart::Event(event) if self.is_duplicate(&event) => {}
                 BodyPart::Event(event) => {
                     self.parser.note_new(&event);
+                    self.note_origin();
                     self.delivered = event.id.or(self.delivered);
                     self.ready.push_back(event.raw);
                 }
@@ -222,6 +221,27 @@
         Ok(())
     }
 
+    /// Holds the stream to the version that writes its first event.
+    fn note_origin(&mut self) {
+        if self.origin.is_some() {
+            return;
+        }
+        let Some(in_progress) = &self.in_progress else {
+            return;
+        };
+        self.origin = Some(KnownOrigin {
+            origin: StreamOrigin::of(in_progress.replica()),
+            source: OriginSource::Response,
+            known_at: harrierward_clock::now(),
+        });
+    }
+
+    /// Returns the only version that may continue the stream; `None` before its first event.
+    fn version(&self) -> Option<SoftwareVersion> {
+        let known = self.origin.as_ref();
+        known.map(|known| known.origin.version)
+    }
+
     /// True if the caller has the event already, from the replica at which the stream began.
     fn is_duplicate(&self, event: &StreamEvent) -> bool {
         let (Some(id), Some(last)) = (event.id, self.delivered) else {
@@ -258,11 +278,12 @@
         self.is_resumable() && self.state.sends < self.state.route.attempts
     }
 
-    /// True if any replica of the service accepts the request. A response in progress is not interrupted for a stall
-    /// if none does, for example while all zones are evacuated.
+    /// True if any replica that may continue the stream accepts the request. A response in progress is not interrupted
+    /// for a stall if none does, for example while all zones are evacuated.
     fn has_alternative(&self) -> bool {
         let view = self.forwarder.replicas().view();
-        view.has_usable(&self.state.service, &self.state.request.regions)
+        let regions = &self.state.request.regions;
+        view.has_usable(&self.state.service, regions, self.version())
     }
 
     /// Resumes at another replica after the last event delivered, if allowed.
@@ -278,12 +299,18 @@
             return Err(self.abort(cause));
         }
         self.log_interruption(&cause);
+        Arc::make_mut(&mut self.state.request).version = self.version();
         let mut last_cause = Some(cause);
         let mut capacity_waits = 0;
         while self.may_resume() && !self.state.clock.remaining_hold().is_zero() {
             if self.forwarder.is_quarantined(self.state.content) {
                 break;
             }
+            if self.version().is_some() && !self.has_alternative() {
+                // Other versions don't bring this one back in time, so the caller isn't kept waiting.
+                last_cause = Some("no replica of its version".to_owned());
+                break;
+            }
             self.state.sends += 1;
             let (replica, result) = self.retry().await;
             self.state.tried.extend(replica);
@@ -371,19 +398,22 @@
     }
 
     fn log_resumed(&self, attempt: &Attempt) {
-        let Some(resume_after) = self.delivered else {
+        let (Some(resume_after), Some(known)) = (self.delivered, &self.origin) else {
             return;
         };
         let request = &self.state.request;
         let replica = &attempt.in_progress.replica().record;
+        let began_at = self
+            .forwarder
+            .version_name(&self.state.service, known.origin.version);
         self.forwarder.log().record(&Record::StreamContinued {
             request: &request.id,
             stream: request.resumes.as_deref().unwrap_or(&request.id),
             step: "resumed",
             resume_after,
-            began_at: Some(&self.began_at),
-            source: "response",
-            known_ms: Some(milliseconds(harrierward_clock::age(self.began))),
+            began_at: Some(&began_at),
+            source: known.source.name(),
+            known_ms: Some(milliseconds(harrierward_clock::age(known.known_at))),
             replica: &replica.id,
             version: &replica.version,
         });
--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -9,8 +9,10 @@
 use harrierward_tenants::AllowedRegions;
 use tokio::time::Instant;
 
+use crate::gate::admits_version;
 use crate::replica::{Replica, ReplicaRecord, lock, short_hash};
 use crate::selection::preference_weight;
+use crate::software_version::SoftwareVersion;
 use crate::topology::Location;
 
 /// Time for which a replica whose record vanished is still used if its service has no other; records also vanish
@@ -69,9 +71,17 @@
             .collect()
     }
 
-    /// True if a replica of the service accepts work in one of these regions.
-    pub fn has_usable(&self, service: &str, regions: &AllowedRegions) -> bool {
-        let fits = |replica: &Arc<Replica>| regions.allows(&replica.record.region);
+    /// True if a replica of the service accepts work in one of these regions, and is of this software version if one is
+    /// given.
+    pub fn has_usable(
+        &self,
+        service: &str,
+        regions: &AllowedRegions,
+        version: Option<SoftwareVersion>,
+    ) -> bool {
+        let fits = |replica: &Arc<Replica>| {
+            regions.allows(&replica.record.region) && admits_version(version, replica)
+        };
         let is_ready = |replica: &Arc<Replica>| replica.accepts_work() && fits(replica);
         self.listed(service).iter().any(is_ready) || self.usable(service).iter().any(fits)
     }
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -137,6 +137,7 @@
         timeout: None,
         resume_after: None,
         resumes: None,
+        version: None,
         prompt: Prompt {
             parts,
             tokens: 6_500,
--- a/crates/serving/tests/failing.rs
+++ b/crates/serving/tests/failing.rs
@@ -238,6 +238,7 @@
         timeout: Some(Duration::from_secs(3)),
         resume_after: None,
         resumes: None,
+        version: None,
         prompt: Prompt::default(),
         key: None,
         tenant: None,
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -243,6 +243,7 @@
         timeout: Some(Duration::from_secs(5)),
         resume_after: None,
         resumes: None,
+        version: None,
         prompt: Prompt::default(),
         key: None,
         tenant: None,
@@ -309,12 +310,12 @@
     let any = AllowedRegions::Any;
     assert!(view.all().all(|one| !one.accepts_work()));
     // The replica of the other zone has just vanished from the list and is still used.
-    assert!(view.has_usable("model", &any));
-    assert!(!view.has_usable("model", &AllowedRegions::only(["near".to_owned()])));
+    assert!(view.has_usable("model", &any, None));
+    assert!(!view.has_usable("model", &AllowedRegions::only(["near".to_owned()]), None));
     fixture
         .replicas
         .set_evacuated_zones(HashSet::from(["zone-a".to_owned(), "zone-b".to_owned()]));
-    assert!(!fixture.replicas.view().has_usable("model", &any));
+    assert!(!fixture.replicas.view().has_usable("model", &any, None));
     fixture.replicas.set_evacuated_zones(HashSet::new());
     assert!(fixture.replicas.view().all().all(|one| one.accepts_work()));
 }
--- a/crates/serving/tests/stalls.rs
+++ b/crates/serving/tests/stalls.rs
@@ -183,6 +183,7 @@
         timeout: Some(timeout),
         resume_after: None,
         resumes: None,
+        version: None,
         prompt: Prompt::default(),
         key: None,
         tenant: None,
--- a/crates/serving/tests/support/mod.rs
+++ b/crates/serving/tests/support/mod.rs
@@ -322,6 +322,7 @@
         timeout: Some(Duration::from_secs(5)),
         resume_after: None,
         resumes: None,
+        version: None,
         prompt: Prompt::default(),
         key: None,
         tenant: None,
--- a/crates/serving/tests/warmth.rs
+++ b/crates/serving/tests/warmth.rs
@@ -141,6 +141,7 @@
     let now = Instant::now();
     let request = |cold_until| GateRequest {
         regions: &AllowedRegions::Any,
+        version: None,
         cold_until,
     };
     let short = Duration::from_millis(250);
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -56,6 +56,10 @@
     /// Regions in which the request may be served; absent if in all.
     #[prost(message, optional, tag = "17")]
     pub allowed_regions: Option<RegionNames>,
+    /// Hash of the only software version that may serve the request; absent if any may. Builds before level 7 ignore it,
+    /// and the requester doesn't use what they grant of another version.
+    #[prost(fixed64, optional, tag = "23")]
+    pub version: Option<u64>,
     /// Largest number of members that the requester recently knew; 0 if not more than now.
     #[prost(uint32, tag = "21")]
     pub fleet_members: u32,
