Items hold the software version that wrote their events

Callers would see results whose text two software versions wrote: an item that was broken off, preempted, handed over or adopted went on at any replica.

Cause: ItemProgress and its row in the store held the last event and the texts, not who wrote them; also the service was drawn anew for each run of a route that splits between several.

The origin (service and version) of the first event is kept with the progress and in its row. An item is restricted to that service and version while one of its replicas accepts work. Where none does, or all have been full for 1 s, it may be placed anywhere, and its events are dropped if the replica found can't continue them: it begins again instead of waiting for ever. Rows of builds before level 7 name no version; their events are dropped when a job is loaded (job_loaded.unknown_versions). Failed placements are counted per version, so that a full one doesn't delay items of others.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -441,13 +441,15 @@
         request: &'a str,
         /// Id of the caller attempt that began the stream; empty if the caller names none.
         stream: &'a str,
-        /// `resumed` (within the response or the item's run), `taken up` (by its caller), or `refused`.
+        /// `resumed` (within the response or by the item's owner), `taken up` (by its caller), `begun again` (an item that
+        /// nothing can continue), or `refused`.
         step: &'a str,
         /// Last event received.
         resume_after: u64,
         /// Software version that began it; `None` if unknown.
         began_at: Option<&'a str>,
-        /// From whom that is known: `response` (this daemon received the events); empty if unknown.
+        /// From whom that is known: `response` (this daemon received the first event), `store` (with an item's events);
+        /// empty if unknown.
         source: &'a str,
         /// Age of that knowledge; `None` if unknown.
         known_ms: Option<u64>,
@@ -729,8 +731,10 @@
         epoch: u64,
         /// Items that are not listed yet.
         unlisted: usize,
-        /// Unlisted items of which the store holds events.
+        /// Unlisted items of which the store holds events that can be continued.
         with_events: usize,
+        /// Items that begin again, since the store holds events of them but not the version that wrote them.
+        unknown_versions: usize,
         /// Failed runs of unlisted items, by what the store holds.
         failures: u64,
         /// `complete`, or `incomplete` if an earlier owner may have failed runs that the store does not hold.
--- a/crates/inline-jobs/src/checkpoint.rs
+++ b/crates/inline-jobs/src/checkpoint.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::item::{ItemPhase, lock};
-use crate::owned_job::OwnedJob;
+use crate::owned_job::{OwnedJob, encode_progress};
 use crate::service::InlineJobs;
 
 /// Minimum time between two checkpoints of a job.
@@ -62,16 +62,11 @@
         }
         let progress = lock(&item.progress);
         let (events, last) = (progress.texts.len(), progress.last_event);
-        let Some(last_event) = last.filter(|_| events >= item.saved_events + MIN_NEW_EVENTS) else {
+        if last.is_none() || events < item.saved_events + MIN_NEW_EVENTS {
             continue;
-        };
+        }
         item.saved_events = events;
-        let row = ItemProgressRow {
-            last_event,
-            texts: progress.texts.clone(),
-            failures: item.failures,
-        };
-        rows.push((number, row));
+        rows.push((number, encode_progress(&progress, item.failures)));
     }
     rows
 }
--- a/crates/inline-jobs/src/item.rs
+++ b/crates/inline-jobs/src/item.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use harrierward_serving::{EventsLeft, ServingRequest};
+use harrierward_serving::{EventsLeft, KnownOrigin, ServingRequest};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -13,8 +13,8 @@
     pub last_event: Option<u64>,
     /// Data of the events, in order.
     pub texts: Vec<String>,
-    /// Software version that wrote them; `None` without events, or if unknown.
-    pub version: Option<String>,
+    /// Service and software version that wrote them, the only ones that may continue them; `None` without events.
+    pub origin: Option<KnownOrigin>,
     /// What is known of the events that follow `last_event`.
     pub events_left: EventsLeft,
     /// When this daemon received the last event; `None` if it received none itself.
@@ -83,6 +83,8 @@
     pub saved_events: usize,
     /// Hash of the replica instance at which it last ran, whose prefix cache may still hold its prompt.
     pub last_replica_instance: Option<u32>,
+    /// Since when no replica of the version that began it has had a free slot; `None` while none is wanted.
+    pub version_full_since: Option<Instant>,
     /// Current phase.
     pub phase: ItemPhase,
 }
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -4,11 +4,10 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
-use harrierward_decisions::Record;
 use harrierward_serving::{
     Attempt, AttemptFailure, AttemptOptions, AttemptOutcome, AttemptTimeouts, BodyEnd, BodyFormat,
-    BodyParser, BodyPart, EventsLeft, Forwarder, InProgress, Placement, Replica, ServingRequest,
-    StreamEvent, wait_for_progress,
+    BodyParser, BodyPart, ContinuedStream, EventsLeft, Forwarder, InProgress, KnownOrigin,
+    Placement, Replica, ServingRequest, StreamEvent, wait_for_progress,
 };
 use tokio::time::Instant;
 
@@ -99,24 +98,17 @@
     replica: &Replica,
 ) {
     let progress = lock(progress);
-    let Some(resume_after) = progress.last_event else {
+    let (Some(resume_after), Some(known)) = (progress.last_event, &progress.origin) else {
         return;
     };
-    let age = progress.last_event_at.map(harrierward_clock::age);
-    forwarder.log().record(&Record::StreamContinued {
+    forwarder.log_continued(&ContinuedStream {
         request: &request.id,
         stream: &request.id,
         step: "resumed",
         resume_after,
-        began_at: progress.version.as_deref(),
-        source: match (&progress.version, progress.last_event_at) {
-            (None, _) => "",
-            (Some(_), None) => "store",
-            (Some(_), Some(_)) => "response",
-        },
-        known_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-        replica: &replica.record.id,
-        version: &replica.record.version,
+        service: &replica.record.service,
+        known: Some(known),
+        replica: Some(replica),
     });
 }
 
@@ -145,7 +137,7 @@
             Some(Some(Ok(bytes))) => bytes,
         };
         in_progress.note_event();
-        if let Err(cause) = append_events(progress, parser, bytes, &replica.record.version) {
+        if let Err(cause) = append_events(progress, parser, bytes, &replica) {
             in_progress.conclude(AttemptOutcome::Corrupt);
             return RunOutcome::Broken(cause);
         }
@@ -172,12 +164,12 @@
     progress: &SharedProgress,
     parser: &mut BodyParser,
     bytes: Bytes,
-    version: &str,
+    replica: &Replica,
 ) -> Result<(), String> {
     parser.push(bytes).map_err(|cause| cause.to_string())?;
     while let Some(part) = parser.next_part() {
         if let BodyPart::Event(event) = part
-            && append_event(progress, &event, version)?
+            && append_event(progress, &event, replica)?
         {
             parser.note_new(&event);
         }
@@ -193,7 +185,7 @@
 fn append_event(
     progress: &SharedProgress,
     event: &StreamEvent,
-    version: &str,
+    replica: &Replica,
 ) -> Result<bool, &'static str> {
     let Some(id) = event.id else {
         return Ok(false);
@@ -207,7 +199,8 @@
         return Err("an event is missing");
     }
     progress.last_event = Some(id);
-    progress.version.get_or_insert_with(|| version.to_owned());
+    let origin = || KnownOrigin::received_from(replica);
+    progress.origin.get_or_insert_with(origin);
     progress.events_left = EventsLeft::after(Some(id), u32::MAX);
     progress.texts.push(event.data());
     progress.last_event_at = Some(Instant::now());
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::{EventsLeft, ServingRequest};
+use harrierward_serving::{
+    EventsLeft, KnownOrigin, OriginSource, ServingRequest, SoftwareVersion, StreamOrigin,
+};
 use harrierward_wire::{ItemFailuresRow, ItemProgressRow, JobHeadRow};
 use tokio::time::Instant;
 
@@ -29,10 +31,42 @@
     if progress.last_event.is_none() && item.failures == 0 {
         return None;
     }
-    Some(ItemProgressRow {
+    Some(encode_progress(&progress, item.failures))
+}
+
+/// Encodes an item's progress for the store.
+pub fn encode_progress(progress: &ItemProgress, failures: u32) -> ItemProgressRow {
+    let origin = progress.origin.as_ref().map(|known| known.origin);
+    ItemProgressRow {
         last_event: progress.last_event.unwrap_or_default(),
         texts: progress.texts.clone(),
-        failures: item.failures,
+        failures,
+        service: origin.map_or(0, |origin| origin.service),
+        version: origin.map(|origin| origin.version.hash()),
+    }
+}
+
+/// Returns the output that an earlier owner stored; `None` if there is none, or if what wrote it is unknown, so that
+/// nothing can continue it.
+fn decode_progress(row: ItemProgressRow) -> Option<ItemProgress> {
+    let origin = StreamOrigin {
+        service: row.service,
+        version: SoftwareVersion::from_hash(row.version?),
+    };
+    if row.texts.is_empty() {
+        return None;
+    }
+    Some(ItemProgress {
+        last_event: Some(row.last_event),
+        texts: row.texts,
+        origin: Some(KnownOrigin {
+            origin,
+            source: OriginSource::Store,
+            known_at: harrierward_clock::now(),
+        }),
+        events_left: EventsLeft::after(Some(row.last_event), u32::MAX),
+        last_event_at: None,
+        is_awaiting_response: false,
     })
 }
 
@@ -91,6 +125,8 @@
     pub registered_at: Instant,
     /// When a run of it last broke or was refused by a replica; `None` if none did.
     pub broken_run_at: Option<Instant>,
+    /// Items that begin again although the store holds events, since it doesn't hold the version that wrote them.
+    unknown_versions: usize,
     /// When the number of listed results last grew; `None` if it has not grown here.
     listed_at: Option<Instant>,
 }
@@ -112,23 +148,22 @@
                 recorded_failures: 0,
                 saved_events: 0,
                 last_replica_instance: None,
+                version_full_since: None,
                 phase: ItemPhase::Waiting { not_before: now },
             })
             .collect();
+        let mut unknown_versions = 0;
         for (number, row) in progress {
             if let Some(item) = items.get_mut(number as usize) {
                 item.failures = row.failures;
                 item.recorded_failures = row.failures;
-                item.saved_events = row.texts.len();
-                let last_event = Some(row.last_event).filter(|_| !row.texts.is_empty());
-                item.progress = Arc::new(Mutex::new(ItemProgress {
-                    last_event,
-                    texts: row.texts,
-                    version: None,
-                    events_left: EventsLeft::after(last_event, u32::MAX),
-                    last_event_at: None,
-                    is_awaiting_response: false,
-                }));
+                if !row.texts.is_empty() && row.version.is_none() {
+                    unknown_versions += 1;
+                }
+                if let Some(progress) = decode_progress(row) {
+                    item.saved_events = progress.texts.len();
+                    item.progress = Arc::new(Mutex::new(progress));
+                }
             }
         }
         let mut job = Self {
@@ -138,6 +173,7 @@
             checkpoint_at: now,
             registered_at: now,
             broken_run_at: None,
+            unknown_versions,
             listed_at: None,
         };
         job.update_header(known);
@@ -258,6 +294,7 @@
             job: &header.job_id,
             epoch: header.epoch,
             unlisted: unlisted.clone().count(),
+            unknown_versions: self.unknown_versions,
             with_events: unlisted.clone().filter(has_events).count(),
             failures: unlisted.map(|item| u64::from(item.failures)).sum(),
             failure_history: FailureHistory::of(header).name(),
--- a/crates/inline-jobs/src/ready.rs
+++ b/crates/inline-jobs/src/ready.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 
 use harrierward_serving::{ItemSlack, ServingRequest};
-use harrierward_tenants::AllowedRegions;
 
+use crate::no_capacity::ItemReplicas;
 use crate::registry::StartableItem;
 
 /// An item together with its placement constraints.
 #[derive(Clone)]
 pub struct ReadyItem {
-    /// The item, with its allowed regions in the request.
+    /// The item, with its allowed regions and its version in the request.
     pub item: StartableItem,
     /// Name of the service that runs it.
     pub service: String,
@@ -20,11 +20,13 @@
     pub is_deferred: bool,
 }
 
-/// Returns the item with `regions` as its allowed regions.
-pub fn restrict_to_regions(mut item: StartableItem, regions: AllowedRegions) -> StartableItem {
-    if item.request.regions != regions {
-        let mut request = ServingRequest::clone(&item.request);
-        request.regions = regions;
+/// Returns the item restricted to these replicas.
+pub fn restrict(mut item: StartableItem, replicas: ItemReplicas) -> StartableItem {
+    let request = &item.request;
+    if request.regions != replicas.regions || request.version != replicas.version {
+        let mut request = ServingRequest::clone(request);
+        request.regions = replicas.regions;
+        request.version = replicas.version;
         item.request = Arc::new(request);
     }
     item
--- a/crates/inline-jobs/src/registry.rs
+++ b/crates/inline-jobs/src/registry.rs
@@ -27,6 +27,8 @@
     pub started_fresh: bool,
     /// Hash of the replica instance at which it last ran; `None` if it has not run at this daemon.
     pub last_replica_instance: Option<u32>,
+    /// Since when no replica of the version that began it has had a free slot.
+    pub version_full_since: Option<Instant>,
     /// Runs that a replica ended with a failure response.
     pub failures: u32,
     /// The request to send to a replica.
@@ -71,6 +73,7 @@
                         accepted_ms: job.known.header.accepted_ms,
                         started_fresh: lock(&item.progress).last_event.is_none(),
                         last_replica_instance: item.last_replica_instance,
+                        version_full_since: item.version_full_since,
                         failures: item.failures,
                         request: item.request.clone(),
                         progress: item.progress.clone(),
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -4,20 +4,27 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::{ItemSlack, Mechanism, Placement, Route, RouteTable, WorkClass};
+use harrierward_serving::{
+    ContinuedStream, ItemSlack, Mechanism, Placement, Replica, ReplicaView, Route, RouteTable,
+    StreamOrigin, WorkClass, short_hash,
+};
+use harrierward_tenants::AllowedRegions;
 use tokio::time::{Instant, sleep};
 
-use crate::item::{ItemPhase, RunLease};
+use crate::item::{ItemPhase, RunLease, lock};
 use crate::item_run::{self, RunOutcome};
 use crate::no_capacity::ItemReplicas;
 use crate::pacing::{RunLength, Urgency, slack, urgency};
-use crate::ready::{ReadyItem, restrict_to_regions};
+use crate::ready::{ReadyItem, restrict};
 use crate::registry::{PreemptedItem, StartableItem};
 use crate::service::InlineJobs;
 
 /// Poll interval of the runner when nothing wakes it.
 const TICK: Duration = Duration::from_millis(25);
 
+/// How long an item waits for a free slot at the version that began it before it may begin again at another one.
+const MAX_VERSION_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Pause before an item that was refused, or whose stream broke, is started again.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 
@@ -130,33 +137,61 @@
         item_slack: ItemSlack,
     ) -> Option<ReadyItem> {
         let route = routes.configuration.route(&item.route)?;
-        let entry = routes.find(&route.host, &route.prefix);
-        let service = entry.and_then(|entry| entry.next_service())?;
         let tenant = item.request.tenant.as_deref().unwrap_or_default();
         let regions = routes.configuration.allowed_regions(&item.route, tenant);
         let view = self.inner.forwarder.replicas().view();
+        let replicas = match replicas_of_version(&view, route, &regions, &item) {
+            Some(replicas) => replicas,
+            None => {
+                let entry = routes.find(&route.host, &route.prefix);
+                let service = entry.and_then(|entry| entry.next_service())?;
+                ItemReplicas {
+                    service: service.to_owned(),
+                    regions,
+                    version: None,
+                }
+            }
+        };
         let now = Instant::now();
         let registry = self.registry();
-        let replicas = ItemReplicas {
-            service: service.to_owned(),
-            regions,
-            version: item.request.version,
-        };
         let is_paused = registry.no_capacity.is_paused(&replicas, now);
         let is_deferred = registry.no_capacity.is_deferred(&replicas, now);
         drop(registry);
-        if is_paused || !view.has_usable(service, &replicas.regions, replicas.version) {
+        if is_paused || !view.has_usable(&replicas.service, &replicas.regions, replicas.version) {
             return None;
         }
-
         Some(ReadyItem {
-            item: restrict_to_regions(item, replicas.regions),
-            service: service.to_owned(),
+            service: replicas.service.clone(),
+            item: restrict(item, replicas),
             item_slack,
             is_deferred,
         })
     }
 
+    /// Drops an item's events unless the replica at which it is placed can continue them.
+    fn keep_continuable(&self, item: &mut StartableItem, replica: &Replica) {
+        let mut progress = lock(&item.progress);
+        let origin = progress.origin.as_ref().map(|known| known.origin);
+        if origin.is_none_or(|origin| origin == StreamOrigin::of(replica)) {
+            return;
+        }
+        let dropped = std::mem::take(&mut *progress);
+        drop(progress);
+        item.started_fresh = true;
+        if let Some(entry) = self.registry().item(&item.job, item.number) {
+            entry.saved_events = 0;
+        }
+        self.inner.forwarder.log_continued(&ContinuedStream {
+            request: &item.request.id,
+            stream: &item.request.id,
+            step: "begun again",
+            resume_after: dropped.last_event.unwrap_or_default(),
+            service: &replica.record.service,
+            known: dropped.origin.as_ref(),
+            replica: Some(replica),
+        });
+    }
+
     /// Returns the items that may be started, the oldest first, those that can no longer be in time last.
     fn startable(&self, routes: &RouteTable) -> Vec<(StartableItem, Urgency, Duration)> {
         let (items, run_length) = {
@@ -185,7 +220,7 @@
         let now = self.inner.view.store_now_ms();
         let age = Duration::from_millis(now.saturating_sub(item.accepted_ms));
         let target = route.batch().map_or(Duration::MAX, |bounds| bounds.target);
-        let events = crate::item::lock(&item.progress).texts.len();
+        let events = lock(&item.progress).texts.len();
         let remaining = run_length.remaining(events);
         (
             urgency(age, remaining, target),
@@ -233,7 +268,7 @@
 
     async fn place_item(&self, ready: ReadyItem, placement_guard: PlacementGuard) {
         let ReadyItem {
-            item,
+            mut item,
             service,
             item_slack,
             ..
@@ -258,6 +293,7 @@
             let policy = self.inner.forwarder.policy();
             placement.choice.copy_from_previous(&view, previous, policy);
         }
+        self.keep_continuable(&mut item, &placement.choice.replica);
         let run_lease = RunLease {
             replica: placement.choice.replica.record.id.clone(),
             lease: placement.in_progress.lease().unwrap_or_default(),
@@ -279,6 +315,7 @@
         };
         *lease = Some(run_lease);
         *since = Instant::now();
+        entry.version_full_since = None;
         entry.last_replica_instance = Some(replica);
         true
     }
@@ -291,12 +328,16 @@
             regions: item.request.regions.clone(),
             version: item.request.version,
         };
+        let is_bound = replicas.version.is_some();
         let mut registry = self.registry();
         registry.no_capacity.note(replicas, now);
         if let Some(entry) = registry.item(&item.job, item.number)
             && matches!(entry.phase, ItemPhase::Running { .. })
         {
             entry.phase = ItemPhase::Waiting { not_before: now };
+            if is_bound {
+                entry.version_full_since.get_or_insert(now);
+            }
         }
     }
 
@@ -320,7 +361,7 @@
         let attempts = self.attempts_of(&item.route);
         let mut registry = self.registry();
         if *outcome == RunOutcome::Finished && item.started_fresh {
-            let events = crate::item::lock(&item.progress).texts.len();
+            let events = lock(&item.progress).texts.len();
             registry.run_length.observe(started.elapsed(), events);
         }
         let Some(job) = registry.jobs.get_mut(&item.job) else {
@@ -373,7 +414,7 @@
             RunOutcome::Impossible => "impossible",
             RunOutcome::NotRun(cause) | RunOutcome::Broken(cause) => cause.as_str(),
         };
-        let events = crate::item::lock(&item.progress).last_event;
+        let events = lock(&item.progress).last_event;
         self.inner.log.record(&Record::ItemRun {
             job: &item.job,
             item: &item.request.id,
@@ -451,6 +492,30 @@
     }
 }
 
+/// Returns the replicas that may continue an item's events; `None` without events, if none of these replicas accepts
+/// work, or if all have been full for [`MAX_VERSION_WAIT`].
+fn replicas_of_version(
+    view: &ReplicaView,
+    route: &Route,
+    regions: &AllowedRegions,
+    item: &StartableItem,
+) -> Option<ItemReplicas> {
+    let origin = lock(&item.progress).origin.as_ref()?.origin;
+    let mut services = route.services.iter();
+    let service = services.find(|one| short_hash(&one.service) == origin.service)?;
+    let version = Some(origin.version);
+    let full_since = item.version_full_since;
+    let is_full = full_since.is_some_and(|since| since.elapsed() >= MAX_VERSION_WAIT);
+    if is_full || !view.has_usable(&service.service, regions, version) {
+        return None;
+    }
+    Some(ItemReplicas {
+        service: service.service.clone(),
+        regions: regions.clone(),
+        version,
+    })
+}
+
 /// True if an item has used up its route's attempts. The route may have been missing when the job was loaded or the
 /// failures were reported.
 fn is_exhausted(routes: &RouteTable, item: &StartableItem) -> bool {
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -13,6 +13,7 @@
 
 use crate::admission::{ConfigurationProof, KeyTrust, RateLimits, RateStatus, caller_of};
 use crate::attempt::{Attempt, AttemptFailure, AttemptOptions};
+use crate::continued::ContinuedStream;
 use crate::exchange::{BodyDelimiter, ReplicaClient, ServingRequest};
 use crate::leases::SlotLeases;
 use crate::policy::{Mechanism, Policy};
@@ -25,7 +26,6 @@
 use crate::response::{CallerResponse, Refusal, RefusalCause, Reply};
 use crate::routes::{RouteEntry, RouteTable};
 use crate::selection::SelectionCosts;
-use crate::software_version::SoftwareVersion;
 
 /// The routes in force; `None` until a configuration is known.
 pub type SharedRoutes = Arc<ArcSwapOption<RouteTable>>;
@@ -106,8 +106,7 @@
         &self.parts.leases
     }
 
-    /// Returns the decision log.
-    pub fn log(&self) -> &DecisionLog {
+    pub(crate) fn log(&self) -> &DecisionLog {
         &self.parts.log
     }
 
@@ -314,33 +313,20 @@
         }
     }
 
-    /// Returns the name of a software version for the log; its hash in hexadecimal if no listed replica has it.
-    pub(crate) fn version_name(&self, service: &str, version: SoftwareVersion) -> String {
-        let view = self.replicas().view();
-        let mut listed = view.listed(service).iter();
-        let named = listed.find(|replica| replica.version == version);
-        named.map_or_else(
-            || format!("#{:016x}", version.hash()),
-            |replica| replica.record.version.clone(),
-        )
-    }
-
     /// Logs that a stream which its caller takes up goes on.
     fn log_taken_up(&self, request: &ServingRequest, attempt: &Attempt) {
         let Some(resume_after) = request.resume_after else {
             return;
         };
-        let replica = &attempt.in_progress.replica().record;
-        self.log().record(&Record::StreamContinued {
+        let replica = attempt.in_progress.replica();
+        self.log_continued(&ContinuedStream {
             request: &request.id,
             stream: request.resumes.as_deref().unwrap_or_default(),
             step: "taken up",
             resume_after,
-            began_at: None,
-            source: "",
-            known_ms: None,
-            replica: &replica.id,
-            version: &replica.version,
+            service: &replica.record.service,
+            known: None,
+            replica: Some(replica),
         });
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 mod choice;
 mod configuration;
 mod content;
+mod continued;
 mod evacuation;
 mod events;
 mod exchange;
@@ -47,6 +48,7 @@
     BatchBounds, CallerLimits, Route, RouteKind, Service, ServingConfiguration, Warmup,
     WeightedService,
 };
+pub use continued::ContinuedStream;
 pub use evacuation::{
     EvacuatedZones, EvacuationRows, EvacuationState, EvacuationUpdate, ZoneChange,
 };
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -9,8 +9,9 @@
 use harrierward_decisions::Record;
 use tokio::time::sleep;
 
-use crate::attempt::{Attempt, AttemptFailure, AttemptOptions, milliseconds, wait_for_progress};
+use crate::attempt::{Attempt, AttemptFailure, AttemptOptions, wait_for_progress};
 use crate::body::{BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause, EventsLeft};
+use crate::continued::ContinuedStream;
 use crate::events::StreamEvent;
 use crate::exchange::ReplicaBody;
 use crate::forwarder::Forwarder;
@@ -19,7 +20,7 @@
 use crate::replica::Replica;
 use crate::request_state::{RequestClock, RequestState};
 use crate::software_version::SoftwareVersion;
-use crate::stream_origin::{KnownOrigin, OriginSource, StreamOrigin};
+use crate::stream_origin::KnownOrigin;
 
 /// The response can't be completed; the caller's connection must be aborted.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -229,11 +230,7 @@
         let Some(in_progress) = &self.in_progress else {
             return;
         };
-        self.origin = Some(KnownOrigin {
-            origin: StreamOrigin::of(in_progress.replica()),
-            source: OriginSource::Response,
-            known_at: harrierward_clock::now(),
-        });
+        self.origin = Some(KnownOrigin::received_from(in_progress.replica()));
     }
 
     /// Returns the only version that may continue the stream; `None` before its first event.
@@ -402,20 +399,14 @@
             return;
         };
         let request = &self.state.request;
-        let replica = &attempt.in_progress.replica().record;
-        let began_at = self
-            .forwarder
-            .version_name(&self.state.service, known.origin.version);
-        self.forwarder.log().record(&Record::StreamContinued {
+        self.forwarder.log_continued(&ContinuedStream {
             request: &request.id,
             stream: request.resumes.as_deref().unwrap_or(&request.id),
             step: "resumed",
             resume_after,
-            began_at: Some(&began_at),
-            source: known.source.name(),
-            known_ms: Some(milliseconds(harrierward_clock::age(known.known_at))),
-            replica: &replica.id,
-            version: &replica.version,
+            service: &self.state.service,
+            known: Some(known),
+            replica: Some(attempt.in_progress.replica()),
         });
     }
 
--- a/crates/serving/src/stream_origin.rs
+++ b/crates/serving/src/stream_origin.rs
@@ -27,8 +27,10 @@
 /// How this daemon learned where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OriginSource {
-    /// It passed on the first event in this response.
+    /// It received the first event itself, in the response or the item's run that goes on.
     Response,
+    /// An earlier owner stored it with the item's events.
+    Store,
 }
 
 impl OriginSource {
@@ -36,6 +38,7 @@
     pub fn name(&self) -> &str {
         match self {
             Self::Response => "response",
+            Self::Store => "store",
         }
     }
 }
@@ -50,3 +53,14 @@
     /// When it was learned.
     pub known_at: Instant,
 }
+
+impl KnownOrigin {
+    /// Returns the origin of a stream whose first event this daemon has just received from a replica.
+    pub fn received_from(replica: &Replica) -> Self {
+        Self {
+            origin: StreamOrigin::of(replica),
+            source: OriginSource::Response,
+            known_at: harrierward_clock::now(),
+        }
+    }
+}
--- a/crates/wire/src/inline_job.rs
+++ b/crates/wire/src/inline_job.rs
@@ -220,4 +220,10 @@
     /// Failed attempts.
     #[prost(uint32, tag = "3")]
     pub failures: u32,
+    /// Hash of the name of the service that wrote the events.
+    #[prost(fixed32, tag = "4")]
+    pub service: u32,
+    /// Hash of the software version that wrote the events; absent if unknown, as in rows of builds before level 7.
+    #[prost(fixed64, optional, tag = "5")]
+    pub version: Option<u64>,
 }
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -100,6 +100,8 @@
         last_event: 4,
         texts: vec!["one".into(), "two".into()],
         failures: 2,
+        service: 0,
+        version: None,
     };
     check(samples, "item_progress", &progress);
     let fence = QuotaFenceRow {
