A stream that its caller takes up goes on only where it began

Cause: what is known of a stream ended with its daemon, and nothing read the header by which a caller names the attempt that began it.

The origin of a stream (service, version) is remembered from its first event on (new pure crate stream-origins; edge/streams drives it). While a daemon can't prove that only one version has served, it sends the record to 3 members by rendezvous hash, beside the stream; a take-up looks at its own records, then asks the first 8. What nobody knows is refused at once (503 unknown_stream), unless one daemon's testimony covers the whole time in which the stream can have begun and no other daemon's refutes that only one version served. A version without a replica is refused too (no_replica_of_version). Why it works: an origin never changes, so a copy is never outdated, only missing, and a missing one never counts as a version.

Three older tests took streams up that no daemon had begun, without naming them; they begin one first and name it now, and check the same. large_set.rs caught an allocation for each replica.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -448,8 +448,9 @@
         resume_after: u64,
         /// Software version that began it; `None` if unknown.
         began_at: Option<&'a str>,
-        /// From whom that is known: `response` (this daemon received the first event), `store` (with an item's events);
-        /// empty if unknown.
+        /// From whom that is known: `response` (this daemon received the first event), `store` (with an item's events),
+        /// `own record` (of an earlier response), the id of the peer that recorded it, or `sole version: ` and the id of a
+        /// daemon that saw no other one; empty if unknown.
         source: &'a str,
         /// Age of that knowledge; `None` if unknown.
         known_ms: Option<u64>,
@@ -457,6 +458,21 @@
         replica: &'a str,
         /// Version of that replica's software.
         version: &'a str,
+        /// Peers that were asked where it began.
+        asked: usize,
+        /// Peers that replied.
+        replied: usize,
+    },
+    /// A service no longer has only one software version for sure, so that peers are told where streams began.
+    VersionsMixed {
+        /// Name of the service.
+        service: &'a str,
+        /// Versions listed in the time within which a stream that is taken up can have begun.
+        versions: usize,
+        /// Age of the proof of the list; `None` without one.
+        listed_age_ms: Option<u64>,
+        /// Streams of this daemon that peers were told of now.
+        streams: usize,
     },
     /// A replica responded that this daemon knows to be leaving by then.
     LeavingReplicaResponded {
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -18,7 +18,7 @@
 use crate::audits::AuditService;
 use crate::discovery::{Discovery, DiscoverySource};
 use crate::fleet::SharedFleet;
-use crate::members::{Members, new_instance_id};
+use crate::members::{MemberServices, Members, new_instance_id};
 use crate::metrics::MetricsService;
 use crate::peer_rows::{PeerRows, bootstrap};
 use crate::peer_updates::PeerUpdates;
@@ -29,6 +29,7 @@
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
 use crate::slots::{Pacing, PreemptItems, SlotService};
+use crate::streams::StreamService;
 use crate::watches::{JobRowHandler, WatchIntervals, start_watches};
 
 /// Parts from which a daemon is built.
@@ -146,13 +147,23 @@
             pool.clone(),
             log.clone(),
         );
+        let streams = Arc::new(StreamService::new(
+            &instance_id,
+            Location::new(&settings.zone, &settings.region),
+            replicas.clone(),
+            routes.clone(),
+            log.clone(),
+        ));
         let members = Members::new(
             instance_id.clone(),
             &settings,
-            replicas.clone(),
-            slots.clone(),
-            rates.clone(),
-            quarantine.clone(),
+            MemberServices {
+                replicas: replicas.clone(),
+                slots: slots.clone(),
+                rates: rates.clone(),
+                streams: streams.clone(),
+                quarantine: quarantine.clone(),
+            },
             log.clone(),
         );
         let members = Arc::new(members);
@@ -163,6 +174,7 @@
             leases: slots.clone(),
             rates,
             quarantine: Arc::new(quarantine.clone()),
+            origins: streams,
             proof: proof.clone(),
             log: log.clone(),
             settings: ForwarderSettings {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,7 @@
 mod slots;
 mod stall;
 mod stop;
+mod streams;
 mod watches;
 
 pub use collected_body::CollectedBody;
--- a/crates/edge/src/members.rs
+++ b/crates/edge/src/members.rs
@@ -34,6 +34,7 @@
 use crate::rates::RateService;
 use crate::settings::EdgeSettings;
 use crate::slots::{CoordinatorCandidate, SlotService};
+use crate::streams::StreamService;
 
 use notices::{CUT_OFF_PROOF_AGE, NOTICE_FAN_OUT};
 
@@ -79,11 +80,26 @@
     next_quota_call: AtomicU32,
     slots: Arc<SlotService>,
     rates: Arc<RateService>,
+    streams: Arc<StreamService>,
     quarantine: QuarantineService,
     socket: OnceLock<Arc<UdpSocket>>,
     state: Mutex<State>,
 }
 
+/// Services that exchange datagrams with the members, and the replicas that they share.
+pub struct MemberServices {
+    /// Known replicas.
+    pub replicas: Arc<ReplicaSet>,
+    /// Slot leases.
+    pub slots: Arc<SlotService>,
+    /// Tenants' rate limits.
+    pub rates: Arc<RateService>,
+    /// Origins of streams.
+    pub streams: Arc<StreamService>,
+    /// Quarantined contents.
+    pub quarantine: QuarantineService,
+}
+
 /// Returns a unique id for this daemon instance: `NAME@MILLISECONDS-RANDOM`, numbers in hexadecimal.
 pub fn new_instance_id(member: &str) -> String {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -115,12 +131,16 @@
     pub fn new(
         instance_id: String,
         settings: &EdgeSettings,
-        replicas: Arc<ReplicaSet>,
-        slots: Arc<SlotService>,
-        rates: Arc<RateService>,
-        quarantine: QuarantineService,
+        services: MemberServices,
         log: DecisionLog,
     ) -> Self {
+        let MemberServices {
+            replicas,
+            slots,
+            rates,
+            streams,
+            quarantine,
+        } = services;
         let own = MemberRecord {
             id: instance_id.clone(),
             udp_address: settings.advertised_peer_address().to_owned(),
@@ -162,6 +182,7 @@
             next_quota_call: AtomicU32::new(1),
             slots,
             rates,
+            streams,
             quarantine,
             socket: OnceLock::new(),
             state: Mutex::new(state),
@@ -234,6 +255,7 @@
         let _ = self.socket.set(socket.clone());
         self.slots.set_socket(socket.clone());
         self.rates.set_socket(socket.clone());
+        self.streams.set_socket(socket.clone());
         self.quarantine.set_socket(socket.clone());
         if let Some(audits) = self.audits.get() {
             audits.set_socket(socket.clone());
@@ -266,6 +288,7 @@
             self.note_suspension(&suspensions);
             self.slots.tick();
             self.rates.tick();
+            self.streams.tick();
             self.quarantine.tick();
             if let Some(audits) = self.audits.get() {
                 audits.tick();
@@ -302,6 +325,7 @@
         let kind = decode::<NodeDatagram>(bytes).and_then(|datagram| datagram.kind);
         let kind = kind.and_then(|kind| self.slots.receive(kind, from));
         let kind = kind.and_then(|kind| self.rates.receive(kind, from));
+        let kind = kind.and_then(|kind| self.streams.receive(kind, from));
         let kind = kind.and_then(|kind| self.quarantine.receive(kind));
         let kind = kind.and_then(|kind| match self.audits.get() {
             Some(audits) => audits.receive(kind),
@@ -379,6 +403,7 @@
         self.update_audit_members(&state.core, &view);
         self.quarantine.set_members(&staying);
         self.rates.set_members(staying.clone());
+        self.streams.set_members(staying.clone());
         self.slots.set_members(staying);
     }
 
--- a/crates/edge/src/rendezvous.rs
+++ b/crates/edge/src/rendezvous.rs
@@ -1,4 +1,4 @@
-//! Rendezvous hashing of tenants to their rate coordinators: daemons with the same members choose the same ones.
+//! Rendezvous hashing of tenants and streams to members: daemons with the same members choose the same ones.
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -17,6 +17,26 @@
     top_two_by(tenant, ids, |id| id)
 }
 
+/// Returns the `count` members with the highest weights for a key, in descending order.
+pub fn ranked<'a, T>(
+    key: u64,
+    members: impl Iterator<Item = T>,
+    id: impl Fn(&T) -> &'a str,
+    count: usize,
+) -> Vec<T>
+where
+    T: 'a,
+{
+    let weighted = members.map(|member| (xxh3_64_with_seed(id(&member).as_bytes(), key), member));
+    let mut weighted: Vec<(u64, T)> = weighted.collect();
+    if weighted.len() > count {
+        weighted.select_nth_unstable_by_key(count, |(weight, _)| std::cmp::Reverse(*weight));
+        weighted.truncate(count);
+    }
+    weighted.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    weighted.into_iter().map(|(_, member)| member).collect()
+}
+
 fn top_two_by<'a, T: Copy>(
     tenant: &str,
     members: impl Iterator<Item = T>,
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -109,6 +109,7 @@
         service: &replica.record.service,
         known: Some(known),
         replica: Some(replica),
+        asked: (0, 0),
     });
 }
 
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -6,7 +6,7 @@
 use harrierward_decisions::Record;
 use harrierward_serving::{
     ContinuedStream, ItemSlack, Mechanism, Placement, Replica, ReplicaView, Route, RouteTable,
-    StreamOrigin, WorkClass, short_hash,
+    WorkClass, origin_of, short_hash,
 };
 use harrierward_tenants::AllowedRegions;
 use tokio::time::{Instant, sleep};
@@ -172,7 +172,7 @@
     fn keep_continuable(&self, item: &mut StartableItem, replica: &Replica) {
         let mut progress = lock(&item.progress);
         let origin = progress.origin.as_ref().map(|known| known.origin);
-        if origin.is_none_or(|origin| origin == StreamOrigin::of(replica)) {
+        if origin.is_none_or(|origin| origin == origin_of(replica)) {
             return;
         }
         let dropped = std::mem::take(&mut *progress);
@@ -189,6 +189,7 @@
             service: &replica.record.service,
             known: dropped.origin.as_ref(),
             replica: Some(replica),
+            asked: (0, 0),
         });
     }
 
--- a/crates/inline-jobs/tests/lost_job.rs
+++ b/crates/inline-jobs/tests/lost_job.rs
@@ -160,6 +160,7 @@
         rates: Arc::new(Stub),
         quarantine: Arc::new(NoQuarantine),
         proof: Arc::default(),
+        origins: Arc::new(harrierward_serving::NoOrigins),
         log: log.clone(),
         settings: ForwarderSettings {
             region: String::new(),
--- a/crates/inline-jobs/tests/stale_listing.rs
+++ b/crates/inline-jobs/tests/stale_listing.rs
@@ -293,6 +293,7 @@
         rates: Arc::new(Stub),
         quarantine: Arc::new(NoQuarantine),
         proof: Arc::default(),
+        origins: Arc::new(harrierward_serving::NoOrigins),
         log: log.clone(),
         settings: ForwarderSettings {
             region: String::new(),
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -16,7 +16,7 @@
 use crate::replica::{Replica, WorkClass};
 use crate::replica_set::ReplicaView;
 use crate::selection::{Candidate, SelectionCosts, Separation, choose, preference_weight};
-use crate::software_version::SoftwareVersion;
+use harrierward_stream_origins::SoftwareVersion;
 
 /// Role of the daemon that chose a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/serving/src/continued.rs
+++ b/crates/serving/src/continued.rs
@@ -5,8 +5,8 @@
 use crate::attempt::milliseconds;
 use crate::forwarder::Forwarder;
 use crate::replica::Replica;
-use crate::software_version::SoftwareVersion;
 use crate::stream_origin::KnownOrigin;
+use harrierward_stream_origins::SoftwareVersion;
 
 /// A stream or an item of which events had been received.
 #[derive(Debug)]
@@ -26,6 +26,8 @@
     pub known: Option<&'a KnownOrigin>,
     /// Replica at which it goes on; `None` if it doesn't.
     pub replica: Option<&'a Replica>,
+    /// Peers that were asked where it began, and how many of them replied.
+    pub asked: (usize, usize),
 }
 
 impl Forwarder {
@@ -33,6 +35,7 @@
     pub fn log_continued(&self, stream: &ContinuedStream<'_>) {
         let known = stream.known;
         let began_at = known.map(|known| self.version_name(stream.service, known.origin.version));
+        let source = known.map_or_else(String::new, |known| known.source.name());
         let record = stream.replica.map(|replica| &replica.record);
         self.log().record(&Record::StreamContinued {
             request: stream.request,
@@ -40,10 +43,12 @@
             step: stream.step,
             resume_after: stream.resume_after,
             began_at: began_at.as_deref(),
-            source: known.map_or("", |known| known.source.name()),
+            source: &source,
             known_ms: known.map(|known| milliseconds(harrierward_clock::age(known.known_at))),
             replica: record.map_or("", |record| &record.id),
             version: record.map_or("", |record| &record.version),
+            asked: stream.asked.0,
+            replied: stream.asked.1,
         });
     }
 
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, Method};
 
 use crate::prompt::Prompt;
-use crate::software_version::SoftwareVersion;
+use harrierward_stream_origins::SoftwareVersion;
 
 /// Request of a caller; the body is opaque.
 #[derive(Debug, Clone)]
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -13,7 +13,6 @@
 
 use crate::admission::{ConfigurationProof, KeyTrust, RateLimits, RateStatus, caller_of};
 use crate::attempt::{Attempt, AttemptFailure, AttemptOptions};
-use crate::continued::ContinuedStream;
 use crate::exchange::{BodyDelimiter, ReplicaClient, ServingRequest};
 use crate::leases::SlotLeases;
 use crate::policy::{Mechanism, Policy};
@@ -26,6 +25,7 @@
 use crate::response::{CallerResponse, Refusal, RefusalCause, Reply};
 use crate::routes::{RouteEntry, RouteTable};
 use crate::selection::SelectionCosts;
+use crate::stream_origin::{StreamOrigins, takes_up};
 
 /// The routes in force; `None` until a configuration is known.
 pub type SharedRoutes = Arc<ArcSwapOption<RouteTable>>;
@@ -34,7 +34,7 @@
 const MAX_REFUSALS: u32 = 3;
 
 /// Retry delay for callers whose request could not be served.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// Settings of the request path.
 #[derive(Debug, Clone)]
@@ -63,6 +63,8 @@
     pub rates: Arc<dyn RateLimits>,
     /// Quarantined contents.
     pub quarantine: Arc<dyn Quarantine>,
+    /// Where streams began.
+    pub origins: Arc<dyn StreamOrigins>,
     /// Freshness of the configuration.
     pub proof: Arc<ConfigurationProof>,
     /// Log of routing and admission decisions.
@@ -122,6 +124,10 @@
         &self.parts.quarantine
     }
 
+    pub(crate) fn origins(&self) -> &dyn StreamOrigins {
+        self.parts.origins.as_ref()
+    }
+
     pub(crate) async fn has_crashed(&self, replica: &Arc<Replica>) -> bool {
         self.parts.quarantine.has_crashed(replica).await
     }
@@ -247,15 +253,30 @@
         entry: &RouteEntry,
         arrived: Instant,
     ) -> Result<CallerResponse, Refusal> {
-        let service = entry
-            .next_service()
-            .ok_or_else(|| refuse_unsent(RefusalCause::NoReplica))?;
+        let taken_up = if entry.route.is_resumable() && takes_up(request) {
+            Some(self.take_up(request, &entry.route).await?)
+        } else {
+            None
+        };
+        let service = match &taken_up {
+            Some(taken_up) => taken_up.service.clone(),
+            None => entry
+                .next_service()
+                .ok_or_else(|| refuse_unsent(RefusalCause::NoReplica))?
+                .to_owned(),
+        };
+        let mut bound = request.clone();
+        if let Some(taken_up) = &taken_up {
+            Arc::make_mut(&mut bound).version = Some(taken_up.known.origin.version);
+        }
+        let request = &bound;
         let is_retry = entry.is_overdue(request.timeout);
         let mut state = RequestState {
             request: request.clone(),
             content: request.content(),
             route: Arc::new(entry.route.clone()),
-            service: service.to_owned(),
+            service,
+            taken_up,
             clock: RequestClock::new(arrived, request, &entry.route),
             tried: Vec::new(),
             sends: 0,
@@ -281,7 +302,9 @@
                     continue;
                 }
                 Ok(attempt) => {
-                    self.log_taken_up(request, &attempt);
+                    if let Some(taken_up) = &state.taken_up {
+                        self.log_taken_up(request, taken_up, &attempt);
+                    }
                     return respond(self, state, attempt);
                 }
                 Err(failure) => failure,
@@ -313,23 +336,6 @@
         }
     }
 
-    /// Logs that a stream which its caller takes up goes on.
-    fn log_taken_up(&self, request: &ServingRequest, attempt: &Attempt) {
-        let Some(resume_after) = request.resume_after else {
-            return;
-        };
-        let replica = attempt.in_progress.replica();
-        self.log_continued(&ContinuedStream {
-            request: &request.id,
-            stream: request.resumes.as_deref().unwrap_or_default(),
-            step: "taken up",
-            resume_after,
-            service: &replica.record.service,
-            known: None,
-            replica: Some(replica),
-        });
-    }
-
     /// Doesn't count the last allowed attempt if its replica crashed and the request may be repeated.
     async fn forgive_crash(&self, state: &mut RequestState) {
         let is_last = state.sends >= state.route.attempts;
--- a/crates/serving/src/gate.rs
+++ b/crates/serving/src/gate.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use crate::replica::Replica;
-use crate::software_version::SoftwareVersion;
+use harrierward_stream_origins::SoftwareVersion;
 
 /// Reason why a request must not be sent to a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/serving/src/leases.rs
+++ b/crates/serving/src/leases.rs
@@ -11,7 +11,7 @@
 use crate::profile::PromptLength;
 use crate::prompt::Prompt;
 use crate::replica::{Replica, WorkClass};
-use crate::software_version::SoftwareVersion;
+use harrierward_stream_origins::SoftwareVersion;
 
 /// Batch-specific part of a [`SlotQuery`].
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -31,9 +31,9 @@
 mod response;
 mod routes;
 mod selection;
-mod software_version;
 mod stream_origin;
 mod suspicion;
+mod take_up;
 mod topology;
 mod warmth;
 
@@ -59,6 +59,7 @@
 };
 pub use forwarder::{Forwarder, ForwarderParts, ForwarderSettings, SharedRoutes};
 pub use gate::{GateDenial, GateRequest, admits_version, check_gate};
+pub use harrierward_stream_origins::{SoftwareVersion, StreamKey, StreamOrigin};
 pub use in_progress::InProgress;
 pub use leases::{ItemSlack, SlotLease, SlotLeases, SlotQuery, SlotReply};
 pub use outcome::{AttemptOutcome, Evidence, ReleaseReport};
@@ -74,8 +75,9 @@
 pub use selection::{
     Candidate, SelectionCosts, Separation, choose, cost, expected_wait_ms, preference_weight,
 };
-pub use software_version::SoftwareVersion;
-pub use stream_origin::{KnownOrigin, OriginSource, StreamOrigin};
+pub use stream_origin::{
+    KnownOrigin, NoOrigins, OriginLookup, OriginSource, StreamOrigins, StreamTerms, origin_of,
+};
 pub use suspicion::Suspicion;
 pub use topology::{Location, Topology};
 pub use warmth::Warmth;
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -19,8 +19,8 @@
 use crate::outcome::{AttemptOutcome, Evidence};
 use crate::replica::Replica;
 use crate::request_state::{RequestClock, RequestState};
-use crate::software_version::SoftwareVersion;
-use crate::stream_origin::KnownOrigin;
+use crate::stream_origin::{KnownOrigin, StreamTerms, stream_of};
+use harrierward_stream_origins::{SoftwareVersion, StreamOrigin};
 
 /// The response can't be completed; the caller's connection must be aborted.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -53,7 +53,7 @@
     /// Parser of the current replica's body, or of the last one's.
     parser: BodyParser,
     ready: VecDeque<Bytes>,
-    /// Where the stream began; `None` until its first event is passed on.
+    /// Where the stream began; `None` until the first event of a new one is passed on.
     origin: Option<KnownOrigin>,
     /// Id of the last event relayed; at first the one after which the caller resumes the stream.
     delivered: Option<u64>,
@@ -76,7 +76,11 @@
         let format = BodyFormat::of(&state.route, response.status, &response.headers);
         let further_attempts = state.route.attempts.saturating_sub(state.sends);
         let events_left = EventsLeft::after(delivered, further_attempts);
-        Self {
+        let origin = state
+            .taken_up
+            .as_ref()
+            .map(|taken_up| taken_up.known.clone());
+        let relay = Self {
             forwarder,
             state,
             status: attempt.response.status,
@@ -85,11 +89,15 @@
             body: Some(attempt.response.body),
             in_progress: Some(attempt.in_progress),
             ready: VecDeque::new(),
-            origin: None,
+            origin,
             delivered,
             first_event_ms: None,
             finished: false,
+        };
+        if let Some(known) = &relay.origin {
+            relay.remember_origin(known.origin);
         }
+        relay
     }
 
     /// Returns the body as a stream for the caller.
@@ -230,7 +238,19 @@
         let Some(in_progress) = &self.in_progress else {
             return;
         };
-        self.origin = Some(KnownOrigin::received_from(in_progress.replica()));
+        let known = KnownOrigin::received_from(in_progress.replica());
+        self.remember_origin(known.origin);
+        self.origin = Some(known);
+    }
+
+    /// Lets other daemons know where the stream began, so that its caller can take it up there.
+    fn remember_origin(&self, origin: StreamOrigin) {
+        let request = &self.state.request;
+        let Some(stream) = stream_of(request).filter(|_| self.is_resumable()) else {
+            return;
+        };
+        let terms = StreamTerms::of(request, &self.state.route);
+        self.forwarder.origins().note(stream, origin, terms);
     }
 
     /// Returns the only version that may continue the stream; `None` before its first event.
@@ -407,6 +427,7 @@
             service: &self.state.service,
             known: Some(known),
             replica: Some(attempt.in_progress.replica()),
+            asked: (0, 0),
         });
     }
 
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -13,10 +13,10 @@
 use crate::in_progress::InProgress;
 use crate::leases::SlotLease;
 use crate::prompt::{PrefixCacheEstimate, Prompt};
-use crate::software_version::SoftwareVersion;
 use crate::suspicion::Suspicion;
 use crate::topology::Location;
 use crate::warmth::Warmth;
+use harrierward_stream_origins::SoftwareVersion;
 
 /// Time for which a load report of the replica is used in addition to the daemons' counts.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(400);
--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -12,8 +12,8 @@
 use crate::gate::admits_version;
 use crate::replica::{Replica, ReplicaRecord, lock, short_hash};
 use crate::selection::preference_weight;
-use crate::software_version::SoftwareVersion;
 use crate::topology::Location;
+use harrierward_stream_origins::SoftwareVersion;
 
 /// Time for which a replica whose record vanished is still used if its service has no other; records also vanish
 /// while the store is down. Less than the shortest bound on the use of a replica that has gone.
@@ -35,6 +35,8 @@
     zones: Vec<u32>,
     /// Hashes of their regions, ordered, without duplicates.
     regions: Vec<u32>,
+    /// Their software versions, without duplicates.
+    versions: Vec<SoftwareVersion>,
     /// Ids of the replicas for long prompts; computed on first use, as most daemons need it for few services.
     long_prompt_affinity: OnceLock<HashSet<String>>,
 }
@@ -113,6 +115,12 @@
         replicas.map_or(&[][..], |replicas| &replicas.regions)
     }
 
+    /// Returns the software versions of the listed replicas of a service, without duplicates.
+    pub fn versions(&self, service: &str) -> &[SoftwareVersion] {
+        let replicas = self.by_service.get(service);
+        replicas.map_or(&[][..], |replicas| &replicas.versions)
+    }
+
     /// Returns the names of the services with listed replicas.
     pub fn services(&self) -> impl Iterator<Item = &str> {
         self.by_service.keys().map(String::as_str)
@@ -325,6 +333,7 @@
         let replicas = ServiceReplicas {
             zones: areas_of(&list, |location| location.zone),
             regions: areas_of(&list, |location| location.region),
+            versions: versions_of(&list),
             list,
             long_prompt_affinity: OnceLock::new(),
         };
@@ -345,6 +354,17 @@
     areas.into_iter().collect()
 }
 
+/// Software versions of the replicas, without duplicates. There are few, so that none is allocated for each replica.
+fn versions_of(list: &[Arc<Replica>]) -> Vec<SoftwareVersion> {
+    let mut versions = Vec::new();
+    for replica in list {
+        if !versions.contains(&replica.version) {
+            versions.push(replica.version);
+        }
+    }
+    versions
+}
+
 /// Share of a service's replicas that take the long prompts, in percent.
 const LONG_PROMPT_PERCENT: usize = 33;
 
--- a/crates/serving/src/request_state.rs
+++ b/crates/serving/src/request_state.rs
@@ -10,6 +10,7 @@
 use crate::attempt::AttemptTimeouts;
 use crate::configuration::Route;
 use crate::exchange::ServingRequest;
+use crate::take_up::TakenUp;
 
 /// Share of the objective after which a replica without progress is abandoned before the first event, in percent.
 const FIRST_STALL_PERCENT: u32 = 120;
@@ -28,6 +29,8 @@
     pub route: Arc<Route>,
     /// Service chosen by the route's weights.
     pub service: String,
+    /// The stream that its caller takes up; `None` for a new request.
+    pub taken_up: Option<TakenUp>,
     pub clock: RequestClock,
     /// Ids of the replicas tried.
     pub tried: Vec<String>,
--- a/crates/serving/src/response.rs
+++ b/crates/serving/src/response.rs
@@ -54,6 +54,10 @@
     Broken,
     /// The content is quarantined, because replicas crashed whenever they ran it.
     Quarantined,
+    /// Nobody knows at which software version the stream began that its caller takes up.
+    UnknownStream,
+    /// No replica of the software version at which the stream began accepts work.
+    NoReplicaOfVersion,
     /// The daemon is stopping.
     Stopping,
 }
@@ -96,6 +100,8 @@
             Self::TimedOut => "timed_out",
             Self::Broken => "broken",
             Self::Quarantined => "held_back",
+            Self::UnknownStream => "unknown_stream",
+            Self::NoReplicaOfVersion => "no_replica_of_version",
             Self::Stopping => "stopping",
         }
     }
@@ -114,6 +120,8 @@
             | Self::Overloaded
             | Self::NoTimeLeft
             | Self::Quarantined
+            | Self::UnknownStream
+            | Self::NoReplicaOfVersion
             | Self::Stopping => 503,
             Self::TimedOut => 504,
             Self::Broken => 502,
--- a/crates/serving/tests/choice.rs
+++ b/crates/serving/tests/choice.rs
@@ -105,6 +105,7 @@
         rates: Arc::new(NoLimits),
         quarantine: Arc::new(NoQuarantine),
         proof: Arc::default(),
+        origins: Arc::new(harrierward_serving::NoOrigins),
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
             zone: ZONE.to_owned(),
--- a/crates/serving/tests/failing.rs
+++ b/crates/serving/tests/failing.rs
@@ -211,6 +211,7 @@
         rates: Arc::new(NoLimits),
         quarantine: Arc::new(NoQuarantine),
         proof: Arc::default(),
+        origins: Arc::new(harrierward_serving::NoOrigins),
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
             region: String::new(),
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -186,6 +186,7 @@
         rates: Arc::new(NoLimits),
         quarantine: Arc::new(NoQuarantine),
         proof: Arc::default(),
+        origins: Arc::new(harrierward_serving::NoOrigins),
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
             region: String::new(),
--- a/crates/serving/tests/stalls.rs
+++ b/crates/serving/tests/stalls.rs
@@ -160,6 +160,7 @@
         rates: Arc::new(NoLimits),
         quarantine: Arc::new(NoQuarantine),
         proof: Arc::default(),
+        origins: Arc::new(harrierward_serving::NoOrigins),
         log: DecisionLog::new(LogBounds::default()),
         settings: ForwarderSettings {
             zone: "zone-a".to_owned(),
--- a/crates/serving/tests/support/mod.rs
+++ b/crates/serving/tests/support/mod.rs
@@ -293,6 +293,7 @@
             rates: Arc::new(NoLimits),
             quarantine: Arc::new(NoQuarantine),
             proof: Arc::default(),
+            origins: Arc::new(harrierward_serving::NoOrigins),
             log: DecisionLog::new(LogBounds::default()),
             settings: ForwarderSettings {
                 region: String::new(),
--- /dev/null
+++ b/crates/stream-origins/src/lib.rs
@@ -0,0 +1,14 @@
+//! Where streams began: the service and the software version that wrote the first event, the only ones that may continue
+//! a stream.
+//!
+//! Pure state machines: they open no socket, and time is passed in.
+
+mod history;
+mod ledger;
+mod origin;
+mod testimony;
+
+pub use history::VersionHistory;
+pub use ledger::{OriginLedger, OriginRecord, RecordSource};
+pub use origin::{SoftwareVersion, StreamKey, StreamOrigin};
+pub use testimony::{SoleVersion, Testimony, sole_version};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 mod rates;
 mod slots;
 mod space;
+mod streams;
 
 pub use batch::{
     ChunkRow, FileRow, JobKeyRow, JobRow, JobState, OpenJobRow, OwnershipRow, ProgressRow,
@@ -49,6 +50,7 @@
     WholeReport,
 };
 pub use space::{SpaceAudit, SpaceContent, SpaceQuestion, SpaceReply, SpaceRow};
+pub use streams::{StreamAnswer, StreamAsk, StreamNotice, StreamRecord};
 
 /// Version of the formats of rows and messages, raised with each change of what a build writes, reads or keeps. Builds
 /// of all levels interoperate; the level shows an operator which builds run.
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -246,7 +246,7 @@
     /// The content; `None` if its kind is unknown to this build.
     #[prost(
         oneof = "node_datagram::Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
     )]
     pub kind: Option<node_datagram::Kind>,
 }
@@ -301,5 +301,14 @@
         /// Result of an audit of a copy of the store's rows.
         #[prost(message, tag = "15")]
         SpaceAudit(crate::SpaceAudit),
+        /// Where streams began.
+        #[prost(message, tag = "16")]
+        StreamNotice(crate::StreamNotice),
+        /// Asks where a stream began.
+        #[prost(message, tag = "17")]
+        StreamAsk(crate::StreamAsk),
+        /// Reply to a question where a stream began.
+        #[prost(message, tag = "18")]
+        StreamAnswer(crate::StreamAnswer),
     }
 }
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -266,6 +266,22 @@
     check(&later, "crash_news_row", &updates);
 }
 
+/// Guards against an item that goes on at any software version, because its row was written by a build that doesn't say
+/// which one wrote its events; and against a lease request of such a build that is bound to a version.
+#[test]
+fn messages_of_builds_before_level_7_name_no_software_version() {
+    let samples = samples(include_str!("formats/ff2f8d9.txt"));
+    let progress: ItemProgressRow = decode(&samples["item_progress"]).expect("a row");
+    assert_eq!((progress.last_event, progress.version), (4, None));
+    assert_eq!(encode(&progress), samples["item_progress"]);
+    let ask: SlotAsk = decode(&samples["slot_ask"]).expect("a message");
+    assert_eq!((ask.lease, ask.version), (2, None));
+    assert_eq!(encode(&ask), samples["slot_ask"]);
+    let kind = Some(node_datagram::Kind::SlotAsk(ask));
+    let datagram = NodeDatagram { kind };
+    check(&samples, "node_datagram_slot_ask", &datagram);
+}
+
 /// A header of a build that does not say whether failures are complete must not pass as complete.
 #[test]
 fn a_header_of_an_earlier_build_does_not_say_that_its_failures_are_complete() {
