A replica that returns under its id with another software version is another instance

Callers could be sent on to another version behind a known id: where a replica publishes no time of its start (it needn't), an entry with the same id and address kept the old instance, with the version that it had.

--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -55,9 +55,11 @@
 
 impl ReplicaRecord {
     /// True if `reported` belongs to another instance, so that what is known of this one doesn't apply. A missing
-    /// start time proves nothing; an earlier one is another instance whose clock was set back.
+    /// start time proves nothing; an earlier one is another instance whose clock was set back. A process never changes
+    /// its software version.
     pub fn is_other_instance(&self, reported: &Self) -> bool {
-        reported.born_ms.is_some() && reported.born_ms != self.born_ms
+        let is_other_start = reported.born_ms.is_some() && reported.born_ms != self.born_ms;
+        is_other_start || reported.version != self.version
     }
 
     /// Returns the hash of this instance, by which daemons refer to it in datagrams.
