The prefix cache is copied between replicas of one software version only

A request that goes on from another version's memory could bring callers a text that neither version writes; nothing checked it (found by looking for the same cause elsewhere, not seen by a caller; whether the users' replicas refuse such a copy is not known).

may_copy_from, the check right before a request is sent, looks at both versions; grants of earlier coordinators that name such a source lose the copy, not the grant. nothing_is_copied_from_another_software_version failed before, passes now.

--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -249,7 +249,8 @@
         }
         in_progress.track_content(content, self.quarantine().clone());
         let copy_from = choice.copy_from.as_ref();
-        let copy_from = copy_from.filter(|source| may_copy_from(source, &request.regions));
+        let copy_from =
+            copy_from.filter(|source| may_copy_from(source, &replica, &request.regions));
         let copy_from = copy_from.map(|source| &source.record);
         self.log().record(&Record::Sent {
             request: &request.id,
--- a/crates/serving/src/gate.rs
+++ b/crates/serving/src/gate.rs
@@ -77,8 +77,10 @@
     required.is_none_or(|version| version == replica.version)
 }
 
-/// True if the prefix cache may be copied from `source` now: it accepts work and lies in an allowed region. Checked
-/// right before the request is sent.
-pub fn may_copy_from(source: &Replica, regions: &AllowedRegions) -> bool {
-    source.accepts_work() && regions.allows(&source.record.region)
+/// True if the prefix cache may be copied from `source` to `replica` now: the source accepts work, lies in an allowed
+/// region, and keeps the cache as the same software version does. Checked right before the request is sent.
+pub fn may_copy_from(source: &Replica, replica: &Replica, regions: &AllowedRegions) -> bool {
+    source.accepts_work()
+        && regions.allows(&source.record.region)
+        && source.version == replica.version
 }
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -297,6 +297,21 @@
     assert_eq!(copies, [Some("a-0:80".to_owned()), None]);
 }
 
+/// Guards against a request that goes on from the prefix cache of a replica whose software version may keep it
+/// differently.
+#[tokio::test]
+async fn nothing_is_copied_from_another_software_version() {
+    let fixture = fixture();
+    let mut other = record("a-0", "zone-a", "near");
+    other.version = "v2".to_owned();
+    fixture.replicas.update(vec![other], &[], |_| 100_000);
+    let view = fixture.replicas.view();
+    let mut chosen = choice(view.get("b").expect("the replica"));
+    chosen.copy_from = view.get("a-0").cloned();
+    fixture.send_to(chosen).await.expect("an answer");
+    assert_eq!(fixture.client.sent(), [("b".to_owned(), None)]);
+}
+
 /// Replicas that are listed later, or that vanished and return, must inherit their zone's evacuation.
 #[tokio::test]
 async fn replicas_listed_later_inherit_the_evacuation_of_their_zone() {
