Take-ups: names for what was asked, a shorter window, a delay for a daemon without members

The window in which a stream can have begun is twice the longest timeout of resumable routes, 5 s at least (12 s before): the floor only served timeouts under 6 s, and a fleet that starts can't take streams up without a record for as long.

--- a/crates/edge/src/streams/mod.rs
+++ b/crates/edge/src/streams/mod.rs
@@ -35,7 +35,7 @@
 const MAX_RECORDS_PER_NOTICE: usize = 32;
 
 /// Lower bound of the time within which a stream that is taken up can have begun.
-const MIN_WINDOW: Duration = Duration::from_secs(12);
+const MIN_WINDOW: Duration = Duration::from_secs(5);
 
 /// That time as a multiple of the longest timeout of routes whose streams may be taken up: several tries of one caller.
 const WINDOW_FACTOR: u32 = 2;
@@ -43,6 +43,15 @@
 /// Longest lifetime that a peer's record is given.
 const MAX_LIFETIME: Duration = Duration::from_secs(3_600);
 
+/// A peer that remembers streams.
+struct StreamPeer {
+    /// Instance id.
+    id: Arc<str>,
+    /// Address for datagrams.
+    address: SocketAddr,
+    location: Location,
+}
+
 struct State {
     ledger: OriginLedger,
     history: VersionHistory,
@@ -199,7 +208,7 @@
         for (stream, record) in streams {
             for peer in self.peers(*stream, TOLD_PEERS) {
                 let encoded = encode_record(*stream, record, now);
-                by_peer.entry(peer.0).or_default().push(encoded);
+                by_peer.entry(peer.address).or_default().push(encoded);
             }
         }
         for (address, records) in by_peer {
@@ -213,17 +222,19 @@
         }
     }
 
-    /// Returns the addresses and locations of the first peers in a stream's rank order, which is the same on all daemons
-    /// with the same members.
-    fn peers(&self, stream: StreamKey, count: usize) -> Vec<(SocketAddr, Location, Arc<str>)> {
+    /// Returns the first peers in a stream's rank order, which is the same on all daemons with the same members.
+    fn peers(&self, stream: StreamKey, count: usize) -> Vec<StreamPeer> {
         let members = self.members.load();
         let others = members
             .iter()
             .filter(|member| *member.id != *self.instance_id);
         let ranked = ranked(stream.hash(), others, |member| &member.id, count);
         let addressed = ranked.into_iter().filter_map(|member| {
-            let id: Arc<str> = member.id.as_str().into();
-            Some((member.address?, member.location, id))
+            Some(StreamPeer {
+                id: member.id.as_str().into(),
+                address: member.address?,
+                location: member.location,
+            })
         });
         addressed.collect()
     }
--- a/crates/edge/src/streams/requests.rs
+++ b/crates/edge/src/streams/requests.rs
@@ -8,7 +8,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use harrierward_serving::{
-    KnownOrigin, Location, OriginLookup, OriginSource, StreamOrigins, StreamTerms, short_hash,
+    AskedPeers, KnownOrigin, OriginLookup, OriginSource, StreamOrigins, StreamTerms, short_hash,
 };
 use harrierward_stream_origins::{
     RecordSource, SoftwareVersion, StreamKey, StreamOrigin, Testimony, sole_version,
@@ -16,7 +16,7 @@
 use harrierward_wire::{StreamAnswer, StreamAsk, node_datagram};
 use tokio::time::Instant;
 
-use super::{StreamService, decode_record, testimony};
+use super::{StreamPeer, StreamService, decode_record, testimony};
 use crate::calls::{CallTimeouts, PeerLocation};
 
 /// Peers that are asked: those that were told stay among them while some members join or leave.
@@ -48,20 +48,20 @@
         &self,
         stream: Option<StreamKey>,
         service: u32,
-        (address, location, id): (std::net::SocketAddr, Location, Arc<str>),
+        peer: StreamPeer,
     ) -> Option<(Arc<str>, StreamAnswer)> {
         let ask = StreamAsk {
             number: self.next_call.fetch_add(1, Ordering::Relaxed),
             stream: stream.map_or(0, StreamKey::hash),
             service,
         };
-        let location = PeerLocation::from(self.location, location);
-        let send = || self.send(node_datagram::Kind::StreamAsk(ask.clone()), address);
+        let location = PeerLocation::from(self.location, peer.location);
+        let send = || self.send(node_datagram::Kind::StreamAsk(ask.clone()), peer.address);
         let answer = self
             .calls
             .call(ask.number, location, TIMEOUTS, send)
             .await?;
-        Some((id, answer))
+        Some((peer.id, answer))
     }
 
     /// Concludes from what this daemon and its peers saw that only one version can have begun a stream.
@@ -137,8 +137,10 @@
                 };
                 return OriginLookup {
                     known: Some(known),
-                    asked,
-                    replied: answers.len() + 1,
+                    peers: AskedPeers {
+                        asked,
+                        replied: answers.len() + 1,
+                    },
                 };
             }
             answers.push((id, answer));
@@ -146,8 +148,10 @@
         let now = harrierward_clock::now();
         OriginLookup {
             known: service.and_then(|service| self.conclude(service, &answers, now)),
-            asked,
-            replied: answers.len(),
+            peers: AskedPeers {
+                asked,
+                replied: answers.len(),
+            },
         }
     }
 }
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use harrierward_serving::{
-    Attempt, AttemptFailure, AttemptOptions, AttemptOutcome, AttemptTimeouts, BodyEnd, BodyFormat,
-    BodyParser, BodyPart, ContinuedStream, EventsLeft, Forwarder, InProgress, KnownOrigin,
-    Placement, Replica, ServingRequest, StreamEvent, wait_for_progress,
+    AskedPeers, Attempt, AttemptFailure, AttemptOptions, AttemptOutcome, AttemptTimeouts, BodyEnd,
+    BodyFormat, BodyParser, BodyPart, ContinuedStream, EventsLeft, Forwarder, InProgress,
+    KnownOrigin, Placement, Replica, ServingRequest, StreamEvent, wait_for_progress,
 };
 use tokio::time::Instant;
 
@@ -109,7 +109,7 @@
         service: &replica.record.service,
         known: Some(known),
         replica: Some(replica),
-        asked: (0, 0),
+        peers: AskedPeers::default(),
     });
 }
 
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -5,8 +5,8 @@
 
 use harrierward_decisions::Record;
 use harrierward_serving::{
-    ContinuedStream, ItemSlack, Mechanism, Placement, Replica, ReplicaView, Route, RouteTable,
-    WorkClass, origin_of, short_hash,
+    AskedPeers, ContinuedStream, ItemSlack, Mechanism, Placement, Replica, ReplicaView, Route,
+    RouteTable, WorkClass, origin_of, short_hash,
 };
 use harrierward_tenants::AllowedRegions;
 use tokio::time::{Instant, sleep};
@@ -189,7 +189,7 @@
             service: &replica.record.service,
             known: dropped.origin.as_ref(),
             replica: Some(replica),
-            asked: (0, 0),
+            peers: AskedPeers::default(),
         });
     }
 
--- a/crates/serving/src/continued.rs
+++ b/crates/serving/src/continued.rs
@@ -5,7 +5,7 @@
 use crate::attempt::milliseconds;
 use crate::forwarder::Forwarder;
 use crate::replica::Replica;
-use crate::stream_origin::KnownOrigin;
+use crate::stream_origin::{AskedPeers, KnownOrigin};
 use harrierward_stream_origins::SoftwareVersion;
 
 /// A stream or an item of which events had been received.
@@ -26,8 +26,8 @@
     pub known: Option<&'a KnownOrigin>,
     /// Replica at which it goes on; `None` if it doesn't.
     pub replica: Option<&'a Replica>,
-    /// Peers that were asked where it began, and how many of them replied.
-    pub asked: (usize, usize),
+    /// Peers that were asked where it began.
+    pub peers: AskedPeers,
 }
 
 impl Forwarder {
@@ -47,8 +47,8 @@
             known_ms: known.map(|known| milliseconds(harrierward_clock::age(known.known_at))),
             replica: record.map_or("", |record| &record.id),
             version: record.map_or("", |record| &record.version),
-            asked: stream.asked.0,
-            replied: stream.asked.1,
+            asked: stream.peers.asked,
+            replied: stream.peers.replied,
         });
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -76,7 +76,8 @@
     Candidate, SelectionCosts, Separation, choose, cost, expected_wait_ms, preference_weight,
 };
 pub use stream_origin::{
-    KnownOrigin, NoOrigins, OriginLookup, OriginSource, StreamOrigins, StreamTerms, origin_of,
+    AskedPeers, KnownOrigin, NoOrigins, OriginLookup, OriginSource, StreamOrigins, StreamTerms,
+    origin_of,
 };
 pub use suspicion::Suspicion;
 pub use topology::{Location, Topology};
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -19,7 +19,7 @@
 use crate::outcome::{AttemptOutcome, Evidence};
 use crate::replica::Replica;
 use crate::request_state::{RequestClock, RequestState};
-use crate::stream_origin::{KnownOrigin, StreamTerms, stream_of};
+use crate::stream_origin::{AskedPeers, KnownOrigin, StreamTerms, stream_of};
 use harrierward_stream_origins::{SoftwareVersion, StreamOrigin};
 
 /// The response can't be completed; the caller's connection must be aborted.
@@ -427,7 +427,7 @@
             service: &self.state.service,
             known: Some(known),
             replica: Some(attempt.in_progress.replica()),
-            asked: (0, 0),
+            peers: AskedPeers::default(),
         });
     }
 
--- a/crates/serving/src/stream_origin.rs
+++ b/crates/serving/src/stream_origin.rs
@@ -70,15 +70,22 @@
     }
 }
 
+/// How many peers were asked where a stream began.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AskedPeers {
+    /// Peers that were asked.
+    pub asked: usize,
+    /// Peers that replied.
+    pub replied: usize,
+}
+
 /// Result of [`StreamOrigins::find`].
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OriginLookup {
     /// Where the stream began; `None` if nobody knows.
     pub known: Option<KnownOrigin>,
-    /// Peers that were asked.
-    pub asked: usize,
-    /// Peers that replied.
-    pub replied: usize,
+    /// Peers that were asked, unless this daemon knew it.
+    pub peers: AskedPeers,
 }
 
 /// Conditions under which callers may take a stream up.
--- a/crates/serving/src/take_up.rs
+++ b/crates/serving/src/take_up.rs
@@ -11,7 +11,7 @@
 use crate::forwarder::{Forwarder, RETRY_AFTER};
 use crate::replica::short_hash;
 use crate::response::{Refusal, RefusalCause};
-use crate::stream_origin::{KnownOrigin, OriginLookup, sole_service, stream_taken_up};
+use crate::stream_origin::{AskedPeers, KnownOrigin, OriginLookup, sole_service, stream_taken_up};
 
 /// A stream that its caller takes up.
 #[derive(Debug, Clone)]
@@ -20,8 +20,8 @@
     pub service: String,
     /// Where it began, and from whom that is known.
     pub known: KnownOrigin,
-    /// Peers that were asked, and how many of them replied.
-    asked: (usize, usize),
+    /// Peers that were asked where it began.
+    peers: AskedPeers,
 }
 
 impl Forwarder {
@@ -37,7 +37,6 @@
     ) -> Result<TakenUp, Refusal> {
         let stream = stream_taken_up(request);
         let lookup = self.origins().find(stream, sole_service(route)).await;
-        let asked = (lookup.asked, lookup.replied);
         let Some(known) = &lookup.known else {
             let after = may_be_known_later(&lookup).then_some(RETRY_AFTER);
             return Err(self.refuse_take_up(
@@ -67,7 +66,7 @@
         Ok(TakenUp {
             service: service.to_owned(),
             known: known.clone(),
-            asked,
+            peers: lookup.peers,
         })
     }
 
@@ -89,7 +88,7 @@
             service: service.unwrap_or_default(),
             known,
             replica: None,
-            asked: (lookup.asked, lookup.replied),
+            peers: lookup.peers,
         });
         Refusal::not_run(cause, retry_after)
     }
@@ -109,7 +108,7 @@
             service: &taken_up.service,
             known: Some(&taken_up.known),
             replica: Some(attempt.in_progress.replica()),
-            asked: taken_up.asked,
+            peers: taken_up.peers,
         });
     }
 }
@@ -120,7 +119,8 @@
     services.find(|service| short_hash(service) == origin.service)
 }
 
-/// True if a peer that didn't reply may know the stream; a later try finds it then.
+/// True if a peer that didn't reply, or isn't a known member yet, may know the stream; a later try finds it then.
 fn may_be_known_later(lookup: &OriginLookup) -> bool {
-    lookup.replied < lookup.asked
+    let AskedPeers { asked, replied } = lookup.peers;
+    asked == 0 || replied < asked
 }
