--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -463,7 +463,7 @@
         /// Peers that replied.
         replied: usize,
     },
-    /// A service no longer has only one software version for sure, so that peers are told where streams began.
+    /// A service no longer has only one software version for sure, so that peers are notified where streams began.
     VersionsMixed {
         /// Name of the service.
         service: &'a str,
@@ -471,7 +471,7 @@
         versions: usize,
         /// Age of the proof of the list; `None` without one.
         listed_age_ms: Option<u64>,
-        /// Streams of this daemon that peers were told of now.
+        /// Streams of this daemon of which peers were notified now.
         streams: usize,
     },
     /// A replica responded that this daemon knows to be leaving by then.
--- a/crates/edge/src/streams/mod.rs
+++ b/crates/edge/src/streams/mod.rs
@@ -1,4 +1,4 @@
-//! Where streams began: remembers it for this daemon's streams, tells peers while several software versions serve, and
+//! Where streams began: remembers it for this daemon's streams, notifies peers while several software versions serve, and
 //! asks them when a caller takes a stream up.
 
 mod requests;
@@ -28,8 +28,8 @@
 use crate::rendezvous::ranked;
 use crate::slots::CoordinatorCandidate;
 
-/// Peers that are told of a stream: it stays known when its daemon and two of them end at once.
-const TOLD_PEERS: usize = 3;
+/// Peers that are notified of a stream: it stays known when its daemon and two of them end at once.
+const NOTIFIED_PEERS: usize = 3;
 
 /// Records in one datagram; some 1 kB.
 const MAX_RECORDS_PER_NOTICE: usize = 32;
@@ -111,7 +111,7 @@
         self.members.store(Arc::new(members));
     }
 
-    /// Observes the versions listed now, and tells peers of this daemon's streams at services that no longer have only
+    /// Observes the versions listed now, and notifies peers of this daemon's streams at services that no longer have only
     /// one; called at each tick of the membership.
     pub fn tick(&self) {
         let now = harrierward_clock::now();
@@ -183,7 +183,7 @@
         named.map_or_else(String::new, |(name, _)| name.to_owned())
     }
 
-    /// Records a stream of this daemon, and tells peers unless each daemon can conclude where it began.
+    /// Records a stream of this daemon, and notifies peers unless each daemon can conclude where it began.
     fn note_own(&self, stream: StreamKey, origin: StreamOrigin, terms: StreamTerms) {
         let now = harrierward_clock::now();
         let mut state = self.lock();
@@ -202,11 +202,11 @@
         }
     }
 
-    /// Tells the peers that are asked first about each of these streams.
+    /// Notifies the peers that are asked first of each of these streams.
     fn announce(&self, streams: &[(StreamKey, OriginRecord)], now: Instant) {
         let mut by_peer: HashMap<SocketAddr, Vec<StreamRecord>> = HashMap::new();
         for (stream, record) in streams {
-            for peer in self.peers(*stream, TOLD_PEERS) {
+            for peer in self.peers(*stream, NOTIFIED_PEERS) {
                 let encoded = encode_record(*stream, record, now);
                 by_peer.entry(peer.address).or_default().push(encoded);
             }
@@ -270,7 +270,7 @@
     fn send(&self, kind: node_datagram::Kind, address: SocketAddr) {
         let datagram = NodeDatagram { kind: Some(kind) };
         if let Some(socket) = self.socket.get() {
-            // Loss is tolerated: several peers are told and asked, and requests are sent again.
+            // Loss is tolerated: several peers are notified and asked, and requests are sent again.
             let _ = socket.try_send_to(&encode(&datagram), address);
         }
     }
--- a/crates/edge/src/streams/requests.rs
+++ b/crates/edge/src/streams/requests.rs
@@ -19,7 +19,7 @@
 use super::{StreamPeer, StreamService, decode_record, testimony};
 use crate::calls::{CallTimeouts, PeerLocation};
 
-/// Peers that are asked: those that were told stay among them while some members join or leave.
+/// Peers that are asked: those that were notified stay among them while some members join or leave.
 const ASKED_PEERS: usize = 8;
 
 /// Timeouts of a request, before the measured round trip is added. They cover the response time of a busy peer; a stream
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -243,7 +243,7 @@
         self.origin = Some(known);
     }
 
-    /// Lets other daemons know where the stream began, so that its caller can take it up there.
+    /// Records where the stream began, so that its caller can take it up at another daemon.
     fn remember_origin(&self, origin: StreamOrigin) {
         let request = &self.state.request;
         let Some(stream) = stream_of(request).filter(|_| self.is_resumable()) else {
--- a/crates/stream-origins/src/history.rs
+++ b/crates/stream-origins/src/history.rs
@@ -79,7 +79,7 @@
         return;
     }
     if versions.len() >= MAX_VERSIONS {
-        // The one that left first; a service never has this many within one window.
+        // The one that was listed longest ago; a service never has this many within one window.
         let oldest = (0..versions.len()).min_by_key(|position| versions[*position].last_listed);
         oldest.map(|oldest| versions.swap_remove(oldest));
     }
--- a/crates/stream-origins/src/ledger.rs
+++ b/crates/stream-origins/src/ledger.rs
@@ -33,7 +33,7 @@
     pub known_at: Instant,
     /// When no caller takes the stream up any more.
     pub expires_at: Instant,
-    /// True once peers were told.
+    /// True once peers were notified.
     pub is_announced: bool,
 }
 
@@ -81,7 +81,7 @@
         (known.expires_at > now).then_some(known)
     }
 
-    /// Returns the own records of a service that peers weren't told, and marks them as announced.
+    /// Returns the own records of a service of which peers weren't notified, and marks them as announced.
     pub fn take_unannounced(
         &mut self,
         service: u32,
--- a/crates/wire/src/streams.rs
+++ b/crates/wire/src/streams.rs
@@ -20,7 +20,7 @@
     pub known_ms: u32,
 }
 
-/// Tells a daemon where streams began that may be taken up elsewhere.
+/// Notifies a daemon where streams began that may be taken up elsewhere.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct StreamNotice {
     /// Member id of the sender.
