--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -303,6 +303,15 @@
         view.has_usable(&self.state.service, regions, self.version())
     }
 
+    /// True if other versions serve, and the one that may continue the stream doesn't, so that waiting for capacity
+    /// wouldn't help.
+    fn is_version_gone(&self) -> bool {
+        let view = self.forwarder.replicas().view();
+        let regions = &self.state.request.regions;
+        let serves_any = view.has_usable(&self.state.service, regions, None);
+        serves_any && !self.has_alternative()
+    }
+
     /// Resumes at another replica after the last event delivered, if allowed.
     async fn resume(&mut self, cause: String) -> Result<(), ResponseAborted> {
         // The connection is closed before another replica starts.
@@ -323,8 +332,7 @@
             if self.forwarder.is_quarantined(self.state.content) {
                 break;
             }
-            if self.version().is_some() && !self.has_alternative() {
-                // Other versions don't bring this one back in time, so the caller isn't kept waiting.
+            if self.is_version_gone() {
                 last_cause = Some("no replica of its version".to_owned());
                 break;
             }
--- a/crates/stream-origins/src/ledger.rs
+++ b/crates/stream-origins/src/ledger.rs
@@ -7,7 +7,7 @@
 
 use crate::origin::{StreamKey, StreamOrigin};
 
-/// Maximum number of records; the least recently used one is dropped first. Some 6 MB.
+/// Maximum number of records; the least recently used one is dropped first. Some 9 MB.
 const MAX_RECORDS: usize = 65_536;
 
 /// Expired records removed per new one, so that the ledger shrinks without a scan.
