Log: the contents and prompt parts at each crash, and the source of what is held

Nothing told the hypotheses of the incident apart: `sent` named no part of the prompt, `replica_ended` only the number of contents there, `content_held` no source. `sent` names the shared parts, `replica_ended` the first 24 requests that were in progress with their parts, `content_held` whether a crash, a response, a peer, the store, an operator or expiry changed it.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -12,4 +12,4 @@
 pub use console::{ConsoleStream, DroppedLine, NonBlockingConsole};
 pub use metrics::DecisionMetrics;
 pub use queue::{DECISION_TARGET, DecisionLog, LogBounds, dropped_record};
-pub use record::{BodySummary, Importance, Record};
+pub use record::{BodySummary, Importance, Record, RequestAtCrash};
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -26,6 +26,15 @@
     pub unfinished_bytes: u64,
 }
 
+/// A request in progress at a replica when it crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct RequestAtCrash {
+    /// Digest of the request.
+    pub content: String,
+    /// Ids of the prompt's parts that other requests may share.
+    pub parts: Vec<String>,
+}
+
 /// One decision. The snake_case name of the variant is the `event` of its line, the fields are its keys. Times and ages
 /// are in milliseconds.
 #[derive(Debug, Clone, Serialize)]
@@ -307,6 +316,8 @@
         known_by: &'a str,
         /// Contents that this daemon had in progress there.
         contents: usize,
+        /// The first of these contents, with the shared parts of their prompts.
+        in_progress: &'a [RequestAtCrash],
         /// Time since the first connection broke.
         after_ms: u64,
     },
@@ -317,6 +328,8 @@
         /// `held` (quarantined), `released` (by an operator) or `cleared` (it completed, or another content is the
         /// cause).
         outcome: &'a str,
+        /// Source of the news: `crash` or `response` (observed by this daemon), `peer`, `store`, `operator`, or `expiry`.
+        source: &'a str,
         /// Replicas that crashed under it.
         ends: usize,
         /// Time since the first of these crashes.
@@ -398,6 +411,8 @@
         request: &'a str,
         /// Digest of its path, caller and body; the same for each repetition.
         content: &'a str,
+        /// Ids of the prompt's parts that other requests may share.
+        parts: &'a [String],
         /// Path and query of the request.
         route: &'a str,
         /// Replica id.
--- a/crates/edge/src/quarantine/broken_connections.rs
+++ b/crates/edge/src/quarantine/broken_connections.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use harrierward_quarantine::{ContentId, ReplicaInstance};
+use harrierward_quarantine::{ContentId, Fingerprint, PartId, ReplicaInstance};
 use harrierward_serving::{Replica, ReplicaView};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
@@ -37,11 +37,20 @@
     Crashed,
 }
 
+/// Request whose connection broke.
+#[derive(Debug, Clone)]
+pub struct BrokenRequest {
+    /// Shared parts of its prompt.
+    pub parts: Arc<[PartId]>,
+    /// Time when the connection broke.
+    pub at: Instant,
+}
+
 struct BrokenReplica {
     replica: Arc<Replica>,
     since: Instant,
-    /// Contents that were in progress, with the time their connection broke; emptied once the crash is confirmed.
-    contents: BTreeMap<ContentId, Instant>,
+    /// Requests that were in progress, by content; emptied once the crash is confirmed.
+    requests: BTreeMap<ContentId, BrokenRequest>,
     liveness: watch::Sender<Liveness>,
 }
 
@@ -63,13 +72,13 @@
         self.count.load(Ordering::Relaxed) == 0
     }
 
-    /// Records a connection that broke with the content in progress; returns true if it is the first one to that
+    /// Records a connection that broke with the request in progress; returns true if it is the first one to that
     /// replica.
     pub fn note(
         &self,
         instance: ReplicaInstance,
         replica: &Arc<Replica>,
-        content: ContentId,
+        request: &Fingerprint,
     ) -> bool {
         let now = harrierward_clock::now();
         let mut replicas = self.lock();
@@ -83,10 +92,16 @@
         let broken = replicas.entry(instance).or_insert_with(|| BrokenReplica {
             replica: replica.clone(),
             since: now,
-            contents: BTreeMap::new(),
+            requests: BTreeMap::new(),
             liveness: watch::Sender::new(Liveness::Unknown),
         });
-        broken.contents.entry(content).or_insert(now);
+        broken
+            .requests
+            .entry(request.content)
+            .or_insert_with(|| BrokenRequest {
+                parts: request.parts.clone(),
+                at: now,
+            });
         self.count.store(replicas.len(), Ordering::Relaxed);
         is_first
     }
@@ -99,17 +114,17 @@
             .is_some_and(|broken| *broken.liveness.borrow() == Liveness::Crashed)
     }
 
-    /// Marks the replica as crashed. Returns when its first connection broke and the contents that were in progress;
-    /// `None` if there are none or they were returned before.
+    /// Marks the replica as crashed. Returns when its first connection broke and the requests that were in
+    /// progress; `None` if there are none or they were returned before.
     pub fn confirm(
         &self,
         instance: ReplicaInstance,
-    ) -> Option<(Instant, BTreeMap<ContentId, Instant>)> {
+    ) -> Option<(Instant, BTreeMap<ContentId, BrokenRequest>)> {
         let mut replicas = self.lock();
         let broken = replicas.get_mut(&instance)?;
         broken.liveness.send_replace(Liveness::Crashed);
-        let contents = std::mem::take(&mut broken.contents);
-        (!contents.is_empty()).then_some((broken.since, contents))
+        let requests = std::mem::take(&mut broken.requests);
+        (!requests.is_empty()).then_some((broken.since, requests))
     }
 
     fn note_listening(&self, instance: ReplicaInstance) {
@@ -127,7 +142,7 @@
     /// Removes a content that got a complete response elsewhere, and so didn't cause a crash.
     pub fn remove_content(&self, content: ContentId) {
         for broken in self.lock().values_mut() {
-            broken.contents.remove(&content);
+            broken.requests.remove(&content);
         }
     }
 
@@ -146,7 +161,7 @@
         self.count.store(replicas.len(), Ordering::Relaxed);
         let is_removed = |instance: &ReplicaInstance, broken: &BrokenReplica| {
             let is_drained = broken.replica.is_draining();
-            !broken.contents.is_empty() && !is_drained && view.by_hash(instance.0).is_none()
+            !broken.requests.is_empty() && !is_drained && view.by_hash(instance.0).is_none()
         };
         let removed = replicas
             .iter()
@@ -156,11 +171,11 @@
             .collect()
     }
 
-    /// Returns the replica if contents were in progress on broken connections to it and its crash isn't confirmed yet.
+    /// Returns the replica if requests were in progress on broken connections to it and its crash isn't confirmed yet.
     pub fn pending(&self, instance: ReplicaInstance) -> Option<Arc<Replica>> {
         let replicas = self.lock();
         let broken = replicas.get(&instance)?;
-        (!broken.contents.is_empty()).then(|| broken.replica.clone())
+        (!broken.requests.is_empty()).then(|| broken.replica.clone())
     }
 
     /// Waits up to [`MAX_WAIT`] for the liveness of a replica; returns true if it has crashed.
--- a/crates/edge/src/quarantine/gossip.rs
+++ b/crates/edge/src/quarantine/gossip.rs
@@ -90,13 +90,13 @@
         }
     }
 
-    pub(super) fn merge_reports(&self, reports: &CrashNews) {
+    pub(super) fn merge_reports(&self, reports: &CrashNews, source: &'static str) {
         let contents: Vec<ReportedContent> =
             reports.contents.iter().map(reported_content).collect();
         let now = harrierward_clock::now();
         let is_new = self.ledger().merge(&contents, now);
         if is_new {
-            self.update_statuses();
+            self.update_statuses(source);
         }
         let crashes = contents.iter().flat_map(|content| &content.crashes);
         for instance in crashes.map(|crash| crash.replica) {
--- a/crates/edge/src/quarantine/mod.rs
+++ b/crates/edge/src/quarantine/mod.rs
@@ -16,9 +16,9 @@
 
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
-use harrierward_decisions::{DecisionLog, Record};
+use harrierward_decisions::{DecisionLog, Record, RequestAtCrash};
 use harrierward_quarantine::{
-    ContentId, ContentStatus, ContentStatuses, CrashLedger, ReplicaInstance,
+    ContentId, ContentStatus, ContentStatuses, CrashLedger, Fingerprint, ReplicaInstance,
 };
 use harrierward_serving::{Quarantine, Replica, ReplicaSet};
 use harrierward_wire::node_datagram;
@@ -28,11 +28,14 @@
 use crate::pool::ConnectionPool;
 use crate::slots::CoordinatorCandidate;
 
-use broken_connections::BrokenConnections;
+use broken_connections::{BrokenConnections, BrokenRequest};
 use store_row::OwnRow;
 
 pub use operator_api::QuarantinedContents;
 
+/// Maximum number of requests that a log line on a crash names.
+const MAX_LOGGED_REQUESTS: usize = 24;
+
 /// Ticks between two removals of expired crash reports.
 const EXPIRE_TICKS: u64 = 10;
 
@@ -114,7 +117,7 @@
             self.confirm_crash(instance, &replica, "gone");
         }
         if tick.is_multiple_of(EXPIRE_TICKS) && self.ledger().expire(now) {
-            self.update_statuses();
+            self.update_statuses("expiry");
         }
         self.gossip(tick, now);
     }
@@ -123,7 +126,7 @@
     pub fn receive(&self, kind: node_datagram::Kind) -> Option<node_datagram::Kind> {
         match kind {
             node_datagram::Kind::CrashNews(reports) => {
-                self.merge_reports(&reports);
+                self.merge_reports(&reports, "peer");
                 None
             }
             other => Some(other),
@@ -145,31 +148,34 @@
         known_by: &'static str,
     ) {
         replica.set_crashed();
-        let Some((since, contents)) = self.inner.broken_connections.confirm(instance) else {
+        let Some((since, requests)) = self.inner.broken_connections.confirm(instance) else {
             return;
         };
+        let in_progress = requests.iter().take(MAX_LOGGED_REQUESTS);
+        let in_progress: Vec<RequestAtCrash> = in_progress.map(request_at_crash).collect();
         self.inner.log.record(&Record::ReplicaEnded {
             replica: &replica.record.id,
             known_by,
-            contents: contents.len(),
+            contents: requests.len(),
+            in_progress: &in_progress,
             after_ms: millis(harrierward_clock::age(since)),
         });
         let mut is_new = false;
         {
             let now = harrierward_clock::now();
             let mut ledger = self.ledger();
-            for (content, at) in contents {
-                is_new |= ledger.note_crash(content, instance, at, now);
+            for (content, request) in requests {
+                is_new |= ledger.note_crash(content, instance, request.at, now);
             }
         }
         if is_new {
-            self.update_statuses();
+            self.update_statuses("crash");
             self.publish();
         }
     }
 
-    /// Recomputes the statuses, and logs contents that are newly quarantined or no longer are.
-    fn update_statuses(&self) {
+    /// Recomputes the statuses after news from `source`, and logs contents that are newly quarantined or no longer are.
+    fn update_statuses(&self, source: &'static str) {
         let now = harrierward_clock::now();
         // Locked until the statuses are stored, so that older ones can't replace newer ones.
         let ledger = self.ledger();
@@ -179,12 +185,12 @@
         let quarantined = statuses.quarantined().count();
         for (content, quarantine) in statuses.quarantined() {
             if !before.is_cause(content) {
-                self.log_change(content, "held", quarantine, quarantined, now);
+                self.log_change(content, "held", source, quarantine, quarantined, now);
             }
         }
         for (content, quarantine) in before.quarantined() {
             if !statuses.is_cause(content) {
-                self.log_change(content, "cleared", quarantine, quarantined, now);
+                self.log_change(content, "cleared", source, quarantine, quarantined, now);
             }
         }
     }
@@ -193,6 +199,7 @@
         &self,
         content: ContentId,
         outcome: &str,
+        source: &str,
         quarantine: harrierward_quarantine::QuarantinePeriod,
         quarantined: usize,
         now: Instant,
@@ -200,6 +207,7 @@
         self.inner.log.record(&Record::ContentHeld {
             content: &content.to_string(),
             outcome,
+            source,
             ends: quarantine.crashes,
             since_ms: millis(now.saturating_duration_since(quarantine.since)),
             hold_ms: millis(quarantine.until.saturating_duration_since(now)),
@@ -221,12 +229,12 @@
             .of(content, harrierward_clock::now())
     }
 
-    fn note_disconnect(&self, content: ContentId, replica: &Arc<Replica>) {
+    fn note_disconnect(&self, request: &Fingerprint, replica: &Arc<Replica>) {
         let instance = ReplicaInstance(replica.hash);
         if self
             .inner
             .broken_connections
-            .note(instance, replica, content)
+            .note(instance, replica, request)
         {
             tokio::spawn(self.clone().probe(instance, replica.clone()));
         } else if self.inner.broken_connections.is_confirmed(instance) {
@@ -234,16 +242,17 @@
         }
     }
 
-    fn note_complete(&self, content: ContentId) {
+    fn note_complete(&self, request: &Fingerprint) {
         if self.inner.broken_connections.is_empty() && self.inner.statuses.load().is_empty() {
             return;
         }
+        let content = request.content;
         self.inner.broken_connections.remove_content(content);
         let is_new = self
             .ledger()
             .clear(content, rand::random(), harrierward_clock::now());
         if is_new {
-            self.update_statuses();
+            self.update_statuses("response");
             self.publish();
         }
     }
@@ -258,6 +267,13 @@
     }
 }
 
+fn request_at_crash((content, request): (&ContentId, &BrokenRequest)) -> RequestAtCrash {
+    RequestAtCrash {
+        content: content.to_string(),
+        parts: request.parts.iter().map(ToString::to_string).collect(),
+    }
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/edge/src/quarantine/operator_api.rs
+++ b/crates/edge/src/quarantine/operator_api.rs
@@ -66,11 +66,12 @@
         {
             return false;
         }
-        self.update_statuses();
+        self.update_statuses("operator");
         self.publish();
         self.inner.log.record(&Record::ContentHeld {
             content: &content.to_string(),
             outcome: "released",
+            source: "operator",
             ends: quarantine.map_or(0, |(_, quarantine)| quarantine.crashes),
             since_ms: quarantine.map_or(0, |(_, quarantine)| {
                 millis(harrierward_clock::age(quarantine.since))
--- a/crates/edge/src/quarantine/store_row.rs
+++ b/crates/edge/src/quarantine/store_row.rs
@@ -157,7 +157,7 @@
         // Without the store's clock the row's age is unknown.
         if store_now_ms > 0 {
             let age_ms = store_now_ms.saturating_sub(stored.written_ms);
-            self.merge_reports(&aged(reports, age_ms));
+            self.merge_reports(&aged(reports, age_ms), "store");
         }
     }
 
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -5,9 +5,11 @@
 //! reports.
 
 mod content;
+mod fingerprint;
 mod ledger;
 mod status;
 
 pub use content::ContentId;
+pub use fingerprint::{Fingerprint, PartId};
 pub use ledger::{CrashLedger, ReplicaInstance, ReportedClearing, ReportedContent, ReportedCrash};
 pub use status::{ContentStatus, ContentStatuses, QuarantinePeriod};
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use harrierward_decisions::Record;
 use harrierward_execution::Execution;
+use harrierward_quarantine::PartId;
 use tokio::time::{Instant, timeout};
 
 use crate::choice::{CrossRegionReason, MIN_FREE_PERMILLE, Placement};
@@ -235,7 +236,8 @@
             self.log_failure(request, &replica, &failure, Duration::ZERO);
             return Err(failure);
         }
-        let content = request.content();
+        let fingerprint = request.fingerprint();
+        let content = fingerprint.content;
         let is_quarantined = match in_progress.class() {
             WorkClass::Online => self.is_quarantined(content),
             WorkClass::Batch => self.is_item_quarantined(request),
@@ -247,7 +249,8 @@
             self.log_failure(request, &replica, &failure, Duration::ZERO);
             return Err(failure);
         }
-        in_progress.track_content(content, self.quarantine().clone());
+        let parts: Vec<String> = fingerprint.parts.iter().map(PartId::to_string).collect();
+        in_progress.track(fingerprint, self.quarantine().clone());
         let copy_from = choice.copy_from.as_ref();
         let copy_from =
             copy_from.filter(|source| may_copy_from(source, &replica, &request.regions));
@@ -255,6 +258,7 @@
         self.log().record(&Record::Sent {
             request: &request.id,
             content: &content.to_string(),
+            parts: &parts,
             route: &request.target,
             replica: &replica.record.id,
             version: &replica.record.version,
--- a/crates/serving/src/content.rs
+++ b/crates/serving/src/content.rs
@@ -1,11 +1,20 @@
-//! Content digest of a request, equal for all repetitions of the same request.
+//! Content digest of a request, equal for all repetitions of the same request, and its fingerprint.
 
-use harrierward_quarantine::ContentId;
+use harrierward_quarantine::{ContentId, Fingerprint, PartId};
 use harrierward_tenants::ApiKey;
 
 use crate::exchange::ServingRequest;
 
 impl ServingRequest {
+    /// Returns all of the request that may crash replicas.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let shared = self.prompt.shared().iter();
+        Fingerprint {
+            content: self.content(),
+            parts: shared.map(|part| PartId(part.id)).collect(),
+        }
+    }
+
     /// Returns the digest of method, host, path, caller and body. The caller is identified by its key, or by the
     /// tenant for items of batch jobs. The query counts only for requests without a body.
     pub fn content(&self) -> ContentId {
--- a/crates/serving/src/in_progress.rs
+++ b/crates/serving/src/in_progress.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use harrierward_quarantine::ContentId;
+use harrierward_quarantine::Fingerprint;
 
 use crate::leases::SlotLease;
 use crate::outcome::{AttemptOutcome, Evidence};
@@ -14,12 +14,12 @@
     replica: Arc<Replica>,
     class: WorkClass,
     lease: Option<SlotLease>,
-    content: Option<WatchedContent>,
+    tracked: Option<TrackedRequest>,
 }
 
-/// Content in progress, and the quarantine that is notified of its result.
-struct WatchedContent {
-    content: ContentId,
+/// Request in progress, and the quarantine that is notified of its result.
+struct TrackedRequest {
+    fingerprint: Fingerprint,
     quarantine: Arc<dyn Quarantine>,
 }
 
@@ -39,14 +39,14 @@
             replica,
             class,
             lease,
-            content: None,
+            tracked: None,
         }
     }
 
-    /// Records that the content is sent, so that its result is reported to the quarantine.
-    pub(crate) fn track_content(&mut self, content: ContentId, quarantine: Arc<dyn Quarantine>) {
-        self.content = Some(WatchedContent {
-            content,
+    /// Records that the request is sent, so that its result is reported to the quarantine.
+    pub(crate) fn track(&mut self, fingerprint: Fingerprint, quarantine: Arc<dyn Quarantine>) {
+        self.tracked = Some(TrackedRequest {
+            fingerprint,
             quarantine,
         });
     }
@@ -54,17 +54,17 @@
     /// Records that the connection broke after the request may have started.
     pub fn note_disconnect(&self) {
         self.conclude(AttemptOutcome::Disconnected);
-        if let Some(watched) = &self.content {
-            watched
+        if let Some(tracked) = &self.tracked {
+            tracked
                 .quarantine
-                .note_disconnect(watched.content, &self.replica);
+                .note_disconnect(&tracked.fingerprint, &self.replica);
         }
     }
 
-    /// Records a complete response, whatever its status: the replica has survived the content.
+    /// Records a complete response, whatever its status: the replica has survived the request.
     pub fn note_complete(&self) {
-        if let Some(watched) = &self.content {
-            watched.quarantine.note_complete(watched.content);
+        if let Some(tracked) = &self.tracked {
+            tracked.quarantine.note_complete(&tracked.fingerprint);
         }
     }
 
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -1,9 +1,9 @@
-//! Quarantine of request contents that crash replicas, as the request path uses it.
+//! Quarantine of requests that crash replicas, as the request path uses it.
 
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use harrierward_quarantine::{ContentId, ContentStatus};
+use harrierward_quarantine::{ContentId, ContentStatus, Fingerprint};
 
 use crate::replica::Replica;
 
@@ -16,11 +16,11 @@
     /// Returns the status of a content. Takes no lock.
     fn status(&self, content: ContentId) -> ContentStatus;
 
-    /// Records that the connection broke while the content was in progress at the replica. Does not block.
-    fn note_disconnect(&self, content: ContentId, replica: &Arc<Replica>);
+    /// Records that the connection broke while the request was in progress at the replica. Does not block.
+    fn note_disconnect(&self, request: &Fingerprint, replica: &Arc<Replica>);
 
-    /// Records a complete response to the content. Takes no lock unless some content is suspect.
-    fn note_complete(&self, content: ContentId);
+    /// Records a complete response to the request. Takes no lock unless some content is suspect.
+    fn note_complete(&self, request: &Fingerprint);
 
     /// True if the replica has crashed. Waits briefly for a report if its connection has just broken.
     async fn has_crashed(&self, replica: &Arc<Replica>) -> bool;
@@ -39,9 +39,9 @@
         ContentStatus::Clear
     }
 
-    fn note_disconnect(&self, _content: ContentId, _replica: &Arc<Replica>) {}
+    fn note_disconnect(&self, _request: &Fingerprint, _replica: &Arc<Replica>) {}
 
-    fn note_complete(&self, _content: ContentId) {}
+    fn note_complete(&self, _request: &Fingerprint) {}
 
     async fn has_crashed(&self, _replica: &Arc<Replica>) -> bool {
         false
