A quarantined item is tried again after each crash, within 20 s

Callers saw a batch item that was never placed again: several replicas crashed under it by coincidence, then all was calm and the replicas had room.

Cause: an item was allowed a trial after exactly three crashes. The fourth, met in the trial itself, held it for 20 minutes and longer, and max-wait-s then listed it as failed although no replica had tried it since.

An item is owed and never waits for a caller, so that it is tried after each crash: 5, 10, then 20 s after it. It leaves the quarantine by itself, by a complete response. An item is given up at max-wait-s only after a trial has failed.

--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -80,8 +80,10 @@
             if !self.is_due(urgency) {
                 return;
             }
-            if self.inner.forwarder.is_item_quarantined(&item.request) {
-                self.fail_expired_quarantined(&routes, &item);
+            if let Some(quarantine) = self.inner.forwarder.item_quarantine(&item.request) {
+                if quarantine.has_failed_trial() {
+                    self.fail_expired_quarantined(&routes, &item);
+                }
                 continue;
             }
             let item_slack = ItemSlack { slack };
--- a/crates/quarantine/src/status.rs
+++ b/crates/quarantine/src/status.rs
@@ -18,10 +18,14 @@
 /// Maximum number of doublings of the quarantine, one for each further crash.
 const MAX_DOUBLINGS: usize = 5;
 
-/// Time after the last crash from which an item may run once more: this clears a harmless one, at the cost of at most
-/// one more replica.
+/// Time after the last crash from which an item may run once more, doubled after each trial that ends in a crash: this
+/// clears a harmless one, at the cost of at most one more replica.
 const TRIAL_DELAY: Duration = Duration::from_secs(5);
 
+/// Maximum time after the last crash until an item may run once more. A harmless item under which replicas crashed is
+/// completed within this time after the last crash.
+const MAX_TRIAL_DELAY: Duration = Duration::from_secs(20);
+
 /// A content's quarantine and the evidence for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuarantinePeriod {
@@ -38,7 +42,14 @@
 impl QuarantinePeriod {
     /// True if an item of this content may run once as a trial.
     pub fn allows_trial(&self, now: Instant) -> bool {
-        self.crashes == CRASHES_TO_QUARANTINE && now >= self.last_crash + TRIAL_DELAY
+        let failed_trials = self.crashes.saturating_sub(CRASHES_TO_QUARANTINE);
+        let delay = TRIAL_DELAY * (1 << failed_trials.min(MAX_DOUBLINGS));
+        now >= self.last_crash + delay.min(MAX_TRIAL_DELAY)
+    }
+
+    /// True if a replica crashed under a trial too.
+    pub fn has_failed_trial(&self) -> bool {
+        self.crashes > CRASHES_TO_QUARANTINE
     }
 }
 
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -240,7 +240,7 @@
         let content = fingerprint.content;
         let is_quarantined = match in_progress.class() {
             WorkClass::Online => self.is_quarantined(content),
-            WorkClass::Batch => self.is_item_quarantined(request),
+            WorkClass::Batch => self.item_quarantine(request).is_some(),
         };
         if is_quarantined {
             // The content may have been quarantined while the request waited for its slot.
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -144,14 +144,14 @@
         self.quarantine_of(content).is_some()
     }
 
-    /// True if the item's content is quarantined. A content that may have been present at the crashes by coincidence
-    /// is allowed one trial, since its caller doesn't wait.
-    pub fn is_item_quarantined(&self, request: &ServingRequest) -> bool {
+    /// Returns the quarantine of an item that must wait; `None` if it may run. One that may have been present at the
+    /// crashes by coincidence is allowed a trial from time to time, since it is owed and its caller doesn't wait.
+    pub fn item_quarantine(&self, request: &ServingRequest) -> Option<QuarantinePeriod> {
         if !self.parts.quarantine.has_quarantined() {
-            return false;
+            return None;
         }
-        let period = self.quarantine_of(request.content());
-        period.is_some_and(|period| !period.allows_trial(harrierward_clock::now()))
+        let period = self.quarantine_of(request.content())?;
+        (!period.allows_trial(harrierward_clock::now())).then_some(period)
     }
 
     /// Returns the mechanisms in use.
