--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -398,7 +398,7 @@
             Record::ReplicaEnded { known_by, .. } => {
                 self.replica_crashes.with_label_values(&[*known_by]).inc();
             }
-            Record::ContentHeld { held, .. } => {
+            Record::ContentHeld { held, .. } | Record::PartHeld { held, .. } => {
                 self.contents_quarantined
                     .set(i64::try_from(*held).unwrap_or(i64::MAX));
             }
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -336,7 +336,30 @@
         since_ms: u64,
         /// Remaining time of the quarantine.
         hold_ms: u64,
-        /// Contents in quarantine now.
+        /// Contents and parts in quarantine now.
+        held: usize,
+    },
+    /// A shared part of prompts was quarantined because replicas crashed under requests with it, or was released.
+    PartHeld {
+        /// Id of the part.
+        part: &'a str,
+        /// As in [`Self::ContentHeld`].
+        outcome: &'a str,
+        /// As in [`Self::ContentHeld`].
+        source: &'a str,
+        /// Replicas that crashed under requests with it.
+        ends: usize,
+        /// Number of these crashes that this daemon observed.
+        own_ends: usize,
+        /// Only requests that have these parts too are held: each crash had all of them.
+        companions: &'a [String],
+        /// Time since the first of these crashes.
+        since_ms: u64,
+        /// Time since the last of these crashes.
+        last_end_ms: u64,
+        /// Remaining time of the quarantine.
+        hold_ms: u64,
+        /// Contents and parts in quarantine now.
         held: usize,
     },
     /// The machine was suspended; ages of proofs, grants and deadlines include that time.
--- a/crates/edge/src/quarantine/broken_connections.rs
+++ b/crates/edge/src/quarantine/broken_connections.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use harrierward_quarantine::{ContentId, Fingerprint, PartId, ReplicaInstance};
-use harrierward_serving::{Replica, ReplicaView};
+use harrierward_quarantine::{ContentId, Fingerprint, ReplicaInstance};
+use harrierward_serving::{Replica, ReplicaView, WorkClass};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -40,8 +40,10 @@
 /// Request whose connection broke.
 #[derive(Debug, Clone)]
 pub struct BrokenRequest {
-    /// Shared parts of its prompt.
-    pub parts: Arc<[PartId]>,
+    /// What of it may be the cause.
+    pub fingerprint: Fingerprint,
+    /// Its class.
+    pub class: WorkClass,
     /// Time when the connection broke.
     pub at: Instant,
 }
@@ -79,6 +81,7 @@
         instance: ReplicaInstance,
         replica: &Arc<Replica>,
         request: &Fingerprint,
+        class: WorkClass,
     ) -> bool {
         let now = harrierward_clock::now();
         let mut replicas = self.lock();
@@ -99,7 +102,8 @@
             .requests
             .entry(request.content)
             .or_insert_with(|| BrokenRequest {
-                parts: request.parts.clone(),
+                fingerprint: request.clone(),
+                class,
                 at: now,
             });
         self.count.store(replicas.len(), Ordering::Relaxed);
--- a/crates/edge/src/quarantine/mod.rs
+++ b/crates/edge/src/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Quarantine of request contents under which replicas crash.
+//! Quarantine of contents and prompt parts under which replicas crash.
 //!
 //! Crash reports spread by gossip: clients retry at other daemons within half a second, before a slow or unavailable
 //! store could propagate them. The store ([`store_row`]) carries them to daemons that gossip doesn't reach. Reports
@@ -18,12 +18,12 @@
 use async_trait::async_trait;
 use harrierward_decisions::{DecisionLog, Record, RequestAtCrash};
 use harrierward_quarantine::{
-    ContentId, ContentStatus, ContentStatuses, CrashLedger, Fingerprint, ReplicaInstance,
+    ContentId, CrashLedger, Fingerprint, PartId, PartProofs, Quarantined, ReplicaInstance, Status,
+    Statuses, Subject,
 };
-use harrierward_serving::{Quarantine, Replica, ReplicaSet};
+use harrierward_serving::{Quarantine, Replica, ReplicaSet, WorkClass};
 use harrierward_wire::node_datagram;
 use tokio::net::UdpSocket;
-use tokio::time::Instant;
 
 use crate::pool::ConnectionPool;
 use crate::slots::CoordinatorCandidate;
@@ -36,6 +36,10 @@
 /// Maximum number of requests that a log line on a crash names.
 const MAX_LOGGED_REQUESTS: usize = 24;
 
+/// Maximum delay of a daemon's trials of a quarantined part: the first daemon's result is known to all others well
+/// before most of theirs.
+const MAX_PART_DELAY: Duration = Duration::from_secs(20);
+
 /// Ticks between two removals of expired crash reports.
 const EXPIRE_TICKS: u64 = 10;
 
@@ -51,8 +55,11 @@
     pool: ConnectionPool,
     log: DecisionLog,
     ledger: Mutex<CrashLedger>,
-    /// Status by content, derived from the ledger; read on the request path without a lock.
-    statuses: ArcSwap<ContentStatuses>,
+    /// Derived from the ledger; read on the request path without a lock.
+    statuses: ArcSwap<Statuses>,
+    part_proofs: PartProofs,
+    /// Delay of this daemon's trials of quarantined parts.
+    part_delay: Duration,
     broken_connections: BrokenConnections,
     own_row: OwnRow,
     members: ArcSwap<Vec<SocketAddr>>,
@@ -75,6 +82,8 @@
             log,
             ledger: Mutex::default(),
             statuses: ArcSwap::default(),
+            part_proofs: PartProofs::new(harrierward_clock::now()),
+            part_delay: MAX_PART_DELAY.mul_f64(rand::random()),
             broken_connections: BrokenConnections::default(),
             own_row: OwnRow::default(),
             members: ArcSwap::default(),
@@ -164,9 +173,14 @@
         {
             let now = harrierward_clock::now();
             let mut ledger = self.ledger();
-            for (content, request) in requests {
-                is_new |= ledger.note_crash(content, instance, request.at, now);
+            for request in requests.values() {
+                is_new |=
+                    ledger.note_request_crash(&evidence_of(request), instance, request.at, now);
             }
+            let parts = requests
+                .values()
+                .flat_map(|one| one.fingerprint.parts.iter());
+            is_new |= self.prove_parts(&mut ledger, parts.copied());
         }
         if is_new {
             self.update_statuses("crash");
@@ -174,45 +188,72 @@
         }
     }
 
-    /// Recomputes the statuses after news from `source`, and logs contents that are newly quarantined or no longer are.
+    /// Adds to the ledger when this daemon last received a complete response with these parts; true if that is news.
+    fn prove_parts(
+        &self,
+        ledger: &mut CrashLedger,
+        parts: impl IntoIterator<Item = PartId>,
+    ) -> bool {
+        let mut is_new = false;
+        for part in parts {
+            if let Some(at) = self.inner.part_proofs.latest(part) {
+                is_new |= ledger.prove(part, rand::random(), at);
+            }
+        }
+        is_new
+    }
+
+    /// Recomputes the statuses after news from `source`, and logs subjects that are newly quarantined or no longer are.
     fn update_statuses(&self, source: &'static str) {
-        let now = harrierward_clock::now();
         // Locked until the statuses are stored, so that older ones can't replace newer ones.
         let ledger = self.ledger();
         let statuses = Arc::new(ledger.statuses());
         let before = self.inner.statuses.swap(statuses.clone());
         drop(ledger);
-        let quarantined = statuses.quarantined().count();
-        for (content, quarantine) in statuses.quarantined() {
-            if !before.is_cause(content) {
-                self.log_change(content, "held", source, quarantine, quarantined, now);
+        let held = statuses.quarantined().count();
+        for quarantined in statuses.quarantined() {
+            if !before.is_cause(quarantined.subject) {
+                self.log_change(&quarantined, "held", source, held);
             }
         }
-        for (content, quarantine) in before.quarantined() {
-            if !statuses.is_cause(content) {
-                self.log_change(content, "cleared", source, quarantine, quarantined, now);
+        for quarantined in before.quarantined() {
+            if !statuses.is_cause(quarantined.subject) {
+                self.log_change(&quarantined, "cleared", source, held);
             }
         }
     }
 
-    fn log_change(
-        &self,
-        content: ContentId,
-        outcome: &str,
-        source: &str,
-        quarantine: harrierward_quarantine::QuarantinePeriod,
-        quarantined: usize,
-        now: Instant,
-    ) {
-        self.inner.log.record(&Record::ContentHeld {
-            content: &content.to_string(),
-            outcome,
-            source,
-            ends: quarantine.crashes,
-            since_ms: millis(now.saturating_duration_since(quarantine.since)),
-            hold_ms: millis(quarantine.until.saturating_duration_since(now)),
-            held: quarantined,
-        });
+    fn log_change(&self, quarantined: &Quarantined, outcome: &str, source: &str, held: usize) {
+        let now = harrierward_clock::now();
+        let period = &quarantined.period;
+        let since_ms = millis(now.saturating_duration_since(period.since));
+        let hold_ms = millis(period.until.saturating_duration_since(now));
+        match quarantined.subject {
+            Subject::Content(content) => self.inner.log.record(&Record::ContentHeld {
+                content: &content.to_string(),
+                outcome,
+                source,
+                ends: period.crashes,
+                since_ms,
+                hold_ms,
+                held,
+            }),
+            Subject::Part(part) => {
+                let companions = quarantined.companions.iter().map(PartId::to_string);
+                self.inner.log.record(&Record::PartHeld {
+                    part: &part.to_string(),
+                    outcome,
+                    source,
+                    ends: period.crashes,
+                    own_ends: period.own_crashes,
+                    companions: &companions.collect::<Vec<_>>(),
+                    since_ms,
+                    last_end_ms: millis(now.saturating_duration_since(period.last_crash)),
+                    hold_ms,
+                    held,
+                });
+            }
+        }
     }
 }
 
@@ -222,19 +263,17 @@
         !self.inner.statuses.load().is_empty()
     }
 
-    fn status(&self, content: ContentId) -> ContentStatus {
-        self.inner
-            .statuses
-            .load()
-            .of(content, harrierward_clock::now())
+    fn status(&self, request: &Fingerprint) -> Status {
+        let statuses = self.inner.statuses.load();
+        statuses.of(request, harrierward_clock::now(), self.inner.part_delay)
     }
 
-    fn note_disconnect(&self, request: &Fingerprint, replica: &Arc<Replica>) {
+    fn note_disconnect(&self, request: &Fingerprint, class: WorkClass, replica: &Arc<Replica>) {
         let instance = ReplicaInstance(replica.hash);
         if self
             .inner
             .broken_connections
-            .note(instance, replica, request)
+            .note(instance, replica, request, class)
         {
             tokio::spawn(self.clone().probe(instance, replica.clone()));
         } else if self.inner.broken_connections.is_confirmed(instance) {
@@ -243,14 +282,23 @@
     }
 
     fn note_complete(&self, request: &Fingerprint) {
+        let now = harrierward_clock::now();
+        for part in request.parts.iter() {
+            self.inner.part_proofs.note(*part, now);
+        }
         if self.inner.broken_connections.is_empty() && self.inner.statuses.load().is_empty() {
             return;
         }
         let content = request.content;
         self.inner.broken_connections.remove_content(content);
-        let is_new = self
-            .ledger()
-            .clear(content, rand::random(), harrierward_clock::now());
+        let mut is_new = false;
+        {
+            let mut ledger = self.ledger();
+            is_new |= ledger.clear(content, rand::random(), now);
+            for part in request.parts.iter() {
+                is_new |= ledger.clear(*part, rand::random(), now);
+            }
+        }
         if is_new {
             self.update_statuses("response");
             self.publish();
@@ -270,7 +318,21 @@
 fn request_at_crash((content, request): (&ContentId, &BrokenRequest)) -> RequestAtCrash {
     RequestAtCrash {
         content: content.to_string(),
-        parts: request.parts.iter().map(ToString::to_string).collect(),
+        parts: request
+            .fingerprint
+            .parts
+            .iter()
+            .map(PartId::to_string)
+            .collect(),
+    }
+}
+
+/// What of a broken request counts as evidence. Items run for so long, and so many share their parts, that replicas which
+/// crash for another reason would put the blame on these parts.
+fn evidence_of(request: &BrokenRequest) -> Fingerprint {
+    match request.class {
+        WorkClass::Online => request.fingerprint.clone(),
+        WorkClass::Batch => Fingerprint::from(request.fingerprint.content),
     }
 }
 
--- a/crates/edge/src/quarantine/operator_api.rs
+++ b/crates/edge/src/quarantine/operator_api.rs
@@ -1,11 +1,10 @@
-//! Operator API: lists quarantined contents and releases them.
+//! Operator API: lists quarantined contents and prompt parts, and releases them.
 
 use std::sync::Arc;
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use harrierward_decisions::Record;
-use harrierward_quarantine::ContentId;
+use harrierward_quarantine::{ContentId, PartId, Subject};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -19,13 +18,25 @@
 /// Path of the list; with a content's digest (hexadecimal) appended, of that content.
 pub const PATH: &str = "/internal/held";
 
-/// A quarantined content, as listed in JSON.
+/// Precedes the id of a part (hexadecimal) in the place of a content's digest.
+const PART_PREFIX: &str = "part-";
+
+/// A quarantined content or part, as listed in JSON.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct QuarantinedContent {
+pub struct ListedSubject {
     /// Digest of path, caller and body, as in the decision log.
-    content: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<String>,
+    /// Id of a part of prompts, in hexadecimal.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    part: Option<String>,
+    /// Only requests that have these parts too are held.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    companions: Vec<String>,
     /// Replicas that crashed under it.
     ends: usize,
+    /// Number of these crashes that this daemon observed.
+    own_ends: usize,
     /// Time since the first of these crashes, in milliseconds.
     since_ms: u64,
     /// Time since the last of these crashes, in milliseconds.
@@ -35,50 +46,50 @@
 }
 
 impl QuarantineService {
-    /// Returns the contents in quarantine now.
-    pub fn quarantined(&self) -> Vec<QuarantinedContent> {
+    /// Returns the contents and parts in quarantine now.
+    pub fn quarantined(&self) -> Vec<ListedSubject> {
         let now = harrierward_clock::now();
         let age = |at: Instant| millis(now.saturating_duration_since(at));
         let statuses = self.inner.statuses.load();
-        let quarantined = statuses
-            .quarantined()
-            .map(|(content, quarantine)| QuarantinedContent {
-                content: content.to_string(),
-                ends: quarantine.crashes,
-                since_ms: age(quarantine.since),
-                last_end_ms: age(quarantine.last_crash),
-                hold_ms: millis(quarantine.until.saturating_duration_since(now)),
-            });
-        quarantined.collect()
+        let listed = statuses.quarantined().map(|quarantined| {
+            let period = quarantined.period;
+            let (content, part) = match quarantined.subject {
+                Subject::Content(content) => (Some(content.to_string()), None),
+                Subject::Part(part) => (None, Some(part.to_string())),
+            };
+            ListedSubject {
+                content,
+                part,
+                companions: quarantined
+                    .companions
+                    .iter()
+                    .map(PartId::to_string)
+                    .collect(),
+                ends: period.crashes,
+                own_ends: period.own_crashes,
+                since_ms: age(period.since),
+                last_end_ms: age(period.last_crash),
+                hold_ms: millis(period.until.saturating_duration_since(now)),
+            }
+        });
+        listed.collect()
     }
 
-    /// Releases a content from quarantine at all daemons; returns false if there are no crash reports against it.
-    pub fn release(&self, content: ContentId) -> bool {
-        let quarantine = self
-            .inner
-            .statuses
-            .load()
-            .quarantined()
-            .find(|(id, _)| *id == content);
-        if !self
-            .ledger()
-            .clear(content, rand::random(), harrierward_clock::now())
-        {
+    /// Releases a content or part from quarantine at all daemons; returns false if there are no crash reports against it.
+    pub fn release(&self, subject: impl Into<Subject>) -> bool {
+        let subject = subject.into();
+        let statuses = self.inner.statuses.load_full();
+        let quarantined = statuses.quarantined().find(|one| one.subject == subject);
+        let now = harrierward_clock::now();
+        if !self.ledger().clear(subject, rand::random(), now) {
             return false;
         }
         self.update_statuses("operator");
         self.publish();
-        self.inner.log.record(&Record::ContentHeld {
-            content: &content.to_string(),
-            outcome: "released",
-            source: "operator",
-            ends: quarantine.map_or(0, |(_, quarantine)| quarantine.crashes),
-            since_ms: quarantine.map_or(0, |(_, quarantine)| {
-                millis(harrierward_clock::age(quarantine.since))
-            }),
-            hold_ms: 0,
-            held: self.inner.statuses.load().quarantined().count(),
-        });
+        if let Some(quarantined) = quarantined {
+            let held = self.inner.statuses.load().quarantined().count();
+            self.log_change(&quarantined, "released", "operator", held);
+        }
         true
     }
 }
@@ -97,8 +108,7 @@
     }
 
     fn respond(&self, method: &Method, name: &str) -> (StatusCode, Bytes) {
-        let content = u64::from_str_radix(name, 16).ok().map(ContentId);
-        match (method, content) {
+        match (method, parse_subject(name)) {
             (&Method::GET, None) if name.is_empty() => {
                 let list = serde_json::to_vec(&self.quarantine.quarantined());
                 list.map_or_else(
@@ -111,7 +121,7 @@
                     |list| (StatusCode::OK, Bytes::from(list)),
                 )
             }
-            (&Method::DELETE, Some(content)) if self.quarantine.release(content) => {
+            (&Method::DELETE, Some(subject)) if self.quarantine.release(subject) => {
                 (StatusCode::OK, Bytes::new())
             }
             _ => (StatusCode::NOT_FOUND, Bytes::new()),
@@ -119,6 +129,19 @@
     }
 }
 
+fn parse_subject(name: &str) -> Option<Subject> {
+    match name.strip_prefix(PART_PREFIX) {
+        Some(part) => u64::from_str_radix(part, 16)
+            .ok()
+            .map(PartId)
+            .map(Subject::Part),
+        None => u64::from_str_radix(name, 16)
+            .ok()
+            .map(ContentId)
+            .map(Subject::Content),
+    }
+}
+
 #[async_trait]
 impl<S: HttpService> HttpService for QuarantinedContents<S> {
     async fn call(&self, request: Request<Incoming>) -> Response<ResponseBody> {
--- a/crates/edge/src/quarantine/store_row.rs
+++ b/crates/edge/src/quarantine/store_row.rs
@@ -22,7 +22,7 @@
 /// Minimum time between two writes; changes in between are batched.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Most contents in a row; with sixteen crashes each it is 22 kB, half of the store's limit.
+/// Most contents and parts in a row; with sixteen crashes each it is 22 kB, half of the store's limit.
 const MAX_STORED: usize = 100;
 
 /// Name of the row in the decision log.
@@ -102,8 +102,8 @@
     fn reports_to_store(&self) -> Option<CrashNews> {
         let ledger = self.ledger();
         let statuses = self.inner.statuses.load();
-        let contents = ledger.to_store(&statuses, harrierward_clock::now(), MAX_STORED);
-        (!contents.is_empty()).then(|| to_message(&contents))
+        let reports = ledger.to_store(&statuses, harrierward_clock::now(), MAX_STORED);
+        (!reports.is_empty()).then(|| to_message(&reports))
     }
 
     async fn write(
@@ -187,13 +187,17 @@
 /// Adds `age_ms` to all ages in the reports; the ledger drops the expired ones.
 fn aged(mut reports: CrashNews, age_ms: u64) -> CrashNews {
     let more = u32::try_from(age_ms).unwrap_or(u32::MAX);
-    for content in &mut reports.contents {
-        for crash in &mut content.ends {
+    let of_contents = reports.contents.iter_mut();
+    let of_contents = of_contents.map(|content| (&mut content.ends, &mut content.cleared_ms));
+    let of_parts = reports.parts.iter_mut();
+    let of_parts = of_parts.map(|part| (&mut part.ends, &mut part.cleared_ms));
+    for (ends, cleared_ms) in of_contents.chain(of_parts) {
+        for crash in ends {
             crash.age_ms = crash.age_ms.saturating_add(more);
         }
-        // 0 means that the content wasn't cleared.
-        if content.cleared_ms > 0 {
-            content.cleared_ms = content.cleared_ms.saturating_add(more);
+        // 0 means that it wasn't cleared.
+        if *cleared_ms > 0 {
+            *cleared_ms = cleared_ms.saturating_add(more);
         }
     }
     reports
--- a/crates/edge/tests/stored_crash_reports.rs
+++ b/crates/edge/tests/stored_crash_reports.rs
@@ -12,7 +12,7 @@
     Write,
 };
 use harrierward_inline_jobs::crash_reports_key;
-use harrierward_quarantine::{ContentId, ContentStatus};
+use harrierward_quarantine::{ContentId, Status};
 use harrierward_serving::{Quarantine, ReplicaSet};
 use harrierward_wire::{
     CrashNews, CrashNewsRow, CrashedContent, ReplicaEnd, decode, encode, node_datagram::Kind,
@@ -131,6 +131,7 @@
             ends: crashes.collect(),
             ..CrashedContent::default()
         }],
+        ..CrashNews::default()
     }
 }
 
@@ -152,13 +153,13 @@
 }
 
 fn remaining(quarantine: &QuarantineService) -> Option<Duration> {
-    match quarantine.status(CONTENT) {
-        ContentStatus::Quarantined(quarantine) => Some(
+    match quarantine.status(&CONTENT.into()) {
+        Status::Quarantined(quarantine) => Some(
             quarantine
                 .until
                 .saturating_duration_since(harrierward_clock::now()),
         ),
-        ContentStatus::Clear | ContentStatus::Suspect { .. } => None,
+        Status::Clear | Status::Suspect { .. } => None,
     }
 }
 
@@ -186,7 +187,7 @@
     for age_ms in [CRASH_TTL_MS, NOW_MS] {
         let quarantine = quarantine();
         quarantine.apply_stored(&row(NOW_MS - age_ms), NOW_MS);
-        assert_eq!(quarantine.status(CONTENT), ContentStatus::Clear);
+        assert_eq!(quarantine.status(&CONTENT.into()), Status::Clear);
         assert!(!quarantine.has_quarantined(), "{age_ms} ms old");
     }
 }
@@ -241,7 +242,7 @@
         for one in order {
             later.apply_stored(one, read_at_ms);
         }
-        assert_eq!(later.status(CONTENT), ContentStatus::Clear);
+        assert_eq!(later.status(&CONTENT.into()), Status::Clear);
     }
 }
 
--- a/crates/edge/tests/suspended.rs
+++ b/crates/edge/tests/suspended.rs
@@ -11,7 +11,7 @@
 use harrierward_edge::{
     ConnectionPool, CoordinatorCandidate, PoolSettings, QuarantineService, SlotService,
 };
-use harrierward_quarantine::{ContentId, ContentStatus};
+use harrierward_quarantine::{ContentId, Status};
 use harrierward_serving::{
     ItemSlack, Location, Prompt, PromptLength, Quarantine, Replica, ReplicaRecord, ReplicaSet,
     SelectionCosts, SlotLeases, SlotQuery, SlotReply,
@@ -341,9 +341,10 @@
             ends: crashes.collect(),
             ..CrashedContent::default()
         }],
+        ..CrashNews::default()
     };
     assert!(quarantine.receive(Kind::CrashNews(reports)).is_none());
-    let ContentStatus::Quarantined(period) = quarantine.status(ContentId(5)) else {
+    let Status::Quarantined(period) = quarantine.status(&ContentId(5).into()) else {
         panic!("not quarantined");
     };
     harrierward_clock::simulate_suspension(Duration::from_secs(6));
@@ -355,6 +356,6 @@
     let passed = expected.saturating_sub(remaining);
     assert!(remaining <= expected && passed < TIMEOUT, "{remaining:?}");
     harrierward_clock::simulate_suspension(QUARANTINE_DURATION);
-    let status = quarantine.status(ContentId(5));
-    assert_eq!(status, ContentStatus::Suspect { crashes: 3 });
+    let status = quarantine.status(&ContentId(5).into());
+    assert_eq!(status, Status::Suspect { crashes: 3 });
 }
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -1,18 +1,19 @@
-//! Ledger of the contents that were in progress at replicas when these crashed, as observed here and reported by
-//! others.
+//! Ledger of the contents and prompt parts that were in progress at replicas when these crashed, as observed here and
+//! reported by others.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::content::ContentId;
-use crate::status::ContentStatuses;
+use crate::fingerprint::{Fingerprint, PartId};
+use crate::status::{Evidence, Statuses};
+use crate::subject::Subject;
 
-/// Maximum number of contents; the one with the fewest crashes is evicted first.
-const MAX_CONTENTS: usize = 2_048;
+/// Maximum number of subjects; the one with the fewest crashes is evicted first.
+const MAX_SUBJECTS: usize = 2_048;
 
-/// Maximum number of crashes per content; the newest are kept.
+/// Maximum number of crashes per subject; the newest are kept.
 const MAX_CRASHES: usize = 16;
 
 /// How long a crash counts and a clearing is remembered. Long enough to find a request that recurs every 15 minutes.
@@ -22,20 +23,29 @@
 /// clear it.
 const TIMESTAMP_TOLERANCE: Duration = Duration::from_secs(1);
 
-/// How long a content that isn't a cause is announced to others after its latest crash or clearing.
+/// How long a complete response proves that a part of its prompt didn't cause later crashes. A part that many requests
+/// share is proven again and again; one that crashes replicas never is.
+const PROOF_TTL: Duration = Duration::from_secs(60);
+
+/// How much later than the known one a proof must be to count, so that proofs aren't exchanged all the time.
+const MIN_PROOF_GAP: Duration = Duration::from_secs(1);
+
+/// How long a subject that isn't a cause is announced to others after its latest crash or clearing.
 const ANNOUNCE_DURATION: Duration = Duration::from_secs(30);
 
 /// Identifies one instance of a replica process; a restarted replica is another instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReplicaInstance(pub u32);
 
-/// A crash of a replica while a content was in progress there.
+/// A crash of a replica while a subject was in progress there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Crash {
     /// Instance that crashed.
     pub replica: ReplicaInstance,
     /// Time of the crash.
     pub at: Instant,
+    /// True if this daemon observed it.
+    pub is_own: bool,
 }
 
 /// A complete response, or a release by an operator: earlier crashes don't count.
@@ -50,6 +60,9 @@
 struct Entry {
     crashes: Vec<Crash>,
     cleared: Option<Clearing>,
+    /// Of a part: the other shared parts of all requests with it that were in progress at crashes; `None` before the
+    /// first.
+    companions: Option<BTreeSet<PartId>>,
     /// Time of the last change on this daemon.
     changed_at: Option<Instant>,
 }
@@ -72,6 +85,9 @@
         self.cleared = Some(clearing);
         self.crashes
             .retain(|crash| crash.at > clearing.at + TIMESTAMP_TOLERANCE);
+        if self.crashes.is_empty() {
+            self.companions = None;
+        }
         true
     }
 
@@ -92,6 +108,25 @@
         true
     }
 
+    /// Keeps the companions that this request or report has too; true if that changed them.
+    fn keep_companions(&mut self, others: &BTreeSet<PartId>) -> bool {
+        let Some(known) = &mut self.companions else {
+            self.companions = Some(others.clone());
+            return true;
+        };
+        let before = known.len();
+        known.retain(|part| others.contains(part));
+        known.len() < before
+    }
+
+    /// True if a complete response within [`PROOF_TTL`] before the latest crash proves a part harmless.
+    fn is_proven(&self) -> bool {
+        let last_crash = self.crashes.iter().map(|crash| crash.at).max();
+        last_crash
+            .zip(self.cleared)
+            .is_some_and(|(crash, cleared)| crash < cleared.at + PROOF_TTL)
+    }
+
     fn latest_event(&self) -> Option<Instant> {
         let last_crash = self.crashes.iter().map(|crash| crash.at).max();
         last_crash.max(self.cleared.map(|cleared| cleared.at))
@@ -116,18 +151,20 @@
     pub age: Duration,
 }
 
-/// What daemons report about one content.
+/// What daemons report about one subject.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ReportedContent {
-    /// Digest of the request.
-    pub content: ContentId,
-    /// Crashes while the content was in progress.
+pub struct Reported {
+    /// The content or part.
+    pub subject: Subject,
+    /// Crashes while the subject was in progress.
     pub crashes: Vec<ReportedCrash>,
     /// The latest complete response or release; `None` if there was none.
     pub cleared: Option<ReportedClearing>,
+    /// Of a part with crashes: the other shared parts of all requests with it that were in progress at crashes.
+    pub companions: BTreeSet<PartId>,
 }
 
-impl ReportedContent {
+impl Reported {
     /// True if anything reported hasn't expired.
     fn counts(&self) -> bool {
         let cleared = self.cleared.iter().map(|cleared| cleared.age);
@@ -136,24 +173,28 @@
     }
 }
 
-/// Known crashes and clearings by content. Reports may be merged in any order and repeatedly: the ledgers of all
+/// Known crashes and clearings by subject. Reports may be merged in any order and repeatedly: the ledgers of all
 /// daemons converge.
 #[derive(Debug, Clone, Default)]
 pub struct CrashLedger {
-    entries: BTreeMap<ContentId, Entry>,
+    entries: BTreeMap<Subject, Entry>,
 }
 
 impl CrashLedger {
-    /// Records that a replica crashed at `at` while the content was in progress there. True if that is new.
+    /// Records that a replica crashed at `at` while the subject was in progress there. True if that is new.
     pub fn note_crash(
         &mut self,
-        content: ContentId,
+        subject: impl Into<Subject>,
         replica: ReplicaInstance,
         at: Instant,
         now: Instant,
     ) -> bool {
-        let entry = self.entries.entry(content).or_default();
-        let is_new = entry.note(Crash { replica, at });
+        let entry = self.entries.entry(subject.into()).or_default();
+        let is_new = entry.note(Crash {
+            replica,
+            at,
+            is_own: true,
+        });
         if is_new {
             entry.changed_at = Some(now);
             self.evict();
@@ -161,10 +202,43 @@
         is_new
     }
 
-    /// Clears a content after a complete response or a release by an operator: its crashes so far don't count.
+    /// Records that a replica crashed at `at` while requests with this fingerprint were in progress there. True if that
+    /// is new.
+    pub fn note_request_crash(
+        &mut self,
+        request: &Fingerprint,
+        replica: ReplicaInstance,
+        at: Instant,
+        now: Instant,
+    ) -> bool {
+        let mut is_new = self.note_crash(request.content, replica, at, now);
+        for part in request.parts.iter() {
+            is_new |= self.note_crash(*part, replica, at, now);
+            let others = request.parts.iter().copied();
+            let others = others.filter(|other| other != part).collect();
+            let entry = self.entries.get_mut(&Subject::Part(*part));
+            if let Some(entry) = entry.filter(|entry| !entry.crashes.is_empty()) {
+                is_new |= entry.keep_companions(&others);
+            }
+        }
+        is_new
+    }
+
+    /// Notes when a complete response last proved a part harmless, before its known crashes or since. `number` identifies
+    /// the proof. True if that is news.
+    pub fn prove(&mut self, part: PartId, number: u32, at: Instant) -> bool {
+        let entry = self.entries.get(&Subject::Part(part));
+        let is_news = entry.is_some_and(|entry| {
+            let known = entry.cleared;
+            known.is_none_or(|known| at > known.at + MIN_PROOF_GAP)
+        });
+        is_news && self.clear(part, number, at)
+    }
+
+    /// Clears a subject after a complete response or a release by an operator: its crashes so far don't count.
     /// `number` identifies the clearing. True if there were crashes and the clearing is newer than a known one.
-    pub fn clear(&mut self, content: ContentId, number: u32, at: Instant) -> bool {
-        let Some(entry) = self.entries.get_mut(&content) else {
+    pub fn clear(&mut self, subject: impl Into<Subject>, number: u32, at: Instant) -> bool {
+        let Some(entry) = self.entries.get_mut(&subject.into()) else {
             return false;
         };
         let had_crashes = !entry.crashes.is_empty();
@@ -176,13 +250,13 @@
     }
 
     /// Merges the report of another daemon; true if it contained anything new.
-    pub fn merge(&mut self, reports: &[ReportedContent], now: Instant) -> bool {
+    pub fn merge(&mut self, reports: &[Reported], now: Instant) -> bool {
         let mut is_new = false;
         for report in reports {
             if !report.counts() {
                 continue;
             }
-            let entry = self.entries.entry(report.content).or_default();
+            let entry = self.entries.entry(report.subject).or_default();
             let mut has_changed = false;
             // `None` for what has expired or precedes the epoch of the clock.
             let to_instant = |age: Duration| {
@@ -204,8 +278,13 @@
                 has_changed |= entry.note(Crash {
                     replica: crash.replica,
                     at,
+                    is_own: false,
                 });
             }
+            let is_part = matches!(report.subject, Subject::Part(_));
+            if is_part && !report.crashes.is_empty() && !entry.crashes.is_empty() {
+                has_changed |= entry.keep_companions(&report.companions);
+            }
             if has_changed {
                 entry.changed_at = Some(now);
                 is_new = true;
@@ -215,70 +294,55 @@
         is_new
     }
 
-    /// Returns what is to be announced to other daemons, at most `limit` contents: causes first, then those with
-    /// the latest crash or clearing.
-    pub fn to_announce(
-        &self,
-        statuses: &ContentStatuses,
-        now: Instant,
-        limit: usize,
-    ) -> Vec<ReportedContent> {
+    /// Returns what is to be announced to other daemons, at most `limit` subjects: causes first, then parts with the
+    /// most crashes, then those with the latest crash or clearing.
+    pub fn to_announce(&self, statuses: &Statuses, now: Instant, limit: usize) -> Vec<Reported> {
         self.report_recent(ANNOUNCE_DURATION, statuses, now, limit)
     }
 
-    /// Returns what is to be stored for daemons that start later, at most `limit` contents in the order of
+    /// Returns what is to be stored for daemons that start later, at most `limit` subjects in the order of
     /// [`Self::to_announce`]: all that hasn't expired, including clearings, since others may still store the crashes.
-    pub fn to_store(
-        &self,
-        statuses: &ContentStatuses,
-        now: Instant,
-        limit: usize,
-    ) -> Vec<ReportedContent> {
+    pub fn to_store(&self, statuses: &Statuses, now: Instant, limit: usize) -> Vec<Reported> {
         self.report_recent(CRASH_TTL, statuses, now, limit)
     }
 
     fn report_recent(
         &self,
         max_age: Duration,
-        statuses: &ContentStatuses,
+        statuses: &Statuses,
         now: Instant,
         limit: usize,
-    ) -> Vec<ReportedContent> {
-        let mut selected: Vec<(bool, Option<Instant>, &ContentId, &Entry)> = self
+    ) -> Vec<Reported> {
+        let mut selected: Vec<(Priority, &Subject, &Entry)> = self
             .entries
             .iter()
-            .map(|(content, entry)| {
-                let is_cause = statuses.is_cause(*content);
-                (is_cause, entry.latest_event(), content, entry)
-            })
-            .filter(|(is_cause, latest_event, _, _)| {
-                let is_recent =
-                    latest_event.is_some_and(|at| now.saturating_duration_since(at) < max_age);
-                *is_cause || is_recent
+            .map(|(subject, entry)| (priority(*subject, entry, statuses), subject, entry))
+            .filter(|(priority, _, _)| {
+                let is_recent = priority
+                    .latest_event
+                    .is_some_and(|at| now.saturating_duration_since(at) < max_age);
+                priority.is_cause || is_recent
             })
             .collect();
-        selected.sort_by_key(|(is_cause, latest_event, _, _)| {
-            std::cmp::Reverse((*is_cause, *latest_event))
-        });
+        selected.sort_by_key(|(priority, _, _)| std::cmp::Reverse(*priority));
         selected.truncate(limit);
         let age = |at: Instant| now.saturating_duration_since(at);
-        let reports = selected
-            .into_iter()
-            .map(|(_, _, content, entry)| ReportedContent {
-                content: *content,
-                crashes: entry
-                    .crashes
-                    .iter()
-                    .map(|crash| ReportedCrash {
-                        replica: crash.replica,
-                        age: age(crash.at),
-                    })
-                    .collect(),
-                cleared: entry.cleared.map(|cleared| ReportedClearing {
-                    number: cleared.number,
-                    age: age(cleared.at),
-                }),
-            });
+        let reports = selected.into_iter().map(|(_, subject, entry)| Reported {
+            subject: *subject,
+            crashes: entry
+                .crashes
+                .iter()
+                .map(|crash| ReportedCrash {
+                    replica: crash.replica,
+                    age: age(crash.at),
+                })
+                .collect(),
+            cleared: entry.cleared.map(|cleared| ReportedClearing {
+                number: cleared.number,
+                age: age(cleared.at),
+            }),
+            companions: entry.companions.clone().unwrap_or_default(),
+        });
         reports.collect()
     }
 
@@ -309,17 +373,25 @@
         has_changed
     }
 
-    /// Evaluates the statuses of all contents with crashes.
-    pub fn statuses(&self) -> ContentStatuses {
+    /// Evaluates the statuses of all subjects with crashes.
+    pub fn statuses(&self) -> Statuses {
         let with_crashes = self
             .entries
             .iter()
             .filter(|(_, entry)| !entry.crashes.is_empty());
-        let crashes = with_crashes.map(|(content, entry)| (*content, entry.crashes.clone()));
-        ContentStatuses::evaluate(&crashes.collect())
+        let evidence = with_crashes.map(|(subject, entry)| {
+            let companions = entry.companions.iter().flatten().copied();
+            let evidence = Evidence {
+                crashes: entry.crashes.clone(),
+                is_proven: matches!(subject, Subject::Part(_)) && entry.is_proven(),
+                companions: companions.collect(),
+            };
+            (*subject, evidence)
+        });
+        Statuses::evaluate(&evidence.collect())
     }
 
-    /// Returns the number of contents.
+    /// Returns the number of subjects.
     pub fn len(&self) -> usize {
         self.entries.len()
     }
@@ -330,12 +402,12 @@
     }
 
     fn evict(&mut self) {
-        while self.entries.len() > MAX_CONTENTS {
+        while self.entries.len() > MAX_SUBJECTS {
             let victim = self
                 .entries
                 .iter()
                 .min_by_key(|(_, entry)| (entry.crashes.len(), entry.latest_event()))
-                .map(|(content, _)| *content);
+                .map(|(subject, _)| *subject);
             let Some(victim) = victim else {
                 return;
             };
@@ -343,3 +415,24 @@
         }
     }
 }
+
+/// Order in which subjects are reported, the greatest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Priority {
+    is_cause: bool,
+    /// Crashes of a part; daemons must add up theirs. 0 for a content.
+    part_crashes: usize,
+    latest_event: Option<Instant>,
+}
+
+fn priority(subject: Subject, entry: &Entry, statuses: &Statuses) -> Priority {
+    let part_crashes = match subject {
+        Subject::Part(_) => entry.crashes.len(),
+        Subject::Content(_) => 0,
+    };
+    Priority {
+        is_cause: statuses.is_cause(subject),
+        part_crashes,
+        latest_event: entry.latest_event(),
+    }
+}
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use harrierward_quarantine::{ContentId, ContentStatus, CrashLedger, ReplicaInstance};
+use harrierward_quarantine::{ContentId, CrashLedger, ReplicaInstance, Status, Statuses};
 use proptest::prelude::*;
 use tokio::time::Instant;
 
@@ -24,10 +24,15 @@
     }
 }
 
+/// Returns the status of a request whose prompt has no shared parts.
+fn status_of(statuses: &Statuses, content: ContentId, now: Instant) -> Status {
+    statuses.of(&content.into(), now, Duration::ZERO)
+}
+
 fn is_quarantined(ledger: &CrashLedger, content: ContentId, now: Instant) -> bool {
     matches!(
-        ledger.statuses().of(content, now),
-        ContentStatus::Quarantined(_)
+        status_of(&ledger.statuses(), content, now),
+        Status::Quarantined(_)
     )
 }
 
@@ -56,7 +61,7 @@
     }
     crash(&mut ledger, &[CULPRIT], 4, now);
     assert!(is_quarantined(&ledger, CULPRIT, now));
-    assert_eq!(ledger.statuses().of(BYSTANDER, now), ContentStatus::Clear);
+    assert_eq!(status_of(&ledger.statuses(), BYSTANDER, now), Status::Clear);
 }
 
 #[test]
@@ -69,12 +74,12 @@
     // The report was delayed for half a second.
     ledger.merge(&reports, now + ms(810));
     assert_eq!(
-        ledger.statuses().of(BYSTANDER, now + ms(810)),
-        ContentStatus::Clear
+        status_of(&ledger.statuses(), BYSTANDER, now + ms(810)),
+        Status::Clear
     );
     crash(&mut ledger, &[BYSTANDER], 3, now + ms(2_000));
-    let status = ledger.statuses().of(BYSTANDER, now + ms(2_000));
-    assert_eq!(status, ContentStatus::Suspect { crashes: 1 });
+    let status = status_of(&ledger.statuses(), BYSTANDER, now + ms(2_000));
+    assert_eq!(status, Status::Suspect { crashes: 1 });
 }
 
 #[test]
@@ -164,10 +169,11 @@
 #[test]
 fn an_item_has_a_trial_after_each_crash() {
     let (mut ledger, now) = (CrashLedger::default(), start());
-    let allows = |ledger: &CrashLedger, at: Instant| match ledger.statuses().of(CULPRIT, at) {
-        ContentStatus::Quarantined(period) => period.allows_trial(at),
-        _ => true,
-    };
+    let allows =
+        |ledger: &CrashLedger, at: Instant| match status_of(&ledger.statuses(), CULPRIT, at) {
+            Status::Quarantined(period) => period.allows_trial(at),
+            _ => true,
+        };
     for replica in 1..=3 {
         crash(&mut ledger, &[CULPRIT], replica, now);
     }
@@ -273,10 +279,10 @@
         let statuses: Vec<_> = ledgers.iter().map(CrashLedger::statuses).collect();
         for content in 1..6 {
             // Times aren't compared: daemons date crashes differently.
-            let of = |index: usize| match statuses[index].of(ContentId(content), now) {
-                ContentStatus::Clear => (false, 0),
-                ContentStatus::Suspect { crashes } => (false, crashes),
-                ContentStatus::Quarantined(period) => (true, period.crashes),
+            let of = |index: usize| match status_of(&statuses[index], ContentId(content), now) {
+                Status::Clear => (false, 0),
+                Status::Suspect { crashes } => (false, crashes),
+                Status::Quarantined(period) => (true, period.crashes),
             };
             prop_assert_eq!(of(0), of(1));
             prop_assert_eq!(of(1), of(2));
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -146,7 +146,7 @@
     }
 }
 
-/// Cause of an attempt that isn't made because its content is quarantined.
+/// Cause of an attempt that isn't made because the request is quarantined.
 const CAUSE_QUARANTINED: &str = "held back";
 
 /// Lowest status that counts as a failure of the replica rather than of the request.
@@ -239,11 +239,11 @@
         let fingerprint = request.fingerprint();
         let content = fingerprint.content;
         let is_quarantined = match in_progress.class() {
-            WorkClass::Online => self.is_quarantined(content),
+            WorkClass::Online => self.is_quarantined(&fingerprint),
             WorkClass::Batch => self.item_quarantine(request).is_some(),
         };
         if is_quarantined {
-            // The content may have been quarantined while the request waited for its slot.
+            // It may have been quarantined while the request waited for its slot.
             let cause = CAUSE_QUARANTINED.to_owned();
             let failure = AttemptFailure::NotRun { cause, full: false };
             self.log_failure(request, &replica, &failure, Duration::ZERO);
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -7,7 +7,7 @@
 use futures::StreamExt;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_execution::{Execution, implies_not_run};
-use harrierward_quarantine::{ContentId, ContentStatus, QuarantinePeriod};
+use harrierward_quarantine::{Fingerprint, QuarantinePeriod, Status};
 use http::header::CONTENT_LENGTH;
 use tokio::time::Instant;
 
@@ -61,7 +61,7 @@
     pub leases: Arc<dyn SlotLeases>,
     /// Rate limits of tenants.
     pub rates: Arc<dyn RateLimits>,
-    /// Quarantined contents.
+    /// Quarantined requests.
     pub quarantine: Arc<dyn Quarantine>,
     /// Where streams began.
     pub origins: Arc<dyn StreamOrigins>,
@@ -132,16 +132,16 @@
         self.parts.quarantine.has_crashed(replica).await
     }
 
-    fn quarantine_of(&self, content: ContentId) -> Option<QuarantinePeriod> {
-        match self.parts.quarantine.status(content) {
-            ContentStatus::Quarantined(period) => Some(period),
-            ContentStatus::Clear | ContentStatus::Suspect { .. } => None,
+    fn quarantine_of(&self, request: &Fingerprint) -> Option<QuarantinePeriod> {
+        match self.parts.quarantine.status(request) {
+            Status::Quarantined(period) => Some(period),
+            Status::Clear | Status::Suspect { .. } => None,
         }
     }
 
-    /// True if the content is quarantined, so that it is sent to no replica.
-    pub(crate) fn is_quarantined(&self, content: ContentId) -> bool {
-        self.quarantine_of(content).is_some()
+    /// True if the request is quarantined, so that it is sent to no replica.
+    pub(crate) fn is_quarantined(&self, request: &Fingerprint) -> bool {
+        self.quarantine_of(request).is_some()
     }
 
     /// Returns the quarantine of an item that must wait; `None` if it may run. One that may have been present at the
@@ -150,7 +150,7 @@
         if !self.parts.quarantine.has_quarantined() {
             return None;
         }
-        let period = self.quarantine_of(request.content())?;
+        let period = self.quarantine_of(&request.fingerprint())?;
         (!period.allows_trial(harrierward_clock::now())).then_some(period)
     }
 
@@ -273,7 +273,7 @@
         let is_retry = entry.is_overdue(request.timeout);
         let mut state = RequestState {
             request: request.clone(),
-            content: request.content(),
+            fingerprint: request.fingerprint(),
             route: Arc::new(entry.route.clone()),
             service,
             taken_up,
@@ -287,7 +287,7 @@
         };
         let mut refusals = 0;
         loop {
-            if let Some(period) = self.quarantine_of(state.content) {
+            if let Some(period) = self.quarantine_of(&state.fingerprint) {
                 return Err(refuse_quarantined(&period, &state));
             }
             if state.clock.remaining_hold().is_zero() {
@@ -393,7 +393,7 @@
     Refusal::new(cause, state.execution, Some(RETRY_AFTER))
 }
 
-/// Refusal of a request with quarantined content. Its retry delay is the rest of the quarantine, as an earlier retry
+/// Refusal of a quarantined request. Its retry delay is the rest of the quarantine, as an earlier retry
 /// would be refused as well.
 fn refuse_quarantined(period: &QuarantinePeriod, state: &RequestState) -> Refusal {
     let remaining = period
--- a/crates/serving/src/in_progress.rs
+++ b/crates/serving/src/in_progress.rs
@@ -57,7 +57,7 @@
         if let Some(tracked) = &self.tracked {
             tracked
                 .quarantine
-                .note_disconnect(&tracked.fingerprint, &self.replica);
+                .note_disconnect(&tracked.fingerprint, self.class, &self.replica);
         }
     }
 
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -3,30 +3,30 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use harrierward_quarantine::{ContentId, ContentStatus, Fingerprint};
+use harrierward_quarantine::{Fingerprint, Status};
 
-use crate::replica::Replica;
+use crate::replica::{Replica, WorkClass};
 
-/// Status of contents, and receiver of the results that it is derived from.
+/// Status of requests, and receiver of the results that it is derived from.
 #[async_trait]
 pub trait Quarantine: Send + Sync {
-    /// True if any content is quarantined. Takes no lock.
+    /// True if any request is suspect or quarantined. Takes no lock.
     fn has_quarantined(&self) -> bool;
 
-    /// Returns the status of a content. Takes no lock.
-    fn status(&self, content: ContentId) -> ContentStatus;
+    /// Returns the status of a request. Takes no lock.
+    fn status(&self, request: &Fingerprint) -> Status;
 
     /// Records that the connection broke while the request was in progress at the replica. Does not block.
-    fn note_disconnect(&self, request: &Fingerprint, replica: &Arc<Replica>);
+    fn note_disconnect(&self, request: &Fingerprint, class: WorkClass, replica: &Arc<Replica>);
 
-    /// Records a complete response to the request. Takes no lock unless some content is suspect.
+    /// Records a complete response to the request. Takes no lock unless some request is suspect.
     fn note_complete(&self, request: &Fingerprint);
 
     /// True if the replica has crashed. Waits briefly for a report if its connection has just broken.
     async fn has_crashed(&self, replica: &Arc<Replica>) -> bool;
 }
 
-/// Quarantine that ignores all results; every content is clear.
+/// Quarantine that ignores all results; every request is clear.
 pub struct NoQuarantine;
 
 #[async_trait]
@@ -35,11 +35,11 @@
         false
     }
 
-    fn status(&self, _content: ContentId) -> ContentStatus {
-        ContentStatus::Clear
+    fn status(&self, _request: &Fingerprint) -> Status {
+        Status::Clear
     }
 
-    fn note_disconnect(&self, _request: &Fingerprint, _replica: &Arc<Replica>) {}
+    fn note_disconnect(&self, _: &Fingerprint, _: WorkClass, _: &Arc<Replica>) {}
 
     fn note_complete(&self, _request: &Fingerprint) {}
 
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -329,7 +329,7 @@
         let mut last_cause = Some(cause);
         let mut capacity_waits = 0;
         while self.may_resume() && !self.state.clock.remaining_hold().is_zero() {
-            if self.forwarder.is_quarantined(self.state.content) {
+            if self.forwarder.is_quarantined(&self.state.fingerprint) {
                 break;
             }
             if self.is_version_gone() {
@@ -443,7 +443,7 @@
         let replica = self.state.tried.last().map_or("", String::as_str);
         self.forwarder.log().record(&Record::AttemptFailed {
             request: &self.state.request.id,
-            content: &self.state.content.to_string(),
+            content: &self.state.fingerprint.content.to_string(),
             replica,
             cause,
             not_run: false,
@@ -455,7 +455,7 @@
         self.finish("cut");
         self.forwarder.log().record(&Record::AttemptFailed {
             request: &self.state.request.id,
-            content: &self.state.content.to_string(),
+            content: &self.state.fingerprint.content.to_string(),
             replica: self.state.tried.last().map_or("", String::as_str),
             cause: &cause,
             not_run: false,
--- a/crates/serving/src/request_state.rs
+++ b/crates/serving/src/request_state.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use harrierward_execution::Execution;
-use harrierward_quarantine::ContentId;
+use harrierward_quarantine::Fingerprint;
 use tokio::time::Instant;
 
 use crate::attempt::AttemptTimeouts;
@@ -24,8 +24,8 @@
 /// Request in progress over all of its attempts.
 pub(crate) struct RequestState {
     pub request: Arc<ServingRequest>,
-    /// Digest under which it may be quarantined.
-    pub content: ContentId,
+    /// What of it may be quarantined.
+    pub fingerprint: Fingerprint,
     pub route: Arc<Route>,
     /// Service chosen by the route's weights.
     pub service: String,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -42,7 +42,7 @@
     JobNotice, PeerReply, PeerRequest, PullReply, PullRequest, ResultsReply, ResultsRequest,
     RunningItem, peer_reply, peer_request,
 };
-pub use quarantine::{CrashNews, CrashNewsRow, CrashedContent, ReplicaEnd};
+pub use quarantine::{CrashNews, CrashNewsRow, CrashedContent, CrashedPart, ReplicaEnd};
 pub use quota::{QuotaAnswer, QuotaAsk, QuotaFenceRow, QuotaOutcome};
 pub use rates::{RateAsk, RateGrant, RateOutcome};
 pub use slots::{
@@ -57,9 +57,9 @@
 ///
 /// Level 1 has no failures in job headers, 2 has them, 3 keeps unknown fields in headers and failures in the items'
 /// rows, 4 serves peers from its copies of the store's spaces, 5 says in headers whether failures are complete and reports
-/// failures that the store does not hold yet to peers, 6 audits its copies of the store's spaces and announces that, 7 holds streams and items to the software version that
-/// began them.
-pub const FORMAT_LEVEL: u32 = 7;
+/// failures that the store does not hold yet to peers, 6 audits its copies of the store's spaces and announces that, 7
+/// holds streams and items to the software version that began them, 8 reports prompt parts that crash replicas.
+pub const FORMAT_LEVEL: u32 = 8;
 
 /// Decodes a message; `None` if the bytes are not one.
 pub fn decode<M: prost::Message + Default>(bytes: &[u8]) -> Option<M> {
--- a/crates/wire/src/quarantine.rs
+++ b/crates/wire/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Messages and rows on contents under which replicas crashed.
+//! Messages and rows on contents and prompt parts under which replicas crashed.
 
 /// Crash of a replica while a content was in progress there.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -28,6 +28,26 @@
     pub clearing: u32,
 }
 
+/// Crashes under one shared part of prompts, and the last completion of a request with it.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct CrashedPart {
+    /// Id of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Crashes of replicas.
+    #[prost(message, repeated, tag = "2")]
+    pub ends: Vec<ReplicaEnd>,
+    /// Time since a response with it completed or an operator released it, milliseconds plus one; 0 if neither happened.
+    #[prost(uint32, tag = "3")]
+    pub cleared_ms: u32,
+    /// Id of that completion or release.
+    #[prost(fixed32, tag = "4")]
+    pub clearing: u32,
+    /// Other shared parts that all requests with it had at crashes.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub companions: Vec<u64>,
+}
+
 /// A daemon's crash reports, stored for the daemons that its datagrams don't reach.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct CrashNewsRow {
@@ -42,10 +62,13 @@
     pub news: Option<CrashNews>,
 }
 
-/// Crash reports on contents; not all that the sender knows.
+/// Crash reports on contents and parts; not all that the sender knows.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct CrashNews {
     /// The reported contents.
     #[prost(message, repeated, tag = "1")]
     pub contents: Vec<CrashedContent>,
+    /// The reported parts; builds that know contents only ignore them.
+    #[prost(message, repeated, tag = "2")]
+    pub parts: Vec<CrashedPart>,
 }
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -266,6 +266,40 @@
     check(&later, "crash_news_row", &updates);
 }
 
+/// Builds before level 8 know contents only: their reports name no part, and they ignore the parts of later ones.
+#[test]
+fn crash_reports_of_builds_before_level_8_name_no_part() {
+    let samples = samples(include_str!("formats/95ad106.txt"));
+    let content = CrashedContent {
+        content: 1,
+        ends: vec![ReplicaEnd {
+            replica: 2,
+            age_ms: 3,
+        }],
+        cleared_ms: 4,
+        clearing: 5,
+    };
+    let reports = CrashNews {
+        contents: vec![content],
+        parts: Vec::new(),
+    };
+    check(&samples, "crash_news", &reports);
+    let part = CrashedPart {
+        part: 6,
+        companions: vec![7],
+        ..CrashedPart::default()
+    };
+    let with_part = CrashNews {
+        parts: vec![part],
+        ..reports.clone()
+    };
+    let bytes = encode(&with_part);
+    assert!(
+        bytes.starts_with(&samples["crash_news"]),
+        "contents come first"
+    );
+}
+
 /// Guards against an item that goes on at any software version, because its row was written by a build that doesn't say
 /// which one wrote its events; and against a lease request of such a build that is bound to a version.
 #[test]
