A response that ends with its connection is no proof that its replica survived

Callers would see replica after replica crash under a part, or a content, whose responses have neither a length nor chunks: the crash closes the connection after an event, which looks like the end of a whole response, and each of these cleared what had crashed the replica.

Cause: the end of such a body says nothing, and was believed as a proof. Now it counts as complete 0.3 s later, if the replica has sent something on another connection since; and if the replica turns out to have crashed within a second of it, the request counts as in progress there.

--- a/crates/edge/src/quarantine/broken_connections.rs
+++ b/crates/edge/src/quarantine/broken_connections.rs
@@ -44,6 +44,8 @@
     pub fingerprint: Fingerprint,
     /// Its class.
     pub class: WorkClass,
+    /// True if its response looked complete and ended with the connection.
+    looked_complete: bool,
     /// Time when the connection broke.
     pub at: Instant,
 }
@@ -51,11 +53,36 @@
 struct BrokenReplica {
     replica: Arc<Replica>,
     since: Instant,
+    /// True if a connection broke off, so that the replica is probed; false if responses only ended with theirs.
+    is_probed: bool,
     /// Requests that were in progress, by content; emptied once the crash is confirmed.
     requests: BTreeMap<ContentId, BrokenRequest>,
     liveness: watch::Sender<Liveness>,
 }
 
+impl BrokenReplica {
+    fn new(replica: &Arc<Replica>, since: Instant) -> Self {
+        Self {
+            replica: replica.clone(),
+            since,
+            is_probed: false,
+            requests: BTreeMap::new(),
+            liveness: watch::Sender::new(Liveness::Unknown),
+        }
+    }
+
+    fn add(&mut self, request: &Fingerprint, class: WorkClass, at: Instant, looked_complete: bool) {
+        self.requests
+            .entry(request.content)
+            .or_insert_with(|| BrokenRequest {
+                fingerprint: request.clone(),
+                class,
+                looked_complete,
+                at,
+            });
+    }
+}
+
 /// Replicas to which a connection broke within [`BROKEN_TTL`].
 #[derive(Default)]
 pub struct BrokenConnections {
@@ -91,25 +118,36 @@
                 && harrierward_clock::age(broken.since) > SAME_CRASH_WINDOW;
             *known_instance != instance || !is_over
         });
-        let is_first = !replicas.contains_key(&instance);
-        let broken = replicas.entry(instance).or_insert_with(|| BrokenReplica {
-            replica: replica.clone(),
-            since: now,
-            requests: BTreeMap::new(),
-            liveness: watch::Sender::new(Liveness::Unknown),
-        });
-        broken
-            .requests
-            .entry(request.content)
-            .or_insert_with(|| BrokenRequest {
-                fingerprint: request.clone(),
-                class,
-                at: now,
-            });
+        let broken = replicas
+            .entry(instance)
+            .or_insert_with(|| BrokenReplica::new(replica, now));
+        let is_first = !broken.is_probed;
+        if is_first {
+            broken.is_probed = true;
+            broken.since = now;
+        }
+        broken.add(request, class, now, false);
         self.count.store(replicas.len(), Ordering::Relaxed);
         is_first
     }
 
+    /// Records a response that looked complete and ended with its connection. It counts if its replica crashed then.
+    pub fn note_closed(
+        &self,
+        instance: ReplicaInstance,
+        replica: &Arc<Replica>,
+        request: &Fingerprint,
+        class: WorkClass,
+    ) {
+        let now = harrierward_clock::now();
+        let mut replicas = self.lock();
+        let broken = replicas
+            .entry(instance)
+            .or_insert_with(|| BrokenReplica::new(replica, now));
+        broken.add(request, class, now, true);
+        self.count.store(replicas.len(), Ordering::Relaxed);
+    }
+
     /// True if the replica's crash is confirmed.
     pub fn is_confirmed(&self, instance: ReplicaInstance) -> bool {
         let replicas = self.lock();
@@ -127,7 +165,15 @@
         let mut replicas = self.lock();
         let broken = replicas.get_mut(&instance)?;
         broken.liveness.send_replace(Liveness::Crashed);
-        let requests = std::mem::take(&mut broken.requests);
+        let crashed_at = if broken.is_probed {
+            broken.since
+        } else {
+            harrierward_clock::now()
+        };
+        let mut requests = std::mem::take(&mut broken.requests);
+        requests.retain(|_, request| {
+            !request.looked_complete || request.at + SAME_CRASH_WINDOW >= crashed_at
+        });
         (!requests.is_empty()).then_some((broken.since, requests))
     }
 
@@ -185,8 +231,8 @@
     /// Waits up to [`MAX_WAIT`] for the liveness of a replica; returns true if it has crashed.
     pub async fn wait_for_liveness(&self, instance: ReplicaInstance) -> bool {
         let mut liveness = match self.lock().get(&instance) {
-            Some(broken) => broken.liveness.subscribe(),
-            None => return false,
+            Some(broken) if broken.is_probed => broken.liveness.subscribe(),
+            _ => return false,
         };
         let observed = timeout(
             MAX_WAIT,
--- a/crates/edge/src/quarantine/mod.rs
+++ b/crates/edge/src/quarantine/mod.rs
@@ -24,6 +24,7 @@
 use harrierward_serving::{Quarantine, Replica, ReplicaSet, WorkClass};
 use harrierward_wire::node_datagram;
 use tokio::net::UdpSocket;
+use tokio::time::sleep;
 
 use crate::pool::ConnectionPool;
 use crate::slots::CoordinatorCandidate;
@@ -33,6 +34,13 @@
 
 pub use operator_api::QuarantinedContents;
 
+/// Time after which a replica that has sent something since a response ended with its connection counts as having
+/// survived it.
+const SURVIVAL_DELAY: Duration = Duration::from_millis(300);
+
+/// Time after such an end within which bytes may still arrive that a crashed replica had sent before.
+const LAST_BYTES_WINDOW: Duration = Duration::from_millis(50);
+
 /// Maximum number of requests that a log line on a crash names.
 const MAX_LOGGED_REQUESTS: usize = 24;
 
@@ -305,6 +313,20 @@
         }
     }
 
+    fn note_closed(&self, request: &Fingerprint, class: WorkClass, replica: &Arc<Replica>) {
+        let instance = ReplicaInstance(replica.hash);
+        let broken_connections = &self.inner.broken_connections;
+        broken_connections.note_closed(instance, replica, request, class);
+        let (service, request, replica) = (self.clone(), request.clone(), replica.clone());
+        tokio::spawn(async move {
+            sleep(SURVIVAL_DELAY).await;
+            let has_sent = replica.time_since_progress() + LAST_BYTES_WINDOW < SURVIVAL_DELAY;
+            if has_sent && !replica.has_crashed() {
+                service.note_complete(&request);
+            }
+        });
+    }
+
     async fn has_crashed(&self, replica: &Arc<Replica>) -> bool {
         let instance = ReplicaInstance(replica.hash);
         self.inner
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -150,7 +150,7 @@
     match parser.end() {
         BodyEnd::Whole => {
             in_progress.conclude(AttemptOutcome::Served);
-            in_progress.note_complete();
+            in_progress.note_complete(parser.delimiter());
             RunOutcome::Finished
         }
         BodyEnd::BrokenOff(cause) => {
--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -244,6 +244,11 @@
         self.splitter.take_rest()
     }
 
+    /// Returns how the end of the body is marked.
+    pub fn delimiter(&self) -> BodyDelimiter {
+        self.delimiter
+    }
+
     /// Returns what was received, for the log.
     pub fn summary(&self) -> BodySummary {
         BodySummary {
--- a/crates/serving/src/in_progress.rs
+++ b/crates/serving/src/in_progress.rs
@@ -4,6 +4,7 @@
 
 use harrierward_quarantine::Fingerprint;
 
+use crate::exchange::BodyDelimiter;
 use crate::leases::SlotLease;
 use crate::outcome::{AttemptOutcome, Evidence};
 use crate::quarantine::Quarantine;
@@ -61,10 +62,21 @@
         }
     }
 
-    /// Records a complete response, whatever its status: the replica has survived the request.
-    pub fn note_complete(&self) {
-        if let Some(tracked) = &self.tracked {
-            tracked.quarantine.note_complete(&tracked.fingerprint);
+    /// Records a complete response, whatever its status: the replica has survived the request, unless the end of the
+    /// response is that of its connection.
+    pub fn note_complete(&self, delimiter: BodyDelimiter) {
+        let Some(tracked) = &self.tracked else {
+            return;
+        };
+        match delimiter {
+            BodyDelimiter::Length | BodyDelimiter::Chunks => {
+                tracked.quarantine.note_complete(&tracked.fingerprint);
+            }
+            BodyDelimiter::Close => {
+                tracked
+                    .quarantine
+                    .note_closed(&tracked.fingerprint, self.class, &self.replica);
+            }
         }
     }
 
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -22,6 +22,10 @@
     /// Records a complete response to the request. Takes no lock unless some request is suspect.
     fn note_complete(&self, request: &Fingerprint);
 
+    /// Records a response to the request that looked complete and ended with its connection, as one does whose replica
+    /// crashes: it counts as complete once the replica is seen to live on. Does not block.
+    fn note_closed(&self, request: &Fingerprint, class: WorkClass, replica: &Arc<Replica>);
+
     /// True if the replica has crashed. Waits briefly for a report if its connection has just broken.
     async fn has_crashed(&self, replica: &Arc<Replica>) -> bool;
 }
@@ -43,6 +47,8 @@
 
     fn note_complete(&self, _request: &Fingerprint) {}
 
+    fn note_closed(&self, _: &Fingerprint, _: WorkClass, _: &Arc<Replica>) {}
+
     async fn has_crashed(&self, _replica: &Arc<Replica>) -> bool {
         false
     }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -279,7 +279,7 @@
                     self.conclude(AttemptOutcome::Served);
                 }
                 if let Some(in_progress) = &self.in_progress {
-                    in_progress.note_complete();
+                    in_progress.note_complete(self.parser.delimiter());
                 }
                 self.finish("whole");
                 Ok(())
