An item leaves a replica that sends bytes without end and no new event

A caller's item would never end: a replica that sends comments (or an event that the item has) without end keeps its run, and its slot, for as long as the replica likes. Only silence, and an event of over 4 MB, ended a run.

Now a body of events is broken off after 8 MiB without a new event, for items and online streams, and an item's run after 10 s without one, however slowly the bytes come. Heads without end, bodies without a line's end and endless zeros in a chunk's size were bounded before; tests hold that now.

Evidence: an_item_leaves_a_replica_that_sends_bytes_without_end, red before (it ran on after 20 s), green now; the two tests on heads and bodies were green before and are now.

--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -19,6 +19,9 @@
 /// Stall after which a run is aborted at any replica.
 const MAX_STALL: Duration = Duration::from_millis(3_000);
 
+/// Time after which a run is aborted whose replica sends bytes, but no new event.
+const MAX_TIME_WITHOUT_EVENT: Duration = Duration::from_secs(10);
+
 /// Outcome of a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RunOutcome {
@@ -122,6 +125,7 @@
     let in_progress = attempt.in_progress;
     let replica = in_progress.replica().clone();
     let mut body = attempt.response.body;
+    let mut last_event_at = Instant::now();
     loop {
         let next = wait_for_progress(body.next(), &replica, UNRESPONSIVE_TIMEOUT, MAX_STALL).await;
         let bytes = match next {
@@ -138,10 +142,17 @@
             Some(Some(Ok(bytes))) => bytes,
         };
         in_progress.note_event();
+        let last_event = lock(progress).last_event;
         if let Err(cause) = append_events(progress, parser, bytes, &replica) {
             in_progress.conclude(AttemptOutcome::Corrupt);
             return RunOutcome::Broken(cause);
         }
+        if lock(progress).last_event != last_event {
+            last_event_at = Instant::now();
+        } else if last_event_at.elapsed() >= MAX_TIME_WITHOUT_EVENT {
+            in_progress.conclude(AttemptOutcome::Corrupt);
+            return RunOutcome::Broken("no new event in time".to_owned());
+        }
     }
 }
 
--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -18,6 +18,10 @@
 /// Maximum size of an event, which is held back until it is complete.
 const MAX_EVENT_BYTES: usize = 4 << 20;
 
+/// Maximum number of bytes between two events that the recipient did not have. A faulty replica may send comments,
+/// or the same event, without end.
+const MAX_BYTES_WITHOUT_NEW_EVENT: u64 = 8 << 20;
+
 /// What a response body consists of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyFormat {
@@ -146,6 +150,9 @@
     /// An event exceeds the size up to which events are held back.
     #[error("an event is too large")]
     OversizedEvent,
+    /// Too many bytes arrived without a new event.
+    #[error("bytes without a new event")]
+    NoNewEvent,
 }
 
 /// Follows one response body to its end. The only place that judges whether a response is whole.
@@ -155,6 +162,8 @@
     delimiter: BodyDelimiter,
     events_left: EventsLeft,
     received_bytes: u64,
+    /// Value of `received_bytes` when the last new event was taken.
+    bytes_at_new_event: u64,
     /// Events with data that the recipient did not have before.
     new_events: u64,
     splitter: EventSplitter,
@@ -170,6 +179,7 @@
             delimiter,
             events_left,
             received_bytes: 0,
+            bytes_at_new_event: 0,
             new_events: 0,
             splitter: EventSplitter::default(),
             opaque: None,
@@ -179,7 +189,7 @@
     /// Appends received bytes, whose parts must be taken before the next ones are appended.
     ///
     /// # Errors
-    /// The event in progress is too large to be held back.
+    /// The event in progress is too large to be held back, or too many bytes arrived without a new one.
     pub fn push(&mut self, bytes: Bytes) -> Result<(), BreakCause> {
         self.received_bytes += bytes.len() as u64;
         match self.format {
@@ -189,6 +199,10 @@
         if self.splitter.buffered_bytes() > MAX_EVENT_BYTES {
             return Err(BreakCause::OversizedEvent);
         }
+        let bytes_without_event = self.received_bytes - self.bytes_at_new_event;
+        if self.format == BodyFormat::Events && bytes_without_event > MAX_BYTES_WITHOUT_NEW_EVENT {
+            return Err(BreakCause::NoNewEvent);
+        }
         Ok(())
     }
 
@@ -203,7 +217,10 @@
 
     /// Notes that the recipient did not have the event. Repeated ones are not those that a resumed stream has left.
     pub fn note_new(&mut self, event: &StreamEvent) {
-        self.new_events += u64::from(event.has_data());
+        if event.has_data() {
+            self.new_events += 1;
+            self.bytes_at_new_event = self.received_bytes;
+        }
     }
 
     /// Judges the body after its delimiter has arrived and all parts were taken.
