A replica whose entry lapses after a closed response is not taken for crashed

Callers would find a replica unused for up to 4 s: its entry went (or lapsed with the store) within six seconds of a response that ended with its connection, and no connection had broken. A broken connection that followed such a response of the same content lost its evidence as well, since the older note was kept.

--- a/crates/edge/src/quarantine/broken_connections.rs
+++ b/crates/edge/src/quarantine/broken_connections.rs
@@ -71,15 +71,19 @@
         }
     }
 
+    /// Adds a request; one that broke off counts, and takes the place of one with the same content that looked complete.
     fn add(&mut self, request: &Fingerprint, class: WorkClass, at: Instant, looked_complete: bool) {
-        self.requests
-            .entry(request.content)
-            .or_insert_with(|| BrokenRequest {
-                fingerprint: request.clone(),
-                class,
-                looked_complete,
-                at,
-            });
+        let known = self.requests.get(&request.content);
+        if known.is_some_and(|known| !known.looked_complete) {
+            return;
+        }
+        let added = BrokenRequest {
+            fingerprint: request.clone(),
+            class,
+            looked_complete,
+            at,
+        };
+        self.requests.insert(request.content, added);
     }
 }
 
@@ -197,7 +201,7 @@
     }
 
     /// Returns the replicas whose rows were removed, or now name another instance, after connections to them broke.
-    /// Drained replicas are left out.
+    /// Drained replicas are left out, and those of which only whole responses ended with their connections.
     pub fn removed(
         &self,
         view: &ReplicaView,
@@ -211,7 +215,8 @@
         self.count.store(replicas.len(), Ordering::Relaxed);
         let is_removed = |instance: &ReplicaInstance, broken: &BrokenReplica| {
             let is_drained = broken.replica.is_draining();
-            !broken.requests.is_empty() && !is_drained && view.by_hash(instance.0).is_none()
+            let has_broken = broken.is_probed && !broken.requests.is_empty();
+            has_broken && !is_drained && view.by_hash(instance.0).is_none()
         };
         let removed = replicas
             .iter()
