Review, case 3: a job gets the outputs of one whose id continues its own

Rows are found by the prefix ID and a dot, while ids may contain dots. A daemon that adopts job rebook-3 also reads the items of job rebook-3.0, and lists their outputs under the ids of its own items.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 cd "$(dirname "$0")/.."
 cargo build --release --locked -p harrierward-platform-standin
 mkdir -p target/review
-for name in replica case1 case2; do
+for name in replica case1 case2 case3; do
     rustc --edition 2024 -O -o "target/review/$name" "review/standin/$name.rs"
 done
