--- a/review/standin/case3.rs
+++ b/review/standin/case3.rs
@@ -10,6 +10,8 @@
 
 const EVENTS: u64 = 150;
 const ITEMS: usize = 2;
+/// Time after which the killed daemon is started again.
+const RESTART: Duration = Duration::from_millis(3_000);
 const PAIRS: usize = 4;
 
 fn whole_text(item: &str) -> String {
@@ -53,6 +55,8 @@
     thread::sleep(Duration::from_millis(300));
     if trouble() {
         processes.kill(&daemons[0].name);
+        thread::sleep(RESTART);
+        start_daemon(&mut processes, &store.address, 1, &ports, 3);
     }
     let addresses: Vec<String> = daemons[1..].iter().map(|daemon| daemon.front.clone()).collect();
     let until = Instant::now() + Duration::from_secs(45);
