Log: what a refusal of a replica rests on, and items that found no slot

Nothing told these hypotheses apart: (H1) refused items, the oldest again after 40 ms, take each start; (H2) each refusal makes an idle replica count as full for 0.4 s, so that no item is placed. `refused_by_replica` has the request's tokens, the counted load, the load that the response reports and what is concluded; `item_not_placed` and a counter say that no slot was found.

H2 isn't excluded: with more large items the pause comes to its end.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -28,6 +28,8 @@
     listed_age_seconds: Histogram,
     items_preempted: IntCounterVec,
     attempts_failed: IntCounterVec,
+    refusals_by_replicas: IntCounterVec,
+    items_not_placed: IntCounterVec,
     jobs_submitted: IntCounterVec,
     results_listed: IntCounterVec,
     listing_reads: IntCounterVec,
@@ -125,6 +127,16 @@
                 "Attempts at replicas that failed, by whether they may have run",
                 "not_run",
             )?,
+            refusals_by_replicas: counter(
+                "harrierward_refusals_by_replicas_total",
+                "Requests that replicas refused without running them, by what this daemon concluded",
+                "concluded",
+            )?,
+            items_not_placed: counter(
+                "harrierward_items_not_placed_total",
+                "Batch items that were to be started and found no free slot, by service",
+                "service",
+            )?,
             jobs_submitted: counter(
                 "harrierward_jobs_submitted_total",
                 "Batch jobs submitted, by outcome",
@@ -322,6 +334,14 @@
                 let label = if *not_run { "true" } else { "false" };
                 self.attempts_failed.with_label_values(&[label]).inc();
             }
+            Record::RefusedByReplica { concluded, .. } => {
+                self.refusals_by_replicas
+                    .with_label_values(&[*concluded])
+                    .inc();
+            }
+            Record::ItemNotPlaced { service, .. } => {
+                self.items_not_placed.with_label_values(&[*service]).inc();
+            }
             Record::Sent {
                 chosen_by,
                 region,
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -593,6 +593,37 @@
         /// Time since the request arrived.
         after_ms: u64,
     },
+    /// A replica stated that it did not run a request.
+    RefusedByReplica {
+        /// Request id.
+        request: &'a str,
+        /// Replica id.
+        replica: &'a str,
+        /// HTTP status of the response.
+        status: u16,
+        /// Tokens of the prompt and the most to be generated.
+        tokens: u64,
+        /// Requests at the replica before this one, as counted by the daemon that chose it.
+        load: u32,
+        /// Requests that the replica runs concurrently.
+        slots: u32,
+        /// Requests running and waiting by the response itself; absent if it states none.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        reported_load: Option<u32>,
+        /// What this daemon concludes: `replica full`.
+        concluded: &'static str,
+    },
+    /// A batch item was to be started, and no replica had a free slot for it.
+    ItemNotPlaced {
+        /// Job id.
+        job: &'a str,
+        /// Item id.
+        item: &'a str,
+        /// Service whose replicas were considered.
+        service: &'a str,
+        /// Items of this daemon that could have been started.
+        startable: usize,
+    },
     /// The response to a request ended.
     Ended {
         /// Request id.
@@ -911,6 +942,7 @@
             | Self::ListingAsked { .. }
             | Self::ColdCounted { .. }
             | Self::ColdPassedOver { .. }
+            | Self::ItemNotPlaced { .. }
             | Self::LeavingReplicaResponded { .. }
             | Self::ItemEndOrdered { .. } => Importance::Ordinary,
             Self::StreamContinued { step, .. } if *step != "refused" => Importance::Change,
@@ -920,6 +952,7 @@
             Self::ItemRun { outcome, .. } if *outcome == "finished" => Importance::Ordinary,
             Self::JobSubmitted { outcome, .. } if *outcome == "accepted" => Importance::Ordinary,
             Self::AttemptFailed { .. }
+            | Self::RefusedByReplica { .. }
             | Self::StreamContinued { .. }
             | Self::ResponseCutOff { .. }
             | Self::Refused { .. }
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -333,6 +333,12 @@
         };
         let is_bound = replicas.version.is_some();
         let mut registry = self.registry();
+        self.inner.log.record(&Record::ItemNotPlaced {
+            job: &item.job,
+            item: &item.request.id,
+            service,
+            startable: registry.startable().len(),
+        });
         registry.no_capacity.note(replicas, now);
         if let Some(entry) = registry.item(&item.job, item.number)
             && matches!(entry.phase, ItemPhase::Running { .. })
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -311,7 +311,13 @@
                 proof_age_ms: notice.proof_age.map(milliseconds),
             });
         }
-        let result = self.classify(request, &in_progress, response, options.failed_before);
+        let result = self.classify(
+            request,
+            &in_progress,
+            choice.load,
+            response,
+            options.failed_before,
+        );
         if let Err(failure) = &result {
             self.log_failure(request, &replica, failure, started.elapsed());
         }
@@ -337,6 +343,7 @@
         &self,
         request: &ServingRequest,
         in_progress: &InProgress,
+        load_before: u32,
         response: Option<Result<ReplicaResponse, ExchangeError>>,
         failed_before: bool,
     ) -> Result<ReplicaResponse, AttemptFailure> {
@@ -401,6 +408,16 @@
             return Err(refusal(cause, false, is_attributed));
         }
         if response.not_run {
+            self.log().record(&Record::RefusedByReplica {
+                request: &request.id,
+                replica: &replica.record.id,
+                status: response.status,
+                tokens: request.prompt.total_tokens(),
+                load: load_before,
+                slots: replica.slots(),
+                reported_load: response.load.map(|load| load.running + load.waiting),
+                concluded: "replica full",
+            });
             replica.note_full();
             in_progress.conclude(AttemptOutcome::NotRun);
             let cause = format!("refused with status {}", response.status);
--- a/crates/serving/src/prompt.rs
+++ b/crates/serving/src/prompt.rs
@@ -27,6 +27,11 @@
         &self.parts[..shared]
     }
 
+    /// Returns the tokens of the prompt and the most to be generated, which share a replica's memory.
+    pub fn total_tokens(&self) -> u64 {
+        u64::from(self.tokens) + u64::from(self.output_tokens)
+    }
+
     /// Returns the total length of the shared parts.
     pub fn shared_tokens(&self) -> u32 {
         self.shared().iter().map(|part| part.tokens).sum()
