--- a/crates/edge/src/slots/leases.rs
+++ b/crates/edge/src/slots/leases.rs
@@ -4,8 +4,8 @@
 
 use async_trait::async_trait;
 use harrierward_serving::{
-    CrossRegionReason, ItemSlack, Mechanism, ReleaseReport, Replica, SlotLeases, SlotQuery,
-    SlotReply, WorkClass, short_hash,
+    AttemptOutcome, CrossRegionReason, ItemSlack, Mechanism, ReleaseReport, Replica, SlotLeases,
+    SlotQuery, SlotReply, WorkClass, short_hash,
 };
 use harrierward_wire::{SlotReport, node_datagram::Kind};
 
@@ -51,9 +51,9 @@
         {
             reply = spilled;
         }
-        let is_any_version = query.version.is_none();
+        let is_unrestricted = query.version.is_none() && query.excluded.is_empty();
         if query.item.is_some()
-            && is_any_version
+            && is_unrestricted
             && matches!(reply, SlotReply::NoCapacity | SlotReply::AllCold)
         {
             let mut state = self.lock();
@@ -90,6 +90,10 @@
         }
     }
 
+    fn report_outcome(&self, lease: u32, replica: u32, outcome: AttemptOutcome) {
+        self.report_late_outcome(lease, replica, outcome);
+    }
+
     fn is_reported_cold(&self, replica: &Replica) -> bool {
         self.was_reported_cold(replica)
     }
--- a/crates/edge/src/slots/outcomes.rs
+++ b/crates/edge/src/slots/outcomes.rs
@@ -24,19 +24,27 @@
 impl SlotService {
     /// Reports a released lease and its request's outcome to the replica's coordinator.
     pub(super) fn report_completion(&self, lease: u32, replica: u32, release: ReleaseReport) {
-        let outcome = LeaseOutcome {
-            lease,
-            replica,
-            kind: kind_of(release.outcome).into(),
-            first_event_ms: release.first_event.map_or(0, |time| millis(time).max(1)),
+        self.report_lease(&[lease], lease_outcome(lease, replica, release));
+    }
+
+    /// Reports the outcome of a request whose lease was released before.
+    pub(super) fn report_late_outcome(&self, lease: u32, replica: u32, outcome: AttemptOutcome) {
+        let report = ReleaseReport {
+            outcome,
+            first_event: None,
         };
+        self.report_lease(&[], lease_outcome(lease, replica, report));
+    }
+
+    fn report_lease(&self, released: &[u32], outcome: LeaseOutcome) {
+        let replica = outcome.replica;
         let Some(coordinator) = self.peer_coordinating(replica) else {
             self.apply_outcome(self.holder, &outcome);
             return;
         };
         let report = SlotReport {
             holder: self.holder,
-            released: vec![lease],
+            released: released.to_vec(),
             outcomes: vec![outcome],
             ..SlotReport::default()
         };
@@ -218,6 +226,15 @@
     detectors.map(OutlierDetector::ejected_count).sum()
 }
 
+fn lease_outcome(lease: u32, replica: u32, report: ReleaseReport) -> LeaseOutcome {
+    LeaseOutcome {
+        lease,
+        replica,
+        kind: kind_of(report.outcome).into(),
+        first_event_ms: report.first_event.map_or(0, |time| millis(time).max(1)),
+    }
+}
+
 fn kind_of(outcome: AttemptOutcome) -> OutcomeKind {
     match outcome {
         AttemptOutcome::NoEvidence => OutcomeKind::NoEvidence,
@@ -227,7 +244,7 @@
         AttemptOutcome::Unresponsive => OutcomeKind::Silent,
         AttemptOutcome::Corrupt => OutcomeKind::Spoilt,
         AttemptOutcome::NotRun => OutcomeKind::NotRun,
-        AttemptOutcome::NotSent => OutcomeKind::NotSent,
+        AttemptOutcome::NotSent | AttemptOutcome::RequestRefused => OutcomeKind::NotSent,
     }
 }
 
--- a/crates/inline-jobs/src/item.rs
+++ b/crates/inline-jobs/src/item.rs
@@ -1,11 +1,14 @@
 //! One item of a job: its request, output and phase.
 
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use harrierward_serving::{EventsLeft, KnownOrigin, ServingRequest};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::fruitless::FruitlessAttempts;
+
 /// Output of an item so far; shared with the task that runs it.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct ItemProgress {
@@ -57,6 +60,15 @@
     Listed,
 }
 
+impl ItemPhase {
+    /// Returns the phase of an item that may be started after `pause`.
+    pub(crate) fn wait(pause: Duration) -> Self {
+        Self::Waiting {
+            not_before: Instant::now() + pause,
+        }
+    }
+}
+
 /// Replica and slot lease of a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunLease {
@@ -85,6 +97,8 @@
     pub last_replica_instance: Option<u32>,
     /// Since when no replica of the version that began it has had a free slot; `None` while none is wanted.
     pub version_full_since: Option<Instant>,
+    /// Attempts since it last received an event.
+    pub fruitless: FruitlessAttempts,
     /// Current phase.
     pub phase: ItemPhase,
 }
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -7,7 +7,8 @@
 use harrierward_serving::{
     AskedPeers, Attempt, AttemptFailure, AttemptOptions, AttemptOutcome, AttemptTimeouts, BodyEnd,
     BodyFormat, BodyParser, BodyPart, ContinuedStream, EventsLeft, Forwarder, InProgress,
-    KnownOrigin, Placement, Replica, ServingRequest, StreamEvent, wait_for_progress,
+    KnownOrigin, Placement, RefusalScope, Replica, ReplicaRefusal, ServingRequest, StreamEvent,
+    wait_for_progress,
 };
 use tokio::time::Instant;
 
@@ -31,23 +32,49 @@
     Failed,
     /// The replica rejected the item; a retry cannot succeed.
     Impossible,
-    /// The replica did not run the item, for this cause.
+    /// No replica received the item, for this cause.
     NotRun(String),
+    /// The replica refused the item without running it.
+    Refused {
+        /// Value of `outcome` in the decision log.
+        cause: String,
+        /// The refusal.
+        refusal: ReplicaRefusal,
+    },
     /// The stream broke for this cause; the item resumes after its last event.
     Broken(String),
 }
 
+impl RunOutcome {
+    /// True if a replica refused the item although it may have had free slots.
+    pub fn is_refused_with_free_slots(&self) -> bool {
+        match self {
+            Self::Refused { refusal, .. } => refusal.scope != RefusalScope::Replica,
+            _ => false,
+        }
+    }
+}
+
 /// Status codes of a replica's response to an item.
 const FAILED: u16 = 500;
 const IMPOSSIBLE: u16 = 422;
 
-/// Runs an item where it is placed. With `failed_before`, another failure is not counted against the replica.
+/// What earlier runs of the item showed, so that this one's result isn't held against the replica.
+#[derive(Debug, Clone)]
+pub struct RunOptions {
+    /// A replica failed the item before.
+    pub failed_before: bool,
+    /// Refusals by other replicas that may have had room.
+    pub refused_elsewhere: Vec<ReplicaRefusal>,
+}
+
+/// Runs an item where it is placed.
 pub async fn run(
     forwarder: &Forwarder,
     request: &ServingRequest,
     progress: &SharedProgress,
     placement: Placement,
-    failed_before: bool,
+    run_options: RunOptions,
 ) -> RunOutcome {
     let (resume_after, events_left) = {
         let progress = lock(progress);
@@ -62,7 +89,8 @@
         resume_after,
         fresh_connection: false,
         number: 1,
-        failed_before,
+        failed_before: run_options.failed_before,
+        refused_elsewhere: run_options.refused_elsewhere.len(),
     };
     lock(progress).is_awaiting_response = true;
     let attempt = forwarder
@@ -74,11 +102,19 @@
         Err(AttemptFailure::NoReplica | AttemptFailure::RetryLater { .. }) => {
             return RunOutcome::NotRun("no replica".to_owned());
         }
-        Err(AttemptFailure::NotRun { cause, .. } | AttemptFailure::Unattributed { cause }) => {
-            return RunOutcome::NotRun(cause);
+        Err(
+            AttemptFailure::NotRun { cause, refused }
+            | AttemptFailure::Unattributed { cause, refused },
+        ) => {
+            return match refused {
+                Some(refusal) => RunOutcome::Refused { cause, refusal },
+                None => RunOutcome::NotRun(cause),
+            };
         }
         Err(AttemptFailure::MayHaveRun { cause }) => return RunOutcome::Broken(cause),
     };
+    let tokens = request.prompt.total_tokens();
+    forwarder.note_admitted_after(&run_options.refused_elsewhere, tokens);
     match attempt.response.status {
         200..=299 => {}
         FAILED => return RunOutcome::Failed,
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod adoption_order;
 mod checkpoint;
 mod failure_reports;
+mod fruitless;
 mod header_lookup;
 pub mod item;
 mod item_run;
@@ -28,18 +29,20 @@
 mod reported_failures;
 mod runner;
 mod service;
+mod starting;
 mod store;
 mod submit;
 mod takeover;
 mod view;
 
+pub use fruitless::FruitlessAttempts;
 pub use keys::{JOB_HEADERS, RowKind, crash_reports_key, partitions, row_kind};
 pub use model::{
     CancelOutcome, JobCaller, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem,
     SubmittedJob, scoped_id,
 };
 pub use own_headers::HeaderReads;
-pub use pacing::{RunLength, Urgency, slack, urgency};
+pub use pacing::{RunLength, StartPacer, Urgency, slack, urgency};
 pub use quota_ledger::{QuotaDecision, QuotaLedger, QuotaRequest, RouteUsage};
 pub use reported_failures::ReportedFailures;
 pub use service::{InlineJobs, JobParts, JobSettings, Peers};
--- a/crates/inline-jobs/src/model.rs
+++ b/crates/inline-jobs/src/model.rs
@@ -205,8 +205,14 @@
             tokens: part.tokens,
         })
         .collect();
+    let prompt = Prompt {
+        parts,
+        tokens: row.prompt_tokens,
+        output_tokens: row.output_tokens,
+    };
     ServingRequest {
         regions: AllowedRegions::default(),
+        prompt: with_stated_size(prompt, &row.id, header),
         id: row.id,
         host: header.host.clone(),
         method: Method::POST,
@@ -217,12 +223,17 @@
         resume_after: None,
         resumes: None,
         version: None,
-        prompt: Prompt {
-            parts,
-            tokens: row.prompt_tokens,
-            output_tokens: row.output_tokens,
-        },
         key: None,
         tenant: (!header.tenant.is_empty()).then(|| Arc::from(header.tenant.as_str())),
     }
 }
+
+/// Completes a prompt without lengths by the tokens that the job states for its item, so that its size is known.
+fn with_stated_size(mut prompt: Prompt, item: &str, header: &JobHeadRow) -> Prompt {
+    if prompt.total_tokens() == 0 {
+        let stated = header.items.iter().find(|stated| stated.id == item);
+        let tokens = stated.map_or(0, |stated| stated.tokens);
+        prompt.tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+    }
+    prompt
+}
--- a/crates/inline-jobs/src/no_capacity.rs
+++ b/crates/inline-jobs/src/no_capacity.rs
@@ -24,34 +24,55 @@
     pub version: Option<SoftwareVersion>,
 }
 
+#[derive(Debug)]
+struct FailedPlacement {
+    replicas: ItemReplicas,
+    /// Size from which items find no slot; 0 if none does.
+    min_tokens: u64,
+    at: Instant,
+}
+
 /// Recent failed placements.
 #[derive(Debug, Default)]
 pub struct NoCapacity {
-    entries: Vec<(ItemReplicas, Instant)>,
+    failed: Vec<FailedPlacement>,
 }
 
 impl NoCapacity {
-    /// Records that an item which may use these replicas found no free slot.
-    pub fn note(&mut self, replicas: ItemReplicas, now: Instant) {
-        self.entries.retain(|(noted, noted_at)| {
-            *noted != replicas && now.saturating_duration_since(*noted_at) < DEFERRAL_DURATION
+    /// Records that an item which may use these replicas found no free slot, and that others of at least `min_tokens`
+    /// wouldn't either.
+    pub fn note(&mut self, replicas: ItemReplicas, min_tokens: u64, now: Instant) {
+        self.failed.retain(|one| {
+            let is_same = one.replicas == replicas && one.min_tokens == min_tokens;
+            !is_same && now.saturating_duration_since(one.at) < DEFERRAL_DURATION
+        });
+        self.failed.push(FailedPlacement {
+            replicas,
+            min_tokens,
+            at: now,
         });
-        self.entries.push((replicas, now));
     }
 
-    /// True if no placement is to be attempted now.
-    pub fn is_paused(&self, replicas: &ItemReplicas, now: Instant) -> bool {
-        self.was_noted_within(PAUSE, replicas, now)
+    /// True if no placement of an item of this size is to be attempted now.
+    pub fn is_paused(&self, replicas: &ItemReplicas, tokens: u64, now: Instant) -> bool {
+        self.was_noted_within(PAUSE, replicas, tokens, now)
     }
 
-    /// True if other items are to be started first.
-    pub fn is_deferred(&self, replicas: &ItemReplicas, now: Instant) -> bool {
-        self.was_noted_within(DEFERRAL_DURATION, replicas, now)
+    /// True if other items are to be started before one of this size.
+    pub fn is_deferred(&self, replicas: &ItemReplicas, tokens: u64, now: Instant) -> bool {
+        self.was_noted_within(DEFERRAL_DURATION, replicas, tokens, now)
     }
 
-    fn was_noted_within(&self, duration: Duration, replicas: &ItemReplicas, now: Instant) -> bool {
-        self.entries.iter().any(|(noted, noted_at)| {
-            noted == replicas && now.saturating_duration_since(*noted_at) < duration
+    fn was_noted_within(
+        &self,
+        duration: Duration,
+        replicas: &ItemReplicas,
+        tokens: u64,
+        now: Instant,
+    ) -> bool {
+        self.failed.iter().any(|one| {
+            let concerns_item = one.replicas == *replicas && tokens >= one.min_tokens;
+            concerns_item && now.saturating_duration_since(one.at) < duration
         })
     }
 }
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -10,6 +10,7 @@
 use harrierward_wire::{ItemFailuresRow, ItemProgressRow, JobHeadRow};
 use tokio::time::Instant;
 
+use crate::fruitless::FruitlessAttempts;
 use crate::item::{Item, ItemPhase, ItemProgress, SharedProgress, abort_run, lock};
 use crate::store::ListedResult;
 use crate::view::KnownHeader;
@@ -123,7 +124,7 @@
     pub checkpoint_at: Instant,
     /// When this daemon began to run it.
     pub registered_at: Instant,
-    /// When a run of it last broke or was refused by a replica; `None` if none did.
+    /// When a run of it last broke or could not be sent; `None` if none did.
     pub broken_run_at: Option<Instant>,
     /// Items that begin again although the store holds events, since it doesn't hold the version that wrote them.
     unknown_versions: usize,
@@ -149,6 +150,7 @@
                 saved_events: 0,
                 last_replica_instance: None,
                 version_full_since: None,
+                fruitless: FruitlessAttempts::default(),
                 phase: ItemPhase::Waiting { not_before: now },
             })
             .collect();
@@ -265,9 +267,9 @@
         rows.collect()
     }
 
-    /// True if a run broke or was refused within `timeout`, and in that time no run that is still in progress started,
-    /// no item received an event and no result was listed. A newly registered job is not stuck, nor is one with
-    /// a result to list or one that only waits for slots.
+    /// True if a run broke or could not be sent within `timeout`, and in that time no run that is still in progress
+    /// started, no item received an event and no result was listed. A newly registered job is not stuck, nor is one with
+    /// a result to list or one whose items replicas refuse, as they would refuse them of any owner.
     pub fn is_stuck(&self, timeout: Duration) -> bool {
         let is_recent = |at: Instant| at.elapsed() < timeout;
         let has_progressed = |item: &Item| {
--- a/crates/inline-jobs/src/pacing.rs
+++ b/crates/inline-jobs/src/pacing.rs
@@ -3,8 +3,17 @@
 //! An online request without a free slot preempts an item, which resumes elsewhere at the cost of reading its prompt
 //! again. Starts are spread because the prefill of an item delays the tokens of all other requests at its replica.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
+/// Bound of the placement requests in flight under one name.
+const MAX_PLACEMENTS: usize = 3;
+
+/// Time after the last start from which it needn't be remembered; more than any start interval.
+const STARTS_TTL: Duration = Duration::from_secs(1);
+
 /// Urgency of an item by its job's age, in start order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Urgency {
@@ -96,3 +105,64 @@
         }
     }
 }
+
+#[derive(Debug, Default)]
+struct Starts {
+    last: Option<Instant>,
+    before_last: Option<Instant>,
+    placements: usize,
+}
+
+impl Starts {
+    fn is_needed(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < STARTS_TTL;
+        self.placements > 0 || self.last.is_some_and(is_recent)
+    }
+}
+
+/// Starts of items, by the name of what they share: items that wait for one service take no start from those of another.
+#[derive(Debug, Default)]
+pub struct StartPacer {
+    by_name: BTreeMap<String, Starts>,
+}
+
+impl StartPacer {
+    /// True if the start interval of this urgency has passed.
+    pub fn is_due(&self, name: &str, urgency: Urgency, now: Instant) -> bool {
+        let last = self.by_name.get(name).and_then(|starts| starts.last);
+        last.is_none_or(|last| now.saturating_duration_since(last) >= urgency.start_interval())
+    }
+
+    /// True if another placement may be in flight.
+    pub fn may_place(&self, name: &str) -> bool {
+        let starts = self.by_name.get(name);
+        starts.is_none_or(|starts| starts.placements < MAX_PLACEMENTS)
+    }
+
+    /// Records a start. A trial doesn't delay other starts.
+    pub fn begin(&mut self, name: &str, is_trial: bool, now: Instant) {
+        self.by_name.retain(|_, starts| starts.is_needed(now));
+        let starts = self.by_name.entry(name.to_owned()).or_default();
+        starts.placements += 1;
+        if !is_trial {
+            starts.before_last = starts.last;
+            starts.last = Some(now);
+        }
+    }
+
+    /// Records that a placement is no longer in flight.
+    pub fn end_placement(&mut self, name: &str) {
+        if let Some(starts) = self.by_name.get_mut(name) {
+            starts.placements = starts.placements.saturating_sub(1);
+        }
+    }
+
+    /// Takes the start at `started_at` back, since a replica refused the item: nothing ran, so that the next item needn't
+    /// wait. Has no effect after a later start.
+    pub fn take_back(&mut self, name: &str, started_at: Instant) {
+        let starts = self.by_name.get_mut(name);
+        if let Some(starts) = starts.filter(|starts| starts.last == Some(started_at)) {
+            starts.last = starts.before_last;
+        }
+    }
+}
--- a/crates/inline-jobs/src/ready.rs
+++ b/crates/inline-jobs/src/ready.rs
@@ -12,6 +12,8 @@
 pub struct ReadyItem {
     /// The item, with its allowed regions and its version in the request.
     pub item: StartableItem,
+    /// Name under which its start is paced.
+    pub pace: String,
     /// Name of the service that runs it.
     pub service: String,
     /// How long it may wait and still be in time.
--- a/crates/inline-jobs/src/registry.rs
+++ b/crates/inline-jobs/src/registry.rs
@@ -7,10 +7,11 @@
 use harrierward_serving::ServingRequest;
 use tokio::time::Instant;
 
+use crate::fruitless::FruitlessAttempts;
 use crate::item::{Item, ItemPhase, RunLease, SharedProgress, abort_run, lock};
 use crate::no_capacity::NoCapacity;
 use crate::owned_job::OwnedJob;
-use crate::pacing::RunLength;
+use crate::pacing::{RunLength, StartPacer};
 
 /// A copy of an item that may be started.
 #[derive(Debug, Clone)]
@@ -23,6 +24,8 @@
     pub route: String,
     /// When its job was accepted, on the store's clock, in milliseconds.
     pub accepted_ms: u64,
+    /// Number of the last event received before this run; `None` before the first.
+    pub resume_after: Option<u64>,
     /// True if no output was received before this run.
     pub started_fresh: bool,
     /// Hash of the replica instance at which it last ran; `None` if it has not run at this daemon.
@@ -31,19 +34,33 @@
     pub version_full_since: Option<Instant>,
     /// Runs that a replica ended with a failure response.
     pub failures: u32,
+    /// Attempts since it last received an event.
+    pub fruitless: FruitlessAttempts,
     /// The request to send to a replica.
     pub request: Arc<ServingRequest>,
     /// Output received so far, shared with the item's task.
     pub progress: SharedProgress,
 }
 
+impl StartableItem {
+    /// Returns its place in the order of starts: when it counts as accepted, in milliseconds of the store's clock.
+    pub fn start_order_ms(&self) -> u64 {
+        let demotion = self.fruitless.demotion().as_millis();
+        let demotion = u64::try_from(demotion).unwrap_or(u64::MAX);
+        self.accepted_ms.saturating_add(demotion)
+    }
+
+    /// Returns the tokens of its prompt and the most to be generated; 0 if not stated.
+    pub fn tokens(&self) -> u64 {
+        self.request.prompt.total_tokens()
+    }
+}
+
 /// All jobs of this daemon, with the state of item scheduling.
 #[derive(Debug, Default)]
 pub struct JobRegistry {
-    /// When an item was last started; `None` before the first.
-    pub last_start: Option<Instant>,
-    /// Placement requests in flight.
-    pub placements_in_flight: usize,
+    /// Recent starts, and placements in flight.
+    pub starts: StartPacer,
     /// Where placements recently found no free slot.
     pub no_capacity: NoCapacity,
     /// Mean length of item runs, for the urgency of items.
@@ -66,15 +83,18 @@
         for job in jobs {
             for (number, item) in (0..).zip(&job.items) {
                 if item.is_startable(now) {
+                    let resume_after = lock(&item.progress).last_event;
                     startable.push(StartableItem {
                         job: job.known.header.job_id.clone(),
                         number,
                         route: job.known.header.route.clone(),
                         accepted_ms: job.known.header.accepted_ms,
-                        started_fresh: lock(&item.progress).last_event.is_none(),
+                        resume_after,
+                        started_fresh: resume_after.is_none(),
                         last_replica_instance: item.last_replica_instance,
                         version_full_since: item.version_full_since,
                         failures: item.failures,
+                        fruitless: item.fruitless.clone(),
                         request: item.request.clone(),
                         progress: item.progress.clone(),
                     });
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -1,48 +1,38 @@
-//! Starts items on free replica slots, records the outcomes of runs, and preempts runs when online requests need the
-//! slots.
+//! Places and runs items, records the outcomes of runs, and preempts runs when online requests need the slots.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::{
-    AskedPeers, ContinuedStream, ItemSlack, Mechanism, Placement, Replica, ReplicaView, Route,
-    RouteTable, WorkClass, origin_of, short_hash,
-};
-use harrierward_tenants::AllowedRegions;
+use harrierward_serving::{AskedPeers, ContinuedStream, Placement, Replica, WorkClass, origin_of};
 use tokio::time::{Instant, sleep};
 
-use crate::item::{ItemPhase, RunLease, lock};
-use crate::item_run::{self, RunOutcome};
+use crate::item::{Item, ItemPhase, RunLease, lock};
+use crate::item_run::{self, RunOptions, RunOutcome};
 use crate::no_capacity::ItemReplicas;
-use crate::pacing::{RunLength, Urgency, slack, urgency};
-use crate::ready::{ReadyItem, restrict};
+use crate::ready::ReadyItem;
 use crate::registry::{PreemptedItem, StartableItem};
 use crate::service::InlineJobs;
+use crate::starting::usable_replicas;
 
 /// Poll interval of the runner when nothing wakes it.
 const TICK: Duration = Duration::from_millis(25);
 
-/// How long an item waits for a free slot at the version that began it before it may begin again at another one.
-const MAX_VERSION_WAIT: Duration = Duration::from_millis(1_000);
-
-/// Pause before an item that was refused, or whose stream broke, is started again.
+/// Pause before an item that was not run, or whose stream broke after an event, is started again.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 
-/// How long a route must be missing before its items fail: it may be absent briefly between two configurations.
-const ROUTE_GRACE_PERIOD: Duration = Duration::from_millis(3_000);
-
 /// Pause before an item that failed at a replica is started again.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
 /// Pause before a preempted item is started again.
 const PREEMPTION_PAUSE: Duration = Duration::from_millis(800);
 
-/// Bound of the placement requests in flight at a daemon.
-const MAX_PLACEMENTS: usize = 3;
-
 /// Time limit of an item's placement request; no caller waits for it.
 const PLACEMENT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum number of replicas without room for an item that its placement request excludes.
+const MAX_EXCLUDED: usize = 16;
+
 /// Minimum time between two preemptions at a replica, so that the other daemons' counts arrive in between.
 const PREEMPTION_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -62,114 +52,6 @@
         }
     }
 
-    fn start_items(&self) {
-        let Some(routes) = self.inner.forwarder.routes() else {
-            return;
-        };
-        self.registry().fail_items_without_route(
-            |route| routes.configuration.route(route).is_some(),
-            Instant::now(),
-            ROUTE_GRACE_PERIOD,
-        );
-        let mut deferred = Vec::new();
-        for (item, urgency, slack) in self.startable(&routes) {
-            if is_exhausted(&routes, &item) {
-                self.fail_item(&item);
-                continue;
-            }
-            if !self.is_due(urgency) {
-                return;
-            }
-            if let Some(quarantine) = self.inner.forwarder.item_quarantine(&item.request) {
-                if quarantine.has_failed_trial() {
-                    self.fail_expired_quarantined(&routes, &item);
-                }
-                continue;
-            }
-            let item_slack = ItemSlack { slack };
-            let Some(ready) = self.ready(&routes, item, item_slack) else {
-                // An item that cannot be placed must not block the others.
-                continue;
-            };
-            if ready.is_deferred {
-                deferred.push((ready, urgency));
-            } else if !self.start_item(&ready) {
-                return;
-            }
-        }
-        for (ready, urgency) in deferred {
-            if !self.is_due(urgency) || !self.start_item(&ready) {
-                return;
-            }
-        }
-    }
-
-    /// Fails a quarantined item whose job is older than its route's limit. Until then the item waits, as the
-    /// quarantine may end.
-    fn fail_expired_quarantined(&self, routes: &RouteTable, item: &StartableItem) {
-        let route = routes.configuration.route(&item.route);
-        let bounds = route.and_then(|route| route.batch());
-        let Some(limit) = bounds.map(|bounds| bounds.give_up_after) else {
-            return;
-        };
-        let age_ms = self
-            .inner
-            .view
-            .store_now_ms()
-            .saturating_sub(item.accepted_ms);
-        if limit.is_zero() || Duration::from_millis(age_ms) < limit {
-            return;
-        }
-        self.fail_item(item);
-        self.log_run(item, "", &RunOutcome::NotRun("held back".to_owned()));
-    }
-
-    /// Gives an item up without another run.
-    fn fail_item(&self, item: &StartableItem) {
-        if let Some(entry) = self.registry().item(&item.job, item.number) {
-            entry.phase = ItemPhase::Done { failed: true };
-        }
-    }
-
-    /// Returns the item as the current configuration allows it to run; `None` if no replica can take it now.
-    fn ready(
-        &self,
-        routes: &RouteTable,
-        item: StartableItem,
-        item_slack: ItemSlack,
-    ) -> Option<ReadyItem> {
-        let route = routes.configuration.route(&item.route)?;
-        let tenant = item.request.tenant.as_deref().unwrap_or_default();
-        let regions = routes.configuration.allowed_regions(&item.route, tenant);
-        let view = self.inner.forwarder.replicas().view();
-        let replicas = match replicas_of_version(&view, route, &regions, &item) {
-            Some(replicas) => replicas,
-            None => {
-                let entry = routes.find(&route.host, &route.prefix);
-                let service = entry.and_then(|entry| entry.next_service())?;
-                ItemReplicas {
-                    service: service.to_owned(),
-                    regions,
-                    version: None,
-                }
-            }
-        };
-        let now = Instant::now();
-        let registry = self.registry();
-        let is_paused = registry.no_capacity.is_paused(&replicas, now);
-        let is_deferred = registry.no_capacity.is_deferred(&replicas, now);
-        drop(registry);
-        if is_paused || !view.has_usable(&replicas.service, &replicas.regions, replicas.version) {
-            return None;
-        }
-        Some(ReadyItem {
-            service: replicas.service.clone(),
-            item: restrict(item, replicas),
-            item_slack,
-            is_deferred,
-        })
-    }
-
     /// Drops an item's events unless the replica at which it is placed can continue them.
     fn keep_continuable(&self, item: &mut StartableItem, replica: &Replica) {
         let mut progress = lock(&item.progress);
@@ -180,6 +62,7 @@
         let dropped = std::mem::take(&mut *progress);
         drop(progress);
         item.started_fresh = true;
+        item.resume_after = None;
         if let Some(entry) = self.registry().item(&item.job, item.number) {
             entry.saved_events = 0;
         }
@@ -195,100 +78,69 @@
         });
     }
 
-    /// Returns the items that may be started, the oldest first, those that can no longer be in time last.
-    fn startable(&self, routes: &RouteTable) -> Vec<(StartableItem, Urgency, Duration)> {
-        let (items, run_length) = {
-            let registry = self.registry();
-            (registry.startable(), registry.run_length)
-        };
-        let mut startable: Vec<(StartableItem, Urgency, Duration)> = items
-            .into_iter()
-            .filter_map(|item| {
-                let route = routes.configuration.route(&item.route)?;
-                let (urgency, slack) = self.urgency_of(&item, route, run_length);
-                Some((item, urgency, slack))
-            })
-            .collect();
-        startable.sort_by_key(|(_, urgency, _)| *urgency == Urgency::Missed);
-        startable
-    }
-
-    /// Returns an item's urgency, and its slack: the time for which it may wait and still be in time.
-    fn urgency_of(
-        &self,
-        item: &StartableItem,
-        route: &Route,
-        run_length: RunLength,
-    ) -> (Urgency, Duration) {
-        let now = self.inner.view.store_now_ms();
-        let age = Duration::from_millis(now.saturating_sub(item.accepted_ms));
-        let target = route.batch().map_or(Duration::MAX, |bounds| bounds.target);
-        let events = lock(&item.progress).texts.len();
-        let remaining = run_length.remaining(events);
-        (
-            urgency(age, remaining, target),
-            slack(age, remaining, target),
-        )
-    }
-
-    /// True if the start interval of this urgency has passed.
-    fn is_due(&self, urgency: Urgency) -> bool {
-        if !self.inner.forwarder.policy().has(Mechanism::Pacing) {
-            return true;
-        }
-        let last = self.registry().last_start;
-        last.is_none_or(|last| last.elapsed() >= urgency.start_interval())
-    }
-
-    /// Starts the placement and run of an item; false if too many placements are in flight.
-    fn start_item(&self, ready: &ReadyItem) -> bool {
+    /// Starts the placement and run of an item. A trial doesn't delay other starts.
+    pub(crate) fn start_item(&self, ready: &ReadyItem, is_trial: bool) {
         let item = &ready.item;
         let mut registry = self.registry();
-        if registry.placements_in_flight >= MAX_PLACEMENTS {
-            return false;
-        }
         // Its job may have been stopped, or its failures reported, since the item was selected.
         let entry = registry.item(&item.job, item.number);
         if self.is_stopping() || !entry.is_some_and(|entry| entry.is_startable(Instant::now())) {
-            return true;
+            return;
         }
-        registry.placements_in_flight += 1;
-        registry.last_start = Some(Instant::now());
-        let placement_guard = PlacementGuard { jobs: self.clone() };
+        let started_at = Instant::now();
+        registry.starts.begin(&ready.pace, is_trial, started_at);
+        let placement_guard = PlacementGuard {
+            jobs: self.clone(),
+            pace: ready.pace.clone(),
+        };
         let jobs = self.clone();
         let started = ready.clone();
         // The task cannot finish before its phase is set: it needs the lock that is held here.
-        let task = tokio::spawn(async move { jobs.place_item(started, placement_guard).await });
+        let task = tokio::spawn(async move {
+            jobs.place_item(started, started_at, placement_guard).await;
+        });
         if let Some(entry) = registry.item(&item.job, item.number) {
             entry.phase = ItemPhase::Running {
                 lease: None,
                 task: task.abort_handle(),
-                since: Instant::now(),
+                since: started_at,
             };
         }
-        true
     }
 
-    async fn place_item(&self, ready: ReadyItem, placement_guard: PlacementGuard) {
+    async fn place_item(
+        &self,
+        ready: ReadyItem,
+        started_at: Instant,
+        placement_guard: PlacementGuard,
+    ) {
         let ReadyItem {
             mut item,
+            pace,
             service,
             item_slack,
             ..
         } = ready;
         let forwarder = &self.inner.forwarder;
-        let placement = forwarder
-            .place(
-                &item.request,
-                &service,
-                &[],
-                PLACEMENT_TIMEOUT,
-                Some(item_slack),
-            )
-            .await;
+        let excluded = self.excluded_replicas(&item, &service);
+        let placement = match &excluded {
+            Some(excluded) => {
+                let slack = Some(item_slack);
+                let request = &item.request;
+                forwarder
+                    .place(request, &service, excluded, PLACEMENT_TIMEOUT, slack)
+                    .await
+            }
+            None => None,
+        };
         drop(placement_guard);
         let Some(mut placement) = placement else {
-            self.note_no_capacity(&item, &service);
+            let may_use_all = excluded.is_some_and(|excluded| excluded.is_empty());
+            if !may_use_all || self.note_no_capacity(&item, &service) {
+                // Others may find a slot where this one doesn't.
+                self.registry().starts.take_back(&pace, started_at);
+                self.return_to_queue(&item, RETRY_PAUSE);
+            }
             return;
         };
         if let Some(previous) = item.last_replica_instance {
@@ -302,8 +154,52 @@
             lease: placement.in_progress.lease().unwrap_or_default(),
         };
         let replica = placement.choice.replica.hash;
-        if self.note_placed(&item, replica, run_lease) {
-            self.run_item(item, placement).await;
+        if !self.note_placed(&item, replica, run_lease) {
+            return;
+        }
+        let outcome = self.run_item(&item, placement).await;
+        if outcome.is_refused_with_free_slots() {
+            self.registry().starts.take_back(&pace, started_at);
+        }
+        self.inner.wake.notify_one();
+    }
+
+    /// Returns the size from which items find no free slot after this one found none: its own if replicas refuse this
+    /// size, so that smaller items may find one.
+    fn smallest_without_slot(&self, item: &StartableItem, service: &str) -> u64 {
+        let view = self.inner.forwarder.replicas().view();
+        let tokens = item.tokens();
+        let usable = usable_replicas(&view, service, &item.request);
+        let lacks_room = usable.iter().any(|replica| replica.lacks_room(tokens));
+        if lacks_room { tokens } else { 0 }
+    }
+
+    /// Returns the replicas that are not to be asked for the item: those that refused it last, and those that refuse
+    /// items of its size. `None` if that leaves none.
+    fn excluded_replicas(&self, item: &StartableItem, service: &str) -> Option<Vec<String>> {
+        let forwarder = &self.inner.forwarder;
+        if item.fruitless.is_unrefused() && !forwarder.has_refusals() {
+            return Some(Vec::new());
+        }
+        let tokens = item.tokens();
+        let mut usable = usable_replicas(&forwarder.replicas().view(), service, &item.request);
+        let without_room: Vec<Arc<Replica>> = usable
+            .extract_if(.., |replica| replica.lacks_room(tokens))
+            .collect();
+        if usable.is_empty() {
+            return None;
+        }
+        let mut excluded = item.fruitless.excluded(&usable);
+        let without_room = without_room.iter().take(MAX_EXCLUDED);
+        excluded.extend(without_room.map(|replica| replica.record.id.clone()));
+        Some(excluded)
+    }
+
+    fn return_to_queue(&self, item: &StartableItem, pause: Duration) {
+        if let Some(entry) = self.registry().item(&item.job, item.number)
+            && matches!(entry.phase, ItemPhase::Running { .. })
+        {
+            entry.phase = ItemPhase::wait(pause);
         }
     }
 
@@ -323,8 +219,9 @@
         true
     }
 
-    /// Returns an item to the queue after no replica had capacity, and pauses placements for its service and regions.
-    fn note_no_capacity(&self, item: &StartableItem, service: &str) {
+    /// Returns an item to the queue after no replica had capacity, and pauses placements of items like it. True if those
+    /// are only items of its size and larger ones.
+    fn note_no_capacity(&self, item: &StartableItem, service: &str) -> bool {
         let now = Instant::now();
         let replicas = ItemReplicas {
             service: service.to_owned(),
@@ -332,6 +229,7 @@
             version: item.request.version,
         };
         let is_bound = replicas.version.is_some();
+        let min_tokens = self.smallest_without_slot(item, service);
         let mut registry = self.registry();
         self.inner.log.record(&Record::ItemNotPlaced {
             job: &item.job,
@@ -339,7 +237,7 @@
             service,
             startable: registry.startable().len(),
         });
-        registry.no_capacity.note(replicas, now);
+        registry.no_capacity.note(replicas, min_tokens, now);
         if let Some(entry) = registry.item(&item.job, item.number)
             && matches!(entry.phase, ItemPhase::Running { .. })
         {
@@ -348,25 +246,31 @@
                 entry.version_full_since.get_or_insert(now);
             }
         }
+        min_tokens > 0
     }
 
-    async fn run_item(&self, item: StartableItem, placement: Placement) {
-        let replica = placement.choice.replica.record.id.clone();
+    async fn run_item(&self, item: &StartableItem, placement: Placement) -> RunOutcome {
+        let replica = placement.choice.replica.clone();
         let started = Instant::now();
-        let outcome = item_run::run(
-            &self.inner.forwarder,
-            &item.request,
-            &item.progress,
-            placement,
-            item.failures > 0,
-        )
-        .await;
-        self.finish(&item, &replica, &outcome, started);
-        self.inner.wake.notify_one();
+        let options = RunOptions {
+            failed_before: item.failures > 0,
+            refused_elsewhere: item.fruitless.refusals_except(replica.hash),
+        };
+        let forwarder = &self.inner.forwarder;
+        let outcome =
+            item_run::run(forwarder, &item.request, &item.progress, placement, options).await;
+        self.finish(item, &replica, &outcome, started);
+        outcome
     }
 
-    fn finish(&self, item: &StartableItem, replica: &str, outcome: &RunOutcome, started: Instant) {
-        self.log_run(item, replica, outcome);
+    fn finish(
+        &self,
+        item: &StartableItem,
+        replica: &Replica,
+        outcome: &RunOutcome,
+        started: Instant,
+    ) {
+        self.log_run(item, &replica.record.id, outcome);
         let attempts = self.attempts_of(&item.route);
         let mut registry = self.registry();
         if *outcome == RunOutcome::Finished && item.started_fresh {
@@ -386,25 +290,13 @@
         if matches!(entry.phase, ItemPhase::Listed | ItemPhase::Done { .. }) {
             return;
         }
-        let wait = |pause| ItemPhase::Waiting {
-            not_before: Instant::now() + pause,
-        };
+        let has_progressed = lock(&item.progress).last_event > item.resume_after;
+        if has_progressed {
+            entry.fruitless.clear();
+        }
         entry.phase = match outcome {
-            RunOutcome::Finished => ItemPhase::Done { failed: false },
-            RunOutcome::Impossible => {
-                // The count tells a later owner that no retry can succeed.
-                entry.failures = entry.failures.max(attempts);
-                ItemPhase::Done { failed: true }
-            }
-            RunOutcome::Failed => {
-                entry.failures += 1;
-                if entry.failures >= attempts {
-                    ItemPhase::Done { failed: true }
-                } else {
-                    wait(FAILURE_PAUSE)
-                }
-            }
-            RunOutcome::NotRun(_) | RunOutcome::Broken(_) => wait(RETRY_PAUSE),
+            RunOutcome::Broken(_) if has_progressed => ItemPhase::wait(RETRY_PAUSE),
+            _ => phase_after(entry, outcome, attempts, replica),
         };
     }
 
@@ -416,12 +308,14 @@
             .map_or(u32::MAX, |route| route.attempts)
     }
 
-    fn log_run(&self, item: &StartableItem, replica: &str, outcome: &RunOutcome) {
+    pub(crate) fn log_run(&self, item: &StartableItem, replica: &str, outcome: &RunOutcome) {
         let outcome = match outcome {
             RunOutcome::Finished => "finished",
             RunOutcome::Failed => "failed",
             RunOutcome::Impossible => "impossible",
-            RunOutcome::NotRun(cause) | RunOutcome::Broken(cause) => cause.as_str(),
+            RunOutcome::NotRun(cause)
+            | RunOutcome::Refused { cause, .. }
+            | RunOutcome::Broken(cause) => cause.as_str(),
         };
         let events = lock(&item.progress).last_event;
         self.inner.log.record(&Record::ItemRun {
@@ -501,35 +395,38 @@
     }
 }
 
-/// Returns the replicas that may continue an item's events; `None` without events, if none of these replicas accepts
-/// work, or if all have been full for [`MAX_VERSION_WAIT`].
-fn replicas_of_version(
-    view: &ReplicaView,
-    route: &Route,
-    regions: &AllowedRegions,
-    item: &StartableItem,
-) -> Option<ItemReplicas> {
-    let origin = lock(&item.progress).origin.as_ref()?.origin;
-    let mut services = route.services.iter();
-    let service = services.find(|one| short_hash(&one.service) == origin.service)?;
-    let version = Some(origin.version);
-    let full_since = item.version_full_since;
-    let is_full = full_since.is_some_and(|since| since.elapsed() >= MAX_VERSION_WAIT);
-    if is_full || !view.has_usable(&service.service, regions, version) {
-        return None;
+/// Returns the phase of an item after a run that brought no event, or has ended it.
+fn phase_after(
+    entry: &mut Item,
+    outcome: &RunOutcome,
+    attempts: u32,
+    replica: &Replica,
+) -> ItemPhase {
+    match outcome {
+        RunOutcome::Finished => ItemPhase::Done { failed: false },
+        RunOutcome::Impossible => {
+            // The count tells a later owner that no retry can succeed.
+            entry.failures = entry.failures.max(attempts);
+            ItemPhase::Done { failed: true }
+        }
+        RunOutcome::Failed => {
+            entry.failures += 1;
+            if entry.failures >= attempts {
+                ItemPhase::Done { failed: true }
+            } else {
+                ItemPhase::wait(FAILURE_PAUSE)
+            }
+        }
+        RunOutcome::Refused { refusal, .. } if outcome.is_refused_with_free_slots() => {
+            entry.fruitless.note_refused(replica, *refusal);
+            ItemPhase::wait(entry.fruitless.pause())
+        }
+        RunOutcome::NotRun(_) | RunOutcome::Refused { .. } => ItemPhase::wait(RETRY_PAUSE),
+        RunOutcome::Broken(_) => {
+            entry.fruitless.note_broken();
+            ItemPhase::wait(entry.fruitless.pause())
+        }
     }
-    Some(ItemReplicas {
-        service: service.service.clone(),
-        regions: regions.clone(),
-        version,
-    })
-}
-
-/// True if an item has used up its route's attempts. The route may have been missing when the job was loaded or the
-/// failures were reported.
-fn is_exhausted(routes: &RouteTable, item: &StartableItem) -> bool {
-    let route = routes.configuration.route(&item.route);
-    route.is_some_and(|route| item.failures >= route.attempts)
 }
 
 /// Rounds stochastically, so that the daemons' shares add up to the excess on average.
@@ -542,10 +439,12 @@
 /// Decrements the count of placements in flight when dropped.
 struct PlacementGuard {
     jobs: InlineJobs,
+    /// Name under which the placement is counted.
+    pace: String,
 }
 
 impl Drop for PlacementGuard {
     fn drop(&mut self) {
-        self.jobs.registry().placements_in_flight -= 1;
+        self.jobs.registry().starts.end_placement(&self.pace);
     }
 }
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -9,14 +9,15 @@
 use tokio::time::{Instant, timeout};
 
 use crate::choice::{CrossRegionReason, MIN_FREE_PERMILLE, Placement};
-use crate::exchange::{ExchangeError, ReplicaRequest, ReplicaResponse, ServingRequest};
+use crate::classification::Exchange;
+use crate::exchange::{ReplicaRequest, ReplicaResponse, ServingRequest};
 use crate::forwarder::Forwarder;
 use crate::gate::{GateRequest, check_gate, may_copy_from};
 use crate::in_progress::InProgress;
-use crate::outcome::{AttemptOutcome, Evidence};
 use crate::placement::PlacementError;
 use crate::policy::Mechanism;
-use crate::replica::{LeavingNotice, Replica, WorkClass};
+use crate::refusals::ReplicaRefusal;
+use crate::replica::{Replica, WorkClass};
 use crate::request_state::RequestState;
 
 /// Time limits of one attempt.
@@ -41,6 +42,8 @@
     pub number: u32,
     /// The request failed at another replica before; a further failure is attributed to the request.
     pub failed_before: bool,
+    /// Other replicas that refused the request although they may have had room.
+    pub refused_elsewhere: usize,
 }
 
 /// Reason why an attempt produced no usable response.
@@ -57,13 +60,15 @@
     NotRun {
         /// Value of `cause` in the decision log.
         cause: String,
-        /// The replica had no capacity.
-        full: bool,
+        /// The refusal; `None` if the request wasn't sent or is for another replica.
+        refused: Option<ReplicaRefusal>,
     },
     /// A refusal without request id on a reused connection: it may belong to an earlier request, while this one runs.
     Unattributed {
         /// Value of `cause` in the decision log.
         cause: String,
+        /// The refusal; `None` if the request is for another replica.
+        refused: Option<ReplicaRefusal>,
     },
     /// The replica may have run the request.
     MayHaveRun {
@@ -85,10 +90,26 @@
         match self {
             Self::NoReplica | Self::RetryLater { .. } => "no replica",
             Self::NotRun { cause, .. }
-            | Self::Unattributed { cause }
+            | Self::Unattributed { cause, .. }
             | Self::MayHaveRun { cause } => cause,
         }
     }
+
+    /// Failure of an attempt that was not sent.
+    pub(crate) fn not_sent(cause: String) -> Self {
+        Self::NotRun {
+            cause,
+            refused: None,
+        }
+    }
+
+    /// Returns the replica's refusal; `None` if no replica refused the request.
+    pub fn refused(&self) -> Option<ReplicaRefusal> {
+        match self {
+            Self::NotRun { refused, .. } | Self::Unattributed { refused, .. } => *refused,
+            Self::NoReplica | Self::RetryLater { .. } | Self::MayHaveRun { .. } => None,
+        }
+    }
 }
 
 /// Response whose header has arrived.
@@ -149,24 +170,12 @@
 /// Cause of an attempt that isn't made because the request is quarantined.
 const CAUSE_QUARANTINED: &str = "held back";
 
-/// Lowest status that counts as a failure of the replica rather than of the request.
-const MIN_FAILURE_STATUS: u16 = 500;
-
 /// Progress checks per stall timeout.
 const POLLS_PER_STALL_TIMEOUT: u32 = 3;
 
 /// Divisor of the remaining hold time during which an overdue request waits for spare slots.
 const OVERDUE_HOLD_DIVISOR: u32 = 3;
 
-/// Classifies a refusal by whether it certainly belongs to this request.
-fn refusal(cause: String, full: bool, is_attributed: bool) -> AttemptFailure {
-    if is_attributed {
-        AttemptFailure::NotRun { cause, full }
-    } else {
-        AttemptFailure::Unattributed { cause }
-    }
-}
-
 impl Forwarder {
     /// Sends the request to a replica chosen for it. Returns the replica's id and the result.
     pub(crate) async fn attempt(
@@ -232,7 +241,7 @@
         };
         if let Some(reason) = check_gate(&replica, &gate_request, harrierward_clock::now()) {
             let cause = format!("barred: {}", reason.name());
-            let failure = AttemptFailure::NotRun { cause, full: false };
+            let failure = AttemptFailure::not_sent(cause);
             self.log_failure(request, &replica, &failure, Duration::ZERO);
             return Err(failure);
         }
@@ -245,7 +254,7 @@
         if is_quarantined {
             // It may have been quarantined while the request waited for its slot.
             let cause = CAUSE_QUARANTINED.to_owned();
-            let failure = AttemptFailure::NotRun { cause, full: false };
+            let failure = AttemptFailure::not_sent(cause);
             self.log_failure(request, &replica, &failure, Duration::ZERO);
             return Err(failure);
         }
@@ -284,7 +293,7 @@
             evidence.note_sent(has_capacity, self.prefill_time(request));
         }
         let started = Instant::now();
-        let exchange = self.client().send(ReplicaRequest {
+        let sending = self.client().send(ReplicaRequest {
             request,
             address: &replica.record.address,
             replica: &replica.record.id,
@@ -298,7 +307,7 @@
         } else {
             times.stall_timeout
         };
-        let response = wait_for_progress(exchange, &replica, stall_timeout, times.max_wait).await;
+        let response = wait_for_progress(sending, &replica, stall_timeout, times.max_wait).await;
         if let Some(notice) = replica.leaving_notice() {
             self.log().record(&Record::LeavingReplicaResponded {
                 request: &request.id,
@@ -311,13 +320,13 @@
                 proof_age_ms: notice.proof_age.map(milliseconds),
             });
         }
-        let result = self.classify(
+        let exchange = Exchange {
             request,
-            &in_progress,
-            choice.load,
-            response,
-            options.failed_before,
-        );
+            in_progress: &in_progress,
+            counted_load: choice.load,
+            options,
+        };
+        let result = self.classify(&exchange, response);
         if let Err(failure) = &result {
             self.log_failure(request, &replica, failure, started.elapsed());
         }
@@ -333,104 +342,6 @@
         Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or_default()
     }
 
-    fn suspect(&self, replica: &Replica) {
-        if self.policy().has(Mechanism::Suspicion) {
-            replica.suspect();
-        }
-    }
-
-    fn classify(
-        &self,
-        request: &ServingRequest,
-        in_progress: &InProgress,
-        load_before: u32,
-        response: Option<Result<ReplicaResponse, ExchangeError>>,
-        failed_before: bool,
-    ) -> Result<ReplicaResponse, AttemptFailure> {
-        let replica = in_progress.replica();
-        let response = match response {
-            None => {
-                let evidence = in_progress.evidence();
-                if evidence.is_none_or(Evidence::waited_long_enough) {
-                    self.suspect(replica);
-                }
-                in_progress.conclude(AttemptOutcome::Unresponsive);
-                let cause = "no answer in time".to_owned();
-                return Err(AttemptFailure::MayHaveRun { cause });
-            }
-            Some(Err(error)) => {
-                self.suspect(replica);
-                let cause = error.to_string();
-                if error.is_not_run() {
-                    in_progress.conclude(AttemptOutcome::Disconnected);
-                    return Err(AttemptFailure::NotRun { cause, full: false });
-                }
-                in_progress.note_disconnect();
-                return Err(AttemptFailure::MayHaveRun { cause });
-            }
-            Some(Ok(response)) => response,
-        };
-        let is_own_failure =
-            !response.not_run && response.status >= MIN_FAILURE_STATUS && !failed_before;
-        if is_own_failure {
-            // No progress is noted, since that would reset the backoff of the suspicion; a replica that fails fast has
-            // the lowest load of all.
-            self.suspect(replica);
-            in_progress.conclude(AttemptOutcome::Failed);
-        } else {
-            replica.note_progress();
-        }
-        if let Some(load) = response.load {
-            replica.note_load(load);
-        }
-        // The request id is checked before the refusal: a late refusal of an earlier request says nothing about this
-        // one.
-        if response
-            .request_id
-            .as_deref()
-            .is_some_and(|id| id != request.id)
-        {
-            in_progress.conclude(AttemptOutcome::Corrupt);
-            let cause = "the answer belongs to another request".to_owned();
-            return Err(AttemptFailure::MayHaveRun { cause });
-        }
-        let is_attributed = response.request_id.is_some() || response.is_first_on_connection;
-        if response.other_replica {
-            replica.set_draining();
-            replica.note_leaving(LeavingNotice {
-                state: "draining",
-                source: "replica".into(),
-                reading: "response",
-                proof_age: None,
-                known_at: harrierward_clock::now(),
-            });
-            let cause = "another replica has the address".to_owned();
-            return Err(refusal(cause, false, is_attributed));
-        }
-        if response.not_run {
-            self.log().record(&Record::RefusedByReplica {
-                request: &request.id,
-                replica: &replica.record.id,
-                status: response.status,
-                tokens: request.prompt.total_tokens(),
-                load: load_before,
-                slots: replica.slots(),
-                reported_load: response.load.map(|load| load.running + load.waiting),
-                concluded: "replica full",
-            });
-            replica.note_full();
-            in_progress.conclude(AttemptOutcome::NotRun);
-            let cause = format!("refused with status {}", response.status);
-            return Err(refusal(cause, true, is_attributed));
-        }
-        if response.request_id.is_none() {
-            in_progress.conclude(AttemptOutcome::Corrupt);
-            let cause = format!("an answer without id, status {}", response.status);
-            return Err(AttemptFailure::MayHaveRun { cause });
-        }
-        Ok(response)
-    }
-
     fn log_failure(
         &self,
         request: &ServingRequest,
--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -170,7 +170,7 @@
     let candidates: Vec<Candidate> = replicas
         .iter()
         .map(|replica| Candidate {
-            load: replica.load(),
+            load: replica.load_for(query.prompt.total_tokens()),
             preemptible: preemptible(replica, costs.policy),
             slots: replica.slots(),
             uncached_shared_tokens: shared_tokens
@@ -326,7 +326,9 @@
     policy: Policy,
     query: &ChoiceQuery<'_>,
 ) -> Vec<Arc<Replica>> {
-    let free_slots = |replica: &Arc<Replica>| replica.slots().saturating_sub(replica.load());
+    let tokens = query.prompt.total_tokens();
+    let free_slots =
+        |replica: &Arc<Replica>| replica.slots().saturating_sub(replica.load_for(tokens));
     let free: u32 = replicas.iter().map(free_slots).sum();
     let online = replicas.iter().map(|replica| replica.online()).sum();
     let reserved = if policy.has(Mechanism::ItemReserve) {
--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -180,6 +180,12 @@
         self.services.iter().find(|service| service.name == name)
     }
 
+    /// Returns the tokens that a replica of the service holds; `None` if unknown.
+    pub fn memory_tokens(&self, service: &str) -> Option<u64> {
+        let service = self.service(service)?;
+        Some(service.memory_tokens).filter(|tokens| *tokens > 0)
+    }
+
     /// Returns the route of this name.
     pub fn route(&self, name: &str) -> Option<&Route> {
         self.routes.iter().find(|route| route.name == name)
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -18,8 +18,10 @@
 use crate::policy::{Mechanism, Policy};
 use crate::profile::PromptProfiles;
 use crate::quarantine::Quarantine;
+use crate::refusals::RefusalScope;
+use crate::refused_sizes::{RefusedSizeBounds, RefusedSizes};
 use crate::relay::Relay;
-use crate::replica::Replica;
+use crate::replica::{Replica, WorkClass, short_hash};
 use crate::replica_set::ReplicaSet;
 use crate::request_state::{RequestClock, RequestState};
 use crate::response::{CallerResponse, Refusal, RefusalCause, Reply};
@@ -78,6 +80,7 @@
 pub struct Forwarder {
     parts: Arc<ForwarderParts>,
     profiles: Arc<PromptProfiles>,
+    refused_sizes: Arc<RefusedSizes>,
 }
 
 impl Forwarder {
@@ -86,6 +89,7 @@
         Self {
             parts: Arc::new(parts),
             profiles: Arc::default(),
+            refused_sizes: Arc::default(),
         }
     }
 
@@ -116,6 +120,30 @@
         &self.profiles
     }
 
+    pub(crate) fn refused_sizes(&self) -> &RefusedSizes {
+        &self.refused_sizes
+    }
+
+    /// True if a replica recently refused a request although it may have had free slots.
+    pub fn has_refusals(&self) -> bool {
+        self.refused_sizes.has_any()
+    }
+
+    /// Returns the sizes that the service's replicas refuse.
+    pub fn refused_size_bounds(&self, service: &str) -> RefusedSizeBounds {
+        let usable = || self.replicas().view().usable(service).len();
+        let now = harrierward_clock::now();
+        self.refused_sizes.bounds(short_hash(service), usable, now)
+    }
+
+    /// True if work of this class may be sent to the service now although its size is one that replicas refuse. Memory
+    /// may have been added since.
+    pub fn take_size_trial(&self, service: &str, class: WorkClass) -> bool {
+        let now = harrierward_clock::now();
+        self.refused_sizes
+            .take_trial(short_hash(service), class, now)
+    }
+
     pub(crate) fn settings(&self) -> &ForwarderSettings {
         &self.parts.settings
     }
@@ -282,9 +310,13 @@
             sends: 0,
             execution: Execution::NotRun,
             forgiven: 0,
+            refusals: Vec::new(),
             is_retry,
             overdue: is_retry && self.policy().has(Mechanism::OverdueLast),
         };
+        if self.is_size_refused(&state) {
+            return Err(Refusal::not_run(RefusalCause::NotAdmitted, None));
+        }
         let mut refusals = 0;
         loop {
             if let Some(period) = self.quarantine_of(&state.fingerprint) {
@@ -302,6 +334,8 @@
                     continue;
                 }
                 Ok(attempt) => {
+                    let tokens = state.request.prompt.total_tokens();
+                    self.note_admitted_after(&state.refusals, tokens);
                     if let Some(taken_up) = &state.taken_up {
                         self.log_taken_up(request, taken_up, &attempt);
                     }
@@ -310,6 +344,14 @@
                 Err(failure) => failure,
             };
             state.execution.merge(failure.execution());
+            let refused = failure.refused();
+            state
+                .refusals
+                .extend(refused.filter(|refused| refused.scope != RefusalScope::Replica));
+            if state.is_refused_alone() {
+                let cause = RefusalCause::NotAdmitted;
+                return Err(Refusal::new(cause, state.execution, None));
+            }
             match failure {
                 AttemptFailure::RetryLater { after } => {
                     let cause = RefusalCause::Overloaded;
@@ -336,6 +378,20 @@
         }
     }
 
+    /// True if the replicas refuse requests of this size, by what they did and not against the configuration. A
+    /// request that cannot be served is refused at once.
+    fn is_size_refused(&self, state: &RequestState) -> bool {
+        let tokens = state.request.prompt.total_tokens();
+        let refused = self.refused_size_bounds(&state.service).confirmed;
+        if refused.is_none_or(|refused| tokens < refused) {
+            return false;
+        }
+        let routes = self.routes();
+        let memory = routes.and_then(|routes| routes.configuration.memory_tokens(&state.service));
+        let fits_by_configuration = memory.is_some_and(|memory| tokens <= memory);
+        !fits_by_configuration && !self.take_size_trial(&state.service, WorkClass::Online)
+    }
+
     /// Doesn't count the last allowed attempt if its replica crashed and the request may be repeated.
     async fn forgive_crash(&self, state: &mut RequestState) {
         let is_last = state.sends >= state.route.attempts;
@@ -365,6 +421,7 @@
             fresh_connection: !state.route.may_repeat() || state.sends > 1,
             number: state.sends,
             failed_before: false,
+            refused_elsewhere: state.refusals.len(),
         };
         let times = || state.clock.attempt_timeouts(&state.route, state.sends);
         self.attempt(state, times, options).await
--- a/crates/serving/src/leases.rs
+++ b/crates/serving/src/leases.rs
@@ -7,7 +7,7 @@
 use harrierward_tenants::AllowedRegions;
 
 use crate::choice::Choice;
-use crate::outcome::{Evidence, ReleaseReport};
+use crate::outcome::{AttemptOutcome, Evidence, ReleaseReport};
 use crate::profile::PromptLength;
 use crate::prompt::Prompt;
 use crate::replica::{Replica, WorkClass};
@@ -94,6 +94,9 @@
     /// Releases a lease and reports the outcome of its request. Does not block.
     fn release(&self, lease: u32, report: ReleaseReport);
 
+    /// Reports an outcome that was not known yet when the lease was released. Does not block.
+    fn report_outcome(&self, _lease: u32, _replica: u32, _outcome: AttemptOutcome) {}
+
     /// True if the coordinator recently reported the replica's whole group as cold, which its rows may not show yet.
     fn is_reported_cold(&self, _replica: &Replica) -> bool {
         false
--- a/crates/serving/src/outcome.rs
+++ b/crates/serving/src/outcome.rs
@@ -30,6 +30,8 @@
     Corrupt,
     /// The replica refused although it had free capacity.
     NotRun,
+    /// The replica refused this request, which proves nothing about others; it held no slot.
+    RequestRefused,
     /// Nothing was sent; the lease was not needed.
     NotSent,
 }
@@ -86,6 +88,11 @@
         observations.report.first_event = elapsed.map(|elapsed| elapsed.saturating_sub(prefill));
     }
 
+    /// True if the replica had free capacity when the request was sent.
+    pub fn has_capacity(&self) -> bool {
+        self.lock().has_capacity
+    }
+
     /// True if the first event was recorded; never at a replica without free capacity.
     pub fn has_begun(&self) -> bool {
         self.lock().report.first_event.is_some()
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -354,7 +354,8 @@
                     last_cause = Some(format!("resumed with status {status} and no stream"));
                 }
                 Err(
-                    AttemptFailure::NotRun { cause, .. } | AttemptFailure::Unattributed { cause },
+                    AttemptFailure::NotRun { cause, .. }
+                    | AttemptFailure::Unattributed { cause, .. },
                 ) => {
                     self.state.sends -= 1;
                     last_cause = Some(cause);
@@ -418,6 +419,7 @@
             fresh_connection: true,
             number: state.sends,
             failed_before: false,
+            refused_elsewhere: 0,
         };
         self.forwarder.attempt(state, times, options).await
     }
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -13,6 +13,8 @@
 use crate::in_progress::InProgress;
 use crate::leases::SlotLease;
 use crate::prompt::{PrefixCacheEstimate, Prompt};
+use crate::recent_maximum::RecentMaximum;
+use crate::refusals::{RecentRefusals, RefusalEvidence, RefusalScope};
 use crate::suspicion::Suspicion;
 use crate::topology::Location;
 use crate::warmth::Warmth;
@@ -21,6 +23,9 @@
 /// Time for which a load report of the replica is used in addition to the daemons' counts.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(400);
 
+/// Time after an admission for which a replica counts as admitting requests.
+const ADMITTING_TTL: Duration = Duration::from_secs(2);
+
 /// Share of a replica's KV cache that shared prompt parts are assumed to occupy, in percent.
 const CACHE_SHARE_PERCENT: u64 = 70;
 
@@ -87,7 +92,7 @@
 }
 
 /// Class of a request in the load counts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum WorkClass {
     /// Request whose caller waits.
     Online,
@@ -141,6 +146,10 @@
     receiving_since: Instant,
     suspicion: Suspicion,
     report: Mutex<Option<LoadReport>>,
+    refusals: RecentRefusals,
+    admitted_sizes: RecentMaximum,
+    /// When it last admitted a request of this daemon, milliseconds after `started`; 0 before the first.
+    admitted_at_ms: AtomicU64,
     prefix_cache: Mutex<PrefixCacheEstimate>,
 }
 
@@ -185,6 +194,9 @@
             receiving_since: Instant::now(),
             suspicion: Suspicion::default(),
             report: Mutex::new(None),
+            refusals: RecentRefusals::default(),
+            admitted_sizes: RecentMaximum::default(),
+            admitted_at_ms: AtomicU64::new(0),
             prefix_cache: Mutex::new(PrefixCacheEstimate::new(cache_tokens)),
         };
         replica.note_row_warmup(remaining, replica.started);
@@ -364,6 +376,22 @@
         counted.max(estimated)
     }
 
+    /// Returns the estimated number of requests running and waiting there, as it concerns a request of `tokens`: a
+    /// replica without room for it counts as full.
+    pub fn load_for(&self, tokens: u64) -> u32 {
+        let load = self.load();
+        if self.lacks_room(tokens) {
+            load.max(self.slots())
+        } else {
+            load
+        }
+    }
+
+    /// True if it refuses requests of this size, whether or not it has free slots.
+    pub fn lacks_room(&self, tokens: u64) -> bool {
+        self.refusals.lacks_room(tokens, harrierward_clock::now())
+    }
+
     /// True if some requests have no slot while batch items hold some.
     pub fn is_crowded_by_batch(&self) -> bool {
         self.batch() > 0 && self.load() > self.slots()
@@ -390,8 +418,48 @@
         *lock(&self.report) = Some(report);
     }
 
-    /// Records a refusal for lack of capacity as a load report.
-    pub fn note_full(&self) {
+    /// Records a refusal for lack of capacity. Returns what it proves.
+    pub fn note_refused(&self, evidence: &RefusalEvidence) -> RefusalScope {
+        let scope = self.refusals.note(evidence, harrierward_clock::now());
+        if evidence.proves_full() {
+            self.note_full();
+        }
+        scope
+    }
+
+    /// Records that another replica admitted a request which this one refused: it has no room for this size.
+    pub fn note_admitted_elsewhere(&self, tokens: u64) {
+        self.refusals
+            .note_admitted_elsewhere(tokens, harrierward_clock::now());
+    }
+
+    /// Records that it admitted a request of this daemon.
+    pub fn note_admitted(&self, tokens: u64) {
+        let now_ms = self.now_ms();
+        self.admitted_at_ms.store(now_ms.max(1), Ordering::Relaxed);
+        self.admitted_sizes.note(tokens, now_ms);
+        self.refusals.note_admitted(tokens);
+    }
+
+    /// Returns the largest size of a request of this daemon that it admitted recently; 0 if it admitted none.
+    pub fn largest_admitted(&self) -> u64 {
+        self.admitted_sizes.largest(self.now_ms())
+    }
+
+    /// True if it has admitted a request of this daemon a moment ago.
+    pub fn is_admitting(&self) -> bool {
+        let admitted_at = self.admitted_at_ms.load(Ordering::Relaxed);
+        admitted_at > 0 && self.now_ms().saturating_sub(admitted_at) < millis(ADMITTING_TTL)
+    }
+
+    /// True if it has admitted a request of this daemon since `at`.
+    pub fn has_admitted_since(&self, at: Instant) -> bool {
+        let admitted_at = self.admitted_at_ms.load(Ordering::Relaxed);
+        admitted_at > 0 && admitted_at > millis(at.saturating_duration_since(self.started))
+    }
+
+    /// Records as a load report that all slots are taken.
+    fn note_full(&self) {
         let load = ReplicaLoad {
             running: self.slots(),
             waiting: self.slots(),
--- a/crates/serving/src/request_state.rs
+++ b/crates/serving/src/request_state.rs
@@ -10,6 +10,7 @@
 use crate::attempt::AttemptTimeouts;
 use crate::configuration::Route;
 use crate::exchange::ServingRequest;
+use crate::refusals::{RefusalScope, ReplicaRefusal};
 use crate::take_up::TakenUp;
 
 /// Share of the objective after which a replica without progress is abandoned before the first event, in percent.
@@ -40,6 +41,8 @@
     pub execution: Execution,
     /// Number of replicas that crashed while running it, excluded from `sends`.
     pub forgiven: u32,
+    /// Refusals by replicas that may have had room.
+    pub refusals: Vec<ReplicaRefusal>,
     /// True if the caller was probably refused or cut off before.
     pub is_retry: bool,
     /// True if its objective had passed on arrival, so that it uses spare slots only.
@@ -49,6 +52,9 @@
 /// Maximum number of crashes excluded from the attempts; suffices to decide whether the content is the cause.
 const MAX_FORGIVEN: u32 = 3;
 
+/// Replicas that refuse a request alone, after which no further one is tried.
+const MAX_REQUEST_REFUSALS: usize = 3;
+
 /// Divisor of the caller's timeout that gives the longest acceptable retry delay.
 const RETRY_DIVISOR: u32 = 3;
 
@@ -61,6 +67,13 @@
         }
     }
 
+    /// True if enough replicas refused the request, and nothing says that they refuse others.
+    pub fn is_refused_alone(&self) -> bool {
+        let refusals = self.refusals.iter();
+        let alone = refusals.filter(|refusal| refusal.scope == RefusalScope::Request);
+        alone.count() >= MAX_REQUEST_REFUSALS
+    }
+
     /// Longest acceptable retry delay; `None` for a caller that has retried already, which must be placed, and for
     /// one without a timeout.
     pub fn max_retry_after(&self) -> Option<Duration> {
--- a/crates/serving/src/response.rs
+++ b/crates/serving/src/response.rs
@@ -44,6 +44,8 @@
     NoReplica,
     /// None of the replicas tried accepted the request.
     Full,
+    /// Replicas with free slots don't admit the request, as one that is larger than their memory.
+    NotAdmitted,
     /// The request would miss its objective now, but not after a delay.
     Overloaded,
     /// The time ran out before any replica accepted the request.
@@ -95,6 +97,7 @@
             Self::RateUnknown => "rate_unknown",
             Self::NoReplica => "no_replica",
             Self::Full => "full",
+            Self::NotAdmitted => "not_admitted",
             Self::Overloaded => "overloaded",
             Self::NoTimeLeft => "no_time_left",
             Self::TimedOut => "timed_out",
@@ -117,6 +120,7 @@
             | Self::RateUnknown
             | Self::NoReplica
             | Self::Full
+            | Self::NotAdmitted
             | Self::Overloaded
             | Self::NoTimeLeft
             | Self::Quarantined
--- a/crates/slots/src/ledger.rs
+++ b/crates/slots/src/ledger.rs
@@ -95,11 +95,11 @@
     }
 }
 
-/// True if nothing was sent under the lease: its duration isn't a slot holding time.
+/// True if nothing ran under the lease: its duration isn't a slot holding time.
 fn is_unused(report: &SlotReport, lease: u32) -> bool {
     let outcomes = report.outcomes.iter();
     let mut outcomes = outcomes.filter(|outcome| outcome.lease == lease);
-    outcomes.any(|outcome| outcome.kind() == OutcomeKind::NotSent)
+    outcomes.any(|outcome| matches!(outcome.kind(), OutcomeKind::NotSent | OutcomeKind::NotRun))
 }
 
 /// Leases of the other daemons by holder, and their counts by replica.
--- a/crates/wire/src/slots.rs
+++ b/crates/wire/src/slots.rs
@@ -180,7 +180,7 @@
     Spoilt = 5,
     /// The replica reported that it did not run the request.
     NotRun = 6,
-    /// The lease was released before anything was sent under it.
+    /// Nothing ran under the lease: it was released before anything was sent, or the request itself was refused.
     NotSent = 7,
 }
 
