Items that no replica can run are given up after their route's limit

Cause: give_up_after was read for quarantined items only. Nothing told an item that can't be done from one that waits for slots, so giving up by age alone would have failed sound items of a fleet that is full for a while.

Change: an item past the limit is listed as failed if replicas refuse it, or its size, while they admit others; if it exceeds the configured memory and is refused; if, without a configured memory, it has been refused for 5 s; or after ten runs in a row that broke without an event. The line `item_given_up` has the evidence. An item that replicas have memory for by the configuration, and that waits for slots alone, is never given up.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -30,6 +30,7 @@
     attempts_failed: IntCounterVec,
     refusals_by_replicas: IntCounterVec,
     items_not_placed: IntCounterVec,
+    items_given_up: IntCounter,
     jobs_submitted: IntCounterVec,
     results_listed: IntCounterVec,
     listing_reads: IntCounterVec,
@@ -137,6 +138,7 @@
                 "Batch items that were to be started and found no free slot, by service",
                 "service",
             )?,
+            items_given_up: items_given_up(&registry)?,
             jobs_submitted: counter(
                 "harrierward_jobs_submitted_total",
                 "Batch jobs submitted, by outcome",
@@ -342,6 +344,7 @@
             Record::ItemNotPlaced { service, .. } => {
                 self.items_not_placed.with_label_values(&[*service]).inc();
             }
+            Record::ItemGivenUp { .. } => self.items_given_up.inc(),
             Record::Sent {
                 chosen_by,
                 region,
@@ -544,6 +547,15 @@
     Ok(counter)
 }
 
+fn items_given_up(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
+    let counter = IntCounter::new(
+        "harrierward_items_given_up_total",
+        "Batch items given up after their route's limit, since no replica can be expected to run them",
+    )?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
 fn view_sync_records(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
     let counter = IntCounter::new(
         "harrierward_view_sync_records_total",
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -625,6 +625,24 @@
         /// Items of this daemon that could have been started.
         startable: usize,
     },
+    /// A batch item was given up: its job is older than its route's limit, and no replica can be expected to run it.
+    ItemGivenUp {
+        /// Job id.
+        job: &'a str,
+        /// Item id.
+        item: &'a str,
+        /// Tokens of the prompt and the most to be generated.
+        tokens: u64,
+        /// Smallest size that a service of the route refuses although it admits smaller ones; absent if unknown.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        smallest_refused: Option<u64>,
+        /// Attempts since its last event, all of them refused or broken.
+        attempts: u32,
+        /// Those that a replica admitted and that broke.
+        broken_runs: u32,
+        /// Age of the job.
+        age_ms: u64,
+    },
     /// The response to a request ended.
     Ended {
         /// Request id.
@@ -954,6 +972,7 @@
             Self::JobSubmitted { outcome, .. } if *outcome == "accepted" => Importance::Ordinary,
             Self::AttemptFailed { .. }
             | Self::RefusedByReplica { .. }
+            | Self::ItemGivenUp { .. }
             | Self::StreamContinued { .. }
             | Self::ResponseCutOff { .. }
             | Self::Refused { .. }
--- a/crates/inline-jobs/src/fruitless.rs
+++ b/crates/inline-jobs/src/fruitless.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use harrierward_serving::{Replica, ReplicaRefusal};
+use tokio::time::Instant;
 
 /// Pause after the first fruitless attempt; it doubles with each further one, [`MAX_DOUBLINGS`] times at most.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
@@ -20,6 +21,12 @@
 /// Replicas that must refuse an item before it is considered impossible, unless its service has fewer.
 const MIN_REFUSING_REPLICAS: usize = 3;
 
+/// Time for which an item must have been refused before it is considered impossible.
+const MIN_REFUSED_TIME: Duration = Duration::from_secs(5);
+
+/// Broken runs without an event after which an item is considered impossible.
+const MAX_BROKEN_RUNS: u32 = 10;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct RefusingReplica {
     refusal: ReplicaRefusal,
@@ -31,6 +38,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FruitlessAttempts {
     count: u32,
+    broken_runs: u32,
+    first_refused_at: Option<Instant>,
     /// Distinct replicas that refused the item, the latest last.
     refusing: Vec<RefusingReplica>,
 }
@@ -39,6 +48,7 @@
     /// Records that a replica refused the item although it may have had room.
     pub fn note_refused(&mut self, replica: &Replica, refusal: ReplicaRefusal) {
         self.count += 1;
+        self.first_refused_at.get_or_insert(refusal.at);
         self.refusing
             .retain(|one| one.refusal.replica != replica.hash);
         if self.refusing.len() == MIN_REFUSING_REPLICAS {
@@ -53,6 +63,8 @@
     /// Records that a replica admitted the item, and the run broke without an event.
     pub fn note_broken(&mut self) {
         self.count += 1;
+        self.broken_runs += 1;
+        self.first_refused_at = None;
         self.refusing.clear();
     }
 
@@ -71,6 +83,16 @@
         DEMOTION * self.count
     }
 
+    /// Returns the number of attempts.
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// Returns the number of runs among them that broke.
+    pub fn broken_runs(&self) -> u32 {
+        self.broken_runs
+    }
+
     /// Returns the refusals by other replicas than this one.
     pub fn refusals_except(&self, replica: u32) -> Vec<ReplicaRefusal> {
         let refusals = self.refusing.iter().map(|one| one.refusal);
@@ -100,6 +122,28 @@
         });
         confirmed.count() >= needed(usable)
     }
+
+    /// True if so many runs broke without an event that no other end is to be expected.
+    pub fn breaks_each_time(&self) -> bool {
+        self.broken_runs >= MAX_BROKEN_RUNS
+    }
+
+    /// True if enough of the `usable` replicas have refused the item for a time in which full ones would have had a slot.
+    pub fn is_refused_for_long(&self, usable: &[Arc<Replica>], now: Instant) -> bool {
+        let refusing = self.refusing.iter();
+        let refusing = refusing.filter(|one| find(usable, one.refusal.replica).is_some());
+        self.is_lasting(now) && refusing.count() >= needed(usable)
+    }
+
+    /// As [`Self::is_refused_alone`], and for some time.
+    pub fn is_refused_alone_for_long(&self, usable: &[Arc<Replica>], now: Instant) -> bool {
+        self.is_lasting(now) && self.is_refused_alone(usable)
+    }
+
+    fn is_lasting(&self, now: Instant) -> bool {
+        let first = self.first_refused_at;
+        first.is_some_and(|at| now.saturating_duration_since(at) >= MIN_REFUSED_TIME)
+    }
 }
 
 fn find(replicas: &[Arc<Replica>], hash: u32) -> Option<&Arc<Replica>> {
--- a/crates/inline-jobs/src/starting.rs
+++ b/crates/inline-jobs/src/starting.rs
@@ -1,9 +1,11 @@
-//! Selection of the items to start: by age and urgency, without those that no replica can take now.
+//! Selection of the items to start: by age and urgency, without those that no replica can take now, and those that none
+//! ever will.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use harrierward_decisions::Record;
 use harrierward_serving::{
     ItemSlack, Mechanism, RefusedSizeBounds, Replica, ReplicaView, Route, RouteTable,
     ServingRequest, WorkClass, admits_version, short_hash,
@@ -120,6 +122,20 @@
         }
     }
 
+    fn give_up(&self, item: &StartableItem, smallest_refused: Option<u64>) {
+        self.fail_item(item);
+        let age = self.age_of(item).as_millis();
+        self.inner.log.record(&Record::ItemGivenUp {
+            job: &item.job,
+            item: &item.request.id,
+            tokens: item.tokens(),
+            smallest_refused,
+            attempts: item.fruitless.count(),
+            broken_runs: item.fruitless.broken_runs(),
+            age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+        });
+    }
+
     /// Returns the item as the current configuration allows it to run; `None` if no replica can take it now.
     fn ready(
         &self,
@@ -175,7 +191,7 @@
         }
     }
 
-    /// Starts the item, or leaves it for the end of the round or a later one.
+    /// Starts the item, gives it up, or leaves it for the end of the round or a later one.
     fn consider(&mut self, candidate: Candidate) {
         let Candidate {
             item,
@@ -187,6 +203,11 @@
             return;
         }
         let is_past_limit = self.jobs.is_past_limit(self.routes, &item);
+        if is_past_limit && self.seems_impossible(&item) {
+            let smallest_refused = self.smallest_refused(&item.route);
+            self.jobs.give_up(&item, smallest_refused);
+            return;
+        }
         if self.is_blocked(pace_of(self.routes, &item), urgency) {
             return;
         }
@@ -272,6 +293,37 @@
         item.fruitless.is_refused_alone(&usable)
     }
 
+    /// True if no service of the item's route can be expected ever to complete it.
+    fn seems_impossible(&mut self, item: &StartableItem) -> bool {
+        let Some(route) = self.routes.configuration.route(&item.route) else {
+            return false;
+        };
+        let services = route.services.iter();
+        let mut services = services.map(|one| one.service.as_str());
+        services.all(|service| self.seems_impossible_at(service, item))
+    }
+
+    fn seems_impossible_at(&mut self, service: &str, item: &StartableItem) -> bool {
+        let tokens = item.tokens();
+        let bounds = self.refused_size_bounds(service);
+        if includes(bounds.confirmed, tokens) {
+            return true;
+        }
+        let fruitless = &item.fruitless;
+        let usable = usable_replicas(&self.view, service, &item.request);
+        let now = harrierward_clock::now();
+        if fruitless.breaks_each_time() || fruitless.is_refused_alone_for_long(&usable, now) {
+            return true;
+        }
+        match self.routes.configuration.memory_tokens(service) {
+            // Replicas that refuse a size for which they have memory are full, however long that lasts.
+            Some(memory) if tokens <= memory => false,
+            Some(_) if !fruitless.is_unrefused() => true,
+            Some(_) => includes(bounds.suspected, tokens) || includes(bounds.lasting, tokens),
+            None => includes(bounds.lasting, tokens) || fruitless.is_refused_for_long(&usable, now),
+        }
+    }
+
     fn refused_size_bounds(&mut self, service: &str) -> RefusedSizeBounds {
         if let Some(known) = self.refused_sizes.get(service) {
             return *known;
@@ -280,6 +332,15 @@
         self.refused_sizes.insert(service.to_owned(), bounds);
         bounds
     }
+
+    /// Returns the smallest size that a service of the route refuses.
+    fn smallest_refused(&mut self, route: &str) -> Option<u64> {
+        let route = self.routes.configuration.route(route)?;
+        let services = route.services.iter();
+        let bounds = services.map(|one| self.refused_size_bounds(&one.service));
+        let sizes = bounds.flat_map(|one| [one.confirmed, one.lasting, one.suspected]);
+        sizes.flatten().min()
+    }
 }
 
 /// True if a size is at least the smallest refused one.
--- a/crates/inline-jobs/tests/fruitless.rs
+++ b/crates/inline-jobs/tests/fruitless.rs
@@ -64,6 +64,8 @@
     assert!(!attempts.is_refused_alone(&replicas), "two replicas");
     refuse_beside_other_work(&mut attempts, &replicas[2..3]).await;
     assert!(attempts.is_refused_alone(&replicas));
+    assert!(!attempts.is_refused_alone_for_long(&replicas, now()));
+    assert!(attempts.is_refused_alone_for_long(&replicas, now() + LONG));
 }
 
 /// Guards against items that are given up since replicas were full for a while and then admitted others.
@@ -79,6 +81,7 @@
         replica.note_admitted(TOKENS);
     }
     assert!(!attempts.is_refused_alone(&replicas));
+    assert!(attempts.is_refused_for_long(&replicas, now()));
 }
 
 #[tokio::test(start_paused = true)]
@@ -112,6 +115,7 @@
         "{:?}",
         attempts.pause()
     );
+    assert!(attempts.breaks_each_time());
     attempts.clear();
     assert_eq!(attempts.demotion(), Duration::ZERO);
 }
--- a/crates/serving/src/refused_sizes.rs
+++ b/crates/serving/src/refused_sizes.rs
@@ -18,6 +18,9 @@
 /// Time for which a refusal lets a size be suspected: short, as the replica may just have been full.
 const SUSPICION_TTL: Duration = Duration::from_secs(2);
 
+/// Time for which replicas must have refused a size before that counts although they admitted nothing else.
+const LASTING_AFTER: Duration = Duration::from_secs(5);
+
 /// Interval between two trials of requests of a refused size at one service.
 const ONLINE_TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 const ITEM_TRIAL_INTERVAL: Duration = Duration::from_millis(250);
@@ -33,6 +36,7 @@
     service: u32,
     replica: u32,
     tokens: u64,
+    first_at: Instant,
     last_at: Instant,
     /// True if the replica admitted other requests before it refused this size, so that it probably wasn't full.
     was_admitting: bool,
@@ -48,6 +52,10 @@
     fn is_suspected(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.last_at) < SUSPICION_TTL
     }
+
+    fn is_lasting(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.first_at) >= LASTING_AFTER
+    }
 }
 
 /// Smallest sizes, in tokens, that enough of a service's replicas refuse, by the strength of the evidence; `None` where
@@ -56,6 +64,8 @@
 pub struct RefusedSizeBounds {
     /// They refused it a moment ago, and may just have been full.
     pub suspected: Option<u64>,
+    /// They have refused it for some time.
+    pub lasting: Option<u64>,
     /// They refused it while they admitted smaller requests.
     pub confirmed: Option<u64>,
 }
@@ -97,6 +107,7 @@
         if let Some(known) = known {
             if tokens < known.tokens {
                 known.tokens = tokens;
+                known.first_at = now;
                 known.was_admitting = false;
                 known.is_confirmed = false;
             }
@@ -111,6 +122,7 @@
                 service,
                 replica,
                 tokens,
+                first_at: now,
                 last_at: now,
                 was_admitting,
                 is_confirmed: false,
@@ -160,6 +172,7 @@
         };
         RefusedSizeBounds {
             suspected: bound(&|one| one.is_suspected(now)),
+            lasting: bound(&|one| one.is_lasting(now)),
             confirmed: bound(&|one| one.is_confirmed),
         }
     }
