Two broken runs in a row neither demote an item nor lengthen its pause

Change: the first two broken runs in a row are put down to the replicas.

Test: two_broken_runs_are_put_down_to_the_replicas, red before.

--- a/crates/inline-jobs/src/fruitless.rs
+++ b/crates/inline-jobs/src/fruitless.rs
@@ -15,6 +15,9 @@
 /// it in a burst too.
 const DEMOTION: Duration = Duration::from_secs(2);
 
+/// Broken runs in a row that are put down to the replicas, and neither demote an item nor lengthen its pause.
+const EXCUSED_BROKEN_RUNS: u32 = 2;
+
 /// Replicas that refused the item last and aren't asked again while others may be.
 const MAX_EXCLUDED: usize = 2;
 
@@ -75,12 +78,17 @@
 
     /// Returns the pause before the next attempt.
     pub fn pause(&self) -> Duration {
-        FIRST_PAUSE * (1 << self.count.saturating_sub(1).min(MAX_DOUBLINGS))
+        FIRST_PAUSE * (1 << self.setbacks().saturating_sub(1).min(MAX_DOUBLINGS))
     }
 
     /// Returns by how much later than its job the item counts as accepted in the order of starts.
     pub fn demotion(&self) -> Duration {
-        DEMOTION * self.count
+        DEMOTION * self.setbacks()
+    }
+
+    /// Returns the number of attempts that may have failed because of the item.
+    fn setbacks(&self) -> u32 {
+        self.count - self.broken_runs.min(EXCUSED_BROKEN_RUNS)
     }
 
     /// Returns the number of attempts.
--- a/crates/inline-jobs/tests/fruitless.rs
+++ b/crates/inline-jobs/tests/fruitless.rs
@@ -96,6 +96,22 @@
     assert_eq!(attempts.excluded(&replicas[1..3]), ["i-2"]);
 }
 
+/// Guards against items that fall behind others because replicas crashed under them.
+#[tokio::test(start_paused = true)]
+async fn two_broken_runs_are_put_down_to_the_replicas() {
+    let mut attempts = FruitlessAttempts::default();
+    attempts.note_broken();
+    let pause = attempts.pause();
+    attempts.note_broken();
+    assert_eq!(
+        (attempts.pause(), attempts.demotion()),
+        (pause, Duration::ZERO)
+    );
+    attempts.note_broken();
+    attempts.note_broken();
+    assert!(attempts.pause() > pause && attempts.demotion() > Duration::ZERO);
+}
+
 #[tokio::test(start_paused = true)]
 async fn pauses_and_demotion_grow_until_an_event() {
     let replicas = replicas(3);
