A job has only its own rows, also if another job's id continues its own

Found by reading on the same path: removing rebook-3 after its retention removed the rows of rebook-3.0, so that results which had been read would be denied.

Cause: rows have the keys ID.NUMBER, ids may contain dots, and reads and removals took all keys with the prefix ID and a dot.

Change: a row is a job's own only if nothing but its numbers follows the id; a row of a longer id always has one dot more. Scans begin and end where own rows can lie. The same ambiguity in the name of the object of a large job's items is gone (ID@OWNER). Keys and rows stay as they are, so that older builds and this one read each other's; the header names the object.

--- a/crates/inline-jobs/src/keys.rs
+++ b/crates/inline-jobs/src/keys.rs
@@ -107,42 +107,99 @@
     }
 }
 
+/// Rows of one job in a space, in key order. Ids may contain dots, so the keys of a job whose id continues this one's
+/// begin with the same prefix; what follows it tells them apart, as numbers never contain a dot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobRows {
+    /// Prefix of the keys, which rows of other jobs may share.
+    pub prefix: String,
+    /// Number of dots in what follows the prefix in the keys of own rows.
+    inner_dots: usize,
+}
+
+impl JobRows {
+    fn new(space: &str, job_id: &str, inner_dots: usize) -> Self {
+        Self {
+            prefix: format!("{}.", key(space, job_id)),
+            inner_dots,
+        }
+    }
+
+    /// The rows of items.
+    pub fn items(job_id: &str) -> Self {
+        Self::new(ITEMS, job_id, 0)
+    }
+
+    /// The pieces of results.
+    pub fn results(job_id: &str) -> Self {
+        Self::new(RESULTS, job_id, 1)
+    }
+
+    /// The progress rows.
+    pub fn progress(job_id: &str) -> Self {
+        Self::new(PROGRESS, job_id, 0)
+    }
+
+    /// Returns a key that is less than all own keys.
+    pub fn before(&self) -> String {
+        format!("{}{BEFORE_NUMBERS}", self.prefix)
+    }
+
+    /// True if this key and all greater ones belong to other jobs.
+    pub fn is_past(&self, key: &str) -> bool {
+        let rest = key.strip_prefix(&self.prefix).unwrap_or_default();
+        rest.bytes().next().is_some_and(|first| first > b'9')
+    }
+
+    /// True if the row belongs to this job.
+    pub fn contains(&self, key: &str) -> bool {
+        self.numbers(key).is_some()
+    }
+
+    /// Returns the numbers in a key; `None` if it belongs to another job.
+    fn numbers(&self, key: &str) -> Option<Vec<u32>> {
+        let rest = key.strip_prefix(&self.prefix)?;
+        let numbers: Option<Vec<u32>> = rest.split('.').map(parse_number).collect();
+        numbers.filter(|numbers| numbers.len() == self.inner_dots + 1)
+    }
+
+    /// Returns the first number in a key: of a row, of a result's position, or of an item with progress. `None` if it
+    /// belongs to another job.
+    pub fn first_number(&self, key: &str) -> Option<u32> {
+        self.numbers(key)?.first().copied()
+    }
+}
+
+/// Less than all numbers, and greater than what follows the prefix in most keys of other jobs.
+const BEFORE_NUMBERS: &str = ".~";
+
+fn parse_number(text: &str) -> Option<u32> {
+    let is_number = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    is_number.then(|| text.parse().ok()).flatten()
+}
+
 /// Returns the key of a row of items.
 pub fn items(job_id: &str, number: u32) -> String {
     format!("{}.{number:04}", key(ITEMS, job_id))
 }
 
-/// Returns the prefix of the keys of all rows of items.
-pub fn items_prefix(job_id: &str) -> String {
-    format!("{}.", key(ITEMS, job_id))
-}
-
 /// Returns the key of a piece of a result.
 pub fn result(job_id: &str, position: u32, piece: u32) -> String {
     format!("{}.{position:05}.{piece:03}", key(RESULTS, job_id))
 }
 
-/// Returns the prefix of the keys of all results.
-pub fn results_prefix(job_id: &str) -> String {
-    format!("{}.", key(RESULTS, job_id))
+/// Returns a key that is less than those of the result at a position and of all later ones.
+pub fn before_result(job_id: &str, position: u32) -> String {
+    format!("{}.{position:05}", key(RESULTS, job_id))
 }
 
-/// Extracts the position of a result from the key of one of its pieces.
-pub fn position_of_result(key: &str) -> Option<u32> {
-    key.rsplit('.').nth(1)?.parse().ok()
+/// Returns the name of the object that holds a job's items. No id may contain `@`, so that no other job has this name,
+/// whoever its owner is.
+pub fn item_object(job_id: &str, owner: &str) -> String {
+    format!("jobitems-{job_id}@{owner}")
 }
 
 /// Returns the key of an item's progress.
 pub fn progress(job_id: &str, item: u32) -> String {
     format!("{}.{item:05}", key(PROGRESS, job_id))
 }
-
-/// Returns the prefix of the keys of all progress rows.
-pub fn progress_prefix(job_id: &str) -> String {
-    format!("{}.", key(PROGRESS, job_id))
-}
-
-/// Extracts the item number from the key of a progress row.
-pub fn item_of_progress(key: &str) -> Option<u32> {
-    key.rsplit('.').next()?.parse().ok()
-}
--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -196,7 +196,7 @@
             transaction = transaction.require(Condition::AtRevision { key, revision });
         }
         if content.len() > MAX_TRANSACTION_BYTES {
-            header.item_object = format!("jobitems-{}-{}", header.job_id, header.owner);
+            header.item_object = keys::item_object(&header.job_id, &header.owner);
             let put = self
                 .objects
                 .put(RequestClass::Commit, &header.item_object, content);
--- a/crates/inline-jobs/src/store/reads.rs
+++ b/crates/inline-jobs/src/store/reads.rs
@@ -8,7 +8,7 @@
 
 use super::settling::MAX_BACKOFF;
 use super::{HeaderReading, JobStore, ReadResult, known};
-use crate::keys::{self, RowKind};
+use crate::keys::{self, JobRows, RowKind};
 use crate::view::KnownHeader;
 
 /// A revision that no row ever has; exact in a JSON number.
@@ -69,18 +69,21 @@
         HeaderReading::of(STEP, current.as_ref(), revision)
     }
 
-    /// Reads all rows whose keys begin with `prefix`.
-    async fn read_all(&self, prefix: &str) -> Result<Vec<Row>, PlatformError> {
+    /// Reads all rows of a job in one space.
+    async fn read_all(&self, own: &JobRows) -> Result<Vec<Row>, PlatformError> {
         let mut rows: Vec<Row> = Vec::new();
+        let mut after = own.before();
         loop {
-            let after = rows.last().map_or(String::new(), |row| row.key.clone());
             let page = self
                 .table
-                .scan(RequestClass::Commit, prefix, &after, MAX_READ_ROWS)
+                .scan(RequestClass::Commit, &own.prefix, &after, MAX_READ_ROWS)
                 .await?;
-            let last = page.len() < MAX_READ_ROWS;
-            rows.extend(page);
-            if last {
+            let is_last = page.len() < MAX_READ_ROWS;
+            if let Some(last) = page.last() {
+                after.clone_from(&last.key);
+            }
+            rows.extend(page.into_iter().filter(|row| own.contains(&row.key)));
+            if is_last || own.is_past(&after) {
                 return Ok(rows);
             }
         }
@@ -90,7 +93,7 @@
     pub async fn read_items(&self, header: &JobHeadRow) -> Result<JobItemsRow, PlatformError> {
         const STEP: &str = "jobs.read_items";
         let content = if header.item_object.is_empty() {
-            let rows = self.read_all(&keys::items_prefix(&header.job_id)).await?;
+            let rows = self.read_all(&JobRows::items(&header.job_id)).await?;
             if rows.len() < header.item_rows as usize {
                 let kind = PlatformErrorKind::Unknown;
                 return Err(PlatformError::new(STEP, "store", kind, "rows are missing"));
@@ -114,8 +117,9 @@
         &self,
         job_id: &str,
     ) -> Result<Vec<(u32, ItemProgressRow)>, PlatformError> {
-        let rows = self.read_all(&keys::progress_prefix(job_id)).await?;
-        let read = |row: &Row| Some((keys::item_of_progress(&row.key)?, decode(&row.value)?));
+        let own = JobRows::progress(job_id);
+        let rows = self.read_all(&own).await?;
+        let read = |row: &Row| Some((own.first_number(&row.key)?, decode(&row.value)?));
         Ok(rows.iter().filter_map(read).collect())
     }
 
@@ -126,22 +130,28 @@
         position: u32,
         bytes: usize,
     ) -> Result<Vec<ReadResult>, PlatformError> {
-        let prefix = keys::results_prefix(job_id);
-        let mut after = format!("{prefix}{position:05}");
+        let own = JobRows::results(job_id);
+        let mut after = keys::before_result(job_id, position);
         let mut results: Vec<ReadResult> = Vec::new();
         let mut pieces: Vec<ResultPieceRow> = Vec::new();
         let mut read_bytes = 0;
         loop {
             let page = self
                 .table
-                .scan(RequestClass::Commit, &prefix, &after, MAX_RESULT_ROWS)
+                .scan(RequestClass::Commit, &own.prefix, &after, MAX_RESULT_ROWS)
                 .await?;
             let last_page = page.len() < MAX_RESULT_ROWS;
             for row in page {
+                if own.is_past(&row.key) {
+                    return Ok(results);
+                }
+                let Some(at) = own.first_number(&row.key) else {
+                    after = row.key;
+                    continue;
+                };
                 let expected = position + u32::try_from(results.len()).unwrap_or_default();
                 let piece: Option<ResultPieceRow> = decode(&row.value);
-                let at = keys::position_of_result(&row.key);
-                let (Some(piece), true) = (piece, at == Some(expected)) else {
+                let (Some(piece), true) = (piece, at == expected) else {
                     return Ok(results);
                 };
                 after = row.key;
@@ -169,12 +179,12 @@
     /// Removes all rows of an expired job, its header last.
     pub async fn remove(&self, known: &KnownHeader) -> Result<(), PlatformError> {
         let job_id = &known.header.job_id;
-        for prefix in [
-            keys::items_prefix(job_id),
-            keys::results_prefix(job_id),
-            keys::progress_prefix(job_id),
+        for own in [
+            JobRows::items(job_id),
+            JobRows::results(job_id),
+            JobRows::progress(job_id),
         ] {
-            for rows in self.read_all(&prefix).await?.chunks(MAX_DELETE_ROWS) {
+            for rows in self.read_all(&own).await?.chunks(MAX_DELETE_ROWS) {
                 let transaction = rows
                     .iter()
                     .fold(Transaction::default(), |transaction, row| {
