A 421 for the caller's own expectation is no word about the replica

Cause: each 421 was read as "another replica has the address", which takes the entry out of use for as long as it names this instance.

Change: only a 421 that names another replica, or none while the caller expects nothing of its own, is about the address. Any other is a refusal of the request: other replicas are tried, then the caller gets 421 at once; an item waits for its route's limit. What can't be told about a refusal is "unclear" now, and a request that three replicas refused so gets 503 with Retry-After as before, since they may be full.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -610,8 +610,8 @@
         /// Requests running and waiting by the response itself; absent if it states none.
         #[serde(skip_serializing_if = "Option::is_none")]
         reported_load: Option<u32>,
-        /// What this daemon concludes: `replica full`, `size refused` (it has no room for requests of this size), or
-        /// `request refused`, which says nothing about others.
+        /// What this daemon concludes: `replica full`, `size refused` (it has no room for requests of this size),
+        /// `request refused` (nothing about others), or `unclear`.
         concluded: &'static str,
     },
     /// A batch item was to be started, and no replica had a free slot for it.
--- a/crates/inline-jobs/src/fruitless.rs
+++ b/crates/inline-jobs/src/fruitless.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use harrierward_serving::{Replica, ReplicaRefusal};
+use harrierward_serving::{RefusalScope, Replica, ReplicaRefusal};
 use tokio::time::Instant;
 
 /// Pause after the first fruitless attempt; it doubles with each further one, [`MAX_DOUBLINGS`] times at most.
@@ -37,6 +37,15 @@
     was_admitting: bool,
 }
 
+impl RefusingReplica {
+    /// True if the replica refused this item and not others like it.
+    fn refused_it_alone(&self, replica: &Replica) -> bool {
+        let is_certain = self.refusal.scope == RefusalScope::Request;
+        let admits_others = self.was_admitting && replica.has_admitted_since(self.refusal.at);
+        is_certain || admits_others
+    }
+}
+
 /// Attempts of one item since it last received an event.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FruitlessAttempts {
@@ -121,12 +130,12 @@
         excluded.map(|replica| replica.record.id.clone()).collect()
     }
 
-    /// True if enough of the `usable` replicas refused the item while they admitted other work, before and since.
+    /// True if enough of the `usable` replicas refused the item for itself, or while they admitted other work, before and
+    /// since.
     pub fn is_refused_alone(&self, usable: &[Arc<Replica>]) -> bool {
-        let admitting = self.refusing.iter().filter(|one| one.was_admitting);
-        let confirmed = admitting.filter(|one| {
-            find(usable, one.refusal.replica)
-                .is_some_and(|replica| replica.has_admitted_since(one.refusal.at))
+        let confirmed = self.refusing.iter().filter(|one| {
+            let replica = find(usable, one.refusal.replica);
+            replica.is_some_and(|replica| one.refused_it_alone(replica))
         });
         confirmed.count() >= needed(usable)
     }
--- a/crates/serving/src/classification.rs
+++ b/crates/serving/src/classification.rs
@@ -5,7 +5,7 @@
 use harrierward_decisions::Record;
 
 use crate::attempt::{AttemptFailure, AttemptOptions};
-use crate::exchange::{ExchangeError, ReplicaResponse, ServingRequest};
+use crate::exchange::{ExchangeError, Misdirected, ReplicaResponse, ServingRequest};
 use crate::forwarder::Forwarder;
 use crate::in_progress::InProgress;
 use crate::outcome::{AttemptOutcome, Evidence};
@@ -96,7 +96,7 @@
             let cause = "the answer belongs to another request".to_owned();
             return Err(AttemptFailure::MayHaveRun { cause });
         }
-        if response.other_replica {
+        if response.misdirected == Some(Misdirected::OtherReplica) {
             replica.set_draining();
             replica.note_leaving(LeavingNotice {
                 state: "draining",
@@ -108,7 +108,7 @@
             let cause = "another replica has the address".to_owned();
             return Err(refusal(cause, None, &response));
         }
-        if response.not_run {
+        if response.not_run || response.misdirected.is_some() {
             let refused = self.note_refused(exchange, &response);
             let cause = format!("refused with status {}", response.status);
             return Err(refusal(cause, Some(refused), &response));
@@ -148,7 +148,7 @@
         let is_evidence = match scope {
             RefusalScope::Replica => true,
             RefusalScope::Size => self.is_admitted_elsewhere(replica, evidence.tokens),
-            RefusalScope::Request => false,
+            RefusalScope::Unclear | RefusalScope::Request => false,
         };
         exchange.in_progress.conclude(if is_evidence {
             AttemptOutcome::NotRun
@@ -168,6 +168,7 @@
         let lease_evidence = exchange.in_progress.evidence();
         ReplicaRefusal {
             scope,
+            status: response.status,
             replica: replica.hash,
             lease: exchange.in_progress.lease(),
             had_capacity: lease_evidence.is_some_and(Evidence::has_capacity),
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -113,6 +113,15 @@
 /// Bytes of a response body. Ends without an error once its delimiter has arrived; dropping it closes the connection.
 pub type ReplicaBody = Pin<Box<dyn Stream<Item = Result<Bytes, BodyError>> + Send>>;
 
+/// Why a replica responds that a request was not meant for it. In either case it did not run the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Misdirected {
+    /// Another replica has taken over the address.
+    OtherReplica,
+    /// The replica is the one that was addressed, and doesn't meet an expectation of the caller's.
+    UnmetExpectation,
+}
+
 /// Response of a replica, with its body still to be read.
 pub struct ReplicaResponse {
     /// HTTP status.
@@ -123,8 +132,8 @@
     pub is_first_on_connection: bool,
     /// True if the replica states that it did not run the request.
     pub not_run: bool,
-    /// True if another replica has taken over the address.
-    pub other_replica: bool,
+    /// Why the request was misdirected; `None` if it wasn't.
+    pub misdirected: Option<Misdirected>,
     /// Load reported with the response.
     pub load: Option<ReplicaLoad>,
     /// Headers passed through to the caller.
--- a/crates/serving/src/forwarder.rs
+++ b/crates/serving/src/forwarder.rs
@@ -348,9 +348,8 @@
             state
                 .refusals
                 .extend(refused.filter(|refused| refused.scope != RefusalScope::Replica));
-            if state.is_refused_alone() {
-                let cause = RefusalCause::NotAdmitted;
-                return Err(Refusal::new(cause, state.execution, None));
+            if let Some(cause) = state.refused_alone() {
+                return Err(abandon(cause, &state));
             }
             match failure {
                 AttemptFailure::RetryLater { after } => {
@@ -360,12 +359,14 @@
                 AttemptFailure::NoReplica if state.tried.is_empty() => {
                     return Err(abandon(RefusalCause::NoReplica, &state));
                 }
-                AttemptFailure::NoReplica => return Err(abandon(RefusalCause::Full, &state)),
+                AttemptFailure::NoReplica => {
+                    return Err(abandon(state.cause_of_refusals(), &state));
+                }
                 AttemptFailure::NotRun { .. } | AttemptFailure::Unattributed { .. } => {
                     state.sends -= 1;
                     refusals += 1;
                     if refusals > MAX_REFUSALS {
-                        return Err(abandon(RefusalCause::Full, &state));
+                        return Err(abandon(state.cause_of_refusals(), &state));
                     }
                 }
                 AttemptFailure::MayHaveRun { .. } => {
@@ -447,7 +448,11 @@
     } else {
         cause
     };
-    Refusal::new(cause, state.execution, Some(RETRY_AFTER))
+    Refusal::new(
+        cause,
+        state.execution,
+        cause.is_transient().then_some(RETRY_AFTER),
+    )
 }
 
 /// Refusal of a quarantined request. Its retry delay is the rest of the quarantine, as an earlier retry
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -58,7 +58,7 @@
 };
 pub use events::StreamEvent;
 pub use exchange::{
-    BodyDelimiter, BodyError, ExchangeError, ReplicaBody, ReplicaClient, ReplicaLoad,
+    BodyDelimiter, BodyError, ExchangeError, Misdirected, ReplicaBody, ReplicaClient, ReplicaLoad,
     ReplicaRequest, ReplicaResponse, ServingRequest,
 };
 pub use forwarder::{Forwarder, ForwarderParts, ForwarderSettings, SharedRoutes};
--- a/crates/serving/src/refusals.rs
+++ b/crates/serving/src/refusals.rs
@@ -30,7 +30,9 @@
     Replica,
     /// The replica has no room for requests of at least this size, and may have some for smaller ones.
     Size,
-    /// Only this request: the replica may have room for any other.
+    /// The replica or the request, which can't be told. Nothing is concluded about either alone.
+    Unclear,
+    /// The request: the replica may run any other.
     Request,
 }
 
@@ -40,6 +42,7 @@
         match self {
             Self::Replica => "replica full",
             Self::Size => "size refused",
+            Self::Unclear => "unclear",
             Self::Request => "request refused",
         }
     }
@@ -50,6 +53,8 @@
 pub struct ReplicaRefusal {
     /// To what it is attributed.
     pub scope: RefusalScope,
+    /// HTTP status.
+    pub status: u16,
     /// Hash of the replica's instance.
     pub replica: u32,
     /// Number of the attempt's lease; `None` without one.
@@ -82,11 +87,6 @@
     pub fn proves_full(&self) -> bool {
         self.reported_load.unwrap_or(self.counted_load) >= self.slots
     }
-
-    /// True if the refusal proves nothing about the replica: it reports free slots, or others refused the request too.
-    fn concerns_request_only(&self) -> bool {
-        self.reported_load.is_some() || self.refused_elsewhere >= MAX_REFUSING_REPLICAS
-    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -110,9 +110,12 @@
         if evidence.proves_full() {
             return RefusalScope::Replica;
         }
-        if evidence.concerns_request_only() {
+        if evidence.reported_load.is_some() {
             return RefusalScope::Request;
         }
+        if evidence.refused_elsewhere >= MAX_REFUSING_REPLICAS {
+            return RefusalScope::Unclear;
+        }
         let mut refused = self.lock();
         refused.retain(|one| is_recent(one, now) && one.request != evidence.request);
         if refused.len() == MAX_REFUSED_REQUESTS {
@@ -127,7 +130,7 @@
         if lacks_room(&refused, evidence.tokens, now) {
             RefusalScope::Size
         } else {
-            RefusalScope::Request
+            RefusalScope::Unclear
         }
     }
 
--- a/crates/serving/src/request_state.rs
+++ b/crates/serving/src/request_state.rs
@@ -11,6 +11,7 @@
 use crate::configuration::Route;
 use crate::exchange::ServingRequest;
 use crate::refusals::{RefusalScope, ReplicaRefusal};
+use crate::response::RefusalCause;
 use crate::take_up::TakenUp;
 
 /// Share of the objective after which a replica without progress is abandoned before the first event, in percent.
@@ -52,6 +53,9 @@
 /// Maximum number of crashes excluded from the attempts; suffices to decide whether the content is the cause.
 const MAX_FORGIVEN: u32 = 3;
 
+/// Status of a replica that doesn't meet an expectation of the caller's.
+const MISDIRECTED: u16 = 421;
+
 /// Replicas that refuse a request alone, after which no further one is tried.
 const MAX_REQUEST_REFUSALS: usize = 3;
 
@@ -67,11 +71,29 @@
         }
     }
 
-    /// True if enough replicas refused the request, and nothing says that they refuse others.
-    pub fn is_refused_alone(&self) -> bool {
+    /// Returns the cause for which the request is refused if enough replicas refused it, and nothing says that they refuse
+    /// others; `None` if another replica may be tried.
+    pub fn refused_alone(&self) -> Option<RefusalCause> {
         let refusals = self.refusals.iter();
-        let alone = refusals.filter(|refusal| refusal.scope == RefusalScope::Request);
-        alone.count() >= MAX_REQUEST_REFUSALS
+        let alone = refusals.filter(|refusal| refusal.scope != RefusalScope::Size);
+        if alone.count() < MAX_REQUEST_REFUSALS {
+            return None;
+        }
+        Some(self.cause_of_refusals())
+    }
+
+    /// Returns the cause for which a request is refused that no replica admitted.
+    pub fn cause_of_refusals(&self) -> RefusalCause {
+        let is_all = |holds: &dyn Fn(&ReplicaRefusal) -> bool| {
+            !self.refusals.is_empty() && self.refusals.iter().all(holds)
+        };
+        if is_all(&|refusal| refusal.status == MISDIRECTED) {
+            RefusalCause::UnmetExpectation
+        } else if is_all(&|refusal| refusal.scope == RefusalScope::Request) {
+            RefusalCause::NotAdmitted
+        } else {
+            RefusalCause::Full
+        }
     }
 
     /// Longest acceptable retry delay; `None` for a caller that has retried already, which must be placed, and for
--- a/crates/serving/src/response.rs
+++ b/crates/serving/src/response.rs
@@ -46,6 +46,8 @@
     Full,
     /// Replicas with free slots don't admit the request, as one that is larger than their memory.
     NotAdmitted,
+    /// No replica that was tried meets an expectation of the caller's, such as the version of the weights.
+    UnmetExpectation,
     /// The request would miss its objective now, but not after a delay.
     Overloaded,
     /// The time ran out before any replica accepted the request.
@@ -82,7 +84,15 @@
 
     /// True if the same request may succeed later.
     pub fn is_transient(self) -> bool {
-        self.is_not_run() && !matches!(self, Self::NoRoute | Self::NoKey | Self::UnknownKey)
+        let is_final = matches!(
+            self,
+            Self::NoRoute
+                | Self::NoKey
+                | Self::UnknownKey
+                | Self::NotAdmitted
+                | Self::UnmetExpectation
+        );
+        self.is_not_run() && !is_final
     }
 
     /// Returns the name in logs.
@@ -98,6 +108,7 @@
             Self::NoReplica => "no_replica",
             Self::Full => "full",
             Self::NotAdmitted => "not_admitted",
+            Self::UnmetExpectation => "unmet_expectation",
             Self::Overloaded => "overloaded",
             Self::NoTimeLeft => "no_time_left",
             Self::TimedOut => "timed_out",
@@ -114,6 +125,7 @@
         match self {
             Self::NoRoute => 404,
             Self::NoKey | Self::UnknownKey => 401,
+            Self::UnmetExpectation => 421,
             Self::RateLimited => 429,
             Self::NoConfiguration
             | Self::StaleConfiguration
