An item whose output only a close ended is run once more after its last event

Cause: the kernel closes the connections of a process that ends, and a close after a complete event was taken for the end of the output. Nothing in the answer tells them apart; any replica that goes on after the last event does.

Change: such an end is unproven, and the item runs again after its last event. Events that follow go on; complete framing without any proves the end; three runs that tell nothing (a close, a failure) let it be believed. A failure of such a run counts neither against the item nor against the replica.

Ruled out: a look whether the replica still listens finds a process that ended, not a connection that was closed.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -70,7 +70,13 @@
 const OTHER_TENANTS: &str = "(other)";
 
 /// Outcomes of runs with a label of their own; all others are free-text causes and share the label `broken`.
-const RUN_OUTCOMES: [&str; 4] = ["finished", "failed", "impossible", "yielded to online"];
+const RUN_OUTCOMES: [&str; 5] = [
+    "finished",
+    "unproven end",
+    "failed",
+    "impossible",
+    "yielded to online",
+];
 
 impl DecisionMetrics {
     /// Registers the metrics in a registry of their own; fails if two have one name.
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -940,7 +940,8 @@
         item: &'a str,
         /// Replica id.
         replica: &'a str,
-        /// `finished`, `failed`, `impossible`, `yielded to online` (preempted), or the cause of an aborted run.
+        /// `finished`, `unproven end` (only a close ended the output, and a further run asks for more), `failed`,
+        /// `impossible`, `yielded to online` (preempted), or the cause of an aborted run.
         outcome: &'a str,
         /// Number of the last event received; 0 without one.
         events: u64,
--- a/crates/inline-jobs/src/item.rs
+++ b/crates/inline-jobs/src/item.rs
@@ -20,6 +20,9 @@
     pub origin: Option<KnownOrigin>,
     /// What is known of the events that follow `last_event`.
     pub events_left: EventsLeft,
+    /// Set after an end that only the close of the connection marked, which proves nothing: further runs since then that
+    /// showed neither that events are left nor that none are.
+    pub unproven_end: Option<u32>,
     /// When this daemon received the last event; `None` if it received none itself.
     pub last_event_at: Option<Instant>,
     /// True while a request was sent and its response has not begun.
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -28,6 +28,8 @@
 pub enum RunOutcome {
     /// The output is complete.
     Finished,
+    /// The output seems complete, but only the close of the connection ended it: a further run must tell.
+    Unproven,
     /// The replica responded with a failure.
     Failed,
     /// The replica rejected the item; a retry cannot succeed.
@@ -76,9 +78,10 @@
     placement: Placement,
     run_options: RunOptions,
 ) -> RunOutcome {
-    let (resume_after, events_left) = {
+    let (resume_after, events_left, confirms_end) = {
         let progress = lock(progress);
-        (progress.last_event, progress.events_left)
+        let confirms_end = progress.unproven_end.is_some();
+        (progress.last_event, progress.events_left, confirms_end)
     };
     let timeouts = AttemptTimeouts {
         time_left: None,
@@ -89,7 +92,8 @@
         resume_after,
         fresh_connection: false,
         number: 1,
-        failed_before: run_options.failed_before,
+        // A failure to continue after the last event says nothing about the replica.
+        failed_before: run_options.failed_before || confirms_end,
         refused_elsewhere: run_options.refused_elsewhere.len(),
     };
     lock(progress).is_awaiting_response = true;
@@ -117,6 +121,7 @@
     forwarder.note_admitted_after(&run_options.refused_elsewhere, tokens);
     match attempt.response.status {
         200..=299 => {}
+        _ if confirms_end => return note_inconclusive(progress),
         FAILED => return RunOutcome::Failed,
         IMPOSSIBLE => return RunOutcome::Impossible,
         status => return RunOutcome::Broken(format!("status {status}")),
@@ -170,7 +175,7 @@
                 in_progress.conclude(AttemptOutcome::Unresponsive);
                 return RunOutcome::Broken("no event in time".to_owned());
             }
-            Some(None) => return end(parser, &in_progress),
+            Some(None) => return end(parser, &in_progress, progress),
             Some(Some(Err(error))) => {
                 in_progress.note_disconnect();
                 return RunOutcome::Broken(error.to_string());
@@ -193,12 +198,16 @@
 }
 
 /// Outcome of a run whose response body has ended.
-fn end(parser: &mut BodyParser, in_progress: &InProgress) -> RunOutcome {
+fn end(parser: &mut BodyParser, in_progress: &InProgress, progress: &SharedProgress) -> RunOutcome {
     match parser.end() {
         BodyEnd::Whole => {
             in_progress.conclude(AttemptOutcome::Served);
             in_progress.note_complete(parser.delimiter());
-            RunOutcome::Finished
+            if parser.is_end_proven() {
+                return RunOutcome::Finished;
+            }
+            lock(progress).unproven_end = Some(0);
+            RunOutcome::Unproven
         }
         BodyEnd::BrokenOff(cause) => {
             in_progress.note_disconnect();
@@ -207,6 +216,21 @@
     }
 }
 
+/// Further runs that may end without a proof before the output is taken for complete: replicas may fail a request for
+/// what follows the last event.
+const MAX_INCONCLUSIVE_RUNS: u32 = 2;
+
+/// Outcome of a run that asked for what follows a seemingly complete output, and was told neither way.
+fn note_inconclusive(progress: &SharedProgress) -> RunOutcome {
+    let mut progress = lock(progress);
+    let runs = progress.unproven_end.get_or_insert(0);
+    if *runs >= MAX_INCONCLUSIVE_RUNS {
+        return RunOutcome::Finished;
+    }
+    *runs += 1;
+    RunOutcome::Unproven
+}
+
 /// Appends the events that received bytes complete to the item's output.
 fn append_events(
     progress: &SharedProgress,
@@ -251,6 +275,7 @@
     progress.origin.get_or_insert_with(origin);
     progress.events_left = EventsLeft::after(Some(id), u32::MAX);
     progress.texts.push(event.data());
+    progress.unproven_end = None;
     progress.last_event_at = Some(Instant::now());
     Ok(true)
 }
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -66,6 +66,7 @@
             known_at: harrierward_clock::now(),
         }),
         events_left: EventsLeft::after(Some(row.last_event), u32::MAX),
+        unproven_end: None,
         last_event_at: None,
         is_awaiting_response: false,
     })
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -273,7 +273,8 @@
         self.log_run(item, &replica.record.id, outcome);
         let attempts = self.attempts_of(&item.route);
         let mut registry = self.registry();
-        if *outcome == RunOutcome::Finished && item.started_fresh {
+        let has_output = matches!(outcome, RunOutcome::Finished | RunOutcome::Unproven);
+        if has_output && item.started_fresh {
             let events = lock(&item.progress).texts.len();
             registry.run_length.observe(started.elapsed(), events);
         }
@@ -311,6 +312,7 @@
     pub(crate) fn log_run(&self, item: &StartableItem, replica: &str, outcome: &RunOutcome) {
         let outcome = match outcome {
             RunOutcome::Finished => "finished",
+            RunOutcome::Unproven => "unproven end",
             RunOutcome::Failed => "failed",
             RunOutcome::Impossible => "impossible",
             RunOutcome::NotRun(cause)
@@ -421,7 +423,9 @@
             entry.fruitless.note_refused(replica, *refusal);
             ItemPhase::wait(entry.fruitless.pause())
         }
-        RunOutcome::NotRun(_) | RunOutcome::Refused { .. } => ItemPhase::wait(RETRY_PAUSE),
+        RunOutcome::Unproven | RunOutcome::NotRun(_) | RunOutcome::Refused { .. } => {
+            ItemPhase::wait(RETRY_PAUSE)
+        }
         RunOutcome::Broken(_) => {
             entry.fruitless.note_broken();
             ItemPhase::wait(entry.fruitless.pause())
--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -235,6 +235,17 @@
         BodyEnd::Whole
     }
 
+    /// True if an event arrived that the recipient did not have before.
+    pub fn has_new_events(&self) -> bool {
+        self.new_events > 0
+    }
+
+    /// True if a whole body's end is proved, or no further response can be expected to prove it. The close of the
+    /// connection proves nothing after a new event: a replica that crashes closes it too.
+    pub fn is_end_proven(&self) -> bool {
+        self.delimiter != BodyDelimiter::Close || self.new_events == 0
+    }
+
     /// True if no event arrived although one must follow.
     fn lacks_events(&self) -> bool {
         self.format == BodyFormat::Events
