A prompt that no cache can hold evicts nothing from the estimate of a cache

Callers would have had their shared prompts read anew: a request larger than a replica's memory, refused or not, evicted all other parts from the estimate of what the replica caches, so that requests which share a prefix lost their affinity to it. Found by reading beside the refused items: the request was taken for one that the replica runs.

Change: such a prompt isn't noted. Test: serving/tests/prefix_cache.rs, red before (0 of 6,500 tokens); the second test there is a guard.

--- a/crates/serving/src/prompt.rs
+++ b/crates/serving/src/prompt.rs
@@ -70,8 +70,13 @@
             .sum()
     }
 
-    /// Records that the prompt was sent to the replica.
+    /// Records that the prompt was sent to the replica. One that the cache can't hold evicts nothing: the replica refuses
+    /// it, or doesn't keep it.
     pub fn note(&mut self, prompt: &Prompt) {
+        let tokens: u64 = prompt.parts.iter().map(|part| u64::from(part.tokens)).sum();
+        if tokens > self.capacity_tokens {
+            return;
+        }
         for part in &prompt.parts {
             if let Some((_, old)) = self.parts.push(part.id, part.tokens) {
                 self.tokens = self.tokens.saturating_sub(u64::from(old));
--- /dev/null
+++ b/crates/serving/tests/prefix_cache.rs
@@ -0,0 +1,38 @@
+//! Estimate of the prompt parts that a replica caches.
+
+use harrierward_serving::{PrefixCacheEstimate, Prompt, PromptPart};
+
+const CAPACITY_TOKENS: u64 = 10_000;
+
+fn prompt(parts: &[(u64, u32)]) -> Prompt {
+    let parts = parts.iter().map(|(id, tokens)| PromptPart {
+        id: *id,
+        tokens: *tokens,
+    });
+    Prompt {
+        parts: parts.collect(),
+        ..Prompt::default()
+    }
+}
+
+/// Guards against a request larger than a replica's memory, after which the replica seems to cache nothing of what all
+/// others share.
+#[test]
+fn a_prompt_that_the_cache_cannot_hold_evicts_nothing() {
+    let shared = prompt(&[(1, 6_000), (2, 500)]);
+    let mut estimate = PrefixCacheEstimate::new(CAPACITY_TOKENS);
+    estimate.note(&shared);
+    estimate.note(&prompt(&[(1, 6_000), (3, 150_000)]));
+    assert_eq!(estimate.cached_tokens(&shared), 6_500);
+}
+
+#[test]
+fn the_parts_unused_longest_are_evicted() {
+    let first = prompt(&[(1, 6_000)]);
+    let second = prompt(&[(2, 6_000)]);
+    let mut estimate = PrefixCacheEstimate::new(CAPACITY_TOKENS);
+    estimate.note(&first);
+    estimate.note(&second);
+    assert_eq!(estimate.cached_tokens(&first), 0);
+    assert_eq!(estimate.cached_tokens(&second), 6_000);
+}
