Log: why nothing is concluded of a stream that nobody has a record of

`stream_continued` names how many daemons can't have missed a version, and how many versions they saw. The lines so far showed that all peers had replied, not whether their views were incomplete (H1) or several versions had served and the record was lost with its holders (H2).

Decisions are unchanged.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -500,6 +500,10 @@
         asked: usize,
         /// Peers that replied.
         replied: usize,
+        /// Daemons that can't have missed a version, if no record was found.
+        complete: usize,
+        /// Software versions that daemons saw, if no record was found.
+        versions: usize,
     },
     /// A service no longer has only one software version for sure, so that peers are notified where streams began.
     VersionsMixed {
--- a/crates/edge/src/streams/requests.rs
+++ b/crates/edge/src/streams/requests.rs
@@ -1,5 +1,6 @@
 //! Lookup of a stream that a caller takes up: own records first, then those of peers.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -64,16 +65,14 @@
         Some((peer.id, answer))
     }
 
-    /// Concludes from what this daemon and its peers saw that only one version can have begun a stream.
-    fn conclude(
+    /// Returns what this daemon and its peers saw of a service's versions, its own testimony first.
+    fn testimonies(
         &self,
-        service: &str,
+        service: u32,
         answers: &[(Arc<str>, StreamAnswer)],
         now: Instant,
-    ) -> Option<KnownOrigin> {
-        let service = short_hash(service);
+    ) -> Vec<Testimony> {
         let own = testimony(&self.lock().history, service, self.window(), now);
-        let proof_age = self.replicas.proof_age();
         let others = answers.iter().map(|(_, answer)| Testimony {
             versions: answer
                 .versions
@@ -82,10 +81,23 @@
                 .collect(),
             is_complete: answer.is_complete,
         });
-        let testimonies: Vec<Testimony> = std::iter::once(own).chain(others).collect();
-        let sole = sole_version(&testimonies)?;
+        std::iter::once(own).chain(others).collect()
+    }
+
+    /// Concludes from testimonies that only one version can have begun a stream.
+    fn conclude(
+        &self,
+        service: u32,
+        testimonies: &[Testimony],
+        answers: &[(Arc<str>, StreamAnswer)],
+        now: Instant,
+    ) -> Option<KnownOrigin> {
+        let sole = sole_version(testimonies)?;
         let (witness, age) = match sole.witness.checked_sub(1) {
-            None => (self.instance_id.clone(), proof_age.unwrap_or_default()),
+            None => {
+                let proof_age = self.replicas.proof_age();
+                (self.instance_id.clone(), proof_age.unwrap_or_default())
+            }
             Some(position) => {
                 let (id, answer) = &answers[position];
                 let age = Duration::from_millis(u64::from(answer.proof_age_ms));
@@ -140,17 +152,26 @@
                     peers: AskedPeers {
                         asked,
                         replied: answers.len() + 1,
+                        ..AskedPeers::default()
                     },
                 };
             }
             answers.push((id, answer));
         }
         let now = harrierward_clock::now();
+        let testimonies = self.testimonies(service_hash, &answers, now);
+        let versions: HashSet<SoftwareVersion> = testimonies
+            .iter()
+            .flat_map(|one| one.versions.iter().copied())
+            .collect();
+        let sole = service.and_then(|_| self.conclude(service_hash, &testimonies, &answers, now));
         OriginLookup {
-            known: service.and_then(|service| self.conclude(service, &answers, now)),
+            known: sole,
             peers: AskedPeers {
                 asked,
                 replied: answers.len(),
+                complete: testimonies.iter().filter(|one| one.is_complete).count(),
+                versions: versions.len(),
             },
         }
     }
--- a/crates/serving/src/continued.rs
+++ b/crates/serving/src/continued.rs
@@ -49,6 +49,8 @@
             version: record.map_or("", |record| &record.version),
             asked: stream.peers.asked,
             replied: stream.peers.replied,
+            complete: stream.peers.complete,
+            versions: stream.peers.versions,
         });
     }
 
--- a/crates/serving/src/stream_origin.rs
+++ b/crates/serving/src/stream_origin.rs
@@ -77,6 +77,10 @@
     pub asked: usize,
     /// Peers that replied.
     pub replied: usize,
+    /// Daemons, this one included, that can't have missed a version.
+    pub complete: usize,
+    /// Software versions that they and the others saw.
+    pub versions: usize,
 }
 
 /// Result of [`StreamOrigins::find`].
--- a/crates/serving/src/take_up.rs
+++ b/crates/serving/src/take_up.rs
@@ -121,6 +121,6 @@
 
 /// True if a peer that didn't reply, or isn't a known member yet, may know the stream; a later try finds it then.
 fn may_be_known_later(lookup: &OriginLookup) -> bool {
-    let AskedPeers { asked, replied } = lookup.peers;
+    let AskedPeers { asked, replied, .. } = lookup.peers;
     asked == 0 || replied < asked
 }
