A stream without a record goes on only if one version has ever served, by the store's word

Callers saw: a stream of v1 that was taken up late, or after all daemons had been killed and started, was answered 200 and went on at v2; so did a stream of v2 at v1, at a daemon that others couldn't reach and that was behind the store. And where one version has ever served, all take-ups were refused for 12 s after all daemons had started.

Cause: "only one version has served" was concluded from what daemons saw listed within a window, counted from their own start, on a list up to 4 s old. That is a denial for some time up to some seconds ago; the stream may have begun before, or since.

Change: the store holds, for each service, every version at which a stream may have begun (a row in the space of the job headers, which all daemons watch). A version is added before a replica of it passes on a first event, and none is ever removed. A take-up without a record goes on at the only version of the row if the store, asked by a transaction after the request arrived, says that there is no other one, and none is listed. Otherwise it is refused, as is one beside a store that doesn't respond within 250 ms.

Why it works: what began the stream was in the row before its caller had an event to name, so before the take-up and the question. No age of a daemon, a list, a record or a stream is part of it. Records at peers are kept for 10 minutes, if there is room: a lost one is a refusal now, no longer a proof.

Wire level 9; level 8 reads its answers as before (another version refutes).

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -486,9 +486,9 @@
         resume_after: u64,
         /// Software version that began it; `None` if unknown.
         began_at: Option<&'a str>,
-        /// From whom that is known: `response` (this daemon received the first event), `store` (with an item's events),
-        /// `own record` (of an earlier response), the id of the peer that recorded it, or `sole version: ` and the id of a
-        /// daemon that saw no other one; empty if unknown.
+        /// From whom that is known: `response` (this daemon received the first event), `store` (with an item's events), `own record`
+        /// (of an earlier response), the id of the peer that recorded it, or `sole version` (the store knows no other one);
+        /// empty if unknown.
         source: &'a str,
         /// Age of that knowledge; `None` if unknown.
         known_ms: Option<u64>,
@@ -500,19 +500,39 @@
         asked: usize,
         /// Peers that replied.
         replied: usize,
-        /// Daemons that can't have missed a version, if no record was found.
-        complete: usize,
-        /// Software versions that daemons saw, if no record was found.
+        /// What the store showed: `sole version`, `unread` (no response in time), or `not asked`.
+        store: &'a str,
+    },
+    /// A row on streams can't be decoded. Logged once for each revision of a row.
+    StreamRowRejected {
+        /// Key of the row.
+        row: &'a str,
+        /// Revision of the row.
+        revision: u64,
+        /// What is concluded: `any version` may have begun its service's streams.
+        concluded: &'a str,
+    },
+    /// The software versions at which streams of a service may begin were stored, or weren't.
+    VersionsStored {
+        /// Hash of the service's name.
+        service: u32,
+        /// Versions known now.
         versions: usize,
+        /// Revision of the row; 0 if there is none.
+        revision: u64,
+        /// Cause of the failure; empty if a version was stored, by this daemon or another one.
+        cause: &'a str,
+        /// Time from the first request.
+        after_ms: u64,
     },
     /// A service no longer has only one software version for sure, so that peers are notified where streams began.
     VersionsMixed {
         /// Name of the service.
         service: &'a str,
-        /// Versions listed in the time within which a stream that is taken up can have begun.
+        /// Versions at which its streams may have begun.
         versions: usize,
-        /// Age of the proof of the list; `None` without one.
-        listed_age_ms: Option<u64>,
+        /// Time since the last contact with the store; `None` before the first.
+        contact_age_ms: Option<u64>,
         /// Streams of this daemon of which peers were notified now.
         streams: usize,
     },
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -29,7 +29,7 @@
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
 use crate::slots::{Pacing, PreemptItems, SlotService};
-use crate::streams::StreamService;
+use crate::streams::{StreamService, StreamStoreParts};
 use crate::watches::{JobRowHandler, WatchIntervals, start_watches};
 
 /// Parts from which a daemon is built.
@@ -151,7 +151,10 @@
             &instance_id,
             Location::new(&settings.zone, &settings.region),
             replicas.clone(),
-            routes.clone(),
+            StreamStoreParts {
+                table: table.clone(),
+                watched: watched.clone(),
+            },
             log.clone(),
         ));
         let members = Members::new(
@@ -174,7 +177,7 @@
             leases: slots.clone(),
             rates,
             quarantine: Arc::new(quarantine.clone()),
-            origins: streams,
+            origins: streams.clone(),
             proof: proof.clone(),
             log: log.clone(),
             settings: ForwarderSettings {
@@ -232,6 +235,7 @@
         let headers = JobRowHandler {
             jobs: jobs.clone(),
             quarantine: quarantine.clone(),
+            streams: streams.clone(),
         };
         let audited = start_watches(&discovery, source.as_ref(), headers, &intervals, &log);
         let instance_id = members.instance_id().to_owned();
@@ -240,6 +244,7 @@
         let clock = jobs.clone();
         let store_now_ms = move || clock.view().store_now_ms();
         tokio::spawn(quarantine.clone().run_row_writer(table, store_now_ms));
+        tokio::spawn(streams.record_listed_versions());
         tokio::spawn(jobs.clone().run());
         tokio::spawn(peer_updates.catch_up(pool.clone()));
         tokio::spawn(discovery.clone().report_evacuated_zones());
--- a/crates/edge/src/streams/mod.rs
+++ b/crates/edge/src/streams/mod.rs
@@ -1,7 +1,9 @@
-//! Where streams began: remembers it for this daemon's streams, notifies peers while several software versions serve, and
-//! asks them when a caller takes a stream up.
+//! Where streams began: remembers it for this daemon's streams, notifies peers unless only one software version can
+//! have begun them, and asks them and the store when a caller takes a stream up.
 
 mod requests;
+mod tasks;
+mod versions;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -9,39 +11,39 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use harrierward_decisions::{DecisionLog, Record};
-use harrierward_serving::{
-    Location, ReplicaSet, RouteTable, SharedRoutes, StreamTerms, short_hash,
-};
+use harrierward_external::{Row, Table, WatchedTable};
+use harrierward_serving::{Location, ReplicaSet, short_hash};
 use harrierward_stream_origins::{
-    OriginLedger, OriginRecord, RecordSource, SoftwareVersion, StreamKey, StreamOrigin, Testimony,
-    VersionHistory,
+    OriginLedger, OriginRecord, RecordSource, SoftwareVersion, StreamKey, StreamOrigin,
 };
 use harrierward_wire::{
     NodeDatagram, StreamAnswer, StreamAsk, StreamNotice, StreamRecord, encode, node_datagram,
 };
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::calls::DatagramCalls;
 use crate::rendezvous::ranked;
 use crate::slots::CoordinatorCandidate;
 
+use versions::VersionRows;
+
 /// Peers that are notified of a stream: it stays known when its daemon and two of them end at once.
 const NOTIFIED_PEERS: usize = 3;
 
 /// Records in one datagram; some 1 kB.
 const MAX_RECORDS_PER_NOTICE: usize = 32;
 
-/// Lower bound of the time within which a stream that is taken up can have begun.
-const MIN_WINDOW: Duration = Duration::from_secs(5);
+/// Time for which a record is kept, if there is room. A stream without one is refused, unless only one version has ever
+/// served.
+const RETENTION: Duration = Duration::from_secs(600);
 
-/// That time as a multiple of the longest timeout of routes whose streams may be taken up: several tries of one caller.
-const WINDOW_FACTOR: u32 = 2;
-
-/// Longest lifetime that a peer's record is given.
-const MAX_LIFETIME: Duration = Duration::from_secs(3_600);
+/// Age of the last contact with the store from which this daemon's streams are recorded at peers, whatever served so far:
+/// a stream can't be proven to be of the only version without the store.
+const MAX_CONTACT_AGE: Duration = Duration::from_secs(4);
 
 /// A peer that remembers streams.
 struct StreamPeer {
@@ -54,9 +56,15 @@
 
 struct State {
     ledger: OriginLedger,
-    history: VersionHistory,
-    /// Services of which a sole version was proven at the last tick.
+    /// Services that had only one version at the last tick, as far as this daemon knew.
     sole: HashSet<u32>,
+    /// Last moment of which the store's changes are known.
+    contact_at: Option<Instant>,
+}
+
+/// The store's rows on streams.
+struct StreamStore {
+    versions: VersionRows,
 }
 
 /// Origins of streams, as one daemon knows them.
@@ -64,13 +72,25 @@
     instance_id: Arc<str>,
     location: Location,
     replicas: Arc<ReplicaSet>,
-    routes: SharedRoutes,
+    store: StreamStore,
     members: ArcSwap<Vec<CoordinatorCandidate>>,
     socket: OnceLock<Arc<UdpSocket>>,
     calls: DatagramCalls<StreamAnswer>,
     next_call: AtomicU32,
     log: DecisionLog,
     state: Mutex<State>,
+    /// Signals that a listed version isn't stored.
+    version_due: Notify,
+    /// When a version could not be stored last.
+    store_failed_at: ArcSwapOption<Instant>,
+}
+
+/// The store as [`StreamService`] uses it.
+pub struct StreamStoreParts {
+    /// Rows.
+    pub table: Arc<dyn Table>,
+    /// Checks of rows.
+    pub watched: Arc<dyn WatchedTable>,
 }
 
 impl StreamService {
@@ -79,14 +99,18 @@
         instance_id: &str,
         location: Location,
         replicas: Arc<ReplicaSet>,
-        routes: SharedRoutes,
+        store: StreamStoreParts,
         log: DecisionLog,
     ) -> Self {
+        let instance_id: Arc<str> = instance_id.into();
+        let store = StreamStore {
+            versions: VersionRows::new(store.table, store.watched, log.clone()),
+        };
         Self {
-            instance_id: instance_id.into(),
+            instance_id,
             location,
             replicas,
-            routes,
+            store,
             members: ArcSwap::default(),
             socket: OnceLock::new(),
             calls: DatagramCalls::default(),
@@ -94,9 +118,11 @@
             log,
             state: Mutex::new(State {
                 ledger: OriginLedger::default(),
-                history: VersionHistory::default(),
                 sole: HashSet::new(),
+                contact_at: None,
             }),
+            version_due: Notify::new(),
+            store_failed_at: ArcSwapOption::empty(),
         }
     }
 
@@ -111,25 +137,33 @@
         self.members.store(Arc::new(members));
     }
 
-    /// Observes the versions listed now, and notifies peers of this daemon's streams at services that no longer have only
-    /// one; called at each tick of the membership.
+    /// Learns the row of a service's versions, from the watch of the store.
+    pub fn apply_served(&self, row: &Row) {
+        self.store.versions.apply(row);
+    }
+
+    /// Records that the store's changes up to this moment are known.
+    pub fn note_store_contact(&self, as_of: Instant) {
+        let mut state = self.lock();
+        state.contact_at = state.contact_at.max(Some(as_of));
+    }
+
+    /// Records this daemon's streams elsewhere at services that no longer have only one version for sure, and schedules
+    /// listed versions to be stored; called at each tick of the membership.
     pub fn tick(&self) {
+        if !self.missing_versions().is_empty() {
+            self.version_due.notify_one();
+        }
         let now = harrierward_clock::now();
         let view = self.replicas.view();
-        let window = self.window();
         let mut state = self.lock();
         let state = &mut *state;
-        let versions = view.services().flat_map(|service| {
-            let hash = short_hash(service);
-            let versions = view.versions(service).iter();
-            versions.map(move |version| (hash, *version))
+        let contact_age = state.contact_at.map(harrierward_clock::age);
+        let is_in_contact = contact_age.is_some_and(|age| age <= MAX_CONTACT_AGE);
+        let services = view.services().map(short_hash);
+        let sole = services.filter(|service| {
+            is_in_contact && self.store.versions.known(*service).seen.sole().is_some()
         });
-        state
-            .history
-            .observe(versions, self.replicas.proof_age(), now);
-        let services: Vec<u32> = view.services().map(short_hash).collect();
-        let sole = services.into_iter();
-        let sole = sole.filter(|service| is_sole(&state.history, *service, window, now));
         let sole: HashSet<u32> = sole.collect();
         let before = std::mem::replace(&mut state.sole, sole);
         let ended: Vec<u32> = before.difference(&state.sole).copied().collect();
@@ -137,14 +171,29 @@
             let streams = state.ledger.take_unannounced(service, now);
             self.log.record(&Record::VersionsMixed {
                 service: &self.service_name(service),
-                versions: state.history.versions(service, window, now).len(),
-                listed_age_ms: self.replicas.proof_age().map(millis),
+                versions: self.store.versions.known(service).seen.len(),
+                contact_age_ms: contact_age.map(millis),
                 streams: streams.len(),
             });
             self.announce(&streams, now);
         }
     }
 
+    /// Returns the listed versions that the store doesn't hold, as far as this daemon knows, by service.
+    fn missing_versions(&self) -> Vec<(u32, Vec<SoftwareVersion>)> {
+        let view = self.replicas.view();
+        let missing = view.services().map(|service| {
+            let hash = short_hash(service);
+            let known = self.store.versions.known(hash);
+            let listed = view.versions(service).iter().copied();
+            let missing = listed.filter(|version| !known.stored.contains(*version));
+            (hash, missing.collect::<Vec<_>>())
+        });
+        missing
+            .filter(|(_, versions)| !versions.is_empty())
+            .collect()
+    }
+
     /// Handles a datagram about streams; returns any other.
     pub fn receive(
         &self,
@@ -170,29 +219,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the time within which a stream that is taken up now can have begun.
-    fn window(&self) -> Duration {
-        let routes = self.routes.load();
-        let longest = routes.as_deref().map(longest_timeout).unwrap_or_default();
-        (longest * WINDOW_FACTOR).max(MIN_WINDOW)
-    }
-
     fn service_name(&self, service: u32) -> String {
         let view = self.replicas.view();
         let named = view.service_by_hash(service);
         named.map_or_else(String::new, |(name, _)| name.to_owned())
     }
 
-    /// Records a stream of this daemon, and notifies peers unless each daemon can conclude where it began.
-    fn note_own(&self, stream: StreamKey, origin: StreamOrigin, terms: StreamTerms) {
+    /// Records a stream of this daemon, also elsewhere unless each daemon can conclude where it began.
+    fn note_own(&self, stream: StreamKey, origin: StreamOrigin, is_split: bool) {
         let now = harrierward_clock::now();
         let mut state = self.lock();
-        let is_announced = terms.is_split || !state.sole.contains(&origin.service);
+        let is_announced = is_split || !state.sole.contains(&origin.service);
         let record = OriginRecord {
             origin,
             source: RecordSource::Own,
             known_at: now,
-            expires_at: now + terms.lifetime,
+            expires_at: now + RETENTION,
             is_announced,
         };
         state.ledger.note(stream, record.clone(), now);
@@ -252,18 +294,16 @@
 
     fn answer(&self, ask: &StreamAsk) -> StreamAnswer {
         let now = harrierward_clock::now();
-        let window = self.window();
         let mut state = self.lock();
         let stream = StreamKey::from_hash(ask.stream);
         let known = state.ledger.get(stream, now);
         let record = known.map(|known| encode_record(stream, known, now));
-        let testimony = testimony(&state.history, ask.service, window, now);
+        let versions = self.store.versions.known(ask.service);
         StreamAnswer {
             number: ask.number,
             record,
-            versions: testimony.versions.iter().map(|one| one.hash()).collect(),
-            is_complete: testimony.is_complete,
-            proof_age_ms: self.replicas.proof_age().map_or(u32::MAX, millis_u32),
+            versions: versions.seen.iter().map(SoftwareVersion::hash).collect(),
+            ..StreamAnswer::default()
         }
     }
 
@@ -276,28 +316,6 @@
     }
 }
 
-/// Returns the longest timeout of the routes whose streams may be taken up.
-fn longest_timeout(routes: &RouteTable) -> Duration {
-    let routes = routes.configuration.routes.iter();
-    let resumable = routes.filter(|route| route.is_resumable());
-    resumable
-        .map(|route| route.timeout)
-        .max()
-        .unwrap_or_default()
-}
-
-fn testimony(history: &VersionHistory, service: u32, window: Duration, now: Instant) -> Testimony {
-    Testimony {
-        versions: history.versions(service, window, now),
-        is_complete: history.covers(window, now),
-    }
-}
-
-fn is_sole(history: &VersionHistory, service: u32, window: Duration, now: Instant) -> bool {
-    let testimony = testimony(history, service, window, now);
-    testimony.is_complete && testimony.versions.len() == 1
-}
-
 fn encode_record(stream: StreamKey, record: &OriginRecord, now: Instant) -> StreamRecord {
     let remaining = record.expires_at.saturating_duration_since(now);
     StreamRecord {
@@ -310,7 +328,7 @@
 }
 
 fn decode_record(record: &StreamRecord, from: Arc<str>, now: Instant) -> OriginRecord {
-    let lifetime = Duration::from_millis(u64::from(record.remaining_ms)).min(MAX_LIFETIME);
+    let lifetime = Duration::from_millis(u64::from(record.remaining_ms)).min(RETENTION);
     let known = Duration::from_millis(u64::from(record.known_ms));
     OriginRecord {
         origin: StreamOrigin {
--- a/crates/edge/src/streams/requests.rs
+++ b/crates/edge/src/streams/requests.rs
@@ -1,6 +1,6 @@
-//! Lookup of a stream that a caller takes up: own records first, then those of peers.
+//! Lookup of a stream that a caller takes up: own records first, then those of peers, unless the store proves that
+//! there was only one version.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,15 +9,13 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use harrierward_serving::{
-    AskedPeers, KnownOrigin, OriginLookup, OriginSource, StreamOrigins, StreamTerms, short_hash,
-};
-use harrierward_stream_origins::{
-    RecordSource, SoftwareVersion, StreamKey, StreamOrigin, Testimony, sole_version,
+    Asked, KnownOrigin, OriginLookup, OriginSource, StoreEvidence, StreamOrigins, short_hash,
 };
+use harrierward_stream_origins::{RecordSource, ServedVersions, StreamKey, StreamOrigin};
 use harrierward_wire::{StreamAnswer, StreamAsk, node_datagram};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
-use super::{StreamPeer, StreamService, decode_record, testimony};
+use super::{StreamPeer, StreamService, decode_record};
 use crate::calls::{CallTimeouts, PeerLocation};
 
 /// Peers that are asked: those that were notified stay among them while some members join or leave.
@@ -31,6 +29,9 @@
     max_timeout: Duration::from_millis(120),
 };
 
+/// Time within which the store has to respond: its caller may do better at another daemon, or begin again.
+const STORE_TIMEOUT: Duration = Duration::from_millis(250);
+
 impl StreamService {
     fn own_record(&self, stream: StreamKey) -> Option<KnownOrigin> {
         let mut state = self.lock();
@@ -47,13 +48,13 @@
 
     async fn ask(
         &self,
-        stream: Option<StreamKey>,
+        stream: StreamKey,
         service: u32,
         peer: StreamPeer,
     ) -> Option<(Arc<str>, StreamAnswer)> {
         let ask = StreamAsk {
             number: self.next_call.fetch_add(1, Ordering::Relaxed),
-            stream: stream.map_or(0, StreamKey::hash),
+            stream: stream.hash(),
             service,
         };
         let location = PeerLocation::from(self.location, peer.location);
@@ -65,60 +66,101 @@
         Some((peer.id, answer))
     }
 
-    /// Returns what this daemon and its peers saw of a service's versions, its own testimony first.
-    fn testimonies(
+    /// Asks the peers that are notified first; returns the first record found.
+    async fn ask_peers(
         &self,
+        stream: StreamKey,
         service: u32,
-        answers: &[(Arc<str>, StreamAnswer)],
-        now: Instant,
-    ) -> Vec<Testimony> {
-        let own = testimony(&self.lock().history, service, self.window(), now);
-        let others = answers.iter().map(|(_, answer)| Testimony {
-            versions: answer
-                .versions
-                .iter()
-                .map(|hash| SoftwareVersion::from_hash(*hash))
-                .collect(),
-            is_complete: answer.is_complete,
-        });
-        std::iter::once(own).chain(others).collect()
+        asked: &mut Asked,
+    ) -> Option<KnownOrigin> {
+        let peers = self.peers(stream, ASKED_PEERS);
+        asked.peers = peers.len();
+        let calls = peers.into_iter();
+        let calls = calls.map(|peer| self.ask(stream, service, peer));
+        let mut calls: FuturesUnordered<_> = calls.collect();
+        while let Some(answer) = calls.next().await {
+            let Some((id, answer)) = answer else {
+                continue;
+            };
+            asked.replied += 1;
+            if let Some(record) = &answer.record {
+                let record = decode_record(record, id.clone(), harrierward_clock::now());
+                return Some(KnownOrigin {
+                    origin: record.origin,
+                    source: OriginSource::Peer(id),
+                    known_at: record.known_at,
+                });
+            }
+        }
+        None
     }
 
-    /// Concludes from testimonies that only one version can have begun a stream.
-    fn conclude(
+    /// Concludes that the only version of a service began a stream that was taken up at `since`. `None` if several may
+    /// have, or if the store doesn't respond in time.
+    async fn sole_version(
         &self,
         service: u32,
-        testimonies: &[Testimony],
-        answers: &[(Arc<str>, StreamAnswer)],
-        now: Instant,
+        since: Instant,
+        asked: &mut Asked,
     ) -> Option<KnownOrigin> {
-        let sole = sole_version(testimonies)?;
-        let (witness, age) = match sole.witness.checked_sub(1) {
-            None => {
-                let proof_age = self.replicas.proof_age();
-                (self.instance_id.clone(), proof_age.unwrap_or_default())
-            }
-            Some(position) => {
-                let (id, answer) = &answers[position];
-                let age = Duration::from_millis(u64::from(answer.proof_age_ms));
-                (id.clone(), age)
-            }
+        // Versions are only added: what is known to be one of several stays so.
+        if self.has_several(service) {
+            return None;
+        }
+        let check = self.store.versions.check(service, since);
+        let Ok(Ok(known)) = timeout(STORE_TIMEOUT, check).await else {
+            asked.store = StoreEvidence::Unread;
+            return None;
         };
+        if self.has_several(service) {
+            return None;
+        }
+        let version = known.seen.sole()?;
+        asked.store = StoreEvidence::SoleVersion;
         Some(KnownOrigin {
-            origin: StreamOrigin {
-                service,
-                version: sole.version,
-            },
-            source: OriginSource::SoleVersion(witness),
-            known_at: now.checked_sub(age).unwrap_or(now),
+            origin: StreamOrigin { service, version },
+            source: OriginSource::SoleVersion,
+            known_at: since,
         })
     }
+
+    /// True if streams of a service may have begun at several versions: those that the store holds, and those listed.
+    fn has_several(&self, service: u32) -> bool {
+        let mut versions = self.store.versions.known(service).seen.clone();
+        let view = self.replicas.view();
+        if let Some((name, _)) = view.service_by_hash(service) {
+            versions.merge(&ServedVersions::of(view.versions(name).iter().copied()));
+        }
+        versions.is_any() || versions.len() > 1
+    }
+
+    async fn find_elsewhere(
+        &self,
+        stream: Option<StreamKey>,
+        service: Option<&str>,
+        asked: &mut Asked,
+    ) -> Option<KnownOrigin> {
+        let since = harrierward_clock::now();
+        let service = service.map(short_hash);
+        if let Some(service) = service
+            && let Some(known) = self.sole_version(service, since, asked).await
+        {
+            return Some(known);
+        }
+        let stream = stream?;
+        self.ask_peers(stream, service.unwrap_or_default(), asked)
+            .await
+    }
 }
 
 #[async_trait]
 impl StreamOrigins for StreamService {
-    fn note(&self, stream: StreamKey, origin: StreamOrigin, terms: StreamTerms) {
-        self.note_own(stream, origin, terms);
+    async fn admit(&self, origin: StreamOrigin) {
+        self.admit_version(origin).await;
+    }
+
+    fn note(&self, stream: StreamKey, origin: StreamOrigin, is_split: bool) {
+        self.note_own(stream, origin, is_split);
     }
 
     async fn find(&self, stream: Option<StreamKey>, service: Option<&str>) -> OriginLookup {
@@ -128,51 +170,8 @@
                 ..OriginLookup::default()
             };
         }
-        let service_hash = service.map_or(0, short_hash);
-        let rank = stream.unwrap_or_else(|| StreamKey::from_hash(rand::random()));
-        let peers = self.peers(rank, ASKED_PEERS);
-        let asked = peers.len();
-        let calls = peers.into_iter();
-        let calls = calls.map(|peer| self.ask(stream, service_hash, peer));
-        let mut calls: FuturesUnordered<_> = calls.collect();
-        let mut answers = Vec::with_capacity(asked);
-        while let Some(answer) = calls.next().await {
-            let Some((id, answer)) = answer else {
-                continue;
-            };
-            if let Some(record) = &answer.record {
-                let record = decode_record(record, id.clone(), harrierward_clock::now());
-                let known = KnownOrigin {
-                    origin: record.origin,
-                    source: OriginSource::Peer(id),
-                    known_at: record.known_at,
-                };
-                return OriginLookup {
-                    known: Some(known),
-                    peers: AskedPeers {
-                        asked,
-                        replied: answers.len() + 1,
-                        ..AskedPeers::default()
-                    },
-                };
-            }
-            answers.push((id, answer));
-        }
-        let now = harrierward_clock::now();
-        let testimonies = self.testimonies(service_hash, &answers, now);
-        let versions: HashSet<SoftwareVersion> = testimonies
-            .iter()
-            .flat_map(|one| one.versions.iter().copied())
-            .collect();
-        let sole = service.and_then(|_| self.conclude(service_hash, &testimonies, &answers, now));
-        OriginLookup {
-            known: sole,
-            peers: AskedPeers {
-                asked,
-                replied: answers.len(),
-                complete: testimonies.iter().filter(|one| one.is_complete).count(),
-                versions: versions.len(),
-            },
-        }
+        let mut asked = Asked::default();
+        let known = self.find_elsewhere(stream, service, &mut asked).await;
+        OriginLookup { known, asked }
     }
 }
--- a/crates/edge/src/watches.rs
+++ b/crates/edge/src/watches.rs
@@ -16,6 +16,7 @@
 use crate::discovery::{Discovery, DiscoverySource};
 use crate::quarantine::QuarantineService;
 use crate::settings::EdgeSettings;
+use crate::streams::StreamService;
 
 /// How long the store may hold a long poll of a space that seldom changes. A lost response is detected only after
 /// this time, and contact must be restored within 3 s.
@@ -196,6 +197,7 @@
 pub(crate) struct JobRowHandler {
     pub jobs: InlineJobs,
     pub quarantine: QuarantineService,
+    pub streams: Arc<StreamService>,
 }
 
 impl JobRowHandler {
@@ -209,6 +211,7 @@
                 // Applied before `note_proof` publishes the store's time, without which no such row is written: a new
                 // instance must read the row of its predecessor before it overwrites it.
                 RowKind::CrashReports => self.quarantine.apply_stored(row, update.store_time_ms),
+                RowKind::ServedVersions => self.streams.apply_served(row),
             }
         }
         for key in &update.removed {
@@ -218,6 +221,7 @@
         }
         if let Some(as_of) = update.as_of {
             view.note_proof(as_of, update.store_time_ms);
+            self.streams.note_store_contact(as_of);
         }
     }
 }
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use harrierward_serving::{
-    AskedPeers, Attempt, AttemptFailure, AttemptOptions, AttemptOutcome, AttemptTimeouts, BodyEnd,
+    Asked, Attempt, AttemptFailure, AttemptOptions, AttemptOutcome, AttemptTimeouts, BodyEnd,
     BodyFormat, BodyParser, BodyPart, ContinuedStream, EventsLeft, Forwarder, InProgress,
     KnownOrigin, Placement, RefusalScope, Replica, ReplicaRefusal, ServingRequest, StreamEvent,
     wait_for_progress,
@@ -153,7 +153,7 @@
         service: &replica.record.service,
         known: Some(known),
         replica: Some(replica),
-        peers: AskedPeers::default(),
+        asked: Asked::default(),
     });
 }
 
--- a/crates/inline-jobs/src/keys.rs
+++ b/crates/inline-jobs/src/keys.rs
@@ -84,6 +84,16 @@
     format!("{JOB_HEADERS}/{partition}/{CRASH_PREFIX}{hash:016x}")
 }
 
+/// Prefix of the names of rows with the software versions of services in the space of the headers; no job id may contain
+/// `~`.
+const VERSIONS_PREFIX: &str = "~versions.";
+
+/// Returns the key of the row with the software versions of a service, given the hash of its name.
+pub fn served_versions_key(service: u32) -> String {
+    let partition = partition_name(u64::from(service) % PARTITIONS);
+    format!("{JOB_HEADERS}/{partition}/{VERSIONS_PREFIX}{service:08x}")
+}
+
 /// Kinds of rows in the space of the headers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RowKind {
@@ -93,6 +103,8 @@
     Fence,
     /// Crashes of replicas that a daemon has observed.
     CrashReports,
+    /// Software versions of a service.
+    ServedVersions,
 }
 
 /// Returns the kind of a row in the space of the headers, by its key.
@@ -102,6 +114,8 @@
         RowKind::Fence
     } else if name.starts_with(CRASH_PREFIX) {
         RowKind::CrashReports
+    } else if name.starts_with(VERSIONS_PREFIX) {
+        RowKind::ServedVersions
     } else {
         RowKind::Header
     }
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -36,7 +36,9 @@
 mod view;
 
 pub use fruitless::FruitlessAttempts;
-pub use keys::{JOB_HEADERS, RowKind, crash_reports_key, partitions, row_kind};
+pub use keys::{
+    JOB_HEADERS, RowKind, crash_reports_key, partitions, row_kind, served_versions_key,
+};
 pub use model::{
     CancelOutcome, JobCaller, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem,
     SubmittedJob, scoped_id,
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::{AskedPeers, ContinuedStream, Placement, Replica, WorkClass, origin_of};
+use harrierward_serving::{Asked, ContinuedStream, Placement, Replica, WorkClass, origin_of};
 use tokio::time::{Instant, sleep};
 
 use crate::item::{Item, ItemPhase, RunLease, lock};
@@ -74,7 +74,7 @@
             service: &replica.record.service,
             known: dropped.origin.as_ref(),
             replica: Some(replica),
-            peers: AskedPeers::default(),
+            asked: Asked::default(),
         });
     }
 
--- a/crates/inline-jobs/tests/rows_of_headers.rs
+++ b/crates/inline-jobs/tests/rows_of_headers.rs
@@ -1,4 +1,4 @@
-//! Guards against mistaking one of the three kinds of rows in the space of the headers for another.
+//! Guards against mistaking one of the kinds of rows in the space of the headers for another.
 
 mod support;
 
@@ -9,7 +9,9 @@
 use harrierward_external::{
     ChangePage, PageStart, PlatformError, Row, RowRead, SpacePage, WatchedTable,
 };
-use harrierward_inline_jobs::{JobStore, RowKind, crash_reports_key, partitions, row_kind};
+use harrierward_inline_jobs::{
+    JobStore, RowKind, crash_reports_key, partitions, row_kind, served_versions_key,
+};
 use harrierward_wire::{CrashNewsRow, JobHeadRow, QuotaFenceRow, encode};
 use support::{UnavailableStore, unavailable};
 use tokio::time::Instant;
@@ -27,6 +29,17 @@
         row_kind(&crash_reports_key(INSTANCE_ID)),
         RowKind::CrashReports
     );
+    assert_eq!(row_kind(&served_versions_key(7)), RowKind::ServedVersions);
+}
+
+/// The row must lie where every daemon reads it.
+#[test]
+fn the_versions_of_a_service_lie_in_one_of_the_partitions() {
+    for service in [0, 7, u32::MAX] {
+        let key = served_versions_key(service);
+        let partition = key.split('/').nth(1).expect("a partition");
+        assert!(partitions().iter().any(|one| one == partition), "{key}");
+    }
 }
 
 /// The number of rows must not grow with restarts.
--- a/crates/serving/src/continued.rs
+++ b/crates/serving/src/continued.rs
@@ -5,7 +5,7 @@
 use crate::attempt::milliseconds;
 use crate::forwarder::Forwarder;
 use crate::replica::Replica;
-use crate::stream_origin::{AskedPeers, KnownOrigin};
+use crate::stream_origin::{Asked, KnownOrigin};
 use harrierward_stream_origins::SoftwareVersion;
 
 /// A stream or an item of which events had been received.
@@ -26,8 +26,8 @@
     pub known: Option<&'a KnownOrigin>,
     /// Replica at which it goes on; `None` if it doesn't.
     pub replica: Option<&'a Replica>,
-    /// Peers that were asked where it began.
-    pub peers: AskedPeers,
+    /// Who was asked where it began.
+    pub asked: Asked,
 }
 
 impl Forwarder {
@@ -47,10 +47,9 @@
             known_ms: known.map(|known| milliseconds(harrierward_clock::age(known.known_at))),
             replica: record.map_or("", |record| &record.id),
             version: record.map_or("", |record| &record.version),
-            asked: stream.peers.asked,
-            replied: stream.peers.replied,
-            complete: stream.peers.complete,
-            versions: stream.peers.versions,
+            asked: stream.asked.peers,
+            replied: stream.asked.replied,
+            store: stream.asked.store.name(),
         });
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -83,7 +83,7 @@
     Candidate, SelectionCosts, Separation, choose, cost, expected_wait_ms, preference_weight,
 };
 pub use stream_origin::{
-    AskedPeers, KnownOrigin, NoOrigins, OriginLookup, OriginSource, StreamOrigins, StreamTerms,
+    Asked, KnownOrigin, NoOrigins, OriginLookup, OriginSource, StoreEvidence, StreamOrigins,
     origin_of,
 };
 pub use suspicion::Suspicion;
--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -18,7 +18,7 @@
 use crate::in_progress::InProgress;
 use crate::outcome::{AttemptOutcome, Evidence};
 use crate::request_state::{RequestClock, RequestState};
-use crate::stream_origin::{KnownOrigin, StreamTerms, stream_of};
+use crate::stream_origin::{KnownOrigin, origin_of, sole_service, stream_of};
 use harrierward_stream_origins::{SoftwareVersion, StreamOrigin};
 
 /// The response can't be completed; the caller's connection must be aborted.
@@ -138,6 +138,7 @@
             match self.step().await {
                 Step::Wait => {}
                 Step::Bytes(bytes) => {
+                    self.admit_origin().await;
                     if let Err(cause) = self.receive(bytes) {
                         self.conclude(AttemptOutcome::Corrupt);
                         if let Err(error) = self.resume(cause.to_string()).await {
@@ -231,6 +232,17 @@
         Ok(())
     }
 
+    /// Waits until streams may begin at the version that writes the first event.
+    async fn admit_origin(&mut self) {
+        let Some(in_progress) = &self.in_progress else {
+            return;
+        };
+        let origin = origin_of(in_progress.replica());
+        if self.origin.is_none() && self.is_resumable() {
+            self.forwarder.origins().admit(origin).await;
+        }
+    }
+
     /// Holds the stream to the version that writes its first event.
     fn note_origin(&mut self) {
         if self.origin.is_some() {
@@ -250,8 +262,8 @@
         let Some(stream) = stream_of(request).filter(|_| self.is_resumable()) else {
             return;
         };
-        let terms = StreamTerms::of(request, &self.state.route);
-        self.forwarder.origins().note(stream, origin, terms);
+        let is_split = sole_service(&self.state.route).is_none();
+        self.forwarder.origins().note(stream, origin, is_split);
     }
 
     /// Returns the only version that may continue the stream; `None` before its first event.
--- a/crates/serving/src/relay/resumption.rs
+++ b/crates/serving/src/relay/resumption.rs
@@ -11,7 +11,7 @@
 use crate::body::{BodyFormat, BodyParser};
 use crate::continued::ContinuedStream;
 use crate::replica::Replica;
-use crate::stream_origin::AskedPeers;
+use crate::stream_origin::Asked;
 
 /// Interval before all replicas are tried again.
 const CAPACITY_RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -167,7 +167,7 @@
             service: &self.state.service,
             known: Some(known),
             replica: Some(attempt.in_progress.replica()),
-            peers: AskedPeers::default(),
+            asked: Asked::default(),
         });
     }
 
--- a/crates/serving/src/stream_origin.rs
+++ b/crates/serving/src/stream_origin.rs
@@ -2,7 +2,6 @@
 //! wrote its first event.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_trait::async_trait;
 use harrierward_stream_origins::{StreamKey, StreamOrigin};
@@ -31,8 +30,8 @@
     OwnRecord,
     /// The peer with this id recorded it.
     Peer(Arc<str>),
-    /// No other version served meanwhile, as the daemon with this id saw.
-    SoleVersion(Arc<str>),
+    /// No stream of its service can have begun at another version, as the store says.
+    SoleVersion,
 }
 
 impl OriginSource {
@@ -43,7 +42,7 @@
             Self::Store => "store".to_owned(),
             Self::OwnRecord => "own record".to_owned(),
             Self::Peer(id) => id.to_string(),
-            Self::SoleVersion(id) => format!("sole version: {id}"),
+            Self::SoleVersion => "sole version".to_owned(),
         }
     }
 }
@@ -55,7 +54,7 @@
     pub origin: StreamOrigin,
     /// From whom this is known.
     pub source: OriginSource,
-    /// When that daemon learned it; of a sole version, when the list of replicas was last proven.
+    /// When that daemon learned it; of a sole version, when the store was asked.
     pub known_at: Instant,
 }
 
@@ -70,17 +69,38 @@
     }
 }
 
-/// How many peers were asked where a stream began.
+/// What the store shows of a stream that no daemon which was asked has a record of.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct AskedPeers {
+pub enum StoreEvidence {
+    /// It was not asked.
+    #[default]
+    NotAsked,
+    /// Only one version can have begun the stream.
+    SoleVersion,
+    /// It didn't respond in time.
+    Unread,
+}
+
+impl StoreEvidence {
+    /// Returns the name in the decision log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotAsked => "not asked",
+            Self::SoleVersion => "sole version",
+            Self::Unread => "unread",
+        }
+    }
+}
+
+/// Who was asked where a stream began.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Asked {
     /// Peers that were asked.
-    pub asked: usize,
+    pub peers: usize,
     /// Peers that replied.
     pub replied: usize,
-    /// Daemons, this one included, that can't have missed a version.
-    pub complete: usize,
-    /// Software versions that they and the others saw.
-    pub versions: usize,
+    /// What the store showed.
+    pub store: StoreEvidence,
 }
 
 /// Result of [`StreamOrigins::find`].
@@ -88,35 +108,8 @@
 pub struct OriginLookup {
     /// Where the stream began; `None` if nobody knows.
     pub known: Option<KnownOrigin>,
-    /// Peers that were asked, unless this daemon knew it.
-    pub peers: AskedPeers,
-}
-
-/// Conditions under which callers may take a stream up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StreamTerms {
-    /// Time within which its caller may do so.
-    pub lifetime: Duration,
-    /// True if its route has several services, so that no version is the only one at which it can have begun.
-    pub is_split: bool,
-}
-
-/// Margin of a stream's lifetime, for callers that count their timeout from a later moment.
-const LIFETIME_MARGIN: Duration = Duration::from_secs(3);
-
-/// Lifetime of a stream whose caller states no timeout, as a multiple of its route's.
-const UNSTATED_TIMEOUT_FACTOR: u32 = 2;
-
-impl StreamTerms {
-    /// Returns the terms of a stream that this request begins or takes up.
-    pub fn of(request: &ServingRequest, route: &Route) -> Self {
-        let timeout = request.timeout;
-        let lifetime = timeout.unwrap_or(route.timeout * UNSTATED_TIMEOUT_FACTOR) + LIFETIME_MARGIN;
-        Self {
-            lifetime,
-            is_split: sole_service(route).is_none(),
-        }
-    }
+    /// Who was asked, unless this daemon knew it.
+    pub asked: Asked,
 }
 
 /// Returns the name of the route's service if it has only one.
@@ -149,8 +142,13 @@
 /// Remembers where streams began, here and at peers.
 #[async_trait]
 pub trait StreamOrigins: Send + Sync {
-    /// Records where a stream began. Does not block.
-    fn note(&self, stream: StreamKey, origin: StreamOrigin, terms: StreamTerms);
+    /// Returns once the store says that streams may begin at this origin, or after a bounded time. Called before the first
+    /// event is passed on: a daemon that finds no record of the stream concludes from the store where it began.
+    async fn admit(&self, origin: StreamOrigin);
+
+    /// Records where a stream began. Does not block. `is_split` is true if its route has several services, so that no
+    /// version is the only one at which it can have begun.
+    fn note(&self, stream: StreamKey, origin: StreamOrigin, is_split: bool);
 
     /// Finds out where a stream began. `stream` is `None` if its caller doesn't name it, and `service` the only service
     /// that can have served it, if there is only one.
@@ -163,7 +161,9 @@
 
 #[async_trait]
 impl StreamOrigins for NoOrigins {
-    fn note(&self, _stream: StreamKey, _origin: StreamOrigin, _terms: StreamTerms) {}
+    async fn admit(&self, _origin: StreamOrigin) {}
+
+    fn note(&self, _stream: StreamKey, _origin: StreamOrigin, _is_split: bool) {}
 
     async fn find(&self, _stream: Option<StreamKey>, _service: Option<&str>) -> OriginLookup {
         OriginLookup::default()
--- a/crates/serving/src/take_up.rs
+++ b/crates/serving/src/take_up.rs
@@ -11,7 +11,9 @@
 use crate::forwarder::{Forwarder, RETRY_AFTER};
 use crate::replica::short_hash;
 use crate::response::{Refusal, RefusalCause};
-use crate::stream_origin::{AskedPeers, KnownOrigin, OriginLookup, sole_service, stream_taken_up};
+use crate::stream_origin::{
+    Asked, KnownOrigin, OriginLookup, StoreEvidence, sole_service, stream_taken_up,
+};
 
 /// A stream that its caller takes up.
 #[derive(Debug, Clone)]
@@ -20,8 +22,8 @@
     pub service: String,
     /// Where it began, and from whom that is known.
     pub known: KnownOrigin,
-    /// Peers that were asked where it began.
-    peers: AskedPeers,
+    /// Who was asked where it began.
+    asked: Asked,
 }
 
 impl Forwarder {
@@ -66,7 +68,7 @@
         Ok(TakenUp {
             service: service.to_owned(),
             known: known.clone(),
-            peers: lookup.peers,
+            asked: lookup.asked,
         })
     }
 
@@ -88,7 +90,7 @@
             service: service.unwrap_or_default(),
             known,
             replica: None,
-            peers: lookup.peers,
+            asked: lookup.asked,
         });
         Refusal::not_run(cause, retry_after)
     }
@@ -108,7 +110,7 @@
             service: &taken_up.service,
             known: Some(&taken_up.known),
             replica: Some(attempt.in_progress.replica()),
-            peers: taken_up.peers,
+            asked: taken_up.asked,
         });
     }
 }
@@ -119,8 +121,13 @@
     services.find(|service| short_hash(service) == origin.service)
 }
 
-/// True if a peer that didn't reply, or isn't a known member yet, may know the stream; a later try finds it then.
+/// True if the store, or a peer, that didn't reply or isn't a known member yet, may know the stream; a later try finds
+/// it then.
 fn may_be_known_later(lookup: &OriginLookup) -> bool {
-    let AskedPeers { asked, replied, .. } = lookup.peers;
-    asked == 0 || replied < asked
+    let Asked {
+        peers,
+        replied,
+        store,
+    } = lookup.asked;
+    peers == 0 || replied < peers || store == StoreEvidence::Unread
 }
--- a/crates/stream-origins/src/lib.rs
+++ b/crates/stream-origins/src/lib.rs
@@ -3,12 +3,10 @@
 //!
 //! Pure state machines: they open no socket, and time is passed in.
 
-mod history;
 mod ledger;
 mod origin;
-mod testimony;
+mod served;
 
-pub use history::VersionHistory;
 pub use ledger::{OriginLedger, OriginRecord, RecordSource};
 pub use origin::{SoftwareVersion, StreamKey, StreamOrigin};
-pub use testimony::{SoleVersion, Testimony, sole_version};
+pub use served::ServedVersions;
--- a/crates/wire/src/streams.rs
+++ b/crates/wire/src/streams.rs
@@ -1,4 +1,4 @@
-//! Datagrams by which daemons remember where streams began, so that another daemon can continue them.
+//! Datagrams and rows by which daemons remember where streams began, so that another daemon can continue them.
 
 /// Where one stream began.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -12,7 +12,7 @@
     /// Hash of the software version.
     #[prost(fixed64, tag = "3")]
     pub version: u64,
-    /// Time within which its caller may take it up, milliseconds.
+    /// Time for which it is to be remembered, milliseconds.
     #[prost(uint32, tag = "4")]
     pub remaining_ms: u32,
     /// Time since the sender learned it, milliseconds.
@@ -54,14 +54,32 @@
     /// Where the stream began; absent if the sender doesn't know.
     #[prost(message, optional, tag = "2")]
     pub record: Option<StreamRecord>,
-    /// Hashes of the software versions of the service that the sender saw in the time within which the stream can have
-    /// begun.
+    /// Hashes of the software versions at which streams of the service may have begun, as far as the sender knows. For
+    /// builds before level 9, for which another version refutes a sole one; later ones read the store instead.
     #[prost(fixed64, repeated, tag = "3")]
     pub versions: Vec<u64>,
-    /// True if the sender can't have missed a version.
+    /// True if the sender can't have missed a version; never set from level 9 on.
     #[prost(bool, tag = "4")]
     pub is_complete: bool,
-    /// Age of the proof of the sender's list of replicas, milliseconds.
+    /// Age of the proof of the sender's list of replicas, milliseconds; not set from level 9 on.
     #[prost(uint32, tag = "5")]
     pub proof_age_ms: u32,
 }
+
+/// Software versions at which streams of one service may have begun. In the space of the job headers: the first two
+/// fields are of other kinds than a header's, so that builds before level 9 don't decode it as one.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ServedVersionsRow {
+    /// Format of the row, 1.
+    #[prost(uint32, tag = "1")]
+    pub format: u32,
+    /// Hash of the service's name.
+    #[prost(fixed32, tag = "2")]
+    pub service: u32,
+    /// Hashes of the versions.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub versions: Vec<u64>,
+    /// True if a stream may have begun at any version.
+    #[prost(bool, tag = "4")]
+    pub is_any: bool,
+}
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -316,6 +316,55 @@
     check(&samples, "node_datagram_slot_ask", &datagram);
 }
 
+/// Builds before level 9 conclude from the versions that others saw where a stream began, and name how they know.
+#[test]
+fn stream_datagrams_of_builds_before_level_9_have_their_meaning() {
+    let samples = samples(include_str!("formats/a4ab8325.txt"));
+    let record = StreamRecord {
+        stream: 1,
+        service: 2,
+        version: 3,
+        remaining_ms: 4,
+        known_ms: 5,
+    };
+    let notice = StreamNotice {
+        from: NODE_1.into(),
+        records: vec![record.clone()],
+    };
+    check(&samples, "stream_notice", &notice);
+    let ask = StreamAsk {
+        number: 1,
+        stream: 2,
+        service: 3,
+    };
+    check(&samples, "stream_ask", &ask);
+    let answer = StreamAnswer {
+        number: 1,
+        record: Some(record),
+        versions: vec![3],
+        is_complete: true,
+        proof_age_ms: 6,
+    };
+    check(&samples, "stream_answer", &answer);
+}
+
+/// Versions of services are stored next to job headers: a build that does not know their key must not decode them as a
+/// header.
+#[test]
+fn versions_of_a_service_are_not_decoded_as_a_header() {
+    for versions in [vec![], vec![3], vec![3, 4]] {
+        for is_any in [false, true] {
+            let row = ServedVersionsRow {
+                format: 1,
+                service: 2,
+                versions: versions.clone(),
+                is_any,
+            };
+            assert_eq!(decode_job_header(&encode(&row)), None, "{row:?}");
+        }
+    }
+}
+
 /// A header of a build that does not say whether failures are complete must not pass as complete.
 #[test]
 fn a_header_of_an_earlier_build_does_not_say_that_its_failures_are_complete() {
