Where streams began is stored while several versions can have begun them

Cause: a record was held by the daemon that began the stream and by 3 peers. What loses these loses the record, and a refusal is all that is left.

Written beside the stream, at most every 50 ms, and no more than a quarter of the store's writes by all daemons together. A take-up asks its own records, then peers, then the bucket.

Ruled out: more peers (a survivor of 11 must then hold everything, and a loss of all still loses everything); a shorter way to a refusal.

Refused are those that had their first event within the last write interval and a round trip.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -486,7 +486,7 @@
         resume_after: u64,
         /// Software version that began it; `None` if unknown.
         began_at: Option<&'a str>,
-        /// From whom that is known: `response` (this daemon received the first event), `store` (with an item's events), `own record`
+        /// From whom that is known: `response` (this daemon received the first event), `store` (a record there), `own record`
         /// (of an earlier response), the id of the peer that recorded it, or `sole version` (the store knows no other one);
         /// empty if unknown.
         source: &'a str,
@@ -500,16 +500,16 @@
         asked: usize,
         /// Peers that replied.
         replied: usize,
-        /// What the store showed: `sole version`, `unread` (no response in time), or `not asked`.
+        /// What the store showed: `sole version`, `record`, `no record`, `unread` (no response in time), or `not asked`.
         store: &'a str,
     },
-    /// A row on streams can't be decoded. Logged once for each revision of a row.
+    /// A row on streams can't be decoded. Logged at most once for each revision of a row.
     StreamRowRejected {
         /// Key of the row.
         row: &'a str,
         /// Revision of the row.
         revision: u64,
-        /// What is concluded: `any version` may have begun its service's streams.
+        /// What is concluded: `any version` may have begun its service's streams, or it is `skipped`.
         concluded: &'a str,
     },
     /// The software versions at which streams of a service may begin were stored, or weren't.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -154,6 +154,7 @@
             StreamStoreParts {
                 table: table.clone(),
                 watched: watched.clone(),
+                writes_per_second: settings.store_writes_per_second,
             },
             log.clone(),
         ));
@@ -244,7 +245,10 @@
         let clock = jobs.clone();
         let store_now_ms = move || clock.view().store_now_ms();
         tokio::spawn(quarantine.clone().run_row_writer(table, store_now_ms));
-        tokio::spawn(streams.record_listed_versions());
+        let clock = jobs.clone();
+        let store_now_ms = move || clock.view().store_now_ms();
+        tokio::spawn(streams.clone().record_listed_versions());
+        tokio::spawn(streams.store_records(store_now_ms));
         tokio::spawn(jobs.clone().run());
         tokio::spawn(peer_updates.catch_up(pool.clone()));
         tokio::spawn(discovery.clone().report_evacuated_zones());
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -41,6 +41,8 @@
     pub store_address: String,
     /// Reads per second that the store sustains from all daemons together.
     pub store_reads_per_second: f64,
+    /// Writes per second that the store sustains from all daemons together.
+    pub store_writes_per_second: f64,
     /// Time from the request to stop until the process is killed.
     pub grace: Duration,
     /// How long a job stays readable after its submission.
--- a/crates/edge/src/streams/mod.rs
+++ b/crates/edge/src/streams/mod.rs
@@ -1,6 +1,7 @@
-//! Where streams began: remembers it for this daemon's streams, notifies peers unless only one software version can
-//! have begun them, and asks them and the store when a caller takes a stream up.
+//! Where streams began: remembers it for this daemon's streams, notifies peers and stores it unless only one software
+//! version can have begun them, and asks both when a caller takes a stream up.
 
+mod records;
 mod requests;
 mod tasks;
 mod versions;
@@ -16,7 +17,8 @@
 use harrierward_external::{Row, Table, WatchedTable};
 use harrierward_serving::{Location, ReplicaSet, short_hash};
 use harrierward_stream_origins::{
-    OriginLedger, OriginRecord, RecordSource, SoftwareVersion, StreamKey, StreamOrigin,
+    OriginLedger, OriginRecord, RecordSource, SoftwareVersion, StoredOrigin, StreamKey,
+    StreamOrigin,
 };
 use harrierward_wire::{
     NodeDatagram, StreamAnswer, StreamAsk, StreamNotice, StreamRecord, encode, node_datagram,
@@ -29,6 +31,7 @@
 use crate::rendezvous::ranked;
 use crate::slots::CoordinatorCandidate;
 
+use records::StreamRecords;
 use versions::VersionRows;
 
 /// Peers that are notified of a stream: it stays known when its daemon and two of them end at once.
@@ -65,6 +68,9 @@
 /// The store's rows on streams.
 struct StreamStore {
     versions: VersionRows,
+    records: StreamRecords,
+    /// Writes per second that the store sustains from all daemons together.
+    writes_per_second: f64,
 }
 
 /// Origins of streams, as one daemon knows them.
@@ -91,6 +97,8 @@
     pub table: Arc<dyn Table>,
     /// Checks of rows.
     pub watched: Arc<dyn WatchedTable>,
+    /// Writes per second that the store sustains from all daemons together.
+    pub writes_per_second: f64,
 }
 
 impl StreamService {
@@ -104,7 +112,9 @@
     ) -> Self {
         let instance_id: Arc<str> = instance_id.into();
         let store = StreamStore {
-            versions: VersionRows::new(store.table, store.watched, log.clone()),
+            versions: VersionRows::new(store.table.clone(), store.watched, log.clone()),
+            records: StreamRecords::new(instance_id.clone(), store.table, log.clone()),
+            writes_per_second: store.writes_per_second,
         };
         Self {
             instance_id,
@@ -244,8 +254,13 @@
         }
     }
 
-    /// Notifies the peers that are asked first of each of these streams.
+    /// Notifies the peers that are asked first of each of these streams, and schedules the streams to be stored.
     fn announce(&self, streams: &[(StreamKey, OriginRecord)], now: Instant) {
+        let stored = streams.iter().map(|(stream, record)| StoredOrigin {
+            stream: *stream,
+            origin: record.origin,
+        });
+        self.store.records.add(stored);
         let mut by_peer: HashMap<SocketAddr, Vec<StreamRecord>> = HashMap::new();
         for (stream, record) in streams {
             for peer in self.peers(*stream, NOTIFIED_PEERS) {
--- a/crates/edge/src/streams/requests.rs
+++ b/crates/edge/src/streams/requests.rs
@@ -1,5 +1,4 @@
-//! Lookup of a stream that a caller takes up: own records first, then those of peers, unless the store proves that
-//! there was only one version.
+//! Lookup of a stream that a caller takes up: own records first, then those of peers and of the store.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -134,6 +133,32 @@
         versions.is_any() || versions.len() > 1
     }
 
+    /// Looks a stream up in the store.
+    async fn stored_record(
+        &self,
+        stream: StreamKey,
+        since: Instant,
+        asked: &mut Asked,
+    ) -> Option<KnownOrigin> {
+        let lookup = timeout(STORE_TIMEOUT, self.store.records.find(stream, since));
+        let Ok(Ok(origin)) = lookup.await else {
+            asked.store = StoreEvidence::Unread;
+            return None;
+        };
+        let Some(origin) = origin else {
+            if asked.store == StoreEvidence::NotAsked {
+                asked.store = StoreEvidence::NoRecord;
+            }
+            return None;
+        };
+        asked.store = StoreEvidence::Record;
+        Some(KnownOrigin {
+            origin,
+            source: OriginSource::Store,
+            known_at: since,
+        })
+    }
+
     async fn find_elsewhere(
         &self,
         stream: Option<StreamKey>,
@@ -148,8 +173,11 @@
             return Some(known);
         }
         let stream = stream?;
-        self.ask_peers(stream, service.unwrap_or_default(), asked)
-            .await
+        let known = self.ask_peers(stream, service.unwrap_or_default(), asked);
+        if let Some(known) = known.await {
+            return Some(known);
+        }
+        self.stored_record(stream, since, asked).await
     }
 }
 
--- a/crates/edge/src/streams/tasks.rs
+++ b/crates/edge/src/streams/tasks.rs
@@ -1,11 +1,11 @@
-//! What is stored of streams: versions before their replicas' first events are passed on.
+//! What is stored of streams: versions before their replicas' first events are passed on, records beside the streams.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use harrierward_decisions::Record;
 use harrierward_external::PlatformError;
-use harrierward_stream_origins::StreamOrigin;
+use harrierward_stream_origins::{BucketNumber, StreamKey, StreamOrigin};
 use tokio::time::{Instant, sleep, timeout};
 
 use super::{StreamService, millis};
@@ -24,8 +24,18 @@
 /// Most daemons that are told apart by such a delay.
 const MAX_RANKS: usize = 10;
 
+/// Share of the store's writes that records of streams may use, all daemons together.
+const WRITE_SHARE: f64 = 0.25;
+
+/// Minimum time between two writes of records; those in between are stored together.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time between two checks of a bucket for rows of daemons that have ended.
+const REMOVAL_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Name of the rows in the decision log.
 const VERSIONS: &str = "stream_versions";
+const RECORDS: &str = "stream_records";
 
 /// Logs the loss of the store once, and that it is back.
 struct StoreContact {
@@ -65,6 +75,17 @@
     }
 }
 
+/// Waits until the store's clock is known.
+async fn known_time(store_now_ms: &impl Fn() -> u64) -> u64 {
+    loop {
+        let now_ms = store_now_ms();
+        if now_ms > 0 {
+            return now_ms;
+        }
+        sleep(MIN_WRITE_INTERVAL).await;
+    }
+}
+
 impl StreamService {
     /// Returns once the store holds the version of a stream that begins here, or after a bounded time.
     pub(super) async fn admit_version(&self, origin: StreamOrigin) {
@@ -149,4 +170,34 @@
         let rank = rank.unwrap_or(first.len());
         DELAY_PER_RANK * u32::try_from(rank).unwrap_or(u32::MAX)
     }
+
+    /// Keeps this daemon's records in the store up to date, and removes old ones; never returns. `store_now_ms` returns
+    /// the store's clock, 0 while it is unknown.
+    pub async fn store_records(self: Arc<Self>, store_now_ms: impl Fn() -> u64) {
+        let mut contact = StoreContact::new(RECORDS);
+        let mut bucket = BucketNumber::of(StreamKey::from_hash(rand::random()));
+        let mut removed_at = Instant::now();
+        loop {
+            self.store.records.write_due().await;
+            let now_ms = known_time(&store_now_ms).await;
+            let result = self.store.records.write(now_ms).await;
+            contact.note(&self, &result);
+            if removed_at.elapsed() >= REMOVAL_INTERVAL {
+                removed_at = Instant::now();
+                bucket = bucket.next();
+                let result = self.store.records.remove_old(bucket, now_ms).await;
+                contact.note(&self, &result);
+            }
+            sleep(self.write_interval()).await;
+        }
+    }
+
+    /// Returns the time between two writes of records by which all daemons together keep to their share.
+    fn write_interval(&self) -> Duration {
+        let members = u32::try_from(self.members.load().len())
+            .unwrap_or(u32::MAX)
+            .max(1);
+        let writes = (self.store.writes_per_second * WRITE_SHARE).max(1.0);
+        Duration::from_secs_f64(f64::from(members) / writes).max(MIN_WRITE_INTERVAL)
+    }
 }
--- a/crates/serving/src/stream_origin.rs
+++ b/crates/serving/src/stream_origin.rs
@@ -24,7 +24,7 @@
 pub enum OriginSource {
     /// It received the first event itself, in the response or the item's run that goes on.
     Response,
-    /// An earlier owner stored it with the item's events.
+    /// A daemon stored it: with an item's events, or for streams that are taken up.
     Store,
     /// It passed on the stream's first event in an earlier response.
     OwnRecord,
@@ -77,6 +77,10 @@
     NotAsked,
     /// Only one version can have begun the stream.
     SoleVersion,
+    /// It has a record of the stream.
+    Record,
+    /// Several versions can have begun it, and there is no record.
+    NoRecord,
     /// It didn't respond in time.
     Unread,
 }
@@ -87,6 +91,8 @@
         match self {
             Self::NotAsked => "not asked",
             Self::SoleVersion => "sole version",
+            Self::Record => "record",
+            Self::NoRecord => "no record",
             Self::Unread => "unread",
         }
     }
--- a/crates/stream-origins/src/lib.rs
+++ b/crates/stream-origins/src/lib.rs
@@ -3,10 +3,12 @@
 //!
 //! Pure state machines: they open no socket, and time is passed in.
 
+mod buckets;
 mod ledger;
 mod origin;
 mod served;
 
+pub use buckets::{BucketNumber, StoredBuckets, StoredOrigin};
 pub use ledger::{OriginLedger, OriginRecord, RecordSource};
 pub use origin::{SoftwareVersion, StreamKey, StreamOrigin};
 pub use served::ServedVersions;
--- a/crates/wire/src/streams.rs
+++ b/crates/wire/src/streams.rs
@@ -12,10 +12,10 @@
     /// Hash of the software version.
     #[prost(fixed64, tag = "3")]
     pub version: u64,
-    /// Time for which it is to be remembered, milliseconds.
+    /// Time for which it is to be remembered, milliseconds; 0 in rows.
     #[prost(uint32, tag = "4")]
     pub remaining_ms: u32,
-    /// Time since the sender learned it, milliseconds.
+    /// Time since the sender learned it, milliseconds; 0 in rows.
     #[prost(uint32, tag = "5")]
     pub known_ms: u32,
 }
@@ -83,3 +83,14 @@
     #[prost(bool, tag = "4")]
     pub is_any: bool,
 }
+
+/// Where recent streams of one daemon began, those of one bucket.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StoredStreamsRow {
+    /// Time of the write on the store's clock, milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub written_ms: u64,
+    /// The streams.
+    #[prost(message, repeated, tag = "2")]
+    pub records: Vec<StreamRecord>,
+}
