A stream without a record goes on only if its host has had one service ever

Cause: "the only version of the service" was asked of the service to which the route leads now.

Change: beside the versions of each service the store holds the services of each host to which routes with resumable streams have led, by the same rules: added before the first event is passed on, never removed. Both rows are checked by one transaction. By host and not by route, since a longer prefix takes a path away from another route too. Routes that split need no case of their own any more.

--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -509,18 +509,20 @@
         row: &'a str,
         /// Revision of the row.
         revision: u64,
-        /// What is concluded: `any version` may have begun its service's streams, or it is `skipped`.
+        /// What is concluded: `any origin` may have begun its streams, or it is `skipped`.
         concluded: &'a str,
     },
-    /// The software versions at which streams of a service may begin were stored, or weren't.
-    VersionsStored {
-        /// Hash of the service's name.
-        service: u32,
-        /// Versions known now.
-        versions: usize,
+    /// The software versions of a service, or the services of a host, at which streams may begin were stored, or weren't.
+    OriginsStored {
+        /// `service` or `host`.
+        kind: &'a str,
+        /// Hash of its name.
+        subject: u32,
+        /// Versions or services stored now.
+        members: usize,
         /// Revision of the row; 0 if there is none.
         revision: u64,
-        /// Cause of the failure; empty if a version was stored, by this daemon or another one.
+        /// Cause of the failure; empty if they were stored, by this daemon or another one.
         cause: &'a str,
         /// Time from the first request.
         after_ms: u64,
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -151,6 +151,7 @@
             &instance_id,
             Location::new(&settings.zone, &settings.region),
             replicas.clone(),
+            routes.clone(),
             StreamStoreParts {
                 table: table.clone(),
                 watched: watched.clone(),
@@ -247,7 +248,7 @@
         tokio::spawn(quarantine.clone().run_row_writer(table, store_now_ms));
         let clock = jobs.clone();
         let store_now_ms = move || clock.view().store_now_ms();
-        tokio::spawn(streams.clone().record_listed_versions());
+        tokio::spawn(streams.clone().store_origins_in_use());
         tokio::spawn(streams.store_records(store_now_ms));
         tokio::spawn(jobs.clone().run());
         tokio::spawn(peer_updates.catch_up(pool.clone()));
--- a/crates/edge/src/streams/mod.rs
+++ b/crates/edge/src/streams/mod.rs
@@ -1,12 +1,12 @@
 //! Where streams began: remembers it for this daemon's streams, notifies peers and stores it unless only one software
 //! version can have begun them, and asks both when a caller takes a stream up.
 
+mod origin_sets;
 mod records;
 mod requests;
 mod tasks;
-mod versions;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -15,7 +15,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{Row, Table, WatchedTable};
-use harrierward_serving::{Location, ReplicaSet, short_hash};
+use harrierward_serving::{Location, ReplicaSet, SharedRoutes, short_hash};
 use harrierward_stream_origins::{
     OriginLedger, OriginRecord, RecordSource, SoftwareVersion, StoredOrigin, StreamKey,
     StreamOrigin,
@@ -31,8 +31,8 @@
 use crate::rendezvous::ranked;
 use crate::slots::CoordinatorCandidate;
 
+use origin_sets::{OriginSets, Subject};
 use records::StreamRecords;
-use versions::VersionRows;
 
 /// Peers that are notified of a stream: it stays known when its daemon and two of them end at once.
 const NOTIFIED_PEERS: usize = 3;
@@ -59,7 +59,8 @@
 
 struct State {
     ledger: OriginLedger,
-    /// Services that had only one version at the last tick, as far as this daemon knew.
+    /// Services at the last tick that have had one version only, under hosts without another service, as far as this
+    /// daemon knew.
     sole: HashSet<u32>,
     /// Last moment of which the store's changes are known.
     contact_at: Option<Instant>,
@@ -67,7 +68,7 @@
 
 /// The store's rows on streams.
 struct StreamStore {
-    versions: VersionRows,
+    origins: OriginSets,
     records: StreamRecords,
     /// Writes per second that the store sustains from all daemons together.
     writes_per_second: f64,
@@ -78,6 +79,7 @@
     instance_id: Arc<str>,
     location: Location,
     replicas: Arc<ReplicaSet>,
+    routes: SharedRoutes,
     store: StreamStore,
     members: ArcSwap<Vec<CoordinatorCandidate>>,
     socket: OnceLock<Arc<UdpSocket>>,
@@ -85,9 +87,9 @@
     next_call: AtomicU32,
     log: DecisionLog,
     state: Mutex<State>,
-    /// Signals that a listed version isn't stored.
-    version_due: Notify,
-    /// When a version could not be stored last.
+    /// Signals that an origin in use isn't stored.
+    origin_due: Notify,
+    /// When an origin could not be stored last.
     store_failed_at: ArcSwapOption<Instant>,
 }
 
@@ -107,12 +109,13 @@
         instance_id: &str,
         location: Location,
         replicas: Arc<ReplicaSet>,
+        routes: SharedRoutes,
         store: StreamStoreParts,
         log: DecisionLog,
     ) -> Self {
         let instance_id: Arc<str> = instance_id.into();
         let store = StreamStore {
-            versions: VersionRows::new(store.table.clone(), store.watched, log.clone()),
+            origins: OriginSets::new(store.table.clone(), store.watched, log.clone()),
             records: StreamRecords::new(instance_id.clone(), store.table, log.clone()),
             writes_per_second: store.writes_per_second,
         };
@@ -120,6 +123,7 @@
             instance_id,
             location,
             replicas,
+            routes,
             store,
             members: ArcSwap::default(),
             socket: OnceLock::new(),
@@ -131,7 +135,7 @@
                 sole: HashSet::new(),
                 contact_at: None,
             }),
-            version_due: Notify::new(),
+            origin_due: Notify::new(),
             store_failed_at: ArcSwapOption::empty(),
         }
     }
@@ -147,9 +151,9 @@
         self.members.store(Arc::new(members));
     }
 
-    /// Learns the row of a service's versions, from the watch of the store.
-    pub fn apply_served(&self, row: &Row) {
-        self.store.versions.apply(row);
+    /// Learns a row that holds where streams may have begun, from the watch of the store.
+    pub fn apply_origin_set(&self, row: &Row) {
+        self.store.origins.apply(row);
     }
 
     /// Records that the store's changes up to this moment are known.
@@ -158,30 +162,32 @@
         state.contact_at = state.contact_at.max(Some(as_of));
     }
 
-    /// Records this daemon's streams elsewhere at services that no longer have only one version for sure, and schedules
-    /// listed versions to be stored; called at each tick of the membership.
+    /// Records this daemon's streams elsewhere at services that are no longer the only origin for sure, and schedules
+    /// origins in use to be stored; called at each tick of the membership.
     pub fn tick(&self) {
-        if !self.missing_versions().is_empty() {
-            self.version_due.notify_one();
-        }
+        let missing = self.missing_origins();
         let now = harrierward_clock::now();
-        let view = self.replicas.view();
         let mut state = self.lock();
+        // Before the rows have been read, most of them only seem to be missing.
+        if state.contact_at.is_some() && !missing.is_empty() {
+            self.origin_due.notify_one();
+        }
         let state = &mut *state;
         let contact_age = state.contact_at.map(harrierward_clock::age);
         let is_in_contact = contact_age.is_some_and(|age| age <= MAX_CONTACT_AGE);
-        let services = view.services().map(short_hash);
-        let sole = services.filter(|service| {
-            is_in_contact && self.store.versions.known(*service).seen.sole().is_some()
-        });
-        let sole: HashSet<u32> = sole.collect();
+        let sole = if is_in_contact {
+            self.sole_services()
+        } else {
+            HashSet::new()
+        };
         let before = std::mem::replace(&mut state.sole, sole);
         let ended: Vec<u32> = before.difference(&state.sole).copied().collect();
         for service in ended {
             let streams = state.ledger.take_unannounced(service, now);
+            let known = self.store.origins.known(Subject::Service(service));
             self.log.record(&Record::VersionsMixed {
                 service: &self.service_name(service),
-                versions: self.store.versions.known(service).seen.len(),
+                versions: known.seen.len(),
                 contact_age_ms: contact_age.map(millis),
                 streams: streams.len(),
             });
@@ -189,19 +195,38 @@
         }
     }
 
-    /// Returns the listed versions that the store doesn't hold, as far as this daemon knows, by service.
-    fn missing_versions(&self) -> Vec<(u32, Vec<SoftwareVersion>)> {
+    /// Returns the services with one version only, under hosts with one service only.
+    fn sole_services(&self) -> HashSet<u32> {
         let view = self.replicas.view();
-        let missing = view.services().map(|service| {
-            let hash = short_hash(service);
-            let known = self.store.versions.known(hash);
-            let listed = view.versions(service).iter().copied();
-            let missing = listed.filter(|version| !known.stored.contains(*version));
-            (hash, missing.collect::<Vec<_>>())
+        let beside_others = self.store.origins.services_beside_others();
+        let services = view.services().map(short_hash);
+        let sole = services.filter(|service| {
+            let versions = self.store.origins.known(Subject::Service(*service));
+            versions.seen.sole().is_some() && !beside_others.contains(u64::from(*service))
         });
-        missing
-            .filter(|(_, versions)| !versions.is_empty())
-            .collect()
+        sole.collect()
+    }
+
+    /// Returns the listed versions and the configured services that the store doesn't hold, as far as this daemon knows.
+    fn missing_origins(&self) -> Vec<(Subject, Vec<u64>)> {
+        let mut used: BTreeMap<Subject, Vec<u64>> = BTreeMap::new();
+        let view = self.replicas.view();
+        for service in view.services() {
+            let versions = view.versions(service).iter().map(|version| version.hash());
+            used.insert(Subject::Service(short_hash(service)), versions.collect());
+        }
+        let routes = self.routes.load();
+        let routes = routes.iter().flat_map(|table| &table.configuration.routes);
+        for route in routes.filter(|route| route.is_resumable()) {
+            let services = route.services.iter();
+            let services = services.map(|one| u64::from(short_hash(&one.service)));
+            let host = Subject::Host(short_hash(&route.host));
+            used.entry(host).or_default().extend(services);
+        }
+        let missing = used
+            .into_iter()
+            .filter(|(subject, members)| self.store.origins.lacks(*subject, members));
+        missing.collect()
     }
 
     /// Handles a datagram about streams; returns any other.
@@ -236,10 +261,10 @@
     }
 
     /// Records a stream of this daemon, also elsewhere unless each daemon can conclude where it began.
-    fn note_own(&self, stream: StreamKey, origin: StreamOrigin, is_split: bool) {
+    fn note_own(&self, stream: StreamKey, origin: StreamOrigin) {
         let now = harrierward_clock::now();
         let mut state = self.lock();
-        let is_announced = is_split || !state.sole.contains(&origin.service);
+        let is_announced = !state.sole.contains(&origin.service);
         let record = OriginRecord {
             origin,
             source: RecordSource::Own,
@@ -313,11 +338,11 @@
         let stream = StreamKey::from_hash(ask.stream);
         let known = state.ledger.get(stream, now);
         let record = known.map(|known| encode_record(stream, known, now));
-        let versions = self.store.versions.known(ask.service);
+        let versions = self.store.origins.known(Subject::Service(ask.service));
         StreamAnswer {
             number: ask.number,
             record,
-            versions: versions.seen.iter().map(SoftwareVersion::hash).collect(),
+            versions: versions.seen.iter().collect(),
             ..StreamAnswer::default()
         }
     }
--- a/crates/edge/src/streams/requests.rs
+++ b/crates/edge/src/streams/requests.rs
@@ -10,11 +10,13 @@
 use harrierward_serving::{
     Asked, KnownOrigin, OriginLookup, OriginSource, StoreEvidence, StreamOrigins, short_hash,
 };
-use harrierward_stream_origins::{RecordSource, ServedVersions, StreamKey, StreamOrigin};
+use harrierward_stream_origins::{
+    OriginSet, RecordSource, SoftwareVersion, StreamKey, StreamOrigin,
+};
 use harrierward_wire::{StreamAnswer, StreamAsk, node_datagram};
 use tokio::time::{Instant, timeout};
 
-use super::{StreamPeer, StreamService, decode_record};
+use super::{StreamPeer, StreamService, Subject, decode_record};
 use crate::calls::{CallTimeouts, PeerLocation};
 
 /// Peers that are asked: those that were notified stay among them while some members join or leave.
@@ -94,43 +96,57 @@
         None
     }
 
-    /// Concludes that the only version of a service began a stream that was taken up at `since`. `None` if several may
-    /// have, or if the store doesn't respond in time.
+    /// Concludes that a stream which was taken up at `since` began at the only version of a service, the only one of its
+    /// host. `None` if it may have begun elsewhere, or if the store doesn't respond in time.
     async fn sole_version(
         &self,
+        host: u32,
         service: u32,
         since: Instant,
         asked: &mut Asked,
     ) -> Option<KnownOrigin> {
-        // Versions are only added: what is known to be one of several stays so.
-        if self.has_several(service) {
+        // Members are only added: what is known to be one of several stays so.
+        if self.has_several(host, service) {
             return None;
         }
-        let check = self.store.versions.check(service, since);
-        let Ok(Ok(known)) = timeout(STORE_TIMEOUT, check).await else {
+        let subjects = [Subject::Host(host), Subject::Service(service)];
+        let check = self.store.origins.check(&subjects, since);
+        if !matches!(timeout(STORE_TIMEOUT, check).await, Ok(Ok(()))) {
             asked.store = StoreEvidence::Unread;
             return None;
-        };
-        if self.has_several(service) {
+        }
+        if self.has_several(host, service) {
             return None;
         }
-        let version = known.seen.sole()?;
+        let services = self.store.origins.known(Subject::Host(host));
+        let versions = self.store.origins.known(Subject::Service(service));
+        services.seen.sole()?;
+        let version = versions.seen.sole()?;
         asked.store = StoreEvidence::SoleVersion;
         Some(KnownOrigin {
-            origin: StreamOrigin { service, version },
+            origin: StreamOrigin {
+                service,
+                version: SoftwareVersion::from_hash(version),
+            },
             source: OriginSource::SoleVersion,
             known_at: since,
         })
     }
 
-    /// True if streams of a service may have begun at several versions: those that the store holds, and those listed.
-    fn has_several(&self, service: u32) -> bool {
-        let mut versions = self.store.versions.known(service).seen.clone();
+    /// True if streams of a host may have begun at another service or at several versions: those that the store holds, and
+    /// those in use.
+    fn has_several(&self, host: u32, service: u32) -> bool {
+        let mut services = OriginSet::of([u64::from(service)]);
+        services.merge(&self.store.origins.known(Subject::Host(host)).seen);
+        let versions = self.store.origins.known(Subject::Service(service));
+        let mut versions = versions.seen.clone();
         let view = self.replicas.view();
         if let Some((name, _)) = view.service_by_hash(service) {
-            versions.merge(&ServedVersions::of(view.versions(name).iter().copied()));
+            let listed = view.versions(name).iter().map(|version| version.hash());
+            versions.merge(&OriginSet::of(listed));
         }
-        versions.is_any() || versions.len() > 1
+        let is_several = |set: &OriginSet| set.is_any() || set.len() > 1;
+        is_several(&services) || is_several(&versions)
     }
 
     /// Looks a stream up in the store.
@@ -162,15 +178,17 @@
     async fn find_elsewhere(
         &self,
         stream: Option<StreamKey>,
+        host: &str,
         service: Option<&str>,
         asked: &mut Asked,
     ) -> Option<KnownOrigin> {
         let since = harrierward_clock::now();
         let service = service.map(short_hash);
-        if let Some(service) = service
-            && let Some(known) = self.sole_version(service, since, asked).await
-        {
-            return Some(known);
+        if let Some(service) = service {
+            let known = self.sole_version(short_hash(host), service, since, asked);
+            if let Some(known) = known.await {
+                return Some(known);
+            }
         }
         let stream = stream?;
         let known = self.ask_peers(stream, service.unwrap_or_default(), asked);
@@ -183,15 +201,20 @@
 
 #[async_trait]
 impl StreamOrigins for StreamService {
-    async fn admit(&self, origin: StreamOrigin) {
-        self.admit_version(origin).await;
+    async fn admit(&self, host: &str, origin: StreamOrigin) {
+        self.admit_origin(short_hash(host), origin).await;
     }
 
-    fn note(&self, stream: StreamKey, origin: StreamOrigin, is_split: bool) {
-        self.note_own(stream, origin, is_split);
+    fn note(&self, stream: StreamKey, origin: StreamOrigin) {
+        self.note_own(stream, origin);
     }
 
-    async fn find(&self, stream: Option<StreamKey>, service: Option<&str>) -> OriginLookup {
+    async fn find(
+        &self,
+        stream: Option<StreamKey>,
+        host: &str,
+        service: Option<&str>,
+    ) -> OriginLookup {
         if let Some(known) = stream.and_then(|stream| self.own_record(stream)) {
             return OriginLookup {
                 known: Some(known),
@@ -199,7 +222,7 @@
             };
         }
         let mut asked = Asked::default();
-        let known = self.find_elsewhere(stream, service, &mut asked).await;
+        let known = self.find_elsewhere(stream, host, service, &mut asked).await;
         OriginLookup { known, asked }
     }
 }
--- a/crates/edge/src/streams/tasks.rs
+++ b/crates/edge/src/streams/tasks.rs
@@ -1,4 +1,4 @@
-//! What is stored of streams: versions before their replicas' first events are passed on, records beside the streams.
+//! What is stored of streams: where they may begin, before their first events are passed on, and records beside them.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,17 +8,17 @@
 use harrierward_stream_origins::{BucketNumber, StreamKey, StreamOrigin};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::{StreamService, millis};
+use super::{StreamService, Subject, millis};
 use crate::rendezvous::ranked;
 
-/// Longest time for which the first event of a stream waits until its version is stored. Without the store no daemon
+/// Longest time for which the first event of a stream waits until its origin is stored. Without the store no daemon
 /// concludes from it, so that the event is passed on.
 const ADMISSION_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Time after a failure to store a version in which no event waits.
+/// Time after a failure to store an origin in which no event waits.
 const FAILURE_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Delay by which each further daemon leaves the write of a listed version to those before it.
+/// Delay by which each further daemon leaves the write of an origin to those before it.
 const DELAY_PER_RANK: Duration = Duration::from_millis(50);
 
 /// Most daemons that are told apart by such a delay.
@@ -34,7 +34,7 @@
 const REMOVAL_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Name of the rows in the decision log.
-const VERSIONS: &str = "stream_versions";
+const ORIGINS: &str = "stream_origins";
 const RECORDS: &str = "stream_records";
 
 /// Logs the loss of the store once, and that it is back.
@@ -87,14 +87,23 @@
 }
 
 impl StreamService {
-    /// Returns once the store holds the version of a stream that begins here, or after a bounded time.
-    pub(super) async fn admit_version(&self, origin: StreamOrigin) {
-        let known = self.store.versions.known(origin.service);
-        if known.stored.contains(origin.version) || self.has_just_failed() {
-            return;
+    /// Returns once the store holds where a stream begins here, or after a bounded time.
+    pub(super) async fn admit_origin(&self, host: u32, origin: StreamOrigin) {
+        let members = [
+            (Subject::Host(host), u64::from(origin.service)),
+            (Subject::Service(origin.service), origin.version.hash()),
+        ];
+        for (subject, member) in members {
+            let known = self.store.origins.known(subject);
+            if !known.stored.contains(member) && !self.has_just_failed() {
+                self.admit_member(subject, member).await;
+            }
         }
+    }
+
+    async fn admit_member(&self, subject: Subject, member: u64) {
         let started_at = harrierward_clock::now();
-        let stored = timeout(ADMISSION_TIMEOUT, self.store_version(origin)).await;
+        let stored = timeout(ADMISSION_TIMEOUT, self.store_member(subject, member)).await;
         let cause = match stored {
             Ok(Ok(())) => String::new(),
             Ok(Err(error)) => error.to_string(),
@@ -103,18 +112,16 @@
         if !cause.is_empty() {
             self.store_failed_at.store(Some(Arc::new(started_at)));
         }
-        self.log_versions(origin.service, &cause, started_at);
+        self.log_stored(subject, &cause, started_at);
     }
 
-    async fn store_version(&self, origin: StreamOrigin) -> Result<(), PlatformError> {
+    async fn store_member(&self, subject: Subject, member: u64) -> Result<(), PlatformError> {
         // Mostly another daemon has stored it already: a read costs the store less than a transaction.
-        self.store.versions.read(origin.service).await?;
-        let known = self.store.versions.known(origin.service);
-        if known.stored.contains(origin.version) {
+        self.store.origins.read(subject).await?;
+        if self.store.origins.known(subject).stored.contains(member) {
             return Ok(());
         }
-        let versions = [origin.version];
-        self.store.versions.add(origin.service, &versions).await
+        self.store.origins.add(subject, &[member]).await
     }
 
     fn has_just_failed(&self) -> bool {
@@ -124,30 +131,31 @@
             .is_some_and(|at| harrierward_clock::age(*at) < FAILURE_PAUSE)
     }
 
-    fn log_versions(&self, service: u32, cause: &str, started_at: Instant) {
-        let known = self.store.versions.known(service);
-        self.log.record(&Record::VersionsStored {
-            service,
-            versions: known.stored.len(),
+    fn log_stored(&self, subject: Subject, cause: &str, started_at: Instant) {
+        let known = self.store.origins.known(subject);
+        self.log.record(&Record::OriginsStored {
+            kind: subject.kind(),
+            subject: subject.hash(),
+            members: known.stored.len(),
             revision: known.revision,
             cause,
             after_ms: millis(harrierward_clock::age(started_at)),
         });
     }
 
-    /// Stores listed versions that the store lacks; never returns.
-    pub async fn record_listed_versions(self: Arc<Self>) {
-        let mut contact = StoreContact::new(VERSIONS);
+    /// Stores origins in use that the store lacks; never returns.
+    pub async fn store_origins_in_use(self: Arc<Self>) {
+        let mut contact = StoreContact::new(ORIGINS);
         loop {
-            self.version_due.notified().await;
-            for (service, _) in self.missing_versions() {
-                sleep(self.delay_of(service)).await;
+            self.origin_due.notified().await;
+            if let Some((subject, _)) = self.missing_origins().first() {
+                sleep(self.delay_of(*subject)).await;
             }
-            for (service, versions) in self.missing_versions() {
+            for (subject, members) in self.missing_origins() {
                 let started_at = harrierward_clock::now();
-                let result = self.store.versions.add(service, &versions).await;
+                let result = self.store.origins.add(subject, &members).await;
                 if contact.note(&self, &result) {
-                    self.log_versions(service, "", started_at);
+                    self.log_stored(subject, "", started_at);
                 } else {
                     sleep(FAILURE_PAUSE).await;
                 }
@@ -155,11 +163,11 @@
         }
     }
 
-    /// Returns the time for which this daemon leaves the write of a service's versions to others.
-    fn delay_of(&self, service: u32) -> Duration {
+    /// Returns the time for which this daemon leaves the write of a row to others.
+    fn delay_of(&self, subject: Subject) -> Duration {
         let members = self.members.load();
         let first = ranked(
-            u64::from(service),
+            u64::from(subject.hash()),
             members.iter(),
             |member| &member.id,
             MAX_RANKS,
--- a/crates/edge/src/watches.rs
+++ b/crates/edge/src/watches.rs
@@ -211,7 +211,7 @@
                 // Applied before `note_proof` publishes the store's time, without which no such row is written: a new
                 // instance must read the row of its predecessor before it overwrites it.
                 RowKind::CrashReports => self.quarantine.apply_stored(row, update.store_time_ms),
-                RowKind::ServedVersions => self.streams.apply_served(row),
+                RowKind::OriginSet => self.streams.apply_origin_set(row),
             }
         }
         for key in &update.removed {
--- a/crates/inline-jobs/src/keys.rs
+++ b/crates/inline-jobs/src/keys.rs
@@ -94,6 +94,15 @@
     format!("{JOB_HEADERS}/{partition}/{VERSIONS_PREFIX}{service:08x}")
 }
 
+/// Prefix of the names of rows with the services of hosts in the space of the headers; no job id may contain `~`.
+const SERVICES_PREFIX: &str = "~services.";
+
+/// Returns the key of the row with the services of a host, given the hash of its name.
+pub fn host_services_key(host: u32) -> String {
+    let partition = partition_name(u64::from(host) % PARTITIONS);
+    format!("{JOB_HEADERS}/{partition}/{SERVICES_PREFIX}{host:08x}")
+}
+
 /// Kinds of rows in the space of the headers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RowKind {
@@ -103,8 +112,8 @@
     Fence,
     /// Crashes of replicas that a daemon has observed.
     CrashReports,
-    /// Software versions of a service.
-    ServedVersions,
+    /// Software versions of a service, or services of a host, at which streams may have begun.
+    OriginSet,
 }
 
 /// Returns the kind of a row in the space of the headers, by its key.
@@ -114,8 +123,8 @@
         RowKind::Fence
     } else if name.starts_with(CRASH_PREFIX) {
         RowKind::CrashReports
-    } else if name.starts_with(VERSIONS_PREFIX) {
-        RowKind::ServedVersions
+    } else if name.starts_with(VERSIONS_PREFIX) || name.starts_with(SERVICES_PREFIX) {
+        RowKind::OriginSet
     } else {
         RowKind::Header
     }
--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -37,7 +37,8 @@
 
 pub use fruitless::FruitlessAttempts;
 pub use keys::{
-    JOB_HEADERS, RowKind, crash_reports_key, partitions, row_kind, served_versions_key,
+    JOB_HEADERS, RowKind, crash_reports_key, host_services_key, partitions, row_kind,
+    served_versions_key,
 };
 pub use model::{
     CancelOutcome, JobCaller, JobResult, Lookup, ResultPage, SubmitOutcome, SubmittedItem,
--- a/crates/inline-jobs/tests/rows_of_headers.rs
+++ b/crates/inline-jobs/tests/rows_of_headers.rs
@@ -10,7 +10,8 @@
     ChangePage, PageStart, PlatformError, Row, RowRead, SpacePage, WatchedTable,
 };
 use harrierward_inline_jobs::{
-    JobStore, RowKind, crash_reports_key, partitions, row_kind, served_versions_key,
+    JobStore, RowKind, crash_reports_key, host_services_key, partitions, row_kind,
+    served_versions_key,
 };
 use harrierward_wire::{CrashNewsRow, JobHeadRow, QuotaFenceRow, encode};
 use support::{UnavailableStore, unavailable};
@@ -29,14 +30,15 @@
         row_kind(&crash_reports_key(INSTANCE_ID)),
         RowKind::CrashReports
     );
-    assert_eq!(row_kind(&served_versions_key(7)), RowKind::ServedVersions);
+    assert_eq!(row_kind(&served_versions_key(7)), RowKind::OriginSet);
+    assert_eq!(row_kind(&host_services_key(7)), RowKind::OriginSet);
 }
 
 /// The row must lie where every daemon reads it.
 #[test]
-fn the_versions_of_a_service_lie_in_one_of_the_partitions() {
-    for service in [0, 7, u32::MAX] {
-        let key = served_versions_key(service);
+fn origin_sets_lie_in_one_of_the_partitions() {
+    let keys = [0, 7, u32::MAX].map(|hash| [served_versions_key(hash), host_services_key(hash)]);
+    for key in keys.into_iter().flatten() {
         let partition = key.split('/').nth(1).expect("a partition");
         assert!(partitions().iter().any(|one| one == partition), "{key}");
     }
--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -18,7 +18,7 @@
 use crate::in_progress::InProgress;
 use crate::outcome::{AttemptOutcome, Evidence};
 use crate::request_state::{RequestClock, RequestState};
-use crate::stream_origin::{KnownOrigin, origin_of, sole_service, stream_of};
+use crate::stream_origin::{KnownOrigin, origin_of, stream_of};
 use harrierward_stream_origins::{SoftwareVersion, StreamOrigin};
 
 /// The response can't be completed; the caller's connection must be aborted.
@@ -239,7 +239,8 @@
         };
         let origin = origin_of(in_progress.replica());
         if self.origin.is_none() && self.is_resumable() {
-            self.forwarder.origins().admit(origin).await;
+            let host = &self.state.route.host;
+            self.forwarder.origins().admit(host, origin).await;
         }
     }
 
@@ -262,8 +263,7 @@
         let Some(stream) = stream_of(request).filter(|_| self.is_resumable()) else {
             return;
         };
-        let is_split = sole_service(&self.state.route).is_none();
-        self.forwarder.origins().note(stream, origin, is_split);
+        self.forwarder.origins().note(stream, origin);
     }
 
     /// Returns the only version that may continue the stream; `None` before its first event.
--- a/crates/serving/src/stream_origin.rs
+++ b/crates/serving/src/stream_origin.rs
@@ -30,7 +30,7 @@
     OwnRecord,
     /// The peer with this id recorded it.
     Peer(Arc<str>),
-    /// No stream of its service can have begun at another version, as the store says.
+    /// No stream of its host can have begun at another service or version, as the store says.
     SoleVersion,
 }
 
@@ -75,11 +75,11 @@
     /// It was not asked.
     #[default]
     NotAsked,
-    /// Only one version can have begun the stream.
+    /// Only one service and version can have begun the stream.
     SoleVersion,
     /// It has a record of the stream.
     Record,
-    /// Several versions can have begun it, and there is no record.
+    /// Several services or versions can have begun it, and there is no record.
     NoRecord,
     /// It didn't respond in time.
     Unread,
@@ -150,15 +150,19 @@
 pub trait StreamOrigins: Send + Sync {
     /// Returns once the store says that streams may begin at this origin, or after a bounded time. Called before the first
     /// event is passed on: a daemon that finds no record of the stream concludes from the store where it began.
-    async fn admit(&self, origin: StreamOrigin);
-
-    /// Records where a stream began. Does not block. `is_split` is true if its route has several services, so that no
-    /// version is the only one at which it can have begun.
-    fn note(&self, stream: StreamKey, origin: StreamOrigin, is_split: bool);
-
-    /// Finds out where a stream began. `stream` is `None` if its caller doesn't name it, and `service` the only service
-    /// that can have served it, if there is only one.
-    async fn find(&self, stream: Option<StreamKey>, service: Option<&str>) -> OriginLookup;
+    async fn admit(&self, host: &str, origin: StreamOrigin);
+
+    /// Records where a stream began. Does not block.
+    fn note(&self, stream: StreamKey, origin: StreamOrigin);
+
+    /// Finds out where a stream of a host began. `stream` is `None` if its caller doesn't name it, and `service` the only
+    /// one to which its route leads, if there is only one.
+    async fn find(
+        &self,
+        stream: Option<StreamKey>,
+        host: &str,
+        service: Option<&str>,
+    ) -> OriginLookup;
 }
 
 /// Remembers nothing.
@@ -167,11 +171,16 @@
 
 #[async_trait]
 impl StreamOrigins for NoOrigins {
-    async fn admit(&self, _origin: StreamOrigin) {}
+    async fn admit(&self, _host: &str, _origin: StreamOrigin) {}
 
-    fn note(&self, _stream: StreamKey, _origin: StreamOrigin, _is_split: bool) {}
+    fn note(&self, _stream: StreamKey, _origin: StreamOrigin) {}
 
-    async fn find(&self, _stream: Option<StreamKey>, _service: Option<&str>) -> OriginLookup {
+    async fn find(
+        &self,
+        _stream: Option<StreamKey>,
+        _host: &str,
+        _service: Option<&str>,
+    ) -> OriginLookup {
         OriginLookup::default()
     }
 }
--- a/crates/serving/src/take_up.rs
+++ b/crates/serving/src/take_up.rs
@@ -38,7 +38,8 @@
         route: &Route,
     ) -> Result<TakenUp, Refusal> {
         let stream = stream_taken_up(request);
-        let lookup = self.origins().find(stream, sole_service(route)).await;
+        let origins = self.origins();
+        let lookup = origins.find(stream, &route.host, sole_service(route)).await;
         let Some(known) = &lookup.known else {
             let after = may_be_known_later(&lookup).then_some(RETRY_AFTER);
             return Err(self.refuse_take_up(
--- a/crates/stream-origins/src/lib.rs
+++ b/crates/stream-origins/src/lib.rs
@@ -6,9 +6,9 @@
 mod buckets;
 mod ledger;
 mod origin;
-mod served;
+mod origin_set;
 
 pub use buckets::{BucketNumber, StoredBuckets, StoredOrigin};
 pub use ledger::{OriginLedger, OriginRecord, RecordSource};
 pub use origin::{SoftwareVersion, StreamKey, StreamOrigin};
-pub use served::ServedVersions;
+pub use origin_set::OriginSet;
--- a/crates/stream-origins/tests/origins.rs
+++ b/crates/stream-origins/tests/origins.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use harrierward_stream_origins::{
-    OriginLedger, OriginRecord, RecordSource, ServedVersions, SoftwareVersion, StreamKey,
-    StreamOrigin,
+    OriginLedger, OriginRecord, OriginSet, RecordSource, SoftwareVersion, StreamKey, StreamOrigin,
 };
 use proptest::prelude::*;
 use tokio::time::Instant;
@@ -17,6 +16,10 @@
     SoftwareVersion::of(name)
 }
 
+fn hash(name: &str) -> u64 {
+    version(name).hash()
+}
+
 fn origin(name: &str) -> StreamOrigin {
     StreamOrigin {
         service: SERVICE,
@@ -38,14 +41,14 @@
 /// before: nothing but the first other version ends a sole one, and no time brings it back.
 #[test]
 fn a_second_version_ends_a_sole_one_for_good() {
-    let mut served = ServedVersions::default();
+    let mut served = OriginSet::default();
     assert_eq!(served.sole(), None);
-    assert!(served.add(version("v1")));
-    assert_eq!(served.sole(), Some(version("v1")));
-    assert!(!served.add(version("v1")));
-    assert!(served.add(version("v2")));
+    assert!(served.add(hash("v1")));
+    assert_eq!(served.sole(), Some(hash("v1")));
+    assert!(!served.add(hash("v1")));
+    assert!(served.add(hash("v2")));
     assert_eq!(served.sole(), None);
-    let before = ServedVersions::of([version("v1")]);
+    let before = OriginSet::of([hash("v1")]);
     served.merge(&before);
     assert_eq!(served.sole(), None);
     assert_eq!(served.iter().collect::<Vec<_>>().len(), 2);
@@ -54,24 +57,24 @@
 /// Guards against a stream that goes on at the old version, because one of two readings lacks the new one.
 #[test]
 fn one_reading_that_holds_another_version_refutes_a_sole_one() {
-    let mut of_old = ServedVersions::of([version("v1")]);
-    of_old.merge(&ServedVersions::of([version("v2")]));
+    let mut of_old = OriginSet::of([hash("v1")]);
+    of_old.merge(&OriginSet::of([hash("v2")]));
     assert_eq!(of_old.sole(), None);
-    assert!(of_old.contains(version("v2")));
+    assert!(of_old.contains(hash("v2")));
 }
 
 /// Guards against a version that counts as the only one where the versions can't be read, or are too many to keep.
 #[test]
 fn any_version_is_never_a_sole_one() {
-    let mut any = ServedVersions::any();
+    let mut any = OriginSet::any();
     assert_eq!(any.sole(), None);
-    assert!(any.contains(version("v1")) && !any.is_empty());
-    any.merge(&ServedVersions::of([version("v1")]));
+    assert!(any.contains(hash("v1")) && !any.is_empty());
+    any.merge(&OriginSet::of([hash("v1")]));
     assert_eq!(any.sole(), None);
-    let names = (0..1_000).map(|number| version(&number.to_string()));
-    let many = ServedVersions::of(names);
+    let names = (0..1_000).map(|number| hash(&number.to_string()));
+    let many = OriginSet::of(names);
     assert!(many.is_any() && many.len() <= 256, "{}", many.len());
-    assert!(many.contains(version("never added")));
+    assert!(many.contains(hash("never added")));
 }
 
 proptest! {
@@ -80,13 +83,13 @@
     fn the_order_of_readings_does_not_matter(
         readings in prop::collection::vec(prop::collection::vec(0_u64..4, 0..4), 1..6),
     ) {
-        let sets: Vec<ServedVersions> = readings
+        let sets: Vec<OriginSet> = readings
             .iter()
-            .map(|one| ServedVersions::of(one.iter().map(|hash| SoftwareVersion::from_hash(*hash))))
+            .map(|one| OriginSet::of(one.iter().copied()))
             .collect();
-        let mut forwards = ServedVersions::default();
+        let mut forwards = OriginSet::default();
         sets.iter().for_each(|one| forwards.merge(one));
-        let mut backwards = ServedVersions::default();
+        let mut backwards = OriginSet::default();
         sets.iter().rev().chain(&sets).for_each(|one| backwards.merge(one));
         prop_assert_eq!(&forwards, &backwards);
         let distinct: BTreeSet<u64> = readings.iter().flatten().copied().collect();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -51,7 +51,7 @@
 };
 pub use space::{SpaceAudit, SpaceContent, SpaceQuestion, SpaceReply, SpaceRow};
 pub use streams::{
-    ServedVersionsRow, StoredStreamsRow, StreamAnswer, StreamAsk, StreamNotice, StreamRecord,
+    OriginSetRow, StoredStreamsRow, StreamAnswer, StreamAsk, StreamNotice, StreamRecord,
 };
 
 /// Version of the formats of rows and messages, raised with each change of what a build writes, reads or keeps. Builds
@@ -61,7 +61,7 @@
 /// rows, 4 serves peers from its copies of the store's spaces, 5 says in headers whether failures are complete and reports
 /// failures that the store does not hold yet to peers, 6 audits its copies of the store's spaces and announces that, 7
 /// holds streams and items to the software version that began them, 8 reports prompt parts that crash replicas, 9 stores the software versions
-/// of each service, and where streams began.
+/// of each service, the services of each host, and where streams began.
 pub const FORMAT_LEVEL: u32 = 9;
 
 /// Decodes a message; `None` if the bytes are not one.
--- a/crates/wire/src/streams.rs
+++ b/crates/wire/src/streams.rs
@@ -66,20 +66,21 @@
     pub proof_age_ms: u32,
 }
 
-/// Software versions at which streams of one service may have begun. In the space of the job headers: the first two
-/// fields are of other kinds than a header's, so that builds before level 9 don't decode it as one.
+/// Software versions at which streams of one service may have begun, or services at which streams of one host may have.
+/// In the space of the job headers: the first two fields are of other kinds than a header's, so that builds before level 9
+/// don't decode it as one.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct ServedVersionsRow {
+pub struct OriginSetRow {
     /// Format of the row, 1.
     #[prost(uint32, tag = "1")]
     pub format: u32,
-    /// Hash of the service's name.
+    /// Hash of the service's or host's name.
     #[prost(fixed32, tag = "2")]
-    pub service: u32,
-    /// Hashes of the versions.
+    pub subject: u32,
+    /// Hashes of the versions or services.
     #[prost(fixed64, repeated, tag = "3")]
-    pub versions: Vec<u64>,
-    /// True if a stream may have begun at any version.
+    pub members: Vec<u64>,
+    /// True if a stream may have begun anywhere.
     #[prost(bool, tag = "4")]
     pub is_any: bool,
 }
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -348,16 +348,16 @@
     check(&samples, "stream_answer", &answer);
 }
 
-/// Versions of services are stored next to job headers: a build that does not know their key must not decode them as a
+/// Where streams may have begun is stored next to job headers: a build that does not know their key must not decode them as a
 /// header.
 #[test]
-fn versions_of_a_service_are_not_decoded_as_a_header() {
-    for versions in [vec![], vec![3], vec![3, 4]] {
+fn origin_sets_are_not_decoded_as_a_header() {
+    for members in [vec![], vec![3], vec![3, 4]] {
         for is_any in [false, true] {
-            let row = ServedVersionsRow {
+            let row = OriginSetRow {
                 format: 1,
-                service: 2,
-                versions: versions.clone(),
+                subject: 2,
+                members: members.clone(),
                 is_any,
             };
             assert_eq!(decode_job_header(&encode(&row)), None, "{row:?}");
