--- a/crates/edge/src/streams/mod.rs
+++ b/crates/edge/src/streams/mod.rs
@@ -44,6 +44,10 @@
 /// served.
 const RETENTION: Duration = Duration::from_secs(600);
 
+/// Time between two comparisons of the origins in use with those that the store holds. A stream that begins at one which
+/// it lacks has it stored at once.
+const ORIGIN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Age of the last contact with the store from which this daemon's streams are recorded at peers, whatever served so far:
 /// a stream can't be proven to be of the only version without the store.
 const MAX_CONTACT_AGE: Duration = Duration::from_secs(4);
@@ -64,6 +68,8 @@
     sole: HashSet<u32>,
     /// Last moment of which the store's changes are known.
     contact_at: Option<Instant>,
+    /// When origins in use were compared with the store's last.
+    origins_checked_at: Option<Instant>,
 }
 
 /// The store's rows on streams.
@@ -134,6 +140,7 @@
                 ledger: OriginLedger::default(),
                 sole: HashSet::new(),
                 contact_at: None,
+                origins_checked_at: None,
             }),
             origin_due: Notify::new(),
             store_failed_at: ArcSwapOption::empty(),
@@ -165,13 +172,9 @@
     /// Records this daemon's streams elsewhere at services that are no longer the only origin for sure, and schedules
     /// origins in use to be stored; called at each tick of the membership.
     pub fn tick(&self) {
-        let missing = self.missing_origins();
+        self.check_origins();
         let now = harrierward_clock::now();
         let mut state = self.lock();
-        // Before the rows have been read, most of them only seem to be missing.
-        if state.contact_at.is_some() && !missing.is_empty() {
-            self.origin_due.notify_one();
-        }
         let state = &mut *state;
         let contact_age = state.contact_at.map(harrierward_clock::age);
         let is_in_contact = contact_age.is_some_and(|age| age <= MAX_CONTACT_AGE);
@@ -195,6 +198,25 @@
         }
     }
 
+    /// Schedules origins in use that the store lacks to be stored, now and then.
+    fn check_origins(&self) {
+        let now = harrierward_clock::now();
+        {
+            let mut state = self.lock();
+            let is_due = state
+                .origins_checked_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= ORIGIN_CHECK_INTERVAL);
+            // Before the rows have been read, most of them only seem to be missing.
+            if state.contact_at.is_none() || !is_due {
+                return;
+            }
+            state.origins_checked_at = Some(now);
+        }
+        if !self.missing_origins().is_empty() {
+            self.origin_due.notify_one();
+        }
+    }
+
     /// Returns the services with one version only, under hosts with one service only.
     fn sole_services(&self) -> HashSet<u32> {
         let view = self.replicas.view();
--- a/crates/edge/src/streams/tasks.rs
+++ b/crates/edge/src/streams/tasks.rs
@@ -13,7 +13,7 @@
 
 /// Longest time for which the first event of a stream waits until its origin is stored. Without the store no daemon
 /// concludes from it, so that the event is passed on.
-const ADMISSION_TIMEOUT: Duration = Duration::from_millis(150);
+const ADMISSION_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Time after a failure to store an origin in which no event waits.
 const FAILURE_PAUSE: Duration = Duration::from_millis(1_000);
