A write of streams' records that takes effect late removes no later one

Callers would see: a stream that is refused after all daemons were killed, although its version serves and its record had been stored.

Cause: a daemon replaced its row of a bucket without a condition. A write whose response was lost may take effect seconds later, after a later write of the same row, and brings back the older content.

Change: after a write without a response the daemon writes to rows of a new generation. The late write then changes a row that nobody writes any more; a lookup reads all rows of the bucket.

Evidence: a_write_that_takes_effect_late_removes_no_record_of_a_stream was red (1 of 1: r18 refused) and is green; the file's other tests: 6 passed.

--- a/crates/edge/src/streams/records.rs
+++ b/crates/edge/src/streams/records.rs
@@ -21,7 +21,8 @@
 /// Most buckets that one transaction writes.
 const MAX_BUCKETS_PER_WRITE: usize = 50;
 
-/// Most rows that are read of a bucket, one for each recent instance of a daemon.
+/// Most rows that are read of a bucket: one for each recent instance of a daemon, and for each of its writes without a
+/// response.
 const MAX_ROWS_PER_BUCKET: usize = 5_000;
 
 /// Time on the store's clock after which the row of a daemon that doesn't write it any more is removed.
@@ -42,6 +43,9 @@
     instance_id: Arc<str>,
     table: Arc<dyn Table>,
     own: Mutex<StoredBuckets>,
+    /// Part of the keys of this daemon's rows. A write without a response may take effect after later ones, so that these
+    /// go to other rows.
+    generation: AtomicU64,
     write_due: Notify,
     reads: Mutex<HashMap<BucketNumber, LastRead>>,
     /// Highest revision of a row that could not be decoded.
@@ -56,6 +60,7 @@
             instance_id,
             table,
             own: Mutex::default(),
+            generation: AtomicU64::new(0),
             write_due: Notify::new(),
             reads: Mutex::default(),
             rejected: AtomicU64::new(0),
@@ -90,7 +95,10 @@
                 return Ok(());
             }
             let result = self.write_buckets(&changed, written_ms).await;
-            if result.is_err() {
+            if let Err(error) = &result {
+                if error.kind == PlatformErrorKind::Unknown {
+                    self.generation.fetch_add(1, Ordering::Relaxed);
+                }
                 let numbers = changed.iter().map(|(number, _)| *number);
                 lock(&self.own).restore_changed(numbers);
                 self.write_due.notify_one();
@@ -120,7 +128,8 @@
     }
 
     fn own_key(&self, bucket: BucketNumber) -> String {
-        format!("{}{}", prefix(bucket), self.instance_id)
+        let generation = self.generation.load(Ordering::Relaxed);
+        format!("{}{}.{generation}", prefix(bucket), self.instance_id)
     }
 
     /// Looks a stream up in the rows as they were at some moment after `since`; a read may be behind. Lookups share a read
@@ -215,7 +224,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Returns the prefix of the keys of a bucket's rows; the id of the daemon's instance follows.
+/// Returns the prefix of the keys of a bucket's rows; the id of the daemon's instance and a generation follow.
 fn prefix(bucket: BucketNumber) -> String {
     format!("{STREAMS}//{:02}.", bucket.number())
 }
