Sets and records of streams: any origin equals any, and the oldest streams come first

Found by the review, by reading and in a scratch test. A row that can't be read, or a set of more than 256, was "any" beside members that the row doesn't hold, so that it never equalled its row and each daemon wrote it again and again: any has no members now. And at the first release the streams so far came newest first, so that a bucket kept its oldest 32 (of 64 it kept 0 to 31): they come oldest first, and only the recent ones. Both tests in origins.rs fail on the code before (any: not run there, its equality is new; order: 21, 20).

--- a/crates/stream-origins/src/ledger.rs
+++ b/crates/stream-origins/src/ledger.rs
@@ -81,17 +81,18 @@
         (known.expires_at > now).then_some(known)
     }
 
-    /// Returns the own records of a service of which peers weren't notified, and marks them as announced.
+    /// Returns the own records of a service of which peers weren't notified, those learned from `since` on, the oldest
+    /// first, and marks them as announced.
     pub fn take_unannounced(
         &mut self,
         service: u32,
-        now: Instant,
+        since: Instant,
     ) -> Vec<(StreamKey, OriginRecord)> {
-        let own = self.records.iter_mut().filter(|(_, record)| {
+        let own = self.records.iter_mut().rev().filter(|(_, record)| {
             record.origin.service == service
                 && record.source == RecordSource::Own
                 && !record.is_announced
-                && record.expires_at > now
+                && record.known_at >= since
         });
         let taken = own.map(|(stream, record)| {
             record.is_announced = true;
--- a/crates/stream-origins/src/origin_set.rs
+++ b/crates/stream-origins/src/origin_set.rs
@@ -11,18 +11,18 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OriginSet {
     members: BTreeSet<u64>,
-    /// True if every hash is a member.
+    /// True if every hash is a member; none is kept then, so that equal sets are equal.
     is_any: bool,
 }
 
 impl OriginSet {
     /// Returns the set of these members.
     pub fn of(members: impl IntoIterator<Item = u64>) -> Self {
-        let mut served = Self::default();
+        let mut set = Self::default();
         for member in members {
-            served.add(member);
+            set.add(member);
         }
-        served
+        set
     }
 
     /// Returns the set of all hashes, for what can't be read.
@@ -35,7 +35,9 @@
 
     /// Adds all members of another set.
     pub fn merge(&mut self, other: &Self) {
-        self.is_any |= other.is_any;
+        if other.is_any {
+            *self = Self::any();
+        }
         for member in other.iter() {
             self.add(member);
         }
@@ -47,7 +49,9 @@
             return false;
         }
         self.members.insert(member);
-        self.is_any |= self.members.len() >= MAX_MEMBERS;
+        if self.members.len() > MAX_MEMBERS {
+            *self = Self::any();
+        }
         true
     }
 
--- a/crates/stream-origins/tests/origins.rs
+++ b/crates/stream-origins/tests/origins.rs
@@ -74,6 +74,14 @@
     let names = (0..1_000).map(|number| hash(&number.to_string()));
     let many = OriginSet::of(names);
     assert!(many.is_any() && many.len() <= 256, "{}", many.len());
+    assert_eq!(many, OriginSet::any());
+    let mut of_one = OriginSet::of([hash("v1")]);
+    of_one.merge(&OriginSet::any());
+    assert_eq!(
+        of_one,
+        OriginSet::any(),
+        "its row is read as what it was written from"
+    );
     assert!(many.contains(hash("never added")));
 }
 
@@ -141,6 +149,17 @@
         ..record("v1", now, WINDOW)
     };
     ledger.note(key(9), of_peer, now);
+    let later = now + Duration::from_secs(1);
+    for number in 20..22 {
+        ledger.note(key(number), record("v1", later, WINDOW), later);
+    }
+    let of_later = ledger.take_unannounced(SERVICE, later);
+    let keys: Vec<StreamKey> = of_later.iter().map(|(key, _)| *key).collect();
+    assert_eq!(
+        keys,
+        [key(20), key(21)],
+        "the oldest first: later ones replace them"
+    );
     assert_eq!(ledger.take_unannounced(SERVICE, now).len(), 3);
     assert_eq!(ledger.take_unannounced(SERVICE, now), []);
     ledger.note(key(4), record("v1", now, WINDOW), now);
