A stream whose origin the store didn't confirm is recorded at peers, who are asked beside the store

Change: a stream is recorded at peers unless its own host, service and version are stored. A take-up asks peers and the store at once; a record goes first. A reply counts only for the stream that was asked.

--- a/crates/edge/src/streams/mod.rs
+++ b/crates/edge/src/streams/mod.rs
@@ -15,9 +15,9 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{Row, Table, WatchedTable};
-use harrierward_serving::{Location, ReplicaSet, SharedRoutes, short_hash};
+use harrierward_serving::{Location, ReplicaSet, RouteKind, SharedRoutes, short_hash};
 use harrierward_stream_origins::{
-    OriginLedger, OriginRecord, RecordSource, SoftwareVersion, StoredOrigin, StreamKey,
+    OriginLedger, OriginRecord, OriginSet, RecordSource, SoftwareVersion, StoredOrigin, StreamKey,
     StreamOrigin,
 };
 use harrierward_wire::{
@@ -40,18 +40,31 @@
 /// Records in one datagram; some 1 kB.
 const MAX_RECORDS_PER_NOTICE: usize = 32;
 
+/// Versions that are sent for all: builds before level 9 conclude nothing from several.
+const ANY_VERSIONS: [u64; 2] = [0, 1];
+
 /// Time for which a record is kept, if there is room. A stream without one is refused, unless only one version has ever
 /// served.
 const RETENTION: Duration = Duration::from_secs(600);
 
-/// Time between two comparisons of the origins in use with those that the store holds. A stream that begins at one which
-/// it lacks has it stored at once.
-const ORIGIN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two checks of the same rows by one daemon, for each daemon of the fleet: all together send 250 a second at
+/// most, which one partition of the store takes.
+const CHECK_INTERVAL_PER_DAEMON_MS: u64 = 4;
+
+/// Age of the streams that are recorded elsewhere when a service ends to be the only origin: older ones have mostly ended.
+const ANNOUNCED_AGE: Duration = Duration::from_secs(60);
+
+/// Time between two comparisons of the services of routes with those that the store holds. A stream that begins at one
+/// which it lacks has it stored at once.
+const ROUTE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Age of the last contact with the store from which this daemon's streams are recorded at peers, whatever served so far:
 /// a stream can't be proven to be of the only version without the store.
 const MAX_CONTACT_AGE: Duration = Duration::from_secs(4);
 
+/// Versions of services and services of hosts that are in use.
+type OriginsInUse = BTreeMap<Subject, Vec<u64>>;
+
 /// A peer that remembers streams.
 struct StreamPeer {
     /// Instance id.
@@ -68,14 +81,14 @@
     sole: HashSet<u32>,
     /// Last moment of which the store's changes are known.
     contact_at: Option<Instant>,
-    /// When origins in use were compared with the store's last.
-    origins_checked_at: Option<Instant>,
+    /// When the services of routes were compared with the store's last.
+    routes_checked_at: Option<Instant>,
 }
 
 /// The store's rows on streams.
 struct StreamStore {
-    origins: OriginSets,
-    records: StreamRecords,
+    origins: Arc<OriginSets>,
+    records: Arc<StreamRecords>,
     /// Writes per second that the store sustains from all daemons together.
     writes_per_second: f64,
 }
@@ -121,8 +134,16 @@
     ) -> Self {
         let instance_id: Arc<str> = instance_id.into();
         let store = StreamStore {
-            origins: OriginSets::new(store.table.clone(), store.watched, log.clone()),
-            records: StreamRecords::new(instance_id.clone(), store.table, log.clone()),
+            origins: Arc::new(OriginSets::new(
+                store.table.clone(),
+                store.watched,
+                log.clone(),
+            )),
+            records: Arc::new(StreamRecords::new(
+                instance_id.clone(),
+                store.table,
+                log.clone(),
+            )),
             writes_per_second: store.writes_per_second,
         };
         Self {
@@ -134,13 +155,14 @@
             members: ArcSwap::default(),
             socket: OnceLock::new(),
             calls: DatagramCalls::default(),
-            next_call: AtomicU32::new(1),
+            // Replies to an earlier instance at this address don't answer its calls.
+            next_call: AtomicU32::new(rand::random()),
             log,
             state: Mutex::new(State {
                 ledger: OriginLedger::default(),
                 sole: HashSet::new(),
                 contact_at: None,
-                origins_checked_at: None,
+                routes_checked_at: None,
             }),
             origin_due: Notify::new(),
             store_failed_at: ArcSwapOption::empty(),
@@ -155,9 +177,17 @@
 
     /// Sets the members that remember streams; includes this daemon unless it is leaving.
     pub fn set_members(&self, members: Vec<CoordinatorCandidate>) {
+        let daemons = u64::try_from(members.len()).unwrap_or(u64::MAX);
+        let interval_ms = daemons.saturating_mul(CHECK_INTERVAL_PER_DAEMON_MS);
+        self.store.origins.set_check_interval(interval_ms);
         self.members.store(Arc::new(members));
     }
 
+    /// Learns that the row with this key is gone, from the watch of the store.
+    pub fn origin_set_removed(&self, key: &str) {
+        self.store.origins.removed(key);
+    }
+
     /// Learns a row that holds where streams may have begun, from the watch of the store.
     pub fn apply_origin_set(&self, row: &Row) {
         self.store.origins.apply(row);
@@ -175,7 +205,6 @@
         self.check_origins();
         let now = harrierward_clock::now();
         let mut state = self.lock();
-        let state = &mut *state;
         let contact_age = state.contact_at.map(harrierward_clock::age);
         let is_in_contact = contact_age.is_some_and(|age| age <= MAX_CONTACT_AGE);
         let sole = if is_in_contact {
@@ -185,8 +214,14 @@
         };
         let before = std::mem::replace(&mut state.sole, sole);
         let ended: Vec<u32> = before.difference(&state.sole).copied().collect();
-        for service in ended {
-            let streams = state.ledger.take_unannounced(service, now);
+        let since = now.checked_sub(ANNOUNCED_AGE).unwrap_or(now);
+        let ended = ended.into_iter().map(|service| {
+            let streams = state.ledger.take_unannounced(service, since);
+            (service, streams)
+        });
+        let ended: Vec<_> = ended.collect();
+        drop(state);
+        for (service, streams) in ended {
             let known = self.store.origins.known(Subject::Service(service));
             self.log.record(&Record::VersionsMixed {
                 service: &self.service_name(service),
@@ -198,25 +233,35 @@
         }
     }
 
-    /// Schedules origins in use that the store lacks to be stored, now and then.
+    /// Schedules origins in use that the store lacks to be stored. Routes are compared now and then only.
     fn check_origins(&self) {
         let now = harrierward_clock::now();
-        {
+        let with_routes = {
             let mut state = self.lock();
-            let is_due = state
-                .origins_checked_at
-                .is_none_or(|at| now.saturating_duration_since(at) >= ORIGIN_CHECK_INTERVAL);
             // Before the rows have been read, most of them only seem to be missing.
-            if state.contact_at.is_none() || !is_due {
+            if state.contact_at.is_none() {
                 return;
             }
-            state.origins_checked_at = Some(now);
-        }
-        if !self.missing_origins().is_empty() {
+            let is_due = state
+                .routes_checked_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= ROUTE_CHECK_INTERVAL);
+            if is_due {
+                state.routes_checked_at = Some(now);
+            }
+            is_due
+        };
+        let are_missing = self.are_missing(self.listed_versions())
+            || (with_routes && self.are_missing(self.routed_services()));
+        if are_missing {
             self.origin_due.notify_one();
         }
     }
 
+    fn are_missing(&self, used: OriginsInUse) -> bool {
+        let mut used = used.iter();
+        used.any(|(subject, members)| self.store.origins.lacks(*subject, members))
+    }
+
     /// Returns the services with one version only, under hosts with one service only.
     fn sole_services(&self) -> HashSet<u32> {
         let view = self.replicas.view();
@@ -229,26 +274,37 @@
         sole.collect()
     }
 
-    /// Returns the listed versions and the configured services that the store doesn't hold, as far as this daemon knows.
-    fn missing_origins(&self) -> Vec<(Subject, Vec<u64>)> {
-        let mut used: BTreeMap<Subject, Vec<u64>> = BTreeMap::new();
+    /// Returns the listed versions and the services of routes that the store doesn't hold, as far as this daemon knows.
+    fn missing_origins(&self) -> OriginsInUse {
+        let mut missing = self.listed_versions();
+        missing.extend(self.routed_services());
+        missing.retain(|subject, members| self.store.origins.lacks(*subject, members));
+        missing
+    }
+
+    /// Returns the versions of each service's replicas.
+    fn listed_versions(&self) -> OriginsInUse {
         let view = self.replicas.view();
-        for service in view.services() {
+        let services = view.services().map(|service| {
             let versions = view.versions(service).iter().map(|version| version.hash());
-            used.insert(Subject::Service(short_hash(service)), versions.collect());
-        }
+            (Subject::Service(short_hash(service)), versions.collect())
+        });
+        services.collect()
+    }
+
+    /// Returns the services to which each host's routes with resumable streams lead.
+    fn routed_services(&self) -> OriginsInUse {
+        let mut used = OriginsInUse::new();
         let routes = self.routes.load();
         let routes = routes.iter().flat_map(|table| &table.configuration.routes);
-        for route in routes.filter(|route| route.is_resumable()) {
+        // A route whose streams can't be taken up yet may change that and its service at once.
+        for route in routes.filter(|route| matches!(route.kind, RouteKind::Stream { .. })) {
             let services = route.services.iter();
             let services = services.map(|one| u64::from(short_hash(&one.service)));
-            let host = Subject::Host(short_hash(&route.host));
+            let host = Subject::Host(hash_of_host(&route.host));
             used.entry(host).or_default().extend(services);
         }
-        let missing = used
-            .into_iter()
-            .filter(|(subject, members)| self.store.origins.lacks(*subject, members));
-        missing.collect()
+        used
     }
 
     /// Handles a datagram about streams; returns any other.
@@ -283,10 +339,10 @@
     }
 
     /// Records a stream of this daemon, also elsewhere unless each daemon can conclude where it began.
-    fn note_own(&self, stream: StreamKey, origin: StreamOrigin) {
+    fn note_own(&self, stream: StreamKey, host: u32, origin: StreamOrigin) {
         let now = harrierward_clock::now();
         let mut state = self.lock();
-        let is_announced = !state.sole.contains(&origin.service);
+        let is_announced = !self.is_sole_origin(&state, host, origin);
         let record = OriginRecord {
             origin,
             source: RecordSource::Own,
@@ -301,6 +357,15 @@
         }
     }
 
+    /// True if each daemon in contact with the store can conclude that a stream began at this origin.
+    fn is_sole_origin(&self, state: &State, host: u32, origin: StreamOrigin) -> bool {
+        let services = self.store.origins.known(Subject::Host(host));
+        let versions = self.store.origins.known(Subject::Service(origin.service));
+        state.sole.contains(&origin.service)
+            && services.stored.contains(u64::from(origin.service))
+            && versions.stored.contains(origin.version.hash())
+    }
+
     /// Notifies the peers that are asked first of each of these streams, and schedules the streams to be stored.
     fn announce(&self, streams: &[(StreamKey, OriginRecord)], now: Instant) {
         let stored = streams.iter().map(|(stream, record)| StoredOrigin {
@@ -360,15 +425,31 @@
         let stream = StreamKey::from_hash(ask.stream);
         let known = state.ledger.get(stream, now);
         let record = known.map(|known| encode_record(stream, known, now));
-        let versions = self.store.origins.known(Subject::Service(ask.service));
         StreamAnswer {
             number: ask.number,
             record,
-            versions: versions.seen.iter().collect(),
+            versions: self.refuting_versions(ask.service),
             ..StreamAnswer::default()
         }
     }
 
+    /// Returns the versions by which builds before level 9 see that a version isn't the only one.
+    fn refuting_versions(&self, service: u32) -> Vec<u64> {
+        let mut versions = self
+            .store
+            .origins
+            .known(Subject::Service(service))
+            .seen
+            .clone();
+        let listed = self.listed_versions();
+        let listed = listed.get(&Subject::Service(service)).into_iter().flatten();
+        versions.merge(&OriginSet::of(listed.copied()));
+        if versions.is_any() {
+            return ANY_VERSIONS.to_vec();
+        }
+        versions.iter().collect()
+    }
+
     fn send(&self, kind: node_datagram::Kind, address: SocketAddr) {
         let datagram = NodeDatagram { kind: Some(kind) };
         if let Some(socket) = self.socket.get() {
@@ -378,6 +459,11 @@
     }
 }
 
+/// Returns the hash of a host's name, which has no case.
+fn hash_of_host(host: &str) -> u32 {
+    short_hash(&host.to_ascii_lowercase())
+}
+
 fn encode_record(stream: StreamKey, record: &OriginRecord, now: Instant) -> StreamRecord {
     let remaining = record.expires_at.saturating_duration_since(now);
     StreamRecord {
--- a/crates/edge/src/streams/origin_sets.rs
+++ b/crates/edge/src/streams/origin_sets.rs
@@ -4,7 +4,9 @@
 //! stream was taken up includes where it began, whatever this daemon has missed.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -16,7 +18,7 @@
 use harrierward_inline_jobs::{host_services_key, served_versions_key};
 use harrierward_stream_origins::OriginSet;
 use harrierward_wire::{OriginSetRow, decode, encode};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 /// Format of the rows.
 const FORMAT: u32 = 1;
@@ -66,7 +68,8 @@
     }
 }
 
-/// What is known of a set.
+/// What is known of a set. Where another writer removes members from the row, or the row, both sets differ until the row is
+/// written again.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct KnownOrigins {
     /// Members in the row.
@@ -77,6 +80,13 @@
     pub revision: u64,
 }
 
+impl KnownOrigins {
+    /// Returns the only member of the row, if none other was ever seen there.
+    pub fn sole(&self) -> Option<u64> {
+        self.stored.sole().filter(|_| self.stored == self.seen)
+    }
+}
+
 /// Start of the last successful check of a row; locked while one is under way.
 type LastCheck = Arc<tokio::sync::Mutex<Option<Instant>>>;
 
@@ -86,6 +96,8 @@
     watched: Arc<dyn WatchedTable>,
     known: ArcSwap<BTreeMap<Subject, Arc<KnownOrigins>>>,
     checks: Mutex<HashMap<Vec<Subject>, LastCheck>>,
+    /// Minimum time between the starts of two checks of the same rows, milliseconds.
+    check_interval_ms: AtomicU64,
     log: DecisionLog,
 }
 
@@ -98,6 +110,7 @@
             watched,
             known: ArcSwap::default(),
             checks: Mutex::default(),
+            check_interval_ms: AtomicU64::new(0),
         }
     }
 
@@ -156,6 +169,13 @@
         });
     }
 
+    /// Learns that the row with this key is gone, from a watch. It is stored again.
+    pub fn removed(&self, key: &str) {
+        if let Some(subject) = Subject::of_key(key) {
+            self.learn_absence(subject);
+        }
+    }
+
     /// Learns that there is no row.
     fn learn_absence(&self, subject: Subject) {
         self.update(subject, |known| {
@@ -177,8 +197,13 @@
         });
     }
 
+    /// Sets the minimum time between the starts of two checks of the same rows, in milliseconds.
+    pub fn set_check_interval(&self, interval_ms: u64) {
+        self.check_interval_ms.store(interval_ms, Ordering::Relaxed);
+    }
+
     /// Updates what is known of these subjects to some moment after `since`. Callers share a check that began after all of
-    /// them.
+    /// them. To be run to its end, also if nobody waits any more: those that came meanwhile need it too.
     ///
     /// # Errors
     /// The store didn't respond.
@@ -189,6 +214,10 @@
         };
         let mut checked_at = last.lock().await;
         if checked_at.is_none_or(|at| at < since) {
+            if let Some(at) = *checked_at {
+                let interval = self.check_interval_ms.load(Ordering::Relaxed);
+                sleep_until(at + Duration::from_millis(interval)).await;
+            }
             let started_at = harrierward_clock::now();
             self.check_rows(subjects).await?;
             *checked_at = Some(started_at);
--- a/crates/edge/src/streams/records.rs
+++ b/crates/edge/src/streams/records.rs
@@ -3,10 +3,12 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{
-    PlatformError, PlatformErrorKind, RequestClass, Row, Table, Transaction, TransactionOutcome,
+    Condition, PlatformError, PlatformErrorKind, RequestClass, Row, Table, Transaction,
+    TransactionOutcome,
 };
 use harrierward_stream_origins::{
     BucketNumber, SoftwareVersion, StoredBuckets, StoredOrigin, StreamKey, StreamOrigin,
@@ -18,13 +20,22 @@
 /// Space of the rows.
 const STREAMS: &str = "streams";
 
+/// Partition of the rows: not the unnamed one, in which the platform writes.
+const PARTITION: &str = "records";
+
 /// Most buckets that one transaction writes.
-const MAX_BUCKETS_PER_WRITE: usize = 50;
+const MAX_BUCKETS_PER_WRITE: usize = 64;
 
 /// Most rows that are read of a bucket: one for each recent instance of a daemon, and for each of its writes without a
 /// response.
 const MAX_ROWS_PER_BUCKET: usize = 5_000;
 
+/// Most rows that are removed at once.
+const MAX_REMOVED_ROWS: usize = 50;
+
+/// Time for which a read of a bucket is kept.
+const READ_RETENTION: Duration = Duration::from_secs(10);
+
 /// Time on the store's clock after which the row of a daemon that doesn't write it any more is removed.
 const MAX_ROW_AGE_MS: u64 = 600_000;
 
@@ -96,7 +107,7 @@
             }
             let result = self.write_buckets(&changed, written_ms).await;
             if let Err(error) = &result {
-                if error.kind == PlatformErrorKind::Unknown {
+                if may_take_effect(&error.kind) {
                     self.generation.fetch_add(1, Ordering::Relaxed);
                 }
                 let numbers = changed.iter().map(|(number, _)| *number);
@@ -133,7 +144,7 @@
     }
 
     /// Looks a stream up in the rows as they were at some moment after `since`; a read may be behind. Lookups share a read
-    /// that began after all of them.
+    /// that began after all of them. To be run to its end, also if nobody waits any more: others need the read too.
     ///
     /// # Errors
     /// The store didn't respond.
@@ -203,20 +214,34 @@
             let written_ms = decode(&row.value).map_or(0, |row: StoredStreamsRow| row.written_ms);
             row.key != own && store_now_ms.saturating_sub(written_ms) > MAX_ROW_AGE_MS
         };
-        let old = rows.iter().filter(is_old).take(MAX_BUCKETS_PER_WRITE);
-        let keys: Vec<&str> = old.map(|row| row.key.as_str()).collect();
-        if keys.is_empty() {
+        let old: Vec<&Row> = rows.iter().filter(is_old).take(MAX_REMOVED_ROWS).collect();
+        if old.is_empty() {
             return Ok(0);
         }
-        let count = keys.len();
-        let transaction = keys
-            .into_iter()
-            .fold(Transaction::default(), |all, key| all.delete(key));
-        let outcome = self
-            .table
-            .transact(RequestClass::Listing, transaction)
-            .await?;
-        confirm(&outcome).map(|()| count)
+        let mut transaction = Transaction::default();
+        for row in &old {
+            // The read may be behind, and the row written meanwhile.
+            transaction = transaction
+                .require(Condition::unchanged(&row.key, Some(row)))
+                .delete(&row.key);
+        }
+        let class = RequestClass::Listing;
+        match self.table.transact(class, transaction).await? {
+            TransactionOutcome::Committed { .. } => Ok(old.len()),
+            TransactionOutcome::Conflict { .. } => Ok(0),
+        }
+    }
+
+    /// Forgets what was read of other daemons' records, unless that was just now.
+    pub fn forget_reads(&self) {
+        lock(&self.reads).retain(|_, read| {
+            let read = read.try_lock();
+            // One that is locked is in use.
+            read.map_or(true, |read| {
+                read.started_at
+                    .is_some_and(|at| harrierward_clock::age(at) < READ_RETENTION)
+            })
+        });
     }
 }
 
@@ -226,7 +251,16 @@
 
 /// Returns the prefix of the keys of a bucket's rows; the id of the daemon's instance and a generation follow.
 fn prefix(bucket: BucketNumber) -> String {
-    format!("{STREAMS}//{:02}.", bucket.number())
+    format!("{STREAMS}/{PARTITION}/{:02}.", bucket.number())
+}
+
+/// True if a write with this error may have been done, or be done later.
+fn may_take_effect(error: &PlatformErrorKind) -> bool {
+    let is_refused = matches!(
+        error,
+        PlatformErrorKind::NotDone | PlatformErrorKind::RateLimited { .. }
+    );
+    !is_refused
 }
 
 fn confirm(outcome: &TransactionOutcome) -> Result<(), PlatformError> {
--- a/crates/edge/src/streams/requests.rs
+++ b/crates/edge/src/streams/requests.rs
@@ -1,11 +1,13 @@
 //! Lookup of a stream that a caller takes up: own records first, then those of peers and of the store.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use futures::StreamExt;
+use futures::future::{Either, select};
 use futures::stream::FuturesUnordered;
 use harrierward_serving::{
     Asked, KnownOrigin, OriginLookup, OriginSource, StoreEvidence, StreamOrigins, short_hash,
@@ -16,7 +18,7 @@
 use harrierward_wire::{StreamAnswer, StreamAsk, node_datagram};
 use tokio::time::{Instant, timeout};
 
-use super::{StreamPeer, StreamService, Subject, decode_record};
+use super::{StreamPeer, StreamService, Subject, decode_record, hash_of_host};
 use crate::calls::{CallTimeouts, PeerLocation};
 
 /// Peers that are asked: those that were notified stay among them while some members join or leave.
@@ -67,15 +69,13 @@
         Some((peer.id, answer))
     }
 
-    /// Asks the peers that are notified first; returns the first record found.
-    async fn ask_peers(
-        &self,
-        stream: StreamKey,
-        service: u32,
-        asked: &mut Asked,
-    ) -> Option<KnownOrigin> {
+    /// Asks the peers that are notified first; returns the first record found, and how many were asked and replied.
+    async fn ask_peers(&self, stream: StreamKey, service: u32) -> (Option<KnownOrigin>, Asked) {
         let peers = self.peers(stream, ASKED_PEERS);
-        asked.peers = peers.len();
+        let mut asked = Asked {
+            peers: peers.len(),
+            ..Asked::default()
+        };
         let calls = peers.into_iter();
         let calls = calls.map(|peer| self.ask(stream, service, peer));
         let mut calls: FuturesUnordered<_> = calls.collect();
@@ -84,16 +84,18 @@
                 continue;
             };
             asked.replied += 1;
-            if let Some(record) = &answer.record {
+            let record = answer.record.as_ref();
+            if let Some(record) = record.filter(|record| record.stream == stream.hash()) {
                 let record = decode_record(record, id.clone(), harrierward_clock::now());
-                return Some(KnownOrigin {
+                let known = KnownOrigin {
                     origin: record.origin,
                     source: OriginSource::Peer(id),
                     known_at: record.known_at,
-                });
+                };
+                return (Some(known), asked);
             }
         }
-        None
+        (None, asked)
     }
 
     /// Concludes that a stream which was taken up at `since` began at the only version of a service, the only one of its
@@ -103,34 +105,39 @@
         host: u32,
         service: u32,
         since: Instant,
-        asked: &mut Asked,
-    ) -> Option<KnownOrigin> {
+    ) -> (Option<KnownOrigin>, StoreEvidence) {
         // Members are only added: what is known to be one of several stays so.
         if self.has_several(host, service) {
-            return None;
+            return (None, StoreEvidence::NotAsked);
         }
-        let subjects = [Subject::Host(host), Subject::Service(service)];
-        let check = self.store.origins.check(&subjects, since);
-        if !matches!(timeout(STORE_TIMEOUT, check).await, Ok(Ok(()))) {
-            asked.store = StoreEvidence::Unread;
-            return None;
+        let origins = self.store.origins.clone();
+        let check = tokio::spawn(async move {
+            let subjects = [Subject::Host(host), Subject::Service(service)];
+            origins.check(&subjects, since).await
+        });
+        if !matches!(timeout(STORE_TIMEOUT, check).await, Ok(Ok(Ok(())))) {
+            return (None, StoreEvidence::Unread);
         }
+        let Some(version) = self.only_version(host, service) else {
+            return (None, StoreEvidence::NotAsked);
+        };
+        let known = KnownOrigin {
+            origin: StreamOrigin { service, version },
+            source: OriginSource::SoleVersion,
+            known_at: since,
+        };
+        (Some(known), StoreEvidence::SoleVersion)
+    }
+
+    /// Returns the only version of a service that is the only one of a host, as far as this daemon knows.
+    fn only_version(&self, host: u32, service: u32) -> Option<SoftwareVersion> {
         if self.has_several(host, service) {
             return None;
         }
         let services = self.store.origins.known(Subject::Host(host));
+        services.sole()?;
         let versions = self.store.origins.known(Subject::Service(service));
-        services.seen.sole()?;
-        let version = versions.seen.sole()?;
-        asked.store = StoreEvidence::SoleVersion;
-        Some(KnownOrigin {
-            origin: StreamOrigin {
-                service,
-                version: SoftwareVersion::from_hash(version),
-            },
-            source: OriginSource::SoleVersion,
-            known_at: since,
-        })
+        versions.sole().map(SoftwareVersion::from_hash)
     }
 
     /// True if streams of a host may have begun at another service or at several versions: those that the store holds, and
@@ -154,59 +161,80 @@
         &self,
         stream: StreamKey,
         since: Instant,
-        asked: &mut Asked,
-    ) -> Option<KnownOrigin> {
-        let lookup = timeout(STORE_TIMEOUT, self.store.records.find(stream, since));
-        let Ok(Ok(origin)) = lookup.await else {
-            asked.store = StoreEvidence::Unread;
-            return None;
-        };
-        let Some(origin) = origin else {
-            if asked.store == StoreEvidence::NotAsked {
-                asked.store = StoreEvidence::NoRecord;
+    ) -> (Option<KnownOrigin>, StoreEvidence) {
+        let records = self.store.records.clone();
+        let lookup = tokio::spawn(async move { records.find(stream, since).await });
+        match timeout(STORE_TIMEOUT, lookup).await {
+            Ok(Ok(Ok(Some(origin)))) => {
+                let known = KnownOrigin {
+                    origin,
+                    source: OriginSource::Store,
+                    known_at: since,
+                };
+                (Some(known), StoreEvidence::Record)
             }
-            return None;
-        };
-        asked.store = StoreEvidence::Record;
-        Some(KnownOrigin {
-            origin,
-            source: OriginSource::Store,
-            known_at: since,
-        })
+            Ok(Ok(Ok(None))) => (None, StoreEvidence::NoRecord),
+            Ok(_) | Err(_) => (None, StoreEvidence::Unread),
+        }
     }
 
+    /// Asks peers and the store where a stream began. A record goes first: where the store gave the daemon that began the
+    /// stream no response, its version may be missing there.
     async fn find_elsewhere(
         &self,
         stream: Option<StreamKey>,
-        host: &str,
-        service: Option<&str>,
-        asked: &mut Asked,
-    ) -> Option<KnownOrigin> {
+        host: u32,
+        service: Option<u32>,
+    ) -> OriginLookup {
         let since = harrierward_clock::now();
-        let service = service.map(short_hash);
-        if let Some(service) = service {
-            let known = self.sole_version(short_hash(host), service, since, asked);
-            if let Some(known) = known.await {
-                return Some(known);
+        let asking_peers = async {
+            match stream {
+                Some(stream) => self.ask_peers(stream, service.unwrap_or_default()).await,
+                None => (None, Asked::default()),
             }
+        };
+        let asking_store = async {
+            match service {
+                Some(service) => self.sole_version(host, service, since).await,
+                None => (None, StoreEvidence::NotAsked),
+            }
+        };
+        let (known, mut asked) = first_record_or(asking_peers, asking_store).await;
+        let Some(stream) = stream.filter(|_| known.is_none()) else {
+            return OriginLookup { known, asked };
+        };
+        let (known, evidence) = self.stored_record(stream, since).await;
+        if asked.store != StoreEvidence::Unread || known.is_some() {
+            asked.store = evidence;
         }
-        let stream = stream?;
-        let known = self.ask_peers(stream, service.unwrap_or_default(), asked);
-        if let Some(known) = known.await {
-            return Some(known);
-        }
-        self.stored_record(stream, since, asked).await
+        OriginLookup { known, asked }
     }
 }
 
+/// Returns a record of a peer as soon as there is one, and what the store shows otherwise.
+async fn first_record_or(
+    asking_peers: impl Future<Output = (Option<KnownOrigin>, Asked)>,
+    asking_store: impl Future<Output = (Option<KnownOrigin>, StoreEvidence)>,
+) -> (Option<KnownOrigin>, Asked) {
+    let asking_peers = pin!(asking_peers);
+    let asking_store = pin!(asking_store);
+    let ((record, mut asked), (sole, evidence)) = match select(asking_peers, asking_store).await {
+        Either::Left(((Some(record), asked), _)) => return (Some(record), asked),
+        Either::Left((of_peers, asking_store)) => (of_peers, asking_store.await),
+        Either::Right((of_store, asking_peers)) => (asking_peers.await, of_store),
+    };
+    asked.store = evidence;
+    (record.or(sole), asked)
+}
+
 #[async_trait]
 impl StreamOrigins for StreamService {
     async fn admit(&self, host: &str, origin: StreamOrigin) {
-        self.admit_origin(short_hash(host), origin).await;
+        self.admit_origin(hash_of_host(host), origin).await;
     }
 
-    fn note(&self, stream: StreamKey, origin: StreamOrigin) {
-        self.note_own(stream, origin);
+    fn note(&self, stream: StreamKey, host: &str, origin: StreamOrigin) {
+        self.note_own(stream, hash_of_host(host), origin);
     }
 
     async fn find(
@@ -221,8 +249,7 @@
                 ..OriginLookup::default()
             };
         }
-        let mut asked = Asked::default();
-        let known = self.find_elsewhere(stream, host, service, &mut asked).await;
-        OriginLookup { known, asked }
+        self.find_elsewhere(stream, hash_of_host(host), service.map(short_hash))
+            .await
     }
 }
--- a/crates/edge/src/streams/tasks.rs
+++ b/crates/edge/src/streams/tasks.rs
@@ -30,11 +30,19 @@
 /// Minimum time between two writes of records; those in between are stored together.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time between two checks of a bucket for rows of daemons that have ended.
+/// Time between two checks whether the store's clock is known.
+const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time between two checks of a bucket by a daemon for rows of those that have ended.
 const REMOVAL_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Name of the rows in the decision log.
+/// Daemons that may check buckets at that pace.
+const REMOVING_DAEMONS: u32 = 16;
+
+/// Name of the rows with origins in the decision log.
 const ORIGINS: &str = "stream_origins";
+
+/// Name of the rows with records in the decision log.
 const RECORDS: &str = "stream_records";
 
 /// Logs the loss of the store once, and that it is back.
@@ -82,7 +90,7 @@
         if now_ms > 0 {
             return now_ms;
         }
-        sleep(MIN_WRITE_INTERVAL).await;
+        sleep(CLOCK_CHECK_INTERVAL).await;
     }
 }
 
@@ -93,33 +101,33 @@
             (Subject::Host(host), u64::from(origin.service)),
             (Subject::Service(origin.service), origin.version.hash()),
         ];
-        for (subject, member) in members {
-            let known = self.store.origins.known(subject);
-            if !known.stored.contains(member) && !self.has_just_failed() {
-                self.admit_member(subject, member).await;
-            }
+        let lacks = |(subject, member): &(Subject, u64)| {
+            !self.store.origins.known(*subject).stored.contains(*member)
+        };
+        if !members.iter().any(lacks) || self.has_just_failed() {
+            return;
         }
-    }
-
-    async fn admit_member(&self, subject: Subject, member: u64) {
         let started_at = harrierward_clock::now();
-        let stored = timeout(ADMISSION_TIMEOUT, self.store_member(subject, member)).await;
-        let cause = match stored {
-            Ok(Ok(())) => String::new(),
+        let storing = async {
+            for (subject, member) in members.into_iter().filter(lacks) {
+                self.store_member(subject, member).await?;
+                self.log_stored(subject, "", started_at);
+            }
+            Ok::<(), PlatformError>(())
+        };
+        let cause = match timeout(ADMISSION_TIMEOUT, storing).await {
+            Ok(Ok(())) => return,
             Ok(Err(error)) => error.to_string(),
             Err(_) => "no response in time".to_owned(),
         };
-        if !cause.is_empty() {
-            self.store_failed_at.store(Some(Arc::new(started_at)));
-        }
-        self.log_stored(subject, &cause, started_at);
+        self.store_failed_at.store(Some(Arc::new(started_at)));
+        self.log_stored(Subject::Service(origin.service), &cause, started_at);
     }
 
     async fn store_member(&self, subject: Subject, member: u64) -> Result<(), PlatformError> {
-        // Mostly another daemon has stored it already: a read costs the store less than a transaction.
-        self.store.origins.read(subject).await?;
-        if self.store.origins.known(subject).stored.contains(member) {
-            return Ok(());
+        if self.store.origins.known(subject).revision == 0 {
+            // Mostly another daemon has stored it already: a read costs the store less than a transaction.
+            self.store.origins.read(subject).await?;
         }
         self.store.origins.add(subject, &[member]).await
     }
@@ -148,10 +156,11 @@
         let mut contact = StoreContact::new(ORIGINS);
         loop {
             self.origin_due.notified().await;
-            if let Some((subject, _)) = self.missing_origins().first() {
-                sleep(self.delay_of(*subject)).await;
-            }
             for (subject, members) in self.missing_origins() {
+                sleep(self.delay_of(subject)).await;
+                if !self.store.origins.lacks(subject, &members) {
+                    continue;
+                }
                 let started_at = harrierward_clock::now();
                 let result = self.store.origins.add(subject, &members).await;
                 if contact.note(&self, &result) {
@@ -190,8 +199,9 @@
             let now_ms = known_time(&store_now_ms).await;
             let result = self.store.records.write(now_ms).await;
             contact.note(&self, &result);
-            if removed_at.elapsed() >= REMOVAL_INTERVAL {
+            if removed_at.elapsed() >= self.removal_interval() {
                 removed_at = Instant::now();
+                self.store.records.forget_reads();
                 bucket = bucket.next();
                 let result = self.store.records.remove_old(bucket, now_ms).await;
                 contact.note(&self, &result);
@@ -200,6 +210,12 @@
         }
     }
 
+    /// Returns the time between two checks of a bucket by which all daemons together read as often at each size.
+    fn removal_interval(&self) -> Duration {
+        let members = u32::try_from(self.members.load().len()).unwrap_or(u32::MAX);
+        REMOVAL_INTERVAL.saturating_mul(members.div_ceil(REMOVING_DAEMONS).max(1))
+    }
+
     /// Returns the time between two writes of records by which all daemons together keep to their share.
     fn write_interval(&self) -> Duration {
         let members = u32::try_from(self.members.load().len())
--- a/crates/edge/src/watches.rs
+++ b/crates/edge/src/watches.rs
@@ -215,8 +215,10 @@
             }
         }
         for key in &update.removed {
-            if let (RowKind::Header, Some(job_id)) = (row_kind(key), key.rsplit('/').next()) {
-                self.jobs.header_removed(job_id);
+            match (row_kind(key), key.rsplit('/').next()) {
+                (RowKind::Header, Some(job_id)) => self.jobs.header_removed(job_id),
+                (RowKind::OriginSet, _) => self.streams.origin_set_removed(key),
+                _ => {}
             }
         }
         if let Some(as_of) = update.as_of {
--- a/crates/inline-jobs/src/keys.rs
+++ b/crates/inline-jobs/src/keys.rs
@@ -84,13 +84,16 @@
     format!("{JOB_HEADERS}/{partition}/{CRASH_PREFIX}{hash:016x}")
 }
 
+/// Number of the partition of the rows with versions and services, which are checked together.
+const ORIGINS_PARTITION: u64 = 0;
+
 /// Prefix of the names of rows with the software versions of services in the space of the headers; no job id may contain
 /// `~`.
 const VERSIONS_PREFIX: &str = "~versions.";
 
 /// Returns the key of the row with the software versions of a service, given the hash of its name.
 pub fn served_versions_key(service: u32) -> String {
-    let partition = partition_name(u64::from(service) % PARTITIONS);
+    let partition = partition_name(ORIGINS_PARTITION);
     format!("{JOB_HEADERS}/{partition}/{VERSIONS_PREFIX}{service:08x}")
 }
 
@@ -99,7 +102,7 @@
 
 /// Returns the key of the row with the services of a host, given the hash of its name.
 pub fn host_services_key(host: u32) -> String {
-    let partition = partition_name(u64::from(host) % PARTITIONS);
+    let partition = partition_name(ORIGINS_PARTITION);
     format!("{JOB_HEADERS}/{partition}/{SERVICES_PREFIX}{host:08x}")
 }
 
--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -263,7 +263,8 @@
         let Some(stream) = stream_of(request).filter(|_| self.is_resumable()) else {
             return;
         };
-        self.forwarder.origins().note(stream, origin);
+        let host = &self.state.route.host;
+        self.forwarder.origins().note(stream, host, origin);
     }
 
     /// Returns the only version that may continue the stream; `None` before its first event.
--- a/crates/serving/src/stream_origin.rs
+++ b/crates/serving/src/stream_origin.rs
@@ -152,8 +152,8 @@
     /// event is passed on: a daemon that finds no record of the stream concludes from the store where it began.
     async fn admit(&self, host: &str, origin: StreamOrigin);
 
-    /// Records where a stream began. Does not block.
-    fn note(&self, stream: StreamKey, origin: StreamOrigin);
+    /// Records where a stream of a host began. Does not block.
+    fn note(&self, stream: StreamKey, host: &str, origin: StreamOrigin);
 
     /// Finds out where a stream of a host began. `stream` is `None` if its caller doesn't name it, and `service` the only
     /// one to which its route leads, if there is only one.
@@ -173,7 +173,7 @@
 impl StreamOrigins for NoOrigins {
     async fn admit(&self, _host: &str, _origin: StreamOrigin) {}
 
-    fn note(&self, _stream: StreamKey, _origin: StreamOrigin) {}
+    fn note(&self, _stream: StreamKey, _host: &str, _origin: StreamOrigin) {}
 
     async fn find(
         &self,
--- a/crates/serving/src/take_up.rs
+++ b/crates/serving/src/take_up.rs
@@ -41,7 +41,8 @@
         let origins = self.origins();
         let lookup = origins.find(stream, &route.host, sole_service(route)).await;
         let Some(known) = &lookup.known else {
-            let after = may_be_known_later(&lookup).then_some(RETRY_AFTER);
+            let is_named = stream.is_some();
+            let after = may_be_known_later(&lookup, is_named).then_some(RETRY_AFTER);
             return Err(self.refuse_take_up(
                 request,
                 route,
@@ -123,12 +124,13 @@
 }
 
 /// True if the store, or a peer, that didn't reply or isn't a known member yet, may know the stream; a later try finds
-/// it then.
-fn may_be_known_later(lookup: &OriginLookup) -> bool {
+/// it then. A stream without a name has no records.
+fn may_be_known_later(lookup: &OriginLookup, is_named: bool) -> bool {
     let Asked {
         peers,
         replied,
         store,
     } = lookup.asked;
-    peers == 0 || replied < peers || store == StoreEvidence::Unread
+    let may_peers_know = is_named && (peers == 0 || replied < peers);
+    may_peers_know || store == StoreEvidence::Unread
 }
