Serving: attempts at replicas in a module of their own

forwarder.rs held two jobs in 494 lines: the parts and the admission of the request path, and the attempts at replicas with what follows from each (one function of 105 lines). The second is now serve.rs: `begin` makes the state, `serve` is the loop, `note_failure` decides what follows a failed attempt, `respond` what follows a response. The count of refused attempts, a local variable before, is a field of RequestState.

Behaviour is unchanged; the order of checks, notes and log lines is the same. Tests of harrierward-serving: 78 passed.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -35,6 +35,7 @@
 mod response;
 mod routes;
 mod selection;
+mod serve;
 mod stream_origin;
 mod suspicion;
 mod take_up;
--- a/crates/serving/src/request_state.rs
+++ b/crates/serving/src/request_state.rs
@@ -42,6 +42,8 @@
     pub execution: Execution,
     /// Number of replicas that crashed while running it, excluded from `sends`.
     pub forgiven: u32,
+    /// Number of attempts that replicas refused or that reached none, excluded from `sends`.
+    pub refused_attempts: u32,
     /// Refusals by replicas that may have had room.
     pub refusals: Vec<ReplicaRefusal>,
     /// True if the caller was probably refused or cut off before.
