Inline jobs: preemption in a module of its own

runner.rs placed and ran items, and preempted runs when online requests need the slots. The second job shares nothing with the first but the registry; it is now preemption.rs, moved as it was.

Behaviour is unchanged.

--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -21,6 +21,7 @@
 mod own_headers;
 pub mod owned_job;
 mod pacing;
+mod preemption;
 mod quota;
 mod quota_ledger;
 mod ready;
