Comments of refusals, confirmations and item keys in the field's terms

Refusals are evidence, responses confirm or refute, outputs count as complete. Two local names in refusals.rs and refused_sizes.rs follow; no code else changes.

--- a/crates/inline-jobs/src/fruitless.rs
+++ b/crates/inline-jobs/src/fruitless.rs
@@ -1,5 +1,5 @@
-//! Consecutive attempts of an item that brought no event, which tell an item that can't be done from one that waits for
-//! free slots.
+//! Consecutive attempts of an item that brought no event. They distinguish an item that can't be done from one that
+//! waits for free slots.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -28,7 +28,7 @@
 pub enum RunOutcome {
     /// The output is complete.
     Finished,
-    /// The output seems complete, but only the close of the connection ended it: a further run must tell.
+    /// The output seems complete, but only the close of the connection ended it: a further run must confirm that.
     Unproven,
     /// The replica responded with a failure.
     Failed,
@@ -61,7 +61,7 @@
 const FAILED: u16 = 500;
 const IMPOSSIBLE: u16 = 422;
 
-/// What earlier runs of the item showed, so that this one's result isn't held against the replica.
+/// What earlier runs of the item showed, so that this one's result doesn't count against the replica.
 #[derive(Debug, Clone)]
 pub struct RunOptions {
     /// A replica failed the item before.
@@ -216,11 +216,12 @@
     }
 }
 
-/// Further runs that may end without a proof before the output is taken for complete: replicas may fail a request for
+/// Further runs that may end without a proof before the output counts as complete: replicas may fail a request for
 /// what follows the last event.
 const MAX_INCONCLUSIVE_RUNS: u32 = 2;
 
-/// Outcome of a run that asked for what follows a seemingly complete output, and was told neither way.
+/// Outcome of a run that asked for what follows a seemingly complete output, when the failure status of its response
+/// neither confirms nor refutes the end.
 fn note_inconclusive(progress: &SharedProgress) -> RunOutcome {
     let mut progress = lock(progress);
     let runs = progress.unproven_end.get_or_insert(0);
--- a/crates/inline-jobs/src/keys.rs
+++ b/crates/inline-jobs/src/keys.rs
@@ -134,7 +134,7 @@
 }
 
 /// Rows of one job in a space, in key order. Ids may contain dots, so the keys of a job whose id continues this one's
-/// begin with the same prefix; what follows it tells them apart, as numbers never contain a dot.
+/// begin with the same prefix; what follows it distinguishes them, as numbers never contain a dot.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobRows {
     /// Prefix of the keys, which rows of other jobs may share.
@@ -220,7 +220,7 @@
 }
 
 /// Returns the name of the object that holds a job's items. No id may contain `@`, so that no other job has this name,
-/// whoever its owner is.
+/// whatever its owner.
 pub fn item_object(job_id: &str, owner: &str) -> String {
     format!("jobitems-{job_id}@{owner}")
 }
--- a/crates/serving/src/refusals.rs
+++ b/crates/serving/src/refusals.rs
@@ -11,7 +11,7 @@
 
 use tokio::time::Instant;
 
-/// Time for which a refusal tells of the replica's room.
+/// Time for which a refusal is evidence of the replica's room.
 const REFUSAL_TTL: Duration = Duration::from_millis(400);
 
 /// Distinct requests whose refusal shows that a replica has no room for larger ones either.
@@ -30,7 +30,7 @@
     Replica,
     /// The replica has no room for requests of at least this size, and may have some for smaller ones.
     Size,
-    /// The replica or the request, which can't be told. Nothing is concluded about either alone.
+    /// The replica or the request; it is unknown which. Nothing is concluded about either alone.
     Unclear,
     /// The request: the replica may run any other.
     Request,
@@ -170,9 +170,9 @@
 }
 
 fn lacks_room(refused: &[RefusedRequest], tokens: u64, now: Instant) -> bool {
-    let speaking = refused.iter();
-    let speaking = speaking.filter(|one| one.tokens <= tokens && is_recent(one, now));
-    speaking.count() >= MIN_REFUSED_REQUESTS
+    let no_larger = refused.iter();
+    let no_larger = no_larger.filter(|one| one.tokens <= tokens && is_recent(one, now));
+    no_larger.count() >= MIN_REFUSED_REQUESTS
 }
 
 fn is_recent(refused: &RefusedRequest, now: Instant) -> bool {
--- a/crates/serving/src/refused_sizes.rs
+++ b/crates/serving/src/refused_sizes.rs
@@ -12,7 +12,7 @@
 
 use crate::replica::WorkClass;
 
-/// Time for which a refusal tells of the size that a service admits.
+/// Time for which a refusal is evidence of the size that a service admits.
 const REFUSED_SIZE_TTL: Duration = Duration::from_secs(10);
 
 /// Time for which a refusal lets a size be suspected: short, as the replica may just have been full.
@@ -166,9 +166,9 @@
         }
         refused.sort_unstable_by_key(|one| one.tokens);
         let needed = usable().clamp(1, MIN_REFUSING_REPLICAS);
-        let bound = |speaks: &dyn Fn(&RefusedSize) -> bool| {
-            let mut speaking = refused.iter().filter(|one| speaks(one));
-            speaking.nth(needed - 1).map(|one| one.tokens)
+        let bound = |counts: &dyn Fn(&RefusedSize) -> bool| {
+            let mut counted = refused.iter().filter(|one| counts(one));
+            counted.nth(needed - 1).map(|one| one.tokens)
         };
         RefusedSizeBounds {
             suspected: bound(&|one| one.is_suspected(now)),
--- a/crates/serving/src/relay/confirmation.rs
+++ b/crates/serving/src/relay/confirmation.rs
@@ -1,8 +1,8 @@
 //! Confirmation of an end that only the close of a connection marks: another replica is asked for what follows the last
 //! event.
 //!
-//! A replica that crashes closes its connections as one does that has finished. Whoever resumes the stream tells them
-//! apart. A response that nobody can confirm is taken for whole, as most are.
+//! A replica that crashes closes its connections as one does that has finished. The response of a replica that resumes
+//! the stream distinguishes them. A response that no replica can confirm counts as whole, as most are.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -310,7 +310,7 @@
         }
     }
 
-    /// Goes on with a response that may confirm the end; without one the end is believed.
+    /// Goes on with a response that may confirm the end; without one the response counts as whole.
     async fn end_unconfirmed(&mut self) {
         if !self.confirm_end().await {
             self.finish_whole();
