Placement: the query of a request is built in one place

Three placements (of items and callers, of new requests, of overdue ones) each listed all eleven fields of the query. Now each names the fields in which it differs from a query that excludes no replica and must be placed.

Behaviour is unchanged.

--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -51,17 +51,10 @@
             Some(_) => PromptLength::Uniform,
         };
         let query = SlotQuery {
-            service,
-            prompt: &request.prompt,
-            regions: &request.regions,
-            version: request.version,
-            length,
             excluded,
-            objective,
             item,
-            overdue: false,
             may_repeat: item.is_some(),
-            max_retry_after: None,
+            ..query_of(request, service, length, objective)
         };
         self.acquire_or_choose(query, request).await.ok()
     }
@@ -75,18 +68,11 @@
         may_repeat: bool,
         max_retry_after: Option<Duration>,
     ) -> Result<Placement, PlacementError> {
+        let length = self.length_of(service, request);
         let query = SlotQuery {
-            service,
-            prompt: &request.prompt,
-            regions: &request.regions,
-            version: request.version,
-            length: self.length_of(service, request),
-            excluded: &[],
-            objective,
-            item: None,
-            overdue: false,
             may_repeat,
             max_retry_after,
+            ..query_of(request, service, length, objective)
         };
         self.acquire_or_choose(query, request).await
     }
@@ -102,18 +88,10 @@
     ) -> Option<Placement> {
         let until = Instant::now() + max_wait;
         let pause = (objective / OVERDUE_PAUSE_DIVISOR).min(MAX_OVERDUE_PAUSE);
+        let length = self.length_of(service, request);
         let mut query = SlotQuery {
-            service,
-            prompt: &request.prompt,
-            regions: &request.regions,
-            version: request.version,
-            length: self.length_of(service, request),
-            excluded: &[],
-            objective,
-            item: None,
             overdue: true,
-            may_repeat: false,
-            max_retry_after: None,
+            ..query_of(request, service, length, objective)
         };
         let started = Instant::now();
         loop {
@@ -267,3 +245,25 @@
         Some(placement)
     }
 }
+
+/// Query for an online request that excludes no replica and must be placed.
+fn query_of<'a>(
+    request: &'a ServingRequest,
+    service: &'a str,
+    length: PromptLength,
+    objective: Duration,
+) -> SlotQuery<'a> {
+    SlotQuery {
+        service,
+        prompt: &request.prompt,
+        length,
+        excluded: &[],
+        regions: &request.regions,
+        version: request.version,
+        objective,
+        item: None,
+        overdue: false,
+        may_repeat: false,
+        max_retry_after: None,
+    }
+}
