Metrics: one place creates and registers them

Two sets of closures, in metrics.rs and space_metrics.rs, and eight functions each created a metric and registered a copy of it. `Registration` does so for all kinds. Metrics that were apart since a closure allowed one label only stand with the others now.

Names, help texts, labels and buckets are unchanged: all 51 compared field by field between the two trees, and what a decision updates line by line. Tests of harrierward-decisions: 6 passed.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,6 +7,7 @@
 mod metrics;
 mod queue;
 mod record;
+mod registration;
 mod space_metrics;
 
 pub use console::{ConsoleStream, DroppedLine, NonBlockingConsole};
--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -4,16 +4,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, TextEncoder,
 };
 
 use crate::record::Record;
+use crate::registration::Registration;
 use crate::space_metrics::SpaceMetrics;
 
-/// Upper bounds of the latency buckets, seconds.
-const LATENCY_BUCKETS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
-
 /// Counters, gauges and histograms of one process.
 #[derive(Debug, Clone)]
 pub struct DecisionMetrics {
@@ -82,192 +79,202 @@
     /// Registers the metrics in a registry of their own; fails if two have one name.
     pub fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str, label: &str| {
-            let vector = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(vector.clone()))?;
-            Ok::<_, prometheus::Error>(vector)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
-        let histogram = |name: &str, help: &str| {
-            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
-            let histogram = Histogram::with_opts(options)?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok::<_, prometheus::Error>(histogram)
-        };
+        let metrics = Registration::new(&registry);
         Ok(Self {
-            requests: counter(
+            requests: metrics.counters(
                 "harrierward_requests_total",
                 "Requests by outcome: whole, cut, or the cause of a refusal",
-                "outcome",
+                &["outcome"],
+            )?,
+            unfinished_streams: metrics.counters(
+                "harrierward_unfinished_streams_total",
+                "Responses that ended within an event, by outcome and the delimiter of the replica's body",
+                &["outcome", "delimiter"],
+            )?,
+            streams_continued: metrics.counters(
+                "harrierward_streams_continued_total",
+                "Streams and items that go on after events, or are refused, by whether the version that began them is known and that of the replica",
+                &["step", "version"],
             )?,
-            unfinished_streams: unfinished_streams(&registry)?,
-            streams_continued: streams_continued(&registry)?,
-            request_seconds: histogram(
+            request_seconds: metrics.latencies(
                 "harrierward_request_seconds",
                 "Time from a request's arrival to the end of its answer",
             )?,
-            first_event_seconds: histogram(
+            first_event_seconds: metrics.latencies(
                 "harrierward_first_event_seconds",
                 "Time from a request's arrival to the first bytes of its answer's body",
             )?,
-            slot_choices: counter(
+            slot_choices: metrics.counters(
                 "harrierward_places_total",
                 "SlotLeases at replicas, by who chose the replica",
-                "chosen_by",
+                &["chosen_by"],
             )?,
-            sent_by_region: sent_by_region(&registry)?,
-            listed_age_seconds: histogram(
+            sent_by_region: metrics.counters(
+                "harrierward_sent_by_region_total",
+                "Requests sent to replicas, by region of the replica and why it is not the daemon's own region",
+                &["region", "left_region"],
+            )?,
+            listed_age_seconds: metrics.latencies(
                 "harrierward_replica_listed_age_seconds",
                 "Age of the last audit that confirmed the replicas' rows, when a request was sent",
             )?,
-            items_preempted: counter(
+            items_preempted: metrics.counters(
                 "harrierward_item_ends_ordered_total",
                 "Batch items that this daemon, as the coordinator of a replica, ended for online requests",
-                "of_peer",
+                &["of_peer"],
             )?,
-            attempts_failed: counter(
+            attempts_failed: metrics.counters(
                 "harrierward_attempts_failed_total",
                 "Attempts at replicas that failed, by whether they may have run",
-                "not_run",
+                &["not_run"],
             )?,
-            refusals_by_replicas: counter(
+            refusals_by_replicas: metrics.counters(
                 "harrierward_refusals_by_replicas_total",
                 "Requests that replicas refused without running them, by what this daemon concluded",
-                "concluded",
+                &["concluded"],
             )?,
-            items_not_placed: counter(
+            items_not_placed: metrics.counters(
                 "harrierward_items_not_placed_total",
                 "Batch items that were to be started and found no free slot, by service",
-                "service",
+                &["service"],
+            )?,
+            items_given_up: metrics.counter(
+                "harrierward_items_given_up_total",
+                "Batch items given up after their route's limit, since no replica can be expected to run them",
             )?,
-            items_given_up: items_given_up(&registry)?,
-            jobs_submitted: counter(
+            jobs_submitted: metrics.counters(
                 "harrierward_jobs_submitted_total",
                 "Batch jobs submitted, by outcome",
-                "outcome",
+                &["outcome"],
             )?,
-            results_listed: counter(
+            results_listed: metrics.counters(
                 "harrierward_results_listed_total",
                 "Writes that list results, by outcome",
-                "outcome",
+                &["outcome"],
             )?,
-            listing_reads: counter(
+            listing_reads: metrics.counters(
                 "harrierward_listings_asked_total",
                 "Reads of results that the copy of the job's head could not answer alone, by what the store said",
-                "outcome",
+                &["outcome"],
+            )?,
+            header_reads: metrics.counters(
+                "harrierward_header_reads_total",
+                "Reads of a job's header on which a denial or an owner's right may rest, by kind of call and outcome",
+                &["source", "outcome"],
             )?,
-            header_reads: header_reads(&registry)?,
-            peer_row_requests: counter(
+            peer_row_requests: metrics.counters(
                 "harrierward_peers_asked_total",
                 "Rounds in which a daemon that could not serve yet asked peers for their rows, by outcome",
-                "outcome",
+                &["outcome"],
             )?,
-            item_runs: counter(
+            item_runs: metrics.counters(
                 "harrierward_item_runs_total",
                 "Runs of items of batch jobs, by outcome",
-                "outcome",
+                &["outcome"],
             )?,
-            job_ownership_changes: counter(
+            job_ownership_changes: metrics.counters(
                 "harrierward_job_ownership_changes_total",
                 "Changes of the owner of a job at this daemon, by kind",
-                "outcome",
+                &["outcome"],
             )?,
-            jobs_loaded: counter(
+            jobs_loaded: metrics.counters(
                 "harrierward_jobs_loaded_total",
                 "Adopted jobs that were loaded, by whether the store holds all failed runs of their items",
-                "failure_history",
+                &["failure_history"],
             )?,
-            failures_reported: counter(
+            failures_reported: metrics.counters(
                 "harrierward_failures_reported_total",
                 "Reports of failed runs that the store may not hold, by job and direction",
-                "outcome",
+                &["outcome"],
             )?,
-            own_headers_read: counter(
+            own_headers_read: metrics.counters(
                 "harrierward_own_headers_read_total",
                 "Headers of own jobs that the store had newer than the watch, or that could not be read",
-                "outcome",
+                &["outcome"],
             )?,
-            dependencies_lost: counter(
+            dependencies_lost: metrics.counters(
                 "harrierward_dependencies_lost_total",
                 "Times that contact to a dependency was lost",
-                "dependency",
+                &["dependency"],
             )?,
-            configuration_version: gauge(
+            configuration_version: metrics.gauge(
                 "harrierward_configuration_version",
                 "Version of the configuration in force",
             )?,
-            members_alive: gauge(
+            members_alive: metrics.gauge(
                 "harrierward_members_alive",
                 "Daemons that this one holds alive, itself included",
             )?,
-            zones_evacuated: zone_gauge(
-                &registry,
+            zones_evacuated: metrics.gauges(
                 "harrierward_zone_evacuated",
                 "1 for a zone that this daemon knows to be evacuated, 0 for one that is back",
+                &["zone"],
             )?,
-            zones_running: zone_gauge(
-                &registry,
+            zones_running: metrics.gauges(
                 "harrierward_evacuated_zone_requests",
                 "Requests and items of this daemon still in progress in an evacuated zone",
+                &["zone"],
             )?,
-            view_sync_records: view_sync_records(&registry)?,
-            stalled_connections_closed: stalled_connections_closed(&registry)?,
-            lines_dropped: gauge(
+            view_sync_records: metrics.counter(
+                "harrierward_view_sync_records_total",
+                "Records of members that peers sent because this daemon's view differed from theirs",
+            )?,
+            stalled_connections_closed: metrics.counter(
+                "harrierward_connections_silent_total",
+                "Kept connections closed because an exchange with their peer fell silent",
+            )?,
+            lines_dropped: metrics.gauge(
                 "harrierward_log_lines_dropped",
                 "Log lines dropped since the start",
             )?,
-            rate_refusals: counter(
+            rate_refusals: metrics.counters(
                 "harrierward_rate_refusals_total",
                 "Requests that their tenant's rate did not admit, by what the coordinator said",
-                "outcome",
+                &["outcome"],
             )?,
-            rate_fallbacks: counter(
+            rate_fallbacks: metrics.counters(
                 "harrierward_rate_stand_ins_total",
                 "Questions of daemons to which a tenant's coordinator is silent, by what became of them here",
-                "outcome",
+                &["outcome"],
             )?,
-            tenant_refusals: counter(
+            tenant_refusals: metrics.counters(
                 "harrierward_tenant_refusals_total",
                 "Requests refused for their tenant's rate, by tenant",
-                "tenant",
+                &["tenant"],
             )?,
-            cold_replicas: zone_gauge(
-                &registry,
+            cold_replicas: metrics.gauges(
                 "harrierward_cold_replicas",
                 "Replicas that this daemon takes for cold, by zone",
+                &["zone"],
             )?,
-            cold_paced: counter(
+            cold_paced: metrics.counters(
                 "harrierward_cold_paced_total",
                 "Requests for cold replicas that this daemon, as their coordinator, counted or turned away",
-                "outcome",
+                &["outcome"],
             )?,
-            replica_status_changes: counter(
+            replica_status_changes: metrics.counters(
                 "harrierward_replica_standings_total",
                 "Replicas that this daemon, as their coordinator, ejected, spared, probed, took back, or gave less work",
-                "outcome",
+                &["outcome"],
             )?,
-            replicas_ejected: gauge(
+            replicas_ejected: metrics.gauge(
                 "harrierward_replicas_ejected",
                 "Replicas that this daemon, as their coordinator, keeps out of service",
             )?,
-            replica_crashes: counter(
+            replica_crashes: metrics.counters(
                 "harrierward_replicas_ended_total",
                 "Replicas that ended while requests of this daemon were in progress there, by how that is known",
-                "known_by",
+                &["known_by"],
             )?,
-            replicas_rejected: gauge(
+            replicas_rejected: metrics.gauge(
                 "harrierward_replica_entries_rejected",
                 "Entries of replicas since the start that could not be read, as last told",
             )?,
-            contents_quarantined: gauge(
+            contents_quarantined: metrics.gauge(
                 "harrierward_contents_held",
                 "Contents that are held back since replicas ended under them",
             )?,
-            spaces: SpaceMetrics::new(&registry)?,
+            spaces: SpaceMetrics::new(metrics)?,
             tenants: Arc::default(),
             registry,
         })
@@ -492,81 +499,3 @@
         text
     }
 }
-
-/// Registers a gauge by zone.
-fn zone_gauge(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-) -> Result<IntGaugeVec, prometheus::Error> {
-    let gauge = IntGaugeVec::new(Opts::new(name, help), &["zone"])?;
-    registry.register(Box::new(gauge.clone()))?;
-    Ok(gauge)
-}
-
-fn sent_by_region(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
-    let options = Opts::new(
-        "harrierward_sent_by_region_total",
-        "Requests sent to replicas, by region of the replica and why it is not the daemon's own region",
-    );
-    let counter = IntCounterVec::new(options, &["region", "left_region"])?;
-    registry.register(Box::new(counter.clone()))?;
-    Ok(counter)
-}
-
-fn header_reads(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
-    let options = Opts::new(
-        "harrierward_header_reads_total",
-        "Reads of a job's header on which a denial or an owner's right may rest, by kind of call and outcome",
-    );
-    let vector = IntCounterVec::new(options, &["source", "outcome"])?;
-    registry.register(Box::new(vector.clone()))?;
-    Ok(vector)
-}
-
-fn unfinished_streams(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
-    let options = Opts::new(
-        "harrierward_unfinished_streams_total",
-        "Responses that ended within an event, by outcome and the delimiter of the replica's body",
-    );
-    let vector = IntCounterVec::new(options, &["outcome", "delimiter"])?;
-    registry.register(Box::new(vector.clone()))?;
-    Ok(vector)
-}
-
-fn streams_continued(registry: &Registry) -> Result<IntCounterVec, prometheus::Error> {
-    let options = Opts::new(
-        "harrierward_streams_continued_total",
-        "Streams and items that go on after events, or are refused, by whether the version that began them is known and that of the replica",
-    );
-    let vector = IntCounterVec::new(options, &["step", "version"])?;
-    registry.register(Box::new(vector.clone()))?;
-    Ok(vector)
-}
-
-fn stalled_connections_closed(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
-    let counter = IntCounter::new(
-        "harrierward_connections_silent_total",
-        "Kept connections closed because an exchange with their peer fell silent",
-    )?;
-    registry.register(Box::new(counter.clone()))?;
-    Ok(counter)
-}
-
-fn items_given_up(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
-    let counter = IntCounter::new(
-        "harrierward_items_given_up_total",
-        "Batch items given up after their route's limit, since no replica can be expected to run them",
-    )?;
-    registry.register(Box::new(counter.clone()))?;
-    Ok(counter)
-}
-
-fn view_sync_records(registry: &Registry) -> Result<IntCounter, prometheus::Error> {
-    let counter = IntCounter::new(
-        "harrierward_view_sync_records_total",
-        "Records of members that peers sent because this daemon's view differed from theirs",
-    )?;
-    registry.register(Box::new(counter.clone()))?;
-    Ok(counter)
-}
--- a/crates/decisions/src/space_metrics.rs
+++ b/crates/decisions/src/space_metrics.rs
@@ -1,8 +1,9 @@
 //! Metrics on the sources from which a daemon reads the store's spaces.
 
-use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{IntCounterVec, IntGauge};
 
 use crate::record::Record;
+use crate::registration::Registration;
 
 /// Counters and gauges of sources, by space.
 #[derive(Debug, Clone)]
@@ -21,65 +22,55 @@
 
 impl SpaceMetrics {
     /// Registers the metrics; fails if a name is already taken.
-    pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
-        let counter = |name: &str, help: &str| {
-            let vector = IntCounterVec::new(Opts::new(name, help), &["space"])?;
-            registry.register(Box::new(vector.clone()))?;
-            Ok::<_, prometheus::Error>(vector)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
-        let full_reads = Opts::new(
-            "harrierward_space_full_reads_total",
-            "Full reads of a space, by why it was read and whether the read was older than the copy",
-        );
-        let full_reads = IntCounterVec::new(full_reads, &["space", "reason", "outcome"])?;
-        registry.register(Box::new(full_reads.clone()))?;
-        let by_outcome = |name: &str, help: &str| {
-            let vector = IntCounterVec::new(Opts::new(name, help), &["space", "outcome"])?;
-            registry.register(Box::new(vector.clone()))?;
-            Ok::<_, prometheus::Error>(vector)
-        };
+    pub fn new(metrics: Registration<'_>) -> Result<Self, prometheus::Error> {
         Ok(Self {
-            audits: by_outcome(
+            audits: metrics.counters(
                 "harrierward_space_audits_total",
                 "Logged audits of the copy of a space: the first of a turn, and those that found changes or failed",
+                &["space", "outcome"],
             )?,
-            repairs: by_outcome(
+            repairs: metrics.counters(
                 "harrierward_space_repairs_total",
                 "Requests to audited peers for changes that the copy of a space lacked, by outcome",
+                &["space", "outcome"],
             )?,
-            full_reads,
-            lost_histories: counter(
+            full_reads: metrics.counters(
+                "harrierward_space_full_reads_total",
+                "Full reads of a space, by why it was read and whether the read was older than the copy",
+                &["space", "reason", "outcome"],
+            )?,
+            lost_histories: metrics.counters(
                 "harrierward_space_histories_lost_total",
                 "Times that the store no longer had the changes after the copy of a space",
+                &["space"],
             )?,
-            omitted_changes: counter(
+            omitted_changes: metrics.counters(
                 "harrierward_space_omitted_changes_total",
                 "Changes of rows that the feed of a space omitted, and that a full read brought",
+                &["space"],
             )?,
-            relayed: gauge(
+            relayed: metrics.gauge(
                 "harrierward_spaces_relayed",
                 "1 if the store's spaces come from peers of the zone, 0 if they are read at the store",
             )?,
-            reader: gauge(
+            reader: metrics.gauge(
                 "harrierward_zone_reader",
                 "1 if this daemon reads the store for its zone",
             )?,
-            source_changes: counter(
+            source_changes: metrics.counters(
                 "harrierward_space_source_changes_total",
                 "Times that a space was read from elsewhere than before",
+                &["space"],
             )?,
-            source_failures: counter(
+            source_failures: metrics.counters(
                 "harrierward_space_source_failures_total",
                 "Times that a source of a space, the store or a peer, did not serve",
+                &["space"],
             )?,
-            differences: counter(
+            differences: metrics.counters(
                 "harrierward_space_differences_total",
                 "Times that the copy of a space differed from that of the peer that is followed",
+                &["space"],
             )?,
         })
     }
