Serving: a replica's record apart from its state

replica.rs held what discovery states of a replica (immutable for an instance, compared between instances) and what this daemon observes of it (atomics and locks on the request path). The record and the notice that a replica leaves are now replica_record.rs, moved as they were; the names that the crate exports are the same.

Behaviour is unchanged.

--- a/crates/serving/src/classification.rs
+++ b/crates/serving/src/classification.rs
@@ -11,7 +11,8 @@
 use crate::outcome::{AttemptOutcome, Evidence};
 use crate::policy::Mechanism;
 use crate::refusals::{RefusalEvidence, RefusalScope, ReplicaRefusal};
-use crate::replica::{LeavingNotice, Replica, short_hash};
+use crate::replica::{Replica, short_hash};
+use crate::replica_record::LeavingNotice;
 
 /// Lowest status that counts as a failure of the replica rather than of the request.
 const MIN_FAILURE_STATUS: u16 = 500;
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -1,4 +1,4 @@
-//! State of a replica as this daemon knows it: record, load, warmth and cached prompts.
+//! State of a replica as this daemon knows it: load, warmth, refusals and cached prompts.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -15,6 +15,7 @@
 use crate::prompt::{PrefixCacheEstimate, Prompt};
 use crate::recent_maximum::RecentMaximum;
 use crate::refusals::{RecentRefusals, RefusalEvidence, RefusalScope};
+use crate::replica_record::{LeavingNotice, ReplicaRecord};
 use crate::suspicion::Suspicion;
 use crate::topology::Location;
 use crate::warmth::Warmth;
@@ -33,64 +34,6 @@
 /// one that restarts earlier under the same id is detected by the next request.
 const CRASHED_TTL: Duration = Duration::from_millis(4_000);
 
-/// Record that a replica publishes in discovery, as a row of the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ReplicaRecord {
-    /// Id under which it is listed; stays the same over restarts.
-    pub id: String,
-    /// Start time of this instance by the replica's own clock, milliseconds since 1970; `None` if not published.
-    pub born_ms: Option<u64>,
-    /// Name of the service.
-    pub service: String,
-    /// Version of its software; empty if not published.
-    pub version: String,
-    /// Address and port.
-    pub address: String,
-    /// Zone in which it runs.
-    pub zone: String,
-    /// Region of the zone; empty if unknown.
-    pub region: String,
-    /// Requests that it serves concurrently.
-    pub slots: u32,
-    /// True if it leaves and must get no new work.
-    pub draining: bool,
-    /// Remaining time for which it stays cold, from the moment at which the record was written.
-    pub warmup: Duration,
-}
-
-impl ReplicaRecord {
-    /// True if `reported` belongs to another instance, so that what is known of this one doesn't apply. A missing
-    /// start time proves nothing; an earlier one is another instance whose clock was set back. A process never changes
-    /// its software version.
-    pub fn is_other_instance(&self, reported: &Self) -> bool {
-        let is_other_start = reported.born_ms.is_some() && reported.born_ms != self.born_ms;
-        is_other_start || reported.version != self.version
-    }
-
-    /// Returns the hash of this instance, by which daemons refer to it in datagrams.
-    pub fn instance_hash(&self) -> u32 {
-        self.born_ms.map_or_else(
-            || short_hash(&self.id),
-            |born| short_hash(&format!("{}@{born}", self.id)),
-        )
-    }
-}
-
-/// How this daemon learned that a replica is leaving.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LeavingNotice {
-    /// `draining`, or `gone` if its record was removed.
-    pub state: &'static str,
-    /// `store`, the id of the peer that passed it on, or `replica`.
-    pub source: Arc<str>,
-    /// How it was read, as in the decision log.
-    pub reading: &'static str,
-    /// Age of the latest proof that it wasn't leaving; `None` if there was none.
-    pub proof_age: Option<Duration>,
-    /// When this daemon learned it.
-    pub known_at: Instant,
-}
-
 /// Class of a request in the load counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum WorkClass {
--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -10,7 +10,8 @@
 use tokio::time::Instant;
 
 use crate::gate::admits_version;
-use crate::replica::{Replica, ReplicaRecord, lock, short_hash};
+use crate::replica::{Replica, lock, short_hash};
+use crate::replica_record::ReplicaRecord;
 use crate::selection::preference_weight;
 use crate::topology::Location;
 use harrierward_stream_origins::SoftwareVersion;
