--- a/crates/edge/src/server/mod.rs
+++ b/crates/edge/src/server/mod.rs
@@ -105,7 +105,7 @@
         }
     }
 
-    /// Logs that a response can't be completed, and how its caller can tell.
+    /// Logs that a response can't be completed, and the delimiter by which its caller detects that.
     fn note_cut_off(&self, request: &str, delimiter: BodyDelimiter, cause: &str) {
         if let Some(log) = &self.log {
             log.record(&Record::ResponseCutOff {
--- a/crates/inline-jobs/src/header_lookup.rs
+++ b/crates/inline-jobs/src/header_lookup.rs
@@ -120,8 +120,8 @@
         self.apply(job_id, &call, None);
     }
 
-    /// Applies and logs the outcome of a call; `None` if the reading does not reflect `required_revision`, or nothing
-    /// tells which revision is required.
+    /// Applies and logs the outcome of a call; `None` if the reading does not reflect `required_revision`, or it is
+    /// unknown which revision is required.
     fn apply(
         &self,
         job_id: &str,
--- a/crates/inline-jobs/src/quota.rs
+++ b/crates/inline-jobs/src/quota.rs
@@ -16,7 +16,7 @@
 use crate::service::InlineJobs;
 use crate::store::{FenceOutcome, KnownFence};
 
-/// Age of the last freshness proof above which a coordinator cannot tell what is queued.
+/// Age of the last freshness proof above which a coordinator does not know what is queued.
 const MAX_PROOF_AGE: Duration = Duration::from_millis(2_000);
 
 /// How long a coordinator that still reads the job headers is retried.
--- a/crates/inline-jobs/src/reported_failures.rs
+++ b/crates/inline-jobs/src/reported_failures.rs
@@ -28,7 +28,7 @@
 }
 
 impl ReportedFailures {
-    /// Adds a report; true if it raises a count. Counts of an item never fall, whoever owns its job.
+    /// Adds a report; true if it raises a count. Counts of an item never fall, whichever daemon owns its job.
     pub fn note(&mut self, report: &JobFailures, now: Instant) -> bool {
         let age = Duration::from_millis(u64::from(report.age_ms));
         if age >= RETENTION {
--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -334,7 +334,7 @@
     match outcome {
         RunOutcome::Finished => ItemPhase::Done { failed: false },
         RunOutcome::Impossible => {
-            // The count tells a later owner that no retry can succeed.
+            // A later owner concludes from the count that no retry can succeed.
             entry.failures = entry.failures.max(attempts);
             ItemPhase::Done { failed: true }
         }
--- a/crates/membership/src/core/rejoin.rs
+++ b/crates/membership/src/core/rejoin.rs
@@ -2,7 +2,7 @@
 //!
 //! Probes reach only known members. So each daemon from time to time sends a join to one address at which it knows no
 //! member: a seed, or a forgotten member that didn't leave. One reply is enough, since syncs then exchange the views. A
-//! fleet whose seeds are all present, and that has lost no member lately, has no such address and sends no joins.
+//! fleet whose seeds are all present, and that has lost no member recently, has no such address and sends no joins.
 
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
--- a/crates/relay/src/audit.rs
+++ b/crates/relay/src/audit.rs
@@ -2,8 +2,8 @@
 //!
 //! A feed proves that the store responds, not that it delivered all changes, and all feeds of a fleet may omit the same
 //! one. So one daemon at a time compares its copy with the store's current state, by a transaction, and announces the
-//! digest of what it holds; the others compare their copies with it. A daemon whose turn comes later audits once it has
-//! heard of no audit for longer.
+//! digest of what it holds; the others compare their copies with it. A daemon whose turn comes later audits once it
+//! has received no announcement for longer.
 
 use std::time::Duration;
 
@@ -111,7 +111,7 @@
     pub awaits_feed: bool,
 }
 
-/// How long this copy may hold changes that audits don't include before the auditor is told: more than changes are
+/// How long this copy may hold changes that audits don't include before the auditor is notified: more than changes are
 /// coalesced.
 const AHEAD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -142,8 +142,8 @@
     }
 
     /// Records whether the copy holds changes after the state that an audit announced. Returns true if the auditor must be
-    /// told what this copy holds, since it may lack a row, which it then can't audit: if the copy has been ahead for
-    /// long, or still differed after a repair.
+    /// notified of what this copy holds, since it may lack a row, which it then can't audit: if the copy has been ahead
+    /// for long, or still differed after a repair.
     pub fn must_tell_auditor(&mut self, is_ahead: bool, now: Instant) -> bool {
         if !is_ahead {
             self.ahead_since = None;
--- a/crates/relay/src/space_copy.rs
+++ b/crates/relay/src/space_copy.rs
@@ -319,7 +319,7 @@
         self.changed_at > statement.revision
     }
 
-    /// Compares the copy with a peer's that was audited; `None` if the copy can't tell what it held at that revision.
+    /// Compares the copy with a peer's that was audited; `None` if not all changes since that revision are kept.
     pub fn compare(&self, statement: &AuditStatement) -> Option<AuditComparison> {
         let delta = self.recent.digest_delta_since(statement.revision)?;
         Some(if self.digest ^ delta == statement.digest {
--- a/crates/relay/src/space_update.rs
+++ b/crates/relay/src/space_update.rs
@@ -109,7 +109,7 @@
         written.filter(|row| self.is_omitted(row.revision)).count()
     }
 
-    /// True if the feed had omitted a change with this revision: the copy was told of a later one before.
+    /// True if the feed had omitted a change with this revision: the copy had reached it or a later one before.
     pub fn is_omitted(&self, revision: u64) -> bool {
         self.as_of_before.is_some() && revision <= self.revision_before
     }
--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -253,7 +253,7 @@
             replica.set_zone_evacuated(zones.contains(&replica.record.zone));
         }
         self.evacuated_zones.store(Arc::new(zones));
-        // The replicas for long prompts are computed anew, since they are among those in service.
+        // The replicas for long prompts are recomputed, since they are among those in service.
         let services: Vec<String> = view.by_service.keys().cloned().collect();
         for service in services {
             view.edit_service(service, ServiceEdit::default());
