Streams begin at versions that the store holds, while a replica of one accepts work

The store took no writes, the first daemon passed on events of v2 without the row, was killed with all that knew of it, and a daemon whose list was behind concluded from the row that v1 was the only version.

Change: while the store lacks a version of a service, a stream begins at a replica of a version which it holds, if one accepts work. The bond holds for runs that begin again before their first event.

Ruled out: no events at all without the row: where the only replicas are of a new version, an outage of the store would end the service.

--- a/crates/edge/src/streams/requests.rs
+++ b/crates/edge/src/streams/requests.rs
@@ -15,7 +15,9 @@
 use harrierward_stream_origins::{
     OriginSet, RecordSource, SoftwareVersion, StreamKey, StreamOrigin,
 };
+use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{StreamAnswer, StreamAsk, node_datagram};
+use rand::seq::IteratorRandom;
 use tokio::time::{Instant, timeout};
 
 use super::{StreamPeer, StreamService, Subject, decode_record, hash_of_host};
@@ -156,6 +158,29 @@
         is_several(&services) || is_several(&versions)
     }
 
+    /// Returns the version of a random replica that accepts work, among those whose version the store holds. `None` if it
+    /// holds all listed versions, or none that serves.
+    fn stored_version(&self, service: &str, regions: &AllowedRegions) -> Option<SoftwareVersion> {
+        let view = self.replicas.view();
+        let known = self
+            .store
+            .origins
+            .known(Subject::Service(short_hash(service)));
+        let is_stored = |version: SoftwareVersion| known.stored.contains(version.hash());
+        if view.versions(service).iter().copied().all(is_stored) {
+            return None;
+        }
+        let replicas = view.listed(service).iter();
+        let usable = replicas.filter(|replica| {
+            is_stored(replica.version)
+                && replica.accepts_work()
+                && regions.allows(&replica.record.region)
+        });
+        usable
+            .choose(&mut rand::rng())
+            .map(|replica| replica.version)
+    }
+
     /// Looks a stream up in the store.
     async fn stored_record(
         &self,
@@ -229,6 +254,14 @@
 
 #[async_trait]
 impl StreamOrigins for StreamService {
+    fn version_to_begin_at(
+        &self,
+        service: &str,
+        regions: &AllowedRegions,
+    ) -> Option<SoftwareVersion> {
+        self.stored_version(service, regions)
+    }
+
     async fn admit(&self, host: &str, origin: StreamOrigin) {
         self.admit_origin(hash_of_host(host), origin).await;
     }
--- a/crates/serving/src/relay/confirmation.rs
+++ b/crates/serving/src/relay/confirmation.rs
@@ -4,7 +4,6 @@
 //! A replica that crashes closes its connections as one does that has finished. The response of a replica that resumes
 //! the stream distinguishes them. A response that no replica can confirm counts as whole, as most are.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::timeout;
@@ -21,7 +20,7 @@
     pub(super) async fn confirm_end(&mut self) -> bool {
         self.body = None;
         self.in_progress = None;
-        Arc::make_mut(&mut self.state.request).version = self.version();
+        self.bind_to_version();
         while self.may_confirm() {
             self.state.sends += 1;
             // Dropped after the timeout, it closes its connection.
--- a/crates/serving/src/relay/resumption.rs
+++ b/crates/serving/src/relay/resumption.rs
@@ -37,6 +37,13 @@
         serves_any && !self.has_alternative()
     }
 
+    /// Binds further runs to the version that began the stream. Before the first event an earlier bond stays.
+    pub(super) fn bind_to_version(&mut self) {
+        if let Some(version) = self.version() {
+            Arc::make_mut(&mut self.state.request).version = Some(version);
+        }
+    }
+
     /// Resumes at another replica after the last event delivered, if allowed.
     pub(super) async fn resume(&mut self, cause: String) -> Result<(), ResponseAborted> {
         // The connection is closed before another replica starts.
@@ -50,7 +57,7 @@
             return Err(self.abort(cause));
         }
         self.log_interruption(&cause);
-        Arc::make_mut(&mut self.state.request).version = self.version();
+        self.bind_to_version();
         let mut last_cause = Some(cause);
         let mut capacity_waits = 0;
         while self.may_resume() && !self.state.clock.remaining_hold().is_zero() {
--- a/crates/serving/src/serve.rs
+++ b/crates/serving/src/serve.rs
@@ -56,7 +56,8 @@
         }
     }
 
-    /// Returns the state before the first attempt. A request that takes up a stream is bound to the stream's version.
+    /// Returns the state before the first attempt. A request that takes up a stream is bound to the stream's version, one
+    /// that begins a stream to a stored version while the store lacks another one.
     async fn begin(
         &self,
         request: &Arc<ServingRequest>,
@@ -76,8 +77,16 @@
                 .to_owned(),
         };
         let mut request = request.clone();
-        if let Some(taken_up) = &taken_up {
-            Arc::make_mut(&mut request).version = Some(taken_up.known.origin.version);
+        let version = match &taken_up {
+            Some(taken_up) => Some(taken_up.known.origin.version),
+            None if entry.route.is_resumable() => {
+                let origins = self.origins();
+                origins.version_to_begin_at(&service, &request.regions)
+            }
+            None => None,
+        };
+        if version.is_some() {
+            Arc::make_mut(&mut request).version = version;
         }
         let is_retry = entry.is_overdue(request.timeout);
         Ok(RequestState {
--- a/crates/serving/src/stream_origin.rs
+++ b/crates/serving/src/stream_origin.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use harrierward_stream_origins::{StreamKey, StreamOrigin};
+use harrierward_stream_origins::{SoftwareVersion, StreamKey, StreamOrigin};
+use harrierward_tenants::AllowedRegions;
 use tokio::time::Instant;
 
 use crate::configuration::Route;
@@ -148,6 +149,14 @@
 /// Remembers where streams began, here and at peers.
 #[async_trait]
 pub trait StreamOrigins: Send + Sync {
+    /// Returns the version at which a stream is to begin; `None` if any will do. While the store lacks a version of the
+    /// service, that is one which it holds, as long as a replica of it accepts work.
+    fn version_to_begin_at(
+        &self,
+        service: &str,
+        regions: &AllowedRegions,
+    ) -> Option<SoftwareVersion>;
+
     /// Returns once the store says that streams may begin at this origin, or after a bounded time. Called before the first
     /// event is passed on: a daemon that finds no record of the stream concludes from the store where it began.
     async fn admit(&self, host: &str, origin: StreamOrigin);
@@ -171,6 +180,10 @@
 
 #[async_trait]
 impl StreamOrigins for NoOrigins {
+    fn version_to_begin_at(&self, _: &str, _: &AllowedRegions) -> Option<SoftwareVersion> {
+        None
+    }
+
     async fn admit(&self, _host: &str, _origin: StreamOrigin) {}
 
     fn note(&self, _stream: StreamKey, _host: &str, _origin: StreamOrigin) {}
