A corrected entry replaces what an odd one stated of a replica

Operators saw a replica that stayed out of use after its entry was right again: an entry with a wrong service, zone or number of slots had been read first, and the sound one under the same key changed nothing.

Cause: a replica that is listed again under its address, without a sign of another instance, kept its first record, also where the new one differs in the service, the place or the slots. Requests of the right service never saw it.

An instance doesn't change these, so that a row which does corrects an earlier one; the replica is then set up from the new record. Requests in progress keep the state under which they began.

The test lists a sound replica first under another service, then correctly, and waits until it is used.

--- a/crates/serving/src/replica_record.rs
+++ b/crates/serving/src/replica_record.rs
@@ -41,6 +41,17 @@
         is_other_start || reported.version != self.version
     }
 
+    /// True if `listed` is this instance, with the same address, service, place and slots. An instance never changes
+    /// these; a row that does corrects one that was wrong.
+    pub fn is_placed_like(&self, listed: &Self) -> bool {
+        !self.is_other_instance(listed) && self.placement() == listed.placement()
+    }
+
+    fn placement(&self) -> (&str, &str, &str, &str, u32) {
+        let (address, service) = (&self.address, &self.service);
+        (address, service, &self.zone, &self.region, self.slots)
+    }
+
     /// Returns the hash of this instance, by which daemons refer to it in datagrams.
     pub fn instance_hash(&self) -> u32 {
         self.born_ms.map_or_else(
--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -402,10 +402,7 @@
         Some(same.replica.clone())
     });
     match kept {
-        Some(replica)
-            if replica.record.address == record.address
-                && !replica.record.is_other_instance(&record) =>
-        {
+        Some(replica) if replica.record.is_placed_like(&record) => {
             replica.set_unlisted(false);
             if record.draining {
                 replica.set_draining();
