A service with very many cache tokens doesn't end the watch of the replicas

In a debug build, a daemon stopped following the replicas after a configuration with kv-tokens above 2^64 / 70: the next new replica's row ended the task of the watch ("attempt to multiply with overflow"), and all later rows were missed. In a release build the product wrapped, and the estimate of cached prompts was of any size.

The product now saturates.

--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -114,7 +114,7 @@
     ) -> Self {
         let draining = record.draining;
         let remaining = record.warmup;
-        let cache_tokens = memory_tokens * CACHE_SHARE_PERCENT / 100;
+        let cache_tokens = memory_tokens.saturating_mul(CACHE_SHARE_PERCENT) / 100;
         let replica = Self {
             hash: record.instance_hash(),
             location: Location::new(&record.zone, &record.region),
