Slots of replicas are bounded, so that their sums don't overflow

With two or more entries of very many slots, a release build computed the free share of a group from sums and products that had wrapped, so that full replicas passed for idle ones and the reverse. A debug build ended the request ("attempt to add with overflow"); callers saw a connection without a response.

Cause: slots come from an entry as they are, and are added up, also times 1,000, in 32 bits.

A replica's slots are now at most 65,535 for all uses, so that sums over a service fit, and the share is computed in 64 bits.

--- a/crates/serving/src/choice.rs
+++ b/crates/serving/src/choice.rs
@@ -231,12 +231,13 @@
 
 /// Share of the slots that are free or preemptible, in thousandths.
 fn free_permille(candidates: &[Candidate]) -> u32 {
-    let slots: u32 = candidates.iter().map(|one| one.slots).sum();
+    let slots: u64 = candidates.iter().map(|one| u64::from(one.slots)).sum();
     let free = candidates.iter().map(|one| {
         let non_preemptible = one.load.saturating_sub(one.preemptible);
-        one.slots.saturating_sub(non_preemptible)
+        u64::from(one.slots.saturating_sub(non_preemptible))
     });
-    free.sum::<u32>() * 1_000 / slots.max(1)
+    let permille = free.sum::<u64>() * 1_000 / slots.max(1);
+    u32::try_from(permille).unwrap_or(u32::MAX)
 }
 
 /// Replica that all daemons prefer for the prompt's last shared part: for long prompts among the replicas with
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -34,6 +34,10 @@
 /// one that restarts earlier under the same id is detected by the next request.
 const CRASHED_TTL: Duration = Duration::from_millis(4_000);
 
+/// Maximum of each count that comes from outside this process: a replica's slots, the requests in its load reports, and
+/// those of the peers. Sums over all replicas of a service fit in 32 bits.
+const MAX_COUNT: u32 = u16::MAX as u32;
+
 /// Class of a request in the load counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum WorkClass {
@@ -154,9 +158,9 @@
         millis(self.receiving_since.elapsed())
     }
 
-    /// Returns the number of requests that the replica serves concurrently, at least 1.
+    /// Returns the number of requests that the replica serves concurrently, from 1 to a maximum that no replica reaches.
     pub fn slots(&self) -> u32 {
-        self.record.slots.max(1)
+        self.record.slots.clamp(1, MAX_COUNT)
     }
 
     /// True if it is leaving, as its record or a response showed, and gets no new work.
