Reported loads are bounded, so that a replica with a very high one isn't idle

Cause: counts from outside were added up in 32 bits.

Each such count is bounded where the replica records it, and the sums of peers' counts saturate.

--- a/crates/edge/src/peer_loads.rs
+++ b/crates/edge/src/peer_loads.rs
@@ -95,8 +95,8 @@
         let mut sums: HashMap<u32, PeerCounts> = HashMap::new();
         for count in self.loads.values().flat_map(|load| &load.notice.counts) {
             let sum = sums.entry(count.replica).or_default();
-            sum.online += count.online;
-            sum.batch += count.batch;
+            sum.online = sum.online.saturating_add(count.online);
+            sum.batch = sum.batch.saturating_add(count.batch);
         }
         let reporting = self.loads.len().max(1);
         let scale = |count: u32| {
--- a/crates/edge/tests/peer_loads.rs
+++ b/crates/edge/tests/peer_loads.rs
@@ -75,3 +75,14 @@
     assert_eq!(loads.take_batch_slot(7, &mut random), None);
     assert_eq!(loads.sums(3)[&8].batch, 5);
 }
+
+/// Guards against a daemon that receives no more datagrams because the peers' numbers add up to more than can be counted.
+#[test]
+fn counts_at_their_limits_are_summed() {
+    let now = Instant::now();
+    let mut loads = PeerLoads::default();
+    for peer in ["a", "b"] {
+        assert!(loads.apply(notice(peer, u64::MAX, vec![count(7, u32::MAX)]), now));
+    }
+    assert_eq!(loads.sums(3)[&7].online, u32::MAX);
+}
--- a/crates/serving/src/replica.rs
+++ b/crates/serving/src/replica.rs
@@ -49,7 +49,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct LoadReport {
-    load: ReplicaLoad,
+    /// Requests running and waiting.
+    requests: u32,
     received_at: Instant,
     own_at_report: u32,
 }
@@ -287,8 +288,10 @@
     pub fn set_peer_counts(&self, online: u32, batch: u32) {
         let now = self.now_ms().max(1);
         self.peers_reported_at_ms.store(now, Ordering::Relaxed);
-        self.peers_online.store(online, Ordering::Relaxed);
-        self.peers_batch.store(batch, Ordering::Relaxed);
+        self.peers_online
+            .store(online.min(MAX_COUNT), Ordering::Relaxed);
+        self.peers_batch
+            .store(batch.min(MAX_COUNT), Ordering::Relaxed);
     }
 
     /// Decrements the peers' batch items after a peer was requested to preempt one.
@@ -318,8 +321,7 @@
         if harrierward_clock::age(report.received_at) > LOAD_REPORT_TTL {
             return counted;
         }
-        let reported = report.load.running + report.load.waiting;
-        let estimated = (reported + self.own_total()).saturating_sub(report.own_at_report);
+        let estimated = (report.requests + self.own_total()).saturating_sub(report.own_at_report);
         counted.max(estimated)
     }
 
@@ -358,7 +360,7 @@
     /// Applies a load report of the replica.
     pub fn note_load(&self, load: ReplicaLoad) {
         let report = LoadReport {
-            load,
+            requests: load.running.min(MAX_COUNT) + load.waiting.min(MAX_COUNT),
             received_at: harrierward_clock::now(),
             own_at_report: self.own_total(),
         };
