Tokens of prompt parts are summed without overflow

A caller whose Prompt-Prefix states parts of tokens got no response from a debug build ("attempt to add with overflow"); in a release build the sum wrapped, so that the replica with the longest cached prefix counted as one without it. Items of jobs and lease requests of peers carry such parts too.

The sums saturate, for all of these sources.

--- a/crates/serving/src/prompt.rs
+++ b/crates/serving/src/prompt.rs
@@ -34,10 +34,15 @@
 
     /// Returns the total length of the shared parts.
     pub fn shared_tokens(&self) -> u32 {
-        self.shared().iter().map(|part| part.tokens).sum()
+        sum_of_tokens(self.shared().iter())
     }
 }
 
+/// Returns the sum, or the maximum where callers state more than can be counted.
+fn sum_of_tokens<'a>(parts: impl Iterator<Item = &'a PromptPart>) -> u32 {
+    parts.fold(0, |sum: u32, part| sum.saturating_add(part.tokens))
+}
+
 /// Maximum number of parts tracked per replica.
 const MAX_PARTS: usize = 4096;
 
@@ -62,12 +67,11 @@
 
     /// Returns the length of the prompt's prefix that is probably cached.
     pub fn cached_tokens(&self, prompt: &Prompt) -> u32 {
-        prompt
+        let cached = prompt
             .parts
             .iter()
-            .take_while(|part| self.parts.contains(&part.id))
-            .map(|part| part.tokens)
-            .sum()
+            .take_while(|part| self.parts.contains(&part.id));
+        sum_of_tokens(cached)
     }
 
     /// Records that the prompt was sent to the replica. One that the cache can't hold evicts nothing: the replica refuses
--- a/crates/serving/tests/prefix_cache.rs
+++ b/crates/serving/tests/prefix_cache.rs
@@ -36,3 +36,13 @@
     assert_eq!(estimate.cached_tokens(&first), 0);
     assert_eq!(estimate.cached_tokens(&second), 6_000);
 }
+
+/// Guards against a daemon that ends a request whose caller states more tokens than can be counted.
+#[test]
+fn parts_with_the_highest_number_of_tokens_are_summed() {
+    let large = prompt(&[(1, u32::MAX), (2, u32::MAX), (3, 1)]);
+    let mut estimate = PrefixCacheEstimate::new(u64::MAX);
+    estimate.note(&large);
+    assert_eq!(estimate.cached_tokens(&large), u32::MAX);
+    assert_eq!(large.shared_tokens(), u32::MAX);
+}
