A job with more tokens than can be counted doesn't pass its route's quota

A job of two items with 2^63 tokens each fitted into any quota of a release build: the sum wrapped to 0, and so did the sum with what was waiting. A debug build closed the connection without a response ("attempt to add with overflow"). The same sums are made of all headers in the store, at each submission.

Sums of tokens saturate, in the submission, in the view of the headers and in the ledger of grants.

--- a/crates/inline-jobs/src/lib.rs
+++ b/crates/inline-jobs/src/lib.rs
@@ -34,6 +34,7 @@
 mod store;
 mod submit;
 mod takeover;
+mod tokens;
 mod view;
 
 pub use fruitless::FruitlessAttempts;
--- a/crates/inline-jobs/src/quota_ledger.rs
+++ b/crates/inline-jobs/src/quota_ledger.rs
@@ -11,6 +11,8 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::tokens::sum_of_tokens;
+
 /// How long a grant may stay without its job's header. Then the fence is rewritten, which voids all older grants.
 const GRANT_TTL: Duration = Duration::from_secs(8);
 
@@ -125,12 +127,13 @@
         let additional = request.tokens.saturating_sub(granted_before);
         let tenant = xxh3_64(request.tenant.as_bytes());
         let tenant_grants = quota.grants.values().filter(|grant| grant.tenant == tenant);
-        let granted: u64 = tenant_grants.map(|grant| grant.tokens).sum();
-        if additional > 0 && usage.waiting + granted + additional > usage.limit {
+        let granted = tenant_grants.map(|grant| grant.tokens);
+        let charged = sum_of_tokens(granted.chain([usage.waiting, additional]));
+        if additional > 0 && charged > usage.limit {
             return QuotaDecision::Full;
         }
         if let Some(grant) = quota.grants.get_mut(request.job) {
-            grant.tokens += additional;
+            grant.tokens = grant.tokens.saturating_add(additional);
             grant.submissions.insert(request.submission);
             return QuotaDecision::Granted { fence };
         }
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -16,6 +16,7 @@
 use crate::quota_ledger::QuotaRequest;
 use crate::service::InlineJobs;
 use crate::store::WriteOutcome;
+use crate::tokens::sum_of_tokens;
 use crate::view::KnownHeader;
 
 /// Items per job.
@@ -257,7 +258,7 @@
 }
 
 fn tokens_of(job: &SubmittedJob) -> u64 {
-    job.items.iter().map(|item| item.tokens).sum()
+    sum_of_tokens(job.items.iter().map(|item| item.tokens))
 }
 
 fn validate(job: &SubmittedJob) -> Result<(), &'static str> {
--- a/crates/inline-jobs/src/view.rs
+++ b/crates/inline-jobs/src/view.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::store::KnownFence;
+use crate::tokens::sum_of_tokens;
 
 /// A job header and the revision at which it was read.
 #[derive(Debug, Clone, PartialEq)]
@@ -36,15 +37,14 @@
         if self.header.ended {
             return 0;
         }
-        let all: u64 = self.header.items.iter().map(|item| item.tokens).sum();
-        let listed: u64 = self
+        let all = self.header.items.iter().map(|item| item.tokens);
+        let listed = self
             .header
             .listed
             .iter()
             .filter_map(|number| self.header.items.get(*number as usize))
-            .map(|item| item.tokens)
-            .sum();
-        all.saturating_sub(listed)
+            .map(|item| item.tokens);
+        sum_of_tokens(all).saturating_sub(sum_of_tokens(listed))
     }
 }
 
@@ -239,9 +239,9 @@
     pub fn waiting_tokens(&self, route: &str, tenant: &str) -> u64 {
         let state = self.lock();
         let headers = state.headers.values();
-        headers
+        let waiting = headers
             .filter(|known| known.header.route == route && known.header.tenant == tenant)
-            .map(KnownHeader::waiting_tokens)
-            .sum()
+            .map(KnownHeader::waiting_tokens);
+        sum_of_tokens(waiting)
     }
 }
