A membership record of an impossible incarnation is ignored

After one datagram with a record of the highest incarnation of a member, that member refuted it with the next one: a debug build ended the task that receives datagrams ("attempt to add with overflow"), so that others soon counted the daemon as dead. In a release build the incarnation wrapped to 0, and the daemon stayed dead in all views until its next start.

Incarnations begin at 1 and rise by 1 for each refutation. Records from 2^48 on are ignored, about any member.

--- a/crates/membership/src/core/mod.rs
+++ b/crates/membership/src/core/mod.rs
@@ -114,6 +114,9 @@
     MemberState::try_from(record.state).unwrap_or(MemberState::Dead)
 }
 
+/// Records from this incarnation on are ignored: no member refutes so often, and nothing could supersede the last one.
+const MAX_INCARNATION: u64 = 1 << 48;
+
 /// True if `new` replaces `old`: a higher incarnation, or the same with a later state (alive, suspect, leaving, dead).
 fn supersedes(new: &MemberRecord, old: &MemberRecord) -> bool {
     (new.incarnation, new.state) > (old.incarnation, old.state)
@@ -352,6 +355,9 @@
     }
 
     fn merge_record(&mut self, mut record: MemberRecord, source: Source, now: Duration) {
+        if record.incarnation >= MAX_INCARNATION {
+            return;
+        }
         if record.id == self.own.id {
             self.refute(&record);
             return;
