A job header of an impossible epoch is skipped

One header row with the highest epoch and an owner that is gone made daemons adopt the job again and again: in a debug build each try ended its task ("attempt to add with overflow" where the epoch is raised), in a release build the epoch would start again at 0, below that of every earlier owner.

Epochs rise by 1 with each adoption. A row with an epoch from 2^48 on now counts as unreadable, like a row that can't be decoded; the count of takeovers saturates.

The test writes such headers, with all other numbers at their limits too, beside crash reports, fences, versions and streams at theirs; it failed at the addition before.

--- a/crates/inline-jobs/src/adoption_order.rs
+++ b/crates/inline-jobs/src/adoption_order.rs
@@ -35,7 +35,9 @@
         owner: instance_id.to_owned(),
         last_owner: String::new(),
         challenger: String::new(),
-        takeovers: header.takeovers + u32::from(!header.challenger.is_empty()),
+        takeovers: header
+            .takeovers
+            .saturating_add(u32::from(!header.challenger.is_empty())),
         // An owner that did not release the job may have stopped before it stored its last failures.
         failures_are_complete: header.failures_are_complete && header.owner.is_empty(),
         epoch: header.epoch + 1,
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -11,7 +11,7 @@
 use harrierward_ownership::OwnerStatus;
 use harrierward_serving::Forwarder;
 use harrierward_tenants::AllowedRegions;
-use harrierward_wire::{JobFailures, JobHeadRow, QuotaOutcome, decode_job_header};
+use harrierward_wire::{JobFailures, JobHeadRow, QuotaOutcome};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -21,7 +21,7 @@
 use crate::quota_ledger::{QuotaLedger, QuotaRequest};
 use crate::registry::JobRegistry;
 use crate::reported_failures::ReportedFailures;
-use crate::store::JobStore;
+use crate::store::{JobStore, parse_header};
 use crate::takeover::JobTakeovers;
 use crate::view::{JobView, KnownHeader};
 
@@ -205,7 +205,7 @@
 
     /// Decodes and applies the row of a header; ignores a row that cannot be decoded.
     pub fn note_header_row(&self, value: &Bytes, revision: u64) {
-        if let Some(header) = decode_job_header(value) {
+        if let Some(header) = parse_header(value) {
             self.note_header(KnownHeader { header, revision });
         }
     }
--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -126,9 +126,17 @@
     }
 }
 
+/// Headers of this epoch and later ones are malformed: no job is adopted so often.
+const EPOCH_LIMIT: u64 = 1 << 48;
+
+/// Returns the header in a row; `None` if the row is malformed.
+pub(crate) fn parse_header(value: &[u8]) -> Option<JobHeadRow> {
+    decode_job_header(value).filter(|header| header.epoch < EPOCH_LIMIT)
+}
+
 fn known(row: &Row) -> Option<KnownHeader> {
     Some(KnownHeader {
-        header: decode_job_header(&row.value)?,
+        header: parse_header(&row.value)?,
         revision: row.revision,
     })
 }
