Log and metric: malformed rows among the job headers

An operator could not see that another writer had left rows in the space of the job headers: malformed headers, fences and crash reports were skipped without a word, while malformed entries of replicas and rows on streams are logged.

Such a row is now counted and logged, at most one line a second however many there are: job_row_rejected, and harrierward_job_rows_rejected.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -55,6 +55,7 @@
     replicas_ejected: IntGauge,
     replica_crashes: IntCounterVec,
     replicas_rejected: IntGauge,
+    job_rows_rejected: IntGauge,
     contents_quarantined: IntGauge,
     spaces: SpaceMetrics,
     tenants: Arc<Mutex<BTreeSet<String>>>,
@@ -270,6 +271,10 @@
                 "harrierward_replica_entries_rejected",
                 "Entries of replicas since the start that could not be read, as last told",
             )?,
+            job_rows_rejected: metrics.gauge(
+                "harrierward_job_rows_rejected",
+                "Rows among the job headers since the start that could not be read, as last logged",
+            )?,
             contents_quarantined: metrics.gauge(
                 "harrierward_contents_held",
                 "Contents that are held back since replicas ended under them",
@@ -431,6 +436,10 @@
                 self.replicas_rejected
                     .set(i64::try_from(*rejected).unwrap_or(i64::MAX));
             }
+            Record::JobRowRejected { rejected, .. } => {
+                self.job_rows_rejected
+                    .set(i64::try_from(*rejected).unwrap_or(i64::MAX));
+            }
             Record::ReplicaEnded { known_by, .. } => {
                 self.replica_crashes.with_label_values(&[*known_by]).inc();
             }
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -503,6 +503,15 @@
         /// What the store showed: `sole version`, `record`, `no record`, `unread` (no response in time), or `not asked`.
         store: &'a str,
     },
+    /// A row in the space of the job headers is malformed and is ignored. Logged at most once per second.
+    JobRowRejected {
+        /// Key of the row.
+        row: &'a str,
+        /// Revision of the row.
+        revision: u64,
+        /// Malformed rows since the start.
+        rejected: u64,
+    },
     /// A row on streams can't be decoded. Logged at most once for each revision of a row.
     StreamRowRejected {
         /// Key of the row.
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::pool::ConnectionPool;
 use crate::quarantine::{QuarantineService, QuarantinedContents};
 use crate::rates::RateService;
+use crate::rejected_rows::RejectedRows;
 use crate::relay::{HttpPeers, SpaceReplies};
 use crate::server::{HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
@@ -238,6 +239,7 @@
             jobs: jobs.clone(),
             quarantine: quarantine.clone(),
             streams: streams.clone(),
+            rejected: RejectedRows::new(log.clone()),
         };
         let audited = start_watches(&discovery, source.as_ref(), headers, &intervals, &log);
         let instance_id = members.instance_id().to_owned();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod pool;
 mod quarantine;
 mod rates;
+mod rejected_rows;
 mod relay;
 mod rendezvous;
 mod response_budget;
--- a/crates/edge/src/quarantine/store_row.rs
+++ b/crates/edge/src/quarantine/store_row.rs
@@ -144,10 +144,11 @@
         }
     }
 
-    /// Merges a row of any daemon, read when the store's clock was at `store_now_ms`.
-    pub fn apply_stored(&self, row: &Row, store_now_ms: u64) {
+    /// Merges a row of any daemon, read when the store's clock was at `store_now_ms`. Returns false, and ignores the row,
+    /// if it is malformed.
+    pub fn apply_stored(&self, row: &Row, store_now_ms: u64) -> bool {
         let Some((stored, reports)) = parse(&row.value) else {
-            return;
+            return false;
         };
         let is_own = stored.life == self.inner.instance_id;
         let own_row = &self.inner.own_row;
@@ -159,6 +160,7 @@
             let age_ms = store_now_ms.saturating_sub(stored.written_ms);
             self.merge_reports(&aged(reports, age_ms), "store");
         }
+        true
     }
 
     fn log_store_lost(&self, error: &PlatformError) {
--- a/crates/edge/src/watches.rs
+++ b/crates/edge/src/watches.rs
@@ -15,6 +15,7 @@
 use crate::audits::AuditedSpace;
 use crate::discovery::{Discovery, DiscoverySource};
 use crate::quarantine::QuarantineService;
+use crate::rejected_rows::RejectedRows;
 use crate::settings::EdgeSettings;
 use crate::streams::StreamService;
 
@@ -100,7 +101,7 @@
 pub(crate) fn start_watches(
     discovery: &Arc<Discovery>,
     source: &dyn DiscoverySource,
-    job_rows: JobRowHandler,
+    mut job_rows: JobRowHandler,
     intervals: &WatchIntervals,
     log: &DecisionLog,
 ) -> Vec<AuditedSpace> {
@@ -198,20 +199,28 @@
     pub jobs: InlineJobs,
     pub quarantine: QuarantineService,
     pub streams: Arc<StreamService>,
+    pub rejected: RejectedRows,
 }
 
 impl JobRowHandler {
-    fn apply(&self, update: &SpaceUpdate) {
+    fn apply(&mut self, update: &SpaceUpdate) {
         let view = self.jobs.view();
         view.note_revision(update.revision);
         for row in &update.written {
-            match row_kind(&row.key) {
+            let is_readable = match row_kind(&row.key) {
                 RowKind::Header => self.jobs.note_header_row(&row.value, row.revision),
                 RowKind::Fence => view.update_fence_row(&row.value, row.revision),
                 // Applied before `note_proof` publishes the store's time, without which no such row is written: a new
                 // instance must read the row of its predecessor before it overwrites it.
                 RowKind::CrashReports => self.quarantine.apply_stored(row, update.store_time_ms),
-                RowKind::OriginSet => self.streams.apply_origin_set(row),
+                RowKind::OriginSet => {
+                    // Logged with what is concluded of its streams.
+                    self.streams.apply_origin_set(row);
+                    true
+                }
+            };
+            if !is_readable {
+                self.rejected.note(row);
             }
         }
         for key in &update.removed {
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -203,11 +203,14 @@
         }
     }
 
-    /// Decodes and applies the row of a header; ignores a row that cannot be decoded.
-    pub fn note_header_row(&self, value: &Bytes, revision: u64) {
-        if let Some(header) = parse_header(value) {
+    /// Decodes and applies the row of a header. Returns false, and ignores the row, if it is malformed.
+    pub fn note_header_row(&self, value: &Bytes, revision: u64) -> bool {
+        let header = parse_header(value);
+        let is_readable = header.is_some();
+        if let Some(header) = header {
             self.note_header(KnownHeader { header, revision });
         }
+        is_readable
     }
 
     /// Updates the registry for a newer header: loads, updates or drops the job.
--- a/crates/inline-jobs/src/view.rs
+++ b/crates/inline-jobs/src/view.rs
@@ -145,15 +145,18 @@
         })
     }
 
-    /// Decodes and applies the row of a fence; ignores a row that cannot be decoded.
-    pub fn update_fence_row(&self, value: &Bytes, revision: u64) {
-        if let Some(row) = decode::<QuotaFenceRow>(value) {
+    /// Decodes and applies the row of a fence. Returns false, and ignores the row, if it is malformed.
+    pub fn update_fence_row(&self, value: &Bytes, revision: u64) -> bool {
+        let row = decode::<QuotaFenceRow>(value);
+        let is_readable = row.is_some();
+        if let Some(row) = row {
             let fence = KnownFence {
                 coordinator: row.coordinator,
                 revision,
             };
             self.update_fence(&row.route, fence);
         }
+        is_readable
     }
 
     /// Applies a route's fence, unless a newer one is known.
