A response without a body ends as whole, in the log and for the quarantine

What callers saw: nothing; they had it whole. The log and the metrics said `caller left`, the replica's outcome wasn't counted, and the quarantine didn't learn that the request had completed.

Cause: the HTTP library doesn't read a body that is stated to be empty or that the status excludes, so that the relay was dropped before its end. Evidence: `ended` with `caller left` for a length of 0, 204 and 304.

Change: where the replica's header section excludes a body or states a length of 0, its end is taken before the head is passed on. Nothing is waited for: the replica's body has ended with the header section. Which responses exclude a body was decided in two places, and is now in one (`excludes_body`).

HEAD goes the same way, by reading.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -15,9 +15,9 @@
 use futures::Stream;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::http::ends_in_chunks;
-use harrierward_serving::BodyDelimiter;
+use harrierward_serving::{BodyDelimiter, excludes_body};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, Method, Request, StatusCode, response};
+use http::{HeaderMap, Method, Request, response};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -416,12 +416,7 @@
 
 /// How the end of a response's body is marked (RFC 9112, section 6.3).
 fn delimiter_of(method: &Method, head: &response::Parts) -> BodyDelimiter {
-    let has_no_body = method == Method::HEAD
-        || matches!(
-            head.status,
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
-    if has_no_body {
+    if excludes_body(method, head.status.as_u16()) {
         return BodyDelimiter::Length;
     }
     if head.headers.contains_key(TRANSFER_ENCODING) {
--- a/crates/edge/src/server/delimiter.rs
+++ b/crates/edge/src/server/delimiter.rs
@@ -1,8 +1,8 @@
 //! How the end of a response is marked for its caller.
 
-use harrierward_serving::BodyDelimiter;
+use harrierward_serving::{BodyDelimiter, excludes_body};
 use http::header::CONTENT_LENGTH;
-use http::{Method, Response, StatusCode, Version};
+use http::{Method, Response, Version};
 use hyper::body::Body;
 
 use super::ResponseBody;
@@ -16,7 +16,7 @@
 impl RequestFraming {
     /// Returns how the HTTP library delimits a response to the request.
     pub fn delimiter_of(&self, response: &Response<ResponseBody>) -> BodyDelimiter {
-        if self.excludes_body(response) || states_length(response) {
+        if excludes_body(&self.method, response.status().as_u16()) || states_length(response) {
             BodyDelimiter::Length
         } else if self.version < Version::HTTP_11 {
             BodyDelimiter::Close
@@ -24,13 +24,6 @@
             BodyDelimiter::Chunks
         }
     }
-
-    /// True if the response has no body, whatever its headers state.
-    fn excludes_body(&self, response: &Response<ResponseBody>) -> bool {
-        let status = response.status();
-        self.method == Method::HEAD
-            || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
-    }
 }
 
 fn states_length(response: &Response<ResponseBody>) -> bool {
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures::Stream;
 use harrierward_tenants::{AllowedRegions, ApiKey};
-use http::{HeaderMap, Method};
+use http::{HeaderMap, Method, StatusCode};
 
 use crate::prompt::Prompt;
 use harrierward_stream_origins::SoftwareVersion;
@@ -110,6 +110,12 @@
     }
 }
 
+/// True if a response to this method with this status has no body, whatever its headers state (RFC 9112, section 6.3).
+pub fn excludes_body(method: &Method, status: u16) -> bool {
+    let statuses = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+    method == Method::HEAD || statuses.iter().any(|one| *one == status)
+}
+
 /// Bytes of a response body. Ends without an error once its delimiter has arrived; dropping it closes the connection.
 pub type ReplicaBody = Pin<Box<dyn Stream<Item = Result<Bytes, BodyError>> + Send>>;
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -61,7 +61,7 @@
 pub use events::StreamEvent;
 pub use exchange::{
     BodyDelimiter, BodyError, ExchangeError, Misdirected, ReplicaBody, ReplicaClient, ReplicaLoad,
-    ReplicaRequest, ReplicaResponse, ServingRequest,
+    ReplicaRequest, ReplicaResponse, ServingRequest, excludes_body,
 };
 pub use forwarder::{Forwarder, ForwarderParts, ForwarderSettings, SharedRoutes};
 pub use gate::{GateDenial, GateRequest, admits_version, check_gate};
--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -127,6 +127,15 @@
         self.state.route.is_resumable() && self.format == BodyFormat::Events
     }
 
+    /// Takes the end of a response whose header section shows that it has no body.
+    pub async fn end_without_body(&mut self) {
+        let has_ended = matches!(self.step().await, Step::End);
+        if has_ended && self.parser.end() == BodyEnd::Whole {
+            self.note_whole();
+            self.finish_whole();
+        }
+    }
+
     async fn next(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
         loop {
             if let Some(bytes) = self.ready.pop_front() {
@@ -285,12 +294,7 @@
     async fn end(&mut self) -> Result<(), ResponseAborted> {
         match self.parser.end() {
             BodyEnd::Whole => {
-                if self.status < MIN_ERROR_STATUS {
-                    self.conclude(AttemptOutcome::Served);
-                }
-                if let Some(in_progress) = &self.in_progress {
-                    in_progress.note_complete(self.parser.delimiter());
-                }
+                self.note_whole();
                 if self.parser.is_end_proven() {
                     self.finish_whole();
                 } else {
@@ -310,6 +314,15 @@
         }
     }
 
+    fn note_whole(&self) {
+        if self.status < MIN_ERROR_STATUS {
+            self.conclude(AttemptOutcome::Served);
+        }
+        if let Some(in_progress) = &self.in_progress {
+            in_progress.note_complete(self.parser.delimiter());
+        }
+    }
+
     /// Goes on with a response that may confirm the end; without one the response counts as whole.
     async fn end_unconfirmed(&mut self) {
         if !self.confirm_end().await {
--- a/crates/serving/src/serve.rs
+++ b/crates/serving/src/serve.rs
@@ -6,11 +6,12 @@
 use futures::StreamExt;
 use harrierward_execution::{Execution, implies_not_run};
 use harrierward_quarantine::QuarantinePeriod;
+use http::Method;
 use http::header::CONTENT_LENGTH;
 use tokio::time::Instant;
 
 use crate::attempt::{Attempt, AttemptFailure, AttemptOptions};
-use crate::exchange::{BodyDelimiter, ServingRequest};
+use crate::exchange::{BodyDelimiter, ReplicaResponse, ServingRequest, excludes_body};
 use crate::forwarder::{Forwarder, RETRY_AFTER, refuse_unsent};
 use crate::policy::Mechanism;
 use crate::refusals::RefusalScope;
@@ -50,7 +51,7 @@
                 Ok(attempt) if self.should_retry(&attempt, &state) => {
                     state.execution.merge(Execution::Ran);
                 }
-                Ok(attempt) => return self.respond(state, attempt),
+                Ok(attempt) => return self.respond(state, attempt).await,
                 Err(failure) => self.note_failure(&mut state, &failure).await?,
             }
         }
@@ -206,7 +207,7 @@
     }
 
     /// Returns the response of an attempt, whose body is still to be relayed.
-    fn respond(
+    async fn respond(
         &self,
         mut state: RequestState,
         attempt: Attempt,
@@ -223,7 +224,12 @@
         }
         let mut headers = attempt.response.headers.clone();
         let delimiter = attempt.response.delimiter;
-        let relay = Relay::new(self.clone(), state, attempt);
+        let has_body = has_body(&state.request.method, &attempt.response);
+        let mut relay = Relay::new(self.clone(), state, attempt);
+        if !has_body {
+            // The caller's HTTP library doesn't read it to its end.
+            relay.end_without_body().await;
+        }
         if relay.is_resumable() || delimiter != BodyDelimiter::Length {
             // Events of another replica may follow, or the length isn't what delimits the replica's body.
             headers.remove(CONTENT_LENGTH);
@@ -236,6 +242,14 @@
     }
 }
 
+/// True unless the header section excludes a body, or states that it is empty.
+fn has_body(method: &Method, response: &ReplicaResponse) -> bool {
+    let length = response.headers.get(CONTENT_LENGTH);
+    let is_empty = length.is_some_and(|length| length == "0");
+    let is_delimited = response.delimiter == BodyDelimiter::Length;
+    !(is_delimited && (is_empty || excludes_body(method, response.status)))
+}
+
 /// Refusal of a request that is abandoned after its attempts.
 fn abandon(cause: RefusalCause, state: &RequestState) -> Refusal {
     let is_late = state.clock.remaining_hold().is_zero();
