A resumable stream that lacks an event counts as broken off

What callers would see (ORDER): a stream that was complete with events 1, 2 and 4; one that began with event 2; and, taken up by its caller after event 2, one that went on with event 4. Each with status 200 and a whole body.

Cause: the relay dropped events that the caller had, and passed on any later one, whatever its number. A batch item's run has always refused a gap; the two rules stood apart.

Change: one rule for both (`EventPlace`). A response with a gap is corrupt: the replica is charged for it, and the stream goes on at another replica after the last event that the caller has, or is cut, so that the caller sees that it is incomplete. Events without a number, and routes that don't resume, are passed on as before.

Ruled out: that replicas number with gaps.

--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -6,9 +6,9 @@
 use futures::StreamExt;
 use harrierward_serving::{
     Asked, Attempt, AttemptFailure, AttemptOptions, AttemptOutcome, AttemptTimeouts, BodyEnd,
-    BodyFormat, BodyParser, BodyPart, ContinuedStream, EventsLeft, Forwarder, InProgress,
-    KnownOrigin, Placement, RefusalScope, Replica, ReplicaRefusal, ServingRequest, StreamEvent,
-    wait_for_progress,
+    BodyFormat, BodyParser, BodyPart, BreakCause, ContinuedStream, EventPlace, EventsLeft,
+    Forwarder, InProgress, KnownOrigin, Placement, RefusalScope, Replica, ReplicaRefusal,
+    ServingRequest, StreamEvent, wait_for_progress,
 };
 use tokio::time::Instant;
 
@@ -186,7 +186,7 @@
         let last_event = lock(progress).last_event;
         if let Err(cause) = append_events(progress, parser, bytes, &replica) {
             in_progress.conclude(AttemptOutcome::Corrupt);
-            return RunOutcome::Broken(cause);
+            return RunOutcome::Broken(cause.to_string());
         }
         if lock(progress).last_event != last_event {
             last_event_at = Instant::now();
@@ -238,8 +238,8 @@
     parser: &mut BodyParser,
     bytes: Bytes,
     replica: &Replica,
-) -> Result<(), String> {
-    parser.push(bytes).map_err(|cause| cause.to_string())?;
+) -> Result<(), BreakCause> {
+    parser.push(bytes)?;
     while let Some(part) = parser.next_part() {
         if let BodyPart::Event(event) = part
             && append_event(progress, &event, replica)?
@@ -250,26 +250,21 @@
     Ok(())
 }
 
-/// Maximum number of the first event of an item.
-const MAX_FIRST_EVENT: u64 = 1;
-
 /// Appends an event to the item's output. Returns false for an event without a number and one that was received
 /// before; fails if events before this one are missing.
 fn append_event(
     progress: &SharedProgress,
     event: &StreamEvent,
     replica: &Replica,
-) -> Result<bool, &'static str> {
+) -> Result<bool, BreakCause> {
     let Some(id) = event.id else {
         return Ok(false);
     };
     let mut progress = lock(progress);
-    if progress.last_event.is_some_and(|last| id <= last) {
-        return Ok(false);
-    }
-    let next = progress.last_event.map_or(MAX_FIRST_EVENT, |last| last + 1);
-    if id > next {
-        return Err("an event is missing");
+    match EventPlace::of(id, progress.last_event) {
+        EventPlace::Received => return Ok(false),
+        EventPlace::AfterGap => return Err(BreakCause::MissingEvent),
+        EventPlace::Next => {}
     }
     progress.last_event = Some(id);
     let origin = || KnownOrigin::received_from(replica);
--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -150,6 +150,9 @@
     /// An event exceeds the size up to which events are held back.
     #[error("an event is too large")]
     OversizedEvent,
+    /// An event arrived, and not the one before it.
+    #[error("an event is missing")]
+    MissingEvent,
     /// Too many bytes arrived without a new event.
     #[error("bytes without a new event")]
     NoNewEvent,
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -5,6 +5,34 @@
 /// Mark that may precede the first event.
 const BYTE_ORDER_MARK: char = '\u{feff}';
 
+/// Maximum number of the first event of a stream.
+const MAX_FIRST_EVENT: u64 = 1;
+
+/// Place of a numbered event after those that the recipient has; streams number their events without gaps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EventPlace {
+    /// The recipient has it.
+    Received,
+    /// It follows the last one that the recipient has.
+    Next,
+    /// The recipient lacks events before it.
+    AfterGap,
+}
+
+impl EventPlace {
+    /// Returns the place of event `id` after event `last`; `None` stands for no event.
+    pub fn of(id: u64, last: Option<u64>) -> Self {
+        let next = last.map_or(MAX_FIRST_EVENT, |last| last.saturating_add(1));
+        if last.is_some_and(|last| id <= last) {
+            Self::Received
+        } else if id > next {
+            Self::AfterGap
+        } else {
+            Self::Next
+        }
+    }
+}
+
 /// Complete event of a stream, or a comment or blank line between two events.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamEvent {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -58,7 +58,7 @@
 pub use evacuation::{
     EvacuatedZones, EvacuationRows, EvacuationState, EvacuationUpdate, ZoneChange,
 };
-pub use events::StreamEvent;
+pub use events::{EventPlace, StreamEvent};
 pub use exchange::{
     BodyDelimiter, BodyError, ExchangeError, Misdirected, ReplicaBody, ReplicaClient, ReplicaLoad,
     ReplicaRequest, ReplicaResponse, ServingRequest, excludes_body,
--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::attempt::{Attempt, wait_for_progress};
 use crate::body::{BodyEnd, BodyFormat, BodyParser, BodyPart, BreakCause, EventsLeft};
-use crate::events::StreamEvent;
+use crate::events::{EventPlace, StreamEvent};
 use crate::exchange::ReplicaBody;
 use crate::forwarder::Forwarder;
 use crate::in_progress::InProgress;
@@ -229,18 +229,29 @@
         while let Some(part) = self.parser.next_part() {
             match part {
                 BodyPart::Bytes(bytes) => self.ready.push_back(bytes),
-                BodyPart::Event(event) if self.is_duplicate(&event) => {}
-                BodyPart::Event(event) => {
-                    self.parser.note_new(&event);
-                    self.note_origin();
-                    self.delivered = event.id.or(self.delivered);
-                    self.ready.push_back(event.raw);
-                }
+                BodyPart::Event(event) => match self.place_of(&event) {
+                    Some(EventPlace::Received) => {}
+                    Some(EventPlace::AfterGap) => return Err(BreakCause::MissingEvent),
+                    Some(EventPlace::Next) | None => self.pass_on(event),
+                },
             }
         }
         Ok(())
     }
 
+    /// Returns the place of a numbered event; `None` if the numbers of the stream's events mean nothing.
+    fn place_of(&self, event: &StreamEvent) -> Option<EventPlace> {
+        let id = event.id.filter(|_| self.is_resumable())?;
+        Some(EventPlace::of(id, self.delivered))
+    }
+
+    fn pass_on(&mut self, event: StreamEvent) {
+        self.parser.note_new(&event);
+        self.note_origin();
+        self.delivered = event.id.or(self.delivered);
+        self.ready.push_back(event.raw);
+    }
+
     /// Waits until streams may begin at the version that writes the first event.
     async fn admit_origin(&mut self) {
         let Some(in_progress) = &self.in_progress else {
@@ -282,14 +293,6 @@
         known.map(|known| known.origin.version)
     }
 
-    /// True if the caller has the event already, from the replica at which the stream began.
-    fn is_duplicate(&self, event: &StreamEvent) -> bool {
-        let (Some(id), Some(last)) = (event.id, self.delivered) else {
-            return false;
-        };
-        self.is_resumable() && id <= last
-    }
-
     /// Finishes a whole response; resumes one that the replica broke off.
     async fn end(&mut self) -> Result<(), ResponseAborted> {
         match self.parser.end() {
