A row of origins that another writer removed is stored again, whatever arrives late

Cause: after the removal of a row (by another writer; this project never removes one) its known revision was 0, so that an earlier reading of it which arrived later counted as its present content until the daemon's next check or write.

Change: what is known of a row has the revision of the table as of which it is known, present or absent; each reading, check, conflict and watch names one, and earlier ones are ignored. A late report of an absence no longer undoes what the daemon has written since, either (a read healed that before). A row that can't be read is logged when it becomes so, not at each write of it.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -48,3 +48,4 @@
 pub use server::{HttpService, RequestId, ResponseBody, ServerControl, ServerStage, serve};
 pub use settings::{AdvertisedAddresses, EdgeSettings};
 pub use slots::{CoordinatorCandidate, Pacing, PreemptItems, SlotService};
+pub use streams::{StreamService, StreamStoreParts};
--- a/crates/edge/src/streams/mod.rs
+++ b/crates/edge/src/streams/mod.rs
@@ -183,14 +183,14 @@
         self.members.store(Arc::new(members));
     }
 
-    /// Learns that the row with this key is gone, from the watch of the store.
-    pub fn origin_set_removed(&self, key: &str) {
-        self.store.origins.removed(key);
+    /// Learns that the row with this key is gone, from the watch of the store, as of this revision of the table.
+    pub fn origin_set_removed(&self, key: &str, as_of: u64) {
+        self.store.origins.removed(key, as_of);
     }
 
-    /// Learns a row that holds where streams may have begun, from the watch of the store.
-    pub fn apply_origin_set(&self, row: &Row) {
-        self.store.origins.apply(row);
+    /// Learns a row that holds where streams may have begun, from the watch of the store, as of this revision of the table.
+    pub fn apply_origin_set(&self, row: &Row, as_of: u64) {
+        self.store.origins.apply(row, as_of);
     }
 
     /// Records that the store's changes up to this moment are known.
@@ -292,7 +292,7 @@
         services.collect()
     }
 
-    /// Returns the services to which each host's routes with resumable streams lead.
+    /// Returns the services to which each host's routes with streams lead.
     fn routed_services(&self) -> OriginsInUse {
         let mut used = OriginsInUse::new();
         let routes = self.routes.load();
--- a/crates/edge/src/streams/origin_sets.rs
+++ b/crates/edge/src/streams/origin_sets.rs
@@ -78,6 +78,9 @@
     pub seen: OriginSet,
     /// Revision of the row; 0 if there is none.
     pub revision: u64,
+    /// Revision of the table as of which the row is known, present or absent. Earlier readings that arrive later are
+    /// ignored.
+    pub as_of: u64,
 }
 
 impl KnownOrigins {
@@ -138,17 +141,17 @@
         services
     }
 
-    /// Learns a row, from a watch.
-    pub fn apply(&self, row: &Row) {
+    /// Learns a row, from a watch; `as_of` is a revision of the table that shows the row so.
+    pub fn apply(&self, row: &Row, as_of: u64) {
         if let Some(subject) = Subject::of_key(&row.key) {
-            self.learn_row(subject, &row.value, row.revision);
+            self.learn_row(subject, &row.value, row.revision, as_of);
         }
     }
 
     /// Learns a row's content. Where it can't be read, a stream may have begun anywhere.
-    fn learn_row(&self, subject: Subject, value: &Bytes, revision: u64) {
+    fn learn_row(&self, subject: Subject, value: &Bytes, revision: u64, as_of: u64) {
         let members = parse(value, subject);
-        if members.is_none() && revision > self.known(subject).revision {
+        if members.is_none() && !self.known(subject).stored.is_any() {
             self.log.record(&Record::StreamRowRejected {
                 row: &subject.key(),
                 revision,
@@ -156,31 +159,36 @@
             });
         }
         let members = members.unwrap_or_else(OriginSet::any);
-        self.learn(subject, &members, revision);
+        self.learn(subject, &members, revision, as_of);
     }
 
-    fn learn(&self, subject: Subject, stored: &OriginSet, revision: u64) {
+    fn learn(&self, subject: Subject, stored: &OriginSet, revision: u64, as_of: u64) {
+        let as_of = as_of.max(revision);
         self.update(subject, |known| {
             known.seen.merge(stored);
-            if revision >= known.revision {
+            if revision >= known.revision && as_of >= known.as_of {
                 known.revision = revision;
+                known.as_of = as_of;
                 known.stored = stored.clone();
             }
         });
     }
 
-    /// Learns that the row with this key is gone, from a watch. It is stored again.
-    pub fn removed(&self, key: &str) {
+    /// Learns that there is no row with this key at revision `as_of` of the table, from a watch. It is stored again.
+    pub fn removed(&self, key: &str, as_of: u64) {
         if let Some(subject) = Subject::of_key(key) {
-            self.learn_absence(subject);
+            self.learn_absence(subject, as_of);
         }
     }
 
-    /// Learns that there is no row.
-    fn learn_absence(&self, subject: Subject) {
+    /// Learns that there is no row at revision `as_of` of the table.
+    fn learn_absence(&self, subject: Subject, as_of: u64) {
         self.update(subject, |known| {
-            known.revision = 0;
-            known.stored = OriginSet::default();
+            if as_of >= known.as_of {
+                known.revision = 0;
+                known.as_of = as_of;
+                known.stored = OriginSet::default();
+            }
         });
     }
 
@@ -238,8 +246,8 @@
                 continue;
             };
             match change.value {
-                Some(value) => self.learn_row(subject, &value, change.revision),
-                None => self.learn_absence(subject),
+                Some(value) => self.learn_row(subject, &value, change.revision, check.revision),
+                None => self.learn_absence(subject, change.revision),
             }
         }
         Ok(())
@@ -252,7 +260,7 @@
     pub async fn read(&self, subject: Subject) -> Result<(), PlatformError> {
         let read = self.watched.read_row(&subject.key()).await?;
         if let Some(row) = read.row {
-            self.learn_row(subject, &row.value, row.revision);
+            self.learn_row(subject, &row.value, row.revision, read.revision);
         }
         Ok(())
     }
@@ -271,13 +279,19 @@
             }
             match self.write(subject, known.revision, &wanted).await? {
                 TransactionOutcome::Committed { revision } => {
-                    self.learn(subject, &wanted, revision);
+                    self.learn(subject, &wanted, revision, revision);
                     return Ok(());
                 }
                 TransactionOutcome::Conflict {
-                    current: Some(row), ..
-                } => self.learn_row(subject, &row.value, row.revision),
-                TransactionOutcome::Conflict { current: None, .. } => self.learn_absence(subject),
+                    current: Some(row),
+                    table_revision,
+                    ..
+                } => self.learn_row(subject, &row.value, row.revision, table_revision),
+                TransactionOutcome::Conflict {
+                    current: None,
+                    table_revision,
+                    ..
+                } => self.learn_absence(subject, table_revision),
             }
         }
         let kind = PlatformErrorKind::NotDone;
--- a/crates/edge/src/watches.rs
+++ b/crates/edge/src/watches.rs
@@ -215,7 +215,7 @@
                 RowKind::CrashReports => self.quarantine.apply_stored(row, update.store_time_ms),
                 RowKind::OriginSet => {
                     // Logged with what is concluded of its streams.
-                    self.streams.apply_origin_set(row);
+                    self.streams.apply_origin_set(row, update.revision);
                     true
                 }
             };
@@ -226,7 +226,7 @@
         for key in &update.removed {
             match (row_kind(key), key.rsplit('/').next()) {
                 (RowKind::Header, Some(job_id)) => self.jobs.header_removed(job_id),
-                (RowKind::OriginSet, _) => self.streams.origin_set_removed(key),
+                (RowKind::OriginSet, _) => self.streams.origin_set_removed(key, update.revision),
                 _ => {}
             }
         }
