The line about a request at a leaving replica takes both times at one moment

Cause: the two times were counted to two moments, one after the other; a daemon that is preempted between them makes the notice look earlier. Both count to the moment of the response now, on the clock that counts suspensions. Ruled out: a suspension (the boot clock leads by nothing on this machine).

--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -292,7 +292,7 @@
             let has_capacity = !is_queued && choice.load < replica.slots();
             evidence.note_sent(has_capacity, self.prefill_time(request));
         }
-        let started = Instant::now();
+        let checked_at = harrierward_clock::now();
         let sending = self.client().send(ReplicaRequest {
             request,
             address: &replica.record.address,
@@ -308,13 +308,15 @@
             times.stall_timeout
         };
         let response = wait_for_progress(sending, &replica, stall_timeout, times.max_wait).await;
+        let responded_at = harrierward_clock::now();
         if let Some(notice) = replica.leaving_notice() {
+            let since = |moment| milliseconds(responded_at.saturating_duration_since(moment));
             self.log().record(&Record::LeavingReplicaResponded {
                 request: &request.id,
                 replica: &replica.record.id,
                 state: notice.state,
-                checked_ms: milliseconds(started.elapsed()),
-                known_ms: milliseconds(harrierward_clock::age(notice.known_at)),
+                checked_ms: since(checked_at),
+                known_ms: since(notice.known_at),
                 source: &notice.source,
                 reading: notice.reading,
                 proof_age_ms: notice.proof_age.map(milliseconds),
@@ -328,7 +330,8 @@
         };
         let result = self.classify(&exchange, response);
         if let Err(failure) = &result {
-            self.log_failure(request, &replica, failure, started.elapsed());
+            let after = responded_at.saturating_duration_since(checked_at);
+            self.log_failure(request, &replica, failure, after);
         }
         result.map(|response| Attempt {
             response,
