A replica confirms its start before a stream continues there

Cause: a version is that of an entry, which may be of the process before; `Expect-Instance` names the id, which stays. Class: knowledge as of one moment used for a process of another one. Two ways: a stream is resumed at the later process, and a stream that began at the later process is recorded at the version of the entry and resumed at the earlier one.

Change: where an entry states a start and a version, the replica is asked for what it reports about itself before a stream is continued, and before one begins while the list was proven more than 2 s ago; the request follows over the same connection, so to the same process. Another start counts as `another replica has the address`: no work for it until its new entry is read, and the next replica is tried.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -11,13 +11,14 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::Stream;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::http::ends_in_chunks;
 use harrierward_serving::{BodyDelimiter, excludes_body};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, Method, Request, response};
+use http::{HeaderMap, Method, Request, StatusCode, response};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -58,6 +59,9 @@
     }
 }
 
+/// Maximum size of the answer to a question that precedes a request.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+
 /// Time within which a proxy without a backend closes a new connection.
 const REFUSAL_WAIT: Duration = Duration::from_millis(20);
 
@@ -72,6 +76,15 @@
     Lost(String),
 }
 
+impl PoolError {
+    /// Returns the failure of an exchange that came before a request, which therefore wasn't sent.
+    fn before_request(self) -> Self {
+        Self::NotSent(match self {
+            Self::NotSent(detail) | Self::Lost(detail) => detail,
+        })
+    }
+}
+
 /// Body of a request; records that it was handed to the connection.
 pub struct RequestBody {
     data: Option<Bytes>,
@@ -168,6 +181,23 @@
             lease.keep_for = None;
         }
     }
+
+    /// Reads the body to its end; returns it with the connection.
+    async fn read_whole(mut self, max_bytes: usize) -> Result<(Bytes, Lease), PoolError> {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = self.body.frame().await {
+            let frame = frame.map_err(|error| PoolError::Lost(error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                whole.extend_from_slice(&data);
+            }
+            if whole.len() > max_bytes {
+                return Err(PoolError::Lost("an answer that is too large".to_owned()));
+            }
+        }
+        let lease = self.lease.take();
+        let lease = lease.ok_or_else(|| PoolError::Lost("the body was read".to_owned()))?;
+        Ok((whole.freeze(), lease))
+    }
 }
 
 impl Stream for PooledBody {
@@ -207,6 +237,14 @@
 }
 
 impl Lease {
+    /// Returns the connection for a further exchange, unless the backend closes it.
+    fn into_connection(mut self) -> Result<Connection, PoolError> {
+        self.stall_watch.finish();
+        let is_kept = self.keep_for.is_some();
+        let closes = || PoolError::Lost("the connection closes after the answer".to_owned());
+        is_kept.then_some(self.connection).ok_or_else(closes)
+    }
+
     fn release(mut self) {
         self.stall_watch.finish();
         let Some(keep_for) = self.keep_for else {
@@ -351,10 +389,57 @@
     ) -> Result<PooledResponse, PoolError> {
         let reused = if fresh { None } else { self.take(address) };
         let is_first_on_connection = reused.is_none();
-        let mut connection = match reused {
+        let connection = match reused {
             Some(connection) => connection,
             None => self.connect(address).await?,
         };
+        let mut response = self.exchange(address, connection, request).await?;
+        response.is_first_on_connection = is_first_on_connection;
+        Ok(response)
+    }
+
+    /// Sends a question over a new connection, and the request after its response, if that is accepted.
+    ///
+    /// # Errors
+    /// As [`Self::send`], or the error of `accept`; the request was not sent then.
+    pub async fn send_after<E: From<PoolError>>(
+        &self,
+        address: &str,
+        question: Request<Bytes>,
+        accept: impl FnOnce(StatusCode, Bytes) -> Result<(), E>,
+        request: Request<Bytes>,
+    ) -> Result<PooledResponse, E> {
+        let connection = self.connect(address).await?;
+        let (status, body, connection) = self
+            .ask(address, connection, question)
+            .await
+            .map_err(PoolError::before_request)?;
+        accept(status, body)?;
+        Ok(self.exchange(address, connection, request).await?)
+    }
+
+    /// Returns the response to a question, and the connection, which has to stay usable.
+    async fn ask(
+        &self,
+        address: &str,
+        connection: Connection,
+        question: Request<Bytes>,
+    ) -> Result<(StatusCode, Bytes, Connection), PoolError> {
+        let response = self.exchange(address, connection, question).await?;
+        let (body, lease) = response.body.read_whole(MAX_ANSWER_BYTES).await?;
+        let mut connection = lease.into_connection()?;
+        let ready = connection.sender.ready().await;
+        ready.map_err(|error| PoolError::Lost(error.to_string()))?;
+        Ok((response.head.status, body, connection))
+    }
+
+    /// Sends a request over a connection and waits for the header of its response.
+    async fn exchange(
+        &self,
+        address: &str,
+        mut connection: Connection,
+        request: Request<Bytes>,
+    ) -> Result<PooledResponse, PoolError> {
         let (head, body) = request.into_parts();
         let method = head.method.clone();
         let is_sent = Arc::new(AtomicBool::new(body.is_empty()));
@@ -388,7 +473,7 @@
             head,
             delimiter,
             body,
-            is_first_on_connection,
+            is_first_on_connection: false,
         })
     }
 
--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -91,6 +91,7 @@
     let options = AttemptOptions {
         resume_after,
         fresh_connection: false,
+        is_resumable: true,
         number: 1,
         // A failure to continue after the last event says nothing about the replica.
         failed_before: run_options.failed_before || confirms_end,
--- a/crates/serving/src/attempt.rs
+++ b/crates/serving/src/attempt.rs
@@ -38,6 +38,8 @@
     pub resume_after: Option<u64>,
     /// Requires a connection that has carried no other request.
     pub fresh_connection: bool,
+    /// The response can continue at other replicas, all of one software version.
+    pub is_resumable: bool,
     /// Number of the attempt, from 1.
     pub number: u32,
     /// The request failed at another replica before; a further failure is attributed to the request.
@@ -170,6 +172,10 @@
 /// Cause of an attempt that isn't made because the request is quarantined.
 const CAUSE_QUARANTINED: &str = "held back";
 
+/// Age of the list of replicas up to which a stream begins at a replica without its confirmation. Replicas say that they
+/// are leaving well before they are replaced, so that a list of this age shows it.
+const MAX_UNCONFIRMED_AGE: Duration = Duration::from_millis(2_000);
+
 /// Progress checks per stall timeout.
 const POLLS_PER_STALL_TIMEOUT: u32 = 3;
 
@@ -297,6 +303,7 @@
             request,
             address: &replica.record.address,
             replica: &replica.record.id,
+            confirmed_start_ms: self.start_to_confirm(&replica, options),
             time_left: times.time_left,
             resume_after: options.resume_after,
             fresh_connection: options.fresh_connection,
@@ -339,6 +346,20 @@
         })
     }
 
+    /// Returns the start time that a replica must confirm before it begins or continues a stream: its id stays the same
+    /// when it starts again, perhaps with another software version, and its record may be of the instance before.
+    fn start_to_confirm(&self, replica: &Replica, options: AttemptOptions) -> Option<u64> {
+        let record = &replica.record;
+        let started_ms = record.born_ms.filter(|_| !record.version.is_empty())?;
+        let is_listed_now = || {
+            let age = self.replicas().proof_age();
+            age.is_some_and(|age| age <= MAX_UNCONFIRMED_AGE)
+        };
+        let begins_unseen = || options.is_resumable && !is_listed_now();
+        let is_due = options.resume_after.is_some() || begins_unseen();
+        is_due.then_some(started_ms)
+    }
+
     /// Expected time to prefill the whole prompt.
     fn prefill_time(&self, request: &ServingRequest) -> Duration {
         let ms = f64::from(request.prompt.tokens) / self.settings().costs.prefill_tokens_per_ms;
--- a/crates/serving/src/exchange.rs
+++ b/crates/serving/src/exchange.rs
@@ -57,6 +57,9 @@
     pub address: &'a str,
     /// Id of the replica that must respond; any other refuses.
     pub replica: &'a str,
+    /// Start time of the instance that must respond, milliseconds since 1970: before the request is sent, the replica is
+    /// asked for it over the same connection. `None` if the id suffices.
+    pub confirmed_start_ms: Option<u64>,
     /// Time left for the replica to complete the request.
     pub time_left: Option<Duration>,
     /// Id of the last event already delivered.
@@ -163,6 +166,16 @@
         /// Cause, for the log.
         detail: String,
     },
+    /// The replica states that it is another instance than the one that must respond; the request was not sent.
+    #[error("{step} at {peer}: not sent: an instance that started at {started_ms}")]
+    OtherInstance {
+        /// Failed step.
+        step: &'static str,
+        /// Address of the replica.
+        peer: String,
+        /// Start time that it states, milliseconds since 1970.
+        started_ms: u64,
+    },
     /// The request may have run.
     #[error("{step} at {peer}: perhaps run: {detail}")]
     Lost {
@@ -178,7 +191,10 @@
 impl ExchangeError {
     /// True if the request certainly did not run.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent { .. })
+        match self {
+            Self::NotSent { .. } | Self::OtherInstance { .. } => true,
+            Self::Lost { .. } => false,
+        }
     }
 }
 
--- a/crates/serving/src/relay/resumption.rs
+++ b/crates/serving/src/relay/resumption.rs
@@ -154,6 +154,7 @@
         let options = AttemptOptions {
             resume_after: self.delivered,
             fresh_connection: true,
+            is_resumable: true,
             number: state.sends,
             failed_before: false,
             refused_elsewhere: 0,
--- a/crates/serving/src/serve.rs
+++ b/crates/serving/src/serve.rs
@@ -192,6 +192,7 @@
         let options = AttemptOptions {
             resume_after: state.request.resume_after,
             fresh_connection: !state.route.may_repeat() || state.sends > 1,
+            is_resumable: state.route.is_resumable(),
             number: state.sends,
             failed_before: false,
             refused_elsewhere: state.refusals.len(),
--- a/crates/serving/tests/gate.rs
+++ b/crates/serving/tests/gate.rs
@@ -222,6 +222,7 @@
             failed_before: false,
             resume_after: None,
             fresh_connection: false,
+            is_resumable: false,
             number: 1,
             refused_elsewhere: 0,
         };
