The first audit after a start comes in time for a replica that leaves

The audit of the first read proves nothing of what follows. Class: a time that was chosen for one purpose (others become known) inside a chain that has a bound. Ruled out: load.

--- a/crates/edge/src/audits/mod.rs
+++ b/crates/edge/src/audits/mod.rs
@@ -23,8 +23,12 @@
 
 use repair::RepairOrder;
 
-/// Time after the start in which other members become known, and in which this daemon audits nothing.
-const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Maximum time after the start in which other members become known, and in which this daemon audits nothing.
+const MAX_SETTLE_TIME: Duration = Duration::from_secs(2);
+
+/// That time in intervals between two audits. With the interval that follows, and a repair, it has to pass within the
+/// shortest bound on the use of a replica that leaves.
+const SETTLE_INTERVALS: u32 = 2;
 
 /// Another member, as audits use it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -95,6 +99,7 @@
 pub struct AuditService {
     instance_id: String,
     spaces: Vec<Arc<Audited>>,
+    started_at: Instant,
     store: Arc<dyn WatchedTable>,
     peers: Arc<dyn PeerCopies>,
     members: ArcSwap<Vec<AuditMember>>,
@@ -102,6 +107,13 @@
     log: DecisionLog,
 }
 
+/// Returns the time after the start in which this daemon audits nothing, given the interval between two audits.
+fn settle_time(interval: Duration) -> Duration {
+    interval
+        .saturating_mul(SETTLE_INTERVALS)
+        .min(MAX_SETTLE_TIME)
+}
+
 fn milliseconds(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
@@ -120,7 +132,7 @@
             let state = SpaceState {
                 rank: Some(0),
                 audits: AuditState::default(),
-                last_audit: now + SETTLE_TIME,
+                last_audit: now,
                 last_attempt: now,
                 is_own_turn: false,
                 is_failing: false,
@@ -135,6 +147,7 @@
         Self {
             instance_id,
             spaces: spaces.collect(),
+            started_at: now,
             store,
             peers,
             members: ArcSwap::default(),
@@ -191,7 +204,8 @@
         let Some(rank) = state.rank else {
             return false;
         };
-        let last = state.last_audit.max(state.last_attempt);
+        let settled_at = self.started_at + settle_time(interval);
+        let last = state.last_audit.max(state.last_attempt).max(settled_at);
         if state.is_auditing || !is_audit_due(rank, interval, last, now) {
             return false;
         }
