A silent replica that is the last one of its version is given up later

Its replica, the last one of its version in the allowed region, was silent for 0.5 s, was given up since it counted as its own alternative, and was known to leave 0.1 s later: nothing could continue the stream.

Cause: a stall ends a run after 0.6 of the gap objective if any replica may continue the stream, the stalled one included, although that one may refuse the new run, and one that leaves gets none.

Change: only another replica makes the short time count. Without one, the replica is given up after three gap objectives, as before where it makes progress elsewhere (a new connection may help then). Callers leave a stream after 2 s.

--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -177,11 +177,14 @@
         }
         let gap = self.state.route.gap_objective.unwrap_or(DEFAULT_GAP);
         let can_resume = self.may_resume() && self.has_alternative();
-        let (stall_timeout, max_wait) = if can_resume {
-            let stall_timeout = gap * STALL_GAP_PERCENT / 100;
-            (stall_timeout, gap * MAX_GAP_FACTOR)
-        } else {
+        let max_gap = gap * MAX_GAP_FACTOR;
+        let (stall_timeout, max_wait) = if !can_resume {
             (remaining, remaining)
+        } else if self.has_other_replica() {
+            (gap * STALL_GAP_PERCENT / 100, max_gap)
+        } else {
+            // A new connection to the same replica may help, but the replica may also refuse the stream.
+            (max_gap, max_gap)
         };
         let stall_timeout = self.limit_wait(stall_timeout.min(remaining));
         let max_wait = self.limit_wait(max_wait.min(remaining));
@@ -349,6 +352,15 @@
         view.has_usable(&self.state.service, regions, self.version())
     }
 
+    /// True if a replica other than the present one may continue the stream.
+    fn has_other_replica(&self) -> bool {
+        let view = self.forwarder.replicas().view();
+        let present = self.in_progress.as_ref();
+        let present = present.map(|in_progress| in_progress.replica().record.id.as_str());
+        let (service, regions) = (&self.state.service, &self.state.request.regions);
+        view.has_usable_besides(service, regions, self.version(), present)
+    }
+
     fn abort(&mut self, cause: String) -> ResponseAborted {
         self.finish("cut");
         self.forwarder.log().record(&Record::AttemptFailed {
--- a/crates/serving/src/replica_set.rs
+++ b/crates/serving/src/replica_set.rs
@@ -81,9 +81,22 @@
         service: &str,
         regions: &AllowedRegions,
         version: Option<SoftwareVersion>,
+    ) -> bool {
+        self.has_usable_besides(service, regions, version, None)
+    }
+
+    /// True if a replica as for [`Self::has_usable`] has another id than the excluded one.
+    pub fn has_usable_besides(
+        &self,
+        service: &str,
+        regions: &AllowedRegions,
+        version: Option<SoftwareVersion>,
+        excluded: Option<&str>,
     ) -> bool {
         let fits = |replica: &Arc<Replica>| {
-            regions.allows(&replica.record.region) && admits_version(version, replica)
+            regions.allows(&replica.record.region)
+                && admits_version(version, replica)
+                && Some(replica.record.id.as_str()) != excluded
         };
         let is_ready = |replica: &Arc<Replica>| replica.accepts_work() && fits(replica);
         self.listed(service).iter().any(is_ready) || self.usable(service).iter().any(fits)
