Streams of an only version are stored too, deferred

All daemons were killed while one version served, another one joined while they were down, and the streams so far were recorded nowhere else. After the start the store names two versions, so that nothing can be concluded for a stream without a record.

Cause: records were stored only from the second version on, when it may be too late: who knew of the streams is gone. Class as in: evidence that lives only in what is lost with it.

Change: each stream's record is stored; that of an only version is deferred by 1 s, or by 50 ms for each daemon of the fleet, so that all together write 20 times a second at most. Weighed: to write before each first event (each stream would wait for the store); to delay the row of the new version (daemons that are down can't).

Ruled out: that the moment at which a version joined helps. No request says when its stream began.

Test: streams_of_the_only_version_go_on_beside_one_that_joins_while_all_daemons_are_down failed before (503), passes after.

--- a/crates/edge/src/streams/mod.rs
+++ b/crates/edge/src/streams/mod.rs
@@ -338,7 +338,8 @@
         named.map_or_else(String::new, |(name, _)| name.to_owned())
     }
 
-    /// Records a stream of this daemon, also elsewhere unless each daemon can conclude where it began.
+    /// Records a stream of this daemon: elsewhere too, and in the store at once, unless each daemon can conclude where it
+    /// began; then in the store after a while.
     fn note_own(&self, stream: StreamKey, host: u32, origin: StreamOrigin) {
         let now = harrierward_clock::now();
         let mut state = self.lock();
@@ -354,6 +355,8 @@
         drop(state);
         if is_announced {
             self.announce(&[(stream, record)], now);
+        } else {
+            self.store.records.defer([StoredOrigin { stream, origin }]);
         }
     }
 
--- a/crates/edge/src/streams/records.rs
+++ b/crates/edge/src/streams/records.rs
@@ -15,7 +15,7 @@
 };
 use harrierward_wire::{StoredStreamsRow, StreamRecord, decode, encode};
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 /// Space of the rows.
 const STREAMS: &str = "streams";
@@ -81,18 +81,28 @@
 
     /// Schedules records to be stored.
     pub fn add(&self, records: impl IntoIterator<Item = StoredOrigin>) {
+        self.defer(records);
+        if lock(&self.own).has_changes() {
+            self.write_due.notify_one();
+        }
+    }
+
+    /// Adds records that are stored with the next others, or after the time that [`Self::write_due`] is given.
+    pub fn defer(&self, records: impl IntoIterator<Item = StoredOrigin>) {
         let mut own = lock(&self.own);
         for record in records {
             own.add(record);
         }
-        if own.has_changes() {
-            self.write_due.notify_one();
-        }
     }
 
-    /// Waits until records are to be stored.
-    pub async fn write_due(&self) {
-        self.write_due.notified().await;
+    /// Waits until records are to be stored; deferred ones at the latest after `deferral`.
+    pub async fn write_due(&self, deferral: Duration) {
+        loop {
+            let scheduled = timeout(deferral, self.write_due.notified()).await;
+            if scheduled.is_ok() || lock(&self.own).has_changes() {
+                return;
+            }
+        }
     }
 
     /// Stores the records that are due; `written_ms` is the store's clock.
--- a/crates/edge/src/streams/tasks.rs
+++ b/crates/edge/src/streams/tasks.rs
@@ -30,6 +30,13 @@
 /// Minimum time between two writes of records; those in between are stored together.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Minimum time for which records of streams of an only version are deferred: the store needs them only if another
+/// version joins, and no daemon is left that knows of them.
+const MIN_DEFERRAL: Duration = Duration::from_secs(1);
+
+/// That time for each daemon of the fleet: all together write 20 times a second at most.
+const DEFERRAL_PER_DAEMON: Duration = Duration::from_millis(50);
+
 /// Time between two checks whether the store's clock is known.
 const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -195,7 +202,7 @@
         let mut bucket = BucketNumber::of(StreamKey::from_hash(rand::random()));
         let mut removed_at = Instant::now();
         loop {
-            self.store.records.write_due().await;
+            self.store.records.write_due(self.deferral()).await;
             let now_ms = known_time(&store_now_ms).await;
             let result = self.store.records.write(now_ms).await;
             contact.note(&self, &result);
@@ -210,6 +217,12 @@
         }
     }
 
+    /// Returns the time for which records of streams of an only version are deferred.
+    fn deferral(&self) -> Duration {
+        let members = u32::try_from(self.members.load().len()).unwrap_or(u32::MAX);
+        MIN_DEFERRAL.max(DEFERRAL_PER_DAEMON.saturating_mul(members))
+    }
+
     /// Returns the time between two checks of a bucket by which all daemons together read as often at each size.
     fn removal_interval(&self) -> Duration {
         let members = u32::try_from(self.members.load().len()).unwrap_or(u32::MAX);
