Deferred records of streams: 50 ms for each daemon, 200 ms at least

Change: the deferral is 50 ms for each daemon, so that fleets of fewer than 20 daemons write earlier; all together still write 20 times a second at most.

--- a/crates/edge/src/streams/tasks.rs
+++ b/crates/edge/src/streams/tasks.rs
@@ -32,7 +32,7 @@
 
 /// Minimum time for which records of streams of an only version are deferred: the store needs them only if another
 /// version joins, and no daemon is left that knows of them.
-const MIN_DEFERRAL: Duration = Duration::from_secs(1);
+const MIN_DEFERRAL: Duration = Duration::from_millis(200);
 
 /// That time for each daemon of the fleet: all together write 20 times a second at most.
 const DEFERRAL_PER_DAEMON: Duration = Duration::from_millis(50);
