An event after a gap shows that events are left

Cause: what is known of the events that are left wasn't updated by the event after the gap, although it proves that some are.

Change: after a gap events are left for sure, as after a break within an event; for items too.

Tests: a_stream_that_lacks_an_event_is_not_complete_by_a_response_without_events failed before (200, complete, no event); an_item_that_lacks_an_event_... passed before, since items ask again, and is new.

--- a/crates/inline-jobs/src/item_run.rs
+++ b/crates/inline-jobs/src/item_run.rs
@@ -242,30 +242,29 @@
 ) -> Result<(), BreakCause> {
     parser.push(bytes)?;
     while let Some(part) = parser.next_part() {
-        if let BodyPart::Event(event) = part
-            && append_event(progress, &event, replica)?
-        {
-            parser.note_new(&event);
+        let BodyPart::Event(event) = part else {
+            continue;
+        };
+        match append_event(progress, &event, replica) {
+            Some(EventPlace::Next) => parser.note_new(&event),
+            Some(EventPlace::AfterGap) => return Err(parser.note_gap()),
+            Some(EventPlace::Received) | None => {}
         }
     }
     Ok(())
 }
 
-/// Appends an event to the item's output. Returns false for an event without a number and one that was received
-/// before; fails if events before this one are missing.
+/// Appends an event to the item's output if it is the next one. Returns its place; `None` without a number.
 fn append_event(
     progress: &SharedProgress,
     event: &StreamEvent,
     replica: &Replica,
-) -> Result<bool, BreakCause> {
-    let Some(id) = event.id else {
-        return Ok(false);
-    };
+) -> Option<EventPlace> {
+    let id = event.id?;
     let mut progress = lock(progress);
-    match EventPlace::of(id, progress.last_event) {
-        EventPlace::Received => return Ok(false),
-        EventPlace::AfterGap => return Err(BreakCause::MissingEvent),
-        EventPlace::Next => {}
+    let place = EventPlace::of(id, progress.last_event);
+    if place != EventPlace::Next {
+        return Some(place);
     }
     progress.last_event = Some(id);
     let origin = || KnownOrigin::received_from(replica);
@@ -274,5 +273,5 @@
     progress.texts.push(event.data());
     progress.unproven_end = None;
     progress.last_event_at = Some(Instant::now());
-    Ok(true)
+    Some(place)
 }
--- a/crates/serving/src/body.rs
+++ b/crates/serving/src/body.rs
@@ -169,6 +169,8 @@
     bytes_at_new_event: u64,
     /// Events with data that the recipient did not have before.
     new_events: u64,
+    /// True once an event arrived, and not the one before it.
+    has_gap: bool,
     splitter: EventSplitter,
     /// Bytes of an opaque body that have not been taken.
     opaque: Option<Bytes>,
@@ -184,6 +186,7 @@
             received_bytes: 0,
             bytes_at_new_event: 0,
             new_events: 0,
+            has_gap: false,
             splitter: EventSplitter::default(),
             opaque: None,
         }
@@ -226,6 +229,12 @@
         }
     }
 
+    /// Notes that an event arrived, and not the one before it, which therefore is left.
+    pub fn note_gap(&mut self) -> BreakCause {
+        self.has_gap = true;
+        BreakCause::MissingEvent
+    }
+
     /// Judges the body after its delimiter has arrived and all parts were taken.
     pub fn end(&mut self) -> BodyEnd {
         if self.splitter.is_within_event() {
@@ -258,7 +267,7 @@
 
     /// Returns what is known of the events that are left, after the body ended or was interrupted.
     pub fn events_left(&self) -> EventsLeft {
-        if self.splitter.is_within_event() {
+        if self.has_gap || self.splitter.is_within_event() {
             EventsLeft::Begun
         } else if self.new_events > 0 {
             EventsLeft::Interrupted {
--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -234,7 +234,7 @@
                 BodyPart::Bytes(bytes) => self.ready.push_back(bytes),
                 BodyPart::Event(event) => match self.place_of(&event) {
                     Some(EventPlace::Received) => {}
-                    Some(EventPlace::AfterGap) => return Err(BreakCause::MissingEvent),
+                    Some(EventPlace::AfterGap) => return Err(self.parser.note_gap()),
                     Some(EventPlace::Next) | None => self.pass_on(event),
                 },
             }
