A probe of a replica's start costs callers no stream and no replica

Cause: the request had to follow over the probe's connection, and its close counted as a failure of the replica; another start counted as another replica at the address, until an entry with another start is read, which an entry without one never is.

Change: the report is judged first, whatever becomes of its connection and whatever its status. If the connection closes, the request goes over one that was opened before a second probe: the end of the process would have closed it. Another start makes the replica suspected, as a failure does, for a while and with its own cause in the log; other requests go on there, so that a restart as the same version costs nothing while the list is behind. A probe is bounded by 250 ms, since it lies between the gate's check and the request, and the time left that the request states is that after the probe.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -17,7 +17,7 @@
 use harrierward_external::http::ends_in_chunks;
 use harrierward_serving::{BodyDelimiter, excludes_body};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, Method, Request, StatusCode, response};
+use http::{HeaderMap, Method, Request, response};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
@@ -59,8 +59,11 @@
     }
 }
 
-/// Maximum size of the answer to a question that precedes a request.
-const MAX_ANSWER_BYTES: usize = 64 << 10;
+/// Maximum size of the response to a probe.
+const MAX_PROBE_RESPONSE_BYTES: usize = 64 << 10;
+
+/// Time limit of a probe, which delays the request that follows.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time within which a proxy without a backend closes a new connection.
 const REFUSAL_WAIT: Duration = Duration::from_millis(20);
@@ -76,15 +79,6 @@
     Lost(String),
 }
 
-impl PoolError {
-    /// Returns the failure of an exchange that came before a request, which therefore wasn't sent.
-    fn before_request(self) -> Self {
-        Self::NotSent(match self {
-            Self::NotSent(detail) | Self::Lost(detail) => detail,
-        })
-    }
-}
-
 /// Body of a request; records that it was handed to the connection.
 pub struct RequestBody {
     data: Option<Bytes>,
@@ -159,6 +153,13 @@
     pub is_first_on_connection: bool,
 }
 
+/// Response to a probe.
+struct Probed {
+    body: Bytes,
+    /// The connection, unless the backend closes it.
+    connection: Option<Connection>,
+}
+
 /// Body of a response. The connection returns to the pool after the body's end, and is closed if the body is dropped
 /// before.
 pub struct PooledBody {
@@ -191,7 +192,7 @@
                 whole.extend_from_slice(&data);
             }
             if whole.len() > max_bytes {
-                return Err(PoolError::Lost("an answer that is too large".to_owned()));
+                return Err(PoolError::Lost("the body is too large".to_owned()));
             }
         }
         let lease = self.lease.take();
@@ -237,12 +238,13 @@
 }
 
 impl Lease {
-    /// Returns the connection for a further exchange, unless the backend closes it.
-    fn into_connection(mut self) -> Result<Connection, PoolError> {
+    /// Returns the connection for a further exchange; `None` if the backend closes it.
+    async fn into_connection(mut self) -> Option<Connection> {
         self.stall_watch.finish();
-        let is_kept = self.keep_for.is_some();
-        let closes = || PoolError::Lost("the connection closes after the answer".to_owned());
-        is_kept.then_some(self.connection).ok_or_else(closes)
+        self.keep_for?;
+        let mut connection = self.connection;
+        connection.sender.ready().await.ok()?;
+        Some(connection)
     }
 
     fn release(mut self) {
@@ -398,39 +400,56 @@
         Ok(response)
     }
 
-    /// Sends a question over a new connection, and the request after its response, if that is accepted.
+    /// Sends a request over a new connection to the process that a probe of the same address has reached. `accept` judges the
+    /// probe's response.
+    ///
+    /// The request follows over the probe's connection. If the backend closes that one, it goes over a connection that was
+    /// opened before a second probe: the end of the process would have closed it.
     ///
     /// # Errors
     /// As [`Self::send`], or the error of `accept`; the request was not sent then.
-    pub async fn send_after<E: From<PoolError>>(
+    pub async fn send_after_probe<E: From<PoolError>>(
         &self,
         address: &str,
-        question: Request<Bytes>,
-        accept: impl FnOnce(StatusCode, Bytes) -> Result<(), E>,
-        request: Request<Bytes>,
+        probe: impl Fn() -> Request<Bytes>,
+        accept: impl Fn(Bytes) -> Result<(), E>,
+        request: impl FnOnce() -> Request<Bytes>,
     ) -> Result<PooledResponse, E> {
         let connection = self.connect(address).await?;
-        let (status, body, connection) = self
-            .ask(address, connection, question)
-            .await
-            .map_err(PoolError::before_request)?;
-        accept(status, body)?;
-        Ok(self.exchange(address, connection, request).await?)
+        let probed = self.probe(address, connection, probe()).await?;
+        accept(probed.body)?;
+        if let Some(connection) = probed.connection {
+            return Ok(self.exchange(address, connection, request()).await?);
+        }
+        let connection = self.connect(address).await?;
+        let other = self.connect(address).await?;
+        let probed = self.probe(address, other, probe()).await?;
+        accept(probed.body)?;
+        Ok(self.exchange(address, connection, request()).await?)
     }
 
-    /// Returns the response to a question, and the connection, which has to stay usable.
-    async fn ask(
+    /// Sends a probe. Its failure is one before the request.
+    async fn probe(
         &self,
         address: &str,
         connection: Connection,
-        question: Request<Bytes>,
-    ) -> Result<(StatusCode, Bytes, Connection), PoolError> {
-        let response = self.exchange(address, connection, question).await?;
-        let (body, lease) = response.body.read_whole(MAX_ANSWER_BYTES).await?;
-        let mut connection = lease.into_connection()?;
-        let ready = connection.sender.ready().await;
-        ready.map_err(|error| PoolError::Lost(error.to_string()))?;
-        Ok((response.head.status, body, connection))
+        probe: Request<Bytes>,
+    ) -> Result<Probed, PoolError> {
+        let probing = async {
+            let response = self.exchange(address, connection, probe).await?;
+            let (body, lease) = response.body.read_whole(MAX_PROBE_RESPONSE_BYTES).await?;
+            let connection = lease.into_connection().await;
+            Ok(Probed { body, connection })
+        };
+        match timeout(PROBE_TIMEOUT, probing).await {
+            Ok(Ok(probed)) => Ok(probed),
+            Ok(Err(PoolError::NotSent(detail) | PoolError::Lost(detail))) => {
+                Err(PoolError::NotSent(detail))
+            }
+            Err(_) => Err(PoolError::NotSent(
+                "no response to a probe in time".to_owned(),
+            )),
+        }
     }
 
     /// Sends a request over a connection and waits for the header of its response.
--- a/crates/serving/src/classification.rs
+++ b/crates/serving/src/classification.rs
@@ -23,9 +23,6 @@
 /// Time after a refusal within which the admission of the same request elsewhere is evidence against the replica.
 const REFUSAL_MEMORY: Duration = Duration::from_secs(1);
 
-/// Cause of an attempt whose replica is no longer at its address.
-const TAKEN_OVER: &str = "another replica has the address";
-
 /// One attempt that was made.
 pub(crate) struct Exchange<'a> {
     pub request: &'a ServingRequest,
@@ -63,9 +60,10 @@
                 let cause = "no answer in time".to_owned();
                 return Err(AttemptFailure::MayHaveRun { cause });
             }
-            Some(Err(ExchangeError::OtherInstance { .. })) => {
-                note_taken_over(replica);
-                return Err(AttemptFailure::not_sent(TAKEN_OVER.to_owned()));
+            Some(Err(error @ ExchangeError::OtherInstance { .. })) => {
+                // It may serve other requests, and its new record is read soon.
+                self.suspect(replica);
+                return Err(AttemptFailure::not_sent(error.to_string()));
             }
             Some(Err(error)) => {
                 self.suspect(replica);
@@ -105,8 +103,16 @@
             return Err(AttemptFailure::MayHaveRun { cause });
         }
         if response.misdirected == Some(Misdirected::OtherReplica) {
-            note_taken_over(replica);
-            return Err(refusal(TAKEN_OVER.to_owned(), None, &response));
+            replica.set_draining();
+            replica.note_leaving(LeavingNotice {
+                state: "draining",
+                source: "replica".into(),
+                reading: "response",
+                proof_age: None,
+                known_at: harrierward_clock::now(),
+            });
+            let cause = "another replica has the address".to_owned();
+            return Err(refusal(cause, None, &response));
         }
         if response.not_run || response.misdirected.is_some() {
             let refused = self.note_refused(exchange, &response);
@@ -225,18 +231,6 @@
     }
 }
 
-/// Keeps further work from a replica whose address another one has.
-fn note_taken_over(replica: &Replica) {
-    replica.set_draining();
-    replica.note_leaving(LeavingNotice {
-        state: "draining",
-        source: "replica".into(),
-        reading: "response",
-        proof_age: None,
-        known_at: harrierward_clock::now(),
-    });
-}
-
 /// Failure of a refused attempt. A refusal without request id on a reused connection may belong to an earlier request.
 fn refusal(
     cause: String,
