A failed write of records is repeated after the deferral, a second at most

Cause: a failed write scheduled the next one at once, paced by the minimum interval only.

Change: the buckets stay changed and are written after the deferral, a second at most; new records of streams that several versions can have begun are due as before. Tests: a_write_without_a_response_is_repeated_in_another_row as before.

--- a/crates/edge/src/streams/records.rs
+++ b/crates/edge/src/streams/records.rs
@@ -122,7 +122,6 @@
                 }
                 let numbers = changed.iter().map(|(number, _)| *number);
                 lock(&self.own).restore_changed(numbers);
-                self.write_due.notify_one();
                 return result;
             }
         }
--- a/crates/edge/src/streams/tasks.rs
+++ b/crates/edge/src/streams/tasks.rs
@@ -37,6 +37,9 @@
 /// That time for each daemon of the fleet: all together write 20 times a second at most.
 const DEFERRAL_PER_DAEMON: Duration = Duration::from_millis(50);
 
+/// Maximum time after a failed write of records until the next one.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Time between two checks whether the store's clock is known.
 const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -201,11 +204,17 @@
         let mut contact = StoreContact::new(RECORDS);
         let mut bucket = BucketNumber::of(StreamKey::from_hash(rand::random()));
         let mut removed_at = Instant::now();
+        let mut deferral = self.deferral();
         loop {
-            self.store.records.write_due(self.deferral()).await;
+            self.store.records.write_due(deferral).await;
             let now_ms = known_time(&store_now_ms).await;
             let result = self.store.records.write(now_ms).await;
-            contact.note(&self, &result);
+            let is_written = contact.note(&self, &result);
+            deferral = if is_written {
+                self.deferral()
+            } else {
+                self.deferral().min(MAX_RETRY_DELAY)
+            };
             if removed_at.elapsed() >= self.removal_interval() {
                 removed_at = Instant::now();
                 self.store.records.forget_reads();
