A daemon that knows no other member audits 2 s after its start, as before

The review pointed out (by reading) that a large fleet whose daemons start at once, before they know of each other, would audit all at once 1.2 s after the start, up to 22 transactions each for 2,200 rows. Without another member the time without audits is 2 s again; daemons that know each other audit in turn.

Test: a_replica_that_leaves_just_after_the_daemons_have_started_is_known_in_time as before.

--- a/crates/edge/src/audits/mod.rs
+++ b/crates/edge/src/audits/mod.rs
@@ -107,8 +107,12 @@
     log: DecisionLog,
 }
 
-/// Returns the time after the start in which this daemon audits nothing, given the interval between two audits.
-fn settle_time(interval: Duration) -> Duration {
+/// Returns the time after the start in which this daemon audits nothing, given the interval between two audits and the
+/// number of other members. Without any it would be the first of all that start at once.
+fn settle_time(interval: Duration, members: usize) -> Duration {
+    if members == 0 {
+        return MAX_SETTLE_TIME;
+    }
     interval
         .saturating_mul(SETTLE_INTERVALS)
         .min(MAX_SETTLE_TIME)
@@ -198,13 +202,14 @@
             }
             copy.rows()
         };
-        let interval = audit_interval(rows, self.members.load().len());
+        let members = self.members.load().len();
+        let interval = audit_interval(rows, members);
         let now = harrierward_clock::now();
         let mut state = audited.lock();
         let Some(rank) = state.rank else {
             return false;
         };
-        let settled_at = self.started_at + settle_time(interval);
+        let settled_at = self.started_at + settle_time(interval, members);
         let last = state.last_audit.max(state.last_attempt).max(settled_at);
         if state.is_auditing || !is_audit_due(rank, interval, last, now) {
             return false;
