Only a run that continues a stream has to begin with the next number

Cause: held streams to numbers without gaps, as items are; the sentence behind that is about items.

Change: judged is what joins two runs. A run that was asked for what follows event n and begins later than n + 1 has left events out, unless a replica of the stream left numbers out between two events. Where a stream begins, and what a replica sends within one run, is passed on as it comes.

--- a/crates/serving/src/configuration.rs
+++ b/crates/serving/src/configuration.rs
@@ -13,8 +13,7 @@
     Unsafe,
     /// Responses are event streams.
     Stream {
-        /// An interrupted stream resumes at another replica after the last event delivered. Its replicas number events
-        /// without gaps; one that leaves an event out has broken the stream off.
+        /// An interrupted stream resumes at another replica after the last event delivered.
         resumable: bool,
     },
     /// Requests are batch jobs.
--- a/crates/serving/src/relay/mod.rs
+++ b/crates/serving/src/relay/mod.rs
@@ -57,6 +57,8 @@
     /// Id of the last event relayed; at first the one after which the caller resumes the stream.
     delivered: Option<u64>,
     first_event_ms: Option<u64>,
+    /// True once a replica left a number out between two events.
+    numbers_have_gaps: bool,
     /// True from the first response that was requested to confirm the end.
     is_confirming: bool,
     finished: bool,
@@ -93,6 +95,7 @@
             origin,
             delivered,
             first_event_ms: None,
+            numbers_have_gaps: false,
             is_confirming: false,
             finished: false,
         };
@@ -242,10 +245,20 @@
         Ok(())
     }
 
-    /// Returns the place of a numbered event; `None` if the numbers of the stream's events mean nothing.
-    fn place_of(&self, event: &StreamEvent) -> Option<EventPlace> {
+    /// Returns the place of a numbered event; `None` if the numbers of the stream's events mean nothing. A run that was asked
+    /// for what follows an event begins with the next one, unless the stream's numbers rise with gaps.
+    fn place_of(&mut self, event: &StreamEvent) -> Option<EventPlace> {
         let id = event.id.filter(|_| self.is_resumable())?;
-        Some(EventPlace::of(id, self.delivered))
+        let place = EventPlace::of(id, self.delivered);
+        if place != EventPlace::AfterGap {
+            return Some(place);
+        }
+        let is_within_run = self.parser.has_new_events();
+        self.numbers_have_gaps |= is_within_run;
+        if self.numbers_have_gaps || self.delivered.is_none() {
+            return Some(EventPlace::Next);
+        }
+        Some(EventPlace::AfterGap)
     }
 
     fn pass_on(&mut self, event: StreamEvent) {
