--- a/crates/harrierward/tests/support/mod.rs
+++ b/crates/harrierward/tests/support/mod.rs
@@ -44,6 +44,11 @@
         Self { process, address }
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Runs a client command against the program.
     pub fn run(&self, key: &str, arguments: &[&str]) -> Output {
         Command::new(PROGRAM)
