A stored job's owner knows that its items are in an object

Callers saw accepted jobs of more than 600,000 bytes whose items never ran after their owner had stopped. Cause: the store completed a copy of the header with the object's name, and the owner kept, and wrote back with its next listing, the header without it; whoever adopted the job found no items. `create` completes the header that its caller registers.

--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -184,11 +184,11 @@
         Ok(outcome)
     }
 
-    /// Creates a job: its header and all items in one transaction. Requires that the id is unused and, if the route
-    /// has a fence, that `fence` is its present revision.
+    /// Creates a job: its header, which is completed with where its items are, and all items in one transaction. Requires
+    /// that the id is unused and, if the route has a fence, that `fence` is its present revision.
     pub async fn create(
         &self,
-        mut header: JobHeadRow,
+        header: &mut JobHeadRow,
         items: &JobItemsRow,
         fence: Option<u64>,
         until: Instant,
@@ -221,7 +221,7 @@
             }
             header.item_rows = number;
         }
-        transaction = transaction.put(header_key, encode_job_header(&header));
+        transaction = transaction.put(header_key, encode_job_header(header));
         self.settle(RequestClass::Urgent, transaction, until).await
     }
 
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -112,9 +112,9 @@
                     };
                 }
             };
-            let header = self.new_header(job, route, tenant);
+            let mut header = self.new_header(job, route, tenant);
             let store = &self.inner.store;
-            match store.create(header.clone(), &rows, fence, until).await {
+            match store.create(&mut header, &rows, fence, until).await {
                 WriteOutcome::Committed { revision } => {
                     self.register_stored(header, rows, revision);
                     return SubmitOutcome::Accepted;
--- a/crates/inline-jobs/tests/ids_that_continue.rs
+++ b/crates/inline-jobs/tests/ids_that_continue.rs
@@ -79,7 +79,8 @@
 async fn store_job(store: &JobStore, job: &str) {
     let until = Instant::now() + LIMIT;
     let items = items_of(job);
-    let created = store.create(header_of(job), &items, None, until);
+    let mut header = header_of(job);
+    let created = store.create(&mut header, &items, None, until);
     assert!(matches!(created.await, WriteOutcome::Committed { .. }));
     let known = known(store, job).await;
     let mut header = known.header.clone();
@@ -156,12 +157,12 @@
     for (job, owner) in jobs {
         let mut items = items_of(job);
         items.items[0].body = vec![0; LARGE_BODY];
-        let header = JobHeadRow {
+        let mut header = JobHeadRow {
             owner: owner.to_owned(),
             ..header_of(job)
         };
         let created = store
-            .create(header, &items, None, Instant::now() + LIMIT)
+            .create(&mut header, &items, None, Instant::now() + LIMIT)
             .await;
         assert!(matches!(created, WriteOutcome::Committed { .. }));
     }
