The product's own interface bounds the bodies that it holds

A form's field of any length was kept whole, and chat bodies of 280 MB in all took 441 MB: nothing counted what callers had sent. The purpose of an upload is now read only as far as it can be the supported one, and all bodies that are read whole take their bytes from one budget, `api.request_memory_mib` (64, 16 to 1,048,576), whose refusals are 413, 400, 408 and 503 before anything runs. A chat request's body and parsed form are dropped once its call is built.

--- a/crates/api/src/admin.rs
+++ b/crates/api/src/admin.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use axum::Json;
-use axum::body::Bytes;
-use axum::extract::rejection::BytesRejection;
 use axum::extract::{Query, State};
 use axum::http::{HeaderMap, StatusCode};
 use harrierward_capacity::check_program;
@@ -17,6 +15,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::auth::Operator;
+use crate::body::WholeBody;
 use crate::errors::ApiError;
 
 /// Request header with the idempotency key of a configuration change.
@@ -69,12 +68,12 @@
     operator: Operator,
     Query(query): Query<ApplyQuery>,
     headers: HeaderMap,
-    body: Result<Bytes, BytesRejection>,
+    body: Result<WholeBody, ApiError>,
 ) -> Result<Json<ApplyResult>, ApiError> {
     // All of the request is checked before the commit: a refusal says that nothing was done.
     let wait = Duration::try_from_secs_f64(query.wait.unwrap_or(0.0))
         .map_err(|error| ApiError::bad_field("wait", error))?;
-    let body = body?;
+    let WholeBody(body) = body?;
     let text = std::str::from_utf8(&body).map_err(|error| ApiError::bad_field("body", error))?;
     let file = ApplyFile::parse(text).map_err(|error| ApiError::bad_field("body", error))?;
     let changes = file
--- a/crates/api/src/batches.rs
+++ b/crates/api/src/batches.rs
@@ -1,8 +1,6 @@
 //! `/v1/batches`: create, get, list, cancel.
 
 use axum::Json;
-use axum::body::Bytes;
-use axum::extract::rejection::BytesRejection;
 use axum::extract::{Path, Query, State};
 use axum::http::{HeaderMap, StatusCode};
 use harrierward_batch::{CreateJob, JobView, new_batch_id};
@@ -13,6 +11,7 @@
 use serde_json::{Value, json};
 
 use crate::auth::{Caller, check_accepting_work, idempotency_key};
+use crate::body::WholeBody;
 use crate::errors::ApiError;
 use crate::files::Page;
 
@@ -116,11 +115,12 @@
     State(node): State<Node>,
     caller: Caller,
     headers: HeaderMap,
-    body: Result<Bytes, BytesRejection>,
+    body: Result<WholeBody, ApiError>,
 ) -> Result<Json<Value>, ApiError> {
     check_accepting_work(&node)?;
+    let WholeBody(body) = body?;
     let body: CreateBody =
-        serde_json::from_slice(&body?).map_err(|error| ApiError::bad_field("body", error))?;
+        serde_json::from_slice(&body).map_err(|error| ApiError::bad_field("body", error))?;
     if EndpointKind::from_path(&body.endpoint).is_none() {
         let detail = "must be /v1/chat/completions or /v1/completions";
         return Err(ApiError::bad_field("endpoint", detail));
--- a/crates/api/src/errors.rs
+++ b/crates/api/src/errors.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use axum::Json;
-use axum::extract::rejection::BytesRejection;
 use axum::http::{HeaderValue, StatusCode, Uri};
 use axum::response::{IntoResponse, Response};
 use harrierward_batch::BatchError;
@@ -173,17 +172,6 @@
     }
 }
 
-impl From<BytesRejection> for ApiError {
-    fn from(rejection: BytesRejection) -> Self {
-        let code = if rejection.status() == StatusCode::PAYLOAD_TOO_LARGE {
-            "body_too_large"
-        } else {
-            "bad_body"
-        };
-        Self::new(rejection.status(), code, format!("body: {rejection}"))
-    }
-}
-
 /// Returns the error for unknown paths.
 pub(crate) async fn unknown_path(uri: Uri) -> ApiError {
     let message = format!("no such path: {}", uri.path());
--- a/crates/api/src/files.rs
+++ b/crates/api/src/files.rs
@@ -108,10 +108,7 @@
         let name = field.name().unwrap_or_default().to_owned();
         match name.as_str() {
             "purpose" => {
-                let purpose = field.text().await.map_err(bad_form)?;
-                if purpose != PURPOSE {
-                    return Err(ApiError::bad_field("purpose", "must be batch"));
-                }
+                read_purpose(field).await?;
                 has_purpose = true;
             }
             "file" => {
@@ -130,6 +127,22 @@
     Ok(())
 }
 
+/// Reads the purpose of an upload only as far as it can be the supported one.
+async fn read_purpose(mut field: Field<'_>) -> Result<(), ApiError> {
+    let mut rest = PURPOSE.as_bytes();
+    while let Some(content) = field.chunk().await.map_err(bad_form)? {
+        let Some(after) = rest.strip_prefix(content.as_ref()) else {
+            return Err(ApiError::bad_field("purpose", "must be batch"));
+        };
+        rest = after;
+    }
+    if rest.is_empty() {
+        Ok(())
+    } else {
+        Err(ApiError::bad_field("purpose", "must be batch"))
+    }
+}
+
 async fn read_file(mut field: Field<'_>, upload: &mut FileUpload) -> Result<(), ApiError> {
     upload.set_filename(field.file_name().unwrap_or("upload.jsonl"));
     while let Some(content) = field.chunk().await.map_err(bad_form)? {
--- a/crates/api/src/generate.rs
+++ b/crates/api/src/generate.rs
@@ -5,7 +5,6 @@
 use axum::Json;
 use axum::body::{Body, Bytes};
 use axum::extract::State;
-use axum::extract::rejection::BytesRejection;
 use axum::http::{HeaderMap, HeaderValue, header::CONTENT_TYPE};
 use axum::response::{IntoResponse, Response};
 use futures::{StreamExt, stream};
@@ -21,6 +20,7 @@
 use tokio::time::Instant;
 
 use crate::auth::{Caller, check_accepting_work, idempotency_key};
+use crate::body::WholeBody;
 use crate::errors::{ApiError, EXECUTION_HEADER};
 
 /// Request header that selects at-most-once execution.
@@ -42,18 +42,18 @@
     State(node): State<Node>,
     caller: Caller,
     headers: HeaderMap,
-    body: Result<Bytes, BytesRejection>,
+    body: Result<WholeBody, ApiError>,
 ) -> Result<Response, ApiError> {
-    generate(node, caller, EndpointKind::Chat, headers, body?).await
+    generate(node, caller, EndpointKind::Chat, headers, body?.0).await
 }
 
 pub(crate) async fn completion(
     State(node): State<Node>,
     caller: Caller,
     headers: HeaderMap,
-    body: Result<Bytes, BytesRejection>,
+    body: Result<WholeBody, ApiError>,
 ) -> Result<Response, ApiError> {
-    generate(node, caller, EndpointKind::Completion, headers, body?).await
+    generate(node, caller, EndpointKind::Completion, headers, body?.0).await
 }
 
 async fn generate(
@@ -69,6 +69,7 @@
     let spec = parse_request(kind, &value)?;
     let digest = || RequestDigest::of(kind.path(), &body, &content_bytes(&value));
     let idempotency = at_most_once_call(&caller, &headers, digest)?;
+    drop((value, body));
     let call = Call {
         tenant: caller.tenant,
         spec: spec.clone(),
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod auth;
 mod batches;
+mod body;
 mod errors;
 mod files;
 mod generate;
--- a/crates/harrierward/src/settings.rs
+++ b/crates/harrierward/src/settings.rs
@@ -368,6 +368,9 @@
         node.store_limits.call_timeout,
     );
     node.drain_timeout = reader.millis("drain_timeout_millis", 0..=3_600_000, node.drain_timeout);
+    let memory = (node.request_memory_bytes >> 20) as u64;
+    let memory = reader.integer("api.request_memory_mib", 16..=1 << 20, memory);
+    node.request_memory_bytes = usize::try_from(memory << 20).unwrap_or(usize::MAX);
     let safe_after = node.freshness.safe_after;
     node.freshness.safe_after =
         reader.millis("config.safe_after_millis", 1000..=60_000, safe_after);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -42,6 +42,7 @@
     cancel_task, capacity_task, config_task, directory_task, membership_task, ownership,
     peer_service, roster_task, runner,
 };
+use harrierward_memory::{BudgetSizes, MemoryBudget};
 
 const PREFIX: &str = "node:";
 
@@ -67,6 +68,9 @@
     pub seeds: Vec<String>,
 }
 
+/// Largest body, in bytes, that may use the reserve of the memory for requests.
+const SMALL_BODY_BYTES: usize = 64 << 10;
+
 /// Dependencies and settings of a daemon.
 pub struct NodeParts {
     /// Member id and addresses, which it also advertises to the other members.
@@ -127,6 +131,7 @@
 /// State shared by the tasks of a daemon.
 pub(crate) struct Shared {
     pub identity: NodeIdentity,
+    pub request_memory: MemoryBudget,
     pub settings: NodeSettings,
     pub table: Arc<dyn Table>,
     pub objects: Arc<dyn ObjectStore>,
@@ -297,6 +302,10 @@
             network: parts.network,
             registry: parts.registry,
             identity,
+            request_memory: MemoryBudget::new(BudgetSizes {
+                total: settings.request_memory_bytes,
+                small: SMALL_BODY_BYTES,
+            }),
             settings,
             table,
             objects,
@@ -353,6 +362,11 @@
         &self.shared.gateway
     }
 
+    /// Returns the memory for the bodies of requests.
+    pub fn request_memory(&self) -> &MemoryBudget {
+        &self.shared.request_memory
+    }
+
     /// Returns the service for batch input files.
     pub fn files(&self) -> &FileService {
         &self.shared.files
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -46,6 +46,8 @@
     pub batch_tick: Duration,
     /// Maximum time for which a drain waits for running responses.
     pub drain_timeout: Duration,
+    /// Memory for the bodies of requests that are not uploads, bytes.
+    pub request_memory_bytes: usize,
     /// Seed of the generator for ids and random choices.
     pub seed: u64,
 }
@@ -69,6 +71,7 @@
             takeover_grace_period: Duration::from_secs(2),
             batch_tick: Duration::from_millis(20),
             drain_timeout: Duration::from_secs(60),
+            request_memory_bytes: 64 << 20,
             seed: 0,
         }
     }
