A replica that is listed and removed within a page of the feed is not listed

Cause: a page of the feed that lists a row and removes it was passed on as both a written and a removed row, and the set of replicas applies removals first. Only the last change of a row within a page is passed on now. What `forget` costs where one page changes a row many times was not measured.

--- a/crates/edge/tests/discovery.rs
+++ b/crates/edge/tests/discovery.rs
@@ -137,6 +137,29 @@
     assert_eq!(copy.revision(), 12);
 }
 
+#[tokio::test]
+async fn a_replica_that_is_removed_within_the_page_that_lists_it_is_not_listed() {
+    let fixture = Fixture::new();
+    let mut copy = SpaceCopy::default();
+    let first = snapshot(10, vec![row("stays", "1:1", 8)]);
+    let first = copy.apply_snapshot(first).expect("the first read");
+    fixture.discovery.apply_replicas(&first);
+    let page = ChangePage {
+        changes: vec![
+            change("left", Some("1:2"), 11),
+            change("again", Some("1:3"), 12),
+            change("left", None, 13),
+            change("again", None, 14),
+            change("again", Some("1:4"), 15),
+        ],
+        revision: 15,
+        store_time_ms: 2,
+        proof: None,
+    };
+    fixture.discovery.apply_replicas(&copy.apply_changes(page));
+    assert_eq!(fixture.replica_ids(), ["again", "stays"]);
+}
+
 #[test]
 fn a_full_read_recovers_changes_that_the_feed_skipped() {
     let mut copy = SpaceCopy::default();
--- a/crates/relay/src/space_copy.rs
+++ b/crates/relay/src/space_copy.rs
@@ -186,8 +186,9 @@
             if change.revision <= known {
                 continue;
             }
-            // Only the last change of a row counts.
-            update.removed.retain(|key| *key != change.key);
+            if earlier.is_some() {
+                update.forget(&change.key);
+            }
             merged.insert(change.key.clone(), change.revision);
             match change.value {
                 Some(value) => update.written.push(Row {
--- a/crates/relay/src/space_update.rs
+++ b/crates/relay/src/space_update.rs
@@ -59,7 +59,7 @@
 /// The effect of rows that were read on the copy.
 #[derive(Debug, Clone, Default)]
 pub struct SpaceUpdate {
-    /// Rows written, with their revisions.
+    /// Rows written, with their revisions; none of them is among the removed ones.
     pub written: Vec<Row>,
     /// Keys of removed rows.
     pub removed: Vec<String>,
@@ -90,6 +90,12 @@
         self.written.is_empty() && self.removed.is_empty()
     }
 
+    /// Forgets an earlier change of a row: only the last one counts.
+    pub(crate) fn forget(&mut self, key: &str) {
+        self.written.retain(|row| row.key != key);
+        self.removed.retain(|removed| removed != key);
+    }
+
     /// Adds the rows of an update that was applied after this one.
     pub(crate) fn append(&mut self, later: SpaceUpdate) {
         let written = later.written.iter().map(|row| row.key.as_str());
