An item's task that is dropped at its start takes no lock that its starter holds

Cause, from the stack of a hung process: a runtime of several threads that ends drops a new task inside `tokio::spawn`, under the lock of the registry, which the drop of the task's placement guard needs. Only tests end such a runtime so; the deployed program has one thread and starts no item once it stops. The guard now goes to the task after the lock is released.

--- a/crates/inline-jobs/src/runner.rs
+++ b/crates/inline-jobs/src/runner.rs
@@ -5,6 +5,7 @@
 
 use harrierward_decisions::Record;
 use harrierward_serving::{Asked, ContinuedStream, Placement, Replica, origin_of};
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
 use crate::item::{Item, ItemPhase, RunLease, lock};
@@ -89,9 +90,12 @@
         };
         let jobs = self.clone();
         let started = ready.clone();
-        // The task cannot finish before its phase is set: it needs the lock that is held here.
+        let (release, released) = oneshot::channel();
+        // A runtime that ends drops the task here, under the lock that the guard needs.
         let task = tokio::spawn(async move {
-            jobs.place_item(started, started_at, placement_guard).await;
+            if let Ok(placement_guard) = released.await {
+                jobs.place_item(started, started_at, placement_guard).await;
+            }
         });
         if let Some(entry) = registry.item(&item.job, item.number) {
             entry.phase = ItemPhase::Running {
@@ -100,6 +104,9 @@
                 since: started_at,
             };
         }
+        drop(registry);
+        // The guard is dropped if the task is gone.
+        let _ = release.send(placement_guard);
     }
 
     async fn place_item(
