What callers make a daemon hold is counted, bounded and given back

A crowd could end a daemon, or keep all others out: bodies were collected with no common bound, connections were accepted until the descriptors were gone, jobs' items stayed in memory whatever their sum, and a caller that didn't read kept its connection and its response. All are one cause: nothing counted them. Now the machine's memory and sockets (`limits.ram-mb`, `limits.max-fds`, checked) are divided into shares. Bytes of bodies are taken as they arrive and travel with the body to its last holder; submissions are decoded in turn; a job without room is accepted and read once there is room; a connection above the bound closes the one idle for longest. Who needs room ends the transfer, body or response, that has held most for longest without progress, after 400 ms. Whatever is refused has not run: the first byte goes to a replica after the body is whole. Log lines `body_refused`, `connection_refused`, `response_unread`, `job_waits_for_memory`, `receive_buffer_unbounded`, with metrics.

--- a/crates/decisions/src/metrics.rs
+++ b/crates/decisions/src/metrics.rs
@@ -45,6 +45,11 @@
     zones_running: IntGaugeVec,
     view_sync_records: IntCounter,
     stalled_connections_closed: IntCounter,
+    bodies_refused: IntCounterVec,
+    connections_refused: IntCounter,
+    responses_unread: IntCounter,
+    jobs_without_memory: IntCounter,
+    reads_without_memory: IntCounter,
     lines_dropped: IntGauge,
     rate_refusals: IntCounterVec,
     rate_fallbacks: IntCounterVec,
@@ -220,6 +225,27 @@
                 "harrierward_view_sync_records_total",
                 "Records of members that peers sent because this daemon's view differed from theirs",
             )?,
+            bodies_refused: metrics.counters(
+                "harrierward_bodies_refused_total",
+                "Requests whose body was not read to its end and which did not run, by cause",
+                &["cause"],
+            )?,
+            jobs_without_memory: metrics.counter(
+                "harrierward_jobs_without_memory_total",
+                "Batch jobs whose items were read later, once other jobs had returned memory",
+            )?,
+            reads_without_memory: metrics.counter(
+                "harrierward_reads_without_memory_total",
+                "Reads of results or of items' bodies refused, since there was no memory for what they would read",
+            )?,
+            connections_refused: metrics.counter(
+                "harrierward_connections_refused_total",
+                "Connections of callers refused, since as many as allowed were in use",
+            )?,
+            responses_unread: metrics.counter(
+                "harrierward_responses_unread_total",
+                "Connections closed for others, since their callers did not take the response",
+            )?,
             stalled_connections_closed: metrics.counter(
                 "harrierward_connections_silent_total",
                 "Kept connections closed because an exchange with their peer fell silent",
@@ -306,6 +332,13 @@
     /// Updates the metrics by one decision.
     pub fn observe(&self, record: &Record<'_>) {
         match record {
+            Record::BodyRefused { cause, .. } => {
+                self.bodies_refused.with_label_values(&[*cause]).inc();
+            }
+            Record::ConnectionRefused { .. } => self.connections_refused.inc(),
+            Record::ResponseUnread { .. } => self.responses_unread.inc(),
+            Record::JobWaitsForMemory { .. } => self.jobs_without_memory.inc(),
+            Record::ReadWithoutMemory { .. } => self.reads_without_memory.inc(),
             Record::Ended {
                 outcome,
                 body,
--- a/crates/decisions/src/record.rs
+++ b/crates/decisions/src/record.rs
@@ -65,6 +65,35 @@
         /// Open connections of callers.
         connections: usize,
     },
+    /// A connection of a caller is refused: as many as allowed are open, none is idle, and no body or response of them
+    /// has stalled.
+    ConnectionRefused {
+        /// Open connections of callers.
+        connections: usize,
+    },
+    /// A connection is closed since its caller doesn't take the response and others need its memory or its place.
+    ResponseUnread {
+        /// Bytes that the kernel has taken from the connection.
+        sent_bytes: u64,
+        /// Open connections of callers.
+        connections: usize,
+    },
+    /// The kernel's receive buffers of callers' connections can't be bounded.
+    ReceiveBufferUnbounded {
+        /// Error of the operating system.
+        cause: &'a str,
+    },
+    /// A request's body is not read to its end, and the request has not run.
+    BodyRefused {
+        /// Request id; empty if it names none.
+        request: &'a str,
+        /// `too_large`, `unreadable`, `too_slow` or `no_memory`.
+        cause: &'static str,
+        /// Bytes that all requests hold of the memory for them.
+        held_bytes: usize,
+        /// Open connections of callers.
+        connections: usize,
+    },
     /// A response that its caller had begun to receive can't be completed, and its connection is aborted.
     ResponseCutOff {
         /// Request id; empty if the service names none.
@@ -879,6 +908,24 @@
         /// `complete`, or `incomplete` if an earlier owner may have failed runs that the store does not hold.
         failure_history: &'a str,
     },
+    /// The items of a job are read later, once other jobs have returned memory.
+    JobWaitsForMemory {
+        /// Job id.
+        job: &'a str,
+        /// Bytes that it takes to read them, at most.
+        bytes: usize,
+        /// Bytes that the items of other jobs take.
+        taken_bytes: usize,
+    },
+    /// A caller's read of results or of an item's body is refused: there is no memory for what it would read.
+    ReadWithoutMemory {
+        /// Job id.
+        job: &'a str,
+        /// Bytes that it would take, at most.
+        bytes: usize,
+        /// Bytes that all requests and responses hold.
+        held_bytes: usize,
+    },
     /// Failures of a job's items that the store may not hold were reported to the daemons that would adopt the job, or
     /// received from its owner.
     FailuresReported {
@@ -1011,6 +1058,10 @@
             | Self::ItemGivenUp { .. }
             | Self::StreamContinued { .. }
             | Self::ResponseCutOff { .. }
+            | Self::BodyRefused { .. }
+            | Self::ConnectionRefused { .. }
+            | Self::ResponseUnread { .. }
+            | Self::ReadWithoutMemory { .. }
             | Self::Refused { .. }
             | Self::RateRefused { .. }
             | Self::Resent { .. }
--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -7,6 +7,7 @@
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{ObjectStore, Table, WatchedTable};
 use harrierward_inline_jobs::{InlineJobs, JOB_HEADERS, JobParts, JobSettings};
+use harrierward_memory::{BodyError, FairMemory, MemoryBudget};
 use harrierward_relay::Relay;
 use harrierward_serving::{
     ConfigurationProof, Forwarder, ForwarderParts, ForwarderSettings, Location, Replica,
@@ -27,7 +28,7 @@
 use crate::rates::RateService;
 use crate::rejected_rows::RejectedRows;
 use crate::relay::{HttpPeers, SpaceReplies};
-use crate::server::{HttpService, ServerControl, ServerStage, serve};
+use crate::server::{ConnectionBound, HttpService, ServerControl, ServerStage, serve};
 use crate::settings::EdgeSettings;
 use crate::slots::{Pacing, PreemptItems, SlotService};
 use crate::streams::{StreamService, StreamStoreParts};
@@ -61,14 +62,29 @@
     pub jobs: InlineJobs,
     /// State of the callers' server.
     pub control: Arc<ServerControl>,
+    /// Memory for callers' requests.
+    pub memory: MemoryBudget,
+    /// Memory for submissions of jobs while they are decoded and stored.
+    pub submissions: FairMemory,
     pub(crate) stopping: AtomicBool,
     /// Quarantined contents.
     pub quarantine: QuarantineService,
     discovery: Arc<Discovery>,
     members: Arc<Members>,
+    log: DecisionLog,
 }
 
 impl EdgeService {
+    /// Logs that the body of a request is not read to its end; the request has not run.
+    pub fn note_body_refused(&self, request: &str, error: BodyError) {
+        self.log.record(&Record::BodyRefused {
+            request,
+            cause: error.name(),
+            held_bytes: self.memory.taken(),
+            connections: self.control.connections(),
+        });
+    }
+
     /// Returns the number of live members in this daemon's view, itself included.
     pub fn fleet_size(&self) -> usize {
         self.members.fleet_size()
@@ -119,7 +135,13 @@
         });
         let routes = Arc::new(ArcSwapOption::empty());
         let replicas = Arc::new(ReplicaSet::default());
-        let control = Arc::new(ServerControl::default().with_log(log.clone()));
+        let memory = MemoryBudget::new(settings.machine.request_memory());
+        let bound = ConnectionBound {
+            max: settings.machine.caller_connections(),
+            memory: memory.clone(),
+        };
+        let control = ServerControl::default().with_log(log.clone());
+        let control = Arc::new(control.with_bound(bound));
         let slots = Arc::new(SlotService::new(
             instance_id.clone(),
             Location::new(&settings.zone, &settings.region),
@@ -208,9 +230,11 @@
             forwarder: forwarder.clone(),
             peers: members.clone(),
             log: log.clone(),
+            memory: memory.clone(),
             settings: JobSettings {
                 retention: settings.job_retention,
                 cancel_within: settings.cancel_within,
+                item_bytes: settings.machine.job_bytes(),
             },
         });
         members.set_jobs(jobs.clone());
@@ -267,6 +291,9 @@
             forwarder,
             jobs,
             control,
+            memory,
+            submissions: FairMemory::new(settings.machine.submission_bytes()),
+            log: log.clone(),
             stopping: AtomicBool::new(false),
             quarantine,
             discovery,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod discovery;
 mod fleet;
 mod hedged;
+mod machine;
 mod members;
 mod metrics;
 mod peer_loads;
@@ -35,6 +36,7 @@
 pub use fleet::SharedFleet;
 pub use harrierward_wire::FORMAT_LEVEL;
 pub use hedged::first_response;
+pub use machine::MachineLimits;
 pub use members::Members;
 pub use peer_loads::{PeerCounts, PeerLoads};
 pub use peer_updates::PeerUpdates;
@@ -45,7 +47,9 @@
 pub use rates::RateService;
 pub use relay::{HttpPeers, SpaceReplies};
 pub use response_budget::ResponseBudget;
-pub use server::{HttpService, RequestId, ResponseBody, ServerControl, ServerStage, serve};
+pub use server::{
+    ConnectionBound, HttpService, RequestId, ResponseBody, ServerControl, ServerStage, serve,
+};
 pub use settings::{AdvertisedAddresses, EdgeSettings};
 pub use slots::{CoordinatorCandidate, Pacing, PreemptItems, SlotService};
 pub use streams::{StreamService, StreamStoreParts};
--- a/crates/edge/src/server/activity.rs
+++ b/crates/edge/src/server/activity.rs
@@ -1,10 +1,11 @@
 //! Tracks one connection: its requests in progress and since when it has been idle.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use harrierward_serving::CallerLimits;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::ServerControl;
@@ -29,6 +30,23 @@
     idle_since: AtomicU64,
     /// When the first bytes since `idle_since` arrived, milliseconds since `started` plus one; 0 if none have arrived.
     header_started_at: AtomicU64,
+    is_close_requested: AtomicBool,
+    close_requested: Notify,
+    /// Bytes handed to the kernel.
+    sent: AtomicU64,
+    /// Whether the kernel takes no more bytes until the caller has taken some.
+    is_blocked: AtomicBool,
+    blocked: Notify,
+    /// Size of the last response, in bytes; 0 if unknown.
+    response_bytes: AtomicUsize,
+}
+
+/// How long a connection without a request has been at rest; the greatest one is closed first for a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rest {
+    /// False if bytes of a next request have arrived.
+    pub is_silent: bool,
+    pub lasts: Duration,
 }
 
 impl Activity {
@@ -41,7 +59,42 @@
             unsent: AtomicUsize::new(0),
             idle_since: AtomicU64::new(0),
             header_started_at: AtomicU64::new(0),
+            is_close_requested: AtomicBool::new(false),
+            close_requested: Notify::new(),
+            sent: AtomicU64::new(0),
+            is_blocked: AtomicBool::new(false),
+            blocked: Notify::new(),
+            response_bytes: AtomicUsize::new(0),
+        }
+    }
+
+    /// Returns how long the connection has been at rest; `None` if a request is in progress, or it is to be closed
+    /// already.
+    pub fn rest(&self) -> Option<Rest> {
+        if self.is_busy() || self.is_close_requested.load(Ordering::Relaxed) {
+            return None;
         }
+        let idle_since = self.idle_since.load(Ordering::Relaxed);
+        Some(Rest {
+            is_silent: self.header_started_at.load(Ordering::Relaxed) == 0,
+            lasts: Duration::from_millis(self.now().saturating_sub(idle_since)),
+        })
+    }
+
+    /// Asks the connection to close, unless a request has arrived.
+    pub fn request_close(&self) {
+        self.is_close_requested.store(true, Ordering::Relaxed);
+        self.close_requested.notify_one();
+    }
+
+    /// Waits until the connection is asked to close.
+    pub async fn close_requested(&self) {
+        self.close_requested.notified().await;
+    }
+
+    /// Notes that the connection stays open, since a request has arrived.
+    pub fn refuse_close(&self) {
+        self.is_close_requested.store(false, Ordering::Relaxed);
     }
 
     fn now(&self) -> u64 {
@@ -65,6 +118,44 @@
         self.header_started_at.store(0, Ordering::Relaxed);
     }
 
+    /// Notes the size of a response, in bytes; 0 if unknown.
+    pub fn begin_response(&self, bytes: usize) {
+        self.response_bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Notes that the kernel has taken bytes.
+    pub fn note_sent(&self, bytes: usize) {
+        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.is_blocked.store(false, Ordering::Relaxed);
+    }
+
+    /// Notes that the kernel takes no more bytes until the caller has taken some.
+    pub fn note_blocked(&self) {
+        if !self.is_blocked.swap(true, Ordering::Relaxed) {
+            self.blocked.notify_one();
+        }
+    }
+
+    /// Waits until the kernel takes no more bytes.
+    pub async fn blocked(&self) {
+        self.blocked.notified().await;
+    }
+
+    /// Returns the bytes handed to the kernel.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// True if the kernel takes no more bytes until the caller has taken some.
+    pub fn is_blocked(&self) -> bool {
+        self.is_blocked.load(Ordering::Relaxed)
+    }
+
+    /// Returns the size of the last response, in bytes; 0 if unknown.
+    pub fn response_bytes(&self) -> usize {
+        self.response_bytes.load(Ordering::Relaxed)
+    }
+
     /// Notes that the body of a response was produced or dropped.
     pub fn finish_response(&self) {
         self.unsent.fetch_add(1, Ordering::Relaxed);
--- a/crates/edge/src/server/connection.rs
+++ b/crates/edge/src/server/connection.rs
@@ -19,6 +19,7 @@
 use super::activity::Activity;
 use super::delimiter::RequestFraming;
 use super::reset::ResetGuard;
+use super::slow_caller::{SLOW_CHECK_INTERVAL, SlowCaller};
 use super::stated_length::StatedLengthBody;
 use super::stream::{WatchedStream, has_unread};
 use super::{HttpService, RequestId, ServerControl, ServerStage};
@@ -42,12 +43,13 @@
 pub(super) async fn serve_connection<S: HttpService>(
     stream: TcpStream,
     control: Arc<ServerControl>,
+    activity: Arc<Activity>,
     service: Arc<S>,
 ) {
     let _ = stream.set_nodelay(true);
     set_probes(&stream, control.unacknowledged_timeout);
     let stream = Arc::new(stream);
-    if serve_requests(&stream, control, service).await == ConnectionEnd::Graceful {
+    if serve_requests(&stream, control, activity, service).await == ConnectionEnd::Graceful {
         let _ = timeout(LINGER_TIMEOUT, discard_unread(&stream)).await;
     }
 }
@@ -64,10 +66,11 @@
 async fn serve_requests<S: HttpService>(
     stream: &Arc<TcpStream>,
     control: Arc<ServerControl>,
+    activity: Arc<Activity>,
     service: Arc<S>,
 ) -> ConnectionEnd {
     let limits = *control.limits.load_full();
-    let activity = Arc::new(Activity::begin(control.clone()));
+    let mut slow_caller = SlowCaller::new(control.memory());
     let reset = Arc::new(ResetGuard::new(control.clone(), stream.clone()));
     let io = WatchedStream {
         stream: stream.clone(),
@@ -94,6 +97,11 @@
     loop {
         let is_closing_stage = *stage.borrow_and_update() == ServerStage::Closing;
         let close_time = activity.close_time(&limits);
+        let busy_check_interval = if slow_caller.look(&activity) {
+            SLOW_CHECK_INTERVAL
+        } else {
+            BUSY_CHECK_INTERVAL
+        };
         let due = close_time.filter(|close| close.at <= Instant::now());
         if due.is_some_and(|close| close.is_header_timeout || closing) {
             return ConnectionEnd::Aborted;
@@ -105,16 +113,27 @@
             } else {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
-                Instant::now() + BUSY_CHECK_INTERVAL
+                Instant::now() + busy_check_interval
             }
         } else {
-            close_time.map_or_else(|| Instant::now() + BUSY_CHECK_INTERVAL, |close| close.at)
+            close_time.map_or_else(|| Instant::now() + busy_check_interval, |close| close.at)
         };
         tokio::select! {
             ended = &mut connection => {
                 return if ended.is_ok() { ConnectionEnd::Graceful } else { ConnectionEnd::Aborted };
             }
             () = sleep_until(check) => {}
+            () = activity.blocked() => {}
+            () = activity.close_requested() => {
+                if !activity.is_busy() && !has_unread(stream) {
+                    return ConnectionEnd::Aborted;
+                }
+                activity.refuse_close();
+            }
+            () = slow_caller.close_requested() => {
+                control.note_response_unread(activity.sent_bytes());
+                return ConnectionEnd::Aborted;
+            }
             changed = stage.changed() => if changed.is_err() { return ConnectionEnd::Aborted },
         }
     }
@@ -166,6 +185,9 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
+        let bytes = response.body().size_hint().exact().unwrap_or_default();
+        self.activity
+            .begin_response(usize::try_from(bytes).unwrap_or(usize::MAX));
         let delimiter = framing.delimiter_of(&response);
         if delimiter == BodyDelimiter::Close {
             self.reset.arm();
--- a/crates/edge/src/server/mod.rs
+++ b/crates/edge/src/server/mod.rs
@@ -4,6 +4,8 @@
 mod connection;
 mod delimiter;
 mod reset;
+mod room;
+mod slow_caller;
 mod stated_length;
 mod stream;
 
@@ -15,6 +17,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, Record};
+use harrierward_memory::MemoryBudget;
 use harrierward_serving::{BodyDelimiter, CallerLimits, ResponseAborted};
 use http::{Request, Response};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -24,7 +27,12 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use activity::Activity;
 use connection::serve_connection;
+pub use room::ConnectionBound;
+use room::{SocketCount, StartedConnections};
+
+use crate::machine::RECEIVE_BUFFER_BYTES;
 
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -67,6 +75,8 @@
     unacknowledged_timeout: Duration,
     log: Option<DecisionLog>,
     is_linger_failing: AtomicBool,
+    bound: Option<ConnectionBound>,
+    sockets: Arc<SocketCount>,
 }
 
 impl Default for ServerControl {
@@ -79,6 +89,8 @@
             unacknowledged_timeout: UNACKNOWLEDGED_TIMEOUT,
             log: None,
             is_linger_failing: AtomicBool::new(false),
+            bound: None,
+            sockets: Arc::default(),
         }
     }
 }
@@ -96,6 +108,52 @@
         self
     }
 
+    /// Bounds the connections, and the bytes that each may have unread.
+    pub fn with_bound(mut self, bound: ConnectionBound) -> Self {
+        self.bound = Some(bound);
+        self
+    }
+
+    /// Waits for the stage [`ServerStage::Closing`].
+    pub async fn closing(&self) {
+        let mut stage = self.stage.subscribe();
+        // The sender lives as long as `self`.
+        let _ = stage.wait_for(|stage| *stage == ServerStage::Closing).await;
+    }
+
+    /// Logs that a connection is refused, since as many as allowed are in use.
+    fn note_connection_refused(&self) {
+        if let Some(log) = &self.log {
+            log.record(&Record::ConnectionRefused {
+                connections: self.connections(),
+            });
+        }
+    }
+
+    /// Logs that a connection is closed for others, since its caller doesn't take the response.
+    fn note_response_unread(&self, sent_bytes: u64) {
+        if let Some(log) = &self.log {
+            log.record(&Record::ResponseUnread {
+                sent_bytes,
+                connections: self.connections(),
+            });
+        }
+    }
+
+    /// Returns the budget of the bytes that callers make this server hold, if it is bounded.
+    fn memory(&self) -> Option<MemoryBudget> {
+        self.bound.as_ref().map(|bound| bound.memory.clone())
+    }
+
+    /// Logs, once, that the kernel's receive buffers can't be bounded.
+    fn note_buffer_unbounded(&self, error: &std::io::Error) {
+        if let Some(log) = &self.log {
+            log.record(&Record::ReceiveBufferUnbounded {
+                cause: &error.to_string(),
+            });
+        }
+    }
+
     fn note_accept_failed(&self, error: &std::io::Error) {
         if let Some(log) = &self.log {
             log.record(&Record::AcceptFailed {
@@ -160,8 +218,21 @@
     control: Arc<ServerControl>,
     service: Arc<S>,
 ) {
-    let spawn_connection = |stream: TcpStream| {
-        tokio::spawn(serve_connection(stream, control.clone(), service.clone()));
+    let mut started = StartedConnections::default();
+    if control.bound.is_some()
+        && let Err(error) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+    {
+        control.note_buffer_unbounded(&error);
+    }
+    let start_connection = |stream: TcpStream, started: &mut StartedConnections| {
+        let activity = Arc::new(Activity::begin(control.clone()));
+        started.add(&activity);
+        let socket = control.sockets.begin();
+        let (control, service) = (control.clone(), service.clone());
+        tokio::spawn(async move {
+            serve_connection(stream, control, activity, service).await;
+            drop(socket);
+        });
     };
     let mut stage = control.stage.subscribe();
     let mut is_failing = false;
@@ -173,7 +244,15 @@
         match accepted {
             Ok((stream, _)) => {
                 is_failing = false;
-                spawn_connection(stream);
+                let has_room = match &control.bound {
+                    Some(bound) => started.make_room(bound, &control.sockets).await,
+                    None => true,
+                };
+                if has_room {
+                    start_connection(stream, &mut started);
+                } else {
+                    control.note_connection_refused();
+                }
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_failing, true) {
@@ -183,7 +262,7 @@
             }
         }
     }
-    pending_connections(&listener).for_each(spawn_connection);
+    pending_connections(&listener).for_each(|stream| start_connection(stream, &mut started));
 }
 
 /// Accepts the pending connections: closing the listener would reset them and lose requests already sent. Calls the
--- a/crates/edge/src/server/stream.rs
+++ b/crates/edge/src/server/stream.rs
@@ -13,7 +13,7 @@
 use super::activity::Activity;
 use super::reset::ResetGuard;
 
-/// A stream that records when bytes arrive and when all are sent.
+/// A stream that records when bytes arrive, whether its caller takes what is sent, and when all are sent.
 pub(super) struct WatchedStream {
     pub stream: Arc<TcpStream>,
     pub activity: Arc<Activity>,
@@ -58,10 +58,18 @@
         write: impl Fn(&TcpStream) -> std::io::Result<usize>,
     ) -> Poll<std::io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(context))?;
+            let ready = self.stream.poll_write_ready(context);
+            if ready.is_pending() {
+                self.activity.note_blocked();
+            }
+            ready!(ready)?;
             match write(&self.stream) {
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                Ok(sent) => {
+                    self.activity.note_sent(sent);
+                    return Poll::Ready(Ok(sent));
+                }
+                Err(error) => return Poll::Ready(Err(error)),
             }
         }
     }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::machine::MachineLimits;
 use harrierward_serving::{KeyTrust, Mechanism, Policy, SelectionCosts, Topology};
 use harrierward_tenants::RateBounds;
 
@@ -59,6 +60,8 @@
     pub warmup_bounds: RateBounds,
     /// Address on which metrics are served; empty to serve none.
     pub metrics_address: String,
+    /// What the machine gives the process.
+    pub machine: MachineLimits,
     /// Policy mechanisms in use.
     pub policy: Policy,
     /// Time a request must save, beyond the RTT, to leave its region; `None` for the default cost. Ignored unless
--- a/crates/inline-jobs/src/owned_job.rs
+++ b/crates/inline-jobs/src/owned_job.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
+use harrierward_memory::FairPermit;
 use harrierward_serving::{
     EventsLeft, KnownOrigin, OriginSource, ServingRequest, SoftwareVersion, StreamOrigin,
 };
@@ -131,6 +132,8 @@
     unknown_versions: usize,
     /// When the number of listed results last grew; `None` if it has not grown here.
     listed_at: Option<Instant>,
+    /// Memory that the items take; `None` in tests.
+    memory: Option<FairPermit>,
 }
 
 impl OwnedJob {
@@ -178,11 +181,18 @@
             broken_run_at: None,
             unknown_versions,
             listed_at: None,
+            memory: None,
         };
         job.update_header(known);
         job
     }
 
+    /// Holds the memory that the items take until the job is dropped.
+    pub fn with_memory(mut self, memory: FairPermit) -> Self {
+        self.memory = Some(memory);
+        self
+    }
+
     /// Applies a newer header of the same owner and epoch: its listed results and failure counts.
     pub fn update_header(&mut self, known: KnownHeader) {
         if known.header.listed.len() > self.known.header.listed.len() {
--- a/crates/inline-jobs/src/service.rs
+++ b/crates/inline-jobs/src/service.rs
@@ -8,14 +8,16 @@
 use bytes::Bytes;
 use harrierward_decisions::{DecisionLog, Record};
 use harrierward_external::{ObjectStore, Table, WatchedTable};
+use harrierward_memory::{FairMemory, FairPermit, MemoryBudget};
 use harrierward_ownership::OwnerStatus;
-use harrierward_serving::Forwarder;
+use harrierward_serving::{CallerLimits, Forwarder, ServingRequest};
 use harrierward_tenants::AllowedRegions;
 use harrierward_wire::{JobFailures, JobHeadRow, QuotaOutcome};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::adoption_order::last_owner;
+use crate::job_memory::{bytes_of, bytes_to_read};
 use crate::keys::JOB_HEADERS;
 use crate::owned_job::OwnedJob;
 use crate::quota_ledger::{QuotaLedger, QuotaRequest};
@@ -63,13 +65,15 @@
     fn report_failures(&self, recipient: &str, jobs: Vec<JobFailures>);
 }
 
-/// Time bounds of jobs, from the settings.
+/// Bounds of jobs, from the settings.
 #[derive(Debug, Clone, Copy)]
 pub struct JobSettings {
     /// How long a job stays readable after it was accepted.
     pub retention: Duration,
     /// Time after an acknowledged cancellation from which none of the job's items may start.
     pub cancel_within: Duration,
+    /// Bytes that the items of this daemon's jobs may take.
+    pub item_bytes: usize,
 }
 
 /// Dependencies of [`InlineJobs`].
@@ -88,7 +92,9 @@
     pub peers: Arc<dyn Peers>,
     /// Receives the records of decisions.
     pub log: DecisionLog,
-    /// Time bounds.
+    /// Memory for callers' requests, of which responses that are built whole take theirs.
+    pub memory: MemoryBudget,
+    /// Bounds of time and memory.
     pub settings: JobSettings,
 }
 
@@ -101,6 +107,8 @@
     pub peers: Arc<dyn Peers>,
     pub log: DecisionLog,
     pub settings: JobSettings,
+    pub item_memory: FairMemory,
+    pub memory: MemoryBudget,
     pub takeovers: Mutex<JobTakeovers>,
     pub wake: Notify,
     pub stopping: AtomicBool,
@@ -131,6 +139,8 @@
             peers: parts.peers,
             log: parts.log,
             settings: parts.settings,
+            item_memory: FairMemory::new(parts.settings.item_bytes),
+            memory: parts.memory,
             takeovers: Mutex::default(),
             wake: Notify::new(),
             stopping: AtomicBool::new(false),
@@ -316,28 +326,68 @@
         loop {
             let current = self.inner.view.get(&known.header.job_id);
             let current = current.unwrap_or_else(|| known.clone());
-            if !self.owns(&current.header) || !current.is_open() || self.is_stopping() {
+            let Some(mut memory) = self.memory_to_read(&current).await else {
+                return;
+            };
+            // The job may have been lost or closed while it waited for memory.
+            let current = self.inner.view.get(&known.header.job_id);
+            let current = current.unwrap_or_else(|| known.clone());
+            if !self.may_load(&current) {
                 return;
             }
+            self.takeovers().note_read_begins(&current.header.job_id);
             let items = store.read_items(&current.header).await;
             let progress = store.read_progress(&current.header.job_id).await;
             if let (Ok(items), Ok(progress)) = (items, progress) {
-                let requests = items
+                let requests: Vec<ServingRequest> = items
                     .items
                     .into_iter()
                     .map(|row| crate::model::item_request(row, &current.header))
                     .collect();
                 let attempts = self.attempts_of(&current.header.route);
-                let mut job = OwnedJob::new(current, requests, progress);
+                memory.shrink_to(bytes_of(&requests));
+                let mut job = OwnedJob::new(current, requests, progress).with_memory(memory);
                 self.inner.log.record(&job.load_record());
                 job.fail_exhausted_items(attempts);
                 self.register(job);
                 return;
             }
+            drop(memory);
             sleep(LOAD_RETRY_PAUSE).await;
         }
     }
 
+    /// True if this daemon should read the items of a job.
+    fn may_load(&self, known: &KnownHeader) -> bool {
+        self.owns(&known.header) && known.is_open() && !self.is_stopping()
+    }
+
+    /// Waits for the memory that it takes to read a job's items; `None` if they are not to be read.
+    async fn memory_to_read(&self, known: &KnownHeader) -> Option<FairPermit> {
+        if !self.may_load(known) {
+            return None;
+        }
+        let bytes = self.bytes_to_read(&known.header);
+        let memory = &self.inner.item_memory;
+        if let Some(permit) = memory.try_take(bytes) {
+            return Some(permit);
+        }
+        self.inner.log.record(&Record::JobWaitsForMemory {
+            job: &known.header.job_id,
+            bytes,
+            taken_bytes: memory.taken(),
+        });
+        memory.take(bytes).await
+    }
+
+    /// Returns an upper bound of the bytes that it takes to read a job's items.
+    pub(crate) fn bytes_to_read(&self, header: &JobHeadRow) -> usize {
+        let limits = self.inner.forwarder.routes();
+        let limits =
+            limits.map_or_else(CallerLimits::default, |routes| routes.configuration.limits);
+        bytes_to_read(header, limits.body_bytes)
+    }
+
     /// Runs items, adoption, reads of own headers, reports of failures and removal until the process ends.
     pub async fn run(self) {
         tokio::join!(
--- a/crates/inline-jobs/src/store.rs
+++ b/crates/inline-jobs/src/store.rs
@@ -21,7 +21,8 @@
 use crate::recency::{RecencyEvidence, RevisionPoint};
 use crate::view::KnownHeader;
 
-use transactions::{MAX_ROW_BYTES, MAX_TRANSACTION_BYTES, add_progress, header_change, listing};
+pub(crate) use transactions::MAX_ROW_BYTES;
+use transactions::{MAX_TRANSACTION_BYTES, add_progress, header_change, listing};
 
 /// Outcome of a conditional write of a header.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/inline-jobs/src/store/transactions.rs
+++ b/crates/inline-jobs/src/store/transactions.rs
@@ -7,7 +7,7 @@
 use crate::keys;
 
 /// Content of a row, in bytes; base64 adds a third.
-pub(super) const MAX_ROW_BYTES: usize = 45_000;
+pub(crate) const MAX_ROW_BYTES: usize = 45_000;
 
 /// Content of the items or progress in one transaction, in bytes.
 pub(super) const MAX_TRANSACTION_BYTES: usize = 600_000;
--- a/crates/inline-jobs/src/submit.rs
+++ b/crates/inline-jobs/src/submit.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use harrierward_decisions::Record;
-use harrierward_serving::{Route, caller_of};
+use harrierward_serving::{Route, ServingRequest, caller_of};
 use harrierward_wire::{ItemHeadRow, JobHeadRow, JobItemsRow};
 use tokio::time::{Instant, sleep};
 
 use crate::adoption_order::released;
 use crate::header_lookup::Need;
+use crate::job_memory::bytes_of;
 use crate::keys;
 use crate::model::{Lookup, SubmitOutcome, SubmittedJob, item_request, item_row, scoped_id};
 use crate::owned_job::OwnedJob;
@@ -20,7 +21,7 @@
 use crate::view::KnownHeader;
 
 /// Items per job.
-const MAX_ITEMS: usize = 200;
+pub const MAX_JOB_ITEMS: usize = 200;
 
 /// Upper bound of the time that a submission may take.
 const MAX_WAIT: Duration = Duration::from_millis(2_500);
@@ -200,12 +201,18 @@
         if !is_owned || is_registered {
             return;
         }
-        let requests = rows
+        let requests: Vec<ServingRequest> = rows
             .items
             .into_iter()
             .map(|row| item_request(row, &known.header))
             .collect();
-        self.register(OwnedJob::new(known, requests, Vec::new()));
+        match self.inner.item_memory.try_take(bytes_of(&requests)) {
+            Some(memory) => {
+                let job = OwnedJob::new(known, requests, Vec::new());
+                self.register(job.with_memory(memory));
+            }
+            None => self.load(known),
+        }
     }
 
     /// Refuses a job for its quota, unless another daemon has accepted it already.
@@ -268,7 +275,7 @@
     if job.items.is_empty() {
         return Err("a job needs an item");
     }
-    if job.items.len() > MAX_ITEMS {
+    if job.items.len() > MAX_JOB_ITEMS {
         return Err("a job has 200 items at most");
     }
     let mut ids: Vec<&str> = job.items.iter().map(|item| item.id.as_str()).collect();
--- a/crates/inline-jobs/src/takeover.rs
+++ b/crates/inline-jobs/src/takeover.rs
@@ -34,8 +34,8 @@
     origin: Instant,
     /// Jobs with a header write in flight.
     writing: HashSet<String>,
-    /// Jobs whose items are being read, with the start of the read.
-    loading: HashMap<String, Instant>,
+    /// Jobs whose items are being read, with the start of the read; `None` while they wait for memory.
+    loading: HashMap<String, Option<Instant>>,
 }
 
 impl Default for JobTakeovers {
@@ -88,15 +88,22 @@
         self.writing.remove(job_id);
     }
 
-    /// Marks the read of a job's items as in flight; false if it already is.
+    /// Marks the load of a job's items as in flight; false if it already is.
     pub fn begin_load(&mut self, job_id: &str) -> bool {
         if self.loading.contains_key(job_id) {
             return false;
         }
-        self.loading.insert(job_id.to_owned(), Instant::now());
+        self.loading.insert(job_id.to_owned(), None);
         true
     }
 
+    /// Notes that there is memory for a job's items, whose read begins.
+    pub fn note_read_begins(&mut self, job_id: &str) {
+        if let Some(begun_at) = self.loading.get_mut(job_id) {
+            begun_at.get_or_insert_with(Instant::now);
+        }
+    }
+
     /// Marks the read of a job's items as finished or cancelled.
     pub fn end_load(&mut self, job_id: &str) {
         self.loading.remove(job_id);
@@ -104,7 +111,7 @@
 
     /// True if the read of a job's items has been in flight for at least `timeout`.
     fn has_been_loading_for(&self, job_id: &str, timeout: Duration) -> bool {
-        let since = self.loading.get(job_id);
+        let since = self.loading.get(job_id).copied().flatten();
         since.is_some_and(|since| since.elapsed() >= timeout)
     }
 
--- a/crates/inline-jobs/tests/lost_job.rs
+++ b/crates/inline-jobs/tests/lost_job.rs
@@ -17,6 +17,7 @@
 use harrierward_inline_jobs::{
     InlineJobs, JobParts, JobSettings, KnownHeader, Peers, QuotaRequest,
 };
+use harrierward_memory::{BudgetSizes, MemoryBudget};
 use harrierward_ownership::OwnerStatus;
 use harrierward_serving::{
     ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemSlack, KeyTrust, NoQuarantine,
@@ -35,6 +36,9 @@
 const THIS_DAEMON: &str = "this-daemon";
 const RECIPIENTS: usize = 3;
 
+/// Memory for requests, and for jobs, bytes.
+const MEMORY_BYTES: usize = 64 << 20;
+
 /// Longer than the interval between reports.
 const REPORTED: Duration = Duration::from_millis(2_500);
 
@@ -177,7 +181,12 @@
         forwarder,
         peers,
         log,
+        memory: MemoryBudget::new(BudgetSizes {
+            total: MEMORY_BYTES,
+            small: MEMORY_BYTES,
+        }),
         settings: JobSettings {
+            item_bytes: MEMORY_BYTES,
             retention: Duration::from_secs(120),
             cancel_within: Duration::from_secs(3),
         },
--- a/crates/inline-jobs/tests/stale_listing.rs
+++ b/crates/inline-jobs/tests/stale_listing.rs
@@ -20,6 +20,7 @@
     CancelOutcome, InlineJobs, JobCaller, JobParts, JobSettings, KnownFence, KnownHeader, Lookup,
     Peers, QuotaRequest, ResultPage, SubmitOutcome, SubmittedItem, SubmittedJob,
 };
+use harrierward_memory::{BudgetSizes, MemoryBudget};
 use harrierward_ownership::OwnerStatus;
 use harrierward_serving::{
     BatchBounds, ExchangeError, Forwarder, ForwarderParts, ForwarderSettings, ItemSlack, KeyTrust,
@@ -36,6 +37,9 @@
 
 const JOB: &str = "job-1";
 
+/// Memory for requests, and for jobs, bytes.
+const MEMORY_BYTES: usize = 64 << 20;
+
 /// Revision of the store before the job was accepted.
 const BEFORE_ACCEPTANCE: u64 = 9;
 
@@ -310,7 +314,12 @@
         forwarder,
         peers: Arc::new(Stub),
         log,
+        memory: MemoryBudget::new(BudgetSizes {
+            total: MEMORY_BYTES,
+            small: MEMORY_BYTES,
+        }),
         settings: JobSettings {
+            item_bytes: MEMORY_BYTES,
             retention: Duration::from_secs(120),
             cancel_within: Duration::from_secs(3),
         },
