A follower whose peer is behind waits at it while the history of the store is lost

Cause, from two traces: a follower gets an old proof from the zone's reader 0.17 s after the silence and doesn't ask it for 500 ms. The store, which it asks instead, has lost its history, so that each request fails at once, and the back-off grows to up to 500 ms: it sleeps until 2.0 s, though the reader has the change at 1.2 s and the cooldown ends at 1.67 s. Ruled out: the reader (it recovers within 0.2 s of the silence in both), and a time-out of the test's clock, which is virtual.

A cooldown for an old copy exists to go to another source. A store without its history is none for a follower, so its reply ends these cooldowns: the next request waits at the peer and returns when that has the change. Peers that are unresponsive or have no copy yet keep theirs; the latter have a failure of their own now.

--- a/crates/relay/src/relay/reading.rs
+++ b/crates/relay/src/relay/reading.rs
@@ -158,6 +158,8 @@
                     if source != Source::Store || !self.relies_on_peer_history(space) {
                         return Err(error);
                     }
+                    // The back-off grows meanwhile and would outlast their cooldowns.
+                    self.lock().sources.end_cooldowns_of_old_copies();
                     let kind = PlatformErrorKind::NotDone;
                     failed = Some(PlatformError { kind, ..error });
                 }
@@ -265,7 +267,7 @@
                 "the peer no longer knows the changes",
             )),
             RelayReply::NotReady => {
-                self.note_failure(space, &source, SourceFailure::Behind, "not ready");
+                self.note_failure(space, &source, SourceFailure::NotReady, "not ready");
                 Err(starting(peer))
             }
             RelayReply::Failed(failure, cause) => {
--- a/crates/relay/src/sources.rs
+++ b/crates/relay/src/sources.rs
@@ -56,12 +56,21 @@
 pub enum SourceFailure {
     /// No reply, or an unreadable one.
     Unresponsive,
-    /// Its copy is too old, or missing.
+    /// Its copy is too old.
     Behind,
+    /// It has no copy yet.
+    NotReady,
     /// It doesn't support relay requests, as a daemon of an older build.
     Unsupported,
 }
 
+/// A peer that failed and isn't asked for a while.
+#[derive(Debug)]
+struct Cooldown {
+    failure: SourceFailure,
+    until: Instant,
+}
+
 /// The relay mode, the tree position and the cooldowns of one daemon.
 #[derive(Debug)]
 pub struct Sources {
@@ -70,7 +79,7 @@
     others_known_since: Option<Instant>,
     is_relaying: bool,
     tree: RelayTree,
-    cooldowns: HashMap<String, Instant>,
+    cooldowns: HashMap<String, Cooldown>,
     store_cooldown_until: Option<Instant>,
 }
 
@@ -172,24 +181,33 @@
         now: Instant,
     ) -> impl Iterator<Item = RelayPeer> + 'a {
         let available = peers.iter().filter(move |peer| {
-            let until = self.cooldowns.get(&peer.id);
-            until.is_none_or(|until| *until <= now)
+            let cooldown = self.cooldowns.get(&peer.id);
+            cooldown.is_none_or(|cooldown| cooldown.until <= now)
         });
         available.cloned()
     }
 
     /// Puts a source that failed into cooldown.
     pub fn note_failure(&mut self, source: &Source, failure: SourceFailure, now: Instant) {
-        let cooldown = match failure {
+        let time = match failure {
             SourceFailure::Unresponsive => UNRESPONSIVE_COOLDOWN,
-            SourceFailure::Behind => BEHIND_COOLDOWN,
+            SourceFailure::Behind | SourceFailure::NotReady => BEHIND_COOLDOWN,
             SourceFailure::Unsupported => UNSUPPORTED_COOLDOWN,
         };
         match source {
             Source::Store => self.store_cooldown_until = Some(now + STORE_COOLDOWN),
             Source::Peer(peer) => {
-                self.cooldowns.insert(peer.id.clone(), now + cooldown);
+                let until = now + time;
+                self.cooldowns
+                    .insert(peer.id.clone(), Cooldown { failure, until });
             }
         }
     }
+
+    /// Makes peers with old copies available again: without the store's history, only they can pass on what the zone's
+    /// reader reads.
+    pub fn end_cooldowns_of_old_copies(&mut self) {
+        self.cooldowns
+            .retain(|_, cooldown| cooldown.failure != SourceFailure::Behind);
+    }
 }
