A release of memory looks for a stalled transfer only if there can be one

While many uploads wait for the budget, each release, of any small request's body too, wakes all of them, and each looked through all transfers for a stalled one: waiters times transfers for each request, under the budget's lock. Callers would see it as processor time that a crowd takes from others; it was found by reading, no test of the crowd shows it.

The ledger keeps the moment before which no transfer has progressed last. It only becomes later: a transfer that begins, progresses or stops waiting does so at the present moment. Until the grace after it, there is none to find. The new property, with the search of a list beside it, passes before and after; it failed with the latest in place of the earliest progress.

--- a/crates/memory/src/ledger.rs
+++ b/crates/memory/src/ledger.rs
@@ -71,6 +71,8 @@
     taken: usize,
     transfers: BTreeMap<TransferId, TransferState>,
     next_id: u64,
+    /// Moment before which no transfer that isn't waiting has progressed last; `None` until one was looked for.
+    progressed_since: Option<Instant>,
 }
 
 impl Ledger {
@@ -81,6 +83,7 @@
             taken: 0,
             transfers: BTreeMap::new(),
             next_id: 0,
+            progressed_since: None,
         }
     }
 
@@ -166,14 +169,30 @@
     }
 
     /// Removes and returns the transfer that has held most for longest without progress, at least for `grace`. One that
-    /// waits for the budget is not among them.
+    /// waits for the budget is not among them. `now` must not decrease from call to call.
     pub fn take_stalled(&mut self, now: Instant, grace: Duration) -> Option<TransferId> {
+        // All who wait ask at each release, so the transfers are looked through only if one can have stalled.
+        let is_recent = |moment| now.saturating_duration_since(moment) < grace;
+        if self.progressed_since.is_some_and(is_recent) {
+            return None;
+        }
         let stalled = self.transfers.iter().filter(|(_, transfer)| {
             !transfer.is_waiting && now.saturating_duration_since(transfer.progressed_at) >= grace
         });
         let costs = stalled.map(|(id, transfer)| (*id, transfer.cost(now)));
-        let (id, _) = costs.max_by(|(_, one), (_, other)| one.total_cmp(other))?;
-        self.transfers.remove(&id);
-        Some(id)
+        let most_costly = costs.max_by(|(_, one), (_, other)| one.total_cmp(other));
+        let id = most_costly.map(|(id, _)| id);
+        if let Some(id) = id {
+            self.transfers.remove(&id);
+        }
+        self.progressed_since = Some(self.oldest_progress(now));
+        id
+    }
+
+    /// Returns when the transfer that isn't waiting and has stalled for longest progressed last; `now` if there is none.
+    fn oldest_progress(&self, now: Instant) -> Instant {
+        let active = self.transfers.values().filter(|one| !one.is_waiting);
+        let progressed = active.map(|transfer| transfer.progressed_at);
+        progressed.min().unwrap_or(now)
     }
 }
--- a/crates/memory/tests/ledger.rs
+++ b/crates/memory/tests/ledger.rs
@@ -72,7 +72,105 @@
     }
 }
 
+/// What happens to a transfer, or a search for a stalled one.
+#[derive(Debug, Clone)]
+enum Event {
+    Begin,
+    Progress { transfer: usize },
+    Wait { transfer: usize },
+    Resume { transfer: usize },
+    End { transfer: usize },
+    Search { after_ms: u64 },
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let any_transfer = any::<usize>;
+    let event = prop_oneof![
+        Just(Event::Begin),
+        any_transfer().prop_map(|transfer| Event::Progress { transfer }),
+        any_transfer().prop_map(|transfer| Event::Wait { transfer }),
+        any_transfer().prop_map(|transfer| Event::Resume { transfer }),
+        any_transfer().prop_map(|transfer| Event::End { transfer }),
+        (0..600_u64).prop_map(|after_ms| Event::Search { after_ms }),
+    ];
+    prop::collection::vec(event, 1..200)
+}
+
+/// A transfer as its owner knows it.
+struct KnownTransfer {
+    id: TransferId,
+    progressed_at: Instant,
+    is_waiting: bool,
+}
+
+impl KnownTransfer {
+    fn has_stalled(&self, now: Instant) -> bool {
+        !self.is_waiting && now - self.progressed_at >= GRACE
+    }
+}
+
+/// Applies an event to one of the transfers; returns false if a search finds none although one has stalled, or one that
+/// hasn't.
+fn apply(
+    event: &Event,
+    ledger: &mut Ledger,
+    transfers: &mut Vec<KnownTransfer>,
+    now: &mut Instant,
+) -> bool {
+    let count = transfers.len();
+    match *event {
+        Event::Begin => transfers.push(KnownTransfer {
+            id: ledger.begin_transfer(*now),
+            progressed_at: *now,
+            is_waiting: false,
+        }),
+        Event::Progress { transfer } if count > 0 => {
+            let known = &mut transfers[transfer % count];
+            known.progressed_at = *now;
+            ledger.note_progress(known.id, *now);
+        }
+        Event::Wait { transfer } if count > 0 => {
+            let known = &mut transfers[transfer % count];
+            known.is_waiting = true;
+            ledger.note_waiting(known.id, true, *now);
+        }
+        Event::Resume { transfer } if count > 0 => {
+            let known = &mut transfers[transfer % count];
+            known.is_waiting = false;
+            known.progressed_at = *now;
+            ledger.note_waiting(known.id, false, *now);
+        }
+        Event::End { transfer } if count > 0 => {
+            let known = transfers.remove(transfer % count);
+            ledger.end_transfer(known.id);
+        }
+        Event::Search { after_ms } => {
+            *now += Duration::from_millis(after_ms);
+            let found = ledger.take_stalled(*now, GRACE);
+            let Some(id) = found else {
+                return !transfers.iter().any(|known| known.has_stalled(*now));
+            };
+            let position = transfers.iter().position(|known| known.id == id);
+            let known = transfers.remove(position.expect("it was in progress"));
+            return known.has_stalled(*now);
+        }
+        Event::Progress { .. } | Event::Wait { .. } | Event::Resume { .. } | Event::End { .. } => {}
+    }
+    true
+}
+
 proptest! {
+    /// Guards against a stalled transfer that is overlooked, and against one that is ended without cause.
+    #[test]
+    fn a_search_finds_a_transfer_exactly_if_one_has_stalled(events in events()) {
+        let mut ledger = Ledger::new(SIZES);
+        let mut transfers = Vec::new();
+        let mut now = Instant::now();
+        for event in &events {
+            prop_assert!(apply(event, &mut ledger, &mut transfers, &mut now), "{event:?}");
+        }
+    }
+
     /// Guards against taking more than the bound, and against bytes that never return.
     #[test]
     fn the_sum_stays_within_the_bound_and_returns(steps in steps()) {
