--- a/review/standin-2/case_cut_stream.rs
+++ b/review/standin-2/case_cut_stream.rs
@@ -27,6 +27,10 @@
         replica::run(&args[1..]);
         return;
     }
+    if args.first().is_some_and(|role| role == "guard") {
+        kit::guard(&args[1..]);
+        return;
+    }
     let case_folder = args.first().cloned().unwrap_or_else(|| ".".to_owned());
     let root = PathBuf::from(args.get(1).cloned().unwrap_or_else(|| ".".to_owned()));
     exit(run(&case_folder, &root));
@@ -55,6 +59,7 @@
             queue: 24,
             closes: true,
             filler: 40,
+            long: 1,
         };
         let (send, receive) = std::sync::mpsc::channel();
         let (notes, running, id) = (record.clone(), running.clone(), shape.id.clone());
--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -433,6 +433,8 @@
     changes: Vec<(u64, Location, Option<String>)>,
     objects: BTreeMap<String, Vec<u8>>,
     ver: u64,
+    /// Transactions above the limits, which were refused, and the bytes of the largest.
+    refused: (u64, usize),
 }
 
 /// The platform's store: rows, feeds and objects. Answers are linearizable, and nothing is ever lost.
@@ -476,6 +478,11 @@
         self.change((table.into(), String::new(), key.into()), Some(base64(json.as_bytes())));
     }
 
+    /// Returns how many transactions were above the limits, and the bytes of the largest.
+    pub fn refused(&self) -> (u64, usize) {
+        lock(&self.rows.0).refused
+    }
+
     pub fn remove(&self, table: &str, key: &str) {
         self.change((table.into(), String::new(), key.into()), None);
     }
@@ -569,6 +576,8 @@
         let is_large = put.iter().any(|entry| entry.get("value").text().len() > ROW_BYTES * 4 / 3 + 4);
         let entries = expected.len() + put.len() + removed.len();
         if is_large || entries > MAX_ENTRIES || body.len() > MAX_TRANSACTION {
+            let mut rows = lock(&self.rows.0);
+            rows.refused = (rows.refused.0 + 1, rows.refused.1.max(body.len()));
             return (400, b"{}".to_vec());
         }
         let (rows, changed) = &*self.rows;
@@ -697,46 +706,51 @@
 
 // ---------------------------------------------------------------- processes
 
-/// Ids of the daemons that were started, which the watchdog ends.
-static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
-
-/// Ends the script, with the result "could not run", and its daemons after this time.
+/// Ends the script, with the result "could not run", after this time; what it has started ends with it.
 pub fn watch_over(limit: Duration) {
     thread::spawn(move || {
         thread::sleep(limit);
         println!("the time is over");
-        for id in lock(&STARTED).iter() {
-            let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
-        }
         std::process::exit(2);
     });
 }
 
+/// Runs a program and ends it when the owner of this process ends, however that happens: `guard PROGRAM SETTINGS LOG`.
+/// Prints the program's process id first.
+pub fn guard(args: &[String]) {
+    let log = fs::OpenOptions::new().create(true).append(true).open(&args[2]).expect("a log");
+    let errors = log.try_clone().expect("a log");
+    let mut child = Command::new(&args[0])
+        .env("HARRIERWARD_SETTINGS", &args[1])
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(errors)
+        .spawn()
+        .expect("the daemon's program; was it built?");
+    println!("{}", child.id());
+    let mut rest = Vec::new();
+    let _ = std::io::stdin().read_to_end(&mut rest);
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
 /// A child that ends with its owner.
 pub struct Process {
     pub child: Child,
 }
 
 impl Process {
-    /// Sends a signal by its name, to this process only.
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill")
-            .args([&format!("-{name}"), &self.child.id().to_string()])
-            .status();
-    }
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-    /// True if the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
 }
 
 impl Drop for Process {
+    /// Closes its input, upon which it ends.
     fn drop(&mut self) {
-        self.kill();
+        drop(self.child.stdin.take());
+        let _ = self.child.wait();
     }
 }
 
@@ -749,7 +763,9 @@
 /// A daemon of the deploy file with its settings, like those of a small deployment.
 pub struct Daemon {
     pub name: String,
-    pub process: Process,
+    process: Process,
+    /// Process id of the daemon itself.
+    pub pid: u32,
     pub front: String,
     pub ready: String,
     settings: PathBuf,
@@ -796,30 +812,32 @@
             process: Process {
                 child: Command::new("true").spawn().expect("a process"),
             },
+            pid: 0,
             front: format!("{ip}:8161"),
             ready: format!("{ip}:8167"),
             settings: path,
             log: self.folder.join(format!("{name}.log")),
             program: root.join("target/release/harrierward-platform"),
         };
-        daemon.restart();
+        daemon.start();
         daemon
     }
 }
 
 impl Daemon {
-    /// Starts the process, after its end too, with the command of the deploy file.
-    pub fn restart(&mut self) {
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log).expect("a log");
-        let errors = log.try_clone().expect("a log");
-        let child = Command::new(&self.program)
-            .env("HARRIERWARD_SETTINGS", &self.settings)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
+    /// Starts the process with the command of the deploy file, under a guard that ends it with this one.
+    fn start(&mut self) {
+        let program = std::env::current_exe().expect("this program");
+        let mut child = Command::new(program)
+            .arg("guard")
+            .args([&self.program, &self.settings, &self.log])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
-            .expect("the daemon's program; was it built?");
-        lock(&STARTED).push(child.id());
+            .expect("a guard");
+        let mut line = String::new();
+        let _ = BufReader::new(child.stdout.take().expect("its output")).read_line(&mut line);
+        self.pid = line.trim().parse().unwrap_or(0);
         self.process = Process { child };
     }
     pub fn is_ready(&self) -> bool {
--- a/review/standin-2/replica.rs
+++ b/review/standin-2/replica.rs
@@ -28,6 +28,8 @@
     pub closes: bool,
     /// Bytes of an event's data beside its number.
     pub filler: usize,
+    /// How many times as many events a request has whose path ends with `/long`.
+    pub long: u64,
 }
 
 impl Shape {
@@ -42,6 +44,7 @@
             format!("queue={}", self.queue),
             format!("closes={}", u8::from(self.closes)),
             format!("filler={}", self.filler),
+            format!("long={}", self.long),
         ]
     }
     pub fn of(args: &[String]) -> Self {
@@ -56,6 +59,7 @@
             queue: number("queue") as usize,
             closes: number("closes") == 1,
             filler: number("filler") as usize,
+            long: number("long").max(1),
         }
     }
 }
@@ -209,7 +213,9 @@
         shape.slots
     );
     to.write_all(text.as_bytes())?;
-    for number in last + 1..=shape.events {
+    let is_long = head.line.get(1).is_some_and(|target| target.ends_with("/long"));
+    let events = if is_long { shape.events * shape.long } else { shape.events };
+    for number in last + 1..=events {
         // Each event is handed to the kernel whole, so that a crash of the process ends the answer between two events.
         let event = event(id, number, shape.filler);
         let piece = if shape.closes {
