--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 4 and up into target/review-2. They use the standard library alone, and none of the
+# Builds the stand-ins of the cases 4 to 6 into target/review-2. They use the standard library alone, and none of the
 # project's stand-ins.
 set -eu
 cd "$(dirname "$0")/.."
--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -450,6 +450,9 @@
 const MAX_ENTRIES: usize = 100;
 const MAX_TRANSACTION: usize = 1_000_000;
 
+/// Limit of an object, as the settings give it.
+const BLOB_BYTES: usize = 8_388_608;
+
 /// Time that a call takes.
 const CALL_TIME: Duration = Duration::from_millis(4);
 
@@ -542,6 +545,10 @@
         let name = path.rsplit('/').next().unwrap_or("").to_owned();
         let mut rows = lock(&self.rows.0);
         match method {
+            "PUT" if body.len() > BLOB_BYTES => {
+                rows.refused = (rows.refused.0 + 1, rows.refused.1.max(body.len()));
+                (413, b"{}".to_vec())
+            }
             "PUT" => {
                 rows.objects.insert(name, body.to_vec());
                 (200, b"{}".to_vec())
@@ -781,6 +788,8 @@
     pub folder: PathBuf,
     pub store: String,
     pub daemons: u16,
+    /// Memory of a machine in megabytes; 0 for the usual 290.
+    pub ram_mb: u64,
 }
 
 impl Site {
@@ -795,7 +804,7 @@
              ip = \"{ip}\"\nzone = \"zone\"\nregion = \"region\"\nport-range = [7720,7735]\nseeds = [{seeds}]\n\
              bootstrap = true\nheartbeat-ms = 1200\nmetrics = \"9464/metrics\"\n[zones]\nzone = \"region\"\n\
              [listen]\nfront = \"{ip}:8161\"\nready = \"{ip}:8167\"\ncontrol = \"{ip}:8166\"\n\
-             [limits]\ncpu-quota = 0.5\ncores = 1\nram-mb = 290\nmax-fds = 8200\n\
+             [limits]\ncpu-quota = 0.5\ncores = 1\nram-mb = {ram}\nmax-fds = 8200\n\
              [bounds]\nseed-stale-s = 3\naddr-reuse-s = 2\ncontact-ms = 3000\nack-timeout-ms = 4000\nsync-s = 4.8\n\
              drain-timeout-ms = 2000\ngrace-s = 8\nconfig-apply-ms = 2000\ndowngrade-ms = 250\nskew-ms = 5000\n\
              recovery-s = 12\nfinish-by-s = 18\npoll-s = 120\ncancel-ms = 3000\nsettle-ms = 1000\nquota-over = 0.1\n\
@@ -803,6 +812,7 @@
              tx_ms = 3.0\nrow_bytes = 65536\nacross = true\nhistory-s = 20\nblob_bytes = 8388608\n",
             seeds = seeds.join(","),
             bounds = self.bounds,
+            ram = if self.ram_mb > 0 { self.ram_mb } else { 290 },
             store = self.store,
         );
         let path = self.folder.join(format!("{name}.toml"));
@@ -840,6 +850,14 @@
         self.pid = line.trim().parse().unwrap_or(0);
         self.process = Process { child };
     }
+    /// Ends the process at once, as the platform does with one that exceeds its memory.
+    pub fn kill(&self) {
+        let _ = Command::new("kill").args(["-KILL", &self.pid.to_string()]).status();
+    }
+    /// Starts the process again.
+    pub fn restart(&mut self) {
+        self.start();
+    }
     pub fn is_ready(&self) -> bool {
         let head = "GET /v1/ready HTTP/1.1\r\nHost: ready\r\n";
         call(&self.ready, head, b"", Duration::from_millis(500)).status == 200
