--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -852,7 +852,7 @@
     }
     /// Ends the process at once, as the platform does with one that exceeds its memory.
     pub fn kill(&self) {
-        let _ = Command::new("kill").args(["-KILL", &self.pid.to_string()]).status();
+        let _ = Command::new("sh").args(["-c", &format!("kill -KILL {}", self.pid)]).status();
     }
     /// Starts the process again.
     pub fn restart(&mut self) {
